--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Policy measurements and slopes: prints JSON lines.
+
+fn main() {}
--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The pomelostack program.
+
+fn main() {}
--- /dev/null
+++ b/lib/src/host_list.rs
@@ -0,0 +1,64 @@
+//! Edge to the platform's list of live and leaving hosts, which lags behind reality.
+
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::cloud::HostMarket;
+use crate::ids::ClassName;
+use crate::ids::HostId;
+use crate::ids::ServiceName;
+use crate::ids::ZoneName;
+
+/// The list cannot be had now.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+#[error("host list cannot be read: {0}")]
+pub struct HostListError(pub String);
+
+/// Result of reading the list.
+pub type Result<T> = std::result::Result<T, HostListError>;
+
+/// State of a host in the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HostState {
+    /// The host is up.
+    Live,
+    /// The host is leaving.
+    Leaving,
+}
+
+/// What a host is for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HostDuty {
+    /// An entry host of the system.
+    Entry,
+    /// A backend server of the service.
+    Backend(ServiceName),
+}
+
+/// One host of the list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostEntry {
+    /// Identity.
+    pub host: HostId,
+    /// Address of the server on it, `ip:port`.
+    pub address: String,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Machine class.
+    pub class: ClassName,
+    /// How the host is bought.
+    pub market: HostMarket,
+    /// State.
+    pub state: HostState,
+    /// What the host is for.
+    pub duty: HostDuty,
+}
+
+/// The platform's host list.
+pub trait HostList: Send + Sync {
+    /// Returns the whole list.
+    fn hosts(&self) -> Result<Vec<HostEntry>>;
+}
--- /dev/null
+++ b/lib/src/protos/mod.rs
@@ -0,0 +1,29 @@
+//! Messages generated from the `.proto` files in this folder by the `gen-protos` crate.
+
+#![allow(missing_docs, clippy::all, clippy::unwrap_used)]
+
+/// Administration API.
+#[rustfmt::skip]
+pub mod admin {
+    include!("pomelostack.admin.rs");
+}
+/// Records of the log stream "claims".
+#[rustfmt::skip]
+pub mod claims {
+    include!("pomelostack.claims.rs");
+}
+/// Records of the log stream "config".
+#[rustfmt::skip]
+pub mod config {
+    include!("pomelostack.config.rs");
+}
+/// Records of the log stream "leases".
+#[rustfmt::skip]
+pub mod leases {
+    include!("pomelostack.leases.rs");
+}
+/// Messages between entry hosts.
+#[rustfmt::skip]
+pub mod peer {
+    include!("pomelostack.peer.rs");
+}
