front door: add settings, listener, routes, completion bodies, supervisor and metrics

Cause: the whole path needs its process side. Change: settings checked from JSON with codes and paths, the HTTP listener, routes, the completion API's bodies, the supervisor tree, logging and metrics.

--- /dev/null
+++ b/lib/src/http_listener.rs
@@ -0,0 +1,221 @@
+//! Accepts callers' connections and serves HTTP/1.1 on them.
+//!
+//! A caller that sends its header section too slowly gets a reply with the numbered code and is cut
+//! off; connections beyond the limit wait in the listen queue.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io::Write as _;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+
+use crate::http_reply::FrontError;
+use crate::http_reply::FrontReply;
+use crate::result_code::ResultCode;
+use crate::settings::FrontDoorSettings;
+
+/// Most headers that one request may have.
+const MAX_HEADERS: usize = 256;
+
+/// Future of one reply.
+pub type ReplyFuture = Pin<Box<dyn Future<Output = FrontReply> + Send>>;
+/// Answers one request.
+pub type RequestHandler = Arc<dyn Fn(Request<Incoming>) -> ReplyFuture + Send + Sync>;
+
+/// Result of listening.
+pub type Result<T> = std::io::Result<T>;
+
+/// A listening front door.
+pub struct HttpListener {
+    address: SocketAddr,
+    stop: watch::Sender<bool>,
+    connections: Arc<Semaphore>,
+    max_connections: u32,
+}
+
+impl HttpListener {
+    /// Binds the address and serves connections on the runtime until [`Self::stop`].
+    pub fn start(
+        runtime: &tokio::runtime::Handle,
+        address: SocketAddr,
+        settings: FrontDoorSettings,
+        handler: RequestHandler,
+    ) -> Result<Self> {
+        let listener = runtime.block_on(TcpListener::bind(address))?;
+        let address = listener.local_addr()?;
+        let (stop, stopped) = watch::channel(false);
+        let connections = Arc::new(Semaphore::new(settings.max_connections));
+        let max_connections = u32::try_from(settings.max_connections).unwrap_or(u32::MAX);
+        let server = ConnectionServer { settings, handler, stopped };
+        runtime.spawn(accept_loop(listener, server, connections.clone()));
+        Ok(Self { address, stop, connections, max_connections })
+    }
+
+    /// Returns the address that is listened on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting and tells open connections to end after their current reply.
+    pub fn stop(&self) {
+        self.stop.send_replace(true);
+    }
+
+    /// Waits until every connection has ended.
+    pub async fn wait_until_idle(&self) {
+        // The semaphore is never closed, so this fails in no case.
+        let _ = self.connections.acquire_many(self.max_connections).await;
+    }
+}
+
+async fn wait_for_stop(stopped: &mut watch::Receiver<bool>) {
+    // A listener that is gone has stopped as well.
+    let _ = stopped.wait_for(|&stop| stop).await;
+}
+
+#[derive(Clone)]
+struct ConnectionServer {
+    settings: FrontDoorSettings,
+    handler: RequestHandler,
+    stopped: watch::Receiver<bool>,
+}
+
+async fn accept_loop(listener: TcpListener, server: ConnectionServer, connections: Arc<Semaphore>) {
+    let mut stopped = server.stopped.clone();
+    loop {
+        let Ok(permit) = connections.clone().acquire_owned().await else { return };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = wait_for_stop(&mut stopped) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let server = server.clone();
+                tokio::spawn(async move {
+                    server.serve(stream).await;
+                    drop(permit);
+                });
+            }
+            Err(error) => {
+                log::warn!("event=accept_failed error=\"{error}\"");
+                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+impl ConnectionServer {
+    async fn serve(mut self, stream: TcpStream) {
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("event=nodelay_failed error=\"{error}\"");
+        }
+        let Ok((stream, twin)) = split_twin(stream) else { return };
+        let mid_header = Arc::new(AtomicBool::new(false));
+        let io = TokioIo::new(MarkedStream { stream, mid_header: mid_header.clone() });
+        let handler = self.handler.clone();
+        let service = service_fn(move |request| {
+            let reply = handler(request);
+            async move { Ok::<_, Infallible>(reply.await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.settings.header_timeout)
+            .max_headers(MAX_HEADERS)
+            .max_buf_size(self.settings.max_header_bytes.saturating_mul(2))
+            .half_close(false)
+            .serve_connection(io, service);
+        tokio::pin!(connection);
+        let result = tokio::select! {
+            result = connection.as_mut() => result,
+            () = wait_for_stop(&mut self.stopped) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        if result.is_err_and(|error| error.is_timeout()) && mid_header.load(Ordering::Relaxed) {
+            refuse_slow_header(twin);
+        }
+    }
+}
+
+/// Returns the stream and a second handle of the same socket.
+///
+/// The HTTP library closes its handle without a reply when a header times out; the second handle
+/// carries the reply.
+fn split_twin(stream: TcpStream) -> Result<(TcpStream, std::net::TcpStream)> {
+    let stream = stream.into_std()?;
+    let twin = stream.try_clone()?;
+    Ok((TcpStream::from_std(stream)?, twin))
+}
+
+fn refuse_slow_header(mut twin: std::net::TcpStream) {
+    let error = FrontError::new(ResultCode::CallerTooSlow, "the header did not arrive in time");
+    let body = error.to_json().to_string();
+    let reply = format!(
+        "HTTP/1.1 408 Request Timeout\r\ncontent-type: application/json\r\n\
+         pomelostack-result: {}\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
+        ResultCode::CallerTooSlow.number(),
+        body.len(),
+    );
+    // The socket does not block, and a caller that is gone needs no reply.
+    let _ = twin.write_all(reply.as_bytes());
+}
+
+/// A stream that marks whether bytes of a request have come in since the last reply.
+struct MarkedStream {
+    stream: TcpStream,
+    mid_header: Arc<AtomicBool>,
+}
+
+impl AsyncRead for MarkedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if buffer.filled().len() > before {
+            self.mid_header.store(true, Ordering::Relaxed);
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for MarkedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        data: &[u8],
+    ) -> Poll<Result<usize>> {
+        self.mid_header.store(false, Ordering::Relaxed);
+        Pin::new(&mut self.stream).poll_write(cx, data)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -66,9 +66,14 @@
 pub mod retry_budget;
 
 // The process.
+pub mod completion_api;
 pub mod entry;
 pub mod front_door;
+pub mod http_listener;
+pub mod http_reply;
+pub mod http_route;
 pub mod logging;
 pub mod metrics;
 pub mod settings;
+pub mod settings_json;
 pub mod supervisor;
--- a/lib/src/logging.rs
+++ b/lib/src/logging.rs
@@ -1,1 +1,56 @@
-//! Not yet written.
+//! Sets up logging: one event a line, with key=value fields.
+//!
+//! A line reads `2026-01-31T12:00:00Z INFO event=request_ended request=… service=… team=…
+//! server=… code=…`. Fields that hold spaces are quoted.
+
+use std::fs::OpenOptions;
+use std::io::Write;
+
+use simplelog::ConfigBuilder;
+use simplelog::LevelFilter;
+use simplelog::WriteLogger;
+use thiserror::Error;
+
+use crate::settings::LogLevel;
+use crate::settings::LogSettings;
+
+/// Logging cannot be set up.
+#[derive(Debug, Error)]
+pub enum LoggingError {
+    /// The log file cannot be opened.
+    #[error("cannot open log file: {0}")]
+    File(#[from] std::io::Error),
+    /// A logger is set already.
+    #[error("logging is set up already: {0}")]
+    AlreadySet(#[from] log::SetLoggerError),
+}
+
+/// Result of setting up logging.
+pub type Result<T> = std::result::Result<T, LoggingError>;
+
+/// Starts logging for the whole process.
+pub fn init_logging(settings: &LogSettings) -> Result<()> {
+    let writer: Box<dyn Write + Send> = match &settings.file {
+        Some(path) => Box::new(OpenOptions::new().create(true).append(true).open(path)?),
+        None => Box::new(std::io::stderr()),
+    };
+    let config = ConfigBuilder::new()
+        .set_time_format_rfc3339()
+        .set_thread_level(LevelFilter::Off)
+        .set_target_level(LevelFilter::Off)
+        .set_location_level(LevelFilter::Off)
+        .add_filter_allow_str("pomelostack")
+        .add_filter_allow_str("testutils")
+        .build();
+    WriteLogger::init(level_filter(settings.level), config, writer)?;
+    Ok(())
+}
+
+fn level_filter(level: LogLevel) -> LevelFilter {
+    match level {
+        LogLevel::Error => LevelFilter::Error,
+        LogLevel::Warn => LevelFilter::Warn,
+        LogLevel::Info => LevelFilter::Info,
+        LogLevel::Debug => LevelFilter::Debug,
+    }
+}
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -1,1 +1,299 @@
-//! Not yet written.
+//! Settings of one entry host, read from a JSON file.
+//!
+//! A process learns its addresses, availability zone and platform endpoints here. What concerns a
+//! service or a team is in the published configuration instead.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use thiserror::Error;
+
+use crate::ids::HostId;
+use crate::ids::RegionName;
+use crate::ids::ZoneName;
+use crate::resource::TokenHash;
+use crate::result_code::ResultCode;
+use crate::settings_json::ObjectReader;
+
+/// A settings file that cannot be used.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+#[error("{code}: {path}: {problem}")]
+pub struct SettingsError {
+    /// Numbered code.
+    pub code: ResultCode,
+    /// JSON path of the setting, `$` for the whole file.
+    pub path: String,
+    /// What is wrong and what is allowed.
+    pub problem: String,
+}
+
+/// Result of reading settings.
+pub type Result<T> = std::result::Result<T, SettingsError>;
+
+/// Level of log lines that are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogLevel {
+    /// Errors alone.
+    Error,
+    /// Warnings and errors.
+    Warn,
+    /// One line for each request, and the above.
+    Info,
+    /// Steps of each request, and the above.
+    Debug,
+}
+
+/// Addresses that the process listens on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListenSettings {
+    /// Callers' front door.
+    pub http: SocketAddr,
+    /// Other entry hosts.
+    pub peer: SocketAddr,
+    /// Operators' administration API.
+    pub admin: SocketAddr,
+}
+
+/// Endpoints of the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlatformSettings {
+    /// Append-only log.
+    pub log: SocketAddr,
+    /// Cloud API.
+    pub cloud: SocketAddr,
+    /// Host list.
+    pub host_list: SocketAddr,
+    /// Weight store.
+    pub weight_store: SocketAddr,
+}
+
+/// Hashes of the tokens that operators and peers present.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SecretSettings {
+    /// Token of operators who may change things.
+    pub operator_write: TokenHash,
+    /// Token of operators who may only look.
+    pub operator_read: TokenHash,
+}
+
+/// Bounds of the front door.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FrontDoorSettings {
+    /// Time for the header section of a request to arrive.
+    pub header_timeout: Duration,
+    /// Time for the body of a request to arrive.
+    pub body_timeout: Duration,
+    /// Largest header section in bytes.
+    pub max_header_bytes: usize,
+    /// Largest body in bytes.
+    pub max_body_bytes: usize,
+    /// Connections open at once, at most.
+    pub max_connections: usize,
+    /// Time for which one piece of an answer may wait for a slow caller.
+    pub write_timeout: Duration,
+}
+
+/// Bounds of calls to other processes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallSettings {
+    /// Time to open a connection.
+    pub connect_timeout: Duration,
+    /// Time for one call to the platform's services.
+    pub platform_timeout: Duration,
+    /// Time between two readings of the host list, and of each server's load report.
+    pub poll_interval: Duration,
+    /// Time between two readings of an idle log stream.
+    pub log_poll_interval: Duration,
+}
+
+/// Bounds of what is kept in memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MemorySettings {
+    /// Answers kept, in bytes.
+    pub answer_bytes: usize,
+    /// Answers kept, in number.
+    pub answers: usize,
+    /// Idempotency keys kept, in number.
+    pub claims: usize,
+}
+
+/// Where log lines go.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogSettings {
+    /// Least important level that is written.
+    pub level: LogLevel,
+    /// File to append to; none writes to standard error.
+    pub file: Option<PathBuf>,
+}
+
+/// All settings of one entry host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntrySettings {
+    /// Identity of the host.
+    pub host: HostId,
+    /// Region of the host.
+    pub region: RegionName,
+    /// Availability zone of the host.
+    pub zone: ZoneName,
+    /// Addresses to listen on.
+    pub listen: ListenSettings,
+    /// Peer addresses of other entry hosts to begin with.
+    pub peers: Vec<SocketAddr>,
+    /// Secret that entry hosts present to each other.
+    pub peer_token: String,
+    /// Endpoints of the platform.
+    pub platform: PlatformSettings,
+    /// Operators' tokens.
+    pub secrets: SecretSettings,
+    /// Front door.
+    pub front_door: FrontDoorSettings,
+    /// Calls to other processes.
+    pub calls: CallSettings,
+    /// Memory.
+    pub memory: MemorySettings,
+    /// Logging.
+    pub log: LogSettings,
+    /// Address of the statsd collector; none sends no metrics.
+    pub statsd: Option<SocketAddr>,
+    /// Time that a planned stop waits for running requests, at most.
+    pub drain_timeout: Duration,
+}
+
+impl EntrySettings {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Self> {
+        let text = std::fs::read_to_string(path).map_err(|error| SettingsError {
+            code: ResultCode::SettingsUnreadable,
+            path: "$".into(),
+            problem: format!("cannot read {}: {error}", path.display()),
+        })?;
+        Self::try_from(text.as_str())
+    }
+
+    /// Refuses settings in which two listening addresses, or a listening address and a platform
+    /// endpoint, are the same.
+    fn check_addresses(&self) -> Result<()> {
+        let named = [
+            ("$.listen.http", self.listen.http),
+            ("$.listen.peer", self.listen.peer),
+            ("$.listen.admin", self.listen.admin),
+            ("$.platform.log", self.platform.log),
+            ("$.platform.cloud", self.platform.cloud),
+            ("$.platform.host_list", self.platform.host_list),
+            ("$.platform.weight_store", self.platform.weight_store),
+        ];
+        for (index, (path, address)) in named.iter().enumerate() {
+            let twin = named[..index].iter().find(|(_, other)| other == address);
+            if let Some((other_path, _)) = twin {
+                return Err(SettingsError {
+                    code: ResultCode::SettingsEqualAddresses,
+                    path: (*path).into(),
+                    problem: format!("{address} is also {other_path}; addresses must differ"),
+                });
+            }
+        }
+        Ok(())
+    }
+}
+
+impl TryFrom<&str> for EntrySettings {
+    type Error = SettingsError;
+
+    fn try_from(text: &str) -> Result<Self> {
+        let mut root = ObjectReader::parse(text)?;
+        let settings = Self {
+            host: root.name("host")?,
+            region: root.name("region")?,
+            zone: root.name("zone")?,
+            listen: read_listen(root.object("listen")?)?,
+            peers: root.addresses("peers")?,
+            peer_token: root.secret("peer_token")?,
+            platform: read_platform(root.object("platform")?)?,
+            secrets: read_secrets(root.object("operators")?)?,
+            front_door: read_front_door(root.optional_object("front_door")?)?,
+            calls: read_calls(root.optional_object("calls")?)?,
+            memory: read_memory(root.optional_object("memory")?)?,
+            log: read_log(root.optional_object("log")?)?,
+            statsd: root.optional_address("statsd")?,
+            drain_timeout: root.millis_or("drain_timeout_ms", 30_000, 0..=600_000)?,
+        };
+        root.finish()?;
+        settings.check_addresses()?;
+        Ok(settings)
+    }
+}
+
+fn read_listen(mut reader: ObjectReader) -> Result<ListenSettings> {
+    let listen = ListenSettings {
+        http: reader.address("http")?,
+        peer: reader.address("peer")?,
+        admin: reader.address("admin")?,
+    };
+    reader.finish()?;
+    Ok(listen)
+}
+
+fn read_platform(mut reader: ObjectReader) -> Result<PlatformSettings> {
+    let platform = PlatformSettings {
+        log: reader.address("log")?,
+        cloud: reader.address("cloud")?,
+        host_list: reader.address("host_list")?,
+        weight_store: reader.address("weight_store")?,
+    };
+    reader.finish()?;
+    Ok(platform)
+}
+
+fn read_secrets(mut reader: ObjectReader) -> Result<SecretSettings> {
+    let secrets = SecretSettings {
+        operator_write: reader.token_hash("write_token_hash")?,
+        operator_read: reader.token_hash("read_token_hash")?,
+    };
+    reader.finish()?;
+    Ok(secrets)
+}
+
+fn read_front_door(mut reader: ObjectReader) -> Result<FrontDoorSettings> {
+    let front_door = FrontDoorSettings {
+        header_timeout: reader.millis_or("header_timeout_ms", 5_000, 10..=60_000)?,
+        body_timeout: reader.millis_or("body_timeout_ms", 10_000, 10..=600_000)?,
+        max_header_bytes: reader.size_or("max_header_bytes", 16_384, 8_192..=1_048_576)?,
+        max_body_bytes: reader.size_or("max_body_bytes", 4_194_304, 1_024..=67_108_864)?,
+        max_connections: reader.size_or("max_connections", 1_024, 1..=65_536)?,
+        write_timeout: reader.millis_or("write_timeout_ms", 10_000, 100..=600_000)?,
+    };
+    reader.finish()?;
+    Ok(front_door)
+}
+
+fn read_calls(mut reader: ObjectReader) -> Result<CallSettings> {
+    let calls = CallSettings {
+        connect_timeout: reader.millis_or("connect_timeout_ms", 500, 10..=30_000)?,
+        platform_timeout: reader.millis_or("platform_timeout_ms", 2_000, 10..=60_000)?,
+        poll_interval: reader.millis_or("poll_interval_ms", 500, 10..=60_000)?,
+        log_poll_interval: reader.millis_or("log_poll_interval_ms", 200, 5..=10_000)?,
+    };
+    reader.finish()?;
+    Ok(calls)
+}
+
+fn read_memory(mut reader: ObjectReader) -> Result<MemorySettings> {
+    let memory = MemorySettings {
+        answer_bytes: reader.size_or("answer_bytes", 16_777_216, 65_536..=4_294_967_296)?,
+        answers: reader.size_or("answers", 20_000, 16..=10_000_000)?,
+        claims: reader.size_or("claims", 200_000, 16..=10_000_000)?,
+    };
+    reader.finish()?;
+    Ok(memory)
+}
+
+fn read_log(mut reader: ObjectReader) -> Result<LogSettings> {
+    let log = LogSettings {
+        level: reader.log_level_or("level", LogLevel::Info)?,
+        file: reader.optional_text("file")?.map(PathBuf::from),
+    };
+    reader.finish()?;
+    Ok(log)
+}
--- /dev/null
+++ b/lib/src/settings_json.rs
@@ -0,0 +1,232 @@
+//! Reads typed values out of a JSON settings object and names the JSON path of what is wrong.
+
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::time::Duration;
+
+use serde_json::Map;
+use serde_json::Value;
+
+use crate::ids::NameError;
+use crate::resource::TokenHash;
+use crate::result_code::ResultCode;
+use crate::settings::LogLevel;
+use crate::settings::Result;
+use crate::settings::SettingsError;
+
+/// Shortest accepted secret, in bytes.
+const MIN_SECRET_BYTES: usize = 16;
+/// Hexadecimal digits of a token hash.
+const TOKEN_HASH_DIGITS: usize = 64;
+
+/// One JSON object whose fields are taken out one by one; what is left at the end is unknown.
+pub struct ObjectReader {
+    path: String,
+    fields: Map<String, Value>,
+}
+
+impl ObjectReader {
+    /// Parses the text of a whole file, which must be one JSON object.
+    pub fn parse(text: &str) -> Result<Self> {
+        let value: Value = serde_json::from_str(text).map_err(|error| SettingsError {
+            code: ResultCode::SettingsNotJson,
+            path: "$".into(),
+            problem: format!("not valid JSON: {error}"),
+        })?;
+        match value {
+            Value::Object(fields) => Ok(Self { path: "$".into(), fields }),
+            other => Err(wrong_type("$".into(), "an object", &other)),
+        }
+    }
+
+    /// Fails if a field was not taken.
+    pub fn finish(self) -> Result<()> {
+        match self.fields.keys().next() {
+            None => Ok(()),
+            Some(field) => Err(SettingsError {
+                code: ResultCode::SettingUnknown,
+                path: format!("{}.{field}", self.path),
+                problem: "no such setting; see the settings page".into(),
+            }),
+        }
+    }
+
+    /// Takes a required object.
+    pub fn object(&mut self, field: &str) -> Result<Self> {
+        let value = self.required(field, "an object")?;
+        self.nested(field, value)
+    }
+
+    /// Takes an object that may be missing; a missing one reads as empty.
+    pub fn optional_object(&mut self, field: &str) -> Result<Self> {
+        let value = self.fields.remove(field).unwrap_or_else(|| Value::Object(Map::new()));
+        self.nested(field, value)
+    }
+
+    /// Takes a required name.
+    pub fn name<T: TryFrom<String, Error = NameError>>(&mut self, field: &str) -> Result<T> {
+        let text = self.text(field)?;
+        T::try_from(text).map_err(|error| self.out_of_range(field, error.to_string()))
+    }
+
+    /// Takes a required address, `ip:port` with a port other than 0.
+    pub fn address(&mut self, field: &str) -> Result<SocketAddr> {
+        let value = self.required(field, "a text \"ip:port\"")?;
+        self.parse_address(field, &value)
+    }
+
+    /// Takes an address that may be missing.
+    pub fn optional_address(&mut self, field: &str) -> Result<Option<SocketAddr>> {
+        match self.fields.remove(field) {
+            None | Some(Value::Null) => Ok(None),
+            Some(value) => self.parse_address(field, &value).map(Some),
+        }
+    }
+
+    /// Takes a list of addresses; a missing list is empty.
+    pub fn addresses(&mut self, field: &str) -> Result<Vec<SocketAddr>> {
+        let items = match self.fields.remove(field) {
+            None => return Ok(Vec::new()),
+            Some(Value::Array(items)) => items,
+            Some(other) => return Err(wrong_type(self.path_of(field), "a list", &other)),
+        };
+        let indexed = items.iter().enumerate();
+        indexed.map(|(i, item)| self.parse_address(&format!("{field}[{i}]"), item)).collect()
+    }
+
+    /// Takes a required secret text.
+    pub fn secret(&mut self, field: &str) -> Result<String> {
+        let text = self.text(field)?;
+        if text.len() < MIN_SECRET_BYTES {
+            let problem = format!("must have at least {MIN_SECRET_BYTES} bytes");
+            return Err(self.out_of_range(field, problem));
+        }
+        Ok(text)
+    }
+
+    /// Takes a required token hash in hexadecimal.
+    pub fn token_hash(&mut self, field: &str) -> Result<TokenHash> {
+        let text = self.text(field)?;
+        let problem = format!("must be {TOKEN_HASH_DIGITS} hexadecimal digits (a BLAKE3 hash)");
+        match blake3::Hash::from_hex(&text) {
+            Ok(hash) => Ok(TokenHash(*hash.as_bytes())),
+            Err(_) => Err(self.out_of_range(field, problem)),
+        }
+    }
+
+    /// Takes a duration in milliseconds that may be missing.
+    pub fn millis_or(
+        &mut self,
+        field: &str,
+        default_ms: u64,
+        range: RangeInclusive<u64>,
+    ) -> Result<Duration> {
+        self.number_or(field, default_ms, range).map(Duration::from_millis)
+    }
+
+    /// Takes a size that may be missing.
+    pub fn size_or(
+        &mut self,
+        field: &str,
+        default: u64,
+        range: RangeInclusive<u64>,
+    ) -> Result<usize> {
+        let number = self.number_or(field, default, range)?;
+        usize::try_from(number)
+            .map_err(|_| self.out_of_range(field, "too large for this host".into()))
+    }
+
+    /// Takes a log level that may be missing.
+    pub fn log_level_or(&mut self, field: &str, default: LogLevel) -> Result<LogLevel> {
+        let Some(text) = self.optional_text(field)? else { return Ok(default) };
+        match text.as_str() {
+            "error" => Ok(LogLevel::Error),
+            "warn" => Ok(LogLevel::Warn),
+            "info" => Ok(LogLevel::Info),
+            "debug" => Ok(LogLevel::Debug),
+            _ => Err(self.out_of_range(field, "must be error, warn, info or debug".into())),
+        }
+    }
+
+    /// Takes a text that may be missing.
+    pub fn optional_text(&mut self, field: &str) -> Result<Option<String>> {
+        match self.fields.remove(field) {
+            None | Some(Value::Null) => Ok(None),
+            Some(Value::String(text)) => Ok(Some(text)),
+            Some(other) => Err(wrong_type(self.path_of(field), "a text", &other)),
+        }
+    }
+
+    fn number_or(&mut self, field: &str, default: u64, range: RangeInclusive<u64>) -> Result<u64> {
+        let value = match self.fields.remove(field) {
+            None => return Ok(default),
+            Some(value) => value,
+        };
+        let allowed = format!("must be from {} to {}", range.start(), range.end());
+        if !value.is_number() {
+            return Err(wrong_type(self.path_of(field), "a whole number", &value));
+        }
+        match value.as_u64() {
+            Some(number) if range.contains(&number) => Ok(number),
+            _ => Err(self.out_of_range(field, allowed)),
+        }
+    }
+
+    fn text(&mut self, field: &str) -> Result<String> {
+        match self.required(field, "a text")? {
+            Value::String(text) => Ok(text),
+            other => Err(wrong_type(self.path_of(field), "a text", &other)),
+        }
+    }
+
+    fn required(&mut self, field: &str, expected: &str) -> Result<Value> {
+        self.fields.remove(field).ok_or_else(|| SettingsError {
+            code: ResultCode::SettingMissing,
+            path: self.path_of(field),
+            problem: format!("missing; must be {expected}"),
+        })
+    }
+
+    fn nested(&self, field: &str, value: Value) -> Result<Self> {
+        let path = self.path_of(field);
+        match value {
+            Value::Object(fields) => Ok(Self { path, fields }),
+            other => Err(wrong_type(path, "an object", &other)),
+        }
+    }
+
+    fn parse_address(&self, field: &str, value: &Value) -> Result<SocketAddr> {
+        let Value::String(text) = value else {
+            return Err(wrong_type(self.path_of(field), "a text \"ip:port\"", value));
+        };
+        match text.parse::<SocketAddr>() {
+            Ok(address) if address.port() != 0 => Ok(address),
+            _ => {
+                let problem = "must be \"ip:port\" with an IP number and a port from 1 to 65535";
+                Err(self.out_of_range(field, problem.into()))
+            }
+        }
+    }
+
+    fn out_of_range(&self, field: &str, problem: String) -> SettingsError {
+        let path = self.path_of(field);
+        SettingsError { code: ResultCode::SettingOutOfRange, path, problem }
+    }
+
+    fn path_of(&self, field: &str) -> String {
+        format!("{}.{field}", self.path)
+    }
+}
+
+fn wrong_type(path: String, expected: &str, found: &Value) -> SettingsError {
+    let kind = match found {
+        Value::Null => "null",
+        Value::Bool(_) => "a boolean",
+        Value::Number(_) => "a number",
+        Value::String(_) => "a text",
+        Value::Array(_) => "a list",
+        Value::Object(_) => "an object",
+    };
+    let problem = format!("must be {expected}, found {kind}");
+    SettingsError { code: ResultCode::SettingWrongType, path, problem }
+}
