--- /dev/null
+++ b/cli/src/commands/mod.rs
@@ -0,0 +1,29 @@
+//! The program's commands, one file each.
+
+mod check;
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+/// Serving system for model servers and applications on reclaimable hosts.
+#[derive(FromArgs)]
+pub struct TopLevel {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Check(check::CheckCommand),
+}
+
+impl TopLevel {
+    /// Runs the command that was asked for.
+    pub fn run(self) -> anyhow::Result<ExitCode> {
+        match self.command {
+            Command::Check(command) => command.run(),
+        }
+    }
+}
--- /dev/null
+++ b/lib/tests/test_settings.rs
@@ -0,0 +1,113 @@
+//! Settings are checked with codes and JSON paths, and every setting is documented.
+
+use pomelostack_lib::result_code::ResultCode;
+use pomelostack_lib::settings::EntrySettings;
+use rstest::rstest;
+use serde_json::Value;
+use serde_json::json;
+
+fn minimal() -> Value {
+    let hash = "ab".repeat(32);
+    json!({
+        "host": "entry-1", "region": "salish", "zone": "salish-a",
+        "listen": {
+            "http": "127.0.0.1:8080", "peer": "127.0.0.1:8180", "admin": "127.0.0.1:8280"
+        },
+        "peer_token": "0123456789abcdef",
+        "platform": {
+            "log": "127.0.0.1:9001", "cloud": "127.0.0.1:9002", "host_list": "127.0.0.1:9003",
+            "weight_store": "127.0.0.1:9004"
+        },
+        "operators": { "write_token_hash": hash, "read_token_hash": hash },
+    })
+}
+
+fn set(settings: &mut Value, pointer: &str, value: Value) {
+    let (parent, field) = pointer.rsplit_once('/').unwrap();
+    let parent = settings.pointer_mut(parent).unwrap();
+    parent.as_object_mut().unwrap().insert(field.to_string(), value);
+}
+
+#[test]
+fn minimal_file() {
+    let settings = EntrySettings::try_from(minimal().to_string().as_str()).unwrap();
+    assert_eq!(settings.zone.as_str(), "salish-a");
+    assert_eq!(settings.front_door.max_body_bytes, 4_194_304);
+}
+
+#[rstest]
+#[case("/hots", json!(1), ResultCode::SettingUnknown, "$.hots")]
+#[case("/listen/htp", json!(1), ResultCode::SettingUnknown, "$.listen.htp")]
+#[case("/host", json!(3), ResultCode::SettingWrongType, "$.host")]
+#[case("/host", json!("a b"), ResultCode::SettingOutOfRange, "$.host")]
+#[case("/listen", json!([]), ResultCode::SettingWrongType, "$.listen")]
+#[case("/listen/http", json!("localhost:80"), ResultCode::SettingOutOfRange, "$.listen.http")]
+#[case("/listen/http", json!("127.0.0.1:0"), ResultCode::SettingOutOfRange, "$.listen.http")]
+#[case("/listen/peer", json!("127.0.0.1:8080"), ResultCode::SettingsEqualAddresses, "$.listen.peer")]
+#[case("/platform/log", json!("127.0.0.1:8080"), ResultCode::SettingsEqualAddresses, "$.platform.log")]
+#[case("/peers", json!("127.0.0.1:1"), ResultCode::SettingWrongType, "$.peers")]
+#[case("/peers", json!(["127.0.0.1:1", 7]), ResultCode::SettingWrongType, "$.peers[1]")]
+#[case("/peer_token", json!("short"), ResultCode::SettingOutOfRange, "$.peer_token")]
+#[case("/operators/read_token_hash", json!("xyz"), ResultCode::SettingOutOfRange, "$.operators.read_token_hash")]
+#[case("/front_door", json!({"body_timeout_ms": 1}), ResultCode::SettingOutOfRange, "$.front_door.body_timeout_ms")]
+#[case("/front_door", json!({"body_timeout_ms": "5s"}), ResultCode::SettingWrongType, "$.front_door.body_timeout_ms")]
+#[case("/memory", json!({"answers": -1}), ResultCode::SettingOutOfRange, "$.memory.answers")]
+#[case("/log", json!({"level": "loud"}), ResultCode::SettingOutOfRange, "$.log.level")]
+#[case("/drain_timeout_ms", json!(600_001), ResultCode::SettingOutOfRange, "$.drain_timeout_ms")]
+fn wrong_setting(
+    #[case] pointer: &str,
+    #[case] value: Value,
+    #[case] code: ResultCode,
+    #[case] path: &str,
+) {
+    let mut settings = minimal();
+    set(&mut settings, pointer, value);
+    let error = EntrySettings::try_from(settings.to_string().as_str()).unwrap_err();
+    assert_eq!((error.code, error.path.as_str()), (code, path));
+}
+
+#[test]
+fn missing_setting() {
+    for field in ["host", "region", "zone", "listen", "peer_token", "platform", "operators"] {
+        let mut settings = minimal();
+        settings.as_object_mut().unwrap().remove(field);
+        let error = EntrySettings::try_from(settings.to_string().as_str()).unwrap_err();
+        assert_eq!((error.code, error.path), (ResultCode::SettingMissing, format!("$.{field}")));
+    }
+}
+
+#[test]
+fn broken_json() {
+    let error = EntrySettings::try_from("{\"host\":").unwrap_err();
+    assert_eq!(error.code, ResultCode::SettingsNotJson);
+}
+
+#[test]
+fn missing_file() {
+    let error = EntrySettings::load(std::path::Path::new("no-such-file.json")).unwrap_err();
+    assert_eq!(error.code, ResultCode::SettingsUnreadable);
+}
+
+/// Every setting of the source stands on the settings page, and the other way round.
+#[test]
+fn documented_settings() {
+    let source = include_str!("../src/settings.rs");
+    let page = include_str!("../../docs/operators/settings.md");
+    let code_names: std::collections::BTreeSet<&str> = source
+        .split("(\"")
+        .skip(1)
+        .filter_map(|rest| rest.split('"').next())
+        .filter(|name| name.chars().all(|c| c.is_ascii_lowercase() || c == '_'))
+        .filter(|name| !["front_door", "calls", "memory"].contains(name))
+        .collect();
+    let rows = page.lines().filter_map(|line| line.strip_prefix("| `"));
+    let page_names: std::collections::BTreeSet<&str> = rows
+        .filter_map(|row| row.split('`').next())
+        .map(|path| path.rsplit('.').next().unwrap())
+        .collect();
+    let nested = ["listen", "platform", "operators", "log"];
+    let missing: Vec<_> =
+        code_names.difference(&page_names).filter(|name| !nested.contains(name)).collect();
+    let extra: Vec<_> = page_names.difference(&code_names).collect();
+    assert!(missing.is_empty() && extra.is_empty(), "missing {missing:?}, extra {extra:?}");
+}
