--- /dev/null
+++ b/lib/src/caller_request.rs
@@ -0,0 +1,137 @@
+//! Reads callers' HTTP requests: sizes, tokens, headers and bodies within their limits.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::body::Body;
+use hyper::header::AUTHORIZATION;
+use hyper::header::CONTENT_LENGTH;
+
+use crate::http_reply::DEADLINE_HEADER;
+use crate::http_reply::FrontError;
+use crate::http_reply::IDEMPOTENCY_HEADER;
+use crate::resource::ConfigState;
+use crate::resource::TeamResource;
+use crate::result_code::ResultCode;
+use crate::settings::FrontDoorSettings;
+
+/// Longest idempotency key, in bytes.
+pub const MAX_KEY_BYTES: usize = 255;
+/// Longest deadline that a caller may state.
+pub const MAX_DEADLINE: Duration = Duration::from_secs(3_600);
+
+/// Headers that concern one connection alone, in lower case.
+const HOP_BY_HOP_HEADERS: [&str; 10] = [
+    "connection",
+    "content-length",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Result of reading a request.
+pub type Result<T> = std::result::Result<T, FrontError>;
+
+/// Refuses a header section over the limit.
+pub fn check_header_size(headers: &HeaderMap, uri_bytes: usize, max_bytes: usize) -> Result<()> {
+    // Each line carries a colon, a space and a line end besides its name and value.
+    let line_bytes = headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4);
+    if uri_bytes + line_bytes.sum::<usize>() <= max_bytes {
+        return Ok(());
+    }
+    let message = format!("the header section is over {max_bytes} bytes");
+    Err(FrontError::new(ResultCode::HeaderTooLarge, message))
+}
+
+/// Finds the team that the bearer token names.
+pub fn find_team<'a>(headers: &HeaderMap, config: &'a ConfigState) -> Result<&'a TeamResource> {
+    let refused = || {
+        let message = "send a team's token as 'Authorization: Bearer <token>'";
+        FrontError::new(ResultCode::Unauthorized, message).with_param("Authorization")
+    };
+    let value = headers.get(AUTHORIZATION).and_then(|value| value.to_str().ok());
+    let (scheme, token) = value.and_then(|value| value.split_once(' ')).ok_or_else(refused)?;
+    if !scheme.eq_ignore_ascii_case("bearer") {
+        return Err(refused());
+    }
+    config.team_of_token(token.trim()).ok_or_else(refused)
+}
+
+/// Reads the caller's deadline; a request without one gets `default`.
+pub fn read_deadline(headers: &HeaderMap, default: Duration) -> Result<Duration> {
+    let Some(value) = headers.get(DEADLINE_HEADER) else { return Ok(default) };
+    let millis = value.to_str().ok().and_then(|text| text.trim().parse::<u64>().ok());
+    match millis.map(Duration::from_millis) {
+        Some(deadline) if !deadline.is_zero() && deadline <= MAX_DEADLINE => Ok(deadline),
+        _ => {
+            let message = format!("must be from 1 to {} milliseconds", MAX_DEADLINE.as_millis());
+            Err(FrontError::new(ResultCode::BadValue, message).with_param(DEADLINE_HEADER))
+        }
+    }
+}
+
+/// Reads the caller's idempotency key, if there is one.
+pub fn read_key(headers: &HeaderMap) -> Result<Option<String>> {
+    let Some(value) = headers.get(IDEMPOTENCY_HEADER) else { return Ok(None) };
+    let key = value.to_str().ok().map(str::trim);
+    match key {
+        Some(key) if !key.is_empty() && key.len() <= MAX_KEY_BYTES => Ok(Some(key.to_string())),
+        _ => {
+            let message = format!("must be 1 to {MAX_KEY_BYTES} printable ASCII characters");
+            Err(FrontError::new(ResultCode::BadValue, message).with_param(IDEMPOTENCY_HEADER))
+        }
+    }
+}
+
+/// Returns the headers that go on to an application: no hop-by-hop ones, and no token.
+pub fn forwarded_headers(headers: &HeaderMap) -> Vec<(String, String)> {
+    let kept = headers.iter().filter(|(name, _)| {
+        **name != AUTHORIZATION && !HOP_BY_HOP_HEADERS.contains(&name.as_str())
+    });
+    let text = kept.filter_map(|(name, value)| {
+        value.to_str().ok().map(|value| (name.to_string(), value.to_string()))
+    });
+    text.collect()
+}
+
+/// Reads the body within its limits of size and time.
+pub async fn read_body<B>(request: Request<B>, settings: &FrontDoorSettings) -> Result<Bytes>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let declared = request.headers().get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    let declared = declared.and_then(|text| text.parse::<usize>().ok());
+    if declared.is_some_and(|bytes| bytes > settings.max_body_bytes) {
+        return Err(body_too_large(settings.max_body_bytes));
+    }
+    let collecting = Limited::new(request.into_body(), settings.max_body_bytes).collect();
+    match tokio::time::timeout(settings.body_timeout, collecting).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err(body_too_large(settings.max_body_bytes))
+        }
+        Ok(Err(error)) => {
+            let message = format!("the body broke off: {error}");
+            Err(FrontError::new(ResultCode::BadValue, message))
+        }
+        Err(_) => {
+            let message = "the body did not arrive in time";
+            Err(FrontError::new(ResultCode::CallerTooSlow, message))
+        }
+    }
+}
+
+fn body_too_large(max_bytes: usize) -> FrontError {
+    FrontError::new(ResultCode::BodyTooLarge, format!("the body is over {max_bytes} bytes"))
+}
--- a/lib/src/completion_api.rs
+++ b/lib/src/completion_api.rs
@@ -12,6 +12,7 @@
 use crate::ids::RequestId;
 use crate::ids::ServiceName;
 use crate::result_code::ResultCode;
+use crate::session_request::TokenUsage;
 
 /// Tokens of an answer whose request states no bound.
 pub const DEFAULT_MAX_TOKENS: u32 = 256;
@@ -181,15 +182,6 @@
     created_s: u64,
 }
 
-/// Counts of tokens as the caller is told them.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct TokenUsage {
-    /// Tokens of the prompt.
-    pub prompt: u32,
-    /// Tokens of the answer.
-    pub completion: u32,
-}
-
 impl CompletionWriter {
     /// Builds a writer; `created_s` is in seconds since the Unix epoch.
     pub fn new(kind: CompletionKind, request: RequestId, model: &str, created_s: u64) -> Self {
@@ -283,8 +275,8 @@
 
 fn usage_json(usage: TokenUsage) -> Value {
     json!({
-        "prompt_tokens": usage.prompt,
-        "completion_tokens": usage.completion,
-        "total_tokens": usage.prompt + usage.completion,
+        "prompt_tokens": usage.prompt_tokens,
+        "completion_tokens": usage.completion_tokens,
+        "total_tokens": usage.prompt_tokens + usage.completion_tokens,
     })
 }
--- a/lib/src/front_door.rs
+++ b/lib/src/front_door.rs
@@ -1,1 +1,305 @@
-//! Not yet written.
+//! The front door: takes callers' HTTP requests and starts a session for each.
+//!
+//! Checks go in the order route, header size, token, body, content, so that nothing is read from a
+//! caller without a token, and no work is done for it.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::body::Incoming;
+use serde_json::json;
+
+use crate::answer_reply::answer_reply;
+use crate::answer_store::AnswerStore;
+use crate::caller_reply::app_reply;
+use crate::caller_reply::completion_reply;
+use crate::caller_request::Result;
+use crate::caller_request::check_header_size;
+use crate::caller_request::find_team;
+use crate::caller_request::forwarded_headers;
+use crate::caller_request::read_body;
+use crate::caller_request::read_deadline;
+use crate::caller_request::read_key;
+use crate::completion_api::CompletionKind;
+use crate::completion_api::CompletionRequest;
+use crate::completion_api::CompletionWriter;
+use crate::config_follower::ConfigFollower;
+use crate::engine::RequestPriority;
+use crate::http_reply::FrontError;
+use crate::http_reply::FrontReply;
+use crate::http_reply::json_reply;
+use crate::http_route::FrontRoute;
+use crate::http_route::find_route;
+use crate::ids::RequestId;
+use crate::ids::ServiceName;
+use crate::ids::TeamName;
+use crate::metrics::CounterMetric;
+use crate::metrics::MetricsReporter;
+use crate::reply_channel::ReplyReceiver;
+use crate::reply_channel::open_reply_channel;
+use crate::resource::ConfigState;
+use crate::resource::ServiceKind;
+use crate::resource::ServiceResource;
+use crate::resource::TeamResource;
+use crate::result_code::ResultCode;
+use crate::session_driver::SessionDriver;
+use crate::session_request::CheckedRequest;
+use crate::session_request::RequestWork;
+use crate::settings::FrontDoorSettings;
+use crate::timestamp::ProcessClock;
+use crate::timestamp::wall_clock_ms;
+
+/// What the front door works with.
+pub struct FrontDoorPorts {
+    /// Configuration in force.
+    pub config: Arc<ConfigFollower>,
+    /// Runs sessions.
+    pub driver: Arc<SessionDriver>,
+    /// Answers that can be fetched again.
+    pub answers: Arc<AnswerStore>,
+    /// Metrics.
+    pub metrics: Arc<MetricsReporter>,
+    /// Clock of sessions.
+    pub clock: ProcessClock,
+}
+
+/// Answers callers' HTTP requests.
+pub struct FrontDoor {
+    settings: FrontDoorSettings,
+    ports: FrontDoorPorts,
+    origin: u64,
+    sequence: AtomicU64,
+    leaving: AtomicBool,
+}
+
+/// What a caller's headers say.
+struct CallerHeaders {
+    team: TeamName,
+    key: Option<String>,
+    headers: HeaderMap,
+}
+
+impl FrontDoor {
+    /// Builds a front door; `origin` is unique to this life of this host.
+    pub fn new(settings: FrontDoorSettings, ports: FrontDoorPorts, origin: u64) -> Self {
+        let sequence = AtomicU64::new(1);
+        Self { settings, ports, origin, sequence, leaving: AtomicBool::new(false) }
+    }
+
+    /// Refuses new work from now on; running requests go on.
+    pub fn start_leaving(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Answers one request.
+    pub async fn handle(self: Arc<Self>, request: Request<Incoming>) -> FrontReply {
+        match self.route(request).await {
+            Ok(reply) => reply,
+            Err(error) => {
+                self.ports.metrics.count_code(CounterMetric::Outcomes, error.code);
+                log::info!(
+                    "event=refused code={} message=\"{}\"",
+                    error.code.number(),
+                    error.message
+                );
+                error.to_reply()
+            }
+        }
+    }
+
+    async fn route(&self, request: Request<Incoming>) -> Result<FrontReply> {
+        let uri = request.uri();
+        check_header_size(
+            request.headers(),
+            uri.path().len() + uri.query().map_or(0, str::len),
+            self.settings.max_header_bytes,
+        )?;
+        let route = find_route(request.method().as_str(), uri.path(), uri.query())
+            .map_err(|code| route_error(code, request.method().as_str(), uri.path()))?;
+        match route {
+            FrontRoute::Health => Ok(json_reply(ResultCode::Complete, &json!({"alive": true}))),
+            FrontRoute::Ready => Ok(self.ready_reply()),
+            FrontRoute::Completions => self.complete(CompletionKind::Text, request).await,
+            FrontRoute::ChatCompletions => self.complete(CompletionKind::Chat, request).await,
+            FrontRoute::App { service, path } => self.call_app(service, path, request).await,
+            FrontRoute::Answer { request: id, from } => self.fetch(id, from, request).await,
+            FrontRoute::Burn => Err(FrontError::new(ResultCode::UnknownRoute, "no report yet")),
+        }
+    }
+
+    fn ready_reply(&self) -> FrontReply {
+        let snapshot = self.ports.config.current();
+        let code = if self.leaving.load(Ordering::Relaxed) {
+            ResultCode::HostLeaving
+        } else if snapshot.state.services.is_empty() {
+            ResultCode::NotReady
+        } else {
+            ResultCode::Complete
+        };
+        let body = json!({
+            "ready": code == ResultCode::Complete,
+            "code": code.number(),
+            "config_revision": snapshot.revision.0,
+        });
+        json_reply(code, &body)
+    }
+
+    async fn complete(
+        &self,
+        kind: CompletionKind,
+        request: Request<Incoming>,
+    ) -> Result<FrontReply> {
+        let caller = self.identify(&request)?;
+        let body = read_body(request, &self.settings).await?;
+        let completion = CompletionRequest::parse(kind, &body)?;
+        let service = self.find_service(&completion.service, ServiceKind::Model, &caller.team)?;
+        let work = RequestWork::Model {
+            prompt: Arc::from(completion.prompt.as_str()),
+            max_tokens: completion.max_tokens,
+        };
+        let checked = self.check(caller, service, work, true)?;
+        let id = checked.id;
+        let model = completion.service.as_str();
+        let writer = CompletionWriter::new(kind, id, model, wall_clock_ms() / 1_000);
+        let parts = self.start_session(checked)?;
+        Ok(completion_reply(id, &completion, writer, parts).await)
+    }
+
+    async fn call_app(
+        &self,
+        name: ServiceName,
+        path: String,
+        request: Request<Incoming>,
+    ) -> Result<FrontReply> {
+        let caller = self.identify(&request)?;
+        let service = self.find_service(&name, ServiceKind::App, &caller.team)?;
+        let method = request.method().to_string();
+        let body = read_body(request, &self.settings).await?;
+        let idempotent = service.idempotency.is_idempotent(&method, &path);
+        let headers = forwarded_headers(&caller.headers);
+        let work = RequestWork::App { method, path, headers, body: Bytes::to_vec(&body) };
+        let checked = self.check(caller, service, work, idempotent)?;
+        let id = checked.id;
+        let parts = self.start_session(checked)?;
+        Ok(app_reply(id, parts).await)
+    }
+
+    async fn fetch(
+        &self,
+        id: RequestId,
+        from: u32,
+        request: Request<Incoming>,
+    ) -> Result<FrontReply> {
+        let caller = self.identify(&request)?;
+        answer_reply(&self.ports.answers, id, from, &caller.team).await
+    }
+
+    fn identify(&self, request: &Request<Incoming>) -> Result<CallerHeaders> {
+        let headers = request.headers();
+        let snapshot = self.ports.config.current();
+        let team = find_team(headers, &snapshot.state)?.name.clone();
+        Ok(CallerHeaders { team, key: read_key(headers)?, headers: headers.clone() })
+    }
+
+    fn find_service(
+        &self,
+        name: &ServiceName,
+        kind: ServiceKind,
+        team: &TeamName,
+    ) -> Result<Arc<ServiceResource>> {
+        if self.leaving.load(Ordering::Relaxed) {
+            let message = "this entry host is leaving; send the request again";
+            return Err(FrontError::new(ResultCode::HostLeaving, message));
+        }
+        let snapshot = self.ports.config.current();
+        let service = find_checked_service(&snapshot.state, name, kind)?;
+        match snapshot.state.teams.get(team) {
+            Some(team) if may_use(team, name) => Ok(Arc::new(service.clone())),
+            _ => {
+                let message = format!("team {team} may not use service {name}");
+                Err(FrontError::new(ResultCode::Forbidden, message))
+            }
+        }
+    }
+
+    fn check(
+        &self,
+        caller: CallerHeaders,
+        service: Arc<ServiceResource>,
+        work: RequestWork,
+        idempotent: bool,
+    ) -> Result<CheckedRequest> {
+        let accepted_at = self.ports.clock.now();
+        let deadline = read_deadline(&caller.headers, service.default_deadline)?;
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
+        Ok(CheckedRequest {
+            id: RequestId { origin: self.origin, sequence },
+            team: caller.team,
+            service,
+            work,
+            idempotency_key: caller.key,
+            idempotent,
+            deadline: accepted_at + deadline,
+            accepted_at,
+            priority: RequestPriority::default(),
+        })
+    }
+
+    /// Starts the thread of a session and returns its output.
+    fn start_session(&self, request: CheckedRequest) -> Result<ReplyReceiver> {
+        self.ports.metrics.count(CounterMetric::Requests, &request.service.name, 1);
+        let (mut sender, receiver) = open_reply_channel();
+        let (driver, id) = (self.ports.driver.clone(), request.id);
+        let thread = std::thread::Builder::new()
+            .name("session".into())
+            .stack_size(SESSION_STACK_BYTES)
+            .spawn(move || driver.run(request, &mut sender));
+        match thread {
+            Ok(_) => Ok(receiver),
+            Err(error) => {
+                log::error!("event=session_not_started request={id} error=\"{error}\"");
+                let message = "this entry host has no thread left; send the request again";
+                Err(FrontError::new(ResultCode::QueueFull, message).with_request(id))
+            }
+        }
+    }
+}
+
+/// Stack of a session's thread in bytes.
+const SESSION_STACK_BYTES: usize = 256 * 1024;
+
+fn find_checked_service<'a>(
+    config: &'a ConfigState,
+    name: &ServiceName,
+    kind: ServiceKind,
+) -> Result<&'a ServiceResource> {
+    let found = config.services.get(name);
+    found.filter(|service| service.kind == kind).ok_or_else(|| {
+        let (code, message) = if config.services.is_empty() {
+            (ResultCode::NotReady, "this entry host has no configuration yet".to_string())
+        } else {
+            (ResultCode::UnknownService, format!("no {kind:?} service is named {name}"))
+        };
+        FrontError::new(code, message)
+    })
+}
+
+fn may_use(team: &TeamResource, service: &ServiceName) -> bool {
+    team.services.is_empty() || team.services.contains(service)
+}
+
+fn route_error(code: ResultCode, method: &str, path: &str) -> FrontError {
+    let message = match code {
+        ResultCode::MethodNotAllowed => format!("{path} does not take {method}"),
+        ResultCode::BadValue => "from must be a whole number".to_string(),
+        ResultCode::UnknownRequest => format!("{path} names no request id"),
+        ResultCode::UnknownService => format!("{path} names no service"),
+        _ => format!("no route is named {path}"),
+    };
+    FrontError::new(code, message)
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -64,8 +64,12 @@
 pub mod prefix_map;
 pub mod request_router;
 pub mod retry_budget;
+pub mod server_directory;
 
 // The process.
+pub mod answer_reply;
+pub mod caller_reply;
+pub mod caller_request;
 pub mod completion_api;
 pub mod entry;
 pub mod front_door;
@@ -74,6 +78,7 @@
 pub mod http_route;
 pub mod logging;
 pub mod metrics;
+pub mod reply_channel;
 pub mod settings;
 pub mod settings_json;
 pub mod supervisor;
--- /dev/null
+++ b/lib/src/reply_channel.rs
@@ -0,0 +1,61 @@
+//! Carries a session's output from its thread to the caller's connection.
+//!
+//! The channel holds at most one answer, whose size the request bounds, so a caller that reads
+//! slowly holds no backend server: the session goes on at the backend server's speed.
+
+use tokio::sync::mpsc;
+
+use crate::engine::TokenChunk;
+use crate::ids::RequestId;
+use crate::session_request::CallerSink;
+use crate::session_request::SessionEnd;
+use crate::session_request::SinkState;
+
+/// One part of a session's output.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReplyPart {
+    /// The request was accepted: a backend server took it.
+    Accepted,
+    /// One token of the answer.
+    Token(TokenChunk),
+    /// The end.
+    End(SessionEnd),
+}
+
+/// The session's side of the channel.
+pub struct ReplySender {
+    sender: mpsc::UnboundedSender<ReplyPart>,
+}
+
+/// The connection's side of the channel.
+pub type ReplyReceiver = mpsc::UnboundedReceiver<ReplyPart>;
+
+/// Opens a channel for one request.
+pub fn open_reply_channel() -> (ReplySender, ReplyReceiver) {
+    let (sender, receiver) = mpsc::unbounded_channel();
+    (ReplySender { sender }, receiver)
+}
+
+impl ReplySender {
+    fn send(&self, part: ReplyPart) -> SinkState {
+        match self.sender.send(part) {
+            Ok(()) => SinkState::Open,
+            Err(_) => SinkState::Gone,
+        }
+    }
+}
+
+impl CallerSink for ReplySender {
+    fn accepted(&mut self, _id: RequestId) -> SinkState {
+        self.send(ReplyPart::Accepted)
+    }
+
+    fn token(&mut self, chunk: &TokenChunk) -> SinkState {
+        self.send(ReplyPart::Token(chunk.clone()))
+    }
+
+    fn finish(&mut self, end: &SessionEnd) {
+        // A caller that went away can still fetch the answer by its id.
+        self.send(ReplyPart::End(end.clone()));
+    }
+}
--- /dev/null
+++ b/lib/src/server_directory.rs
@@ -0,0 +1,120 @@
+//! Merges what is known about backend servers into the list that the router works on.
+//!
+//! The configuration gives servers with fixed addresses and the hosts that operators drain, the
+//! platform's list gives the rest with a lag, and reclaim notices and announcements of peers come
+//! sooner than that list. A server that any of them calls leaving is leaving.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::host_list::HostDuty;
+use crate::host_list::HostEntry;
+use crate::host_list::HostState;
+use crate::ids::HostId;
+use crate::ids::ServerId;
+use crate::ids::ServiceName;
+use crate::request_router::ServerInfo;
+use crate::request_router::ServerState;
+use crate::resource::ConfigState;
+use crate::resource::ServiceResource;
+use crate::timestamp::Timestamp;
+
+/// Time after which a host that was called leaving may count as live again, if the host list says
+/// so: by then the list has caught up.
+pub const LEAVING_MEMORY: std::time::Duration = std::time::Duration::from_secs(60);
+
+/// Collects what is known about backend servers.
+#[derive(Clone, Debug, Default)]
+pub struct ServerDirectory {
+    hosts: Vec<HostEntry>,
+    leaving: BTreeMap<HostId, Timestamp>,
+}
+
+impl ServerDirectory {
+    /// Takes a new reading of the host list.
+    pub fn set_hosts(&mut self, now: Timestamp, hosts: Vec<HostEntry>) {
+        self.hosts = hosts;
+        self.leaving.retain(|_, since| now.since(*since) < LEAVING_MEMORY);
+    }
+
+    /// Marks a host as leaving; returns whether that is news.
+    pub fn mark_leaving(&mut self, now: Timestamp, host: &HostId) -> bool {
+        self.leaving.insert(host.clone(), now).is_none()
+    }
+
+    /// Returns the hosts that are marked as leaving, in order.
+    pub fn leaving(&self) -> impl Iterator<Item = &HostId> {
+        self.leaving.keys()
+    }
+
+    /// Returns the backend servers of all services of the configuration, in the order of their
+    /// services and hosts.
+    pub fn servers(&self, config: &ConfigState) -> Vec<ServerInfo> {
+        let mut servers = Vec::new();
+        for service in config.services.values() {
+            servers.extend(static_servers(service, &config.drained));
+            let listed = self.hosts.iter().filter_map(|entry| self.listed(entry, service, config));
+            servers.extend(listed);
+        }
+        servers
+    }
+
+    fn listed(
+        &self,
+        entry: &HostEntry,
+        service: &ServiceResource,
+        config: &ConfigState,
+    ) -> Option<ServerInfo> {
+        if entry.duty != HostDuty::Backend(service.name.clone()) {
+            return None;
+        }
+        let address = match entry.address.parse() {
+            Ok(address) => address,
+            Err(error) => {
+                log::warn!("event=bad_host_address host={} error=\"{error}\"", entry.host);
+                return None;
+            }
+        };
+        let leaving = entry.state == HostState::Leaving
+            || self.leaving.contains_key(&entry.host)
+            || config.drained.contains(&entry.host);
+        Some(ServerInfo {
+            id: server_id(&service.name, &entry.host)?,
+            host: entry.host.clone(),
+            address,
+            zone: entry.zone.clone(),
+            service: service.name.clone(),
+            state: if leaving { ServerState::Leaving } else { ServerState::Live },
+            concurrency: service.server_concurrency,
+        })
+    }
+}
+
+fn static_servers(
+    service: &ServiceResource,
+    drained: &BTreeSet<HostId>,
+) -> Vec<ServerInfo> {
+    let server = |server: &crate::resource::StaticServer| {
+        let host = HostId::try_from(server.address.to_string()).ok()?;
+        let drained = drained.contains(&host);
+        Some(ServerInfo {
+            id: server_id(&service.name, &host)?,
+            host,
+            address: server.address,
+            zone: server.zone.clone(),
+            service: service.name.clone(),
+            state: if drained { ServerState::Leaving } else { ServerState::Live },
+            concurrency: service.server_concurrency,
+        })
+    };
+    service.static_servers.iter().filter_map(server).collect()
+}
+
+/// Returns the identity of a service's server on a host; `None` if the joined name is too long.
+fn server_id(service: &ServiceName, host: &HostId) -> Option<ServerId> {
+    let id = ServerId::try_from(format!("{service}:{host}"));
+    if id.is_err() {
+        log::warn!("event=server_name_too_long service={service} host={host}");
+    }
+    id.ok()
+}
