--- a/lib/src/app_client.rs
+++ b/lib/src/app_client.rs
@@ -1,1 +1,103 @@
-//! Not yet written.
+//! Reaches an application server over HTTP.
+//!
+//! Method, path, headers and body go through unchanged, but for hop-by-hop headers. The headers
+//! named here tell the server which attempt at which request a call is.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::app_server::AppAnswer;
+use crate::app_server::AppRequest;
+use crate::app_server::AppServer;
+use crate::engine::Result;
+use crate::engine::ServerError;
+use crate::http_edge::CallTime;
+use crate::http_edge::EdgeLimits;
+use crate::http_edge::HttpAnswer;
+use crate::http_edge::HttpCall;
+use crate::http_edge::HttpEdge;
+use crate::ids::FencingNumber;
+
+/// Request header with the request id.
+pub const REQUEST_ID_HEADER: &str = "Pomelostack-Request-Id";
+/// Request header with the number of the attempt.
+pub const ATTEMPT_HEADER: &str = "Pomelostack-Attempt";
+/// Request header with the idempotency key.
+pub const IDEMPOTENCY_KEY_HEADER: &str = "Idempotency-Key";
+/// Request header with the fencing number; in a 409 answer, the largest number seen.
+pub const FENCE_HEADER: &str = "Pomelostack-Fence";
+/// Answer header whose value `false` promises that the call did not run and will not.
+pub const RAN_HEADER: &str = "Pomelostack-Ran";
+
+/// An application server at one address.
+pub struct AppClient {
+    edge: HttpEdge,
+}
+
+impl AppClient {
+    /// Builds a client; no connection is opened yet.
+    pub fn new(address: SocketAddr, limits: EdgeLimits) -> Self {
+        Self { edge: HttpEdge::new(address, limits) }
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.edge.address()
+    }
+
+    /// Drops idle connections, so that later calls open new ones.
+    pub fn retire_connections(&self) {
+        self.edge.retire_connections();
+    }
+}
+
+impl AppServer for AppClient {
+    fn call(&self, request: &AppRequest, timeout: Duration) -> Result<AppAnswer> {
+        let headers = headers_of(request);
+        let answer = self.edge.call(&HttpCall {
+            method: &request.method,
+            path: &request.path,
+            headers: &headers,
+            body: &request.body,
+            time: CallTime::Total(timeout),
+        })?;
+        match refusal_of(&answer) {
+            Some(error) => Err(error),
+            None => Ok(AppAnswer {
+                status: answer.status,
+                headers: answer.headers,
+                body: answer.body,
+            }),
+        }
+    }
+}
+
+/// Returns the caller's headers with those of the attempt in place of any of the same name.
+fn headers_of(request: &AppRequest) -> Vec<(String, String)> {
+    let mut attempt = vec![
+        (REQUEST_ID_HEADER.to_owned(), request.request.to_string()),
+        (ATTEMPT_HEADER.to_owned(), request.attempt.0.to_string()),
+    ];
+    if let Some(key) = &request.idempotency_key {
+        attempt.push((IDEMPOTENCY_KEY_HEADER.to_owned(), key.clone()));
+    }
+    if let Some(fence) = request.fence {
+        attempt.push((FENCE_HEADER.to_owned(), fence.0.to_string()));
+    }
+    let reserved = [REQUEST_ID_HEADER, ATTEMPT_HEADER, IDEMPOTENCY_KEY_HEADER, FENCE_HEADER];
+    let is_reserved = |name: &str| reserved.iter().any(|other| name.eq_ignore_ascii_case(other));
+    let passed = request.headers.iter().filter(|(name, _)| !is_reserved(name));
+    passed.cloned().chain(attempt).collect()
+}
+
+/// Returns the error of an answer in which the server itself says that the call did not run.
+fn refusal_of(answer: &HttpAnswer) -> Option<ServerError> {
+    if answer.header(RAN_HEADER) != Some("false") {
+        return None;
+    }
+    let fence = answer.header(FENCE_HEADER).and_then(|value| value.parse().ok());
+    Some(match fence {
+        Some(fence) if answer.status == 409 => ServerError::Fenced(FencingNumber(fence)),
+        _ => ServerError::Refused(answer.summary()),
+    })
+}
--- a/lib/src/http_edge.rs
+++ b/lib/src/http_edge.rs
@@ -1,1 +1,379 @@
-//! What the HTTP clients of all edges share: agents, time limits and error mapping.
+//! Blocking HTTP calls to one address, with errors that tell what may have happened there.
+//!
+//! Connections are kept alive and reused. A call is never sent twice: a failure after the first
+//! byte may have been sent is [`HttpError::Lost`] or [`HttpError::Silent`], never
+//! [`HttpError::NotConnected`].
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::time::Duration;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+use ureq::Agent;
+use ureq::http;
+use ureq::unversioned::resolver::DefaultResolver;
+use ureq::unversioned::transport::ConnectionDetails;
+use ureq::unversioned::transport::Connector;
+use ureq::unversioned::transport::DefaultConnector;
+use ureq::unversioned::transport::Transport;
+
+use crate::engine::ServerError;
+use crate::engine::StreamFlow;
+
+/// Headers that concern one connection and are never passed on (RFC 9110, section 7.6.1).
+const HOP_BY_HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Why an HTTP call failed, by what it proves.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum HttpError {
+    /// No connection was opened, so nothing was sent.
+    #[error("connection was not opened: {0}")]
+    NotConnected(String),
+    /// The call failed when it may have been sent.
+    #[error("connection was lost: {0}")]
+    Lost(String),
+    /// Nothing arrived within the time.
+    #[error("no data within {0:?}")]
+    Silent(Duration),
+    /// The answer is larger than the limit, in bytes.
+    #[error("answer exceeds {0} bytes")]
+    TooLarge(usize),
+    /// The answer cannot be understood.
+    #[error("malformed answer: {0}")]
+    Malformed(String),
+}
+
+impl From<HttpError> for ServerError {
+    fn from(error: HttpError) -> Self {
+        match error {
+            HttpError::NotConnected(reason) => Self::NotConnected(reason),
+            HttpError::Lost(reason) => Self::Lost(reason),
+            HttpError::Silent(limit) => Self::Silent(limit),
+            HttpError::TooLarge(_) => Self::Malformed(error.to_string()),
+            HttpError::Malformed(reason) => Self::Malformed(reason),
+        }
+    }
+}
+
+/// Result of an HTTP call.
+pub type Result<T> = std::result::Result<T, HttpError>;
+
+/// Bounds of the calls to one address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EdgeLimits {
+    /// Time to open a connection.
+    pub connect_timeout: Duration,
+    /// Time of a whole call that names no other time.
+    pub call_timeout: Duration,
+    /// Largest answer, in bytes.
+    pub max_body_bytes: usize,
+    /// Longest line of a streamed answer, in bytes.
+    pub max_line_bytes: usize,
+    /// Idle connections kept open.
+    pub max_idle_connections: usize,
+}
+
+impl Default for EdgeLimits {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_secs(1),
+            call_timeout: Duration::from_secs(5),
+            max_body_bytes: 16 * 1024 * 1024,
+            max_line_bytes: 64 * 1024,
+            max_idle_connections: 64,
+        }
+    }
+}
+
+/// Bounds of the time that one call takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallTime {
+    /// The whole call, from connecting to the last byte, takes this long at most.
+    Total(Duration),
+    /// No read waits longer than this; the call may take any time.
+    Gap(Duration),
+}
+
+impl CallTime {
+    fn duration(self) -> Duration {
+        match self {
+            Self::Total(duration) | Self::Gap(duration) => duration,
+        }
+    }
+}
+
+/// One call to be made.
+#[derive(Clone, Debug)]
+pub struct HttpCall<'a> {
+    /// Method.
+    pub method: &'a str,
+    /// Path and query, with the leading slash.
+    pub path: &'a str,
+    /// Headers; hop-by-hop ones, `Host` and `Content-Length` are left out.
+    pub headers: &'a [(String, String)],
+    /// Body.
+    pub body: &'a [u8],
+    /// Bounds of its time.
+    pub time: CallTime,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HttpAnswer {
+    /// Status.
+    pub status: u16,
+    /// Headers in order, without hop-by-hop ones; values that are not ASCII text are left out.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl HttpAnswer {
+    /// Returns the value of the first header with the name.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(found, _)| found.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+
+    /// Reads the body as JSON.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T> {
+        serde_json::from_slice(&self.body).map_err(|e| HttpError::Malformed(e.to_string()))
+    }
+
+    /// Describes the answer for an error message: its status and the start of its body.
+    pub fn summary(&self) -> String {
+        const SHOWN_BYTES: usize = 200;
+        let shown = &self.body[..self.body.len().min(SHOWN_BYTES)];
+        format!("status {}: {}", self.status, String::from_utf8_lossy(shown))
+    }
+}
+
+/// How a streamed call ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// The server closed the answer in order.
+    Ended,
+    /// The receiver of the lines stopped it, and the connection is closed.
+    Stopped,
+    /// The status was not 200, and the answer holds no lines.
+    Status(HttpAnswer),
+}
+
+/// Calls to one address.
+pub struct HttpEdge {
+    address: SocketAddr,
+    limits: EdgeLimits,
+    agent: RwLock<Agent>,
+}
+
+impl HttpEdge {
+    /// Builds an edge; no connection is opened yet.
+    pub fn new(address: SocketAddr, limits: EdgeLimits) -> Self {
+        Self { address, limits, agent: RwLock::new(build_agent(&limits)) }
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the limits.
+    pub fn limits(&self) -> &EdgeLimits {
+        &self.limits
+    }
+
+    /// Drops idle connections; calls in flight keep theirs to their end, and later calls open new
+    /// ones.
+    pub fn retire_connections(&self) {
+        let fresh = build_agent(&self.limits);
+        *self.agent.write().unwrap_or_else(PoisonError::into_inner) = fresh;
+    }
+
+    /// Makes a call and reads its whole answer; any HTTP status is an answer.
+    pub fn call(&self, call: &HttpCall) -> Result<HttpAnswer> {
+        let response = self.send(call)?;
+        self.read_answer(response, call.time)
+    }
+
+    /// Posts a JSON value within the call timeout and reads the whole answer.
+    pub fn post_json<T: Serialize>(&self, path: &str, value: &T) -> Result<HttpAnswer> {
+        let body = serde_json::to_vec(value).map_err(|e| HttpError::Malformed(e.to_string()))?;
+        let time = CallTime::Total(self.limits.call_timeout);
+        self.call(&HttpCall { method: "POST", path, headers: &json_headers(), body: &body, time })
+    }
+
+    /// Gets a path within the call timeout.
+    pub fn get(&self, path: &str) -> Result<HttpAnswer> {
+        let time = CallTime::Total(self.limits.call_timeout);
+        self.call(&HttpCall { method: "GET", path, headers: &[], body: &[], time })
+    }
+
+    /// Makes a call and passes each line of its answer to `on_line`, without the line's end.
+    pub fn stream(
+        &self,
+        call: &HttpCall,
+        on_line: &mut dyn FnMut(&[u8]) -> Result<StreamFlow>,
+    ) -> Result<StreamEnd> {
+        let response = self.send(call)?;
+        if response.status().as_u16() != 200 {
+            return self.read_answer(response, call.time).map(StreamEnd::Status);
+        }
+        let mut reader = BufReader::new(response.into_body().into_reader());
+        loop {
+            let line = match self.read_line(&mut reader, call.time)? {
+                Some(line) => line,
+                None => return Ok(StreamEnd::Ended),
+            };
+            match on_line(&line)? {
+                StreamFlow::Continue => {}
+                StreamFlow::Stop => return Ok(StreamEnd::Stopped),
+            }
+        }
+    }
+
+    fn send(&self, call: &HttpCall) -> Result<http::Response<ureq::Body>> {
+        let agent = self.agent.read().unwrap_or_else(PoisonError::into_inner).clone();
+        let request = self.build_request(call)?;
+        let configured = agent.configure_request(request);
+        let request = match call.time {
+            CallTime::Total(total) => configured.timeout_global(Some(total)).build(),
+            CallTime::Gap(gap) => configured.timeout_per_read(Some(gap)).build(),
+        };
+        agent.run(request).map_err(|error| classify(error, call.time, &self.limits))
+    }
+
+    fn build_request<'a>(&self, call: &HttpCall<'a>) -> Result<http::Request<&'a [u8]>> {
+        let uri = format!("http://{}{}", self.address, call.path);
+        let mut builder = http::Request::builder().method(call.method).uri(uri);
+        for (name, value) in call.headers.iter().filter(|(name, _)| is_forwarded(name)) {
+            builder = builder.header(name, value);
+        }
+        builder.body(call.body).map_err(|e| HttpError::NotConnected(e.to_string()))
+    }
+
+    fn read_answer(
+        &self,
+        response: http::Response<ureq::Body>,
+        time: CallTime,
+    ) -> Result<HttpAnswer> {
+        let (parts, body) = response.into_parts();
+        let limit = u64::try_from(self.limits.max_body_bytes).unwrap_or(u64::MAX);
+        let body = body
+            .into_with_config()
+            .limit(limit)
+            .read_to_vec()
+            .map_err(|error| classify(error, time, &self.limits))?;
+        Ok(HttpAnswer { status: parts.status.as_u16(), headers: kept_headers(&parts.headers), body })
+    }
+
+    /// Reads one line; `None` is the end of the answer.
+    fn read_line(&self, reader: &mut impl BufRead, time: CallTime) -> Result<Option<Vec<u8>>> {
+        let max = self.limits.max_line_bytes;
+        let bound = u64::try_from(max).unwrap_or(u64::MAX).saturating_add(1);
+        let mut line = Vec::new();
+        reader
+            .take(bound)
+            .read_until(b'\n', &mut line)
+            .map_err(|error| classify(ureq::Error::from(error), time, &self.limits))?;
+        match line.pop() {
+            None => Ok(None),
+            Some(b'\n') => Ok(Some(line)),
+            Some(_) if line.len() >= max => Err(HttpError::TooLarge(max)),
+            Some(_) => Err(HttpError::Lost("answer ends within a line".to_owned())),
+        }
+    }
+}
+
+/// Returns the headers of a JSON body.
+pub fn json_headers() -> [(String, String); 1] {
+    [("Content-Type".to_owned(), "application/json".to_owned())]
+}
+
+/// Returns whether a header concerns one connection alone.
+pub fn is_hop_by_hop(name: &str) -> bool {
+    HOP_BY_HOP_HEADERS.iter().any(|hop| name.eq_ignore_ascii_case(hop))
+}
+
+/// `Host` and `Content-Length` are set anew for each connection and body.
+fn is_forwarded(name: &str) -> bool {
+    let replaced = ["host", "content-length", "expect"];
+    !is_hop_by_hop(name) && !replaced.iter().any(|other| name.eq_ignore_ascii_case(other))
+}
+
+fn kept_headers(headers: &http::HeaderMap) -> Vec<(String, String)> {
+    let kept = headers.iter().filter(|(name, _)| !is_hop_by_hop(name.as_str()));
+    kept.filter_map(|(name, value)| {
+        Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned()))
+    })
+    .collect()
+}
+
+fn build_agent(limits: &EdgeLimits) -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .proxy(None)
+        .max_redirects(0)
+        .max_redirects_will_error(false)
+        .allow_non_standard_methods(true)
+        .no_delay(true)
+        .user_agent("")
+        .accept("")
+        .accept_encoding("")
+        .timeout_connect(Some(limits.connect_timeout))
+        .max_idle_connections(limits.max_idle_connections)
+        .max_idle_connections_per_host(limits.max_idle_connections)
+        .build();
+    Agent::with_parts(config, MarkingConnector::default(), DefaultResolver::default())
+}
+
+/// A connection could not be opened.
+#[derive(Debug, Error)]
+#[error("{0}")]
+struct ConnectFailure(ureq::Error);
+
+/// Marks the errors of opening a connection, so that they are told from all later ones.
+#[derive(Debug, Default)]
+struct MarkingConnector(DefaultConnector);
+
+impl Connector for MarkingConnector {
+    type Out = Box<dyn Transport>;
+
+    fn connect(
+        &self,
+        details: &ConnectionDetails,
+        chained: Option<()>,
+    ) -> std::result::Result<Option<Self::Out>, ureq::Error> {
+        let mark = |error| ureq::Error::Other(Box::new(ConnectFailure(error)));
+        self.0.connect(details, chained).map_err(mark)
+    }
+}
+
+/// Tells what an error proves; whatever is not certain counts as sent.
+fn classify(error: ureq::Error, time: CallTime, limits: &EdgeLimits) -> HttpError {
+    match error {
+        ureq::Error::Other(other) if other.is::<ConnectFailure>() => {
+            HttpError::NotConnected(other.to_string())
+        }
+        ureq::Error::BadUri(_) | ureq::Error::Http(_) => HttpError::NotConnected(error.to_string()),
+        ureq::Error::Timeout(_) => HttpError::Silent(time.duration()),
+        ureq::Error::BodyExceedsLimit(_) => HttpError::TooLarge(limits.max_body_bytes),
+        ureq::Error::Protocol(_) => HttpError::Lost(error.to_string()),
+        other => HttpError::Lost(other.to_string()),
+    }
+}
--- a/lib/src/log_client.rs
+++ b/lib/src/log_client.rs
@@ -1,1 +1,186 @@
-//! Not yet written.
+//! Reaches the platform's log over HTTP; record bytes travel as base64 when read.
+
+use std::net::SocketAddr;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::http_edge::CallTime;
+use crate::http_edge::EdgeLimits;
+use crate::http_edge::HttpAnswer;
+use crate::http_edge::HttpCall;
+use crate::http_edge::HttpEdge;
+use crate::http_edge::HttpError;
+use crate::ids::LogOffset;
+use crate::log_service::LogError;
+use crate::log_service::LogRecord;
+use crate::log_service::LogService;
+use crate::log_service::LogSlice;
+use crate::log_service::LogStream;
+use crate::log_service::MAX_RECORD_BYTES;
+use crate::log_service::Result;
+
+/// Answer to an append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AppendAnswer {
+    /// Offset of the record.
+    pub offset: LogOffset,
+}
+
+/// Body of an answer with status 410: the records asked for are gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExpiredAnswer {
+    /// Oldest offset that is still readable.
+    pub first: LogOffset,
+}
+
+/// One record on the wire.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireRecord {
+    /// Position in the stream.
+    pub offset: LogOffset,
+    /// Time of the append, in milliseconds since the Unix epoch.
+    pub appended_ms: u64,
+    /// Bytes, base64.
+    pub data: String,
+}
+
+/// A piece of a stream on the wire.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireSlice {
+    /// Oldest readable offset.
+    pub first: LogOffset,
+    /// Offset of the next append.
+    pub end: LogOffset,
+    /// The log's clock, in milliseconds since the Unix epoch.
+    pub now_ms: u64,
+    /// Records in offset order.
+    pub records: Vec<WireRecord>,
+}
+
+impl From<&LogSlice> for WireSlice {
+    fn from(slice: &LogSlice) -> Self {
+        let records = slice.records.iter().map(|record| WireRecord {
+            offset: record.offset,
+            appended_ms: record.appended_ms,
+            data: STANDARD.encode(&record.data),
+        });
+        let records = records.collect();
+        Self { first: slice.first, end: slice.end, now_ms: slice.now_ms, records }
+    }
+}
+
+impl TryFrom<WireSlice> for LogSlice {
+    type Error = LogError;
+
+    fn try_from(wire: WireSlice) -> Result<Self> {
+        let decode = |record: WireRecord| {
+            let data = STANDARD.decode(&record.data).map_err(|e| malformed(&e.to_string()))?;
+            Ok(LogRecord { offset: record.offset, appended_ms: record.appended_ms, data })
+        };
+        let records = wire.records.into_iter().map(decode).collect::<Result<Vec<_>>>()?;
+        Ok(Self { first: wire.first, end: wire.end, now_ms: wire.now_ms, records })
+    }
+}
+
+/// The platform's log at one address.
+pub struct LogClient {
+    edge: HttpEdge,
+}
+
+impl LogClient {
+    /// Builds a client; no connection is opened yet.
+    pub fn new(address: SocketAddr, limits: EdgeLimits) -> Self {
+        Self { edge: HttpEdge::new(address, limits) }
+    }
+
+    /// Drops idle connections, so that later calls open new ones.
+    pub fn retire_connections(&self) {
+        self.edge.retire_connections();
+    }
+}
+
+impl LogService for LogClient {
+    fn append(&self, stream: LogStream, data: &[u8]) -> Result<LogOffset> {
+        if data.len() > MAX_RECORD_BYTES {
+            return Err(LogError::Refused(format!("record exceeds {MAX_RECORD_BYTES} bytes")));
+        }
+        let answer = self.edge.call(&HttpCall {
+            method: "POST",
+            path: &format!("/streams/{}/records", stream.name()),
+            headers: &[],
+            body: data,
+            time: CallTime::Total(self.edge.limits().call_timeout),
+        });
+        match answer.map_err(append_error)? {
+            answer if answer.status == 200 => {
+                // The append took effect, so an answer that cannot be read leaves its fate open.
+                let parsed = answer.json::<AppendAnswer>();
+                parsed.map(|found| found.offset).map_err(append_error)
+            }
+            answer if is_refusal(answer.status) => Err(LogError::Refused(answer.summary())),
+            answer => Err(LogError::FateUnknown(answer.summary())),
+        }
+    }
+
+    fn read(&self, stream: LogStream, from: LogOffset, max: usize) -> Result<LogSlice> {
+        let path = format!("/streams/{}/records?from={}&max={max}", stream.name(), from.0);
+        let answer = self.edge.get(&path).map_err(read_error)?;
+        let slice = match answer.status {
+            200 => LogSlice::try_from(answer.json::<WireSlice>().map_err(read_error)?)?,
+            410 => return Err(expired(&answer)),
+            _ => return Err(LogError::Refused(answer.summary())),
+        };
+        check_dense(&slice, from)?;
+        Ok(slice)
+    }
+}
+
+/// These statuses of an append promise that nothing was appended.
+fn is_refusal(status: u16) -> bool {
+    matches!(status, 400 | 404 | 413 | 429 | 503)
+}
+
+fn append_error(error: HttpError) -> LogError {
+    match error {
+        HttpError::NotConnected(reason) => LogError::Refused(reason),
+        other => LogError::FateUnknown(other.to_string()),
+    }
+}
+
+/// A read has no effect, so a failed one never leaves anything open.
+fn read_error(error: HttpError) -> LogError {
+    match error {
+        HttpError::Malformed(reason) => LogError::Malformed(reason),
+        HttpError::TooLarge(_) => LogError::Malformed(error.to_string()),
+        other => LogError::Refused(other.to_string()),
+    }
+}
+
+fn expired(answer: &HttpAnswer) -> LogError {
+    match answer.json::<ExpiredAnswer>() {
+        Ok(found) => LogError::Expired(found.first),
+        Err(error) => read_error(error),
+    }
+}
+
+/// Offsets are dense, so a hole or a step back means a broken answer, never a missing record.
+fn check_dense(slice: &LogSlice, from: LogOffset) -> Result<()> {
+    let mut expected = from;
+    for record in &slice.records {
+        if record.offset != expected {
+            return Err(malformed(&format!("offset {:?} in place of {expected:?}", record.offset)));
+        }
+        expected = expected.next();
+    }
+    if !slice.records.is_empty() && expected > slice.end {
+        return Err(malformed("records lie past the end"));
+    }
+    Ok(())
+}
+
+fn malformed(reason: &str) -> LogError {
+    LogError::Malformed(reason.to_owned())
+}
