--- a/lib/src/app_client.rs
+++ b/lib/src/app_client.rs
@@ -63,11 +63,9 @@
         })?;
         match refusal_of(&answer) {
             Some(error) => Err(error),
-            None => Ok(AppAnswer {
-                status: answer.status,
-                headers: answer.headers,
-                body: answer.body,
-            }),
+            None => {
+                Ok(AppAnswer { status: answer.status, headers: answer.headers, body: answer.body })
+            }
         }
     }
 }
--- a/lib/src/http_edge.rs
+++ b/lib/src/http_edge.rs
@@ -279,7 +279,11 @@
             .limit(limit)
             .read_to_vec()
             .map_err(|error| classify(error, time, &self.limits))?;
-        Ok(HttpAnswer { status: parts.status.as_u16(), headers: kept_headers(&parts.headers), body })
+        Ok(HttpAnswer {
+            status: parts.status.as_u16(),
+            headers: kept_headers(&parts.headers),
+            body,
+        })
     }
 
     /// Reads one line; `None` is the end of the answer.
--- /dev/null
+++ b/lib/testutils/src/connection_relay.rs
@@ -0,0 +1,197 @@
+//! Passes TCP connections on to a stand-in and takes faults of the network and the process.
+//!
+//! `tiny_http` gives no access to its sockets, so a stand-in listens on a loopback port of its own
+//! and a relay in front of it holds the published address. Cutting, muting or refusing connections
+//! there looks to a client as it does when the process or the network fails.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+/// Bytes that a pump moves at a time.
+const PUMP_BUFFER_BYTES: usize = 16 * 1024;
+/// Tries to bind the published address again after a crash.
+const REBIND_TRIES: u32 = 100;
+/// Time between two of those tries.
+const REBIND_PAUSE: Duration = Duration::from_millis(20);
+
+/// One relayed connection.
+struct RelayedConnection {
+    client: TcpStream,
+    server: TcpStream,
+    silent: AtomicBool,
+}
+
+impl RelayedConnection {
+    fn close(&self) {
+        // An error means that the socket is closed already.
+        let _ = self.client.shutdown(Shutdown::Both);
+        let _ = self.server.shutdown(Shutdown::Both);
+    }
+}
+
+#[derive(Default)]
+struct RelayState {
+    /// Open connections by the address from which the stand-in sees them.
+    connections: BTreeMap<SocketAddr, Arc<RelayedConnection>>,
+    pumps: Vec<JoinHandle<()>>,
+    acceptor: Option<JoinHandle<()>>,
+}
+
+/// A relay from a published address to a stand-in.
+pub struct ConnectionRelay {
+    address: SocketAddr,
+    target: SocketAddr,
+    accepting: Arc<AtomicBool>,
+    state: Mutex<RelayState>,
+}
+
+impl ConnectionRelay {
+    /// Starts to relay from `address`, where port 0 picks a free one, to `target`.
+    pub fn start(address: SocketAddr, target: SocketAddr) -> io::Result<Arc<Self>> {
+        let listener = TcpListener::bind(address)?;
+        let relay = Arc::new(Self {
+            address: listener.local_addr()?,
+            target,
+            accepting: Arc::new(AtomicBool::new(false)),
+            state: Mutex::default(),
+        });
+        relay.clone().accept_on(listener);
+        Ok(relay)
+    }
+
+    /// Returns the published address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns whether the client of the connection that the stand-in sees as `peer` is there.
+    pub fn is_open(&self, peer: SocketAddr) -> bool {
+        self.lock().connections.contains_key(&peer)
+    }
+
+    /// Closes the connection that the stand-in sees as `peer`.
+    pub fn close(&self, peer: SocketAddr) {
+        if let Some(connection) = self.lock().connections.remove(&peer) {
+            connection.close();
+        }
+    }
+
+    /// Drops whatever open connections send from now on, both ways, and leaves them open.
+    pub fn silence_open(&self) {
+        for connection in self.lock().connections.values() {
+            connection.silent.store(true, Ordering::SeqCst);
+        }
+    }
+
+    /// Closes the published port and every connection.
+    pub fn shut(&self) {
+        self.accepting.store(false, Ordering::SeqCst);
+        let acceptor = self.lock().acceptor.take();
+        if let Some(acceptor) = acceptor {
+            // Wakes the acceptor, which then drops its listener.
+            let _ = TcpStream::connect(self.address);
+            let _ = acceptor.join();
+        }
+        let (connections, pumps) = {
+            let mut state = self.lock();
+            (std::mem::take(&mut state.connections), std::mem::take(&mut state.pumps))
+        };
+        connections.values().for_each(|connection| connection.close());
+        pumps.into_iter().for_each(|pump| drop(pump.join()));
+    }
+
+    /// Opens the published port again after [`Self::shut`]; an open one stays as it is.
+    pub fn reopen(self: &Arc<Self>) -> io::Result<()> {
+        if self.lock().acceptor.is_some() {
+            return Ok(());
+        }
+        let mut tries = 0;
+        let listener = loop {
+            match TcpListener::bind(self.address) {
+                Ok(listener) => break listener,
+                Err(error) if tries == REBIND_TRIES => return Err(error),
+                Err(_) => thread::sleep(REBIND_PAUSE),
+            }
+            tries += 1;
+        };
+        self.clone().accept_on(listener);
+        Ok(())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, RelayState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn accept_on(self: Arc<Self>, listener: TcpListener) {
+        self.accepting.store(true, Ordering::SeqCst);
+        let relay = self.clone();
+        let acceptor = thread::spawn(move || {
+            while let Ok((client, _)) = listener.accept() {
+                if !relay.accepting.load(Ordering::SeqCst) {
+                    return;
+                }
+                // A connection that cannot be relayed is dropped, and its client sees it closed.
+                let _ = relay.clone().relay(client);
+            }
+        });
+        self.lock().acceptor = Some(acceptor);
+    }
+
+    fn relay(self: Arc<Self>, client: TcpStream) -> io::Result<()> {
+        let server = TcpStream::connect(self.target)?;
+        client.set_nodelay(true)?;
+        server.set_nodelay(true)?;
+        let peer = server.local_addr()?;
+        let (client_end, server_end) = (client.try_clone()?, server.try_clone()?);
+        let connection =
+            Arc::new(RelayedConnection { client, server, silent: AtomicBool::new(false) });
+        let mut state = self.lock();
+        state.connections.insert(peer, connection.clone());
+        state.pumps.retain(|pump| !pump.is_finished());
+        let (relay, up) = (self.clone(), connection.clone());
+        state.pumps.push(thread::spawn(move || {
+            pump(&client_end, &up.server, &up.silent);
+            // A silent connection hides its end from the stand-in.
+            if !up.silent.load(Ordering::SeqCst) {
+                relay.close(peer);
+            }
+        }));
+        let (relay, down) = (self.clone(), connection);
+        state.pumps.push(thread::spawn(move || {
+            pump(&server_end, &down.client, &down.silent);
+            if !down.silent.load(Ordering::SeqCst) {
+                relay.close(peer);
+            }
+        }));
+        Ok(())
+    }
+}
+
+/// Moves bytes until either end closes; what a silent connection carries is dropped.
+fn pump(mut from: &TcpStream, mut to: &TcpStream, silent: &AtomicBool) {
+    let mut buffer = [0; PUMP_BUFFER_BYTES];
+    loop {
+        let Ok(count @ 1..) = from.read(&mut buffer) else { return };
+        if silent.load(Ordering::SeqCst) {
+            continue;
+        }
+        if to.write_all(&buffer[..count]).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/lib/testutils/src/engine_run.rs
@@ -0,0 +1,203 @@
+//! One attempt in the engine stand-in: queue, prefill, decode, end.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Instant;
+
+use pomelostack_lib::engine::FinishReason;
+use pomelostack_lib::engine::GenerateEnd;
+use pomelostack_lib::engine::GenerateRequest;
+use pomelostack_lib::engine::TokenChunk;
+use pomelostack_lib::engine_client::EngineLine;
+
+use crate::engine_answer::CRASH_MARKER;
+use crate::engine_answer::answer_length;
+use crate::engine_answer::answer_token;
+use crate::engine_answer::natural_length;
+use crate::engine_core::AttemptKey;
+use crate::engine_core::PrefillPlan;
+use crate::engine_standin::EngineShared;
+use crate::engine_standin::refuse_unrun;
+use crate::http_standin::HttpExchange;
+use crate::http_standin::LineStream;
+use crate::journal::RunOutcome;
+use crate::server_life::LifeNumber;
+use crate::server_life::WaitEnd;
+
+/// Why a run ended before its answer was complete.
+enum RunStop {
+    /// The process crashed; the run leaves no trace of an end.
+    Crashed,
+    /// It was cancelled.
+    Cancelled,
+    /// Its client is gone.
+    ClientGone,
+}
+
+impl From<io::Error> for RunStop {
+    fn from(_: io::Error) -> Self {
+        Self::ClientGone
+    }
+}
+
+type Result<T> = std::result::Result<T, RunStop>;
+
+/// One attempt that an engine runs.
+pub(crate) struct EngineRun {
+    shared: Arc<EngineShared>,
+    request: GenerateRequest,
+    key: AttemptKey,
+    life: LifeNumber,
+}
+
+impl EngineRun {
+    /// Builds the run of a request.
+    pub(crate) fn new(shared: Arc<EngineShared>, request: GenerateRequest) -> Self {
+        let key = (request.request, request.attempt);
+        let life = shared.life.number();
+        Self { shared, request, key, life }
+    }
+
+    /// Runs the attempt and answers the exchange.
+    pub(crate) fn serve(self, exchange: HttpExchange) {
+        if let Err((status, reason)) = self.admit() {
+            return refuse_unrun(exchange, status, reason);
+        }
+        let (id, attempt) = (self.request.request.to_string(), self.request.attempt.0);
+        let run = self.shared.journal.begin(None, id, attempt, &self.request.model);
+        let is_open = exchange.open_check();
+        let outcome = self.run(exchange.into_lines(), &is_open);
+        let outcome = match outcome {
+            Ok(()) => RunOutcome::Done,
+            Err(RunStop::Cancelled) => RunOutcome::Cancelled,
+            Err(RunStop::ClientGone) => RunOutcome::ClientGone,
+            Err(RunStop::Crashed) => return,
+        };
+        self.shared.lock().remove(Instant::now(), self.key);
+        self.shared.life.wake();
+        self.shared.journal.end(run, outcome);
+    }
+
+    /// Takes the request into the queue, or tells why not.
+    fn admit(&self) -> std::result::Result<(), (u16, &'static str)> {
+        let mut core = self.shared.lock();
+        if core.refusing {
+            return Err((503, "engine takes no work"));
+        }
+        if !core.serves(&self.request.model) {
+            return Err((503, "model is not loaded"));
+        }
+        let text = format!("{}{}", self.request.prompt, self.request.generated);
+        match core.enqueue(Instant::now(), self.key, self.request.priority.0, text) {
+            true => Ok(()),
+            false => Err((429, "queue is full or attempt is running")),
+        }
+    }
+
+    fn run(&self, mut lines: LineStream, is_open: &dyn Fn() -> bool) -> Result<()> {
+        lines.push(&EngineLine::Accepted)?;
+        self.wait_for_place(&mut lines, is_open)?;
+        if self.request.prompt.contains(CRASH_MARKER) {
+            lines.flush()?;
+            self.shared.crash(self.shared.settings.restart_after);
+            return Err(RunStop::Crashed);
+        }
+        let plan = self.prefill(&mut lines, is_open)?;
+        let end_offset = self.decode(&mut lines, is_open)?;
+        lines.push(&EngineLine::End(self.end(plan, end_offset)))?;
+        Ok(lines.finish()?)
+    }
+
+    fn wait_for_place(&self, lines: &mut LineStream, is_open: &dyn Fn() -> bool) -> Result<()> {
+        if self.shared.lock().try_start(Instant::now(), self.key) {
+            return Ok(());
+        }
+        lines.flush()?;
+        let mut started = false;
+        self.wait(None, is_open, || {
+            started = self.shared.lock().try_start(Instant::now(), self.key);
+            started
+        })
+    }
+
+    fn prefill(&self, lines: &mut LineStream, is_open: &dyn Fn() -> bool) -> Result<PrefillPlan> {
+        let plan = self.shared.lock().plan_prefill(Instant::now(), self.key);
+        let plan = plan.ok_or(RunStop::Crashed)?;
+        self.pause_until(plan.ready_at, lines, is_open)?;
+        self.shared.lock().store_attempt(Instant::now(), self.key);
+        Ok(plan)
+    }
+
+    /// Streams the tokens from the resume offset on and returns the offset after the last.
+    fn decode(&self, lines: &mut LineStream, is_open: &dyn Fn() -> bool) -> Result<u32> {
+        let (model, prompt) = (&self.request.model, &self.request.prompt);
+        let end = answer_length(model, prompt, self.request.max_tokens);
+        let mut step_end = Instant::now();
+        for offset in self.request.resume_from..end {
+            step_end += self.step_time();
+            self.pause_until(step_end, lines, is_open)?;
+            let token = answer_token(model, prompt, offset);
+            self.shared.lock().grow(self.key, &token);
+            lines.push(&EngineLine::Token(TokenChunk { offset, text: token }))?;
+        }
+        self.shared.lock().store_attempt(Instant::now(), self.key);
+        Ok(end.max(self.request.resume_from))
+    }
+
+    fn step_time(&self) -> std::time::Duration {
+        let core = self.shared.lock();
+        let others = u32::try_from(core.running().saturating_sub(1)).unwrap_or(u32::MAX);
+        let settings = &self.shared.settings;
+        settings.decode_step + settings.decode_step_slope * others + core.extra_step
+    }
+
+    /// Sends what is pending and waits; a moment that has come takes no time and sends nothing.
+    fn pause_until(
+        &self,
+        moment: Instant,
+        lines: &mut LineStream,
+        is_open: &dyn Fn() -> bool,
+    ) -> Result<()> {
+        if moment > Instant::now() {
+            lines.flush()?;
+        }
+        self.wait(Some(moment), is_open, || false)
+    }
+
+    fn wait(
+        &self,
+        deadline: Option<Instant>,
+        is_open: &dyn Fn() -> bool,
+        mut ready: impl FnMut() -> bool,
+    ) -> Result<()> {
+        let mut stop = None;
+        let end = self.shared.life.wait(self.life, deadline, || {
+            if self.shared.lock().is_cancelled(self.key) {
+                stop = Some(RunStop::Cancelled);
+            } else if !is_open() {
+                stop = Some(RunStop::ClientGone);
+            }
+            stop.is_some() || ready()
+        });
+        match (end, stop) {
+            (WaitEnd::Crashed, _) => Err(RunStop::Crashed),
+            (_, Some(stop)) => Err(stop),
+            (WaitEnd::Ready | WaitEnd::Elapsed, None) => Ok(()),
+        }
+    }
+
+    fn end(&self, plan: PrefillPlan, end_offset: u32) -> GenerateEnd {
+        let natural = natural_length(&self.request.model, &self.request.prompt);
+        let finish_reason = match natural > self.request.max_tokens {
+            true => FinishReason::Length,
+            false => FinishReason::Stop,
+        };
+        GenerateEnd {
+            finish_reason,
+            end_offset,
+            prompt_tokens: plan.cached_tokens + plan.computed_tokens,
+            cached_tokens: plan.cached_tokens,
+            computed_tokens: plan.computed_tokens,
+        }
+    }
+}
--- /dev/null
+++ b/lib/testutils/src/hang_guard.rs
@@ -0,0 +1,21 @@
+//! Waits for events that come in every correct run, bounded so that a broken run fails.
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Bound of such a wait; it decides no verdict but "hangs".
+pub const HANG_GUARD: Duration = Duration::from_secs(30);
+
+/// Waits until `ready` holds.
+///
+/// # Panics
+///
+/// Panics if it does not hold within [`HANG_GUARD`].
+pub fn wait_for(mut ready: impl FnMut() -> bool) {
+    let begin = Instant::now();
+    while !ready() {
+        assert!(begin.elapsed() < HANG_GUARD, "condition never held");
+        thread::yield_now();
+    }
+}
--- a/lib/testutils/src/http_standin.rs
+++ b/lib/testutils/src/http_standin.rs
@@ -1,1 +1,314 @@
-//! Not yet written.
+//! HTTP server that the stand-ins share: a thread a request, answers as JSON or JSON lines.
+
+use std::io;
+use std::io::Read as _;
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::os::fd::OwnedFd;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::thread;
+use std::thread::JoinHandle;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+use tiny_http::Header;
+use tiny_http::Request;
+use tiny_http::Response;
+use tiny_http::Server;
+
+use crate::connection_relay::ConnectionRelay;
+use crate::server_life::ServerLife;
+
+/// Largest request body that a stand-in takes, in bytes.
+pub const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
+
+/// Why a stand-in could not start.
+#[derive(Debug, Error)]
+pub enum StandinError {
+    /// An address cannot be bound.
+    #[error("cannot listen on {address}: {cause}")]
+    Bind {
+        /// Address.
+        address: SocketAddr,
+        /// Cause.
+        cause: io::Error,
+    },
+    /// A setting has a value that is not allowed.
+    #[error("bad setting: {0}")]
+    BadSetting(String),
+    /// The HTTP server cannot start.
+    #[error("http server cannot start: {0}")]
+    Server(String),
+}
+
+/// Result of starting a stand-in.
+pub type Result<T> = std::result::Result<T, StandinError>;
+
+/// What a stand-in does with its requests.
+pub trait StandinService: Send + Sync + 'static {
+    /// Answers one request, on a thread of its own.
+    fn serve(&self, exchange: HttpExchange);
+}
+
+/// A running HTTP server of a stand-in.
+pub struct HttpStandin {
+    life: Arc<ServerLife>,
+    server: Arc<Server>,
+    acceptor: Option<JoinHandle<()>>,
+    handlers: Arc<Mutex<Vec<JoinHandle<()>>>>,
+}
+
+impl HttpStandin {
+    /// Starts a server on `address`, where port 0 picks a free one, with the service that `build`
+    /// makes for the server's life.
+    pub fn start<S: StandinService>(
+        address: SocketAddr,
+        build: impl FnOnce(Arc<ServerLife>) -> S,
+    ) -> Result<(Self, Arc<S>)> {
+        let inner = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let listener =
+            listen_nodelay(inner).map_err(|cause| StandinError::Bind { address: inner, cause })?;
+        let target =
+            listener.local_addr().map_err(|cause| StandinError::Bind { address: inner, cause })?;
+        let server = Server::from_listener(listener, None)
+            .map_err(|error| StandinError::Server(error.to_string()))?;
+        let relay = ConnectionRelay::start(address, target)
+            .map_err(|cause| StandinError::Bind { address, cause })?;
+        let life = ServerLife::new(relay);
+        let service = Arc::new(build(life.clone()));
+        let server = Arc::new(server);
+        let handlers = Arc::default();
+        let acceptor =
+            spawn_acceptor(server.clone(), life.clone(), service.clone(), Arc::clone(&handlers));
+        Ok((Self { life, server, acceptor: Some(acceptor), handlers }, service))
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.life.relay().address()
+    }
+
+    /// Returns the life of the process.
+    pub fn life(&self) -> &Arc<ServerLife> {
+        &self.life
+    }
+
+    /// Stops the server and waits for its threads; stopping twice has no effect.
+    pub fn stop(&mut self) {
+        let Some(acceptor) = self.acceptor.take() else { return };
+        self.life.stop();
+        self.server.unblock();
+        let _ = acceptor.join();
+        let handlers =
+            std::mem::take(&mut *self.handlers.lock().unwrap_or_else(PoisonError::into_inner));
+        handlers.into_iter().for_each(|handler| drop(handler.join()));
+    }
+}
+
+impl Drop for HttpStandin {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+/// Binds a listener whose accepted sockets send small chunks at once: they take the option over.
+fn listen_nodelay(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpStream::from(OwnedFd::from(TcpListener::bind(address)?));
+    socket.set_nodelay(true)?;
+    Ok(TcpListener::from(OwnedFd::from(socket)))
+}
+
+fn spawn_acceptor<S: StandinService>(
+    server: Arc<Server>,
+    life: Arc<ServerLife>,
+    service: Arc<S>,
+    handlers: Arc<Mutex<Vec<JoinHandle<()>>>>,
+) -> JoinHandle<()> {
+    thread::spawn(move || {
+        while let Ok(request) = server.recv() {
+            let (life, service) = (life.clone(), service.clone());
+            let handler = thread::spawn(move || {
+                if let Some(exchange) = HttpExchange::read(request, life) {
+                    service.serve(exchange);
+                }
+            });
+            let mut handlers = handlers.lock().unwrap_or_else(PoisonError::into_inner);
+            handlers.retain(|handler| !handler.is_finished());
+            handlers.push(handler);
+        }
+    })
+}
+
+/// Error body of a stand-in.
+#[derive(Clone, Debug, Serialize)]
+struct ErrorBody<'a> {
+    reason: &'a str,
+}
+
+/// One request and the means to answer it.
+pub struct HttpExchange {
+    request: Request,
+    life: Arc<ServerLife>,
+    body: Vec<u8>,
+}
+
+impl HttpExchange {
+    /// Reads the request's body; an unreadable or oversized one is answered here.
+    fn read(mut request: Request, life: Arc<ServerLife>) -> Option<Self> {
+        let mut body = Vec::new();
+        let read = request.as_reader().take(MAX_BODY_BYTES + 1).read_to_end(&mut body);
+        let too_large = body.len() as u64 > MAX_BODY_BYTES;
+        let exchange = Self { request, life, body };
+        match read {
+            Ok(_) if too_large => {
+                exchange.refuse(413, "body too large");
+                None
+            }
+            Ok(_) => Some(exchange),
+            Err(_) => None,
+        }
+    }
+
+    /// Returns the method.
+    pub fn method(&self) -> &str {
+        self.request.method().as_str()
+    }
+
+    /// Returns the path with its query.
+    pub fn url(&self) -> &str {
+        self.request.url()
+    }
+
+    /// Returns the path without its query.
+    pub fn path(&self) -> &str {
+        self.url().split('?').next().unwrap_or_default()
+    }
+
+    /// Returns a parameter of the query.
+    pub fn query(&self, name: &str) -> Option<&str> {
+        let (_, query) = self.url().split_once('?')?;
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(found, _)| *found == name).map(|(_, value)| value)
+    }
+
+    /// Returns the value of the first header with the name.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut headers = self.request.headers().iter();
+        let found =
+            headers.find(|header| header.field.as_str().as_str().eq_ignore_ascii_case(name));
+        found.map(|header| header.value.as_str())
+    }
+
+    /// Returns the body.
+    pub fn body(&self) -> &[u8] {
+        &self.body
+    }
+
+    /// Reads the body as JSON; the error is text for the answer.
+    pub fn json<T: DeserializeOwned>(&self) -> std::result::Result<T, String> {
+        serde_json::from_slice(&self.body).map_err(|error| error.to_string())
+    }
+
+    /// Returns a check of whether the client is still connected.
+    pub fn open_check(&self) -> impl Fn() -> bool + Send + 'static {
+        let (peer, relay) = (self.request.remote_addr().copied(), self.life.relay().clone());
+        move || peer.is_some_and(|peer| relay.is_open(peer))
+    }
+
+    /// Answers with JSON.
+    pub fn respond_json<T: Serialize>(self, status: u16, value: &T) {
+        let body = serde_json::to_vec(value).unwrap_or_default();
+        self.respond(status, &[("Content-Type", "application/json")], body);
+    }
+
+    /// Answers with an error status and a reason.
+    pub fn refuse(self, status: u16, reason: &str) {
+        self.respond_json(status, &ErrorBody { reason });
+    }
+
+    /// Answers with the given headers and body; headers that are not ASCII are left out.
+    pub fn respond(self, status: u16, headers: &[(&str, &str)], body: Vec<u8>) {
+        let mut response = Response::from_data(body).with_status_code(status);
+        for (name, value) in headers {
+            if let Ok(header) = Header::from_bytes(name.as_bytes(), value.as_bytes()) {
+                response = response.with_header(header);
+            }
+        }
+        // A client that is gone needs no answer.
+        let _ = self.request.respond(response);
+    }
+
+    /// Closes the connection without an answer.
+    pub fn drop_connection(self) {
+        if let Some(peer) = self.request.remote_addr() {
+            self.life.relay().close(*peer);
+        }
+    }
+
+    /// Starts an answer of JSON lines.
+    pub fn into_lines(self) -> LineStream {
+        let peer = self.request.remote_addr().copied();
+        let head = "HTTP/1.1 200 OK\r\nContent-Type: application/jsonl\r\n\
+                    Transfer-Encoding: chunked\r\n\r\n";
+        LineStream {
+            writer: self.request.into_writer(),
+            pending: head.as_bytes().to_vec(),
+            peer,
+            relay: self.life.relay().clone(),
+            finished: false,
+        }
+    }
+}
+
+/// An answer of JSON lines, sent in chunks; dropping it unfinished closes the connection.
+pub struct LineStream {
+    writer: Box<dyn Write + Send>,
+    pending: Vec<u8>,
+    peer: Option<SocketAddr>,
+    relay: Arc<ConnectionRelay>,
+    finished: bool,
+}
+
+impl LineStream {
+    /// Adds a line; it is sent by the next [`Self::flush`] or [`Self::finish`].
+    pub fn push<T: Serialize>(&mut self, value: &T) -> io::Result<()> {
+        let mut line = serde_json::to_vec(value)?;
+        line.push(b'\n');
+        self.pending.extend_from_slice(format!("{:x}\r\n", line.len()).as_bytes());
+        self.pending.extend_from_slice(&line);
+        self.pending.extend_from_slice(b"\r\n");
+        Ok(())
+    }
+
+    /// Sends the lines added so far.
+    pub fn flush(&mut self) -> io::Result<()> {
+        if self.pending.is_empty() {
+            return Ok(());
+        }
+        self.writer.write_all(&self.pending)?;
+        self.pending.clear();
+        self.writer.flush()
+    }
+
+    /// Sends the rest and ends the answer.
+    pub fn finish(mut self) -> io::Result<()> {
+        self.pending.extend_from_slice(b"0\r\n\r\n");
+        self.flush()?;
+        self.finished = true;
+        Ok(())
+    }
+}
+
+impl Drop for LineStream {
+    fn drop(&mut self) {
+        if let (false, Some(peer)) = (self.finished, self.peer) {
+            self.relay.close(peer);
+        }
+    }
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -2,11 +2,20 @@
 
 pub mod app_standin;
 pub mod cloud_standin;
+pub mod connection_relay;
+pub mod engine_answer;
+pub mod engine_core;
+mod engine_run;
 pub mod engine_standin;
+pub mod hang_guard;
 pub mod host_list_standin;
 pub mod http_standin;
+pub mod journal;
+pub mod log_fake;
 pub mod log_standin;
 pub mod platform_standin;
+pub mod prefix_cache;
+pub mod server_life;
 pub mod weight_standin;
 
 pub mod naive_claims;
--- a/lib/testutils/src/log_standin.rs
+++ b/lib/testutils/src/log_standin.rs
@@ -1,1 +1,198 @@
-//! Not yet written.
+//! Stand-in of the platform's log over HTTP.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use pomelostack_lib::ids::LogOffset;
+use pomelostack_lib::log_client::AppendAnswer;
+use pomelostack_lib::log_client::ExpiredAnswer;
+use pomelostack_lib::log_client::WireSlice;
+use pomelostack_lib::log_service::LogError;
+use pomelostack_lib::log_service::LogService as _;
+use pomelostack_lib::log_service::LogStream;
+use pomelostack_lib::timestamp::wall_clock_ms;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::http_standin::HttpExchange;
+use crate::http_standin::HttpStandin;
+use crate::http_standin::Result;
+use crate::http_standin::StandinService;
+pub use crate::log_fake::LogFake;
+pub use crate::log_fake::LogOutage;
+use crate::server_life::ServerLife;
+
+/// Records of one read if the reader names no number.
+const DEFAULT_READ_RECORDS: usize = 100;
+
+/// Settings of a log stand-in.
+#[derive(Clone, Debug)]
+pub struct LogSettings {
+    /// Address; port 0 picks a free one.
+    pub address: SocketAddr,
+    /// Time for which records are kept.
+    pub retention: Duration,
+    /// Appends taken in any second.
+    pub appends_per_s: usize,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            retention: Duration::from_secs(3600),
+            appends_per_s: 500,
+        }
+    }
+}
+
+/// Faults of the log, the body of `POST /faults`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFault {
+    /// Every call is refused, or no longer.
+    Down(bool),
+    /// Every connection closes without an answer and without effect, or no longer.
+    Unreachable(bool),
+    /// Every call takes this much longer; 0 ends it.
+    Slow {
+        /// Added time.
+        extra_ms: u64,
+    },
+    /// The replies of the next appends are lost after these took effect.
+    LoseReplies(u32),
+    /// The next appends are lost before they take effect.
+    LoseRequests(u32),
+    /// The next appends get no reply and take effect at [`LogFault::ReleaseHeld`].
+    HoldAppends(u32),
+    /// Gives held appends their effect.
+    ReleaseHeld,
+    /// Records are kept for this time alone.
+    Retention {
+        /// Time.
+        retention_ms: u64,
+    },
+    /// Open connections carry nothing any more and stay open; new ones work.
+    SilenceConnections,
+}
+
+struct LogShared {
+    life: Arc<ServerLife>,
+    fake: Arc<LogFake>,
+    extra_time: Mutex<Duration>,
+}
+
+impl LogShared {
+    fn take_fault(&self, fault: LogFault) {
+        let outage = |on, outage| if on { outage } else { LogOutage::None };
+        match fault {
+            LogFault::Down(on) => self.fake.set_outage(outage(on, LogOutage::Refusing)),
+            LogFault::Unreachable(on) => self.fake.set_outage(outage(on, LogOutage::Unreachable)),
+            LogFault::Slow { extra_ms } => {
+                let mut extra = self.extra_time.lock().unwrap_or_else(PoisonError::into_inner);
+                *extra = Duration::from_millis(extra_ms);
+            }
+            LogFault::LoseReplies(count) => self.fake.lose_replies(count),
+            LogFault::LoseRequests(count) => self.fake.lose_requests(count),
+            LogFault::HoldAppends(count) => self.fake.hold_appends(count),
+            LogFault::ReleaseHeld => drop(self.fake.release_held()),
+            LogFault::Retention { retention_ms } => self.fake.set_retention_ms(retention_ms),
+            LogFault::SilenceConnections => self.life.relay().silence_open(),
+        }
+    }
+}
+
+/// The log on a loopback port.
+pub struct LogStandin {
+    server: HttpStandin,
+    shared: Arc<LogShared>,
+}
+
+impl LogStandin {
+    /// Starts an empty log.
+    pub fn start(settings: LogSettings) -> Result<Self> {
+        let fake = Arc::new(LogFake::new());
+        let retention = u64::try_from(settings.retention.as_millis()).unwrap_or(u64::MAX);
+        fake.set_retention_ms(retention);
+        fake.set_appends_per_s(settings.appends_per_s);
+        let (server, service) = HttpStandin::start(settings.address, |life| {
+            LogHttpService(Arc::new(LogShared { life, fake, extra_time: Mutex::default() }))
+        })?;
+        Ok(Self { server, shared: service.0.clone() })
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the log behind the HTTP server.
+    pub fn fake(&self) -> &LogFake {
+        &self.shared.fake
+    }
+
+    /// Applies a fault.
+    pub fn apply_fault(&self, fault: LogFault) {
+        self.shared.take_fault(fault);
+    }
+
+    /// Stops the log and waits for its threads.
+    pub fn stop(&mut self) {
+        self.server.stop();
+    }
+}
+
+struct LogHttpService(Arc<LogShared>);
+
+impl StandinService for LogHttpService {
+    fn serve(&self, exchange: HttpExchange) {
+        let shared = &self.0;
+        if (exchange.method(), exchange.path()) == ("POST", "/faults") {
+            return match exchange.json() {
+                // Answered first: the fault may end the connection.
+                Ok(fault) => {
+                    exchange.respond_json(200, &());
+                    shared.take_fault(fault);
+                }
+                Err(error) => exchange.refuse(400, &error),
+            };
+        }
+        let extra = *shared.extra_time.lock().unwrap_or_else(PoisonError::into_inner);
+        shared.life.wait(shared.life.number(), Some(Instant::now() + extra), || false);
+        shared.fake.set_now_ms(wall_clock_ms());
+        match (exchange.method(), stream_of(exchange.path())) {
+            ("POST", Some(_)) if shared.fake.is_at_rate() => exchange.refuse(429, "over the rate"),
+            ("POST", Some(stream)) => {
+                let appended = shared.fake.append(stream, exchange.body());
+                respond(exchange, appended.map(|offset| AppendAnswer { offset }));
+            }
+            ("GET", Some(stream)) => {
+                let number = |name| exchange.query(name).and_then(|value| value.parse().ok());
+                let from = LogOffset(number("from").unwrap_or(0));
+                let max = number("max").and_then(|max| usize::try_from(max).ok());
+                let slice = shared.fake.read(stream, from, max.unwrap_or(DEFAULT_READ_RECORDS));
+                respond(exchange, slice.map(|slice| WireSlice::from(&slice)));
+            }
+            _ => exchange.refuse(404, "no such route"),
+        }
+    }
+}
+
+fn respond<T: Serialize>(exchange: HttpExchange, result: std::result::Result<T, LogError>) {
+    match result {
+        Ok(value) => exchange.respond_json(200, &value),
+        Err(LogError::Expired(first)) => exchange.respond_json(410, &ExpiredAnswer { first }),
+        Err(LogError::Refused(reason)) => exchange.refuse(503, &reason),
+        Err(LogError::FateUnknown(_) | LogError::Malformed(_)) => exchange.drop_connection(),
+    }
+}
+
+fn stream_of(path: &str) -> Option<LogStream> {
+    let name = path.strip_prefix("/streams/")?.strip_suffix("/records")?;
+    let all = [LogStream::Config, LogStream::Claims, LogStream::Leases];
+    all.into_iter().find(|stream| stream.name() == name)
+}
