--- a/lib/src/answer_store.rs
+++ b/lib/src/answer_store.rs
@@ -1,1 +1,86 @@
-//! Not yet written.
+//! Answers of one host as its threads share them: sessions write, any number of callers follow.
+
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use crate::answer_table::AnswerLimits;
+use crate::answer_table::AnswerPart;
+use crate::answer_table::AnswerState;
+use crate::answer_table::AnswerTable;
+use crate::answer_table::Result;
+use crate::engine::TokenChunk;
+use crate::ids::RequestId;
+use crate::session_request::SessionEnd;
+use crate::timestamp::ProcessClock;
+
+/// Running and finished answers, shared between threads.
+#[derive(Debug)]
+pub struct AnswerStore {
+    clock: ProcessClock,
+    table: Mutex<AnswerTable>,
+    changed: Condvar,
+}
+
+impl AnswerStore {
+    /// Builds an empty store.
+    pub fn new(clock: ProcessClock, limits: AnswerLimits) -> Self {
+        Self { clock, table: Mutex::new(AnswerTable::new(limits)), changed: Condvar::new() }
+    }
+
+    /// Begins the answer of a request that may produce `max_tokens` tokens.
+    pub fn begin(&self, id: RequestId, max_tokens: u32) -> Result<()> {
+        self.lock().begin(self.clock.now(), id, max_tokens)
+    }
+
+    /// Appends the next token of an answer and wakes its followers.
+    pub fn push(&self, id: RequestId, chunk: &TokenChunk) {
+        self.lock().push(self.clock.now(), id, chunk);
+        self.changed.notify_all();
+    }
+
+    /// Ends an answer and wakes its followers.
+    pub fn finish(&self, id: RequestId, end: SessionEnd) {
+        self.lock().finish(self.clock.now(), id, end);
+        self.changed.notify_all();
+    }
+
+    /// Changes how long answers that finish are kept.
+    pub fn set_retention(&self, retention: Duration) {
+        self.lock().set_retention(retention);
+    }
+
+    /// Returns the answer from a token offset on as it stands, or `None` if it is not kept.
+    pub fn read_from(&self, id: RequestId, offset: u32) -> Option<AnswerPart> {
+        self.lock().read_from(self.clock.now(), id, offset)
+    }
+
+    /// Like [`Self::read_from`], but waits up to `wait` while nothing new is there.
+    pub fn wait_from(&self, id: RequestId, offset: u32, wait: Duration) -> Option<AnswerPart> {
+        let until = self.clock.now() + wait;
+        let mut table = self.lock();
+        loop {
+            let now = self.clock.now();
+            let part = table.read_from(now, id, offset)?;
+            let left = until.since(now);
+            let is_news = !part.chunks.is_empty() || part.state != AnswerState::Running;
+            if is_news || left.is_zero() {
+                return Some(part);
+            }
+            let waited = self.changed.wait_timeout(table, left);
+            table = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+    }
+
+    /// Returns entries and bytes held, for metrics.
+    pub fn usage(&self) -> (usize, usize) {
+        let table = self.lock();
+        (table.len(), table.bytes())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, AnswerTable> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -50,11 +50,19 @@
 
 // Requests and their answers.
 pub mod answer_store;
+pub mod answer_table;
 pub mod crash_suspects;
 pub mod evacuation;
 pub mod handover;
 pub mod request_session;
+pub mod session_attempt;
+pub mod session_claim;
 pub mod session_driver;
+pub mod session_event;
+pub mod session_ports;
+pub mod session_registry;
+pub mod session_request;
+pub mod session_stream;
 
 // Routing, limits and fleet.
 pub mod admission;
--- a/lib/src/not_run.rs
+++ b/lib/src/not_run.rs
@@ -1,21 +1,46 @@
 //! Typed proofs that a request was not run.
 //!
 //! A NOT_RUN answer is built from a [`NotRunProof`] alone, so no code path can return one without
-//! stating why no backend server ran the request and none will.
+//! stating why no backend server ran the request and none will. Once a session has started an
+//! attempt, its [`AttemptLedger`] is the only source of proofs.
 
+use std::collections::BTreeMap;
+
+use crate::engine::ServerError;
 use crate::ids::AttemptNumber;
 use crate::ids::LogOffset;
 use crate::result_code::RequestOutcome;
 use crate::result_code::ResultCode;
 
+/// Evidence that every attempt of a request was refused before it ran.
+///
+/// Only [`AttemptLedger`] can build it, from the errors that it was shown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RefusedAttempts {
+    last: AttemptNumber,
+    count: u32,
+}
+
+impl RefusedAttempts {
+    /// Returns the last refused attempt.
+    pub fn last(&self) -> AttemptNumber {
+        self.last
+    }
+
+    /// Returns the number of refused attempts.
+    pub fn count(&self) -> u32 {
+        self.count
+    }
+}
+
 /// Why it is certain that a request was not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NotRunProof {
     /// The request was refused before any attempt was started.
     NeverDispatched,
     /// Each attempt so far was refused by its backend server before it began, or its connection
-    /// was never opened; the value is the last such attempt.
-    EveryAttemptRefused(AttemptNumber),
+    /// was never opened.
+    EveryAttemptRefused(RefusedAttempts),
     /// A void record at the offset precedes any claim of the key.
     ClaimVoided(LogOffset),
 }
@@ -45,3 +70,60 @@
         self.proof
     }
 }
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AttemptFate {
+    /// The attempt was handed to a connection: it may run.
+    MayRun,
+    /// The server or its closed port proved that the attempt did not run.
+    Refused,
+}
+
+/// What was observed of every attempt of one request.
+#[derive(Clone, Debug, Default)]
+pub struct AttemptLedger {
+    fates: BTreeMap<AttemptNumber, AttemptFate>,
+}
+
+impl AttemptLedger {
+    /// Records that an attempt is about to be sent; from now on it may run.
+    pub fn begin(&mut self, attempt: AttemptNumber) {
+        self.fates.insert(attempt, AttemptFate::MayRun);
+    }
+
+    /// Records how an attempt failed; only an error that proves that nothing ran is evidence.
+    pub fn observe(&mut self, attempt: AttemptNumber, error: &ServerError) {
+        if !proves_not_run(error) {
+            return;
+        }
+        if let Some(fate) = self.fates.get_mut(&attempt) {
+            *fate = AttemptFate::Refused;
+        }
+    }
+
+    /// Returns the number of attempts that were begun.
+    pub fn begun(&self) -> u32 {
+        u32::try_from(self.fates.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the proof that nothing ran, or `None` if any attempt may have run.
+    pub fn proof(&self) -> Option<NotRunProof> {
+        if self.fates.values().any(|&fate| fate == AttemptFate::MayRun) {
+            return None;
+        }
+        Some(match self.fates.last_key_value() {
+            None => NotRunProof::NeverDispatched,
+            Some((&last, _)) => {
+                NotRunProof::EveryAttemptRefused(RefusedAttempts { last, count: self.begun() })
+            }
+        })
+    }
+}
+
+/// Returns whether the error proves that the server ran no part of the attempt.
+pub fn proves_not_run(error: &ServerError) -> bool {
+    match error {
+        ServerError::NotConnected(_) | ServerError::Refused(_) | ServerError::Fenced(_) => true,
+        ServerError::Lost(_) | ServerError::Silent(_) | ServerError::Malformed(_) => false,
+    }
+}
--- a/lib/src/request_session.rs
+++ b/lib/src/request_session.rs
@@ -1,1 +1,386 @@
-//! Not yet written.
+//! Life of one accepted request, from its claim to its one final answer.
+//!
+//! A pure state machine: the driver passes events in and carries out the actions in order. Rules:
+//! only the current attempt's next offset is relayed; a model or idempotent request goes on
+//! elsewhere from the last relayed token; a non-idempotent call is sent again only if every
+//! attempt before was proved not to have run; a request that is given up on ends at once.
+
+mod recovery;
+
+use std::time::Duration;
+
+use crate::engine::GenerateEnd;
+use crate::engine::ServerError;
+use crate::engine::TokenChunk;
+use crate::ids::AttemptNumber;
+use crate::ids::FencingNumber;
+use crate::ids::ServerKey;
+use crate::not_run::AttemptLedger;
+use crate::result_code::ResultCode;
+use crate::retry_budget::RetryBudget;
+use crate::session_claim::ClaimDecision;
+use crate::session_event::AttemptEnd;
+use crate::session_event::AttemptPlan;
+use crate::session_event::SessionAction;
+use crate::session_event::SessionEvent;
+use crate::session_event::SessionLimits;
+use crate::session_request::CheckedRequest;
+use crate::session_request::RequestWork;
+use crate::session_request::SessionEnd;
+use crate::session_request::TokenUsage;
+use crate::session_stream::AnswerStream;
+use crate::session_stream::ChunkFit;
+use crate::timestamp::Timestamp;
+
+/// Wait before the router is asked again while no server can take the request.
+pub const SERVER_WAIT: Duration = Duration::from_millis(20);
+
+/// Time after which a refused caller may try again.
+pub const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What the session runs: how answers are made up and whether the work may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SessionKind {
+    /// A model's answer of at most the given tokens; always idempotent.
+    Model {
+        /// Upper bound of the answer, in tokens.
+        max_tokens: u32,
+    },
+    /// A call that may be repeated.
+    IdempotentCall,
+    /// A call that runs at most once.
+    SingleCall,
+}
+
+impl From<&CheckedRequest> for SessionKind {
+    fn from(request: &CheckedRequest) -> Self {
+        match request.work {
+            RequestWork::Model { max_tokens, .. } => Self::Model { max_tokens },
+            RequestWork::App { .. } if request.idempotent => Self::IdempotentCall,
+            RequestWork::App { .. } => Self::SingleCall,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct RunningAttempt {
+    number: AttemptNumber,
+    server: ServerKey,
+    /// Last sign of life, or the start.
+    heard_at: Timestamp,
+    /// Whether a token or an acceptance has arrived.
+    started: bool,
+    /// Whether it tests a new connection after an old one to the same server went silent.
+    probe: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SessionPhase {
+    New,
+    Claiming,
+    Choosing,
+    Waiting { until: Timestamp },
+    Running(RunningAttempt),
+    Finished,
+}
+
+/// State of one request.
+#[derive(Clone, Debug)]
+pub struct RequestSession {
+    kind: SessionKind,
+    limits: SessionLimits,
+    deadline: Timestamp,
+    phase: SessionPhase,
+    stream: AnswerStream,
+    ledger: AttemptLedger,
+    last_attempt: AttemptNumber,
+    /// Attempts that count against the limit.
+    counted_attempts: u32,
+    excluded: Vec<ServerKey>,
+    /// Servers whose reclaim was announced; attempts lost there are retried without limit.
+    announced: Vec<ServerKey>,
+    fence: Option<FencingNumber>,
+    gone_since: Option<Timestamp>,
+    last_error: Option<ServerError>,
+}
+
+impl RequestSession {
+    /// Builds the session of a new request.
+    pub fn new(kind: SessionKind, limits: SessionLimits, deadline: Timestamp) -> Self {
+        Self::resume(kind, limits, deadline, AnswerStream::default(), AttemptNumber::default())
+    }
+
+    /// Builds the session of a request that another host began, which used the attempt numbers up
+    /// to `last_attempt`.
+    pub fn resume(
+        kind: SessionKind,
+        limits: SessionLimits,
+        deadline: Timestamp,
+        stream: AnswerStream,
+        last_attempt: AttemptNumber,
+    ) -> Self {
+        Self {
+            kind,
+            limits,
+            deadline,
+            phase: SessionPhase::New,
+            stream,
+            ledger: AttemptLedger::default(),
+            last_attempt,
+            counted_attempts: 0,
+            excluded: Vec::new(),
+            announced: Vec::new(),
+            fence: None,
+            gone_since: None,
+            last_error: None,
+        }
+    }
+
+    /// Returns the relayed part of a model's answer.
+    pub fn stream(&self) -> &AnswerStream {
+        &self.stream
+    }
+
+    /// Returns the number of the last attempt that was begun.
+    pub fn last_attempt(&self) -> AttemptNumber {
+        self.last_attempt
+    }
+
+    /// Returns what is known of the attempts.
+    pub fn ledger(&self) -> &AttemptLedger {
+        &self.ledger
+    }
+
+    /// Returns the server of the current attempt.
+    pub fn current_server(&self) -> Option<ServerKey> {
+        match self.phase {
+            SessionPhase::Running(running) => Some(running.server),
+            _ => None,
+        }
+    }
+
+    /// Returns whether the final answer was given.
+    pub fn is_finished(&self) -> bool {
+        self.phase == SessionPhase::Finished
+    }
+
+    /// Returns when [`SessionEvent::Timer`] is due, unless another event comes before.
+    pub fn next_timer(&self) -> Timestamp {
+        let phase_timer = match self.phase {
+            SessionPhase::Waiting { until } => until,
+            SessionPhase::Running(running) if self.repeatable() => self.silent_at(&running),
+            _ => self.deadline,
+        };
+        let grace_timer = match self.gone_since {
+            Some(since) if self.repeatable() => since + self.limits.caller_grace,
+            _ => self.deadline,
+        };
+        phase_timer.min(grace_timer).min(self.deadline)
+    }
+
+    /// Takes one event and returns what is to be done, in order.
+    pub fn on_event(
+        &mut self,
+        now: Timestamp,
+        event: SessionEvent,
+        budget: &mut RetryBudget,
+    ) -> Vec<SessionAction> {
+        if self.is_finished() {
+            return Vec::new();
+        }
+        match event {
+            SessionEvent::Start => self.start(),
+            SessionEvent::ClaimDecided(decision) => self.on_claim(decision),
+            SessionEvent::ServerChosen(server) => self.start_attempt(now, server, false),
+            SessionEvent::NoServer => self.on_no_server(now),
+            SessionEvent::ServersFull => self.wait_for_server(now),
+            SessionEvent::Refused(code) => self.give_up(code, code, None),
+            SessionEvent::AttemptAccepted(attempt) => self.on_sign(now, attempt),
+            SessionEvent::Chunk { attempt, chunk } => self.on_chunk(now, attempt, chunk, budget),
+            SessionEvent::AttemptEnded { attempt, end } => self.on_end(now, attempt, end, budget),
+            SessionEvent::AttemptFailed { attempt, error } => {
+                self.on_failure(now, attempt, error, budget)
+            }
+            SessionEvent::Timer => self.on_timer(now, budget),
+            SessionEvent::CallerGone => self.on_caller_gone(now),
+            SessionEvent::CallerBack => {
+                self.gone_since = None;
+                Vec::new()
+            }
+            SessionEvent::EvacuationOrdered { server, order } => {
+                self.on_evacuation(now, server, order)
+            }
+            SessionEvent::HandoverTaken => self.on_handed_over(),
+        }
+    }
+
+    fn repeatable(&self) -> bool {
+        self.kind != SessionKind::SingleCall
+    }
+
+    fn start(&mut self) -> Vec<SessionAction> {
+        if self.phase != SessionPhase::New {
+            return Vec::new();
+        }
+        if self.repeatable() {
+            return self.choose();
+        }
+        self.phase = SessionPhase::Claiming;
+        vec![SessionAction::RequestClaim]
+    }
+
+    fn on_claim(&mut self, decision: ClaimDecision) -> Vec<SessionAction> {
+        if self.phase != SessionPhase::Claiming {
+            return Vec::new();
+        }
+        match decision {
+            ClaimDecision::Won { fence } => {
+                self.fence = fence;
+                self.choose()
+            }
+            ClaimDecision::AnsweredBefore { answer: Some(answer), .. } => {
+                self.finish(SessionEnd::AppDone(answer))
+            }
+            ClaimDecision::AnsweredBefore { answer: None, .. } => {
+                self.finish_unknown(ResultCode::AnswerExpired, None)
+            }
+            ClaimDecision::RunningElsewhere { .. } => {
+                self.finish_unknown(ResultCode::StillRunning, Some(RETRY_AFTER))
+            }
+            ClaimDecision::Unknown(code) => self.finish_unknown(code, Some(RETRY_AFTER)),
+            ClaimDecision::NotRun(refusal) => {
+                self.finish(SessionEnd::NotRun { refusal, retry_after: None })
+            }
+        }
+    }
+
+    fn choose(&mut self) -> Vec<SessionAction> {
+        self.phase = SessionPhase::Choosing;
+        let excluded = self.excluded.iter().chain(&self.announced).copied().collect();
+        vec![SessionAction::ChooseServer { excluded }]
+    }
+
+    fn start_attempt(
+        &mut self,
+        now: Timestamp,
+        server: ServerKey,
+        probe: bool,
+    ) -> Vec<SessionAction> {
+        if self.phase != SessionPhase::Choosing {
+            return Vec::new();
+        }
+        self.last_attempt = self.last_attempt.next();
+        self.ledger.begin(self.last_attempt);
+        self.stream.start_attempt();
+        self.phase = SessionPhase::Running(RunningAttempt {
+            number: self.last_attempt,
+            server,
+            heard_at: now,
+            started: false,
+            probe,
+        });
+        vec![SessionAction::StartAttempt(AttemptPlan {
+            attempt: self.last_attempt,
+            server,
+            resume_from: self.stream.next_offset(),
+            fresh_connection: probe,
+            fence: self.fence,
+        })]
+    }
+
+    /// A request that has begun waits for a server, and may go back to one that failed it; so does
+    /// one whose server was announced to go. Another is refused at once.
+    fn on_no_server(&mut self, now: Timestamp) -> Vec<SessionAction> {
+        if self.announced.is_empty() && self.ledger.proof().is_some() {
+            let code = match self.ledger.begun() {
+                0 => ResultCode::NoServer,
+                _ => ResultCode::RetriesExhausted,
+            };
+            return self.give_up(code, ResultCode::AttemptsLost, Some(RETRY_AFTER));
+        }
+        self.excluded.clear();
+        self.wait_for_server(now)
+    }
+
+    fn wait_for_server(&mut self, now: Timestamp) -> Vec<SessionAction> {
+        if self.phase == SessionPhase::Choosing {
+            self.phase = SessionPhase::Waiting { until: now + SERVER_WAIT };
+        }
+        Vec::new()
+    }
+
+    fn current(&self, attempt: AttemptNumber) -> Option<RunningAttempt> {
+        match self.phase {
+            SessionPhase::Running(running) if running.number == attempt => Some(running),
+            _ => None,
+        }
+    }
+
+    /// Records a sign of life; a probe that gets one proves that the old connections are dead.
+    fn on_sign(&mut self, now: Timestamp, attempt: AttemptNumber) -> Vec<SessionAction> {
+        let Some(mut running) = self.current(attempt) else { return Vec::new() };
+        let retire = running.probe;
+        running.heard_at = now;
+        running.started = true;
+        running.probe = false;
+        self.phase = SessionPhase::Running(running);
+        if retire { vec![SessionAction::RetireConnections(running.server)] } else { Vec::new() }
+    }
+
+    fn on_chunk(
+        &mut self,
+        now: Timestamp,
+        attempt: AttemptNumber,
+        chunk: TokenChunk,
+        budget: &mut RetryBudget,
+    ) -> Vec<SessionAction> {
+        let mut actions = self.on_sign(now, attempt);
+        if self.current(attempt).is_none() {
+            return actions;
+        }
+        match self.stream.fit(chunk) {
+            ChunkFit::Next(ready) => actions.extend(ready.into_iter().map(SessionAction::Relay)),
+            ChunkFit::Duplicate | ChunkFit::Ahead => {}
+            ChunkFit::Broken => {
+                let error = ServerError::Malformed("tokens are missing".to_owned());
+                actions.extend(self.on_failure(now, attempt, error, budget));
+            }
+        }
+        actions
+    }
+
+    fn on_end(
+        &mut self,
+        now: Timestamp,
+        attempt: AttemptNumber,
+        end: AttemptEnd,
+        budget: &mut RetryBudget,
+    ) -> Vec<SessionAction> {
+        if self.current(attempt).is_none() {
+            return Vec::new();
+        }
+        let mut actions = self.on_sign(now, attempt);
+        let is_model = matches!(self.kind, SessionKind::Model { .. });
+        actions.extend(match end {
+            AttemptEnd::App(answer) if !is_model => self.finish(SessionEnd::AppDone(answer)),
+            AttemptEnd::Model(end) if is_model && end.end_offset == self.stream.next_offset() => {
+                self.finish_model(&end)
+            }
+            AttemptEnd::App(_) | AttemptEnd::Model(_) => {
+                let error = ServerError::Malformed("end does not fit the answer".to_owned());
+                self.on_failure(now, attempt, error, budget)
+            }
+        });
+        actions
+    }
+
+    fn finish_model(&mut self, end: &GenerateEnd) -> Vec<SessionAction> {
+        let usage = TokenUsage {
+            prompt_tokens: end.prompt_tokens,
+            completion_tokens: self.stream.next_offset(),
+            cached_tokens: end.cached_tokens,
+            computed_tokens: end.computed_tokens,
+        };
+        self.finish(SessionEnd::ModelDone { finish_reason: end.finish_reason, usage })
+    }
+}
--- /dev/null
+++ b/lib/src/request_session/recovery.rs
@@ -0,0 +1,232 @@
+//! What a session does when an attempt fails, falls silent or has to move, and when it gives up.
+
+use std::time::Duration;
+
+use super::RETRY_AFTER;
+use super::RequestSession;
+use super::RunningAttempt;
+use super::SessionKind;
+use super::SessionPhase;
+use crate::engine::FinishReason;
+use crate::engine::ServerError;
+use crate::ids::AttemptNumber;
+use crate::ids::ServerKey;
+use crate::not_run::NotRunRefusal;
+use crate::not_run::proves_not_run;
+use crate::result_code::RequestOutcome;
+use crate::result_code::ResultCode;
+use crate::retry_budget::RetryBudget;
+use crate::session_event::MoveOrder;
+use crate::session_event::SessionAction;
+use crate::session_request::SessionEnd;
+use crate::session_request::TokenUsage;
+use crate::timestamp::Timestamp;
+
+impl RequestSession {
+    pub(super) fn on_failure(
+        &mut self,
+        now: Timestamp,
+        attempt: AttemptNumber,
+        error: ServerError,
+        budget: &mut RetryBudget,
+    ) -> Vec<SessionAction> {
+        self.ledger.observe(attempt, &error);
+        let Some(running) = self.current(attempt) else { return Vec::new() };
+        if matches!(error, ServerError::Silent(_)) && self.repeatable() {
+            return self.on_silence(now, running, budget);
+        }
+        if let Some(finish_reason) = self.full_length() {
+            let usage = TokenUsage {
+                completion_tokens: self.stream.next_offset(),
+                ..TokenUsage::default()
+            };
+            return self.finish(SessionEnd::ModelDone { finish_reason, usage });
+        }
+        if !self.repeatable() && !proves_not_run(&error) {
+            return self.finish_unknown(lost_code(&error), None);
+        }
+        self.last_error = Some(error);
+        self.retry(now, running.server, budget)
+    }
+
+    /// Returns how the answer ends if no token is left to produce.
+    fn full_length(&self) -> Option<FinishReason> {
+        match self.kind {
+            SessionKind::Model { max_tokens } if self.stream.next_offset() >= max_tokens => {
+                Some(FinishReason::Length)
+            }
+            _ => None,
+        }
+    }
+
+    /// Goes on elsewhere, within the budget and the limit unless the loss was announced.
+    fn retry(
+        &mut self,
+        now: Timestamp,
+        server: ServerKey,
+        budget: &mut RetryBudget,
+    ) -> Vec<SessionAction> {
+        if self.announced.contains(&server) {
+            return self.choose();
+        }
+        if !self.excluded.contains(&server) {
+            self.excluded.push(server);
+        }
+        self.counted_attempts += 1;
+        if self.counted_attempts >= self.limits.max_attempts || !budget.try_spend(now) {
+            let lost = match self.last_error {
+                Some(ServerError::Malformed(_)) => ResultCode::BadServerAnswer,
+                _ => ResultCode::AttemptsLost,
+            };
+            return self.give_up(ResultCode::RetriesExhausted, lost, Some(RETRY_AFTER));
+        }
+        self.choose()
+    }
+
+    pub(super) fn on_timer(
+        &mut self,
+        now: Timestamp,
+        budget: &mut RetryBudget,
+    ) -> Vec<SessionAction> {
+        if now >= self.deadline {
+            return self.give_up(ResultCode::DeadlineUnreachable, ResultCode::DeadlinePassed, None);
+        }
+        if self.repeatable()
+            && self.gone_since.is_some_and(|at| now >= at + self.limits.caller_grace)
+        {
+            return self.give_up(ResultCode::CallerGone, ResultCode::CallerLost, None);
+        }
+        match self.phase {
+            SessionPhase::Waiting { until } if now >= until => self.choose(),
+            SessionPhase::Running(running)
+                if self.repeatable() && now >= self.silent_at(&running) =>
+            {
+                self.on_silence(now, running, budget)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    pub(super) fn silent_at(&self, running: &RunningAttempt) -> Timestamp {
+        let limit = if running.started && self.stream.next_offset() > 0 {
+            self.limits.token_gap
+        } else {
+            self.limits.first_token
+        };
+        running.heard_at + limit
+    }
+
+    /// Tries a new connection to the same server once, then another server.
+    fn on_silence(
+        &mut self,
+        now: Timestamp,
+        running: RunningAttempt,
+        budget: &mut RetryBudget,
+    ) -> Vec<SessionAction> {
+        if !running.probe && !budget.try_spend(now) {
+            let heard_at = now;
+            self.phase = SessionPhase::Running(RunningAttempt { heard_at, ..running });
+            return Vec::new();
+        }
+        let mut actions = vec![cancel(&running)];
+        self.phase = SessionPhase::Choosing;
+        if running.probe {
+            actions.push(SessionAction::SuspectServer(running.server));
+            actions.extend(self.retry(now, running.server, budget));
+        } else {
+            actions.extend(self.start_attempt(now, running.server, true));
+        }
+        actions
+    }
+
+    pub(super) fn on_caller_gone(&mut self, now: Timestamp) -> Vec<SessionAction> {
+        if self.ledger.begun() == 0 {
+            return self.give_up(ResultCode::CallerGone, ResultCode::CallerLost, None);
+        }
+        self.gone_since.get_or_insert(now);
+        Vec::new()
+    }
+
+    pub(super) fn on_evacuation(
+        &mut self,
+        now: Timestamp,
+        server: ServerKey,
+        order: MoveOrder,
+    ) -> Vec<SessionAction> {
+        if !self.announced.contains(&server) {
+            self.announced.push(server);
+        }
+        let running = match self.phase {
+            SessionPhase::Running(running) if running.server == server => running,
+            _ => return Vec::new(),
+        };
+        if !self.repeatable() || order == MoveOrder::FinishInPlace {
+            return Vec::new();
+        }
+        let mut actions = vec![cancel(&running)];
+        self.phase = SessionPhase::Choosing;
+        actions.extend(match order {
+            MoveOrder::ResumeAt(target) if !self.announced.contains(&target) => {
+                self.start_attempt(now, target, false)
+            }
+            _ => self.choose(),
+        });
+        actions
+    }
+
+    /// A peer answers from now on; the caller comes back with the request's id.
+    pub(super) fn on_handed_over(&mut self) -> Vec<SessionAction> {
+        self.finish_unknown(ResultCode::StillRunning, Some(RETRY_AFTER))
+    }
+
+    /// Ends the session at once: NOT_RUN if the ledger proves it, UNKNOWN otherwise.
+    pub(super) fn give_up(
+        &mut self,
+        not_run: ResultCode,
+        unknown: ResultCode,
+        retry_after: Option<Duration>,
+    ) -> Vec<SessionAction> {
+        let refusal = self.ledger.proof().and_then(|proof| NotRunRefusal::new(not_run, proof));
+        match refusal {
+            // A claim whose decision is still open may yet be won, but nothing is sent for it.
+            Some(refusal) => self.finish(SessionEnd::NotRun { refusal, retry_after }),
+            None => self.finish_unknown(unknown, retry_after),
+        }
+    }
+
+    pub(super) fn finish_unknown(
+        &mut self,
+        code: ResultCode,
+        retry_after: Option<Duration>,
+    ) -> Vec<SessionAction> {
+        let code = match code.outcome() {
+            RequestOutcome::Unknown => code,
+            _ => ResultCode::AttemptsLost,
+        };
+        self.finish(SessionEnd::Unknown { code, retry_after })
+    }
+
+    pub(super) fn finish(&mut self, end: SessionEnd) -> Vec<SessionAction> {
+        let mut actions = Vec::new();
+        let complete = end.code() == ResultCode::Complete;
+        if let SessionPhase::Running(running) = self.phase
+            && !complete
+        {
+            actions.push(cancel(&running));
+        }
+        self.phase = SessionPhase::Finished;
+        actions.push(SessionAction::Finish(end));
+        actions
+    }
+}
+
+fn cancel(running: &RunningAttempt) -> SessionAction {
+    SessionAction::CancelAttempt { attempt: running.number, server: running.server }
+}
+
+fn lost_code(error: &ServerError) -> ResultCode {
+    match error {
+        ServerError::Malformed(_) => ResultCode::BadServerAnswer,
+        _ => ResultCode::ServerLost,
+    }
+}
--- /dev/null
+++ b/lib/src/session_attempt.rs
@@ -0,0 +1,162 @@
+//! The reader thread of one attempt: runs it at its server and reports its events.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::Sender;
+use std::thread;
+use std::time::Duration;
+
+use crate::app_server::AppRequest;
+use crate::app_server::AppServer;
+use crate::engine::GenerateEvent;
+use crate::engine::GenerateRequest;
+use crate::engine::ModelEngine;
+use crate::engine::ServerError;
+use crate::engine::StreamFlow;
+use crate::ids::ServerId;
+use crate::ids::ServerKey;
+use crate::session_event::AttemptEnd;
+use crate::session_event::AttemptPlan;
+use crate::session_event::SessionEvent;
+use crate::session_ports::ServerConnector;
+use crate::session_registry::DriverMessage;
+use crate::session_request::CheckedRequest;
+use crate::session_request::RequestWork;
+
+/// Work of one attempt, ready to be sent.
+enum AttemptWork {
+    Model(Arc<dyn ModelEngine>, GenerateRequest),
+    App(Arc<dyn AppServer>, AppRequest),
+}
+
+/// An attempt that runs.
+pub struct AttemptHandle {
+    /// What was started.
+    pub plan: AttemptPlan,
+    /// Server that runs it.
+    pub server: ServerId,
+    /// Key of the server.
+    pub key: ServerKey,
+    /// Address of the server.
+    pub address: SocketAddr,
+    stop: Arc<AtomicBool>,
+}
+
+impl AttemptHandle {
+    /// Makes the reader stop at its next event.
+    pub fn stop(&self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Where an attempt goes.
+pub struct AttemptTarget {
+    /// Server.
+    pub server: ServerId,
+    /// Address.
+    pub address: SocketAddr,
+    /// Time without any data after which the reader gives up.
+    pub silence_limit: Duration,
+}
+
+/// Starts the reader thread of an attempt; its events go to `sender`.
+pub fn start_attempt(
+    connector: &dyn ServerConnector,
+    request: &CheckedRequest,
+    plan: AttemptPlan,
+    generated: &str,
+    target: AttemptTarget,
+    sender: Sender<DriverMessage>,
+) -> AttemptHandle {
+    let stop = Arc::new(AtomicBool::new(false));
+    let work = build_work(connector, request, &plan, generated, target.address);
+    let reader = AttemptReader { plan: plan.clone(), stop: stop.clone(), sender: sender.clone() };
+    let name = format!("attempt-{}-{}", request.id, plan.attempt.0);
+    let limit = target.silence_limit;
+    if let Err(error) = thread::Builder::new().name(name).spawn(move || reader.run(work, limit)) {
+        let error = ServerError::NotConnected(format!("no thread for the attempt: {error}"));
+        let event = SessionEvent::AttemptFailed { attempt: plan.attempt, error };
+        // The receiver is the caller's own.
+        let _ = sender.send(DriverMessage::Event(event));
+    }
+    AttemptHandle { key: plan.server, plan, server: target.server, address: target.address, stop }
+}
+
+fn build_work(
+    connector: &dyn ServerConnector,
+    request: &CheckedRequest,
+    plan: &AttemptPlan,
+    generated: &str,
+    address: SocketAddr,
+) -> AttemptWork {
+    match &request.work {
+        RequestWork::Model { prompt, max_tokens } => {
+            let generate = GenerateRequest {
+                request: request.id,
+                attempt: plan.attempt,
+                model: request.service.model.clone().unwrap_or_default(),
+                prompt: prompt.to_string(),
+                generated: generated.to_owned(),
+                resume_from: plan.resume_from,
+                max_tokens: *max_tokens,
+                priority: request.priority,
+                fence: plan.fence,
+            };
+            AttemptWork::Model(connector.engine(address), generate)
+        }
+        RequestWork::App { method, path, headers, body } => {
+            let call = AppRequest {
+                request: request.id,
+                attempt: plan.attempt,
+                method: method.clone(),
+                path: path.clone(),
+                headers: headers.clone(),
+                body: body.to_vec(),
+                idempotency_key: request.idempotency_key.clone(),
+                fence: plan.fence,
+            };
+            AttemptWork::App(connector.app(address), call)
+        }
+    }
+}
+
+struct AttemptReader {
+    plan: AttemptPlan,
+    stop: Arc<AtomicBool>,
+    sender: Sender<DriverMessage>,
+}
+
+impl AttemptReader {
+    fn run(&self, work: AttemptWork, limit: Duration) {
+        let attempt = self.plan.attempt;
+        let result = match work {
+            AttemptWork::Model(engine, request) => engine
+                .generate(&request, limit, &mut |event| self.on_event(event))
+                .map(AttemptEnd::Model),
+            AttemptWork::App(app, request) => app.call(&request, limit).map(AttemptEnd::App),
+        };
+        self.send(match result {
+            Ok(end) => SessionEvent::AttemptEnded { attempt, end },
+            Err(error) => SessionEvent::AttemptFailed { attempt, error },
+        });
+    }
+
+    fn on_event(&self, event: GenerateEvent) -> StreamFlow {
+        if self.stop.load(Ordering::Relaxed) {
+            return StreamFlow::Stop;
+        }
+        let attempt = self.plan.attempt;
+        let sent = self.send(match event {
+            GenerateEvent::Accepted => SessionEvent::AttemptAccepted(attempt),
+            GenerateEvent::Token(chunk) => SessionEvent::Chunk { attempt, chunk },
+        });
+        if sent { StreamFlow::Continue } else { StreamFlow::Stop }
+    }
+
+    /// Returns whether the session still listens.
+    fn send(&self, event: SessionEvent) -> bool {
+        self.sender.send(DriverMessage::Event(event)).is_ok()
+    }
+}
--- a/lib/src/session_driver.rs
+++ b/lib/src/session_driver.rs
@@ -1,1 +1,269 @@
-//! Not yet written.
+//! Runs one request from its acceptance to its final answer on the caller's thread.
+//!
+//! Carries out the actions of [`RequestSession`] in order. Each attempt has a reader thread; its
+//! events and orders from outside come over one channel, whose wait ends at the session's timer.
+
+mod attempts;
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::RecvTimeoutError;
+use std::sync::mpsc::Sender;
+
+use crate::answer_table::AnswerError;
+use crate::crash_suspects::AttemptLeft;
+use crate::crash_suspects::WorkFingerprint;
+use crate::engine::TokenChunk;
+use crate::not_run::NotRunProof;
+use crate::not_run::NotRunRefusal;
+use crate::prompt::BlockHash;
+use crate::prompt::count_tokens;
+use crate::prompt::hash_blocks;
+use crate::request_session::RETRY_AFTER;
+use crate::request_session::RequestSession;
+use crate::request_session::SessionKind;
+use crate::result_code::ResultCode;
+use crate::session_attempt::AttemptHandle;
+use crate::session_claim::ClaimDecision;
+use crate::session_event::SessionAction;
+use crate::session_event::SessionEvent;
+use crate::session_event::SessionLimits;
+use crate::session_ports::SessionPorts;
+use crate::session_ports::lock;
+use crate::session_registry::DriverMessage;
+use crate::session_registry::SessionView;
+use crate::session_request::CallerSink;
+use crate::session_request::CheckedRequest;
+use crate::session_request::RequestWork;
+use crate::session_request::SessionEnd;
+use crate::session_request::SinkState;
+
+/// Runs requests.
+#[derive(Clone)]
+pub struct SessionDriver {
+    ports: SessionPorts,
+}
+
+impl SessionDriver {
+    /// Builds a driver.
+    pub fn new(ports: SessionPorts) -> Self {
+        Self { ports }
+    }
+
+    /// Runs one request to its final answer; blocks the calling thread.
+    pub fn run(&self, request: CheckedRequest, sink: &mut dyn CallerSink) {
+        let kind = SessionKind::from(&request);
+        let limits = SessionLimits::from(&request.service.latency_target);
+        let session = RequestSession::new(kind, limits, request.deadline);
+        self.run_session(request, session, sink);
+    }
+
+    /// Runs a request from the given state of its session on, as after a handover.
+    pub fn run_session(
+        &self,
+        request: CheckedRequest,
+        session: RequestSession,
+        sink: &mut dyn CallerSink,
+    ) {
+        let max_tokens = match request.work {
+            RequestWork::Model { max_tokens, .. } => max_tokens,
+            RequestWork::App { .. } => 0,
+        };
+        sink.accepted(request.id);
+        if let Err(AnswerError::Full) = self.ports.answers.begin(request.id, max_tokens) {
+            sink.finish(&refuse(ResultCode::QueueFull));
+            return;
+        }
+        if !request.idempotent && request.idempotency_key.is_none() {
+            let end = refuse(ResultCode::KeyRequired);
+            self.ports.answers.finish(request.id, end.clone());
+            sink.finish(&end);
+            return;
+        }
+        SessionRun::new(&self.ports, Arc::new(request), session, sink).run();
+    }
+}
+
+fn refuse(code: ResultCode) -> SessionEnd {
+    match NotRunRefusal::new(code, NotRunProof::NeverDispatched) {
+        Some(refusal) => SessionEnd::NotRun { refusal, retry_after: Some(RETRY_AFTER) },
+        None => SessionEnd::Unknown { code, retry_after: None },
+    }
+}
+
+/// One request while it runs.
+struct SessionRun<'a> {
+    ports: &'a SessionPorts,
+    request: Arc<CheckedRequest>,
+    session: RequestSession,
+    sink: &'a mut dyn CallerSink,
+    sender: Sender<DriverMessage>,
+    receiver: Receiver<DriverMessage>,
+    /// Events that follow from actions; taken before those of the channel.
+    pending: VecDeque<SessionEvent>,
+    current: Option<AttemptHandle>,
+    blocks: Vec<BlockHash>,
+    prompt_tokens: u32,
+    fingerprint: WorkFingerprint,
+    caller_gone: bool,
+    /// Whether the request's key is claimed by it.
+    claim_won: bool,
+}
+
+impl<'a> SessionRun<'a> {
+    fn new(
+        ports: &'a SessionPorts,
+        request: Arc<CheckedRequest>,
+        session: RequestSession,
+        sink: &'a mut dyn CallerSink,
+    ) -> Self {
+        let (sender, receiver) = mpsc::channel();
+        let (blocks, prompt_tokens) = match &request.work {
+            RequestWork::Model { prompt, .. } => (hash_blocks(prompt), count_tokens(prompt)),
+            RequestWork::App { .. } => (Vec::new(), 0),
+        };
+        ports.registry.insert(request.id, sender.clone());
+        Self {
+            ports,
+            session,
+            sink,
+            sender,
+            receiver,
+            pending: VecDeque::from([SessionEvent::Start]),
+            current: None,
+            blocks,
+            prompt_tokens,
+            fingerprint: WorkFingerprint::from(request.as_ref()),
+            caller_gone: false,
+            claim_won: false,
+            request,
+        }
+    }
+
+    fn run(mut self) {
+        while !self.session.is_finished() {
+            let event = match self.pending.pop_front() {
+                Some(event) => event,
+                None => match self.next_event() {
+                    Some(event) => event,
+                    None => continue,
+                },
+            };
+            self.observe(&event);
+            let now = self.ports.clock.now();
+            let actions = self.session.on_event(now, event, &mut lock(&self.ports.budget));
+            for action in actions {
+                self.perform(action);
+            }
+        }
+        self.ports.registry.remove(self.request.id);
+    }
+
+    /// Waits for a message or the timer; `None` if a message was answered without an event.
+    fn next_event(&mut self) -> Option<SessionEvent> {
+        let now = self.ports.clock.now();
+        let wait = self.session.next_timer().since(now);
+        match self.receiver.recv_timeout(wait) {
+            Ok(DriverMessage::Event(event)) => Some(event),
+            Ok(DriverMessage::Describe(reply)) => {
+                // An asker that has gone needs no answer.
+                let _ = reply.send(self.view());
+                None
+            }
+            Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => {
+                Some(SessionEvent::Timer)
+            }
+        }
+    }
+
+    fn view(&self) -> SessionView {
+        let left = self.request.deadline.since(self.ports.clock.now());
+        SessionView {
+            id: self.request.id,
+            next_offset: self.session.stream().next_offset(),
+            text: self.session.stream().text().to_owned(),
+            last_attempt: self.session.last_attempt().0,
+            dispatched: self.session.ledger().proof().is_none(),
+            left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    fn perform(&mut self, action: SessionAction) {
+        match action {
+            SessionAction::RequestClaim => self.claim(),
+            SessionAction::ChooseServer { excluded } => {
+                let event = self.choose(&excluded);
+                self.pending.push_back(event);
+            }
+            SessionAction::StartAttempt(plan) => self.start(plan),
+            SessionAction::CancelAttempt { attempt, .. } => self.cancel(attempt),
+            SessionAction::Relay(chunk) => self.relay(&chunk),
+            SessionAction::RetireConnections(server) => self.retire(server),
+            SessionAction::SuspectServer(server) => self.suspect(server),
+            SessionAction::Finish(end) => self.finish(&end),
+        }
+    }
+
+    fn claim(&mut self) {
+        let decision = match &self.ports.claims {
+            Some(claims) => claims.claim(&self.request),
+            None => match refuse(ResultCode::NotReady) {
+                SessionEnd::NotRun { refusal, .. } => ClaimDecision::NotRun(refusal),
+                _ => ClaimDecision::Unknown(ResultCode::Internal),
+            },
+        };
+        self.claim_won = matches!(decision, ClaimDecision::Won { .. });
+        self.pending.push_back(SessionEvent::ClaimDecided(self.fill_answer(decision)));
+    }
+
+    /// Adds the answer of a key's earlier request if this host keeps it.
+    fn fill_answer(&self, decision: ClaimDecision) -> ClaimDecision {
+        let ClaimDecision::AnsweredBefore { request, answer: None } = decision else {
+            return decision;
+        };
+        let answer = match self.ports.answers.read_from(request, 0).map(|part| part.state) {
+            Some(crate::answer_table::AnswerState::Finished(SessionEnd::AppDone(answer))) => {
+                Some(answer)
+            }
+            _ => None,
+        };
+        ClaimDecision::AnsweredBefore { request, answer }
+    }
+
+    fn relay(&mut self, chunk: &TokenChunk) {
+        self.ports.answers.push(self.request.id, chunk);
+        if !self.caller_gone && self.sink.token(chunk) == SinkState::Gone {
+            self.caller_gone = true;
+            self.pending.push_back(SessionEvent::CallerGone);
+        }
+    }
+
+    fn finish(&mut self, end: &SessionEnd) {
+        if let Some(attempt) = self.current.as_ref().map(|current| current.plan.attempt) {
+            self.leave(attempt, AttemptLeft::Stopped);
+        }
+        if matches!(end, SessionEnd::ModelDone { .. } | SessionEnd::AppDone(_)) {
+            lock(&self.ports.budget).on_success();
+        }
+        self.settle_claim(end);
+        self.ports.answers.finish(self.request.id, end.clone());
+        self.sink.finish(end);
+    }
+
+    /// Records what became of a claimed key.
+    fn settle_claim(&self, end: &SessionEnd) {
+        let Some(claims) = &self.ports.claims else { return };
+        if !self.claim_won {
+            return;
+        }
+        match end {
+            SessionEnd::AppDone(answer) => {
+                claims.complete(&self.request, answer);
+            }
+            SessionEnd::NotRun { refusal, .. } => claims.release(&self.request, refusal),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/session_driver/attempts.rs
@@ -0,0 +1,200 @@
+//! How a running session starts, watches and stops its attempts.
+
+use std::thread;
+use std::time::Duration;
+
+use super::SessionRun;
+use crate::crash_suspects::AttemptLeft;
+use crate::crash_suspects::DeathCause;
+use crate::crash_suspects::SuspectPlacement;
+use crate::engine::ServerError;
+use crate::engine::TokenChunk;
+use crate::ids::AttemptNumber;
+use crate::ids::ServerId;
+use crate::ids::ServerKey;
+use crate::prompt::BlockHash;
+use crate::request_router::RouteChoice;
+use crate::request_router::RouteQuery;
+use crate::request_router::ServerState;
+use crate::result_code::ResultCode;
+use crate::session_attempt::AttemptTarget;
+use crate::session_attempt::start_attempt;
+use crate::session_event::AttemptEnd;
+use crate::session_event::AttemptPlan;
+use crate::session_event::SessionEvent;
+use crate::session_ports::ProbeResult;
+use crate::session_ports::SessionCounters;
+use crate::session_ports::lock;
+use crate::session_request::CheckedRequest;
+use crate::session_request::RequestWork;
+
+impl SessionRun<'_> {
+    /// Tells the router and the suspicions what an event shows, before the session takes it.
+    pub(super) fn observe(&mut self, event: &SessionEvent) {
+        match event {
+            SessionEvent::Chunk { attempt, chunk } => self.observe_chunk(*attempt, chunk),
+            SessionEvent::AttemptEnded { attempt, end } => {
+                if let AttemptEnd::Model(end) = end
+                    && attempt.0 > 1
+                {
+                    let recomputed = u64::from(end.computed_tokens);
+                    SessionCounters::add(&self.ports.counters.recomputed_tokens, recomputed);
+                }
+                self.leave(*attempt, AttemptLeft::Answered);
+            }
+            SessionEvent::AttemptFailed { attempt, error } => self.observe_failure(*attempt, error),
+            _ => {}
+        }
+    }
+
+    fn observe_chunk(&self, attempt: AttemptNumber, chunk: &TokenChunk) {
+        if let Some(current) = &self.current
+            && current.plan.attempt == attempt
+            && chunk.offset == current.plan.resume_from
+        {
+            let now = self.ports.clock.now();
+            lock(&self.ports.router).on_first_token(now, current.key, self.prompt_tokens);
+        }
+    }
+
+    fn observe_failure(&mut self, attempt: AttemptNumber, error: &ServerError) {
+        let Some(current) = self.current.as_ref().filter(|c| c.plan.attempt == attempt) else {
+            return;
+        };
+        let (server, address) = (current.server.clone(), current.address);
+        let now = self.ports.clock.now();
+        let ended = match error {
+            ServerError::Lost(_) => self.ports.connector.probe(address) == ProbeResult::Refused,
+            _ => false,
+        };
+        if ended {
+            SessionCounters::add(&self.ports.counters.server_deaths, 1);
+            lock(&self.ports.suspects).on_death(now, &server, DeathCause::ProcessEnded);
+        }
+        if ended || matches!(error, ServerError::NotConnected(_)) {
+            lock(&self.ports.router).set_state(now, &server, ServerState::Suspected);
+        }
+        self.leave(attempt, AttemptLeft::Stopped);
+    }
+
+    /// Frees the attempt's place at its server, once.
+    pub(super) fn leave(&mut self, attempt: AttemptNumber, left: AttemptLeft) {
+        let Some(current) = self.current.take_if(|c| c.plan.attempt == attempt) else { return };
+        let now = self.ports.clock.now();
+        lock(&self.ports.router).on_ended(now, current.key);
+        lock(&self.ports.suspects).end(now, self.request.id, &current.server, left);
+        self.ports.registry.set_server(self.request.id, None);
+    }
+
+    pub(super) fn choose(&mut self, excluded: &[ServerKey]) -> SessionEvent {
+        let now = self.ports.clock.now();
+        let mut router = lock(&self.ports.router);
+        let candidates: Vec<ServerId> = router
+            .servers()
+            .filter(|(key, info)| {
+                info.service == self.request.service.name
+                    && info.state == ServerState::Live
+                    && !excluded.contains(key)
+            })
+            .map(|(_, info)| info.id.clone())
+            .collect();
+        let placement =
+            lock(&self.ports.suspects).place(now, self.fingerprint, self.request.id, &candidates);
+        let avoid = match placement {
+            SuspectPlacement::Free { avoid } => avoid,
+            SuspectPlacement::Trial(server) => {
+                let chosen = router.key_of(&server);
+                return chosen.map_or(SessionEvent::ServersFull, SessionEvent::ServerChosen);
+            }
+            SuspectPlacement::Hold => return SessionEvent::ServersFull,
+            SuspectPlacement::Refused => {
+                SessionCounters::add(&self.ports.counters.crash_refusals, 1);
+                return SessionEvent::Refused(ResultCode::CrashRefused);
+            }
+        };
+        let mut all_excluded = excluded.to_vec();
+        all_excluded.extend(avoid.iter().filter_map(|id| router.key_of(id)));
+        let query = query_of(&self.request, &self.blocks, self.prompt_tokens, &all_excluded);
+        match router.choose(now, &query) {
+            RouteChoice::Server(server) => SessionEvent::ServerChosen(server),
+            RouteChoice::Wait => SessionEvent::ServersFull,
+            RouteChoice::NoServer if avoid.is_empty() => SessionEvent::NoServer,
+            RouteChoice::NoServer => SessionEvent::ServersFull,
+        }
+    }
+
+    pub(super) fn start(&mut self, plan: AttemptPlan) {
+        let now = self.ports.clock.now();
+        let info = {
+            let mut router = lock(&self.ports.router);
+            let query = query_of(&self.request, &self.blocks, self.prompt_tokens, &[]);
+            router.on_dispatched(now, plan.server, &query);
+            router.server(plan.server).cloned()
+        };
+        let Some(info) = info else {
+            let error = ServerError::NotConnected("server is gone".to_owned());
+            let event = SessionEvent::AttemptFailed { attempt: plan.attempt, error };
+            self.pending.push_back(event);
+            return;
+        };
+        SessionCounters::add(&self.ports.counters.attempts, 1);
+        if plan.attempt.0 > 1 {
+            SessionCounters::add(&self.ports.counters.retries, 1);
+        }
+        if plan.fresh_connection {
+            self.ports.connector.retire(info.address);
+        }
+        lock(&self.ports.suspects).begin(now, self.fingerprint, self.request.id, &info.id);
+        self.ports.registry.set_server(self.request.id, Some(plan.server));
+        let target = AttemptTarget {
+            server: info.id,
+            address: info.address,
+            silence_limit: self.request.deadline.since(now).max(Duration::from_millis(1)),
+        };
+        let text = self.session.stream().text();
+        let connector = self.ports.connector.as_ref();
+        let sender = self.sender.clone();
+        self.current = Some(start_attempt(connector, &self.request, plan, text, target, sender));
+    }
+
+    /// Stops the reader and tells the engine over a connection of its own.
+    pub(super) fn cancel(&mut self, attempt: AttemptNumber) {
+        let Some(current) = self.current.as_ref().filter(|c| c.plan.attempt == attempt) else {
+            return;
+        };
+        current.stop();
+        if let RequestWork::Model { .. } = self.request.work {
+            let engine = self.ports.connector.engine(current.address);
+            let request = self.request.id;
+            // The engine's reply changes nothing: late output is dropped by attempt number.
+            thread::spawn(move || drop(engine.cancel(request, attempt)));
+        }
+        self.leave(attempt, AttemptLeft::Stopped);
+    }
+
+    pub(super) fn retire(&self, server: ServerKey) {
+        SessionCounters::add(&self.ports.counters.retired_connections, 1);
+        let address = lock(&self.ports.router).server(server).map(|info| info.address);
+        if let Some(address) = address {
+            self.ports.connector.retire(address);
+        }
+    }
+
+    pub(super) fn suspect(&self, server: ServerKey) {
+        SessionCounters::add(&self.ports.counters.suspected_servers, 1);
+        let now = self.ports.clock.now();
+        let mut router = lock(&self.ports.router);
+        if let Some(id) = router.server(server).map(|info| info.id.clone()) {
+            router.set_state(now, &id, ServerState::Suspected);
+        }
+    }
+}
+
+fn query_of<'a>(
+    request: &'a CheckedRequest,
+    blocks: &'a [BlockHash],
+    prompt_tokens: u32,
+    excluded: &'a [ServerKey],
+) -> RouteQuery<'a> {
+    RouteQuery { service: &request.service.name, blocks, prompt_tokens, excluded }
+}
--- /dev/null
+++ b/lib/src/session_registry.rs
@@ -0,0 +1,121 @@
+//! Finds running sessions by request or server, to give them orders from outside.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::mpsc::Sender;
+
+use crate::ids::RequestId;
+use crate::ids::ServerKey;
+use crate::session_event::MoveOrder;
+use crate::session_event::SessionEvent;
+
+/// A message to the thread that drives a session.
+#[derive(Debug)]
+pub enum DriverMessage {
+    /// An event for the session.
+    Event(SessionEvent),
+    /// A question for the state of the session, to hand it over.
+    Describe(Sender<SessionView>),
+}
+
+/// State of a running session as seen from outside.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SessionView {
+    /// Request.
+    pub id: RequestId,
+    /// Offset of the next token.
+    pub next_offset: u32,
+    /// Text of the tokens before it.
+    pub text: String,
+    /// Number of the last attempt.
+    pub last_attempt: u32,
+    /// Whether an attempt may have run.
+    pub dispatched: bool,
+    /// Time left until the deadline, in milliseconds.
+    pub left_ms: u64,
+}
+
+#[derive(Debug)]
+struct RegistryEntry {
+    sender: Sender<DriverMessage>,
+    server: Option<ServerKey>,
+}
+
+/// Running sessions of one host.
+#[derive(Debug, Default)]
+pub struct SessionRegistry {
+    entries: Mutex<BTreeMap<RequestId, RegistryEntry>>,
+}
+
+impl SessionRegistry {
+    /// Builds an empty registry.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a session.
+    pub fn insert(&self, id: RequestId, sender: Sender<DriverMessage>) {
+        self.lock().insert(id, RegistryEntry { sender, server: None });
+    }
+
+    /// Records the server of a session's current attempt.
+    pub fn set_server(&self, id: RequestId, server: Option<ServerKey>) {
+        if let Some(entry) = self.lock().get_mut(&id) {
+            entry.server = server;
+        }
+    }
+
+    /// Removes a session.
+    pub fn remove(&self, id: RequestId) {
+        self.lock().remove(&id);
+    }
+
+    /// Returns the ids of all running sessions, in order.
+    pub fn running(&self) -> Vec<RequestId> {
+        self.lock().keys().copied().collect()
+    }
+
+    /// Returns the sessions whose current attempt runs on the server, in order.
+    pub fn on_server(&self, server: ServerKey) -> Vec<RequestId> {
+        let entries = self.lock();
+        entries.iter().filter(|(_, e)| e.server == Some(server)).map(|(&id, _)| id).collect()
+    }
+
+    /// Sends an event to one session; returns whether it runs here.
+    pub fn send(&self, id: RequestId, event: SessionEvent) -> bool {
+        self.message(id, DriverMessage::Event(event))
+    }
+
+    /// Sends a message to one session; returns whether it runs here.
+    pub fn message(&self, id: RequestId, message: DriverMessage) -> bool {
+        match self.lock().get(&id) {
+            Some(entry) => entry.sender.send(message).is_ok(),
+            None => false,
+        }
+    }
+
+    /// Tells every session that a server will be gone; `order_of` gives the order for those on it.
+    ///
+    /// Sessions elsewhere learn to avoid the server.
+    pub fn announce_reclaim(
+        &self,
+        server: ServerKey,
+        mut order_of: impl FnMut(RequestId) -> MoveOrder,
+    ) {
+        for (&id, entry) in self.lock().iter() {
+            let order = match entry.server {
+                Some(current) if current == server => order_of(id),
+                _ => MoveOrder::FinishInPlace,
+            };
+            let event = SessionEvent::EvacuationOrdered { server, order };
+            // A session that has just ended needs no order.
+            let _ = entry.sender.send(DriverMessage::Event(event));
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<RequestId, RegistryEntry>> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod naive_session;
 
 pub mod fault_schedule;
+pub mod scripted_servers;
--- /dev/null
+++ b/lib/testutils/src/scripted_servers.rs
@@ -0,0 +1,221 @@
+//! Backend servers in memory whose attempts follow a script, for tests of the session driver.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use pomelostack_lib::app_server::AppAnswer;
+use pomelostack_lib::app_server::AppRequest;
+use pomelostack_lib::app_server::AppServer;
+use pomelostack_lib::engine::CacheEvent;
+use pomelostack_lib::engine::EngineOrder;
+use pomelostack_lib::engine::FinishReason;
+use pomelostack_lib::engine::GenerateEnd;
+use pomelostack_lib::engine::GenerateEvent;
+use pomelostack_lib::engine::GenerateRequest;
+use pomelostack_lib::engine::KvExport;
+use pomelostack_lib::engine::LoadReport;
+use pomelostack_lib::engine::ModelEngine;
+use pomelostack_lib::engine::Result;
+use pomelostack_lib::engine::ServerError;
+use pomelostack_lib::engine::StreamFlow;
+use pomelostack_lib::engine::TokenChunk;
+use pomelostack_lib::ids::AttemptNumber;
+use pomelostack_lib::ids::FencingNumber;
+use pomelostack_lib::ids::RequestId;
+use pomelostack_lib::session_ports::ProbeResult;
+use pomelostack_lib::session_ports::ServerConnector;
+
+/// How one attempt goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AttemptScript {
+    /// The whole answer.
+    Whole,
+    /// This many tokens, then the connection is lost.
+    LostAfter(u32),
+    /// This many tokens, then silence is reported.
+    SilentAfter(u32),
+    /// The connection is not opened.
+    NotConnected,
+    /// The server refuses.
+    Refused,
+    /// The end names a wrong offset.
+    WrongEnd,
+}
+
+/// One journal line: an attempt that ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JournalLine {
+    /// Server.
+    pub address: SocketAddr,
+    /// Attempt.
+    pub attempt: AttemptNumber,
+    /// Offset that it resumed from.
+    pub resume_from: u32,
+}
+
+#[derive(Debug, Default)]
+struct ScriptState {
+    scripts: BTreeMap<SocketAddr, VecDeque<AttemptScript>>,
+    journal: Vec<JournalLine>,
+    retired: Vec<SocketAddr>,
+    dead: Vec<SocketAddr>,
+}
+
+/// Servers of a test; an attempt without a script is answered whole.
+#[derive(Clone, Debug, Default)]
+pub struct ScriptedServers {
+    state: Arc<Mutex<ScriptState>>,
+}
+
+/// Returns the token at an offset of every scripted answer.
+pub fn scripted_token(offset: u32) -> String {
+    format!("t{offset} ")
+}
+
+impl ScriptedServers {
+    /// Appends the script of one attempt at a server.
+    pub fn script(&self, address: SocketAddr, script: AttemptScript) {
+        self.state.lock().unwrap().scripts.entry(address).or_default().push_back(script);
+    }
+
+    /// Makes probes of a server be refused.
+    pub fn set_dead(&self, address: SocketAddr) {
+        self.state.lock().unwrap().dead.push(address);
+    }
+
+    /// Returns the attempts that ran, in order.
+    pub fn journal(&self) -> Vec<JournalLine> {
+        self.state.lock().unwrap().journal.clone()
+    }
+
+    /// Returns the addresses whose connections were retired, in order.
+    pub fn retired(&self) -> Vec<SocketAddr> {
+        self.state.lock().unwrap().retired.clone()
+    }
+
+    fn next_script(&self, address: SocketAddr) -> AttemptScript {
+        let mut state = self.state.lock().unwrap();
+        let script = state.scripts.get_mut(&address).and_then(VecDeque::pop_front);
+        script.unwrap_or(AttemptScript::Whole)
+    }
+
+    fn record(&self, address: SocketAddr, attempt: AttemptNumber, resume_from: u32) {
+        self.state.lock().unwrap().journal.push(JournalLine { address, attempt, resume_from });
+    }
+}
+
+impl ServerConnector for ScriptedServers {
+    fn engine(&self, address: SocketAddr) -> Arc<dyn ModelEngine> {
+        Arc::new(ScriptedServer { address, servers: self.clone() })
+    }
+
+    fn app(&self, address: SocketAddr) -> Arc<dyn AppServer> {
+        Arc::new(ScriptedServer { address, servers: self.clone() })
+    }
+
+    fn retire(&self, address: SocketAddr) {
+        self.state.lock().unwrap().retired.push(address);
+    }
+
+    fn probe(&self, address: SocketAddr) -> ProbeResult {
+        match self.state.lock().unwrap().dead.contains(&address) {
+            true => ProbeResult::Refused,
+            false => ProbeResult::Open,
+        }
+    }
+}
+
+struct ScriptedServer {
+    address: SocketAddr,
+    servers: ScriptedServers,
+}
+
+impl ModelEngine for ScriptedServer {
+    fn generate(
+        &self,
+        request: &GenerateRequest,
+        gap_limit: Duration,
+        on_event: &mut dyn FnMut(GenerateEvent) -> StreamFlow,
+    ) -> Result<GenerateEnd> {
+        let script = self.servers.next_script(self.address);
+        let count = match script {
+            AttemptScript::NotConnected => {
+                return Err(ServerError::NotConnected("scripted".to_owned()));
+            }
+            AttemptScript::Refused => return Err(ServerError::Refused("scripted".to_owned())),
+            AttemptScript::LostAfter(count) | AttemptScript::SilentAfter(count) => count,
+            AttemptScript::Whole | AttemptScript::WrongEnd => u32::MAX,
+        };
+        self.servers.record(self.address, request.attempt, request.resume_from);
+        on_event(GenerateEvent::Accepted);
+        let stop = request.resume_from.saturating_add(count).min(request.max_tokens);
+        for offset in request.resume_from..stop {
+            let chunk = TokenChunk { offset, text: scripted_token(offset) };
+            if on_event(GenerateEvent::Token(chunk)) == StreamFlow::Stop {
+                return Err(ServerError::Lost("stopped by the reader".to_owned()));
+            }
+        }
+        let end_offset = match script {
+            AttemptScript::LostAfter(_) => return Err(ServerError::Lost("scripted".to_owned())),
+            AttemptScript::SilentAfter(_) => return Err(ServerError::Silent(gap_limit)),
+            AttemptScript::WrongEnd => request.max_tokens + 1,
+            _ => request.max_tokens,
+        };
+        Ok(GenerateEnd {
+            finish_reason: FinishReason::Length,
+            end_offset,
+            prompt_tokens: 4 + request.resume_from,
+            cached_tokens: 0,
+            computed_tokens: 4 + request.resume_from,
+        })
+    }
+
+    fn cancel(&self, _request: RequestId, _attempt: AttemptNumber) -> Result<()> {
+        Ok(())
+    }
+
+    fn load_report(&self) -> Result<LoadReport> {
+        Ok(LoadReport::default())
+    }
+
+    fn cache_events(&self, _from: u64) -> Result<Vec<CacheEvent>> {
+        Ok(Vec::new())
+    }
+
+    fn export_kv(&self, _request: RequestId, _attempt: AttemptNumber) -> Result<KvExport> {
+        Err(ServerError::Refused("no KV cache".to_owned()))
+    }
+
+    fn import_kv(&self, _: RequestId, _: AttemptNumber, _: &KvExport) -> Result<()> {
+        Err(ServerError::Refused("no KV cache".to_owned()))
+    }
+
+    fn order(&self, _order: &EngineOrder, _fence: Option<FencingNumber>) -> Result<()> {
+        Ok(())
+    }
+}
+
+impl AppServer for ScriptedServer {
+    fn call(&self, request: &AppRequest, timeout: Duration) -> Result<AppAnswer> {
+        let script = self.servers.next_script(self.address);
+        match script {
+            AttemptScript::NotConnected => {
+                return Err(ServerError::NotConnected("scripted".to_owned()));
+            }
+            AttemptScript::Refused => return Err(ServerError::Refused("scripted".to_owned())),
+            _ => self.servers.record(self.address, request.attempt, 0),
+        }
+        match script {
+            AttemptScript::LostAfter(_) => Err(ServerError::Lost("scripted".to_owned())),
+            AttemptScript::SilentAfter(_) => Err(ServerError::Silent(timeout)),
+            AttemptScript::WrongEnd => Err(ServerError::Malformed("scripted".to_owned())),
+            _ => Ok(AppAnswer { status: 200, headers: Vec::new(), body: request.body.clone() }),
+        }
+    }
+}
