--- /dev/null
+++ b/lib/src/answer_reply.rs
@@ -0,0 +1,64 @@
+//! Replies with the rest of an accepted request's answer.
+//!
+//! The reply waits until something new is there, and carries the state of the answer, so a caller
+//! that lost its connection asks again from the offset that it has reached until the state is
+//! final.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::answer_store::AnswerStore;
+use crate::answer_table::AnswerPart;
+use crate::answer_table::AnswerState;
+use crate::caller_reply::end_error;
+use crate::caller_reply::passed_answer;
+use crate::caller_request::Result;
+use crate::http_reply::FrontError;
+use crate::http_reply::FrontReply;
+use crate::http_reply::json_reply;
+use crate::http_reply::set_request_id;
+use crate::ids::RequestId;
+use crate::result_code::ResultCode;
+use crate::session_request::SessionEnd;
+
+/// Time for which a reply waits for something new.
+pub const ANSWER_WAIT: Duration = Duration::from_secs(10);
+
+/// Replies with the answer from an offset on.
+pub async fn answer_reply(
+    answers: &Arc<AnswerStore>,
+    request: RequestId,
+    from: u32,
+) -> Result<FrontReply> {
+    let store = answers.clone();
+    let reading = tokio::task::spawn_blocking(move || store.wait_from(request, from, ANSWER_WAIT));
+    let part = reading.await.map_err(|error| {
+        FrontError::new(ResultCode::Internal, format!("reading the answer failed: {error}"))
+    })?;
+    let unknown = || {
+        let message = "no answer with this id is kept here; it may run elsewhere or have expired";
+        FrontError::new(ResultCode::UnknownRequest, message).with_request(request)
+    };
+    part_reply(request, from, part.ok_or_else(unknown)?)
+}
+
+fn part_reply(request: RequestId, from: u32, part: AnswerPart) -> Result<FrontReply> {
+    let text: String = part.chunks.iter().map(|chunk| chunk.text.as_str()).collect();
+    let next = part.chunks.last().map_or(from, |chunk| chunk.offset + 1);
+    let state = match part.state {
+        AnswerState::Running => "running",
+        AnswerState::Finished(SessionEnd::ModelDone { .. }) => "complete",
+        AnswerState::Finished(SessionEnd::AppDone(answer)) => {
+            return Ok(passed_answer(request, answer));
+        }
+        AnswerState::Finished(end) => return Err(end_error(request, &end)),
+    };
+    let body = json!({
+        "id": request.to_string(), "state": state, "from": from, "next": next, "text": text
+    });
+    let mut reply = json_reply(ResultCode::Complete, &body);
+    set_request_id(&mut reply, request);
+    Ok(reply)
+}
--- a/lib/src/caller_reply.rs
+++ b/lib/src/caller_reply.rs
@@ -130,7 +130,8 @@
     }
 }
 
-fn passed_answer(request: RequestId, answer: AppAnswer) -> FrontReply {
+/// Passes an application's answer on.
+pub fn passed_answer(request: RequestId, answer: AppAnswer) -> FrontReply {
     let mut reply = Response::new(full_body(answer.body));
     match StatusCode::from_u16(answer.status) {
         Ok(status) => *reply.status_mut() = status,
--- a/lib/src/front_door.rs
+++ b/lib/src/front_door.rs
@@ -5,7 +5,6 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
@@ -42,6 +41,7 @@
 use crate::metrics::MetricsReporter;
 use crate::reply_channel::ReplyReceiver;
 use crate::reply_channel::open_reply_channel;
+use crate::request_id_source::RequestIdSource;
 use crate::resource::ConfigState;
 use crate::resource::ServiceKind;
 use crate::resource::ServiceResource;
@@ -72,8 +72,7 @@
 pub struct FrontDoor {
     settings: FrontDoorSettings,
     ports: FrontDoorPorts,
-    origin: u64,
-    sequence: AtomicU64,
+    ids: RequestIdSource,
     leaving: AtomicBool,
 }
 
@@ -85,10 +84,9 @@
 }
 
 impl FrontDoor {
-    /// Builds a front door; `origin` is unique to this life of this host.
-    pub fn new(settings: FrontDoorSettings, ports: FrontDoorPorts, origin: u64) -> Self {
-        let sequence = AtomicU64::new(1);
-        Self { settings, ports, origin, sequence, leaving: AtomicBool::new(false) }
+    /// Builds a front door.
+    pub fn new(settings: FrontDoorSettings, ports: FrontDoorPorts, ids: RequestIdSource) -> Self {
+        Self { settings, ports, ids, leaving: AtomicBool::new(false) }
     }
 
     /// Refuses new work from now on; running requests go on.
@@ -144,7 +142,7 @@
         let body = json!({
             "ready": code == ResultCode::Complete,
             "code": code.number(),
-            "config_revision": snapshot.revision.0,
+            "config_revision": snapshot.revision.map(|revision| revision.0),
         });
         json_reply(code, &body)
     }
@@ -195,8 +193,8 @@
         from: u32,
         request: Request<Incoming>,
     ) -> Result<FrontReply> {
-        let caller = self.identify(&request)?;
-        answer_reply(&self.ports.answers, id, from, &caller.team).await
+        self.identify(&request)?;
+        answer_reply(&self.ports.answers, id, from).await
     }
 
     fn identify(&self, request: &Request<Incoming>) -> Result<CallerHeaders> {
@@ -236,9 +234,8 @@
     ) -> Result<CheckedRequest> {
         let accepted_at = self.ports.clock.now();
         let deadline = read_deadline(&caller.headers, service.default_deadline)?;
-        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
         Ok(CheckedRequest {
-            id: RequestId { origin: self.origin, sequence },
+            id: self.ids.next_id(),
             team: caller.team,
             service,
             work,
--- /dev/null
+++ b/lib/src/request_id_source.rs
@@ -0,0 +1,46 @@
+//! Makes request ids that are unique and cannot be guessed.
+//!
+//! Whoever knows a request's id can read its answer, together with any team's token, so the second
+//! half of an id is a keyed hash of a count, not the count.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use crate::ids::HostId;
+use crate::ids::Incarnation;
+use crate::ids::RequestId;
+
+/// Makes the request ids of one process.
+pub struct RequestIdSource {
+    origin: u64,
+    secret: [u8; 32],
+    count: AtomicU64,
+}
+
+impl RequestIdSource {
+    /// Builds a source; `secret` must be random and known to this process alone.
+    pub fn new(host: &HostId, incarnation: Incarnation, secret: [u8; 32]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&incarnation.0.to_le_bytes());
+        hasher.update(host.as_str().as_bytes());
+        Self { origin: first_half(hasher.finalize()), secret, count: AtomicU64::new(0) }
+    }
+
+    /// Returns a new id.
+    pub fn next_id(&self) -> RequestId {
+        let count = self.count.fetch_add(1, Ordering::Relaxed);
+        let sequence = first_half(blake3::keyed_hash(&self.secret, &count.to_le_bytes()));
+        RequestId { origin: self.origin, sequence }
+    }
+
+    /// Returns the half that all ids of this process share.
+    pub fn origin(&self) -> u64 {
+        self.origin
+    }
+}
+
+fn first_half(hash: blake3::Hash) -> u64 {
+    let mut first = [0; 8];
+    first.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
--- /dev/null
+++ b/lib/src/server_connector.rs
@@ -0,0 +1,77 @@
+//! Keeps one HTTP client for each backend server's address.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use crate::app_client::AppClient;
+use crate::app_server::AppServer;
+use crate::engine::ModelEngine;
+use crate::engine_client::EngineClient;
+use crate::http_edge::EdgeLimits;
+use crate::session_ports::ProbeResult;
+use crate::session_ports::ServerConnector;
+use crate::session_ports::lock;
+
+/// Clients of all backend servers, by address.
+#[derive(Default)]
+struct ClientTable {
+    engines: BTreeMap<SocketAddr, Arc<EngineClient>>,
+    apps: BTreeMap<SocketAddr, Arc<AppClient>>,
+}
+
+/// Reaches backend servers over HTTP.
+pub struct HttpConnector {
+    limits: EdgeLimits,
+    clients: Mutex<ClientTable>,
+}
+
+impl HttpConnector {
+    /// Builds a connector whose clients have the given bounds.
+    pub fn new(limits: EdgeLimits) -> Self {
+        Self { limits, clients: Mutex::default() }
+    }
+
+    /// Drops the clients of all addresses but the given ones.
+    pub fn keep_only(&self, addresses: &[SocketAddr]) {
+        let mut clients = lock(&self.clients);
+        clients.engines.retain(|address, _| addresses.contains(address));
+        clients.apps.retain(|address, _| addresses.contains(address));
+    }
+}
+
+impl ServerConnector for HttpConnector {
+    fn engine(&self, address: SocketAddr) -> Arc<dyn ModelEngine> {
+        let mut clients = lock(&self.clients);
+        let client = clients.engines.entry(address);
+        client.or_insert_with(|| Arc::new(EngineClient::new(address, self.limits))).clone()
+    }
+
+    fn app(&self, address: SocketAddr) -> Arc<dyn AppServer> {
+        let mut clients = lock(&self.clients);
+        let client = clients.apps.entry(address);
+        client.or_insert_with(|| Arc::new(AppClient::new(address, self.limits))).clone()
+    }
+
+    fn retire(&self, address: SocketAddr) {
+        let clients = lock(&self.clients);
+        if let Some(engine) = clients.engines.get(&address) {
+            engine.retire_connections();
+        }
+        if let Some(app) = clients.apps.get(&address) {
+            app.retire_connections();
+        }
+    }
+
+    fn probe(&self, address: SocketAddr) -> ProbeResult {
+        match TcpStream::connect_timeout(&address, self.limits.connect_timeout) {
+            Ok(_) => ProbeResult::Open,
+            Err(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+                ProbeResult::Refused
+            }
+            Err(_) => ProbeResult::Silent,
+        }
+    }
+}
