membership: add table, peer link and keeper

The pure table decides who is live from probes, indirect probes, refutations and announced leaves; the peer link carries it over tonic; the keeper joins the two.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -44,9 +44,22 @@
 
 // Membership and what rides on it.
 pub mod burn;
+pub mod member_config;
+pub mod member_event;
+pub mod member_keeper;
+mod member_merge;
+mod member_probe;
+pub mod member_record;
+mod member_relay;
+pub mod member_roster;
+pub mod member_section;
+pub mod member_snapshot;
+pub mod member_zone;
 pub mod membership;
+pub mod peer_client;
 pub mod peer_link;
 pub mod peer_message;
+pub mod peer_server;
 
 // Requests and their answers.
 pub mod answer_store;
--- /dev/null
+++ b/lib/src/member_merge.rs
@@ -0,0 +1,355 @@
+//! Takes messages in: merges what they carry, answers them, and refutes what is wrong about the
+//! local host.
+
+use crate::host_list::HostState;
+use crate::ids::Incarnation;
+use crate::member_event::ListedHost;
+use crate::member_event::MemberAction;
+use crate::member_event::PeerConnection;
+use crate::member_probe::ProbeTarget;
+use crate::member_record::MemberRecord;
+use crate::member_record::MemberStatus;
+use crate::member_roster::ListMark;
+use crate::member_roster::MemberKey;
+use crate::member_roster::RosterMerge;
+use crate::member_section::SectionMerge;
+use crate::member_snapshot::ViewFreshness;
+use crate::membership::MembershipTable;
+use crate::peer_message::MessageBody;
+use crate::peer_message::PeerMessage;
+use crate::peer_message::RegionDigest;
+use crate::timestamp::Timestamp;
+
+/// Who sent a message.
+enum MessageSender {
+    /// A member in its present life.
+    Member(MemberKey),
+    /// An earlier life of a member, or this host itself; the message is skipped.
+    Skipped(Option<MemberKey>),
+}
+
+/// How a record was learnt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RecordSource {
+    /// As a change, which is spread further.
+    Change,
+    /// As part of a table, which others know already.
+    Table,
+}
+
+impl MembershipTable {
+    /// Answers a message.
+    pub(crate) fn on_request(
+        &mut self,
+        now: Timestamp,
+        message: PeerMessage,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let body = message.body.clone();
+        let key = match self.merge_message(now, message, actions) {
+            MessageSender::Member(key) => key,
+            MessageSender::Skipped(key) => {
+                let reply = self.compose_doubting(key);
+                actions.push(MemberAction::Reply(reply));
+                return;
+            }
+        };
+        let answer = match body {
+            MessageBody::Probe => MessageBody::ProbeReply,
+            MessageBody::TableRequest(digests) => {
+                let reply = self.table_reply(key, &digests);
+                actions.push(MemberAction::Reply(reply));
+                return;
+            }
+            MessageBody::IndirectProbe(target) => {
+                self.probe_for(now, key, &target, actions);
+                MessageBody::Noted
+            }
+            MessageBody::Confirm(target, incarnation) => {
+                self.on_confirm(&target, incarnation, actions);
+                MessageBody::Noted
+            }
+            _ => MessageBody::Noted,
+        };
+        let reply = self.compose(Some(key), answer);
+        actions.push(MemberAction::Reply(reply));
+    }
+
+    /// Returns the reply to an earlier life: it names the newer one.
+    fn compose_doubting(&mut self, key: Option<MemberKey>) -> PeerMessage {
+        let mut reply = self.compose(key, MessageBody::Noted);
+        if let Some(entry) = key.and_then(|key| self.roster.get(key))
+            && !reply.updates.contains(&entry.record)
+        {
+            reply.updates.push(entry.record.clone());
+        }
+        reply
+    }
+
+    /// Takes the reply to a message sent on a connection.
+    pub(crate) fn on_reply(
+        &mut self,
+        now: Timestamp,
+        connection: PeerConnection,
+        message: PeerMessage,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let is_table = message.body == MessageBody::TableReply;
+        let key = match self.merge_message(now, message, actions) {
+            MessageSender::Member(key) => key,
+            MessageSender::Skipped(_) => {
+                self.drop_address_probe(connection, actions);
+                return;
+            }
+        };
+        self.settle_probe(key, Some(connection), actions);
+        self.adopt_connection(key, connection, actions);
+        if is_table {
+            self.on_table(actions);
+        }
+    }
+
+    /// Keeps the connection on which a dead member or candidate answered, if it has no other.
+    fn adopt_connection(
+        &mut self,
+        key: MemberKey,
+        connection: PeerConnection,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        if self.probes.remove(&ProbeTarget::Address(connection.address)).is_none() {
+            return;
+        }
+        let Some(entry) = self.roster.get_mut(key) else { return };
+        let is_usable =
+            entry.record.address == connection.address && entry.record.status != MemberStatus::Dead;
+        if is_usable && entry.connection.is_none() {
+            entry.connection = Some(connection.number);
+        } else if entry.connection != Some(connection.number) {
+            actions.push(MemberAction::RetireConnection(connection));
+        }
+    }
+
+    fn drop_address_probe(&mut self, connection: PeerConnection, actions: &mut Vec<MemberAction>) {
+        if self.probes.remove(&ProbeTarget::Address(connection.address)).is_some() {
+            actions.push(MemberAction::RetireConnection(connection));
+        }
+    }
+
+    /// Trusts the view again: it now holds what another member knew a moment ago.
+    fn on_table(&mut self, actions: &mut Vec<MemberAction>) {
+        self.mismatch_since = None;
+        for key in self.roster.keys() {
+            if let Some(entry) = self.roster.get_mut(key) {
+                entry.unheard = false;
+            }
+        }
+        self.freshness = ViewFreshness::Fresh;
+        actions.push(MemberAction::PublishView);
+    }
+
+    fn merge_message(
+        &mut self,
+        now: Timestamp,
+        message: PeerMessage,
+        actions: &mut Vec<MemberAction>,
+    ) -> MessageSender {
+        let sender = &message.sender;
+        if sender.host == self.local.host {
+            self.check_superseded(sender.incarnation, actions);
+            return MessageSender::Skipped(None);
+        }
+        let known = self.roster.key_of(&sender.host);
+        let newest = known.and_then(|key| self.roster.get(key)).map(|entry| &entry.record);
+        if newest.is_some_and(|record| record.incarnation > sender.incarnation) {
+            self.counters.stale_messages += 1;
+            return MessageSender::Skipped(known);
+        }
+        self.last_heard = now;
+        let source = match message.body {
+            MessageBody::TableReply => RecordSource::Table,
+            _ => RecordSource::Change,
+        };
+        let host = sender.host.clone();
+        let is_neighbour = sender.region == self.local.region;
+        self.zones.mark_heard(now, &sender.region);
+        self.merge_record(now, message.sender, RecordSource::Change, actions);
+        for record in message.updates {
+            self.merge_record(now, record, source, actions);
+        }
+        self.merge_payloads(now, message.sections, message.zones);
+        self.learn_offset(message.config_offset, actions);
+        if is_neighbour {
+            self.compare_tables(now, message.table_digest);
+        }
+        let Some(key) = self.roster.key_of(&host) else { return MessageSender::Skipped(None) };
+        self.mark_heard(key, message.load_percent, actions);
+        MessageSender::Member(key)
+    }
+
+    fn mark_heard(&mut self, key: MemberKey, load_percent: u8, actions: &mut Vec<MemberAction>) {
+        let Some(entry) = self.roster.get_mut(key) else { return };
+        entry.load_percent = load_percent;
+        if std::mem::take(&mut entry.unheard) {
+            actions.push(MemberAction::PublishView);
+        }
+    }
+
+    fn merge_payloads(
+        &mut self,
+        now: Timestamp,
+        sections: Vec<crate::member_section::PayloadSection>,
+        zones: Vec<crate::member_zone::ZoneSummary>,
+    ) {
+        let own = crate::member_record::host_hash(&self.local.host);
+        for section in sections.into_iter().filter(|section| section.origin != own) {
+            let is_urgent = section.kind.is_global();
+            match self.sections.merge(section) {
+                SectionMerge::Stored if is_urgent => self.push_pending = true,
+                SectionMerge::Stored | SectionMerge::Known => {}
+                SectionMerge::Full => self.counters.dropped += 1,
+            }
+        }
+        for summary in zones {
+            self.zones.merge(now, summary);
+        }
+    }
+
+    fn compare_tables(&mut self, now: Timestamp, digest: u64) {
+        if digest == self.table_digest() {
+            self.mismatch_since = None;
+        } else {
+            self.mismatch_since.get_or_insert(now);
+        }
+    }
+
+    fn merge_record(
+        &mut self,
+        now: Timestamp,
+        record: MemberRecord,
+        source: RecordSource,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        if record.host == self.local.host {
+            self.answer_record(record, actions);
+            return;
+        }
+        let status = record.status;
+        let (key, moved) = match self.roster.merge(now, record) {
+            RosterMerge::Known => return,
+            RosterMerge::Ignored => {
+                self.counters.dropped += u64::from(status != MemberStatus::Dead);
+                return;
+            }
+            RosterMerge::Added(key) => (key, None),
+            RosterMerge::Changed(key, moved) => (key, moved),
+        };
+        if status == MemberStatus::Dead || moved.is_some() {
+            self.forget_traffic(key, moved, actions);
+        }
+        match source {
+            RecordSource::Change => self.announce_change(actions),
+            RecordSource::Table => self.roster.unqueue(key),
+        }
+    }
+
+    /// Spreads a change at once and publishes the view.
+    pub(crate) fn announce_change(&mut self, actions: &mut Vec<MemberAction>) {
+        self.push_pending = true;
+        actions.push(MemberAction::PublishView);
+    }
+
+    /// Answers what others tell of the local host: wrong doubts are refuted by a higher
+    /// incarnation.
+    fn answer_record(&mut self, record: MemberRecord, actions: &mut Vec<MemberAction>) {
+        if !record.supersedes(&self.local) {
+            return;
+        }
+        match record.status {
+            MemberStatus::Live | MemberStatus::Leaving => {
+                self.check_superseded(record.incarnation, actions);
+            }
+            MemberStatus::Suspected | MemberStatus::Dead => {
+                if self.local.status == MemberStatus::Dead {
+                    return;
+                }
+                self.counters.refutations += 1;
+                self.local.incarnation = Incarnation(record.incarnation.0 + 1);
+                self.announce_change(actions);
+            }
+        }
+    }
+
+    fn check_superseded(&self, incarnation: Incarnation, actions: &mut Vec<MemberAction>) {
+        if incarnation > self.local.incarnation {
+            actions.push(MemberAction::Superseded(incarnation));
+        }
+    }
+
+    /// Closes the connection to a member and forgets what it published.
+    pub(crate) fn forget_traffic(
+        &mut self,
+        key: MemberKey,
+        moved: Option<std::net::SocketAddr>,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        if let Some(probe) = self.probes.remove(&ProbeTarget::Member(key))
+            && let crate::member_probe::ProbeStage::Second { silent } = probe.stage
+        {
+            actions.push(MemberAction::RetireConnection(silent));
+        }
+        let Some(entry) = self.roster.get_mut(key) else { return };
+        let address = moved.unwrap_or(entry.record.address);
+        if let Some(number) = entry.connection.take() {
+            actions.push(MemberAction::RetireConnection(PeerConnection { address, number }));
+        }
+        if entry.record.status == MemberStatus::Dead {
+            let hash = entry.hash;
+            self.sections.remove_origin(hash);
+        }
+    }
+
+    /// Returns the members of the regions that the requester knows differently.
+    fn table_reply(&mut self, key: MemberKey, digests: &[RegionDigest]) -> PeerMessage {
+        let own = self.region_digests();
+        let differs = |record: &MemberRecord| {
+            let theirs = digests.iter().find(|row| row.region == record.region);
+            let ours = own.iter().find(|row| row.region == record.region);
+            theirs.map(|row| row.digest) != ours.map(|row| row.digest)
+        };
+        let mut reply = self.compose(Some(key), MessageBody::TableReply);
+        reply.updates =
+            self.roster.iter().map(|(_, entry)| entry.record.clone()).filter(differs).collect();
+        reply
+    }
+
+    /// Returns the digest of each region, the local host included.
+    pub(crate) fn region_digests(&self) -> Vec<RegionDigest> {
+        let mut digests = self.roster.digests().clone();
+        let own = digests.entry(self.local.region.clone()).or_default();
+        *own = own.wrapping_add(self.local_digest());
+        digests.into_iter().map(|(region, digest)| RegionDigest { region, digest }).collect()
+    }
+
+    /// Merges the platform's list.
+    ///
+    /// A listed host that is not known as alive becomes a candidate to probe. A host that the list
+    /// calls leaving counts as leaving while the list says so. A host that the list does not name
+    /// stays live as long as it answers. A dead one that is not listed is not probed any more.
+    pub(crate) fn on_host_list(
+        &mut self,
+        listed: Vec<ListedHost>,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        for key in self.roster.keys() {
+            let Some(entry) = self.roster.get_mut(key) else { continue };
+            let row = listed.iter().find(|row| row.host == entry.record.host);
+            entry.listed = match row.map(|row| row.state) {
+                Some(HostState::Live) => ListMark::Live,
+                Some(HostState::Leaving) => ListMark::Leaving,
+                None => ListMark::Absent,
+            };
+        }
+        self.listed = listed;
+        actions.push(MemberAction::PublishView);
+    }
+}
--- /dev/null
+++ b/lib/src/member_probe.rs
@@ -0,0 +1,382 @@
+//! Probes: who is probed, and what follows from silence.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use crate::ids::HostId;
+use crate::ids::Incarnation;
+use crate::member_event::MemberAction;
+use crate::member_event::PeerConnection;
+use crate::member_record::MemberStatus;
+use crate::member_roster::ListMark;
+use crate::member_roster::MemberKey;
+use crate::membership::MembershipTable;
+use crate::peer_message::MessageBody;
+use crate::timestamp::Timestamp;
+
+/// Changes of members on one push.
+pub(crate) const UPDATES_PER_PUSH: usize = 24;
+
+/// Absent hosts probed at once by a host that knows no live member.
+const REVISITS_WHEN_ALONE: usize = 3;
+
+/// Whom a probe was sent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum ProbeTarget {
+    /// A member.
+    Member(MemberKey),
+    /// An address where a dead member or a candidate may answer.
+    Address(SocketAddr),
+}
+
+/// How far a probe has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ProbeStage {
+    /// Sent on the connection in use.
+    First,
+    /// The connection in use is silent: sent on a new one and through other members.
+    Second { silent: PeerConnection },
+}
+
+/// A probe that was not answered yet.
+#[derive(Clone, Debug)]
+pub(crate) struct OutstandingProbe {
+    pub(crate) connection: PeerConnection,
+    pub(crate) stage: ProbeStage,
+    pub(crate) deadline: Timestamp,
+    pub(crate) requesters: BTreeSet<MemberKey>,
+}
+
+impl MembershipTable {
+    /// Probes the next members of the own region.
+    pub(crate) fn start_round(&mut self, now: Timestamp, actions: &mut Vec<MemberAction>) {
+        let mut left = self.config.probes_per_round;
+        let mut refilled = false;
+        while left > 0 {
+            let Some(key) = self.round.pop_front() else {
+                if refilled {
+                    return;
+                }
+                refilled = true;
+                self.refill_round();
+                continue;
+            };
+            if self.can_probe(key) {
+                left -= 1;
+                self.probe_member(now, key, actions);
+            }
+        }
+    }
+
+    fn refill_round(&mut self) {
+        let region = self.local.region.clone();
+        let keys = self.shuffled(|entry| {
+            entry.record.region == region && entry.record.status != MemberStatus::Dead
+        });
+        self.round.extend(keys);
+    }
+
+    fn can_probe(&self, key: MemberKey) -> bool {
+        let alive =
+            self.roster.get(key).is_some_and(|entry| entry.record.status != MemberStatus::Dead);
+        alive && !self.probes.contains_key(&ProbeTarget::Member(key))
+    }
+
+    /// Sends the first probe to a member, unless one is outstanding.
+    pub(crate) fn probe_member(
+        &mut self,
+        now: Timestamp,
+        key: MemberKey,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        if !self.can_probe(key) {
+            return;
+        }
+        let Some(connection) = self.connection_to(key) else { return };
+        self.start_probe(now, ProbeTarget::Member(key), connection);
+        let message = self.compose(Some(key), MessageBody::Probe);
+        actions.push(MemberAction::Send(connection, message));
+    }
+
+    fn start_probe(&mut self, now: Timestamp, target: ProbeTarget, connection: PeerConnection) {
+        let probe = OutstandingProbe {
+            connection,
+            stage: ProbeStage::First,
+            deadline: now + self.config.probe_timeout,
+            requesters: BTreeSet::new(),
+        };
+        self.probes.insert(target, probe);
+    }
+
+    /// Probes a member on behalf of another one.
+    pub(crate) fn probe_for(
+        &mut self,
+        now: Timestamp,
+        requester: MemberKey,
+        target: &HostId,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let Some(key) = self.roster.key_of(target) else { return };
+        self.probe_member(now, key, actions);
+        if let Some(probe) = self.probes.get_mut(&ProbeTarget::Member(key)) {
+            probe.requesters.insert(requester);
+        }
+    }
+
+    /// Moves on every probe whose time is over.
+    pub(crate) fn expire_probes(&mut self, now: Timestamp, actions: &mut Vec<MemberAction>) {
+        let expired: Vec<ProbeTarget> = self
+            .probes
+            .iter()
+            .filter(|(_, probe)| probe.deadline <= now)
+            .map(|(&target, _)| target)
+            .collect();
+        for target in expired {
+            self.on_probe_silent(now, target, actions);
+        }
+    }
+
+    /// Moves on the probe sent on a connection that failed at once.
+    pub(crate) fn on_send_failed(
+        &mut self,
+        now: Timestamp,
+        connection: PeerConnection,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let failed = self
+            .probes
+            .iter()
+            .find(|(_, probe)| probe.connection == connection && probe.stage == ProbeStage::First)
+            .map(|(&target, _)| target);
+        if let Some(target) = failed {
+            self.on_probe_silent(now, target, actions);
+        }
+    }
+
+    fn on_probe_silent(
+        &mut self,
+        now: Timestamp,
+        target: ProbeTarget,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let Some(probe) = self.probes.remove(&target) else { return };
+        match (target, probe.stage) {
+            (ProbeTarget::Address(_), _) => {
+                actions.push(MemberAction::RetireConnection(probe.connection));
+            }
+            (ProbeTarget::Member(key), ProbeStage::First) => {
+                self.probe_again(now, key, probe, actions);
+            }
+            (ProbeTarget::Member(key), ProbeStage::Second { silent }) => {
+                actions.push(MemberAction::RetireConnection(silent));
+                self.on_member_silent(now, key, actions);
+            }
+        }
+    }
+
+    /// Opens a new connection to a member whose connection is silent, and asks others to probe it.
+    fn probe_again(
+        &mut self,
+        now: Timestamp,
+        key: MemberKey,
+        probe: OutstandingProbe,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let silent = probe.connection;
+        let number = self.next_connection;
+        self.next_connection += 1;
+        let Some(entry) = self.roster.get_mut(key) else { return };
+        entry.connection = Some(number);
+        let host = entry.record.host.clone();
+        let connection = PeerConnection { address: entry.record.address, number };
+        let deadline = now + self.config.second_timeout;
+        let stage = ProbeStage::Second { silent };
+        self.probes.insert(
+            ProbeTarget::Member(key),
+            OutstandingProbe { connection, stage, deadline, ..probe },
+        );
+        actions.push(MemberAction::OpenConnection(connection));
+        let message = self.compose(Some(key), MessageBody::Probe);
+        actions.push(MemberAction::Send(connection, message));
+        self.ask_others(key, &host, actions);
+    }
+
+    fn ask_others(&mut self, key: MemberKey, host: &HostId, actions: &mut Vec<MemberAction>) {
+        let region = self.roster.get(key).map(|entry| entry.record.region.clone());
+        if region.as_ref() != Some(&self.local.region) {
+            return;
+        }
+        let region = self.local.region.clone();
+        let helpers = self.shuffled(|entry| {
+            entry.record.region == region
+                && entry.record.status == MemberStatus::Live
+                && entry.record.host != *host
+        });
+        for helper in helpers.into_iter().take(self.config.indirect_probes) {
+            self.send_to(helper, MessageBody::IndirectProbe(host.clone()), actions);
+        }
+    }
+
+    /// Judges a member of the own region that answered in no way.
+    ///
+    /// A leaving member that no longer answers has left. An isolated host judges nobody: the fault
+    /// is likely its own.
+    fn on_member_silent(
+        &mut self,
+        now: Timestamp,
+        key: MemberKey,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let isolated = self.is_isolated(now);
+        let Some(entry) = self.roster.get_mut(key) else { return };
+        if entry.record.region != self.local.region {
+            return;
+        }
+        if isolated {
+            entry.unheard = true;
+            actions.push(MemberAction::PublishView);
+            return;
+        }
+        match entry.record.status {
+            MemberStatus::Live => {
+                self.counters.suspicions += 1;
+                self.roster.set_status(now, key, MemberStatus::Suspected);
+                self.announce_change(actions);
+                self.send_to(key, MessageBody::Push, actions);
+            }
+            MemberStatus::Leaving => self.declare_dead(now, key, actions),
+            MemberStatus::Suspected | MemberStatus::Dead => {}
+        }
+    }
+
+    /// Declares the members of the own region dead that did not refute a suspicion in time.
+    pub(crate) fn expire_suspicions(&mut self, now: Timestamp, actions: &mut Vec<MemberAction>) {
+        if self.is_isolated(now) {
+            return;
+        }
+        let timeout = self.config.suspicion_timeout;
+        let expired: Vec<MemberKey> = self
+            .roster
+            .iter()
+            .filter(|(_, entry)| {
+                entry.record.status == MemberStatus::Suspected
+                    && entry.record.region == self.local.region
+                    && now.since(entry.changed) >= timeout
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in expired {
+            self.declare_dead(now, key, actions);
+        }
+    }
+
+    fn declare_dead(&mut self, now: Timestamp, key: MemberKey, actions: &mut Vec<MemberAction>) {
+        self.counters.deaths += 1;
+        self.roster.set_status(now, key, MemberStatus::Dead);
+        self.forget_traffic(key, None, actions);
+        self.announce_change(actions);
+    }
+
+    /// Ends the outstanding probe of a member that answered.
+    pub(crate) fn settle_probe(
+        &mut self,
+        key: MemberKey,
+        answered_on: Option<PeerConnection>,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let Some(probe) = self.probes.remove(&ProbeTarget::Member(key)) else { return };
+        if let ProbeStage::Second { silent } = probe.stage {
+            self.keep_one_connection(key, silent, probe.connection, answered_on, actions);
+        }
+        let Some(entry) = self.roster.get(key) else { return };
+        let body = MessageBody::Confirm(entry.record.host.clone(), entry.record.incarnation);
+        for requester in probe.requesters {
+            self.send_to(requester, body.clone(), actions);
+        }
+    }
+
+    /// Keeps the connection that the answer came on, or the newer one, and retires the other.
+    fn keep_one_connection(
+        &mut self,
+        key: MemberKey,
+        silent: PeerConnection,
+        new: PeerConnection,
+        answered_on: Option<PeerConnection>,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        if answered_on == Some(silent) {
+            if let Some(entry) = self.roster.get_mut(key) {
+                entry.connection = Some(silent.number);
+            }
+            actions.push(MemberAction::RetireConnection(new));
+            return;
+        }
+        if answered_on == Some(new) {
+            self.counters.silent_connections += 1;
+        }
+        actions.push(MemberAction::RetireConnection(silent));
+    }
+
+    /// Takes another member's word that a member answered.
+    pub(crate) fn on_confirm(
+        &mut self,
+        target: &HostId,
+        incarnation: Incarnation,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let Some(key) = self.roster.key_of(target) else { return };
+        if self.roster.get(key).is_some_and(|entry| incarnation >= entry.record.incarnation) {
+            self.settle_probe(key, None, actions);
+        }
+    }
+
+    /// Probes dead members, listed hosts and seeds that are not known as alive.
+    pub(crate) fn revisit_absent(&mut self, now: Timestamp, actions: &mut Vec<MemberAction>) {
+        let mut addresses = self.absent_addresses();
+        let alone = !self.roster.iter().any(|(_, entry)| entry.record.status != MemberStatus::Dead);
+        let count = if alone { REVISITS_WHEN_ALONE } else { 1 };
+        use rand::seq::SliceRandom as _;
+        addresses.shuffle(&mut self.rng);
+        for address in addresses.into_iter().take(count) {
+            self.probe_address(now, address, actions);
+        }
+    }
+
+    fn probe_address(
+        &mut self,
+        now: Timestamp,
+        address: SocketAddr,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let target = ProbeTarget::Address(address);
+        if self.probes.contains_key(&target) {
+            return;
+        }
+        let connection = PeerConnection { address, number: self.next_connection };
+        self.next_connection += 1;
+        self.start_probe(now, target, connection);
+        let known = self.roster.iter().find(|(_, entry)| entry.record.address == address);
+        let known = known.map(|(key, _)| key);
+        let message = self.compose(known, MessageBody::Probe);
+        actions.push(MemberAction::Send(connection, message));
+    }
+
+    fn absent_addresses(&self) -> Vec<SocketAddr> {
+        let mut alive = BTreeSet::from([self.local.address]);
+        let mut absent = BTreeSet::new();
+        for (_, entry) in self.roster.iter() {
+            match entry.record.status {
+                MemberStatus::Dead if entry.listed == ListMark::Absent => {}
+                MemberStatus::Dead => {
+                    absent.insert(entry.record.address);
+                }
+                _ => {
+                    alive.insert(entry.record.address);
+                }
+            }
+        }
+        absent.extend(self.listed.iter().map(|listed| listed.address));
+        absent.extend(&self.seeds);
+        absent.difference(&alive).copied().collect()
+    }
+}
--- /dev/null
+++ b/lib/src/member_relay.rs
@@ -0,0 +1,221 @@
+//! Exchange between regions, spreading of changes, and upkeep of the table.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::ids::RegionName;
+use crate::ids::ZoneName;
+use crate::member_event::MemberAction;
+use crate::member_record::MemberStatus;
+use crate::member_record::host_hash;
+use crate::member_record::life_of;
+use crate::member_roster::ListMark;
+use crate::member_roster::MemberKey;
+use crate::member_snapshot::ViewFreshness;
+use crate::member_zone::RegionReach;
+use crate::member_zone::ZoneSummary;
+use crate::membership::MembershipTable;
+use crate::peer_message::MessageBody;
+use crate::timestamp::Timestamp;
+
+/// Members of the own region below which silence proves nothing about the local host.
+const MIN_NEIGHBOURS_FOR_ISOLATION: usize = 2;
+
+#[derive(Default)]
+struct ZoneCount {
+    live: u32,
+    leaving: u32,
+    load_sum: u32,
+}
+
+impl ZoneCount {
+    fn add(&mut self, status: MemberStatus, load_percent: u8) {
+        match status {
+            MemberStatus::Live | MemberStatus::Suspected => self.live += 1,
+            MemberStatus::Leaving => self.leaving += 1,
+            MemberStatus::Dead => return,
+        }
+        self.load_sum += u32::from(load_percent);
+    }
+}
+
+impl MembershipTable {
+    /// Returns whether the local host is one of those that talk to other regions: the live members
+    /// of the region with the smallest hashes, so that all members agree without asking.
+    pub(crate) fn is_relay(&self) -> bool {
+        if self.local.status != MemberStatus::Live {
+            return false;
+        }
+        let own = host_hash(&self.local.host);
+        let smaller = self
+            .roster
+            .iter()
+            .filter(|(_, entry)| entry.record.region == self.local.region)
+            .filter(|(_, entry)| entry.record.status == MemberStatus::Live && entry.hash < own)
+            .count();
+        smaller < self.config.relays
+    }
+
+    /// Sends what relays owe to other regions, and the summaries of the own zones.
+    pub(crate) fn exchange_regions(&mut self, now: Timestamp, actions: &mut Vec<MemberAction>) {
+        if now < self.next.relay {
+            return;
+        }
+        self.next.relay = now + self.config.relay_period;
+        self.watch_regions(now, actions);
+        if !self.is_relay() {
+            return;
+        }
+        if now >= self.next.summary {
+            self.next.summary = now + self.config.summary_period;
+            self.summarize_zones(now);
+        }
+        for key in self.pick_abroad() {
+            self.probe_member(now, key, actions);
+        }
+    }
+
+    /// Returns one random member of each other region that is not dead.
+    fn pick_abroad(&mut self) -> Vec<MemberKey> {
+        let home = self.local.region.clone();
+        let abroad = self.shuffled(|entry| {
+            entry.record.region != home && entry.record.status != MemberStatus::Dead
+        });
+        let mut picked: BTreeMap<RegionName, MemberKey> = BTreeMap::new();
+        for key in abroad {
+            if let Some(entry) = self.roster.get(key) {
+                picked.entry(entry.record.region.clone()).or_insert(key);
+            }
+        }
+        picked.into_values().collect()
+    }
+
+    /// Publishes the view when a region becomes unreachable or reachable again.
+    fn watch_regions(&mut self, now: Timestamp, actions: &mut Vec<MemberAction>) {
+        let unreachable: BTreeSet<RegionName> = self
+            .roster
+            .digests()
+            .keys()
+            .filter(|region| **region != self.local.region)
+            .filter(|region| {
+                self.zones.reach(now, region, self.config.region_silence)
+                    == RegionReach::Unreachable
+            })
+            .cloned()
+            .collect();
+        if unreachable != self.unreachable {
+            self.unreachable = unreachable;
+            actions.push(MemberAction::PublishView);
+        }
+    }
+
+    fn summarize_zones(&mut self, now: Timestamp) {
+        let mut counts: BTreeMap<ZoneName, ZoneCount> = BTreeMap::new();
+        let local = &self.local;
+        counts.entry(local.zone.clone()).or_default().add(local.status, self.local_load);
+        for (_, entry) in self.roster.iter() {
+            if entry.record.region == local.region {
+                let count = counts.entry(entry.record.zone.clone()).or_default();
+                count.add(entry.record.status, entry.load_percent);
+            }
+        }
+        let region = local.region.clone();
+        let life = life_of(local.incarnation).0;
+        for (zone, count) in counts {
+            let version = life.max(self.zones.version(&region, &zone) + 1);
+            let members = (count.live + count.leaving).max(1);
+            let summary = ZoneSummary {
+                region: region.clone(),
+                zone,
+                version,
+                live: count.live,
+                leaving: count.leaving,
+                load_percent: count.load_sum / members,
+            };
+            self.zones.merge(now, summary);
+        }
+    }
+
+    /// Sends the changes that are waiting to a few random members, and abroad if this is a relay.
+    pub(crate) fn push_changes(&mut self, actions: &mut Vec<MemberAction>) {
+        self.push_pending = false;
+        let home = self.local.region.clone();
+        let near = self.shuffled(|entry| {
+            entry.record.region == home && entry.record.status != MemberStatus::Dead
+        });
+        let mut targets: Vec<MemberKey> = near.into_iter().take(self.config.push_fanout).collect();
+        if self.is_relay() {
+            targets.extend(self.pick_abroad());
+        }
+        for key in targets {
+            self.send_to(key, MessageBody::Push, actions);
+        }
+    }
+
+    /// Asks a random member for the regions that it knows differently.
+    pub(crate) fn request_table(&mut self, actions: &mut Vec<MemberAction>) {
+        let home = self.local.region.clone();
+        let near = self.shuffled(|entry| {
+            entry.record.region == home && entry.record.status == MemberStatus::Live
+        });
+        let key = near.first().copied().or_else(|| self.pick_abroad().first().copied());
+        if let Some(key) = key {
+            let digests = self.region_digests();
+            self.send_to(key, MessageBody::TableRequest(digests), actions);
+        }
+    }
+
+    fn neighbours(&self) -> usize {
+        self.roster
+            .iter()
+            .filter(|(_, entry)| entry.record.region == self.local.region)
+            .filter(|(_, entry)| entry.record.status != MemberStatus::Dead)
+            .count()
+    }
+
+    /// Returns whether nothing was heard for so long that the fault is likely here.
+    pub(crate) fn is_isolated(&self, now: Timestamp) -> bool {
+        now.since(self.last_heard) > self.config.isolation_limit
+            && self.neighbours() >= MIN_NEIGHBOURS_FOR_ISOLATION
+    }
+
+    /// Marks the view stale while this host is isolated, and fresh if it is the only one.
+    pub(crate) fn check_isolation(&mut self, now: Timestamp, actions: &mut Vec<MemberAction>) {
+        let silence = now.since(self.last_heard);
+        let freshness = if self.is_isolated(now) {
+            ViewFreshness::Stale
+        } else if self.neighbours() == 0 && silence > self.config.table_period {
+            ViewFreshness::Fresh
+        } else {
+            self.freshness
+        };
+        if freshness != self.freshness {
+            self.freshness = freshness;
+            actions.push(MemberAction::PublishView);
+        }
+    }
+
+    /// Forgets dead members after a while, and members of a lost region that the list dropped.
+    pub(crate) fn expire_members(&mut self, now: Timestamp, actions: &mut Vec<MemberAction>) {
+        let ttl = self.config.tombstone_ttl;
+        let expired: Vec<MemberKey> = self
+            .roster
+            .iter()
+            .filter(|(_, entry)| match entry.record.status {
+                MemberStatus::Dead => now.since(entry.changed) >= ttl,
+                _ => {
+                    entry.record.region != self.local.region
+                        && entry.listed == ListMark::Absent
+                        && self.zones.reach(now, &entry.record.region, ttl)
+                            == RegionReach::Unreachable
+                }
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in expired {
+            self.forget_traffic(key, None, actions);
+            self.roster.remove(key);
+            actions.push(MemberAction::PublishView);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/member_snapshot.rs
@@ -0,0 +1,148 @@
+//! The published view of the members.
+
+use std::net::SocketAddr;
+
+use crate::ids::HostId;
+use crate::ids::Incarnation;
+use crate::ids::LogOffset;
+use crate::ids::RegionName;
+use crate::ids::ZoneName;
+use crate::member_record::MemberRecord;
+use crate::member_record::MemberStatus;
+use crate::member_record::life_of;
+use crate::member_roster::ListMark;
+use crate::member_roster::MemberEntry;
+use crate::member_section::PayloadSection;
+use crate::member_section::SectionKind;
+use crate::member_zone::RegionReach;
+use crate::member_zone::ZoneSummary;
+use crate::membership::MembershipTable;
+use crate::timestamp::Timestamp;
+
+/// What other modules may do with a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum MemberState {
+    /// It may get new work.
+    Live,
+    /// It did not answer lately: it gets new work only if no live member can take it.
+    Suspected,
+    /// It is leaving: it can be asked about its work and gets no more.
+    Leaving,
+    /// Its region, or everything, is cut off from here: it is kept and gets no work.
+    Unreachable,
+}
+
+/// One member as the local host sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberView {
+    /// Identity.
+    pub host: HostId,
+    /// Hash by which payload sections name it.
+    pub hash: u64,
+    /// Life of its process: stays the same until the process is replaced.
+    pub life: Incarnation,
+    /// Address of its peer link.
+    pub address: SocketAddr,
+    /// Region.
+    pub region: RegionName,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// What may be done with it.
+    pub state: MemberState,
+}
+
+/// Whether the view can be relied on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ViewFreshness {
+    /// It follows the fleet.
+    Fresh,
+    /// This host was paused or cut off and has not caught up yet.
+    Stale,
+}
+
+/// The members at one moment; dead ones are left out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberSnapshot {
+    /// The local host.
+    pub local: MemberRecord,
+    /// All others, in the order of their hosts.
+    pub members: Vec<MemberView>,
+    /// Whether the view can be relied on.
+    pub freshness: ViewFreshness,
+    /// Newest offset of the configuration that any host told of.
+    pub config_offset: LogOffset,
+    /// Summaries of all zones.
+    pub zones: Vec<ZoneSummary>,
+    /// Newest payloads of other hosts.
+    pub sections: Vec<PayloadSection>,
+}
+
+impl MemberSnapshot {
+    /// Returns the members that may get new work: live ones and, after them, suspected ones.
+    pub fn routable(&self) -> impl Iterator<Item = &MemberView> {
+        let of = |state| self.members.iter().filter(move |view| view.state == state);
+        of(MemberState::Live).chain(of(MemberState::Suspected))
+    }
+
+    /// Returns a member that is not dead.
+    pub fn find(&self, host: &HostId) -> Option<&MemberView> {
+        let index = self.members.binary_search_by(|view| view.host.cmp(host)).ok()?;
+        self.members.get(index)
+    }
+}
+
+impl MembershipTable {
+    /// Returns the view to publish.
+    pub fn snapshot(&self, now: Timestamp) -> MemberSnapshot {
+        let members =
+            self.roster.iter().filter_map(|(_, entry)| self.view_of(now, entry)).collect();
+        let kinds = [SectionKind::CrashSuspicions, SectionKind::LoadDigest];
+        MemberSnapshot {
+            local: self.local.clone(),
+            members,
+            freshness: self.freshness,
+            config_offset: self.config_offset,
+            zones: self.zones.summaries().cloned().collect(),
+            sections: kinds.iter().flat_map(|&kind| self.sections.of_kind(kind)).cloned().collect(),
+        }
+    }
+
+    fn view_of(&self, now: Timestamp, entry: &MemberEntry) -> Option<MemberView> {
+        let record = &entry.record;
+        Some(MemberView {
+            host: record.host.clone(),
+            hash: entry.hash,
+            life: life_of(record.incarnation),
+            address: record.address,
+            region: record.region.clone(),
+            zone: record.zone.clone(),
+            state: self.state_of(now, entry)?,
+        })
+    }
+
+    /// Returns the state of a member, or `None` if it is dead.
+    pub fn state_of(&self, now: Timestamp, entry: &MemberEntry) -> Option<MemberState> {
+        let status = entry.record.status;
+        if status == MemberStatus::Dead {
+            return None;
+        }
+        if status == MemberStatus::Leaving || entry.listed == ListMark::Leaving {
+            return Some(MemberState::Leaving);
+        }
+        if entry.unheard || self.is_cut_off(now, entry) {
+            return Some(MemberState::Unreachable);
+        }
+        match status {
+            MemberStatus::Suspected => Some(MemberState::Suspected),
+            _ => Some(MemberState::Live),
+        }
+    }
+
+    /// Returns whether a member's region, another than the local one, cannot be reached.
+    pub(crate) fn is_cut_off(&self, now: Timestamp, entry: &MemberEntry) -> bool {
+        let silence_limit = self.config.region_silence;
+        entry.record.region != self.local.region
+            && self.zones.reach(now, &entry.record.region, silence_limit)
+                == RegionReach::Unreachable
+    }
+}
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -1,1 +1,370 @@
-//! Not yet written.
+//! Decides which entry hosts are live.
+//!
+//! Each host probes a few random members of its own region in every round. A member that stays
+//! silent is probed on a new connection and through other members; only then is it suspected, and
+//! only a suspicion that it does not refute in time makes it dead. Changes are pushed at once and
+//! repeated on later messages. Regions exchange changes and zone summaries through relays and never
+//! judge each other's members.
+
+use rand::SeedableRng as _;
+use rand::seq::SliceRandom as _;
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::ids::LogOffset;
+use crate::ids::RegionName;
+use crate::member_config::MembershipConfig;
+use crate::member_event::ListedHost;
+use crate::member_event::MemberAction;
+use crate::member_event::MemberEvent;
+use crate::member_event::PeerConnection;
+use crate::member_probe::OutstandingProbe;
+use crate::member_probe::ProbeTarget;
+use crate::member_record::MemberRecord;
+use crate::member_record::MemberStatus;
+use crate::member_record::first_incarnation;
+use crate::member_record::host_hash;
+use crate::member_roster::MemberEntry;
+use crate::member_roster::MemberKey;
+use crate::member_roster::MemberRoster;
+use crate::member_section::PayloadSection;
+use crate::member_section::SectionKind;
+use crate::member_section::SectionScope;
+use crate::member_section::SectionStore;
+use crate::member_section::SectionVersion;
+use crate::member_snapshot::ViewFreshness;
+use crate::member_zone::ZoneStore;
+use crate::member_zone::ZoneSummary;
+use crate::peer_message::MessageBody;
+use crate::peer_message::PeerMessage;
+use crate::timestamp::Timestamp;
+
+/// Changes of members on a message that answers or asks something else.
+const UPDATES_PER_MESSAGE: usize = 6;
+
+/// Zone summaries on one message.
+const ZONES_PER_MESSAGE: usize = 2;
+
+/// Times that one host sends one version of a section or zone summary.
+const PAYLOAD_SENDS: u32 = 4;
+
+/// Time that a change takes at most to reach all members, as a rule.
+const SPREAD_LIMIT: Duration = Duration::from_secs(2);
+
+/// Counts of what membership met, for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct MemberCounters {
+    /// Messages and records of an earlier life or incarnation of their sender.
+    pub stale_messages: u64,
+    /// Suspicions that this host raised.
+    pub suspicions: u64,
+    /// Members that this host declared dead.
+    pub deaths: u64,
+    /// Times that this host refuted a suspicion or its own death.
+    pub refutations: u64,
+    /// Connections that went silent while a new one worked.
+    pub silent_connections: u64,
+    /// Times that this host did not run for longer than the stall limit.
+    pub stalls: u64,
+    /// Sections and members dropped because a store was full.
+    pub dropped: u64,
+}
+
+/// Times of the next periodic steps.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct NextSteps {
+    pub(crate) probe: Timestamp,
+    pub(crate) relay: Timestamp,
+    pub(crate) summary: Timestamp,
+    pub(crate) revisit: Timestamp,
+    pub(crate) table: Timestamp,
+}
+
+/// The local host's view of all members.
+#[derive(Debug)]
+pub struct MembershipTable {
+    pub(crate) config: MembershipConfig,
+    pub(crate) local: MemberRecord,
+    pub(crate) local_load: u8,
+    pub(crate) local_sequence: u32,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) roster: MemberRoster,
+    pub(crate) sections: SectionStore,
+    pub(crate) zones: ZoneStore,
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) listed: Vec<ListedHost>,
+    pub(crate) probes: BTreeMap<ProbeTarget, OutstandingProbe>,
+    pub(crate) round: VecDeque<MemberKey>,
+    pub(crate) next: NextSteps,
+    pub(crate) last_event: Timestamp,
+    pub(crate) last_heard: Timestamp,
+    pub(crate) mismatch_since: Option<Timestamp>,
+    pub(crate) unreachable: BTreeSet<RegionName>,
+    pub(crate) push_pending: bool,
+    pub(crate) freshness: ViewFreshness,
+    pub(crate) config_offset: LogOffset,
+    pub(crate) next_connection: u32,
+    pub(crate) counters: MemberCounters,
+}
+
+impl MembershipTable {
+    /// Builds the table of a host that knows only itself and some addresses to start from.
+    ///
+    /// The incarnation of `local` is the number of the process's life: larger than that of any
+    /// earlier process with this host id.
+    pub fn new(
+        now: Timestamp,
+        config: MembershipConfig,
+        local: MemberRecord,
+        seeds: Vec<SocketAddr>,
+        seed: u64,
+    ) -> Self {
+        let incarnation = first_incarnation(local.incarnation);
+        Self {
+            config,
+            local: MemberRecord { incarnation, status: MemberStatus::Live, ..local },
+            local_load: 0,
+            local_sequence: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            roster: MemberRoster::default(),
+            sections: SectionStore::default(),
+            zones: ZoneStore::default(),
+            seeds,
+            listed: Vec::new(),
+            probes: BTreeMap::new(),
+            round: VecDeque::new(),
+            next: NextSteps::default(),
+            last_event: now,
+            last_heard: now,
+            mismatch_since: Some(now),
+            unreachable: BTreeSet::new(),
+            push_pending: false,
+            freshness: ViewFreshness::Stale,
+            config_offset: LogOffset::default(),
+            next_connection: 0,
+            counters: MemberCounters::default(),
+        }
+    }
+
+    /// Takes one event and returns what to do.
+    pub fn on_event(&mut self, now: Timestamp, event: MemberEvent) -> Vec<MemberAction> {
+        let mut actions = self.observe_clock(now);
+        match event {
+            MemberEvent::Tick => self.on_tick(now, &mut actions),
+            MemberEvent::Request(message) => self.on_request(now, message, &mut actions),
+            MemberEvent::Reply(connection, message) => {
+                self.on_reply(now, connection, message, &mut actions);
+            }
+            MemberEvent::SendFailed(connection) => {
+                self.on_send_failed(now, connection, &mut actions);
+            }
+            MemberEvent::HostList(listed) => self.on_host_list(listed, &mut actions),
+            MemberEvent::Publish(kind, payload) => self.publish(kind, payload),
+            MemberEvent::ConfigOffset(offset) => self.learn_offset(offset, &mut actions),
+            MemberEvent::LocalLoad(percent) => self.local_load = percent,
+            MemberEvent::Leave => self.change_local(MemberStatus::Leaving, &mut actions),
+            MemberEvent::Left => self.change_local(MemberStatus::Dead, &mut actions),
+        }
+        if self.local.status == MemberStatus::Dead {
+            self.push_changes(&mut actions);
+        }
+        actions
+    }
+
+    /// Moves all deadlines by the time in which this host did not run, since nobody can be blamed
+    /// for not answering a host that did not listen.
+    fn observe_clock(&mut self, now: Timestamp) -> Vec<MemberAction> {
+        let gap = now.since(self.last_event);
+        self.last_event = now;
+        let lost = gap.saturating_sub(2 * self.config.tick);
+        if lost.is_zero() {
+            return Vec::new();
+        }
+        self.last_heard = self.last_heard + lost;
+        for probe in self.probes.values_mut() {
+            probe.deadline = probe.deadline + lost;
+        }
+        for key in self.roster.keys() {
+            if let Some(entry) = self.roster.get_mut(key) {
+                entry.changed = entry.changed + lost;
+            }
+        }
+        if gap < self.config.stall_limit {
+            return Vec::new();
+        }
+        self.counters.stalls += 1;
+        self.freshness = ViewFreshness::Stale;
+        self.next = NextSteps::default();
+        self.mismatch_since.get_or_insert(now);
+        vec![MemberAction::PublishView]
+    }
+
+    fn on_tick(&mut self, now: Timestamp, actions: &mut Vec<MemberAction>) {
+        self.expire_probes(now, actions);
+        self.expire_suspicions(now, actions);
+        self.check_isolation(now, actions);
+        if now >= self.next.probe {
+            self.next.probe = now + self.config.probe_period;
+            self.expire_members(now, actions);
+            self.start_round(now, actions);
+        }
+        if now >= self.next.revisit {
+            self.next.revisit = now + self.config.revisit_period;
+            self.revisit_absent(now, actions);
+        }
+        self.exchange_regions(now, actions);
+        if self.needs_table(now) {
+            self.next.table = now + self.config.table_period;
+            self.request_table(actions);
+        }
+        if self.push_pending {
+            self.push_changes(actions);
+        }
+    }
+
+    /// Returns whether to ask for a table: the view is stale, or differs from those of others for
+    /// longer than changes take to spread.
+    fn needs_table(&self, now: Timestamp) -> bool {
+        let differs = self.mismatch_since.is_some_and(|since| now.since(since) >= SPREAD_LIMIT);
+        let known = !self.roster.is_empty();
+        known && now >= self.next.table && (differs || self.freshness == ViewFreshness::Stale)
+    }
+
+    /// Publishes a payload of the local host; one that is too large is dropped and counted.
+    fn publish(&mut self, kind: SectionKind, payload: Vec<u8>) {
+        if payload.len() > crate::member_section::MAX_SECTION_BYTES {
+            self.counters.dropped += 1;
+            return;
+        }
+        self.local_sequence += 1;
+        let version =
+            SectionVersion { incarnation: self.local.incarnation, sequence: self.local_sequence };
+        let origin = host_hash(&self.local.host);
+        self.sections.merge(PayloadSection { origin, kind, version, payload });
+        if kind.is_global() {
+            self.push_pending = true;
+        }
+    }
+
+    pub(crate) fn learn_offset(&mut self, offset: LogOffset, actions: &mut Vec<MemberAction>) {
+        if offset > self.config_offset {
+            self.config_offset = offset;
+            self.push_pending = true;
+            actions.push(MemberAction::PublishView);
+        }
+    }
+
+    fn change_local(&mut self, status: MemberStatus, actions: &mut Vec<MemberAction>) {
+        if status > self.local.status {
+            self.local.status = status;
+            self.push_pending = true;
+            actions.push(MemberAction::PublishView);
+        }
+    }
+
+    /// Returns a message to a member, or to an address of which nothing is known.
+    pub(crate) fn compose(&mut self, to: Option<MemberKey>, body: MessageBody) -> PeerMessage {
+        let count = match body {
+            MessageBody::Push => crate::member_probe::UPDATES_PER_PUSH,
+            _ => UPDATES_PER_MESSAGE,
+        };
+        let target = to.and_then(|key| self.roster.get(key)).map(|entry| entry.record.clone());
+        let scope = match &target {
+            Some(record) if record.region != self.local.region => SectionScope::Global,
+            _ => SectionScope::Region,
+        };
+        let max_sends = self.max_sends();
+        let mut updates = self.roster.take_changes(max_sends, count);
+        let doubted = |record: &MemberRecord| {
+            matches!(record.status, MemberStatus::Suspected | MemberStatus::Dead)
+        };
+        if let Some(record) = target.filter(doubted)
+            && !updates.contains(&record)
+        {
+            updates.push(record);
+        }
+        PeerMessage {
+            sender: self.local.clone(),
+            body,
+            table_digest: self.table_digest(),
+            config_offset: self.config_offset,
+            load_percent: self.local_load,
+            updates,
+            sections: self.sections.take(scope, PAYLOAD_SENDS, self.config.section_budget_bytes),
+            zones: self.zones_for(scope),
+        }
+    }
+
+    /// Returns the own region's summaries for another region, and any others for the own one.
+    fn zones_for(&mut self, scope: SectionScope) -> Vec<ZoneSummary> {
+        match scope {
+            SectionScope::Region => self.zones.take(PAYLOAD_SENDS, ZONES_PER_MESSAGE),
+            SectionScope::Global => self.zones.of_region(&self.local.region).cloned().collect(),
+        }
+    }
+
+    /// Times that one change is sent by each member: enough to reach all with high probability.
+    fn max_sends(&self) -> u32 {
+        3 * (usize::BITS - (self.roster.len() + 1).leading_zeros())
+    }
+
+    pub(crate) fn table_digest(&self) -> u64 {
+        let others =
+            self.roster.digests().values().fold(0, |sum: u64, part| sum.wrapping_add(*part));
+        others.wrapping_add(self.local_digest())
+    }
+
+    pub(crate) fn local_digest(&self) -> u64 {
+        match self.local.status {
+            MemberStatus::Dead => 0,
+            _ => self.local.digest(),
+        }
+    }
+
+    /// Returns the connection in use to a member, or the number of a new one.
+    pub(crate) fn connection_to(&mut self, key: MemberKey) -> Option<PeerConnection> {
+        let number = self.next_connection;
+        let entry = self.roster.get_mut(key)?;
+        let number = *entry.connection.get_or_insert(number);
+        let address = entry.record.address;
+        if number == self.next_connection {
+            self.next_connection += 1;
+        }
+        Some(PeerConnection { address, number })
+    }
+
+    /// Sends a message to a member over the connection in use.
+    pub(crate) fn send_to(
+        &mut self,
+        key: MemberKey,
+        body: MessageBody,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        if let Some(connection) = self.connection_to(key) {
+            let message = self.compose(Some(key), body);
+            actions.push(MemberAction::Send(connection, message));
+        }
+    }
+
+    /// Returns the members that match, in random order.
+    pub(crate) fn shuffled(&mut self, wanted: impl Fn(&MemberEntry) -> bool) -> Vec<MemberKey> {
+        let mut keys: Vec<MemberKey> =
+            self.roster.iter().filter(|(_, entry)| wanted(entry)).map(|(key, _)| key).collect();
+        keys.shuffle(&mut self.rng);
+        keys
+    }
+
+    /// Returns the members that are known.
+    pub fn roster(&self) -> &MemberRoster {
+        &self.roster
+    }
+
+    /// Returns the counts of what was met so far.
+    pub fn counters(&self) -> MemberCounters {
+        self.counters
+    }
+}
