config: add checked resources, fold, checkpoints and follower

Cause: operators' changes must be in force everywhere once accepted, and the rest of the process needs one place to read the configuration in force. Change: raw resources are the messages of admin.proto, with one JSON form and one set of checks that name the field; ConfigFold folds records in offset order with per-resource conflicts under one base revision; ConfigReplica reads through expired records by checkpoint; ConfigFollower joins them to the log and answers accepted only after reading the change back.

--- a/lib/gen-protos/src/main.rs
+++ b/lib/gen-protos/src/main.rs
@@ -13,6 +13,34 @@
 /// Packages in the order in which `mod.rs` lists them; each has a file `<name>.proto`.
 const PACKAGES: [&str; 5] = ["admin", "claims", "config", "leases", "peer"];
 
+/// Messages that are also the JSON form of configuration: an unknown field is an error.
+const JSON_MESSAGES: [&str; 8] = [
+    ".pomelostack.admin.ConfigurationSpec",
+    ".pomelostack.admin.ServiceSpec",
+    ".pomelostack.admin.LatencyTargetSpec",
+    ".pomelostack.admin.IdempotencySpec",
+    ".pomelostack.admin.StaticServerSpec",
+    ".pomelostack.admin.TeamSpec",
+    ".pomelostack.admin.FleetClassSpec",
+    ".pomelostack.admin.PolicySpec",
+];
+
+/// Attributes of [`JSON_MESSAGES`].
+const JSON_DERIVES: &str =
+    "#[derive(serde::Serialize, serde::Deserialize)] #[serde(deny_unknown_fields)]";
+
+/// Repeated fields of [`JSON_MESSAGES`] that may be left out in JSON.
+const JSON_DEFAULT_FIELDS: [&str; 8] = [
+    ".pomelostack.admin.ConfigurationSpec.services",
+    ".pomelostack.admin.ConfigurationSpec.teams",
+    ".pomelostack.admin.ConfigurationSpec.classes",
+    ".pomelostack.admin.ServiceSpec.static_servers",
+    ".pomelostack.admin.IdempotencySpec.idempotent_paths",
+    ".pomelostack.admin.IdempotencySpec.non_idempotent_paths",
+    ".pomelostack.admin.TeamSpec.services",
+    ".pomelostack.admin.FleetClassSpec.capacity_permille",
+];
+
 fn main() -> anyhow::Result<()> {
     let protos_dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("../src/protos");
     if std::env::args().any(|arg| arg == "--check") {
@@ -46,8 +74,16 @@
     let files: Vec<PathBuf> =
         PACKAGES.iter().map(|package| protos_dir.join(format!("{package}.proto"))).collect();
     let descriptors = protox::compile(&files, [protos_dir]).context("cannot compile protos")?;
-    tonic_prost_build::configure()
+    let mut builder = tonic_prost_build::configure();
+    for message in JSON_MESSAGES {
+        builder = builder.type_attribute(message, JSON_DERIVES);
+    }
+    for field in JSON_DEFAULT_FIELDS {
+        builder = builder.field_attribute(field, "#[serde(default)]");
+    }
+    builder
         .out_dir(out_dir)
+        .btree_map(".pomelostack.admin.FleetClassSpec")
         .compile_fds(descriptors)
         .context("cannot generate code")
 }
--- a/lib/src/config_checkpoint.rs
+++ b/lib/src/config_checkpoint.rs
@@ -1,1 +1,288 @@
-//! Not yet written.
+//! Checkpoints of the configuration fold: bytes with a digest, split into records and joined again.
+//!
+//! The same bytes go into the log and to a peer that starts during an outage of the log. Two hosts
+//! that have folded the same records write the same bytes.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use prost::Message as _;
+
+use crate::config_fold::ChangeDetail;
+use crate::config_fold::ChangeOutcome;
+use crate::config_fold::ConfigFold;
+use crate::config_fold::KNOWN_CHANGES;
+use crate::config_fold::KnownChange;
+use crate::config_record::ChangeAuthor;
+use crate::config_record::ChangeId;
+use crate::config_record::CheckpointPart;
+use crate::config_record::ContentHash;
+use crate::config_record::RECORD_VERSION;
+use crate::config_record::RecordError;
+use crate::config_record::Result;
+use crate::config_record::read_array;
+use crate::ids::HostId;
+use crate::ids::LogOffset;
+use crate::log_service::LogRecord;
+use crate::protos::config as proto;
+use crate::resource::ConfigState;
+use crate::resource_error::ResourceError;
+use crate::resource_key::ResourceKey;
+use crate::resource_key::ResourceKind;
+use crate::result_code::ResultCode;
+
+/// Bytes of a checkpoint that one record carries.
+pub const PART_BYTES: usize = 192 * 1024;
+
+/// Parts of one checkpoint at most.
+pub const MAX_PARTS: u32 = 64;
+
+/// Checkpoints of which parts are kept at once.
+const MAX_PARTIAL: usize = 4;
+
+/// A checkpoint as it is stored and sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EncodedCheckpoint {
+    /// blake3 hash of the bytes.
+    pub digest: [u8; 32],
+    /// Encoded checkpoint.
+    pub data: Vec<u8>,
+}
+
+impl EncodedCheckpoint {
+    /// Splits the checkpoint into parts that fit into records.
+    pub fn split(&self) -> Vec<CheckpointPart> {
+        let chunks: Vec<&[u8]> = self.data.chunks(PART_BYTES).collect();
+        let count = u32::try_from(chunks.len()).unwrap_or(u32::MAX);
+        (0..count)
+            .zip(chunks)
+            .map(|(index, data)| CheckpointPart {
+                digest: self.digest,
+                index,
+                count,
+                data: data.to_vec(),
+            })
+            .collect()
+    }
+}
+
+impl ConfigFold {
+    /// Writes the fold as a checkpoint.
+    pub fn to_checkpoint(&self) -> EncodedCheckpoint {
+        let checkpoint = proto::Checkpoint {
+            version: RECORD_VERSION,
+            next_offset: self.next_offset.0,
+            revision: self.revision.map(|offset| offset.0),
+            document: self.state.to_json(),
+            drained: self.state.drained.iter().map(ToString::to_string).collect(),
+            horizon: self.horizon.map(|offset| offset.0),
+            resources: self.written.iter().map(write_resource).collect(),
+            changes: self.changes.values().map(write_known).collect(),
+            appended_ms: self.appended_ms,
+        };
+        let data = checkpoint.encode_to_vec();
+        EncodedCheckpoint { digest: *blake3::hash(&data).as_bytes(), data }
+    }
+
+    /// Reads a checkpoint after comparing it with its digest.
+    pub fn from_checkpoint(checkpoint: &EncodedCheckpoint) -> Result<Self> {
+        if *blake3::hash(&checkpoint.data).as_bytes() != checkpoint.digest {
+            return Err(RecordError::DigestMismatch);
+        }
+        let raw = proto::Checkpoint::decode(checkpoint.data.as_slice())
+            .map_err(RecordError::malformed)?;
+        if raw.version != RECORD_VERSION {
+            return Err(RecordError::Version(raw.version));
+        }
+        read_checkpoint(raw)
+    }
+}
+
+fn write_resource((key, revision): (&ResourceKey, &LogOffset)) -> proto::ResourceRevision {
+    proto::ResourceRevision {
+        kind: key.proto_kind().into(),
+        drain: matches!(key, ResourceKey::Host(_)),
+        name: key.name().to_owned(),
+        revision: revision.0,
+    }
+}
+
+fn write_known(change: &KnownChange) -> proto::KnownChange {
+    let detail = change.detail.clone().unwrap_or_default();
+    let mut raw = proto::KnownChange {
+        change_id: change.id.0.to_vec(),
+        offset: change.offset.0,
+        content: change.content.0.to_vec(),
+        operator: detail.author.operator,
+        token_id: detail.author.token_id,
+        wall_ms: detail.wall_ms,
+        summary: detail.summary,
+        ..Default::default()
+    };
+    match &change.outcome {
+        ChangeOutcome::Accepted => {}
+        ChangeOutcome::Conflict(current) => {
+            raw.code = u32::from(ResultCode::ConfigConflict.number());
+            raw.current_revision = current.map(|offset| offset.0);
+        }
+        ChangeOutcome::Rejected(error) => {
+            raw.code = u32::from(error.code.number());
+            raw.path = error.path.clone();
+            raw.message = error.message.clone();
+        }
+    }
+    raw
+}
+
+fn read_checkpoint(raw: proto::Checkpoint) -> Result<ConfigFold> {
+    let mut fold = ConfigFold::starting_at(LogOffset(raw.next_offset));
+    let mut state = ConfigState::from_json(&raw.document).map_err(RecordError::malformed)?;
+    for host in &raw.drained {
+        state.drained.insert(HostId::try_from(host.as_str()).map_err(RecordError::malformed)?);
+    }
+    fold.state = Arc::new(state);
+    fold.revision = raw.revision.map(LogOffset);
+    fold.horizon = raw.horizon.map(LogOffset);
+    fold.appended_ms = raw.appended_ms;
+    for resource in raw.resources {
+        let (key, revision) = read_resource(&resource)?;
+        fold.written.insert(key, revision);
+    }
+    if raw.changes.len() > KNOWN_CHANGES {
+        return Err(RecordError::malformed("too many known changes"));
+    }
+    for change in raw.changes {
+        let known = read_known(change)?;
+        fold.ids.insert(known.id, known.offset);
+        fold.changes.insert(known.offset, known);
+    }
+    check_offsets(&fold)?;
+    Ok(fold)
+}
+
+/// Checks that nothing in the fold lies at or after its own end.
+fn check_offsets(fold: &ConfigFold) -> Result<()> {
+    let newest_change = fold.changes.keys().next_back().copied();
+    let newest_write = fold.written.values().max().copied();
+    let newest = fold.revision.max(fold.horizon).max(newest_change).max(newest_write);
+    if newest >= Some(fold.next_offset) {
+        return Err(RecordError::malformed("checkpoint names an offset that it does not cover"));
+    }
+    if fold.ids.len() != fold.changes.len() {
+        return Err(RecordError::malformed("checkpoint names a change twice"));
+    }
+    Ok(())
+}
+
+fn read_resource(raw: &proto::ResourceRevision) -> Result<(ResourceKey, LogOffset)> {
+    let key = match (raw.drain, ResourceKind::from_proto(raw.kind())) {
+        (true, _) => HostId::try_from(raw.name.as_str()).map(ResourceKey::Host),
+        (false, Some(kind)) => ResourceKey::parse(kind, &raw.name),
+        (false, None) => return Err(RecordError::malformed("unknown kind of resource")),
+    };
+    Ok((key.map_err(RecordError::malformed)?, LogOffset(raw.revision)))
+}
+
+fn read_known(raw: proto::KnownChange) -> Result<KnownChange> {
+    let number = u16::try_from(raw.code).unwrap_or(u16::MAX);
+    let code = ResultCode::from_number(number)
+        .ok_or_else(|| RecordError::malformed(format!("unknown result code {number}")))?;
+    let outcome = match code {
+        ResultCode::Complete => ChangeOutcome::Accepted,
+        ResultCode::ConfigConflict => ChangeOutcome::Conflict(raw.current_revision.map(LogOffset)),
+        _ => ChangeOutcome::Rejected(ResourceError::new(code, raw.path, raw.message)),
+    };
+    // A change has one operation or more, so an empty summary means that no detail is kept.
+    let detail = (!raw.summary.is_empty()).then_some(ChangeDetail {
+        author: ChangeAuthor { operator: raw.operator, token_id: raw.token_id },
+        wall_ms: raw.wall_ms,
+        summary: raw.summary,
+    });
+    Ok(KnownChange {
+        id: ChangeId(read_array("change id", &raw.change_id)?),
+        offset: LogOffset(raw.offset),
+        content: ContentHash(read_array("content hash", &raw.content)?),
+        outcome,
+        detail,
+    })
+}
+
+/// A checkpoint joined from its parts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JoinedCheckpoint {
+    /// The checkpoint, not yet compared with its digest.
+    pub checkpoint: EncodedCheckpoint,
+    /// Offset of the first part.
+    pub first_offset: LogOffset,
+    /// Append time of the first part, in milliseconds since the Unix epoch.
+    pub first_ms: u64,
+}
+
+/// Joins the parts of checkpoints, which may come repeated and mixed with others.
+#[derive(Clone, Debug, Default)]
+pub struct CheckpointAssembler {
+    partial: BTreeMap<[u8; 32], PartialCheckpoint>,
+    arrivals: u64,
+}
+
+#[derive(Clone, Debug)]
+struct PartialCheckpoint {
+    parts: BTreeMap<u32, Vec<u8>>,
+    count: u32,
+    first_offset: LogOffset,
+    first_ms: u64,
+    last_arrival: u64,
+}
+
+impl CheckpointAssembler {
+    /// Takes the part of a record; returns the checkpoint once all of its parts have come.
+    ///
+    /// The checkpoint is not compared with its digest here, but in
+    /// [`ConfigFold::from_checkpoint`]. Of the incomplete checkpoints only the few that had a part
+    /// most lately are kept.
+    pub fn add(
+        &mut self,
+        record: &LogRecord,
+        part: CheckpointPart,
+    ) -> Result<Option<JoinedCheckpoint>> {
+        if part.count > MAX_PARTS || part.data.len() > PART_BYTES {
+            return Err(RecordError::malformed("checkpoint part is larger than allowed"));
+        }
+        self.arrivals += 1;
+        let partial = self.partial.entry(part.digest).or_insert_with(|| PartialCheckpoint {
+            parts: BTreeMap::new(),
+            count: part.count,
+            first_offset: record.offset,
+            first_ms: record.appended_ms,
+            last_arrival: 0,
+        });
+        if partial.count != part.count {
+            return Err(RecordError::malformed("parts of one checkpoint differ in their count"));
+        }
+        partial.last_arrival = self.arrivals;
+        partial.parts.insert(part.index, part.data);
+        if partial.parts.len() < partial.count as usize {
+            self.evict_oldest();
+            return Ok(None);
+        }
+        let joined = self.partial.remove(&part.digest).map(|whole| JoinedCheckpoint {
+            checkpoint: EncodedCheckpoint {
+                digest: part.digest,
+                data: whole.parts.into_values().flatten().collect(),
+            },
+            first_offset: whole.first_offset,
+            first_ms: whole.first_ms,
+        });
+        Ok(joined)
+    }
+
+    fn evict_oldest(&mut self) {
+        if self.partial.len() <= MAX_PARTIAL {
+            return;
+        }
+        let oldest = self.partial.iter().min_by_key(|(_, partial)| partial.last_arrival);
+        if let Some(digest) = oldest.map(|(digest, _)| *digest) {
+            self.partial.remove(&digest);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/config_publish.rs
@@ -0,0 +1,107 @@
+//! Publishes changes of configuration and finds out how they ended.
+
+use std::time::Instant;
+
+use crate::config_fold::ChangeOutcome;
+use crate::config_fold::ChangeStatus;
+use crate::config_follower::FollowerShared;
+use crate::config_record::ConfigChange;
+use crate::config_record::ConfigRecord;
+use crate::config_replica::ReplicaStanding;
+use crate::ids::LogOffset;
+use crate::log_service::LogError;
+use crate::log_service::LogStream;
+use crate::resource_error::ResourceError;
+
+/// How publishing a change ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PublishOutcome {
+    /// The change is in the log at the offset and in force.
+    Accepted(LogOffset),
+    /// One of its resources was written after its base; the value is the revision then in force.
+    Conflict(Option<LogOffset>),
+    /// It breaks a rule and has no effect.
+    Rejected(ResourceError),
+    /// Its id was used before with other content; it has no effect.
+    IdReused,
+    /// Its fate is not known: ask again with the same id and content.
+    Pending,
+    /// It is not in the log; nothing was published.
+    LogUnavailable(String),
+}
+
+/// What is known about a change before it is published.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ChangeOrigin {
+    /// Its id has never been used.
+    New,
+    /// It may have been published before, here or elsewhere.
+    AskedBefore,
+}
+
+impl FollowerShared {
+    /// Publishes a change and waits for its outcome.
+    pub(crate) fn publish(&self, change: &ConfigChange, origin: ChangeOrigin) -> PublishOutcome {
+        let data = match ConfigRecord::Change(change.clone()).encode() {
+            Ok(data) => data,
+            Err(error) => {
+                let error = ResourceError::new(error.code(), "", error.to_string());
+                return PublishOutcome::Rejected(error);
+            }
+        };
+        let started = Instant::now();
+        if let Some(outcome) = self.outcome_of(change) {
+            return outcome;
+        }
+        if self.lock().replica.standing() == ReplicaStanding::Gap && !change.is_restore() {
+            return self.unavailable(origin, "records of the log are lost".to_owned());
+        }
+        let wanted = match self.log.append(LogStream::Config, &data) {
+            Ok(offset) => offset,
+            Err(LogError::FateUnknown(_) | LogError::Malformed(_)) => LogOffset(u64::MAX),
+            Err(error) => return self.unavailable(origin, error.to_string()),
+        };
+        self.wait_for_outcome(change, wanted, started)
+    }
+
+    fn unavailable(&self, origin: ChangeOrigin, reason: String) -> PublishOutcome {
+        match origin {
+            ChangeOrigin::New => PublishOutcome::LogUnavailable(reason),
+            ChangeOrigin::AskedBefore => PublishOutcome::Pending,
+        }
+    }
+
+    /// Waits until a record of the change is folded.
+    fn wait_for_outcome(
+        &self,
+        change: &ConfigChange,
+        wanted: LogOffset,
+        started: Instant,
+    ) -> PublishOutcome {
+        self.ask_for_read();
+        let left = self.options.publish_timeout.saturating_sub(started.elapsed());
+        let state = self.wait_until(left, |state| {
+            state.is_stopping
+                || state.replica.fold().known_change(change.id).is_some()
+                || state.replica.fold().next_offset() > wanted
+        });
+        drop(state);
+        self.outcome_of(change).unwrap_or(PublishOutcome::Pending)
+    }
+
+    fn outcome_of(&self, change: &ConfigChange) -> Option<PublishOutcome> {
+        match self.lock().replica.fold().status_of(change) {
+            ChangeStatus::Unknown => None,
+            ChangeStatus::IdReused => Some(PublishOutcome::IdReused),
+            ChangeStatus::Known(offset, ChangeOutcome::Accepted) => {
+                Some(PublishOutcome::Accepted(offset))
+            }
+            ChangeStatus::Known(_, ChangeOutcome::Conflict(current)) => {
+                Some(PublishOutcome::Conflict(current))
+            }
+            ChangeStatus::Known(_, ChangeOutcome::Rejected(error)) => {
+                Some(PublishOutcome::Rejected(error))
+            }
+        }
+    }
+}
--- a/lib/src/config_record.rs
+++ b/lib/src/config_record.rs
@@ -1,1 +1,351 @@
-//! Not yet written.
+//! Records of the log stream "config": operators' changes and parts of checkpoints.
+//!
+//! A change holds the JSON form of its resources: the form that operators write and that carries
+//! the checks and the field paths, so there is one decoder and one vocabulary of places.
+
+use std::fmt;
+
+use prost::Message as _;
+use rand::Rng;
+use thiserror::Error;
+
+use crate::ids::HostId;
+use crate::ids::LogOffset;
+use crate::log_service::MAX_RECORD_BYTES;
+use crate::protos::config as proto;
+use crate::resource_key::ResourceKey;
+use crate::resource_key::ResourceKind;
+use crate::result_code::ResultCode;
+
+/// Version of the record form that this program writes and reads.
+pub const RECORD_VERSION: u32 = 1;
+
+/// Operations of one change at most.
+pub const MAX_OPERATIONS: usize = 256;
+
+/// Longest operator name or token id, in bytes.
+pub const MAX_AUTHOR_BYTES: usize = 64;
+
+/// A record that cannot be read or written.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum RecordError {
+    /// The record has another version.
+    #[error("record version {0} is not {RECORD_VERSION}")]
+    Version(u32),
+    /// The record is cut short or malformed.
+    #[error("malformed record: {0}")]
+    Malformed(String),
+    /// The record is larger than the log takes.
+    #[error("record of {0} bytes is larger than {MAX_RECORD_BYTES}")]
+    TooLarge(usize),
+    /// The bytes do not match their digest.
+    #[error("checkpoint does not match its digest")]
+    DigestMismatch,
+}
+
+impl RecordError {
+    /// Returns the result code that the error is counted under.
+    pub fn code(&self) -> ResultCode {
+        match self {
+            Self::Version(_) => ResultCode::RecordVersion,
+            Self::Malformed(_) => ResultCode::RecordMalformed,
+            Self::TooLarge(_) => ResultCode::RecordTooLarge,
+            Self::DigestMismatch => ResultCode::DigestMismatch,
+        }
+    }
+
+    /// Builds an error for a malformed record.
+    pub fn malformed(message: impl fmt::Display) -> Self {
+        Self::Malformed(message.to_string())
+    }
+}
+
+/// Result of reading or writing a record.
+pub type Result<T> = std::result::Result<T, RecordError>;
+
+/// Identity of a change; a repeated change has the same.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ChangeId(pub [u8; 16]);
+
+impl ChangeId {
+    /// Draws an id.
+    pub fn random(rng: &mut impl Rng) -> Self {
+        Self(rng.random())
+    }
+
+    /// Reads 32 hexadecimal digits.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        if text.len() != 32 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return None;
+        }
+        u128::from_str_radix(text, 16).ok().map(|number| Self(number.to_be_bytes()))
+    }
+}
+
+impl fmt::Display for ChangeId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", u128::from_be_bytes(self.0))
+    }
+}
+
+/// Who made a change.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ChangeAuthor {
+    /// Name of the operator.
+    pub operator: String,
+    /// Start of the hash of the token used, in hexadecimal.
+    pub token_id: String,
+}
+
+/// The JSON form of one resource.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResourceBody {
+    /// Kind of resource that the text is checked as.
+    pub kind: ResourceKind,
+    /// JSON text.
+    pub json: String,
+}
+
+/// One step of a change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ResourceOperation {
+    /// Creates a resource, which must not exist.
+    Create(ResourceBody),
+    /// Replaces the resource of the same name.
+    Change(ResourceBody),
+    /// Deletes a service, team or class.
+    Delete(ResourceKey),
+    /// Replaces all services, teams, classes and the policy by a document.
+    PutWhole(String),
+    /// Takes a host out of service.
+    Drain(HostId),
+    /// Puts a host back into service.
+    Undrain(HostId),
+    /// Replaces everything by a document, whatever came before; must stand alone in its change.
+    Restore(String),
+}
+
+/// One change: all of its operations take effect, or none.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigChange {
+    /// Identity.
+    pub id: ChangeId,
+    /// Revision that the author had read; `None` for the empty configuration.
+    pub base: Option<LogOffset>,
+    /// Who made it.
+    pub author: ChangeAuthor,
+    /// Wall clock of the publishing host in milliseconds since the Unix epoch.
+    pub wall_ms: u64,
+    /// Steps in order.
+    pub operations: Vec<ResourceOperation>,
+}
+
+/// Hash of the base and operations of a change, cut to 16 bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ContentHash(pub [u8; 16]);
+
+/// A piece of a checkpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CheckpointPart {
+    /// Hash of the whole checkpoint.
+    pub digest: [u8; 32],
+    /// Number of this part, from 0.
+    pub index: u32,
+    /// Number of parts, 1 or more.
+    pub count: u32,
+    /// Bytes of the part.
+    pub data: Vec<u8>,
+}
+
+/// One record of the stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ConfigRecord {
+    /// A change of configuration.
+    Change(ConfigChange),
+    /// A piece of a checkpoint.
+    CheckpointPart(CheckpointPart),
+}
+
+impl ResourceBody {
+    /// Returns the key of the resource, or `None` if the text has no readable name.
+    pub fn key(&self) -> Option<ResourceKey> {
+        #[derive(serde::Deserialize)]
+        struct NamedBody {
+            #[serde(default)]
+            name: String,
+        }
+        let body: NamedBody = serde_json::from_str(&self.json).ok()?;
+        ResourceKey::parse(self.kind, &body.name).ok()
+    }
+}
+
+impl ConfigChange {
+    /// Returns the hash by which a repeated id with other content is noticed.
+    pub fn content_hash(&self) -> ContentHash {
+        let content = proto::ConfigChange {
+            base_revision: self.base.map(|offset| offset.0),
+            operations: self.operations.iter().map(write_operation).collect(),
+            ..Default::default()
+        };
+        let mut hash = [0; 16];
+        hash.copy_from_slice(&blake3::hash(&content.encode_to_vec()).as_bytes()[..16]);
+        ContentHash(hash)
+    }
+
+    /// Returns whether this change replaces everything, whatever came before.
+    pub fn is_restore(&self) -> bool {
+        matches!(self.operations.as_slice(), [ResourceOperation::Restore(_)])
+    }
+}
+
+impl ConfigRecord {
+    /// Writes the record; one that its own reader would refuse is an error.
+    pub fn encode(&self) -> Result<Vec<u8>> {
+        let body = match self {
+            Self::Change(change) => proto::config_record::Body::Change(write_change(change)),
+            Self::CheckpointPart(part) => {
+                proto::config_record::Body::CheckpointPart(proto::CheckpointPart {
+                    digest: part.digest.to_vec(),
+                    index: part.index,
+                    count: part.count,
+                    data: part.data.clone(),
+                })
+            }
+        };
+        let record = proto::ConfigRecord { version: RECORD_VERSION, body: Some(body) };
+        let data = record.encode_to_vec();
+        Self::decode(&data)?;
+        Ok(data)
+    }
+
+    /// Reads a record.
+    pub fn decode(data: &[u8]) -> Result<Self> {
+        if data.len() > MAX_RECORD_BYTES {
+            return Err(RecordError::TooLarge(data.len()));
+        }
+        let record = proto::ConfigRecord::decode(data).map_err(RecordError::malformed)?;
+        if record.version != RECORD_VERSION {
+            return Err(RecordError::Version(record.version));
+        }
+        match record.body {
+            Some(proto::config_record::Body::Change(raw)) => read_change(raw).map(Self::Change),
+            Some(proto::config_record::Body::CheckpointPart(raw)) => {
+                read_part(raw).map(Self::CheckpointPart)
+            }
+            None => Err(RecordError::malformed("record has no body")),
+        }
+    }
+}
+
+/// Reads bytes of a fixed length.
+pub(crate) fn read_array<const N: usize>(what: &str, data: &[u8]) -> Result<[u8; N]> {
+    data.try_into().map_err(|_| RecordError::malformed(format!("{what} must have {N} bytes")))
+}
+
+fn write_change(change: &ConfigChange) -> proto::ConfigChange {
+    proto::ConfigChange {
+        change_id: change.id.0.to_vec(),
+        base_revision: change.base.map(|offset| offset.0),
+        operator: change.author.operator.clone(),
+        token_id: change.author.token_id.clone(),
+        wall_ms: change.wall_ms,
+        operations: change.operations.iter().map(write_operation).collect(),
+    }
+}
+
+fn write_operation(operation: &ResourceOperation) -> proto::Operation {
+    use proto::OperationKind as Kind;
+    let with_body = |kind: Kind, body: &ResourceBody| proto::Operation {
+        kind: kind.into(),
+        resource: body.kind.to_proto().into(),
+        name: String::new(),
+        body: body.json.clone(),
+    };
+    let whole = |kind: Kind, body: &str| proto::Operation {
+        kind: kind.into(),
+        body: body.to_owned(),
+        ..Default::default()
+    };
+    let host = |kind: Kind, host: &HostId| proto::Operation {
+        kind: kind.into(),
+        name: host.to_string(),
+        ..Default::default()
+    };
+    match operation {
+        ResourceOperation::Create(body) => with_body(Kind::Create, body),
+        ResourceOperation::Change(body) => with_body(Kind::Change, body),
+        ResourceOperation::Delete(key) => proto::Operation {
+            kind: Kind::Delete.into(),
+            resource: key.proto_kind().into(),
+            name: key.name().to_owned(),
+            body: String::new(),
+        },
+        ResourceOperation::PutWhole(body) => whole(Kind::PutWhole, body),
+        ResourceOperation::Drain(id) => host(Kind::Drain, id),
+        ResourceOperation::Undrain(id) => host(Kind::Undrain, id),
+        ResourceOperation::Restore(body) => whole(Kind::Restore, body),
+    }
+}
+
+fn read_change(raw: proto::ConfigChange) -> Result<ConfigChange> {
+    if raw.operations.is_empty() || raw.operations.len() > MAX_OPERATIONS {
+        let count = raw.operations.len();
+        return Err(RecordError::malformed(format!(
+            "{count} operations, allowed are 1 to {MAX_OPERATIONS}"
+        )));
+    }
+    if raw.operator.len() > MAX_AUTHOR_BYTES || raw.token_id.len() > MAX_AUTHOR_BYTES {
+        return Err(RecordError::malformed("author is too long"));
+    }
+    let operations = raw.operations.into_iter().map(read_operation).collect::<Result<Vec<_>>>()?;
+    let restores = operations.iter().any(|step| matches!(step, ResourceOperation::Restore(_)));
+    if restores && operations.len() > 1 {
+        return Err(RecordError::malformed("a restore must stand alone"));
+    }
+    Ok(ConfigChange {
+        id: ChangeId(read_array("change id", &raw.change_id)?),
+        base: raw.base_revision.map(LogOffset),
+        author: ChangeAuthor { operator: raw.operator, token_id: raw.token_id },
+        wall_ms: raw.wall_ms,
+        operations,
+    })
+}
+
+fn read_operation(raw: proto::Operation) -> Result<ResourceOperation> {
+    use proto::OperationKind as Kind;
+    let host = |raw: &str| HostId::try_from(raw).map_err(RecordError::malformed);
+    Ok(match raw.kind() {
+        Kind::Unspecified => return Err(RecordError::malformed("unknown operation")),
+        Kind::Create => ResourceOperation::Create(read_body(raw)?),
+        Kind::Change => ResourceOperation::Change(read_body(raw)?),
+        Kind::Delete => {
+            let kind = ResourceKind::from_proto(raw.resource())
+                .ok_or_else(|| RecordError::malformed("unknown kind of resource"))?;
+            ResourceOperation::Delete(
+                ResourceKey::parse(kind, &raw.name).map_err(RecordError::malformed)?,
+            )
+        }
+        Kind::PutWhole => ResourceOperation::PutWhole(raw.body),
+        Kind::Drain => ResourceOperation::Drain(host(&raw.name)?),
+        Kind::Undrain => ResourceOperation::Undrain(host(&raw.name)?),
+        Kind::Restore => ResourceOperation::Restore(raw.body),
+    })
+}
+
+fn read_body(raw: proto::Operation) -> Result<ResourceBody> {
+    let kind = ResourceKind::from_proto(raw.resource())
+        .ok_or_else(|| RecordError::malformed("unknown kind of resource"))?;
+    Ok(ResourceBody { kind, json: raw.body })
+}
+
+fn read_part(raw: proto::CheckpointPart) -> Result<CheckpointPart> {
+    if raw.count == 0 || raw.index >= raw.count {
+        return Err(RecordError::malformed(format!("part {} of {}", raw.index, raw.count)));
+    }
+    Ok(CheckpointPart {
+        digest: read_array("digest", &raw.digest)?,
+        index: raw.index,
+        count: raw.count,
+        data: raw.data,
+    })
+}
--- /dev/null
+++ b/lib/src/config_replica.rs
@@ -0,0 +1,282 @@
+//! This host's copy of the configuration: reads the log stream, survives expired records.
+//!
+//! Pure state machine over slices of the log. While records follow on each other they are folded.
+//! If records are past their retention before they were read, the stream is scanned for the
+//! checkpoint that covers the most, and folding goes on from there. If none covers the lost
+//! records, the last known state stays in force and the replica waits for a host that has folded
+//! them to write its checkpoint; it never skips a record that it has not seen.
+
+use std::collections::BTreeMap;
+
+use crate::config_checkpoint::CheckpointAssembler;
+use crate::config_checkpoint::JoinedCheckpoint;
+use crate::config_fold::ConfigFold;
+use crate::config_record::CheckpointPart;
+use crate::config_record::ConfigRecord;
+use crate::config_record::RecordError;
+use crate::config_record::Result;
+use crate::ids::LogOffset;
+use crate::log_service::LogRecord;
+use crate::log_service::LogSlice;
+use crate::result_code::ResultCode;
+
+/// What the replica's state rests on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReplicaStanding {
+    /// Nothing was read yet.
+    Empty,
+    /// A checkpoint of a peer; the log has not been read since.
+    Peer,
+    /// All records of the log so far, by way of a checkpoint or not.
+    Log,
+    /// Records were lost; the stream is scanned for a checkpoint.
+    Scanning,
+    /// Records were lost and no checkpoint covers them yet; earlier state stays in force.
+    Gap,
+}
+
+/// A whole checkpoint seen in the stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SeenCheckpoint {
+    /// Offset of its first part.
+    pub first_offset: LogOffset,
+    /// First offset that it does not cover.
+    pub next_offset: LogOffset,
+    /// Earliest append time, in milliseconds since the Unix epoch, of a record that must be
+    /// readable for it to be of use: its first part and the first record that it does not cover.
+    pub needed_ms: u64,
+}
+
+impl SeenCheckpoint {
+    /// Returns whether a new host can start from it, if `first` is the oldest readable offset.
+    pub fn is_usable(&self, first: LogOffset) -> bool {
+        self.first_offset >= first && self.next_offset >= first
+    }
+}
+
+/// Where folding can start again after a scan.
+enum ScanFind {
+    Checkpoint(Box<ConfigFold>),
+    Restore(LogOffset),
+}
+
+/// This host's copy of the configuration.
+#[derive(Default)]
+pub struct ConfigReplica {
+    fold: ConfigFold,
+    /// Next offset to read.
+    cursor: LogOffset,
+    /// Oldest readable offset and end of the stream, when it was last read.
+    bounds: (LogOffset, LogOffset),
+    log_now_ms: u64,
+    standing: Option<ReplicaStanding>,
+    assembler: CheckpointAssembler,
+    newest_checkpoint: Option<SeenCheckpoint>,
+    find: Option<ScanFind>,
+    skipped: BTreeMap<ResultCode, u64>,
+    /// Records before this offset are counted already.
+    counted_to: LogOffset,
+    /// Append time of the oldest change folded from the log.
+    oldest_change_ms: Option<u64>,
+}
+
+impl ConfigReplica {
+    /// Returns the fold, whose state is in force.
+    pub fn fold(&self) -> &ConfigFold {
+        &self.fold
+    }
+
+    /// Returns what the state rests on.
+    pub fn standing(&self) -> ReplicaStanding {
+        self.standing.unwrap_or(ReplicaStanding::Empty)
+    }
+
+    /// Returns the offset to read next.
+    pub fn cursor(&self) -> LogOffset {
+        self.cursor
+    }
+
+    /// Returns the whole checkpoint that covers the most, readable or not.
+    pub fn newest_checkpoint(&self) -> Option<SeenCheckpoint> {
+        self.newest_checkpoint
+    }
+
+    /// Returns the append time of the oldest change that was folded from the log, in milliseconds
+    /// since the Unix epoch.
+    pub fn oldest_change_ms(&self) -> Option<u64> {
+        self.oldest_change_ms
+    }
+
+    /// Returns the oldest offset that was readable at the last read.
+    pub fn first_readable(&self) -> LogOffset {
+        self.bounds.0
+    }
+
+    /// Returns the log's clock at the last read, in milliseconds since the Unix epoch.
+    pub fn log_now_ms(&self) -> u64 {
+        self.log_now_ms
+    }
+
+    /// Returns whether every record that was there at the last read is folded.
+    pub fn is_caught_up(&self) -> bool {
+        self.standing() == ReplicaStanding::Log && self.cursor >= self.bounds.1
+    }
+
+    /// Returns how many records were skipped, by result code.
+    pub fn skipped(&self) -> &BTreeMap<ResultCode, u64> {
+        &self.skipped
+    }
+
+    /// Takes what was read from the cursor on; returns whether more can be read at once.
+    pub fn on_slice(&mut self, slice: &LogSlice) -> bool {
+        self.bounds = (slice.first, slice.end);
+        self.log_now_ms = slice.now_ms;
+        if slice.first > self.cursor {
+            self.on_expired(slice.first);
+            return true;
+        }
+        if matches!(self.standing(), ReplicaStanding::Empty | ReplicaStanding::Peer) {
+            self.standing = Some(ReplicaStanding::Log);
+        }
+        for record in &slice.records {
+            if record.offset == self.cursor {
+                self.cursor = record.offset.next();
+                self.on_record(record);
+            }
+        }
+        if self.cursor >= slice.end && self.is_scanning() {
+            return self.end_scan();
+        }
+        self.cursor < slice.end && !slice.records.is_empty()
+    }
+
+    /// Takes the news that all records before `first` are past their retention.
+    pub fn on_expired(&mut self, first: LogOffset) {
+        self.bounds.0 = first;
+        self.find = None;
+        if self.fold.next_offset() < first {
+            self.standing = Some(ReplicaStanding::Scanning);
+            self.cursor = first;
+        } else {
+            self.standing = Some(ReplicaStanding::Log);
+            self.cursor = self.fold.next_offset();
+        }
+    }
+
+    /// Takes over the fold of a peer if it covers more; returns whether it did.
+    pub fn install(&mut self, fold: ConfigFold) -> bool {
+        if fold.next_offset() <= self.fold.next_offset() {
+            return false;
+        }
+        self.cursor = fold.next_offset();
+        self.fold = fold;
+        self.find = None;
+        self.standing = Some(ReplicaStanding::Peer);
+        true
+    }
+
+    fn is_scanning(&self) -> bool {
+        matches!(self.standing(), ReplicaStanding::Scanning | ReplicaStanding::Gap)
+    }
+
+    fn on_record(&mut self, record: &LogRecord) {
+        match ConfigRecord::decode(&record.data) {
+            Ok(ConfigRecord::Change(change)) if self.is_scanning() => {
+                if change.is_restore() && self.find.is_none() {
+                    self.find = Some(ScanFind::Restore(record.offset));
+                }
+            }
+            Ok(ConfigRecord::Change(change)) => {
+                self.fold.set_appended_ms(record.appended_ms);
+                self.oldest_change_ms.get_or_insert(record.appended_ms);
+                self.fold.apply(record.offset, &change);
+            }
+            Ok(ConfigRecord::CheckpointPart(part)) => {
+                self.skip_in_fold(record);
+                if let Err(error) = self.on_part(record, part) {
+                    self.count(record.offset, &error);
+                }
+            }
+            Err(error) => {
+                self.skip_in_fold(record);
+                self.count(record.offset, &error);
+            }
+        }
+    }
+
+    fn skip_in_fold(&mut self, record: &LogRecord) {
+        if !self.is_scanning() {
+            self.fold.set_appended_ms(record.appended_ms);
+            self.fold.skip(record.offset);
+        }
+    }
+
+    /// Counts a skipped record, once however often it is read.
+    fn count(&mut self, offset: LogOffset, error: &RecordError) {
+        if offset < self.counted_to {
+            return;
+        }
+        self.counted_to = offset.next();
+        let code = error.code();
+        log::warn!("config record skipped offset={} code={code} reason=\"{error}\"", offset.0);
+        *self.skipped.entry(code).or_default() += 1;
+    }
+
+    fn on_part(&mut self, record: &LogRecord, part: CheckpointPart) -> Result<()> {
+        let Some(joined) = self.assembler.add(record, part)? else { return Ok(()) };
+        let fold = ConfigFold::from_checkpoint(&joined.checkpoint)?;
+        if fold.next_offset() > joined.first_offset {
+            return Err(RecordError::malformed("checkpoint covers records after itself"));
+        }
+        self.note_checkpoint(&joined, &fold);
+        if self.is_scanning() {
+            self.consider(fold);
+        } else if fold.revision() == self.fold.revision() && fold.digest() != self.fold.digest() {
+            return Err(RecordError::DigestMismatch);
+        }
+        Ok(())
+    }
+
+    fn note_checkpoint(&mut self, joined: &JoinedCheckpoint, fold: &ConfigFold) {
+        let follows_at_once = fold.next_offset() == joined.first_offset;
+        let seen = SeenCheckpoint {
+            first_offset: joined.first_offset,
+            next_offset: fold.next_offset(),
+            needed_ms: if follows_at_once { joined.first_ms } else { fold.appended_ms() },
+        };
+        if self.newest_checkpoint.is_none_or(|newest| newest.next_offset <= seen.next_offset) {
+            self.newest_checkpoint = Some(seen);
+        }
+    }
+
+    /// Keeps the checkpoint that covers the most, if the record after it is still readable.
+    fn consider(&mut self, fold: ConfigFold) {
+        if fold.next_offset() < self.bounds.0 {
+            return;
+        }
+        if let Some(ScanFind::Checkpoint(found)) = &self.find
+            && found.next_offset() >= fold.next_offset()
+        {
+            return;
+        }
+        self.find = Some(ScanFind::Checkpoint(Box::new(fold)));
+    }
+
+    /// Chooses where folding goes on; returns whether it does.
+    fn end_scan(&mut self) -> bool {
+        let fold = match self.find.take() {
+            Some(ScanFind::Checkpoint(fold)) if fold.next_offset() >= self.bounds.0 => *fold,
+            Some(ScanFind::Restore(offset)) if offset >= self.bounds.0 => {
+                ConfigFold::starting_at(offset)
+            }
+            _ => {
+                self.standing = Some(ReplicaStanding::Gap);
+                return false;
+            }
+        };
+        self.cursor = fold.next_offset();
+        self.fold = fold;
+        self.standing = Some(ReplicaStanding::Log);
+        self.cursor < self.bounds.1
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -36,11 +36,20 @@
 
 // Configuration and administration.
 pub mod admin_service;
+pub mod checkpoint_duty;
+pub mod config_apply;
 pub mod config_checkpoint;
 pub mod config_fold;
 pub mod config_follower;
+pub mod config_publish;
 pub mod config_record;
+pub mod config_replica;
+pub mod config_snapshot;
 pub mod resource;
+pub mod resource_check;
+pub mod resource_error;
+pub mod resource_json;
+pub mod resource_key;
 
 // Membership and what rides on it.
 pub mod burn;
--- a/lib/src/resource.rs
+++ b/lib/src/resource.rs
@@ -113,6 +113,16 @@
         Self(*blake3::hash(token.as_bytes()).as_bytes())
     }
 
+    /// Reads 64 hexadecimal digits.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        blake3::Hash::from_hex(text).ok().map(|hash| Self(*hash.as_bytes()))
+    }
+
+    /// Writes 64 hexadecimal digits.
+    pub fn to_hex(&self) -> String {
+        blake3::Hash::from_bytes(self.0).to_hex().to_string()
+    }
+
     /// Compares with the hash of a token, in constant time.
     pub fn matches(&self, token: &str) -> bool {
         use subtle::ConstantTimeEq;
--- /dev/null
+++ b/lib/tests/test_config_follower.rs
@@ -0,0 +1,121 @@
+//! The follower thread on a log with faults: publishing, reading through outages, stopping.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pomelostack_lib::config_follower::ConfigFollower;
+use pomelostack_lib::config_publish::PublishOutcome;
+use pomelostack_lib::config_replica::ReplicaStanding;
+use pomelostack_lib::config_snapshot::FollowerOptions;
+use pomelostack_lib::ids::LogOffset;
+use pomelostack_lib::log_service::LogService;
+use pomelostack_lib::log_service::LogStream;
+use testutils::config_samples::TEST_TIMEOUT;
+use testutils::config_samples::change_service;
+use testutils::config_samples::create_service;
+use testutils::config_samples::follower_options;
+use testutils::config_samples::sample_change;
+use testutils::config_samples::start_follower;
+use testutils::memory_log::LogFault;
+use testutils::memory_log::MemoryLog;
+
+/// Time after which a change whose fate stays open is answered as pending.
+const SHORT_TIMEOUT: Duration = Duration::from_millis(20);
+
+fn short_follower(log: &Arc<MemoryLog>) -> ConfigFollower {
+    let options = FollowerOptions { publish_timeout: SHORT_TIMEOUT, ..follower_options() };
+    let follower =
+        ConfigFollower::start(Arc::clone(log) as Arc<dyn LogService>, options).expect("starts");
+    follower.wait_for_read(TEST_TIMEOUT);
+    follower
+}
+
+#[test]
+fn publish_accepted() {
+    let log = Arc::new(MemoryLog::default());
+    let publisher = start_follower(&log);
+    let reader = start_follower(&log);
+    let change = sample_change(1, None, vec![create_service("lookup", 200)]);
+    assert_eq!(publisher.publish(&change), PublishOutcome::Accepted(LogOffset(0)));
+    assert_eq!(publisher.current().revision, Some(LogOffset(0)));
+    assert!(reader.wait_for(LogOffset(0), TEST_TIMEOUT));
+    assert_eq!(reader.current().digest, publisher.current().digest);
+    assert_eq!(reader.current().standing, ReplicaStanding::Log);
+}
+
+#[test]
+fn racing_operators() {
+    let log = Arc::new(MemoryLog::default());
+    let first = start_follower(&log);
+    let second = start_follower(&log);
+    let create = sample_change(1, None, vec![create_service("lookup", 200)]);
+    first.publish(&create);
+    let slow = sample_change(2, Some(0), vec![change_service("lookup", 300)]);
+    let fast = sample_change(3, Some(0), vec![change_service("lookup", 100)]);
+    assert_eq!(first.publish(&slow), PublishOutcome::Accepted(LogOffset(1)));
+    assert_eq!(second.publish(&fast), PublishOutcome::Conflict(Some(LogOffset(1))));
+}
+
+#[test]
+fn lost_reply() {
+    let log = Arc::new(MemoryLog::default());
+    let follower = start_follower(&log);
+    log.set_fault(LogFault::ReplyLost);
+    let change = sample_change(1, None, vec![create_service("lookup", 200)]);
+    assert_eq!(follower.publish(&change), PublishOutcome::Accepted(LogOffset(0)));
+    assert_eq!(follower.publish_again(&change), PublishOutcome::Accepted(LogOffset(0)));
+    assert_eq!(log.records(LogStream::Config).len(), 1);
+}
+
+#[test]
+fn open_fate() {
+    let log = Arc::new(MemoryLog::default());
+    let follower = short_follower(&log);
+    log.set_fault(LogFault::RequestLost);
+    let change = sample_change(1, None, vec![create_service("lookup", 200)]);
+    assert_eq!(follower.publish(&change), PublishOutcome::Pending);
+    log.set_fault(LogFault::Refused);
+    assert_eq!(follower.publish_again(&change), PublishOutcome::Pending);
+    log.set_fault(LogFault::None);
+    let other = start_follower(&log);
+    assert_eq!(other.publish_again(&change), PublishOutcome::Accepted(LogOffset(0)));
+    assert!(follower.wait_for(LogOffset(0), TEST_TIMEOUT));
+    assert_eq!(follower.publish_again(&change), PublishOutcome::Accepted(LogOffset(0)));
+}
+
+#[test]
+fn log_down() {
+    let log = Arc::new(MemoryLog::default());
+    let follower = start_follower(&log);
+    follower.publish(&sample_change(1, None, vec![create_service("lookup", 200)]));
+    let before = follower.current();
+    log.set_fault(LogFault::Refused);
+    assert!(!follower.wait_for_read(TEST_TIMEOUT));
+    assert_eq!(follower.current(), before);
+    let change = sample_change(2, Some(0), vec![change_service("lookup", 300)]);
+    assert!(matches!(follower.publish(&change), PublishOutcome::LogUnavailable(_)));
+    assert!(!follower.status().log_readable);
+    log.set_fault(LogFault::None);
+    assert!(follower.wait_for_read(TEST_TIMEOUT));
+    assert_eq!(follower.known_change(change.id), None);
+}
+
+#[test]
+fn reused_id() {
+    let log = Arc::new(MemoryLog::default());
+    let follower = start_follower(&log);
+    follower.publish(&sample_change(1, None, vec![create_service("lookup", 200)]));
+    let other = sample_change(1, Some(0), vec![change_service("lookup", 300)]);
+    assert_eq!(follower.publish(&other), PublishOutcome::IdReused);
+}
+
+#[test]
+fn clean_stop() {
+    let log = Arc::new(MemoryLog::default());
+    let follower = start_follower(&log);
+    follower.publish(&sample_change(1, None, vec![create_service("lookup", 200)]));
+    assert!(follower.is_running());
+    follower.stop();
+    assert!(!follower.is_running());
+    assert_eq!(follower.current().revision, Some(LogOffset(0)));
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -6,9 +6,11 @@
 pub mod host_list_standin;
 pub mod http_standin;
 pub mod log_standin;
+pub mod memory_log;
 pub mod platform_standin;
 pub mod weight_standin;
 
+pub mod config_samples;
 pub mod naive_claims;
 pub mod naive_config;
 pub mod naive_membership;
