--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -13,11 +13,13 @@
 pub mod journal;
 pub mod log_fake;
 pub mod log_standin;
+pub mod memory_log;
 pub mod platform_standin;
 pub mod prefix_cache;
 pub mod server_life;
 pub mod weight_standin;
 
+pub mod config_samples;
 pub mod naive_claims;
 pub mod naive_config;
 pub mod naive_membership;
