testutils: close the connection of an unanswered request

tiny_http answers a dropped request with status 500, so a crash while a call ran looked like an answer of the application; seen in crash_while_running. Faults are now taken in one place.

--- /dev/null
+++ b/lib/tests/test_app_edge.rs
@@ -0,0 +1,231 @@
+//! The app server's edge: client and stand-in over HTTP.
+
+use std::net::TcpListener;
+use std::thread;
+use std::time::Duration;
+
+use pomelostack_lib::app_client::AppClient;
+use pomelostack_lib::app_server::AppAnswer;
+use pomelostack_lib::app_server::AppRequest;
+use pomelostack_lib::app_server::AppServer;
+use pomelostack_lib::engine::ServerError;
+use pomelostack_lib::http_edge::EdgeLimits;
+use pomelostack_lib::ids::AttemptNumber;
+use pomelostack_lib::ids::FencingNumber;
+use pomelostack_lib::ids::RequestId;
+use rstest::rstest;
+use testutils::app_standin::AppEcho;
+use testutils::app_standin::AppFault;
+use testutils::app_standin::AppSettings;
+use testutils::app_standin::AppStandin;
+use testutils::hang_guard::HANG_GUARD;
+use testutils::hang_guard::wait_for;
+
+/// A service time that no test waits out.
+const ENDLESS_SERVICE: Duration = Duration::from_secs(3600);
+
+fn start(settings: AppSettings) -> (AppStandin, AppClient) {
+    let app = AppStandin::start(settings).unwrap();
+    let client = AppClient::new(app.address(), EdgeLimits::default());
+    (app, client)
+}
+
+fn request(method: &str, path: &str, body: &str) -> AppRequest {
+    AppRequest {
+        request: RequestId { origin: 1, sequence: 2 },
+        attempt: AttemptNumber(3),
+        method: method.to_owned(),
+        path: path.to_owned(),
+        headers: Vec::new(),
+        body: body.as_bytes().to_vec(),
+        idempotency_key: Some("slot-17".to_owned()),
+        fence: None,
+    }
+}
+
+fn echo_of(answer: &AppAnswer) -> AppEcho {
+    serde_json::from_slice(&answer.body).unwrap()
+}
+
+#[rstest]
+#[case("GET", "/wind?mark=3", "")]
+#[case("POST", "/slots", "{\"slot\":17}")]
+#[case("PUT", "/slots/17", "ten")]
+#[case("DELETE", "/slots/17", "")]
+#[case("PATCH", "/slots/17", "late")]
+#[case("GET", "/search", "a body on GET")]
+fn passed_through(#[case] method: &str, #[case] path: &str, #[case] body: &str) {
+    let (app, client) = start(AppSettings::default());
+    let answer = client.call(&request(method, path, body), HANG_GUARD).unwrap();
+    let expected = AppEcho {
+        method: method.to_owned(),
+        path: path.to_owned(),
+        body: body.to_owned(),
+        request: Some("0000000000000001-2".to_owned()),
+        key: Some("slot-17".to_owned()),
+    };
+    assert_eq!((answer.status, echo_of(&answer)), (200, expected));
+    let entries = app.journal().entries();
+    assert_eq!((entries.len(), entries[0].attempt), (1, 3));
+    assert!(entries[0].end_ms.is_some());
+    assert_eq!(app.journal().runs_of_key("slot-17"), 1);
+}
+
+#[rstest]
+#[case(204)]
+#[case(301)]
+#[case(404)]
+#[case(418)]
+#[case(500)]
+#[case(503)]
+fn status_passed(#[case] status: u16) {
+    let (_app, client) = start(AppSettings::default());
+    let answer = client.call(&request("POST", &format!("/status/{status}"), "x"), HANG_GUARD);
+    assert_eq!(answer.unwrap().status, status);
+}
+
+#[test]
+fn hop_headers() {
+    let (_app, client) = start(AppSettings::default());
+    let mut wanted = request("POST", "/slots", "one");
+    for (name, value) in [
+        ("Connection", "close"),
+        ("Transfer-Encoding", "chunked"),
+        ("Content-Length", "9999"),
+        ("Host", "elsewhere"),
+        ("Idempotency-Key", "forged"),
+        ("Pomelostack-Request-Id", "forged"),
+    ] {
+        wanted.headers.push((name.to_owned(), value.to_owned()));
+    }
+    let answer = client.call(&wanted, HANG_GUARD).unwrap();
+    let echo = echo_of(&answer);
+    assert_eq!(echo.body, "one");
+    assert_eq!(echo.key.as_deref(), Some("slot-17"));
+    assert_eq!(echo.request.as_deref(), Some("0000000000000001-2"));
+    let names: Vec<_> = answer.headers.iter().map(|(name, _)| name.to_lowercase()).collect();
+    assert!(!names.contains(&"connection".to_owned()));
+    assert!(!names.contains(&"transfer-encoding".to_owned()));
+}
+
+#[test]
+fn nobody_listens() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let client = AppClient::new(address, EdgeLimits::default());
+    let outcome = client.call(&request("POST", "/slots", "x"), HANG_GUARD);
+    assert!(matches!(outcome, Err(ServerError::NotConnected(_))), "{outcome:?}");
+}
+
+#[test]
+fn bad_header() {
+    let (app, client) = start(AppSettings::default());
+    let mut wanted = request("POST", "/slots", "x");
+    wanted.headers.push(("no space".to_owned(), "x\r\ny".to_owned()));
+    let outcome = client.call(&wanted, HANG_GUARD);
+    assert!(matches!(outcome, Err(ServerError::NotConnected(_))), "{outcome:?}");
+    assert_eq!(app.journal().entries(), []);
+}
+
+#[test]
+fn closed_at_once() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let client = AppClient::new(listener.local_addr().unwrap(), EdgeLimits::default());
+    let closer = thread::spawn(move || drop(listener.accept().unwrap()));
+    let outcome = client.call(&request("POST", "/slots", "x"), HANG_GUARD);
+    closer.join().unwrap();
+    assert!(matches!(outcome, Err(ServerError::Lost(_))), "{outcome:?}");
+}
+
+#[test]
+fn timed_out() {
+    let settings = AppSettings { service_time: ENDLESS_SERVICE, ..Default::default() };
+    let (app, client) = start(settings);
+    let timeout = Duration::from_millis(50);
+    let outcome = client.call(&request("POST", "/slots", "x"), timeout);
+    assert_eq!(outcome, Err(ServerError::Silent(timeout)));
+    // The server may run it all the same, and does.
+    wait_for(|| app.journal().runs_of_key("slot-17") == 1);
+}
+
+#[test]
+fn crash_while_running() {
+    let settings = AppSettings { service_time: ENDLESS_SERVICE, ..Default::default() };
+    let (app, client) = start(settings);
+    let outcome = thread::scope(|scope| {
+        let call = scope.spawn(|| client.call(&request("POST", "/slots", "x"), HANG_GUARD));
+        wait_for(|| app.journal().runs_of_key("slot-17") == 1);
+        app.apply_fault(AppFault::Crash { restart_after_ms: None });
+        call.join().unwrap()
+    });
+    assert!(matches!(outcome, Err(ServerError::Lost(_))), "{outcome:?}");
+    assert_eq!(app.journal().entries()[0].end_ms, None);
+    let refused = client.call(&request("POST", "/slots", "x"), HANG_GUARD);
+    assert!(matches!(refused, Err(ServerError::NotConnected(_))), "{refused:?}");
+}
+
+#[test]
+fn crash_marker() {
+    let (app, client) = start(AppSettings::default());
+    let outcome = client.call(&request("POST", "/slots", "boom [[crash]]"), HANG_GUARD);
+    assert!(matches!(outcome, Err(ServerError::Lost(_))), "{outcome:?}");
+    wait_for(|| !app.is_up());
+    assert_eq!(app.journal().entries()[0].end_ms, None);
+}
+
+#[test]
+fn lost_reply() {
+    let (app, client) = start(AppSettings::default());
+    // The first call leaves a connection to be reused.
+    client.call(&request("GET", "/wind", ""), HANG_GUARD).unwrap();
+    app.apply_fault(AppFault::LoseReplies(1));
+    let outcome = client.call(&request("POST", "/slots", "x"), HANG_GUARD);
+    assert!(matches!(outcome, Err(ServerError::Lost(_))), "{outcome:?}");
+    let entries = app.journal().entries();
+    assert_eq!(entries.len(), 2, "a lost call must not be sent again");
+    assert!(entries[1].end_ms.is_some());
+}
+
+#[test]
+fn silent_connection() {
+    let (app, client) = start(AppSettings::default());
+    client.call(&request("GET", "/wind", ""), HANG_GUARD).unwrap();
+    app.apply_fault(AppFault::SilenceConnections);
+    let timeout = Duration::from_millis(200);
+    let outcome = client.call(&request("POST", "/slots", "x"), timeout);
+    assert_eq!(outcome, Err(ServerError::Silent(timeout)));
+    assert_eq!(app.journal().entries().len(), 1);
+    client.retire_connections();
+    client.call(&request("POST", "/slots", "x"), HANG_GUARD).unwrap();
+}
+
+#[test]
+fn refused_work() {
+    let (app, client) = start(AppSettings::default());
+    app.apply_fault(AppFault::RefuseWork(true));
+    let outcome = client.call(&request("POST", "/slots", "x"), HANG_GUARD);
+    assert!(matches!(outcome, Err(ServerError::Refused(_))), "{outcome:?}");
+    assert_eq!(app.journal().entries(), []);
+}
+
+#[test]
+fn old_fence() {
+    let (app, client) = start(AppSettings { fencing_check: true, ..Default::default() });
+    let mut wanted = request("POST", "/slots", "x");
+    wanted.fence = Some(FencingNumber(8));
+    client.call(&wanted, HANG_GUARD).unwrap();
+    wanted.fence = Some(FencingNumber(7));
+    let outcome = client.call(&wanted, HANG_GUARD);
+    assert_eq!(outcome, Err(ServerError::Fenced(FencingNumber(8))));
+    assert_eq!(app.journal().entries().len(), 1);
+}
+
+#[test]
+fn oversized_answer() {
+    let app = AppStandin::start(AppSettings::default()).unwrap();
+    let limits = EdgeLimits { max_body_bytes: 1_000, ..EdgeLimits::default() };
+    let client = AppClient::new(app.address(), limits);
+    let outcome = client.call(&request("POST", "/slots", &"x".repeat(2_000)), HANG_GUARD);
+    assert!(matches!(outcome, Err(ServerError::Malformed(_))), "{outcome:?}");
+}
--- a/lib/testutils/src/app_standin.rs
+++ b/lib/testutils/src/app_standin.rs
@@ -21,6 +21,7 @@
 use crate::http_standin::HttpExchange;
 use crate::http_standin::HttpStandin;
 use crate::http_standin::Result;
+use crate::http_standin::StandinFault;
 use crate::http_standin::StandinService;
 use crate::journal::RunOutcome;
 use crate::journal::ServerJournal;
@@ -196,19 +197,23 @@
 
 struct AppService(Arc<AppShared>);
 
+impl StandinFault for AppFault {
+    fn ends_connections(&self) -> bool {
+        matches!(self, Self::Crash { .. } | Self::SilenceConnections)
+    }
+}
+
 impl StandinService for AppService {
+    type Fault = AppFault;
+
+    fn take_fault(&self, fault: AppFault) {
+        self.0.take_fault(fault);
+    }
+
     fn serve(&self, exchange: HttpExchange) {
         let shared = &self.0;
         match (exchange.method(), exchange.path()) {
             ("GET", "/journal") => exchange.respond_json(200, &shared.journal.entries()),
-            ("POST", "/faults") => match exchange.json() {
-                // Answered first: the fault may end the connection.
-                Ok(fault) => {
-                    exchange.respond_json(200, &());
-                    shared.take_fault(fault);
-                }
-                Err(error) => exchange.refuse(400, &error),
-            },
             _ => serve_call(shared, exchange),
         }
     }
@@ -254,7 +259,7 @@
     }
     shared.journal.end(run, RunOutcome::Done);
     if shared.loses_reply() {
-        return exchange.drop_connection();
+        return;
     }
     let status = status_of(exchange.path());
     exchange.respond_json(status, &echo);
--- a/lib/testutils/src/engine_standin.rs
+++ b/lib/testutils/src/engine_standin.rs
@@ -37,6 +37,7 @@
 use crate::http_standin::HttpStandin;
 use crate::http_standin::Result;
 use crate::http_standin::StandinError;
+use crate::http_standin::StandinFault;
 use crate::http_standin::StandinService;
 use crate::journal::ServerJournal;
 use crate::server_life::ServerLife;
@@ -237,7 +238,19 @@
 
 struct EngineService(Arc<EngineShared>);
 
+impl StandinFault for EngineFault {
+    fn ends_connections(&self) -> bool {
+        matches!(self, Self::Crash { .. } | Self::SilenceConnections)
+    }
+}
+
 impl StandinService for EngineService {
+    type Fault = EngineFault;
+
+    fn take_fault(&self, fault: EngineFault) {
+        self.0.take_fault(fault);
+    }
+
     fn serve(&self, exchange: HttpExchange) {
         let shared = &self.0;
         match (exchange.method(), exchange.path()) {
@@ -256,14 +269,6 @@
             ("POST", "/kv/import") => serve_import(shared, exchange),
             ("POST", "/orders") => serve_order(shared, exchange),
             ("GET", "/journal") => exchange.respond_json(200, &shared.journal.entries()),
-            ("POST", "/faults") => match exchange.json() {
-                // Answered first: the fault may end the connection.
-                Ok(fault) => {
-                    exchange.respond_json(200, &());
-                    shared.take_fault(fault);
-                }
-                Err(error) => exchange.refuse(400, &error),
-            },
             _ => exchange.refuse(404, "no such route"),
         }
     }
--- a/lib/testutils/src/http_standin.rs
+++ b/lib/testutils/src/http_standin.rs
@@ -50,10 +50,40 @@
 /// Result of starting a stand-in.
 pub type Result<T> = std::result::Result<T, StandinError>;
 
+/// A fault that a stand-in takes, the body of `POST /faults`.
+pub trait StandinFault: DeserializeOwned {
+    /// Returns whether the fault may end the connection that it came on; such a fault is answered
+    /// before it takes effect, and any other one after.
+    fn ends_connections(&self) -> bool;
+}
+
 /// What a stand-in does with its requests.
 pub trait StandinService: Send + Sync + 'static {
-    /// Answers one request, on a thread of its own.
+    /// Faults that it takes.
+    type Fault: StandinFault;
+
+    /// Answers one request, on a thread of its own; `POST /faults` never comes here.
     fn serve(&self, exchange: HttpExchange);
+
+    /// Puts a fault into effect.
+    fn take_fault(&self, fault: Self::Fault);
+}
+
+fn serve_or_fault<S: StandinService>(service: &S, exchange: HttpExchange) {
+    if (exchange.method(), exchange.path()) != ("POST", "/faults") {
+        return service.serve(exchange);
+    }
+    match exchange.json::<S::Fault>() {
+        Ok(fault) if fault.ends_connections() => {
+            exchange.respond_json(200, &());
+            service.take_fault(fault);
+        }
+        Ok(fault) => {
+            service.take_fault(fault);
+            exchange.respond_json(200, &());
+        }
+        Err(error) => exchange.refuse(400, &error),
+    }
 }
 
 /// A running HTTP server of a stand-in.
@@ -135,7 +165,7 @@
             let (life, service) = (life.clone(), service.clone());
             let handler = thread::spawn(move || {
                 if let Some(exchange) = HttpExchange::read(request, life) {
-                    service.serve(exchange);
+                    serve_or_fault(&*service, exchange);
                 }
             });
             let mut handlers = handlers.lock().unwrap_or_else(PoisonError::into_inner);
@@ -151,10 +181,15 @@
     reason: &'a str,
 }
 
-/// One request and the means to answer it.
+/// One request and the means to answer it; dropping it unanswered closes the connection.
 pub struct HttpExchange {
-    request: Request,
+    /// Present until it is answered.
+    request: Option<Request>,
     life: Arc<ServerLife>,
+    peer: Option<SocketAddr>,
+    method: String,
+    url: String,
+    headers: Vec<Header>,
     body: Vec<u8>,
 }
 
@@ -164,7 +199,15 @@
         let mut body = Vec::new();
         let read = request.as_reader().take(MAX_BODY_BYTES + 1).read_to_end(&mut body);
         let too_large = body.len() as u64 > MAX_BODY_BYTES;
-        let exchange = Self { request, life, body };
+        let exchange = Self {
+            peer: request.remote_addr().copied(),
+            method: request.method().as_str().to_owned(),
+            url: request.url().to_owned(),
+            headers: request.headers().to_vec(),
+            request: Some(request),
+            life,
+            body,
+        };
         match read {
             Ok(_) if too_large => {
                 exchange.refuse(413, "body too large");
@@ -177,12 +220,12 @@
 
     /// Returns the method.
     pub fn method(&self) -> &str {
-        self.request.method().as_str()
+        &self.method
     }
 
     /// Returns the path with its query.
     pub fn url(&self) -> &str {
-        self.request.url()
+        &self.url
     }
 
     /// Returns the path without its query.
@@ -199,9 +242,8 @@
 
     /// Returns the value of the first header with the name.
     pub fn header(&self, name: &str) -> Option<&str> {
-        let mut headers = self.request.headers().iter();
-        let found =
-            headers.find(|header| header.field.as_str().as_str().eq_ignore_ascii_case(name));
+        let is_named = |header: &&Header| header.field.as_str().as_str().eq_ignore_ascii_case(name);
+        let found = self.headers.iter().find(is_named);
         found.map(|header| header.value.as_str())
     }
 
@@ -217,7 +259,7 @@
 
     /// Returns a check of whether the client is still connected.
     pub fn open_check(&self) -> impl Fn() -> bool + Send + 'static {
-        let (peer, relay) = (self.request.remote_addr().copied(), self.life.relay().clone());
+        let (peer, relay) = (self.peer, self.life.relay().clone());
         move || peer.is_some_and(|peer| relay.is_open(peer))
     }
 
@@ -233,7 +275,8 @@
     }
 
     /// Answers with the given headers and body; headers that are not ASCII are left out.
-    pub fn respond(self, status: u16, headers: &[(&str, &str)], body: Vec<u8>) {
+    pub fn respond(mut self, status: u16, headers: &[(&str, &str)], body: Vec<u8>) {
+        let Some(request) = self.request.take() else { return };
         let mut response = Response::from_data(body).with_status_code(status);
         for (name, value) in headers {
             if let Ok(header) = Header::from_bytes(name.as_bytes(), value.as_bytes()) {
@@ -241,38 +284,39 @@
             }
         }
         // A client that is gone needs no answer.
-        let _ = self.request.respond(response);
-    }
-
-    /// Closes the connection without an answer.
-    pub fn drop_connection(self) {
-        if let Some(peer) = self.request.remote_addr() {
-            self.life.relay().close(*peer);
-        }
+        let _ = request.respond(response);
     }
 
     /// Starts an answer of JSON lines.
-    pub fn into_lines(self) -> LineStream {
-        let peer = self.request.remote_addr().copied();
+    pub fn into_lines(mut self) -> LineStream {
         let head = "HTTP/1.1 200 OK\r\nContent-Type: application/jsonl\r\n\
                     Transfer-Encoding: chunked\r\n\r\n";
         LineStream {
-            writer: self.request.into_writer(),
+            writer: self.request.take().map(Request::into_writer),
             pending: head.as_bytes().to_vec(),
-            peer,
+            peer: self.peer,
             relay: self.life.relay().clone(),
-            finished: false,
+        }
+    }
+}
+
+impl Drop for HttpExchange {
+    fn drop(&mut self) {
+        // A request that `tiny_http` drops is answered with status 500, so its connection goes
+        // first.
+        if let (Some(_), Some(peer)) = (&self.request, self.peer) {
+            self.life.relay().close(peer);
         }
     }
 }
 
 /// An answer of JSON lines, sent in chunks; dropping it unfinished closes the connection.
 pub struct LineStream {
-    writer: Box<dyn Write + Send>,
+    /// Present until the answer is finished.
+    writer: Option<Box<dyn Write + Send>>,
     pending: Vec<u8>,
     peer: Option<SocketAddr>,
     relay: Arc<ConnectionRelay>,
-    finished: bool,
 }
 
 impl LineStream {
@@ -288,26 +332,27 @@
 
     /// Sends the lines added so far.
     pub fn flush(&mut self) -> io::Result<()> {
-        if self.pending.is_empty() {
-            return Ok(());
+        let Some(writer) = &mut self.writer else { return Ok(()) };
+        if !self.pending.is_empty() {
+            writer.write_all(&self.pending)?;
+            self.pending.clear();
+            writer.flush()?;
         }
-        self.writer.write_all(&self.pending)?;
-        self.pending.clear();
-        self.writer.flush()
+        Ok(())
     }
 
     /// Sends the rest and ends the answer.
     pub fn finish(mut self) -> io::Result<()> {
         self.pending.extend_from_slice(b"0\r\n\r\n");
         self.flush()?;
-        self.finished = true;
+        self.writer = None;
         Ok(())
     }
 }
 
 impl Drop for LineStream {
     fn drop(&mut self) {
-        if let (false, Some(peer)) = (self.finished, self.peer) {
+        if let (Some(_), Some(peer)) = (&self.writer, self.peer) {
             self.relay.close(peer);
         }
     }
--- a/lib/testutils/src/log_standin.rs
+++ b/lib/testutils/src/log_standin.rs
@@ -21,6 +21,7 @@
 use crate::http_standin::HttpExchange;
 use crate::http_standin::HttpStandin;
 use crate::http_standin::Result;
+use crate::http_standin::StandinFault;
 use crate::http_standin::StandinService;
 pub use crate::log_fake::LogFake;
 pub use crate::log_fake::LogOutage;
@@ -148,19 +149,21 @@
 
 struct LogHttpService(Arc<LogShared>);
 
+impl StandinFault for LogFault {
+    fn ends_connections(&self) -> bool {
+        matches!(self, Self::SilenceConnections)
+    }
+}
+
 impl StandinService for LogHttpService {
+    type Fault = LogFault;
+
+    fn take_fault(&self, fault: LogFault) {
+        self.0.take_fault(fault);
+    }
+
     fn serve(&self, exchange: HttpExchange) {
         let shared = &self.0;
-        if (exchange.method(), exchange.path()) == ("POST", "/faults") {
-            return match exchange.json() {
-                // Answered first: the fault may end the connection.
-                Ok(fault) => {
-                    exchange.respond_json(200, &());
-                    shared.take_fault(fault);
-                }
-                Err(error) => exchange.refuse(400, &error),
-            };
-        }
         let extra = *shared.extra_time.lock().unwrap_or_else(PoisonError::into_inner);
         shared.life.wait(shared.life.number(), Some(Instant::now() + extra), || false);
         shared.fake.set_now_ms(wall_clock_ms());
@@ -187,7 +190,7 @@
         Ok(value) => exchange.respond_json(200, &value),
         Err(LogError::Expired(first)) => exchange.respond_json(410, &ExpiredAnswer { first }),
         Err(LogError::Refused(reason)) => exchange.refuse(503, &reason),
-        Err(LogError::FateUnknown(_) | LogError::Malformed(_)) => exchange.drop_connection(),
+        Err(LogError::FateUnknown(_) | LogError::Malformed(_)) => drop(exchange),
     }
 }
 
