testutils: add cloud, host list, weight store and the whole platform

Hosts that the cloud starts are engine and app stand-ins on loopback ports. Their journals outlive them at the cloud's /journals, since a dead server cannot show its own.

--- a/lib/src/cloud_client.rs
+++ b/lib/src/cloud_client.rs
@@ -1,1 +1,114 @@
-//! Not yet written.
+//! Reaches the cloud API over HTTP.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::cloud::CloudApi;
+use crate::cloud::CloudError;
+use crate::cloud::HostOrder;
+use crate::cloud::HostPrice;
+use crate::cloud::ReclaimNotice;
+use crate::cloud::Result;
+use crate::http_edge::EdgeLimits;
+use crate::http_edge::HttpAnswer;
+use crate::http_edge::HttpEdge;
+use crate::http_edge::HttpError;
+use crate::ids::FencingNumber;
+use crate::ids::HostId;
+
+/// Body of `POST /hosts`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartHost {
+    /// Host wanted.
+    pub order: HostOrder,
+    /// Fencing number of the holder that orders.
+    pub fence: Option<FencingNumber>,
+}
+
+/// Body of `POST /hosts/stop`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StopHost {
+    /// Host to stop.
+    pub host: HostId,
+    /// Fencing number of the holder that orders.
+    pub fence: Option<FencingNumber>,
+}
+
+/// Answer to `POST /hosts`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartedHost {
+    /// Host that starts or has started for the order.
+    pub host: HostId,
+}
+
+/// Answer with status 409: a newer fencing number was seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FencedAnswer {
+    /// Largest fencing number seen.
+    pub fence: FencingNumber,
+}
+
+/// The cloud API at one address.
+pub struct CloudClient {
+    edge: HttpEdge,
+}
+
+impl CloudClient {
+    /// Builds a client; no connection is opened yet.
+    pub fn new(address: SocketAddr, limits: EdgeLimits) -> Self {
+        Self { edge: HttpEdge::new(address, limits) }
+    }
+
+    /// Drops idle connections, so that later calls open new ones.
+    pub fn retire_connections(&self) {
+        self.edge.retire_connections();
+    }
+
+    fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
+        let answer = expect_ok(self.edge.get(path).map_err(failed)?)?;
+        answer.json().map_err(failed)
+    }
+
+    fn post<T: Serialize>(&self, path: &str, value: &T) -> Result<HttpAnswer> {
+        expect_ok(self.edge.post_json(path, value).map_err(failed)?)
+    }
+}
+
+impl CloudApi for CloudClient {
+    fn start_host(&self, order: &HostOrder, fence: Option<FencingNumber>) -> Result<HostId> {
+        let answer = self.post("/hosts", &StartHost { order: order.clone(), fence })?;
+        answer.json::<StartedHost>().map(|started| started.host).map_err(failed)
+    }
+
+    fn stop_host(&self, host: &HostId, fence: Option<FencingNumber>) -> Result<()> {
+        self.post("/hosts/stop", &StopHost { host: host.clone(), fence }).map(drop)
+    }
+
+    fn prices(&self) -> Result<Vec<HostPrice>> {
+        self.get("/prices")
+    }
+
+    fn notices(&self) -> Result<Vec<ReclaimNotice>> {
+        self.get("/notices")
+    }
+}
+
+fn failed(error: HttpError) -> CloudError {
+    CloudError::FateUnknown(error.to_string())
+}
+
+/// Status 507 (insufficient storage) is the cloud's word for "no capacity".
+fn expect_ok(answer: HttpAnswer) -> Result<HttpAnswer> {
+    match answer.status {
+        200 => Ok(answer),
+        507 => Err(CloudError::NoCapacity(answer.summary())),
+        409 => match answer.json::<FencedAnswer>() {
+            Ok(fenced) => Err(CloudError::Fenced(fenced.fence)),
+            Err(error) => Err(failed(error)),
+        },
+        _ => Err(CloudError::FateUnknown(answer.summary())),
+    }
+}
--- a/lib/tests/test_app_edge.rs
+++ b/lib/tests/test_app_edge.rs
@@ -1,5 +1,7 @@
 //! The app server's edge: client and stand-in over HTTP.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests fail by panicking, too")]
+
 use std::net::TcpListener;
 use std::thread;
 use std::time::Duration;
--- a/lib/tests/test_engine_edge.rs
+++ b/lib/tests/test_engine_edge.rs
@@ -1,5 +1,7 @@
 //! The engine's edge: client and stand-in over HTTP.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests fail by panicking, too")]
+
 use std::thread;
 use std::time::Duration;
 
@@ -311,7 +313,7 @@
 
 #[test]
 fn crash_marker() {
-    let (mut engine, client) = start(EngineSettings::default());
+    let (engine, client) = start(EngineSettings::default());
     let outcome = run(&client, &request(1, "boom [[crash]]"));
     assert!(matches!(outcome, Err(ServerError::Lost(_))), "{outcome:?}");
     let entries = engine.journal().entries();
--- a/lib/tests/test_log_edge.rs
+++ b/lib/tests/test_log_edge.rs
@@ -1,5 +1,7 @@
 //! The log's edge: client, stand-in and in-process fake.
 
+#![allow(clippy::unwrap_used, reason = "helpers of tests fail by panicking, too")]
+
 use std::io::Read as _;
 use std::io::Write as _;
 use std::net::TcpListener;
@@ -67,7 +69,7 @@
 
 #[test]
 fn nobody_listens() {
-    let (mut log, client) = start(LogSettings::default());
+    let (log, client) = start(LogSettings::default());
     client.append(CLAIMS, b"a").unwrap();
     log.stop();
     assert!(matches!(client.append(CLAIMS, b"b"), Err(LogError::Refused(_))));
--- /dev/null
+++ b/lib/tests/test_platform_faults.rs
@@ -0,0 +1,332 @@
+//! Cloud, host list and weight store, and the platform's faults, through the client edges.
+
+#![allow(clippy::unwrap_used, reason = "helpers of tests fail by panicking, too")]
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use pomelostack_lib::app_client::AppClient;
+use pomelostack_lib::app_server::AppRequest;
+use pomelostack_lib::app_server::AppServer;
+use pomelostack_lib::cloud::CloudApi;
+use pomelostack_lib::cloud::CloudError;
+use pomelostack_lib::cloud::HostMarket;
+use pomelostack_lib::cloud::HostOrder;
+use pomelostack_lib::cloud::HostPrice;
+use pomelostack_lib::cloud_client::CloudClient;
+use pomelostack_lib::engine::ModelEngine;
+use pomelostack_lib::engine_client::EngineClient;
+use pomelostack_lib::host_list::HostDuty;
+use pomelostack_lib::host_list::HostEntry;
+use pomelostack_lib::host_list::HostList;
+use pomelostack_lib::host_list::HostState;
+use pomelostack_lib::host_list_client::HostListClient;
+use pomelostack_lib::http_edge::CallTime;
+use pomelostack_lib::http_edge::EdgeLimits;
+use pomelostack_lib::http_edge::HttpCall;
+use pomelostack_lib::http_edge::HttpEdge;
+use pomelostack_lib::ids::AttemptNumber;
+use pomelostack_lib::ids::ClassName;
+use pomelostack_lib::ids::FencingNumber;
+use pomelostack_lib::ids::HostId;
+use pomelostack_lib::ids::RequestId;
+use pomelostack_lib::ids::ServiceName;
+use pomelostack_lib::ids::ZoneName;
+use pomelostack_lib::weight_store::WeightError;
+use pomelostack_lib::weight_store::WeightStore;
+use pomelostack_lib::weight_store_client::WeightStoreClient;
+use testutils::app_standin::AppFault;
+use testutils::backend_fleet::HostJournal;
+use testutils::cloud_standin::CloudFault;
+use testutils::cloud_standin::CloudSettings;
+use testutils::cloud_standin::StartRefusal;
+use testutils::hang_guard::HANG_GUARD;
+use testutils::hang_guard::wait_for;
+use testutils::host_list_standin::HostListFault;
+use testutils::log_standin::LogFault;
+use testutils::platform_standin::PlatformSettings;
+use testutils::platform_standin::PlatformStandin;
+use testutils::weight_standin::WeightFault;
+use testutils::weight_standin::WeightSettings;
+
+/// A notice that no test waits out.
+const DISTANT_MS: u64 = 3_600_000;
+
+fn name<T: TryFrom<&'static str>>(raw: &'static str) -> T {
+    T::try_from(raw).unwrap_or_else(|_| panic!("bad name {raw}"))
+}
+
+fn settings() -> PlatformSettings {
+    PlatformSettings::small(name("briefings"), name("lookups")).unwrap()
+}
+
+fn start(settings: PlatformSettings) -> PlatformStandin {
+    PlatformStandin::start(settings).unwrap()
+}
+
+fn cloud_of(platform: &PlatformStandin) -> CloudClient {
+    CloudClient::new(platform.cloud_address(), EdgeLimits::default())
+}
+
+fn list_of(platform: &PlatformStandin) -> HostListClient {
+    HostListClient::new(platform.host_list_address(), EdgeLimits::default())
+}
+
+fn order(id: &str, zone: &'static str) -> HostOrder {
+    HostOrder {
+        order_id: id.to_owned(),
+        service: name("briefings"),
+        zone: name(zone),
+        class: name("standard"),
+        market: HostMarket::OnDemand,
+    }
+}
+
+fn find(platform: &PlatformStandin, host: &HostId) -> Option<HostEntry> {
+    list_of(platform).hosts().unwrap().into_iter().find(|entry| entry.host == *host)
+}
+
+#[test]
+fn listed_servers() {
+    let platform = start(settings());
+    let hosts = list_of(&platform).hosts().unwrap();
+    let of_service = |service: &'static str| {
+        let duty = HostDuty::Backend(name::<ServiceName>(service));
+        hosts.iter().filter(move |entry| entry.duty == duty)
+    };
+    let zones: Vec<_> = of_service("briefings").map(|entry| entry.zone.as_str()).collect();
+    assert_eq!(zones, ["zone-a", "zone-b", "zone-c", "zone-d"]);
+    assert_eq!(of_service("lookups").count(), 2);
+    for entry in of_service("briefings") {
+        let engine = EngineClient::new(entry.address.parse().unwrap(), EdgeLimits::default());
+        assert_eq!(engine.load_report().unwrap().running, 0);
+    }
+}
+
+#[test]
+fn repeated_order() {
+    let platform = start(settings());
+    let cloud = cloud_of(&platform);
+    let host = cloud.start_host(&order("one", "zone-b"), None).unwrap();
+    assert_eq!(cloud.start_host(&order("one", "zone-b"), None), Ok(host.clone()));
+    wait_for(|| find(&platform, &host).is_some());
+    let entry = find(&platform, &host).unwrap();
+    assert_eq!((entry.zone, entry.state), (name("zone-b"), HostState::Live));
+    assert_eq!(platform.engines().len(), 5);
+    cloud.stop_host(&host, None).unwrap();
+    cloud.stop_host(&host, None).unwrap();
+    assert_eq!(find(&platform, &host), None);
+    assert!(!platform.fleet().get(&host).unwrap().is_up());
+}
+
+#[test]
+fn stopped_while_booting() {
+    let cloud = CloudSettings { boot_delay: Duration::from_secs(3600), ..Default::default() };
+    let platform = start(PlatformSettings { cloud, ..settings() });
+    let cloud = cloud_of(&platform);
+    let host = cloud.start_host(&order("one", "zone-b"), None).unwrap();
+    assert_eq!(find(&platform, &host), None);
+    cloud.stop_host(&host, None).unwrap();
+    assert_eq!(platform.engines().len(), 4);
+}
+
+#[test]
+fn lost_start_reply() {
+    let platform = start(settings());
+    let cloud = cloud_of(&platform);
+    platform.cloud().apply_fault(CloudFault::LoseReplies(1));
+    let outcome = cloud.start_host(&order("one", "zone-a"), None);
+    assert!(matches!(outcome, Err(CloudError::FateUnknown(_))), "{outcome:?}");
+    let host = cloud.start_host(&order("one", "zone-a"), None).unwrap();
+    wait_for(|| find(&platform, &host).is_some());
+    assert_eq!(platform.engines().len(), 5);
+}
+
+#[test]
+fn refused_starts() {
+    let platform = start(settings());
+    let cloud = cloud_of(&platform);
+    let refusal = StartRefusal { zone: Some(name::<ZoneName>("zone-a")), ..Default::default() };
+    platform.cloud().apply_fault(CloudFault::RefuseStarts(refusal));
+    let refused = cloud.start_host(&order("one", "zone-a"), None);
+    assert!(matches!(refused, Err(CloudError::NoCapacity(_))), "{refused:?}");
+    cloud.start_host(&order("two", "zone-b"), None).unwrap();
+    let refusal = StartRefusal { class: Some(name::<ClassName>("standard")), ..Default::default() };
+    platform.cloud().apply_fault(CloudFault::RefuseStarts(refusal));
+    let refused = cloud.start_host(&order("three", "zone-c"), None);
+    assert!(matches!(refused, Err(CloudError::NoCapacity(_))), "{refused:?}");
+    platform.cloud().apply_fault(CloudFault::AllowStarts);
+    cloud.start_host(&order("one", "zone-a"), None).unwrap();
+}
+
+#[test]
+fn fenced_orders() {
+    let cloud = CloudSettings { fencing_check: true, ..Default::default() };
+    let platform = start(PlatformSettings { cloud, ..settings() });
+    let cloud = cloud_of(&platform);
+    let host = cloud.start_host(&order("one", "zone-a"), Some(FencingNumber(8))).unwrap();
+    let old = Some(FencingNumber(7));
+    let fenced = CloudError::Fenced(FencingNumber(8));
+    assert_eq!(cloud.start_host(&order("two", "zone-a"), old), Err(fenced.clone()));
+    assert_eq!(cloud.stop_host(&host, old), Err(fenced));
+    wait_for(|| find(&platform, &host).is_some());
+}
+
+#[test]
+fn reclaimed_host() {
+    let platform = start(settings());
+    let cloud = cloud_of(&platform);
+    let (host, engine) = platform.engines().remove(0);
+    let left_ms = DISTANT_MS;
+    platform.cloud().apply_fault(CloudFault::ReclaimHost { host: host.clone(), left_ms });
+    let notices = cloud.notices().unwrap();
+    assert_eq!(notices.len(), 1);
+    assert_eq!(notices[0].host, host);
+    assert!(notices[0].left_ms <= DISTANT_MS && notices[0].left_ms > 0);
+    assert_eq!(find(&platform, &host).unwrap().state, HostState::Leaving);
+    assert!(engine.is_up());
+    // A later notice with less time counts.
+    platform.cloud().apply_fault(CloudFault::ReclaimHost { host: host.clone(), left_ms: 1 });
+    wait_for(|| !engine.is_up() && find(&platform, &host).is_none());
+    assert_eq!(cloud.notices().unwrap(), []);
+}
+
+#[test]
+fn reclaimed_zone() {
+    let platform = start(settings());
+    let on_demand = cloud_of(&platform).start_host(&order("safe", "zone-a"), None).unwrap();
+    wait_for(|| find(&platform, &on_demand).is_some());
+    let zone = name::<ZoneName>("zone-a");
+    platform.cloud().apply_fault(CloudFault::ReclaimZone { zone: zone.clone(), left_ms: 0 });
+    let in_zone = || {
+        let hosts = list_of(&platform).hosts().unwrap().into_iter();
+        hosts.filter(|entry| entry.zone == zone).map(|entry| entry.host).collect::<Vec<_>>()
+    };
+    wait_for(|| in_zone() == [on_demand.clone()]);
+    let up = |host: &HostId| platform.fleet().get(host).unwrap().is_up();
+    assert!(up(&on_demand));
+    wait_for(|| platform.fleet().all().iter().filter(|(_, found)| !found.is_up()).count() == 2);
+}
+
+#[test]
+fn changed_price() {
+    let price = |market, micros_per_hour| HostPrice {
+        zone: name("zone-a"),
+        class: name("standard"),
+        market,
+        micros_per_hour,
+    };
+    let prices = vec![price(HostMarket::OnDemand, 900), price(HostMarket::Reclaimable, 300)];
+    let cloud = CloudSettings { prices: prices.clone(), ..Default::default() };
+    let platform = start(PlatformSettings { cloud, ..settings() });
+    let cloud = cloud_of(&platform);
+    assert_eq!(cloud.prices().unwrap(), prices);
+    let dearer = price(HostMarket::Reclaimable, 800);
+    platform.cloud().apply_fault(CloudFault::SetPrice(dearer.clone()));
+    assert_eq!(cloud.prices().unwrap(), [prices[0].clone(), dearer]);
+    platform.cloud().apply_fault(CloudFault::Down(true));
+    assert!(matches!(cloud.prices(), Err(CloudError::FateUnknown(_))));
+}
+
+#[test]
+fn lagging_list() {
+    let platform =
+        start(PlatformSettings { host_list_lag: Duration::from_secs(3600), ..settings() });
+    let host = platform.engines().remove(0).0;
+    cloud_of(&platform).stop_host(&host, None).unwrap();
+    assert_eq!(find(&platform, &host).unwrap().state, HostState::Live);
+    assert!(!platform.fleet().get(&host).unwrap().is_up());
+    platform.host_list().apply_fault(HostListFault::Lag { lag_ms: 0 });
+    assert_eq!(find(&platform, &host), None);
+    platform.host_list().apply_fault(HostListFault::Down(true));
+    assert!(list_of(&platform).hosts().is_err());
+}
+
+#[test]
+fn weight_rate() {
+    let weights = WeightSettings {
+        sizes: BTreeMap::from([("forecast".to_owned(), 3_600_000)]),
+        bytes_per_s: 2_000,
+        transfers_limit: 2,
+        ..Default::default()
+    };
+    let platform = start(PlatformSettings { weights, ..settings() });
+    let store = WeightStoreClient::new(platform.weight_store_address(), EdgeLimits::default());
+    assert_eq!(store.size_bytes("forecast"), Ok(3_600_000));
+    assert_eq!(store.size_bytes("other"), Err(WeightError::UnknownWeights("other".to_owned())));
+    let hour = Duration::from_secs(3600);
+    assert_eq!(store.reserve("forecast"), Ok(hour));
+    assert_eq!(store.reserve("forecast"), Ok(hour));
+    let limited = store.reserve("forecast");
+    assert!(matches!(limited, Err(WeightError::RateLimited(wait)) if wait <= hour), "{limited:?}");
+    platform.weight_store().apply_fault(WeightFault::Down(true));
+    assert!(matches!(store.reserve("forecast"), Err(WeightError::Failed(_))));
+}
+
+#[test]
+fn journals_outlive_servers() {
+    let platform = start(settings());
+    let (host, app) = platform.apps().remove(0);
+    let client = AppClient::new(app.address(), EdgeLimits::default());
+    let request = AppRequest {
+        request: RequestId::default(),
+        attempt: AttemptNumber(1),
+        method: "POST".to_owned(),
+        path: "/alerts".to_owned(),
+        headers: Vec::new(),
+        body: Vec::new(),
+        idempotency_key: Some("gust-1".to_owned()),
+        fence: None,
+    };
+    client.call(&request, HANG_GUARD).unwrap();
+    app.apply_fault(AppFault::Crash { restart_after_ms: None });
+    let edge = HttpEdge::new(platform.cloud_address(), EdgeLimits::default());
+    let journals: Vec<HostJournal> = edge.get("/journals").unwrap().json().unwrap();
+    let found = journals.iter().find(|journal| journal.host == host).unwrap();
+    assert_eq!(found.entries.len(), 1);
+    assert_eq!(found.entries[0].key.as_deref(), Some("gust-1"));
+}
+
+#[test]
+fn faults_over_http() {
+    let platform = start(settings());
+    let post = |address, body: &str| {
+        let edge = HttpEdge::new(address, EdgeLimits::default());
+        let time = CallTime::Total(HANG_GUARD);
+        let (method, path, headers, body) = ("POST", "/faults", &[], body.as_bytes());
+        edge.call(&HttpCall { method, path, headers, body, time }).unwrap().status
+    };
+    let (_, engine) = platform.engines().remove(0);
+    for (address, body) in [
+        (platform.log_address(), r#"{"down":true}"#),
+        (platform.cloud_address(), r#"{"refuse_starts":{"zone":"zone-a"}}"#),
+        (platform.host_list_address(), r#"{"lag":{"lag_ms":5}}"#),
+        (platform.weight_store_address(), r#"{"down":true}"#),
+        (engine.address(), r#"{"crash":{"restart_after_ms":null}}"#),
+        (platform.apps()[0].1.address(), r#"{"slow":{"extra_ms":5}}"#),
+    ] {
+        assert_eq!(post(address, body), 200, "{body}");
+    }
+    wait_for(|| !engine.is_up());
+    assert_eq!(post(platform.log_address(), r#"{"unheard_of":1}"#), 400);
+    assert_eq!(serde_json::to_string(&LogFault::ReleaseHeld).unwrap(), r#""release_held""#);
+}
+
+#[test]
+fn consecutive_ports() {
+    // A free range can be taken by others before the platform binds it, so some are tried.
+    let started = (20_000_u16..30_000).step_by(500).find_map(|first| {
+        let settings = PlatformSettings { first_port: Some(first), ..settings() };
+        PlatformStandin::start(settings).ok().map(|platform| (first, platform))
+    });
+    let (first, platform) = started.unwrap();
+    let fixed = [
+        platform.log_address(),
+        platform.cloud_address(),
+        platform.host_list_address(),
+        platform.weight_store_address(),
+    ];
+    let servers = platform.fleet().all().into_iter().map(|(_, backend)| backend.address());
+    let ports: Vec<_> = fixed.into_iter().chain(servers).map(|address| address.port()).collect();
+    assert_eq!(ports, (first..first + 10).collect::<Vec<_>>());
+}
--- a/lib/testutils/src/app_standin.rs
+++ b/lib/testutils/src/app_standin.rs
@@ -190,7 +190,7 @@
     }
 
     /// Stops the server and waits for its threads.
-    pub fn stop(&mut self) {
+    pub fn stop(&self) {
         self.server.stop();
     }
 }
--- /dev/null
+++ b/lib/testutils/src/cloud_core.rs
@@ -0,0 +1,184 @@
+//! State of the cloud stand-in: orders, boots, notices, refusals, prices.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use pomelostack_lib::cloud::HostMarket;
+use pomelostack_lib::cloud::HostOrder;
+use pomelostack_lib::cloud::HostPrice;
+use pomelostack_lib::cloud::ReclaimNotice;
+use pomelostack_lib::ids::ClassName;
+use pomelostack_lib::ids::FencingNumber;
+use pomelostack_lib::ids::HostId;
+use pomelostack_lib::ids::ZoneName;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Starts that the cloud refuses; a part that is `None` matches any.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartRefusal {
+    /// Availability zone.
+    #[serde(default)]
+    pub zone: Option<ZoneName>,
+    /// Machine class.
+    #[serde(default)]
+    pub class: Option<ClassName>,
+    /// How the host is bought.
+    #[serde(default)]
+    pub market: Option<HostMarket>,
+}
+
+impl StartRefusal {
+    fn matches(&self, order: &HostOrder) -> bool {
+        self.zone.as_ref().is_none_or(|zone| *zone == order.zone)
+            && self.class.as_ref().is_none_or(|class| *class == order.class)
+            && self.market.is_none_or(|market| market == order.market)
+    }
+}
+
+/// What became of an order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// The host boots, or booted earlier for the same order.
+    Started(HostId),
+    /// The cloud has no such host.
+    NoCapacity,
+    /// A newer fencing number was seen.
+    Fenced(FencingNumber),
+}
+
+/// What is due.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CloudAction {
+    /// The host has booted for the order.
+    Boot(HostId, HostOrder),
+    /// The host's time is over.
+    Reclaim(HostId),
+}
+
+/// State of the cloud.
+#[derive(Debug)]
+pub struct CloudCore {
+    fencing_check: bool,
+    largest_fence: Option<FencingNumber>,
+    boot_delay: Duration,
+    started: u64,
+    orders: BTreeMap<String, HostId>,
+    boots: Vec<(Instant, HostId, HostOrder)>,
+    notices: BTreeMap<HostId, Instant>,
+    prices: Vec<HostPrice>,
+    /// Starts that are refused.
+    pub refusals: Vec<StartRefusal>,
+}
+
+impl CloudCore {
+    /// Builds the state of a cloud without hosts.
+    pub fn new(fencing_check: bool, boot_delay: Duration, prices: Vec<HostPrice>) -> Self {
+        Self {
+            fencing_check,
+            largest_fence: None,
+            boot_delay,
+            started: 0,
+            orders: BTreeMap::new(),
+            boots: Vec::new(),
+            notices: BTreeMap::new(),
+            prices,
+            refusals: Vec::new(),
+        }
+    }
+
+    /// Takes an order; a repeated one gets the host of the first.
+    pub fn order(
+        &mut self,
+        now: Instant,
+        order: HostOrder,
+        fence: Option<FencingNumber>,
+    ) -> OrderOutcome {
+        if let Err(largest) = self.check_fence(fence) {
+            return OrderOutcome::Fenced(largest);
+        }
+        if let Some(host) = self.orders.get(&order.order_id) {
+            return OrderOutcome::Started(host.clone());
+        }
+        if self.refusals.iter().any(|refusal| refusal.matches(&order)) {
+            return OrderOutcome::NoCapacity;
+        }
+        let Some(host) = self.next_host() else { return OrderOutcome::NoCapacity };
+        self.orders.insert(order.order_id.clone(), host.clone());
+        self.boots.push((now + self.boot_delay, host.clone(), order));
+        OrderOutcome::Started(host)
+    }
+
+    /// Takes a fencing number; the error is the largest one seen, which is newer.
+    pub fn check_fence(&mut self, fence: Option<FencingNumber>) -> Result<(), FencingNumber> {
+        let (true, Some(fence)) = (self.fencing_check, fence) else { return Ok(()) };
+        match self.largest_fence {
+            Some(largest) if largest > fence => Err(largest),
+            _ => {
+                self.largest_fence = Some(fence);
+                Ok(())
+            }
+        }
+    }
+
+    /// Forgets a host that is stopped: it boots no more and needs no notice.
+    pub fn forget(&mut self, host: &HostId) {
+        self.boots.retain(|(_, found, _)| found != host);
+        self.notices.remove(host);
+    }
+
+    /// Gives notice that a host will be taken back after `left`; the earliest notice counts.
+    pub fn give_notice(&mut self, now: Instant, host: HostId, left: Duration) {
+        let due = now + left;
+        let found = self.notices.entry(host).or_insert(due);
+        *found = due.min(*found);
+    }
+
+    /// Returns the notices in force.
+    pub fn notices(&self, now: Instant) -> Vec<ReclaimNotice> {
+        let left_ms = |due: Instant| {
+            u64::try_from(due.saturating_duration_since(now).as_millis()).unwrap_or(u64::MAX)
+        };
+        let notices = self.notices.iter();
+        notices
+            .map(|(host, &due)| ReclaimNotice { host: host.clone(), left_ms: left_ms(due) })
+            .collect()
+    }
+
+    /// Returns the prices in force.
+    pub fn prices(&self) -> &[HostPrice] {
+        &self.prices
+    }
+
+    /// Sets one price.
+    pub fn set_price(&mut self, price: HostPrice) {
+        let is_same = |found: &HostPrice| {
+            (&found.zone, &found.class, found.market) == (&price.zone, &price.class, price.market)
+        };
+        self.prices.retain(|found| !is_same(found));
+        self.prices.push(price);
+    }
+
+    /// Returns the hosts that are booted or reclaimed by now.
+    pub fn take_due(&mut self, now: Instant) -> Vec<CloudAction> {
+        let (due, later) =
+            std::mem::take(&mut self.boots).into_iter().partition(|(at, ..)| *at <= now);
+        self.boots = later;
+        let boots: Vec<(Instant, HostId, HostOrder)> = due;
+        let mut actions: Vec<_> =
+            boots.into_iter().map(|(_, host, order)| CloudAction::Boot(host, order)).collect();
+        let expired = self.notices.iter().filter(|(_, due)| **due <= now);
+        let expired: Vec<_> = expired.map(|(host, _)| host.clone()).collect();
+        for host in expired {
+            self.forget(&host);
+            actions.push(CloudAction::Reclaim(host));
+        }
+        actions
+    }
+
+    fn next_host(&mut self) -> Option<HostId> {
+        self.started += 1;
+        HostId::try_from(format!("host-{}", self.started)).ok()
+    }
+}
--- a/lib/testutils/src/engine_standin.rs
+++ b/lib/testutils/src/engine_standin.rs
@@ -231,7 +231,7 @@
     }
 
     /// Stops the engine and waits for its threads.
-    pub fn stop(&mut self) {
+    pub fn stop(&self) {
         self.server.stop();
     }
 }
--- a/lib/testutils/src/http_standin.rs
+++ b/lib/testutils/src/http_standin.rs
@@ -90,7 +90,7 @@
 pub struct HttpStandin {
     life: Arc<ServerLife>,
     server: Arc<Server>,
-    acceptor: Option<JoinHandle<()>>,
+    acceptor: Mutex<Option<JoinHandle<()>>>,
     handlers: Arc<Mutex<Vec<JoinHandle<()>>>>,
 }
 
@@ -116,7 +116,7 @@
         let handlers = Arc::default();
         let acceptor =
             spawn_acceptor(server.clone(), life.clone(), service.clone(), Arc::clone(&handlers));
-        Ok((Self { life, server, acceptor: Some(acceptor), handlers }, service))
+        Ok((Self { life, server, acceptor: Mutex::new(Some(acceptor)), handlers }, service))
     }
 
     /// Returns the address.
@@ -130,8 +130,9 @@
     }
 
     /// Stops the server and waits for its threads; stopping twice has no effect.
-    pub fn stop(&mut self) {
-        let Some(acceptor) = self.acceptor.take() else { return };
+    pub fn stop(&self) {
+        let acceptor = self.acceptor.lock().unwrap_or_else(PoisonError::into_inner).take();
+        let Some(acceptor) = acceptor else { return };
         self.life.stop();
         self.server.unblock();
         let _ = acceptor.join();
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -1,6 +1,8 @@
 //! Small stand-ins of the platform and naive versions of decisions, for tests and `dev`.
 
 pub mod app_standin;
+pub mod backend_fleet;
+pub mod cloud_core;
 pub mod cloud_standin;
 pub mod connection_relay;
 pub mod engine_answer;
@@ -9,6 +11,7 @@
 pub mod engine_standin;
 pub mod hang_guard;
 pub mod host_list_standin;
+pub mod host_registry;
 pub mod http_standin;
 pub mod journal;
 pub mod log_fake;
--- a/lib/testutils/src/log_standin.rs
+++ b/lib/testutils/src/log_standin.rs
@@ -142,7 +142,7 @@
     }
 
     /// Stops the log and waits for its threads.
-    pub fn stop(&mut self) {
+    pub fn stop(&self) {
         self.server.stop();
     }
 }
