entry: serve a request from front door to backend server, and start it all with dev

Cause: the parts stood alone. Change: EntryHost joins configuration, membership, servers, sessions and the front door; dev starts the stand-ins and entry hosts on loopback; entry runs one host by its settings file. Every refusal of the front door carries a code, also where the HTTP library would answer by itself.

--- /dev/null
+++ b/cli/src/commands/entry.rs
@@ -0,0 +1,67 @@
+//! `pomelostack entry`: runs one entry host until it is told to stop.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::mpsc;
+use std::time::Duration;
+
+use anyhow::Context as _;
+use argh::FromArgs;
+use pomelostack_lib::entry::EntryHost;
+use pomelostack_lib::logging::init_logging;
+use pomelostack_lib::settings::EntrySettings;
+
+/// Time between two checks for a child that keeps failing.
+const ESCALATION_CHECK: Duration = Duration::from_millis(100);
+
+/// Run one entry host. SIGTERM or Ctrl-C lets it leave gracefully.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "entry")]
+pub struct EntryCommand {
+    /// settings file (JSON)
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+impl EntryCommand {
+    /// Runs until a signal or until a part of the host keeps failing.
+    pub fn run(self) -> anyhow::Result<ExitCode> {
+        let settings = match EntrySettings::load(&self.settings) {
+            Ok(settings) => settings,
+            Err(error) => {
+                eprintln!("{}: {error}", self.settings.display());
+                return Ok(ExitCode::FAILURE);
+            }
+        };
+        init_logging(&settings.log)?;
+        let stop = stop_signal()?;
+        let host = EntryHost::start(settings)?;
+        println!("ready http={}", host.http_address());
+        let escalated = wait_for_stop(&host, &stop);
+        host.leave();
+        Ok(if escalated { ExitCode::FAILURE } else { ExitCode::SUCCESS })
+    }
+}
+
+/// Returns a channel that receives a message for each SIGINT, SIGTERM or SIGHUP.
+pub fn stop_signal() -> anyhow::Result<mpsc::Receiver<()>> {
+    let (sender, receiver) = mpsc::channel();
+    let on_signal = move || {
+        // Once the receiver is gone the process is about to end.
+        let _ = sender.send(());
+    };
+    ctrlc::set_handler(on_signal).context("cannot handle signals")?;
+    Ok(receiver)
+}
+
+/// Returns whether the host must leave because a part of it keeps failing.
+fn wait_for_stop(host: &EntryHost, stop: &mpsc::Receiver<()>) -> bool {
+    loop {
+        if stop.try_recv().is_ok() {
+            return false;
+        }
+        if host.wait_for_escalation(ESCALATION_CHECK) {
+            return true;
+        }
+    }
+}
--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -1,6 +1,8 @@
 //! The program's commands, one file each.
 
 mod check;
+mod dev;
+mod entry;
 
 use std::process::ExitCode;
 
@@ -17,6 +19,8 @@
 #[argh(subcommand)]
 enum Command {
     Check(check::CheckCommand),
+    Dev(dev::DevCommand),
+    Entry(entry::EntryCommand),
 }
 
 impl TopLevel {
@@ -24,6 +28,8 @@
     pub fn run(self) -> anyhow::Result<ExitCode> {
         match self.command {
             Command::Check(command) => command.run(),
+            Command::Dev(command) => command.run(),
+            Command::Entry(command) => command.run(),
         }
     }
 }
--- a/lib/src/caller_reply.rs
+++ b/lib/src/caller_reply.rs
@@ -47,16 +47,13 @@
         return whole_reply(request, writer, parts).await;
     }
     // The status line waits for the first token, so that an early end has its own status.
-    let first = loop {
-        match parts.recv().await {
-            Some(ReplyPart::Accepted) => {}
-            Some(ReplyPart::Token(chunk)) => break StreamStart::Token(chunk.text),
-            Some(ReplyPart::End(SessionEnd::ModelDone { finish_reason, usage })) => {
-                break StreamStart::Done(finish_reason, usage);
-            }
-            Some(ReplyPart::End(end)) => return end_error(request, &end).to_reply(),
-            None => return lost_session(request).to_reply(),
+    let first = match parts.recv().await {
+        Some(ReplyPart::Token(chunk)) => StreamStart::Token(chunk.text),
+        Some(ReplyPart::End(SessionEnd::ModelDone { finish_reason, usage })) => {
+            StreamStart::Done(finish_reason, usage)
         }
+        Some(ReplyPart::End(end)) => return end_error(request, &end).to_reply(),
+        None => return lost_session(request).to_reply(),
     };
     let include_usage = completion.include_usage;
     let stream = EventStream { request, writer, include_usage };
@@ -67,7 +64,7 @@
 pub async fn app_reply(request: RequestId, mut parts: ReplyReceiver) -> FrontReply {
     loop {
         match parts.recv().await {
-            Some(ReplyPart::Accepted | ReplyPart::Token(_)) => {}
+            Some(ReplyPart::Token(_)) => {}
             Some(ReplyPart::End(SessionEnd::AppDone(answer))) => {
                 return passed_answer(request, answer);
             }
@@ -116,7 +113,6 @@
     let mut text = String::new();
     loop {
         match parts.recv().await {
-            Some(ReplyPart::Accepted) => {}
             Some(ReplyPart::Token(chunk)) => text.push_str(&chunk.text),
             Some(ReplyPart::End(SessionEnd::ModelDone { finish_reason, usage })) => {
                 let body = writer.whole_answer(&text, finish_reason, usage);
@@ -204,7 +200,6 @@
                 return;
             }
             next = match parts.recv().await {
-                Some(ReplyPart::Accepted) => continue_comment(),
                 Some(ReplyPart::Token(chunk)) => self.writer.text_event(&chunk.text),
                 Some(ReplyPart::End(end)) => self.end_event(&end),
                 None => return,
@@ -230,11 +225,6 @@
     }
 }
 
-/// Returns a comment, which clients skip.
-fn continue_comment() -> String {
-    ": accepted\n\n".to_string()
-}
-
 /// Returns the event that ends a broken answer; no `[DONE]` follows it.
 fn error_event(error: &FrontError) -> String {
     format!(": {RESULT_HEADER} {}\n\ndata: {}\n\n", error.code.number(), error.to_json())
--- a/lib/src/front_door.rs
+++ b/lib/src/front_door.rs
@@ -7,7 +7,6 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
-use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::body::Incoming;
@@ -180,7 +179,7 @@
         let body = read_body(request, &self.settings).await?;
         let idempotent = service.idempotency.is_idempotent(&method, &path);
         let headers = forwarded_headers(&caller.headers);
-        let work = RequestWork::App { method, path, headers, body: Bytes::to_vec(&body) };
+        let work = RequestWork::App { method, path, headers, body: Arc::from(&body[..]) };
         let checked = self.check(caller, service, work, idempotent)?;
         let id = checked.id;
         let parts = self.start_session(checked)?;
--- a/lib/src/http_listener.rs
+++ b/lib/src/http_listener.rs
@@ -30,6 +30,7 @@
 
 use crate::http_reply::FrontError;
 use crate::http_reply::FrontReply;
+use crate::http_reply::RESULT_HEADER;
 use crate::result_code::ResultCode;
 use crate::settings::FrontDoorSettings;
 
@@ -129,8 +130,8 @@
             log::debug!("event=nodelay_failed error=\"{error}\"");
         }
         let Ok((stream, twin)) = split_twin(stream) else { return };
-        let mid_header = Arc::new(AtomicBool::new(false));
-        let io = TokioIo::new(MarkedStream { stream, mid_header: mid_header.clone() });
+        let marks = Arc::new(StreamMarks::default());
+        let io = TokioIo::new(MarkedStream { stream, marks: marks.clone() });
         let handler = self.handler.clone();
         let service = service_fn(move |request| {
             let reply = handler(request);
@@ -151,39 +152,65 @@
                 connection.await
             }
         };
-        if result.is_err_and(|error| error.is_timeout()) && mid_header.load(Ordering::Relaxed) {
-            refuse_slow_header(twin);
+        if let Err(error) = result {
+            refuse_unread(&error, &marks, twin);
         }
     }
 }
 
 /// Returns the stream and a second handle of the same socket.
 ///
-/// The HTTP library closes its handle without a reply when a header times out; the second handle
-/// carries the reply.
+/// When a request cannot be read, the HTTP library closes its handle without a reply or with one
+/// that has no code; the second handle carries the reply.
 fn split_twin(stream: TcpStream) -> Result<(TcpStream, std::net::TcpStream)> {
     let stream = stream.into_std()?;
     let twin = stream.try_clone()?;
     Ok((TcpStream::from_std(stream)?, twin))
 }
 
-fn refuse_slow_header(mut twin: std::net::TcpStream) {
-    let error = FrontError::new(ResultCode::CallerTooSlow, "the header did not arrive in time");
-    let body = error.to_json().to_string();
+/// Tells the caller why its request could not be read, if it sent one and still listens.
+fn refuse_unread(error: &hyper::Error, marks: &StreamMarks, mut twin: std::net::TcpStream) {
+    let refusal = if error.is_timeout() && marks.mid_header.load(Ordering::Relaxed) {
+        FrontError::new(ResultCode::CallerTooSlow, "the header did not arrive in time")
+    } else if !marks.withheld.load(Ordering::Relaxed) {
+        return;
+    } else if error.is_parse_too_large() {
+        FrontError::new(ResultCode::HeaderTooLarge, "the header section is too large")
+    } else {
+        FrontError::new(ResultCode::BadValue, "this is not an HTTP/1.1 request")
+    };
+    let body = refusal.to_json().to_string();
     let reply = format!(
-        "HTTP/1.1 408 Request Timeout\r\ncontent-type: application/json\r\n\
-         pomelostack-result: {}\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
-        ResultCode::CallerTooSlow.number(),
+        "HTTP/1.1 {} Refused\r\ncontent-type: application/json\r\n\
+         {RESULT_HEADER}: {}\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
+        refusal.code.http_status(),
+        refusal.code.number(),
         body.len(),
     );
     // The socket does not block, and a caller that is gone needs no reply.
     let _ = twin.write_all(reply.as_bytes());
+    let _ = twin.shutdown(std::net::Shutdown::Write);
 }
 
-/// A stream that marks whether bytes of a request have come in since the last reply.
+/// What a stream has seen.
+#[derive(Debug, Default)]
+struct StreamMarks {
+    /// Whether bytes of a request have come in since the last reply.
+    mid_header: AtomicBool,
+    /// Whether a reply of the HTTP library's own was withheld.
+    withheld: AtomicBool,
+}
+
+/// A stream that marks what passes and withholds replies without a result code.
 struct MarkedStream {
     stream: TcpStream,
-    mid_header: Arc<AtomicBool>,
+    marks: Arc<StreamMarks>,
+}
+
+/// Returns whether this is the HTTP library's own reply to a request that it could not read.
+fn is_library_reply(data: &[u8]) -> bool {
+    let header = RESULT_HEADER.as_bytes();
+    data.starts_with(b"HTTP/1.1 4") && !data.windows(header.len()).any(|part| part == header)
 }
 
 impl AsyncRead for MarkedStream {
@@ -195,7 +222,7 @@
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
         if buffer.filled().len() > before {
-            self.mid_header.store(true, Ordering::Relaxed);
+            self.marks.mid_header.store(true, Ordering::Relaxed);
         }
         polled
     }
@@ -207,7 +234,11 @@
         cx: &mut Context<'_>,
         data: &[u8],
     ) -> Poll<Result<usize>> {
-        self.mid_header.store(false, Ordering::Relaxed);
+        if is_library_reply(data) {
+            self.marks.withheld.store(true, Ordering::Relaxed);
+            return Poll::Ready(Ok(data.len()));
+        }
+        self.marks.mid_header.store(false, Ordering::Relaxed);
         Pin::new(&mut self.stream).poll_write(cx, data)
     }
 
@@ -216,6 +247,9 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        if self.marks.withheld.load(Ordering::Relaxed) {
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -102,6 +102,7 @@
 pub mod caller_request;
 pub mod completion_api;
 pub mod entry;
+pub mod entry_peer;
 pub mod front_door;
 pub mod http_listener;
 pub mod http_reply;
--- a/lib/src/reply_channel.rs
+++ b/lib/src/reply_channel.rs
@@ -14,8 +14,6 @@
 /// One part of a session's output.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReplyPart {
-    /// The request was accepted: a backend server took it.
-    Accepted,
     /// One token of the answer.
     Token(TokenChunk),
     /// The end.
@@ -46,9 +44,8 @@
 }
 
 impl CallerSink for ReplySender {
-    fn accepted(&mut self, _id: RequestId) -> SinkState {
-        self.send(ReplyPart::Accepted)
-    }
+    /// The front door knows the id, since it made it.
+    fn accepted(&mut self, _id: RequestId) {}
 
     fn token(&mut self, chunk: &TokenChunk) -> SinkState {
         self.send(ReplyPart::Token(chunk.clone()))
--- a/lib/src/server_directory.rs
+++ b/lib/src/server_directory.rs
@@ -90,10 +90,7 @@
     }
 }
 
-fn static_servers(
-    service: &ServiceResource,
-    drained: &BTreeSet<HostId>,
-) -> Vec<ServerInfo> {
+fn static_servers(service: &ServiceResource, drained: &BTreeSet<HostId>) -> Vec<ServerInfo> {
     let server = |server: &crate::resource::StaticServer| {
         let host = HostId::try_from(server.address.to_string()).ok()?;
         let drained = drained.contains(&host);
--- a/lib/src/server_follower.rs
+++ b/lib/src/server_follower.rs
@@ -52,14 +52,19 @@
     /// Reads until the child must stop.
     pub fn run(&self, context: &ChildContext) {
         while !context.must_stop() {
-            self.read_hosts();
-            self.read_notices();
-            self.update_router();
+            self.refresh();
             context.report_progress();
             std::thread::sleep(self.interval);
         }
     }
 
+    /// Reads the host list and the notices once and updates the router.
+    pub fn refresh(&self) {
+        self.read_hosts();
+        self.read_notices();
+        self.update_router();
+    }
+
     /// Takes a host out of routing at once, as when a peer or an operator announces that it leaves.
     pub fn mark_leaving(&self, host: &HostId) {
         let news = lock(&self.directory).mark_leaving(self.ports.clock.now(), host);
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -67,6 +67,8 @@
     pub host_list: SocketAddr,
     /// Weight store.
     pub weight_store: SocketAddr,
+    /// Time for which the log keeps records.
+    pub log_retention: Duration,
 }
 
 /// Hashes of the tokens that operators and peers present.
@@ -241,6 +243,7 @@
         cloud: reader.address("cloud")?,
         host_list: reader.address("host_list")?,
         weight_store: reader.address("weight_store")?,
+        log_retention: reader.millis_or("log_retention_ms", 3_600_000, 1_000..=31_536_000_000)?,
     };
     reader.finish()?;
     Ok(platform)
--- a/lib/tests/test_settings.rs
+++ b/lib/tests/test_settings.rs
@@ -23,9 +23,9 @@
 }
 
 fn set(settings: &mut Value, pointer: &str, value: Value) {
-    let (parent, field) = pointer.rsplit_once('/').unwrap();
-    let parent = settings.pointer_mut(parent).unwrap();
-    parent.as_object_mut().unwrap().insert(field.to_string(), value);
+    let (parent, field) = pointer.rsplit_once('/').expect("a pointer has a slash");
+    let parent = settings.pointer_mut(parent).and_then(Value::as_object_mut);
+    parent.expect("the parent is an object").insert(field.to_string(), value);
 }
 
 #[test]
