edge: give calls that may not be repeated a connection of their own

On a reused connection that went silent or is being closed, such a call's fate would stay unknown. An engine no longer promises that a repeated attempt did not run, and a path that is not absolute is refused before it can name another address.

--- a/lib/src/app_client.rs
+++ b/lib/src/app_client.rs
@@ -12,6 +12,7 @@
 use crate::engine::Result;
 use crate::engine::ServerError;
 use crate::http_edge::CallTime;
+use crate::http_edge::ConnectionUse;
 use crate::http_edge::EdgeLimits;
 use crate::http_edge::HttpAnswer;
 use crate::http_edge::HttpCall;
@@ -60,6 +61,7 @@
             headers: &headers,
             body: &request.body,
             time: CallTime::Total(timeout),
+            connection: connection_for(&request.method),
         })?;
         match refusal_of(&answer) {
             Some(error) => Err(error),
@@ -70,6 +72,15 @@
     }
 }
 
+/// A call that may not be repeated gets a connection of its own: on a reused one that has gone
+/// silent or is being closed, it would stay unknown whether the call ran.
+fn connection_for(method: &str) -> ConnectionUse {
+    match method {
+        "GET" | "HEAD" | "OPTIONS" => ConnectionUse::Pooled,
+        _ => ConnectionUse::Fresh,
+    }
+}
+
 /// Returns the caller's headers with those of the attempt in place of any of the same name.
 fn headers_of(request: &AppRequest) -> Vec<(String, String)> {
     let mut attempt = vec![
--- a/lib/src/engine_client.rs
+++ b/lib/src/engine_client.rs
@@ -19,6 +19,7 @@
 use crate::engine::StreamFlow;
 use crate::engine::TokenChunk;
 use crate::http_edge::CallTime;
+use crate::http_edge::ConnectionUse;
 use crate::http_edge::EdgeLimits;
 use crate::http_edge::HttpAnswer;
 use crate::http_edge::HttpCall;
@@ -124,6 +125,7 @@
             headers: &json_headers(),
             body: &body,
             time: CallTime::Gap(gap_limit),
+            connection: ConnectionUse::Pooled,
         };
         let mut end = None;
         let mut on_line = |line: &[u8]| match parse_line(line)? {
--- a/lib/src/http_edge.rs
+++ b/lib/src/http_edge.rs
@@ -118,6 +118,16 @@
     }
 }
 
+/// Which connection a call goes over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionUse {
+    /// An idle connection if there is one. It may have gone silent, or the server may be closing
+    /// it, and then it stays unknown whether the call ran.
+    Pooled,
+    /// A connection of its own, which costs one round trip.
+    Fresh,
+}
+
 /// One call to be made.
 #[derive(Clone, Debug)]
 pub struct HttpCall<'a> {
@@ -131,6 +141,8 @@
     pub body: &'a [u8],
     /// Bounds of its time.
     pub time: CallTime,
+    /// Connection that it goes over.
+    pub connection: ConnectionUse,
 }
 
 /// A whole answer.
@@ -179,13 +191,15 @@
 pub struct HttpEdge {
     address: SocketAddr,
     limits: EdgeLimits,
-    agent: RwLock<Agent>,
+    pooled: RwLock<Agent>,
+    fresh: Agent,
 }
 
 impl HttpEdge {
     /// Builds an edge; no connection is opened yet.
     pub fn new(address: SocketAddr, limits: EdgeLimits) -> Self {
-        Self { address, limits, agent: RwLock::new(build_agent(&limits)) }
+        let pooled = RwLock::new(build_agent(&limits, limits.max_idle_connections));
+        Self { address, limits, pooled, fresh: build_agent(&limits, 0) }
     }
 
     /// Returns the address.
@@ -201,8 +215,8 @@
     /// Drops idle connections; calls in flight keep theirs to their end, and later calls open new
     /// ones.
     pub fn retire_connections(&self) {
-        let fresh = build_agent(&self.limits);
-        *self.agent.write().unwrap_or_else(PoisonError::into_inner) = fresh;
+        let renewed = build_agent(&self.limits, self.limits.max_idle_connections);
+        *self.pooled.write().unwrap_or_else(PoisonError::into_inner) = renewed;
     }
 
     /// Makes a call and reads its whole answer; any HTTP status is an answer.
@@ -214,14 +228,25 @@
     /// Posts a JSON value within the call timeout and reads the whole answer.
     pub fn post_json<T: Serialize>(&self, path: &str, value: &T) -> Result<HttpAnswer> {
         let body = serde_json::to_vec(value).map_err(|e| HttpError::Malformed(e.to_string()))?;
-        let time = CallTime::Total(self.limits.call_timeout);
-        self.call(&HttpCall { method: "POST", path, headers: &json_headers(), body: &body, time })
+        let headers = json_headers();
+        self.call(&self.pooled_call("POST", path, &headers, &body))
     }
 
     /// Gets a path within the call timeout.
     pub fn get(&self, path: &str) -> Result<HttpAnswer> {
+        self.call(&self.pooled_call("GET", path, &[], &[]))
+    }
+
+    /// Builds a call over a pooled connection within the call timeout.
+    pub fn pooled_call<'a>(
+        &self,
+        method: &'a str,
+        path: &'a str,
+        headers: &'a [(String, String)],
+        body: &'a [u8],
+    ) -> HttpCall<'a> {
         let time = CallTime::Total(self.limits.call_timeout);
-        self.call(&HttpCall { method: "GET", path, headers: &[], body: &[], time })
+        HttpCall { method, path, headers, body, time, connection: ConnectionUse::Pooled }
     }
 
     /// Makes a call and passes each line of its answer to `on_line`, without the line's end.
@@ -248,7 +273,12 @@
     }
 
     fn send(&self, call: &HttpCall) -> Result<http::Response<ureq::Body>> {
-        let agent = self.agent.read().unwrap_or_else(PoisonError::into_inner).clone();
+        let agent = match call.connection {
+            ConnectionUse::Pooled => {
+                self.pooled.read().unwrap_or_else(PoisonError::into_inner).clone()
+            }
+            ConnectionUse::Fresh => self.fresh.clone(),
+        };
         let request = self.build_request(call)?;
         let configured = agent.configure_request(request);
         let request = match call.time {
@@ -259,6 +289,10 @@
     }
 
     fn build_request<'a>(&self, call: &HttpCall<'a>) -> Result<http::Request<&'a [u8]>> {
+        // Without the slash, the path could name another address.
+        if !call.path.starts_with('/') {
+            return Err(HttpError::NotConnected(format!("path {:?} is not absolute", call.path)));
+        }
         let uri = format!("http://{}{}", self.address, call.path);
         let mut builder = http::Request::builder().method(call.method).uri(uri);
         for (name, value) in call.headers.iter().filter(|(name, _)| is_forwarded(name)) {
@@ -328,7 +362,7 @@
     .collect()
 }
 
-fn build_agent(limits: &EdgeLimits) -> Agent {
+fn build_agent(limits: &EdgeLimits, max_idle_connections: usize) -> Agent {
     let config = Agent::config_builder()
         .http_status_as_error(false)
         .proxy(None)
@@ -340,8 +374,8 @@
         .accept("")
         .accept_encoding("")
         .timeout_connect(Some(limits.connect_timeout))
-        .max_idle_connections(limits.max_idle_connections)
-        .max_idle_connections_per_host(limits.max_idle_connections)
+        .max_idle_connections(max_idle_connections)
+        .max_idle_connections_per_host(max_idle_connections)
         .build();
     Agent::with_parts(config, MarkingConnector::default(), DefaultResolver::default())
 }
@@ -374,10 +408,8 @@
         ureq::Error::Other(other) if other.is::<ConnectFailure>() => {
             HttpError::NotConnected(other.to_string())
         }
-        ureq::Error::BadUri(_) | ureq::Error::Http(_) => HttpError::NotConnected(error.to_string()),
         ureq::Error::Timeout(_) => HttpError::Silent(time.duration()),
         ureq::Error::BodyExceedsLimit(_) => HttpError::TooLarge(limits.max_body_bytes),
-        ureq::Error::Protocol(_) => HttpError::Lost(error.to_string()),
         other => HttpError::Lost(other.to_string()),
     }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod http_edge;
 pub mod log_client;
 pub mod log_service;
+pub mod server_connector;
 pub mod weight_store;
 pub mod weight_store_client;
 
--- a/lib/src/log_client.rs
+++ b/lib/src/log_client.rs
@@ -7,10 +7,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::http_edge::CallTime;
 use crate::http_edge::EdgeLimits;
 use crate::http_edge::HttpAnswer;
-use crate::http_edge::HttpCall;
 use crate::http_edge::HttpEdge;
 use crate::http_edge::HttpError;
 use crate::ids::LogOffset;
@@ -107,13 +105,8 @@
         if data.len() > MAX_RECORD_BYTES {
             return Err(LogError::Refused(format!("record exceeds {MAX_RECORD_BYTES} bytes")));
         }
-        let answer = self.edge.call(&HttpCall {
-            method: "POST",
-            path: &format!("/streams/{}/records", stream.name()),
-            headers: &[],
-            body: data,
-            time: CallTime::Total(self.edge.limits().call_timeout),
-        });
+        let path = format!("/streams/{}/records", stream.name());
+        let answer = self.edge.call(&self.edge.pooled_call("POST", &path, &[], data));
         match answer.map_err(append_error)? {
             answer if answer.status == 200 => {
                 // The append took effect, so an answer that cannot be read leaves its fate open.
--- a/lib/tests/test_engine_edge.rs
+++ b/lib/tests/test_engine_edge.rs
@@ -301,6 +301,20 @@
     assert_eq!(engine.journal().entries(), []);
 }
 
+#[test]
+fn repeated_attempt() {
+    let (engine, client) = start(endless());
+    let wanted = request(1, "sent twice");
+    let outcome = client.generate(&wanted, HANG_GUARD, &mut |_| {
+        // The first one runs, so the second must not be told that it did not.
+        let second = run(&client, &wanted);
+        assert!(matches!(second, Err(ServerError::Malformed(_))), "{second:?}");
+        StreamFlow::Stop
+    });
+    assert!(outcome.is_err());
+    assert_eq!(engine.journal().entries().len(), 1);
+}
+
 #[test]
 fn refused_work() {
     let (engine, client) = start(EngineSettings::default());
--- a/lib/testutils/src/cloud_standin.rs
+++ b/lib/testutils/src/cloud_standin.rs
@@ -1,7 +1,5 @@
 //! Stand-in of the cloud API, whose hosts are engine and app stand-ins on loopback ports.
 
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -211,7 +209,7 @@
     fn act(&self, action: CloudAction) {
         match action {
             CloudAction::Boot(host, order) => {
-                let any_port = SocketAddr::from((IpAddr::from(Ipv4Addr::LOCALHOST), 0));
+                let any_port = SocketAddr::new(self.life.relay().address().ip(), 0);
                 if let Err(error) = self.boot(&host, &order, any_port) {
                     log::error!("event=standin_boot_failed host={host} error={error}");
                 }
--- a/lib/testutils/src/engine_core.rs
+++ b/lib/testutils/src/engine_core.rs
@@ -58,6 +58,17 @@
     pub cancelled: bool,
 }
 
+/// What became of an attempt that arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QueueOutcome {
+    /// It waits.
+    Queued,
+    /// The queue is full.
+    Full,
+    /// The same attempt is here already.
+    Repeated,
+}
+
 /// What the prefill of an attempt found and costs.
 #[derive(Clone, Copy, Debug)]
 pub struct PrefillPlan {
@@ -122,11 +133,20 @@
         }
     }
 
-    /// Puts an attempt into the queue; `false` if it is there already or the queue is full.
-    pub fn enqueue(&mut self, now: Instant, key: AttemptKey, priority: u8, text: String) -> bool {
+    /// Puts an attempt into the queue.
+    pub fn enqueue(
+        &mut self,
+        now: Instant,
+        key: AttemptKey,
+        priority: u8,
+        text: String,
+    ) -> QueueOutcome {
+        if self.attempts.contains_key(&key) {
+            return QueueOutcome::Repeated;
+        }
         let queued = self.attempts.values().filter(|attempt| !attempt.running).count();
-        if self.attempts.contains_key(&key) || queued >= self.settings.queue_limit {
-            return false;
+        if queued >= self.settings.queue_limit {
+            return QueueOutcome::Full;
         }
         self.arrivals += 1;
         let attempt = EngineAttempt {
@@ -139,7 +159,7 @@
         };
         self.attempts.insert(key, attempt);
         self.report(now);
-        true
+        QueueOutcome::Queued
     }
 
     /// Moves the attempt into the batch if there is a place and none goes before it.
--- a/lib/testutils/src/engine_run.rs
+++ b/lib/testutils/src/engine_run.rs
@@ -16,6 +16,7 @@
 use crate::engine_answer::natural_length;
 use crate::engine_core::AttemptKey;
 use crate::engine_core::PrefillPlan;
+use crate::engine_core::QueueOutcome;
 use crate::engine_standin::EngineShared;
 use crate::engine_standin::refuse_unrun;
 use crate::http_standin::HttpExchange;
@@ -40,6 +41,16 @@
     }
 }
 
+/// Whether an engine takes a request.
+enum Admission {
+    /// It waits for the batch.
+    Taken,
+    /// It did not run and will not: status and reason.
+    Refused(u16, &'static str),
+    /// The same attempt waits or runs, so nothing can be promised about it.
+    Repeated,
+}
+
 type Result<T> = std::result::Result<T, RunStop>;
 
 /// One attempt that an engine runs.
@@ -60,8 +71,10 @@
 
     /// Runs the attempt and answers the exchange.
     pub(crate) fn serve(self, exchange: HttpExchange) {
-        if let Err((status, reason)) = self.admit() {
-            return refuse_unrun(exchange, status, reason);
+        match self.admit() {
+            Admission::Taken => {}
+            Admission::Refused(status, reason) => return refuse_unrun(exchange, status, reason),
+            Admission::Repeated => return exchange.refuse(409, "attempt is here already"),
         }
         let (id, attempt) = (self.request.request.to_string(), self.request.attempt.0);
         let run = self.shared.journal.begin(None, id, attempt, &self.request.model);
@@ -79,18 +92,19 @@
     }
 
     /// Takes the request into the queue, or tells why not.
-    fn admit(&self) -> std::result::Result<(), (u16, &'static str)> {
+    fn admit(&self) -> Admission {
         let mut core = self.shared.lock();
         if core.refusing {
-            return Err((503, "engine takes no work"));
+            return Admission::Refused(503, "engine takes no work");
         }
         if !core.serves(&self.request.model) {
-            return Err((503, "model is not loaded"));
+            return Admission::Refused(503, "model is not loaded");
         }
         let text = format!("{}{}", self.request.prompt, self.request.generated);
         match core.enqueue(Instant::now(), self.key, self.request.priority.0, text) {
-            true => Ok(()),
-            false => Err((429, "queue is full or attempt is running")),
+            QueueOutcome::Queued => Admission::Taken,
+            QueueOutcome::Full => Admission::Refused(429, "queue is full"),
+            QueueOutcome::Repeated => Admission::Repeated,
         }
     }
 
--- a/lib/testutils/src/platform_standin.rs
+++ b/lib/testutils/src/platform_standin.rs
@@ -9,6 +9,7 @@
 
 use pomelostack_lib::cloud::HostMarket;
 use pomelostack_lib::cloud::HostOrder;
+use pomelostack_lib::cloud::HostPrice;
 use pomelostack_lib::ids::ClassName;
 use pomelostack_lib::ids::HostId;
 use pomelostack_lib::ids::NameError;
@@ -33,6 +34,13 @@
 use crate::weight_standin::WeightSettings;
 use crate::weight_standin::WeightStandin;
 
+/// Price of an on-demand host in the first zone, in millionths of the currency unit per hour.
+const ON_DEMAND_MICROS_PER_HOUR: u64 = 2_000_000;
+/// Price of a reclaimable host in the first zone.
+const RECLAIMABLE_MICROS_PER_HOUR: u64 = 600_000;
+/// What each further zone costs more.
+const ZONE_STEP_MICROS_PER_HOUR: u64 = 50_000;
+
 /// Settings of a platform; the addresses within the parts' settings are replaced.
 #[derive(Clone, Debug)]
 pub struct PlatformSettings {
@@ -72,12 +80,15 @@
     /// Returns settings of a small platform on free loopback ports.
     pub fn small(model_service: ServiceName, app_service: ServiceName) -> Result<Self> {
         let zones = ["zone-a", "zone-b", "zone-c", "zone-d"].map(ZoneName::try_from);
-        let zones = zones.into_iter().collect::<std::result::Result<_, _>>().map_err(bad_name)?;
+        let zones =
+            zones.into_iter().collect::<std::result::Result<Vec<_>, _>>().map_err(bad_name)?;
+        let class = ClassName::try_from("standard").map_err(bad_name)?;
+        let cloud = CloudSettings { prices: small_prices(&zones, &class), ..Default::default() };
         Ok(Self {
             ip: IpAddr::from(Ipv4Addr::LOCALHOST),
             first_port: None,
             zones,
-            class: ClassName::try_from("standard").map_err(bad_name)?,
+            class,
             market: HostMarket::Reclaimable,
             model_service,
             model_servers: 4,
@@ -86,13 +97,31 @@
             app_servers: 2,
             app: AppSettings::default(),
             log: LogSettings::default(),
-            cloud: CloudSettings::default(),
+            cloud,
             host_list_lag: Duration::ZERO,
             weights: WeightSettings::default(),
         })
     }
 }
 
+/// Prices that differ by zone and market.
+fn small_prices(zones: &[ZoneName], class: &ClassName) -> Vec<HostPrice> {
+    let mut prices = Vec::new();
+    for (zone, step) in zones.iter().zip(0..) {
+        let markets = [
+            (HostMarket::OnDemand, ON_DEMAND_MICROS_PER_HOUR),
+            (HostMarket::Reclaimable, RECLAIMABLE_MICROS_PER_HOUR),
+        ];
+        prices.extend(markets.map(|(market, base)| HostPrice {
+            zone: zone.clone(),
+            class: class.clone(),
+            market,
+            micros_per_hour: base + step * ZONE_STEP_MICROS_PER_HOUR,
+        }));
+    }
+    prices
+}
+
 /// Hands out the addresses of the parts, one after the other.
 struct AddressSequence {
     ip: IpAddr,
