--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod http_edge;
 pub mod log_client;
 pub mod log_service;
+pub mod server_connector;
 pub mod weight_store;
 pub mod weight_store_client;
 
@@ -111,7 +112,6 @@
 pub mod metrics;
 pub mod reply_channel;
 pub mod request_id_source;
-pub mod server_connector;
 pub mod server_follower;
 pub mod settings;
 pub mod settings_json;
