--- /dev/null
+++ b/lib/src/admin_access.rs
@@ -0,0 +1,72 @@
+//! Operators' tokens and what each may do.
+
+use tonic::metadata::MetadataMap;
+
+use crate::admin_status::Result;
+use crate::admin_status::refuse;
+use crate::config_record::ChangeAuthor;
+use crate::resource::TokenHash;
+use crate::result_code::ResultCode;
+
+/// Hexadecimal digits of a token's hash that name the token in the history.
+const TOKEN_ID_DIGITS: usize = 8;
+
+/// What a token allows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum OperatorRole {
+    /// Calls that change nothing.
+    Read,
+    /// All calls.
+    Write,
+}
+
+/// A token of an operator.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OperatorToken {
+    /// Name of the operator, as the history shows it.
+    pub operator: String,
+    /// What the token allows.
+    pub role: OperatorRole,
+    /// Hash of the token.
+    pub hash: TokenHash,
+}
+
+/// Checks the tokens of calls.
+#[derive(Clone, Debug, Default)]
+pub struct OperatorAccess {
+    tokens: Vec<OperatorToken>,
+}
+
+impl OperatorAccess {
+    /// Builds the check from all tokens that are valid.
+    pub fn new(tokens: Vec<OperatorToken>) -> Self {
+        Self { tokens }
+    }
+
+    /// Returns the operator who makes a call, if the token allows it.
+    ///
+    /// Every hash is compared, each in constant time, so the time taken tells nothing about a
+    /// match.
+    pub fn authorize(&self, metadata: &MetadataMap, needed: OperatorRole) -> Result<ChangeAuthor> {
+        let unauthorized = || {
+            let message = "the operators' token is missing or wrong";
+            refuse(ResultCode::OperatorUnauthorized, "", message)
+        };
+        let header = metadata.get("authorization").and_then(|value| value.to_str().ok());
+        let token =
+            header.and_then(|value| value.strip_prefix("Bearer ")).ok_or_else(unauthorized)?;
+        let mut found = None;
+        for candidate in &self.tokens {
+            if candidate.hash.matches(token) {
+                found = Some(candidate);
+            }
+        }
+        let found = found.ok_or_else(unauthorized)?;
+        if found.role < needed {
+            let message = "the token allows reading alone";
+            return Err(refuse(ResultCode::OperatorForbidden, "", message));
+        }
+        let token_id = found.hash.to_hex().chars().take(TOKEN_ID_DIGITS).collect();
+        Ok(ChangeAuthor { operator: found.operator.clone(), token_id })
+    }
+}
--- /dev/null
+++ b/lib/src/admin_changes.rs
@@ -0,0 +1,144 @@
+//! Turns write calls of the administration API into changes of configuration.
+
+use crate::admin_status::Result;
+use crate::admin_status::refuse;
+use crate::admin_status::refuse_input;
+use crate::config_record::ChangeAuthor;
+use crate::config_record::ChangeId;
+use crate::config_record::ConfigChange;
+use crate::config_record::ResourceBody;
+use crate::config_record::ResourceOperation;
+use crate::ids::HostId;
+use crate::ids::LogOffset;
+use crate::protos::admin::ChangeHeader;
+use crate::protos::admin::ConfigurationSpec;
+use crate::protos::admin::FleetClassSpec;
+use crate::protos::admin::Kind;
+use crate::protos::admin::PolicySpec;
+use crate::protos::admin::Resource;
+use crate::protos::admin::ServiceSpec;
+use crate::protos::admin::TeamSpec;
+use crate::protos::admin::resource::Spec;
+use crate::resource::ConfigState;
+use crate::resource::FleetClass;
+use crate::resource::PolicyResource;
+use crate::resource::ServiceResource;
+use crate::resource::TeamResource;
+use crate::resource_error;
+use crate::resource_error::FieldPath;
+use crate::resource_error::ResourceError;
+use crate::resource_json::write_json;
+use crate::resource_key::ResourceKey;
+use crate::resource_key::ResourceKind;
+use crate::result_code::ResultCode;
+use crate::timestamp::wall_clock_ms;
+
+/// Builds a change of one operation; an empty id has one chosen.
+pub fn build_change(
+    author: ChangeAuthor,
+    header: &ChangeHeader,
+    operation: ResourceOperation,
+) -> Result<ConfigChange> {
+    Ok(ConfigChange {
+        id: choose_change_id(header)?,
+        base: header.base_revision.map(LogOffset),
+        author,
+        wall_ms: wall_clock_ms(),
+        operations: vec![operation],
+    })
+}
+
+/// Returns the change id of a header, or a new one if it has none.
+pub fn choose_change_id(header: &ChangeHeader) -> Result<ChangeId> {
+    if header.change_id.is_empty() {
+        return Ok(ChangeId::random(&mut rand::rng()));
+    }
+    parse_change_id("header.change_id", &header.change_id)
+}
+
+/// Reads a change id that stands at `path`.
+pub fn parse_change_id(path: &str, text: &str) -> Result<ChangeId> {
+    ChangeId::from_hex(text).ok_or_else(|| {
+        refuse(ResultCode::BadValue, path, format!("{path} must be 32 hexadecimal digits"))
+    })
+}
+
+/// Checks a resource and writes it in its JSON form, with all defaults filled in.
+pub fn read_resource(raw: Option<Resource>) -> Result<ResourceBody> {
+    let Some(spec) = raw.and_then(|resource| resource.spec) else {
+        return Err(refuse(ResultCode::MissingField, "resource", "resource is required"));
+    };
+    canonical_body(spec).map_err(|error| refuse_input(&error))
+}
+
+fn canonical_body(spec: Spec) -> resource_error::Result<ResourceBody> {
+    let (kind, json) = match spec {
+        Spec::Service(raw) => {
+            let service = ServiceResource::try_from(raw)?;
+            (ResourceKind::Service, write_json(&ServiceSpec::from(&service)))
+        }
+        Spec::Team(raw) => {
+            let team = TeamResource::try_from(raw)?;
+            (ResourceKind::Team, write_json(&TeamSpec::from(&team)))
+        }
+        Spec::Class(raw) => {
+            let class = FleetClass::try_from(raw)?;
+            (ResourceKind::Class, write_json(&FleetClassSpec::from(&class)))
+        }
+        Spec::Policy(raw) => {
+            let policy = PolicyResource::try_from(raw)?;
+            (ResourceKind::Policy, write_json(&PolicySpec::from(&policy)))
+        }
+    };
+    Ok(ResourceBody { kind, json })
+}
+
+/// Checks a whole configuration.
+pub fn read_configuration(raw: Option<ConfigurationSpec>) -> Result<ConfigState> {
+    let Some(spec) = raw else {
+        return Err(refuse(ResultCode::MissingField, "configuration", "configuration is required"));
+    };
+    ConfigState::try_from(spec).map_err(|error| refuse_input(&error))
+}
+
+/// Reads the key of a resource.
+pub fn read_key(kind: Kind, name: &str) -> Result<ResourceKey> {
+    let Some(kind) = read_kind(kind) else {
+        return Err(refuse(ResultCode::MissingField, "kind", "kind is required"));
+    };
+    ResourceKey::parse(kind, name).map_err(|error| {
+        let path = FieldPath::root().field("name");
+        refuse_input(&ResourceError::invalid(&path, error.to_string()))
+    })
+}
+
+/// Reads a kind of resource; `None` if it is unspecified.
+pub fn read_kind(kind: Kind) -> Option<ResourceKind> {
+    match kind {
+        Kind::Unspecified => None,
+        Kind::Service => Some(ResourceKind::Service),
+        Kind::Team => Some(ResourceKind::Team),
+        Kind::Class => Some(ResourceKind::Class),
+        Kind::Policy => Some(ResourceKind::Policy),
+    }
+}
+
+/// Reads the id of a host.
+pub fn read_host(raw: &str) -> Result<HostId> {
+    HostId::try_from(raw).map_err(|error| {
+        let path = FieldPath::root().field("host");
+        refuse_input(&ResourceError::invalid(&path, error.to_string()))
+    })
+}
+
+/// Returns a resource in its raw form.
+pub fn write_resource(state: &ConfigState, key: &ResourceKey) -> Option<Resource> {
+    let spec = match key {
+        ResourceKey::Service(name) => Spec::Service(state.services.get(name)?.into()),
+        ResourceKey::Team(name) => Spec::Team(state.teams.get(name)?.into()),
+        ResourceKey::Class(name) => Spec::Class(state.classes.get(name)?.into()),
+        ResourceKey::Policy => Spec::Policy((&state.policy).into()),
+        ResourceKey::Host(_) => return None,
+    };
+    Some(Resource { spec: Some(spec) })
+}
--- /dev/null
+++ b/lib/src/admin_server.rs
@@ -0,0 +1,66 @@
+//! Runs the administration API on a runtime that the caller provides.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+
+use tokio::runtime::Handle;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+
+use crate::admin_service::AdminService;
+use crate::protos::admin::admin_server::AdminServer as TonicService;
+
+/// A running server of the administration API.
+pub struct AdminServer {
+    address: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    task: JoinHandle<()>,
+}
+
+impl AdminServer {
+    /// Binds the address and serves calls until [`Self::stop`].
+    pub fn start(runtime: &Handle, address: SocketAddr, service: AdminService) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let listener = {
+            let _guard = runtime.enter();
+            tokio::net::TcpListener::from_std(listener)?
+        };
+        let (stop, stopped) = oneshot::channel();
+        let server = Server::builder()
+            .add_service(TonicService::new(service))
+            .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async {
+                // A dropped sender stops the server too.
+                stopped.await.ok();
+            });
+        let task = runtime.spawn(async {
+            if let Err(error) = server.await {
+                log::error!("admin server failed reason=\"{error}\"");
+            }
+        });
+        Ok(Self { address, stop: Some(stop), task })
+    }
+
+    /// Returns the address that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Takes no new connections; calls under way go on. Watches end when their callers or the
+    /// configuration follower do.
+    pub fn stop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            // An error means that the server has ended already.
+            stop.send(()).ok();
+        }
+    }
+
+    /// Returns whether the server has ended.
+    pub fn is_finished(&self) -> bool {
+        self.task.is_finished()
+    }
+}
--- a/lib/src/config_fold.rs
+++ b/lib/src/config_fold.rs
@@ -60,7 +60,7 @@
     pub id: ChangeId,
     /// Offset of its first record.
     pub offset: LogOffset,
-    /// Hash of base and operations.
+    /// Hash of its operations.
     pub content: ContentHash,
     /// How it ended.
     pub outcome: ChangeOutcome,
--- a/lib/src/config_publish.rs
+++ b/lib/src/config_publish.rs
@@ -30,6 +30,17 @@
     LogUnavailable(String),
 }
 
+impl PublishOutcome {
+    /// Returns the outcome of a change whose record was folded at the offset.
+    pub fn of(offset: LogOffset, outcome: ChangeOutcome) -> Self {
+        match outcome {
+            ChangeOutcome::Accepted => Self::Accepted(offset),
+            ChangeOutcome::Conflict(current) => Self::Conflict(current),
+            ChangeOutcome::Rejected(error) => Self::Rejected(error),
+        }
+    }
+}
+
 /// What is known about a change before it is published.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ChangeOrigin {
@@ -93,15 +104,7 @@
         match self.lock().replica.fold().status_of(change) {
             ChangeStatus::Unknown => None,
             ChangeStatus::IdReused => Some(PublishOutcome::IdReused),
-            ChangeStatus::Known(offset, ChangeOutcome::Accepted) => {
-                Some(PublishOutcome::Accepted(offset))
-            }
-            ChangeStatus::Known(_, ChangeOutcome::Conflict(current)) => {
-                Some(PublishOutcome::Conflict(current))
-            }
-            ChangeStatus::Known(_, ChangeOutcome::Rejected(error)) => {
-                Some(PublishOutcome::Rejected(error))
-            }
+            ChangeStatus::Known(offset, outcome) => Some(PublishOutcome::of(offset, outcome)),
         }
     }
 }
--- a/lib/src/config_record.rs
+++ b/lib/src/config_record.rs
@@ -140,7 +140,10 @@
     pub operations: Vec<ResourceOperation>,
 }
 
-/// Hash of the base and operations of a change, cut to 16 bytes.
+/// Hash of the operations of a change, cut to 16 bytes.
+///
+/// The base is not part of it: it decides whether a change takes effect, not which effect, and a
+/// change that is asked for again may state a newer one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ContentHash(pub [u8; 16]);
 
@@ -183,7 +186,6 @@
     /// Returns the hash by which a repeated id with other content is noticed.
     pub fn content_hash(&self) -> ContentHash {
         let content = proto::ConfigChange {
-            base_revision: self.base.map(|offset| offset.0),
             operations: self.operations.iter().map(write_operation).collect(),
             ..Default::default()
         };
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -35,10 +35,16 @@
 pub mod lease;
 
 // Configuration and administration.
+pub mod admin_access;
+pub mod admin_changes;
+pub mod admin_server;
 pub mod admin_service;
+pub mod admin_sources;
+pub mod admin_status;
 pub mod checkpoint_duty;
 pub mod config_apply;
 pub mod config_checkpoint;
+pub mod config_diff;
 pub mod config_fold;
 pub mod config_follower;
 pub mod config_publish;
--- a/lib/src/protos/pomelostack.admin.rs
+++ b/lib/src/protos/pomelostack.admin.rs
@@ -178,14 +178,26 @@
     #[prost(uint32, optional, tag = "4")]
     pub reclaimable_percent: ::core::option::Option<u32>,
 }
+/// What every write call states about its change.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ChangeHeader {
+    /// Revision that the author had read. Drains may leave it out: they start from the one in force.
+    #[prost(uint64, optional, tag = "1")]
+    pub base_revision: ::core::option::Option<u64>,
+    /// 32 hexadecimal digits; empty to have the answering host choose one.
+    #[prost(string, tag = "2")]
+    pub change_id: ::prost::alloc::string::String,
+    /// True if the id has never been sent before. Only then can an unreachable log be answered by
+    /// "nothing was published" (code 507) instead of PENDING.
+    #[prost(bool, tag = "3")]
+    pub first_attempt: bool,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct WriteResourceRequest {
     #[prost(message, optional, tag = "1")]
     pub resource: ::core::option::Option<Resource>,
-    #[prost(uint64, optional, tag = "2")]
-    pub base_revision: ::core::option::Option<u64>,
-    #[prost(string, tag = "3")]
-    pub change_id: ::prost::alloc::string::String,
+    #[prost(message, optional, tag = "2")]
+    pub header: ::core::option::Option<ChangeHeader>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct DeleteResourceRequest {
@@ -193,10 +205,8 @@
     pub kind: i32,
     #[prost(string, tag = "2")]
     pub name: ::prost::alloc::string::String,
-    #[prost(uint64, optional, tag = "3")]
-    pub base_revision: ::core::option::Option<u64>,
-    #[prost(string, tag = "4")]
-    pub change_id: ::prost::alloc::string::String,
+    #[prost(message, optional, tag = "3")]
+    pub header: ::core::option::Option<ChangeHeader>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ChangeReply {
@@ -253,13 +263,11 @@
 pub struct PublishConfigurationRequest {
     #[prost(message, optional, tag = "1")]
     pub configuration: ::core::option::Option<ConfigurationSpec>,
-    #[prost(uint64, optional, tag = "2")]
-    pub base_revision: ::core::option::Option<u64>,
-    #[prost(string, tag = "3")]
-    pub change_id: ::prost::alloc::string::String,
+    #[prost(message, optional, tag = "2")]
+    pub header: ::core::option::Option<ChangeHeader>,
     /// Replaces everything, whatever came before. Only for a log that lost its records while no host
     /// lived: an accepted change that nobody remembers is given up.
-    #[prost(bool, tag = "4")]
+    #[prost(bool, tag = "3")]
     pub restore: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -345,10 +353,8 @@
     /// Host, or backend server, by its id.
     #[prost(string, tag = "1")]
     pub host: ::prost::alloc::string::String,
-    #[prost(uint64, optional, tag = "2")]
-    pub base_revision: ::core::option::Option<u64>,
-    #[prost(string, tag = "3")]
-    pub change_id: ::prost::alloc::string::String,
+    #[prost(message, optional, tag = "2")]
+    pub header: ::core::option::Option<ChangeHeader>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct GetFleetStateRequest {}
--- a/lib/src/protos/pomelostack.config.rs
+++ b/lib/src/protos/pomelostack.config.rs
@@ -119,7 +119,7 @@
     /// Offset of the first record of the change.
     #[prost(uint64, tag = "2")]
     pub offset: u64,
-    /// First 16 bytes of the blake3 hash of base and operations.
+    /// First 16 bytes of the blake3 hash of its operations.
     #[prost(bytes = "vec", tag = "3")]
     pub content: ::prost::alloc::vec::Vec<u8>,
     /// Number of the result code; 0 for an accepted change.
