cli: add pomelostack admin

Cause: operators need the whole administration API from a shell, with tables to read, JSON for programs and exit codes to branch on.

--- /dev/null
+++ b/cli/src/commands/admin/client.rs
@@ -0,0 +1,72 @@
+//! Connection to the administration API.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use anyhow::Context as _;
+use pomelostack_lib::protos::admin::ListResourcesReply;
+use pomelostack_lib::protos::admin::ListResourcesRequest;
+use pomelostack_lib::protos::admin::admin_client::AdminClient;
+use tonic::Request;
+use tonic::metadata::Ascii;
+use tonic::metadata::MetadataValue;
+use tonic::transport::Channel;
+use tonic::transport::Endpoint;
+
+use super::exit::CallError;
+use super::exit::Result;
+
+/// Time to open a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time for one call; longer than an entry host waits to read a change back from the log.
+const CALL_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Makes calls with an operator's token.
+pub struct AdminCaller {
+    /// Client of the API.
+    pub client: AdminClient<Channel>,
+    authorization: MetadataValue<Ascii>,
+}
+
+impl AdminCaller {
+    /// Connects to an entry host.
+    pub async fn connect(address: SocketAddr, token: String) -> Result<Self> {
+        let authorization = MetadataValue::try_from(format!("Bearer {token}"))
+            .context("the token holds characters that a header cannot carry")
+            .map_err(CallError::Usage)?;
+        let endpoint = Endpoint::from_shared(format!("http://{address}"))
+            .map_err(CallError::Connect)?
+            .connect_timeout(CONNECT_TIMEOUT);
+        let channel = endpoint.connect().await.map_err(CallError::Connect)?;
+        Ok(Self { client: AdminClient::new(channel), authorization })
+    }
+
+    /// Builds the request of a call that ends after its reply.
+    pub fn request<T>(&self, message: T) -> Request<T> {
+        let mut request = self.stream_request(message);
+        request.set_timeout(CALL_TIMEOUT);
+        request
+    }
+
+    /// Builds the request of a call that goes on until its caller ends it.
+    pub fn stream_request<T>(&self, message: T) -> Request<T> {
+        let mut request = Request::new(message);
+        request.metadata_mut().insert("authorization", self.authorization.clone());
+        request
+    }
+
+    /// Returns the whole configuration.
+    pub async fn list_all(&mut self) -> Result<ListResourcesReply> {
+        let request = self.request(ListResourcesRequest::default());
+        Ok(self.client.list_resources(request).await?.into_inner())
+    }
+}
+
+/// Reads a file that the command line names.
+pub fn read_file(path: &Path) -> Result<String> {
+    std::fs::read_to_string(path)
+        .with_context(|| format!("cannot read {}", path.display()))
+        .map_err(CallError::Usage)
+}
--- a/lib/gen-protos/src/main.rs
+++ b/lib/gen-protos/src/main.rs
@@ -25,6 +25,16 @@
     ".pomelostack.admin.PolicySpec",
 ];
 
+/// Messages that `pomelostack admin --json` prints as they are.
+const PRINTED_MESSAGES: [&str; 6] = [
+    ".pomelostack.admin.Revision",
+    ".pomelostack.admin.FieldDiff",
+    ".pomelostack.admin.HistoryEntry",
+    ".pomelostack.admin.FleetMember",
+    ".pomelostack.admin.RequestState",
+    ".pomelostack.admin.BurnWindow",
+];
+
 /// Attributes of [`JSON_MESSAGES`].
 const JSON_DERIVES: &str =
     "#[derive(serde::Serialize, serde::Deserialize)] #[serde(deny_unknown_fields)]";
@@ -78,6 +88,9 @@
     for message in JSON_MESSAGES {
         builder = builder.type_attribute(message, JSON_DERIVES);
     }
+    for message in PRINTED_MESSAGES {
+        builder = builder.type_attribute(message, "#[derive(serde::Serialize)]");
+    }
     for field in JSON_DEFAULT_FIELDS {
         builder = builder.field_attribute(field, "#[serde(default)]");
     }
--- a/lib/src/protos/pomelostack.admin.rs
+++ b/lib/src/protos/pomelostack.admin.rs
@@ -251,6 +251,7 @@
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct WatchRevisionsRequest {}
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Revision {
     #[prost(uint64, optional, tag = "1")]
@@ -287,6 +288,7 @@
     pub fields: ::prost::alloc::vec::Vec<FieldDiff>,
 }
 /// A field whose value differs.
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FieldDiff {
     #[prost(string, tag = "1")]
@@ -316,6 +318,7 @@
     #[prost(uint32, tag = "1")]
     pub limit: u32,
 }
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct HistoryEntry {
     /// Offset of the change in the log.
@@ -359,6 +362,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct GetFleetStateRequest {}
 /// An entry host or a backend server.
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FleetMember {
     #[prost(string, tag = "1")]
@@ -392,6 +396,7 @@
     #[prost(string, tag = "1")]
     pub request_id: ::prost::alloc::string::String,
 }
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RequestState {
     #[prost(string, tag = "1")]
@@ -421,6 +426,7 @@
     pub service: ::prost::alloc::string::String,
 }
 /// Burn of one service over one window.
+#[derive(serde::Serialize)]
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct BurnWindow {
     #[prost(string, tag = "1")]
