--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -1,13 +1,25 @@
 //! Small stand-ins of the platform and naive versions of decisions, for tests and `dev`.
 
 pub mod app_standin;
+pub mod backend_fleet;
+pub mod cloud_core;
 pub mod cloud_standin;
+pub mod connection_relay;
+pub mod engine_answer;
+pub mod engine_core;
+mod engine_run;
 pub mod engine_standin;
+pub mod hang_guard;
 pub mod host_list_standin;
+pub mod host_registry;
 pub mod http_standin;
+pub mod journal;
+pub mod log_fake;
 pub mod log_standin;
 pub mod memory_log;
 pub mod platform_standin;
+pub mod prefix_cache;
+pub mod server_life;
 pub mod weight_standin;
 
 pub mod config_samples;
