--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The program's commands, one file each.
 
+pub mod admin;
 mod check;
 mod dev;
 mod entry;
@@ -18,6 +19,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Admin(admin::AdminCommand),
     Check(check::CheckCommand),
     Dev(dev::DevCommand),
     Entry(entry::EntryCommand),
@@ -27,6 +29,7 @@
     /// Runs the command that was asked for.
     pub fn run(self) -> anyhow::Result<ExitCode> {
         match self.command {
+            Command::Admin(command) => command.run(),
             Command::Check(command) => command.run(),
             Command::Dev(command) => command.run(),
             Command::Entry(command) => command.run(),
