crash_suspects: refuse requests that crash two servers, never their companions

Suspects are tried alone on a server that every host avoids and that has drained. Evidence merges over hosts by idempotent reports.

--- a/lib/src/crash_suspects.rs
+++ b/lib/src/crash_suspects.rs
@@ -1,16 +1,50 @@
 //! Finds requests that crash backend servers and keeps them from further servers.
+//!
+//! Requests that ran at a server when its process ended are suspects. A suspect is tried alone: one
+//! host, one server that every host avoids, and only once that server has no other request. The
+//! trial clears the suspect or, together with the first crash, proves that it crashes servers.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::crash_evidence::CrashEvidence;
+use crate::crash_evidence::CrashVerdict;
+use crate::crash_evidence::SETTLE_TIME;
+use crate::crash_report::BusyView;
+use crate::crash_report::CrashCompanion;
+use crate::crash_report::CrashReport;
+use crate::crash_report::CrashView;
+use crate::crash_report::MAX_COMPANIONS;
+use crate::crash_report::REPORT_VERSION;
+use crate::crash_report::TrialView;
+pub use crate::crash_report::WorkFingerprint;
+use crate::ids::HostId;
 use crate::ids::RequestId;
 use crate::ids::ServerId;
+use crate::ids::ZoneName;
 use crate::session_request::CheckedRequest;
 use crate::session_request::RequestWork;
 use crate::timestamp::Timestamp;
 
-/// Hash of a request's service and work: equal for every resend of the same request.
-#[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
-)]
-pub struct WorkFingerprint(pub u128);
+/// Time that a suspect must run alone beyond the time it ran before the crash to be cleared.
+pub const PROBATION_MARGIN: Duration = Duration::from_secs(2);
+
+/// Time for which each further host waits longer before it tries a suspect in place of the hosts
+/// before it.
+pub const OWNER_TURN: Duration = Duration::from_secs(10);
+
+/// Time after its last report for which a host counts as a peer.
+pub const PEER_EXPIRY: Duration = Duration::from_secs(10);
+
+/// Time for which an attempt that failed counts as still there when its server's end is noticed.
+pub const RECENT_LOSS: Duration = Duration::from_secs(1);
+
+/// Time for which an announced end excuses the end of a server's process.
+pub const ANNOUNCEMENT_EXPIRY: Duration = Duration::from_secs(600);
+
+/// Servers of a service for each one that may be under trial.
+pub const SERVERS_PER_TRIAL: usize = 4;
 
 impl From<&CheckedRequest> for WorkFingerprint {
     fn from(request: &CheckedRequest) -> Self {
@@ -68,42 +102,291 @@
     Stopped,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct InFlight {
+    fingerprint: WorkFingerprint,
+    since: Timestamp,
+    /// When it failed, if it did.
+    left_at: Option<Timestamp>,
+}
+
+#[derive(Clone, Debug)]
+struct OwnTrial {
+    server: ServerId,
+    request: RequestId,
+    /// Longest time that the suspect ran before a crash.
+    ran: Duration,
+    started_at: Option<Timestamp>,
+}
+
+#[derive(Clone, Debug)]
+struct PeerState {
+    heard_at: Timestamp,
+    trials: Vec<TrialView>,
+    busy: BTreeMap<ServerId, u32>,
+}
+
 /// Suspicions of one entry host.
-#[derive(Clone, Debug, Default)]
-pub struct CrashSuspects {}
+#[derive(Clone, Debug)]
+pub struct CrashSuspects {
+    host: HostId,
+    evidence: CrashEvidence,
+    in_flight: BTreeMap<ServerId, BTreeMap<RequestId, InFlight>>,
+    trials: BTreeMap<WorkFingerprint, OwnTrial>,
+    peers: BTreeMap<HostId, PeerState>,
+    announced: BTreeMap<ServerId, Timestamp>,
+}
 
 impl CrashSuspects {
+    /// Builds the suspicions of an entry host.
+    pub fn new(host: HostId) -> Self {
+        Self {
+            host,
+            evidence: CrashEvidence::default(),
+            in_flight: BTreeMap::new(),
+            trials: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            announced: BTreeMap::new(),
+        }
+    }
+
     /// Decides where a request may be sent; `candidates` are the servers that could run it.
     pub fn place(
         &mut self,
-        _now: Timestamp,
-        _fingerprint: WorkFingerprint,
-        _request: RequestId,
-        _candidates: &[ServerId],
+        now: Timestamp,
+        fingerprint: WorkFingerprint,
+        request: RequestId,
+        candidates: &[ServerId],
     ) -> SuspectPlacement {
-        SuspectPlacement::Free { avoid: Vec::new() }
+        let no_trials = self.trials.is_empty() && self.peers.values().all(|p| p.trials.is_empty());
+        if self.evidence.is_empty() && no_trials {
+            return SuspectPlacement::Free { avoid: Vec::new() };
+        }
+        self.expire(now);
+        match self.evidence.verdict(now, fingerprint) {
+            CrashVerdict::Innocent => SuspectPlacement::Free { avoid: self.trial_servers() },
+            CrashVerdict::Unsettled => SuspectPlacement::Hold,
+            CrashVerdict::Refused => {
+                self.evidence.add_refused(now, fingerprint);
+                SuspectPlacement::Refused
+            }
+            CrashVerdict::Suspect { reporters, heard_at, ran } => {
+                let rank = reporters.iter().position(|host| *host == self.host);
+                let turn = u32::try_from(rank.unwrap_or(reporters.len())).unwrap_or(u32::MAX);
+                if now.since(heard_at) < SETTLE_TIME + OWNER_TURN * turn {
+                    return SuspectPlacement::Hold;
+                }
+                self.try_alone(fingerprint, request, ran, candidates)
+            }
+        }
+    }
+
+    fn try_alone(
+        &mut self,
+        fingerprint: WorkFingerprint,
+        request: RequestId,
+        ran: Duration,
+        candidates: &[ServerId],
+    ) -> SuspectPlacement {
+        if let Some(trial) = self.trials.get(&fingerprint) {
+            let usable = trial.request == request && candidates.contains(&trial.server);
+            return match usable && self.is_drained(&trial.server) {
+                true => SuspectPlacement::Trial(trial.server.clone()),
+                false => SuspectPlacement::Hold,
+            };
+        }
+        let foreign = self.peers.values().flat_map(|peer| &peer.trials);
+        if foreign.clone().any(|trial| trial.fingerprint == fingerprint) {
+            return SuspectPlacement::Hold;
+        }
+        let limit = (candidates.len() / SERVERS_PER_TRIAL).max(1);
+        let busy = self.trial_servers();
+        if candidates.iter().filter(|server| busy.contains(server)).count() >= limit {
+            return SuspectPlacement::Hold;
+        }
+        let free = candidates.iter().filter(|server| !busy.contains(server));
+        if let Some(server) = free.min_by_key(|server| (self.count_on(server), (*server).clone())) {
+            let server = server.clone();
+            let trial = OwnTrial { server, request, ran, started_at: None };
+            self.trials.insert(fingerprint, trial);
+        }
+        SuspectPlacement::Hold
+    }
+
+    /// Returns whether no request of any host is on the server, as far as peers have answered.
+    fn is_drained(&self, server: &ServerId) -> bool {
+        let answered = |peer: &PeerState| peer.busy.get(server) == Some(&0);
+        self.count_on(server) == 0 && self.peers.values().all(answered)
+    }
+
+    fn count_on(&self, server: &ServerId) -> usize {
+        let running = |found: &BTreeMap<RequestId, InFlight>| {
+            found.values().filter(|attempt| attempt.left_at.is_none()).count()
+        };
+        self.in_flight.get(server).map_or(0, running)
+    }
+
+    fn trial_servers(&self) -> Vec<ServerId> {
+        let own = self.trials.values().map(|trial| &trial.server);
+        let foreign = self.peers.values().flat_map(|peer| &peer.trials).map(|trial| &trial.server);
+        own.chain(foreign).cloned().collect::<BTreeSet<_>>().into_iter().collect()
     }
 
     /// Records an attempt that is sent to a server.
     pub fn begin(
         &mut self,
-        _now: Timestamp,
-        _fingerprint: WorkFingerprint,
-        _request: RequestId,
-        _server: &ServerId,
+        now: Timestamp,
+        fingerprint: WorkFingerprint,
+        request: RequestId,
+        server: &ServerId,
     ) {
+        let attempt = InFlight { fingerprint, since: now, left_at: None };
+        self.in_flight.entry(server.clone()).or_default().insert(request, attempt);
+        if let Some(trial) = self.trials.get_mut(&fingerprint)
+            && trial.request == request
+            && trial.server == *server
+        {
+            trial.started_at = Some(now);
+        }
     }
 
     /// Records that an attempt is not on the server any more.
     pub fn end(
         &mut self,
-        _now: Timestamp,
-        _request: RequestId,
-        _server: &ServerId,
-        _left: AttemptLeft,
+        now: Timestamp,
+        request: RequestId,
+        server: &ServerId,
+        left: AttemptLeft,
     ) {
+        let Some(found) = self.in_flight.get_mut(server) else { return };
+        let Some(attempt) = found.get_mut(&request) else { return };
+        let fingerprint = attempt.fingerprint;
+        match left {
+            AttemptLeft::Answered => {
+                found.remove(&request);
+            }
+            AttemptLeft::Stopped => attempt.left_at = Some(now),
+        }
+        drop_left(found, now);
+        let ends_trial = self.trials.get(&fingerprint).is_some_and(|trial| {
+            trial.request == request && trial.server == *server && trial.started_at.is_some()
+        });
+        if ends_trial {
+            self.trials.remove(&fingerprint);
+        }
+        if left == AttemptLeft::Answered && self.evidence.names(fingerprint) {
+            self.evidence.add_cleared(now, fingerprint);
+        }
+    }
+
+    /// Forgets a request that has ended, so that a trial prepared for it ends.
+    pub fn forget(&mut self, request: RequestId) {
+        self.trials.retain(|_, trial| trial.request != request || trial.started_at.is_some());
+    }
+
+    /// Records that a server's end was announced: crashes of it from now on prove nothing.
+    pub fn announce_end(&mut self, now: Timestamp, server: &ServerId) {
+        self.announced.insert(server.clone(), now);
     }
 
     /// Records the end of a server's process; call it before [`Self::end`] of what ran there.
-    pub fn on_death(&mut self, _now: Timestamp, _server: &ServerId, _cause: DeathCause) {}
+    pub fn on_death(
+        &mut self,
+        now: Timestamp,
+        server: &ServerId,
+        zone: &ZoneName,
+        cause: DeathCause,
+    ) {
+        self.expire(now);
+        let found = self.in_flight.remove(server).unwrap_or_default();
+        if cause == DeathCause::HostGone || self.announced.contains_key(server) {
+            self.evidence.drop_crashes(server, now - SETTLE_TIME);
+            return;
+        }
+        let companions = found.values().take(MAX_COMPANIONS).map(|attempt| CrashCompanion {
+            fingerprint: attempt.fingerprint,
+            ran_ms: u64::try_from(now.since(attempt.since).as_millis()).unwrap_or(u64::MAX),
+        });
+        let view = CrashView {
+            server: server.clone(),
+            zone: zone.clone(),
+            reporter: self.host.clone(),
+            age_ms: 0,
+            companions: companions.collect(),
+        };
+        self.trials.retain(|_, trial| trial.server != *server);
+        if !view.companions.is_empty() {
+            self.evidence.add_view(now, &view);
+        }
+    }
+
+    /// Returns what this host tells its peers; the same report may be sent many times.
+    pub fn report(&mut self, now: Timestamp) -> CrashReport {
+        self.expire(now);
+        let foreign = self.peers.values().flat_map(|peer| &peer.trials);
+        let busy = foreign.map(|trial| BusyView {
+            server: trial.server.clone(),
+            in_flight: u32::try_from(self.count_on(&trial.server)).unwrap_or(u32::MAX),
+        });
+        let trials = self.trials.iter().map(|(&fingerprint, trial)| TrialView {
+            owner: self.host.clone(),
+            server: trial.server.clone(),
+            fingerprint,
+        });
+        CrashReport {
+            version: REPORT_VERSION,
+            from: self.host.clone(),
+            crashes: self.evidence.views(now),
+            trials: trials.collect(),
+            busy: busy.collect(),
+            cleared: self.evidence.cleared(now),
+            refused: self.evidence.refused(now),
+        }
+    }
+
+    /// Takes a peer's report.
+    pub fn on_report(&mut self, now: Timestamp, report: &CrashReport) {
+        if report.from == self.host {
+            return;
+        }
+        for view in report.crashes.iter().filter(|view| !self.announced.contains_key(&view.server))
+        {
+            self.evidence.add_view(now, view);
+        }
+        for verdict in &report.cleared {
+            let at = now - Duration::from_millis(verdict.age_ms);
+            self.evidence.add_cleared(at, verdict.fingerprint);
+        }
+        for verdict in &report.refused {
+            let at = now - Duration::from_millis(verdict.age_ms);
+            self.evidence.add_refused(at, verdict.fingerprint);
+        }
+        let busy = report.busy.iter().map(|busy| (busy.server.clone(), busy.in_flight));
+        let trials = report.trials.clone();
+        let peer = PeerState { heard_at: now, trials, busy: busy.collect() };
+        self.peers.insert(report.from.clone(), peer);
+    }
+
+    /// Clears suspects whose trial has lasted long enough and drops what is out of date.
+    fn expire(&mut self, now: Timestamp) {
+        self.evidence.expire(now);
+        self.peers.retain(|_, peer| now.since(peer.heard_at) < PEER_EXPIRY);
+        self.announced.retain(|_, at| now.since(*at) < ANNOUNCEMENT_EXPIRY);
+        for found in self.in_flight.values_mut() {
+            drop_left(found, now);
+        }
+        self.in_flight.retain(|_, found| !found.is_empty());
+        let passed = self.trials.extract_if(.., |_, trial| {
+            let probation = trial.ran + PROBATION_MARGIN;
+            trial.started_at.is_some_and(|at| now.since(at) >= probation)
+        });
+        for (fingerprint, _) in passed.collect::<Vec<_>>() {
+            self.evidence.add_cleared(now, fingerprint);
+        }
+    }
+}
+
+/// Drops attempts that left longer ago than a server's end can be noticed late.
+fn drop_left(found: &mut BTreeMap<RequestId, InFlight>, now: Timestamp) {
+    found.retain(|_, attempt| attempt.left_at.is_none_or(|at| now.since(at) < RECENT_LOSS));
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -51,9 +51,12 @@
 // Requests and their answers.
 pub mod answer_store;
 pub mod answer_table;
+pub mod crash_evidence;
+pub mod crash_report;
 pub mod crash_suspects;
 pub mod evacuation;
 pub mod handover;
+pub mod record_bounds;
 pub mod request_session;
 pub mod session_attempt;
 pub mod session_claim;
--- /dev/null
+++ b/lib/src/record_bounds.rs
@@ -0,0 +1,75 @@
+//! Versioned and bounded encoding of what hosts tell each other about requests.
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+use crate::result_code::ResultCode;
+
+/// Why bytes cannot be taken as a record.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum RecordError {
+    /// The version is not one that this program reads.
+    #[error("record version {found} is not {expected}")]
+    Version {
+        /// Version of the record.
+        found: u64,
+        /// Version that is read.
+        expected: u16,
+    },
+    /// The bytes are cut short or malformed.
+    #[error("record is malformed: {0}")]
+    Malformed(String),
+    /// The record or one of its lists is larger than the limit.
+    #[error("record is larger than {limit}")]
+    TooLarge {
+        /// Limit, in bytes or entries.
+        limit: usize,
+    },
+}
+
+impl RecordError {
+    /// Returns the numbered code.
+    pub fn code(&self) -> ResultCode {
+        match self {
+            Self::Version { .. } => ResultCode::RecordVersion,
+            Self::Malformed(_) => ResultCode::RecordMalformed,
+            Self::TooLarge { .. } => ResultCode::RecordTooLarge,
+        }
+    }
+}
+
+/// Result of encoding or decoding a record.
+pub type Result<T> = std::result::Result<T, RecordError>;
+
+#[derive(Deserialize)]
+struct VersionField {
+    version: u64,
+}
+
+/// Encodes a record, whose field `version` is its version, in `limit` bytes at most.
+pub fn encode_bounded<T: Serialize>(record: &T, limit: usize) -> Result<Vec<u8>> {
+    let bytes = serde_json::to_vec(record).map_err(malformed)?;
+    if bytes.len() > limit {
+        return Err(RecordError::TooLarge { limit });
+    }
+    Ok(bytes)
+}
+
+/// Decodes a record of the expected version.
+pub fn decode_bounded<T: DeserializeOwned>(bytes: &[u8], expected: u16, limit: usize) -> Result<T> {
+    if bytes.len() > limit {
+        return Err(RecordError::TooLarge { limit });
+    }
+    // The version comes first: a newer record may have other fields.
+    let VersionField { version: found } = serde_json::from_slice(bytes).map_err(malformed)?;
+    if found != u64::from(expected) {
+        return Err(RecordError::Version { found, expected });
+    }
+    serde_json::from_slice(bytes).map_err(malformed)
+}
+
+fn malformed(error: serde_json::Error) -> RecordError {
+    RecordError::Malformed(error.to_string())
+}
--- a/lib/src/session_attempt.rs
+++ b/lib/src/session_attempt.rs
@@ -17,6 +17,7 @@
 use crate::engine::StreamFlow;
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
+use crate::ids::ZoneName;
 use crate::session_event::AttemptEnd;
 use crate::session_event::AttemptPlan;
 use crate::session_event::SessionEvent;
@@ -37,6 +38,8 @@
     pub plan: AttemptPlan,
     /// Server that runs it.
     pub server: ServerId,
+    /// Its availability zone.
+    pub zone: ZoneName,
     /// Key of the server.
     pub key: ServerKey,
     /// Address of the server.
@@ -55,6 +58,8 @@
 pub struct AttemptTarget {
     /// Server.
     pub server: ServerId,
+    /// Its availability zone.
+    pub zone: ZoneName,
     /// Address.
     pub address: SocketAddr,
     /// Time without any data after which the reader gives up.
@@ -81,7 +86,14 @@
         // The receiver is the caller's own.
         let _ = sender.send(DriverMessage::Event(event));
     }
-    AttemptHandle { key: plan.server, plan, server: target.server, address: target.address, stop }
+    AttemptHandle {
+        key: plan.server,
+        plan,
+        server: target.server,
+        zone: target.zone,
+        address: target.address,
+        stop,
+    }
 }
 
 fn build_work(
--- a/lib/src/session_driver.rs
+++ b/lib/src/session_driver.rs
@@ -158,6 +158,7 @@
                 self.perform(action);
             }
         }
+        lock(&self.ports.suspects).forget(self.request.id);
         self.ports.registry.remove(self.request.id);
     }
 
--- a/lib/src/session_driver/attempts.rs
+++ b/lib/src/session_driver/attempts.rs
@@ -61,7 +61,8 @@
         let Some(current) = self.current.as_ref().filter(|c| c.plan.attempt == attempt) else {
             return;
         };
-        let (server, address) = (current.server.clone(), current.address);
+        let (server, zone) = (current.server.clone(), current.zone.clone());
+        let address = current.address;
         let now = self.ports.clock.now();
         let ended = match error {
             ServerError::Lost(_) => self.ports.connector.probe(address) == ProbeResult::Refused,
@@ -69,7 +70,7 @@
         };
         if ended {
             SessionCounters::add(&self.ports.counters.server_deaths, 1);
-            lock(&self.ports.suspects).on_death(now, &server, DeathCause::ProcessEnded);
+            lock(&self.ports.suspects).on_death(now, &server, &zone, DeathCause::ProcessEnded);
         }
         if ended || matches!(error, ServerError::NotConnected(_)) {
             lock(&self.ports.router).set_state(now, &server, ServerState::Suspected);
@@ -148,6 +149,7 @@
         self.ports.registry.set_server(self.request.id, Some(plan.server));
         let target = AttemptTarget {
             server: info.id,
+            zone: info.zone,
             address: info.address,
             silence_limit: self.request.deadline.since(now).max(Duration::from_millis(1)),
         };
--- a/lib/tests/test_session_driver.rs
+++ b/lib/tests/test_session_driver.rs
@@ -102,6 +102,7 @@
         let servers = ScriptedServers::default();
         let clock = ProcessClock::start();
         let zone = ZoneName::try_from("salish-a").unwrap();
+        let host = HostId::try_from("entry-1").unwrap();
         let mut router = RequestRouter::new(zone.clone(), 1);
         let addresses: Vec<SocketAddr> =
             (1..=server_count).map(|n| SocketAddr::from(([127, 0, 0, 1], n))).collect();
@@ -119,7 +120,7 @@
             connector: Arc::new(servers.clone()),
             claims: Some(claims.clone()),
             answers: Arc::new(AnswerStore::new(clock, limits)),
-            suspects: Arc::new(Mutex::new(CrashSuspects::default())),
+            suspects: Arc::new(Mutex::new(CrashSuspects::new(host))),
             budget: Arc::new(Mutex::new(RetryBudget::new(20))),
             registry: Arc::new(SessionRegistry::new()),
             counters: Arc::new(SessionCounters::default()),
--- /dev/null
+++ b/lib/testutils/src/crash_fleet.rs
@@ -0,0 +1,228 @@
+//! Entry hosts and backend servers in virtual time, with requests that crash their server.
+//!
+//! Joins the [`CrashSuspects`] of several hosts by reports that take a stated time to arrive.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pomelostack_lib::crash_report::CrashReport;
+use pomelostack_lib::crash_suspects::AttemptLeft;
+use pomelostack_lib::crash_suspects::CrashSuspects;
+use pomelostack_lib::crash_suspects::DeathCause;
+use pomelostack_lib::crash_suspects::SuspectPlacement;
+use pomelostack_lib::crash_suspects::WorkFingerprint;
+use pomelostack_lib::ids::HostId;
+use pomelostack_lib::ids::RequestId;
+use pomelostack_lib::ids::ServerId;
+use pomelostack_lib::ids::ZoneName;
+use pomelostack_lib::timestamp::Timestamp;
+
+/// Length of one step.
+pub const STEP: Duration = Duration::from_millis(10);
+
+/// Time between two reports of a host.
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time that a server's process takes to start again.
+const RESTART_TIME: Duration = Duration::from_secs(5);
+
+/// One request of the schedule.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetJob {
+    /// When it is sent.
+    pub at: Timestamp,
+    /// Entry host that it is sent to.
+    pub host: usize,
+    /// Its work.
+    pub fingerprint: WorkFingerprint,
+    /// Time that it takes.
+    pub length: Duration,
+    /// Time after which it crashes its server, if it does.
+    pub crashes_after: Option<Duration>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum JobState {
+    Waiting,
+    Running { server: usize, since: Timestamp },
+    Answered,
+    Refused,
+}
+
+impl JobState {
+    fn is_open(self) -> bool {
+        matches!(self, Self::Waiting | Self::Running { .. })
+    }
+}
+
+/// What happened.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FleetCounts {
+    /// Crashes by the request that caused them.
+    pub crashes: BTreeMap<WorkFingerprint, u32>,
+    /// Work that was refused.
+    pub refused: BTreeSet<WorkFingerprint>,
+    /// Requests that were answered.
+    pub answered: u32,
+    /// Requests that still waited or ran at the end.
+    pub open: u32,
+}
+
+struct Delivery {
+    at: Timestamp,
+    host: usize,
+    report: Arc<CrashReport>,
+}
+
+/// The fleet.
+pub struct CrashFleet {
+    hosts: Vec<CrashSuspects>,
+    up_at: Vec<Timestamp>,
+    sharing_delay: Duration,
+    deliveries: Vec<Delivery>,
+    jobs: Vec<(FleetJob, JobState)>,
+    /// Jobs that have been sent and not ended, in order.
+    active: Vec<usize>,
+    /// Running jobs by server.
+    load: Vec<usize>,
+    counts: FleetCounts,
+}
+
+fn server_id(server: usize) -> ServerId {
+    ServerId::try_from(format!("server-{server:02}")).unwrap()
+}
+
+fn job_id(job: usize) -> RequestId {
+    RequestId { origin: 1, sequence: job as u64 }
+}
+
+impl CrashFleet {
+    /// Builds a fleet whose reports take `sharing_delay` to arrive.
+    pub fn new(host_count: usize, server_count: usize, sharing_delay: Duration) -> Self {
+        let host = |n| CrashSuspects::new(HostId::try_from(format!("entry-{n}")).unwrap());
+        Self {
+            hosts: (0..host_count).map(host).collect(),
+            up_at: vec![Timestamp::default(); server_count],
+            sharing_delay,
+            deliveries: Vec::new(),
+            jobs: Vec::new(),
+            active: Vec::new(),
+            load: vec![0; server_count],
+            counts: FleetCounts::default(),
+        }
+    }
+
+    /// Plays the jobs until `end` and returns what happened.
+    pub fn play(mut self, jobs: &[FleetJob], end: Timestamp) -> FleetCounts {
+        self.jobs = jobs.iter().map(|&job| (job, JobState::Waiting)).collect();
+        let mut unsent: Vec<usize> = (0..jobs.len()).collect();
+        unsent.sort_by_key(|&job| std::cmp::Reverse(jobs[job].at));
+        let mut now = Timestamp::default();
+        while now < end {
+            while let Some(job) = unsent.pop_if(|job| jobs[*job].at <= now) {
+                self.active.push(job);
+            }
+            self.deliver(now);
+            if now.0.is_multiple_of(REPORT_INTERVAL.as_micros() as u64) {
+                (0..self.hosts.len()).for_each(|host| self.send_report(now, host));
+            }
+            for job in self.active.clone() {
+                self.step_job(now, job);
+            }
+            let jobs = &self.jobs;
+            self.active.retain(|&job| jobs[job].1.is_open());
+            now = now + STEP;
+        }
+        let is_open =
+            |state: &JobState| matches!(state, JobState::Waiting | JobState::Running { .. });
+        self.counts.open = self.jobs.iter().filter(|(_, state)| is_open(state)).count() as u32;
+        self.counts
+    }
+
+    fn deliver(&mut self, now: Timestamp) {
+        for delivery in self.deliveries.extract_if(.., |delivery| delivery.at <= now) {
+            self.hosts[delivery.host].on_report(now, &delivery.report);
+        }
+    }
+
+    fn send_report(&mut self, now: Timestamp, from: usize) {
+        let report = Arc::new(self.hosts[from].report(now));
+        for host in (0..self.hosts.len()).filter(|&host| host != from) {
+            let report = report.clone();
+            self.deliveries.push(Delivery { at: now + self.sharing_delay, host, report });
+        }
+    }
+
+    fn step_job(&mut self, now: Timestamp, index: usize) {
+        let (job, state) = self.jobs[index];
+        match state {
+            JobState::Waiting => self.place(now, index, &job),
+            JobState::Running { server, since } => {
+                let ran = now.since(since);
+                if job.crashes_after.is_some_and(|after| ran >= after) {
+                    *self.counts.crashes.entry(job.fingerprint).or_default() += 1;
+                    self.crash(now, server);
+                } else if ran >= job.length {
+                    let id = server_id(server);
+                    self.hosts[job.host].end(now, job_id(index), &id, AttemptLeft::Answered);
+                    self.load[server] -= 1;
+                    self.counts.answered += 1;
+                    self.jobs[index].1 = JobState::Answered;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn place(&mut self, now: Timestamp, index: usize, job: &FleetJob) {
+        let up: Vec<usize> = (0..self.up_at.len()).filter(|&s| self.up_at[s] <= now).collect();
+        let candidates: Vec<ServerId> = up.iter().map(|&server| server_id(server)).collect();
+        let host = &mut self.hosts[job.host];
+        let chosen = match host.place(now, job.fingerprint, job_id(index), &candidates) {
+            SuspectPlacement::Free { avoid } => {
+                let free = up.into_iter().filter(|&server| !avoid.contains(&server_id(server)));
+                free.min_by_key(|&server| (self.load[server], server))
+            }
+            SuspectPlacement::Trial(id) => up.into_iter().find(|&server| server_id(server) == id),
+            SuspectPlacement::Hold => None,
+            SuspectPlacement::Refused => {
+                self.counts.refused.insert(job.fingerprint);
+                self.jobs[index].1 = JobState::Refused;
+                None
+            }
+        };
+        if let Some(server) = chosen {
+            let id = server_id(server);
+            self.load[server] += 1;
+            self.hosts[job.host].begin(now, job.fingerprint, job_id(index), &id);
+            self.jobs[index].1 = JobState::Running { server, since: now };
+        }
+    }
+
+    /// Ends a server's process: every host that has requests there sees it at once.
+    fn crash(&mut self, now: Timestamp, server: usize) {
+        let id = server_id(server);
+        let zone = ZoneName::try_from(format!("zone-{}", server % 4)).unwrap();
+        self.up_at[server] = now + RESTART_TIME;
+        self.load[server] = 0;
+        let mut seen_by = BTreeSet::new();
+        for index in self.active.clone() {
+            let (job, state) = self.jobs[index];
+            if !matches!(state, JobState::Running { server: s, .. } if s == server) {
+                continue;
+            }
+            if seen_by.insert(job.host) {
+                self.hosts[job.host].on_death(now, &id, &zone, DeathCause::ProcessEnded);
+            }
+            self.hosts[job.host].end(now, job_id(index), &id, AttemptLeft::Stopped);
+            self.jobs[index].1 = JobState::Waiting;
+        }
+        for host in seen_by {
+            self.send_report(now, host);
+        }
+    }
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod naive_router;
 pub mod naive_session;
 
+pub mod crash_fleet;
 pub mod fault_schedule;
 pub mod scripted_servers;
