--- a/lib/src/evacuation.rs
+++ b/lib/src/evacuation.rs
@@ -15,8 +15,9 @@
 use crate::prompt::TOKENS_PER_BLOCK;
 use crate::timestamp::Timestamp;
 
-/// Time before a server's end by which everything must have left it.
-pub const SAFETY_MARGIN: Duration = Duration::from_millis(300);
+/// Time before a server's end by which everything must have left it: two gaps between tokens at
+/// the latency target, for an order's way to the server and its effect.
+pub const SAFETY_MARGIN: Duration = Duration::from_millis(100);
 
 /// Share of the estimated time by which an answer may run longer, in percent, and still finish.
 const FINISH_SLACK_PERCENT: u32 = 20;
@@ -111,7 +112,7 @@
             None => undecided.push((leaves_at, stream)),
         }
     }
-    // The most tokens that only a transfer saves go first; on a tie the server that ends first.
+    // Transfers share little time: those that save most for each token sent go first.
     undecided.sort_by_key(|&(leaves_at, stream)| {
         (std::cmp::Reverse(planner.saved_by_transfer(stream)), leaves_at, stream.request)
     });
@@ -178,10 +179,11 @@
         Some(move_of(stream, EvacuationChoice::Transfer { target, ready_at }, tail))
     }
 
-    /// Returns the context tokens that no target has in its cache.
-    fn saved_by_transfer(&self, stream: &EvacuationStream) -> u32 {
+    /// Returns the context tokens that no target has in its cache, in millionths of the context.
+    fn saved_by_transfer(&self, stream: &EvacuationStream) -> u64 {
         let warm = self.targets.values().map(|target| warm_tokens(target, stream)).max();
-        stream.context_tokens - warm.unwrap_or(0).min(stream.context_tokens)
+        let cold = stream.context_tokens - warm.unwrap_or(0).min(stream.context_tokens);
+        u64::from(cold) * 1_000_000 / u64::from(stream.context_tokens.max(1))
     }
 
     fn relocate(
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod naive_session;
 
 pub mod crash_fleet;
+pub mod evacuation_wave;
 pub mod fault_schedule;
 pub mod scripted_servers;
