--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -31,6 +31,8 @@
 pub mod naive_session;
 
 pub mod claim_harness;
+pub mod crash_fleet;
+pub mod evacuation_wave;
 pub mod fault_schedule;
 pub mod scripted_servers;
 pub mod schedule_log;
