--- /dev/null
+++ b/lib/testutils/src/harness_queue.rs
@@ -0,0 +1,84 @@
+//! Events of the claim harness in the order of virtual time.
+
+use std::collections::BTreeMap;
+
+use pomelostack_lib::claim_queue::AppendFailure;
+use pomelostack_lib::claim_record::StoredAnswer;
+use pomelostack_lib::claim_verdict::ClaimToken;
+use pomelostack_lib::ids::Incarnation;
+use pomelostack_lib::log_service::LogError;
+use pomelostack_lib::log_service::LogSlice;
+
+/// The right to run: a token, or the word of a host's memory.
+pub type Permit = Option<ClaimToken>;
+
+/// What happens in the harness; host-bound events name their host first.
+pub enum SimEvent {
+    /// A caller sends.
+    Send(usize),
+    /// A host's timer fires.
+    Wake(usize),
+    /// A read reaches the log.
+    ReadArrives(usize),
+    /// A read returns.
+    ReadReply(usize, Result<LogSlice, LogError>),
+    /// An append reaches the log.
+    AppendArrives(usize, Vec<u8>),
+    /// An append returns.
+    AppendReply(usize, Result<(), AppendFailure>),
+    /// A delayed append lands.
+    DelayedAppend(Vec<u8>),
+    /// A host is about to send a request to a backend server.
+    Dispatch(usize, usize, Permit),
+    /// A backend server answers, or is lost.
+    Served(usize, usize, Permit, Option<StoredAnswer>),
+    /// A process dies.
+    Kill(usize),
+    /// A new process starts.
+    Restart(usize),
+}
+
+/// One event with the life of the host that it is bound to.
+pub struct Scheduled {
+    /// Life of the host when the event was scheduled.
+    pub life: Option<Incarnation>,
+    /// What happens.
+    pub event: SimEvent,
+}
+
+/// Events by time in microseconds, then by the order in which they were scheduled.
+#[derive(Default)]
+pub struct EventQueue {
+    events: BTreeMap<(u64, u64), Scheduled>,
+    order: u64,
+}
+
+impl EventQueue {
+    /// Schedules an event.
+    pub fn push(&mut self, at_us: u64, scheduled: Scheduled) {
+        self.order += 1;
+        self.events.insert((at_us, self.order), scheduled);
+    }
+
+    /// Takes the next event with its time.
+    pub fn pop(&mut self) -> Option<(u64, Scheduled)> {
+        self.events.pop_first().map(|((at_us, _), scheduled)| (at_us, scheduled))
+    }
+}
+
+/// Returns the host whose process the event needs.
+pub fn event_host(event: &SimEvent) -> Option<usize> {
+    match event {
+        SimEvent::Wake(host)
+        | SimEvent::ReadReply(host, _)
+        | SimEvent::AppendReply(host, _)
+        | SimEvent::Dispatch(host, ..)
+        | SimEvent::Served(host, ..) => Some(*host),
+        SimEvent::Send(_)
+        | SimEvent::ReadArrives(_)
+        | SimEvent::AppendArrives(..)
+        | SimEvent::DelayedAppend(_)
+        | SimEvent::Kill(_)
+        | SimEvent::Restart(_) => None,
+    }
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -15,6 +15,9 @@
 pub mod naive_router;
 pub mod naive_session;
 
+pub mod claim_audit;
 pub mod claim_harness;
 pub mod fault_schedule;
+pub mod harness_host;
+pub mod harness_queue;
 pub mod schedule_log;
--- a/lib/testutils/src/schedule_log.rs
+++ b/lib/testutils/src/schedule_log.rs
@@ -1,9 +1,16 @@
-//! In-memory stream of the platform's log in virtual time.
+//! In-memory stream of the platform's log in virtual time, and what failures do to calls of it.
+
+use std::ops::Range;
 
 use pomelostack_lib::ids::LogOffset;
 use pomelostack_lib::log_service::LogError;
 use pomelostack_lib::log_service::LogRecord;
 use pomelostack_lib::log_service::LogSlice;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::fault_schedule::FaultKind;
+use crate::fault_schedule::FaultSchedule;
 
 /// The log's clock at virtual time 0, in milliseconds since the Unix epoch.
 const EPOCH_MS: u64 = 1_700_000_000_000;
@@ -58,3 +65,55 @@
         self.records.get(offset.0 as usize).map_or(0, |(at_us, _)| *at_us)
     }
 }
+
+/// Share of appends whose reply is lost without any failure.
+const STRAY_LOSS: f64 = 0.02;
+
+/// Longest time until a delayed append lands, in microseconds.
+const MAX_DELAY_US: u64 = 200_000_000;
+
+/// What becomes of an append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AppendOutcome {
+    /// It lands and is acknowledged.
+    Appended,
+    /// It has no effect, and the caller is told so.
+    Refused,
+    /// It has no effect, and the caller is told nothing.
+    Lost,
+    /// It lands, and the caller is told nothing.
+    ReplyLost,
+    /// It lands after this time in microseconds, and the caller is told nothing.
+    Delayed(u64),
+}
+
+/// Returns the one-way times of a call to the log, in microseconds.
+pub fn log_latency_us(schedule: &FaultSchedule, now_us: u64) -> Range<u64> {
+    match schedule.holds(FaultKind::LogSlow, now_us) {
+        true => 200_000..1_500_000,
+        false => 1_000..5_000,
+    }
+}
+
+/// Returns whether a host's call reaches the log.
+pub fn log_is_reachable(schedule: &FaultSchedule, host: usize, now_us: u64) -> bool {
+    !schedule.holds(FaultKind::LogDown, now_us)
+        && !schedule.holds(FaultKind::HostCutOff(host), now_us)
+}
+
+/// Draws what becomes of an append that a host makes.
+pub fn draw_append(
+    rng: &mut ChaCha8Rng,
+    schedule: &FaultSchedule,
+    host: usize,
+    now_us: u64,
+) -> AppendOutcome {
+    if !log_is_reachable(schedule, host, now_us) {
+        return if rng.random_bool(0.5) { AppendOutcome::Refused } else { AppendOutcome::Lost };
+    }
+    if schedule.holds(FaultKind::AppendsDelayed, now_us) {
+        return AppendOutcome::Delayed(rng.random_range(0..MAX_DELAY_US));
+    }
+    let lost = schedule.holds(FaultKind::RepliesLost, now_us) || rng.random_bool(STRAY_LOSS);
+    if lost { AppendOutcome::ReplyLost } else { AppendOutcome::Appended }
+}
