--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -1,3 +1,29 @@
-//! One module for each command.
+//! The program's commands, one file each.
 
-pub mod admin;
+mod admin;
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+/// Serving system for model servers and applications on reclaimable hosts.
+#[derive(FromArgs)]
+pub struct TopLevel {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Admin(admin::AdminCommand),
+}
+
+impl TopLevel {
+    /// Runs the command that was asked for.
+    pub fn run(self) -> anyhow::Result<ExitCode> {
+        match self.command {
+            Command::Admin(command) => command.run(),
+        }
+    }
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -5,40 +5,37 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-
-use crate::commands::admin::AdminCommand;
+use commands::TopLevel;
 
 /// Exit code of a command line that cannot be understood.
 const USAGE_EXIT_CODE: u8 = 2;
 
-/// Serves models and applications on reclaimable hosts.
-#[derive(FromArgs)]
-struct TopCommand {
-    #[argh(subcommand)]
-    command: Command,
-}
-
-#[derive(FromArgs)]
-#[argh(subcommand)]
-enum Command {
-    Admin(AdminCommand),
+fn main() -> ExitCode {
+    let arguments = match parse_arguments() {
+        Ok(arguments) => arguments,
+        Err(code) => return code,
+    };
+    match arguments.run() {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("pomelostack: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
 }
 
-fn main() -> anyhow::Result<ExitCode> {
-    let args: Vec<String> = std::env::args().collect();
-    let args: Vec<&str> = args.iter().map(String::as_str).collect();
-    let command = match TopCommand::from_args(&["pomelostack"], args.get(1..).unwrap_or_default()) {
-        Ok(top) => top.command,
-        Err(exit) if exit.status.is_ok() => {
+/// Reads the command line; help ends the program with success, a fault with a code of its own.
+fn parse_arguments() -> Result<TopLevel, ExitCode> {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    TopLevel::from_args(&["pomelostack"], &arguments).map_err(|exit| match exit.status {
+        Ok(()) => {
             println!("{}", exit.output);
-            return Ok(ExitCode::SUCCESS);
+            ExitCode::SUCCESS
         }
-        Err(exit) => {
+        Err(()) => {
             eprintln!("{}", exit.output);
-            return Ok(ExitCode::from(USAGE_EXIT_CODE));
+            ExitCode::from(USAGE_EXIT_CODE)
         }
-    };
-    match command {
-        Command::Admin(command) => command.run(),
-    }
+    })
 }
--- a/lib/tests/test_config_follower.rs
+++ b/lib/tests/test_config_follower.rs
@@ -16,13 +16,13 @@
 use testutils::config_samples::follower_options;
 use testutils::config_samples::sample_change;
 use testutils::config_samples::start_follower;
-use testutils::memory_log::LogFault;
-use testutils::memory_log::MemoryLog;
+use testutils::log_fake::LogFake;
+use testutils::log_fake::LogOutage;
 
 /// Time after which a change whose fate stays open is answered as pending.
 const SHORT_TIMEOUT: Duration = Duration::from_millis(20);
 
-fn short_follower(log: &Arc<MemoryLog>) -> ConfigFollower {
+fn short_follower(log: &Arc<LogFake>) -> ConfigFollower {
     let options = FollowerOptions { publish_timeout: SHORT_TIMEOUT, ..follower_options() };
     let follower =
         ConfigFollower::start(Arc::clone(log) as Arc<dyn LogService>, options).expect("starts");
@@ -32,7 +32,7 @@
 
 #[test]
 fn publish_accepted() {
-    let log = Arc::new(MemoryLog::default());
+    let log = Arc::new(LogFake::default());
     let publisher = start_follower(&log);
     let reader = start_follower(&log);
     let change = sample_change(1, None, vec![create_service("lookup", 200)]);
@@ -45,7 +45,7 @@
 
 #[test]
 fn racing_operators() {
-    let log = Arc::new(MemoryLog::default());
+    let log = Arc::new(LogFake::default());
     let first = start_follower(&log);
     let second = start_follower(&log);
     let create = sample_change(1, None, vec![create_service("lookup", 200)]);
@@ -58,9 +58,9 @@
 
 #[test]
 fn lost_reply() {
-    let log = Arc::new(MemoryLog::default());
+    let log = Arc::new(LogFake::default());
     let follower = start_follower(&log);
-    log.set_fault(LogFault::ReplyLost);
+    log.lose_replies(1);
     let change = sample_change(1, None, vec![create_service("lookup", 200)]);
     assert_eq!(follower.publish(&change), PublishOutcome::Accepted(LogOffset(0)));
     assert_eq!(follower.publish_again(&change), PublishOutcome::Accepted(LogOffset(0)));
@@ -69,40 +69,56 @@
 
 #[test]
 fn open_fate() {
-    let log = Arc::new(MemoryLog::default());
+    let log = Arc::new(LogFake::default());
     let follower = short_follower(&log);
-    log.set_fault(LogFault::RequestLost);
+    log.set_outage(LogOutage::Unreachable);
     let change = sample_change(1, None, vec![create_service("lookup", 200)]);
     assert_eq!(follower.publish(&change), PublishOutcome::Pending);
-    log.set_fault(LogFault::Refused);
+    log.set_outage(LogOutage::Refusing);
     assert_eq!(follower.publish_again(&change), PublishOutcome::Pending);
-    log.set_fault(LogFault::None);
+    log.set_outage(LogOutage::None);
     let other = start_follower(&log);
     assert_eq!(other.publish_again(&change), PublishOutcome::Accepted(LogOffset(0)));
     assert!(follower.wait_for(LogOffset(0), TEST_TIMEOUT));
     assert_eq!(follower.publish_again(&change), PublishOutcome::Accepted(LogOffset(0)));
 }
 
+#[test]
+fn late_append() {
+    let log = Arc::new(LogFake::default());
+    let follower = short_follower(&log);
+    log.hold_appends(1);
+    let change = sample_change(1, None, vec![create_service("lookup", 200)]);
+    assert_eq!(follower.publish(&change), PublishOutcome::Pending);
+    assert_eq!(follower.publish_again(&change), PublishOutcome::Accepted(LogOffset(0)));
+    let second = sample_change(2, Some(0), vec![change_service("lookup", 300)]);
+    assert_eq!(follower.publish(&second), PublishOutcome::Accepted(LogOffset(1)));
+    assert_eq!(log.release_held(), 1);
+    assert!(follower.wait_for(LogOffset(2), TEST_TIMEOUT));
+    assert_eq!(follower.current().revision, Some(LogOffset(1)));
+    assert_eq!(follower.publish_again(&change), PublishOutcome::Accepted(LogOffset(0)));
+}
+
 #[test]
 fn log_down() {
-    let log = Arc::new(MemoryLog::default());
+    let log = Arc::new(LogFake::default());
     let follower = start_follower(&log);
     follower.publish(&sample_change(1, None, vec![create_service("lookup", 200)]));
     let before = follower.current();
-    log.set_fault(LogFault::Refused);
+    log.set_outage(LogOutage::Refusing);
     assert!(!follower.wait_for_read(TEST_TIMEOUT));
     assert_eq!(follower.current(), before);
     let change = sample_change(2, Some(0), vec![change_service("lookup", 300)]);
     assert!(matches!(follower.publish(&change), PublishOutcome::LogUnavailable(_)));
     assert!(!follower.status().log_readable);
-    log.set_fault(LogFault::None);
+    log.set_outage(LogOutage::None);
     assert!(follower.wait_for_read(TEST_TIMEOUT));
     assert_eq!(follower.known_change(change.id), None);
 }
 
 #[test]
 fn reused_id() {
-    let log = Arc::new(MemoryLog::default());
+    let log = Arc::new(LogFake::default());
     let follower = start_follower(&log);
     follower.publish(&sample_change(1, None, vec![create_service("lookup", 200)]));
     let other = sample_change(1, Some(0), vec![change_service("lookup", 300)]);
@@ -111,7 +127,7 @@
 
 #[test]
 fn clean_stop() {
-    let log = Arc::new(MemoryLog::default());
+    let log = Arc::new(LogFake::default());
     let follower = start_follower(&log);
     follower.publish(&sample_change(1, None, vec![create_service("lookup", 200)]));
     assert!(follower.is_running());
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -16,7 +16,6 @@
 pub mod journal;
 pub mod log_fake;
 pub mod log_standin;
-pub mod memory_log;
 pub mod platform_standin;
 pub mod prefix_cache;
 pub mod server_life;
