--- /dev/null
+++ b/lib/src/claim_gate.rs
@@ -0,0 +1,158 @@
+//! Lets sessions claim their keys through the log.
+//!
+//! A request whose key is claimed by another one waits for that one's answer for as long as the
+//! claimant lives, and until its own deadline at most.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use crate::app_server::AppAnswer;
+use crate::claim_keeper::ClaimKeeper;
+use crate::claim_record::ClaimKey;
+use crate::claim_record::Claimant;
+use crate::claim_record::RequestFingerprint;
+use crate::claim_record::StoredAnswer;
+use crate::claim_record::WholeAnswer;
+use crate::claim_verdict::ClaimRequest;
+use crate::claim_verdict::ClaimToken;
+use crate::claim_verdict::ClaimVerdict;
+use crate::ids::RequestId;
+use crate::not_run::NotRunRefusal;
+use crate::result_code::RequestOutcome;
+use crate::result_code::ResultCode;
+use crate::session_claim::ClaimDecision;
+use crate::session_claim::ClaimPort;
+use crate::session_ports::lock;
+use crate::session_request::CheckedRequest;
+use crate::session_request::RequestWork;
+use crate::timestamp::ProcessClock;
+
+/// Time between two looks at whether a claimant still lives.
+const CLAIMANT_CHECK: Duration = Duration::from_millis(250);
+/// Largest answer that is kept on the log, in bytes of body and headers.
+const MAX_LOGGED_ANSWER_BYTES: usize = 4 * 1_024;
+
+/// Whether the process that claimed a key can still complete it.
+pub type ClaimantCheck = Box<dyn Fn(&Claimant) -> bool + Send + Sync>;
+
+/// Claims keys on the log for the sessions of one host.
+pub struct ClaimGate {
+    keeper: Arc<ClaimKeeper>,
+    clock: ProcessClock,
+    is_alive: ClaimantCheck,
+    tokens: Mutex<BTreeMap<RequestId, ClaimToken>>,
+}
+
+impl ClaimGate {
+    /// Builds a gate; `is_alive` tells whether a claimant can still complete its claims.
+    pub fn new(keeper: Arc<ClaimKeeper>, clock: ProcessClock, is_alive: ClaimantCheck) -> Self {
+        Self { keeper, clock, is_alive, tokens: Mutex::default() }
+    }
+
+    /// Waits for the answer of the request that claimed the key first.
+    fn follow(
+        &self,
+        claim: ClaimRequest,
+        claimant: &Claimant,
+        request: &CheckedRequest,
+    ) -> ClaimDecision {
+        loop {
+            let slice = (self.clock.now() + CLAIMANT_CHECK).min(request.deadline);
+            match self.keeper.wait_for_answer(claim, slice) {
+                ClaimVerdict::Unknown(ResultCode::StillRunning)
+                    if self.clock.now() < request.deadline =>
+                {
+                    if !(self.is_alive)(claimant) {
+                        return ClaimDecision::Unknown(ResultCode::ClaimantGone);
+                    }
+                }
+                verdict => return self.decide(verdict, claim, request),
+            }
+        }
+    }
+
+    fn decide(
+        &self,
+        verdict: ClaimVerdict,
+        claim: ClaimRequest,
+        request: &CheckedRequest,
+    ) -> ClaimDecision {
+        match verdict {
+            ClaimVerdict::Won { fence, token } => {
+                lock(&self.tokens).insert(request.id, token);
+                ClaimDecision::Won { fence: Some(fence) }
+            }
+            ClaimVerdict::AnsweredBefore(answer) => decide_answered(answer),
+            ClaimVerdict::RunningElsewhere { claimant } => self.follow(claim, &claimant, request),
+            ClaimVerdict::Unknown(code) => ClaimDecision::Unknown(code),
+            ClaimVerdict::NotRun(refusal) | ClaimVerdict::KeyReused(refusal) => {
+                ClaimDecision::NotRun(refusal)
+            }
+        }
+    }
+
+    fn take_token(&self, request: &CheckedRequest) -> Option<ClaimToken> {
+        lock(&self.tokens).remove(&request.id)
+    }
+}
+
+impl ClaimPort for ClaimGate {
+    fn claim(&self, request: &CheckedRequest) -> ClaimDecision {
+        let Some(claim) = claim_of(request) else {
+            return ClaimDecision::Unknown(ResultCode::Internal);
+        };
+        let verdict = self.keeper.claim(claim, request.deadline);
+        self.decide(verdict, claim, request)
+    }
+
+    fn complete(&self, request: &CheckedRequest, answer: &AppAnswer) {
+        if let Some(token) = self.take_token(request) {
+            self.keeper.complete(token, stored_answer(request.id, answer));
+        }
+    }
+
+    fn release(&self, request: &CheckedRequest, _refusal: &NotRunRefusal) {
+        if let Some(token) = self.take_token(request) {
+            self.keeper.release(token);
+        }
+    }
+}
+
+/// Returns the claim that a non-idempotent call makes; `None` for a request that needs none.
+fn claim_of(request: &CheckedRequest) -> Option<ClaimRequest> {
+    let key = request.idempotency_key.as_deref()?;
+    let RequestWork::App { method, path, body, .. } = &request.work else { return None };
+    Some(ClaimRequest {
+        key: ClaimKey::of(&request.team, &request.service.name, key),
+        fingerprint: RequestFingerprint::of(method, path, body),
+    })
+}
+
+fn stored_answer(request: RequestId, answer: &AppAnswer) -> StoredAnswer {
+    let header_bytes = answer.headers.iter().map(|(name, value)| name.len() + value.len());
+    if answer.body.len() + header_bytes.sum::<usize>() > MAX_LOGGED_ANSWER_BYTES {
+        return StoredAnswer::Kept(request);
+    }
+    StoredAnswer::Whole(WholeAnswer {
+        status: answer.status,
+        headers: answer.headers.clone(),
+        body: answer.body.clone(),
+    })
+}
+
+fn decide_answered(answer: StoredAnswer) -> ClaimDecision {
+    match answer {
+        StoredAnswer::Whole(answer) => {
+            let WholeAnswer { status, headers, body } = answer;
+            let answer = Some(AppAnswer { status, headers, body });
+            ClaimDecision::AnsweredBefore { request: RequestId::default(), answer }
+        }
+        StoredAnswer::Kept(request) => ClaimDecision::AnsweredBefore { request, answer: None },
+        StoredAnswer::Failed(code) if code.outcome() == RequestOutcome::Unknown => {
+            ClaimDecision::Unknown(code)
+        }
+        StoredAnswer::Failed(_) => ClaimDecision::Unknown(ResultCode::AnswerExpired),
+    }
+}
--- a/lib/src/request_router.rs
+++ b/lib/src/request_router.rs
@@ -122,6 +122,11 @@
         self.keys.get(id).copied()
     }
 
+    /// Returns the attempts that this host has at a server.
+    pub fn in_flight(&self, key: ServerKey) -> u32 {
+        self.servers.get(key).map_or(0, |entry| entry.in_flight)
+    }
+
     /// Returns all servers in the order of their ids.
     pub fn servers(&self) -> impl Iterator<Item = (ServerKey, &ServerInfo)> {
         self.keys.values().map(|&key| (key, &self.servers[key].info))
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -10,10 +10,10 @@
 
 use thiserror::Error;
 
+use crate::admin_access::OperatorToken;
 use crate::ids::HostId;
 use crate::ids::RegionName;
 use crate::ids::ZoneName;
-use crate::resource::TokenHash;
 use crate::result_code::ResultCode;
 use crate::settings_json::ObjectReader;
 
@@ -71,15 +71,6 @@
     pub log_retention: Duration,
 }
 
-/// Hashes of the tokens that operators and peers present.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SecretSettings {
-    /// Token of operators who may change things.
-    pub operator_write: TokenHash,
-    /// Token of operators who may only look.
-    pub operator_read: TokenHash,
-}
-
 /// Bounds of the front door.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FrontDoorSettings {
@@ -148,7 +139,7 @@
     /// Endpoints of the platform.
     pub platform: PlatformSettings,
     /// Operators' tokens.
-    pub secrets: SecretSettings,
+    pub operators: Vec<OperatorToken>,
     /// Front door.
     pub front_door: FrontDoorSettings,
     /// Calls to other processes.
@@ -213,7 +204,11 @@
             peers: root.addresses("peers")?,
             peer_token: root.secret("peer_token")?,
             platform: read_platform(root.object("platform")?)?,
-            secrets: read_secrets(root.object("operators")?)?,
+            operators: root
+                .objects("operators")?
+                .into_iter()
+                .map(read_operator)
+                .collect::<Result<_>>()?,
             front_door: read_front_door(root.optional_object("front_door")?)?,
             calls: read_calls(root.optional_object("calls")?)?,
             memory: read_memory(root.optional_object("memory")?)?,
@@ -249,13 +244,14 @@
     Ok(platform)
 }
 
-fn read_secrets(mut reader: ObjectReader) -> Result<SecretSettings> {
-    let secrets = SecretSettings {
-        operator_write: reader.token_hash("write_token_hash")?,
-        operator_read: reader.token_hash("read_token_hash")?,
+fn read_operator(mut reader: ObjectReader) -> Result<OperatorToken> {
+    let operator = OperatorToken {
+        operator: reader.operator_name("name")?,
+        role: reader.operator_role("role")?,
+        hash: reader.token_hash("token_hash")?,
     };
     reader.finish()?;
-    Ok(secrets)
+    Ok(operator)
 }
 
 fn read_front_door(mut reader: ObjectReader) -> Result<FrontDoorSettings> {
--- a/lib/src/settings_json.rs
+++ b/lib/src/settings_json.rs
@@ -7,6 +7,7 @@
 use serde_json::Map;
 use serde_json::Value;
 
+use crate::admin_access::OperatorRole;
 use crate::ids::NameError;
 use crate::resource::TokenHash;
 use crate::result_code::ResultCode;
@@ -16,6 +17,8 @@
 
 /// Shortest accepted secret, in bytes.
 const MIN_SECRET_BYTES: usize = 16;
+/// Longest name of an operator.
+const MAX_OPERATOR_CHARS: usize = 64;
 /// Hexadecimal digits of a token hash.
 const TOKEN_HASH_DIGITS: usize = 64;
 
@@ -63,6 +66,38 @@
         self.nested(field, value)
     }
 
+    /// Takes a required list of objects that is not empty.
+    pub fn objects(&mut self, field: &str) -> Result<Vec<Self>> {
+        let items = match self.required(field, "a list of objects")? {
+            Value::Array(items) => items,
+            other => return Err(wrong_type(self.path_of(field), "a list of objects", &other)),
+        };
+        if items.is_empty() {
+            return Err(self.out_of_range(field, "must not be empty".into()));
+        }
+        let indexed = items.into_iter().enumerate();
+        indexed.map(|(i, item)| self.nested(&format!("{field}[{i}]"), item)).collect()
+    }
+
+    /// Takes the required name of an operator, 1 to 64 characters.
+    pub fn operator_name(&mut self, field: &str) -> Result<String> {
+        let text = self.text(field)?;
+        if text.is_empty() || text.chars().count() > MAX_OPERATOR_CHARS {
+            let problem = format!("must be 1 to {MAX_OPERATOR_CHARS} characters");
+            return Err(self.out_of_range(field, problem));
+        }
+        Ok(text)
+    }
+
+    /// Takes the required role of an operator.
+    pub fn operator_role(&mut self, field: &str) -> Result<OperatorRole> {
+        match self.text(field)?.as_str() {
+            "read" => Ok(OperatorRole::Read),
+            "write" => Ok(OperatorRole::Write),
+            _ => Err(self.out_of_range(field, "must be read or write".into())),
+        }
+    }
+
     /// Takes a required name.
     pub fn name<T: TryFrom<String, Error = NameError>>(&mut self, field: &str) -> Result<T> {
         let text = self.text(field)?;
--- a/lib/tests/test_settings.rs
+++ b/lib/tests/test_settings.rs
@@ -18,7 +18,7 @@
             "log": "127.0.0.1:9001", "cloud": "127.0.0.1:9002", "host_list": "127.0.0.1:9003",
             "weight_store": "127.0.0.1:9004"
         },
-        "operators": { "write_token_hash": hash, "read_token_hash": hash },
+        "operators": [{ "name": "skipper", "role": "write", "token_hash": hash }],
     })
 }
 
@@ -48,7 +48,12 @@
 #[case("/peers", json!("127.0.0.1:1"), ResultCode::SettingWrongType, "$.peers")]
 #[case("/peers", json!(["127.0.0.1:1", 7]), ResultCode::SettingWrongType, "$.peers[1]")]
 #[case("/peer_token", json!("short"), ResultCode::SettingOutOfRange, "$.peer_token")]
-#[case("/operators/read_token_hash", json!("xyz"), ResultCode::SettingOutOfRange, "$.operators.read_token_hash")]
+#[case("/operators/0/token_hash", json!("xyz"), ResultCode::SettingOutOfRange, "$.operators[0].token_hash")]
+#[case("/operators/0/role", json!("root"), ResultCode::SettingOutOfRange, "$.operators[0].role")]
+#[case("/operators/0/name", json!(""), ResultCode::SettingOutOfRange, "$.operators[0].name")]
+#[case("/operators/0/extra", json!(1), ResultCode::SettingUnknown, "$.operators[0].extra")]
+#[case("/operators", json!([]), ResultCode::SettingOutOfRange, "$.operators")]
+#[case("/operators", json!({}), ResultCode::SettingWrongType, "$.operators")]
 #[case("/front_door", json!({"body_timeout_ms": 1}), ResultCode::SettingOutOfRange, "$.front_door.body_timeout_ms")]
 #[case("/front_door", json!({"body_timeout_ms": "5s"}), ResultCode::SettingWrongType, "$.front_door.body_timeout_ms")]
 #[case("/memory", json!({"answers": -1}), ResultCode::SettingOutOfRange, "$.memory.answers")]
--- a/lib/testutils/src/dev_cluster.rs
+++ b/lib/testutils/src/dev_cluster.rs
@@ -177,10 +177,10 @@
                 "log": platform(0), "cloud": platform(1), "host_list": platform(2),
                 "weight_store": platform(3),
             },
-            "operators": {
-                "write_token_hash": hash(OPERATOR_WRITE_TOKEN),
-                "read_token_hash": hash(OPERATOR_READ_TOKEN),
-            },
+            "operators": [
+                { "name": "dev", "role": "write", "token_hash": hash(OPERATOR_WRITE_TOKEN) },
+                { "name": "guest", "role": "read", "token_hash": hash(OPERATOR_READ_TOKEN) },
+            ],
         });
         if let (Some(fields), Some(overrides)) =
             (settings.as_object_mut(), self.overrides.as_object())
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -34,7 +34,7 @@
 pub mod crash_fleet;
 pub mod evacuation_wave;
 pub mod fault_schedule;
-pub mod scripted_servers;
 pub mod harness_host;
 pub mod harness_queue;
 pub mod schedule_log;
+pub mod scripted_servers;
