--- /dev/null
+++ b/lib/tests/test_request_session.rs
@@ -0,0 +1,241 @@
+//! The session state machine: against a naive version, and under seeded schedules of failures.
+
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use pomelostack_lib::engine::ServerError;
+use pomelostack_lib::engine::TokenChunk;
+use pomelostack_lib::ids::AttemptNumber;
+use pomelostack_lib::ids::ServerKey;
+use pomelostack_lib::not_run::NotRunProof;
+use pomelostack_lib::request_session::RequestSession;
+use pomelostack_lib::request_session::SessionKind;
+use pomelostack_lib::result_code::ResultCode;
+use pomelostack_lib::retry_budget::RetryBudget;
+use pomelostack_lib::session_claim::ClaimDecision;
+use pomelostack_lib::session_event::SessionAction;
+use pomelostack_lib::session_event::SessionEvent;
+use pomelostack_lib::session_event::SessionLimits;
+use pomelostack_lib::session_request::SessionEnd;
+use pomelostack_lib::timestamp::Timestamp;
+use proptest::collection::vec;
+use proptest::prelude::Strategy;
+use proptest::prop_oneof;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+use rstest::rstest;
+use testutils::naive_session::NaiveSession;
+use testutils::session_harness::SessionHarness;
+use testutils::session_judge::BrokenRule;
+use testutils::session_judge::HarnessCounts;
+
+const LIMITS: SessionLimits = SessionLimits {
+    first_token: Duration::from_secs(1),
+    token_gap: Duration::from_millis(500),
+    caller_grace: Duration::from_secs(5),
+    max_attempts: 1_000,
+};
+const DEADLINE: Timestamp = Timestamp::from_millis(60_000);
+const DEFAULT_SCHEDULES: u64 = 2_000;
+
+#[derive(Clone, Debug)]
+enum Arrival {
+    /// A token of the attempt this many before the current one, this far from the next offset.
+    Token {
+        attempts_back: u32,
+        distance: i64,
+    },
+    Lost,
+}
+
+fn arrivals() -> impl Strategy<Value = Vec<Arrival>> {
+    let token = |back: u32| {
+        (0..back, -3..4_i64)
+            .prop_map(|(attempts_back, distance)| Arrival::Token { attempts_back, distance })
+    };
+    vec(
+        prop_oneof![8 => token(1), 3 => token(4), 1 => proptest::strategy::Just(Arrival::Lost)],
+        0..120,
+    )
+}
+
+fn run_naive(arrivals: &[Arrival]) -> (String, String) {
+    let kind = SessionKind::Model { max_tokens: 1_000 };
+    let mut session = RequestSession::new(kind, LIMITS, DEADLINE);
+    let mut budget = RetryBudget::new(100);
+    let mut naive = NaiveSession::default();
+    let mut text = String::new();
+    let mut pending = vec![SessionEvent::Start];
+    let mut arrivals = arrivals.iter().enumerate();
+    loop {
+        let event = match pending.pop() {
+            Some(event) => event,
+            None => match arrivals.next() {
+                Some((index, arrival)) => event_of(&session, &mut naive, index, arrival),
+                None => return (text, naive.text()),
+            },
+        };
+        budget.on_success();
+        for action in session.on_event(Timestamp::default(), event, &mut budget) {
+            match action {
+                SessionAction::ChooseServer { .. } => {
+                    pending.push(SessionEvent::ServerChosen(ServerKey::default()));
+                }
+                SessionAction::StartAttempt(plan) => naive.start_attempt(plan.attempt),
+                SessionAction::Relay(chunk) => text.push_str(&chunk.text),
+                _ => {}
+            }
+        }
+    }
+}
+
+fn event_of(
+    session: &RequestSession,
+    naive: &mut NaiveSession,
+    index: usize,
+    arrival: &Arrival,
+) -> SessionEvent {
+    let current = session.last_attempt();
+    match arrival {
+        Arrival::Token { attempts_back, distance } => {
+            let attempt = AttemptNumber(current.0.saturating_sub(*attempts_back));
+            let next = i64::from(session.stream().next_offset());
+            let offset = u32::try_from((next + distance).max(0)).unwrap();
+            let chunk = TokenChunk { offset, text: format!("{}.{offset}.{index} ", attempt.0) };
+            naive.on_chunk(attempt, &chunk);
+            SessionEvent::Chunk { attempt, chunk }
+        }
+        Arrival::Lost => {
+            let error = ServerError::Lost("test".to_owned());
+            SessionEvent::AttemptFailed { attempt: current, error }
+        }
+    }
+}
+
+/// More cases with `PROPTEST_CASES`.
+#[test]
+fn same_text() {
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(Config::default(), rng);
+    runner
+        .run(&arrivals(), |arrivals| {
+            let (text, naive) = run_naive(&arrivals);
+            assert_eq!(text, naive);
+            Ok(())
+        })
+        .unwrap();
+}
+
+fn play(schedules: u64, rule: BrokenRule) -> HarnessCounts {
+    let mut total = HarnessCounts::default();
+    for seed in 0..schedules {
+        let counts = SessionHarness::draw(seed, rule).play();
+        if rule == BrokenRule::None {
+            assert_eq!(counts, HarnessCounts::default(), "seed {seed}");
+        }
+        total.torn += counts.torn;
+        total.lost_after_notice += counts.lost_after_notice;
+        total.double_runs += counts.double_runs;
+        total.false_not_run += counts.false_not_run;
+    }
+    total
+}
+
+/// More schedules with `POMELOSTACK_SCHEDULES`.
+#[test]
+fn no_violation() {
+    let schedules = std::env::var("POMELOSTACK_SCHEDULES").ok();
+    let schedules = schedules.map_or(DEFAULT_SCHEDULES, |text| text.parse().unwrap());
+    play(schedules, BrokenRule::None);
+}
+
+/// The counts catch a broken rule.
+#[test]
+fn broken_rule() {
+    let counts = play(200, BrokenRule::LostIsRefused);
+    assert!(counts.double_runs > 0 && counts.false_not_run > 0, "{counts:?}");
+    let counts = play(200, BrokenRule::OldIsCurrent);
+    assert!(counts.torn > 0, "{counts:?}");
+    let counts = play(200, BrokenRule::DeafToNotices);
+    assert!(counts.lost_after_notice > 0, "{counts:?}");
+}
+
+fn started(kind: SessionKind) -> (RequestSession, RetryBudget) {
+    let mut session = RequestSession::new(kind, LIMITS, DEADLINE);
+    let mut budget = RetryBudget::new(20);
+    let now = Timestamp::default();
+    session.on_event(now, SessionEvent::Start, &mut budget);
+    if kind == SessionKind::SingleCall {
+        let won = ClaimDecision::Won { fence: None };
+        session.on_event(now, SessionEvent::ClaimDecided(won), &mut budget);
+    }
+    (session, budget)
+}
+
+fn end_of(actions: &[SessionAction]) -> Option<&SessionEnd> {
+    actions.iter().find_map(|action| match action {
+        SessionAction::Finish(end) => Some(end),
+        _ => None,
+    })
+}
+
+#[test]
+fn no_server() {
+    let (mut session, mut budget) = started(SessionKind::IdempotentCall);
+    let actions = session.on_event(Timestamp::default(), SessionEvent::NoServer, &mut budget);
+    let Some(SessionEnd::NotRun { refusal, retry_after }) = end_of(&actions) else { panic!() };
+    assert_eq!(refusal.code(), ResultCode::NoServer);
+    assert_eq!(refusal.proof(), NotRunProof::NeverDispatched);
+    assert!(retry_after.is_some());
+}
+
+/// A request that is given up on is told at once, not at its deadline.
+#[test]
+fn empty_budget() {
+    let (mut session, mut budget) = started(SessionKind::Model { max_tokens: 9 });
+    while budget.try_spend(Timestamp::default()) {}
+    let now = Timestamp::default();
+    session.on_event(now, SessionEvent::ServerChosen(ServerKey::default()), &mut budget);
+    let error = ServerError::Lost("test".to_owned());
+    let failed = SessionEvent::AttemptFailed { attempt: AttemptNumber(1), error };
+    let actions = session.on_event(now, failed, &mut budget);
+    assert_eq!(end_of(&actions).unwrap().code(), ResultCode::AttemptsLost);
+}
+
+#[rstest]
+#[case::before_dispatch(false, ResultCode::DeadlineUnreachable)]
+#[case::after_dispatch(true, ResultCode::DeadlinePassed)]
+fn deadline_passed(#[case] dispatched: bool, #[case] code: ResultCode) {
+    let (mut session, mut budget) = started(SessionKind::SingleCall);
+    let now = Timestamp::default();
+    let event = match dispatched {
+        true => SessionEvent::ServerChosen(ServerKey::default()),
+        false => SessionEvent::ServersFull,
+    };
+    session.on_event(now, event, &mut budget);
+    let actions = session.on_event(DEADLINE, SessionEvent::Timer, &mut budget);
+    assert_eq!(end_of(&actions).unwrap().code(), code);
+}
+
+#[rstest]
+#[case::waiting(false, SessionKind::SingleCall, Some(ResultCode::CallerGone))]
+#[case::model_runs(true, SessionKind::Model { max_tokens: 9 }, Some(ResultCode::CallerLost))]
+#[case::single_runs(true, SessionKind::SingleCall, None)]
+fn caller_gone(
+    #[case] dispatched: bool,
+    #[case] kind: SessionKind,
+    #[case] code: Option<ResultCode>,
+) {
+    let (mut session, mut budget) = started(kind);
+    let now = Timestamp::default();
+    if dispatched {
+        session.on_event(now, SessionEvent::ServerChosen(ServerKey::default()), &mut budget);
+    }
+    let mut actions = session.on_event(now, SessionEvent::CallerGone, &mut budget);
+    let later = now + LIMITS.caller_grace;
+    actions.extend(session.on_event(later, SessionEvent::Timer, &mut budget));
+    assert_eq!(end_of(&actions).map(SessionEnd::code), code);
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -19,3 +19,5 @@
 pub mod evacuation_wave;
 pub mod fault_schedule;
 pub mod scripted_servers;
+pub mod session_harness;
+pub mod session_judge;
--- /dev/null
+++ b/lib/testutils/src/session_harness.rs
@@ -0,0 +1,390 @@
+//! Seeded schedules of failures in virtual time over request sessions and fake servers.
+
+#![allow(clippy::unwrap_used)]
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use pomelostack_lib::app_server::AppAnswer;
+use pomelostack_lib::engine::FinishReason;
+use pomelostack_lib::engine::GenerateEnd;
+use pomelostack_lib::engine::ServerError;
+use pomelostack_lib::engine::TokenChunk;
+use pomelostack_lib::ids::AttemptNumber;
+use pomelostack_lib::ids::ServerKey;
+use pomelostack_lib::request_session::RequestSession;
+use pomelostack_lib::request_session::SessionKind;
+use pomelostack_lib::retry_budget::RetryBudget;
+use pomelostack_lib::session_claim::ClaimDecision;
+use pomelostack_lib::session_event::AttemptEnd;
+use pomelostack_lib::session_event::AttemptPlan;
+use pomelostack_lib::session_event::MoveOrder;
+use pomelostack_lib::session_event::SessionAction;
+use pomelostack_lib::session_event::SessionEvent;
+use pomelostack_lib::session_event::SessionLimits;
+use pomelostack_lib::timestamp::Timestamp;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use slotmap::SlotMap;
+
+use crate::session_judge::BrokenRule;
+use crate::session_judge::FakeCaller;
+use crate::session_judge::HarnessCounts;
+
+const SERVERS: usize = 5;
+const SESSIONS: usize = 6;
+const DEADLINE: Timestamp = Timestamp::from_millis(20_000);
+const END: Timestamp = Timestamp::from_millis(25_000);
+/// Steps that a call takes.
+const CALL_STEPS: u32 = 25;
+const TOKEN_TIME: Duration = Duration::from_millis(30);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    Crash,
+    Restart,
+    /// Open connections go silent; new ones work.
+    CutConnections,
+    Deafen,
+    Hear,
+    Refuse,
+    Allow,
+    Notice(Duration),
+    Reclaim,
+}
+
+#[derive(Clone, Debug)]
+enum Happening {
+    ToSession(usize, SessionEvent),
+    Step(u32),
+    Cancel(u32),
+    Fault(usize, Fault),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct ServerRun {
+    server: usize,
+    session: usize,
+    attempt: AttemptNumber,
+    next: u32,
+    silent: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct FakeServer {
+    key: ServerKey,
+    down: bool,
+    gone: bool,
+    deaf: bool,
+    refuses: bool,
+}
+
+/// One seeded schedule.
+pub struct SessionHarness {
+    rng: ChaCha8Rng,
+    rule: BrokenRule,
+    now: Timestamp,
+    queue: BinaryHeap<Reverse<(Timestamp, u64)>>,
+    happenings: BTreeMap<u64, Happening>,
+    next_id: u64,
+    servers: Vec<FakeServer>,
+    callers: Vec<FakeCaller>,
+    runs: BTreeMap<u32, ServerRun>,
+    budget: RetryBudget,
+    /// Whether every fault is an announced reclaim.
+    announced_only: bool,
+}
+
+impl SessionHarness {
+    /// Draws a schedule.
+    pub fn draw(seed: u64, rule: BrokenRule) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut keys = SlotMap::<ServerKey, ()>::with_key();
+        let server = |_| FakeServer { key: keys.insert(()), ..FakeServer::default() };
+        let servers = (0..SERVERS).map(server).collect();
+        let announced_only = rng.random_bool(0.3);
+        let mut harness = Self {
+            rng,
+            rule,
+            now: Timestamp::default(),
+            queue: BinaryHeap::new(),
+            happenings: BTreeMap::new(),
+            next_id: 0,
+            servers,
+            callers: Vec::new(),
+            runs: BTreeMap::new(),
+            budget: RetryBudget::new(if rule == BrokenRule::DeafToNotices { 0 } else { 20 }),
+            announced_only,
+        };
+        (0..SESSIONS).for_each(|_| harness.draw_session());
+        (0..harness.rng.random_range(1..=10)).for_each(|_| harness.draw_fault());
+        harness
+    }
+
+    fn draw_session(&mut self) {
+        let kind = match self.rng.random_range(0..3) {
+            0 => SessionKind::SingleCall,
+            1 => SessionKind::IdempotentCall,
+            _ => SessionKind::Model { max_tokens: self.rng.random_range(1..100) },
+        };
+        let limits = SessionLimits {
+            first_token: Duration::from_millis(1_000),
+            token_gap: Duration::from_millis(500),
+            caller_grace: Duration::from_secs(5),
+            max_attempts: if self.rule == BrokenRule::DeafToNotices { 1 } else { 6 },
+        };
+        self.callers.push(FakeCaller {
+            session: RequestSession::new(kind, limits, DEADLINE),
+            kind,
+            relayed: Vec::new(),
+            resumed_at: BTreeMap::new(),
+            ends: Vec::new(),
+            runs: 0,
+        });
+        let delay = Duration::from_millis(self.rng.random_range(0..2_000));
+        self.schedule(delay, Happening::ToSession(self.callers.len() - 1, SessionEvent::Start));
+    }
+
+    fn draw_fault(&mut self) {
+        let delay = Duration::from_millis(self.rng.random_range(0..4_000));
+        let server = self.rng.random_range(0..SERVERS);
+        let lasts = delay + Duration::from_millis(self.rng.random_range(50..5_000));
+        if self.announced_only || self.rng.random_bool(0.2) {
+            let least = if self.announced_only { 200 } else { 1 };
+            let left = Duration::from_millis(self.rng.random_range(least..3_000));
+            // Two servers always stay.
+            let fault = Fault::Notice(left);
+            return self.schedule(delay, Happening::Fault(server % (SERVERS - 2), fault));
+        }
+        let (begin, end) = match self.rng.random_range(0..4) {
+            0 => (Fault::Crash, Fault::Restart),
+            1 => (Fault::CutConnections, Fault::CutConnections),
+            2 => (Fault::Deafen, Fault::Hear),
+            _ => (Fault::Refuse, Fault::Allow),
+        };
+        self.schedule(delay, Happening::Fault(server, begin));
+        self.schedule(lasts, Happening::Fault(server, end));
+    }
+
+    fn schedule(&mut self, delay: Duration, happening: Happening) {
+        self.next_id += 1;
+        self.queue.push(Reverse((self.now + delay, self.next_id)));
+        self.happenings.insert(self.next_id, happening);
+    }
+
+    /// Plays the schedule and counts violations.
+    pub fn play(mut self) -> HarnessCounts {
+        while self.now < END {
+            let queued = self.queue.peek().map_or(END, |Reverse((at, _))| *at);
+            let open = (0..SESSIONS).filter(|&n| !self.callers[n].session.is_finished());
+            let timer = open.map(|n| (self.callers[n].session.next_timer(), n)).min();
+            match timer {
+                Some((at, session)) if at < queued => {
+                    self.now = at.max(self.now);
+                    self.deliver(session, SessionEvent::Timer);
+                }
+                _ => {
+                    self.now = queued;
+                    if let Some(Reverse((_, id))) = self.queue.pop() {
+                        let happening = self.happenings.remove(&id).unwrap();
+                        self.happen(happening);
+                    }
+                }
+            }
+        }
+        HarnessCounts::judge(&self.callers, DEADLINE, self.announced_only)
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::ToSession(session, event) => self.deliver(session, event),
+            Happening::Step(run) => self.step(run),
+            Happening::Cancel(run) => drop(self.runs.remove(&run)),
+            Happening::Fault(server, fault) => self.fault(server, fault),
+        }
+    }
+
+    fn deliver(&mut self, session: usize, event: SessionEvent) {
+        let event = self.break_rule(session, event);
+        let caller = &mut self.callers[session];
+        for action in caller.session.on_event(self.now, event, &mut self.budget) {
+            self.perform(session, action);
+        }
+    }
+
+    fn break_rule(&self, session: usize, event: SessionEvent) -> SessionEvent {
+        let current = self.callers[session].session.last_attempt();
+        match (self.rule, event) {
+            (
+                BrokenRule::LostIsRefused,
+                SessionEvent::AttemptFailed { attempt, error: ServerError::Lost(text) },
+            ) => SessionEvent::AttemptFailed { attempt, error: ServerError::Refused(text) },
+            (BrokenRule::OldIsCurrent, SessionEvent::Chunk { chunk, .. }) => {
+                SessionEvent::Chunk { attempt: current, chunk }
+            }
+            (BrokenRule::DeafToNotices, SessionEvent::EvacuationOrdered { .. }) => {
+                SessionEvent::CallerBack
+            }
+            (_, event) => event,
+        }
+    }
+
+    fn perform(&mut self, session: usize, action: SessionAction) {
+        match action {
+            SessionAction::RequestClaim => {
+                let decision = ClaimDecision::Won { fence: None };
+                self.reply(session, SessionEvent::ClaimDecided(decision));
+            }
+            SessionAction::ChooseServer { excluded } => self.choose(session, &excluded),
+            SessionAction::StartAttempt(plan) => self.start(session, &plan),
+            SessionAction::CancelAttempt { attempt, .. } => {
+                let mut runs = self.runs.iter();
+                let found = runs.find(|(_, r)| r.session == session && r.attempt == attempt);
+                if let Some(&run) = found.map(|(run, _)| run) {
+                    // Until the order arrives, late output of the old attempt goes on.
+                    let delay = Duration::from_millis(self.rng.random_range(1..200));
+                    self.schedule(delay, Happening::Cancel(run));
+                }
+            }
+            SessionAction::Relay(chunk) => {
+                self.callers[session].relayed.push((chunk.offset, chunk.text));
+            }
+            SessionAction::Finish(end) => self.callers[session].ends.push((self.now, end)),
+            SessionAction::RetireConnections(_) | SessionAction::SuspectServer(_) => {}
+        }
+    }
+
+    fn choose(&mut self, session: usize, excluded: &[ServerKey]) {
+        let open = self.servers.iter().filter(|s| !s.gone && !excluded.contains(&s.key));
+        let keys: Vec<ServerKey> = open.map(|server| server.key).collect();
+        let event = match keys.is_empty() {
+            true => SessionEvent::NoServer,
+            false => SessionEvent::ServerChosen(keys[self.rng.random_range(0..keys.len())]),
+        };
+        self.deliver(session, event);
+    }
+
+    fn reply(&mut self, session: usize, event: SessionEvent) {
+        let delay = Duration::from_millis(self.rng.random_range(1..20));
+        self.schedule(delay, Happening::ToSession(session, event));
+    }
+
+    fn start(&mut self, session: usize, plan: &AttemptPlan) {
+        let attempt = plan.attempt;
+        self.callers[session].resumed_at.insert(attempt.0, plan.resume_from);
+        let server = self.servers.iter().position(|s| s.key == plan.server).unwrap();
+        let state = self.servers[server];
+        let failed = |error| SessionEvent::AttemptFailed { attempt, error };
+        if state.down || state.gone {
+            let error = ServerError::NotConnected("down".to_owned());
+            return self.reply(session, failed(error));
+        }
+        if state.refuses {
+            return self.reply(session, failed(ServerError::Refused("busy".to_owned())));
+        }
+        self.callers[session].runs += 1;
+        let run = ServerRun { server, session, attempt, next: plan.resume_from, silent: false };
+        let id = self.next_id as u32;
+        self.runs.insert(id, run);
+        if !state.deaf {
+            self.reply(session, SessionEvent::AttemptAccepted(attempt));
+        }
+        self.schedule(TOKEN_TIME, Happening::Step(id));
+    }
+
+    fn step(&mut self, id: u32) {
+        let Some(run) = self.runs.get_mut(&id) else { return };
+        let (run_now, attempt) = (*run, run.attempt);
+        run.next += 1;
+        let kind = self.callers[run_now.session].kind;
+        let event = match kind {
+            SessionKind::Model { max_tokens } if run_now.next < max_tokens => {
+                let text = format!("{}.{} ", attempt.0, run_now.next);
+                let chunk = TokenChunk { offset: run_now.next, text };
+                self.schedule(TOKEN_TIME, Happening::Step(id));
+                SessionEvent::Chunk { attempt, chunk }
+            }
+            SessionKind::Model { max_tokens } => {
+                self.runs.remove(&id);
+                let end = GenerateEnd {
+                    finish_reason: FinishReason::Length,
+                    end_offset: max_tokens,
+                    prompt_tokens: 0,
+                    cached_tokens: 0,
+                    computed_tokens: 0,
+                };
+                SessionEvent::AttemptEnded { attempt, end: AttemptEnd::Model(end) }
+            }
+            _ if run_now.next < CALL_STEPS => {
+                return self.schedule(TOKEN_TIME, Happening::Step(id));
+            }
+            SessionKind::SingleCall | SessionKind::IdempotentCall => {
+                self.runs.remove(&id);
+                let answer = AppAnswer { status: 200, headers: Vec::new(), body: Vec::new() };
+                SessionEvent::AttemptEnded { attempt, end: AttemptEnd::App(answer) }
+            }
+        };
+        if !run_now.silent && !self.servers[run_now.server].deaf {
+            // Chunks may overtake each other, but not the end.
+            let delay = match event {
+                SessionEvent::Chunk { .. } => Duration::from_millis(self.rng.random_range(1..60)),
+                _ => Duration::from_millis(100),
+            };
+            self.schedule(delay, Happening::ToSession(run_now.session, event));
+        }
+    }
+
+    fn fault(&mut self, index: usize, fault: Fault) {
+        match fault {
+            Fault::Crash => {
+                self.servers[index].down = true;
+                self.lose_runs(index);
+            }
+            Fault::Restart => self.servers[index].down = false,
+            Fault::CutConnections => {
+                let runs = self.runs.values_mut();
+                runs.filter(|run| run.server == index).for_each(|run| run.silent = true);
+            }
+            Fault::Deafen => self.servers[index].deaf = true,
+            Fault::Hear => self.servers[index].deaf = false,
+            Fault::Refuse => self.servers[index].refuses = true,
+            Fault::Allow => self.servers[index].refuses = false,
+            Fault::Notice(left) => {
+                self.announce(index);
+                self.schedule(left, Happening::Fault(index, Fault::Reclaim));
+            }
+            Fault::Reclaim => {
+                self.servers[index].gone = true;
+                self.lose_runs(index);
+            }
+        }
+    }
+
+    fn announce(&mut self, index: usize) {
+        let server = self.servers[index].key;
+        for session in 0..SESSIONS {
+            let order = match self.rng.random_range(0..3) {
+                0 => MoveOrder::FinishInPlace,
+                1 => MoveOrder::ResumeElsewhere,
+                _ => MoveOrder::ResumeAt(self.servers[self.rng.random_range(0..SERVERS)].key),
+            };
+            // A notice comes twice.
+            (0..2).for_each(|_| {
+                self.reply(session, SessionEvent::EvacuationOrdered { server, order })
+            });
+        }
+    }
+
+    fn lose_runs(&mut self, index: usize) {
+        for (_, run) in self.runs.extract_if(.., |_, r| r.server == index).collect::<Vec<_>>() {
+            if !run.silent && !self.servers[index].deaf {
+                let error = ServerError::Lost("server ended".to_owned());
+                let event = SessionEvent::AttemptFailed { attempt: run.attempt, error };
+                self.reply(run.session, event);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/testutils/src/session_judge.rs
@@ -0,0 +1,95 @@
+//! Judges what the callers of a schedule of failures saw.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+
+use pomelostack_lib::request_session::RequestSession;
+use pomelostack_lib::request_session::SessionKind;
+use pomelostack_lib::result_code::RequestOutcome;
+use pomelostack_lib::session_request::SessionEnd;
+use pomelostack_lib::timestamp::Timestamp;
+
+/// A rule of the session that is broken on purpose, to show that the counts catch it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BrokenRule {
+    /// None.
+    None,
+    /// A lost connection is taken for a refusal.
+    LostIsRefused,
+    /// Output of old attempts is taken for the current one's.
+    OldIsCurrent,
+    /// Announced reclaims are not heard of, and retries are denied.
+    DeafToNotices,
+}
+
+/// Violations, all of which must be 0.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HarnessCounts {
+    /// Answers with a token missing, repeated, or of an attempt that did not fit.
+    pub torn: u32,
+    /// Repeatable requests not answered though all that ended their servers was announced.
+    pub lost_after_notice: u32,
+    /// Non-idempotent calls that ran twice.
+    pub double_runs: u32,
+    /// Requests reported as not run that ran.
+    pub false_not_run: u32,
+    /// Sessions with no final answer, with two, or with a late one.
+    pub bad_ends: u32,
+}
+
+/// One request of a schedule and all that its caller saw.
+pub struct FakeCaller {
+    /// Session.
+    pub session: RequestSession,
+    /// Kind of work.
+    pub kind: SessionKind,
+    /// Tokens relayed, as offset and `attempt.offset`.
+    pub relayed: Vec<(u32, String)>,
+    /// First offset of each attempt.
+    pub resumed_at: BTreeMap<u32, u32>,
+    /// Final answers.
+    pub ends: Vec<(Timestamp, SessionEnd)>,
+    /// Attempts that ran.
+    pub runs: u32,
+}
+
+impl HarnessCounts {
+    /// Counts the violations of one schedule; `announced_only` says that every fault was an
+    /// announced reclaim.
+    pub fn judge(callers: &[FakeCaller], deadline: Timestamp, announced_only: bool) -> Self {
+        let mut counts = Self::default();
+        for caller in callers {
+            let complete = |end: &SessionEnd| end.code().outcome() == RequestOutcome::Complete;
+            let answered = caller.ends.iter().any(|(_, end)| complete(end));
+            let single = caller.kind == SessionKind::SingleCall;
+            let not_run =
+                caller.ends.iter().any(|(_, end)| matches!(end, SessionEnd::NotRun { .. }));
+            counts.torn += u32::from(is_torn(caller, answered));
+            counts.lost_after_notice += u32::from(announced_only && !single && !answered);
+            counts.double_runs += u32::from(single && caller.runs > 1);
+            counts.false_not_run += u32::from(not_run && caller.runs > 0);
+            let late = caller.ends.iter().any(|(at, _)| *at > deadline);
+            counts.bad_ends += u32::from(caller.ends.len() != 1 || late);
+        }
+        counts
+    }
+}
+
+/// Each token must be next, and of an attempt that began right where the one before it stopped.
+fn is_torn(caller: &FakeCaller, answered: bool) -> bool {
+    let mut attempt = 0;
+    for (index, (offset, text)) in caller.relayed.iter().enumerate() {
+        let (by, at) = text.trim().split_once('.').unwrap();
+        let (by, at): (u32, u32) = (by.parse().unwrap(), at.parse().unwrap());
+        let begins = by != attempt && caller.resumed_at[&by] != at;
+        if *offset as usize != index || at != *offset || by < attempt || begins {
+            return true;
+        }
+        attempt = by;
+    }
+    match caller.kind {
+        SessionKind::Model { max_tokens } => answered && caller.relayed.len() as u32 != max_tokens,
+        _ => false,
+    }
+}
