--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -38,3 +38,5 @@
 pub mod harness_queue;
 pub mod schedule_log;
 pub mod scripted_servers;
+pub mod session_harness;
+pub mod session_judge;
