--- a/lib/src/caller_reply.rs
+++ b/lib/src/caller_reply.rs
@@ -29,6 +29,7 @@
 use crate::ids::RequestId;
 use crate::reply_channel::ReplyPart;
 use crate::reply_channel::ReplyReceiver;
+use crate::result_code::RequestOutcome;
 use crate::result_code::ResultCode;
 use crate::session_request::SessionEnd;
 use crate::session_request::TokenUsage;
@@ -91,11 +92,25 @@
 }
 
 fn end_message(code: ResultCode) -> &'static str {
-    match code.outcome() {
-        crate::result_code::RequestOutcome::NotRun => {
-            "the request was not run, and will not be; it may be sent again"
+    match code {
+        ResultCode::KeyRequired => {
+            "this call may not be repeated: send an Idempotency-Key header with it"
         }
-        _ => "the request may have run; see the result code before sending it again",
+        ResultCode::KeyReused => {
+            "the idempotency key belongs to another request: choose a new key for new work"
+        }
+        ResultCode::CrashRefused => "the request crashed backend servers; do not send it again",
+        ResultCode::ClaimantGone => {
+            "another host took the key and is gone: the work may have run; check before using a \
+             new key"
+        }
+        ResultCode::AnswerExpired => "the work ran, but its answer is no longer kept",
+        _ => match code.outcome() {
+            RequestOutcome::NotRun => {
+                "the request was not run, and will not be; it may be sent again"
+            }
+            _ => "the request may have run; ask with the same idempotency key or request id",
+        },
     }
 }
 
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -134,7 +134,15 @@
         let supervisor = ChildSupervisor::start(children, clock, sender)?;
 
         let driver = Arc::new(SessionDriver::new(ports));
-        let door_ports = FrontDoorPorts { config: config.clone(), driver, answers, metrics, clock };
+        let door_ports = FrontDoorPorts {
+            config: config.clone(),
+            driver,
+            answers,
+            registry: registry.clone(),
+            metrics,
+            recorder: Arc::new(|_| {}),
+            clock,
+        };
         let ids = RequestIdSource::new(&settings.host, incarnation, rand::random());
         let front_door = Arc::new(FrontDoor::new(settings.front_door, door_ports, ids));
         let listener = entry_parts::start_listener(&settings, &runtime, front_door.clone())?;
--- a/lib/src/front_door.rs
+++ b/lib/src/front_door.rs
@@ -14,6 +14,7 @@
 
 use crate::answer_reply::answer_reply;
 use crate::answer_store::AnswerStore;
+use crate::caller_guard::CallerGuard;
 use crate::caller_reply::app_reply;
 use crate::caller_reply::completion_reply;
 use crate::caller_request::Result;
@@ -41,12 +42,15 @@
 use crate::reply_channel::ReplyReceiver;
 use crate::reply_channel::open_reply_channel;
 use crate::request_id_source::RequestIdSource;
+use crate::request_meter::RequestMeter;
+use crate::request_meter::TimesRecorder;
 use crate::resource::ConfigState;
 use crate::resource::ServiceKind;
 use crate::resource::ServiceResource;
 use crate::resource::TeamResource;
 use crate::result_code::ResultCode;
 use crate::session_driver::SessionDriver;
+use crate::session_registry::SessionRegistry;
 use crate::session_request::CheckedRequest;
 use crate::session_request::RequestWork;
 use crate::settings::FrontDoorSettings;
@@ -61,8 +65,12 @@
     pub driver: Arc<SessionDriver>,
     /// Answers that can be fetched again.
     pub answers: Arc<AnswerStore>,
+    /// Running sessions.
+    pub registry: Arc<SessionRegistry>,
     /// Metrics.
     pub metrics: Arc<MetricsReporter>,
+    /// Takes the times of each request.
+    pub recorder: TimesRecorder,
     /// Clock of sessions.
     pub clock: ProcessClock,
 }
@@ -164,7 +172,10 @@
         let model = completion.service.as_str();
         let writer = CompletionWriter::new(kind, id, model, wall_clock_ms() / 1_000);
         let parts = self.start_session(checked)?;
-        Ok(completion_reply(id, &completion, writer, parts).await)
+        let guard = CallerGuard::new(self.ports.registry.clone(), id);
+        let reply = completion_reply(id, &completion, writer, parts).await;
+        guard.disarm();
+        Ok(reply)
     }
 
     async fn call_app(
@@ -183,7 +194,10 @@
         let checked = self.check(caller, service, work, idempotent)?;
         let id = checked.id;
         let parts = self.start_session(checked)?;
-        Ok(app_reply(id, parts).await)
+        let guard = CallerGuard::new(self.ports.registry.clone(), id);
+        let reply = app_reply(id, parts).await;
+        guard.disarm();
+        Ok(reply)
     }
 
     async fn fetch(
@@ -249,12 +263,19 @@
     /// Starts the thread of a session and returns its output.
     fn start_session(&self, request: CheckedRequest) -> Result<ReplyReceiver> {
         self.ports.metrics.count(CounterMetric::Requests, &request.service.name, 1);
-        let (mut sender, receiver) = open_reply_channel();
+        let (sender, receiver) = open_reply_channel();
+        let mut sink = RequestMeter::new(
+            sender,
+            &request,
+            self.ports.clock,
+            self.ports.metrics.clone(),
+            self.ports.recorder.clone(),
+        );
         let (driver, id) = (self.ports.driver.clone(), request.id);
         let thread = std::thread::Builder::new()
             .name("session".into())
             .stack_size(SESSION_STACK_BYTES)
-            .spawn(move || driver.run(request, &mut sender));
+            .spawn(move || driver.run(request, &mut sink));
         match thread {
             Ok(_) => Ok(receiver),
             Err(error) => {
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -126,7 +126,7 @@
 
 impl fmt::Display for RequestId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}-{:x}", self.origin, self.sequence)
+        write!(f, "{:016x}-{:016x}", self.origin, self.sequence)
     }
 }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod http_edge;
 pub mod log_client;
 pub mod log_service;
+pub mod request_meter;
 pub mod server_connector;
 pub mod weight_store;
 pub mod weight_store_client;
@@ -116,6 +117,7 @@
 
 // The process.
 pub mod answer_reply;
+pub mod caller_guard;
 pub mod caller_reply;
 pub mod caller_request;
 pub mod completion_api;
--- /dev/null
+++ b/lib/src/request_meter.rs
@@ -0,0 +1,133 @@
+//! Measures each request on its way to the caller: metrics, the log line, and service-level burn.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::engine::TokenChunk;
+use crate::ids::RequestId;
+use crate::ids::ServiceName;
+use crate::ids::TeamName;
+use crate::metrics::CounterMetric;
+use crate::metrics::MetricsReporter;
+use crate::metrics::TimerMetric;
+use crate::result_code::RequestOutcome;
+use crate::session_request::CallerSink;
+use crate::session_request::CheckedRequest;
+use crate::session_request::SessionEnd;
+use crate::session_request::SinkState;
+use crate::timestamp::ProcessClock;
+use crate::timestamp::Timestamp;
+
+/// What a request took, as the latency target sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestTimes {
+    /// Service asked for.
+    pub service: ServiceName,
+    /// Time from acceptance to the first token or the whole answer of an app.
+    pub first_token: Option<Duration>,
+    /// Longest time between two tokens.
+    pub longest_gap: Option<Duration>,
+    /// How the request ended.
+    pub outcome: RequestOutcome,
+    /// Time at which it ended.
+    pub ended_at: Timestamp,
+}
+
+/// Takes the times of each ended request.
+pub type TimesRecorder = Arc<dyn Fn(&RequestTimes) + Send + Sync>;
+
+/// Passes a session's output on and measures it.
+pub struct RequestMeter<S> {
+    inner: S,
+    clock: ProcessClock,
+    metrics: Arc<MetricsReporter>,
+    recorder: TimesRecorder,
+    id: RequestId,
+    service: ServiceName,
+    team: TeamName,
+    accepted_at: Timestamp,
+    last_token_at: Option<Timestamp>,
+    first_token: Option<Duration>,
+    longest_gap: Option<Duration>,
+}
+
+impl<S: CallerSink> RequestMeter<S> {
+    /// Measures the output of one request.
+    pub fn new(
+        inner: S,
+        request: &CheckedRequest,
+        clock: ProcessClock,
+        metrics: Arc<MetricsReporter>,
+        recorder: TimesRecorder,
+    ) -> Self {
+        Self {
+            inner,
+            clock,
+            metrics,
+            recorder,
+            id: request.id,
+            service: request.service.name.clone(),
+            team: request.team.clone(),
+            accepted_at: request.accepted_at,
+            last_token_at: None,
+            first_token: None,
+            longest_gap: None,
+        }
+    }
+
+    fn measure_token(&mut self, now: Timestamp) {
+        match self.last_token_at.replace(now) {
+            None => {
+                let first = now.since(self.accepted_at);
+                self.first_token = Some(first);
+                self.metrics.time(TimerMetric::FirstToken, &self.service, first);
+            }
+            Some(last) => {
+                let gap = now.since(last);
+                self.longest_gap = self.longest_gap.max(Some(gap));
+                self.metrics.time(TimerMetric::TokenGap, &self.service, gap);
+            }
+        }
+    }
+
+    fn measure_end(&mut self, end: &SessionEnd) {
+        let now = self.clock.now();
+        let code = end.code();
+        if let SessionEnd::AppDone(_) = end {
+            self.measure_token(now);
+        }
+        self.metrics.count_code(CounterMetric::Outcomes, code);
+        log::info!(
+            "event=request_ended request={} service={} team={} code={} outcome={} took_ms={}",
+            self.id,
+            self.service,
+            self.team,
+            code.number(),
+            code.outcome(),
+            now.since(self.accepted_at).as_millis(),
+        );
+        (self.recorder)(&RequestTimes {
+            service: self.service.clone(),
+            first_token: self.first_token,
+            longest_gap: self.longest_gap,
+            outcome: code.outcome(),
+            ended_at: now,
+        });
+    }
+}
+
+impl<S: CallerSink> CallerSink for RequestMeter<S> {
+    fn accepted(&mut self, id: RequestId) {
+        self.inner.accepted(id);
+    }
+
+    fn token(&mut self, chunk: &TokenChunk) -> SinkState {
+        self.measure_token(self.clock.now());
+        self.inner.token(chunk)
+    }
+
+    fn finish(&mut self, end: &SessionEnd) {
+        self.measure_end(end);
+        self.inner.finish(end);
+    }
+}
--- a/lib/src/session_driver.rs
+++ b/lib/src/session_driver.rs
@@ -11,6 +11,7 @@
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::RecvTimeoutError;
 use std::sync::mpsc::Sender;
+use std::time::Duration;
 
 use crate::answer_table::AnswerError;
 use crate::crash_suspects::AttemptLeft;
@@ -73,11 +74,11 @@
         };
         sink.accepted(request.id);
         if let Err(AnswerError::Full) = self.ports.answers.begin(request.id, max_tokens) {
-            sink.finish(&refuse(ResultCode::QueueFull));
+            sink.finish(&refuse(ResultCode::QueueFull, Some(RETRY_AFTER)));
             return;
         }
         if !request.idempotent && request.idempotency_key.is_none() {
-            let end = refuse(ResultCode::KeyRequired);
+            let end = refuse(ResultCode::KeyRequired, None);
             self.ports.answers.finish(request.id, end.clone());
             sink.finish(&end);
             return;
@@ -86,9 +87,9 @@
     }
 }
 
-fn refuse(code: ResultCode) -> SessionEnd {
+fn refuse(code: ResultCode, retry_after: Option<Duration>) -> SessionEnd {
     match NotRunRefusal::new(code, NotRunProof::NeverDispatched) {
-        Some(refusal) => SessionEnd::NotRun { refusal, retry_after: Some(RETRY_AFTER) },
+        Some(refusal) => SessionEnd::NotRun { refusal, retry_after },
         None => SessionEnd::Unknown { code, retry_after: None },
     }
 }
@@ -210,7 +211,7 @@
     fn claim(&mut self) {
         let decision = match &self.ports.claims {
             Some(claims) => claims.claim(&self.request),
-            None => match refuse(ResultCode::NotReady) {
+            None => match refuse(ResultCode::NotReady, None) {
                 SessionEnd::NotRun { refusal, .. } => ClaimDecision::NotRun(refusal),
                 _ => ClaimDecision::Unknown(ResultCode::Internal),
             },
