testutils: take bursts of streams without stalls

300 streams opened at once on one engine, 20 ms a step, 100 tokens each. Cause 2: an attempt entered the batch only when its own thread looked, every 25 ms behind those before it; the batch is now filled when an attempt arrives or leaves.

--- a/lib/testutils/src/connection_relay.rs
+++ b/lib/testutils/src/connection_relay.rs
@@ -22,6 +22,8 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use crate::standin_listener::listen;
+
 /// Bytes that a pump moves at a time.
 const PUMP_BUFFER_BYTES: usize = 16 * 1024;
 /// Tries to bind the published address again after a crash.
@@ -46,6 +48,8 @@
 
 #[derive(Default)]
 struct RelayState {
+    /// Times that the relay was shut; a connection accepted before the last time is dropped.
+    shuts: u64,
     /// Open connections by the address from which the stand-in sees them.
     connections: BTreeMap<SocketAddr, Arc<RelayedConnection>>,
     pumps: Vec<JoinHandle<()>>,
@@ -63,7 +67,7 @@
 impl ConnectionRelay {
     /// Starts to relay from `address`, where port 0 picks a free one, to `target`.
     pub fn start(address: SocketAddr, target: SocketAddr) -> io::Result<Arc<Self>> {
-        let listener = TcpListener::bind(address)?;
+        let listener = listen(address)?;
         let relay = Arc::new(Self {
             address: listener.local_addr()?,
             target,
@@ -109,6 +113,7 @@
         }
         let (connections, pumps) = {
             let mut state = self.lock();
+            state.shuts += 1;
             (std::mem::take(&mut state.connections), std::mem::take(&mut state.pumps))
         };
         connections.values().for_each(|connection| connection.close());
@@ -122,7 +127,7 @@
         }
         let mut tries = 0;
         let listener = loop {
-            match TcpListener::bind(self.address) {
+            match listen(self.address) {
                 Ok(listener) => break listener,
                 Err(error) if tries == REBIND_TRIES => return Err(error),
                 Err(_) => thread::sleep(REBIND_PAUSE),
@@ -145,41 +150,55 @@
                 if !relay.accepting.load(Ordering::SeqCst) {
                     return;
                 }
-                // A connection that cannot be relayed is dropped, and its client sees it closed.
-                let _ = relay.clone().relay(client);
+                relay.clone().spawn_connection(client);
             }
         });
         self.lock().acceptor = Some(acceptor);
     }
 
-    fn relay(self: Arc<Self>, client: TcpStream) -> io::Result<()> {
-        let server = TcpStream::connect(self.target)?;
-        client.set_nodelay(true)?;
-        server.set_nodelay(true)?;
-        let peer = server.local_addr()?;
-        let (client_end, server_end) = (client.try_clone()?, server.try_clone()?);
-        let connection =
-            Arc::new(RelayedConnection { client, server, silent: AtomicBool::new(false) });
+    /// Leaves all further work to a thread, so that a burst of connections is accepted in time.
+    fn spawn_connection(self: Arc<Self>, client: TcpStream) {
+        let relay = self.clone();
         let mut state = self.lock();
-        state.connections.insert(peer, connection.clone());
+        let shuts = state.shuts;
         state.pumps.retain(|pump| !pump.is_finished());
-        let (relay, up) = (self.clone(), connection.clone());
         state.pumps.push(thread::spawn(move || {
-            pump(&client_end, &up.server, &up.silent);
-            // A silent connection hides its end from the stand-in.
-            if !up.silent.load(Ordering::SeqCst) {
-                relay.close(peer);
-            }
+            // A connection that cannot be relayed is dropped, and its client sees it closed.
+            let _ = relay.relay(client, shuts);
         }));
-        let (relay, down) = (self.clone(), connection);
-        state.pumps.push(thread::spawn(move || {
-            pump(&server_end, &down.client, &down.silent);
-            if !down.silent.load(Ordering::SeqCst) {
-                relay.close(peer);
+    }
+
+    /// Relays one connection until it ends.
+    fn relay(self: Arc<Self>, client: TcpStream, shuts: u64) -> io::Result<()> {
+        let server = TcpStream::connect(self.target)?;
+        client.set_nodelay(true)?;
+        server.set_nodelay(true)?;
+        let peer = server.local_addr()?;
+        let silent = AtomicBool::new(false);
+        let connection = Arc::new(RelayedConnection { client, server, silent });
+        {
+            let mut state = self.lock();
+            if state.shuts != shuts {
+                return Ok(());
             }
-        }));
+            state.connections.insert(peer, connection.clone());
+            let (relay, down) = (self.clone(), connection.clone());
+            state.pumps.push(thread::spawn(move || {
+                pump(&down.server, &down.client, &down.silent);
+                relay.end(peer, &down);
+            }));
+        }
+        pump(&connection.client, &connection.server, &connection.silent);
+        self.end(peer, &connection);
         Ok(())
     }
+
+    /// Closes a connection one of whose ends has closed; a silent one hides that.
+    fn end(&self, peer: SocketAddr, connection: &RelayedConnection) {
+        if !connection.silent.load(Ordering::SeqCst) {
+            self.close(peer);
+        }
+    }
 }
 
 /// Moves bytes until either end closes; what a silent connection carries is dropped.
--- a/lib/testutils/src/engine_core.rs
+++ b/lib/testutils/src/engine_core.rs
@@ -61,8 +61,8 @@
 /// What became of an attempt that arrived.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QueueOutcome {
-    /// It waits.
-    Queued,
+    /// It waits or runs.
+    Taken,
     /// The queue is full.
     Full,
     /// The same attempt is here already.
@@ -133,7 +133,7 @@
         }
     }
 
-    /// Puts an attempt into the queue.
+    /// Puts an attempt into the queue, and into the batch if there is a place.
     pub fn enqueue(
         &mut self,
         now: Instant,
@@ -158,24 +158,30 @@
             cancelled: false,
         };
         self.attempts.insert(key, attempt);
+        self.fill_batch();
         self.report(now);
-        QueueOutcome::Queued
+        QueueOutcome::Taken
     }
 
-    /// Moves the attempt into the batch if there is a place and none goes before it.
-    pub fn try_start(&mut self, now: Instant, key: AttemptKey) -> bool {
-        let rank = |attempt: &EngineAttempt| (u8::MAX - attempt.priority, attempt.arrival);
-        let first = self.attempts.iter().filter(|(_, attempt)| !attempt.running);
-        let first = first.min_by_key(|(_, attempt)| rank(attempt)).map(|(&key, _)| key);
-        if self.running() >= self.settings.batch_limit || first != Some(key) {
-            return false;
-        }
-        if let Some(attempt) = self.attempts.get_mut(&key) {
-            attempt.running = true;
+    /// Returns whether the attempt is in the batch.
+    pub fn is_running(&self, key: AttemptKey) -> bool {
+        self.attempts.get(&key).is_some_and(|attempt| attempt.running)
+    }
+
+    /// Moves waiting attempts into the free places of the batch, and returns whether any was.
+    fn fill_batch(&mut self) -> bool {
+        let mut filled = false;
+        for _ in self.running()..self.settings.batch_limit {
+            let rank = |attempt: &EngineAttempt| (u8::MAX - attempt.priority, attempt.arrival);
+            let waiting = self.attempts.iter_mut().filter(|(_, attempt)| !attempt.running);
+            let Some((key, first)) = waiting.min_by_key(|(_, attempt)| rank(attempt)) else {
+                break;
+            };
+            first.running = true;
+            self.starts.push(key.0);
+            filled = true;
         }
-        self.starts.push(key.0);
-        self.report(now);
-        true
+        filled
     }
 
     /// Returns the attempts in the batch.
@@ -183,10 +189,12 @@
         self.attempts.values().filter(|attempt| attempt.running).count()
     }
 
-    /// Takes the attempt out.
-    pub fn remove(&mut self, now: Instant, key: AttemptKey) {
+    /// Takes the attempt out and returns whether another one took its place.
+    pub fn remove(&mut self, now: Instant, key: AttemptKey) -> bool {
         self.attempts.remove(&key);
+        let filled = self.fill_batch();
         self.report(now);
+        filled
     }
 
     /// Looks up the attempt's prefix and books its prefill, which follows those booked before.
--- a/lib/testutils/src/engine_run.rs
+++ b/lib/testutils/src/engine_run.rs
@@ -43,7 +43,7 @@
 
 /// Whether an engine takes a request.
 enum Admission {
-    /// It waits for the batch.
+    /// It waits for the batch or is in it.
     Taken,
     /// It did not run and will not: status and reason.
     Refused(u16, &'static str),
@@ -86,8 +86,10 @@
             Err(RunStop::ClientGone) => RunOutcome::ClientGone,
             Err(RunStop::Crashed) => return,
         };
-        self.shared.lock().remove(Instant::now(), self.key);
-        self.shared.life.wake();
+        let filled = self.shared.lock().remove(Instant::now(), self.key);
+        if filled {
+            self.shared.life.wake();
+        }
         self.shared.journal.end(run, outcome);
     }
 
@@ -102,7 +104,7 @@
         }
         let text = format!("{}{}", self.request.prompt, self.request.generated);
         match core.enqueue(Instant::now(), self.key, self.request.priority.0, text) {
-            QueueOutcome::Queued => Admission::Taken,
+            QueueOutcome::Taken => Admission::Taken,
             QueueOutcome::Full => Admission::Refused(429, "queue is full"),
             QueueOutcome::Repeated => Admission::Repeated,
         }
@@ -123,15 +125,12 @@
     }
 
     fn wait_for_place(&self, lines: &mut LineStream, is_open: &dyn Fn() -> bool) -> Result<()> {
-        if self.shared.lock().try_start(Instant::now(), self.key) {
+        let is_running = || self.shared.lock().is_running(self.key);
+        if is_running() {
             return Ok(());
         }
         lines.flush()?;
-        let mut started = false;
-        self.wait(None, is_open, || {
-            started = self.shared.lock().try_start(Instant::now(), self.key);
-            started
-        })
+        self.wait(None, is_open, is_running)
     }
 
     fn prefill(&self, lines: &mut LineStream, is_open: &dyn Fn() -> bool) -> Result<PrefillPlan> {
--- a/lib/testutils/src/http_standin.rs
+++ b/lib/testutils/src/http_standin.rs
@@ -5,9 +5,6 @@
 use std::io::Write;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
-use std::net::TcpStream;
-use std::os::fd::OwnedFd;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -24,6 +21,7 @@
 
 use crate::connection_relay::ConnectionRelay;
 use crate::server_life::ServerLife;
+use crate::standin_listener::listen;
 
 /// Largest request body that a stand-in takes, in bytes.
 pub const MAX_BODY_BYTES: u64 = 16 * 1024 * 1024;
@@ -103,7 +101,7 @@
     ) -> Result<(Self, Arc<S>)> {
         let inner = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let listener =
-            listen_nodelay(inner).map_err(|cause| StandinError::Bind { address: inner, cause })?;
+            listen(inner).map_err(|cause| StandinError::Bind { address: inner, cause })?;
         let target =
             listener.local_addr().map_err(|cause| StandinError::Bind { address: inner, cause })?;
         let server = Server::from_listener(listener, None)
@@ -148,13 +146,6 @@
     }
 }
 
-/// Binds a listener whose accepted sockets send small chunks at once: they take the option over.
-fn listen_nodelay(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = TcpStream::from(OwnedFd::from(TcpListener::bind(address)?));
-    socket.set_nodelay(true)?;
-    Ok(TcpListener::from(OwnedFd::from(socket)))
-}
-
 fn spawn_acceptor<S: StandinService>(
     server: Arc<Server>,
     life: Arc<ServerLife>,
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod platform_standin;
 pub mod prefix_cache;
 pub mod server_life;
+mod standin_listener;
 pub mod weight_standin;
 
 pub mod naive_claims;
