--- a/lib/src/http_edge.rs
+++ b/lib/src/http_edge.rs
@@ -16,28 +16,15 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 use ureq::Agent;
+use ureq::AsSendBody;
 use ureq::http;
-use ureq::unversioned::resolver::DefaultResolver;
-use ureq::unversioned::transport::ConnectionDetails;
-use ureq::unversioned::transport::Connector;
-use ureq::unversioned::transport::DefaultConnector;
-use ureq::unversioned::transport::Transport;
 
 use crate::engine::ServerError;
 use crate::engine::StreamFlow;
-
-/// Headers that concern one connection and are never passed on (RFC 9110, section 7.6.1).
-const HOP_BY_HOP_HEADERS: [&str; 9] = [
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
+use crate::hop_headers::HopHeaders;
+use crate::http_agent::FailureKind;
+use crate::http_agent::build_agent;
+use crate::http_agent::failure_kind;
 
 /// Why an HTTP call failed, by what it proves.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
@@ -198,8 +185,8 @@
 impl HttpEdge {
     /// Builds an edge; no connection is opened yet.
     pub fn new(address: SocketAddr, limits: EdgeLimits) -> Self {
-        let pooled = RwLock::new(build_agent(&limits, limits.max_idle_connections));
-        Self { address, limits, pooled, fresh: build_agent(&limits, 0) }
+        let pooled = RwLock::new(build_agent(limits.connect_timeout, limits.max_idle_connections));
+        Self { address, limits, pooled, fresh: build_agent(limits.connect_timeout, 0) }
     }
 
     /// Returns the address.
@@ -215,7 +202,7 @@
     /// Drops idle connections; calls in flight keep theirs to their end, and later calls open new
     /// ones.
     pub fn retire_connections(&self) {
-        let renewed = build_agent(&self.limits, self.limits.max_idle_connections);
+        let renewed = build_agent(self.limits.connect_timeout, self.limits.max_idle_connections);
         *self.pooled.write().unwrap_or_else(PoisonError::into_inner) = renewed;
     }
 
@@ -279,26 +266,40 @@
             }
             ConnectionUse::Fresh => self.fresh.clone(),
         };
-        let request = self.build_request(call)?;
-        let configured = agent.configure_request(request);
-        let request = match call.time {
-            CallTime::Total(total) => configured.timeout_global(Some(total)).build(),
-            CallTime::Gap(gap) => configured.timeout_per_read(Some(gap)).build(),
+        // A body of no bytes would be sent with a length, which these methods do not use.
+        let has_body = !call.body.is_empty() || !matches!(call.method, "GET" | "HEAD" | "OPTIONS");
+        let sent = if has_body {
+            agent.run(self.build_request(&agent, call, call.body)?)
+        } else {
+            agent.run(self.build_request(&agent, call, ())?)
         };
-        agent.run(request).map_err(|error| classify(error, call.time, &self.limits))
+        sent.map_err(|error| classify(error, call.time, &self.limits))
     }
 
-    fn build_request<'a>(&self, call: &HttpCall<'a>) -> Result<http::Request<&'a [u8]>> {
+    fn build_request<B: AsSendBody>(
+        &self,
+        agent: &Agent,
+        call: &HttpCall,
+        body: B,
+    ) -> Result<http::Request<B>> {
         // Without the slash, the path could name another address.
         if !call.path.starts_with('/') {
             return Err(HttpError::NotConnected(format!("path {:?} is not absolute", call.path)));
         }
         let uri = format!("http://{}{}", self.address, call.path);
         let mut builder = http::Request::builder().method(call.method).uri(uri);
-        for (name, value) in call.headers.iter().filter(|(name, _)| is_forwarded(name)) {
-            builder = builder.header(name, value);
+        let hops = HopHeaders::of(call.headers.iter().map(|(name, value)| (&**name, &**value)));
+        for (name, value) in call.headers {
+            if !hops.contains(name) && !is_replaced(name) {
+                builder = builder.header(name, value);
+            }
         }
-        builder.body(call.body).map_err(|e| HttpError::NotConnected(e.to_string()))
+        let request = builder.body(body).map_err(|e| HttpError::NotConnected(e.to_string()))?;
+        let configured = agent.configure_request(request);
+        Ok(match call.time {
+            CallTime::Total(total) => configured.timeout_global(Some(total)).build(),
+            CallTime::Gap(gap) => configured.timeout_per_read(Some(gap)).build(),
+        })
     }
 
     fn read_answer(
@@ -343,73 +344,27 @@
     [("Content-Type".to_owned(), "application/json".to_owned())]
 }
 
-/// Returns whether a header concerns one connection alone.
-pub fn is_hop_by_hop(name: &str) -> bool {
-    HOP_BY_HOP_HEADERS.iter().any(|hop| name.eq_ignore_ascii_case(hop))
-}
-
-/// `Host` and `Content-Length` are set anew for each connection and body.
-fn is_forwarded(name: &str) -> bool {
-    let replaced = ["host", "content-length", "expect"];
-    !is_hop_by_hop(name) && !replaced.iter().any(|other| name.eq_ignore_ascii_case(other))
+/// Returns whether a header is set anew for each connection and body.
+fn is_replaced(name: &str) -> bool {
+    ["host", "content-length", "expect"].iter().any(|other| name.eq_ignore_ascii_case(other))
 }
 
 fn kept_headers(headers: &http::HeaderMap) -> Vec<(String, String)> {
-    let kept = headers.iter().filter(|(name, _)| !is_hop_by_hop(name.as_str()));
-    kept.filter_map(|(name, value)| {
-        Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned()))
-    })
-    .collect()
-}
-
-fn build_agent(limits: &EdgeLimits, max_idle_connections: usize) -> Agent {
-    let config = Agent::config_builder()
-        .http_status_as_error(false)
-        .proxy(None)
-        .max_redirects(0)
-        .max_redirects_will_error(false)
-        .allow_non_standard_methods(true)
-        .no_delay(true)
-        .user_agent("")
-        .accept("")
-        .accept_encoding("")
-        .timeout_connect(Some(limits.connect_timeout))
-        .max_idle_connections(max_idle_connections)
-        .max_idle_connections_per_host(max_idle_connections)
-        .build();
-    Agent::with_parts(config, MarkingConnector::default(), DefaultResolver::default())
+    let texts: Vec<_> = headers
+        .iter()
+        .filter_map(|(name, value)| Some((name.as_str(), value.to_str().ok()?)))
+        .collect();
+    let hops = HopHeaders::of(texts.iter().copied());
+    let kept = texts.into_iter().filter(|(name, _)| !hops.contains(name));
+    kept.map(|(name, value)| (name.to_owned(), value.to_owned())).collect()
 }
 
-/// A connection could not be opened.
-#[derive(Debug, Error)]
-#[error("{0}")]
-struct ConnectFailure(ureq::Error);
-
-/// Marks the errors of opening a connection, so that they are told from all later ones.
-#[derive(Debug, Default)]
-struct MarkingConnector(DefaultConnector);
-
-impl Connector for MarkingConnector {
-    type Out = Box<dyn Transport>;
-
-    fn connect(
-        &self,
-        details: &ConnectionDetails,
-        chained: Option<()>,
-    ) -> std::result::Result<Option<Self::Out>, ureq::Error> {
-        let mark = |error| ureq::Error::Other(Box::new(ConnectFailure(error)));
-        self.0.connect(details, chained).map_err(mark)
-    }
-}
-
-/// Tells what an error proves; whatever is not certain counts as sent.
+/// Tells what an error proves.
 fn classify(error: ureq::Error, time: CallTime, limits: &EdgeLimits) -> HttpError {
-    match error {
-        ureq::Error::Other(other) if other.is::<ConnectFailure>() => {
-            HttpError::NotConnected(other.to_string())
-        }
-        ureq::Error::Timeout(_) => HttpError::Silent(time.duration()),
-        ureq::Error::BodyExceedsLimit(_) => HttpError::TooLarge(limits.max_body_bytes),
-        other => HttpError::Lost(other.to_string()),
+    match failure_kind(&error) {
+        FailureKind::NotConnected => HttpError::NotConnected(error.to_string()),
+        FailureKind::TimedOut => HttpError::Silent(time.duration()),
+        FailureKind::TooLarge => HttpError::TooLarge(limits.max_body_bytes),
+        FailureKind::Lost => HttpError::Lost(error.to_string()),
     }
 }
--- a/lib/tests/test_app_edge.rs
+++ b/lib/tests/test_app_edge.rs
@@ -22,6 +22,7 @@
 use testutils::app_standin::AppStandin;
 use testutils::hang_guard::HANG_GUARD;
 use testutils::hang_guard::wait_for;
+use testutils::raw_server::RawServer;
 
 /// A service time that no test waits out.
 const ENDLESS_SERVICE: Duration = Duration::from_secs(3600);
@@ -59,14 +60,16 @@
 fn passed_through(#[case] method: &str, #[case] path: &str, #[case] body: &str) {
     let (app, client) = start(AppSettings::default());
     let answer = client.call(&request(method, path, body), HANG_GUARD).unwrap();
+    let echo = echo_of(&answer);
     let expected = AppEcho {
+        headers: echo.headers.clone(),
         method: method.to_owned(),
         path: path.to_owned(),
         body: body.to_owned(),
         request: Some("0000000000000001-2".to_owned()),
         key: Some("slot-17".to_owned()),
     };
-    assert_eq!((answer.status, echo_of(&answer)), (200, expected));
+    assert_eq!((answer.status, echo), (200, expected));
     let entries = app.journal().entries();
     assert_eq!((entries.len(), entries[0].attempt), (1, 3));
     assert!(entries[0].end_ms.is_some());
@@ -86,12 +89,22 @@
     assert_eq!(answer.unwrap().status, status);
 }
 
+#[test]
+fn head_call() {
+    let (app, client) = start(AppSettings::default());
+    let answer = client.call(&request("HEAD", "/wind", ""), HANG_GUARD).unwrap();
+    assert_eq!((answer.status, answer.body.len()), (200, 0));
+    assert_eq!(app.journal().entries()[0].work, "HEAD /wind");
+}
+
 #[test]
 fn hop_headers() {
     let (_app, client) = start(AppSettings::default());
     let mut wanted = request("POST", "/slots", "one");
     for (name, value) in [
-        ("Connection", "close"),
+        ("Connection", "close, X-Hop"),
+        ("X-Hop", "for this connection alone"),
+        ("X-Kept", "for the server"),
         ("Transfer-Encoding", "chunked"),
         ("Content-Length", "9999"),
         ("Host", "elsewhere"),
@@ -103,6 +116,9 @@
     let answer = client.call(&wanted, HANG_GUARD).unwrap();
     let echo = echo_of(&answer);
     assert_eq!(echo.body, "one");
+    let header = |name: &str| echo.headers.get(name).map(String::as_str);
+    assert_eq!((header("x-hop"), header("x-kept")), (None, Some("for the server")));
+    assert_ne!(header("host"), Some("elsewhere"));
     assert_eq!(echo.key.as_deref(), Some("slot-17"));
     assert_eq!(echo.request.as_deref(), Some("0000000000000001-2"));
     let names: Vec<_> = answer.headers.iter().map(|(name, _)| name.to_lowercase()).collect();
@@ -140,6 +156,20 @@
     assert!(matches!(outcome, Err(ServerError::Lost(_))), "{outcome:?}");
 }
 
+#[rstest]
+#[case::short_body("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nonly this")]
+#[case::short_chunk("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nonly")]
+#[case::no_last_chunk("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nonly\r\n")]
+#[case::short_header("HTTP/1.1 200 OK\r\nContent-Le")]
+#[case::not_http("what is this\r\n\r\n")]
+fn cut_short(#[case] answer: &str, #[values("GET", "POST")] method: &str) {
+    let server = RawServer::start(answer.to_owned()).unwrap();
+    let client = AppClient::new(server.address(), EdgeLimits::default());
+    let outcome = client.call(&request(method, "/slots", "x"), HANG_GUARD);
+    server.join().unwrap();
+    assert!(matches!(outcome, Err(ServerError::Lost(_))), "{outcome:?}");
+}
+
 #[test]
 fn timed_out() {
     let settings = AppSettings { service_time: ENDLESS_SERVICE, ..Default::default() };
--- a/lib/tests/test_engine_edge.rs
+++ b/lib/tests/test_engine_edge.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests fail by panicking, too")]
 
+use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
@@ -23,6 +25,8 @@
 use pomelostack_lib::ids::RequestId;
 use pomelostack_lib::prompt::count_tokens;
 use pomelostack_lib::prompt::hash_blocks;
+use pomelostack_lib::server_connector::ServerConnector;
+use rstest::rstest;
 use testutils::engine_standin::EngineFault;
 use testutils::engine_standin::EngineSettings;
 use testutils::engine_standin::EngineStandin;
@@ -30,6 +34,7 @@
 use testutils::hang_guard::HANG_GUARD;
 use testutils::hang_guard::wait_for;
 use testutils::journal::RunOutcome;
+use testutils::raw_server::RawServer;
 
 const MODEL: &str = "forecast";
 /// A step that no test waits out.
@@ -315,6 +320,42 @@
     assert_eq!(engine.journal().entries().len(), 1);
 }
 
+const TOKEN_LINE: &str = "{\"token\":{\"offset\":0,\"text\":\"a \"}}\n";
+
+#[rstest]
+#[case::no_end(TOKEN_LINE, ServerError::Lost("answer ends without its end".to_owned()))]
+#[case::cut_line(&TOKEN_LINE[..9], ServerError::Lost("answer ends within a line".to_owned()))]
+#[case::long_line(&"x".repeat(2_000), ServerError::Malformed("answer exceeds 1000 bytes".to_owned()))]
+fn broken_stream(#[case] lines: &str, #[case] expected: ServerError) {
+    let server = RawServer::start(format!("HTTP/1.1 200 OK\r\n\r\n{lines}")).unwrap();
+    let limits = EdgeLimits { max_line_bytes: 1_000, ..EdgeLimits::default() };
+    let client = EngineClient::new(server.address(), limits);
+    assert_eq!(run(&client, &request(1, "x")).map(drop), Err(expected));
+}
+
+#[rstest]
+#[case::not_json("oops\n")]
+#[case::unknown_line("{\"bye\":1}\n")]
+#[case::negative_offset("{\"token\":{\"offset\":-1,\"text\":\"a\"}}\n")]
+fn malformed_line(#[case] lines: &str) {
+    let server = RawServer::start(format!("HTTP/1.1 200 OK\r\n\r\n{lines}")).unwrap();
+    let client = EngineClient::new(server.address(), EdgeLimits::default());
+    let outcome = run(&client, &request(1, "x"));
+    assert!(matches!(outcome, Err(ServerError::Malformed(_))), "{outcome:?}");
+}
+
+#[rstest]
+#[case::plain("503 Busy", "busy")]
+#[case::ran("503 Busy", "{\"ran\":true,\"reason\":\"x\"}")]
+#[case::unsaid("429 Busy", "{\"reason\":\"x\"}")]
+fn unproven_refusal(#[case] status: &str, #[case] body: &str) {
+    let head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n", body.len());
+    let server = RawServer::start(head + body).unwrap();
+    let client = EngineClient::new(server.address(), EdgeLimits::default());
+    let outcome = run(&client, &request(1, "x"));
+    assert!(matches!(outcome, Err(ServerError::Malformed(_))), "{outcome:?}");
+}
+
 #[test]
 fn refused_work() {
     let (engine, client) = start(EngineSettings::default());
@@ -379,3 +420,19 @@
     client.retire_connections();
     run(&client, &request(2, "second [[tokens=1]]")).unwrap();
 }
+
+#[test]
+fn shared_clients() {
+    let (first, _) = start(EngineSettings::default());
+    let (second, _) = start(EngineSettings::default());
+    let connector = ServerConnector::new(EdgeLimits::default());
+    let client = connector.engine(first.address());
+    run(&client, &request(1, "first [[tokens=1]]")).unwrap();
+    assert!(Arc::ptr_eq(&client, &connector.engine(first.address())));
+    assert!(!Arc::ptr_eq(&client, &connector.engine(second.address())));
+    first.apply_fault(EngineFault::SilenceConnections);
+    connector.retire_connections(first.address());
+    run(&client, &request(2, "second [[tokens=1]]")).unwrap();
+    connector.keep_only(&BTreeSet::from([second.address()]));
+    assert!(!Arc::ptr_eq(&client, &connector.engine(first.address())));
+}
--- a/lib/tests/test_log_edge.rs
+++ b/lib/tests/test_log_edge.rs
@@ -2,10 +2,6 @@
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests fail by panicking, too")]
 
-use std::io::Read as _;
-use std::io::Write as _;
-use std::net::TcpListener;
-use std::thread;
 use std::time::Duration;
 
 use pomelostack_lib::http_edge::EdgeLimits;
@@ -22,6 +18,7 @@
 use testutils::log_standin::LogOutage;
 use testutils::log_standin::LogSettings;
 use testutils::log_standin::LogStandin;
+use testutils::raw_server::RawServer;
 
 const CLAIMS: LogStream = LogStream::Claims;
 
@@ -121,6 +118,21 @@
     assert!(matches!(outcome, Err(LogError::FateUnknown(_))), "{outcome:?}");
 }
 
+#[test]
+fn silent_connection() {
+    let log = LogStandin::start(LogSettings::default()).unwrap();
+    let call_timeout = Duration::from_millis(500);
+    let limits = EdgeLimits { call_timeout, ..EdgeLimits::default() };
+    let client = LogClient::new(log.address(), limits);
+    client.append(CLAIMS, b"a").unwrap();
+    log.apply_fault(LogFault::SilenceConnections);
+    let outcome = client.append(CLAIMS, b"b");
+    assert!(matches!(outcome, Err(LogError::FateUnknown(_))), "{outcome:?}");
+    client.retire_connections();
+    client.append(CLAIMS, b"c").unwrap();
+    assert_eq!(data_from(log.fake(), 0), [b"a", b"c"]);
+}
+
 #[test]
 fn append_rate() {
     let (_log, client) = start(LogSettings { appends_per_s: 0, ..LogSettings::default() });
@@ -200,16 +212,20 @@
 #[case::not_base64(
     r#"{"first":0,"end":1,"now_ms":1,"records":[{"offset":0,"appended_ms":1,"data":"!"}]}"#
 )]
-fn malformed_slice(#[case] body: &'static str) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let client = LogClient::new(listener.local_addr().unwrap(), EdgeLimits::default());
-    let server = thread::spawn(move || {
-        let (mut socket, _) = listener.accept().unwrap();
-        let mut request = [0; 4_096];
-        assert!(socket.read(&mut request).unwrap() > 0);
-        write!(socket, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).unwrap();
-    });
+fn malformed_slice(#[case] body: &str) {
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+    let server = RawServer::start(head + body).unwrap();
+    let client = LogClient::new(server.address(), EdgeLimits::default());
     let outcome = client.read(CLAIMS, LogOffset(0), 9);
     server.join().unwrap();
     assert!(matches!(outcome, Err(LogError::Malformed(_))), "{outcome:?}");
 }
+
+#[test]
+fn unread_offset() {
+    let answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}".to_owned();
+    let server = RawServer::start(answer).unwrap();
+    let client = LogClient::new(server.address(), EdgeLimits::default());
+    let outcome = client.append(CLAIMS, b"a");
+    assert!(matches!(outcome, Err(LogError::FateUnknown(_))), "{outcome:?}");
+}
--- a/lib/testutils/src/app_standin.rs
+++ b/lib/testutils/src/app_standin.rs
@@ -1,5 +1,6 @@
 //! Stand-in of a plain application server: runs every call, journals it and echoes it.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -81,6 +82,8 @@
     pub method: String,
     /// Path and query.
     pub path: String,
+    /// Headers by their names in lower case; of equal names the last one.
+    pub headers: BTreeMap<String, String>,
     /// Body, as text.
     pub body: String,
     /// Request id, if one was sent.
@@ -245,6 +248,7 @@
     let echo = AppEcho {
         method: exchange.method().to_owned(),
         path: exchange.url().to_owned(),
+        headers: exchange.headers().map(|(name, value)| (name, value.to_owned())).collect(),
         body: String::from_utf8_lossy(exchange.body()).into_owned(),
         request,
         key,
--- a/lib/testutils/src/http_standin.rs
+++ b/lib/testutils/src/http_standin.rs
@@ -239,6 +239,12 @@
         found.map(|header| header.value.as_str())
     }
 
+    /// Returns the headers in order, with their names in lower case.
+    pub fn headers(&self) -> impl Iterator<Item = (String, &str)> {
+        let name = |header: &Header| header.field.as_str().as_str().to_ascii_lowercase();
+        self.headers.iter().map(move |header| (name(header), header.value.as_str()))
+    }
+
     /// Returns the body.
     pub fn body(&self) -> &[u8] {
         &self.body
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod log_standin;
 pub mod platform_standin;
 pub mod prefix_cache;
+pub mod raw_server;
 pub mod server_life;
 mod standin_listener;
 pub mod weight_standin;
