--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -21,6 +21,8 @@
 use crate::ids::Incarnation;
 use crate::member_keeper::MemberKeeper;
 use crate::metrics::MetricsReporter;
+use crate::metrics_pump::MetricsPump;
+use crate::metrics_pump::PumpPorts;
 use crate::peer_link::PeerError;
 use crate::request_id_source::RequestIdSource;
 use crate::server_follower::ServerFollower;
@@ -123,14 +125,17 @@
         let admin =
             entry_parts::start_admin(&settings, &runtime, config.clone(), view.into_sources())?;
 
-        let sync = MemberSync {
-            members: members.clone(),
-            config: config.clone(),
-            registry: registry.clone(),
+        let sync = MemberSync { members: members.clone(), config: config.clone() };
+        let pump = MetricsPump::new(PumpPorts {
             metrics: metrics.clone(),
-        };
+            counters: ports.counters.clone(),
+            registry: registry.clone(),
+            claims: claims.clone(),
+            config: config.clone(),
+            members: members.clone(),
+        });
         let (sender, events) = mpsc::channel();
-        let children = list_children(follower.clone(), sync);
+        let children = list_children(follower.clone(), sync, pump);
         let supervisor = ChildSupervisor::start(children, clock, sender)?;
 
         let driver = Arc::new(SessionDriver::new(ports));
@@ -228,10 +233,15 @@
     }
 }
 
-fn list_children(follower: Arc<ServerFollower>, sync: MemberSync) -> Vec<ChildSpec> {
+fn list_children(
+    follower: Arc<ServerFollower>,
+    sync: MemberSync,
+    pump: MetricsPump,
+) -> Vec<ChildSpec> {
     let child = |name, work: ChildWork| ChildSpec { name, stall_limit: Some(STALL_LIMIT), work };
     vec![
         child("server-follower", Arc::new(move |context| follower.run(context))),
         child("member-sync", Arc::new(move |context| sync.run(context))),
+        child("metrics-pump", Arc::new(move |context| pump.run(context))),
     ]
 }
--- a/lib/src/entry_sync.rs
+++ b/lib/src/entry_sync.rs
@@ -9,9 +9,6 @@
 use crate::config_follower::ConfigFollower;
 use crate::ids::LogOffset;
 use crate::member_keeper::MemberKeeper;
-use crate::metrics::GaugeMetric;
-use crate::metrics::MetricsReporter;
-use crate::session_registry::SessionRegistry;
 use crate::supervisor::ChildContext;
 
 /// Time between two rounds.
@@ -23,10 +20,6 @@
     pub members: Arc<MemberKeeper>,
     /// Configuration.
     pub config: Arc<ConfigFollower>,
-    /// Running sessions, for the metrics.
-    pub registry: Arc<SessionRegistry>,
-    /// Metrics.
-    pub metrics: Arc<MetricsReporter>,
 }
 
 impl MemberSync {
@@ -47,10 +40,5 @@
             self.config.hint(LogOffset(view.config_offset.0 - 1));
         }
         self.members.set_config_offset(config.next_offset);
-        self.metrics.gauge(GaugeMetric::LiveMembers, view.routable().count() as u64 + 1);
-        self.metrics.gauge(GaugeMetric::InFlight, self.registry.running().len() as u64);
-        if let Some(revision) = config.revision {
-            self.metrics.gauge(GaugeMetric::ConfigRevision, revision.0);
-        }
     }
 }
--- a/lib/src/front_door.rs
+++ b/lib/src/front_door.rs
@@ -106,7 +106,7 @@
         match self.route(request).await {
             Ok(reply) => reply,
             Err(error) => {
-                self.ports.metrics.count_code(CounterMetric::Outcomes, error.code);
+                self.ports.metrics.count_code(CounterMetric::Outcomes, error.code, 1);
                 log::info!(
                     "event=refused code={} message=\"{}\"",
                     error.code.number(),
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -134,6 +134,7 @@
 pub mod http_route;
 pub mod logging;
 pub mod metrics;
+pub mod metrics_pump;
 pub mod reply_channel;
 pub mod request_id_source;
 pub mod server_follower;
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -119,10 +119,22 @@
         let _ = event.with_tag("service", service.as_str()).try_send();
     }
 
-    /// Counts an event with its result code.
-    pub fn count_code(&self, metric: CounterMetric, code: ResultCode) {
-        let number = code.number().to_string();
-        let _ = self.client.count_with_tags(metric.name(), 1).with_tag("code", &number).try_send();
+    /// Counts events of no single service; nothing is sent for none.
+    pub fn count_all(&self, metric: CounterMetric, count: u64) {
+        if count > 0 {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            let _ = self.client.count_with_tags(metric.name(), count).try_send();
+        }
+    }
+
+    /// Counts events with their result code; nothing is sent for none.
+    pub fn count_code(&self, metric: CounterMetric, code: ResultCode, count: u64) {
+        if count > 0 {
+            let number = code.number().to_string();
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            let event = self.client.count_with_tags(metric.name(), count);
+            let _ = event.with_tag("code", &number).try_send();
+        }
     }
 
     /// Records a time of a service.
--- /dev/null
+++ b/lib/src/metrics_pump.rs
@@ -0,0 +1,112 @@
+//! Sends the counters and levels that other parts keep, once per interval.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use crate::claim_keeper::ClaimKeeper;
+use crate::config_follower::ConfigFollower;
+use crate::member_keeper::MemberKeeper;
+use crate::metrics::CounterMetric;
+use crate::metrics::GaugeMetric;
+use crate::metrics::MetricsReporter;
+use crate::result_code::ResultCode;
+use crate::session_ports::SessionCounters;
+use crate::session_ports::lock;
+use crate::session_registry::SessionRegistry;
+use crate::supervisor::ChildContext;
+
+/// Time between two rounds.
+const PUMP_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Where the counters and levels are kept.
+pub struct PumpPorts {
+    /// Takes the metrics.
+    pub metrics: Arc<MetricsReporter>,
+    /// Counts of sessions.
+    pub counters: Arc<SessionCounters>,
+    /// Running sessions.
+    pub registry: Arc<SessionRegistry>,
+    /// Claims.
+    pub claims: Arc<ClaimKeeper>,
+    /// Configuration.
+    pub config: Arc<ConfigFollower>,
+    /// Members.
+    pub members: Arc<MemberKeeper>,
+}
+
+/// Totals as they were sent last.
+#[derive(Debug, Default)]
+struct SentTotals {
+    counters: BTreeMap<&'static str, u64>,
+    skipped: BTreeMap<ResultCode, u64>,
+}
+
+/// Sends counters as differences since the last round, and levels as they are.
+pub struct MetricsPump {
+    ports: PumpPorts,
+    sent: Mutex<SentTotals>,
+}
+
+impl MetricsPump {
+    /// Builds a pump that has sent nothing.
+    pub fn new(ports: PumpPorts) -> Self {
+        Self { ports, sent: Mutex::default() }
+    }
+
+    /// Runs until the child must stop.
+    pub fn run(&self, context: &ChildContext) {
+        while !context.must_stop() {
+            self.send_counters(context.restarts());
+            self.send_skipped();
+            self.send_levels();
+            context.report_progress();
+            std::thread::sleep(PUMP_INTERVAL);
+        }
+    }
+
+    fn send_counters(&self, restarts: u64) {
+        let counters = &self.ports.counters;
+        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        let totals = [
+            (CounterMetric::Retries, read(&counters.retries)),
+            (CounterMetric::TokensRecomputed, read(&counters.recomputed_tokens)),
+            (CounterMetric::Claims, self.ports.claims.stats().appends),
+            (CounterMetric::ChildRestarts, restarts),
+        ];
+        let mut sent = lock(&self.sent);
+        for (metric, total) in totals {
+            let last = sent.counters.insert(metric.name(), total).unwrap_or_default();
+            self.ports.metrics.count_all(metric, total.saturating_sub(last));
+        }
+    }
+
+    fn send_skipped(&self) {
+        let mut totals = self.ports.members.refusals().counts();
+        for (code, count) in self.ports.config.status().skipped {
+            *totals.entry(code).or_default() += count;
+        }
+        let bad_claims = self.ports.claims.stats().bad_records;
+        *totals.entry(ResultCode::RecordMalformed).or_default() += bad_claims;
+        let mut sent = lock(&self.sent);
+        for (code, total) in totals {
+            let last = sent.skipped.insert(code, total).unwrap_or_default();
+            let count = total.saturating_sub(last);
+            self.ports.metrics.count_code(CounterMetric::SkippedInput, code, count);
+        }
+    }
+
+    fn send_levels(&self) {
+        let metrics = &self.ports.metrics;
+        let view = self.ports.members.snapshot();
+        metrics.gauge(GaugeMetric::LiveMembers, view.routable().count() as u64 + 1);
+        metrics.gauge(GaugeMetric::InFlight, self.ports.registry.running().len() as u64);
+        metrics.gauge(GaugeMetric::QueueLength, self.ports.registry.waiting() as u64);
+        if let Some(revision) = self.ports.config.current().revision {
+            metrics.gauge(GaugeMetric::ConfigRevision, revision.0);
+        }
+    }
+}
--- a/lib/src/request_meter.rs
+++ b/lib/src/request_meter.rs
@@ -96,7 +96,7 @@
         if let SessionEnd::AppDone(_) = end {
             self.measure_token(now);
         }
-        self.metrics.count_code(CounterMetric::Outcomes, code);
+        self.metrics.count_code(CounterMetric::Outcomes, code, 1);
         log::info!(
             "event=request_ended request={} service={} team={} code={} outcome={} took_ms={}",
             self.id,
--- a/lib/src/session_registry.rs
+++ b/lib/src/session_registry.rs
@@ -77,6 +77,11 @@
         self.lock().keys().copied().collect()
     }
 
+    /// Returns the number of sessions that have no attempt at a server now.
+    pub fn waiting(&self) -> usize {
+        self.lock().values().filter(|entry| entry.server.is_none()).count()
+    }
+
     /// Returns the sessions whose current attempt runs on the server, in order.
     pub fn on_server(&self, server: ServerKey) -> Vec<RequestId> {
         let entries = self.lock();
--- a/lib/src/supervisor.rs
+++ b/lib/src/supervisor.rs
@@ -90,10 +90,16 @@
     stop: Arc<AtomicBool>,
     superseded: Arc<AtomicBool>,
     progress_micros: Arc<AtomicU64>,
+    restarts: Arc<AtomicU64>,
     clock: ProcessClock,
 }
 
 impl ChildContext {
+    /// Returns the number of restarts of all children of this supervisor so far.
+    pub fn restarts(&self) -> u64 {
+        self.restarts.load(Ordering::Relaxed)
+    }
+
     /// Returns whether the child must end, because the process stops or another took its place.
     pub fn must_stop(&self) -> bool {
         self.stop.load(Ordering::Relaxed) || self.superseded.load(Ordering::Relaxed)
@@ -279,6 +285,7 @@
             stop: self.stop.clone(),
             superseded: Arc::new(AtomicBool::new(false)),
             progress_micros: Arc::new(AtomicU64::new(self.clock.now().0)),
+            restarts: self.restarts.clone(),
             clock: self.clock,
         };
         let work = spec.work.clone();
