--- a/lib/src/claim_codec.rs
+++ b/lib/src/claim_codec.rs
@@ -1,7 +1,6 @@
 //! Converts claim records between their checked form and the bytes on the log.
 
 use prost::Message;
-use thiserror::Error;
 
 use crate::claim_record::CheckpointPart;
 use crate::claim_record::ClaimBatch;
@@ -22,41 +21,16 @@
 use crate::ids::Incarnation;
 use crate::ids::LogOffset;
 use crate::ids::RequestId;
-use crate::log_service::MAX_RECORD_BYTES;
 use crate::protos::claims as wire;
+use crate::record_error::RecordError;
+use crate::record_error::Result;
+use crate::record_error::check_version;
+use crate::record_error::decode_message;
 use crate::result_code::ResultCode;
 
 /// Version of the format that this program writes and reads.
 pub const RECORD_VERSION: u32 = 1;
 
-/// Why bytes of the log are not a claim record.
-#[derive(Clone, Debug, Error, PartialEq, Eq)]
-pub enum CodecError {
-    /// The record has another version.
-    #[error("claim record has version {0}, not {RECORD_VERSION}")]
-    Version(u32),
-    /// The record is cut short, or a field is missing or out of range.
-    #[error("claim record is malformed: {0}")]
-    Malformed(&'static str),
-    /// The record is too large.
-    #[error("claim record has {0} bytes, more than {MAX_RECORD_BYTES}")]
-    TooLarge(usize),
-}
-
-impl CodecError {
-    /// Returns the numbered code of the error.
-    pub fn code(&self) -> ResultCode {
-        match self {
-            Self::Version(_) => ResultCode::RecordVersion,
-            Self::Malformed(_) => ResultCode::RecordMalformed,
-            Self::TooLarge(_) => ResultCode::RecordTooLarge,
-        }
-    }
-}
-
-/// Result of decoding a record.
-pub type Result<T> = std::result::Result<T, CodecError>;
-
 /// Encodes a batch of entries.
 pub fn encode_batch(batch: &ClaimBatch) -> Vec<u8> {
     let record = wire::ClaimRecord {
@@ -96,14 +70,8 @@
 
 /// Decodes one record of the stream.
 pub fn decode_record(data: &[u8]) -> Result<ClaimRecord> {
-    if data.len() > MAX_RECORD_BYTES {
-        return Err(CodecError::TooLarge(data.len()));
-    }
-    let record =
-        wire::ClaimRecord::decode(data).map_err(|_| CodecError::Malformed("not protobuf"))?;
-    if record.version != RECORD_VERSION {
-        return Err(CodecError::Version(record.version));
-    }
+    let record: wire::ClaimRecord = decode_message(data)?;
+    check_version(record.version, RECORD_VERSION)?;
     match record.checkpoint {
         Some(part) => Ok(ClaimRecord::Checkpoint(checkpoint_from_wire(part)?)),
         None => Ok(ClaimRecord::Batch(batch_from_wire(record)?)),
@@ -130,7 +98,7 @@
 }
 
 fn claimant_from_wire(host: String, incarnation: u64) -> Result<Claimant> {
-    let host = HostId::try_from(host).map_err(|_| CodecError::Malformed("host"))?;
+    let host = HostId::try_from(host).map_err(|_| RecordError::Malformed("host"))?;
     Ok(Claimant { host, incarnation: Incarnation(incarnation) })
 }
 
@@ -148,7 +116,7 @@
 
 fn entry_from_wire(entry: wire::ClaimEntry) -> Result<ClaimEntry> {
     use wire::claim_entry::Kind;
-    let statement = match entry.kind.ok_or(CodecError::Malformed("statement"))? {
+    let statement = match entry.kind.ok_or(RecordError::Malformed("statement"))? {
         Kind::Claim(claim) => ClaimStatement::Claim {
             fingerprint: RequestFingerprint(claim.fingerprint),
             basis: LogOffset(claim.basis),
@@ -160,7 +128,7 @@
 }
 
 fn key_from_wire(key: &[u8]) -> Result<ClaimKey> {
-    key.try_into().map(ClaimKey).map_err(|_| CodecError::Malformed("key"))
+    key.try_into().map(ClaimKey).map_err(|_| RecordError::Malformed("key"))
 }
 
 fn answer_to_wire(answer: &StoredAnswer) -> wire::Completion {
@@ -186,9 +154,9 @@
 
 fn answer_from_wire(completion: wire::Completion) -> Result<StoredAnswer> {
     use wire::completion::Outcome;
-    match completion.outcome.ok_or(CodecError::Malformed("completion"))? {
+    match completion.outcome.ok_or(RecordError::Malformed("completion"))? {
         Outcome::Whole(answer) => Ok(StoredAnswer::Whole(WholeAnswer {
-            status: u16::try_from(answer.status).map_err(|_| CodecError::Malformed("status"))?,
+            status: u16::try_from(answer.status).map_err(|_| RecordError::Malformed("status"))?,
             headers: answer.headers.into_iter().map(|pair| (pair.name, pair.value)).collect(),
             body: answer.body,
         })),
@@ -196,7 +164,7 @@
             .ok()
             .and_then(ResultCode::from_number)
             .map(StoredAnswer::Failed)
-            .ok_or(CodecError::Malformed("result code")),
+            .ok_or(RecordError::Malformed("result code")),
         Outcome::Reference(reference) => Ok(StoredAnswer::Kept(RequestId {
             origin: reference.request_origin,
             sequence: reference.request_sequence,
@@ -226,14 +194,14 @@
 
 fn checkpoint_from_wire(part: wire::CheckpointPart) -> Result<CheckpointPart> {
     if part.index >= part.count {
-        return Err(CodecError::Malformed("part index"));
+        return Err(RecordError::Malformed("part index"));
     }
     Ok(CheckpointPart {
         covered: LogOffset(part.covered),
         clock_ms: part.clock_ms,
         index: part.index,
         count: part.count,
-        digest: part.digest.try_into().map_err(|_| CodecError::Malformed("digest"))?,
+        digest: part.digest.try_into().map_err(|_| RecordError::Malformed("digest"))?,
         keys: part.entries.into_iter().map(key_record_from_wire).collect::<Result<_>>()?,
     })
 }
--- a/lib/src/claim_reader.rs
+++ b/lib/src/claim_reader.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeSet;
 
 use crate::claim_checkpoint::CheckpointJoiner;
-use crate::claim_codec::CodecError;
 use crate::claim_codec::decode_record;
 use crate::claim_fold::ClaimFold;
 use crate::claim_fold::KeyState;
@@ -14,6 +13,7 @@
 use crate::ids::LogOffset;
 use crate::log_service::LogRecord;
 use crate::log_service::LogSlice;
+use crate::record_error::RecordError;
 
 /// What one read changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,11 +41,11 @@
         self.version + self.malformed + self.too_large
     }
 
-    fn count(&mut self, error: &CodecError) {
+    fn count(&mut self, error: &RecordError) {
         match error {
-            CodecError::Version(_) => self.version += 1,
-            CodecError::Malformed(_) => self.malformed += 1,
-            CodecError::TooLarge(_) => self.too_large += 1,
+            RecordError::Version(_) => self.version += 1,
+            RecordError::Malformed(_) => self.malformed += 1,
+            RecordError::TooLarge(_) => self.too_large += 1,
         }
     }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod not_run;
 pub mod prompt;
 pub mod protos;
+pub mod record_error;
 pub mod result_code;
 pub mod timestamp;
 
