leases: refuse to judge an acquire from before a gap

Change: an acquire whose basis lies before the first record read leaves the holder unknown; the order timeout is counted with the clock's error; harness, naive holder and tests.

--- a/lib/src/lease.rs
+++ b/lib/src/lease.rs
@@ -89,6 +89,8 @@
 pub struct LeaseHolder {
     settings: LeaseSettings,
     position: LogOffset,
+    /// Every record from this offset up to `position` was read.
+    known_from: LogOffset,
     read_to_end: bool,
     last_record: Option<LogOffset>,
     /// Holder by the records read: fencing number, host and life.
@@ -110,6 +112,7 @@
         Self {
             settings,
             position: LogOffset::default(),
+            known_from: LogOffset::default(),
             read_to_end: false,
             last_record: None,
             current: None,
@@ -136,7 +139,8 @@
     /// Call it right before each order and send with [`LeaseSettings::order_timeout`].
     pub fn may_act(&self, now: Timestamp) -> Option<FencingNumber> {
         let own = self.own.filter(|own| self.wanted && !own.releasing)?;
-        (now + self.settings.order_timeout < own.valid_until).then_some(own.fence)
+        let order_time = self.stretched(self.settings.order_timeout);
+        (now + order_time < own.valid_until).then_some(own.fence)
     }
 
     /// Returns the holder by the records read, whether or not its time has passed.
@@ -187,10 +191,9 @@
         term - term * self.settings.clock_error_permille / PERMILLE
     }
 
-    /// Returns the time after which no other holder acts, by this process's clock.
-    fn others_term(&self) -> Duration {
-        let term = self.settings.term;
-        term + term * self.settings.clock_error_permille / PERMILLE
+    /// Returns the time that this process's clock may show when the given time has passed.
+    fn stretched(&self, time: Duration) -> Duration {
+        time + time * self.settings.clock_error_permille / PERMILLE
     }
 
     fn is_own(&self, record: &LeaseRecord) -> bool {
@@ -221,6 +224,12 @@
         if self.last_record.is_some_and(|last| last >= basis) {
             return;
         }
+        if basis < self.known_from {
+            // A record that was not read may have blocked it: the holder is not known.
+            self.current = None;
+            self.own = None;
+            return;
+        }
         let fence = FencingNumber(offset.0);
         self.current = Some((fence, record.host.clone(), record.incarnation));
         self.released = false;
@@ -247,6 +256,7 @@
     /// Forgets what was read: an unseen record may have ended a lease or begun one.
     fn on_gap(&mut self, first: LogOffset) {
         self.position = first;
+        self.known_from = first;
         self.read_to_end = false;
         self.last_record = None;
         self.current = None;
@@ -283,7 +293,8 @@
             (Some(own), _) if own.releasing => Some(LeaseStatement::Release(own.fence)),
             (Some(own), true) => Some(LeaseStatement::Renew(own.fence)),
             (Some(own), false) => {
-                let orders_ended = now >= self.stopped_at + self.settings.order_timeout;
+                let orders_ended =
+                    now >= self.stopped_at + self.stretched(self.settings.order_timeout);
                 orders_ended.then_some(LeaseStatement::Release(own.fence))
             }
             (None, true) if self.may_acquire(now) => {
@@ -296,7 +307,7 @@
     fn may_acquire(&self, now: Timestamp) -> bool {
         let wait = match self.released {
             true => self.settings.stagger,
-            false => self.others_term() + self.settings.stagger,
+            false => self.stretched(self.settings.term) + self.settings.stagger,
         };
         self.read_to_end && self.quiet_since.is_some_and(|since| now >= since + wait)
     }
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod naive_claims;
 pub mod naive_config;
+pub mod naive_lease;
 pub mod naive_membership;
 pub mod naive_router;
 pub mod naive_session;
@@ -20,4 +21,5 @@
 pub mod fault_schedule;
 pub mod harness_host;
 pub mod harness_queue;
+pub mod lease_harness;
 pub mod schedule_log;
