--- a/lib/src/claim_codec.rs
+++ b/lib/src/claim_codec.rs
@@ -37,6 +37,7 @@
         sequence: batch.sequence,
         retention_ms: batch.retention_ms,
         checked_ms: batch.checked_ms,
+        entry_count: u32::try_from(batch.entries.len()).unwrap_or(u32::MAX),
         entries: batch.entries.iter().map(entry_to_wire).collect(),
         ..record_of(&batch.claimant)
     };
@@ -88,6 +89,10 @@
 }
 
 fn batch_from_wire(record: wire::ClaimRecord) -> Result<ClaimBatch> {
+    let whole = u32::try_from(record.entries.len()).is_ok_and(|found| found == record.entry_count);
+    if record.entries.is_empty() || !whole {
+        return Err(RecordError::Malformed("entry count"));
+    }
     Ok(ClaimBatch {
         claimant: claimant_from_wire(record.host, record.incarnation)?,
         sequence: record.sequence,
--- a/lib/src/protos/pomelostack.claims.rs
+++ b/lib/src/protos/pomelostack.claims.rs
@@ -18,14 +18,17 @@
     /// The log's clock at the writer's last complete read, in milliseconds since the Unix epoch.
     #[prost(uint64, tag = "5")]
     pub checked_ms: u64,
-    #[prost(message, repeated, tag = "6")]
+    /// Counts the records of the writer; it tells from reading alone that an append landed.
+    #[prost(uint64, tag = "6")]
+    pub sequence: u64,
+    /// Number of entries; a record that was cut short has fewer.
+    #[prost(uint32, tag = "7")]
+    pub entry_count: u32,
+    #[prost(message, repeated, tag = "8")]
     pub entries: ::prost::alloc::vec::Vec<ClaimEntry>,
     /// Set in checkpoint parts, which have no entries.
-    #[prost(message, optional, tag = "7")]
+    #[prost(message, optional, tag = "9")]
     pub checkpoint: ::core::option::Option<CheckpointPart>,
-    /// Counts the records of the writer; it tells from reading alone that an append landed.
-    #[prost(uint64, tag = "8")]
-    pub sequence: u64,
 }
 /// One statement about one idempotency key.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/lib/tests/test_lease_holder.rs
+++ b/lib/tests/test_lease_holder.rs
@@ -85,7 +85,7 @@
 fn settings(host: &str) -> LeaseSettings {
     LeaseSettings {
         duty: LeaseDuty::CheckpointWriter,
-        host: HostId::try_from(host).unwrap(),
+        host: HostId::try_from(host).expect("a valid name"),
         incarnation: Incarnation(1),
         term: Duration::from_secs(10),
         order_timeout: Duration::from_secs(2),
@@ -101,7 +101,7 @@
 fn acquire_record(holder: &mut LeaseHolder, now: Timestamp) -> LeaseRecord {
     let actions = holder.on_event(now, LeaseEvent::Tick);
     let [LeaseAction::Append(data)] = &actions[..] else { panic!("{actions:?}") };
-    decode_record(data).unwrap()
+    decode_record(data).expect("a valid record")
 }
 
 #[test]
