--- a/lib/src/claim_checkpoint.rs
+++ b/lib/src/claim_checkpoint.rs
@@ -12,6 +12,7 @@
 use crate::claim_record::KeyRecord;
 use crate::ids::LogOffset;
 use crate::log_service::MAX_RECORD_BYTES;
+use crate::result_code::ResultCode;
 
 /// Bytes of keys in one part; the rest of the record is its fixed fields.
 const PART_KEY_BYTES: usize = MAX_RECORD_BYTES - 1_024;
@@ -74,7 +75,11 @@
         }
         let parts = self.open.remove(&id)?;
         let fold = join_parts(id.0, id.1, parts);
-        self.mismatches += u64::from(fold.is_none());
+        if fold.is_none() {
+            self.mismatches += 1;
+            let code = ResultCode::DigestMismatch;
+            log::warn!("offset={} code={code} claims checkpoint passed over", id.0.0);
+        }
         fold
     }
 
--- a/lib/src/claim_keeper.rs
+++ b/lib/src/claim_keeper.rs
@@ -37,7 +37,7 @@
 const READ_BATCH: usize = 256;
 
 /// Time between two reads while requests wait for records of other hosts.
-const BUSY_READ_INTERVAL: Duration = Duration::from_millis(10);
+const BUSY_READ_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Longest sleep without an event.
 const MAX_SLEEP: Duration = Duration::from_secs(1);
@@ -70,6 +70,8 @@
     pub failed_reads: u64,
     /// Records that could not be decoded.
     pub bad_records: u64,
+    /// Checkpoints whose digest did not match.
+    pub digest_mismatches: u64,
     /// Times that records were gone before they could be read.
     pub gaps: u64,
 }
@@ -174,6 +176,12 @@
         self.shared.lock().reader.is_caught_up()
     }
 
+    /// Returns whether both threads run; a supervisor that finds them dead ends the process.
+    pub fn is_running(&self) -> bool {
+        let threads = self.threads.lock().unwrap_or_else(PoisonError::into_inner);
+        !threads.is_empty() && threads.iter().all(|thread| !thread.is_finished())
+    }
+
     /// Returns figures for metrics.
     pub fn stats(&self) -> KeeperStats {
         let core = self.shared.lock();
@@ -182,6 +190,7 @@
             answer_bytes: core.reader.fold().answer_bytes(),
             pending: core.writer.pending(),
             bad_records: core.reader.bad_records().total(),
+            digest_mismatches: core.reader.digest_mismatches(),
             gaps: core.reader.gaps(),
             ..core.stats
         }
--- a/lib/src/claim_reader.rs
+++ b/lib/src/claim_reader.rs
@@ -129,6 +129,11 @@
         self.bad
     }
 
+    /// Returns the checkpoints whose digest did not match their keys.
+    pub fn digest_mismatches(&self) -> u64 {
+        self.joiner.mismatches()
+    }
+
     /// Returns how often records were gone before they could be read.
     pub fn gaps(&self) -> u64 {
         self.gaps
