--- a/lib/src/resource_json.rs
+++ b/lib/src/resource_json.rs
@@ -138,17 +138,18 @@
                 return Err(repeated_name(&path, other.name.as_str()));
             }
         }
-        let mut team_paths = BTreeMap::new();
+        let mut team_paths = Vec::new();
         for (index, raw) in spec.teams.into_iter().enumerate() {
             let path = root.field("teams").index(index);
             let team = check_team(&path, raw)?;
             state.check_team_services(&path, &team)?;
-            team_paths.insert(team.name.clone(), path.clone());
+            team_paths.push((path.clone(), team.name.clone()));
             if let Some(other) = state.teams.insert(team.name.clone(), team) {
                 return Err(repeated_name(&path, other.name.as_str()));
             }
         }
-        check_tokens(&team_paths.into_values().zip(state.teams.values()).collect::<Vec<_>>())?;
+        let listed = |(path, name)| state.teams.get(&name).map(|team| (path, team));
+        check_tokens(&team_paths.into_iter().filter_map(listed).collect::<Vec<_>>())?;
         for (index, raw) in spec.classes.into_iter().enumerate() {
             let path = root.field("classes").index(index);
             let class = check_class(&path, raw)?;
--- a/lib/testutils/src/naive_config.rs
+++ b/lib/testutils/src/naive_config.rs
@@ -159,29 +159,29 @@
         .then(|| (kind_name(body.kind), name.to_owned()))
 }
 
-/// Returns the JSON form of a resource with all defaults filled in.
+/// Returns the JSON form of a resource with all defaults filled in and its fields in order.
 fn canonical_json(body: &ResourceBody) -> Result<String, ResourceError> {
     let root = FieldPath::root();
-    let state = match body.kind {
+    let value = match body.kind {
         ResourceKind::Service => {
             let service: ServiceResource =
                 parse_json::<ServiceSpec>(&root, &body.json)?.try_into()?;
-            serde_json::to_string(&ServiceSpec::from(&service))
+            serde_json::to_value(ServiceSpec::from(&service))
         }
         ResourceKind::Team => {
             let team: TeamResource = parse_json::<TeamSpec>(&root, &body.json)?.try_into()?;
-            serde_json::to_string(&TeamSpec::from(&team))
+            serde_json::to_value(TeamSpec::from(&team))
         }
         ResourceKind::Class => {
             let class: FleetClass = parse_json::<FleetClassSpec>(&root, &body.json)?.try_into()?;
-            serde_json::to_string(&FleetClassSpec::from(&class))
+            serde_json::to_value(FleetClassSpec::from(&class))
         }
         ResourceKind::Policy => {
             let policy: PolicyResource = parse_json::<PolicySpec>(&root, &body.json)?.try_into()?;
-            serde_json::to_string(&PolicySpec::from(&policy))
+            serde_json::to_value(PolicySpec::from(&policy))
         }
     };
-    Ok(state.expect("a spec has a JSON form"))
+    Ok(value.expect("a spec has a JSON form").to_string())
 }
 
 fn apply_step(
