--- a/lib/tests/test_config_follower.rs
+++ b/lib/tests/test_config_follower.rs
@@ -3,8 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use pomelostack_lib::config_fold::ConfigDigest;
 use pomelostack_lib::config_follower::ConfigFollower;
 use pomelostack_lib::config_publish::PublishOutcome;
+use pomelostack_lib::config_record::ConfigRecord;
+use pomelostack_lib::config_record::RecordError;
 use pomelostack_lib::config_replica::ReplicaStanding;
 use pomelostack_lib::config_snapshot::FollowerOptions;
 use pomelostack_lib::ids::LogOffset;
@@ -116,6 +119,80 @@
     assert_eq!(follower.known_change(change.id), None);
 }
 
+#[test]
+fn start_in_outage() {
+    let log = Arc::new(LogFake::default());
+    let peer = start_follower(&log);
+    peer.publish(&sample_change(1, None, vec![create_service("lookup", 200)]));
+    log.set_outage(LogOutage::Refusing);
+    let starting = start_follower(&log);
+    assert_eq!(starting.current().standing, ReplicaStanding::Empty);
+    let checkpoint = peer.checkpoint();
+    let wrong = ConfigDigest([1; 32]);
+    let refused = starting.install_checkpoint(&checkpoint, Some(wrong));
+    assert_eq!(refused, Err(RecordError::DigestMismatch));
+    assert_eq!(starting.current().revision, None);
+    let confirmed = Some(peer.current().digest);
+    assert_eq!(starting.install_checkpoint(&checkpoint, confirmed), Ok(true));
+    assert_eq!(starting.install_checkpoint(&checkpoint, confirmed), Ok(false));
+    assert_eq!(starting.current().standing, ReplicaStanding::Peer);
+    assert_eq!(starting.current().state, peer.current().state);
+    log.set_outage(LogOutage::None);
+    assert!(starting.wait_for_read(TEST_TIMEOUT));
+    assert_eq!(starting.current().standing, ReplicaStanding::Log);
+}
+
+#[test]
+fn peer_catches_up() {
+    let log = Arc::new(LogFake::default());
+    let behind = start_follower(&log);
+    let ahead = start_follower(&log);
+    ahead.publish(&sample_change(1, None, vec![create_service("lookup", 200)]));
+    log.set_outage(LogOutage::Refusing);
+    assert!(!behind.wait_for_read(TEST_TIMEOUT));
+    assert_eq!(behind.install_checkpoint(&ahead.checkpoint(), None), Ok(true));
+    log.set_retention_ms(1);
+    log.set_now_ms(10);
+    log.set_outage(LogOutage::None);
+    assert!(behind.wait_for_read(TEST_TIMEOUT));
+    assert_eq!(behind.current().standing, ReplicaStanding::Log);
+    assert_eq!(behind.current().revision, Some(LogOffset(0)));
+}
+
+#[test]
+fn holder_writes() {
+    let log = Arc::new(LogFake::default());
+    let holder = start_follower(&log);
+    holder.set_checkpoint_holder(true);
+    holder.publish(&sample_change(1, None, vec![create_service("lookup", 200)]));
+    assert!(holder.wait_for(LogOffset(1), TEST_TIMEOUT));
+    assert!(holder.wait_for_read(TEST_TIMEOUT));
+    assert_eq!(holder.status().checkpoints_written, 1);
+    let records = log.records(LogStream::Config);
+    assert!(matches!(ConfigRecord::decode(&records[1].data), Ok(ConfigRecord::CheckpointPart(_))));
+    assert_eq!(records.len(), 2);
+}
+
+#[test]
+fn gap_refuses() {
+    let log = Arc::new(LogFake::default());
+    let host = start_follower(&log);
+    host.publish(&sample_change(1, None, vec![create_service("lookup", 200)]));
+    log.set_retention_ms(1);
+    log.set_now_ms(10);
+    let fresh = start_follower(&log);
+    assert_eq!(fresh.current().standing, ReplicaStanding::Gap);
+    let change = sample_change(2, None, vec![create_service("other", 200)]);
+    assert!(matches!(fresh.publish(&change), PublishOutcome::LogUnavailable(_)));
+    assert!(log.records(LogStream::Config).is_empty());
+    host.set_checkpoint_holder(true);
+    assert!(host.wait_for_read(TEST_TIMEOUT));
+    assert!(host.wait_for(LogOffset(1), TEST_TIMEOUT));
+    assert!(fresh.wait_for(LogOffset(1), TEST_TIMEOUT));
+    assert_eq!(fresh.current().standing, ReplicaStanding::Log);
+    assert_eq!(fresh.current().digest, host.current().digest);
+}
+
 #[test]
 fn reused_id() {
     let log = Arc::new(LogFake::default());
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod server_life;
 pub mod weight_standin;
 
+pub mod admin_fixture;
 pub mod config_samples;
 pub mod naive_claims;
 pub mod naive_config;
