--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -24,6 +24,7 @@
 mod standin_listener;
 pub mod weight_standin;
 
+pub mod admin_fixture;
 pub mod config_samples;
 pub mod naive_claims;
 pub mod naive_config;
