membership: measure detection, pauses, bytes and processor time

Changes were repeated 24 times by each member, so a cold start's records were still under way a minute later; pushes reach all members without that, so a change is now repeated log2(n) times. Every relay made zone summaries, which starved the last regions in the send order; the first relay now spares the others the work. The peer server had Nagle's algorithm on: replies waited 40 ms for delayed acknowledgements.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,3 +1,8 @@
 //! Policy measurements and slopes: prints JSON lines.
 
-fn main() {}
+mod membership;
+mod peer_link;
+
+fn main() {
+    membership::run(1);
+}
--- /dev/null
+++ b/bench/src/membership.rs
@@ -0,0 +1,229 @@
+//! Measures membership: detection, false suspicions, bytes and processor time by size.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use pomelostack_lib::ids::LogOffset;
+use pomelostack_lib::member_event::MemberEvent;
+use pomelostack_lib::member_section::SectionKind;
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand::seq::index::sample;
+use rand_chacha::ChaCha8Rng;
+use serde_json::Value;
+use serde_json::json;
+use testutils::member_queue::MemberQueue;
+
+use crate::peer_link;
+use crate::peer_link::LinkCost;
+
+/// Members and regions of each measured fleet.
+const SIZES: [(usize, usize); 7] =
+    [(7, 1), (50, 1), (100, 1), (200, 1), (48, 4), (100, 4), (200, 4)];
+const TARGET_SIZE: (usize, usize) = (370, 4);
+const WARM_UP: Duration = Duration::from_secs(60);
+const STEADY: Duration = Duration::from_secs(30);
+const STEP: Duration = Duration::from_millis(50);
+const DETECTION_LIMIT: Duration = Duration::from_secs(20);
+const KILLS: usize = 100;
+/// Hosts killed at once in fleets of at least [`LARGE_FLEET`] members.
+const KILLS_AT_ONCE: usize = 4;
+const LARGE_FLEET: usize = 50;
+const PAUSES: usize = 20;
+const PAUSE: Duration = Duration::from_secs(3);
+const AFTER_PAUSE: Duration = Duration::from_secs(5);
+const OTHERS_CHECK_MS: u64 = 500;
+const MAX_MS: u64 = 60_000;
+const LOSS_PERCENT: u32 = 5;
+const LOAD_DIGEST_BYTES: usize = 32;
+const TARGET_BYTES_PER_S: f64 = 22_000.0;
+const TARGET_CORE_PERCENT: f64 = 2.8;
+
+struct SizePoint {
+    members: f64,
+    regions: usize,
+    bytes_per_s: f64,
+    core_percent: f64,
+}
+
+/// Prints one line for each size and measure.
+pub fn run(seed: u64) {
+    let link = peer_link::measure(seed);
+    let points: Vec<SizePoint> = SIZES
+        .iter()
+        .map(|&(members, regions)| measure_steady(members, regions, &link, seed))
+        .collect();
+    print_slope(&points, seed);
+    std::thread::scope(|scope| {
+        let measures = SIZES.map(|(members, regions)| {
+            scope.spawn(move || {
+                [measure_detection(members, regions, seed), measure_pauses(members, regions, seed)]
+            })
+        });
+        for line in measures.into_iter().flat_map(|measure| measure.join().expect("no panic")) {
+            println!("{line}");
+        }
+    });
+}
+
+/// Runs one step and publishes what rides on membership at the rates of the target size: load
+/// digests every 2 s, one configuration change every 20 s, one crash suspicion a minute.
+fn run_step(queue: &mut MemberQueue, members: usize, step: usize) {
+    if step % 40 == 0 {
+        for index in 0..members {
+            let digest = vec![step as u8; LOAD_DIGEST_BYTES];
+            queue.send_event(index, MemberEvent::Publish(SectionKind::LoadDigest, digest));
+        }
+    }
+    if step % 400 == 0 {
+        let offset = LogOffset(step as u64 + 1);
+        queue.send_event(step / 400 % members, MemberEvent::ConfigOffset(offset));
+    }
+    if step % 1_200 == 0 {
+        let event = MemberEvent::Publish(SectionKind::CrashSuspicions, vec![1; 16]);
+        queue.send_event(step / 1_200 % members, event);
+    }
+    queue.run_for(STEP);
+}
+
+fn run_steps(queue: &mut MemberQueue, members: usize, duration: Duration) {
+    for step in 0..(duration.as_millis() / STEP.as_millis()) as usize {
+        run_step(queue, members, step);
+    }
+}
+
+fn measure_steady(members: usize, regions: usize, link: &LinkCost, seed: u64) -> SizePoint {
+    let mut queue = MemberQueue::new(members, regions, seed);
+    run_steps(&mut queue, members, WARM_UP);
+    for index in 0..members {
+        queue.take_traffic(index);
+    }
+    queue.busy = Duration::ZERO;
+    run_steps(&mut queue, members, STEADY);
+    let seconds = STEADY.as_secs_f64();
+    let traffic: Vec<_> = (0..members).map(|index| queue.take_traffic(index)).collect();
+    let rate = |count: u64| count as f64 / seconds;
+    let mean = |sum: f64| sum / members as f64;
+    let wire = |row: &testutils::member_queue::MemberTraffic| {
+        rate(row.bytes) + rate(row.messages) * link.overhead_bytes
+    };
+    let bytes_per_s = mean(traffic.iter().map(wire).sum());
+    let messages_per_s = mean(traffic.iter().map(|row| rate(row.messages)).sum());
+    let table_percent = mean(queue.busy.as_secs_f64() / seconds * 100.0);
+    let core_percent = table_percent + messages_per_s * link.seconds * 100.0;
+    println!(
+        "{}",
+        json!({"case": "membership_steady", "seed": seed, "members": members, "regions": regions,
+            "payload_bytes_per_s": mean(traffic.iter().map(|row| rate(row.bytes)).sum()),
+            "messages_per_s": messages_per_s, "table_core_percent": table_percent,
+            "wire_bytes_per_s": bytes_per_s,
+            "wire_bytes_per_s_max": traffic.iter().map(wire).fold(0.0, f64::max),
+            "core_percent": core_percent,
+            "naive_messages_per_s": 4.0 * (members - 1) as f64})
+    );
+    SizePoint { members: members as f64, regions, bytes_per_s, core_percent }
+}
+
+/// Prints the least-squares line over the fleets with the target's regions, at the target size.
+fn print_slope(points: &[SizePoint], seed: u64) {
+    let (members, regions) = TARGET_SIZE;
+    let points: Vec<&SizePoint> = points.iter().filter(|point| point.regions == regions).collect();
+    let bytes = fit(&points, |point| point.bytes_per_s);
+    let core = fit(&points, |point| point.core_percent);
+    println!(
+        "{}",
+        json!({"case": "membership_slope", "seed": seed, "members": members, "regions": regions,
+            "bytes_per_s_per_member": bytes.1,
+            "wire_bytes_per_s": bytes.0 + bytes.1 * members as f64,
+            "target_bytes_per_s": TARGET_BYTES_PER_S,
+            "core_percent_per_member": core.1,
+            "core_percent": core.0 + core.1 * members as f64,
+            "target_core_percent": TARGET_CORE_PERCENT})
+    );
+}
+
+/// Returns the offset and slope of a value over the members.
+fn fit(points: &[&SizePoint], value: impl Fn(&SizePoint) -> f64) -> (f64, f64) {
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|point| point.members).sum::<f64>() / count;
+    let mean_y = points.iter().map(|point| value(point)).sum::<f64>() / count;
+    let spread = |point: &SizePoint| point.members - mean_x;
+    let covariance: f64 = points.iter().map(|point| spread(point) * (value(point) - mean_y)).sum();
+    let slope = covariance / points.iter().map(|point| spread(point).powi(2)).sum::<f64>();
+    (mean_y - slope * mean_x, slope)
+}
+
+/// Kills random hosts under loss and waits until they are out of every router.
+fn measure_detection(members: usize, regions: usize, seed: u64) -> Value {
+    let mut queue = MemberQueue::new(members, regions, seed);
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    run_steps(&mut queue, members, WARM_UP);
+    queue.loss_percent = LOSS_PERCENT;
+    let mut detection = Histogram::<u64>::new_with_max(MAX_MS, 3).expect("bounds are valid");
+    let at_once = if members < LARGE_FLEET { 1 } else { KILLS_AT_ONCE };
+    for _ in 0..KILLS / at_once {
+        let victims = sample(&mut rng, members, at_once).into_vec();
+        kill_all(&mut queue, &victims, &mut detection);
+        victims.iter().for_each(|&victim| queue.restart(victim));
+        run_steps(&mut queue, members, Duration::from_secs(5));
+    }
+    let counters: Vec<_> = (0..members).map(|index| queue.table(index).counters()).collect();
+    json!({"case": "membership_detection", "seed": seed, "members": members, "regions": regions,
+        "loss_percent": LOSS_PERCENT, "kills": detection.len(), "at_once": at_once,
+        "p50_ms": detection.value_at_quantile(0.5), "p99_ms": detection.value_at_quantile(0.99),
+        "max_ms": detection.max(), "target_p99_ms": 5_000,
+        "suspicions_raised": counters.iter().map(|row| row.suspicions).sum::<u64>(),
+        "connections_max": (0..members).map(|index| queue.open_connections(index)).max()})
+}
+
+/// Records for each killed host the time until no router has it.
+fn kill_all(queue: &mut MemberQueue, victims: &[usize], detection: &mut Histogram<u64>) {
+    let begin = queue.now;
+    victims.iter().for_each(|&victim| queue.kill(victim));
+    let mut routed = victims.to_vec();
+    while !routed.is_empty() && queue.now.since(begin) < DETECTION_LIMIT {
+        queue.run_for(STEP);
+        let known = routed.len();
+        routed.retain(|&victim| queue.routers_of(victim) > 0);
+        for _ in routed.len()..known {
+            detection.saturating_record(queue.now.since(begin).as_millis() as u64);
+        }
+    }
+    for _ in routed {
+        detection.saturating_record(MAX_MS);
+    }
+}
+
+/// Pauses one random host at a time under loss, and counts what that does to it and to others.
+fn measure_pauses(members: usize, regions: usize, seed: u64) -> Value {
+    let mut queue = MemberQueue::new(members, regions, seed);
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    run_steps(&mut queue, members, WARM_UP);
+    queue.loss_percent = LOSS_PERCENT;
+    let mut expelled_ms = 0;
+    let mut others_expelled = 0;
+    for _ in 0..PAUSES {
+        let victim = rng.random_range(0..members);
+        queue.pause(victim, PAUSE);
+        let resumed = queue.now + PAUSE;
+        while queue.now < resumed + AFTER_PAUSE {
+            queue.run_for(STEP);
+            if queue.now > resumed && is_expelled(&queue, victim, members) {
+                expelled_ms = expelled_ms.max(queue.now.since(resumed).as_millis() as u64);
+            }
+            let check_others = queue.now.as_millis() % OTHERS_CHECK_MS == 0;
+            let others = (0..members).filter(|&index| check_others && index != victim);
+            others_expelled += others.filter(|&index| is_expelled(&queue, index, members)).count();
+        }
+    }
+    json!({"case": "membership_pause", "seed": seed, "members": members, "regions": regions,
+        "loss_percent": LOSS_PERCENT, "pauses": PAUSES, "pause_ms": PAUSE.as_millis() as u64,
+        "expelled_after_resume_ms_max": expelled_ms, "target_ms": 2_000,
+        "others_expelled": others_expelled})
+}
+
+/// Returns whether some awake host has taken a host out of its router.
+fn is_expelled(queue: &MemberQueue, index: usize, members: usize) -> bool {
+    let awake = (0..members).filter(|&other| other != index && queue.is_awake(other)).count();
+    queue.routers_of(index) < awake
+}
--- a/lib/src/member_config.rs
+++ b/lib/src/member_config.rs
@@ -56,7 +56,7 @@
             push_fanout: 3,
             relays: 3,
             relay_period: Duration::from_secs(1),
-            summary_period: Duration::from_secs(2),
+            summary_period: Duration::from_secs(3),
             revisit_period: Duration::from_secs(2),
             region_silence: Duration::from_secs(8),
             isolation_limit: Duration::from_secs(1),
--- a/lib/src/member_relay.rs
+++ b/lib/src/member_relay.rs
@@ -66,10 +66,7 @@
         if !self.is_relay() {
             return;
         }
-        if now >= self.next.summary {
-            self.next.summary = now + self.config.summary_period;
-            self.summarize_zones(now);
-        }
+        self.summarize_zones(now);
         for key in self.pick_abroad() {
             self.probe_member(now, key, actions);
         }
@@ -122,7 +119,9 @@
         let region = local.region.clone();
         let life = life_of(local.incarnation).0;
         for (zone, count) in counts {
-            let version = life.max(self.zones.version(&region, &zone) + 1);
+            let period = self.config.summary_period;
+            let Some(next) = self.zones.next_version(now, &region, &zone, period) else { continue };
+            let version = life.max(next);
             let members = (count.live + count.leaving).max(1);
             let summary = ZoneSummary {
                 region: region.clone(),
--- a/lib/src/member_zone.rs
+++ b/lib/src/member_zone.rs
@@ -41,6 +41,7 @@
 #[derive(Debug)]
 struct StoredSummary {
     summary: ZoneSummary,
+    updated: Timestamp,
     sends: u32,
 }
 
@@ -64,15 +65,15 @@
             return;
         }
         self.heard.insert(summary.region.clone(), now);
-        self.zones.insert(key, StoredSummary { summary, sends: 0 });
+        self.zones.insert(key, StoredSummary { summary, updated: now, sends: 0 });
     }
 
-    /// Takes up to `count` summaries for one message: those sent least often first, none more than
-    /// `max_sends` times.
+    /// Takes up to `count` summaries for one message: those sent least often first, the older first
+    /// among them, none more than `max_sends` times.
     pub fn take(&mut self, max_sends: u32, count: usize) -> Vec<ZoneSummary> {
         let mut waiting: Vec<&mut StoredSummary> =
             self.zones.values_mut().filter(|stored| stored.sends < max_sends).collect();
-        waiting.sort_by_key(|stored| stored.sends);
+        waiting.sort_by_key(|stored| (stored.sends, stored.updated));
         waiting
             .into_iter()
             .take(count)
@@ -112,10 +113,22 @@
         self.summaries().filter(move |summary| summary.region == *region)
     }
 
-    /// Returns the known version of a zone's summary, or 0.
-    pub fn version(&self, region: &RegionName, zone: &ZoneName) -> u64 {
-        let key = (region.clone(), zone.clone());
-        self.zones.get(&key).map_or(0, |stored| stored.summary.version)
+    /// Returns the version that the next summary of a zone gets, or `None` if the known one is
+    /// younger than `period`.
+    ///
+    /// All relays of a region call this, and the first one spares the others the work.
+    pub fn next_version(
+        &self,
+        now: Timestamp,
+        region: &RegionName,
+        zone: &ZoneName,
+        period: Duration,
+    ) -> Option<u64> {
+        match self.zones.get(&(region.clone(), zone.clone())) {
+            Some(stored) if now.since(stored.updated) < period => None,
+            Some(stored) => Some(stored.summary.version + 1),
+            None => Some(1),
+        }
     }
 
     /// Returns all summaries, ordered by region and zone.
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -79,7 +79,6 @@
 pub(crate) struct NextSteps {
     pub(crate) probe: Timestamp,
     pub(crate) relay: Timestamp,
-    pub(crate) summary: Timestamp,
     pub(crate) revisit: Timestamp,
     pub(crate) table: Timestamp,
 }
@@ -307,9 +306,10 @@
         }
     }
 
-    /// Times that one change is sent by each member: enough to reach all with high probability.
+    /// Times that one member sends one change besides the push: with the pushes of all others this
+    /// reaches every member with high probability, and table requests mend the rest.
     fn max_sends(&self) -> u32 {
-        3 * (usize::BITS - (self.roster.len() + 1).leading_zeros())
+        usize::BITS - (self.roster.len() + 1).leading_zeros()
     }
 
     pub(crate) fn table_digest(&self) -> u64 {
--- a/lib/src/peer_server.rs
+++ b/lib/src/peer_server.rs
@@ -6,12 +6,12 @@
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::Request;
 use tonic::Response;
 use tonic::Status;
 use tonic::service::interceptor::InterceptedService;
 use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
 
 use crate::ids::RequestId;
 use crate::peer_link::AnswerState;
@@ -112,10 +112,10 @@
         // A dropped sender stops the server as well.
         let _ = stopped.await;
     };
-    let served = Server::builder()
-        .add_service(guarded)
-        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), stop)
-        .await;
+    // A reply is written in several small pieces, which would wait for acknowledgements otherwise.
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    let served =
+        Server::builder().add_service(guarded).serve_with_incoming_shutdown(incoming, stop).await;
     if let Err(error) = served {
         log::error!("event=peer_server_failed error={error}");
     }
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod host_list_standin;
 pub mod http_standin;
 pub mod log_standin;
+pub mod member_queue;
 pub mod platform_standin;
 pub mod weight_standin;
 
