--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod journal;
 pub mod log_fake;
 pub mod log_standin;
+pub mod member_queue;
 pub mod platform_standin;
 pub mod prefix_cache;
 pub mod raw_server;
