--- /dev/null
+++ b/lib/src/evacuation_runner.rs
@@ -0,0 +1,187 @@
+//! Carries out evacuation plans: asks running sessions for their state, plans, moves KV cache and
+//! gives the orders.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+use thiserror::Error;
+
+use crate::engine::ServerError;
+use crate::evacuation::EvacuationChoice;
+use crate::evacuation::EvacuationMove;
+use crate::evacuation::EvacuationRates;
+use crate::evacuation::EvacuationServer;
+use crate::evacuation::EvacuationStream;
+use crate::evacuation::plan_evacuation;
+use crate::ids::AttemptNumber;
+use crate::ids::RequestId;
+use crate::ids::ServerKey;
+use crate::request_router::ServerState;
+use crate::session_event::MoveOrder;
+use crate::session_event::SessionEvent;
+use crate::session_ports::SessionPorts;
+use crate::session_ports::lock;
+use crate::session_registry::DriverMessage;
+use crate::session_registry::SessionView;
+use crate::timestamp::Timestamp;
+
+/// Time within which a session describes itself.
+const DESCRIBE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Why KV cache was not moved.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum EvacuationError {
+    /// A server is not known any more.
+    #[error("server is gone")]
+    ServerGone,
+    /// A server failed.
+    #[error("KV transfer failed: {0}")]
+    Server(#[from] ServerError),
+}
+
+/// Result of moving KV cache.
+pub type Result<T> = std::result::Result<T, EvacuationError>;
+
+/// Carries out evacuation plans of one host.
+pub struct EvacuationRunner {
+    ports: SessionPorts,
+    rates: EvacuationRates,
+    /// Target and expected end of each transfer that runs.
+    under_way: Mutex<BTreeMap<RequestId, (ServerKey, Timestamp)>>,
+}
+
+impl EvacuationRunner {
+    /// Builds a runner.
+    pub fn new(ports: SessionPorts, rates: EvacuationRates) -> Self {
+        Self { ports, rates, under_way: Mutex::new(BTreeMap::new()) }
+    }
+
+    /// Plans for all leaving servers and carries the plan out; blocks for the transfers.
+    ///
+    /// To be called when a notice comes, and again after another, also while the first call still
+    /// runs: a transfer under way is kept. `servers` lists leaving servers and possible targets.
+    pub fn evacuate(&self, servers: &[EvacuationServer]) -> Vec<EvacuationMove> {
+        let leaving: Vec<ServerKey> =
+            servers.iter().filter(|s| s.leaves_at.is_some()).map(|s| s.key).collect();
+        leaving.iter().for_each(|&server| self.mark_leaving(server));
+        let views: Vec<(ServerKey, SessionView)> =
+            leaving.iter().flat_map(|&server| self.describe(server)).collect();
+        let under_way = lock(&self.under_way).clone();
+        let streams: Vec<EvacuationStream> = views
+            .iter()
+            .map(|(server, view)| stream_of(*server, view, under_way.get(&view.id).copied()))
+            .collect();
+        let moves = plan_evacuation(self.ports.clock.now(), servers, &streams, self.rates);
+        for &server in &leaving {
+            self.ports.registry.announce_reclaim(server, |id| first_order(&moves, id));
+        }
+        let attempts: BTreeMap<RequestId, AttemptNumber> =
+            views.iter().map(|(_, view)| (view.id, view.last_attempt)).collect();
+        // Each source sends on its own; the plan orders the transfers of one source.
+        thread::scope(|scope| {
+            for &source in &leaving {
+                let (moves, attempts) = (&moves, &attempts);
+                scope.spawn(move || self.transfer_all(source, moves, attempts));
+            }
+        });
+        moves
+    }
+
+    /// Keeps new work off a server and excuses the end of its process.
+    fn mark_leaving(&self, server: ServerKey) {
+        let now = self.ports.clock.now();
+        let mut router = lock(&self.ports.router);
+        if let Some(id) = router.server(server).map(|info| info.id.clone()) {
+            router.set_state(now, &id, ServerState::Leaving);
+            lock(&self.ports.suspects).announce_end(now, &id);
+        }
+    }
+
+    fn transfer_all(
+        &self,
+        source: ServerKey,
+        moves: &[EvacuationMove],
+        attempts: &BTreeMap<RequestId, AttemptNumber>,
+    ) {
+        for planned in moves.iter().filter(|planned| planned.source == source) {
+            let EvacuationChoice::Transfer { target, ready_at } = planned.choice else { continue };
+            let Some(&attempt) = attempts.get(&planned.request) else { continue };
+            let before = lock(&self.under_way).insert(planned.request, (target, ready_at));
+            if before.is_none_or(|(under_way, _)| under_way != target) {
+                self.transfer(planned, attempt, target);
+            }
+        }
+    }
+
+    fn describe(&self, server: ServerKey) -> Vec<(ServerKey, SessionView)> {
+        let registry = &self.ports.registry;
+        let ask = |id| {
+            let (sender, receiver) = mpsc::channel();
+            registry.message(id, DriverMessage::Describe(sender)).then_some(receiver)
+        };
+        let asked: Vec<_> = registry.on_server(server).into_iter().filter_map(ask).collect();
+        let views = asked.into_iter().filter_map(|view| view.recv_timeout(DESCRIBE_TIMEOUT).ok());
+        views.map(|view| (server, view)).collect()
+    }
+
+    /// Moves one stream; if its KV cache cannot be moved, the target computes it again.
+    fn transfer(&self, planned: &EvacuationMove, attempt: AttemptNumber, target: ServerKey) {
+        if let Err(error) = self.move_kv(planned, attempt, target) {
+            log::warn!("event=kv_transfer_failed request={} error={error}", planned.request);
+        }
+        let mut under_way = lock(&self.under_way);
+        if under_way.get(&planned.request).is_some_and(|(planned_now, _)| *planned_now == target) {
+            under_way.remove(&planned.request);
+            let order = MoveOrder::ResumeAt(target);
+            let event = SessionEvent::EvacuationOrdered { server: planned.source, order };
+            self.ports.registry.send(planned.request, event);
+        }
+    }
+
+    fn move_kv(
+        &self,
+        planned: &EvacuationMove,
+        attempt: AttemptNumber,
+        target: ServerKey,
+    ) -> Result<()> {
+        let address_of = |server| {
+            let router = lock(&self.ports.router);
+            router.server(server).map(|info| info.address).ok_or(EvacuationError::ServerGone)
+        };
+        let source = self.ports.connector.engine(address_of(planned.source)?);
+        let target = self.ports.connector.engine(address_of(target)?);
+        let kv = source.export_kv(planned.request, attempt)?;
+        Ok(target.import_kv(planned.request, attempt.next(), &kv)?)
+    }
+}
+
+fn stream_of(
+    server: ServerKey,
+    view: &SessionView,
+    transfer: Option<(ServerKey, Timestamp)>,
+) -> EvacuationStream {
+    EvacuationStream {
+        request: view.id,
+        server,
+        blocks: view.blocks.clone(),
+        context_tokens: view.context_tokens,
+        remaining_tokens: view.remaining_tokens,
+        repeatable: view.repeatable,
+        transfer,
+    }
+}
+
+/// Returns what a stream does until its transfer, if it has one, is through.
+fn first_order(moves: &[EvacuationMove], id: RequestId) -> MoveOrder {
+    let planned = moves.iter().find(|planned| planned.request == id);
+    match planned.map(|planned| planned.choice) {
+        Some(EvacuationChoice::Recompute { target: Some(target) }) => MoveOrder::ResumeAt(target),
+        Some(EvacuationChoice::Recompute { target: None }) => MoveOrder::ResumeElsewhere,
+        Some(EvacuationChoice::FinishInPlace | EvacuationChoice::Transfer { .. }) | None => {
+            MoveOrder::FinishInPlace
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/handover_protocol.rs
@@ -0,0 +1,250 @@
+//! Who goes on with a request while a leaving host hands it to a peer, whichever of them dies when.
+//!
+//! An offer is a transfer that only a refusal undoes. From the offer on, the leaver relays nothing
+//! past the offered offset and dispatches nothing, so what its caller has seen is in the offer.
+//! The taker begins when the leaver confirms that it has stopped, when the leaver is gone, or after
+//! a short wait: a repeatable request that both run for a moment does no harm. Work that was not
+//! dispatched begins at once, as the offer gave up the right to dispatch it. A non-repeatable call
+//! in flight is never sent again: the taker waits for its result, or reports UNKNOWN.
+
+use std::time::Duration;
+
+use crate::handover::HandoverPhase;
+use crate::timestamp::Timestamp;
+
+/// Time after which an unanswered offer is sent again to the same peer.
+pub const OFFER_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Time for which a taker waits for the leaver to confirm that it has stopped.
+pub const CONFIRM_WAIT: Duration = Duration::from_millis(500);
+
+/// What happened to the leaver's side.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaverEvent {
+    /// The host leaves: hand the request over.
+    Leave,
+    /// The taker has the offer.
+    Acked,
+    /// The taker will not take the request and never has.
+    Refused,
+    /// The request's own session ended here.
+    SessionEnded,
+    /// Time passed.
+    Timer,
+}
+
+/// What the leaver has to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaverAction {
+    /// Stop relaying and dispatching; keep what arrives.
+    Freeze,
+    /// Send the offer.
+    SendOffer,
+    /// Stop the attempt and end the caller's connection, which comes back with the request's id.
+    StopSession,
+    /// Tell the taker that the attempt has stopped.
+    SendConfirm,
+    /// Relay what was kept and go on.
+    Unfreeze,
+    /// Pass the final answer to the taker.
+    SendResult,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LeaverState {
+    Running,
+    Offered {
+        again_at: Timestamp,
+    },
+    Waiting,
+    /// The peer refused: the request stays here.
+    Kept,
+    Done,
+}
+
+/// The leaver's side of one request and one peer; after a refusal another peer is asked with a new
+/// one.
+#[derive(Clone, Debug)]
+pub struct LeaverHandover {
+    phase: HandoverPhase,
+    state: LeaverState,
+}
+
+impl LeaverHandover {
+    /// Builds the leaver's side.
+    pub fn new(phase: HandoverPhase) -> Self {
+        Self { phase, state: LeaverState::Running }
+    }
+
+    /// Returns whether the leaver may relay or dispatch.
+    pub fn may_act(&self) -> bool {
+        matches!(self.state, LeaverState::Running | LeaverState::Kept)
+    }
+
+    /// Returns when [`LeaverEvent::Timer`] is due.
+    pub fn next_timer(&self) -> Option<Timestamp> {
+        match self.state {
+            LeaverState::Offered { again_at } => Some(again_at),
+            _ => None,
+        }
+    }
+
+    /// Takes one event and returns what is to be done, in order.
+    pub fn on_event(&mut self, now: Timestamp, event: LeaverEvent) -> Vec<LeaverAction> {
+        let offered = matches!(self.state, LeaverState::Offered { .. });
+        match event {
+            LeaverEvent::Leave if self.state == LeaverState::Running => {
+                self.state = LeaverState::Offered { again_at: now + OFFER_INTERVAL };
+                vec![LeaverAction::Freeze, LeaverAction::SendOffer]
+            }
+            LeaverEvent::Timer if self.next_timer().is_some_and(|at| now >= at) => {
+                self.state = LeaverState::Offered { again_at: now + OFFER_INTERVAL };
+                vec![LeaverAction::SendOffer]
+            }
+            LeaverEvent::Acked if offered => self.on_ack(),
+            LeaverEvent::Refused if offered => {
+                self.state = LeaverState::Kept;
+                vec![LeaverAction::Unfreeze]
+            }
+            LeaverEvent::SessionEnded => self.on_session_end(),
+            _ => Vec::new(),
+        }
+    }
+
+    fn on_ack(&mut self) -> Vec<LeaverAction> {
+        if self.phase == HandoverPhase::InFlight {
+            self.state = LeaverState::Waiting;
+            return Vec::new();
+        }
+        self.state = LeaverState::Done;
+        vec![LeaverAction::StopSession, LeaverAction::SendConfirm]
+    }
+
+    /// Only a call in flight goes on here after its offer; its answer belongs to the taker, too.
+    fn on_session_end(&mut self) -> Vec<LeaverAction> {
+        let was_running = self.may_act();
+        let in_flight = self.phase == HandoverPhase::InFlight;
+        if self.state == LeaverState::Done || (!was_running && !in_flight) {
+            return Vec::new();
+        }
+        self.state = LeaverState::Done;
+        if was_running { Vec::new() } else { vec![LeaverAction::SendResult] }
+    }
+}
+
+/// What happened to the taker's side.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TakerEvent {
+    /// An offer arrived; it may be a repetition.
+    Offered {
+        /// Whether this host can take the request.
+        has_room: bool,
+    },
+    /// The leaver confirmed that it has stopped.
+    Confirmed,
+    /// The leaver passed on the final answer.
+    ResultArrived,
+    /// The leaver is gone.
+    LeaverGone,
+    /// Time passed.
+    Timer,
+}
+
+/// What the taker has to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TakerAction {
+    /// Tell the leaver that this host has not taken the request and never will.
+    Refuse,
+    /// Keep the offered answer so that callers can read it, and acknowledge.
+    KeepAndAck,
+    /// Go on with the request from the offered offset.
+    StartSession,
+    /// Store the final answer that the leaver passed on.
+    StoreResult,
+    /// End the request as UNKNOWN: the leaver is gone without a result.
+    FinishUnknown,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TakerState {
+    New,
+    Refused,
+    Waiting { until: Option<Timestamp> },
+    Done,
+}
+
+/// The taker's side of one request.
+#[derive(Clone, Debug)]
+pub struct TakerHandover {
+    phase: HandoverPhase,
+    deadline: Timestamp,
+    state: TakerState,
+}
+
+impl TakerHandover {
+    /// Builds the taker's side of an offer whose request has the given deadline.
+    pub fn new(phase: HandoverPhase, deadline: Timestamp) -> Self {
+        Self { phase, deadline, state: TakerState::New }
+    }
+
+    /// Returns when [`TakerEvent::Timer`] is due.
+    pub fn next_timer(&self) -> Option<Timestamp> {
+        match self.state {
+            TakerState::Waiting { until } => Some(until.unwrap_or(self.deadline)),
+            _ => None,
+        }
+    }
+
+    /// Takes one event and returns what is to be done, in order.
+    pub fn on_event(&mut self, now: Timestamp, event: TakerEvent) -> Vec<TakerAction> {
+        match (self.state, event) {
+            (TakerState::New, TakerEvent::Offered { has_room: true }) => self.on_first_offer(now),
+            (TakerState::New | TakerState::Refused, TakerEvent::Offered { .. }) => {
+                self.state = TakerState::Refused;
+                vec![TakerAction::Refuse]
+            }
+            (TakerState::Waiting { .. } | TakerState::Done, TakerEvent::Offered { .. }) => {
+                vec![TakerAction::KeepAndAck]
+            }
+            (TakerState::Waiting { .. }, TakerEvent::ResultArrived) => {
+                self.state = TakerState::Done;
+                vec![TakerAction::StoreResult]
+            }
+            (TakerState::Waiting { .. }, TakerEvent::LeaverGone) => self.stop_waiting(),
+            (TakerState::Waiting { .. }, TakerEvent::Confirmed)
+                if self.phase != HandoverPhase::InFlight =>
+            {
+                self.stop_waiting()
+            }
+            (TakerState::Waiting { .. }, TakerEvent::Timer)
+                if self.next_timer().is_some_and(|at| now >= at) =>
+            {
+                self.stop_waiting()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn on_first_offer(&mut self, now: Timestamp) -> Vec<TakerAction> {
+        let until = match self.phase {
+            HandoverPhase::NotDispatched => {
+                self.state = TakerState::Done;
+                return vec![TakerAction::KeepAndAck, TakerAction::StartSession];
+            }
+            HandoverPhase::Repeatable => Some(now + CONFIRM_WAIT),
+            HandoverPhase::InFlight => None,
+        };
+        self.state = TakerState::Waiting { until };
+        vec![TakerAction::KeepAndAck]
+    }
+
+    fn stop_waiting(&mut self) -> Vec<TakerAction> {
+        self.state = TakerState::Done;
+        match self.phase {
+            HandoverPhase::InFlight => vec![TakerAction::FinishUnknown],
+            HandoverPhase::NotDispatched | HandoverPhase::Repeatable => {
+                vec![TakerAction::StartSession]
+            }
+        }
+    }
+}
--- a/lib/src/request_session.rs
+++ b/lib/src/request_session.rs
@@ -23,9 +23,8 @@
 use crate::session_event::AttemptPlan;
 use crate::session_event::SessionAction;
 use crate::session_event::SessionEvent;
+use crate::session_event::SessionKind;
 use crate::session_event::SessionLimits;
-use crate::session_request::CheckedRequest;
-use crate::session_request::RequestWork;
 use crate::session_request::SessionEnd;
 use crate::session_request::TokenUsage;
 use crate::session_stream::AnswerStream;
@@ -38,30 +37,6 @@
 /// Time after which a refused caller may try again.
 pub const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// What the session runs: how answers are made up and whether the work may be repeated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SessionKind {
-    /// A model's answer of at most the given tokens; always idempotent.
-    Model {
-        /// Upper bound of the answer, in tokens.
-        max_tokens: u32,
-    },
-    /// A call that may be repeated.
-    IdempotentCall,
-    /// A call that runs at most once.
-    SingleCall,
-}
-
-impl From<&CheckedRequest> for SessionKind {
-    fn from(request: &CheckedRequest) -> Self {
-        match request.work {
-            RequestWork::Model { max_tokens, .. } => Self::Model { max_tokens },
-            RequestWork::App { .. } if request.idempotent => Self::IdempotentCall,
-            RequestWork::App { .. } => Self::SingleCall,
-        }
-    }
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct RunningAttempt {
     number: AttemptNumber,
@@ -99,6 +74,8 @@
     excluded: Vec<ServerKey>,
     /// Servers whose reclaim was announced; attempts lost there are retried without limit.
     announced: Vec<ServerKey>,
+    /// Whether the request's key is claimed for it.
+    claimed: bool,
     fence: Option<FencingNumber>,
     gone_since: Option<Timestamp>,
     last_error: Option<ServerError>,
@@ -107,35 +84,58 @@
 impl RequestSession {
     /// Builds the session of a new request.
     pub fn new(kind: SessionKind, limits: SessionLimits, deadline: Timestamp) -> Self {
-        Self::resume(kind, limits, deadline, AnswerStream::default(), AttemptNumber::default())
-    }
-
-    /// Builds the session of a request that another host began, which used the attempt numbers up
-    /// to `last_attempt`.
-    pub fn resume(
-        kind: SessionKind,
-        limits: SessionLimits,
-        deadline: Timestamp,
-        stream: AnswerStream,
-        last_attempt: AttemptNumber,
-    ) -> Self {
         Self {
             kind,
             limits,
             deadline,
             phase: SessionPhase::New,
-            stream,
+            stream: AnswerStream::default(),
             ledger: AttemptLedger::default(),
-            last_attempt,
+            last_attempt: AttemptNumber::default(),
             counted_attempts: 0,
             excluded: Vec::new(),
             announced: Vec::new(),
+            claimed: false,
             fence: None,
             gone_since: None,
             last_error: None,
         }
     }
 
+    /// Goes on from what another host relayed; its attempts have numbers up to `last_attempt`.
+    ///
+    /// The ledger knows nothing of them, so `may_have_run` says whether any may have run.
+    pub fn resume(
+        mut self,
+        stream: AnswerStream,
+        last_attempt: AttemptNumber,
+        may_have_run: bool,
+    ) -> Self {
+        self.stream = stream;
+        self.last_attempt = last_attempt;
+        if may_have_run {
+            self.ledger.begin(last_attempt);
+        }
+        self
+    }
+
+    /// Takes over a claim that was won for the request.
+    pub fn with_claim(mut self, fence: Option<FencingNumber>) -> Self {
+        self.claimed = true;
+        self.fence = fence;
+        self
+    }
+
+    /// Returns whether the request's key is claimed for it.
+    pub fn is_claimed(&self) -> bool {
+        self.claimed
+    }
+
+    /// Returns the fencing number of the claim.
+    pub fn fence(&self) -> Option<FencingNumber> {
+        self.fence
+    }
+
     /// Returns the relayed part of a model's answer.
     pub fn stream(&self) -> &AnswerStream {
         &self.stream
@@ -222,7 +222,7 @@
         if self.phase != SessionPhase::New {
             return Vec::new();
         }
-        if self.repeatable() {
+        if self.repeatable() || self.claimed {
             return self.choose();
         }
         self.phase = SessionPhase::Claiming;
@@ -235,6 +235,7 @@
         }
         match decision {
             ClaimDecision::Won { fence } => {
+                self.claimed = true;
                 self.fence = fence;
                 self.choose()
             }
--- a/lib/src/session_driver.rs
+++ b/lib/src/session_driver.rs
@@ -4,6 +4,7 @@
 //! events and orders from outside come over one channel, whose wait ends at the session's timer.
 
 mod attempts;
+mod takeover;
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -16,6 +17,8 @@
 use crate::crash_suspects::AttemptLeft;
 use crate::crash_suspects::WorkFingerprint;
 use crate::engine::TokenChunk;
+use crate::handover::HandoverPhase;
+use crate::handover::UnfinishedRequest;
 use crate::not_run::NotRunProof;
 use crate::not_run::NotRunRefusal;
 use crate::prompt::BlockHash;
@@ -23,12 +26,12 @@
 use crate::prompt::hash_blocks;
 use crate::request_session::RETRY_AFTER;
 use crate::request_session::RequestSession;
-use crate::request_session::SessionKind;
 use crate::result_code::ResultCode;
 use crate::session_attempt::AttemptHandle;
 use crate::session_claim::ClaimDecision;
 use crate::session_event::SessionAction;
 use crate::session_event::SessionEvent;
+use crate::session_event::SessionKind;
 use crate::session_event::SessionLimits;
 use crate::session_ports::SessionPorts;
 use crate::session_ports::lock;
@@ -67,12 +70,9 @@
         session: RequestSession,
         sink: &mut dyn CallerSink,
     ) {
-        let max_tokens = match request.work {
-            RequestWork::Model { max_tokens, .. } => max_tokens,
-            RequestWork::App { .. } => 0,
-        };
         sink.accepted(request.id);
-        if let Err(AnswerError::Full) = self.ports.answers.begin(request.id, max_tokens) {
+        let begun = self.ports.answers.begin(request.id, max_tokens_of(&request));
+        if begun == Err(AnswerError::Full) {
             sink.finish(&refuse(ResultCode::QueueFull));
             return;
         }
@@ -86,6 +86,13 @@
     }
 }
 
+fn max_tokens_of(request: &CheckedRequest) -> u32 {
+    match request.work {
+        RequestWork::Model { max_tokens, .. } => max_tokens,
+        RequestWork::App { .. } => 0,
+    }
+}
+
 fn refuse(code: ResultCode) -> SessionEnd {
     match NotRunRefusal::new(code, NotRunProof::NeverDispatched) {
         Some(refusal) => SessionEnd::NotRun { refusal, retry_after: Some(RETRY_AFTER) },
@@ -103,13 +110,15 @@
     receiver: Receiver<DriverMessage>,
     /// Events that follow from actions; taken before those of the channel.
     pending: VecDeque<SessionEvent>,
+    /// Events that wait until a handover is refused.
+    kept: VecDeque<SessionEvent>,
+    /// Whether the session stands still for a handover.
+    frozen: bool,
     current: Option<AttemptHandle>,
     blocks: Vec<BlockHash>,
     prompt_tokens: u32,
     fingerprint: WorkFingerprint,
     caller_gone: bool,
-    /// Whether the request's key is claimed by it.
-    claim_won: bool,
 }
 
 impl<'a> SessionRun<'a> {
@@ -132,12 +141,13 @@
             sender,
             receiver,
             pending: VecDeque::from([SessionEvent::Start]),
+            kept: VecDeque::new(),
+            frozen: false,
             current: None,
             blocks,
             prompt_tokens,
             fingerprint: WorkFingerprint::from(request.as_ref()),
             caller_gone: false,
-            claim_won: false,
             request,
         }
     }
@@ -165,29 +175,57 @@
     /// Waits for a message or the timer; `None` if a message was answered without an event.
     fn next_event(&mut self) -> Option<SessionEvent> {
         let now = self.ports.clock.now();
-        let wait = self.session.next_timer().since(now);
-        match self.receiver.recv_timeout(wait) {
-            Ok(DriverMessage::Event(event)) => Some(event),
-            Ok(DriverMessage::Describe(reply)) => {
-                // An asker that has gone needs no answer.
-                let _ = reply.send(self.view());
-                None
-            }
+        let timer = if self.frozen { self.request.deadline } else { self.session.next_timer() };
+        let message = match self.receiver.recv_timeout(timer.since(now)) {
+            Ok(message) => message,
             Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => {
-                Some(SessionEvent::Timer)
+                self.frozen = false;
+                return Some(SessionEvent::Timer);
+            }
+        };
+        // An asker that has gone needs no answer.
+        match message {
+            DriverMessage::Event(event) => return self.take_event(event),
+            DriverMessage::Describe(reply) => drop(reply.send(self.view())),
+            DriverMessage::HandOver(reply) => drop(reply.send(self.hand_over())),
+            DriverMessage::Resume => {
+                self.frozen = false;
+                self.pending.append(&mut self.kept);
             }
         }
+        None
+    }
+
+    /// Keeps events for later while the session stands still, except that a peer took it.
+    fn take_event(&mut self, event: SessionEvent) -> Option<SessionEvent> {
+        if self.frozen && event != SessionEvent::HandoverTaken {
+            self.kept.push_back(event);
+            return None;
+        }
+        Some(event)
+    }
+
+    /// Describes the request and stands still, so that the caller sees nothing past the
+    /// description and nothing is dispatched.
+    fn hand_over(&mut self) -> UnfinishedRequest {
+        let part = self.ports.answers.read_from(self.request.id, 0);
+        let chunks = part.map(|part| part.chunks).unwrap_or_default();
+        let now = self.ports.clock.now();
+        let state = UnfinishedRequest::describe(&self.request, &self.session, now, &chunks);
+        self.frozen = state.phase != HandoverPhase::InFlight;
+        state
     }
 
     fn view(&self) -> SessionView {
-        let left = self.request.deadline.since(self.ports.clock.now());
+        let stream = self.session.stream();
+        let max_tokens = max_tokens_of(&self.request);
         SessionView {
             id: self.request.id,
-            next_offset: self.session.stream().next_offset(),
-            text: self.session.stream().text().to_owned(),
-            last_attempt: self.session.last_attempt().0,
-            dispatched: self.session.ledger().proof().is_none(),
-            left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            blocks: self.blocks.clone(),
+            context_tokens: self.prompt_tokens + stream.next_offset(),
+            remaining_tokens: max_tokens.saturating_sub(stream.next_offset()),
+            repeatable: self.request.idempotent,
+            last_attempt: self.session.last_attempt(),
         }
     }
 
@@ -215,7 +253,6 @@
                 _ => ClaimDecision::Unknown(ResultCode::Internal),
             },
         };
-        self.claim_won = matches!(decision, ClaimDecision::Won { .. });
         self.pending.push_back(SessionEvent::ClaimDecided(self.fill_answer(decision)));
     }
 
@@ -256,7 +293,7 @@
     /// Records what became of a claimed key.
     fn settle_claim(&self, end: &SessionEnd) {
         let Some(claims) = &self.ports.claims else { return };
-        if !self.claim_won {
+        if !self.session.is_claimed() {
             return;
         }
         match end {
--- a/lib/src/session_event.rs
+++ b/lib/src/session_event.rs
@@ -12,6 +12,8 @@
 use crate::resource::LatencyTarget;
 use crate::result_code::ResultCode;
 use crate::session_claim::ClaimDecision;
+use crate::session_request::CheckedRequest;
+use crate::session_request::RequestWork;
 use crate::session_request::SessionEnd;
 
 /// Time without a token after which a connection counts as silent, in token-gap targets.
@@ -29,6 +31,30 @@
 /// Attempts that one request gets at most, those after announced reclaims not counted.
 pub const MAX_ATTEMPTS: u32 = 6;
 
+/// What the session runs: how answers are made up and whether the work may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SessionKind {
+    /// A model's answer of at most the given tokens; always idempotent.
+    Model {
+        /// Upper bound of the answer, in tokens.
+        max_tokens: u32,
+    },
+    /// A call that may be repeated.
+    IdempotentCall,
+    /// A call that runs at most once.
+    SingleCall,
+}
+
+impl From<&CheckedRequest> for SessionKind {
+    fn from(request: &CheckedRequest) -> Self {
+        match request.work {
+            RequestWork::Model { max_tokens, .. } => Self::Model { max_tokens },
+            RequestWork::App { .. } if request.idempotent => Self::IdempotentCall,
+            RequestWork::App { .. } => Self::SingleCall,
+        }
+    }
+}
+
 /// What happened to a session.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SessionEvent {
--- a/lib/src/session_registry.rs
+++ b/lib/src/session_registry.rs
@@ -6,8 +6,11 @@
 use std::sync::PoisonError;
 use std::sync::mpsc::Sender;
 
+use crate::handover::UnfinishedRequest;
+use crate::ids::AttemptNumber;
 use crate::ids::RequestId;
 use crate::ids::ServerKey;
+use crate::prompt::BlockHash;
 use crate::session_event::MoveOrder;
 use crate::session_event::SessionEvent;
 
@@ -16,8 +19,12 @@
 pub enum DriverMessage {
     /// An event for the session.
     Event(SessionEvent),
-    /// A question for the state of the session, to hand it over.
+    /// A question for the state of the session.
     Describe(Sender<SessionView>),
+    /// The host leaves: stand still and describe the request to a peer. A call in flight goes on.
+    HandOver(Sender<UnfinishedRequest>),
+    /// The handover was refused: go on.
+    Resume,
 }
 
 /// State of a running session as seen from outside.
@@ -25,16 +32,16 @@
 pub struct SessionView {
     /// Request.
     pub id: RequestId,
-    /// Offset of the next token.
-    pub next_offset: u32,
-    /// Text of the tokens before it.
-    pub text: String,
+    /// Hashes of the prompt's blocks.
+    pub blocks: Vec<BlockHash>,
+    /// Tokens of the prompt and the output so far.
+    pub context_tokens: u32,
+    /// Tokens that may still come, at most.
+    pub remaining_tokens: u32,
+    /// Whether the work may run again.
+    pub repeatable: bool,
     /// Number of the last attempt.
-    pub last_attempt: u32,
-    /// Whether an attempt may have run.
-    pub dispatched: bool,
-    /// Time left until the deadline, in milliseconds.
-    pub left_ms: u64,
+    pub last_attempt: AttemptNumber,
 }
 
 #[derive(Debug)]
--- a/lib/testutils/src/session_judge.rs
+++ b/lib/testutils/src/session_judge.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeMap;
 
 use pomelostack_lib::request_session::RequestSession;
-use pomelostack_lib::request_session::SessionKind;
 use pomelostack_lib::result_code::RequestOutcome;
+use pomelostack_lib::session_event::SessionKind;
 use pomelostack_lib::session_request::SessionEnd;
 use pomelostack_lib::timestamp::Timestamp;
 
