sessions: only output proves a new connection, not its acceptance

A server that takes attempts and never produces a token was probed again and again; now its second silence makes it suspected and the request goes on elsewhere (test_silent_connection suspected_server). Tests for the answer store, silent connections, handover and evacuation through the driver.

--- a/lib/src/request_session.rs
+++ b/lib/src/request_session.rs
@@ -43,8 +43,8 @@
     server: ServerKey,
     /// Last sign of life, or the start.
     heard_at: Timestamp,
-    /// Whether a token or an acceptance has arrived.
-    started: bool,
+    /// Whether a token has arrived.
+    streaming: bool,
     /// Whether it tests a new connection after an old one to the same server went silent.
     probe: bool,
 }
@@ -195,7 +195,7 @@
             SessionEvent::NoServer => self.on_no_server(now),
             SessionEvent::ServersFull => self.wait_for_server(now),
             SessionEvent::Refused(code) => self.give_up(code, code, None),
-            SessionEvent::AttemptAccepted(attempt) => self.on_sign(now, attempt),
+            SessionEvent::AttemptAccepted(attempt) => self.on_accepted(now, attempt),
             SessionEvent::Chunk { attempt, chunk } => self.on_chunk(now, attempt, chunk, budget),
             SessionEvent::AttemptEnded { attempt, end } => self.on_end(now, attempt, end, budget),
             SessionEvent::AttemptFailed { attempt, error } => {
@@ -277,7 +277,7 @@
             number: self.last_attempt,
             server,
             heard_at: now,
-            started: false,
+            streaming: false,
             probe,
         });
         vec![SessionAction::StartAttempt(AttemptPlan {
@@ -317,15 +317,23 @@
         }
     }
 
-    /// Records a sign of life; a probe that gets one proves that the old connections are dead.
-    fn on_sign(&mut self, now: Timestamp, attempt: AttemptNumber) -> Vec<SessionAction> {
-        let Some(mut running) = self.current(attempt) else { return Vec::new() };
-        let retire = running.probe;
-        running.heard_at = now;
-        running.started = true;
-        running.probe = false;
-        self.phase = SessionPhase::Running(running);
-        if retire { vec![SessionAction::RetireConnections(running.server)] } else { Vec::new() }
+    /// Records that the server has the attempt; only output proves that it works on it.
+    fn on_accepted(&mut self, now: Timestamp, attempt: AttemptNumber) -> Vec<SessionAction> {
+        if let Some(running) = self.current(attempt) {
+            self.phase = SessionPhase::Running(RunningAttempt { heard_at: now, ..running });
+        }
+        Vec::new()
+    }
+
+    /// Records output; a probe that gets some proves that the old connections are dead.
+    fn on_output(&mut self, now: Timestamp, attempt: AttemptNumber) -> Vec<SessionAction> {
+        let Some(running) = self.current(attempt) else { return Vec::new() };
+        let heard = RunningAttempt { heard_at: now, streaming: true, probe: false, ..running };
+        self.phase = SessionPhase::Running(heard);
+        match running.probe {
+            true => vec![SessionAction::RetireConnections(running.server)],
+            false => Vec::new(),
+        }
     }
 
     fn on_chunk(
@@ -335,7 +343,7 @@
         chunk: TokenChunk,
         budget: &mut RetryBudget,
     ) -> Vec<SessionAction> {
-        let mut actions = self.on_sign(now, attempt);
+        let mut actions = self.on_output(now, attempt);
         if self.current(attempt).is_none() {
             return actions;
         }
@@ -360,7 +368,7 @@
         if self.current(attempt).is_none() {
             return Vec::new();
         }
-        let mut actions = self.on_sign(now, attempt);
+        let mut actions = self.on_output(now, attempt);
         let is_model = matches!(self.kind, SessionKind::Model { .. });
         actions.extend(match end {
             AttemptEnd::App(answer) if !is_model => self.finish(SessionEnd::AppDone(answer)),
--- a/lib/src/request_session/recovery.rs
+++ b/lib/src/request_session/recovery.rs
@@ -108,12 +108,8 @@
     }
 
     pub(super) fn silent_at(&self, running: &RunningAttempt) -> Timestamp {
-        let limit = if running.started && self.stream.next_offset() > 0 {
-            self.limits.token_gap
-        } else {
-            self.limits.first_token
-        };
-        running.heard_at + limit
+        let limits = &self.limits;
+        running.heard_at + if running.streaming { limits.token_gap } else { limits.first_token }
     }
 
     /// Tries a new connection to the same server once, then another server.
--- a/lib/tests/test_session_driver.rs
+++ b/lib/tests/test_session_driver.rs
@@ -2,210 +2,40 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
+use std::sync::mpsc;
+use std::thread;
 use std::time::Duration;
 
-use pomelostack_lib::answer_store::AnswerStore;
-use pomelostack_lib::answer_table::AnswerLimits;
-use pomelostack_lib::app_server::AppAnswer;
-use pomelostack_lib::crash_suspects::CrashSuspects;
-use pomelostack_lib::engine::RequestPriority;
-use pomelostack_lib::engine::TokenChunk;
-use pomelostack_lib::ids::HostId;
+use pomelostack_lib::evacuation::EvacuationChoice;
+use pomelostack_lib::evacuation::EvacuationRates;
+use pomelostack_lib::evacuation::EvacuationServer;
+use pomelostack_lib::evacuation_runner::EvacuationRunner;
+use pomelostack_lib::handover::UnfinishedRequest;
 use pomelostack_lib::ids::RequestId;
-use pomelostack_lib::ids::ServerId;
-use pomelostack_lib::ids::ServiceName;
-use pomelostack_lib::ids::TeamName;
-use pomelostack_lib::ids::ZoneName;
+use pomelostack_lib::ids::ServerKey;
 use pomelostack_lib::not_run::NotRunProof;
-use pomelostack_lib::not_run::NotRunRefusal;
-use pomelostack_lib::request_router::RequestRouter;
-use pomelostack_lib::request_router::ServerInfo;
 use pomelostack_lib::request_router::ServerState;
-use pomelostack_lib::resource::FencingCheck;
-use pomelostack_lib::resource::IdempotencyRule;
-use pomelostack_lib::resource::LatencyTarget;
-use pomelostack_lib::resource::ServiceKind;
-use pomelostack_lib::resource::ServiceResource;
 use pomelostack_lib::result_code::ResultCode;
-use pomelostack_lib::retry_budget::RetryBudget;
-use pomelostack_lib::session_claim::ClaimDecision;
-use pomelostack_lib::session_claim::ClaimPort;
 use pomelostack_lib::session_driver::SessionDriver;
-use pomelostack_lib::session_ports::SessionCounters;
-use pomelostack_lib::session_ports::SessionPorts;
-use pomelostack_lib::session_registry::SessionRegistry;
-use pomelostack_lib::session_request::CallerSink;
+use pomelostack_lib::session_event::SessionEvent;
+use pomelostack_lib::session_registry::DriverMessage;
 use pomelostack_lib::session_request::CheckedRequest;
-use pomelostack_lib::session_request::RequestWork;
 use pomelostack_lib::session_request::SessionEnd;
-use pomelostack_lib::session_request::SinkState;
-use pomelostack_lib::timestamp::ProcessClock;
 use rstest::rstest;
+use testutils::driver_rig::DriverRig;
+use testutils::driver_rig::MAX_TOKENS;
+use testutils::driver_rig::REQUEST;
+use testutils::driver_rig::RecordingSink;
+use testutils::driver_rig::service;
+use testutils::driver_rig::whole_text;
 use testutils::scripted_servers::AttemptScript;
-use testutils::scripted_servers::ScriptedServers;
 use testutils::scripted_servers::scripted_token;
 
-const MAX_TOKENS: u32 = 12;
-
-#[derive(Default)]
-struct RecordingSink {
-    text: String,
-    ends: Vec<SessionEnd>,
-}
-
-impl CallerSink for RecordingSink {
-    fn accepted(&mut self, _id: RequestId) {}
-
-    fn token(&mut self, chunk: &TokenChunk) -> SinkState {
-        self.text.push_str(&chunk.text);
-        SinkState::Open
-    }
-
-    fn finish(&mut self, end: &SessionEnd) {
-        self.ends.push(end.clone());
-    }
-}
-
-/// Wins every claim and keeps what became of it.
-#[derive(Default)]
-struct RecordingClaims {
-    completed: Mutex<u32>,
-    released: Mutex<u32>,
-}
-
-impl ClaimPort for RecordingClaims {
-    fn claim(&self, _request: &CheckedRequest) -> ClaimDecision {
-        ClaimDecision::Won { fence: None }
-    }
-
-    fn complete(&self, _request: &CheckedRequest, _answer: &AppAnswer) {
-        *self.completed.lock().unwrap() += 1;
-    }
-
-    fn release(&self, _request: &CheckedRequest, _refusal: &NotRunRefusal) {
-        *self.released.lock().unwrap() += 1;
-    }
-}
-
-struct DriverRig {
-    servers: ScriptedServers,
-    claims: Arc<RecordingClaims>,
-    ports: SessionPorts,
-    addresses: Vec<SocketAddr>,
-}
-
-impl DriverRig {
-    fn new(server_count: u16) -> Self {
-        let servers = ScriptedServers::default();
-        let clock = ProcessClock::start();
-        let zone = ZoneName::try_from("salish-a").unwrap();
-        let host = HostId::try_from("entry-1").unwrap();
-        let mut router = RequestRouter::new(zone.clone(), 1);
-        let addresses: Vec<SocketAddr> =
-            (1..=server_count).map(|n| SocketAddr::from(([127, 0, 0, 1], n))).collect();
-        let infos = addresses.iter().map(|address| server_info(*address, &zone)).collect();
-        router.set_servers(clock.now(), infos);
-        let limits = AnswerLimits {
-            max_entries: 10,
-            max_bytes: 1 << 20,
-            retention: Duration::from_secs(60),
-        };
-        let claims = Arc::new(RecordingClaims::default());
-        let ports = SessionPorts {
-            clock,
-            router: Arc::new(Mutex::new(router)),
-            connector: Arc::new(servers.clone()),
-            claims: Some(claims.clone()),
-            answers: Arc::new(AnswerStore::new(clock, limits)),
-            suspects: Arc::new(Mutex::new(CrashSuspects::new(host))),
-            budget: Arc::new(Mutex::new(RetryBudget::new(20))),
-            registry: Arc::new(SessionRegistry::new()),
-            counters: Arc::new(SessionCounters::default()),
-        };
-        Self { servers, claims, ports, addresses }
-    }
-
-    fn run(&self, request: CheckedRequest) -> RecordingSink {
-        let mut sink = RecordingSink::default();
-        SessionDriver::new(self.ports.clone()).run(request, &mut sink);
-        assert_eq!(sink.ends.len(), 1, "one final answer");
-        assert!(self.ports.registry.running().is_empty());
-        sink
-    }
-
-    fn model_request(&self) -> CheckedRequest {
-        let work = RequestWork::Model { prompt: "a b c d".into(), max_tokens: MAX_TOKENS };
-        self.request(work, true)
-    }
-
-    fn alert_request(&self) -> CheckedRequest {
-        let work = RequestWork::App {
-            method: "POST".to_owned(),
-            path: "/alert".to_owned(),
-            headers: Vec::new(),
-            body: b"gust".as_slice().into(),
-        };
-        self.request(work, false)
-    }
-
-    fn request(&self, work: RequestWork, idempotent: bool) -> CheckedRequest {
-        let now = self.ports.clock.now();
-        CheckedRequest {
-            id: RequestId { origin: 7, sequence: 1 },
-            team: TeamName::try_from("clubs").unwrap(),
-            service: Arc::new(service()),
-            work,
-            idempotency_key: Some("key-1".to_owned()),
-            idempotent,
-            deadline: now + Duration::from_secs(30),
-            accepted_at: now,
-            priority: RequestPriority::default(),
-        }
-    }
-}
-
-fn server_info(address: SocketAddr, zone: &ZoneName) -> ServerInfo {
-    let name = format!("server-{}", address.port());
-    ServerInfo {
-        id: ServerId::try_from(name.as_str()).unwrap(),
-        host: HostId::try_from(name.as_str()).unwrap(),
-        address,
-        zone: zone.clone(),
-        service: service().name,
-        state: ServerState::Live,
-        concurrency: 4,
-    }
-}
-
-fn service() -> ServiceResource {
-    ServiceResource {
-        name: ServiceName::try_from("briefing").unwrap(),
-        kind: ServiceKind::Model,
-        model: Some("forecast".to_owned()),
-        latency_target: LatencyTarget {
-            first_token: Duration::from_secs(1),
-            token_gap: Duration::from_millis(46),
-            share_permille: 950,
-        },
-        idempotency: IdempotencyRule {
-            idempotent_paths: Vec::new(),
-            non_idempotent_paths: Vec::new(),
-        },
-        fencing: FencingCheck::Ignored,
-        static_servers: Vec::new(),
-        default_deadline: Duration::from_secs(30),
-        server_concurrency: 4,
-        min_replicas: 1,
-        max_replicas: 4,
-    }
-}
-
-fn whole_text() -> String {
-    (0..MAX_TOKENS).map(scripted_token).collect()
-}
+const HELD_TOKENS: u32 = 4;
+const LONG: Duration = Duration::from_secs(60);
 
 #[rstest]
 #[case::no_fault(&[])]
@@ -223,7 +53,7 @@
     let sink = rig.run(rig.model_request());
     assert_eq!(sink.ends[0].code(), ResultCode::Complete);
     assert_eq!(sink.text, whole_text());
-    let kept = rig.ports.answers.read_from(RequestId { origin: 7, sequence: 1 }, 4).unwrap();
+    let kept = rig.ports.answers.read_from(REQUEST, 4).unwrap();
     let kept: String = kept.chunks.into_iter().map(|chunk| chunk.text).collect();
     assert_eq!(kept, (4..MAX_TOKENS).map(scripted_token).collect::<String>());
 }
@@ -286,3 +116,104 @@
     assert_eq!(sink.ends[0].code(), ResultCode::KeyRequired);
     assert!(rig.servers.journal().is_empty());
 }
+
+/// Runs a request on a thread of its own until its first attempt holds after four tokens.
+fn run_held(rig: &DriverRig) -> thread::JoinHandle<RecordingSink> {
+    rig.servers.script(rig.addresses[0], AttemptScript::HoldAfter(HELD_TOKENS));
+    let (driver, request) = (SessionDriver::new(rig.ports.clone()), rig.model_request());
+    let thread = thread::spawn(move || {
+        let mut sink = RecordingSink::default();
+        driver.run(request, &mut sink);
+        sink
+    });
+    // The store may not know the request yet.
+    while rig.ports.answers.wait_from(REQUEST, HELD_TOKENS - 1, LONG).is_none() {
+        thread::yield_now();
+    }
+    thread
+}
+
+fn stored_text(rig: &DriverRig) -> String {
+    let part = rig.ports.answers.read_from(REQUEST, 0).unwrap();
+    part.chunks.into_iter().map(|chunk| chunk.text).collect()
+}
+
+#[test]
+fn handed_over() {
+    let leaver = DriverRig::new(1);
+    let taker = DriverRig::with_servers(1, leaver.servers.clone());
+    let thread = run_held(&leaver);
+    let (sender, receiver) = mpsc::channel();
+    assert!(leaver.ports.registry.message(REQUEST, DriverMessage::HandOver(sender)));
+    let state = receiver.recv().unwrap();
+    let state = UnfinishedRequest::decode(&state.encode().unwrap()).unwrap();
+    // What comes after the description is kept from the caller.
+    leaver.servers.release();
+    let driver = SessionDriver::new(taker.ports.clone());
+    assert!(driver.keep_offer(&state, Arc::new(service())));
+    assert!(driver.keep_offer(&state, Arc::new(service())));
+    assert!(leaver.ports.registry.send(REQUEST, SessionEvent::HandoverTaken));
+    let sink = thread.join().unwrap();
+    assert_eq!(sink.ends[0].code(), ResultCode::StillRunning);
+    assert_eq!(sink.text, state.tokens.concat());
+    driver.take_over(&state, Arc::new(service()));
+    assert_eq!(stored_text(&taker), whole_text());
+}
+
+#[test]
+fn handover_refused() {
+    let rig = DriverRig::new(1);
+    let thread = run_held(&rig);
+    let (sender, receiver) = mpsc::channel();
+    rig.ports.registry.message(REQUEST, DriverMessage::HandOver(sender));
+    assert_eq!(receiver.recv().unwrap().tokens.len(), HELD_TOKENS as usize);
+    rig.servers.release();
+    rig.ports.registry.message(REQUEST, DriverMessage::Resume);
+    assert_eq!(thread.join().unwrap().text, whole_text());
+}
+
+#[test]
+fn evacuated_stream() {
+    let rig = DriverRig::new(2);
+    let thread = run_held(&rig);
+    let keys: Vec<ServerKey> =
+        rig.ports.router.lock().unwrap().servers().map(|(key, _)| key).collect();
+    let leaves_at = rig.ports.clock.now() + Duration::from_millis(50);
+    let server = |(index, &key): (usize, &ServerKey)| EvacuationServer {
+        key,
+        leaves_at: (index == 0).then_some(leaves_at),
+        free_places: 4,
+        warm_blocks: BTreeSet::new(),
+    };
+    let servers: Vec<EvacuationServer> = keys.iter().enumerate().map(server).collect();
+    let rates =
+        EvacuationRates { token_time: Duration::from_secs(1), transfer_tokens_per_second: 1 };
+    let runner = EvacuationRunner::new(rig.ports.clone(), rates);
+    let moves = runner.evacuate(&servers);
+    assert_eq!(moves[0].choice, EvacuationChoice::Recompute { target: Some(keys[1]) });
+    let sink = thread.join().unwrap();
+    assert_eq!((sink.text, sink.ends[0].code()), (whole_text(), ResultCode::Complete));
+    let journal = rig.servers.journal();
+    assert_eq!((journal[1].address, journal[1].resume_from), (rig.addresses[1], HELD_TOKENS));
+    let router = rig.ports.router.lock().unwrap();
+    assert_eq!(router.server(keys[0]).unwrap().state, ServerState::Leaving);
+    rig.servers.release();
+}
+
+/// A request whose server's process ended waits for the evidence of other hosts, then is tried
+/// alone and refused after the second server.
+#[test]
+fn crashing_request() {
+    let rig = DriverRig::new(3);
+    for &address in &rig.addresses {
+        rig.servers.script(address, AttemptScript::LostAfter(0));
+        rig.servers.set_dead(address);
+    }
+    let sink = rig.run(rig.model_request());
+    assert_eq!(sink.ends[0].code(), ResultCode::AttemptsLost);
+    assert_eq!(rig.servers.journal().len(), 2);
+    let again = CheckedRequest { id: RequestId { origin: 7, sequence: 2 }, ..rig.model_request() };
+    let sink = rig.run(again);
+    assert_eq!(sink.ends[0].code(), ResultCode::CrashRefused);
+    assert_eq!(rig.servers.journal().len(), 2);
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod naive_session;
 
 pub mod crash_fleet;
+pub mod driver_rig;
 pub mod evacuation_wave;
 pub mod fault_schedule;
 pub mod scripted_servers;
--- a/lib/testutils/src/scripted_servers.rs
+++ b/lib/testutils/src/scripted_servers.rs
@@ -6,6 +6,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Condvar;
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -38,6 +39,8 @@
     Whole,
     /// This many tokens, then the connection is lost.
     LostAfter(u32),
+    /// This many tokens, then nothing until [`ScriptedServers::release`]; then the rest.
+    HoldAfter(u32),
     /// This many tokens, then silence is reported.
     SilentAfter(u32),
     /// The connection is not opened.
@@ -65,12 +68,14 @@
     journal: Vec<JournalLine>,
     retired: Vec<SocketAddr>,
     dead: Vec<SocketAddr>,
+    released: bool,
 }
 
 /// Servers of a test; an attempt without a script is answered whole.
 #[derive(Clone, Debug, Default)]
 pub struct ScriptedServers {
     state: Arc<Mutex<ScriptState>>,
+    changed: Arc<Condvar>,
 }
 
 /// Returns the token at an offset of every scripted answer.
@@ -99,6 +104,17 @@
         self.state.lock().unwrap().retired.clone()
     }
 
+    /// Lets held attempts go on.
+    pub fn release(&self) {
+        self.state.lock().unwrap().released = true;
+        self.changed.notify_all();
+    }
+
+    fn wait_release(&self) {
+        let state = self.state.lock().unwrap();
+        drop(self.changed.wait_while(state, |state| !state.released).unwrap());
+    }
+
     fn next_script(&self, address: SocketAddr) -> AttemptScript {
         let mut state = self.state.lock().unwrap();
         let script = state.scripts.get_mut(&address).and_then(VecDeque::pop_front);
@@ -150,12 +166,17 @@
             }
             AttemptScript::Refused => return Err(ServerError::Refused("scripted".to_owned())),
             AttemptScript::LostAfter(count) | AttemptScript::SilentAfter(count) => count,
-            AttemptScript::Whole | AttemptScript::WrongEnd => u32::MAX,
+            AttemptScript::HoldAfter(_) | AttemptScript::Whole | AttemptScript::WrongEnd => {
+                u32::MAX
+            }
         };
         self.servers.record(self.address, request.attempt, request.resume_from);
         on_event(GenerateEvent::Accepted);
         let stop = request.resume_from.saturating_add(count).min(request.max_tokens);
         for offset in request.resume_from..stop {
+            if script == AttemptScript::HoldAfter(offset - request.resume_from) {
+                self.servers.wait_release();
+            }
             let chunk = TokenChunk { offset, text: scripted_token(offset) };
             if on_event(GenerateEvent::Token(chunk)) == StreamFlow::Stop {
                 return Err(ServerError::Lost("stopped by the reader".to_owned()));
@@ -211,6 +232,9 @@
             AttemptScript::Refused => return Err(ServerError::Refused("scripted".to_owned())),
             _ => self.servers.record(self.address, request.attempt, 0),
         }
+        if let AttemptScript::HoldAfter(_) = script {
+            self.servers.wait_release();
+        }
         match script {
             AttemptScript::LostAfter(_) => Err(ServerError::Lost("scripted".to_owned())),
             AttemptScript::SilentAfter(_) => Err(ServerError::Silent(timeout)),
