sessions: a reader that reports silence ends its attempt at once

With an empty retry budget the session waited on for an attempt whose reader had already returned, until the deadline. Readers now give up after twice the session's own limit, so that abandoned ones end soon.

--- a/lib/src/request_session/recovery.rs
+++ b/lib/src/request_session/recovery.rs
@@ -32,8 +32,11 @@
     ) -> Vec<SessionAction> {
         self.ledger.observe(attempt, &error);
         let Some(running) = self.current(attempt) else { return Vec::new() };
-        if matches!(error, ServerError::Silent(_)) && self.repeatable() {
-            return self.on_silence(now, running, budget);
+        if matches!(error, ServerError::Silent(_)) && self.repeatable() && !running.probe {
+            return match budget.try_spend(now) {
+                true => self.probe(now, &running),
+                false => self.give_up(ResultCode::RetriesExhausted, ResultCode::AttemptsLost, None),
+            };
         }
         if let Some(finish_reason) = self.full_length() {
             let usage = TokenUsage {
@@ -45,8 +48,14 @@
         if !self.repeatable() && !proves_not_run(&error) {
             return self.finish_unknown(lost_code(&error), None);
         }
+        let silent = matches!(error, ServerError::Silent(_));
         self.last_error = Some(error);
-        self.retry(now, running.server, budget)
+        let mut actions = Vec::new();
+        if silent {
+            actions.push(SessionAction::SuspectServer(running.server));
+        }
+        actions.extend(self.retry(now, running.server, budget));
+        actions
     }
 
     /// Returns how the answer ends if no token is left to produce.
@@ -113,25 +122,31 @@
     }
 
     /// Tries a new connection to the same server once, then another server.
+    ///
+    /// Without budget for either the attempt goes on, as its connection is still open.
     fn on_silence(
         &mut self,
         now: Timestamp,
         running: RunningAttempt,
         budget: &mut RetryBudget,
     ) -> Vec<SessionAction> {
-        if !running.probe && !budget.try_spend(now) {
-            let heard_at = now;
-            self.phase = SessionPhase::Running(RunningAttempt { heard_at, ..running });
-            return Vec::new();
-        }
-        let mut actions = vec![cancel(&running)];
-        self.phase = SessionPhase::Choosing;
         if running.probe {
+            let mut actions = vec![cancel(&running)];
             actions.push(SessionAction::SuspectServer(running.server));
             actions.extend(self.retry(now, running.server, budget));
-        } else {
-            actions.extend(self.start_attempt(now, running.server, true));
+            return actions;
         }
+        if budget.try_spend(now) {
+            return self.probe(now, &running);
+        }
+        self.phase = SessionPhase::Running(RunningAttempt { heard_at: now, ..running });
+        Vec::new()
+    }
+
+    fn probe(&mut self, now: Timestamp, running: &RunningAttempt) -> Vec<SessionAction> {
+        let mut actions = vec![cancel(running)];
+        self.phase = SessionPhase::Choosing;
+        actions.extend(self.start_attempt(now, running.server, true));
         actions
     }
 
--- a/lib/src/session_driver/attempts.rs
+++ b/lib/src/session_driver/attempts.rs
@@ -22,11 +22,13 @@
 use crate::session_event::AttemptEnd;
 use crate::session_event::AttemptPlan;
 use crate::session_event::SessionEvent;
+use crate::session_event::SessionLimits;
 use crate::session_ports::ProbeResult;
 use crate::session_ports::SessionCounters;
 use crate::session_ports::lock;
 use crate::session_request::CheckedRequest;
 use crate::session_request::RequestWork;
+use crate::timestamp::Timestamp;
 
 impl SessionRun<'_> {
     /// Tells the router and the suspicions what an event shows, before the session takes it.
@@ -151,7 +153,7 @@
             server: info.id,
             zone: info.zone,
             address: info.address,
-            silence_limit: self.request.deadline.since(now).max(Duration::from_millis(1)),
+            silence_limit: self.silence_limit(now),
         };
         let text = self.session.stream().text();
         let connector = self.ports.connector.as_ref();
@@ -159,6 +161,17 @@
         self.current = Some(start_attempt(connector, &self.request, plan, text, target, sender));
     }
 
+    /// Returns how long a reader waits: longer than the session does, so that a reader that the
+    /// session has left ends soon. Calls that run once are waited for until their deadline.
+    fn silence_limit(&self, now: Timestamp) -> Duration {
+        let left = self.request.deadline.since(now).max(Duration::from_millis(1));
+        let limits = SessionLimits::from(&self.request.service.latency_target);
+        match self.request.idempotent {
+            true => left.min(limits.first_token.max(limits.token_gap) * 2),
+            false => left,
+        }
+    }
+
     /// Stops the reader and tells the engine over a connection of its own.
     pub(super) fn cancel(&mut self, attempt: AttemptNumber) {
         let Some(current) = self.current.as_ref().filter(|c| c.plan.attempt == attempt) else {
