--- a/cli/tests/test_admin_cli.rs
+++ b/cli/tests/test_admin_cli.rs
@@ -168,7 +168,7 @@
 #[case::unknown_command(&["frobnicate"], 2, "Unrecognized argument")]
 #[case::unknown_kind(&["get", "database"], 2, "service, team, class or policy")]
 #[case::missing_file(&["apply", "/no/such/file"], 2, "cannot read")]
-#[case::unknown_request(&["request", "00000000000000aa-2"], 3, "113 UnknownRequest")]
+#[case::unknown_request(&["request", "00000000000000aa-0000000000000002"], 3, "113 UnknownRequest")]
 #[case::no_write(&["drain", "host-1"], 3, "506 OperatorForbidden")]
 fn exit_codes(#[case] arguments: &[&str], #[case] code: i32, #[case] text: &str) {
     let fixture = AdminFixture::start();
--- a/lib/tests/test_admin_api.rs
+++ b/lib/tests/test_admin_api.rs
@@ -295,7 +295,7 @@
     let lookup = |id: &str| api::LookupRequestRequest { request_id: id.to_owned() };
     let state = call!(caller, lookup_request, lookup(KNOWN_REQUEST)).unwrap();
     assert_eq!((state.state.as_str(), state.attempts), ("running", 2));
-    let unknown = call!(caller, lookup_request, lookup("00000000000000aa-2"));
+    let unknown = call!(caller, lookup_request, lookup("00000000000000aa-0000000000000002"));
     assert_refused(unknown, Code::NotFound, ResultCode::UnknownRequest, Some("request_id"));
     let bad = call!(caller, lookup_request, lookup("x"));
     assert_refused(bad, Code::InvalidArgument, ResultCode::BadValue, Some("request_id"));
--- a/lib/testutils/src/admin_fixture.rs
+++ b/lib/testutils/src/admin_fixture.rs
@@ -28,7 +28,7 @@
 /// Token that allows reading alone.
 pub const READ_TOKEN: &str = "read-token";
 /// Request that the fixture knows.
-pub const KNOWN_REQUEST: &str = "00000000000000aa-1";
+pub const KNOWN_REQUEST: &str = "00000000000000aa-0000000000000001";
 
 /// A running administration API.
 pub struct AdminFixture {
