claims: a claimant of an earlier life of its host is gone

Cause: killed_host took 64 s: after the killed host came back, resends of its open keys took its new life for the claimant and waited until their deadline (code 308). Change: the claimant's life is compared.

Also: tests with real processes, killed, paused and stopped in the middle of requests, judged from the backend servers' journals.

--- /dev/null
+++ b/cli/tests/test_processes.rs
@@ -0,0 +1,151 @@
+//! Entry hosts as processes: killed, paused and stopped in the middle of requests.
+//!
+//! What ran is judged from the journals of the backend servers, so no verdict depends on timing.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::thread;
+
+use rustix::process::Signal;
+use serde_json::json;
+use testutils::process_fleet::CallerReply;
+use testutils::process_fleet::ProcessFleet;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_pomelostack");
+
+/// Sends of one key, in order.
+type SendLog = Mutex<BTreeMap<String, Vec<CallerReply>>>;
+
+/// Code of an answered request.
+const COMPLETE: u16 = 0;
+/// Code of a request whose key's claimant was waited for until the deadline.
+const STILL_RUNNING: u16 = 308;
+
+/// Sends every key once to one host, all at the same time, while `act` runs.
+fn send_all(fleet: &ProcessFleet, host: u16, keys: &[String], log: &SendLog, act: impl FnOnce()) {
+    thread::scope(|scope| {
+        for key in keys {
+            scope.spawn(move || {
+                let reply = fleet.post(host, "/services/lookup/alert", Some(key), "gust");
+                let mut sends = log.lock().expect("no sender panics");
+                sends.entry(key.clone()).or_default().push(reply);
+            });
+        }
+        act();
+    });
+}
+
+/// Waits until the app servers have begun at least `count` runs.
+fn wait_for_runs(fleet: &ProcessFleet, count: usize) {
+    testutils::hang_guard::wait_for(|| keyed_runs(fleet).len() >= count);
+}
+
+fn keyed_runs(fleet: &ProcessFleet) -> Vec<String> {
+    fleet.app_runs().into_iter().filter_map(|run| run.key).collect()
+}
+
+/// Checks every key: run once at most, and once exactly if any send was answered.
+fn check_runs(fleet: &ProcessFleet, log: &SendLog) {
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    for key in keyed_runs(fleet) {
+        *runs.entry(key).or_default() += 1;
+    }
+    let sends = log.lock().expect("no sender panics");
+    for (key, replies) in sends.iter() {
+        let ran = runs.get(key).copied().unwrap_or_default();
+        assert!(ran <= 1, "{key} ran {ran} times: {replies:?}");
+        let answers: Vec<&CallerReply> =
+            replies.iter().filter(|reply| reply.code == Some(COMPLETE)).collect();
+        if !answers.is_empty() {
+            assert_eq!(ran, 1, "{key} was answered and never ran: {replies:?}");
+        }
+        assert!(answers.windows(2).all(|pair| pair[0].body == pair[1].body), "{replies:?}");
+        let last = replies.last().expect("every key was sent");
+        assert!(last.status != 0, "{key} has no final answer: {replies:?}");
+    }
+}
+
+fn keys(count: usize) -> Vec<String> {
+    (0..count).map(|index| format!("alert-{index}")).collect()
+}
+
+#[test]
+fn killed_host() {
+    let mut fleet = ProcessFleet::start(PROGRAM, 3);
+    fleet.fault_apps(&json!({ "slow": { "extra_ms": 300 } }));
+    let (keys, log) = (keys(24), SendLog::default());
+    send_all(&fleet, 0, &keys, &log, || {
+        wait_for_runs(&fleet, 4);
+        fleet.signal(0, Signal::KILL);
+    });
+    assert!(!fleet.wait_for_end(0));
+    fleet.fault_apps(&json!({ "slow": { "extra_ms": 0 } }));
+    send_all(&fleet, 1, &keys, &log, || {});
+    send_all(&fleet, 2, &keys, &log, || {});
+    check_runs(&fleet, &log);
+    fleet.restart(PROGRAM, 0);
+    send_all(&fleet, 0, &keys, &log, || {});
+    check_runs(&fleet, &log);
+    // The host's new life must not pass for the one that claimed: nobody waits for the dead.
+    let sends = log.lock().expect("no sender panics");
+    assert!(sends.values().flatten().all(|reply| reply.code != Some(STILL_RUNNING)), "{sends:?}");
+}
+
+#[test]
+fn paused_host() {
+    let fleet = ProcessFleet::start(PROGRAM, 3);
+    fleet.fault_apps(&json!({ "slow": { "extra_ms": 200 } }));
+    let (keys, log) = (keys(24), SendLog::default());
+    send_all(&fleet, 0, &keys, &log, || {
+        wait_for_runs(&fleet, 4);
+        fleet.signal(0, Signal::STOP);
+        send_all(&fleet, 1, &keys, &log, || {});
+        fleet.signal(0, Signal::CONT);
+    });
+    send_all(&fleet, 2, &keys, &log, || {});
+    check_runs(&fleet, &log);
+}
+
+#[test]
+fn stopped_host() {
+    let mut fleet = ProcessFleet::start(PROGRAM, 2);
+    let body = r#"{"model":"briefing","prompt":"Whole course today","max_tokens":40}"#;
+    let whole = fleet.post(1, "/v1/completions", None, body);
+    let streams: Vec<CallerReply> = thread::scope(|scope| {
+        let callers: Vec<_> =
+            (0..8).map(|_| scope.spawn(|| fleet.post(0, "/v1/completions", None, body))).collect();
+        testutils::hang_guard::wait_for(|| fleet.model_runs_open() >= 4);
+        fleet.signal(0, Signal::TERM);
+        callers.into_iter().map(|caller| caller.join().expect("no caller panics")).collect()
+    });
+    for reply in streams {
+        // A request that came after the stop is refused, and never cut short.
+        match reply.code {
+            Some(COMPLETE) => assert_eq!(text_of(&reply), text_of(&whole)),
+            code => assert!(code == Some(205) || reply.status == 0, "{reply:?}"),
+        }
+    }
+    assert!(fleet.wait_for_end(0));
+    assert_eq!(fleet.get(1, "/readyz").status, 200);
+}
+
+#[test]
+fn resent_prompt() {
+    let mut fleet = ProcessFleet::start(PROGRAM, 2);
+    let body = r#"{"model":"briefing","prompt":"Gusts at noon","max_tokens":30}"#;
+    let whole = fleet.post(1, "/v1/completions", None, body);
+    let cut = thread::scope(|scope| {
+        let caller = scope.spawn(|| fleet.post(0, "/v1/completions", None, body));
+        testutils::hang_guard::wait_for(|| fleet.model_runs_open() >= 1);
+        fleet.signal(0, Signal::KILL);
+        caller.join().expect("the caller does not panic")
+    });
+    assert!(cut.status == 0 || text_of(&cut) == text_of(&whole), "{cut:?}");
+    assert!(!fleet.wait_for_end(0));
+    assert_eq!(text_of(&fleet.post(1, "/v1/completions", None, body)), text_of(&whole));
+}
+
+fn text_of(reply: &CallerReply) -> String {
+    let body: serde_json::Value = serde_json::from_str(&reply.body).expect("the body is JSON");
+    body["choices"][0]["text"].as_str().expect("the answer has a text").to_owned()
+}
--- a/lib/src/entry_parts.rs
+++ b/lib/src/entry_parts.rs
@@ -39,6 +39,7 @@
 use crate::member_record::MemberRecord;
 use crate::member_record::MemberStatus;
 use crate::member_record::host_hash;
+use crate::member_record::life_of;
 use crate::peer_client::PeerTimeouts;
 use crate::peer_link::ClusterSecret;
 use crate::request_router::RequestRouter;
@@ -116,7 +117,9 @@
     ClaimKeeper::start(keeper_settings, log, clock)
 }
 
-/// Builds the gate through which sessions claim; a claimant that is not a member is gone.
+/// Builds the gate through which sessions claim.
+///
+/// A claimant whose host is no member, or lives another life, is gone.
 pub fn build_gate(
     keeper: Arc<ClaimKeeper>,
     clock: ProcessClock,
@@ -124,7 +127,12 @@
 ) -> Arc<ClaimGate> {
     let is_alive = move |claimant: &Claimant| {
         let view = members.snapshot();
-        view.local.host == claimant.host || view.find(&claimant.host).is_some()
+        let life = if view.local.host == claimant.host {
+            Some(life_of(view.local.incarnation))
+        } else {
+            view.find(&claimant.host).map(|member| member.life)
+        };
+        life == Some(claimant.incarnation)
     };
     Arc::new(ClaimGate::new(keeper, clock, Box::new(is_alive)))
 }
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod member_queue;
 pub mod platform_standin;
 pub mod prefix_cache;
+pub mod process_fleet;
 pub mod raw_server;
 pub mod server_life;
 mod standin_listener;
--- /dev/null
+++ b/lib/testutils/src/process_fleet.rs
@@ -0,0 +1,253 @@
+//! The platform's stand-ins and entry hosts as processes of their own, for tests that kill them.
+
+use std::io::BufRead as _;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::dev_cluster::DevPlan;
+use crate::dev_cluster::OPERATOR_WRITE_TOKEN;
+use crate::dev_cluster::TEAMS;
+use crate::hang_guard::wait_for;
+
+/// Time after which a call that does not end is a failure.
+const HANG_GUARD: Duration = Duration::from_secs(60);
+
+/// A process that is killed when it is dropped.
+struct GuardedChild(Child);
+
+impl Drop for GuardedChild {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// What a caller got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallerReply {
+    /// HTTP status.
+    pub status: u16,
+    /// Numbered result code of the reply's header.
+    pub code: Option<u16>,
+    /// Body.
+    pub body: String,
+}
+
+/// One line of a backend server's journal, as its page gives it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct JournalLine {
+    /// Idempotency key.
+    pub key: Option<String>,
+    /// When the run ended, in milliseconds since the Unix epoch; `None` while it runs.
+    pub end_ms: Option<u64>,
+}
+
+/// A platform and entry hosts that run as processes.
+pub struct ProcessFleet {
+    plan: DevPlan,
+    folder: PathBuf,
+    entries: Vec<Option<GuardedChild>>,
+    model_servers: Vec<SocketAddr>,
+    app_servers: Vec<SocketAddr>,
+    _platform: GuardedChild,
+}
+
+impl ProcessFleet {
+    /// Starts the platform and all entry hosts from the program, and publishes the configuration.
+    pub fn start(program: &str, hosts: u16) -> Self {
+        let plan = DevPlan::for_test(hosts);
+        let folder = std::env::temp_dir().join(format!("fleet-{}", plan.http.ip()));
+        let path = folder.to_str().expect("the folder has a name").to_owned();
+        let http = plan.http.to_string();
+        let count = hosts.to_string();
+        let written = Command::new(program)
+            .args(["dev", "--http", &http, "--hosts", &count, "--write-settings", &path])
+            .stdout(Stdio::null())
+            .status();
+        assert!(written.expect("the program runs").success());
+        let (platform, lines) =
+            spawn_until_ready(program, &["dev", "--http", &http, "--platform-only"]);
+        let servers = |kind| lines.iter().filter_map(move |line| address_of(line, kind)).collect();
+        let mut fleet = Self {
+            plan,
+            folder,
+            entries: Vec::new(),
+            model_servers: servers("model server"),
+            app_servers: servers("app server"),
+            _platform: platform,
+        };
+        for index in 0..hosts {
+            let child = fleet.spawn_entry(program, index);
+            fleet.entries.push(Some(child));
+        }
+        fleet.publish(program);
+        fleet
+    }
+
+    /// Starts an entry host anew.
+    pub fn restart(&mut self, program: &str, index: u16) {
+        let child = self.spawn_entry(program, index);
+        self.entries[usize::from(index)] = Some(child);
+    }
+
+    fn spawn_entry(&self, program: &str, index: u16) -> GuardedChild {
+        let file = self.folder.join(format!("entry-{}.json", index + 1));
+        let path = file.to_str().expect("the file has a name");
+        spawn_until_ready(program, &["entry", "--settings", path]).0
+    }
+
+    fn publish(&self, program: &str) {
+        let admin = self.plan.admin_address(0).to_string();
+        let file = self.folder.join("configuration.json");
+        let applied = Command::new(program)
+            .args(["admin", "--address", &admin, "--token", OPERATOR_WRITE_TOKEN, "apply"])
+            .arg(&file)
+            .stdout(Stdio::null())
+            .status();
+        assert!(applied.expect("the program runs").success());
+        for index in 0..self.plan.hosts {
+            wait_for(|| self.get(index, "/services/lookup/ready").status == 200);
+            let body = r#"{"model":"briefing","prompt":"ready","max_tokens":1}"#;
+            wait_for(|| self.post(index, "/v1/completions", None, body).status == 200);
+        }
+    }
+
+    /// Sends a signal to an entry host.
+    pub fn signal(&self, index: usize, signal: Signal) {
+        let child = self.entries[index].as_ref().expect("the host runs");
+        kill_process(Pid::from_child(&child.0), signal).expect("the signal is sent");
+    }
+
+    /// Waits until an entry host's process has ended, and returns whether it ended well.
+    pub fn wait_for_end(&mut self, index: usize) -> bool {
+        let mut child = self.entries[index].take().expect("the host runs");
+        child.0.wait().expect("the process ends").success()
+    }
+
+    /// Returns the front door of an entry host.
+    pub fn http_address(&self, index: u16) -> SocketAddr {
+        self.plan.http_address(index)
+    }
+
+    /// Makes a GET call; a connection that fails gives status 0.
+    pub fn get(&self, index: u16, path: &str) -> CallerReply {
+        self.call(index, "GET", path, None, "")
+    }
+
+    /// Makes a POST call, with an idempotency key if one is given; a connection that fails gives
+    /// status 0.
+    pub fn post(&self, index: u16, path: &str, key: Option<&str>, body: &str) -> CallerReply {
+        self.call(index, "POST", path, key, body)
+    }
+
+    fn call(
+        &self,
+        index: u16,
+        method: &str,
+        path: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> CallerReply {
+        let config = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(HANG_GUARD))
+            .max_idle_connections(0);
+        let agent = ureq::Agent::new_with_config(config.build());
+        let mut builder = ureq::http::Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.http_address(index)))
+            .header("authorization", format!("Bearer {}", TEAMS[0].1));
+        if let Some(key) = key {
+            builder = builder.header("idempotency-key", key);
+        }
+        let request = builder.body(body.to_owned()).expect("the request is well formed");
+        match agent.run(request) {
+            Err(_) => CallerReply { status: 0, code: None, body: String::new() },
+            Ok(mut reply) => {
+                let header = reply.headers().get("pomelostack-result");
+                let code = header.and_then(|value| value.to_str().ok()?.parse().ok());
+                let status = reply.status().as_u16();
+                match reply.body_mut().read_to_string() {
+                    Ok(body) => CallerReply { status, code, body },
+                    Err(_) => CallerReply { status: 0, code, body: String::new() },
+                }
+            }
+        }
+    }
+
+    /// Returns the runs of all app servers.
+    pub fn app_runs(&self) -> Vec<JournalLine> {
+        read_journals(&self.app_servers)
+    }
+
+    /// Returns the number of model runs that have begun and not ended.
+    pub fn model_runs_open(&self) -> usize {
+        read_journals(&self.model_servers).iter().filter(|run| run.end_ms.is_none()).count()
+    }
+
+    /// Sends a fault to every app server.
+    pub fn fault_apps(&self, fault: &Value) {
+        for address in &self.app_servers {
+            let url = format!("http://{address}/faults");
+            ureq::post(url).send_json(fault).expect("the fault is taken");
+        }
+    }
+}
+
+impl Drop for ProcessFleet {
+    fn drop(&mut self) {
+        // A folder that stays behind in the temporary folder does no harm.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Starts a process and reads its output up to the line that begins with "ready".
+fn spawn_until_ready(program: &str, arguments: &[&str]) -> (GuardedChild, Vec<String>) {
+    let spawned = Command::new(Path::new(program))
+        .args(arguments)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn();
+    let mut child = GuardedChild(spawned.expect("the program runs"));
+    let output = child.0.stdout.take().expect("the output is a pipe");
+    let mut lines = Vec::new();
+    for line in BufReader::new(output).lines() {
+        let line = line.expect("the output is text");
+        if line.starts_with("ready") {
+            return (child, lines);
+        }
+        lines.push(line);
+    }
+    panic!("{arguments:?} ended before it was ready: {lines:?}");
+}
+
+fn read_journals(servers: &[SocketAddr]) -> Vec<JournalLine> {
+    let mut runs = Vec::new();
+    for address in servers {
+        let url = format!("http://{address}/journal");
+        let mut reply = ureq::get(url).call().expect("the journal can be read");
+        let lines: Vec<JournalLine> = reply.body_mut().read_json().expect("it is a list");
+        runs.extend(lines);
+    }
+    runs
+}
+
+/// Reads the address out of a line that `dev` prints.
+fn address_of(line: &str, kind: &str) -> Option<SocketAddr> {
+    let rest = line.strip_prefix(kind)?.trim_start().strip_prefix("http://")?;
+    rest.split_whitespace().next()?.parse().ok()
+}
