--- a/lib/src/claim_checkpoint.rs
+++ b/lib/src/claim_checkpoint.rs
@@ -2,16 +2,15 @@
 
 use std::collections::BTreeMap;
 
+use crate::claim_codec::decode_key;
 use crate::claim_codec::encode_checkpoint;
-use crate::claim_codec::encode_key;
 use crate::claim_fold::ClaimFold;
-use crate::claim_fold::digest_records;
+use crate::claim_fold::digest_keys;
 use crate::claim_record::CheckpointPart;
-use crate::claim_record::ClaimKey;
 use crate::claim_record::Claimant;
-use crate::claim_record::KeyRecord;
 use crate::ids::LogOffset;
 use crate::log_service::MAX_RECORD_BYTES;
+use crate::record_error::Result;
 use crate::result_code::ResultCode;
 
 /// Bytes of keys in one part; the rest of the record is its fixed fields.
@@ -25,26 +24,37 @@
 
 /// Encodes the fold as checkpoint records in order, or returns `None` if the fold has gaps.
 pub fn cut_checkpoint(writer: &Claimant, fold: &ClaimFold) -> Option<Vec<Vec<u8>>> {
-    let mut parts: Vec<Vec<(ClaimKey, KeyRecord)>> = vec![Vec::new()];
+    if !fold.is_whole() {
+        return None;
+    }
+    let (covered, clock_ms) = (fold.position(), fold.clock_ms());
+    let keys = fold.encoded_keys();
+    let digest = digest_keys(covered, clock_ms, keys.iter().map(Vec::as_slice));
+    let parts = cut_parts(keys);
+    let count = u32::try_from(parts.len()).ok()?;
+    let encode = |(index, keys)| {
+        let part = CheckpointPart { covered, clock_ms, index, count, digest, keys };
+        encode_checkpoint(writer, part)
+    };
+    Some((0..count).zip(parts).map(encode).collect())
+}
+
+/// Divides encoded keys among as many parts as their bytes need, one at least.
+fn cut_parts(keys: Vec<Vec<u8>>) -> Vec<Vec<Vec<u8>>> {
+    let mut parts = Vec::new();
+    let mut part = Vec::new();
     let mut part_bytes = 0;
-    for (key, record) in fold.records()? {
-        let key_bytes = encode_key(key, record).len() + KEY_FRAME_BYTES;
+    for key in keys {
+        let key_bytes = key.len() + KEY_FRAME_BYTES;
         if part_bytes + key_bytes > PART_KEY_BYTES {
-            parts.push(Vec::new());
+            parts.push(std::mem::take(&mut part));
             part_bytes = 0;
         }
         part_bytes += key_bytes;
-        if let Some(part) = parts.last_mut() {
-            part.push((key, record.clone()));
-        }
+        part.push(key);
     }
-    let count = u32::try_from(parts.len()).ok()?;
-    let digest = fold.digest();
-    let encode = |(index, keys)| {
-        let (covered, clock_ms) = (fold.position(), fold.clock_ms());
-        encode_checkpoint(writer, &CheckpointPart { covered, clock_ms, index, count, digest, keys })
-    };
-    Some((0..count).zip(parts).map(encode).collect())
+    parts.push(part);
+    parts
 }
 
 /// Joins the parts of checkpoints, in whatever order and however mixed they arrive.
@@ -96,11 +106,10 @@
     parts: BTreeMap<u32, CheckpointPart>,
 ) -> Option<ClaimFold> {
     let clock_ms = parts.values().next()?.clock_ms;
-    let keys: BTreeMap<ClaimKey, KeyRecord> =
-        parts.into_values().flat_map(|part| part.keys).collect();
-    let records = keys.iter().map(|(key, record)| (*key, record));
-    if digest_records(covered, clock_ms, records) != digest {
+    let keys: Vec<Vec<u8>> = parts.into_values().flat_map(|part| part.keys).collect();
+    if digest_keys(covered, clock_ms, keys.iter().map(Vec::as_slice)) != digest {
         return None;
     }
-    Some(ClaimFold::from_checkpoint(covered, clock_ms, keys))
+    let records = keys.iter().map(|key| decode_key(key)).collect::<Result<_>>().ok()?;
+    Some(ClaimFold::from_checkpoint(covered, clock_ms, records))
 }
--- a/lib/src/claim_codec.rs
+++ b/lib/src/claim_codec.rs
@@ -45,13 +45,13 @@
 }
 
 /// Encodes one part of a checkpoint.
-pub fn encode_checkpoint(writer: &Claimant, part: &CheckpointPart) -> Vec<u8> {
+pub fn encode_checkpoint(writer: &Claimant, part: CheckpointPart) -> Vec<u8> {
     let wire_part = wire::CheckpointPart {
         covered: part.covered.0,
         index: part.index,
         count: part.count,
         digest: part.digest.to_vec(),
-        entries: part.keys.iter().map(|(key, record)| key_to_wire(*key, record)).collect(),
+        entries: part.keys,
         clock_ms: part.clock_ms,
     };
     let record = wire::ClaimRecord { checkpoint: Some(wire_part), ..record_of(writer) };
@@ -69,6 +69,17 @@
     key_to_wire(key, record).encode_to_vec()
 }
 
+/// Decodes one key of a checkpoint.
+pub fn decode_key(data: &[u8]) -> Result<(ClaimKey, KeyRecord)> {
+    let entry: wire::CheckpointEntry = decode_message(data)?;
+    let record = KeyRecord {
+        expires_ms: entry.expires_ms,
+        floor: entry.floor_next.checked_sub(1).map(LogOffset),
+        holder: entry.holder.map(holder_from_wire).transpose()?,
+    };
+    Ok((key_from_wire(&entry.key)?, record))
+}
+
 /// Decodes one record of the stream.
 pub fn decode_record(data: &[u8]) -> Result<ClaimRecord> {
     let record: wire::ClaimRecord = decode_message(data)?;
@@ -207,19 +218,10 @@
         index: part.index,
         count: part.count,
         digest: part.digest.try_into().map_err(|_| RecordError::Malformed("digest"))?,
-        keys: part.entries.into_iter().map(key_record_from_wire).collect::<Result<_>>()?,
+        keys: part.entries,
     })
 }
 
-fn key_record_from_wire(entry: wire::CheckpointEntry) -> Result<(ClaimKey, KeyRecord)> {
-    let record = KeyRecord {
-        expires_ms: entry.expires_ms,
-        floor: entry.floor_next.checked_sub(1).map(LogOffset),
-        holder: entry.holder.map(holder_from_wire).transpose()?,
-    };
-    Ok((key_from_wire(&entry.key)?, record))
-}
-
 fn holder_from_wire(holder: wire::CheckpointHolder) -> Result<KeyHolder> {
     Ok(KeyHolder {
         claimant: claimant_from_wire(holder.host, holder.incarnation)?,
--- a/lib/src/claim_fold.rs
+++ b/lib/src/claim_fold.rs
@@ -122,17 +122,21 @@
         }
     }
 
-    /// Returns every key with its record, unless some are doubtful.
-    pub fn records(&self) -> Option<impl Iterator<Item = (ClaimKey, &KeyRecord)>> {
+    /// Returns every key in its encoded form, in the order of keys.
+    pub fn encoded_keys(&self) -> Vec<Vec<u8>> {
+        self.keys.iter().map(|(key, entry)| encode_key(*key, &entry.record)).collect()
+    }
+
+    /// Returns whether no record of any key may have been missed.
+    pub fn is_whole(&self) -> bool {
         let trusted = self.clock_ms >= self.trusted_from_ms;
-        let whole = trusted && self.keys.values().all(|entry| !entry.doubtful);
-        whole.then(|| self.keys.iter().map(|(key, entry)| (*key, &entry.record)))
+        trusted && self.keys.values().all(|entry| !entry.doubtful)
     }
 
     /// Returns a hash of position, clock and every key; equal folds have equal hashes.
     pub fn digest(&self) -> [u8; 16] {
-        let records = self.keys.iter().map(|(key, entry)| (*key, &entry.record));
-        digest_records(self.position, self.clock_ms, records)
+        let keys = self.encoded_keys();
+        digest_keys(self.position, self.clock_ms, keys.iter().map(Vec::as_slice))
     }
 
     /// Passes a record that is not a batch; returns the keys whose state changed.
@@ -275,17 +279,17 @@
     }
 }
 
-/// Returns a hash of the records of a fold at a position.
-pub fn digest_records<'a>(
+/// Returns a hash of the encoded keys of a fold at a position.
+pub fn digest_keys<'a>(
     position: LogOffset,
     clock_ms: u64,
-    records: impl Iterator<Item = (ClaimKey, &'a KeyRecord)>,
+    keys: impl Iterator<Item = &'a [u8]>,
 ) -> [u8; 16] {
     let mut hasher = blake3::Hasher::new();
     hasher.update(&position.0.to_le_bytes());
     hasher.update(&clock_ms.to_le_bytes());
-    for (key, record) in records {
-        hasher.update(&encode_key(key, record));
+    for key in keys {
+        hasher.update(key);
     }
     let mut digest = [0; 16];
     digest.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
--- a/lib/src/claim_record.rs
+++ b/lib/src/claim_record.rs
@@ -182,8 +182,8 @@
     pub count: u32,
     /// Hash over all keys of the checkpoint.
     pub digest: [u8; 16],
-    /// Keys of this part.
-    pub keys: Vec<(ClaimKey, KeyRecord)>,
+    /// Encoded keys of this part, see [`crate::claim_codec::decode_key`].
+    pub keys: Vec<Vec<u8>>,
 }
 
 /// One record of the stream.
--- a/lib/src/protos/pomelostack.claims.rs
+++ b/lib/src/protos/pomelostack.claims.rs
@@ -113,7 +113,7 @@
     pub request_sequence: u64,
 }
 /// One part of the fold at an offset.
-#[derive(Clone, PartialEq, ::prost::Message)]
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct CheckpointPart {
     /// Every record below this offset is covered.
     #[prost(uint64, tag = "1")]
@@ -124,11 +124,12 @@
     /// Parts of the whole checkpoint.
     #[prost(uint32, tag = "3")]
     pub count: u32,
-    /// Hash over all parts; 16 bytes.
+    /// Hash over `covered`, `clock_ms` and the entries of all parts; 16 bytes.
     #[prost(bytes = "vec", tag = "4")]
     pub digest: ::prost::alloc::vec::Vec<u8>,
-    #[prost(message, repeated, tag = "5")]
-    pub entries: ::prost::alloc::vec::Vec<CheckpointEntry>,
+    /// Encoded CheckpointEntry messages, in the order of their keys over all parts.
+    #[prost(bytes = "vec", repeated, tag = "5")]
+    pub entries: ::prost::alloc::vec::Vec<::prost::alloc::vec::Vec<u8>>,
     /// The fold's clock at `covered`, in milliseconds since the Unix epoch.
     #[prost(uint64, tag = "6")]
     pub clock_ms: u64,
