--- a/lib/tests/test_lease_holder.rs
+++ b/lib/tests/test_lease_holder.rs
@@ -1,6 +1,11 @@
 //! Leases: one effective holder under seeded failures, for servers that check fencing numbers and
 //! for those that do not; the fold agrees with a naive one.
 
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 
 use pomelostack_lib::ids::FencingNumber;
@@ -15,7 +20,15 @@
 use pomelostack_lib::lease_codec::LeaseRecord;
 use pomelostack_lib::lease_codec::LeaseStatement;
 use pomelostack_lib::lease_codec::decode_record;
+use pomelostack_lib::lease_codec::encode_record;
+use pomelostack_lib::lease_keeper::LeaseKeeper;
+use pomelostack_lib::log_service;
+use pomelostack_lib::log_service::LogError;
+use pomelostack_lib::log_service::LogService;
+use pomelostack_lib::log_service::LogSlice;
+use pomelostack_lib::log_service::LogStream;
 use pomelostack_lib::resource::FencingCheck;
+use pomelostack_lib::timestamp::ProcessClock;
 use pomelostack_lib::timestamp::Timestamp;
 use proptest::prelude::*;
 use proptest::test_runner::Config;
@@ -27,6 +40,7 @@
 use testutils::lease_harness::LeaseReport;
 use testutils::lease_harness::run_lease_schedule;
 use testutils::naive_lease::naive_holder;
+use testutils::schedule_log::ScheduleLog;
 
 const SCHEDULES: u64 = 500;
 
@@ -186,3 +200,61 @@
     });
     checked.unwrap();
 }
+
+/// A log in memory whose first append loses its reply.
+struct MemoryLog {
+    clock: ProcessClock,
+    log: Mutex<ScheduleLog>,
+    appends: AtomicU64,
+}
+
+impl LogService for MemoryLog {
+    fn append(&self, _: LogStream, data: &[u8]) -> log_service::Result<LogOffset> {
+        let offset = self.appends.fetch_add(1, Ordering::SeqCst);
+        self.log.lock().expect("unpoisoned").append(self.clock.now().0, data.to_vec());
+        match offset {
+            0 => Err(LogError::FateUnknown("reply lost".to_owned())),
+            _ => Ok(LogOffset(offset)),
+        }
+    }
+
+    fn read(&self, _: LogStream, from: LogOffset, _: usize) -> log_service::Result<LogSlice> {
+        self.log.lock().expect("unpoisoned").read(self.clock.now().0, from)
+    }
+}
+
+#[test]
+fn keeper_acquires() {
+    let clock = ProcessClock::start();
+    let log = Arc::new(MemoryLog { clock, log: Mutex::default(), appends: AtomicU64::default() });
+    let (term, order_timeout) = (Duration::from_secs(60), Duration::ZERO);
+    let lease = LeaseSettings { term, order_timeout, ..settings("entry-0") };
+    // A released lease frees the duty at once, so the test does not wait for a term.
+    let earlier = LeaseRecord {
+        duty: lease.duty,
+        host: HostId::try_from("entry-1").unwrap(),
+        incarnation: Incarnation(1),
+        sequence: 1,
+        statement: LeaseStatement::Acquire { basis: LogOffset(0) },
+    };
+    let release =
+        LeaseRecord { statement: LeaseStatement::Release(FencingNumber(0)), ..earlier.clone() };
+    for record in [earlier, release] {
+        log.log.lock().unwrap().append(0, encode_record(&record));
+    }
+    let keeper = LeaseKeeper::start(vec![lease], Duration::from_millis(2), log.clone(), clock);
+    assert_eq!(keeper.may_act(LeaseDuty::CheckpointWriter), None);
+    keeper.want(LeaseDuty::CheckpointWriter, true);
+    let fence = loop {
+        match keeper.may_act(LeaseDuty::CheckpointWriter) {
+            Some(fence) => break fence,
+            None => thread::yield_now(),
+        }
+    };
+    assert_eq!(fence, FencingNumber(2));
+    assert_eq!(keeper.may_act(LeaseDuty::FleetPlanner), None);
+    keeper.want(LeaseDuty::CheckpointWriter, false);
+    assert_eq!(keeper.may_act(LeaseDuty::CheckpointWriter), None);
+    keeper.stop();
+    assert_eq!(keeper.stats().failed_appends, 1);
+}
