claims: forget by the log's clock on an idle stream

Cause: once every host refused new claims as full, nothing was appended, the fold's clock stood still and the keys never expired; a key of a dead claimant stayed UNKNOWN on an idle stream. Change: lookups and the bounds count a key as forgotten once the log's clock, as last read, is past its time; the fold still decides when the next record lands. Waiting requests keep only their own time. Conclusion: test full_recovers.

--- a/lib/src/claim_fold.rs
+++ b/lib/src/claim_fold.rs
@@ -32,6 +32,15 @@
     Doubtful,
 }
 
+/// Size of a fold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FoldUsage {
+    /// Keys that are remembered.
+    pub keys: usize,
+    /// Bytes of the answers that are kept.
+    pub answer_bytes: usize,
+}
+
 /// State of every key that is remembered.
 #[derive(Clone, Debug, Default)]
 pub struct ClaimFold {
@@ -93,24 +102,24 @@
         self.trusted_from_ms
     }
 
-    /// Returns the number of keys that are remembered.
-    pub fn len(&self) -> usize {
-        self.keys.len()
-    }
-
-    /// Returns whether no key is remembered.
-    pub fn is_empty(&self) -> bool {
-        self.keys.is_empty()
-    }
-
-    /// Returns the bytes of the answers that are kept.
-    pub fn answer_bytes(&self) -> usize {
-        self.answer_bytes
+    /// Returns what the fold holds once the log's clock is at `now_ms`.
+    pub fn usage(&self, now_ms: u64) -> FoldUsage {
+        let expired = self.expiry.iter().take_while(|(expires_ms, _)| *expires_ms <= now_ms);
+        let mut usage = FoldUsage { keys: self.keys.len(), answer_bytes: self.answer_bytes };
+        for (_, key) in expired {
+            usage.keys -= 1;
+            usage.answer_bytes -= self.keys.get(key).map_or(0, |entry| answer_bytes(&entry.record));
+        }
+        usage
     }
 
     /// Returns what is known about a key, when the log's clock is at `now_ms` at least.
+    ///
+    /// A record appended from then on forgets keys whose time is over before it is folded, so they
+    /// count as forgotten.
     pub fn state(&self, key: ClaimKey, now_ms: u64) -> KeyState<'_> {
-        let Some(entry) = self.keys.get(&key) else {
+        let remembered = self.keys.get(&key).filter(|entry| entry.record.expires_ms > now_ms);
+        let Some(entry) = remembered else {
             let trusted = now_ms.max(self.clock_ms) >= self.trusted_from_ms;
             return if trusted { KeyState::Fresh } else { KeyState::Doubtful };
         };
--- a/lib/src/claim_keeper.rs
+++ b/lib/src/claim_keeper.rs
@@ -185,9 +185,10 @@
     /// Returns figures for metrics.
     pub fn stats(&self) -> KeeperStats {
         let core = self.shared.lock();
+        let usage = core.reader.usage();
         KeeperStats {
-            keys: core.reader.fold().len(),
-            answer_bytes: core.reader.fold().answer_bytes(),
+            keys: usage.keys,
+            answer_bytes: usage.answer_bytes,
             pending: core.writer.pending(),
             bad_records: core.reader.bad_records().total(),
             digest_mismatches: core.reader.digest_mismatches(),
@@ -262,11 +263,13 @@
                 return ClaimVerdict::Unknown(ResultCode::ClaimUnresolved);
             }
             let now = self.clock.now();
-            let wake = core.writer.next_wake(&core.reader).unwrap_or(now + MAX_SLEEP);
+            let wake = core.writer.wake_of(ticket).unwrap_or(now);
             if wake > now {
                 core = self.wait(core, wake.since(now));
+                continue;
             }
-            core.on_event(self.clock.now(), WriterEvent::Tick);
+            // The appender may be held up by the log, so the request's own thread keeps its time.
+            core.on_event(now, WriterEvent::Tick);
             if core.outbox.is_some() {
                 self.changed.notify_all();
             }
--- a/lib/src/claim_reader.rs
+++ b/lib/src/claim_reader.rs
@@ -5,6 +5,7 @@
 use crate::claim_checkpoint::CheckpointJoiner;
 use crate::claim_codec::decode_record;
 use crate::claim_fold::ClaimFold;
+use crate::claim_fold::FoldUsage;
 use crate::claim_fold::KeyState;
 use crate::claim_record::ClaimKey;
 use crate::claim_record::ClaimRecord;
@@ -113,6 +114,11 @@
         }
     }
 
+    /// Returns the size of the fold at the log's clock of the last read.
+    pub fn usage(&self) -> FoldUsage {
+        self.fold.usage(self.now_ms)
+    }
+
     /// Returns the log's clock at the last read that reached the end, in milliseconds since the
     /// Unix epoch.
     pub fn checked_ms(&self) -> u64 {
--- a/lib/src/claim_writer.rs
+++ b/lib/src/claim_writer.rs
@@ -117,6 +117,16 @@
     stage: PendingStage,
 }
 
+impl PendingRequest {
+    /// Returns when time alone decides something.
+    fn wake(&self) -> Timestamp {
+        match self.stage {
+            PendingStage::Claiming { void_at, .. } => void_at,
+            PendingStage::Voiding { .. } | PendingStage::Waiting => self.deadline,
+        }
+    }
+}
+
 /// Claims of one process.
 #[derive(Clone, Debug)]
 pub struct ClaimWriter {
@@ -159,12 +169,14 @@
         self.queue.set_retention_ms(retention_ms(key_retention));
     }
 
+    /// Returns when [`WriterEvent::Tick`] is due for a request, or `None` once it is decided.
+    pub fn wake_of(&self, ticket: ClaimTicket) -> Option<Timestamp> {
+        self.pending.get(&ticket).map(PendingRequest::wake)
+    }
+
     /// Returns when [`WriterEvent::Tick`] is due, if nothing else happens before.
     pub fn next_wake(&self, reader: &ClaimReader) -> Option<Timestamp> {
-        let requests = self.pending.values().map(|pending| match pending.stage {
-            PendingStage::Claiming { void_at, .. } => void_at,
-            _ => pending.deadline,
-        });
+        let requests = self.pending.values().map(PendingRequest::wake);
         requests.chain(self.queue.next_wake(reader.can_claim())).min()
     }
 
@@ -231,8 +243,9 @@
     }
 
     fn is_full(&self, reader: &ClaimReader) -> bool {
-        reader.fold().len() + self.pending.len() >= self.settings.max_keys
-            || reader.fold().answer_bytes() >= self.settings.max_answer_bytes
+        let usage = reader.usage();
+        usage.keys + self.pending.len() >= self.settings.max_keys
+            || usage.answer_bytes >= self.settings.max_answer_bytes
             || self.pending.len() >= self.settings.max_pending
     }
 
@@ -321,14 +334,10 @@
 
     /// Gives up claims near their deadline and answers requests past it.
     fn check_time(&mut self, now: Timestamp) -> Vec<WriterAction> {
-        let due = |pending: &PendingRequest| match pending.stage {
-            PendingStage::Claiming { void_at, .. } => now >= void_at,
-            _ => now >= pending.deadline,
-        };
         let tickets: Vec<ClaimTicket> = self
             .pending
             .iter()
-            .filter(|(_, pending)| due(pending))
+            .filter(|(_, pending)| now >= pending.wake())
             .map(|(&ticket, _)| ticket)
             .collect();
         tickets.into_iter().filter_map(|ticket| self.on_due(now, ticket)).collect()
--- a/lib/src/lease_keeper.rs
+++ b/lib/src/lease_keeper.rs
@@ -139,12 +139,15 @@
         loop {
             let position = self.lock().position;
             let result = self.log.read(LogStream::Leases, position, READ_BATCH);
-            self.lock().on_read_result(self.clock.now(), result);
+            let at_end = self.lock().on_read_result(self.clock.now(), result);
             self.append_all();
             let core = self.lock();
             if core.stopping {
                 return;
             }
+            if !at_end {
+                continue;
+            }
             let slept = self.changed.wait_timeout(core, self.read_interval);
             if slept.unwrap_or_else(PoisonError::into_inner).0.stopping {
                 return;
@@ -170,7 +173,8 @@
         }
     }
 
-    fn on_read_result(&mut self, now: Timestamp, result: log_service::Result<LogSlice>) {
+    /// Folds what was read; returns whether nothing more can be read at once.
+    fn on_read_result(&mut self, now: Timestamp, result: log_service::Result<LogSlice>) -> bool {
         let event = match result {
             Ok(slice) if slice.end < self.position || slice.first > self.position => {
                 self.gap(slice.first)
@@ -186,6 +190,7 @@
         for duty in LeaseDuty::ALL {
             self.on_event(now, duty, event.clone());
         }
+        !matches!(event, LeaseEvent::Read { at_end: false, .. } | LeaseEvent::Gap(_))
     }
 
     fn gap(&mut self, first: LogOffset) -> LeaseEvent {
--- a/lib/tests/test_claim_writer.rs
+++ b/lib/tests/test_claim_writer.rs
@@ -274,8 +274,33 @@
     assert_eq!(host.writer.pending(), 4);
 }
 
+/// While every host refuses, nothing is appended and the fold's clock stands still.
 #[test]
-fn outage_leaves_little_open() {
+fn full_recovers() {
+    let mut log = ScheduleLog::default();
+    let mut host = TestHost::new("entry-0", &log);
+    for key in 0..5 {
+        host.submit(u64::from(key), request(key, 0), 5_000);
+        host.advance_to(host.now.as_millis() + 25);
+        host.land(&mut log);
+        host.read(&log);
+        host.token();
+    }
+    host.submit(5, request(5, 0), 5_000);
+    assert_eq!(code_of(host.verdict()).0, ResultCode::QueueFull);
+    // Both a new key and an old one whose claimant never answered can be claimed again.
+    for key in [5, 0] {
+        host.advance_to(host.now.as_millis() + 700_000);
+        host.read(&log);
+        host.submit(6, request(key, 0), host.now.as_millis() + 5_000);
+        host.land(&mut log);
+        host.read(&log);
+        host.token();
+    }
+}
+
+#[test]
+fn outage_bounded() {
     let log = ScheduleLog::default();
     let mut host = TestHost::new("entry-0", &log);
     host.submit(1, request(1, 0), 1_000);
