claims: share the faulty log between the two harnesses; paused hosts accept nothing

Cause: both harnesses drew the fate of appends and reads for themselves, and a paused host still took requests. Change: ScheduleLog serves reads and takes appends under failures; a send to a paused host waits.

--- a/bench/src/claims.rs
+++ b/bench/src/claims.rs
@@ -35,8 +35,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
+use testutils::claim_audit::ClaimRule;
 use testutils::claim_audit::HarnessReport;
-use testutils::claim_harness::ClaimRule;
 use testutils::claim_harness::run_schedule;
 use testutils::schedule_log::ScheduleLog;
 
--- a/lib/tests/test_claim_schedules.rs
+++ b/lib/tests/test_claim_schedules.rs
@@ -4,8 +4,8 @@
 use std::thread;
 
 use rstest::rstest;
+use testutils::claim_audit::ClaimRule;
 use testutils::claim_audit::HarnessReport;
-use testutils::claim_harness::ClaimRule;
 use testutils::claim_harness::run_schedule;
 
 const SCHEDULES_IN_CI: u64 = 2_000;
--- a/lib/testutils/src/claim_audit.rs
+++ b/lib/testutils/src/claim_audit.rs
@@ -1,4 +1,4 @@
-//! What callers were told, and the check of it against what ran.
+//! The rules under test, what callers were told, and the check of it against what ran.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -7,6 +7,19 @@
 use pomelostack_lib::claim_record::StoredAnswer;
 use pomelostack_lib::ids::Incarnation;
 
+/// Rule under test: the real one, or a broken one that the harness must catch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClaimRule {
+    /// Claims on the log.
+    Log,
+    /// Each host remembers keys in its memory alone.
+    MemoryOnly,
+    /// A claim that was not decided by its deadline is reported as not run.
+    NotRunAtDeadline,
+    /// A key whose claimant does not answer in time is run again.
+    RerunAfterWait,
+}
+
 /// What one run showed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct HarnessReport {
--- a/lib/testutils/src/claim_harness.rs
+++ b/lib/testutils/src/claim_harness.rs
@@ -5,7 +5,6 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use pomelostack_lib::claim_queue::AppendFailure;
 use pomelostack_lib::claim_record::ClaimKey;
 use pomelostack_lib::claim_record::RequestFingerprint;
 use pomelostack_lib::claim_record::StoredAnswer;
@@ -28,11 +27,13 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::claim_audit::CallerSend;
+use crate::claim_audit::ClaimRule;
 use crate::claim_audit::HarnessReport;
 use crate::claim_audit::Told;
 use crate::claim_audit::audit_sends;
 use crate::fault_schedule::FaultKind;
 use crate::fault_schedule::FaultSchedule;
+use crate::harness_host::SECOND_US;
 use crate::harness_host::SimHost;
 use crate::harness_host::claim_key;
 use crate::harness_queue::EventQueue;
@@ -41,45 +42,24 @@
 use crate::harness_queue::SimEvent;
 use crate::harness_queue::event_host;
 use crate::naive_claims::MemoryVerdict;
-use crate::schedule_log::AppendOutcome;
 use crate::schedule_log::ScheduleLog;
-use crate::schedule_log::draw_append;
-use crate::schedule_log::log_is_reachable;
 use crate::schedule_log::log_latency_us;
 
 const HOSTS: usize = 3;
 const KEYS: usize = 8;
 const MAX_SENDS_PER_KEY: usize = 8;
-const SECOND_US: u64 = 1_000_000;
 /// Callers send within this time.
 const SEND_HORIZON_US: u64 = 40 * SECOND_US;
 /// No caller sends a key again later than this after its first send.
 const RESEND_HORIZON_US: u64 = 60 * SECOND_US;
 /// Every request is decided and every delayed append has landed by then.
 const END_US: u64 = 300 * SECOND_US;
-const IDLE_READ_US: u64 = SECOND_US;
-const BUSY_READ_US: u64 = SECOND_US / 20;
 const CHECKPOINT_US: u64 = 2 * SECOND_US;
 /// No fault shortens retention later than this.
 const LAST_CHECKPOINT_US: u64 = 60 * SECOND_US;
-/// The hosts read less often once everything is decided.
-const DECIDED_US: u64 = 120 * SECOND_US;
 /// Time until a failed append is reported.
 const FAILURE_US: Range<u64> = 1_000..SECOND_US / 2;
 
-/// Rule under test: the real one, or a broken one that the harness must catch.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ClaimRule {
-    /// Claims on the log.
-    Log,
-    /// Each host remembers keys in its memory alone.
-    MemoryOnly,
-    /// A claim that was not decided by its deadline is reported as not run.
-    NotRunAtDeadline,
-    /// A key whose claimant does not answer in time is run again.
-    RerunAfterWait,
-}
-
 /// Runs one schedule.
 pub fn run_schedule(seed: u64, rule: ClaimRule) -> HarnessReport {
     let mut harness = ClaimHarness::new(seed, rule);
@@ -181,10 +161,9 @@
             let dead = |host: usize| {
                 !self.hosts[host].alive || next.life != Some(self.hosts[host].incarnation)
             };
-            if host.is_some_and(dead) {
-                continue;
+            if !host.is_some_and(dead) {
+                self.on_event(next.event);
             }
-            self.on_event(next.event);
         }
     }
 
@@ -197,10 +176,8 @@
             SimEvent::AppendArrives(host, data) => self.on_append_arrives(host, data),
             SimEvent::AppendReply(host, result) => {
                 self.hosts[host].next_read = self.now;
-                let event = match result {
-                    Ok(()) => WriterEvent::Appended,
-                    Err(failure) => WriterEvent::AppendFailed(failure),
-                };
+                let appended = |()| WriterEvent::Appended;
+                let event = result.map_or_else(WriterEvent::AppendFailed, appended);
                 self.writer_event(host, event);
             }
             SimEvent::DelayedAppend(data) => self.log.append(self.now, data),
@@ -221,18 +198,25 @@
         Timestamp(self.now) + self.hosts[host].clock_offset
     }
 
+    fn request_of(&self, index: usize) -> ClaimRequest {
+        let send = &self.sends[index];
+        ClaimRequest { key: claim_key(send.key), fingerprint: send.fingerprint }
+    }
+
     fn on_send(&mut self, index: usize) {
         let host = self.sends[index].host;
         if !self.hosts[host].alive {
             return;
         }
+        if let Some(end) = self.schedule.pause_end(host, self.now) {
+            return self.push(end, SimEvent::Send(index));
+        }
         self.sends[index].accepted = Some((self.now, self.hosts[host].incarnation));
-        let send = &self.sends[index];
-        let request = ClaimRequest { key: claim_key(send.key), fingerprint: send.fingerprint };
+        let request = self.request_of(index);
         if self.rule == ClaimRule::MemoryOnly {
             return self.submit_to_memory(host, index, request.key);
         }
-        let deadline = self.host_time(host) + send.deadline;
+        let deadline = self.host_time(host) + self.sends[index].deadline;
         let ticket = ClaimTicket(index as u64);
         self.writer_event(host, WriterEvent::Submit(ticket, request, deadline));
     }
@@ -264,15 +248,10 @@
     }
 
     fn plan_wake(&mut self, host: usize) {
-        let found = &self.hosts[host];
-        let writer_wake = found.writer.next_wake(&found.reader);
-        let writer_wake = writer_wake.map(|wake| (wake - found.clock_offset).0);
-        let read_wake = (!found.reading).then_some(found.next_read);
-        if let Some(wake) = writer_wake.into_iter().chain(read_wake).min() {
-            let wake = wake.max(self.now + 1);
-            if self.hosts[host].timers.insert(wake) {
-                self.push(wake, SimEvent::Wake(host));
-            }
+        let Some(wake) = self.hosts[host].next_wake() else { return };
+        let wake = wake.max(self.now + 1);
+        if self.hosts[host].timers.insert(wake) {
+            self.push(wake, SimEvent::Wake(host));
         }
     }
 
@@ -293,56 +272,29 @@
     }
 
     fn on_read_arrives(&mut self, host: usize) {
-        if self.schedule.holds(FaultKind::ShortRetention, self.now) {
-            self.log.trim(self.now);
-        }
-        let result = match log_is_reachable(&self.schedule, host, self.now) {
-            true => self.log.read(self.now, self.hosts[host].reader.position()),
-            false => Err(LogError::FateUnknown("unreachable".to_owned())),
-        };
+        let position = self.hosts[host].reader.position();
+        let result = self.log.serve_read(&self.schedule, host, self.now, position);
         let latency = log_latency_us(&self.schedule, self.now);
         self.push_in(latency, SimEvent::ReadReply(host, result));
     }
 
     fn on_read_reply(&mut self, host: usize, result: Result<LogSlice, LogError>) {
-        let found = &mut self.hosts[host];
-        found.reading = false;
-        let busy = found.writer.pending() > 0;
-        found.next_read = self.now
-            + match busy {
-                true => BUSY_READ_US,
-                false if self.now < DECIDED_US => IDLE_READ_US,
-                false => 10 * IDLE_READ_US,
-            };
-        let change = match result {
-            Ok(slice) => found.reader.on_slice(&slice),
-            Err(LogError::Expired(first)) => found.reader.on_expired(first),
-            Err(_) => {
-                found.reader.on_read_failed();
-                return self.plan_wake(host);
-            }
-        };
-        if !found.reader.is_read_to_end() {
-            found.next_read = self.now;
+        match self.hosts[host].take_read(self.now, result) {
+            Some(change) => self.writer_event(host, WriterEvent::Folded(change)),
+            None => self.plan_wake(host),
         }
-        self.writer_event(host, WriterEvent::Folded(change));
     }
 
     fn on_append_arrives(&mut self, host: usize, data: Vec<u8>) {
-        let outcome = draw_append(&mut self.rng, &self.schedule, host, self.now);
-        match outcome {
-            AppendOutcome::Delayed(delay_us) => {
-                self.push(self.now + delay_us, SimEvent::DelayedAppend(data));
-            }
-            AppendOutcome::Appended | AppendOutcome::ReplyLost => self.log.append(self.now, data),
-            AppendOutcome::Refused | AppendOutcome::Lost => {}
+        let fate = self.log.take_append(&mut self.rng, &self.schedule, host, self.now, data);
+        if let Some((delay_us, data)) = fate.delayed {
+            self.push(self.now + delay_us, SimEvent::DelayedAppend(data));
         }
-        let (result, latency) = match outcome {
-            AppendOutcome::Appended => (Ok(()), log_latency_us(&self.schedule, self.now)),
-            AppendOutcome::Refused => (Err(AppendFailure::NotAppended), FAILURE_US),
-            _ => (Err(AppendFailure::FateUnknown), FAILURE_US),
+        let latency = match fate.result {
+            Ok(()) => log_latency_us(&self.schedule, self.now),
+            Err(_) => FAILURE_US,
         };
-        self.push_in(latency, SimEvent::AppendReply(host, result));
+        self.push_in(latency, SimEvent::AppendReply(host, fate.result));
     }
 
     fn on_verdict(&mut self, host: usize, send: usize, verdict: ClaimVerdict) {
@@ -365,8 +317,7 @@
     }
 
     fn wait_elsewhere(&mut self, host: usize, index: usize) {
-        let send = &self.sends[index];
-        let request = ClaimRequest { key: claim_key(send.key), fingerprint: send.fingerprint };
+        let (request, send) = (self.request_of(index), &self.sends[index]);
         let accepted = Timestamp(send.accepted.map_or(0, |(at, _)| at));
         let deadline = accepted + self.hosts[host].clock_offset + send.deadline;
         self.writer_event(host, WriterEvent::Wait(ClaimTicket(index as u64), request, deadline));
--- a/lib/testutils/src/harness_host.rs
+++ b/lib/testutils/src/harness_host.rs
@@ -4,15 +4,26 @@
 use std::time::Duration;
 
 use pomelostack_lib::claim_reader::ClaimReader;
+use pomelostack_lib::claim_reader::ReadChange;
 use pomelostack_lib::claim_record::ClaimKey;
 use pomelostack_lib::claim_record::Claimant;
 use pomelostack_lib::claim_writer::ClaimWriter;
 use pomelostack_lib::claim_writer::WriterSettings;
 use pomelostack_lib::ids::HostId;
 use pomelostack_lib::ids::Incarnation;
+use pomelostack_lib::log_service::LogError;
+use pomelostack_lib::log_service::LogSlice;
 
 use crate::naive_claims::MemoryOnly;
 
+/// Microseconds of a second.
+pub const SECOND_US: u64 = 1_000_000;
+
+const IDLE_READ_US: u64 = SECOND_US;
+const BUSY_READ_US: u64 = SECOND_US / 20;
+/// The hosts read less often once everything is decided.
+const DECIDED_US: u64 = 120 * SECOND_US;
+
 /// The claim decisions of one entry host's process.
 pub struct SimHost {
     /// Whether the process runs.
@@ -62,6 +73,38 @@
             clock_offset: Duration::from_secs(1_000 * host as u64),
         }
     }
+
+    /// Takes the result of a read and plans the next; returns what it changed.
+    pub fn take_read(
+        &mut self,
+        now: u64,
+        result: Result<LogSlice, LogError>,
+    ) -> Option<ReadChange> {
+        self.reading = false;
+        let idle_us = if now < DECIDED_US { IDLE_READ_US } else { 10 * IDLE_READ_US };
+        let busy = self.writer.pending() > 0;
+        self.next_read = now + if busy { BUSY_READ_US } else { idle_us };
+        let change = match result {
+            Ok(slice) => self.reader.on_slice(&slice),
+            Err(LogError::Expired(first)) => self.reader.on_expired(first),
+            Err(_) => {
+                self.reader.on_read_failed();
+                return None;
+            }
+        };
+        if !self.reader.is_read_to_end() {
+            self.next_read = now;
+        }
+        Some(change)
+    }
+
+    /// Returns when its next timer is due, in microseconds.
+    pub fn next_wake(&self) -> Option<u64> {
+        let writer_wake = self.writer.next_wake(&self.reader);
+        let writer_wake = writer_wake.map(|wake| (wake - self.clock_offset).0);
+        let read_wake = (!self.reading).then_some(self.next_read);
+        writer_wake.into_iter().chain(read_wake).min()
+    }
 }
 
 /// Returns the key with a number.
--- a/lib/testutils/src/lease_harness.rs
+++ b/lib/testutils/src/lease_harness.rs
@@ -25,10 +25,7 @@
 
 use crate::fault_schedule::FaultKind;
 use crate::fault_schedule::FaultSchedule;
-use crate::schedule_log::AppendOutcome;
 use crate::schedule_log::ScheduleLog;
-use crate::schedule_log::draw_append;
-use crate::schedule_log::log_is_reachable;
 use crate::schedule_log::log_latency_us;
 
 const HOSTS: usize = 3;
@@ -220,13 +217,8 @@
     }
 
     fn read(&mut self, host: usize) {
-        if self.schedule.holds(FaultKind::ShortRetention, self.now) {
-            self.log.trim(self.now);
-        }
-        let result = match log_is_reachable(&self.schedule, host, self.now) {
-            true => self.log.read(self.now, self.hosts[host].position),
-            false => Err(LogError::FateUnknown("unreachable".to_owned())),
-        };
+        let position = self.hosts[host].position;
+        let result = self.log.serve_read(&self.schedule, host, self.now, position);
         let latency = log_latency_us(&self.schedule, self.now);
         self.push_in(latency, SimEvent::ReadReply(host, result));
     }
@@ -254,18 +246,13 @@
     }
 
     fn on_append_arrives(&mut self, host: usize, data: Vec<u8>) {
-        let outcome = draw_append(&mut self.rng, &self.schedule, host, self.now);
-        match outcome {
-            AppendOutcome::Delayed(delay_us) => {
-                // Short delays matter most here: they land within a few terms.
-                self.push(self.now + delay_us / 8, SimEvent::DelayedAppend(data));
-            }
-            AppendOutcome::Appended | AppendOutcome::ReplyLost => self.log.append(self.now, data),
-            AppendOutcome::Refused | AppendOutcome::Lost => {}
+        let fate = self.log.take_append(&mut self.rng, &self.schedule, host, self.now, data);
+        if let Some((delay_us, data)) = fate.delayed {
+            // Short delays matter most here: they land within a few terms.
+            self.push(self.now + delay_us / 8, SimEvent::DelayedAppend(data));
         }
         let latency = log_latency_us(&self.schedule, self.now);
-        let acknowledged = outcome == AppendOutcome::Appended;
-        self.push_in(latency, SimEvent::AppendReply(host, acknowledged));
+        self.push_in(latency, SimEvent::AppendReply(host, fate.result.is_ok()));
     }
 
     fn check(&mut self, host: usize) {
--- a/lib/testutils/src/schedule_log.rs
+++ b/lib/testutils/src/schedule_log.rs
@@ -2,6 +2,7 @@
 
 use std::ops::Range;
 
+use pomelostack_lib::claim_queue::AppendFailure;
 use pomelostack_lib::ids::LogOffset;
 use pomelostack_lib::log_service::LogError;
 use pomelostack_lib::log_service::LogRecord;
@@ -21,6 +22,12 @@
 /// Time for which records are kept while retention is short, in microseconds.
 const SHORT_RETENTION_US: u64 = 5_000_000;
 
+/// Share of appends whose reply is lost without any failure.
+const STRAY_LOSS: f64 = 0.02;
+
+/// Longest time until a delayed append lands, in microseconds.
+const MAX_DELAY_US: u64 = 200_000_000;
+
 /// One stream; nothing is removed, trimming moves the first readable offset.
 #[derive(Clone, Debug, Default)]
 pub struct ScheduleLog {
@@ -60,31 +67,60 @@
         })
     }
 
+    /// Serves the read of a host under failures.
+    pub fn serve_read(
+        &mut self,
+        schedule: &FaultSchedule,
+        host: usize,
+        now_us: u64,
+        from: LogOffset,
+    ) -> Result<LogSlice, LogError> {
+        if schedule.holds(FaultKind::ShortRetention, now_us) {
+            self.trim(now_us);
+        }
+        match log_is_reachable(schedule, host, now_us) {
+            true => self.read(now_us, from),
+            false => Err(LogError::FateUnknown("unreachable".to_owned())),
+        }
+    }
+
+    /// Takes the append of a host under failures.
+    pub fn take_append(
+        &mut self,
+        rng: &mut ChaCha8Rng,
+        schedule: &FaultSchedule,
+        host: usize,
+        now_us: u64,
+        data: Vec<u8>,
+    ) -> AppendFate {
+        let unknown = Err(AppendFailure::FateUnknown);
+        if !log_is_reachable(schedule, host, now_us) {
+            let refused = Err(AppendFailure::NotAppended);
+            let result = if rng.random_bool(0.5) { refused } else { unknown };
+            return AppendFate { result, delayed: None };
+        }
+        if schedule.holds(FaultKind::AppendsDelayed, now_us) {
+            let delayed = Some((rng.random_range(0..MAX_DELAY_US), data));
+            return AppendFate { result: unknown, delayed };
+        }
+        self.append(now_us, data);
+        let lost = schedule.holds(FaultKind::RepliesLost, now_us) || rng.random_bool(STRAY_LOSS);
+        AppendFate { result: if lost { unknown } else { Ok(()) }, delayed: None }
+    }
+
     /// Returns when a record was appended, in microseconds.
     pub fn appended_at(&self, offset: LogOffset) -> u64 {
         self.records.get(offset.0 as usize).map_or(0, |(at_us, _)| *at_us)
     }
 }
 
-/// Share of appends whose reply is lost without any failure.
-const STRAY_LOSS: f64 = 0.02;
-
-/// Longest time until a delayed append lands, in microseconds.
-const MAX_DELAY_US: u64 = 200_000_000;
-
-/// What becomes of an append.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AppendOutcome {
-    /// It lands and is acknowledged.
-    Appended,
-    /// It has no effect, and the caller is told so.
-    Refused,
-    /// It has no effect, and the caller is told nothing.
-    Lost,
-    /// It lands, and the caller is told nothing.
-    ReplyLost,
-    /// It lands after this time in microseconds, and the caller is told nothing.
-    Delayed(u64),
+/// What a host learns of its append, and what is still to come.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AppendFate {
+    /// Result that the host is told.
+    pub result: Result<(), AppendFailure>,
+    /// Record that lands later, with its delay in microseconds.
+    pub delayed: Option<(u64, Vec<u8>)>,
 }
 
 /// Returns the one-way times of a call to the log, in microseconds.
@@ -96,24 +132,7 @@
 }
 
 /// Returns whether a host's call reaches the log.
-pub fn log_is_reachable(schedule: &FaultSchedule, host: usize, now_us: u64) -> bool {
+fn log_is_reachable(schedule: &FaultSchedule, host: usize, now_us: u64) -> bool {
     !schedule.holds(FaultKind::LogDown, now_us)
         && !schedule.holds(FaultKind::HostCutOff(host), now_us)
 }
-
-/// Draws what becomes of an append that a host makes.
-pub fn draw_append(
-    rng: &mut ChaCha8Rng,
-    schedule: &FaultSchedule,
-    host: usize,
-    now_us: u64,
-) -> AppendOutcome {
-    if !log_is_reachable(schedule, host, now_us) {
-        return if rng.random_bool(0.5) { AppendOutcome::Refused } else { AppendOutcome::Lost };
-    }
-    if schedule.holds(FaultKind::AppendsDelayed, now_us) {
-        return AppendOutcome::Delayed(rng.random_range(0..MAX_DELAY_US));
-    }
-    let lost = schedule.holds(FaultKind::RepliesLost, now_us) || rng.random_bool(STRAY_LOSS);
-    if lost { AppendOutcome::ReplyLost } else { AppendOutcome::Appended }
-}
