claims: tell readers with a gap how long it matters

Cause: a new host on a log that has dropped its first records stayed in doubt for an hour, although every key that it missed is forgotten after some eleven minutes. Change: a batch states how far its writer has read, the longest retention in use and when the last key is forgotten; a reader with a gap trusts its state from there on; an idle stream gets a record without entries once a minute. Half of the schedules run without checkpoints, so that hosts outwait gaps.

--- a/bench/src/claims.rs
+++ b/bench/src/claims.rs
@@ -277,6 +277,7 @@
         sequence: index,
         retention_ms: 600_000,
         checked_ms: 1_000,
+        knowledge: None,
         entries: vec![
             entry(ClaimStatement::Claim { fingerprint, basis: LogOffset(index) }),
             entry(ClaimStatement::Completion(answer(ANSWER_BYTES))),
--- a/lib/src/claim_codec.rs
+++ b/lib/src/claim_codec.rs
@@ -2,6 +2,7 @@
 
 use prost::Message;
 
+use crate::claim_record::BatchKnowledge;
 use crate::claim_record::CheckpointPart;
 use crate::claim_record::ClaimBatch;
 use crate::claim_record::ClaimEntry;
@@ -39,6 +40,7 @@
         checked_ms: batch.checked_ms,
         entry_count: u32::try_from(batch.entries.len()).unwrap_or(u32::MAX),
         entries: batch.entries.iter().map(entry_to_wire).collect(),
+        knowledge: batch.knowledge.map(knowledge_to_wire),
         ..record_of(&batch.claimant)
     };
     record.encode_to_vec()
@@ -101,7 +103,8 @@
 
 fn batch_from_wire(record: wire::ClaimRecord) -> Result<ClaimBatch> {
     let whole = u32::try_from(record.entries.len()).is_ok_and(|found| found == record.entry_count);
-    if record.entries.is_empty() || !whole {
+    let mute = record.entries.is_empty() && record.knowledge.is_none();
+    if mute || !whole {
         return Err(RecordError::Malformed("entry count"));
     }
     Ok(ClaimBatch {
@@ -110,9 +113,26 @@
         retention_ms: record.retention_ms.clamp(MIN_KEY_RETENTION_MS, MAX_KEY_RETENTION_MS),
         checked_ms: record.checked_ms,
         entries: record.entries.into_iter().map(entry_from_wire).collect::<Result<_>>()?,
+        knowledge: record.knowledge.map(knowledge_from_wire),
     })
 }
 
+fn knowledge_to_wire(knowledge: BatchKnowledge) -> wire::Knowledge {
+    wire::Knowledge {
+        folded: knowledge.folded.0,
+        bound_ms: knowledge.bound_ms,
+        horizon_ms: knowledge.horizon_ms,
+    }
+}
+
+fn knowledge_from_wire(knowledge: wire::Knowledge) -> BatchKnowledge {
+    BatchKnowledge {
+        folded: LogOffset(knowledge.folded),
+        bound_ms: knowledge.bound_ms,
+        horizon_ms: knowledge.horizon_ms,
+    }
+}
+
 fn claimant_from_wire(host: String, incarnation: u64) -> Result<Claimant> {
     let host = HostId::try_from(host).map_err(|_| RecordError::Malformed("host"))?;
     Ok(Claimant { host, incarnation: Incarnation(incarnation) })
--- a/lib/src/claim_fold.rs
+++ b/lib/src/claim_fold.rs
@@ -49,6 +49,8 @@
     trusted_from_ms: u64,
     keys: BTreeMap<ClaimKey, FoldEntry>,
     expiry: BTreeSet<(u64, ClaimKey)>,
+    /// Each retention in use, with the time at which the last key that has it expires.
+    retentions: BTreeMap<u64, u64>,
     answer_bytes: usize,
 }
 
@@ -67,7 +69,7 @@
     /// Builds a fold that starts at an offset without knowledge of the records before it.
     ///
     /// Every key is doubtful until the log's clock reaches `trusted_from_ms`; a key with a record
-    /// before that stays so until it had none for [`MAX_KEY_RETENTION_MS`].
+    /// before that stays so until what the record may have stated is forgotten.
     pub fn with_gap(position: LogOffset, trusted_from_ms: u64) -> Self {
         Self { position, trusted_from_ms, ..Self::default() }
     }
@@ -84,6 +86,8 @@
             fold.answer_bytes += answer_bytes(&record);
             fold.keys.insert(key, FoldEntry { record, doubtful: false });
         }
+        // A checkpoint does not tell the retention of its keys.
+        fold.retentions.insert(MAX_KEY_RETENTION_MS, fold.horizon_ms());
         fold
     }
 
@@ -102,6 +106,22 @@
         self.trusted_from_ms
     }
 
+    /// Lowers the time from which unseen keys are known to be fresh.
+    pub fn lower_trusted_from(&mut self, trusted_from_ms: u64) {
+        self.trusted_from_ms = self.trusted_from_ms.min(trusted_from_ms);
+    }
+
+    /// Returns when the last key is forgotten, by the log's clock.
+    pub fn horizon_ms(&self) -> u64 {
+        self.expiry.last().map_or(self.clock_ms, |(expires_ms, _)| *expires_ms)
+    }
+
+    /// Returns the longest retention of a key that is remembered, in milliseconds.
+    pub fn retention_bound_ms(&self) -> u64 {
+        let live = |(_, expires_ms): &(&u64, &u64)| **expires_ms > self.clock_ms;
+        self.retentions.iter().rev().find(live).map_or(0, |(retention_ms, _)| *retention_ms)
+    }
+
     /// Returns what the fold holds once the log's clock is at `now_ms`.
     pub fn usage(&self, now_ms: u64) -> FoldUsage {
         let expired = self.expiry.iter().take_while(|(expires_ms, _)| *expires_ms <= now_ms);
@@ -173,6 +193,7 @@
 
     fn expire_keys(&mut self) -> BTreeSet<ClaimKey> {
         let mut expired = BTreeSet::new();
+        self.retentions.retain(|_, expires_ms| *expires_ms > self.clock_ms);
         while let Some(&(expires_ms, key)) = self.expiry.first() {
             if expires_ms > self.clock_ms {
                 break;
@@ -189,7 +210,7 @@
     /// Applies one entry; returns whether the state of its key changed.
     fn apply_entry(&mut self, offset: LogOffset, batch: &ClaimBatch, entry: &ClaimEntry) -> bool {
         if matches!(self.state(entry.key, self.clock_ms), KeyState::Doubtful) {
-            self.mark_doubtful(entry.key);
+            self.mark_doubtful(entry.key, batch.retention_ms);
             return true;
         }
         let changed = match &entry.statement {
@@ -269,12 +290,15 @@
         &mut self.keys.entry(key).or_insert_with(empty).record
     }
 
-    fn mark_doubtful(&mut self, key: ClaimKey) {
+    fn mark_doubtful(&mut self, key: ClaimKey, retention_ms: u64) {
         self.record_mut(key);
         if let Some(entry) = self.keys.get_mut(&key) {
             entry.doubtful = true;
         }
-        self.extend_expiry(key, MAX_KEY_RETENTION_MS);
+        self.extend_expiry(
+            key,
+            retention_ms.max(self.trusted_from_ms.saturating_sub(self.clock_ms)),
+        );
     }
 
     fn extend_expiry(&mut self, key: ClaimKey, retention_ms: u64) {
@@ -285,6 +309,8 @@
             entry.record.expires_ms = expires_ms;
             self.expiry.insert((expires_ms, key));
         }
+        let latest_ms = self.retentions.entry(retention_ms).or_default();
+        *latest_ms = expires_ms.max(*latest_ms);
     }
 }
 
--- a/lib/src/claim_queue.rs
+++ b/lib/src/claim_queue.rs
@@ -9,6 +9,7 @@
 
 use crate::claim_codec::encode_batch;
 use crate::claim_codec::entry_bytes;
+use crate::claim_reader::ReaderStatus;
 use crate::claim_record::ClaimBatch;
 use crate::claim_record::ClaimEntry;
 use crate::claim_record::ClaimNonce;
@@ -29,6 +30,12 @@
 /// Claims in one record while appends fail.
 const MAX_PROBE_CLAIMS: usize = 16;
 
+/// Time without a record after which a record without entries is appended, in milliseconds.
+const MARK_IDLE_MS: u64 = 60 * 1_000;
+
+/// Largest extra wait of a host before it does so, in milliseconds; the first one spares the rest.
+const MARK_STAGGER_MS: u64 = 30 * 1_000;
+
 /// What a failed append proves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AppendFailure {
@@ -59,6 +66,8 @@
     last_sequence: u64,
     failures: u32,
     next_append: Timestamp,
+    next_mark: Timestamp,
+    mark_stagger_ms: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -77,6 +86,8 @@
 impl ClaimQueue {
     /// Builds an empty queue that appends once per `append_interval` at most.
     pub fn new(header: BatchHeader, append_interval: Duration) -> Self {
+        let host_hash = blake3::hash(header.claimant.host.as_str().as_bytes());
+        let mark_stagger_ms = MARK_STAGGER_MS * u64::from(host_hash.as_bytes()[0]) / 256;
         Self {
             header,
             append_interval,
@@ -87,6 +98,8 @@
             last_sequence: 0,
             failures: 0,
             next_append: Timestamp::default(),
+            next_mark: Timestamp::default(),
+            mark_stagger_ms,
         }
     }
 
@@ -154,18 +167,13 @@
     /// Returns the next record to append, if one is due.
     ///
     /// Exactly one of [`Self::on_appended`] and [`Self::on_failed`] must follow.
-    pub fn next_record(
-        &mut self,
-        now: Timestamp,
-        checked_ms: u64,
-        claims_allowed: bool,
-    ) -> Option<Vec<u8>> {
+    pub fn next_record(&mut self, now: Timestamp, status: ReaderStatus) -> Option<Vec<u8>> {
         if self.in_flight.is_some() || now < self.next_append {
             return None;
         }
         if self.part_was_last || self.parts.is_empty() {
             self.part_was_last = false;
-            if let Some(data) = self.next_batch(now, checked_ms, claims_allowed) {
+            if let Some(data) = self.next_batch(now, status) {
                 return Some(data);
             }
         }
@@ -175,29 +183,33 @@
         Some(data)
     }
 
-    fn next_batch(
-        &mut self,
-        now: Timestamp,
-        checked_ms: u64,
-        claims_allowed: bool,
-    ) -> Option<Vec<u8>> {
-        let entries = self.take_entries(claims_allowed);
-        if entries.is_empty() {
+    fn next_batch(&mut self, now: Timestamp, status: ReaderStatus) -> Option<Vec<u8>> {
+        let entries = self.take_entries(status.knowledge.is_some());
+        if entries.is_empty() && !self.mark_is_due(now, status) {
             return None;
         }
+        self.next_mark = now + Duration::from_millis(MARK_IDLE_MS);
         self.last_sequence += 1;
         let sequence = self.last_sequence;
         let data = encode_batch(&ClaimBatch {
             claimant: self.header.claimant.clone(),
             sequence,
             retention_ms: self.header.retention_ms,
-            checked_ms,
+            checked_ms: status.checked_ms,
+            knowledge: status.knowledge,
             entries: entries.iter().map(|queued| queued.entry.clone()).collect(),
         });
         self.in_flight = Some(InFlight::Batch { sequence, sent_at: now, entries, landed: false });
         Some(data)
     }
 
+    /// Returns whether a record without entries is due, which tells new readers of an idle stream
+    /// that nothing before it matters any more.
+    fn mark_is_due(&self, now: Timestamp, status: ReaderStatus) -> bool {
+        let idle_ms = MARK_IDLE_MS + self.mark_stagger_ms;
+        status.knowledge.is_some() && status.idle_ms >= idle_ms && now >= self.next_mark
+    }
+
     /// Takes entries in order up to the size of a record.
     fn take_entries(&mut self, claims_allowed: bool) -> Vec<QueuedEntry> {
         let hold_new_claims = self.is_failing()
--- a/lib/src/claim_reader.rs
+++ b/lib/src/claim_reader.rs
@@ -7,6 +7,8 @@
 use crate::claim_fold::ClaimFold;
 use crate::claim_fold::FoldUsage;
 use crate::claim_fold::KeyState;
+use crate::claim_record::BatchKnowledge;
+use crate::claim_record::ClaimBatch;
 use crate::claim_record::ClaimKey;
 use crate::claim_record::ClaimRecord;
 use crate::claim_record::Claimant;
@@ -51,6 +53,17 @@
     }
 }
 
+/// What a batch may state about the stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReaderStatus {
+    /// The log's clock at the last read that reached the end, in milliseconds since the Unix epoch.
+    pub checked_ms: u64,
+    /// Time since the last record, by the log's clock, in milliseconds; 0 if there was none.
+    pub idle_ms: u64,
+    /// What is known about older records; claims may be sent only if it is given.
+    pub knowledge: Option<BatchKnowledge>,
+}
+
 /// How much of the stream before the position is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Coverage {
@@ -58,8 +71,8 @@
     Whole,
     /// Not the records before `first`; the time of the first record is not yet known.
     GapBefore { first: LogOffset },
-    /// Not the records before `first`, and the time after which they do not matter is set.
-    GapUntil { first: LogOffset },
+    /// Not the records before `first`, all of which were appended by `missed_until_ms`.
+    GapUntil { first: LogOffset, missed_until_ms: u64 },
 }
 
 /// Reader of the stream for one process.
@@ -119,10 +132,18 @@
         self.fold.usage(self.now_ms)
     }
 
-    /// Returns the log's clock at the last read that reached the end, in milliseconds since the
-    /// Unix epoch.
-    pub fn checked_ms(&self) -> u64 {
-        self.checked_ms
+    /// Returns what the next batch of this process may state.
+    pub fn status(&self) -> ReaderStatus {
+        let knowledge = self.can_claim().then(|| BatchKnowledge {
+            folded: self.position(),
+            bound_ms: self.fold.retention_bound_ms(),
+            horizon_ms: self.fold.horizon_ms(),
+        });
+        let idle_ms = match self.position() {
+            LogOffset(0) => 0,
+            _ => self.now_ms.saturating_sub(self.fold.clock_ms()),
+        };
+        ReaderStatus { checked_ms: self.checked_ms, idle_ms, knowledge }
     }
 
     /// Returns the largest sequence number of this process's own batches that was read back.
@@ -218,7 +239,7 @@
             slice.records.first().map_or(slice.now_ms, |record| record.appended_ms);
         let trusted_from_ms = missed_until_ms.saturating_add(MAX_KEY_RETENTION_MS);
         self.fold = ClaimFold::with_gap(self.position(), trusted_from_ms);
-        self.coverage = Coverage::GapUntil { first };
+        self.coverage = Coverage::GapUntil { first, missed_until_ms };
     }
 
     fn on_record(&mut self, record: &LogRecord) -> ReadChange {
@@ -227,6 +248,7 @@
                 if batch.claimant == self.claimant {
                     self.own_sequence = self.own_sequence.max(batch.sequence);
                 }
+                self.learn_from(&batch);
                 self.fold.apply(record.offset, record.appended_ms, &batch)
             }
             Ok(ClaimRecord::Checkpoint(part)) => {
@@ -251,11 +273,24 @@
         ReadChange::Keys(changed)
     }
 
+    /// Learns from a writer that had read what this reader missed how long that matters.
+    fn learn_from(&mut self, batch: &ClaimBatch) {
+        let (Coverage::GapUntil { first, missed_until_ms }, Some(knowledge)) =
+            (self.coverage, batch.knowledge)
+        else {
+            return;
+        };
+        if knowledge.folded >= first {
+            let by_bound_ms = missed_until_ms.saturating_add(knowledge.bound_ms);
+            self.fold.lower_trusted_from(by_bound_ms.min(knowledge.horizon_ms));
+        }
+    }
+
     /// Takes the checkpoint if it closes a gap: everything from its offset on is still readable.
     fn accept_checkpoint(&mut self, fold: ClaimFold) -> bool {
         let first = match self.coverage {
             Coverage::Whole => return false,
-            Coverage::GapBefore { first } | Coverage::GapUntil { first } => first,
+            Coverage::GapBefore { first } | Coverage::GapUntil { first, .. } => first,
         };
         let closes_gap = fold.position() >= first && fold.position() <= self.position();
         if closes_gap {
--- a/lib/src/claim_record.rs
+++ b/lib/src/claim_record.rs
@@ -14,7 +14,8 @@
 
 /// Longest time for which a key can be remembered, in milliseconds.
 ///
-/// A reader that could not read the oldest records waits this long before it trusts its state.
+/// A reader that could not read the oldest records waits this long before it trusts its state,
+/// unless a later record tells more.
 pub const MAX_KEY_RETENTION_MS: u64 = 60 * 60 * 1_000;
 
 /// Shortest time for which a key is remembered, in milliseconds: the longest wait of a request
@@ -165,8 +166,23 @@
     pub retention_ms: u64,
     /// The log's clock at the writer's last complete read, in milliseconds since the Unix epoch.
     pub checked_ms: u64,
-    /// Entries in order.
+    /// Entries in order; empty only if `knowledge` is given.
     pub entries: Vec<ClaimEntry>,
+    /// What the writer knew about older records, unless it had missed some.
+    pub knowledge: Option<BatchKnowledge>,
+}
+
+/// What the writer of a batch knew about older records, for readers that could not read them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BatchKnowledge {
+    /// Every record that matters below this offset was folded.
+    pub folded: LogOffset,
+    /// No key remembered then is remembered for longer than this after its last record, in
+    /// milliseconds.
+    pub bound_ms: u64,
+    /// Every key remembered then is forgotten by this time of the log's clock unless a later record
+    /// extends it, in milliseconds since the Unix epoch.
+    pub horizon_ms: u64,
 }
 
 /// One part of the fold at an offset.
--- a/lib/src/claim_writer.rs
+++ b/lib/src/claim_writer.rs
@@ -209,7 +209,7 @@
             WriterEvent::Tick => {}
         }
         actions.extend(self.check_time(now));
-        let record = self.queue.next_record(now, reader.checked_ms(), reader.can_claim());
+        let record = self.queue.next_record(now, reader.status());
         actions.extend(record.map(WriterAction::Append));
         actions
     }
--- a/lib/src/protos/pomelostack.claims.rs
+++ b/lib/src/protos/pomelostack.claims.rs
@@ -24,12 +24,31 @@
     /// Number of entries; a record that was cut short has fewer.
     #[prost(uint32, tag = "7")]
     pub entry_count: u32,
-    #[prost(message, repeated, tag = "8")]
+    /// Set if the writer had read every record that matters below `folded`. A record without entries
+    /// carries this alone.
+    #[prost(message, optional, tag = "8")]
+    pub knowledge: ::core::option::Option<Knowledge>,
+    #[prost(message, repeated, tag = "9")]
     pub entries: ::prost::alloc::vec::Vec<ClaimEntry>,
     /// Set in checkpoint parts, which have no entries.
-    #[prost(message, optional, tag = "9")]
+    #[prost(message, optional, tag = "10")]
     pub checkpoint: ::core::option::Option<CheckpointPart>,
 }
+/// What the writer knew about older records, for readers that could not read them.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Knowledge {
+    /// Every record that matters below this offset was folded.
+    #[prost(uint64, tag = "1")]
+    pub folded: u64,
+    /// No key remembered then is remembered for longer than this after its last record, in
+    /// milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub bound_ms: u64,
+    /// Every key remembered then is forgotten by this time of the log's clock unless a later record
+    /// extends it, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "3")]
+    pub horizon_ms: u64,
+}
 /// One statement about one idempotency key.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ClaimEntry {
--- a/lib/tests/test_claim_fold.rs
+++ b/lib/tests/test_claim_fold.rs
@@ -6,6 +6,7 @@
 use pomelostack_lib::claim_fold::KeyState;
 use pomelostack_lib::claim_reader::ClaimReader;
 use pomelostack_lib::claim_reader::ReadChange;
+use pomelostack_lib::claim_record::BatchKnowledge;
 use pomelostack_lib::claim_record::ClaimBatch;
 use pomelostack_lib::claim_record::ClaimEntry;
 use pomelostack_lib::claim_record::ClaimKey;
@@ -50,6 +51,7 @@
         retention_ms: MIN_KEY_RETENTION_MS,
         checked_ms,
         entries: entries.into_iter().map(entry).collect(),
+        knowledge: None,
     }
 }
 
@@ -183,6 +185,38 @@
     assert_eq!(reader.state(ClaimKey([5; 16])), KeyState::Doubtful);
 }
 
+/// What a writer knew that had read everything ends the doubt earlier.
+#[test]
+fn knowledge_ends_doubt() {
+    let mut stream = TestStream::of_keys(4);
+    let (folded, bound_ms) = (LogOffset(4), MIN_KEY_RETENTION_MS);
+    let mark = |folded, horizon_ms| ClaimBatch {
+        knowledge: Some(BatchKnowledge { folded, bound_ms, horizon_ms }),
+        ..batch(1, 2_000, Vec::new())
+    };
+    // A writer that had not read what this reader missed tells nothing.
+    stream.push(2_000, encode_batch(&mark(LogOffset(1), 0)));
+    let mut reader = ClaimReader::new(claimant(9));
+    reader.on_expired(LogOffset(2));
+    reader.on_slice(&stream.read(2, LogOffset(2), 2_000));
+    assert!(!reader.is_trusted());
+    stream.push(2_000, encode_batch(&mark(folded, u64::MAX)));
+    let trusted_ms = 1_000 + MIN_KEY_RETENTION_MS;
+    reader.on_slice(&stream.read(2, reader.position(), trusted_ms - 1));
+    assert!(!reader.is_trusted());
+    reader.on_slice(&stream.read(2, reader.position(), trusted_ms));
+    assert!(reader.is_trusted());
+    // Nothing is remembered any more: the doubt ends at once.
+    stream.push(2_000, encode_batch(&mark(folded, 1_500)));
+    let mut late = ClaimReader::new(claimant(9));
+    late.on_expired(LogOffset(6));
+    late.on_slice(&stream.read(6, LogOffset(6), 2_000));
+    assert!(!late.is_trusted());
+    stream.push(2_000, encode_batch(&mark(LogOffset(6), 1_500)));
+    late.on_slice(&stream.read(6, late.position(), 2_000));
+    assert!(late.is_trusted());
+}
+
 #[test]
 fn checkpoint_closes_gap() {
     let mut stream = TestStream::of_keys(40);
--- a/lib/tests/test_claim_records.rs
+++ b/lib/tests/test_claim_records.rs
@@ -4,6 +4,7 @@
 use pomelostack_lib::claim_codec::encode_batch;
 use pomelostack_lib::claim_codec::entry_bytes;
 use pomelostack_lib::claim_reader::ClaimReader;
+use pomelostack_lib::claim_record::BatchKnowledge;
 use pomelostack_lib::claim_record::ClaimBatch;
 use pomelostack_lib::claim_record::ClaimEntry;
 use pomelostack_lib::claim_record::ClaimKey;
@@ -58,6 +59,11 @@
         retention_ms: 600_000,
         checked_ms: 1_700_000_000_000,
         entries: (1..).zip(statements).map(entry).collect(),
+        knowledge: Some(BatchKnowledge {
+            folded: LogOffset(12),
+            bound_ms: 600_000,
+            horizon_ms: 1_700_000_600_000,
+        }),
     }
 }
 
--- a/lib/tests/test_claim_writer.rs
+++ b/lib/tests/test_claim_writer.rs
@@ -159,6 +159,24 @@
     assert!(host.verdicts.iter().all(|(_, v)| matches!(v, ClaimVerdict::Won { .. })));
 }
 
+#[test]
+fn idle_mark() {
+    let mut log = ScheduleLog::default();
+    let mut host = TestHost::new("entry-0", &log);
+    host.submit(1, request(1, 0), 5_000);
+    host.land(&mut log);
+    host.read(&log);
+    host.advance_to(59_000);
+    host.read(&log);
+    assert!(host.sent.is_none());
+    host.advance_to(91_000);
+    host.read(&log);
+    assert!(host.sent_entries().is_empty());
+    host.land(&mut log);
+    host.advance_to(92_000);
+    assert!(host.sent.is_none());
+}
+
 #[test]
 fn lost_reply() {
     let mut log = ScheduleLog::default();
@@ -292,6 +310,8 @@
     for key in [5, 0] {
         host.advance_to(host.now.as_millis() + 700_000);
         host.read(&log);
+        host.land(&mut log);
+        host.advance_to(host.now.as_millis() + 25);
         host.submit(6, request(key, 0), host.now.as_millis() + 5_000);
         host.land(&mut log);
         host.read(&log);
--- a/lib/testutils/src/claim_harness.rs
+++ b/lib/testutils/src/claim_harness.rs
@@ -50,10 +50,12 @@
 const MAX_SENDS_PER_KEY: usize = 8;
 /// Callers send within this time.
 const SEND_HORIZON_US: u64 = 40 * SECOND_US;
+/// The same for schedules without checkpoints, in which hosts outwait their gaps.
+const LONG_HORIZON_US: u64 = 200 * SECOND_US;
 /// No caller sends a key again later than this after its first send.
 const RESEND_HORIZON_US: u64 = 60 * SECOND_US;
 /// Every request is decided and every delayed append has landed by then.
-const END_US: u64 = 300 * SECOND_US;
+const END_US: u64 = 480 * SECOND_US;
 const CHECKPOINT_US: u64 = 2 * SECOND_US;
 /// No fault shortens retention later than this.
 const LAST_CHECKPOINT_US: u64 = 60 * SECOND_US;
@@ -78,12 +80,14 @@
     /// Sends that ran, by key, in order.
     runs: BTreeMap<usize, Vec<usize>>,
     queue: EventQueue,
+    horizon: u64,
     now: u64,
 }
 
 impl ClaimHarness {
     fn new(seed: u64, rule: ClaimRule) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let horizon = if seed.is_multiple_of(2) { SEND_HORIZON_US } else { LONG_HORIZON_US };
         let schedule = FaultSchedule::draw(&mut rng, HOSTS, SEND_HORIZON_US);
         let hosts = (0..HOSTS).map(|host| SimHost::new(host, Incarnation(1), 0)).collect();
         let mut harness = Self {
@@ -95,6 +99,7 @@
             sends: Vec::new(),
             runs: BTreeMap::new(),
             queue: EventQueue::default(),
+            horizon,
             now: 0,
         };
         harness.plan();
@@ -113,7 +118,7 @@
             }
         }
         for key in 0..KEYS {
-            let first = self.rng.random_range(0..SEND_HORIZON_US);
+            let first = self.rng.random_range(0..self.horizon);
             self.plan_send(key, first);
             for _ in 0..self.rng.random_range(0..4) {
                 let spread =
@@ -263,8 +268,8 @@
             let latency = log_latency_us(&self.schedule, self.now);
             self.push_in(latency, SimEvent::ReadArrives(host));
         }
-        let short = self.schedule.faults.iter().any(|f| f.kind == FaultKind::ShortRetention);
-        if short && self.now < LAST_CHECKPOINT_US && self.now >= self.hosts[host].next_checkpoint {
+        let checkpoints = self.horizon == SEND_HORIZON_US && self.now < LAST_CHECKPOINT_US;
+        if checkpoints && self.now >= self.hosts[host].next_checkpoint {
             self.hosts[host].next_checkpoint = self.now + CHECKPOINT_US;
             self.writer_event(host, WriterEvent::WriteCheckpoint);
         }
--- a/lib/testutils/src/harness_host.rs
+++ b/lib/testutils/src/harness_host.rs
@@ -22,7 +22,7 @@
 const IDLE_READ_US: u64 = SECOND_US;
 const BUSY_READ_US: u64 = SECOND_US / 20;
 /// The hosts read less often once everything is decided.
-const DECIDED_US: u64 = 120 * SECOND_US;
+const DECIDED_US: u64 = 320 * SECOND_US;
 
 /// The claim decisions of one entry host's process.
 pub struct SimHost {
