--- a/lib/tests/test_claim_writer.rs
+++ b/lib/tests/test_claim_writer.rs
@@ -159,6 +159,24 @@
     assert!(host.verdicts.iter().all(|(_, v)| matches!(v, ClaimVerdict::Won { .. })));
 }
 
+#[test]
+fn idle_mark() {
+    let mut log = ScheduleLog::default();
+    let mut host = TestHost::new("entry-0", &log);
+    host.submit(1, request(1, 0), 5_000);
+    host.land(&mut log);
+    host.read(&log);
+    host.advance_to(59_000);
+    host.read(&log);
+    assert!(host.sent.is_none());
+    host.advance_to(91_000);
+    host.read(&log);
+    assert!(host.sent_entries().is_empty());
+    host.land(&mut log);
+    host.advance_to(92_000);
+    assert!(host.sent.is_none());
+}
+
 #[test]
 fn lost_reply() {
     let mut log = ScheduleLog::default();
@@ -274,8 +292,35 @@
     assert_eq!(host.writer.pending(), 4);
 }
 
+/// While every host refuses, nothing is appended and the fold's clock stands still.
+#[test]
+fn full_recovers() {
+    let mut log = ScheduleLog::default();
+    let mut host = TestHost::new("entry-0", &log);
+    for key in 0..5 {
+        host.submit(u64::from(key), request(key, 0), 5_000);
+        host.advance_to(host.now.as_millis() + 25);
+        host.land(&mut log);
+        host.read(&log);
+        host.token();
+    }
+    host.submit(5, request(5, 0), 5_000);
+    assert_eq!(code_of(host.verdict()).0, ResultCode::QueueFull);
+    // Both a new key and an old one whose claimant never answered can be claimed again.
+    for key in [5, 0] {
+        host.advance_to(host.now.as_millis() + 700_000);
+        host.read(&log);
+        host.land(&mut log);
+        host.advance_to(host.now.as_millis() + 25);
+        host.submit(6, request(key, 0), host.now.as_millis() + 5_000);
+        host.land(&mut log);
+        host.read(&log);
+        host.token();
+    }
+}
+
 #[test]
-fn outage_leaves_little_open() {
+fn outage_bounded() {
     let log = ScheduleLog::default();
     let mut host = TestHost::new("entry-0", &log);
     host.submit(1, request(1, 0), 1_000);
