config: close gaps that mutations of the code showed

Change: tests for forgetting deleted resources, for the checkpoint that covers the most while records expire during a scan, for a late checkpoint before a restore, and for the age of a late checkpoint.

--- a/lib/tests/test_config_checkpoint.rs
+++ b/lib/tests/test_config_checkpoint.rs
@@ -164,13 +164,55 @@
     assert_eq!(fresh.fold().revision(), Some(LogOffset(1)));
 }
 
+#[test]
+fn late_age() {
+    let log = short_log();
+    publish(&log, sample_change(1, None, vec![create_service("a", 1)]));
+    let paused = read_new(&log).fold().to_checkpoint();
+    publish(&log, sample_change(2, Some(0), vec![change_service("a", 2)]));
+    log.set_now_ms(RETENTION_MS / 4);
+    write_checkpoint(&log, &paused);
+    // The checkpoint is new, but the record that it needs is old.
+    assert!(duty(true, 0).is_due(&read_new(&log)));
+}
+
+#[test]
+fn largest_covered() {
+    let (log, mut host) = expired_log();
+    write_checkpoint(&log, &host.fold().to_checkpoint());
+    publish(&log, sample_change(3, Some(1), vec![change_service("a", 3)]));
+    catch_up(&mut host, &log);
+    log.set_now_ms(RETENTION_MS + 100);
+    write_checkpoint(&log, &host.fold().to_checkpoint());
+    let mut fresh = ConfigReplica::default();
+    fresh.on_expired(LogOffset(2));
+    let mut slice = log.read(STREAM, LogOffset(2), 3).expect("log works");
+    slice.end = slice.end.next();
+    fresh.on_slice(&slice);
+    // Meanwhile the record after the first of both checkpoints expires.
+    log.set_now_ms(2 * RETENTION_MS + 50);
+    publish(&log, sample_change(4, Some(3), vec![change_service("a", 4)]));
+    catch_up(&mut fresh, &log);
+    catch_up(&mut host, &log);
+    assert_eq!(fresh.standing(), ReplicaStanding::Log);
+    assert_eq!(fresh.fold(), host.fold());
+}
+
 #[test]
 fn only_late_checkpoint() {
-    let (log, _) = expired_log();
+    let (log, mut host) = expired_log();
     let mut paused = ConfigFold::default();
     paused.apply(LogOffset(0), &sample_change(1, None, vec![create_service("a", 1)]));
     write_checkpoint(&log, &paused.to_checkpoint());
-    assert_eq!(read_new(&log).standing(), ReplicaStanding::Gap);
+    let mut fresh = read_new(&log);
+    assert_eq!(fresh.standing(), ReplicaStanding::Gap);
+    catch_up(&mut host, &log);
+    assert!(duty(true, 0).is_due(&host));
+    let document = document_json(&[service_json("b", 5)], &[]);
+    publish(&log, sample_change(7, None, vec![ResourceOperation::Restore(document)]));
+    catch_up(&mut fresh, &log);
+    catch_up(&mut host, &log);
+    assert_eq!(fresh.fold().digest(), host.fold().digest());
 }
 
 #[test]
--- a/lib/tests/test_config_fold.rs
+++ b/lib/tests/test_config_fold.rs
@@ -10,6 +10,7 @@
 use pomelostack_lib::config_record::ResourceOperation;
 use pomelostack_lib::ids::HostId;
 use pomelostack_lib::ids::LogOffset;
+use pomelostack_lib::protos::config as proto;
 use pomelostack_lib::resource::ConfigState;
 use pomelostack_lib::resource_key::ResourceKey;
 use pomelostack_lib::resource_key::ResourceKind;
@@ -19,6 +20,7 @@
 use proptest::test_runner::RngAlgorithm;
 use proptest::test_runner::TestRng;
 use proptest::test_runner::TestRunner;
+use prost::Message as _;
 use testutils::config_samples::change_service;
 use testutils::config_samples::create_service;
 use testutils::config_samples::document_json;
@@ -145,6 +147,8 @@
     }
     assert_eq!(fold.status_of(&original), ChangeStatus::Unknown);
     assert_eq!(fold.history().count(), KNOWN_CHANGES);
+    let raw = proto::Checkpoint::decode(fold.to_checkpoint().data.as_slice()).unwrap();
+    assert!(raw.resources.is_empty(), "the deleted resource is forgotten");
     assert_eq!(fold.history().filter(|known| known.detail.is_some()).count(), HISTORY_ENTRIES);
     let next = fold.next_offset();
     fold.apply(next, &original);
