config: test late checkpoints with a wrongly stated retention

Change: the late checkpoint stands before a restore in one scan, and the duty is asked with a stated retention longer than the log's.

--- a/lib/tests/test_config_checkpoint.rs
+++ b/lib/tests/test_config_checkpoint.rs
@@ -207,12 +207,16 @@
     let mut fresh = read_new(&log);
     assert_eq!(fresh.standing(), ReplicaStanding::Gap);
     catch_up(&mut host, &log);
-    assert!(duty(true, 0).is_due(&host));
+    // Even if the stated retention is far longer than the log's.
+    let retention = Duration::from_millis(100 * RETENTION_MS);
+    let schedule = CheckpointSchedule { retention, max_records: 10, rank_permille: 0 };
+    assert!(CheckpointDuty::new(schedule).is_due(&host));
     let document = document_json(&[service_json("b", 5)], &[]);
     publish(&log, sample_change(7, None, vec![ResourceOperation::Restore(document)]));
     catch_up(&mut fresh, &log);
     catch_up(&mut host, &log);
     assert_eq!(fresh.fold().digest(), host.fold().digest());
+    assert_eq!(read_new(&log).fold().digest(), host.fold().digest());
 }
 
 #[test]
