--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -1,6 +1,9 @@
 //! The program's commands, one file each.
 
-mod admin;
+pub mod admin;
+mod check;
+mod dev;
+mod entry;
 
 use std::process::ExitCode;
 
@@ -17,6 +20,9 @@
 #[argh(subcommand)]
 enum Command {
     Admin(admin::AdminCommand),
+    Check(check::CheckCommand),
+    Dev(dev::DevCommand),
+    Entry(entry::EntryCommand),
 }
 
 impl TopLevel {
@@ -24,6 +30,9 @@
     pub fn run(self) -> anyhow::Result<ExitCode> {
         match self.command {
             Command::Admin(command) => command.run(),
+            Command::Check(command) => command.run(),
+            Command::Dev(command) => command.run(),
+            Command::Entry(command) => command.run(),
         }
     }
 }
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -4,18 +4,29 @@
 
 use std::process::ExitCode;
 
-use argh::FromArgs;
-use commands::TopLevel;
+use argh::FromArgs as _;
+
+use crate::commands::TopLevel;
 
 /// Exit code of a command line that cannot be understood.
 const USAGE_EXIT_CODE: u8 = 2;
 
 fn main() -> ExitCode {
-    let arguments = match parse_arguments() {
-        Ok(arguments) => arguments,
-        Err(code) => return code,
+    let arguments: Vec<String> = std::env::args().collect();
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let parsed = TopLevel::from_args(&["pomelostack"], arguments.get(1..).unwrap_or_default());
+    let top_level = match parsed {
+        Ok(top_level) => top_level,
+        Err(exit) if exit.status.is_ok() => {
+            println!("{}", exit.output);
+            return ExitCode::SUCCESS;
+        }
+        Err(exit) => {
+            eprintln!("{}", exit.output);
+            return ExitCode::from(USAGE_EXIT_CODE);
+        }
     };
-    match arguments.run() {
+    match top_level.run() {
         Ok(code) => code,
         Err(error) => {
             eprintln!("pomelostack: {error:#}");
@@ -23,19 +34,3 @@
         }
     }
 }
-
-/// Reads the command line; help ends the program with success, a fault with a code of its own.
-fn parse_arguments() -> Result<TopLevel, ExitCode> {
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
-    TopLevel::from_args(&["pomelostack"], &arguments).map_err(|exit| match exit.status {
-        Ok(()) => {
-            println!("{}", exit.output);
-            ExitCode::SUCCESS
-        }
-        Err(()) => {
-            eprintln!("{}", exit.output);
-            ExitCode::from(USAGE_EXIT_CODE)
-        }
-    })
-}
--- /dev/null
+++ b/lib/src/entry_sync.rs
@@ -0,0 +1,44 @@
+//! Carries news between the peers and this host's decisions.
+//!
+//! Configuration offsets come in as hints and go out with heartbeats, and the platform's host list
+//! goes into membership.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::config_follower::ConfigFollower;
+use crate::ids::LogOffset;
+use crate::member_keeper::MemberKeeper;
+use crate::supervisor::ChildContext;
+
+/// Time between two rounds.
+const SYNC_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Exchanges news with the peers.
+pub struct MemberSync {
+    /// Members.
+    pub members: Arc<MemberKeeper>,
+    /// Configuration.
+    pub config: Arc<ConfigFollower>,
+}
+
+impl MemberSync {
+    /// Runs until the child must stop.
+    pub fn run(&self, context: &ChildContext) {
+        while !context.must_stop() {
+            self.exchange();
+            context.report_progress();
+            std::thread::sleep(SYNC_INTERVAL);
+        }
+    }
+
+    fn exchange(&self) {
+        let view = self.members.snapshot();
+        let config = self.config.current();
+        if view.config_offset > config.next_offset {
+            // Peers tell the first offset that they have not folded; the one before it exists.
+            self.config.hint(LogOffset(view.config_offset.0 - 1));
+        }
+        self.members.set_config_offset(config.next_offset);
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod not_run;
 pub mod prompt;
 pub mod protos;
+pub mod record_error;
 pub mod result_code;
 pub mod timestamp;
 
@@ -19,21 +20,32 @@
 pub mod cloud_client;
 pub mod engine;
 pub mod engine_client;
+pub mod hop_headers;
 pub mod host_list;
 pub mod host_list_client;
+mod http_agent;
 pub mod http_edge;
 pub mod log_client;
 pub mod log_service;
+pub mod request_meter;
 pub mod server_connector;
 pub mod weight_store;
 pub mod weight_store_client;
 
 // Idempotency and leases on the log.
+pub mod claim_checkpoint;
+pub mod claim_codec;
 pub mod claim_fold;
+pub mod claim_gate;
 pub mod claim_keeper;
+pub mod claim_queue;
+pub mod claim_reader;
 pub mod claim_record;
+pub mod claim_verdict;
 pub mod claim_writer;
 pub mod lease;
+pub mod lease_codec;
+pub mod lease_keeper;
 
 // Configuration and administration.
 pub mod admin_access;
@@ -60,17 +72,43 @@
 
 // Membership and what rides on it.
 pub mod burn;
+pub mod member_config;
+pub mod member_event;
+pub mod member_keeper;
+mod member_merge;
+mod member_probe;
+pub mod member_record;
+mod member_relay;
+pub mod member_roster;
+pub mod member_section;
+pub mod member_snapshot;
+pub mod member_zone;
 pub mod membership;
+pub mod peer_client;
 pub mod peer_link;
 pub mod peer_message;
+pub mod peer_server;
 
 // Requests and their answers.
 pub mod answer_store;
+pub mod answer_table;
+pub mod crash_evidence;
+pub mod crash_report;
 pub mod crash_suspects;
 pub mod evacuation;
+pub mod evacuation_runner;
 pub mod handover;
+pub mod handover_protocol;
+pub mod record_bounds;
 pub mod request_session;
+pub mod session_attempt;
+pub mod session_claim;
 pub mod session_driver;
+pub mod session_event;
+pub mod session_ports;
+pub mod session_registry;
+pub mod session_request;
+pub mod session_stream;
 
 // Routing, limits and fleet.
 pub mod admission;
@@ -80,11 +118,29 @@
 pub mod prefix_map;
 pub mod request_router;
 pub mod retry_budget;
+pub mod server_directory;
 
 // The process.
+pub mod answer_reply;
+pub mod caller_guard;
+pub mod caller_reply;
+pub mod caller_request;
+pub mod completion_api;
 pub mod entry;
+pub mod entry_admin;
+pub mod entry_parts;
+pub mod entry_peer;
+pub mod entry_sync;
 pub mod front_door;
+pub mod http_listener;
+pub mod http_reply;
+pub mod http_route;
 pub mod logging;
 pub mod metrics;
+pub mod metrics_pump;
+pub mod reply_channel;
+pub mod request_id_source;
+pub mod server_follower;
 pub mod settings;
+pub mod settings_json;
 pub mod supervisor;
--- a/lib/src/server_connector.rs
+++ b/lib/src/server_connector.rs
@@ -1,66 +1,77 @@
-//! Clients of backend servers, one for each address, so that their connections are reused.
+//! Keeps one HTTP client for each backend server's address.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 
 use crate::app_client::AppClient;
+use crate::app_server::AppServer;
+use crate::engine::ModelEngine;
 use crate::engine_client::EngineClient;
 use crate::http_edge::EdgeLimits;
+use crate::session_ports::ProbeResult;
+use crate::session_ports::ServerConnector;
+use crate::session_ports::lock;
 
+/// Clients of all backend servers, by address.
 #[derive(Default)]
-struct ConnectorState {
+struct ClientTable {
     engines: BTreeMap<SocketAddr, Arc<EngineClient>>,
     apps: BTreeMap<SocketAddr, Arc<AppClient>>,
 }
 
-/// Hands out the client of each address.
-pub struct ServerConnector {
+/// Reaches backend servers over HTTP.
+pub struct HttpConnector {
     limits: EdgeLimits,
-    state: Mutex<ConnectorState>,
+    clients: Mutex<ClientTable>,
 }
 
-impl ServerConnector {
-    /// Builds a connector whose clients have the given limits.
+impl HttpConnector {
+    /// Builds a connector whose clients have the given bounds.
     pub fn new(limits: EdgeLimits) -> Self {
-        Self { limits, state: Mutex::default() }
+        Self { limits, clients: Mutex::default() }
     }
 
-    /// Returns the client of the engine at the address.
-    pub fn engine(&self, address: SocketAddr) -> Arc<EngineClient> {
-        let build = || Arc::new(EngineClient::new(address, self.limits));
-        self.lock().engines.entry(address).or_insert_with(build).clone()
+    /// Drops the clients of all addresses but the given ones.
+    pub fn keep_only(&self, addresses: &[SocketAddr]) {
+        let mut clients = lock(&self.clients);
+        clients.engines.retain(|address, _| addresses.contains(address));
+        clients.apps.retain(|address, _| addresses.contains(address));
+    }
+}
+
+impl ServerConnector for HttpConnector {
+    fn engine(&self, address: SocketAddr) -> Arc<dyn ModelEngine> {
+        let mut clients = lock(&self.clients);
+        let client = clients.engines.entry(address);
+        client.or_insert_with(|| Arc::new(EngineClient::new(address, self.limits))).clone()
     }
 
-    /// Returns the client of the app server at the address.
-    pub fn app(&self, address: SocketAddr) -> Arc<AppClient> {
-        let build = || Arc::new(AppClient::new(address, self.limits));
-        self.lock().apps.entry(address).or_insert_with(build).clone()
+    fn app(&self, address: SocketAddr) -> Arc<dyn AppServer> {
+        let mut clients = lock(&self.clients);
+        let client = clients.apps.entry(address);
+        client.or_insert_with(|| Arc::new(AppClient::new(address, self.limits))).clone()
     }
 
-    /// Drops the idle connections to the address.
-    pub fn retire_connections(&self, address: SocketAddr) {
-        let state = self.lock();
-        if let Some(engine) = state.engines.get(&address) {
+    fn retire(&self, address: SocketAddr) {
+        let clients = lock(&self.clients);
+        if let Some(engine) = clients.engines.get(&address) {
             engine.retire_connections();
         }
-        if let Some(app) = state.apps.get(&address) {
+        if let Some(app) = clients.apps.get(&address) {
             app.retire_connections();
         }
     }
 
-    /// Forgets the clients of all other addresses; calls in flight go on.
-    pub fn keep_only(&self, addresses: &BTreeSet<SocketAddr>) {
-        let mut state = self.lock();
-        state.engines.retain(|address, _| addresses.contains(address));
-        state.apps.retain(|address, _| addresses.contains(address));
-    }
-
-    fn lock(&self) -> MutexGuard<'_, ConnectorState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    fn probe(&self, address: SocketAddr) -> ProbeResult {
+        match TcpStream::connect_timeout(&address, self.limits.connect_timeout) {
+            Ok(_) => ProbeResult::Open,
+            Err(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+                ProbeResult::Refused
+            }
+            Err(_) => ProbeResult::Silent,
+        }
     }
 }
--- /dev/null
+++ b/lib/tests/test_session_driver.rs
@@ -0,0 +1,219 @@
+//! The session driver with scripted servers: whole requests on real threads.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+use pomelostack_lib::evacuation::EvacuationChoice;
+use pomelostack_lib::evacuation::EvacuationRates;
+use pomelostack_lib::evacuation::EvacuationServer;
+use pomelostack_lib::evacuation_runner::EvacuationRunner;
+use pomelostack_lib::handover::UnfinishedRequest;
+use pomelostack_lib::ids::RequestId;
+use pomelostack_lib::ids::ServerKey;
+use pomelostack_lib::not_run::NotRunProof;
+use pomelostack_lib::request_router::ServerState;
+use pomelostack_lib::result_code::ResultCode;
+use pomelostack_lib::session_driver::SessionDriver;
+use pomelostack_lib::session_event::SessionEvent;
+use pomelostack_lib::session_registry::DriverMessage;
+use pomelostack_lib::session_request::CheckedRequest;
+use pomelostack_lib::session_request::SessionEnd;
+use rstest::rstest;
+use testutils::driver_rig::DriverRig;
+use testutils::driver_rig::MAX_TOKENS;
+use testutils::driver_rig::REQUEST;
+use testutils::driver_rig::RecordingSink;
+use testutils::driver_rig::service;
+use testutils::driver_rig::whole_text;
+use testutils::scripted_servers::AttemptScript;
+use testutils::scripted_servers::scripted_token;
+
+const HELD_TOKENS: u32 = 4;
+const LONG: Duration = Duration::from_secs(60);
+
+#[rstest]
+#[case::no_fault(&[])]
+#[case::lost(&[AttemptScript::LostAfter(5)])]
+#[case::refused(&[AttemptScript::Refused])]
+#[case::not_connected(&[AttemptScript::NotConnected])]
+#[case::silent_once(&[AttemptScript::SilentAfter(3)])]
+#[case::silent_twice(&[AttemptScript::SilentAfter(3), AttemptScript::SilentAfter(0)])]
+#[case::wrong_end(&[AttemptScript::WrongEnd])]
+fn whole_answer(#[case] scripts: &[AttemptScript]) {
+    let rig = DriverRig::new(2);
+    for script in scripts {
+        rig.servers.script(rig.addresses[0], script.clone());
+    }
+    let sink = rig.run(rig.model_request());
+    assert_eq!(sink.ends[0].code(), ResultCode::Complete);
+    assert_eq!(sink.text, whole_text());
+    let kept = rig.ports.answers.read_from(REQUEST, 4).unwrap();
+    let kept: String = kept.chunks.into_iter().map(|chunk| chunk.text).collect();
+    assert_eq!(kept, (4..MAX_TOKENS).map(scripted_token).collect::<String>());
+}
+
+#[test]
+fn resumed_offset() {
+    let rig = DriverRig::new(2);
+    rig.servers.script(rig.addresses[0], AttemptScript::LostAfter(5));
+    rig.run(rig.model_request());
+    let resumed: Vec<u32> = rig.servers.journal().iter().map(|line| line.resume_from).collect();
+    assert_eq!(resumed, [0, 5]);
+}
+
+#[test]
+fn silent_probe() {
+    let rig = DriverRig::new(2);
+    rig.servers.script(rig.addresses[0], AttemptScript::SilentAfter(3));
+    rig.run(rig.model_request());
+    let addresses: Vec<SocketAddr> = rig.servers.journal().iter().map(|l| l.address).collect();
+    assert_eq!(addresses, [rig.addresses[0], rig.addresses[0]]);
+    assert!(rig.servers.retired().contains(&rig.addresses[0]));
+}
+
+#[rstest]
+#[case::whole(AttemptScript::Whole, ResultCode::Complete, 1)]
+#[case::lost(AttemptScript::LostAfter(0), ResultCode::ServerLost, 1)]
+#[case::malformed(AttemptScript::WrongEnd, ResultCode::BadServerAnswer, 1)]
+#[case::refused(AttemptScript::Refused, ResultCode::Complete, 1)]
+#[case::not_connected(AttemptScript::NotConnected, ResultCode::Complete, 1)]
+fn single_run(#[case] script: AttemptScript, #[case] code: ResultCode, #[case] runs: usize) {
+    let rig = DriverRig::new(2);
+    rig.servers.script(rig.addresses[0], script);
+    let sink = rig.run(rig.alert_request());
+    assert_eq!(sink.ends[0].code(), code);
+    assert_eq!(rig.servers.journal().len(), runs);
+    let completed = u32::from(code == ResultCode::Complete);
+    assert_eq!(*rig.claims.completed.lock().unwrap(), completed);
+}
+
+#[test]
+fn refused_everywhere() {
+    let rig = DriverRig::new(2);
+    for address in &rig.addresses {
+        rig.servers.script(*address, AttemptScript::Refused);
+    }
+    let sink = rig.run(rig.alert_request());
+    let SessionEnd::NotRun { refusal, .. } = &sink.ends[0] else { panic!("{:?}", sink.ends) };
+    assert_eq!(refusal.code(), ResultCode::RetriesExhausted);
+    assert!(matches!(refusal.proof(), NotRunProof::EveryAttemptRefused(_)));
+    assert_eq!(*rig.claims.released.lock().unwrap(), 1);
+    assert!(rig.servers.journal().is_empty());
+}
+
+#[test]
+fn key_required() {
+    let rig = DriverRig::new(1);
+    let mut request = rig.alert_request();
+    request.idempotency_key = None;
+    let sink = rig.run(request);
+    assert_eq!(sink.ends[0].code(), ResultCode::KeyRequired);
+    assert!(rig.servers.journal().is_empty());
+}
+
+/// Runs a request on a thread of its own until its first attempt holds after four tokens.
+fn run_held(rig: &DriverRig) -> thread::JoinHandle<RecordingSink> {
+    rig.servers.script(rig.addresses[0], AttemptScript::HoldAfter(HELD_TOKENS));
+    let (driver, request) = (SessionDriver::new(rig.ports.clone()), rig.model_request());
+    let thread = thread::spawn(move || {
+        let mut sink = RecordingSink::default();
+        driver.run(request, &mut sink);
+        sink
+    });
+    // The store may not know the request yet.
+    while rig.ports.answers.wait_from(REQUEST, HELD_TOKENS - 1, LONG).is_none() {
+        thread::yield_now();
+    }
+    thread
+}
+
+fn stored_text(rig: &DriverRig) -> String {
+    let part = rig.ports.answers.read_from(REQUEST, 0).unwrap();
+    part.chunks.into_iter().map(|chunk| chunk.text).collect()
+}
+
+#[test]
+fn handed_over() {
+    let leaver = DriverRig::new(1);
+    let taker = DriverRig::with_servers(1, leaver.servers.clone());
+    let thread = run_held(&leaver);
+    let (sender, receiver) = mpsc::channel();
+    assert!(leaver.ports.registry.message(REQUEST, DriverMessage::HandOver(sender)));
+    let state = receiver.recv().unwrap();
+    let state = UnfinishedRequest::decode(&state.encode().unwrap()).unwrap();
+    // What comes after the description is kept from the caller.
+    leaver.servers.release();
+    let driver = SessionDriver::new(taker.ports.clone());
+    assert!(driver.keep_offer(&state, Arc::new(service())));
+    assert!(driver.keep_offer(&state, Arc::new(service())));
+    assert!(leaver.ports.registry.send(REQUEST, SessionEvent::HandoverTaken));
+    let sink = thread.join().unwrap();
+    assert_eq!(sink.ends[0].code(), ResultCode::StillRunning);
+    assert_eq!(sink.text, state.tokens.concat());
+    driver.take_over(&state, Arc::new(service()));
+    assert_eq!(stored_text(&taker), whole_text());
+}
+
+#[test]
+fn handover_refused() {
+    let rig = DriverRig::new(1);
+    let thread = run_held(&rig);
+    let (sender, receiver) = mpsc::channel();
+    rig.ports.registry.message(REQUEST, DriverMessage::HandOver(sender));
+    assert_eq!(receiver.recv().unwrap().tokens.len(), HELD_TOKENS as usize);
+    rig.servers.release();
+    rig.ports.registry.message(REQUEST, DriverMessage::Resume);
+    assert_eq!(thread.join().unwrap().text, whole_text());
+}
+
+#[test]
+fn evacuated_stream() {
+    let rig = DriverRig::new(2);
+    let thread = run_held(&rig);
+    let keys: Vec<ServerKey> =
+        rig.ports.router.lock().unwrap().servers().map(|(key, _)| key).collect();
+    let leaves_at = rig.ports.clock.now() + Duration::from_millis(50);
+    let server = |(index, &key): (usize, &ServerKey)| EvacuationServer {
+        key,
+        leaves_at: (index == 0).then_some(leaves_at),
+        free_places: 4,
+        warm_blocks: BTreeSet::new(),
+    };
+    let servers: Vec<EvacuationServer> = keys.iter().enumerate().map(server).collect();
+    let rates =
+        EvacuationRates { token_time: Duration::from_secs(1), transfer_tokens_per_second: 1 };
+    let runner = EvacuationRunner::new(rig.ports.clone(), rates);
+    let moves = runner.evacuate(&servers);
+    assert_eq!(moves[0].choice, EvacuationChoice::Recompute { target: Some(keys[1]) });
+    let sink = thread.join().unwrap();
+    assert_eq!((sink.text, sink.ends[0].code()), (whole_text(), ResultCode::Complete));
+    let journal = rig.servers.journal();
+    assert_eq!((journal[1].address, journal[1].resume_from), (rig.addresses[1], HELD_TOKENS));
+    let router = rig.ports.router.lock().unwrap();
+    assert_eq!(router.server(keys[0]).unwrap().state, ServerState::Leaving);
+    rig.servers.release();
+}
+
+/// A request whose server's process ended waits for the evidence of other hosts, then is tried
+/// alone and refused after the second server.
+#[test]
+fn crashing_request() {
+    let rig = DriverRig::new(3);
+    for &address in &rig.addresses {
+        rig.servers.script(address, AttemptScript::LostAfter(0));
+        rig.servers.set_dead(address);
+    }
+    let sink = rig.run(rig.model_request());
+    assert_eq!(sink.ends[0].code(), ResultCode::AttemptsLost);
+    assert_eq!(rig.servers.journal().len(), 2);
+    let again = CheckedRequest { id: RequestId { origin: 7, sequence: 2 }, ..rig.model_request() };
+    let sink = rig.run(again);
+    assert_eq!(sink.ends[0].code(), ResultCode::CrashRefused);
+    assert_eq!(rig.servers.journal().len(), 2);
+}
