--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,8 +1,13 @@
 //! Policy measurements and slopes: prints JSON lines.
 
+mod config_fold;
 mod membership;
 mod peer_link;
 
+/// Seed of every case.
+const SEED: u64 = 1;
+
 fn main() {
-    membership::run(1);
+    config_fold::run(SEED);
+    membership::run(SEED);
 }
