admin: close connections that have gone silent, bound watchers

Cause: a watch on a connection that is silent for good would hold its place and thread for ever; a log that ends before what was read went unnoticed. Change: HTTP/2 keepalive on both sides, a bound on calls of one connection, a test of the bound on watchers, and a counted error for a log that regressed.

--- a/cli/src/commands/admin/client.rs
+++ b/cli/src/commands/admin/client.rs
@@ -23,6 +23,12 @@
 /// Time for one call; longer than an entry host waits to read a change back from the log.
 const CALL_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Time after which a silent connection is probed.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(20);
+
+/// Time after which a probed connection that stays silent is given up.
+const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Makes calls with an operator's token.
 pub struct AdminCaller {
     /// Client of the API.
@@ -38,7 +44,9 @@
             .map_err(CallError::Usage)?;
         let endpoint = Endpoint::from_shared(format!("http://{address}"))
             .map_err(CallError::Connect)?
-            .connect_timeout(CONNECT_TIMEOUT);
+            .connect_timeout(CONNECT_TIMEOUT)
+            .http2_keep_alive_interval(KEEPALIVE_INTERVAL)
+            .keep_alive_timeout(KEEPALIVE_TIMEOUT);
         let channel = endpoint.connect().await.map_err(CallError::Connect)?;
         Ok(Self { client: AdminClient::new(channel), authorization })
     }
--- a/lib/src/admin_server.rs
+++ b/lib/src/admin_server.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::time::Duration;
 
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
@@ -13,6 +14,15 @@
 use crate::admin_service::AdminService;
 use crate::protos::admin::admin_server::AdminServer as TonicService;
 
+/// Time after which a silent connection is probed.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(20);
+
+/// Time after which a probed connection that stays silent is closed, with its watches.
+const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Calls of one connection that run at once; further ones wait.
+const MAX_CALLS: usize = 128;
+
 /// A running server of the administration API.
 pub struct AdminServer {
     address: SocketAddr,
@@ -32,6 +42,9 @@
         };
         let (stop, stopped) = oneshot::channel();
         let server = Server::builder()
+            .http2_keepalive_interval(Some(KEEPALIVE_INTERVAL))
+            .http2_keepalive_timeout(Some(KEEPALIVE_TIMEOUT))
+            .concurrency_limit_per_connection(MAX_CALLS)
             .add_service(TonicService::new(service))
             .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async {
                 // A dropped sender stops the server too.
--- a/lib/src/config_replica.rs
+++ b/lib/src/config_replica.rs
@@ -7,6 +7,7 @@
 //! them to write its checkpoint; it never skips a record that it has not seen.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use crate::config_checkpoint::CheckpointAssembler;
 use crate::config_checkpoint::JoinedCheckpoint;
@@ -35,6 +36,18 @@
     Gap,
 }
 
+impl fmt::Display for ReplicaStanding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Empty => "empty",
+            Self::Peer => "peer",
+            Self::Log => "log",
+            Self::Scanning => "scanning",
+            Self::Gap => "gap",
+        })
+    }
+}
+
 /// A whole checkpoint seen in the stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SeenCheckpoint {
@@ -131,6 +144,11 @@
     pub fn on_slice(&mut self, slice: &LogSlice) -> bool {
         self.bounds = (slice.first, slice.end);
         self.log_now_ms = slice.now_ms;
+        if slice.end < self.cursor {
+            let (end, cursor) = (slice.end.0, self.cursor.0);
+            log::error!("config log ends before what was read end={end} cursor={cursor}");
+            *self.skipped.entry(ResultCode::Internal).or_default() += 1;
+        }
         if slice.first > self.cursor {
             self.on_expired(slice.first);
             return true;
--- a/lib/tests/test_admin_api.rs
+++ b/lib/tests/test_admin_api.rs
@@ -1,5 +1,6 @@
 //! The administration API over gRPC: access, changes, reads, watches and errors.
 
+use pomelostack_lib::admin_service::MAX_WATCHERS;
 use pomelostack_lib::admin_status::read_status;
 use pomelostack_lib::config_snapshot::FollowerOptions;
 use pomelostack_lib::log_service::LogStream;
@@ -288,6 +289,20 @@
     assert_eq!(fixture.runtime.block_on(stream.message()).unwrap(), None);
 }
 
+#[test]
+fn many_watchers() {
+    let fixture = AdminFixture::start();
+    let mut reader = TestCaller::connect(&fixture, READ_TOKEN);
+    let mut streams = Vec::new();
+    for _ in 0..MAX_WATCHERS {
+        streams.push(call!(reader, watch_revisions, api::WatchRevisionsRequest {}).unwrap());
+    }
+    let refused = call!(reader, watch_revisions, api::WatchRevisionsRequest {});
+    assert_refused(refused, Code::ResourceExhausted, ResultCode::QueueFull, None);
+    let list = call!(reader, list_resources, api::ListResourcesRequest::default());
+    assert!(list.is_ok());
+}
+
 #[test]
 fn provided_reports() {
     let fixture = AdminFixture::start();
