crash_suspects: agree on each trial, so that two suspects never share a server

A trial now begins only after every peer has answered for that very trial with no request and no clashing trial; of two that clash the host that sorts first goes on.

--- a/lib/src/crash_evidence.rs
+++ b/lib/src/crash_evidence.rs
@@ -31,6 +31,10 @@
 /// arrives. Must be longer than reports take to reach all hosts.
 pub const SETTLE_TIME: Duration = Duration::from_secs(2);
 
+/// Crashes of one and the same server with the request alone on it after which it is refused, for
+/// services that have no second server to try it on.
+pub const ONE_SERVER_CRASHES: usize = 3;
+
 /// Servers of one availability zone that end together when the zone is lost.
 pub const ZONE_LOSS_SERVERS: usize = 3;
 
@@ -77,6 +81,8 @@
         heard_at: Timestamp,
         /// Longest time that it ran before a crash.
         ran: Duration,
+        /// Servers that crashed with it, in order.
+        crashed: Vec<ServerId>,
     },
     /// It crashes servers.
     Refused,
@@ -166,7 +172,8 @@
             return CrashVerdict::Unsettled;
         }
         let servers: BTreeSet<&ServerId> = named.iter().map(|crash| &crash.server).collect();
-        if servers.len() >= 2 && named.iter().any(|crash| crash.fingerprints().len() == 1) {
+        let alone = named.iter().filter(|crash| crash.fingerprints().len() == 1).count();
+        if (servers.len() >= 2 && alone >= 1) || alone >= ONE_SERVER_CRASHES {
             return CrashVerdict::Refused;
         }
         let reporters = latest.views.iter().filter(|(_, companions)| {
@@ -176,6 +183,7 @@
             reporters: reporters.map(|(host, _)| host.clone()).collect(),
             heard_at: latest.heard_at,
             ran: longest_run(&named, fingerprint),
+            crashed: servers.into_iter().cloned().collect(),
         }
     }
 
--- a/lib/src/crash_report.rs
+++ b/lib/src/crash_report.rs
@@ -61,18 +61,22 @@
 pub struct TrialView {
     /// Host that runs it.
     pub owner: HostId,
+    /// Number of the trial among those of its owner.
+    pub number: u64,
     /// Server that no other request may be sent to.
     pub server: ServerId,
     /// Suspect.
     pub fingerprint: WorkFingerprint,
 }
 
-/// Requests that the sender still has on a server under another host's trial.
+/// Answer to another host's trial: the sender avoids the server, and still has requests there.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BusyView {
-    /// Server.
-    pub server: ServerId,
-    /// Requests of the sender there.
+    /// Host that runs the trial.
+    pub owner: HostId,
+    /// Number of the trial among those of its owner.
+    pub number: u64,
+    /// Requests of the sender on its server.
     pub in_flight: u32,
 }
 
--- a/lib/src/crash_suspects.rs
+++ b/lib/src/crash_suspects.rs
@@ -4,8 +4,9 @@
 //! host, one server that every host avoids, and only once that server has no other request. The
 //! trial clears the suspect or, together with the first crash, proves that it crashes servers.
 
+mod trials;
+
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::crash_evidence::CrashEvidence;
@@ -43,9 +44,6 @@
 /// Time for which an announced end excuses the end of a server's process.
 pub const ANNOUNCEMENT_EXPIRY: Duration = Duration::from_secs(600);
 
-/// Servers of a service for each one that may be under trial.
-pub const SERVERS_PER_TRIAL: usize = 4;
-
 impl From<&CheckedRequest> for WorkFingerprint {
     fn from(request: &CheckedRequest) -> Self {
         let mut hasher = blake3::Hasher::new();
@@ -112,6 +110,7 @@
 
 #[derive(Clone, Debug)]
 struct OwnTrial {
+    number: u64,
     server: ServerId,
     request: RequestId,
     /// Longest time that the suspect ran before a crash.
@@ -123,7 +122,8 @@
 struct PeerState {
     heard_at: Timestamp,
     trials: Vec<TrialView>,
-    busy: BTreeMap<ServerId, u32>,
+    /// Requests that the peer has on the server of each trial of this host that it knows of.
+    busy: BTreeMap<u64, u32>,
 }
 
 /// Suspicions of one entry host.
@@ -133,6 +133,7 @@
     evidence: CrashEvidence,
     in_flight: BTreeMap<ServerId, BTreeMap<RequestId, InFlight>>,
     trials: BTreeMap<WorkFingerprint, OwnTrial>,
+    trial_count: u64,
     peers: BTreeMap<HostId, PeerState>,
     announced: BTreeMap<ServerId, Timestamp>,
 }
@@ -145,6 +146,7 @@
             evidence: CrashEvidence::default(),
             in_flight: BTreeMap::new(),
             trials: BTreeMap::new(),
+            trial_count: 0,
             peers: BTreeMap::new(),
             announced: BTreeMap::new(),
         }
@@ -170,55 +172,21 @@
                 self.evidence.add_refused(now, fingerprint);
                 SuspectPlacement::Refused
             }
-            CrashVerdict::Suspect { reporters, heard_at, ran } => {
+            CrashVerdict::Suspect { reporters, heard_at, ran, crashed } => {
                 let rank = reporters.iter().position(|host| *host == self.host);
                 let turn = u32::try_from(rank.unwrap_or(reporters.len())).unwrap_or(u32::MAX);
                 if now.since(heard_at) < SETTLE_TIME + OWNER_TURN * turn {
                     return SuspectPlacement::Hold;
                 }
+                // A second crash of the same server might be the server's own fault.
+                let fresh: Vec<ServerId> =
+                    candidates.iter().filter(|id| !crashed.contains(id)).cloned().collect();
+                let candidates = if fresh.is_empty() { candidates } else { &fresh };
                 self.try_alone(fingerprint, request, ran, candidates)
             }
         }
     }
 
-    fn try_alone(
-        &mut self,
-        fingerprint: WorkFingerprint,
-        request: RequestId,
-        ran: Duration,
-        candidates: &[ServerId],
-    ) -> SuspectPlacement {
-        if let Some(trial) = self.trials.get(&fingerprint) {
-            let usable = trial.request == request && candidates.contains(&trial.server);
-            return match usable && self.is_drained(&trial.server) {
-                true => SuspectPlacement::Trial(trial.server.clone()),
-                false => SuspectPlacement::Hold,
-            };
-        }
-        let foreign = self.peers.values().flat_map(|peer| &peer.trials);
-        if foreign.clone().any(|trial| trial.fingerprint == fingerprint) {
-            return SuspectPlacement::Hold;
-        }
-        let limit = (candidates.len() / SERVERS_PER_TRIAL).max(1);
-        let busy = self.trial_servers();
-        if candidates.iter().filter(|server| busy.contains(server)).count() >= limit {
-            return SuspectPlacement::Hold;
-        }
-        let free = candidates.iter().filter(|server| !busy.contains(server));
-        if let Some(server) = free.min_by_key(|server| (self.count_on(server), (*server).clone())) {
-            let server = server.clone();
-            let trial = OwnTrial { server, request, ran, started_at: None };
-            self.trials.insert(fingerprint, trial);
-        }
-        SuspectPlacement::Hold
-    }
-
-    /// Returns whether no request of any host is on the server, as far as peers have answered.
-    fn is_drained(&self, server: &ServerId) -> bool {
-        let answered = |peer: &PeerState| peer.busy.get(server) == Some(&0);
-        self.count_on(server) == 0 && self.peers.values().all(answered)
-    }
-
     fn count_on(&self, server: &ServerId) -> usize {
         let running = |found: &BTreeMap<RequestId, InFlight>| {
             found.values().filter(|attempt| attempt.left_at.is_none()).count()
@@ -226,12 +194,6 @@
         self.in_flight.get(server).map_or(0, running)
     }
 
-    fn trial_servers(&self) -> Vec<ServerId> {
-        let own = self.trials.values().map(|trial| &trial.server);
-        let foreign = self.peers.values().flat_map(|peer| &peer.trials).map(|trial| &trial.server);
-        own.chain(foreign).cloned().collect::<BTreeSet<_>>().into_iter().collect()
-    }
-
     /// Records an attempt that is sent to a server.
     pub fn begin(
         &mut self,
@@ -323,13 +285,14 @@
     /// Returns what this host tells its peers; the same report may be sent many times.
     pub fn report(&mut self, now: Timestamp) -> CrashReport {
         self.expire(now);
-        let foreign = self.peers.values().flat_map(|peer| &peer.trials);
-        let busy = foreign.map(|trial| BusyView {
-            server: trial.server.clone(),
+        let busy = self.foreign_trials().map(|trial| BusyView {
+            owner: trial.owner.clone(),
+            number: trial.number,
             in_flight: u32::try_from(self.count_on(&trial.server)).unwrap_or(u32::MAX),
         });
         let trials = self.trials.iter().map(|(&fingerprint, trial)| TrialView {
             owner: self.host.clone(),
+            number: trial.number,
             server: trial.server.clone(),
             fingerprint,
         });
@@ -361,7 +324,8 @@
             let at = now - Duration::from_millis(verdict.age_ms);
             self.evidence.add_refused(at, verdict.fingerprint);
         }
-        let busy = report.busy.iter().map(|busy| (busy.server.clone(), busy.in_flight));
+        let own = report.busy.iter().filter(|busy| busy.owner == self.host);
+        let busy = own.map(|busy| (busy.number, busy.in_flight));
         let trials = report.trials.clone();
         let peer = PeerState { heard_at: now, trials, busy: busy.collect() };
         self.peers.insert(report.from.clone(), peer);
--- a/lib/testutils/src/crash_fleet.rs
+++ b/lib/testutils/src/crash_fleet.rs
@@ -59,6 +59,23 @@
     }
 }
 
+/// How a host chooses among the servers that are free for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerChoice {
+    /// The least loaded of all.
+    LeastLoaded,
+    /// The less loaded of two that follow from the request's fingerprint, the same at every host.
+    SameTwo,
+}
+
+/// Mixes a fingerprint and a server into a rank.
+fn mix(fingerprint: u64, server: u64) -> u64 {
+    let word = (fingerprint ^ server.wrapping_mul(0x9e37_79b9_7f4a_7c15)).wrapping_add(server + 1);
+    let word = (word ^ (word >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let word = (word ^ (word >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    word ^ (word >> 31)
+}
+
 /// What happened.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct FleetCounts {
@@ -83,6 +100,7 @@
     hosts: Vec<CrashSuspects>,
     up_at: Vec<Timestamp>,
     sharing_delay: Duration,
+    choice: ServerChoice,
     deliveries: Vec<Delivery>,
     jobs: Vec<(FleetJob, JobState)>,
     /// Jobs that have been sent and not ended, in order.
@@ -102,12 +120,18 @@
 
 impl CrashFleet {
     /// Builds a fleet whose reports take `sharing_delay` to arrive.
-    pub fn new(host_count: usize, server_count: usize, sharing_delay: Duration) -> Self {
+    pub fn new(
+        host_count: usize,
+        server_count: usize,
+        sharing_delay: Duration,
+        choice: ServerChoice,
+    ) -> Self {
         let host = |n| CrashSuspects::new(HostId::try_from(format!("entry-{n}")).unwrap());
         Self {
             hosts: (0..host_count).map(host).collect(),
             up_at: vec![Timestamp::default(); server_count],
             sharing_delay,
+            choice,
             deliveries: Vec::new(),
             jobs: Vec::new(),
             active: Vec::new(),
@@ -185,7 +209,7 @@
         let chosen = match host.place(now, job.fingerprint, job_id(index), &candidates) {
             SuspectPlacement::Free { avoid } => {
                 let free = up.into_iter().filter(|&server| !avoid.contains(&server_id(server)));
-                free.min_by_key(|&server| (self.load[server], server))
+                self.choose(job, free.collect())
             }
             SuspectPlacement::Trial(id) => up.into_iter().find(|&server| server_id(server) == id),
             SuspectPlacement::Hold => None,
@@ -203,6 +227,14 @@
         }
     }
 
+    fn choose(&self, job: &FleetJob, mut free: Vec<usize>) -> Option<usize> {
+        if self.choice == ServerChoice::SameTwo {
+            free.sort_by_key(|&server| mix(job.fingerprint.0 as u64, server as u64));
+            free.truncate(2);
+        }
+        free.into_iter().min_by_key(|&server| (self.load[server], server))
+    }
+
     /// Ends a server's process: every host that has requests there sees it at once.
     fn crash(&mut self, now: Timestamp, server: usize) {
         let id = server_id(server);
