sessions: follow a key that runs at this host, free everything on a panic

A resend of a key waits for the first request's answer when this host runs it. SessionRun frees its server place, trial and registry entry when dropped. Servers are listed for the suspicions only while any request is suspected.

--- a/lib/src/crash_suspects.rs
+++ b/lib/src/crash_suspects.rs
@@ -152,6 +152,12 @@
         }
     }
 
+    /// Returns whether nothing is held against any request, so that all may go anywhere.
+    pub fn is_quiet(&self) -> bool {
+        let no_trials = self.trials.is_empty() && self.peers.values().all(|p| p.trials.is_empty());
+        no_trials && self.evidence.is_empty()
+    }
+
     /// Decides where a request may be sent; `candidates` are the servers that could run it.
     pub fn place(
         &mut self,
@@ -160,8 +166,7 @@
         request: RequestId,
         candidates: &[ServerId],
     ) -> SuspectPlacement {
-        let no_trials = self.trials.is_empty() && self.peers.values().all(|p| p.trials.is_empty());
-        if self.evidence.is_empty() && no_trials {
+        if self.is_quiet() {
             return SuspectPlacement::Free { avoid: Vec::new() };
         }
         self.expire(now);
--- a/lib/src/session_driver.rs
+++ b/lib/src/session_driver.rs
@@ -4,6 +4,7 @@
 //! events and orders from outside come over one channel, whose wait ends at the session's timer.
 
 mod attempts;
+mod claiming;
 mod takeover;
 
 use std::collections::VecDeque;
@@ -13,6 +14,7 @@
 use std::sync::mpsc::RecvTimeoutError;
 use std::sync::mpsc::Sender;
 
+use self::claiming::claim_or_follow;
 use crate::answer_table::AnswerError;
 use crate::crash_suspects::AttemptLeft;
 use crate::crash_suspects::WorkFingerprint;
@@ -100,7 +102,7 @@
     }
 }
 
-/// One request while it runs.
+/// One request while it runs; dropping it frees what it holds, also after a panic.
 struct SessionRun<'a> {
     ports: &'a SessionPorts,
     request: Arc<CheckedRequest>,
@@ -168,8 +170,6 @@
                 self.perform(action);
             }
         }
-        lock(&self.ports.suspects).forget(self.request.id);
-        self.ports.registry.remove(self.request.id);
     }
 
     /// Waits for a message or the timer; `None` if a message was answered without an event.
@@ -247,27 +247,13 @@
 
     fn claim(&mut self) {
         let decision = match &self.ports.claims {
-            Some(claims) => claims.claim(&self.request),
+            Some(claims) => claim_or_follow(self.ports, claims.as_ref(), &self.request),
             None => match refuse(ResultCode::NotReady) {
                 SessionEnd::NotRun { refusal, .. } => ClaimDecision::NotRun(refusal),
                 _ => ClaimDecision::Unknown(ResultCode::Internal),
             },
         };
-        self.pending.push_back(SessionEvent::ClaimDecided(self.fill_answer(decision)));
-    }
-
-    /// Adds the answer of a key's earlier request if this host keeps it.
-    fn fill_answer(&self, decision: ClaimDecision) -> ClaimDecision {
-        let ClaimDecision::AnsweredBefore { request, answer: None } = decision else {
-            return decision;
-        };
-        let answer = match self.ports.answers.read_from(request, 0).map(|part| part.state) {
-            Some(crate::answer_table::AnswerState::Finished(SessionEnd::AppDone(answer))) => {
-                Some(answer)
-            }
-            _ => None,
-        };
-        ClaimDecision::AnsweredBefore { request, answer }
+        self.pending.push_back(SessionEvent::ClaimDecided(decision));
     }
 
     fn relay(&mut self, chunk: &TokenChunk) {
@@ -285,6 +271,14 @@
         if matches!(end, SessionEnd::ModelDone { .. } | SessionEnd::AppDone(_)) {
             lock(&self.ports.budget).on_success();
         }
+        log::info!(
+            "event=request_finished request={} service={} team={} code={} attempts={}",
+            self.request.id,
+            self.request.service.name,
+            self.request.team,
+            end.code().number(),
+            self.session.ledger().begun()
+        );
         self.settle_claim(end);
         self.ports.answers.finish(self.request.id, end.clone());
         self.sink.finish(end);
@@ -305,3 +299,13 @@
         }
     }
 }
+
+impl Drop for SessionRun<'_> {
+    fn drop(&mut self) {
+        if let Some(attempt) = self.current.as_ref().map(|current| current.plan.attempt) {
+            self.leave(attempt, AttemptLeft::Stopped);
+        }
+        lock(&self.ports.suspects).forget(self.request.id);
+        self.ports.registry.remove(self.request.id);
+    }
+}
--- a/lib/src/session_driver/attempts.rs
+++ b/lib/src/session_driver/attempts.rs
@@ -13,6 +13,7 @@
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
 use crate::prompt::BlockHash;
+use crate::request_router::RequestRouter;
 use crate::request_router::RouteChoice;
 use crate::request_router::RouteQuery;
 use crate::request_router::ServerState;
@@ -72,6 +73,7 @@
         };
         if ended {
             SessionCounters::add(&self.ports.counters.server_deaths, 1);
+            log::warn!("event=server_ended server={server} request={}", self.request.id);
             lock(&self.ports.suspects).on_death(now, &server, &zone, DeathCause::ProcessEnded);
         }
         if ended || matches!(error, ServerError::NotConnected(_)) {
@@ -92,18 +94,7 @@
     pub(super) fn choose(&mut self, excluded: &[ServerKey]) -> SessionEvent {
         let now = self.ports.clock.now();
         let mut router = lock(&self.ports.router);
-        let candidates: Vec<ServerId> = router
-            .servers()
-            .filter(|(key, info)| {
-                info.service == self.request.service.name
-                    && info.state == ServerState::Live
-                    && !excluded.contains(key)
-            })
-            .map(|(_, info)| info.id.clone())
-            .collect();
-        let placement =
-            lock(&self.ports.suspects).place(now, self.fingerprint, self.request.id, &candidates);
-        let avoid = match placement {
+        let avoid = match self.place(&router, excluded) {
             SuspectPlacement::Free { avoid } => avoid,
             SuspectPlacement::Trial(server) => {
                 let chosen = router.key_of(&server);
@@ -126,6 +117,22 @@
         }
     }
 
+    /// Asks where the request may go; lists the servers only if any request is suspected.
+    fn place(&self, router: &RequestRouter, excluded: &[ServerKey]) -> SuspectPlacement {
+        let mut suspects = lock(&self.ports.suspects);
+        if suspects.is_quiet() {
+            return SuspectPlacement::Free { avoid: Vec::new() };
+        }
+        let usable = router.servers().filter(|(key, info)| {
+            info.service == self.request.service.name
+                && info.state == ServerState::Live
+                && !excluded.contains(key)
+        });
+        let candidates: Vec<ServerId> = usable.map(|(_, info)| info.id.clone()).collect();
+        let now = self.ports.clock.now();
+        suspects.place(now, self.fingerprint, self.request.id, &candidates)
+    }
+
     pub(super) fn start(&mut self, plan: AttemptPlan) {
         let now = self.ports.clock.now();
         let info = {
@@ -181,8 +188,16 @@
         if let RequestWork::Model { .. } = self.request.work {
             let engine = self.ports.connector.engine(current.address);
             let request = self.request.id;
-            // The engine's reply changes nothing: late output is dropped by attempt number.
-            thread::spawn(move || drop(engine.cancel(request, attempt)));
+            let cancel = move || {
+                if let Err(error) = engine.cancel(request, attempt) {
+                    log::debug!("event=cancel_failed request={request} error={error}");
+                }
+            };
+            // Late output is dropped by attempt number, so a cancellation that fails costs just
+            // the engine's time.
+            if let Err(error) = thread::Builder::new().name("cancel".to_owned()).spawn(cancel) {
+                log::warn!("event=cancel_failed request={request} error={error}");
+            }
         }
         self.leave(attempt, AttemptLeft::Stopped);
     }
@@ -200,6 +215,7 @@
         let now = self.ports.clock.now();
         let mut router = lock(&self.ports.router);
         if let Some(id) = router.server(server).map(|info| info.id.clone()) {
+            log::warn!("event=server_silent server={id} request={}", self.request.id);
             router.set_state(now, &id, ServerState::Suspected);
         }
     }
--- a/lib/tests/test_session_driver.rs
+++ b/lib/tests/test_session_driver.rs
@@ -19,6 +19,7 @@
 use pomelostack_lib::not_run::NotRunProof;
 use pomelostack_lib::request_router::ServerState;
 use pomelostack_lib::result_code::ResultCode;
+use pomelostack_lib::session_claim::ClaimDecision;
 use pomelostack_lib::session_driver::SessionDriver;
 use pomelostack_lib::session_event::SessionEvent;
 use pomelostack_lib::session_registry::DriverMessage;
@@ -200,6 +201,30 @@
     rig.servers.release();
 }
 
+/// A resend of a key that runs at this host waits for the first one's answer.
+#[rstest]
+#[case::answered(AttemptScript::HoldAfter(0), ResultCode::Complete)]
+#[case::lost(AttemptScript::LostAfter(0), ResultCode::ServerLost)]
+fn followed_key(#[case] script: AttemptScript, #[case] code: ResultCode) {
+    let rig = DriverRig::new(1);
+    rig.servers.script(rig.addresses[0], script);
+    let (driver, request) = (SessionDriver::new(rig.ports.clone()), rig.alert_request());
+    let first = thread::spawn(move || driver.run(request, &mut RecordingSink::default()));
+    while rig.servers.journal().is_empty() {
+        thread::yield_now();
+    }
+    let running = ClaimDecision::RunningElsewhere { request: REQUEST };
+    rig.claims.decisions.lock().unwrap().push_back(running);
+    let servers = rig.servers.clone();
+    let release = thread::spawn(move || servers.release());
+    let again = CheckedRequest { id: RequestId { origin: 7, sequence: 2 }, ..rig.alert_request() };
+    let sink = rig.run_beside(again);
+    assert_eq!(sink.ends[0].code(), code);
+    first.join().unwrap();
+    release.join().unwrap();
+    assert_eq!(rig.servers.journal().len(), 1);
+}
+
 /// A request whose server's process ended waits for the evidence of other hosts, then is tried
 /// alone and refused after the second server.
 #[test]
--- a/lib/testutils/src/driver_rig.rs
+++ b/lib/testutils/src/driver_rig.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -80,11 +81,14 @@
     pub completed: Mutex<u32>,
     /// Keys given back.
     pub released: Mutex<u32>,
+    /// Decisions of the next claims; without one a claim is won.
+    pub decisions: Mutex<VecDeque<ClaimDecision>>,
 }
 
 impl ClaimPort for RecordingClaims {
     fn claim(&self, _request: &CheckedRequest) -> ClaimDecision {
-        ClaimDecision::Won { fence: None }
+        let scripted = self.decisions.lock().unwrap().pop_front();
+        scripted.unwrap_or(ClaimDecision::Won { fence: None })
     }
 
     fn complete(&self, _request: &CheckedRequest, _answer: &AppAnswer) {
@@ -144,12 +148,18 @@
         Self { servers, claims, ports, addresses }
     }
 
-    /// Runs a request to its end and checks that it has one.
+    /// Runs a request to its end and checks that it has one and leaves nothing behind.
     pub fn run(&self, request: CheckedRequest) -> RecordingSink {
+        let sink = self.run_beside(request);
+        assert!(self.ports.registry.running().is_empty());
+        sink
+    }
+
+    /// Runs a request to its end, while others run.
+    pub fn run_beside(&self, request: CheckedRequest) -> RecordingSink {
         let mut sink = RecordingSink::default();
         SessionDriver::new(self.ports.clone()).run(request, &mut sink);
         assert_eq!(sink.ends.len(), 1, "one final answer");
-        assert!(self.ports.registry.running().is_empty());
         sink
     }
 
