--- a/lib/src/crash_suspects.rs
+++ b/lib/src/crash_suspects.rs
@@ -106,6 +106,8 @@
     since: Timestamp,
     /// When it failed, if it did.
     left_at: Option<Timestamp>,
+    /// Whether its connection was lost.
+    lost: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -207,7 +209,7 @@
         request: RequestId,
         server: &ServerId,
     ) {
-        let attempt = InFlight { fingerprint, since: now, left_at: None };
+        let attempt = InFlight { fingerprint, since: now, left_at: None, lost: false };
         self.in_flight.entry(server.clone()).or_default().insert(request, attempt);
         if let Some(trial) = self.trials.get_mut(&fingerprint)
             && trial.request == request
@@ -235,10 +237,7 @@
             AttemptLeft::Stopped => attempt.left_at = Some(now),
         }
         drop_left(found, now);
-        let ends_trial = self.trials.get(&fingerprint).is_some_and(|trial| {
-            trial.request == request && trial.server == *server && trial.started_at.is_some()
-        });
-        if ends_trial {
+        if self.is_trial_of(request, server) {
             self.trials.remove(&fingerprint);
         }
         if left == AttemptLeft::Answered && self.evidence.names(fingerprint) {
@@ -256,6 +255,43 @@
         self.announced.insert(server.clone(), now);
     }
 
+    /// Records that an attempt's connection was lost; call it before [`Self::end`]. Returns whether
+    /// the server's process must have ended.
+    ///
+    /// Although a new connection works (`serves`), it has ended and started again if all of two or
+    /// more attempts are lost together, or a suspect's that runs alone.
+    pub fn on_lost(
+        &mut self,
+        now: Timestamp,
+        request: RequestId,
+        server: &ServerId,
+        zone: &ZoneName,
+        serves: bool,
+    ) -> bool {
+        if let Some(found) = self.in_flight.get_mut(server) {
+            drop_left(found, now);
+            if let Some(attempt) = found.get_mut(&request) {
+                attempt.lost = true;
+            }
+        }
+        let ended = !serves || self.all_lost(server) || self.is_trial_of(request, server);
+        if ended {
+            self.on_death(now, server, zone, DeathCause::ProcessEnded);
+        }
+        ended
+    }
+
+    fn all_lost(&self, server: &ServerId) -> bool {
+        let found = self.in_flight.get(server);
+        found.is_some_and(|found| found.len() >= 2 && found.values().all(|attempt| attempt.lost))
+    }
+
+    fn is_trial_of(&self, request: RequestId, server: &ServerId) -> bool {
+        self.trials.values().any(|trial| {
+            trial.request == request && trial.server == *server && trial.started_at.is_some()
+        })
+    }
+
     /// Records the end of a server's process; call it before [`Self::end`] of what ran there.
     pub fn on_death(
         &mut self,
--- a/lib/src/session_driver/attempts.rs
+++ b/lib/src/session_driver/attempts.rs
@@ -5,7 +5,6 @@
 
 use super::SessionRun;
 use crate::crash_suspects::AttemptLeft;
-use crate::crash_suspects::DeathCause;
 use crate::crash_suspects::SuspectPlacement;
 use crate::engine::ServerError;
 use crate::engine::TokenChunk;
@@ -67,14 +66,14 @@
         let (server, zone) = (current.server.clone(), current.zone.clone());
         let address = current.address;
         let now = self.ports.clock.now();
-        let ended = match error {
-            ServerError::Lost(_) => self.ports.connector.probe(address) == ProbeResult::Refused,
-            _ => false,
+        let ended = matches!(error, ServerError::Lost(_)) && {
+            let serves = self.ports.connector.probe(address) != ProbeResult::Refused;
+            let request = self.request.id;
+            lock(&self.ports.suspects).on_lost(now, request, &server, &zone, serves)
         };
         if ended {
             SessionCounters::add(&self.ports.counters.server_deaths, 1);
             log::warn!("event=server_ended server={server} request={}", self.request.id);
-            lock(&self.ports.suspects).on_death(now, &server, &zone, DeathCause::ProcessEnded);
         }
         if ended || matches!(error, ServerError::NotConnected(_)) {
             lock(&self.ports.router).set_state(now, &server, ServerState::Suspected);
--- a/lib/src/session_ports.rs
+++ b/lib/src/session_ports.rs
@@ -23,7 +23,7 @@
 pub enum ProbeResult {
     /// The server takes connections.
     Open,
-    /// The host refuses: no process listens.
+    /// The host refuses the connection, or closes it without an answer: no process serves.
     Refused,
     /// Nothing answers.
     Silent,
@@ -40,7 +40,7 @@
     /// Drops the open connections to an address: clients returned from now on open new ones.
     fn retire(&self, address: SocketAddr);
 
-    /// Opens a new connection to an address and closes it.
+    /// Opens a new connection to an address, asks for a sign of life and closes it.
     fn probe(&self, address: SocketAddr) -> ProbeResult;
 }
 
--- a/lib/tests/test_crash_suspects.rs
+++ b/lib/tests/test_crash_suspects.rs
@@ -203,6 +203,39 @@
     assert!(matches!(place(&mut host, 31, CULPRIT), SuspectPlacement::Trial(_)));
 }
 
+/// A process that ended and serves again is told from a connection that was reset.
+#[rstest]
+#[case::one_of_one(1, 1, false)]
+#[case::one_of_two(2, 1, false)]
+#[case::two_of_two(2, 2, true)]
+fn restarted_process(#[case] running: u64, #[case] lost: u64, #[case] ended: bool) {
+    let mut host = suspects("entry-0");
+    let now = Timestamp::from_millis(10_000);
+    for n in 0..running {
+        host.begin(now, WorkFingerprint(n.into()), request(n), &server(0));
+    }
+    let mut seen = false;
+    for n in 0..lost {
+        seen |= host.on_lost(now, request(n), &server(0), &zone("salish-a"), true);
+        host.end(now, request(n), &server(0), AttemptLeft::Stopped);
+    }
+    assert_eq!(seen, ended);
+    assert_eq!(place(&mut host, 11, WorkFingerprint(0)) == SuspectPlacement::Hold, ended);
+}
+
+/// A suspect whose connection is lost while it runs alone has ended the process.
+#[test]
+fn restarted_trial() {
+    let mut host = suspects("entry-0");
+    lose(&mut host, 10, CULPRIT, 0, DeathCause::ProcessEnded);
+    place(&mut host, 20, CULPRIT);
+    let SuspectPlacement::Trial(on) = place(&mut host, 21, CULPRIT) else { panic!() };
+    let now = Timestamp::from_millis(21_000);
+    host.begin(now, CULPRIT, request(999), &on);
+    assert!(host.on_lost(now, request(999), &on, &zone("salish-a"), true));
+    assert_eq!(place(&mut host, 30, CULPRIT), SuspectPlacement::Refused);
+}
+
 #[test]
 fn announced_end() {
     let mut host = suspects("entry-0");
--- a/lib/tests/test_request_session.rs
+++ b/lib/tests/test_request_session.rs
@@ -155,11 +155,11 @@
 /// The counts catch a broken rule.
 #[test]
 fn broken_rule() {
-    let counts = play(200, BrokenRule::LostIsRefused);
+    let counts = play(1_000, BrokenRule::LostIsRefused);
     assert!(counts.double_runs > 0 && counts.false_not_run > 0, "{counts:?}");
-    let counts = play(200, BrokenRule::OldIsCurrent);
+    let counts = play(1_000, BrokenRule::OldIsCurrent);
     assert!(counts.torn > 0, "{counts:?}");
-    let counts = play(200, BrokenRule::DeafToNotices);
+    let counts = play(1_000, BrokenRule::DeafToNotices);
     assert!(counts.lost_after_notice > 0, "{counts:?}");
 }
 
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod evacuation_wave;
 pub mod fault_schedule;
 pub mod scripted_servers;
+pub mod session_faults;
 pub mod session_harness;
 pub mod session_judge;
--- a/lib/testutils/src/session_harness.rs
+++ b/lib/testutils/src/session_harness.rs
@@ -13,8 +13,12 @@
 use pomelostack_lib::engine::ServerError;
 use pomelostack_lib::engine::TokenChunk;
 use pomelostack_lib::ids::AttemptNumber;
+use pomelostack_lib::ids::LogOffset;
 use pomelostack_lib::ids::ServerKey;
+use pomelostack_lib::not_run::NotRunProof;
+use pomelostack_lib::not_run::NotRunRefusal;
 use pomelostack_lib::request_session::RequestSession;
+use pomelostack_lib::result_code::ResultCode;
 use pomelostack_lib::retry_budget::RetryBudget;
 use pomelostack_lib::session_claim::ClaimDecision;
 use pomelostack_lib::session_event::AttemptEnd;
@@ -30,6 +34,8 @@
 use rand_chacha::ChaCha8Rng;
 use slotmap::SlotMap;
 
+use crate::session_faults::Fault;
+use crate::session_faults::draw_faults;
 use crate::session_judge::BrokenRule;
 use crate::session_judge::FakeCaller;
 use crate::session_judge::HarnessCounts;
@@ -42,20 +48,6 @@
 const CALL_STEPS: u32 = 25;
 const TOKEN_TIME: Duration = Duration::from_millis(30);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Fault {
-    Crash,
-    Restart,
-    /// Open connections go silent; new ones work.
-    CutConnections,
-    Deafen,
-    Hear,
-    Refuse,
-    Allow,
-    Notice(Duration),
-    Reclaim,
-}
-
 #[derive(Clone, Debug)]
 enum Happening {
     ToSession(usize, SessionEvent),
@@ -120,7 +112,9 @@
             announced_only,
         };
         (0..SESSIONS).for_each(|_| harness.draw_session());
-        (0..harness.rng.random_range(1..=10)).for_each(|_| harness.draw_fault());
+        for planned in draw_faults(&mut harness.rng, SERVERS, announced_only) {
+            harness.schedule(planned.delay, Happening::Fault(planned.server, planned.fault));
+        }
         harness
     }
 
@@ -143,30 +137,15 @@
             resumed_at: BTreeMap::new(),
             ends: Vec::new(),
             runs: 0,
+            left: self.rng.random_bool(0.15),
         });
+        let session = self.callers.len() - 1;
         let delay = Duration::from_millis(self.rng.random_range(0..2_000));
-        self.schedule(delay, Happening::ToSession(self.callers.len() - 1, SessionEvent::Start));
-    }
-
-    fn draw_fault(&mut self) {
-        let delay = Duration::from_millis(self.rng.random_range(0..4_000));
-        let server = self.rng.random_range(0..SERVERS);
-        let lasts = delay + Duration::from_millis(self.rng.random_range(50..5_000));
-        if self.announced_only || self.rng.random_bool(0.2) {
-            let least = if self.announced_only { 200 } else { 1 };
-            let left = Duration::from_millis(self.rng.random_range(least..3_000));
-            // Two servers always stay.
-            let fault = Fault::Notice(left);
-            return self.schedule(delay, Happening::Fault(server % (SERVERS - 2), fault));
+        self.schedule(delay, Happening::ToSession(session, SessionEvent::Start));
+        if self.callers[session].left {
+            let delay = delay + Duration::from_millis(self.rng.random_range(0..2_000));
+            self.schedule(delay, Happening::ToSession(session, SessionEvent::CallerGone));
         }
-        let (begin, end) = match self.rng.random_range(0..4) {
-            0 => (Fault::Crash, Fault::Restart),
-            1 => (Fault::CutConnections, Fault::CutConnections),
-            2 => (Fault::Deafen, Fault::Hear),
-            _ => (Fault::Refuse, Fault::Allow),
-        };
-        self.schedule(delay, Happening::Fault(server, begin));
-        self.schedule(lasts, Happening::Fault(server, end));
     }
 
     fn schedule(&mut self, delay: Duration, happening: Happening) {
@@ -235,7 +214,11 @@
     fn perform(&mut self, session: usize, action: SessionAction) {
         match action {
             SessionAction::RequestClaim => {
-                let decision = ClaimDecision::Won { fence: None };
+                let decision = match self.rng.random_range(0..10) {
+                    0 => ClaimDecision::Unknown(ResultCode::ClaimUnresolved),
+                    1 => ClaimDecision::NotRun(claim_void()),
+                    _ => ClaimDecision::Won { fence: None },
+                };
                 self.reply(session, SessionEvent::ClaimDecided(decision));
             }
             SessionAction::ChooseServer { excluded } => self.choose(session, &excluded),
@@ -388,3 +371,8 @@
         }
     }
 }
+
+fn claim_void() -> NotRunRefusal {
+    let proof = NotRunProof::ClaimVoided(LogOffset(1));
+    NotRunRefusal::new(ResultCode::ClaimVoided, proof).unwrap()
+}
--- a/lib/testutils/src/session_judge.rs
+++ b/lib/testutils/src/session_judge.rs
@@ -52,6 +52,8 @@
     pub ends: Vec<(Timestamp, SessionEnd)>,
     /// Attempts that ran.
     pub runs: u32,
+    /// Whether the caller went away.
+    pub left: bool,
 }
 
 impl HarnessCounts {
@@ -66,7 +68,8 @@
             let not_run =
                 caller.ends.iter().any(|(_, end)| matches!(end, SessionEnd::NotRun { .. }));
             counts.torn += u32::from(is_torn(caller, answered));
-            counts.lost_after_notice += u32::from(announced_only && !single && !answered);
+            counts.lost_after_notice +=
+                u32::from(announced_only && !caller.left && !single && !answered);
             counts.double_runs += u32::from(single && caller.runs > 1);
             counts.false_not_run += u32::from(not_run && caller.runs > 0);
             let late = caller.ends.iter().any(|(at, _)| *at > deadline);
