retry_budget: keep fractions of the floor when asked often

Asked every 0.3 ms for 3 s, the floor of one retry a second granted 2 in place of 3, since each question dropped the part of a millisecond.

--- a/lib/src/retry_budget.rs
+++ b/lib/src/retry_budget.rs
@@ -59,18 +59,15 @@
         self.balance_milli / RETRY_COST_MILLI
     }
 
+    /// Grants the floor for whole milliseconds; the rest of one stays for the next time.
     fn refill(&mut self, now: Timestamp) {
-        let elapsed: Duration = now.since(self.refilled_at);
-        let grant = elapsed.as_millis().min(u128::from(u32::MAX)) as u64;
-        let grant = grant * FLOOR_MILLI_PER_SECOND / 1_000;
-        if grant > 0 {
-            self.add(grant);
-            self.refilled_at = now;
-        }
+        let elapsed_ms = u64::try_from(now.since(self.refilled_at).as_millis()).unwrap_or(u64::MAX);
+        self.refilled_at = self.refilled_at + Duration::from_millis(elapsed_ms);
+        self.add(elapsed_ms.saturating_mul(FLOOR_MILLI_PER_SECOND) / 1_000);
     }
 
     fn add(&mut self, milli: u64) {
         let limit = MAX_BALANCE_RETRIES * RETRY_COST_MILLI;
-        self.balance_milli = (self.balance_milli + milli).min(limit);
+        self.balance_milli = self.balance_milli.saturating_add(milli).min(limit);
     }
 }
--- a/lib/tests/test_request_session.rs
+++ b/lib/tests/test_request_session.rs
@@ -7,7 +7,9 @@
 use pomelostack_lib::engine::ServerError;
 use pomelostack_lib::engine::TokenChunk;
 use pomelostack_lib::ids::AttemptNumber;
+use pomelostack_lib::ids::FencingNumber;
 use pomelostack_lib::ids::ServerKey;
+use pomelostack_lib::not_run::AttemptLedger;
 use pomelostack_lib::not_run::NotRunProof;
 use pomelostack_lib::request_session::RequestSession;
 use pomelostack_lib::result_code::ResultCode;
@@ -182,6 +184,42 @@
     })
 }
 
+fn error_of(index: usize) -> ServerError {
+    let text = String::new();
+    match index {
+        0 => ServerError::NotConnected(text),
+        1 => ServerError::Refused(text),
+        2 => ServerError::Fenced(FencingNumber(1)),
+        3 => ServerError::Lost(text),
+        4 => ServerError::Silent(Duration::ZERO),
+        _ => ServerError::Malformed(text),
+    }
+}
+
+/// The ledger proves that nothing ran only if each attempt ended with an error that proves it.
+#[test]
+fn ledger_proof() {
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(Config::default(), rng);
+    let attempts = vec(proptest::option::of(0..6_usize), 0..5);
+    runner
+        .run(&attempts, |attempts| {
+            let mut ledger = AttemptLedger::default();
+            for (number, error) in (1..).map(AttemptNumber).zip(&attempts) {
+                ledger.begin(number);
+                if let Some(error) = error {
+                    ledger.observe(number, &error_of(*error));
+                }
+            }
+            let all_refused = attempts.iter().all(|error| error.is_some_and(|index| index < 3));
+            assert_eq!(ledger.proof().is_some(), all_refused);
+            let never = ledger.proof() == Some(NotRunProof::NeverDispatched);
+            assert_eq!(never, attempts.is_empty());
+            Ok(())
+        })
+        .unwrap();
+}
+
 #[test]
 fn no_server() {
     let (mut session, mut budget) = started(SessionKind::IdempotentCall);
