--- a/lib/src/crash_evidence.rs
+++ b/lib/src/crash_evidence.rs
@@ -70,7 +70,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CrashVerdict {
     /// Nothing is held against it.
-    Innocent,
+    Clear,
     /// A crash is so recent that views of it may be missing.
     Unsettled,
     /// It may have crashed a server.
@@ -167,7 +167,7 @@
             crash.at > cleared_at && crash.names(fingerprint) && !self.is_zone_loss(crash)
         };
         let named: Vec<&CrashRecord> = self.crashes.iter().filter(counts).collect();
-        let Some(latest) = named.first() else { return CrashVerdict::Innocent };
+        let Some(latest) = named.first() else { return CrashVerdict::Clear };
         if named.iter().any(|crash| now.since(crash.heard_at) < SETTLE_TIME) {
             return CrashVerdict::Unsettled;
         }
--- a/lib/src/crash_suspects.rs
+++ b/lib/src/crash_suspects.rs
@@ -173,7 +173,7 @@
         }
         self.expire(now);
         match self.evidence.verdict(now, fingerprint) {
-            CrashVerdict::Innocent => SuspectPlacement::Free { avoid: self.trial_servers() },
+            CrashVerdict::Clear => SuspectPlacement::Free { avoid: self.trial_servers() },
             CrashVerdict::Unsettled => SuspectPlacement::Hold,
             CrashVerdict::Refused => {
                 self.evidence.add_refused(now, fingerprint);
--- a/lib/src/evacuation.rs
+++ b/lib/src/evacuation.rs
@@ -161,8 +161,8 @@
         leaves_at: Timestamp,
         stream: &EvacuationStream,
     ) -> Option<EvacuationMove> {
-        let needed = self.rates.token_time * stream.remaining_tokens;
-        let needed = needed * (100 + FINISH_SLACK_PERCENT) / 100;
+        let needed = self.rates.token_time.saturating_mul(stream.remaining_tokens);
+        let needed = needed.saturating_mul(100 + FINISH_SLACK_PERCENT) / 100;
         if !stream.repeatable || now + needed + SAFETY_MARGIN <= leaves_at {
             return Some(move_of(stream, EvacuationChoice::FinishInPlace, 0));
         }
@@ -232,7 +232,7 @@
         let begins_at = now.max(sends_until).max(room.receives_until);
         let generated = self.tokens_within(begins_at.since(now)).min(stream.remaining_tokens);
         let rate = self.rates.transfer_tokens_per_second.max(1);
-        let tokens = stream.context_tokens + generated;
+        let tokens = stream.context_tokens.saturating_add(generated);
         let takes = Duration::from_secs_f64(f64::from(tokens) / f64::from(rate));
         let ready_at = begins_at + takes;
         if ready_at + SAFETY_MARGIN > leaves_at {
--- a/lib/src/session_driver/attempts.rs
+++ b/lib/src/session_driver/attempts.rs
@@ -173,7 +173,7 @@
         let left = self.request.deadline.since(now).max(Duration::from_millis(1));
         let limits = SessionLimits::from(&self.request.service.latency_target);
         match self.request.idempotent {
-            true => left.min(limits.first_token.max(limits.token_gap) * 2),
+            true => left.min(limits.first_token.max(limits.token_gap).saturating_mul(2)),
             false => left,
         }
     }
--- a/lib/src/session_event.rs
+++ b/lib/src/session_event.rs
@@ -191,8 +191,8 @@
 impl From<&LatencyTarget> for SessionLimits {
     fn from(target: &LatencyTarget) -> Self {
         Self {
-            first_token: (target.first_token * FIRST_TOKEN_FACTOR).max(MIN_TOKEN_GAP),
-            token_gap: (target.token_gap * TOKEN_GAP_FACTOR).max(MIN_TOKEN_GAP),
+            first_token: target.first_token.saturating_mul(FIRST_TOKEN_FACTOR).max(MIN_TOKEN_GAP),
+            token_gap: target.token_gap.saturating_mul(TOKEN_GAP_FACTOR).max(MIN_TOKEN_GAP),
             caller_grace: CALLER_GRACE,
             max_attempts: MAX_ATTEMPTS,
         }
--- a/lib/tests/test_request_session.rs
+++ b/lib/tests/test_request_session.rs
@@ -161,7 +161,7 @@
     assert!(counts.double_runs > 0 && counts.false_not_run > 0, "{counts:?}");
     let counts = play(1_000, BrokenRule::OldIsCurrent);
     assert!(counts.torn > 0, "{counts:?}");
-    let counts = play(1_000, BrokenRule::DeafToNotices);
+    let counts = play(1_000, BrokenRule::NoticesIgnored);
     assert!(counts.lost_after_notice > 0, "{counts:?}");
 }
 
--- a/lib/testutils/src/session_faults.rs
+++ b/lib/testutils/src/session_faults.rs
@@ -15,9 +15,9 @@
     /// Open connections go silent; new ones work.
     CutConnections,
     /// It sends nothing.
-    Deafen,
+    Mute,
     /// It sends again.
-    Hear,
+    Unmute,
     /// It refuses all work.
     Refuse,
     /// It takes work again.
@@ -60,7 +60,7 @@
         let (begin, end) = match rng.random_range(0..4) {
             0 => (Fault::Crash, Fault::Restart),
             1 => (Fault::CutConnections, Fault::CutConnections),
-            2 => (Fault::Deafen, Fault::Hear),
+            2 => (Fault::Mute, Fault::Unmute),
             _ => (Fault::Refuse, Fault::Allow),
         };
         faults.push(PlannedFault { delay, server, fault: begin });
--- a/lib/testutils/src/session_harness.rs
+++ b/lib/testutils/src/session_harness.rs
@@ -70,7 +70,7 @@
     key: ServerKey,
     down: bool,
     gone: bool,
-    deaf: bool,
+    muted: bool,
     refuses: bool,
 }
 
@@ -108,7 +108,7 @@
             servers,
             callers: Vec::new(),
             runs: BTreeMap::new(),
-            budget: RetryBudget::new(if rule == BrokenRule::DeafToNotices { 0 } else { 20 }),
+            budget: RetryBudget::new(if rule == BrokenRule::NoticesIgnored { 0 } else { 20 }),
             announced_only,
         };
         (0..SESSIONS).for_each(|_| harness.draw_session());
@@ -128,7 +128,7 @@
             first_token: Duration::from_millis(1_000),
             token_gap: Duration::from_millis(500),
             caller_grace: Duration::from_secs(5),
-            max_attempts: if self.rule == BrokenRule::DeafToNotices { 1 } else { 6 },
+            max_attempts: if self.rule == BrokenRule::NoticesIgnored { 1 } else { 6 },
         };
         self.callers.push(FakeCaller {
             session: RequestSession::new(kind, limits, DEADLINE),
@@ -204,7 +204,7 @@
             (BrokenRule::OldIsCurrent, SessionEvent::Chunk { chunk, .. }) => {
                 SessionEvent::Chunk { attempt: current, chunk }
             }
-            (BrokenRule::DeafToNotices, SessionEvent::EvacuationOrdered { .. }) => {
+            (BrokenRule::NoticesIgnored, SessionEvent::EvacuationOrdered { .. }) => {
                 SessionEvent::CallerBack
             }
             (_, event) => event,
@@ -272,7 +272,7 @@
         let run = ServerRun { server, session, attempt, next: plan.resume_from, silent: false };
         let id = self.next_id as u32;
         self.runs.insert(id, run);
-        if !state.deaf {
+        if !state.muted {
             self.reply(session, SessionEvent::AttemptAccepted(attempt));
         }
         self.schedule(TOKEN_TIME, Happening::Step(id));
@@ -310,7 +310,7 @@
                 SessionEvent::AttemptEnded { attempt, end: AttemptEnd::App(answer) }
             }
         };
-        if !run_now.silent && !self.servers[run_now.server].deaf {
+        if !run_now.silent && !self.servers[run_now.server].muted {
             // Chunks may overtake each other, but not the end.
             let delay = match event {
                 SessionEvent::Chunk { .. } => Duration::from_millis(self.rng.random_range(1..60)),
@@ -331,8 +331,8 @@
                 let runs = self.runs.values_mut();
                 runs.filter(|run| run.server == index).for_each(|run| run.silent = true);
             }
-            Fault::Deafen => self.servers[index].deaf = true,
-            Fault::Hear => self.servers[index].deaf = false,
+            Fault::Mute => self.servers[index].muted = true,
+            Fault::Unmute => self.servers[index].muted = false,
             Fault::Refuse => self.servers[index].refuses = true,
             Fault::Allow => self.servers[index].refuses = false,
             Fault::Notice(left) => {
@@ -363,7 +363,7 @@
 
     fn lose_runs(&mut self, index: usize) {
         for (_, run) in self.runs.extract_if(.., |_, r| r.server == index).collect::<Vec<_>>() {
-            if !run.silent && !self.servers[index].deaf {
+            if !run.silent && !self.servers[index].muted {
                 let error = ServerError::Lost("server ended".to_owned());
                 let event = SessionEvent::AttemptFailed { attempt: run.attempt, error };
                 self.reply(run.session, event);
--- a/lib/testutils/src/session_judge.rs
+++ b/lib/testutils/src/session_judge.rs
@@ -20,7 +20,7 @@
     /// Output of old attempts is taken for the current one's.
     OldIsCurrent,
     /// Announced reclaims are not heard of, and retries are denied.
-    DeafToNotices,
+    NoticesIgnored,
 }
 
 /// Violations, all of which must be 0.
