--- a/lib/tests/test_session_driver.rs
+++ b/lib/tests/test_session_driver.rs
@@ -14,6 +14,7 @@
 use pomelostack_lib::evacuation::EvacuationServer;
 use pomelostack_lib::evacuation_runner::EvacuationRunner;
 use pomelostack_lib::handover::UnfinishedRequest;
+use pomelostack_lib::ids::AttemptNumber;
 use pomelostack_lib::ids::RequestId;
 use pomelostack_lib::ids::ServerKey;
 use pomelostack_lib::not_run::NotRunProof;
@@ -173,13 +174,11 @@
     assert_eq!(thread.join().unwrap().text, whole_text());
 }
 
-#[test]
-fn evacuated_stream() {
-    let rig = DriverRig::new(2);
-    let thread = run_held(&rig);
+/// Evacuates the first of the rig's servers, which ends after `left`.
+fn evacuate(rig: &DriverRig, left: Duration) -> (Vec<ServerKey>, EvacuationChoice) {
     let keys: Vec<ServerKey> =
         rig.ports.router.lock().unwrap().servers().map(|(key, _)| key).collect();
-    let leaves_at = rig.ports.clock.now() + Duration::from_millis(50);
+    let leaves_at = rig.ports.clock.now() + left;
     let server = |(index, &key): (usize, &ServerKey)| EvacuationServer {
         key,
         leaves_at: (index == 0).then_some(leaves_at),
@@ -187,15 +186,37 @@
         warm_blocks: BTreeSet::new(),
     };
     let servers: Vec<EvacuationServer> = keys.iter().enumerate().map(server).collect();
-    let rates =
-        EvacuationRates { token_time: Duration::from_secs(1), transfer_tokens_per_second: 1 };
-    let runner = EvacuationRunner::new(rig.ports.clone(), rates);
-    let moves = runner.evacuate(&servers);
-    assert_eq!(moves[0].choice, EvacuationChoice::Recompute { target: Some(keys[1]) });
+    // Too slow to end in place, whatever time this test takes.
+    let rates = EvacuationRates {
+        token_time: Duration::from_secs(1_000),
+        transfer_tokens_per_second: 1_000,
+    };
+    let moves = EvacuationRunner::new(rig.ports.clone(), rates).evacuate(&servers);
+    (keys, moves[0].choice)
+}
+
+#[rstest]
+#[case::transfer(LONG, true, 1)]
+#[case::no_kv_cache(LONG, false, 0)]
+#[case::no_time(Duration::ZERO, true, 0)]
+fn evacuated_stream(#[case] left: Duration, #[case] moves_kv: bool, #[case] imports: usize) {
+    let rig = DriverRig::new(2);
+    if moves_kv {
+        rig.servers.set_moves_kv();
+    }
+    let thread = run_held(&rig);
+    let (keys, choice) = evacuate(&rig, left);
+    let planned = match choice {
+        EvacuationChoice::FinishInPlace => None,
+        EvacuationChoice::Transfer { target, .. } => Some((true, target)),
+        EvacuationChoice::Recompute { target } => target.map(|target| (false, target)),
+    };
+    assert_eq!(planned, Some((!left.is_zero(), keys[1])));
     let sink = thread.join().unwrap();
     assert_eq!((sink.text, sink.ends[0].code()), (whole_text(), ResultCode::Complete));
     let journal = rig.servers.journal();
     assert_eq!((journal[1].address, journal[1].resume_from), (rig.addresses[1], HELD_TOKENS));
+    assert_eq!(rig.servers.imports(), vec![(rig.addresses[1], AttemptNumber(2)); imports]);
     let router = rig.ports.router.lock().unwrap();
     assert_eq!(router.server(keys[0]).unwrap().state, ServerState::Leaving);
     rig.servers.release();
--- a/lib/testutils/src/scripted_servers.rs
+++ b/lib/testutils/src/scripted_servers.rs
@@ -69,6 +69,8 @@
     retired: Vec<SocketAddr>,
     dead: Vec<SocketAddr>,
     released: bool,
+    moves_kv: bool,
+    imports: Vec<(SocketAddr, AttemptNumber)>,
 }
 
 /// Servers of a test; an attempt without a script is answered whole.
@@ -94,6 +96,16 @@
         self.state.lock().unwrap().dead.push(address);
     }
 
+    /// Lets servers export KV cache, which they refuse otherwise.
+    pub fn set_moves_kv(&self) {
+        self.state.lock().unwrap().moves_kv = true;
+    }
+
+    /// Returns the servers and attempts that KV cache was imported for, in order.
+    pub fn imports(&self) -> Vec<(SocketAddr, AttemptNumber)> {
+        self.state.lock().unwrap().imports.clone()
+    }
+
     /// Returns the attempts that ran, in order.
     pub fn journal(&self) -> Vec<JournalLine> {
         self.state.lock().unwrap().journal.clone()
@@ -182,19 +194,7 @@
                 return Err(ServerError::Lost("stopped by the reader".to_owned()));
             }
         }
-        let end_offset = match script {
-            AttemptScript::LostAfter(_) => return Err(ServerError::Lost("scripted".to_owned())),
-            AttemptScript::SilentAfter(_) => return Err(ServerError::Silent(gap_limit)),
-            AttemptScript::WrongEnd => request.max_tokens + 1,
-            _ => request.max_tokens,
-        };
-        Ok(GenerateEnd {
-            finish_reason: FinishReason::Length,
-            end_offset,
-            prompt_tokens: 4 + request.resume_from,
-            cached_tokens: 0,
-            computed_tokens: 4 + request.resume_from,
-        })
+        end_attempt(&script, request, gap_limit)
     }
 
     fn cancel(&self, _request: RequestId, _attempt: AttemptNumber) -> Result<()> {
@@ -210,11 +210,15 @@
     }
 
     fn export_kv(&self, _request: RequestId, _attempt: AttemptNumber) -> Result<KvExport> {
-        Err(ServerError::Refused("no KV cache".to_owned()))
+        match self.servers.state.lock().unwrap().moves_kv {
+            true => Ok(KvExport { tokens: 1, data: String::new() }),
+            false => Err(ServerError::Refused("no KV cache".to_owned())),
+        }
     }
 
-    fn import_kv(&self, _: RequestId, _: AttemptNumber, _: &KvExport) -> Result<()> {
-        Err(ServerError::Refused("no KV cache".to_owned()))
+    fn import_kv(&self, _request: RequestId, attempt: AttemptNumber, _kv: &KvExport) -> Result<()> {
+        self.servers.state.lock().unwrap().imports.push((self.address, attempt));
+        Ok(())
     }
 
     fn order(&self, _order: &EngineOrder, _fence: Option<FencingNumber>) -> Result<()> {
@@ -222,6 +226,27 @@
     }
 }
 
+fn end_attempt(
+    script: &AttemptScript,
+    request: &GenerateRequest,
+    gap_limit: Duration,
+) -> Result<GenerateEnd> {
+    let end_offset = match script {
+        AttemptScript::LostAfter(_) => return Err(ServerError::Lost("scripted".to_owned())),
+        AttemptScript::SilentAfter(_) => return Err(ServerError::Silent(gap_limit)),
+        AttemptScript::WrongEnd => request.max_tokens + 1,
+        _ => request.max_tokens,
+    };
+    let prompt_tokens = 4 + request.resume_from;
+    Ok(GenerateEnd {
+        finish_reason: FinishReason::Length,
+        end_offset,
+        prompt_tokens,
+        cached_tokens: 0,
+        computed_tokens: prompt_tokens,
+    })
+}
+
 impl AppServer for ScriptedServer {
     fn call(&self, request: &AppRequest, timeout: Duration) -> Result<AppAnswer> {
         let script = self.servers.next_script(self.address);
