--- a/lib/src/crash_evidence.rs
+++ b/lib/src/crash_evidence.rs
@@ -31,6 +31,10 @@
 /// arrives. Must be longer than reports take to reach all hosts.
 pub const SETTLE_TIME: Duration = Duration::from_secs(2);
 
+/// Crashes of one and the same server with the request alone on it after which it is refused, for
+/// services that have no second server to try it on.
+pub const ONE_SERVER_CRASHES: usize = 3;
+
 /// Servers of one availability zone that end together when the zone is lost.
 pub const ZONE_LOSS_SERVERS: usize = 3;
 
@@ -66,7 +70,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CrashVerdict {
     /// Nothing is held against it.
-    Innocent,
+    Clear,
     /// A crash is so recent that views of it may be missing.
     Unsettled,
     /// It may have crashed a server.
@@ -77,6 +81,8 @@
         heard_at: Timestamp,
         /// Longest time that it ran before a crash.
         ran: Duration,
+        /// Servers that crashed with it, in order.
+        crashed: Vec<ServerId>,
     },
     /// It crashes servers.
     Refused,
@@ -161,12 +167,13 @@
             crash.at > cleared_at && crash.names(fingerprint) && !self.is_zone_loss(crash)
         };
         let named: Vec<&CrashRecord> = self.crashes.iter().filter(counts).collect();
-        let Some(latest) = named.first() else { return CrashVerdict::Innocent };
+        let Some(latest) = named.first() else { return CrashVerdict::Clear };
         if named.iter().any(|crash| now.since(crash.heard_at) < SETTLE_TIME) {
             return CrashVerdict::Unsettled;
         }
         let servers: BTreeSet<&ServerId> = named.iter().map(|crash| &crash.server).collect();
-        if servers.len() >= 2 && named.iter().any(|crash| crash.fingerprints().len() == 1) {
+        let alone = named.iter().filter(|crash| crash.fingerprints().len() == 1).count();
+        if (servers.len() >= 2 && alone >= 1) || alone >= ONE_SERVER_CRASHES {
             return CrashVerdict::Refused;
         }
         let reporters = latest.views.iter().filter(|(_, companions)| {
@@ -176,6 +183,7 @@
             reporters: reporters.map(|(host, _)| host.clone()).collect(),
             heard_at: latest.heard_at,
             ran: longest_run(&named, fingerprint),
+            crashed: servers.into_iter().cloned().collect(),
         }
     }
 
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -46,5 +46,6 @@
 pub mod lease_harness;
 pub mod schedule_log;
 pub mod scripted_servers;
+pub mod session_faults;
 pub mod session_harness;
 pub mod session_judge;
