entry: evacuate reclaimed servers, hand unfinished requests to peers, find answers at peers

Cause: the decisions stood beside the process. Change: EvacuationDesk starts a plan for each notice; an entry host that the cloud takes back, or whose planned stop runs out of time, hands its sessions to peers (HandoverLeaver, HandoverTaker); GET /v1/requests/<id> asks the accepting host and the others.

--- a/cli/src/commands/entry.rs
+++ b/cli/src/commands/entry.rs
@@ -7,12 +7,14 @@
 
 use anyhow::Context as _;
 use argh::FromArgs;
+use pomelostack_lib::entry::EntryEvent;
 use pomelostack_lib::entry::EntryHost;
+use pomelostack_lib::entry_leave::LeaveReason;
 use pomelostack_lib::logging::init_logging;
 use pomelostack_lib::settings::EntrySettings;
 
-/// Time between two checks for a child that keeps failing.
-const ESCALATION_CHECK: Duration = Duration::from_millis(100);
+/// Time between two checks for a signal.
+const EVENT_CHECK: Duration = Duration::from_millis(100);
 
 /// Run one entry host. SIGTERM or Ctrl-C lets it leave gracefully.
 #[derive(FromArgs)]
@@ -37,9 +39,15 @@
         let stop = stop_signal()?;
         let host = EntryHost::start(settings)?;
         println!("ready http={}", host.http_address());
-        let escalated = wait_for_stop(&host, &stop);
-        host.leave();
-        Ok(if escalated { ExitCode::FAILURE } else { ExitCode::SUCCESS })
+        let (reason, code) = match wait_for_stop(&host, &stop) {
+            None => (LeaveReason::Planned, ExitCode::SUCCESS),
+            Some(EntryEvent::Reclaimed(left)) => {
+                (LeaveReason::Reclaimed { left }, ExitCode::SUCCESS)
+            }
+            Some(EntryEvent::Escalated) => (LeaveReason::Planned, ExitCode::FAILURE),
+        };
+        host.leave(reason);
+        Ok(code)
     }
 }
 
@@ -54,14 +62,14 @@
     Ok(receiver)
 }
 
-/// Returns whether the host must leave because a part of it keeps failing.
-fn wait_for_stop(host: &EntryHost, stop: &mpsc::Receiver<()>) -> bool {
+/// Waits for a signal, for which it returns `None`, or for something else that ends the host.
+fn wait_for_stop(host: &EntryHost, stop: &mpsc::Receiver<()>) -> Option<EntryEvent> {
     loop {
         if stop.try_recv().is_ok() {
-            return false;
+            return None;
         }
-        if host.wait_for_escalation(ESCALATION_CHECK) {
-            return true;
+        if let Some(event) = host.wait_for_event(EVENT_CHECK) {
+            return Some(event);
         }
     }
 }
--- /dev/null
+++ b/lib/src/answer_finder.rs
@@ -0,0 +1,122 @@
+//! Finds answers wherever they are kept: at this host, at the host that accepted the request, or at
+//! a peer that took it over.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::answer_store::AnswerStore;
+use crate::answer_table::AnswerPart;
+use crate::answer_table::AnswerState;
+use crate::engine::TokenChunk;
+use crate::handover::HANDOVER_VERSION;
+use crate::handover::HandoverEnd;
+use crate::handover::HandoverResult;
+use crate::ids::RequestId;
+use crate::member_keeper::MemberKeeper;
+use crate::member_snapshot::MemberView;
+use crate::peer_link;
+use crate::peer_link::FetchedAnswer;
+use crate::request_id_source::origin_of;
+use crate::session_request::SessionEnd;
+use crate::timestamp::ProcessClock;
+
+/// Offset of the part that carries the end of a finished answer.
+const END_OFFSET: u32 = u32::MAX;
+/// Time between two questions to a peer while nothing new is there.
+const PEER_POLL: Duration = Duration::from_millis(100);
+
+/// Finds answers at this host and its peers.
+pub struct AnswerFinder {
+    /// Clock of the process.
+    pub clock: ProcessClock,
+    /// Answers of this host.
+    pub answers: Arc<AnswerStore>,
+    /// Peers.
+    pub members: Arc<MemberKeeper>,
+}
+
+impl AnswerFinder {
+    /// Returns an answer from an offset on, or `None` if no host that can be reached keeps it.
+    ///
+    /// Waits up to `wait` while nothing new is there; blocks the calling thread.
+    pub fn find(&self, id: RequestId, from: u32, wait: Duration) -> Option<AnswerPart> {
+        if let Some(part) = self.answers.wait_from(id, from, wait) {
+            return Some(part);
+        }
+        let until = self.clock.now() + wait;
+        loop {
+            let part = self.ask_peers(id, from)?;
+            let is_news = !part.chunks.is_empty() || part.state != AnswerState::Running;
+            if is_news || self.clock.now() >= until {
+                return Some(part);
+            }
+            std::thread::sleep(PEER_POLL);
+        }
+    }
+
+    /// Asks the host that accepted the request first, then all others.
+    fn ask_peers(&self, id: RequestId, from: u32) -> Option<AnswerPart> {
+        let view = self.members.snapshot();
+        let is_origin = |member: &&MemberView| origin_of(&member.host, member.life) == id.origin;
+        let first = view.members.iter().filter(is_origin);
+        let others = view.members.iter().filter(|member| !is_origin(member));
+        first.chain(others).find_map(|member| self.ask(member.address, id, from))
+    }
+
+    fn ask(&self, peer: SocketAddr, id: RequestId, from: u32) -> Option<AnswerPart> {
+        match self.members.client().fetch_answer(peer, id, from) {
+            Ok(fetched) => read_fetched(fetched),
+            Err(error) => {
+                log::debug!("event=answer_not_fetched request={id} peer={peer} error=\"{error}\"");
+                None
+            }
+        }
+    }
+}
+
+/// Puts an answer into the form in which peers fetch it.
+pub fn write_fetched(id: RequestId, part: Option<AnswerPart>) -> FetchedAnswer {
+    let Some(part) = part else {
+        return FetchedAnswer { state: peer_link::AnswerState::Unknown, parts: Vec::new() };
+    };
+    let pieces = part
+        .chunks
+        .into_iter()
+        .map(|chunk| peer_link::AnswerPart { offset: chunk.offset, data: chunk.text.into_bytes() });
+    let mut parts: Vec<_> = pieces.collect();
+    let state = match part.state {
+        AnswerState::Running => peer_link::AnswerState::Running,
+        AnswerState::Finished(end) => {
+            let code = end.code();
+            let end = HandoverEnd::from(&end);
+            let result = HandoverResult { version: HANDOVER_VERSION, id, end };
+            match result.encode() {
+                Ok(data) => parts.push(peer_link::AnswerPart { offset: END_OFFSET, data }),
+                Err(error) => log::warn!("event=answer_too_large request={id} error=\"{error}\""),
+            }
+            peer_link::AnswerState::Complete(code)
+        }
+    };
+    FetchedAnswer { state, parts }
+}
+
+/// Reads an answer out of the form in which a peer sent it; `None` if the peer does not keep it.
+pub fn read_fetched(fetched: FetchedAnswer) -> Option<AnswerPart> {
+    let mut chunks = Vec::new();
+    let mut end = None;
+    for part in fetched.parts {
+        if part.offset == END_OFFSET {
+            end = HandoverResult::decode(&part.data).ok().map(|result| result.end);
+        } else {
+            let text = String::from_utf8(part.data).ok()?;
+            chunks.push(TokenChunk { offset: part.offset, text });
+        }
+    }
+    let state = match fetched.state {
+        peer_link::AnswerState::Unknown => return None,
+        peer_link::AnswerState::Running => AnswerState::Running,
+        peer_link::AnswerState::Complete(_) => AnswerState::Finished(SessionEnd::from(end?)),
+    };
+    Some(AnswerPart { chunks, state })
+}
--- a/lib/src/answer_reply.rs
+++ b/lib/src/answer_reply.rs
@@ -9,7 +9,7 @@
 
 use serde_json::json;
 
-use crate::answer_store::AnswerStore;
+use crate::answer_finder::AnswerFinder;
 use crate::answer_table::AnswerPart;
 use crate::answer_table::AnswerState;
 use crate::caller_reply::end_error;
@@ -28,17 +28,17 @@
 
 /// Replies with the answer from an offset on.
 pub async fn answer_reply(
-    answers: &Arc<AnswerStore>,
+    finder: &Arc<AnswerFinder>,
     request: RequestId,
     from: u32,
 ) -> Result<FrontReply> {
-    let store = answers.clone();
-    let reading = tokio::task::spawn_blocking(move || store.wait_from(request, from, ANSWER_WAIT));
+    let finder = finder.clone();
+    let reading = tokio::task::spawn_blocking(move || finder.find(request, from, ANSWER_WAIT));
     let part = reading.await.map_err(|error| {
         FrontError::new(ResultCode::Internal, format!("reading the answer failed: {error}"))
     })?;
     let unknown = || {
-        let message = "no answer with this id is kept here; it may run elsewhere or have expired";
+        let message = "no host keeps an answer with this id; it may have expired";
         FrontError::new(ResultCode::UnknownRequest, message).with_request(request)
     };
     part_reply(request, from, part.ok_or_else(unknown)?)
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -3,20 +3,30 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::sync::mpsc;
 use std::time::Duration;
 
 use thiserror::Error;
 
 use crate::admin_server::AdminServer;
+use crate::admin_sources::AdminSources;
+use crate::answer_finder::AnswerFinder;
+use crate::answer_store::AnswerStore;
 use crate::claim_keeper::ClaimKeeper;
+use crate::cloud::ReclaimNotice;
 use crate::config_follower::ConfigFollower;
 use crate::entry_admin::AdminView;
+use crate::entry_leave::LeaveReason;
+use crate::entry_leave::LeavingHost;
+use crate::entry_leave::leaver_ports;
 use crate::entry_parts;
 use crate::entry_peer::EntryPeerHandler;
 use crate::entry_sync::MemberSync;
+use crate::evacuation_desk::EvacuationDesk;
 use crate::front_door::FrontDoor;
 use crate::front_door::FrontDoorPorts;
+use crate::handover_taker::HandoverTaker;
 use crate::http_listener::HttpListener;
 use crate::ids::Incarnation;
 use crate::member_keeper::MemberKeeper;
@@ -25,10 +35,11 @@
 use crate::metrics_pump::PumpPorts;
 use crate::peer_link::PeerError;
 use crate::request_id_source::RequestIdSource;
+use crate::server_connector::HttpConnector;
 use crate::server_follower::ServerFollower;
 use crate::session_driver::SessionDriver;
+use crate::session_ports::SessionPorts;
 use crate::session_ports::lock;
-use crate::session_registry::SessionRegistry;
 use crate::settings::EntrySettings;
 use crate::supervisor::ChildSpec;
 use crate::supervisor::ChildSupervisor;
@@ -40,11 +51,6 @@
 
 /// Time for which a child may make no progress.
 const STALL_LIMIT: Duration = Duration::from_secs(30);
-/// Time between two looks at the sessions that still run while the host leaves.
-const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// Time for which the front door still answers after the host began to leave, so that the balancer
-/// reads its state.
-const LINGER: Duration = Duration::from_millis(500);
 /// Time for which replies under way may still be written after the sessions ended.
 const REPLY_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -78,92 +84,189 @@
     move |source| EntryError::Io { part, source }
 }
 
-/// A running entry host.
-pub struct EntryHost {
-    settings: EntrySettings,
-    runtime: tokio::runtime::Runtime,
+/// Something that makes the process leave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EntryEvent {
+    /// A part keeps failing.
+    Escalated,
+    /// The cloud takes the host back after this time.
+    Reclaimed(Duration),
+}
+
+/// Parts of an entry host that others work with.
+struct EntryCore {
+    clock: ProcessClock,
+    incarnation: Incarnation,
     config: Arc<ConfigFollower>,
     claims: Arc<ClaimKeeper>,
+    answers: Arc<AnswerStore>,
+    metrics: Arc<MetricsReporter>,
     members: Arc<MemberKeeper>,
-    front_door: Arc<FrontDoor>,
-    listener: HttpListener,
-    admin: AdminServer,
-    registry: Arc<SessionRegistry>,
-    follower: Arc<ServerFollower>,
-    supervisor: ChildSupervisor,
-    events: Mutex<mpsc::Receiver<SupervisorEvent>>,
+    connector: Arc<HttpConnector>,
+    ports: SessionPorts,
+    driver: Arc<SessionDriver>,
+    taker: Arc<HandoverTaker>,
 }
 
-impl EntryHost {
-    /// Starts every part; the front door listens last.
-    pub fn start(settings: EntrySettings) -> Result<Self> {
-        let runtime = entry_parts::build_runtime()?;
+impl EntryCore {
+    fn start(settings: &EntrySettings, runtime: &tokio::runtime::Runtime) -> Result<Self> {
         let clock = ProcessClock::start();
         let incarnation = Incarnation(wall_clock_ms());
-        let log = entry_parts::build_log(&settings);
-        let config = Arc::new(entry_parts::start_config(&settings, log.clone())?);
-        let claims = entry_parts::start_claims(&settings, incarnation, log, clock);
-        let answers = entry_parts::build_answers(&settings, clock);
+        let log = entry_parts::build_log(settings);
+        let config = Arc::new(entry_parts::start_config(settings, log.clone())?);
+        let claims = entry_parts::start_claims(settings, incarnation, log, clock);
+        let answers = entry_parts::build_answers(settings, clock);
         let metrics = Arc::new(MetricsReporter::new(settings.statsd)?);
-
-        let handler = EntryPeerHandler { answers: answers.clone(), config: config.clone() };
-        let members = entry_parts::start_members(&settings, incarnation, handler, &runtime)?;
+        let open_taker = Arc::new(OnceLock::new());
+        let handler = EntryPeerHandler {
+            answers: answers.clone(),
+            config: config.clone(),
+            taker: open_taker.clone(),
+        };
+        let members = entry_parts::start_members(settings, incarnation, handler, runtime)?;
         let gate = entry_parts::build_gate(claims.clone(), clock, members.clone());
-        let connector = entry_parts::build_connector(&settings);
+        let connector = entry_parts::build_connector(settings);
         let ports =
-            entry_parts::build_ports(&settings, clock, answers.clone(), connector.clone(), gate);
-        let registry = ports.registry.clone();
-        let follower =
-            entry_parts::build_follower(&settings, clock, config.clone(), &ports, connector);
+            entry_parts::build_ports(settings, clock, answers.clone(), connector.clone(), gate);
+        let driver = Arc::new(SessionDriver::new(ports.clone()));
+        let taker = Arc::new(HandoverTaker::new(clock, config.clone(), driver.clone()));
+        let taker = open_taker.get_or_init(|| taker).clone();
+        Ok(Self {
+            clock,
+            incarnation,
+            config,
+            claims,
+            answers,
+            metrics,
+            members,
+            connector,
+            ports,
+            driver,
+            taker,
+        })
+    }
+
+    /// Builds what the front door works with.
+    fn door_ports(&self) -> FrontDoorPorts {
+        let finder = AnswerFinder {
+            clock: self.clock,
+            answers: self.answers.clone(),
+            members: self.members.clone(),
+        };
+        FrontDoorPorts {
+            config: self.config.clone(),
+            driver: self.driver.clone(),
+            answers: Arc::new(finder),
+            registry: self.ports.registry.clone(),
+            metrics: self.metrics.clone(),
+            recorder: Arc::new(|_| {}),
+            clock: self.clock,
+        }
+    }
+
+    /// Builds the follower of backend servers; notices go to the evacuation, or, if they concern
+    /// this host, to `events`.
+    fn build_follower(
+        &self,
+        settings: &EntrySettings,
+        events: mpsc::Sender<EntryEvent>,
+    ) -> Arc<ServerFollower> {
+        let desk = EvacuationDesk::new(self.ports.clone());
+        let host = settings.host.clone();
+        let events = Mutex::new(events);
+        let on_notice = move |notice: &ReclaimNotice| {
+            if notice.host == host {
+                let left = Duration::from_millis(notice.left_ms);
+                // A process that no longer listens is already leaving.
+                let _ = lock(&events).send(EntryEvent::Reclaimed(left));
+            } else {
+                desk.on_notice(notice);
+            }
+        };
+        entry_parts::build_follower(
+            settings,
+            self.clock,
+            self.config.clone(),
+            &self.ports,
+            self.connector.clone(),
+            Box::new(on_notice),
+        )
+    }
 
+    fn admin_sources(&self) -> AdminSources {
         let view = AdminView {
-            config: config.clone(),
-            members: members.clone(),
-            router: ports.router.clone(),
-            answers: answers.clone(),
+            config: self.config.clone(),
+            members: self.members.clone(),
+            router: self.ports.router.clone(),
+            answers: self.answers.clone(),
         };
-        let admin =
-            entry_parts::start_admin(&settings, &runtime, config.clone(), view.into_sources())?;
+        view.into_sources()
+    }
 
-        let sync = MemberSync { members: members.clone(), config: config.clone() };
+    fn list_children(&self, follower: Arc<ServerFollower>) -> Vec<ChildSpec> {
+        let sync = MemberSync {
+            members: self.members.clone(),
+            config: self.config.clone(),
+            taker: self.taker.clone(),
+        };
         let pump = MetricsPump::new(PumpPorts {
-            metrics: metrics.clone(),
-            counters: ports.counters.clone(),
-            registry: registry.clone(),
-            claims: claims.clone(),
-            config: config.clone(),
-            members: members.clone(),
+            metrics: self.metrics.clone(),
+            counters: self.ports.counters.clone(),
+            registry: self.ports.registry.clone(),
+            claims: self.claims.clone(),
+            config: self.config.clone(),
+            members: self.members.clone(),
         });
-        let (sender, events) = mpsc::channel();
-        let children = list_children(follower.clone(), sync, pump);
-        let supervisor = ChildSupervisor::start(children, clock, sender)?;
+        let child =
+            |name, work: ChildWork| ChildSpec { name, stall_limit: Some(STALL_LIMIT), work };
+        vec![
+            child("server-follower", Arc::new(move |context| follower.run(context))),
+            child("member-sync", Arc::new(move |context| sync.run(context))),
+            child("metrics-pump", Arc::new(move |context| pump.run(context))),
+        ]
+    }
+}
 
-        let driver = Arc::new(SessionDriver::new(ports));
-        let door_ports = FrontDoorPorts {
-            config: config.clone(),
-            driver,
-            answers,
-            registry: registry.clone(),
-            metrics,
-            recorder: Arc::new(|_| {}),
-            clock,
-        };
-        let ids = RequestIdSource::new(&settings.host, incarnation, rand::random());
-        let front_door = Arc::new(FrontDoor::new(settings.front_door, door_ports, ids));
+/// A running entry host.
+pub struct EntryHost {
+    settings: EntrySettings,
+    runtime: tokio::runtime::Runtime,
+    core: EntryCore,
+    front_door: Arc<FrontDoor>,
+    listener: HttpListener,
+    admin: AdminServer,
+    follower: Arc<ServerFollower>,
+    supervisor: ChildSupervisor,
+    supervised: Mutex<mpsc::Receiver<SupervisorEvent>>,
+    events: Mutex<mpsc::Receiver<EntryEvent>>,
+}
+
+impl EntryHost {
+    /// Starts every part; the front door listens last.
+    pub fn start(settings: EntrySettings) -> Result<Self> {
+        let runtime = entry_parts::build_runtime()?;
+        let core = EntryCore::start(&settings, &runtime)?;
+        let (event_sender, events) = mpsc::channel();
+        let follower = core.build_follower(&settings, event_sender);
+        let sources = core.admin_sources();
+        let admin = entry_parts::start_admin(&settings, &runtime, core.config.clone(), sources)?;
+        let (sender, supervised) = mpsc::channel();
+        let children = core.list_children(follower.clone());
+        let supervisor = ChildSupervisor::start(children, core.clock, sender)?;
+        let ids = RequestIdSource::new(&settings.host, core.incarnation, rand::random());
+        let front_door = Arc::new(FrontDoor::new(settings.front_door, core.door_ports(), ids));
         let listener = entry_parts::start_listener(&settings, &runtime, front_door.clone())?;
         log::info!("event=entry_started host={} http={}", settings.host, listener.address());
         Ok(Self {
             settings,
             runtime,
-            config,
-            claims,
-            members,
+            core,
             front_door,
             listener,
             admin,
-            registry,
             follower,
             supervisor,
+            supervised: Mutex::new(supervised),
             events: Mutex::new(events),
         })
     }
@@ -175,17 +278,17 @@
 
     /// Returns the follower of the configuration.
     pub fn config(&self) -> &ConfigFollower {
-        &self.config
+        &self.core.config
     }
 
     /// Returns the members as this host sees them.
     pub fn members(&self) -> &MemberKeeper {
-        &self.members
+        &self.core.members
     }
 
     /// Returns the claims of this host.
     pub fn claims(&self) -> &ClaimKeeper {
-        &self.claims
+        &self.core.claims
     }
 
     /// Brings the list of backend servers in line with the configuration and the platform now.
@@ -193,19 +296,29 @@
         self.follower.refresh();
     }
 
-    /// Waits up to `wait` for a child that keeps failing; the process should leave then.
-    pub fn wait_for_escalation(&self, wait: Duration) -> bool {
-        let events = lock(&self.events);
-        matches!(events.recv_timeout(wait), Ok(SupervisorEvent::Escalated(..)))
+    /// Waits up to `wait` for something that makes the process leave.
+    pub fn wait_for_event(&self, wait: Duration) -> Option<EntryEvent> {
+        let escalated = |event| matches!(event, SupervisorEvent::Escalated(..));
+        if lock(&self.supervised).try_iter().any(escalated) {
+            return Some(EntryEvent::Escalated);
+        }
+        lock(&self.events).recv_timeout(wait).ok()
     }
 
-    /// Leaves gracefully: takes no new work, lets running requests end, and stops.
-    pub fn leave(mut self) {
-        log::info!("event=entry_leaving host={}", self.settings.host);
-        self.front_door.start_leaving();
-        self.members.leave();
-        std::thread::sleep(LINGER.min(self.settings.drain_timeout));
-        self.wait_for_sessions();
+    /// Leaves gracefully: takes no new work, lets running requests end or hands them over, and
+    /// stops.
+    pub fn leave(mut self, reason: LeaveReason) {
+        let host = &self.settings.host;
+        log::info!("event=entry_leaving host={host} reason={reason:?}");
+        let core = &self.core;
+        let leaving = LeavingHost {
+            front_door: &self.front_door,
+            members: &core.members,
+            registry: &core.ports.registry,
+            ports: leaver_ports(&core.members, &core.ports.registry, &core.answers, core.clock),
+            drain_timeout: self.settings.drain_timeout,
+        };
+        leaving.leave(reason);
         self.listener.stop();
         let idle = self.listener.wait_until_idle();
         let drained = self
@@ -213,35 +326,9 @@
             .block_on(async move { tokio::time::timeout(REPLY_TIMEOUT, idle).await.is_ok() });
         self.supervisor.stop();
         self.admin.stop();
-        self.claims.stop();
-        self.config.stop();
+        self.core.claims.stop();
+        self.core.config.stop();
         log::info!("event=entry_left host={} drained={drained}", self.settings.host);
         self.runtime.shutdown_background();
     }
-
-    fn wait_for_sessions(&self) {
-        let clock = ProcessClock::start();
-        let due = clock.now() + self.settings.drain_timeout;
-        while !self.registry.running().is_empty() {
-            if clock.now() >= due {
-                let left = self.registry.running().len();
-                log::warn!("event=drain_timeout host={} running={left}", self.settings.host);
-                return;
-            }
-            std::thread::sleep(DRAIN_CHECK_INTERVAL);
-        }
-    }
-}
-
-fn list_children(
-    follower: Arc<ServerFollower>,
-    sync: MemberSync,
-    pump: MetricsPump,
-) -> Vec<ChildSpec> {
-    let child = |name, work: ChildWork| ChildSpec { name, stall_limit: Some(STALL_LIMIT), work };
-    vec![
-        child("server-follower", Arc::new(move |context| follower.run(context))),
-        child("member-sync", Arc::new(move |context| sync.run(context))),
-        child("metrics-pump", Arc::new(move |context| pump.run(context))),
-    ]
 }
--- a/lib/src/entry_parts.rs
+++ b/lib/src/entry_parts.rs
@@ -47,6 +47,7 @@
 use crate::retry_budget::RetryBudget;
 use crate::server_connector::HttpConnector;
 use crate::server_follower::FollowerPorts;
+use crate::server_follower::NoticeHandler;
 use crate::server_follower::ServerFollower;
 use crate::session_ports::SessionCounters;
 use crate::session_ports::SessionPorts;
@@ -211,6 +212,7 @@
     config: Arc<ConfigFollower>,
     ports: &SessionPorts,
     connector: Arc<HttpConnector>,
+    on_notice: NoticeHandler,
 ) -> Arc<ServerFollower> {
     let limits = platform_limits(settings);
     let ports = FollowerPorts {
@@ -220,7 +222,7 @@
         cloud: Arc::new(CloudClient::new(settings.platform.cloud, limits)),
         router: ports.router.clone(),
         connector,
-        on_notice: Box::new(|_| {}),
+        on_notice,
     };
     Arc::new(ServerFollower::new(ports, settings.calls.poll_interval))
 }
--- a/lib/src/entry_peer.rs
+++ b/lib/src/entry_peer.rs
@@ -1,13 +1,13 @@
 //! What an entry host does for its peers.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 
+use crate::answer_finder::write_fetched;
 use crate::answer_store::AnswerStore;
-use crate::answer_table;
 use crate::config_follower::ConfigFollower;
+use crate::handover_taker::HandoverTaker;
 use crate::ids::RequestId;
-use crate::peer_link::AnswerPart;
-use crate::peer_link::AnswerState;
 use crate::peer_link::CheckpointCopy;
 use crate::peer_link::FetchedAnswer;
 use crate::peer_link::PeerHandler;
@@ -20,30 +20,24 @@
     pub answers: Arc<AnswerStore>,
     /// Configuration of this host.
     pub config: Arc<ConfigFollower>,
+    /// Takes over requests, from the moment at which this host can run them.
+    pub taker: Arc<OnceLock<Arc<HandoverTaker>>>,
 }
 
 impl PeerHandler for EntryPeerHandler {
-    fn take_over(&self, _request: RequestId, _payload: &[u8]) -> TakeOverAnswer {
-        TakeOverAnswer::Refused(ResultCode::HostLeaving)
+    fn take_over(&self, request: RequestId, payload: &[u8]) -> TakeOverAnswer {
+        match self.taker.get() {
+            Some(taker) => taker.on_message(request, payload),
+            None => TakeOverAnswer::Refused(ResultCode::NotReady),
+        }
     }
 
     fn fetch_answer(&self, request: RequestId, from_offset: u32) -> FetchedAnswer {
-        let Some(part) = self.answers.read_from(request, from_offset) else {
-            return FetchedAnswer { state: AnswerState::Unknown, parts: Vec::new() };
-        };
-        let state = match part.state {
-            answer_table::AnswerState::Running => AnswerState::Running,
-            answer_table::AnswerState::Finished(end) => AnswerState::Complete(end.code()),
-        };
-        let pieces = part.chunks.into_iter();
-        let parts =
-            pieces.map(|chunk| AnswerPart { offset: chunk.offset, data: chunk.text.into_bytes() });
-        FetchedAnswer { state, parts: parts.collect() }
+        write_fetched(request, self.answers.read_from(request, from_offset))
     }
 
     fn config_checkpoint(&self) -> Option<CheckpointCopy> {
-        let snapshot = self.config.current();
-        let offset = snapshot.revision?;
+        let offset = self.config.current().revision?;
         let checkpoint = self.config.checkpoint();
         Some(CheckpointCopy { offset, digest: checkpoint.digest.to_vec(), body: checkpoint.data })
     }
--- a/lib/src/entry_sync.rs
+++ b/lib/src/entry_sync.rs
@@ -1,12 +1,13 @@
 //! Carries news between the peers and this host's decisions.
 //!
-//! Configuration offsets come in as hints and go out with heartbeats, and the platform's host list
-//! goes into membership.
+//! Configuration offsets come in as hints and go out with heartbeats, and requests that a leaving
+//! peer handed over are told when it is gone.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::config_follower::ConfigFollower;
+use crate::handover_taker::HandoverTaker;
 use crate::ids::LogOffset;
 use crate::member_keeper::MemberKeeper;
 use crate::supervisor::ChildContext;
@@ -20,6 +21,8 @@
     pub members: Arc<MemberKeeper>,
     /// Configuration.
     pub config: Arc<ConfigFollower>,
+    /// Requests that peers handed over.
+    pub taker: Arc<HandoverTaker>,
 }
 
 impl MemberSync {
@@ -40,5 +43,6 @@
             self.config.hint(LogOffset(view.config_offset.0 - 1));
         }
         self.members.set_config_offset(config.next_offset);
+        self.taker.tick(|host| view.find(host).is_some());
     }
 }
--- /dev/null
+++ b/lib/src/evacuation_desk.rs
@@ -0,0 +1,106 @@
+//! Starts evacuations when the cloud announces that it takes hosts back.
+//!
+//! Each notice leads to one plan over all servers of the services concerned, with every notice that
+//! is in force: a second notice during the first, or a target that is reclaimed in turn, is planned
+//! for with all that is known.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use crate::cloud::ReclaimNotice;
+use crate::evacuation::EvacuationRates;
+use crate::evacuation::EvacuationServer;
+use crate::evacuation_runner::EvacuationRunner;
+use crate::ids::HostId;
+use crate::ids::ServerKey;
+use crate::ids::ServiceName;
+use crate::request_router::RequestRouter;
+use crate::request_router::ServerInfo;
+use crate::request_router::ServerState;
+use crate::session_ports::SessionPorts;
+use crate::session_ports::lock;
+use crate::timestamp::ProcessClock;
+use crate::timestamp::Timestamp;
+
+/// Time to generate one token, for estimates of when a stream ends.
+const TOKEN_TIME: Duration = Duration::from_millis(46);
+/// Tokens of KV cache that one server sends or receives per second.
+const TRANSFER_TOKENS_PER_SECOND: u32 = 50_000;
+/// Time for which a host that was to be gone still counts as leaving.
+const NOTICE_MEMORY: Duration = Duration::from_secs(60);
+
+/// Plans and starts evacuations.
+pub struct EvacuationDesk {
+    clock: ProcessClock,
+    router: Arc<Mutex<RequestRouter>>,
+    runner: Arc<EvacuationRunner>,
+    leaving: Mutex<BTreeMap<HostId, Timestamp>>,
+}
+
+impl EvacuationDesk {
+    /// Builds a desk for the sessions of one host.
+    pub fn new(ports: SessionPorts) -> Self {
+        let rates = EvacuationRates {
+            token_time: TOKEN_TIME,
+            transfer_tokens_per_second: TRANSFER_TOKENS_PER_SECOND,
+        };
+        Self {
+            clock: ports.clock,
+            router: ports.router.clone(),
+            runner: Arc::new(EvacuationRunner::new(ports, rates)),
+            leaving: Mutex::default(),
+        }
+    }
+
+    /// Takes a notice and evacuates its host on a thread of its own.
+    pub fn on_notice(&self, notice: &ReclaimNotice) {
+        let servers = self.list_servers(notice);
+        let runner = self.runner.clone();
+        let host = notice.host.clone();
+        let thread = std::thread::Builder::new().name("evacuation".into()).spawn(move || {
+            let moves = runner.evacuate(&servers);
+            let tokens: u64 =
+                moves.iter().map(|planned| u64::from(planned.recomputed_tokens)).sum();
+            log::info!(
+                "event=evacuated host={host} streams={} recomputed_tokens={tokens}",
+                moves.len()
+            );
+        });
+        if let Err(error) = thread {
+            log::error!("event=evacuation_not_started error=\"{error}\"");
+        }
+    }
+
+    /// Returns the servers of the services that the leaving hosts run.
+    fn list_servers(&self, notice: &ReclaimNotice) -> Vec<EvacuationServer> {
+        let now = self.clock.now();
+        let mut leaving = lock(&self.leaving);
+        leaving.retain(|_, leaves_at| now.since(*leaves_at) < NOTICE_MEMORY);
+        leaving.insert(notice.host.clone(), now + Duration::from_millis(notice.left_ms));
+        let router = lock(&self.router);
+        let services: BTreeSet<ServiceName> = router
+            .servers()
+            .filter(|(_, server)| leaving.contains_key(&server.host))
+            .map(|(_, server)| server.service.clone())
+            .collect();
+        let concerned = router.servers().filter(|(_, server)| services.contains(&server.service));
+        concerned.map(|(key, server)| describe(&router, &leaving, key, server)).collect()
+    }
+}
+
+fn describe(
+    router: &RequestRouter,
+    leaving: &BTreeMap<HostId, Timestamp>,
+    key: ServerKey,
+    server: &ServerInfo,
+) -> EvacuationServer {
+    let leaves_at = leaving.get(&server.host).copied();
+    let free_places = match server.state {
+        ServerState::Live => server.concurrency.saturating_sub(router.in_flight(key)),
+        ServerState::Leaving | ServerState::Suspected => 0,
+    };
+    EvacuationServer { key, leaves_at, free_places, warm_blocks: BTreeSet::new() }
+}
--- a/lib/src/front_door.rs
+++ b/lib/src/front_door.rs
@@ -12,8 +12,8 @@
 use hyper::body::Incoming;
 use serde_json::json;
 
+use crate::answer_finder::AnswerFinder;
 use crate::answer_reply::answer_reply;
-use crate::answer_store::AnswerStore;
 use crate::caller_guard::CallerGuard;
 use crate::caller_reply::app_reply;
 use crate::caller_reply::completion_reply;
@@ -64,7 +64,7 @@
     /// Runs sessions.
     pub driver: Arc<SessionDriver>,
     /// Answers that can be fetched again.
-    pub answers: Arc<AnswerStore>,
+    pub answers: Arc<AnswerFinder>,
     /// Running sessions.
     pub registry: Arc<SessionRegistry>,
     /// Metrics.
--- a/lib/src/handover_protocol.rs
+++ b/lib/src/handover_protocol.rs
@@ -81,6 +81,11 @@
         matches!(self.state, LeaverState::Running | LeaverState::Kept)
     }
 
+    /// Returns whether the handover has ended.
+    pub fn is_done(&self) -> bool {
+        self.state == LeaverState::Done
+    }
+
     /// Returns when [`LeaverEvent::Timer`] is due.
     pub fn next_timer(&self) -> Option<Timestamp> {
         match self.state {
@@ -187,6 +192,11 @@
         Self { phase, deadline, state: TakerState::New }
     }
 
+    /// Returns the deadline of the request.
+    pub fn deadline(&self) -> Timestamp {
+        self.deadline
+    }
+
     /// Returns when [`TakerEvent::Timer`] is due.
     pub fn next_timer(&self) -> Option<Timestamp> {
         match self.state {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -90,15 +90,20 @@
 pub mod peer_server;
 
 // Requests and their answers.
+pub mod answer_finder;
 pub mod answer_store;
 pub mod answer_table;
 pub mod crash_evidence;
 pub mod crash_report;
 pub mod crash_suspects;
 pub mod evacuation;
+pub mod evacuation_desk;
 pub mod evacuation_runner;
 pub mod handover;
+pub mod handover_leaver;
+pub mod handover_message;
 pub mod handover_protocol;
+pub mod handover_taker;
 pub mod record_bounds;
 pub mod request_session;
 pub mod session_attempt;
@@ -128,6 +133,7 @@
 pub mod completion_api;
 pub mod entry;
 pub mod entry_admin;
+pub mod entry_leave;
 pub mod entry_parts;
 pub mod entry_peer;
 pub mod entry_sync;
--- a/lib/src/request_id_source.rs
+++ b/lib/src/request_id_source.rs
@@ -20,10 +20,7 @@
 impl RequestIdSource {
     /// Builds a source; `secret` must be random and known to this process alone.
     pub fn new(host: &HostId, incarnation: Incarnation, secret: [u8; 32]) -> Self {
-        let mut hasher = blake3::Hasher::new();
-        hasher.update(&incarnation.0.to_le_bytes());
-        hasher.update(host.as_str().as_bytes());
-        Self { origin: first_half(hasher.finalize()), secret, count: AtomicU64::new(0) }
+        Self { origin: origin_of(host, incarnation), secret, count: AtomicU64::new(0) }
     }
 
     /// Returns a new id.
@@ -32,11 +29,14 @@
         let sequence = first_half(blake3::keyed_hash(&self.secret, &count.to_le_bytes()));
         RequestId { origin: self.origin, sequence }
     }
+}
 
-    /// Returns the half that all ids of this process share.
-    pub fn origin(&self) -> u64 {
-        self.origin
-    }
+/// Returns the half that all ids of one life of a host share.
+pub fn origin_of(host: &HostId, life: Incarnation) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&life.0.to_le_bytes());
+    hasher.update(host.as_str().as_bytes());
+    first_half(hasher.finalize())
 }
 
 fn first_half(hash: blake3::Hash) -> u64 {
--- a/lib/src/server_follower.rs
+++ b/lib/src/server_follower.rs
@@ -18,6 +18,9 @@
 use crate::supervisor::ChildContext;
 use crate::timestamp::ProcessClock;
 
+/// Takes each new notice.
+pub type NoticeHandler = Box<dyn Fn(&ReclaimNotice) + Send + Sync>;
+
 /// What following the servers needs.
 pub struct FollowerPorts {
     /// Clock of the process.
@@ -33,7 +36,7 @@
     /// Clients of servers that are gone are dropped here.
     pub connector: Arc<HttpConnector>,
     /// Is told of each new notice.
-    pub on_notice: Box<dyn Fn(&ReclaimNotice) + Send + Sync>,
+    pub on_notice: NoticeHandler,
 }
 
 /// Follows the backend servers of all services.
--- a/lib/testutils/src/dev_cluster.rs
+++ b/lib/testutils/src/dev_cluster.rs
@@ -14,6 +14,7 @@
 use pomelostack_lib::config_record::ResourceOperation;
 use pomelostack_lib::entry::EntryError;
 use pomelostack_lib::entry::EntryHost;
+use pomelostack_lib::entry_leave::LeaveReason;
 use pomelostack_lib::ids::NameError;
 use pomelostack_lib::ids::ServiceName;
 use pomelostack_lib::ids::ZoneName;
@@ -303,7 +304,10 @@
 
     /// Stops everything, all entry hosts at once and the platform last.
     pub fn stop(mut self) {
-        let leaving = self.entries.drain(..).map(|entry| std::thread::spawn(|| entry.leave()));
+        let leaving = self
+            .entries
+            .drain(..)
+            .map(|entry| std::thread::spawn(|| entry.leave(LeaveReason::Planned)));
         for thread in leaving.collect::<Vec<_>>() {
             if thread.join().is_err() {
                 log::error!("event=entry_leave_panicked");
