tests: failures through the whole path, judged by the whole text of the answer

A crashed server, silent connections, reclaims with ample, short and no time, and an entry host that is taken back in the middle of a stream, whose caller reads the rest at its peer.

--- a/cli/tests/test_processes.rs
+++ b/cli/tests/test_processes.rs
@@ -8,7 +8,9 @@
 
 use rustix::process::Signal;
 use serde_json::json;
-use testutils::process_fleet::CallerReply;
+use testutils::dev_cluster::MODEL_SERVICE;
+use testutils::front_caller::CallerReply;
+use testutils::hang_guard::wait_for;
 use testutils::process_fleet::ProcessFleet;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_pomelostack");
@@ -18,6 +20,8 @@
 
 /// Code of an answered request.
 const COMPLETE: u16 = 0;
+/// Code of a request that came to a leaving host.
+const HOST_LEAVING: u16 = 205;
 /// Code of a request whose key's claimant was waited for until the deadline.
 const STILL_RUNNING: u16 = 308;
 
@@ -26,7 +30,7 @@
     thread::scope(|scope| {
         for key in keys {
             scope.spawn(move || {
-                let reply = fleet.post(host, "/services/lookup/alert", Some(key), "gust");
+                let reply = fleet.caller(host).post("/services/lookup/alert", Some(key), "gust");
                 let mut sends = log.lock().expect("no sender panics");
                 sends.entry(key.clone()).or_default().push(reply);
             });
@@ -37,7 +41,7 @@
 
 /// Waits until the app servers have begun at least `count` runs.
 fn wait_for_runs(fleet: &ProcessFleet, count: usize) {
-    testutils::hang_guard::wait_for(|| keyed_runs(fleet).len() >= count);
+    wait_for(|| keyed_runs(fleet).len() >= count);
 }
 
 fn keyed_runs(fleet: &ProcessFleet) -> Vec<String> {
@@ -109,43 +113,39 @@
 #[test]
 fn stopped_host() {
     let mut fleet = ProcessFleet::start(PROGRAM, 2);
-    let body = r#"{"model":"briefing","prompt":"Whole course today","max_tokens":40}"#;
-    let whole = fleet.post(1, "/v1/completions", None, body);
+    let ask = |host| fleet.caller(host).complete(MODEL_SERVICE, "Whole course today", 40);
+    let whole = ask(1);
     let streams: Vec<CallerReply> = thread::scope(|scope| {
-        let callers: Vec<_> =
-            (0..8).map(|_| scope.spawn(|| fleet.post(0, "/v1/completions", None, body))).collect();
-        testutils::hang_guard::wait_for(|| fleet.model_runs_open() >= 4);
+        let callers: Vec<_> = (0..8).map(|_| scope.spawn(|| ask(0))).collect();
+        wait_for(|| fleet.model_runs_open() >= 4);
         fleet.signal(0, Signal::TERM);
         callers.into_iter().map(|caller| caller.join().expect("no caller panics")).collect()
     });
     for reply in streams {
         // A request that came after the stop is refused, and never cut short.
         match reply.code {
-            Some(COMPLETE) => assert_eq!(text_of(&reply), text_of(&whole)),
-            code => assert!(code == Some(205) || reply.status == 0, "{reply:?}"),
+            Some(COMPLETE) => assert_eq!(reply.text(), whole.text()),
+            code => assert!(code == Some(HOST_LEAVING) || reply.status == 0, "{reply:?}"),
         }
     }
     assert!(fleet.wait_for_end(0));
-    assert_eq!(fleet.get(1, "/readyz").status, 200);
+    assert_eq!(fleet.caller(1).get("/readyz").status, 200);
 }
 
 #[test]
 fn resent_prompt() {
     let mut fleet = ProcessFleet::start(PROGRAM, 2);
-    let body = r#"{"model":"briefing","prompt":"Gusts at noon","max_tokens":30}"#;
-    let whole = fleet.post(1, "/v1/completions", None, body);
+    let ask = |fleet: &ProcessFleet, host| {
+        fleet.caller(host).complete(MODEL_SERVICE, "Gusts at noon", 30)
+    };
+    let whole = ask(&fleet, 1);
     let cut = thread::scope(|scope| {
-        let caller = scope.spawn(|| fleet.post(0, "/v1/completions", None, body));
-        testutils::hang_guard::wait_for(|| fleet.model_runs_open() >= 1);
+        let caller = scope.spawn(|| ask(&fleet, 0));
+        wait_for(|| fleet.model_runs_open() >= 1);
         fleet.signal(0, Signal::KILL);
         caller.join().expect("the caller does not panic")
     });
-    assert!(cut.status == 0 || text_of(&cut) == text_of(&whole), "{cut:?}");
+    assert!(cut.status == 0 || cut.text() == whole.text(), "{cut:?}");
     assert!(!fleet.wait_for_end(0));
-    assert_eq!(text_of(&fleet.post(1, "/v1/completions", None, body)), text_of(&whole));
-}
-
-fn text_of(reply: &CallerReply) -> String {
-    let body: serde_json::Value = serde_json::from_str(&reply.body).expect("the body is JSON");
-    body["choices"][0]["text"].as_str().expect("the answer has a text").to_owned()
+    assert_eq!(ask(&fleet, 1).text(), whole.text());
 }
--- /dev/null
+++ b/lib/tests/test_failures.rs
@@ -0,0 +1,123 @@
+//! Failures of the platform through the whole path: reclaims, crashes, silent connections, and
+//! entry hosts that leave.
+
+use std::thread;
+use std::time::Duration;
+
+use pomelostack_lib::entry_leave::LeaveReason;
+use pomelostack_lib::ids::HostId;
+use rstest::rstest;
+use testutils::cloud_standin::CloudFault;
+use testutils::dev_cluster::DevCluster;
+use testutils::dev_cluster::DevPlan;
+use testutils::dev_cluster::MODEL_SERVICE;
+use testutils::dev_cluster::TEAMS;
+use testutils::engine_standin::EngineFault;
+use testutils::engine_standin::EngineSettings;
+use testutils::engine_standin::whole_answer;
+use testutils::front_caller::FrontCaller;
+use testutils::front_caller::StreamedReply;
+
+const PROMPT: &str = "Write the regatta briefing for the start at noon. [[tokens=60]]";
+const MAX_TOKENS: u32 = 60;
+/// Token after which a failure is caused.
+const FAIL_AFTER: usize = 8;
+
+fn start(hosts: u16) -> DevCluster {
+    let plan = DevPlan::for_test(hosts);
+    let engine = EngineSettings { decode_step: Duration::from_millis(20), ..plan.engine.clone() };
+    DevCluster::start(DevPlan { engine, ..plan }).expect("the cluster starts")
+}
+
+fn caller(cluster: &DevCluster, index: u16) -> FrontCaller {
+    FrontCaller::new(cluster.plan().http_address(index), TEAMS[0].1)
+}
+
+fn expected() -> String {
+    whole_answer("briefing-7b", PROMPT, MAX_TOKENS)
+}
+
+/// Returns the host of the engine that runs a request now.
+fn busy_host(cluster: &DevCluster) -> HostId {
+    let engines = cluster.platform().engines();
+    let busy = engines.into_iter().find(|(_, engine)| {
+        engine.is_up() && engine.journal().entries().iter().any(|run| run.end_ms.is_none())
+    });
+    busy.expect("an engine runs the request").0
+}
+
+/// Streams an answer and causes a failure in the middle of it.
+fn stream_through(cluster: &DevCluster, fail: impl Fn(&HostId)) -> StreamedReply {
+    caller(cluster, 0).stream(MODEL_SERVICE, PROMPT, MAX_TOKENS, |tokens| {
+        if tokens == FAIL_AFTER {
+            fail(&busy_host(cluster));
+        }
+    })
+}
+
+fn assert_whole(streamed: &StreamedReply) {
+    assert_eq!((streamed.is_done, streamed.error), (true, None), "{streamed:?}");
+    assert_eq!(streamed.tokens.concat(), expected());
+}
+
+fn fault_engine(cluster: &DevCluster, host: &HostId, fault: EngineFault) {
+    let engines = cluster.platform().engines();
+    let engine = engines.iter().find(|(found, _)| found == host).expect("the engine is listed");
+    engine.1.apply_fault(fault);
+}
+
+#[test]
+fn crashed_server() {
+    let cluster = start(1);
+    let streamed = stream_through(&cluster, |host| {
+        fault_engine(&cluster, host, EngineFault::Crash { restart_after_ms: None });
+    });
+    assert_whole(&streamed);
+    cluster.stop();
+}
+
+#[test]
+fn silent_connections() {
+    let cluster = start(1);
+    let streamed = stream_through(&cluster, |host| {
+        fault_engine(&cluster, host, EngineFault::SilenceConnections);
+    });
+    assert_whole(&streamed);
+    cluster.stop();
+}
+
+#[rstest]
+#[case::ample(3_000)]
+#[case::short(400)]
+#[case::none(0)]
+fn reclaimed_server(#[case] left_ms: u64) {
+    let cluster = start(1);
+    let streamed = stream_through(&cluster, |host| {
+        let fault = CloudFault::ReclaimHost { host: host.clone(), left_ms };
+        cluster.platform().cloud().apply_fault(fault);
+    });
+    assert_whole(&streamed);
+    cluster.stop();
+}
+
+#[test]
+fn reclaimed_entry() {
+    let mut cluster = start(2);
+    let leaver = cluster.take_entry(0);
+    let first = caller(&cluster, 0);
+    let (sender, receiver) = std::sync::mpsc::channel();
+    let leaving = thread::spawn(move || {
+        receiver.recv().expect("the stream begins");
+        leaver.leave(LeaveReason::Reclaimed { left: Duration::from_secs(1) });
+    });
+    let cut = first.stream(MODEL_SERVICE, PROMPT, MAX_TOKENS, |tokens| {
+        if tokens == FAIL_AFTER {
+            sender.send(()).expect("the leaver waits");
+        }
+    });
+    leaving.join().expect("the leaver does not panic");
+    assert!(!cut.is_done, "the stream ended before the host left: {cut:?}");
+    let rest = caller(&cluster, 1).fetch_rest(&cut.request, cut.tokens.len());
+    assert_eq!(cut.tokens.concat() + &rest, expected());
+    cluster.stop();
+}
--- /dev/null
+++ b/lib/testutils/src/front_caller.rs
@@ -0,0 +1,190 @@
+//! A caller of the front door, for tests.
+
+use std::io::BufRead as _;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::Value;
+
+/// Time after which a call that does not end is a failure.
+const HANG_GUARD: Duration = Duration::from_secs(60);
+
+/// What a caller got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallerReply {
+    /// HTTP status; 0 if the connection failed.
+    pub status: u16,
+    /// Numbered result code of the reply's header.
+    pub code: Option<u16>,
+    /// Id to come back with.
+    pub request: Option<String>,
+    /// Body.
+    pub body: String,
+}
+
+impl CallerReply {
+    /// Returns the text of a whole completion.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the body is no completion.
+    pub fn text(&self) -> String {
+        let body = self.json();
+        body["choices"][0]["text"].as_str().expect("the answer has a text").to_owned()
+    }
+
+    /// Returns the body as JSON.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it is not JSON.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).expect("the body is JSON")
+    }
+}
+
+/// What a caller got of a streamed completion.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamedReply {
+    /// Id to come back with.
+    pub request: String,
+    /// Text of each token, in order.
+    pub tokens: Vec<String>,
+    /// Whether the stream ended with `[DONE]`.
+    pub is_done: bool,
+    /// Code of the error that ended the stream, if one did.
+    pub error: Option<u64>,
+}
+
+/// Calls one front door with one team's token.
+#[derive(Clone, Debug)]
+pub struct FrontCaller {
+    address: SocketAddr,
+    token: String,
+}
+
+impl FrontCaller {
+    /// Builds a caller.
+    pub fn new(address: SocketAddr, token: &str) -> Self {
+        Self { address, token: token.to_owned() }
+    }
+
+    /// Makes a GET call.
+    pub fn get(&self, path: &str) -> CallerReply {
+        self.call("GET", path, None, "")
+    }
+
+    /// Makes a POST call, with an idempotency key if one is given.
+    pub fn post(&self, path: &str, key: Option<&str>, body: &str) -> CallerReply {
+        self.call("POST", path, key, body)
+    }
+
+    /// Asks for a whole completion.
+    pub fn complete(&self, model: &str, prompt: &str, max_tokens: u32) -> CallerReply {
+        let body = completion_body(model, prompt, max_tokens, false);
+        self.post("/v1/completions", None, &body)
+    }
+
+    /// Streams a completion; `on_token` is told the number of tokens after each.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no stream begins.
+    pub fn stream(
+        &self,
+        model: &str,
+        prompt: &str,
+        max_tokens: u32,
+        mut on_token: impl FnMut(usize),
+    ) -> StreamedReply {
+        let body = completion_body(model, prompt, max_tokens, true);
+        let mut reply = self.run("POST", "/v1/completions", None, &body).expect("a reply begins");
+        let request = header(&reply, "pomelostack-request-id").expect("the reply names its id");
+        let mut streamed =
+            StreamedReply { request, tokens: Vec::new(), is_done: false, error: None };
+        for line in BufReader::new(reply.body_mut().as_reader()).lines() {
+            // A connection that breaks ends the stream.
+            let Ok(line) = line else { break };
+            let Some(data) = line.strip_prefix("data: ") else { continue };
+            if data == "[DONE]" {
+                streamed.is_done = true;
+                continue;
+            }
+            let event: Value = serde_json::from_str(data).expect("an event is JSON");
+            if let Some(code) = event["error"]["code"].as_u64() {
+                streamed.error = Some(code);
+            } else if let Some(text) = event["choices"][0]["text"].as_str()
+                && !text.is_empty()
+            {
+                streamed.tokens.push(text.to_owned());
+                on_token(streamed.tokens.len());
+            }
+        }
+        streamed
+    }
+
+    /// Reads the rest of an answer from an offset on, until it is final.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the answer is not kept.
+    pub fn fetch_rest(&self, request: &str, from: usize) -> String {
+        let (mut text, mut next) = (String::new(), from as u64);
+        loop {
+            let reply = self.get(&format!("/v1/requests/{request}?from={next}"));
+            assert_eq!(reply.status, 200, "{reply:?}");
+            let body = reply.json();
+            text.push_str(body["text"].as_str().expect("the answer has a text"));
+            next = body["next"].as_u64().expect("the answer has an offset");
+            if body["state"] == "complete" {
+                return text;
+            }
+        }
+    }
+
+    fn call(&self, method: &str, path: &str, key: Option<&str>, body: &str) -> CallerReply {
+        let failed = CallerReply { status: 0, code: None, request: None, body: String::new() };
+        let Ok(mut reply) = self.run(method, path, key, body) else { return failed };
+        let code = header(&reply, "pomelostack-result").and_then(|text| text.parse().ok());
+        let request = header(&reply, "pomelostack-request-id");
+        let status = reply.status().as_u16();
+        match reply.body_mut().read_to_string() {
+            Ok(body) => CallerReply { status, code, request, body },
+            Err(_) => CallerReply { code, request, ..failed },
+        }
+    }
+
+    fn run(
+        &self,
+        method: &str,
+        path: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> Result<ureq::http::Response<ureq::Body>, ureq::Error> {
+        let config = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(HANG_GUARD))
+            .max_idle_connections(0);
+        let mut builder = ureq::http::Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header("authorization", format!("Bearer {}", self.token));
+        if let Some(key) = key {
+            builder = builder.header("idempotency-key", key);
+        }
+        let request = builder.body(body.to_owned()).expect("the request is well formed");
+        ureq::Agent::new_with_config(config.build()).run(request)
+    }
+}
+
+fn completion_body(model: &str, prompt: &str, max_tokens: u32, stream: bool) -> String {
+    serde_json::json!({
+        "model": model, "prompt": prompt, "max_tokens": max_tokens, "stream": stream
+    })
+    .to_string()
+}
+
+fn header(reply: &ureq::http::Response<ureq::Body>, name: &str) -> Option<String> {
+    reply.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+}
--- a/lib/testutils/src/process_fleet.rs
+++ b/lib/testutils/src/process_fleet.rs
@@ -8,7 +8,6 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
-use std::time::Duration;
 
 use rustix::process::Pid;
 use rustix::process::Signal;
@@ -17,13 +16,12 @@
 use serde_json::Value;
 
 use crate::dev_cluster::DevPlan;
+use crate::dev_cluster::MODEL_SERVICE;
 use crate::dev_cluster::OPERATOR_WRITE_TOKEN;
 use crate::dev_cluster::TEAMS;
+use crate::front_caller::FrontCaller;
 use crate::hang_guard::wait_for;
 
-/// Time after which a call that does not end is a failure.
-const HANG_GUARD: Duration = Duration::from_secs(60);
-
 /// A process that is killed when it is dropped.
 struct GuardedChild(Child);
 
@@ -35,17 +33,6 @@
     }
 }
 
-/// What a caller got.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CallerReply {
-    /// HTTP status.
-    pub status: u16,
-    /// Numbered result code of the reply's header.
-    pub code: Option<u16>,
-    /// Body.
-    pub body: String,
-}
-
 /// One line of a backend server's journal, as its page gives it.
 #[derive(Clone, Debug, Deserialize)]
 pub struct JournalLine {
@@ -119,9 +106,9 @@
             .status();
         assert!(applied.expect("the program runs").success());
         for index in 0..self.plan.hosts {
-            wait_for(|| self.get(index, "/services/lookup/ready").status == 200);
-            let body = r#"{"model":"briefing","prompt":"ready","max_tokens":1}"#;
-            wait_for(|| self.post(index, "/v1/completions", None, body).status == 200);
+            let caller = self.caller(index);
+            wait_for(|| caller.get("/services/lookup/ready").status == 200);
+            wait_for(|| caller.complete(MODEL_SERVICE, "ready", 1).status == 200);
         }
     }
 
@@ -137,55 +124,9 @@
         child.0.wait().expect("the process ends").success()
     }
 
-    /// Returns the front door of an entry host.
-    pub fn http_address(&self, index: u16) -> SocketAddr {
-        self.plan.http_address(index)
-    }
-
-    /// Makes a GET call; a connection that fails gives status 0.
-    pub fn get(&self, index: u16, path: &str) -> CallerReply {
-        self.call(index, "GET", path, None, "")
-    }
-
-    /// Makes a POST call, with an idempotency key if one is given; a connection that fails gives
-    /// status 0.
-    pub fn post(&self, index: u16, path: &str, key: Option<&str>, body: &str) -> CallerReply {
-        self.call(index, "POST", path, key, body)
-    }
-
-    fn call(
-        &self,
-        index: u16,
-        method: &str,
-        path: &str,
-        key: Option<&str>,
-        body: &str,
-    ) -> CallerReply {
-        let config = ureq::Agent::config_builder()
-            .http_status_as_error(false)
-            .timeout_global(Some(HANG_GUARD))
-            .max_idle_connections(0);
-        let agent = ureq::Agent::new_with_config(config.build());
-        let mut builder = ureq::http::Request::builder()
-            .method(method)
-            .uri(format!("http://{}{path}", self.http_address(index)))
-            .header("authorization", format!("Bearer {}", TEAMS[0].1));
-        if let Some(key) = key {
-            builder = builder.header("idempotency-key", key);
-        }
-        let request = builder.body(body.to_owned()).expect("the request is well formed");
-        match agent.run(request) {
-            Err(_) => CallerReply { status: 0, code: None, body: String::new() },
-            Ok(mut reply) => {
-                let header = reply.headers().get("pomelostack-result");
-                let code = header.and_then(|value| value.to_str().ok()?.parse().ok());
-                let status = reply.status().as_u16();
-                match reply.body_mut().read_to_string() {
-                    Ok(body) => CallerReply { status, code, body },
-                    Err(_) => CallerReply { status: 0, code, body: String::new() },
-                }
-            }
-        }
+    /// Returns a caller of an entry host.
+    pub fn caller(&self, index: u16) -> FrontCaller {
+        FrontCaller::new(self.plan.http_address(index), TEAMS[0].1)
     }
 
     /// Returns the runs of all app servers.
