config: never leave a gap by a restore without effect

Cause: a random schedule of three hosts (seeded, first case found: change, wait past retention, restore that breaks a rule, two reads) showed a host in a gap that took a rejected restore as its start and so served an empty configuration; one that takes effect was preceded by an empty configuration until its record was read a second time.

--- a/lib/src/config_replica.rs
+++ b/lib/src/config_replica.rs
@@ -13,6 +13,7 @@
 use crate::config_checkpoint::JoinedCheckpoint;
 use crate::config_fold::ConfigFold;
 use crate::config_record::CheckpointPart;
+use crate::config_record::ConfigChange;
 use crate::config_record::ConfigRecord;
 use crate::config_record::RecordError;
 use crate::config_record::Result;
@@ -67,10 +68,11 @@
     }
 }
 
-/// Where folding can start again after a scan.
-enum ScanFind {
-    Checkpoint(Box<ConfigFold>),
-    Restore(LogOffset),
+/// A fold from which a scan can go on.
+struct ScanFind {
+    fold: ConfigFold,
+    /// Whether it comes from a restore; any usable checkpoint goes before one.
+    is_restore: bool,
 }
 
 /// This host's copy of the configuration.
@@ -200,9 +202,7 @@
     fn on_record(&mut self, record: &LogRecord) {
         match ConfigRecord::decode(&record.data) {
             Ok(ConfigRecord::Change(change)) if self.is_scanning() => {
-                if change.is_restore() && self.find.is_none() {
-                    self.find = Some(ScanFind::Restore(record.offset));
-                }
+                self.consider_restore(record, &change);
             }
             Ok(ConfigRecord::Change(change)) => {
                 self.fold.set_appended_ms(record.appended_ms);
@@ -267,30 +267,37 @@
         }
     }
 
+    /// Keeps the first restore that takes effect, if no checkpoint is found.
+    fn consider_restore(&mut self, record: &LogRecord, change: &ConfigChange) {
+        if self.find.is_some() || !change.is_restore() {
+            return;
+        }
+        let mut fold = ConfigFold::starting_at(record.offset);
+        fold.set_appended_ms(record.appended_ms);
+        fold.apply(record.offset, change);
+        if fold.revision() == Some(record.offset) {
+            self.find = Some(ScanFind { fold, is_restore: true });
+        }
+    }
+
     /// Keeps the checkpoint that covers the most, if the record after it is still readable.
     fn consider(&mut self, fold: ConfigFold) {
         if fold.next_offset() < self.bounds.0 {
             return;
         }
-        if let Some(ScanFind::Checkpoint(found)) = &self.find
-            && found.next_offset() >= fold.next_offset()
-        {
-            return;
+        let covers_more =
+            |found: &ScanFind| found.is_restore || found.fold.next_offset() < fold.next_offset();
+        if self.find.as_ref().is_none_or(covers_more) {
+            self.find = Some(ScanFind { fold, is_restore: false });
         }
-        self.find = Some(ScanFind::Checkpoint(Box::new(fold)));
     }
 
     /// Chooses where folding goes on; returns whether it does.
     fn end_scan(&mut self) -> bool {
-        let fold = match self.find.take() {
-            Some(ScanFind::Checkpoint(fold)) if fold.next_offset() >= self.bounds.0 => *fold,
-            Some(ScanFind::Restore(offset)) if offset >= self.bounds.0 => {
-                ConfigFold::starting_at(offset)
-            }
-            _ => {
-                self.standing = Some(ReplicaStanding::Gap);
-                return false;
-            }
+        let usable = |find: &ScanFind| find.fold.next_offset() >= self.bounds.0;
+        let Some(ScanFind { fold, .. }) = self.find.take().filter(usable) else {
+            self.standing = Some(ReplicaStanding::Gap);
+            return false;
         };
         self.cursor = fold.next_offset();
         self.fold = fold;
