--- a/lib/src/claim_codec.rs
+++ b/lib/src/claim_codec.rs
@@ -2,6 +2,7 @@
 
 use prost::Message;
 
+use crate::claim_record::BatchKnowledge;
 use crate::claim_record::CheckpointPart;
 use crate::claim_record::ClaimBatch;
 use crate::claim_record::ClaimEntry;
@@ -39,19 +40,20 @@
         checked_ms: batch.checked_ms,
         entry_count: u32::try_from(batch.entries.len()).unwrap_or(u32::MAX),
         entries: batch.entries.iter().map(entry_to_wire).collect(),
+        knowledge: batch.knowledge.map(knowledge_to_wire),
         ..record_of(&batch.claimant)
     };
     record.encode_to_vec()
 }
 
 /// Encodes one part of a checkpoint.
-pub fn encode_checkpoint(writer: &Claimant, part: &CheckpointPart) -> Vec<u8> {
+pub fn encode_checkpoint(writer: &Claimant, part: CheckpointPart) -> Vec<u8> {
     let wire_part = wire::CheckpointPart {
         covered: part.covered.0,
         index: part.index,
         count: part.count,
         digest: part.digest.to_vec(),
-        entries: part.keys.iter().map(|(key, record)| key_to_wire(*key, record)).collect(),
+        entries: part.keys,
         clock_ms: part.clock_ms,
     };
     let record = wire::ClaimRecord { checkpoint: Some(wire_part), ..record_of(writer) };
@@ -69,6 +71,17 @@
     key_to_wire(key, record).encode_to_vec()
 }
 
+/// Decodes one key of a checkpoint.
+pub fn decode_key(data: &[u8]) -> Result<(ClaimKey, KeyRecord)> {
+    let entry: wire::CheckpointEntry = decode_message(data)?;
+    let record = KeyRecord {
+        expires_ms: entry.expires_ms,
+        floor: entry.floor_next.checked_sub(1).map(LogOffset),
+        holder: entry.holder.map(holder_from_wire).transpose()?,
+    };
+    Ok((key_from_wire(&entry.key)?, record))
+}
+
 /// Decodes one record of the stream.
 pub fn decode_record(data: &[u8]) -> Result<ClaimRecord> {
     let record: wire::ClaimRecord = decode_message(data)?;
@@ -90,7 +103,8 @@
 
 fn batch_from_wire(record: wire::ClaimRecord) -> Result<ClaimBatch> {
     let whole = u32::try_from(record.entries.len()).is_ok_and(|found| found == record.entry_count);
-    if record.entries.is_empty() || !whole {
+    let mute = record.entries.is_empty() && record.knowledge.is_none();
+    if mute || !whole {
         return Err(RecordError::Malformed("entry count"));
     }
     Ok(ClaimBatch {
@@ -99,9 +113,26 @@
         retention_ms: record.retention_ms.clamp(MIN_KEY_RETENTION_MS, MAX_KEY_RETENTION_MS),
         checked_ms: record.checked_ms,
         entries: record.entries.into_iter().map(entry_from_wire).collect::<Result<_>>()?,
+        knowledge: record.knowledge.map(knowledge_from_wire),
     })
 }
 
+fn knowledge_to_wire(knowledge: BatchKnowledge) -> wire::Knowledge {
+    wire::Knowledge {
+        folded: knowledge.folded.0,
+        bound_ms: knowledge.bound_ms,
+        horizon_ms: knowledge.horizon_ms,
+    }
+}
+
+fn knowledge_from_wire(knowledge: wire::Knowledge) -> BatchKnowledge {
+    BatchKnowledge {
+        folded: LogOffset(knowledge.folded),
+        bound_ms: knowledge.bound_ms,
+        horizon_ms: knowledge.horizon_ms,
+    }
+}
+
 fn claimant_from_wire(host: String, incarnation: u64) -> Result<Claimant> {
     let host = HostId::try_from(host).map_err(|_| RecordError::Malformed("host"))?;
     Ok(Claimant { host, incarnation: Incarnation(incarnation) })
@@ -207,19 +238,10 @@
         index: part.index,
         count: part.count,
         digest: part.digest.try_into().map_err(|_| RecordError::Malformed("digest"))?,
-        keys: part.entries.into_iter().map(key_record_from_wire).collect::<Result<_>>()?,
+        keys: part.entries,
     })
 }
 
-fn key_record_from_wire(entry: wire::CheckpointEntry) -> Result<(ClaimKey, KeyRecord)> {
-    let record = KeyRecord {
-        expires_ms: entry.expires_ms,
-        floor: entry.floor_next.checked_sub(1).map(LogOffset),
-        holder: entry.holder.map(holder_from_wire).transpose()?,
-    };
-    Ok((key_from_wire(&entry.key)?, record))
-}
-
 fn holder_from_wire(holder: wire::CheckpointHolder) -> Result<KeyHolder> {
     Ok(KeyHolder {
         claimant: claimant_from_wire(holder.host, holder.incarnation)?,
--- a/lib/src/claim_fold.rs
+++ b/lib/src/claim_fold.rs
@@ -32,6 +32,15 @@
     Doubtful,
 }
 
+/// Size of a fold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FoldUsage {
+    /// Keys that are remembered.
+    pub keys: usize,
+    /// Bytes of the answers that are kept.
+    pub answer_bytes: usize,
+}
+
 /// State of every key that is remembered.
 #[derive(Clone, Debug, Default)]
 pub struct ClaimFold {
@@ -40,6 +49,8 @@
     trusted_from_ms: u64,
     keys: BTreeMap<ClaimKey, FoldEntry>,
     expiry: BTreeSet<(u64, ClaimKey)>,
+    /// Each retention in use, with the time at which the last key that has it expires.
+    retentions: BTreeMap<u64, u64>,
     answer_bytes: usize,
 }
 
@@ -58,7 +69,7 @@
     /// Builds a fold that starts at an offset without knowledge of the records before it.
     ///
     /// Every key is doubtful until the log's clock reaches `trusted_from_ms`; a key with a record
-    /// before that stays so until it had none for [`MAX_KEY_RETENTION_MS`].
+    /// before that stays so until what the record may have stated is forgotten.
     pub fn with_gap(position: LogOffset, trusted_from_ms: u64) -> Self {
         Self { position, trusted_from_ms, ..Self::default() }
     }
@@ -75,6 +86,8 @@
             fold.answer_bytes += answer_bytes(&record);
             fold.keys.insert(key, FoldEntry { record, doubtful: false });
         }
+        // A checkpoint does not tell the retention of its keys.
+        fold.retentions.insert(MAX_KEY_RETENTION_MS, fold.horizon_ms());
         fold
     }
 
@@ -93,24 +106,40 @@
         self.trusted_from_ms
     }
 
-    /// Returns the number of keys that are remembered.
-    pub fn len(&self) -> usize {
-        self.keys.len()
+    /// Lowers the time from which unseen keys are known to be fresh.
+    pub fn lower_trusted_from(&mut self, trusted_from_ms: u64) {
+        self.trusted_from_ms = self.trusted_from_ms.min(trusted_from_ms);
+    }
+
+    /// Returns when the last key is forgotten, by the log's clock.
+    pub fn horizon_ms(&self) -> u64 {
+        self.expiry.last().map_or(self.clock_ms, |(expires_ms, _)| *expires_ms)
     }
 
-    /// Returns whether no key is remembered.
-    pub fn is_empty(&self) -> bool {
-        self.keys.is_empty()
+    /// Returns the longest retention of a key that is remembered, in milliseconds.
+    pub fn retention_bound_ms(&self) -> u64 {
+        let live = |(_, expires_ms): &(&u64, &u64)| **expires_ms > self.clock_ms;
+        self.retentions.iter().rev().find(live).map_or(0, |(retention_ms, _)| *retention_ms)
     }
 
-    /// Returns the bytes of the answers that are kept.
-    pub fn answer_bytes(&self) -> usize {
-        self.answer_bytes
+    /// Returns what the fold holds once the log's clock is at `now_ms`.
+    pub fn usage(&self, now_ms: u64) -> FoldUsage {
+        let expired = self.expiry.iter().take_while(|(expires_ms, _)| *expires_ms <= now_ms);
+        let mut usage = FoldUsage { keys: self.keys.len(), answer_bytes: self.answer_bytes };
+        for (_, key) in expired {
+            usage.keys -= 1;
+            usage.answer_bytes -= self.keys.get(key).map_or(0, |entry| answer_bytes(&entry.record));
+        }
+        usage
     }
 
     /// Returns what is known about a key, when the log's clock is at `now_ms` at least.
+    ///
+    /// A record appended from then on forgets keys whose time is over before it is folded, so they
+    /// count as forgotten.
     pub fn state(&self, key: ClaimKey, now_ms: u64) -> KeyState<'_> {
-        let Some(entry) = self.keys.get(&key) else {
+        let remembered = self.keys.get(&key).filter(|entry| entry.record.expires_ms > now_ms);
+        let Some(entry) = remembered else {
             let trusted = now_ms.max(self.clock_ms) >= self.trusted_from_ms;
             return if trusted { KeyState::Fresh } else { KeyState::Doubtful };
         };
@@ -122,17 +151,21 @@
         }
     }
 
-    /// Returns every key with its record, unless some are doubtful.
-    pub fn records(&self) -> Option<impl Iterator<Item = (ClaimKey, &KeyRecord)>> {
+    /// Returns every key in its encoded form, in the order of keys.
+    pub fn encoded_keys(&self) -> Vec<Vec<u8>> {
+        self.keys.iter().map(|(key, entry)| encode_key(*key, &entry.record)).collect()
+    }
+
+    /// Returns whether no record of any key may have been missed.
+    pub fn is_whole(&self) -> bool {
         let trusted = self.clock_ms >= self.trusted_from_ms;
-        let whole = trusted && self.keys.values().all(|entry| !entry.doubtful);
-        whole.then(|| self.keys.iter().map(|(key, entry)| (*key, &entry.record)))
+        trusted && self.keys.values().all(|entry| !entry.doubtful)
     }
 
     /// Returns a hash of position, clock and every key; equal folds have equal hashes.
     pub fn digest(&self) -> [u8; 16] {
-        let records = self.keys.iter().map(|(key, entry)| (*key, &entry.record));
-        digest_records(self.position, self.clock_ms, records)
+        let keys = self.encoded_keys();
+        digest_keys(self.position, self.clock_ms, keys.iter().map(Vec::as_slice))
     }
 
     /// Passes a record that is not a batch; returns the keys whose state changed.
@@ -160,6 +193,7 @@
 
     fn expire_keys(&mut self) -> BTreeSet<ClaimKey> {
         let mut expired = BTreeSet::new();
+        self.retentions.retain(|_, expires_ms| *expires_ms > self.clock_ms);
         while let Some(&(expires_ms, key)) = self.expiry.first() {
             if expires_ms > self.clock_ms {
                 break;
@@ -176,7 +210,7 @@
     /// Applies one entry; returns whether the state of its key changed.
     fn apply_entry(&mut self, offset: LogOffset, batch: &ClaimBatch, entry: &ClaimEntry) -> bool {
         if matches!(self.state(entry.key, self.clock_ms), KeyState::Doubtful) {
-            self.mark_doubtful(entry.key);
+            self.mark_doubtful(entry.key, batch.retention_ms);
             return true;
         }
         let changed = match &entry.statement {
@@ -256,12 +290,15 @@
         &mut self.keys.entry(key).or_insert_with(empty).record
     }
 
-    fn mark_doubtful(&mut self, key: ClaimKey) {
+    fn mark_doubtful(&mut self, key: ClaimKey, retention_ms: u64) {
         self.record_mut(key);
         if let Some(entry) = self.keys.get_mut(&key) {
             entry.doubtful = true;
         }
-        self.extend_expiry(key, MAX_KEY_RETENTION_MS);
+        self.extend_expiry(
+            key,
+            retention_ms.max(self.trusted_from_ms.saturating_sub(self.clock_ms)),
+        );
     }
 
     fn extend_expiry(&mut self, key: ClaimKey, retention_ms: u64) {
@@ -272,20 +309,22 @@
             entry.record.expires_ms = expires_ms;
             self.expiry.insert((expires_ms, key));
         }
+        let latest_ms = self.retentions.entry(retention_ms).or_default();
+        *latest_ms = expires_ms.max(*latest_ms);
     }
 }
 
-/// Returns a hash of the records of a fold at a position.
-pub fn digest_records<'a>(
+/// Returns a hash of the encoded keys of a fold at a position.
+pub fn digest_keys<'a>(
     position: LogOffset,
     clock_ms: u64,
-    records: impl Iterator<Item = (ClaimKey, &'a KeyRecord)>,
+    keys: impl Iterator<Item = &'a [u8]>,
 ) -> [u8; 16] {
     let mut hasher = blake3::Hasher::new();
     hasher.update(&position.0.to_le_bytes());
     hasher.update(&clock_ms.to_le_bytes());
-    for (key, record) in records {
-        hasher.update(&encode_key(key, record));
+    for key in keys {
+        hasher.update(key);
     }
     let mut digest = [0; 16];
     digest.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
--- a/lib/src/entry_parts.rs
+++ b/lib/src/entry_parts.rs
@@ -39,6 +39,7 @@
 use crate::member_record::MemberRecord;
 use crate::member_record::MemberStatus;
 use crate::member_record::host_hash;
+use crate::member_record::life_of;
 use crate::peer_client::PeerTimeouts;
 use crate::peer_link::ClusterSecret;
 use crate::request_router::RequestRouter;
@@ -46,6 +47,7 @@
 use crate::retry_budget::RetryBudget;
 use crate::server_connector::HttpConnector;
 use crate::server_follower::FollowerPorts;
+use crate::server_follower::NoticeHandler;
 use crate::server_follower::ServerFollower;
 use crate::session_ports::SessionCounters;
 use crate::session_ports::SessionPorts;
@@ -116,7 +118,9 @@
     ClaimKeeper::start(keeper_settings, log, clock)
 }
 
-/// Builds the gate through which sessions claim; a claimant that is not a member is gone.
+/// Builds the gate through which sessions claim.
+///
+/// A claimant whose host is no member, or lives another life, is gone.
 pub fn build_gate(
     keeper: Arc<ClaimKeeper>,
     clock: ProcessClock,
@@ -124,7 +128,12 @@
 ) -> Arc<ClaimGate> {
     let is_alive = move |claimant: &Claimant| {
         let view = members.snapshot();
-        view.local.host == claimant.host || view.find(&claimant.host).is_some()
+        let life = if view.local.host == claimant.host {
+            Some(life_of(view.local.incarnation))
+        } else {
+            view.find(&claimant.host).map(|member| member.life)
+        };
+        life == Some(claimant.incarnation)
     };
     Arc::new(ClaimGate::new(keeper, clock, Box::new(is_alive)))
 }
@@ -203,6 +212,7 @@
     config: Arc<ConfigFollower>,
     ports: &SessionPorts,
     connector: Arc<HttpConnector>,
+    on_notice: NoticeHandler,
 ) -> Arc<ServerFollower> {
     let limits = platform_limits(settings);
     let ports = FollowerPorts {
@@ -212,7 +222,7 @@
         cloud: Arc::new(CloudClient::new(settings.platform.cloud, limits)),
         router: ports.router.clone(),
         connector,
-        on_notice: Box::new(|_| {}),
+        on_notice,
     };
     Arc::new(ServerFollower::new(ports, settings.calls.poll_interval))
 }
--- a/lib/src/session_driver/attempts.rs
+++ b/lib/src/session_driver/attempts.rs
@@ -5,7 +5,6 @@
 
 use super::SessionRun;
 use crate::crash_suspects::AttemptLeft;
-use crate::crash_suspects::DeathCause;
 use crate::crash_suspects::SuspectPlacement;
 use crate::engine::ServerError;
 use crate::engine::TokenChunk;
@@ -13,6 +12,7 @@
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
 use crate::prompt::BlockHash;
+use crate::request_router::RequestRouter;
 use crate::request_router::RouteChoice;
 use crate::request_router::RouteQuery;
 use crate::request_router::ServerState;
@@ -66,13 +66,14 @@
         let (server, zone) = (current.server.clone(), current.zone.clone());
         let address = current.address;
         let now = self.ports.clock.now();
-        let ended = match error {
-            ServerError::Lost(_) => self.ports.connector.probe(address) == ProbeResult::Refused,
-            _ => false,
+        let ended = matches!(error, ServerError::Lost(_)) && {
+            let serves = self.ports.connector.probe(address) != ProbeResult::Refused;
+            let request = self.request.id;
+            lock(&self.ports.suspects).on_lost(now, request, &server, &zone, serves)
         };
         if ended {
             SessionCounters::add(&self.ports.counters.server_deaths, 1);
-            lock(&self.ports.suspects).on_death(now, &server, &zone, DeathCause::ProcessEnded);
+            log::warn!("event=server_ended server={server} request={}", self.request.id);
         }
         if ended || matches!(error, ServerError::NotConnected(_)) {
             lock(&self.ports.router).set_state(now, &server, ServerState::Suspected);
@@ -92,18 +93,7 @@
     pub(super) fn choose(&mut self, excluded: &[ServerKey]) -> SessionEvent {
         let now = self.ports.clock.now();
         let mut router = lock(&self.ports.router);
-        let candidates: Vec<ServerId> = router
-            .servers()
-            .filter(|(key, info)| {
-                info.service == self.request.service.name
-                    && info.state == ServerState::Live
-                    && !excluded.contains(key)
-            })
-            .map(|(_, info)| info.id.clone())
-            .collect();
-        let placement =
-            lock(&self.ports.suspects).place(now, self.fingerprint, self.request.id, &candidates);
-        let avoid = match placement {
+        let avoid = match self.place(&router, excluded) {
             SuspectPlacement::Free { avoid } => avoid,
             SuspectPlacement::Trial(server) => {
                 let chosen = router.key_of(&server);
@@ -126,6 +116,22 @@
         }
     }
 
+    /// Asks where the request may go; lists the servers only if any request is suspected.
+    fn place(&self, router: &RequestRouter, excluded: &[ServerKey]) -> SuspectPlacement {
+        let mut suspects = lock(&self.ports.suspects);
+        if suspects.is_quiet() {
+            return SuspectPlacement::Free { avoid: Vec::new() };
+        }
+        let usable = router.servers().filter(|(key, info)| {
+            info.service == self.request.service.name
+                && info.state == ServerState::Live
+                && !excluded.contains(key)
+        });
+        let candidates: Vec<ServerId> = usable.map(|(_, info)| info.id.clone()).collect();
+        let now = self.ports.clock.now();
+        suspects.place(now, self.fingerprint, self.request.id, &candidates)
+    }
+
     pub(super) fn start(&mut self, plan: AttemptPlan) {
         let now = self.ports.clock.now();
         let info = {
@@ -167,7 +173,7 @@
         let left = self.request.deadline.since(now).max(Duration::from_millis(1));
         let limits = SessionLimits::from(&self.request.service.latency_target);
         match self.request.idempotent {
-            true => left.min(limits.first_token.max(limits.token_gap) * 2),
+            true => left.min(limits.first_token.max(limits.token_gap).saturating_mul(2)),
             false => left,
         }
     }
@@ -181,8 +187,16 @@
         if let RequestWork::Model { .. } = self.request.work {
             let engine = self.ports.connector.engine(current.address);
             let request = self.request.id;
-            // The engine's reply changes nothing: late output is dropped by attempt number.
-            thread::spawn(move || drop(engine.cancel(request, attempt)));
+            let cancel = move || {
+                if let Err(error) = engine.cancel(request, attempt) {
+                    log::debug!("event=cancel_failed request={request} error={error}");
+                }
+            };
+            // Late output is dropped by attempt number, so a cancellation that fails costs just
+            // the engine's time.
+            if let Err(error) = thread::Builder::new().name("cancel".to_owned()).spawn(cancel) {
+                log::warn!("event=cancel_failed request={request} error={error}");
+            }
         }
         self.leave(attempt, AttemptLeft::Stopped);
     }
@@ -200,6 +214,7 @@
         let now = self.ports.clock.now();
         let mut router = lock(&self.ports.router);
         if let Some(id) = router.server(server).map(|info| info.id.clone()) {
+            log::warn!("event=server_silent server={id} request={}", self.request.id);
             router.set_state(now, &id, ServerState::Suspected);
         }
     }
