sessions: a lost request waits for its retry instead of being given up

Cause: a server that ends loses all its requests at once, and a host with a fresh budget of five retries gave the others up although their servers' end was no fault of theirs. They now wait for the budget, 5 s at most, and hold no server meanwhile; requests that were only refused still end at once.

--- a/lib/src/request_session.rs
+++ b/lib/src/request_session.rs
@@ -7,8 +7,6 @@
 
 mod recovery;
 
-use std::time::Duration;
-
 use crate::engine::GenerateEnd;
 use crate::engine::ServerError;
 use crate::engine::TokenChunk;
@@ -21,6 +19,8 @@
 use crate::session_claim::ClaimDecision;
 use crate::session_event::AttemptEnd;
 use crate::session_event::AttemptPlan;
+use crate::session_event::RETRY_AFTER;
+use crate::session_event::SERVER_WAIT;
 use crate::session_event::SessionAction;
 use crate::session_event::SessionEvent;
 use crate::session_event::SessionKind;
@@ -31,12 +31,6 @@
 use crate::session_stream::ChunkFit;
 use crate::timestamp::Timestamp;
 
-/// Wait before the router is asked again while no server can take the request.
-pub const SERVER_WAIT: Duration = Duration::from_millis(20);
-
-/// Time after which a refused caller may try again.
-pub const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct RunningAttempt {
     number: AttemptNumber,
@@ -54,7 +48,14 @@
     New,
     Claiming,
     Choosing,
-    Waiting { until: Timestamp },
+    Waiting {
+        until: Timestamp,
+    },
+    /// A lost attempt waits until the budget grants its retry.
+    WaitingForBudget {
+        until: Timestamp,
+        gives_up_at: Timestamp,
+    },
     Running(RunningAttempt),
     Finished,
 }
@@ -167,7 +168,7 @@
     /// Returns when [`SessionEvent::Timer`] is due, unless another event comes before.
     pub fn next_timer(&self) -> Timestamp {
         let phase_timer = match self.phase {
-            SessionPhase::Waiting { until } => until,
+            SessionPhase::Waiting { until } | SessionPhase::WaitingForBudget { until, .. } => until,
             SessionPhase::Running(running) if self.repeatable() => self.silent_at(&running),
             _ => self.deadline,
         };
--- a/lib/src/request_session/recovery.rs
+++ b/lib/src/request_session/recovery.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use super::RETRY_AFTER;
 use super::RequestSession;
 use super::RunningAttempt;
 use super::SessionPhase;
@@ -15,13 +14,18 @@
 use crate::result_code::RequestOutcome;
 use crate::result_code::ResultCode;
 use crate::retry_budget::RetryBudget;
+use crate::session_event::BUDGET_WAIT;
 use crate::session_event::MoveOrder;
+use crate::session_event::RETRY_AFTER;
 use crate::session_event::SessionAction;
 use crate::session_event::SessionKind;
 use crate::session_request::SessionEnd;
 use crate::session_request::TokenUsage;
 use crate::timestamp::Timestamp;
 
+/// Time between two questions for a retry.
+const BUDGET_POLL: Duration = Duration::from_millis(100);
+
 impl RequestSession {
     pub(super) fn on_failure(
         &mut self,
@@ -33,10 +37,11 @@
         self.ledger.observe(attempt, &error);
         let Some(running) = self.current(attempt) else { return Vec::new() };
         if matches!(error, ServerError::Silent(_)) && self.repeatable() && !running.probe {
-            return match budget.try_spend(now) {
-                true => self.probe(now, &running),
-                false => self.give_up(ResultCode::RetriesExhausted, ResultCode::AttemptsLost, None),
-            };
+            // The reader is done, so without budget for a new connection there as well, the
+            // request goes on elsewhere once it gets a retry.
+            if budget.try_spend(now) {
+                return self.probe(now, &running);
+            }
         }
         if let Some(finish_reason) = self.full_length() {
             let usage = TokenUsage {
@@ -48,7 +53,7 @@
         if !self.repeatable() && !proves_not_run(&error) {
             return self.finish_unknown(lost_code(&error), None);
         }
-        let silent = matches!(error, ServerError::Silent(_));
+        let silent = running.probe && matches!(error, ServerError::Silent(_));
         self.last_error = Some(error);
         let mut actions = Vec::new();
         if silent {
@@ -82,14 +87,37 @@
             self.excluded.push(server);
         }
         self.counted_attempts += 1;
-        if self.counted_attempts >= self.limits.max_attempts || !budget.try_spend(now) {
-            let lost = match self.last_error {
-                Some(ServerError::Malformed(_)) => ResultCode::BadServerAnswer,
-                _ => ResultCode::AttemptsLost,
-            };
-            return self.give_up(ResultCode::RetriesExhausted, lost, Some(RETRY_AFTER));
+        if self.counted_attempts >= self.limits.max_attempts {
+            return self.give_up_retries();
+        }
+        self.spend_retry(now, now + BUDGET_WAIT, budget)
+    }
+
+    /// Takes a retry from the budget. Without one, a request that has begun waits for it: it holds
+    /// no server meanwhile, and many are lost at once when a server ends.
+    fn spend_retry(
+        &mut self,
+        now: Timestamp,
+        gives_up_at: Timestamp,
+        budget: &mut RetryBudget,
+    ) -> Vec<SessionAction> {
+        if budget.try_spend(now) {
+            return self.choose();
         }
-        self.choose()
+        if now >= gives_up_at || self.ledger.proof().is_some() {
+            return self.give_up_retries();
+        }
+        let until = (now + BUDGET_POLL).min(gives_up_at);
+        self.phase = SessionPhase::WaitingForBudget { until, gives_up_at };
+        Vec::new()
+    }
+
+    fn give_up_retries(&mut self) -> Vec<SessionAction> {
+        let lost = match self.last_error {
+            Some(ServerError::Malformed(_)) => ResultCode::BadServerAnswer,
+            _ => ResultCode::AttemptsLost,
+        };
+        self.give_up(ResultCode::RetriesExhausted, lost, Some(RETRY_AFTER))
     }
 
     pub(super) fn on_timer(
@@ -107,6 +135,9 @@
         }
         match self.phase {
             SessionPhase::Waiting { until } if now >= until => self.choose(),
+            SessionPhase::WaitingForBudget { until, gives_up_at } if now >= until => {
+                self.spend_retry(now, gives_up_at, budget)
+            }
             SessionPhase::Running(running)
                 if self.repeatable() && now >= self.silent_at(&running) =>
             {
--- a/lib/src/session_event.rs
+++ b/lib/src/session_event.rs
@@ -31,6 +31,15 @@
 /// Attempts that one request gets at most, those after announced reclaims not counted.
 pub const MAX_ATTEMPTS: u32 = 6;
 
+/// Wait before the router is asked again while no server can take the request.
+pub const SERVER_WAIT: Duration = Duration::from_millis(20);
+
+/// Time for which a request whose server was lost waits for a retry at most.
+pub const BUDGET_WAIT: Duration = Duration::from_secs(5);
+
+/// Time after which a refused caller may try again.
+pub const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// What the session runs: how answers are made up and whether the work may be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SessionKind {
