--- a/bench/src/peer_link.rs
+++ b/bench/src/peer_link.rs
@@ -69,6 +69,8 @@
         None
     }
 
+    fn on_crash_report(&self, _report: &[u8]) {}
+
     fn burn_contribution(&self) -> Vec<u8> {
         Vec::new()
     }
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -16,6 +16,8 @@
 use crate::claim_keeper::ClaimKeeper;
 use crate::cloud::ReclaimNotice;
 use crate::config_follower::ConfigFollower;
+use crate::crash_sharer::CrashSharer;
+use crate::crash_suspects::CrashSuspects;
 use crate::entry_admin::AdminView;
 use crate::entry_leave::LeaveReason;
 use crate::entry_leave::LeavingHost;
@@ -118,16 +120,25 @@
         let answers = entry_parts::build_answers(settings, clock);
         let metrics = Arc::new(MetricsReporter::new(settings.statsd)?);
         let open_taker = Arc::new(OnceLock::new());
+        let suspects = Arc::new(Mutex::new(CrashSuspects::new(settings.host.clone())));
         let handler = EntryPeerHandler {
             answers: answers.clone(),
             config: config.clone(),
+            clock,
+            suspects: suspects.clone(),
             taker: open_taker.clone(),
         };
         let members = entry_parts::start_members(settings, incarnation, handler, runtime)?;
         let gate = entry_parts::build_gate(claims.clone(), clock, members.clone());
         let connector = entry_parts::build_connector(settings);
-        let ports =
-            entry_parts::build_ports(settings, clock, answers.clone(), connector.clone(), gate);
+        let ports = entry_parts::build_ports(
+            settings,
+            clock,
+            answers.clone(),
+            connector.clone(),
+            gate,
+            suspects,
+        );
         let driver = Arc::new(SessionDriver::new(ports.clone()));
         let taker = Arc::new(HandoverTaker::new(clock, config.clone(), driver.clone()));
         let taker = open_taker.get_or_init(|| taker).clone();
@@ -208,6 +219,11 @@
             members: self.members.clone(),
             config: self.config.clone(),
             taker: self.taker.clone(),
+            crashes: CrashSharer::new(
+                self.clock,
+                self.ports.suspects.clone(),
+                self.members.clone(),
+            ),
         };
         let pump = MetricsPump::new(PumpPorts {
             metrics: self.metrics.clone(),
--- a/lib/src/entry_parts.rs
+++ b/lib/src/entry_parts.rs
@@ -162,6 +162,7 @@
     answers: Arc<AnswerStore>,
     connector: Arc<HttpConnector>,
     gate: Arc<ClaimGate>,
+    suspects: Arc<Mutex<CrashSuspects>>,
 ) -> SessionPorts {
     let router = RequestRouter::new(settings.zone.clone(), rand::random());
     let retry_percent = PolicyResource::default().retry_percent;
@@ -171,7 +172,7 @@
         connector,
         claims: Some(gate),
         answers,
-        suspects: Arc::new(Mutex::new(CrashSuspects::new(settings.host.clone()))),
+        suspects,
         budget: Arc::new(Mutex::new(RetryBudget::new(retry_percent))),
         registry: Arc::new(SessionRegistry::new()),
         counters: Arc::new(SessionCounters::default()),
--- a/lib/src/entry_peer.rs
+++ b/lib/src/entry_peer.rs
@@ -1,11 +1,14 @@
 //! What an entry host does for its peers.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::OnceLock;
 
 use crate::answer_finder::write_fetched;
 use crate::answer_store::AnswerStore;
 use crate::config_follower::ConfigFollower;
+use crate::crash_report::CrashReport;
+use crate::crash_suspects::CrashSuspects;
 use crate::handover_taker::HandoverTaker;
 use crate::ids::RequestId;
 use crate::peer_link::CheckpointCopy;
@@ -13,6 +16,8 @@
 use crate::peer_link::PeerHandler;
 use crate::peer_link::TakeOverAnswer;
 use crate::result_code::ResultCode;
+use crate::session_ports::lock;
+use crate::timestamp::ProcessClock;
 
 /// Serves peers from this host's state.
 pub struct EntryPeerHandler {
@@ -20,6 +25,10 @@
     pub answers: Arc<AnswerStore>,
     /// Configuration of this host.
     pub config: Arc<ConfigFollower>,
+    /// Clock of the suspicions.
+    pub clock: ProcessClock,
+    /// Requests that crash servers.
+    pub suspects: Arc<Mutex<CrashSuspects>>,
     /// Takes over requests, from the moment at which this host can run them.
     pub taker: Arc<OnceLock<Arc<HandoverTaker>>>,
 }
@@ -42,6 +51,16 @@
         Some(CheckpointCopy { offset, digest: checkpoint.digest.to_vec(), body: checkpoint.data })
     }
 
+    fn on_crash_report(&self, report: &[u8]) {
+        match CrashReport::decode(report) {
+            Ok(report) => lock(&self.suspects).on_report(self.clock.now(), &report),
+            Err(error) => log::warn!(
+                "event=bad_crash_report code={} error=\"{error}\"",
+                error.code().number()
+            ),
+        }
+    }
+
     fn burn_contribution(&self) -> Vec<u8> {
         Vec::new()
     }
--- a/lib/src/entry_sync.rs
+++ b/lib/src/entry_sync.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::config_follower::ConfigFollower;
+use crate::crash_sharer::CrashSharer;
 use crate::handover_taker::HandoverTaker;
 use crate::ids::LogOffset;
 use crate::member_keeper::MemberKeeper;
@@ -21,6 +22,8 @@
     pub members: Arc<MemberKeeper>,
     /// Configuration.
     pub config: Arc<ConfigFollower>,
+    /// Suspicions that go to the peers.
+    pub crashes: CrashSharer,
     /// Requests that peers handed over.
     pub taker: Arc<HandoverTaker>,
 }
@@ -43,6 +46,7 @@
             self.config.hint(LogOffset(view.config_offset.0 - 1));
         }
         self.members.set_config_offset(config.next_offset);
+        self.crashes.share();
         self.taker.tick(|host| view.find(host).is_some());
     }
 }
--- a/lib/src/peer_client.rs
+++ b/lib/src/peer_client.rs
@@ -170,6 +170,21 @@
         }))
     }
 
+    /// Sends a crash report without waiting; one that is lost is followed by another.
+    pub fn share_crash_report(&self, peer: SocketAddr, report: Vec<u8>) {
+        let client = self.pooled(&self.state.calls, peer, peer);
+        let limit = self.state.timeouts.call;
+        let request = self.authorize(proto::Packet { envelope: report });
+        let state = self.state.clone();
+        self.state.runtime.spawn(async move {
+            let Ok(mut client) = client else { return };
+            let reply = bounded(limit, client.share_crash_report(request)).await;
+            if matches!(reply, Err(PeerError::Silent(_) | PeerError::Lost(_))) {
+                lock(&state.calls).remove(&peer);
+            }
+        });
+    }
+
     /// Asks a peer for its encoded contribution to the burn report.
     pub fn fetch_burn(&self, peer: SocketAddr) -> Result<Vec<u8>> {
         let request = self.authorize(proto::FetchBurnRequest {});
--- a/lib/src/peer_link.rs
+++ b/lib/src/peer_link.rs
@@ -147,6 +147,9 @@
     /// Returns the newest checkpoint of the configuration, if there is one.
     fn config_checkpoint(&self) -> Option<CheckpointCopy>;
 
+    /// Takes what a peer knows about requests that crash backend servers, encoded.
+    fn on_crash_report(&self, report: &[u8]);
+
     /// Returns the host's encoded contribution to the burn report.
     fn burn_contribution(&self) -> Vec<u8>;
 }
--- a/lib/src/peer_server.rs
+++ b/lib/src/peer_server.rs
@@ -230,6 +230,15 @@
         }))
     }
 
+    async fn share_crash_report(
+        &self,
+        request: Request<proto::Packet>,
+    ) -> Served<proto::ShareCrashReportReply> {
+        let report = request.into_inner().envelope;
+        self.run(move |handler| handler.on_crash_report(&report)).await?;
+        Ok(Response::new(proto::ShareCrashReportReply {}))
+    }
+
     async fn fetch_burn(
         &self,
         _request: Request<proto::FetchBurnRequest>,
--- a/lib/src/protos/pomelostack.peer.rs
+++ b/lib/src/protos/pomelostack.peer.rs
@@ -99,6 +99,8 @@
     #[prost(uint32, tag = "6")]
     pub load_percent: u32,
 }
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ShareCrashReportReply {}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TakeOverRequest {
     #[prost(fixed64, tag = "1")]
@@ -497,6 +499,33 @@
                 );
             self.inner.unary(req, path, codec).await
         }
+        /// Tells what the sender knows about requests that crash backend servers.
+        pub async fn share_crash_report(
+            &mut self,
+            request: impl tonic::IntoRequest<super::Packet>,
+        ) -> std::result::Result<
+            tonic::Response<super::ShareCrashReportReply>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/pomelostack.peer.PeerService/ShareCrashReport",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(
+                    GrpcMethod::new("pomelostack.peer.PeerService", "ShareCrashReport"),
+                );
+            self.inner.unary(req, path, codec).await
+        }
         /// Asks for the host's own contribution to the burn report.
         pub async fn fetch_burn(
             &mut self,
@@ -560,6 +589,14 @@
             tonic::Response<super::FetchConfigCheckpointReply>,
             tonic::Status,
         >;
+        /// Tells what the sender knows about requests that crash backend servers.
+        async fn share_crash_report(
+            &self,
+            request: tonic::Request<super::Packet>,
+        ) -> std::result::Result<
+            tonic::Response<super::ShareCrashReportReply>,
+            tonic::Status,
+        >;
         /// Asks for the host's own contribution to the burn report.
         async fn fetch_burn(
             &self,
@@ -823,6 +860,50 @@
                     };
                     Box::pin(fut)
                 }
+                "/pomelostack.peer.PeerService/ShareCrashReport" => {
+                    #[allow(non_camel_case_types)]
+                    struct ShareCrashReportSvc<T: PeerService>(pub Arc<T>);
+                    impl<T: PeerService> tonic::server::UnaryService<super::Packet>
+                    for ShareCrashReportSvc<T> {
+                        type Response = super::ShareCrashReportReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::Packet>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as PeerService>::share_crash_report(&inner, request)
+                                    .await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ShareCrashReportSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/pomelostack.peer.PeerService/FetchBurn" => {
                     #[allow(non_camel_case_types)]
                     struct FetchBurnSvc<T: PeerService>(pub Arc<T>);
--- a/lib/tests/test_failures.rs
+++ b/lib/tests/test_failures.rs
@@ -20,6 +20,8 @@
 
 const PROMPT: &str = "Write the regatta briefing for the start at noon. [[tokens=60]]";
 const MAX_TOKENS: u32 = 60;
+/// Code of a request that crashes servers.
+const CRASH_REFUSED: u16 = 207;
 /// Token after which a failure is caused.
 const FAIL_AFTER: usize = 8;
 
@@ -121,3 +123,35 @@
     assert_eq!(cut.tokens.concat() + &rest, expected());
     cluster.stop();
 }
+
+#[test]
+fn reclaimed_zone() {
+    let cluster = start(1);
+    let streamed = stream_through(&cluster, |host| {
+        let entries = cluster.platform().registry().actual();
+        let entry = entries.into_iter().find(|entry| entry.host == *host);
+        let zone = entry.expect("the host is listed").zone;
+        let fault = CloudFault::ReclaimZone { zone, left_ms: 300 };
+        cluster.platform().cloud().apply_fault(fault);
+    });
+    assert_whole(&streamed);
+    cluster.stop();
+}
+
+#[test]
+fn crash_request() {
+    let cluster = start(2);
+    let mut codes = Vec::new();
+    for round in 0..6 {
+        let reply = caller(&cluster, round % 2).complete(MODEL_SERVICE, "[[crash]] now", 10);
+        codes.push(reply.code);
+    }
+    // A crashed engine stays down.
+    let engines = cluster.platform().engines();
+    let crashes = engines.iter().filter(|(_, engine)| !engine.is_up()).count();
+    assert!(crashes <= 2, "{crashes} servers crashed, codes {codes:?}");
+    assert_eq!(codes.last(), Some(&Some(CRASH_REFUSED)), "{codes:?}");
+    let innocent = caller(&cluster, 1).complete(MODEL_SERVICE, PROMPT, MAX_TOKENS);
+    assert_eq!(innocent.text(), expected());
+    cluster.stop();
+}
