config: use the shared record error

Cause: two enums for the same faults of records had grown apart. Change: config records and checkpoints use record_error, which gains DigestMismatch and a conversion from names; claim_reader counts it with malformed records, which it never meets.

--- a/lib/src/claim_reader.rs
+++ b/lib/src/claim_reader.rs
@@ -47,7 +47,7 @@
     fn count(&mut self, error: &RecordError) {
         match error {
             RecordError::Version(_) => self.version += 1,
-            RecordError::Malformed(_) => self.malformed += 1,
+            RecordError::Malformed(_) | RecordError::DigestMismatch => self.malformed += 1,
             RecordError::TooLarge(_) => self.too_large += 1,
         }
     }
--- a/lib/src/config_checkpoint.rs
+++ b/lib/src/config_checkpoint.rs
@@ -18,13 +18,14 @@
 use crate::config_record::CheckpointPart;
 use crate::config_record::ContentHash;
 use crate::config_record::RECORD_VERSION;
-use crate::config_record::RecordError;
-use crate::config_record::Result;
 use crate::config_record::read_array;
 use crate::ids::HostId;
 use crate::ids::LogOffset;
 use crate::log_service::LogRecord;
 use crate::protos::config as proto;
+use crate::record_error::RecordError;
+use crate::record_error::Result;
+use crate::record_error::check_version;
 use crate::resource::ConfigState;
 use crate::resource_error::ResourceError;
 use crate::resource_key::ResourceKey;
@@ -90,10 +91,8 @@
             return Err(RecordError::DigestMismatch);
         }
         let raw = proto::Checkpoint::decode(checkpoint.data.as_slice())
-            .map_err(RecordError::malformed)?;
-        if raw.version != RECORD_VERSION {
-            return Err(RecordError::Version(raw.version));
-        }
+            .map_err(|_| RecordError::Malformed("checkpoint is not protobuf"))?;
+        check_version(raw.version, RECORD_VERSION)?;
         read_checkpoint(raw)
     }
 }
@@ -136,9 +135,10 @@
 
 fn read_checkpoint(raw: proto::Checkpoint) -> Result<ConfigFold> {
     let mut fold = ConfigFold::starting_at(LogOffset(raw.next_offset));
-    let mut state = ConfigState::from_json(&raw.document).map_err(RecordError::malformed)?;
+    let mut state = ConfigState::from_json(&raw.document)
+        .map_err(|_| RecordError::Malformed("document of a checkpoint breaks a rule"))?;
     for host in &raw.drained {
-        state.drained.insert(HostId::try_from(host.as_str()).map_err(RecordError::malformed)?);
+        state.drained.insert(HostId::try_from(host.as_str())?);
     }
     fold.state = Arc::new(state);
     fold.revision = raw.revision.map(LogOffset);
@@ -149,7 +149,7 @@
         fold.written.insert(key, revision);
     }
     if raw.changes.len() > KNOWN_CHANGES {
-        return Err(RecordError::malformed("too many known changes"));
+        return Err(RecordError::Malformed("too many known changes"));
     }
     for change in raw.changes {
         let known = read_known(change)?;
@@ -166,10 +166,10 @@
     let newest_write = fold.written.values().max().copied();
     let newest = fold.revision.max(fold.horizon).max(newest_change).max(newest_write);
     if newest >= Some(fold.next_offset) {
-        return Err(RecordError::malformed("checkpoint names an offset that it does not cover"));
+        return Err(RecordError::Malformed("checkpoint names an offset that it does not cover"));
     }
     if fold.ids.len() != fold.changes.len() {
-        return Err(RecordError::malformed("checkpoint names a change twice"));
+        return Err(RecordError::Malformed("checkpoint names a change twice"));
     }
     Ok(())
 }
@@ -178,15 +178,15 @@
     let key = match (raw.drain, ResourceKind::from_proto(raw.kind())) {
         (true, _) => HostId::try_from(raw.name.as_str()).map(ResourceKey::Host),
         (false, Some(kind)) => ResourceKey::parse(kind, &raw.name),
-        (false, None) => return Err(RecordError::malformed("unknown kind of resource")),
+        (false, None) => return Err(RecordError::Malformed("unknown kind of resource")),
     };
-    Ok((key.map_err(RecordError::malformed)?, LogOffset(raw.revision)))
+    Ok((key?, LogOffset(raw.revision)))
 }
 
 fn read_known(raw: proto::KnownChange) -> Result<KnownChange> {
     let number = u16::try_from(raw.code).unwrap_or(u16::MAX);
-    let code = ResultCode::from_number(number)
-        .ok_or_else(|| RecordError::malformed(format!("unknown result code {number}")))?;
+    let code =
+        ResultCode::from_number(number).ok_or(RecordError::Malformed("result code is unknown"))?;
     let outcome = match code {
         ResultCode::Complete => ChangeOutcome::Accepted,
         ResultCode::ConfigConflict => ChangeOutcome::Conflict(raw.current_revision.map(LogOffset)),
@@ -199,9 +199,9 @@
         summary: raw.summary,
     });
     Ok(KnownChange {
-        id: ChangeId(read_array("change id", &raw.change_id)?),
+        id: ChangeId(read_array(&raw.change_id)?),
         offset: LogOffset(raw.offset),
-        content: ContentHash(read_array("content hash", &raw.content)?),
+        content: ContentHash(read_array(&raw.content)?),
         outcome,
         detail,
     })
@@ -246,7 +246,7 @@
         part: CheckpointPart,
     ) -> Result<Option<JoinedCheckpoint>> {
         if part.count > MAX_PARTS || part.data.len() > PART_BYTES {
-            return Err(RecordError::malformed("checkpoint part is larger than allowed"));
+            return Err(RecordError::Malformed("checkpoint part is larger than allowed"));
         }
         self.arrivals += 1;
         let partial = self.partial.entry(part.digest).or_insert_with(|| PartialCheckpoint {
@@ -257,7 +257,7 @@
             last_arrival: 0,
         });
         if partial.count != part.count {
-            return Err(RecordError::malformed("parts of one checkpoint differ in their count"));
+            return Err(RecordError::Malformed("parts of one checkpoint differ in their count"));
         }
         partial.last_arrival = self.arrivals;
         partial.parts.insert(part.index, part.data);
--- a/lib/src/config_follower.rs
+++ b/lib/src/config_follower.rs
@@ -21,11 +21,9 @@
 use crate::config_fold::KnownChange;
 use crate::config_publish::ChangeOrigin;
 use crate::config_publish::PublishOutcome;
-use crate::config_record;
 use crate::config_record::ChangeId;
 use crate::config_record::ConfigChange;
 use crate::config_record::ConfigRecord;
-use crate::config_record::RecordError;
 use crate::config_replica::ConfigReplica;
 use crate::config_snapshot::ConfigSnapshot;
 use crate::config_snapshot::FollowerOptions;
@@ -36,6 +34,8 @@
 use crate::log_service::LogService;
 use crate::log_service::LogSlice;
 use crate::log_service::LogStream;
+use crate::record_error;
+use crate::record_error::RecordError;
 
 /// Records that one read asks for.
 const READ_BATCH: usize = 256;
@@ -160,7 +160,7 @@
         &self,
         checkpoint: &EncodedCheckpoint,
         confirmed: Option<ConfigDigest>,
-    ) -> config_record::Result<bool> {
+    ) -> record_error::Result<bool> {
         let fold = ConfigFold::from_checkpoint(checkpoint)?;
         if confirmed.is_some_and(|digest| digest != fold.digest()) {
             return Err(RecordError::DigestMismatch);
--- a/lib/src/config_record.rs
+++ b/lib/src/config_record.rs
@@ -7,15 +7,16 @@
 
 use prost::Message as _;
 use rand::Rng;
-use thiserror::Error;
 
 use crate::ids::HostId;
 use crate::ids::LogOffset;
-use crate::log_service::MAX_RECORD_BYTES;
 use crate::protos::config as proto;
+use crate::record_error::RecordError;
+use crate::record_error::Result;
+use crate::record_error::check_version;
+use crate::record_error::decode_message;
 use crate::resource_key::ResourceKey;
 use crate::resource_key::ResourceKind;
-use crate::result_code::ResultCode;
 
 /// Version of the record form that this program writes and reads.
 pub const RECORD_VERSION: u32 = 1;
@@ -26,43 +27,6 @@
 /// Longest operator name or token id, in bytes.
 pub const MAX_AUTHOR_BYTES: usize = 64;
 
-/// A record that cannot be read or written.
-#[derive(Clone, Debug, Error, PartialEq, Eq)]
-pub enum RecordError {
-    /// The record has another version.
-    #[error("record version {0} is not {RECORD_VERSION}")]
-    Version(u32),
-    /// The record is cut short or malformed.
-    #[error("malformed record: {0}")]
-    Malformed(String),
-    /// The record is larger than the log takes.
-    #[error("record of {0} bytes is larger than {MAX_RECORD_BYTES}")]
-    TooLarge(usize),
-    /// The bytes do not match their digest.
-    #[error("checkpoint does not match its digest")]
-    DigestMismatch,
-}
-
-impl RecordError {
-    /// Returns the result code that the error is counted under.
-    pub fn code(&self) -> ResultCode {
-        match self {
-            Self::Version(_) => ResultCode::RecordVersion,
-            Self::Malformed(_) => ResultCode::RecordMalformed,
-            Self::TooLarge(_) => ResultCode::RecordTooLarge,
-            Self::DigestMismatch => ResultCode::DigestMismatch,
-        }
-    }
-
-    /// Builds an error for a malformed record.
-    pub fn malformed(message: impl fmt::Display) -> Self {
-        Self::Malformed(message.to_string())
-    }
-}
-
-/// Result of reading or writing a record.
-pub type Result<T> = std::result::Result<T, RecordError>;
-
 /// Identity of a change; a repeated change has the same.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ChangeId(pub [u8; 16]);
@@ -222,26 +186,21 @@
 
     /// Reads a record.
     pub fn decode(data: &[u8]) -> Result<Self> {
-        if data.len() > MAX_RECORD_BYTES {
-            return Err(RecordError::TooLarge(data.len()));
-        }
-        let record = proto::ConfigRecord::decode(data).map_err(RecordError::malformed)?;
-        if record.version != RECORD_VERSION {
-            return Err(RecordError::Version(record.version));
-        }
+        let record: proto::ConfigRecord = decode_message(data)?;
+        check_version(record.version, RECORD_VERSION)?;
         match record.body {
             Some(proto::config_record::Body::Change(raw)) => read_change(raw).map(Self::Change),
             Some(proto::config_record::Body::CheckpointPart(raw)) => {
                 read_part(raw).map(Self::CheckpointPart)
             }
-            None => Err(RecordError::malformed("record has no body")),
+            None => Err(RecordError::Malformed("record has no body")),
         }
     }
 }
 
 /// Reads bytes of a fixed length.
-pub(crate) fn read_array<const N: usize>(what: &str, data: &[u8]) -> Result<[u8; N]> {
-    data.try_into().map_err(|_| RecordError::malformed(format!("{what} must have {N} bytes")))
+pub(crate) fn read_array<const N: usize>(data: &[u8]) -> Result<[u8; N]> {
+    data.try_into().map_err(|_| RecordError::Malformed("id or hash has a wrong length"))
 }
 
 fn write_change(change: &ConfigChange) -> proto::ConfigChange {
@@ -291,21 +250,18 @@
 
 fn read_change(raw: proto::ConfigChange) -> Result<ConfigChange> {
     if raw.operations.is_empty() || raw.operations.len() > MAX_OPERATIONS {
-        let count = raw.operations.len();
-        return Err(RecordError::malformed(format!(
-            "{count} operations, allowed are 1 to {MAX_OPERATIONS}"
-        )));
+        return Err(RecordError::Malformed("operations are none or too many"));
     }
     if raw.operator.len() > MAX_AUTHOR_BYTES || raw.token_id.len() > MAX_AUTHOR_BYTES {
-        return Err(RecordError::malformed("author is too long"));
+        return Err(RecordError::Malformed("author is too long"));
     }
     let operations = raw.operations.into_iter().map(read_operation).collect::<Result<Vec<_>>>()?;
     let restores = operations.iter().any(|step| matches!(step, ResourceOperation::Restore(_)));
     if restores && operations.len() > 1 {
-        return Err(RecordError::malformed("a restore must stand alone"));
+        return Err(RecordError::Malformed("a restore must stand alone"));
     }
     Ok(ConfigChange {
-        id: ChangeId(read_array("change id", &raw.change_id)?),
+        id: ChangeId(read_array(&raw.change_id)?),
         base: raw.base_revision.map(LogOffset),
         author: ChangeAuthor { operator: raw.operator, token_id: raw.token_id },
         wall_ms: raw.wall_ms,
@@ -315,37 +271,34 @@
 
 fn read_operation(raw: proto::Operation) -> Result<ResourceOperation> {
     use proto::OperationKind as Kind;
-    let host = |raw: &str| HostId::try_from(raw).map_err(RecordError::malformed);
     Ok(match raw.kind() {
-        Kind::Unspecified => return Err(RecordError::malformed("unknown operation")),
+        Kind::Unspecified => return Err(RecordError::Malformed("unknown operation")),
         Kind::Create => ResourceOperation::Create(read_body(raw)?),
         Kind::Change => ResourceOperation::Change(read_body(raw)?),
         Kind::Delete => {
             let kind = ResourceKind::from_proto(raw.resource())
-                .ok_or_else(|| RecordError::malformed("unknown kind of resource"))?;
-            ResourceOperation::Delete(
-                ResourceKey::parse(kind, &raw.name).map_err(RecordError::malformed)?,
-            )
+                .ok_or(RecordError::Malformed("unknown kind of resource"))?;
+            ResourceOperation::Delete(ResourceKey::parse(kind, &raw.name)?)
         }
         Kind::PutWhole => ResourceOperation::PutWhole(raw.body),
-        Kind::Drain => ResourceOperation::Drain(host(&raw.name)?),
-        Kind::Undrain => ResourceOperation::Undrain(host(&raw.name)?),
+        Kind::Drain => ResourceOperation::Drain(raw.name.as_str().try_into()?),
+        Kind::Undrain => ResourceOperation::Undrain(raw.name.as_str().try_into()?),
         Kind::Restore => ResourceOperation::Restore(raw.body),
     })
 }
 
 fn read_body(raw: proto::Operation) -> Result<ResourceBody> {
     let kind = ResourceKind::from_proto(raw.resource())
-        .ok_or_else(|| RecordError::malformed("unknown kind of resource"))?;
+        .ok_or(RecordError::Malformed("unknown kind of resource"))?;
     Ok(ResourceBody { kind, json: raw.body })
 }
 
 fn read_part(raw: proto::CheckpointPart) -> Result<CheckpointPart> {
     if raw.count == 0 || raw.index >= raw.count {
-        return Err(RecordError::malformed(format!("part {} of {}", raw.index, raw.count)));
+        return Err(RecordError::Malformed("number of a checkpoint part is out of range"));
     }
     Ok(CheckpointPart {
-        digest: read_array("digest", &raw.digest)?,
+        digest: read_array(&raw.digest)?,
         index: raw.index,
         count: raw.count,
         data: raw.data,
--- a/lib/src/config_replica.rs
+++ b/lib/src/config_replica.rs
@@ -15,11 +15,11 @@
 use crate::config_record::CheckpointPart;
 use crate::config_record::ConfigChange;
 use crate::config_record::ConfigRecord;
-use crate::config_record::RecordError;
-use crate::config_record::Result;
 use crate::ids::LogOffset;
 use crate::log_service::LogRecord;
 use crate::log_service::LogSlice;
+use crate::record_error::RecordError;
+use crate::record_error::Result;
 use crate::result_code::ResultCode;
 
 /// What the replica's state rests on.
@@ -244,7 +244,7 @@
         let Some(joined) = self.assembler.add(record, part)? else { return Ok(()) };
         let fold = ConfigFold::from_checkpoint(&joined.checkpoint)?;
         if fold.next_offset() > joined.first_offset {
-            return Err(RecordError::malformed("checkpoint covers records after itself"));
+            return Err(RecordError::Malformed("checkpoint covers records after itself"));
         }
         self.note_checkpoint(&joined, &fold);
         if self.is_scanning() {
--- a/lib/src/record_error.rs
+++ b/lib/src/record_error.rs
@@ -2,6 +2,7 @@
 
 use thiserror::Error;
 
+use crate::ids::NameError;
 use crate::log_service::MAX_RECORD_BYTES;
 use crate::result_code::ResultCode;
 
@@ -17,6 +18,9 @@
     /// The record is too large.
     #[error("record has {0} bytes, more than {MAX_RECORD_BYTES}")]
     TooLarge(usize),
+    /// The bytes do not match their digest.
+    #[error("bytes do not match their digest")]
+    DigestMismatch,
 }
 
 /// Result of decoding a record.
@@ -29,10 +33,17 @@
             Self::Version(_) => ResultCode::RecordVersion,
             Self::Malformed(_) => ResultCode::RecordMalformed,
             Self::TooLarge(_) => ResultCode::RecordTooLarge,
+            Self::DigestMismatch => ResultCode::DigestMismatch,
         }
     }
 }
 
+impl From<NameError> for RecordError {
+    fn from(_: NameError) -> Self {
+        Self::Malformed("name is not allowed")
+    }
+}
+
 /// Decodes the protobuf message of a record of allowed size.
 pub fn decode_message<M: prost::Message + Default>(data: &[u8]) -> Result<M> {
     if data.len() > MAX_RECORD_BYTES {
