--- /dev/null
+++ b/cli/src/commands/mod.rs
@@ -0,0 +1,3 @@
+//! One module for each command.
+
+pub mod report;
--- /dev/null
+++ b/lib/src/burn_collector.rs
@@ -0,0 +1,72 @@
+//! Gathers the burn contributions of all hosts over the peer link when a report is asked for.
+//!
+//! A report is read a few times a day, so asking for it then costs less than sending contributions
+//! all the time.
+
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use crate::burn::BurnContribution;
+use crate::burn::BurnMerger;
+use crate::burn::Result;
+use crate::burn_report::BurnReport;
+use crate::ids::HostId;
+use crate::member_snapshot::MemberSnapshot;
+use crate::member_snapshot::MemberState;
+use crate::member_snapshot::MemberView;
+use crate::peer_client::PeerClient;
+
+/// Peers asked at the same time.
+const CONCURRENT_CALLS: usize = 16;
+
+/// Returns the report over the local host and all others that answer.
+///
+/// A host that cannot be asked, or whose contribution cannot be read, is named as missing.
+pub fn collect_report(
+    unix_ms: u64,
+    local: BurnContribution,
+    snapshot: &MemberSnapshot,
+    client: &PeerClient,
+) -> Result<BurnReport> {
+    let mut merger = BurnMerger::default();
+    merger.merge(local);
+    let queue = Mutex::new(snapshot.members.iter());
+    let gathered = Mutex::new((merger, Vec::new()));
+    std::thread::scope(|scope| {
+        for _ in 0..CONCURRENT_CALLS.min(snapshot.members.len()) {
+            scope.spawn(|| {
+                while let Some(member) = lock(&queue).next() {
+                    let asked = ask(client, member);
+                    let mut gathered = lock(&gathered);
+                    match asked {
+                        Ok(contribution) => gathered.0.merge(contribution),
+                        Err(host) => gathered.1.push(host),
+                    }
+                }
+            });
+        }
+    });
+    let (merger, mut missing) = gathered.into_inner().unwrap_or_else(PoisonError::into_inner);
+    missing.sort();
+    BurnReport::build(unix_ms, &merger, missing)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn ask(client: &PeerClient, member: &MemberView) -> std::result::Result<BurnContribution, HostId> {
+    if member.state == MemberState::Unreachable {
+        return Err(member.host.clone());
+    }
+    let bytes = client.fetch_burn(member.address).map_err(|error| {
+        log::warn!("event=burn_missing host={} error={error}", member.host);
+        member.host.clone()
+    })?;
+    let contribution = BurnContribution::decode(&bytes).map_err(|error| {
+        log::warn!("event=burn_refused host={} code={} error={error}", member.host, error.code());
+        member.host.clone()
+    })?;
+    // A peer speaks for itself alone.
+    if contribution.host == member.host { Ok(contribution) } else { Err(member.host.clone()) }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -44,6 +44,9 @@
 
 // Membership and what rides on it.
 pub mod burn;
+pub mod burn_collector;
+pub mod burn_page;
+pub mod burn_report;
 pub mod member_config;
 pub mod member_event;
 pub mod member_keeper;
--- a/lib/src/member_config.rs
+++ b/lib/src/member_config.rs
@@ -21,6 +21,10 @@
     pub suspicion_timeout: Duration,
     /// Members that a change is pushed to at once by each member that learns it.
     pub push_fanout: usize,
+    /// Pushes that one host makes at once, at most.
+    pub push_burst: u32,
+    /// Time in which one more push is allowed.
+    pub push_period: Duration,
     /// Members of a region that exchange messages with other regions.
     pub relays: usize,
     /// Time between two messages of a relay to another region.
@@ -54,6 +58,8 @@
             indirect_probes: 3,
             suspicion_timeout: Duration::from_millis(1_500),
             push_fanout: 3,
+            push_burst: 20,
+            push_period: Duration::from_secs(1),
             relays: 3,
             relay_period: Duration::from_secs(1),
             summary_period: Duration::from_secs(3),
--- a/lib/src/member_relay.rs
+++ b/lib/src/member_relay.rs
@@ -6,6 +6,7 @@
 use crate::ids::RegionName;
 use crate::ids::ZoneName;
 use crate::member_event::MemberAction;
+use crate::member_probe::UPDATES_PER_PUSH;
 use crate::member_record::MemberStatus;
 use crate::member_record::host_hash;
 use crate::member_record::life_of;
@@ -135,6 +136,18 @@
         }
     }
 
+    /// Pushes what is waiting, within the allowed rate; later messages carry what has to wait.
+    pub(crate) fn push_within_rate(&mut self, now: Timestamp, actions: &mut Vec<MemberAction>) {
+        if now >= self.next.token {
+            self.next.token = now + self.config.push_period;
+            self.push_tokens = self.config.push_burst.min(self.push_tokens + 1);
+        }
+        if self.push_pending && self.push_tokens > 0 {
+            self.push_tokens -= 1;
+            self.push_changes(actions);
+        }
+    }
+
     /// Sends the changes that are waiting to a few random members, and abroad if this is a relay.
     pub(crate) fn push_changes(&mut self, actions: &mut Vec<MemberAction>) {
         self.push_pending = false;
@@ -146,8 +159,11 @@
         if self.is_relay() {
             targets.extend(self.pick_abroad());
         }
+        let changes = self.take_changes(UPDATES_PER_PUSH);
         for key in targets {
-            self.send_to(key, MessageBody::Push, actions);
+            let Some(connection) = self.connection_to(key) else { continue };
+            let message = self.compose_with(Some(key), MessageBody::Push, changes.clone());
+            actions.push(MemberAction::Send(connection, message));
         }
     }
 
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -81,6 +81,7 @@
     pub(crate) relay: Timestamp,
     pub(crate) revisit: Timestamp,
     pub(crate) table: Timestamp,
+    pub(crate) token: Timestamp,
 }
 
 /// The local host's view of all members.
@@ -104,6 +105,7 @@
     pub(crate) mismatch_since: Option<Timestamp>,
     pub(crate) unreachable: BTreeSet<RegionName>,
     pub(crate) push_pending: bool,
+    pub(crate) push_tokens: u32,
     pub(crate) freshness: ViewFreshness,
     pub(crate) config_offset: LogOffset,
     pub(crate) next_connection: u32,
@@ -142,6 +144,7 @@
             mismatch_since: Some(now),
             unreachable: BTreeSet::new(),
             push_pending: false,
+            push_tokens: config.push_burst,
             freshness: ViewFreshness::Stale,
             config_offset: LogOffset::default(),
             next_connection: 0,
@@ -166,10 +169,10 @@
             MemberEvent::ConfigOffset(offset) => self.learn_offset(offset, &mut actions),
             MemberEvent::LocalLoad(percent) => self.local_load = percent,
             MemberEvent::Leave => self.change_local(MemberStatus::Leaving, &mut actions),
-            MemberEvent::Left => self.change_local(MemberStatus::Dead, &mut actions),
-        }
-        if self.local.status == MemberStatus::Dead {
-            self.push_changes(&mut actions);
+            MemberEvent::Left => {
+                self.change_local(MemberStatus::Dead, &mut actions);
+                self.push_changes(&mut actions);
+            }
         }
         actions
     }
@@ -220,9 +223,7 @@
             self.next.table = now + self.config.table_period;
             self.request_table(actions);
         }
-        if self.push_pending {
-            self.push_changes(actions);
-        }
+        self.push_within_rate(now, actions);
     }
 
     /// Returns whether to ask for a table: the view is stale, or differs from those of others for
@@ -267,17 +268,28 @@
 
     /// Returns a message to a member, or to an address of which nothing is known.
     pub(crate) fn compose(&mut self, to: Option<MemberKey>, body: MessageBody) -> PeerMessage {
-        let count = match body {
-            MessageBody::Push => crate::member_probe::UPDATES_PER_PUSH,
-            _ => UPDATES_PER_MESSAGE,
-        };
+        let updates = self.take_changes(UPDATES_PER_MESSAGE);
+        self.compose_with(to, body, updates)
+    }
+
+    /// Takes up to `count` waiting changes to send.
+    pub(crate) fn take_changes(&mut self, count: usize) -> Vec<MemberRecord> {
+        let max_sends = self.max_sends();
+        self.roster.take_changes(max_sends, count)
+    }
+
+    /// Returns a message that carries the given changes.
+    pub(crate) fn compose_with(
+        &mut self,
+        to: Option<MemberKey>,
+        body: MessageBody,
+        mut updates: Vec<MemberRecord>,
+    ) -> PeerMessage {
         let target = to.and_then(|key| self.roster.get(key)).map(|entry| entry.record.clone());
         let scope = match &target {
             Some(record) if record.region != self.local.region => SectionScope::Global,
             _ => SectionScope::Region,
         };
-        let max_sends = self.max_sends();
-        let mut updates = self.roster.take_changes(max_sends, count);
         let doubted = |record: &MemberRecord| {
             matches!(record.status, MemberStatus::Suspected | MemberStatus::Dead)
         };
--- /dev/null
+++ b/lib/tests/test_member_measure.rs
@@ -0,0 +1,89 @@
+//! The targets that hold in virtual time: detection, pauses, and bytes with all that rides along.
+
+use std::time::Duration;
+
+use pomelostack_lib::member_event::MemberEvent;
+use pomelostack_lib::member_section::SectionKind;
+use rstest::rstest;
+use testutils::member_queue::MemberQueue;
+
+const JOIN: Duration = Duration::from_secs(30);
+const STEP: Duration = Duration::from_millis(100);
+const LOSS_PERCENT: u32 = 5;
+const KILLS: usize = 100;
+const DETECTION_LIMIT: Duration = Duration::from_secs(5);
+const PAUSE: Duration = Duration::from_secs(3);
+const RETURN_LIMIT: Duration = Duration::from_secs(2);
+const BYTES_PER_S_LIMIT: u64 = 22_000;
+/// HTTP/2 and TCP/IP bytes of one message, as the bench case `peer_link_cost` reports them.
+const TRANSPORT_BYTES: u64 = 150;
+
+fn joined(members: usize, regions: usize) -> MemberQueue {
+    let mut queue = MemberQueue::new(members, regions, 11);
+    queue.run_for(JOIN);
+    queue.loss_percent = LOSS_PERCENT;
+    queue
+}
+
+#[rstest]
+#[case(7, 1, 1)]
+#[case(50, 1, 4)]
+#[case(48, 4, 4)]
+fn dead_within_limit(#[case] members: usize, #[case] regions: usize, #[case] at_once: usize) {
+    let mut queue = joined(members, regions);
+    let mut late = 0;
+    for round in 0..KILLS / at_once {
+        let victims: Vec<usize> =
+            (0..at_once).map(|index| (round * 5 + index * 11) % members).collect();
+        victims.iter().for_each(|&victim| queue.kill(victim));
+        queue.run_for(DETECTION_LIMIT);
+        late += victims.iter().filter(|&&victim| queue.routers_of(victim) > 0).count();
+        victims.iter().for_each(|&victim| queue.restart(victim));
+        queue.run_for(DETECTION_LIMIT);
+    }
+    assert!(late <= KILLS / 100, "{late} of {KILLS} were found late");
+}
+
+#[rstest]
+#[case(7, 1)]
+#[case(50, 1)]
+#[case(48, 4)]
+fn pause_within_limit(#[case] members: usize, #[case] regions: usize) {
+    let mut queue = joined(members, regions);
+    for round in 0..10 {
+        let victim = round * 5 % members;
+        queue.pause(victim, PAUSE);
+        queue.run_for(PAUSE + RETURN_LIMIT);
+        for _ in 0..20 {
+            assert_eq!(queue.routers_of(victim), members - 1, "round {round}");
+            queue.run_for(STEP);
+        }
+    }
+}
+
+#[rstest]
+#[case(7, 1)]
+#[case(50, 1)]
+#[case(100, 1)]
+#[case(48, 4)]
+fn bytes_within_limit(#[case] members: usize, #[case] regions: usize) {
+    let mut queue = joined(members, regions);
+    (0..members).for_each(|index| {
+        queue.take_traffic(index);
+    });
+    let window = 10;
+    for _ in 0..window / 2 {
+        for index in 0..members {
+            let digest = MemberEvent::Publish(SectionKind::LoadDigest, vec![1; 32]);
+            queue.send_event(index, digest);
+            let suspicion = MemberEvent::Publish(SectionKind::CrashSuspicions, vec![1; 16]);
+            queue.send_event(index, suspicion);
+        }
+        queue.run_for(Duration::from_secs(2));
+    }
+    for index in 0..members {
+        let traffic = queue.take_traffic(index);
+        let rate = (traffic.bytes + traffic.messages * TRANSPORT_BYTES) / window;
+        assert!(rate < BYTES_PER_S_LIMIT, "host {index} moves {rate} bytes/s");
+    }
+}
