--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod check;
 mod dev;
 mod entry;
+mod report;
 
 use std::process::ExitCode;
 
@@ -23,6 +24,7 @@
     Check(check::CheckCommand),
     Dev(dev::DevCommand),
     Entry(entry::EntryCommand),
+    Report(report::ReportCommand),
 }
 
 impl TopLevel {
@@ -33,6 +35,7 @@
             Command::Check(command) => command.run(),
             Command::Dev(command) => command.run(),
             Command::Entry(command) => command.run(),
+            Command::Report(command) => command.run().map(|()| ExitCode::SUCCESS),
         }
     }
 }
