burn: count every request, report over all hosts, send burn rates

Cause: the report had no source. Change: the request meter feeds BurnDesk; GET /burn (an operator's token), the administration API and the metrics show it.

--- a/lib/src/admin_access.rs
+++ b/lib/src/admin_access.rs
@@ -43,10 +43,26 @@
         Self { tokens }
     }
 
-    /// Returns the operator who makes a call, if the token allows it.
+    /// Returns whether the token is an operator's; every role may read.
+    pub fn may_read(&self, token: &str) -> bool {
+        self.find(token).is_some()
+    }
+
+    /// Finds a token.
     ///
     /// Every hash is compared, each in constant time, so the time taken tells nothing about a
     /// match.
+    fn find(&self, token: &str) -> Option<&OperatorToken> {
+        let mut found = None;
+        for candidate in &self.tokens {
+            if candidate.hash.matches(token) {
+                found = Some(candidate);
+            }
+        }
+        found
+    }
+
+    /// Returns the operator who makes a call, if the token allows it.
     pub fn authorize(&self, metadata: &MetadataMap, needed: OperatorRole) -> Result<ChangeAuthor> {
         let unauthorized = || {
             let message = "the operators' token is missing or wrong";
@@ -55,13 +71,7 @@
         let header = metadata.get("authorization").and_then(|value| value.to_str().ok());
         let token =
             header.and_then(|value| value.strip_prefix("Bearer ")).ok_or_else(unauthorized)?;
-        let mut found = None;
-        for candidate in &self.tokens {
-            if candidate.hash.matches(token) {
-                found = Some(candidate);
-            }
-        }
-        let found = found.ok_or_else(unauthorized)?;
+        let found = self.find(token).ok_or_else(unauthorized)?;
         if found.role < needed {
             let message = "the token allows reading alone";
             return Err(refuse(ResultCode::OperatorForbidden, "", message));
--- a/lib/src/burn_report.rs
+++ b/lib/src/burn_report.rs
@@ -49,6 +49,15 @@
         }
     }
 
+    /// Returns the name of the window in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::FiveMinutes => "5m",
+            Self::OneHour => "1h",
+            Self::SixHours => "6h",
+        }
+    }
+
     fn buckets(self) -> u64 {
         self.duration().as_secs() / BUCKET.as_secs()
     }
@@ -67,6 +76,15 @@
     pub burn_rate: Option<f64>,
 }
 
+impl WindowBurn {
+    /// Returns the burn rate in thousandths; 0 without requests.
+    pub fn burn_permille(&self) -> u64 {
+        let rate = self.burn_rate.unwrap_or_default() * 1_000.0;
+        // Saturates: a rate is finite and not negative.
+        rate.round() as u64
+    }
+}
+
 /// Latency of the last five to ten minutes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LatencySummary {
--- a/lib/src/caller_request.rs
+++ b/lib/src/caller_request.rs
@@ -53,18 +53,24 @@
     Err(FrontError::new(ResultCode::HeaderTooLarge, message))
 }
 
-/// Finds the team that the bearer token names.
-pub fn find_team<'a>(headers: &HeaderMap, config: &'a ConfigState) -> Result<&'a TeamResource> {
-    let refused = || {
-        let message = "send a team's token as 'Authorization: Bearer <token>'";
-        FrontError::new(ResultCode::Unauthorized, message).with_param("Authorization")
-    };
+/// Reads the bearer token.
+pub fn read_token(headers: &HeaderMap) -> Result<&str> {
     let value = headers.get(AUTHORIZATION).and_then(|value| value.to_str().ok());
-    let (scheme, token) = value.and_then(|value| value.split_once(' ')).ok_or_else(refused)?;
-    if !scheme.eq_ignore_ascii_case("bearer") {
-        return Err(refused());
+    let parts = value.and_then(|value| value.split_once(' '));
+    match parts {
+        Some((scheme, token)) if scheme.eq_ignore_ascii_case("bearer") => Ok(token.trim()),
+        _ => Err(unauthorized()),
     }
-    config.team_of_token(token.trim()).ok_or_else(refused)
+}
+
+/// Finds the team that the bearer token names.
+pub fn find_team<'a>(headers: &HeaderMap, config: &'a ConfigState) -> Result<&'a TeamResource> {
+    config.team_of_token(read_token(headers)?).ok_or_else(unauthorized)
+}
+
+fn unauthorized() -> FrontError {
+    let message = "send a team's token as 'Authorization: Bearer <token>'";
+    FrontError::new(ResultCode::Unauthorized, message).with_param("Authorization")
 }
 
 /// Reads the caller's deadline; a request without one gets `default`.
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -9,10 +9,12 @@
 
 use thiserror::Error;
 
+use crate::admin_access::OperatorAccess;
 use crate::admin_server::AdminServer;
 use crate::admin_sources::AdminSources;
 use crate::answer_finder::AnswerFinder;
 use crate::answer_store::AnswerStore;
+use crate::burn_desk::BurnDesk;
 use crate::claim_keeper::ClaimKeeper;
 use crate::cloud::ReclaimNotice;
 use crate::config_follower::ConfigFollower;
@@ -103,6 +105,7 @@
     claims: Arc<ClaimKeeper>,
     answers: Arc<AnswerStore>,
     metrics: Arc<MetricsReporter>,
+    burn: Arc<BurnDesk>,
     members: Arc<MemberKeeper>,
     connector: Arc<HttpConnector>,
     ports: SessionPorts,
@@ -120,10 +123,12 @@
         let answers = entry_parts::build_answers(settings, clock);
         let metrics = Arc::new(MetricsReporter::new(settings.statsd)?);
         let open_taker = Arc::new(OnceLock::new());
+        let burn = Arc::new(BurnDesk::new(settings.host.clone(), incarnation, config.clone()));
         let suspects = Arc::new(Mutex::new(CrashSuspects::new(settings.host.clone())));
         let handler = EntryPeerHandler {
             answers: answers.clone(),
             config: config.clone(),
+            burn: burn.clone(),
             clock,
             suspects: suspects.clone(),
             taker: open_taker.clone(),
@@ -149,6 +154,7 @@
             claims,
             answers,
             metrics,
+            burn,
             members,
             connector,
             ports,
@@ -158,7 +164,9 @@
     }
 
     /// Builds what the front door works with.
-    fn door_ports(&self) -> FrontDoorPorts {
+    fn door_ports(&self, settings: &EntrySettings) -> FrontDoorPorts {
+        let (burn, recorder) = (self.burn.clone(), self.burn.clone());
+        let members = self.members.clone();
         let finder = AnswerFinder {
             clock: self.clock,
             answers: self.answers.clone(),
@@ -170,7 +178,9 @@
             answers: Arc::new(finder),
             registry: self.ports.registry.clone(),
             metrics: self.metrics.clone(),
-            recorder: Arc::new(|_| {}),
+            recorder: Arc::new(move |times| recorder.record(times)),
+            operators: OperatorAccess::new(settings.operators.clone()),
+            burn: Arc::new(move || burn.fleet_report(&members)),
             clock: self.clock,
         }
     }
@@ -210,6 +220,7 @@
             members: self.members.clone(),
             router: self.ports.router.clone(),
             answers: self.answers.clone(),
+            burn: self.burn.clone(),
         };
         view.into_sources()
     }
@@ -232,6 +243,7 @@
             claims: self.claims.clone(),
             config: self.config.clone(),
             members: self.members.clone(),
+            burn: self.burn.clone(),
         });
         let child =
             |name, work: ChildWork| ChildSpec { name, stall_limit: Some(STALL_LIMIT), work };
@@ -270,7 +282,8 @@
         let children = core.list_children(follower.clone());
         let supervisor = ChildSupervisor::start(children, core.clock, sender)?;
         let ids = RequestIdSource::new(&settings.host, core.incarnation, rand::random());
-        let front_door = Arc::new(FrontDoor::new(settings.front_door, core.door_ports(), ids));
+        let front_door =
+            Arc::new(FrontDoor::new(settings.front_door, core.door_ports(&settings), ids));
         let listener = entry_parts::start_listener(&settings, &runtime, front_door.clone())?;
         log::info!("event=entry_started host={} http={}", settings.host, listener.address());
         Ok(Self {
--- a/lib/src/entry_admin.rs
+++ b/lib/src/entry_admin.rs
@@ -6,10 +6,12 @@
 use crate::admin_sources::AdminSources;
 use crate::answer_store::AnswerStore;
 use crate::answer_table::AnswerState;
+use crate::burn_desk::BurnDesk;
 use crate::config_follower::ConfigFollower;
 use crate::ids::RequestId;
 use crate::member_keeper::MemberKeeper;
 use crate::member_snapshot::MemberState;
+use crate::protos::admin::BurnWindow;
 use crate::protos::admin::FleetMember;
 use crate::protos::admin::RequestState;
 use crate::request_router::RequestRouter;
@@ -27,20 +29,42 @@
     pub router: Arc<Mutex<RequestRouter>>,
     /// Answers.
     pub answers: Arc<AnswerStore>,
+    /// Service-level burn.
+    pub burn: Arc<BurnDesk>,
 }
 
 impl AdminView {
     /// Returns the sources that the administration API asks.
     pub fn into_sources(self) -> AdminSources {
         let view = Arc::new(self);
-        let fleet_view = view.clone();
+        let (fleet_view, burn_view) = (view.clone(), view.clone());
         AdminSources {
             fleet: Box::new(move || fleet_view.fleet()),
             requests: Box::new(move |id| view.find_request(id)),
-            ..AdminSources::default()
+            burn: Box::new(move || burn_view.burn_windows()),
         }
     }
 
+    fn burn_windows(&self) -> Vec<BurnWindow> {
+        let report = match self.burn.fleet_report(&self.members) {
+            Ok(report) => report,
+            Err(error) => {
+                log::warn!("event=burn_report_failed error=\"{error}\"");
+                return Vec::new();
+            }
+        };
+        let windows = report.services.iter().flat_map(|row| {
+            row.windows.iter().map(|window| BurnWindow {
+                service: row.service.to_string(),
+                window_ms: u64::try_from(window.window.duration().as_millis()).unwrap_or(u64::MAX),
+                requests: window.count.total,
+                within_target: window.count.good,
+                burn_permille: window.burn_permille(),
+            })
+        });
+        windows.collect()
+    }
+
     fn fleet(&self) -> Vec<FleetMember> {
         let config = self.config.current();
         let drained = &config.state.drained;
--- a/lib/src/entry_peer.rs
+++ b/lib/src/entry_peer.rs
@@ -6,6 +6,7 @@
 
 use crate::answer_finder::write_fetched;
 use crate::answer_store::AnswerStore;
+use crate::burn_desk::BurnDesk;
 use crate::config_follower::ConfigFollower;
 use crate::crash_report::CrashReport;
 use crate::crash_suspects::CrashSuspects;
@@ -25,6 +26,8 @@
     pub answers: Arc<AnswerStore>,
     /// Configuration of this host.
     pub config: Arc<ConfigFollower>,
+    /// Service-level burn of this host.
+    pub burn: Arc<BurnDesk>,
     /// Clock of the suspicions.
     pub clock: ProcessClock,
     /// Requests that crash servers.
@@ -62,6 +65,6 @@
     }
 
     fn burn_contribution(&self) -> Vec<u8> {
-        Vec::new()
+        self.burn.encoded_contribution()
     }
 }
--- a/lib/src/front_door.rs
+++ b/lib/src/front_door.rs
@@ -12,8 +12,11 @@
 use hyper::body::Incoming;
 use serde_json::json;
 
+use crate::admin_access::OperatorAccess;
 use crate::answer_finder::AnswerFinder;
 use crate::answer_reply::answer_reply;
+use crate::burn;
+use crate::burn_report::BurnReport;
 use crate::caller_guard::CallerGuard;
 use crate::caller_reply::app_reply;
 use crate::caller_reply::completion_reply;
@@ -24,6 +27,7 @@
 use crate::caller_request::read_body;
 use crate::caller_request::read_deadline;
 use crate::caller_request::read_key;
+use crate::caller_request::read_token;
 use crate::completion_api::CompletionKind;
 use crate::completion_api::CompletionRequest;
 use crate::completion_api::CompletionWriter;
@@ -57,6 +61,9 @@
 use crate::timestamp::ProcessClock;
 use crate::timestamp::wall_clock_ms;
 
+/// Collects the burn report of all hosts.
+pub type BurnSource = Arc<dyn Fn() -> burn::Result<BurnReport> + Send + Sync>;
+
 /// What the front door works with.
 pub struct FrontDoorPorts {
     /// Configuration in force.
@@ -71,6 +78,10 @@
     pub metrics: Arc<MetricsReporter>,
     /// Takes the times of each request.
     pub recorder: TimesRecorder,
+    /// Operators' tokens, for the burn report.
+    pub operators: OperatorAccess,
+    /// Collects the burn report; blocks.
+    pub burn: BurnSource,
     /// Clock of sessions.
     pub clock: ProcessClock,
 }
@@ -133,7 +144,7 @@
             FrontRoute::ChatCompletions => self.complete(CompletionKind::Chat, request).await,
             FrontRoute::App { service, path } => self.call_app(service, path, request).await,
             FrontRoute::Answer { request: id, from } => self.fetch(id, from, request).await,
-            FrontRoute::Burn => Err(FrontError::new(ResultCode::UnknownRoute, "no report yet")),
+            FrontRoute::Burn => self.report_burn(request.headers()).await,
         }
     }
 
@@ -210,6 +221,21 @@
         answer_reply(&self.ports.answers, id, from).await
     }
 
+    async fn report_burn(&self, headers: &HeaderMap) -> Result<FrontReply> {
+        let token = read_token(headers)?;
+        if !self.ports.operators.may_read(token) {
+            let message = "send an operator's token as 'Authorization: Bearer <token>'";
+            return Err(FrontError::new(ResultCode::OperatorUnauthorized, message));
+        }
+        let burn = self.ports.burn.clone();
+        let report = tokio::task::spawn_blocking(move || burn()).await;
+        let failed = |error: String| FrontError::new(ResultCode::Internal, error);
+        let report = report.map_err(|error| failed(error.to_string()))?;
+        let report = report.map_err(|error| failed(error.to_string()))?;
+        let body = serde_json::to_value(&report).map_err(|error| failed(error.to_string()))?;
+        Ok(json_reply(ResultCode::Complete, &body))
+    }
+
     fn identify(&self, request: &Request<Incoming>) -> Result<CallerHeaders> {
         let headers = request.headers();
         let snapshot = self.ports.config.current();
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -73,6 +73,7 @@
 // Membership and what rides on it.
 pub mod burn;
 pub mod burn_collector;
+pub mod burn_desk;
 pub mod burn_page;
 pub mod burn_report;
 pub mod member_config;
--- a/lib/src/metrics_pump.rs
+++ b/lib/src/metrics_pump.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use crate::burn_desk::BurnDesk;
 use crate::claim_keeper::ClaimKeeper;
 use crate::config_follower::ConfigFollower;
 use crate::member_keeper::MemberKeeper;
@@ -22,6 +23,9 @@
 /// Time between two rounds.
 const PUMP_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Rounds between two reports of burn rates.
+const ROUNDS_PER_BURN: u64 = 20;
+
 /// Where the counters and levels are kept.
 pub struct PumpPorts {
     /// Takes the metrics.
@@ -36,6 +40,8 @@
     pub config: Arc<ConfigFollower>,
     /// Members.
     pub members: Arc<MemberKeeper>,
+    /// Service-level burn of this host.
+    pub burn: Arc<BurnDesk>,
 }
 
 /// Totals as they were sent last.
@@ -43,6 +49,7 @@
 struct SentTotals {
     counters: BTreeMap<&'static str, u64>,
     skipped: BTreeMap<ResultCode, u64>,
+    rounds: u64,
 }
 
 /// Sends counters as differences since the last round, and levels as they are.
@@ -63,6 +70,7 @@
             self.send_counters(context.restarts());
             self.send_skipped();
             self.send_levels();
+            self.send_burn();
             context.report_progress();
             std::thread::sleep(PUMP_INTERVAL);
         }
@@ -99,6 +107,30 @@
         }
     }
 
+    /// Sends the burn rates of this host, every few rounds.
+    fn send_burn(&self) {
+        {
+            let mut sent = lock(&self.sent);
+            sent.rounds += 1;
+            if !sent.rounds.is_multiple_of(ROUNDS_PER_BURN) {
+                return;
+            }
+        }
+        let report = match self.ports.burn.local_report() {
+            Ok(report) => report,
+            Err(error) => {
+                log::warn!("event=burn_report_failed error=\"{error}\"");
+                return;
+            }
+        };
+        for row in &report.services {
+            for window in &row.windows {
+                let rate = window.burn_permille();
+                self.ports.metrics.gauge_burn(&row.service, window.window.name(), rate);
+            }
+        }
+    }
+
     fn send_levels(&self) {
         let metrics = &self.ports.metrics;
         let view = self.ports.members.snapshot();
--- a/lib/src/request_meter.rs
+++ b/lib/src/request_meter.rs
@@ -10,7 +10,7 @@
 use crate::metrics::CounterMetric;
 use crate::metrics::MetricsReporter;
 use crate::metrics::TimerMetric;
-use crate::result_code::RequestOutcome;
+use crate::result_code::ResultCode;
 use crate::session_request::CallerSink;
 use crate::session_request::CheckedRequest;
 use crate::session_request::SessionEnd;
@@ -25,12 +25,12 @@
     pub service: ServiceName,
     /// Time from acceptance to the first token or the whole answer of an app.
     pub first_token: Option<Duration>,
-    /// Longest time between two tokens.
-    pub longest_gap: Option<Duration>,
+    /// Mean time between two tokens; `None` for less than two.
+    pub mean_gap: Option<Duration>,
     /// How the request ended.
-    pub outcome: RequestOutcome,
-    /// Time at which it ended.
-    pub ended_at: Timestamp,
+    pub code: ResultCode,
+    /// Time from acceptance to the end.
+    pub took: Duration,
 }
 
 /// Takes the times of each ended request.
@@ -48,7 +48,8 @@
     accepted_at: Timestamp,
     last_token_at: Option<Timestamp>,
     first_token: Option<Duration>,
-    longest_gap: Option<Duration>,
+    gap_sum: Duration,
+    gaps: u32,
 }
 
 impl<S: CallerSink> RequestMeter<S> {
@@ -71,7 +72,8 @@
             accepted_at: request.accepted_at,
             last_token_at: None,
             first_token: None,
-            longest_gap: None,
+            gap_sum: Duration::ZERO,
+            gaps: 0,
         }
     }
 
@@ -84,7 +86,8 @@
             }
             Some(last) => {
                 let gap = now.since(last);
-                self.longest_gap = self.longest_gap.max(Some(gap));
+                self.gap_sum += gap;
+                self.gaps += 1;
                 self.metrics.time(TimerMetric::TokenGap, &self.service, gap);
             }
         }
@@ -93,6 +96,7 @@
     fn measure_end(&mut self, end: &SessionEnd) {
         let now = self.clock.now();
         let code = end.code();
+        let took = now.since(self.accepted_at);
         if let SessionEnd::AppDone(_) = end {
             self.measure_token(now);
         }
@@ -104,14 +108,14 @@
             self.team,
             code.number(),
             code.outcome(),
-            now.since(self.accepted_at).as_millis(),
+            took.as_millis(),
         );
         (self.recorder)(&RequestTimes {
             service: self.service.clone(),
             first_token: self.first_token,
-            longest_gap: self.longest_gap,
-            outcome: code.outcome(),
-            ended_at: now,
+            mean_gap: self.gap_sum.checked_div(self.gaps),
+            code,
+            took,
         });
     }
 }
