--- a/lib/src/claim_keeper.rs
+++ b/lib/src/claim_keeper.rs
@@ -14,6 +14,7 @@
 
 use crate::claim_queue::AppendFailure;
 use crate::claim_reader::ClaimReader;
+use crate::claim_record::Claimant;
 use crate::claim_record::StoredAnswer;
 pub use crate::claim_verdict::ClaimRequest;
 pub use crate::claim_verdict::ClaimToken;
@@ -51,6 +52,21 @@
     pub read_interval: Duration,
 }
 
+impl KeeperSettings {
+    /// Returns the settings for the sizes of today.
+    pub fn new(claimant: Claimant) -> Self {
+        let writer = WriterSettings {
+            claimant,
+            key_retention: Duration::from_secs(600),
+            max_keys: 200_000,
+            max_answer_bytes: 32 * 1024 * 1024,
+            max_pending: 1_000,
+            append_interval: Duration::from_millis(25),
+        };
+        Self { writer, read_interval: Duration::from_millis(200) }
+    }
+}
+
 /// Figures for metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct KeeperStats {
@@ -155,8 +171,8 @@
         self.shared.on_event(WriterEvent::Complete(token, answer));
     }
 
-    /// Gives up a claim whose request was not dispatched, so that a resend can run; does not wait
-    /// for the log.
+    /// Gives up a claim whose request no server ran and none will: it was not dispatched, or every
+    /// attempt was refused before it began. A resend can then run. Does not wait for the log.
     pub fn release(&self, token: ClaimToken) {
         self.shared.on_event(WriterEvent::Release(token));
     }
--- a/lib/src/lease.rs
+++ b/lib/src/lease.rs
@@ -22,6 +22,9 @@
 /// Renewals are sent this often in the time of a lease.
 const RENEWALS_PER_TERM: u32 = 4;
 
+/// Longest extra wait of a host before it acquires.
+const MAX_STAGGER: Duration = Duration::from_secs(5);
+
 /// Parts of the clock error's unit.
 const PERMILLE: u32 = 1_000;
 
@@ -44,6 +47,23 @@
     pub stagger: Duration,
 }
 
+impl LeaseSettings {
+    /// Returns the usual times for a host.
+    pub fn new(duty: LeaseDuty, host: HostId, incarnation: Incarnation) -> Self {
+        let host_hash = blake3::hash(host.as_str().as_bytes());
+        let stagger = MAX_STAGGER * u32::from(host_hash.as_bytes()[0]) / 256;
+        Self {
+            duty,
+            host,
+            incarnation,
+            term: Duration::from_secs(10),
+            order_timeout: Duration::from_secs(2),
+            clock_error_permille: 10,
+            stagger,
+        }
+    }
+}
+
 /// What happened.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LeaseEvent {
--- a/lib/tests/test_lease_holder.rs
+++ b/lib/tests/test_lease_holder.rs
@@ -102,15 +102,9 @@
 }
 
 fn settings(host: &str) -> LeaseSettings {
-    LeaseSettings {
-        duty: LeaseDuty::CheckpointWriter,
-        host: HostId::try_from(host).expect("a valid name"),
-        incarnation: Incarnation(1),
-        term: Duration::from_secs(10),
-        order_timeout: Duration::from_secs(2),
-        clock_error_permille: 10,
-        stagger: Duration::ZERO,
-    }
+    let host = HostId::try_from(host).expect("a valid name");
+    let usual = LeaseSettings::new(LeaseDuty::CheckpointWriter, host, Incarnation(1));
+    LeaseSettings { stagger: Duration::ZERO, ..usual }
 }
 
 fn read(records: Vec<(LogOffset, LeaseRecord)>, position: u64) -> LeaseEvent {
--- a/lib/testutils/src/lease_harness.rs
+++ b/lib/testutils/src/lease_harness.rs
@@ -35,9 +35,7 @@
 const ORDER_INTERVAL_US: Range<u64> = SECOND_US / 20..SECOND_US / 5;
 /// Longest time from check to send without a pause, in the cases that allow one in between.
 const SEND_DELAY_US: u64 = SECOND_US / 20;
-const TERM: Duration = Duration::from_secs(10);
 const ORDER_TIMEOUT: Duration = Duration::from_secs(2);
-const CLOCK_ERROR_PERMILLE: u32 = 10;
 
 /// Case under test.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -305,14 +303,11 @@
     clock_permille: u64,
     case: LeaseCase,
 ) -> SimHost {
+    let name = HostId::try_from(format!("entry-{host}")).expect("a valid name");
     let settings = LeaseSettings {
-        duty: LeaseDuty::FleetPlanner,
-        host: HostId::try_from(format!("entry-{host}")).expect("a valid name"),
-        incarnation,
-        term: TERM,
         order_timeout: case.order_timeout,
-        clock_error_permille: CLOCK_ERROR_PERMILLE,
         stagger: Duration::from_millis(300 * host as u64),
+        ..LeaseSettings::new(LeaseDuty::FleetPlanner, name, incarnation)
     };
     SimHost {
         holder: LeaseHolder::new(settings),
