--- a/bench/src/claims.rs
+++ b/bench/src/claims.rs
@@ -181,7 +181,7 @@
 }
 
 fn print_group_commit(seed: u64, load: CommitLoad) {
-    let CommitLoad { share_permille, writers, interval_ms, answer_bytes } = load;
+    let CommitLoad { share_permille, writers, .. } = load;
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut log = ScheduleLog::default();
     let mut hosts: Vec<_> = (0..writers).map(|i| BenchWriter::new(i, load)).collect();
@@ -207,6 +207,10 @@
             host.step(now_ms, &mut log);
         }
     }
+    print_commit_line(seed, load, claims, &hosts);
+}
+
+fn print_commit_line(seed: u64, load: CommitLoad, claims: u64, hosts: &[BenchWriter]) {
     let mut delays_ms: Vec<u64> = hosts.iter().flat_map(|host| host.delays_ms.clone()).collect();
     delays_ms.sort_unstable();
     let bytes: usize = hosts.iter().map(|host| host.bytes).sum();
@@ -214,10 +218,10 @@
     let line = json!({
         "bench": "claims_group_commit",
         "seed": seed,
-        "share_permille": share_permille,
-        "writers": writers,
-        "append_interval_ms": interval_ms,
-        "answer_bytes": answer_bytes,
+        "share_permille": load.share_permille,
+        "writers": load.writers,
+        "append_interval_ms": load.interval_ms,
+        "answer_bytes": load.answer_bytes,
         "claims_per_s": claims / SIMULATED_S,
         "appends_per_s": appends / SIMULATED_S,
         "bytes_per_s": bytes as u64 / SIMULATED_S,
