membership: bound pushes, mend tables across regions

A change of a region's table that every neighbour had missed was never mended; tables are now compared across regions too.

--- a/bench/src/membership.rs
+++ b/bench/src/membership.rs
@@ -69,17 +69,17 @@
 /// Runs one step and publishes what rides on membership at the rates of the target size: load
 /// digests every 2 s, one configuration change every 20 s, one crash suspicion a minute.
 fn run_step(queue: &mut MemberQueue, members: usize, step: usize) {
-    if step % 40 == 0 {
+    if step.is_multiple_of(40) {
         for index in 0..members {
             let digest = vec![step as u8; LOAD_DIGEST_BYTES];
             queue.send_event(index, MemberEvent::Publish(SectionKind::LoadDigest, digest));
         }
     }
-    if step % 400 == 0 {
+    if step.is_multiple_of(400) {
         let offset = LogOffset(step as u64 + 1);
         queue.send_event(step / 400 % members, MemberEvent::ConfigOffset(offset));
     }
-    if step % 1_200 == 0 {
+    if step.is_multiple_of(1_200) {
         let event = MemberEvent::Publish(SectionKind::CrashSuspicions, vec![1; 16]);
         queue.send_event(step / 1_200 % members, event);
     }
--- a/lib/src/member_merge.rs
+++ b/lib/src/member_merge.rs
@@ -3,6 +3,7 @@
 
 use crate::host_list::HostState;
 use crate::ids::Incarnation;
+use crate::ids::RegionName;
 use crate::member_event::ListedHost;
 use crate::member_event::MemberAction;
 use crate::member_event::PeerConnection;
@@ -33,7 +34,7 @@
 enum RecordSource {
     /// As a change, which is spread further.
     Change,
-    /// As part of a table, which others know already.
+    /// As part of a neighbour's table, which others of the region know already.
     Table,
 }
 
@@ -165,12 +166,13 @@
             return MessageSender::Skipped(known);
         }
         self.last_heard = now;
+        let is_neighbour = sender.region == self.local.region;
         let source = match message.body {
-            MessageBody::TableReply => RecordSource::Table,
+            MessageBody::TableReply if is_neighbour => RecordSource::Table,
             _ => RecordSource::Change,
         };
         let host = sender.host.clone();
-        let is_neighbour = sender.region == self.local.region;
+        let region = sender.region.clone();
         self.zones.mark_heard(now, &sender.region);
         self.merge_record(now, message.sender, RecordSource::Change, actions);
         for record in message.updates {
@@ -178,10 +180,8 @@
         }
         self.merge_payloads(now, message.sections, message.zones);
         self.learn_offset(message.config_offset, actions);
-        if is_neighbour {
-            self.compare_tables(now, message.table_digest);
-        }
         let Some(key) = self.roster.key_of(&host) else { return MessageSender::Skipped(None) };
+        self.compare_tables(now, key, &region, message.table_digest);
         self.mark_heard(key, message.load_percent, actions);
         MessageSender::Member(key)
     }
@@ -214,11 +214,20 @@
         }
     }
 
-    fn compare_tables(&mut self, now: Timestamp, digest: u64) {
-        if digest == self.table_digest() {
-            self.mismatch_since = None;
-        } else {
-            self.mismatch_since.get_or_insert(now);
+    /// Notes since when another member's table differs, by region.
+    fn compare_tables(&mut self, now: Timestamp, key: MemberKey, region: &RegionName, digest: u64) {
+        let is_same = digest == self.table_digest();
+        match (*region == self.local.region, is_same) {
+            (true, true) => self.mismatch_since = None,
+            (true, false) => {
+                self.mismatch_since.get_or_insert(now);
+            }
+            (false, true) => {
+                self.mismatch_abroad.remove(region);
+            }
+            (false, false) => {
+                self.mismatch_abroad.entry(region.clone()).or_insert((now, key));
+            }
         }
     }
 
--- a/lib/src/member_relay.rs
+++ b/lib/src/member_relay.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use crate::ids::RegionName;
 use crate::ids::ZoneName;
@@ -12,16 +13,24 @@
 use crate::member_record::life_of;
 use crate::member_roster::ListMark;
 use crate::member_roster::MemberKey;
+use crate::member_section::SectionScope;
 use crate::member_snapshot::ViewFreshness;
 use crate::member_zone::RegionReach;
 use crate::member_zone::ZoneSummary;
 use crate::membership::MembershipTable;
+use crate::membership::PAYLOAD_SENDS;
 use crate::peer_message::MessageBody;
 use crate::timestamp::Timestamp;
 
 /// Members of the own region below which silence proves nothing about the local host.
 const MIN_NEIGHBOURS_FOR_ISOLATION: usize = 2;
 
+/// Time that a change takes at most to reach all members, as a rule.
+const SPREAD_LIMIT: Duration = Duration::from_secs(2);
+
+/// Bytes of payload sections in one push.
+const PUSH_SECTION_BYTES: usize = 160;
+
 #[derive(Default)]
 struct ZoneCount {
     live: u32,
@@ -160,24 +169,58 @@
             targets.extend(self.pick_abroad());
         }
         let changes = self.take_changes(UPDATES_PER_PUSH);
+        let sections = self.sections.take(SectionScope::Global, PAYLOAD_SENDS, PUSH_SECTION_BYTES);
         for key in targets {
             let Some(connection) = self.connection_to(key) else { continue };
-            let message = self.compose_with(Some(key), MessageBody::Push, changes.clone());
+            let mut message = self.compose_with(Some(key), MessageBody::Push, changes.clone());
+            message.sections = sections.clone();
             actions.push(MemberAction::Send(connection, message));
         }
     }
 
-    /// Asks a random member for the regions that it knows differently.
-    pub(crate) fn request_table(&mut self, actions: &mut Vec<MemberAction>) {
+    /// Asks for a table when the view is stale, or differs from that of others for longer than
+    /// changes take to spread.
+    pub(crate) fn mend_table(&mut self, now: Timestamp, actions: &mut Vec<MemberAction>) {
+        if now < self.next.table || self.roster.is_empty() {
+            return;
+        }
+        let is_old = |since: Timestamp| now.since(since) >= SPREAD_LIMIT;
+        let is_stale = self.freshness == ViewFreshness::Stale;
+        if is_stale || self.mismatch_since.is_some_and(is_old) {
+            let near = self.pick_near().or_else(|| self.pick_abroad().first().copied());
+            self.request_table(now, near, actions);
+            return;
+        }
+        let differing = self.mismatch_abroad.iter().find(|(_, (since, _))| is_old(*since));
+        let Some((region, &(_, key))) = differing else { return };
+        let region = region.clone();
+        self.mismatch_abroad.remove(&region);
+        self.request_table(now, Some(key), actions);
+    }
+
+    /// Returns a random live member of the own region.
+    fn pick_near(&mut self) -> Option<MemberKey> {
         let home = self.local.region.clone();
         let near = self.shuffled(|entry| {
             entry.record.region == home && entry.record.status == MemberStatus::Live
         });
-        let key = near.first().copied().or_else(|| self.pick_abroad().first().copied());
-        if let Some(key) = key {
-            let digests = self.region_digests();
-            self.send_to(key, MessageBody::TableRequest(digests), actions);
-        }
+        near.first().copied()
+    }
+
+    fn request_table(
+        &mut self,
+        now: Timestamp,
+        from: Option<MemberKey>,
+        actions: &mut Vec<MemberAction>,
+    ) {
+        let Some(key) = from else { return };
+        // A stale view is useless to the rest of the process, so it does not wait as long.
+        self.next.table = match self.freshness {
+            ViewFreshness::Stale => now + self.config.probe_period,
+            ViewFreshness::Fresh => now + self.config.table_period,
+        };
+        let digests = self.region_digests();
+        self.send_to(key, MessageBody::TableRequest(digests), actions);
     }
 
     fn neighbours(&self) -> usize {
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -13,7 +13,6 @@
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use crate::ids::LogOffset;
 use crate::ids::RegionName;
@@ -50,10 +49,7 @@
 const ZONES_PER_MESSAGE: usize = 2;
 
 /// Times that one host sends one version of a section or zone summary.
-const PAYLOAD_SENDS: u32 = 4;
-
-/// Time that a change takes at most to reach all members, as a rule.
-const SPREAD_LIMIT: Duration = Duration::from_secs(2);
+pub(crate) const PAYLOAD_SENDS: u32 = 4;
 
 /// Counts of what membership met, for metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -103,6 +99,7 @@
     pub(crate) last_event: Timestamp,
     pub(crate) last_heard: Timestamp,
     pub(crate) mismatch_since: Option<Timestamp>,
+    pub(crate) mismatch_abroad: BTreeMap<RegionName, (Timestamp, MemberKey)>,
     pub(crate) unreachable: BTreeSet<RegionName>,
     pub(crate) push_pending: bool,
     pub(crate) push_tokens: u32,
@@ -142,6 +139,7 @@
             last_event: now,
             last_heard: now,
             mismatch_since: Some(now),
+            mismatch_abroad: BTreeMap::new(),
             unreachable: BTreeSet::new(),
             push_pending: false,
             push_tokens: config.push_burst,
@@ -219,21 +217,10 @@
             self.revisit_absent(now, actions);
         }
         self.exchange_regions(now, actions);
-        if self.needs_table(now) {
-            self.next.table = now + self.config.table_period;
-            self.request_table(actions);
-        }
+        self.mend_table(now, actions);
         self.push_within_rate(now, actions);
     }
 
-    /// Returns whether to ask for a table: the view is stale, or differs from those of others for
-    /// longer than changes take to spread.
-    fn needs_table(&self, now: Timestamp) -> bool {
-        let differs = self.mismatch_since.is_some_and(|since| now.since(since) >= SPREAD_LIMIT);
-        let known = !self.roster.is_empty();
-        known && now >= self.next.table && (differs || self.freshness == ViewFreshness::Stale)
-    }
-
     /// Publishes a payload of the local host; one that is too large is dropped and counted.
     fn publish(&mut self, kind: SectionKind, payload: Vec<u8>) {
         if payload.len() > crate::member_section::MAX_SECTION_BYTES {
@@ -286,10 +273,7 @@
         mut updates: Vec<MemberRecord>,
     ) -> PeerMessage {
         let target = to.and_then(|key| self.roster.get(key)).map(|entry| entry.record.clone());
-        let scope = match &target {
-            Some(record) if record.region != self.local.region => SectionScope::Global,
-            _ => SectionScope::Region,
-        };
+        let is_abroad = target.as_ref().is_some_and(|to| to.region != self.local.region);
         let doubted = |record: &MemberRecord| {
             matches!(record.status, MemberStatus::Suspected | MemberStatus::Dead)
         };
@@ -298,6 +282,7 @@
         {
             updates.push(record);
         }
+        let (sections, zones) = self.payloads_for(&body, is_abroad);
         PeerMessage {
             sender: self.local.clone(),
             body,
@@ -305,16 +290,31 @@
             config_offset: self.config_offset,
             load_percent: self.local_load,
             updates,
-            sections: self.sections.take(scope, PAYLOAD_SENDS, self.config.section_budget_bytes),
-            zones: self.zones_for(scope),
+            sections,
+            zones,
         }
     }
 
-    /// Returns the own region's summaries for another region, and any others for the own one.
-    fn zones_for(&mut self, scope: SectionScope) -> Vec<ZoneSummary> {
-        match scope {
-            SectionScope::Region => self.zones.take(PAYLOAD_SENDS, ZONES_PER_MESSAGE),
-            SectionScope::Global => self.zones.of_region(&self.local.region).cloned().collect(),
+    /// Returns the sections and summaries that go with a message.
+    ///
+    /// Pushes get theirs from the caller, and answers to pushes carry none, so that the traffic of
+    /// pushes stays small.
+    fn payloads_for(
+        &mut self,
+        body: &MessageBody,
+        is_abroad: bool,
+    ) -> (Vec<PayloadSection>, Vec<ZoneSummary>) {
+        let budget = self.config.section_budget_bytes;
+        match body {
+            MessageBody::Push | MessageBody::Noted => (Vec::new(), Vec::new()),
+            _ if is_abroad => (
+                self.sections.take(SectionScope::Global, PAYLOAD_SENDS, budget),
+                self.zones.of_region(&self.local.region).cloned().collect(),
+            ),
+            _ => (
+                self.sections.take(SectionScope::Region, PAYLOAD_SENDS, budget),
+                self.zones.take(PAYLOAD_SENDS, ZONES_PER_MESSAGE),
+            ),
         }
     }
 
--- a/lib/testutils/src/member_queue.rs
+++ b/lib/testutils/src/member_queue.rs
@@ -40,7 +40,7 @@
 
 enum Delivery {
     Tick(usize, u64),
-    Event(usize, u64, MemberEvent),
+    Event(usize, u64, Box<MemberEvent>),
     Request { from: usize, to: usize, connection: PeerConnection, bytes: Vec<u8> },
     Reply { to: usize, connection: PeerConnection, bytes: Vec<u8> },
 }
@@ -67,6 +67,7 @@
     pub busy: Duration,
     regions: usize,
     seed: u64,
+    members: usize,
     rng: ChaCha8Rng,
     hosts: Vec<Host>,
     queue: BTreeMap<(Timestamp, u64), Delivery>,
@@ -82,6 +83,7 @@
             busy: Duration::ZERO,
             regions,
             seed,
+            members,
             rng: ChaCha8Rng::seed_from_u64(seed),
             hosts: Vec::new(),
             queue: BTreeMap::new(),
@@ -106,7 +108,7 @@
 
     /// Returns the identity of a host.
     pub fn host_id(index: usize) -> HostId {
-        HostId::try_from(format!("entry-{index:03}")).unwrap()
+        HostId::try_from(format!("entry-{index:03}")).expect("valid")
     }
 
     fn build_table(&self, index: usize, life: u64) -> MembershipTable {
@@ -115,11 +117,12 @@
             incarnation: Incarnation(life),
             status: MemberStatus::Live,
             address: address_of(index),
-            region: RegionName::try_from(format!("region-{}", index % self.regions)).unwrap(),
+            region: RegionName::try_from(format!("region-{}", index % self.regions))
+                .expect("valid"),
             zone: ZoneName::try_from(format!("zone-{}", index / self.regions % ZONES_PER_REGION))
-                .unwrap(),
+                .expect("valid"),
         };
-        let seeds = (0..2 * self.regions).map(address_of).collect();
+        let seeds = (0..self.members.min(2 * self.regions)).map(address_of).collect();
         let seed = self.seed ^ (index as u64) << 32 ^ life;
         MembershipTable::new(self.now, MembershipConfig::default(), local, seeds, seed)
     }
@@ -167,7 +170,7 @@
 
     /// Gives an event to one host.
     pub fn send_event(&mut self, index: usize, event: MemberEvent) {
-        self.push(self.now, Delivery::Event(index, self.hosts[index].life, event));
+        self.push(self.now, Delivery::Event(index, self.hosts[index].life, Box::new(event)));
     }
 
     /// Returns whether a host is running and not paused.
@@ -246,7 +249,7 @@
                 self.push(self.now + MembershipConfig::default().tick, Delivery::Tick(to, life));
                 self.decide(to, MemberEvent::Tick, None);
             }
-            Delivery::Event(to, _, event) => self.decide(to, event, None),
+            Delivery::Event(to, _, event) => self.decide(to, *event, None),
             Delivery::Request { from, to, connection, bytes } => {
                 let message = self.decode(to, &bytes);
                 self.decide(to, MemberEvent::Request(message), Some((from, connection)));
@@ -261,7 +264,7 @@
     fn decode(&mut self, to: usize, bytes: &[u8]) -> PeerMessage {
         self.count(to, bytes.len());
         let begin = Instant::now();
-        let message = PeerMessage::decode(bytes).unwrap();
+        let message = PeerMessage::decode(bytes).expect("valid");
         self.busy += begin.elapsed();
         message
     }
@@ -327,7 +330,7 @@
             Delivery::Tick(..) | Delivery::Event(..) => return,
         };
         let life = self.hosts[waiting].life;
-        let failure = Delivery::Event(waiting, life, MemberEvent::SendFailed(connection));
+        let failure = Delivery::Event(waiting, life, Box::new(MemberEvent::SendFailed(connection)));
         self.push(self.now + CALL_TIMEOUT, failure);
     }
 }
