--- a/cli/src/commands/dev.rs
+++ b/cli/src/commands/dev.rs
@@ -41,6 +41,10 @@
     #[argh(switch)]
     platform_only: bool,
 
+    /// backend servers that take no time, for measuring the system itself
+    #[argh(switch)]
+    no_delay: bool,
+
     /// write the settings of the entry hosts and the configuration into a folder, and end
     #[argh(option)]
     write_settings: Option<PathBuf>,
@@ -49,7 +53,10 @@
 impl DevCommand {
     /// Runs until Ctrl-C.
     pub fn run(self) -> anyhow::Result<ExitCode> {
-        let plan = DevPlan::new(self.http, self.hosts);
+        let mut plan = DevPlan::new(self.http, self.hosts);
+        if self.no_delay {
+            plan = plan.without_delay();
+        }
         if let Some(folder) = &self.write_settings {
             return write_settings(&plan, folder);
         }
--- a/lib/src/http_agent.rs
+++ b/lib/src/http_agent.rs
@@ -10,6 +10,10 @@
 use ureq::unversioned::transport::DefaultConnector;
 use ureq::unversioned::transport::Transport;
 
+/// Bytes of a connection's input and output buffers each: an entry host holds hundreds of open
+/// streams, whose lines are short.
+const CONNECTION_BUFFER_BYTES: usize = 8 * 1_024;
+
 /// What an error of the library proves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum FailureKind {
@@ -33,6 +37,8 @@
         .max_redirects_will_error(false)
         .allow_non_standard_methods(true)
         .no_delay(true)
+        .input_buffer_size(CONNECTION_BUFFER_BYTES)
+        .output_buffer_size(CONNECTION_BUFFER_BYTES)
         .user_agent("")
         .accept("")
         .accept_encoding("")
--- a/lib/testutils/src/dev_cluster.rs
+++ b/lib/testutils/src/dev_cluster.rs
@@ -128,14 +128,17 @@
     /// Each call has a loopback address of its own, so tests never meet on a port.
     pub fn for_test(hosts: u16) -> Self {
         let ip = unique_loopback();
-        let plan = Self::new(SocketAddr::new(IpAddr::V4(ip), 8_080), hosts);
-        let engine = EngineSettings { restart_after: None, ..EngineSettings::default() };
-        let app = AppSettings::default();
+        let plan = Self::new(SocketAddr::new(IpAddr::V4(ip), 8_080), hosts).without_delay();
         let overrides = json!({
             "calls": { "poll_interval_ms": 50, "log_poll_interval_ms": 20 },
             "drain_timeout_ms": 10_000,
         });
-        Self { engine, app, overrides, ..plan }
+        Self { overrides, ..plan }
+    }
+
+    /// Returns the plan with servers that take no time and stay down after a crash.
+    pub fn without_delay(self) -> Self {
+        Self { engine: EngineSettings::default(), app: AppSettings::default(), ..self }
     }
 
     fn check(&self) -> Result<()> {
--- a/lib/testutils/src/process_fleet.rs
+++ b/lib/testutils/src/process_fleet.rs
@@ -55,6 +55,11 @@
 impl ProcessFleet {
     /// Starts the platform and all entry hosts from the program, and publishes the configuration.
     pub fn start(program: &str, hosts: u16) -> Self {
+        Self::start_with(program, hosts, &[])
+    }
+
+    /// Like [`Self::start`], with further arguments of the `dev` command for the platform.
+    pub fn start_with(program: &str, hosts: u16, platform: &[&str]) -> Self {
         let plan = DevPlan::for_test(hosts);
         let folder = std::env::temp_dir().join(format!("fleet-{}", plan.http.ip()));
         let path = folder.to_str().expect("the folder has a name").to_owned();
@@ -65,8 +70,8 @@
             .stdout(Stdio::null())
             .status();
         assert!(written.expect("the program runs").success());
-        let (platform, lines) =
-            spawn_until_ready(program, &["dev", "--http", &http, "--platform-only"]);
+        let arguments = [&["dev", "--http", &http, "--platform-only"], platform].concat();
+        let (platform, lines) = spawn_until_ready(program, &arguments);
         let servers = |kind| lines.iter().filter_map(move |line| address_of(line, kind)).collect();
         let mut fleet = Self {
             plan,
@@ -124,11 +129,26 @@
         child.0.wait().expect("the process ends").success()
     }
 
+    /// Returns the front door of an entry host.
+    pub fn http_address(&self, index: u16) -> SocketAddr {
+        self.plan.http_address(index)
+    }
+
     /// Returns a caller of an entry host.
     pub fn caller(&self, index: u16) -> FrontCaller {
         FrontCaller::new(self.plan.http_address(index), TEAMS[0].1)
     }
 
+    /// Returns the process id of an entry host.
+    pub fn process_id(&self, index: usize) -> u32 {
+        self.entries[index].as_ref().expect("the host runs").0.id()
+    }
+
+    /// Returns the addresses of the app servers.
+    pub fn app_addresses(&self) -> &[SocketAddr] {
+        &self.app_servers
+    }
+
     /// Returns the runs of all app servers.
     pub fn app_runs(&self) -> Vec<JournalLine> {
         read_journals(&self.app_servers)
