membership: bound pushes of changes and payloads apart

One bucket for both let payloads use up the pushes that a dead host's record needed: 25 of 100 dead hosts were found after 5 s at 48 members in 4 regions.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod member_keeper;
 mod member_merge;
 mod member_probe;
+mod member_rate;
 pub mod member_record;
 mod member_relay;
 pub mod member_roster;
--- a/lib/src/member_config.rs
+++ b/lib/src/member_config.rs
@@ -21,10 +21,14 @@
     pub suspicion_timeout: Duration,
     /// Members that a change is pushed to at once by each member that learns it.
     pub push_fanout: usize,
-    /// Pushes that one host makes at once, at most.
-    pub push_burst: u32,
-    /// Time in which one more push is allowed.
-    pub push_period: Duration,
+    /// Pushes of member changes that one host makes at once, at most.
+    pub change_burst: u32,
+    /// Time in which one more push of member changes is allowed.
+    pub change_period: Duration,
+    /// Pushes of payloads that one host makes at once, at most.
+    pub payload_burst: u32,
+    /// Time in which one more push of payloads is allowed.
+    pub payload_period: Duration,
     /// Members of a region that exchange messages with other regions.
     pub relays: usize,
     /// Time between two messages of a relay to another region.
@@ -58,8 +62,10 @@
             indirect_probes: 3,
             suspicion_timeout: Duration::from_millis(1_500),
             push_fanout: 3,
-            push_burst: 6,
-            push_period: Duration::from_secs(2),
+            change_burst: 20,
+            change_period: Duration::from_millis(500),
+            payload_burst: 4,
+            payload_period: Duration::from_secs(2),
             relays: 3,
             relay_period: Duration::from_secs(1),
             summary_period: Duration::from_secs(3),
--- a/lib/src/member_merge.rs
+++ b/lib/src/member_merge.rs
@@ -204,7 +204,7 @@
         for section in sections.into_iter().filter(|section| section.origin != own) {
             let is_urgent = section.kind.is_global();
             match self.sections.merge(section) {
-                SectionMerge::Stored if is_urgent => self.push_pending = true,
+                SectionMerge::Stored if is_urgent => self.payload_pending = true,
                 SectionMerge::Stored | SectionMerge::Known => {}
                 SectionMerge::Full => self.counters.dropped += 1,
             }
--- a/lib/src/member_relay.rs
+++ b/lib/src/member_relay.rs
@@ -147,12 +147,9 @@
 
     /// Pushes what is waiting, within the allowed rate; later messages carry what has to wait.
     pub(crate) fn push_within_rate(&mut self, now: Timestamp, actions: &mut Vec<MemberAction>) {
-        if now >= self.next.token {
-            self.next.token = now + self.config.push_period;
-            self.push_tokens = self.config.push_burst.min(self.push_tokens + 1);
-        }
-        if self.push_pending && self.push_tokens > 0 {
-            self.push_tokens -= 1;
+        let changes_due = self.push_pending && self.change_rate.take(now);
+        let payloads_due = self.payload_pending && self.payload_rate.take(now);
+        if changes_due || payloads_due {
             self.push_changes(actions);
         }
     }
@@ -160,6 +157,7 @@
     /// Sends the changes that are waiting to a few random members, and abroad if this is a relay.
     pub(crate) fn push_changes(&mut self, actions: &mut Vec<MemberAction>) {
         self.push_pending = false;
+        self.payload_pending = false;
         let home = self.local.region.clone();
         let near = self.shuffled(|entry| {
             entry.record.region == home && entry.record.status != MemberStatus::Dead
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -23,6 +23,7 @@
 use crate::member_event::PeerConnection;
 use crate::member_probe::OutstandingProbe;
 use crate::member_probe::ProbeTarget;
+use crate::member_rate::RateBucket;
 use crate::member_record::MemberRecord;
 use crate::member_record::MemberStatus;
 use crate::member_record::first_incarnation;
@@ -77,7 +78,6 @@
     pub(crate) relay: Timestamp,
     pub(crate) revisit: Timestamp,
     pub(crate) table: Timestamp,
-    pub(crate) token: Timestamp,
 }
 
 /// The local host's view of all members.
@@ -102,7 +102,9 @@
     pub(crate) mismatch_abroad: BTreeMap<RegionName, (Timestamp, MemberKey)>,
     pub(crate) unreachable: BTreeSet<RegionName>,
     pub(crate) push_pending: bool,
-    pub(crate) push_tokens: u32,
+    pub(crate) payload_pending: bool,
+    pub(crate) change_rate: RateBucket,
+    pub(crate) payload_rate: RateBucket,
     pub(crate) freshness: ViewFreshness,
     pub(crate) config_offset: LogOffset,
     pub(crate) next_connection: u32,
@@ -142,7 +144,9 @@
             mismatch_abroad: BTreeMap::new(),
             unreachable: BTreeSet::new(),
             push_pending: false,
-            push_tokens: config.push_burst,
+            payload_pending: false,
+            change_rate: RateBucket::new(config.change_burst, config.change_period),
+            payload_rate: RateBucket::new(config.payload_burst, config.payload_period),
             freshness: ViewFreshness::Stale,
             config_offset: LogOffset::default(),
             next_connection: 0,
@@ -233,14 +237,14 @@
         let origin = host_hash(&self.local.host);
         self.sections.merge(PayloadSection { origin, kind, version, payload });
         if kind.is_global() {
-            self.push_pending = true;
+            self.payload_pending = true;
         }
     }
 
     pub(crate) fn learn_offset(&mut self, offset: LogOffset, actions: &mut Vec<MemberAction>) {
         if offset > self.config_offset {
             self.config_offset = offset;
-            self.push_pending = true;
+            self.payload_pending = true;
             actions.push(MemberAction::PublishView);
         }
     }
