--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,8 +1,13 @@
 //! Policy measurements and slopes: prints JSON lines.
 
+mod burn;
 mod membership;
 mod peer_link;
 
+/// Seed of all measurements.
+const SEED: u64 = 1;
+
 fn main() {
-    membership::run(1);
+    burn::run(SEED);
+    membership::run(SEED);
 }
--- a/lib/src/member_config.rs
+++ b/lib/src/member_config.rs
@@ -59,7 +59,7 @@
             probes_per_round: 2,
             probe_timeout: Duration::from_millis(300),
             second_timeout: Duration::from_millis(400),
-            indirect_probes: 3,
+            indirect_probes: 2,
             suspicion_timeout: Duration::from_millis(1_500),
             push_fanout: 3,
             change_burst: 20,
@@ -75,7 +75,7 @@
             stall_limit: Duration::from_secs(1),
             tombstone_ttl: Duration::from_secs(600),
             table_period: Duration::from_secs(5),
-            section_budget_bytes: 400,
+            section_budget_bytes: 350,
         }
     }
 }
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -301,8 +301,8 @@
 
     /// Returns the sections and summaries that go with a message.
     ///
-    /// Pushes get theirs from the caller, and answers to pushes carry none, so that the traffic of
-    /// pushes stays small.
+    /// Pushes get theirs from the caller; their answers and indirect probes carry none, so that
+    /// changes and lost messages cause little traffic.
     fn payloads_for(
         &mut self,
         body: &MessageBody,
@@ -310,7 +310,10 @@
     ) -> (Vec<PayloadSection>, Vec<ZoneSummary>) {
         let budget = self.config.section_budget_bytes;
         match body {
-            MessageBody::Push | MessageBody::Noted => (Vec::new(), Vec::new()),
+            MessageBody::Push
+            | MessageBody::Noted
+            | MessageBody::IndirectProbe(_)
+            | MessageBody::Confirm(..) => (Vec::new(), Vec::new()),
             _ if is_abroad => (
                 self.sections.take(SectionScope::Global, PAYLOAD_SENDS, budget),
                 self.zones.of_region(&self.local.region).cloned().collect(),
