--- a/bench/src/membership.rs
+++ b/bench/src/membership.rs
@@ -211,7 +211,7 @@
             if queue.now > resumed && is_expelled(&queue, victim, members) {
                 expelled_ms = expelled_ms.max(queue.now.since(resumed).as_millis() as u64);
             }
-            let check_others = queue.now.as_millis() % OTHERS_CHECK_MS == 0;
+            let check_others = queue.now.as_millis().is_multiple_of(OTHERS_CHECK_MS);
             let others = (0..members).filter(|&index| check_others && index != victim);
             others_expelled += others.filter(|&index| is_expelled(&queue, index, members)).count();
         }
--- a/lib/tests/test_burn_report.rs
+++ b/lib/tests/test_burn_report.rs
@@ -1,5 +1,7 @@
 //! Burn counts, their merging over hosts, and the report in its three forms.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::Duration;
 
 use pomelostack_lib::burn::BUCKET;
--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -1,5 +1,7 @@
 //! Who counts as live, under each failure that membership is meant for.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::Duration;
 
 use pomelostack_lib::host_list::HostState;
--- a/lib/tests/test_peer_link.rs
+++ b/lib/tests/test_peer_link.rs
@@ -1,5 +1,7 @@
 //! Calls over a real peer link on loopback, and two keepers that find each other.
 
+#![allow(clippy::unwrap_used)]
+
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
--- a/lib/tests/test_peer_messages.rs
+++ b/lib/tests/test_peer_messages.rs
@@ -1,5 +1,7 @@
 //! Decoding of peer messages: whatever arrives is read whole or refused with its code.
 
+#![allow(clippy::unwrap_used)]
+
 use pomelostack_lib::ids::HostId;
 use pomelostack_lib::ids::Incarnation;
 use pomelostack_lib::ids::LogOffset;
