--- a/lib/tests/test_burn_report.rs
+++ b/lib/tests/test_burn_report.rs
@@ -15,7 +15,6 @@
 use pomelostack_lib::ids::HostId;
 use pomelostack_lib::ids::Incarnation;
 use pomelostack_lib::ids::ServiceName;
-use proptest::prelude::*;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngAlgorithm;
 use proptest::test_runner::TestRng;
