--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,6 +4,7 @@
 //! decisions, and the same lines where they hold no measured times.
 
 mod answer_memory;
+mod burn;
 mod claims;
 mod config_fold;
 mod crash_containment;
@@ -17,7 +18,7 @@
 /// Measure one case and print JSON lines.
 #[derive(FromArgs)]
 struct BenchArguments {
-    /// case: answer-memory, claims, config-fold, crash-containment, evacuation, front-door or
+    /// case: answer-memory, burn, claims, config-fold, crash-containment, evacuation, front-door or
     /// membership
     #[argh(positional)]
     case: BenchCase,
@@ -31,6 +32,7 @@
 #[derive(Clone, Copy, Debug)]
 enum BenchCase {
     AnswerMemory,
+    Burn,
     Claims,
     ConfigFold,
     CrashContainment,
@@ -43,6 +45,7 @@
     fn from_arg_value(value: &str) -> Result<Self, String> {
         match value {
             "answer-memory" => Ok(Self::AnswerMemory),
+            "burn" => Ok(Self::Burn),
             "claims" => Ok(Self::Claims),
             "config-fold" => Ok(Self::ConfigFold),
             "crash-containment" => Ok(Self::CrashContainment),
@@ -59,6 +62,7 @@
     let seed = arguments.seed;
     match arguments.case {
         BenchCase::AnswerMemory => answer_memory::run(seed),
+        BenchCase::Burn => burn::run(seed),
         BenchCase::Claims => claims::run(seed),
         BenchCase::ConfigFold => config_fold::run(seed),
         BenchCase::CrashContainment => crash_containment::run(seed),
