entry: take configuration from peers in an outage, apply the published policy, show the standing

Cause: a host that starts while the log is down had no configuration, and retention and retry limits were the defaults whatever was published. Tests: start_in_outage, calls_in_outage.

--- /dev/null
+++ b/lib/src/checkpoint_fetcher.rs
@@ -0,0 +1,106 @@
+//! Takes the configuration from peers while the log cannot give it.
+//!
+//! A host that starts in an outage of the log, or that missed records, asks its peers for their
+//! checkpoints, and installs the newest one. A second peer at the same offset confirms it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::config_checkpoint::EncodedCheckpoint;
+use crate::config_fold::ConfigFold;
+use crate::config_follower::ConfigFollower;
+use crate::config_replica::ReplicaStanding;
+use crate::ids::LogOffset;
+use crate::member_keeper::MemberKeeper;
+use crate::peer_link::CheckpointCopy;
+use crate::supervisor::ChildContext;
+
+/// Time between two looks at whether a checkpoint is needed.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Peers that are asked at once.
+const ASKED_PEERS: usize = 3;
+
+/// Fetches checkpoints from peers when they are needed.
+pub struct CheckpointFetcher {
+    /// Configuration of this host.
+    pub config: Arc<ConfigFollower>,
+    /// Peers.
+    pub members: Arc<MemberKeeper>,
+}
+
+/// A checkpoint of a peer that can be read.
+struct PeerCheckpoint {
+    encoded: EncodedCheckpoint,
+    fold: ConfigFold,
+}
+
+impl CheckpointFetcher {
+    /// Runs until the child must stop.
+    pub fn run(&self, context: &ChildContext) {
+        while !context.must_stop() {
+            if self.is_needed() {
+                self.fetch();
+            }
+            context.report_progress();
+            std::thread::sleep(CHECK_INTERVAL);
+        }
+    }
+
+    /// Returns whether peers may know more than this host can read.
+    fn is_needed(&self) -> bool {
+        let status = self.config.status();
+        match status.standing {
+            ReplicaStanding::Empty | ReplicaStanding::Scanning | ReplicaStanding::Gap => true,
+            ReplicaStanding::Peer | ReplicaStanding::Log => {
+                let known = self.config.current().next_offset;
+                !status.log_readable && self.members.snapshot().config_offset > known
+            }
+        }
+    }
+
+    fn fetch(&self) {
+        let view = self.members.snapshot();
+        let asked = view.routable().take(ASKED_PEERS);
+        let copies = asked.filter_map(|member| {
+            match self.members.client().fetch_config_checkpoint(member.address) {
+                Ok(copy) => read_copy(copy?),
+                Err(error) => {
+                    log::debug!("event=no_checkpoint peer={} error=\"{error}\"", member.host);
+                    None
+                }
+            }
+        });
+        let mut copies: Vec<PeerCheckpoint> = copies.collect();
+        copies.sort_by_key(|copy| std::cmp::Reverse(copy.offset()));
+        let Some((newest, others)) = copies.split_first() else { return };
+        let second = others.iter().find(|other| other.offset() == newest.offset());
+        let confirmed = second.map(|other| other.fold.digest());
+        match self.config.install_checkpoint(&newest.encoded, confirmed) {
+            Ok(true) => log::info!(
+                "event=checkpoint_installed offset={} confirmed={}",
+                newest.offset().0,
+                confirmed.is_some()
+            ),
+            Ok(false) => {}
+            Err(error) => log::error!("event=checkpoint_refused error=\"{error}\""),
+        }
+    }
+}
+
+impl PeerCheckpoint {
+    fn offset(&self) -> LogOffset {
+        self.fold.next_offset()
+    }
+}
+
+fn read_copy(copy: CheckpointCopy) -> Option<PeerCheckpoint> {
+    let digest = <[u8; 32]>::try_from(copy.digest.as_slice()).ok()?;
+    let encoded = EncodedCheckpoint { digest, data: copy.body };
+    match ConfigFold::from_checkpoint(&encoded) {
+        Ok(fold) => Some(PeerCheckpoint { encoded, fold }),
+        Err(error) => {
+            log::warn!("event=bad_checkpoint error=\"{error}\"");
+            None
+        }
+    }
+}
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -15,6 +15,7 @@
 use crate::answer_finder::AnswerFinder;
 use crate::answer_store::AnswerStore;
 use crate::burn_desk::BurnDesk;
+use crate::checkpoint_fetcher::CheckpointFetcher;
 use crate::claim_keeper::ClaimKeeper;
 use crate::cloud::ReclaimNotice;
 use crate::config_follower::ConfigFollower;
@@ -38,6 +39,7 @@
 use crate::metrics_pump::MetricsPump;
 use crate::metrics_pump::PumpPorts;
 use crate::peer_link::PeerError;
+use crate::policy_applier::PolicyApplier;
 use crate::request_id_source::RequestIdSource;
 use crate::server_connector::HttpConnector;
 use crate::server_follower::ServerFollower;
@@ -211,6 +213,7 @@
             &self.ports,
             self.connector.clone(),
             Box::new(on_notice),
+            self.members.clone(),
         )
     }
 
@@ -230,6 +233,12 @@
             members: self.members.clone(),
             config: self.config.clone(),
             taker: self.taker.clone(),
+            policy: PolicyApplier::new(
+                self.config.clone(),
+                self.answers.clone(),
+                self.claims.clone(),
+                self.ports.budget.clone(),
+            ),
             crashes: CrashSharer::new(
                 self.clock,
                 self.ports.suspects.clone(),
@@ -245,11 +254,14 @@
             members: self.members.clone(),
             burn: self.burn.clone(),
         });
+        let fetcher =
+            CheckpointFetcher { config: self.config.clone(), members: self.members.clone() };
         let child =
             |name, work: ChildWork| ChildSpec { name, stall_limit: Some(STALL_LIMIT), work };
         vec![
             child("server-follower", Arc::new(move |context| follower.run(context))),
             child("member-sync", Arc::new(move |context| sync.run(context))),
+            child("checkpoint-fetcher", Arc::new(move |context| fetcher.run(context))),
             child("metrics-pump", Arc::new(move |context| pump.run(context))),
         ]
     }
--- a/lib/src/entry_parts.rs
+++ b/lib/src/entry_parts.rs
@@ -214,6 +214,7 @@
     ports: &SessionPorts,
     connector: Arc<HttpConnector>,
     on_notice: NoticeHandler,
+    members: Arc<MemberKeeper>,
 ) -> Arc<ServerFollower> {
     let limits = platform_limits(settings);
     let ports = FollowerPorts {
@@ -224,6 +225,7 @@
         router: ports.router.clone(),
         connector,
         on_notice,
+        on_hosts: Box::new(move |hosts| members.set_host_list(hosts)),
     };
     Arc::new(ServerFollower::new(ports, settings.calls.poll_interval))
 }
--- a/lib/src/entry_sync.rs
+++ b/lib/src/entry_sync.rs
@@ -11,6 +11,7 @@
 use crate::handover_taker::HandoverTaker;
 use crate::ids::LogOffset;
 use crate::member_keeper::MemberKeeper;
+use crate::policy_applier::PolicyApplier;
 use crate::supervisor::ChildContext;
 
 /// Time between two rounds.
@@ -22,6 +23,8 @@
     pub members: Arc<MemberKeeper>,
     /// Configuration.
     pub config: Arc<ConfigFollower>,
+    /// Policy that is applied when it changes.
+    pub policy: PolicyApplier,
     /// Suspicions that go to the peers.
     pub crashes: CrashSharer,
     /// Requests that peers handed over.
@@ -46,6 +49,7 @@
             self.config.hint(LogOffset(view.config_offset.0 - 1));
         }
         self.members.set_config_offset(config.next_offset);
+        self.policy.apply();
         self.crashes.share();
         self.taker.tick(|host| view.find(host).is_some());
     }
--- a/lib/src/server_follower.rs
+++ b/lib/src/server_follower.rs
@@ -9,6 +9,7 @@
 use crate::cloud::CloudApi;
 use crate::cloud::ReclaimNotice;
 use crate::config_follower::ConfigFollower;
+use crate::host_list::HostEntry;
 use crate::host_list::HostList;
 use crate::ids::HostId;
 use crate::request_router::RequestRouter;
@@ -21,6 +22,9 @@
 /// Takes each new notice.
 pub type NoticeHandler = Box<dyn Fn(&ReclaimNotice) + Send + Sync>;
 
+/// Takes each reading of the host list.
+pub type HostsHandler = Box<dyn Fn(&[HostEntry]) + Send + Sync>;
+
 /// What following the servers needs.
 pub struct FollowerPorts {
     /// Clock of the process.
@@ -35,6 +39,8 @@
     pub router: Arc<Mutex<RequestRouter>>,
     /// Clients of servers that are gone are dropped here.
     pub connector: Arc<HttpConnector>,
+    /// Is told of each reading of the host list.
+    pub on_hosts: HostsHandler,
     /// Is told of each new notice.
     pub on_notice: NoticeHandler,
 }
@@ -88,7 +94,10 @@
 
     fn read_hosts(&self) {
         match self.ports.hosts.hosts() {
-            Ok(hosts) => lock(&self.directory).set_hosts(self.ports.clock.now(), hosts),
+            Ok(hosts) => {
+                (self.ports.on_hosts)(&hosts);
+                lock(&self.directory).set_hosts(self.ports.clock.now(), hosts);
+            }
             // The last reading stays in force: servers that are gone show by their connections.
             Err(error) => log::warn!("event=host_list_failed error=\"{error}\""),
         }
--- a/lib/tests/test_failures.rs
+++ b/lib/tests/test_failures.rs
@@ -6,6 +6,8 @@
 
 use pomelostack_lib::entry_leave::LeaveReason;
 use pomelostack_lib::ids::HostId;
+use pomelostack_lib::result_code::RequestOutcome;
+use pomelostack_lib::result_code::ResultCode;
 use rstest::rstest;
 use testutils::cloud_standin::CloudFault;
 use testutils::dev_cluster::DevCluster;
@@ -17,6 +19,8 @@
 use testutils::engine_standin::whole_answer;
 use testutils::front_caller::FrontCaller;
 use testutils::front_caller::StreamedReply;
+use testutils::hang_guard::wait_for;
+use testutils::log_standin::LogFault;
 
 const PROMPT: &str = "Write the regatta briefing for the start at noon. [[tokens=60]]";
 const MAX_TOKENS: u32 = 60;
@@ -155,3 +159,50 @@
     assert_eq!(innocent.text(), expected());
     cluster.stop();
 }
+
+#[test]
+fn start_in_outage() {
+    let mut cluster = start(2);
+    cluster.take_entry(1).leave(LeaveReason::Planned);
+    cluster.platform().log().apply_fault(LogFault::Down(true));
+    let entry = cluster.plan().start_entry(1).expect("an entry host starts without the log");
+    let second = caller(&cluster, 1);
+    wait_for(|| second.get("/readyz").status == 200);
+    assert_eq!(second.get("/readyz").json()["config_standing"], "peer");
+    wait_for(|| second.complete(MODEL_SERVICE, PROMPT, 1).status == 200);
+    assert_eq!(second.complete(MODEL_SERVICE, PROMPT, MAX_TOKENS).text(), expected());
+    entry.leave(LeaveReason::Planned);
+    cluster.stop();
+}
+
+#[test]
+fn calls_in_outage() {
+    let cluster = start(1);
+    let caller = caller(&cluster, 0);
+    cluster.platform().log().apply_fault(LogFault::Down(true));
+    assert_eq!(caller.get("/services/lookup/wind").code, Some(0));
+    let refused = caller.post_within("/services/lookup/alert", "gust-1", 300, "gust");
+    let code = refused.code.and_then(ResultCode::from_number);
+    assert_eq!(code.map(ResultCode::outcome), Some(RequestOutcome::Unknown), "{refused:?}");
+    assert_eq!(app_runs(&cluster), ["GET /wind"]);
+    cluster.platform().log().apply_fault(LogFault::Down(false));
+    wait_for(|| {
+        caller.post_within("/services/lookup/alert", "gust-2", 5_000, "gust").code == Some(0)
+    });
+    let again = caller.post_within("/services/lookup/alert", "gust-1", 5_000, "gust");
+    let ran = app_runs(&cluster).iter().filter(|run| *run == "POST /alert gust-1").count();
+    // The first send of the key may still win its claim, but is never dispatched any more.
+    assert_eq!((again.code == Some(0), ran), (ran == 1, ran), "{again:?}");
+    cluster.stop();
+}
+
+/// Returns what the app servers ran: method, path and key.
+fn app_runs(cluster: &DevCluster) -> Vec<String> {
+    let apps = cluster.platform().apps();
+    let runs = apps.iter().flat_map(|(_, app)| app.journal().entries());
+    runs.map(|run| match run.key {
+        Some(key) => format!("{} {key}", run.work),
+        None => run.work,
+    })
+    .collect()
+}
--- a/lib/tests/test_peer_link.rs
+++ b/lib/tests/test_peer_link.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::mpsc;
 use std::time::Duration;
 use std::time::Instant;
@@ -49,6 +50,7 @@
 
 struct FixedHandler {
     host: HostId,
+    crash_reports: Mutex<Vec<Vec<u8>>>,
 }
 
 impl PeerHandler for FixedHandler {
@@ -71,6 +73,10 @@
         Some(CheckpointCopy { offset: LogOffset(5), digest: vec![1], body: vec![2] })
     }
 
+    fn on_crash_report(&self, report: &[u8]) {
+        self.crash_reports.lock().unwrap().push(report.to_vec());
+    }
+
     fn burn_contribution(&self) -> Vec<u8> {
         let mut recorder = BurnRecorder::new(self.host.clone(), Incarnation(1));
         let service = ServiceName::try_from("briefing").unwrap();
@@ -80,7 +86,7 @@
 }
 
 fn handler(index: usize) -> Arc<FixedHandler> {
-    Arc::new(FixedHandler { host: host(index) })
+    Arc::new(FixedHandler { host: host(index), crash_reports: Mutex::default() })
 }
 
 fn host(index: usize) -> HostId {
@@ -121,6 +127,17 @@
     assert_eq!(copy.offset, LogOffset(5));
 }
 
+#[test]
+fn shared_reports() {
+    let runtime = Runtime::new().unwrap();
+    let secret = ClusterSecret::try_from(SECRET).unwrap();
+    let (exchange, handler) = (Arc::new(|message| message), handler(0));
+    let server =
+        PeerServer::start(runtime.handle(), loopback(), secret, exchange, handler.clone()).unwrap();
+    client(&runtime, SECRET).share_crash_report(server.address(), b"report".to_vec());
+    testutils::hang_guard::wait_for(|| *handler.crash_reports.lock().unwrap() == [b"report"]);
+}
+
 #[test]
 fn wrong_secret() {
     let runtime = Runtime::new().unwrap();
--- a/lib/testutils/src/front_caller.rs
+++ b/lib/testutils/src/front_caller.rs
@@ -72,12 +72,19 @@
 
     /// Makes a GET call.
     pub fn get(&self, path: &str) -> CallerReply {
-        self.call("GET", path, None, "")
+        self.call("GET", path, &[], "")
     }
 
     /// Makes a POST call, with an idempotency key if one is given.
     pub fn post(&self, path: &str, key: Option<&str>, body: &str) -> CallerReply {
-        self.call("POST", path, key, body)
+        let header = key.map(|key| ("idempotency-key", key.to_owned()));
+        self.call("POST", path, header.as_slice(), body)
+    }
+
+    /// Makes a POST call with an idempotency key and a deadline in milliseconds.
+    pub fn post_within(&self, path: &str, key: &str, deadline_ms: u64, body: &str) -> CallerReply {
+        let deadline = ("pomelostack-deadline-ms", deadline_ms.to_string());
+        self.call("POST", path, &[("idempotency-key", key.to_owned()), deadline], body)
     }
 
     /// Asks for a whole completion.
@@ -99,7 +106,7 @@
         mut on_token: impl FnMut(usize),
     ) -> StreamedReply {
         let body = completion_body(model, prompt, max_tokens, true);
-        let mut reply = self.run("POST", "/v1/completions", None, &body).expect("a reply begins");
+        let mut reply = self.run("POST", "/v1/completions", &[], &body).expect("a reply begins");
         let request = header(&reply, "pomelostack-request-id").expect("the reply names its id");
         let mut streamed =
             StreamedReply { request, tokens: Vec::new(), is_done: false, error: None };
@@ -143,9 +150,15 @@
         }
     }
 
-    fn call(&self, method: &str, path: &str, key: Option<&str>, body: &str) -> CallerReply {
+    fn call(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, String)],
+        body: &str,
+    ) -> CallerReply {
         let failed = CallerReply { status: 0, code: None, request: None, body: String::new() };
-        let Ok(mut reply) = self.run(method, path, key, body) else { return failed };
+        let Ok(mut reply) = self.run(method, path, headers, body) else { return failed };
         let code = header(&reply, "pomelostack-result").and_then(|text| text.parse().ok());
         let request = header(&reply, "pomelostack-request-id");
         let status = reply.status().as_u16();
@@ -159,7 +172,7 @@
         &self,
         method: &str,
         path: &str,
-        key: Option<&str>,
+        headers: &[(&str, String)],
         body: &str,
     ) -> Result<ureq::http::Response<ureq::Body>, ureq::Error> {
         let config = ureq::Agent::config_builder()
@@ -170,8 +183,8 @@
             .method(method)
             .uri(format!("http://{}{path}", self.address))
             .header("authorization", format!("Bearer {}", self.token));
-        if let Some(key) = key {
-            builder = builder.header("idempotency-key", key);
+        for (name, value) in headers {
+            builder = builder.header(*name, value);
         }
         let request = builder.body(body.to_owned()).expect("the request is well formed");
         ureq::Agent::new_with_config(config.build()).run(request)
