--- a/lib/src/member_config.rs
+++ b/lib/src/member_config.rs
@@ -74,7 +74,7 @@
             isolation_limit: Duration::from_secs(1),
             stall_limit: Duration::from_secs(1),
             tombstone_ttl: Duration::from_secs(600),
-            table_period: Duration::from_secs(5),
+            table_period: Duration::from_secs(2),
             section_budget_bytes: 350,
         }
     }
--- a/lib/src/member_relay.rs
+++ b/lib/src/member_relay.rs
@@ -26,7 +26,7 @@
 const MIN_NEIGHBOURS_FOR_ISOLATION: usize = 2;
 
 /// Time that a change takes at most to reach all members, as a rule.
-const SPREAD_LIMIT: Duration = Duration::from_secs(2);
+const SPREAD_LIMIT: Duration = Duration::from_secs(1);
 
 /// Bytes of payload sections in one push.
 const PUSH_SECTION_BYTES: usize = 160;
