--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Policy measurements and slopes: prints JSON lines.
 
 mod config_fold;
+mod fleet;
 mod membership;
 mod peer_link;
 
@@ -10,4 +11,5 @@
 fn main() {
     config_fold::run(SEED);
     membership::run(SEED);
+    fleet::run(SEED);
 }
