fleet: search mixes from every size of on-demand host

Cause: where one on-demand size left a remainder, the search stopped at 133% of the best price (2324 against 1744, test_fleet_planner mix_search). Change: each distinct capacity is tried first when a mix is filled.

--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -14,6 +14,7 @@
 use testutils::fleet_offline::offline_cost;
 use testutils::fleet_play::DayPlayer;
 use testutils::fleet_play::DayPolicy;
+use testutils::fleet_play::DayRecord;
 use testutils::fleet_play::DayResult;
 use testutils::naive_fleet::ReactiveScaler;
 
@@ -38,6 +39,21 @@
     }
 }
 
+/// Plays a day with the planner at the default share of reclaimable hosts.
+pub fn play_planner(day: &FleetDay) -> Result<DayRecord, NameError> {
+    let service = ServiceName::try_from("model")?;
+    let player = DayPlayer::new(day, service.clone());
+    Ok(player.play_recorded(&mut planner_policy(&service, RECLAIMABLE_PERCENTS[0])?))
+}
+
+fn planner_policy(service: &ServiceName, percent: u32) -> Result<DayPolicy, NameError> {
+    let settings = FleetSettings { boot_time: BOOT_TIME, ..FleetSettings::default() };
+    Ok(DayPolicy::Planner {
+        planner: Box::new(FleetPlanner::new(settings)),
+        config: Box::new(day_configuration(service, percent)?),
+    })
+}
+
 fn measure(profile: DayProfile, percent: u32, seed: u64) -> Result<Value, NameError> {
     let service = ServiceName::try_from("model")?;
     let day = FleetDay::new(profile, seed)?;
@@ -47,11 +63,7 @@
     let reactive = cheapest_within((20..=100).rev().step_by(5).map(|utilisation| {
         play(DayPolicy::Reactive(ReactiveScaler::new(utilisation, REACTIVE_HOLD_MINUTES)))
     }));
-    let settings = FleetSettings { boot_time: BOOT_TIME, ..FleetSettings::default() };
-    let ours = play(DayPolicy::Planner {
-        planner: Box::new(FleetPlanner::new(settings)),
-        config: Box::new(day_configuration(&service, percent)?),
-    });
+    let ours = play(planner_policy(&service, percent)?);
     let offline = offline_cost(&day, percent, MAX_HOSTS);
     let bound = lower_bound(&day, percent);
     Ok(json!({
--- a/lib/src/fleet_mix.rs
+++ b/lib/src/fleet_mix.rs
@@ -2,6 +2,7 @@
 //! zone.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::cloud::HostMarket;
 use crate::ids::ClassName;
@@ -66,10 +67,14 @@
 /// Returns the cheapest mix found that meets the need, or the one that comes closest to it.
 pub fn plan_mix(need: MixNeed, pools: &[HostPool]) -> HostMix {
     let search = MixSearch::new(need, pools);
-    let improved = search.starts().into_iter().filter_map(|start| search.fill(start));
-    let improved = improved.map(|counts| search.improve(counts));
-    let counts =
-        improved.min_by_key(|counts| search.cost(counts)).unwrap_or_else(|| search.come_closest());
+    let mut filled = BTreeSet::new();
+    for start in search.starts() {
+        let fillers = search.fillers();
+        filled.extend(fillers.filter_map(|filler| search.fill(start.clone(), filler)));
+    }
+    let improved = filled.into_iter().map(|counts| search.improve(counts));
+    let cheapest = improved.min_by_key(|counts| search.cost(counts));
+    let counts = cheapest.unwrap_or_else(|| search.come_closest());
     let chosen = pools.iter().zip(&counts).filter(|(_, count)| **count > 0);
     let surviving = surviving_permille(pools, &counts);
     HostMix {
@@ -138,9 +143,12 @@
     /// zones.
     fn starts(&self) -> Vec<Vec<u32>> {
         let mut starts = vec![vec![0; self.pools.len()]];
-        let step = self.need.max_hosts.div_ceil(STARTS_PER_ZONE).max(1);
+        let capacities = self.zones.iter().map(|&index| self.pools[index].capacity_permille);
+        let hosts = self.need.rate_permille.div_ceil(capacities.min().unwrap_or(1));
+        let most = u32::try_from(hosts).unwrap_or(u32::MAX).min(self.need.max_hosts).max(1);
+        let step = most.div_ceil(STARTS_PER_ZONE);
         for zones in 1..=self.zones.len() {
-            for per_zone in (1..=STARTS_PER_ZONE).map(|number| number * step) {
+            for per_zone in (1..=most).step_by(step as usize) {
                 let mut counts = vec![0; self.pools.len()];
                 for &index in &self.zones[..zones] {
                     counts[index] = per_zone.min(self.pools[index].limit);
@@ -151,11 +159,20 @@
         starts
     }
 
-    /// Adds on-demand hosts until the need is met; `None` if it cannot be.
-    fn fill(&self, mut counts: Vec<u32>) -> Option<Vec<u32>> {
+    /// Lists the cheapest on-demand pool of each capacity, and none: a fill that starts with each
+    /// of them finds the one whose hosts leave the least over.
+    fn fillers(&self) -> impl Iterator<Item = Option<usize>> {
+        let mut seen = BTreeSet::new();
+        let distinct = |&index: &usize| seen.insert(self.pools[index].capacity_permille);
+        let firsts: Vec<usize> = self.on_demand.iter().copied().filter(distinct).collect();
+        std::iter::once(None).chain(firsts.into_iter().map(Some))
+    }
+
+    /// Adds on-demand hosts, first of `filler`, until the need is met; `None` if it cannot be.
+    fn fill(&self, mut counts: Vec<u32>, filler: Option<usize>) -> Option<Vec<u32>> {
         while !self.is_met(&counts) {
-            let has_room = |&&index: &&usize| counts[index] < self.pools[index].limit;
-            let &index = self.on_demand.iter().find(has_room)?;
+            let has_room = |&index: &usize| counts[index] < self.pools[index].limit;
+            let index = filler.into_iter().chain(self.on_demand.iter().copied()).find(has_room)?;
             counts[index] += 1;
             if counts.iter().sum::<u32>() > self.need.max_hosts {
                 return None;
--- a/lib/testutils/src/fleet_play.rs
+++ b/lib/testutils/src/fleet_play.rs
@@ -5,6 +5,7 @@
 //! queue with a target of 6/c. At r = c this is 5%. Above 1.5 c everything is late and the
 //! excess waits for the next minute.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use pomelostack_lib::cloud::HostMarket;
@@ -64,6 +65,13 @@
     pub lost: u64,
 }
 
+/// A played day, minute by minute.
+#[derive(Clone, Debug, Default)]
+pub struct DayRecord {
+    /// Capacity of the servers that take requests, in requests per second.
+    pub capacities: Vec<f64>,
+}
+
 struct DayHost {
     entry: HostEntry,
     ready_at: usize,
@@ -75,12 +83,13 @@
     day: &'a FleetDay,
     service: ServiceName,
     hosts: Vec<DayHost>,
-    known_orders: std::collections::BTreeMap<String, HostId>,
+    known_orders: BTreeMap<String, HostId>,
     next_host: u64,
     backlog: f64,
     requests: f64,
     within: f64,
     result: DayResult,
+    record: DayRecord,
 }
 
 impl<'a> DayPlayer<'a> {
@@ -90,17 +99,29 @@
             day,
             service,
             hosts: Vec::new(),
-            known_orders: std::collections::BTreeMap::new(),
+            known_orders: BTreeMap::new(),
             next_host: 0,
             backlog: 0.0,
             requests: 0.0,
             within: 0.0,
             result: DayResult::default(),
+            record: DayRecord::default(),
         }
     }
 
     /// Plays the day; the fleet of the first minute is there at its start.
     pub fn play(mut self, policy: &mut DayPolicy) -> DayResult {
+        self.play_minutes(policy);
+        self.result
+    }
+
+    /// Plays the day like [`Self::play`] and returns its minutes.
+    pub fn play_recorded(mut self, policy: &mut DayPolicy) -> DayRecord {
+        self.play_minutes(policy);
+        self.record
+    }
+
+    fn play_minutes(&mut self, policy: &mut DayPolicy) {
         self.decide(0, policy);
         self.hosts.iter_mut().for_each(|host| host.ready_at = 0);
         for minute in 0..DAY_MINUTES {
@@ -111,7 +132,6 @@
             self.decide(minute, policy);
         }
         self.result.within = self.within / self.requests;
-        self.result
     }
 
     fn give_notices(&mut self, minute: usize) {
@@ -133,6 +153,7 @@
             .filter(|host| host.ready_at <= minute)
             .map(|host| capacity_of(&host.entry) as f64 / 1_000.0)
             .sum();
+        self.record.capacities.push(capacity);
         let arriving = self.day.rates[minute] as f64 / 1_000.0;
         let load = arriving + self.backlog / 60.0;
         let share = if capacity > 0.0 { within_share(load / capacity) } else { 0.0 };
