--- a/bench/src/front_door.rs
+++ b/bench/src/front_door.rs
@@ -31,7 +31,7 @@
 const STREAM_TOKENS: u32 = 120;
 
 /// Prints the lines of this case.
-pub fn run() {
+pub fn run(_seed: u64) {
     let program = program_path();
     let program = program.to_str().expect("the program's path is text");
     let fleet = ProcessFleet::start_with(program, 1, &["--no-delay"]);
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -9,65 +9,55 @@
 mod config_fold;
 mod crash_containment;
 mod evacuation;
+mod fleet;
+mod fleet_plot;
 mod front_door;
 mod membership;
 mod peer_link;
 
+use anyhow::Context as _;
 use argh::FromArgs;
 
 /// Measure one case and print JSON lines.
 #[derive(FromArgs)]
 struct BenchArguments {
-    /// case: answer-memory, burn, claims, config-fold, crash-containment, evacuation, front-door or
-    /// membership
+    /// name of the case; without one the names are listed
     #[argh(positional)]
-    case: BenchCase,
+    case: Option<String>,
 
     /// seed of the generators (default 1)
     #[argh(option, default = "1")]
     seed: u64,
 }
 
-/// What can be measured.
-#[derive(Clone, Copy, Debug)]
-enum BenchCase {
-    AnswerMemory,
-    Burn,
-    Claims,
-    ConfigFold,
-    CrashContainment,
-    Evacuation,
-    FrontDoor,
-    Membership,
+/// One thing that can be measured: its name, and what prints its lines for a seed.
+struct BenchCase {
+    name: &'static str,
+    run: fn(u64),
 }
 
-impl argh::FromArgValue for BenchCase {
-    fn from_arg_value(value: &str) -> Result<Self, String> {
-        match value {
-            "answer-memory" => Ok(Self::AnswerMemory),
-            "burn" => Ok(Self::Burn),
-            "claims" => Ok(Self::Claims),
-            "config-fold" => Ok(Self::ConfigFold),
-            "crash-containment" => Ok(Self::CrashContainment),
-            "evacuation" => Ok(Self::Evacuation),
-            "front-door" => Ok(Self::FrontDoor),
-            "membership" => Ok(Self::Membership),
-            _ => Err(format!("no case is named {value}")),
-        }
-    }
-}
+/// Everything that can be measured, in the order of the names.
+const CASES: &[BenchCase] = &[
+    BenchCase { name: "answer-memory", run: answer_memory::run },
+    BenchCase { name: "burn", run: burn::run },
+    BenchCase { name: "claims", run: claims::run },
+    BenchCase { name: "config-fold", run: config_fold::run },
+    BenchCase { name: "crash-containment", run: crash_containment::run },
+    BenchCase { name: "evacuation", run: evacuation::run },
+    BenchCase { name: "fleet", run: fleet::run },
+    BenchCase { name: "fleet-plot", run: fleet_plot::run },
+    BenchCase { name: "front-door", run: front_door::run },
+    BenchCase { name: "membership", run: membership::run },
+];
 
-fn main() {
+fn main() -> anyhow::Result<()> {
     let arguments: BenchArguments = argh::from_env();
-    let seed = arguments.seed;
-    match arguments.case {
-        BenchCase::AnswerMemory => answer_memory::run(seed),
-        BenchCase::Burn => burn::run(seed),
-        BenchCase::Claims => claims::run(seed),
-        BenchCase::ConfigFold => config_fold::run(seed),
-        BenchCase::CrashContainment => crash_containment::run(seed),
-        BenchCase::Evacuation => evacuation::run(seed),
-        BenchCase::FrontDoor => front_door::run(),
-        BenchCase::Membership => membership::run(seed),
-    }
+    let Some(name) = arguments.case else {
+        CASES.iter().for_each(|case| println!("{}", case.name));
+        return Ok(());
+    };
+    let found = CASES.iter().find(|case| case.name == name);
+    let case = found.with_context(|| format!("no case is named {name}"))?;
+    (case.run)(arguments.seed);
+    Ok(())
 }
