router: score servers by expected time to first token

Cause: attempts went to the server with the fewest of this host's attempts, which recomputes a shared context at every server.

Change: expected time from queue, uncached prompt tokens and zone distance; a bounded location map of sampled blocks; load reports corrected by own events; a poller feeds reports and cache events. Not measured yet.

--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -19,6 +19,8 @@
 use crate::front_door::FrontDoorPorts;
 use crate::http_listener::HttpListener;
 use crate::ids::Incarnation;
+use crate::load_poller::LoadPoller;
+use crate::load_poller::PollerPorts;
 use crate::member_keeper::MemberKeeper;
 use crate::metrics::MetricsReporter;
 use crate::metrics_pump::MetricsPump;
@@ -134,8 +136,15 @@
             config: config.clone(),
             members: members.clone(),
         });
+        let poller_ports = PollerPorts {
+            clock,
+            config: config.clone(),
+            router: ports.router.clone(),
+            connector: ports.connector.clone(),
+        };
+        let poller = LoadPoller::new(poller_ports, settings.calls.poll_interval);
         let (sender, events) = mpsc::channel();
-        let children = list_children(follower.clone(), sync, pump);
+        let children = list_children(follower.clone(), poller, sync, pump);
         let supervisor = ChildSupervisor::start(children, clock, sender)?;
 
         let driver = Arc::new(SessionDriver::new(ports));
@@ -235,12 +244,14 @@
 
 fn list_children(
     follower: Arc<ServerFollower>,
+    poller: LoadPoller,
     sync: MemberSync,
     pump: MetricsPump,
 ) -> Vec<ChildSpec> {
     let child = |name, work: ChildWork| ChildSpec { name, stall_limit: Some(STALL_LIMIT), work };
     vec![
         child("server-follower", Arc::new(move |context| follower.run(context))),
+        child("load-poller", Arc::new(move |context| poller.run(context))),
         child("member-sync", Arc::new(move |context| sync.run(context))),
         child("metrics-pump", Arc::new(move |context| pump.run(context))),
     ]
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -115,9 +115,12 @@
 pub mod circuit_breaker;
 pub mod fair_queue;
 pub mod fleet_planner;
+pub mod load_poller;
 pub mod prefix_map;
 pub mod request_router;
 pub mod retry_budget;
+pub mod router_index;
+pub mod router_load;
 pub mod server_directory;
 
 // The process.
--- /dev/null
+++ b/lib/src/load_poller.rs
@@ -0,0 +1,138 @@
+//! Polls the engines' load reports and cache events for the router.
+//!
+//! A bounded number of threads work on the list at once, so that a server that does not answer
+//! delays none but the one thread that asks it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use crate::config_follower::ConfigFollower;
+use crate::ids::ServerId;
+use crate::ids::ServerKey;
+use crate::request_router::RequestRouter;
+use crate::request_router::ServerState;
+use crate::resource::ServiceKind;
+use crate::session_ports::ServerConnector;
+use crate::session_ports::lock;
+use crate::supervisor::ChildContext;
+use crate::timestamp::ProcessClock;
+
+/// Servers that are asked at the same time.
+const MAX_PARALLEL: usize = 4;
+/// Stack of a polling thread in bytes.
+const POLL_STACK_BYTES: usize = 128 * 1024;
+
+/// What polling reaches.
+pub struct PollerPorts {
+    /// Clock of the process.
+    pub clock: ProcessClock,
+    /// Configuration in force: app services have nothing to poll.
+    pub config: Arc<ConfigFollower>,
+    /// Router that the reports go to.
+    pub router: Arc<Mutex<RequestRouter>>,
+    /// Clients of the servers.
+    pub connector: Arc<dyn ServerConnector>,
+}
+
+/// One engine to poll.
+#[derive(Clone, Debug)]
+struct PollTarget {
+    key: ServerKey,
+    id: ServerId,
+    address: SocketAddr,
+}
+
+/// Polls all engines at an interval.
+pub struct LoadPoller {
+    ports: PollerPorts,
+    interval: Duration,
+    /// First cache event not yet seen, by server.
+    next_events: Mutex<BTreeMap<ServerId, u64>>,
+}
+
+impl LoadPoller {
+    /// Builds a poller that asks each engine once per `interval`.
+    pub fn new(ports: PollerPorts, interval: Duration) -> Self {
+        Self { ports, interval, next_events: Mutex::default() }
+    }
+
+    /// Polls until the child must stop.
+    pub fn run(&self, context: &ChildContext) {
+        while !context.must_stop() {
+            self.poll_all(&|| context.report_progress());
+            context.report_progress();
+            thread::sleep(self.interval);
+        }
+    }
+
+    /// Asks every engine once; `on_progress` is called after each.
+    fn poll_all(&self, on_progress: &(dyn Fn() + Sync)) {
+        let targets = self.list_targets();
+        let next = AtomicUsize::new(0);
+        let work = || {
+            while let Some(target) = targets.get(next.fetch_add(1, Ordering::Relaxed)) {
+                self.poll(target);
+                on_progress();
+            }
+        };
+        thread::scope(|scope| {
+            for _ in 0..MAX_PARALLEL.min(targets.len()) {
+                let thread = thread::Builder::new().stack_size(POLL_STACK_BYTES);
+                if let Err(error) = thread.spawn_scoped(scope, work) {
+                    log::warn!("event=poll_thread_failed error=\"{error}\"");
+                }
+            }
+        });
+    }
+
+    fn list_targets(&self) -> Vec<PollTarget> {
+        let snapshot = self.ports.config.current();
+        let router = lock(&self.ports.router);
+        let is_engine = |info: &crate::request_router::ServerInfo| {
+            let service = snapshot.state.services.get(&info.service);
+            service.is_some_and(|service| service.kind == ServiceKind::Model)
+                && info.state != ServerState::Suspected
+        };
+        let engines = router.servers().filter(|(_, info)| is_engine(info));
+        let targets: Vec<_> = engines
+            .map(|(key, info)| PollTarget { key, id: info.id.clone(), address: info.address })
+            .collect();
+        drop(router);
+        lock(&self.next_events).retain(|id, _| targets.iter().any(|target| target.id == *id));
+        targets
+    }
+
+    /// Asks one engine; a failed call leaves what is known in force.
+    fn poll(&self, target: &PollTarget) {
+        let engine = self.ports.connector.engine(target.address);
+        match engine.load_report() {
+            Ok(report) => {
+                let now = self.ports.clock.now();
+                lock(&self.ports.router).on_load_report(now, target.key, &report);
+            }
+            Err(error) => {
+                log::debug!("event=load_report_failed server={} error=\"{error}\"", target.id);
+                return;
+            }
+        }
+        let from = lock(&self.next_events).get(&target.id).copied().unwrap_or_default();
+        match engine.cache_events(from) {
+            Ok(events) => {
+                let now = self.ports.clock.now();
+                lock(&self.ports.router).on_cache_events(now, target.key, &events);
+                if let Some(last) = events.last() {
+                    lock(&self.next_events).insert(target.id.clone(), last.sequence + 1);
+                }
+            }
+            Err(error) => {
+                log::debug!("event=cache_events_failed server={} error=\"{error}\"", target.id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/router_load.rs
@@ -0,0 +1,185 @@
+//! Estimates the load of one backend server from its lagging reports and this host's own work.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::engine::LoadReport;
+use crate::timestamp::Timestamp;
+
+/// Own events that are kept to correct reports, at most.
+const MAX_OWN_EVENTS: usize = 256;
+/// Weight of one observed prefill in the learned rate.
+const RATE_WEIGHT: f64 = 0.05;
+/// Prefills of fewer tokens are dominated by other delays and teach nothing.
+const MIN_OBSERVED_TOKENS: f64 = 256.0;
+/// Ended attempts over which the mean hold time is taken.
+const HOLD_SAMPLE: u32 = 32;
+
+/// What one service's servers are known to do, learned from this host's own attempts.
+#[derive(Clone, Copy, Debug)]
+pub struct ServiceRates {
+    /// Prompt tokens that one server computes in a second.
+    pub prefill_per_s: f64,
+    /// Seconds for which an attempt holds its place in the batch.
+    pub hold_s: f64,
+    area_s: f64,
+    ended: u32,
+}
+
+impl Default for ServiceRates {
+    fn default() -> Self {
+        Self { prefill_per_s: 8_000.0, hold_s: 1.0, area_s: 0.0, ended: 0 }
+    }
+}
+
+impl ServiceRates {
+    /// Learns from a first token that came `elapsed` after `tokens` had to be computed.
+    pub fn on_prefill(&mut self, tokens: f64, elapsed: Duration) {
+        let seconds = elapsed.as_secs_f64();
+        if tokens >= MIN_OBSERVED_TOKENS && seconds > 0.0 {
+            let observed = (tokens / seconds).clamp(100.0, 1_000_000.0);
+            self.prefill_per_s += RATE_WEIGHT * (observed - self.prefill_per_s);
+        }
+    }
+
+    /// Adds time that attempts spent at a server, in attempt-seconds.
+    fn add_area(&mut self, area_s: f64) {
+        self.area_s += area_s;
+    }
+
+    /// Counts an ended attempt; the mean hold time follows by Little's law.
+    fn on_ended(&mut self) {
+        self.ended += 1;
+        if self.ended == HOLD_SAMPLE {
+            self.hold_s = (self.area_s / f64::from(HOLD_SAMPLE)).clamp(0.001, 600.0);
+            self.area_s = 0.0;
+            self.ended = 0;
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum OwnEvent {
+    Sent { tokens: f64 },
+    Ended,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PendingPrefill {
+    sent_at: Timestamp,
+    tokens: f64,
+}
+
+/// Load of one server as this host estimates it.
+#[derive(Debug, Default)]
+pub struct ServerLoad {
+    in_flight: u32,
+    occupied: i64,
+    batch_limit: u32,
+    backlog_tokens: f64,
+    updated_at: Timestamp,
+    reported_at: Timestamp,
+    own: VecDeque<(Timestamp, OwnEvent)>,
+    prefills: VecDeque<PendingPrefill>,
+}
+
+impl ServerLoad {
+    /// Returns this host's attempts at the server.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns the estimated requests at the server, of all entry hosts.
+    pub fn occupied(&self) -> u32 {
+        u32::try_from(self.occupied).unwrap_or(0).max(self.in_flight)
+    }
+
+    /// Returns the estimated seconds that a new request waits before its prefill starts.
+    pub fn wait_s(&self, now: Timestamp, rates: &ServiceRates) -> f64 {
+        let prefill = self.backlog(now, rates) / rates.prefill_per_s;
+        let excess = (self.occupied() + 1).saturating_sub(self.batch_limit);
+        if self.batch_limit == 0 || excess == 0 {
+            return prefill;
+        }
+        prefill + rates.hold_s * f64::from(excess) / f64::from(self.batch_limit)
+    }
+
+    /// Records an attempt whose prefill computes `tokens`.
+    pub fn on_sent(&mut self, now: Timestamp, tokens: f64, rates: &mut ServiceRates) {
+        self.advance(now, rates);
+        self.backlog_tokens += tokens;
+        self.prefills.push_back(PendingPrefill { sent_at: now, tokens: self.backlog_tokens });
+        self.in_flight += 1;
+        self.occupied += 1;
+        self.record(now, OwnEvent::Sent { tokens });
+    }
+
+    /// Records a first token; prefills run in the order in which they were sent.
+    pub fn on_first_token(&mut self, now: Timestamp, rates: &mut ServiceRates) {
+        if let Some(prefill) = self.prefills.pop_front() {
+            rates.on_prefill(prefill.tokens, now.since(prefill.sent_at));
+        }
+    }
+
+    /// Records the end of an attempt.
+    pub fn on_ended(&mut self, now: Timestamp, rates: &mut ServiceRates) {
+        if self.in_flight == 0 {
+            return;
+        }
+        self.advance(now, rates);
+        self.in_flight -= 1;
+        self.occupied -= 1;
+        rates.on_ended();
+        // An attempt that ended without a first token leaves its prefill behind.
+        self.prefills.truncate(self.in_flight as usize);
+        self.record(now, OwnEvent::Ended);
+    }
+
+    /// Takes a report, and adds what this host sent and finished since it was made.
+    pub fn on_report(&mut self, now: Timestamp, report: &LoadReport, rates: &mut ServiceRates) {
+        let made_at = now - Duration::from_millis(u64::from(report.age_ms));
+        if made_at < self.reported_at {
+            return;
+        }
+        self.advance(now, rates);
+        self.reported_at = made_at;
+        self.batch_limit = report.batch_limit;
+        self.occupied = i64::from(report.running) + i64::from(report.queued);
+        self.own.retain(|(at, _)| *at > made_at);
+        let (mut at, mut backlog) = (made_at, f64::from(report.queued_prompt_tokens));
+        for (event_at, event) in &self.own {
+            backlog = drain(backlog, event_at.since(at), rates);
+            at = *event_at;
+            match event {
+                OwnEvent::Sent { tokens } => {
+                    backlog += tokens;
+                    self.occupied += 1;
+                }
+                OwnEvent::Ended => self.occupied -= 1,
+            }
+        }
+        self.backlog_tokens = drain(backlog, now.since(at), rates);
+    }
+
+    fn backlog(&self, now: Timestamp, rates: &ServiceRates) -> f64 {
+        drain(self.backlog_tokens, now.since(self.updated_at), rates)
+    }
+
+    fn advance(&mut self, now: Timestamp, rates: &mut ServiceRates) {
+        self.backlog_tokens = self.backlog(now, rates);
+        let elapsed = now.since(self.updated_at).as_secs_f64();
+        rates.add_area(elapsed * f64::from(self.in_flight));
+        self.updated_at = self.updated_at.max(now);
+    }
+
+    fn record(&mut self, now: Timestamp, event: OwnEvent) {
+        if self.own.len() == MAX_OWN_EVENTS {
+            self.own.pop_front();
+        }
+        self.own.push_back((now, event));
+    }
+}
+
+fn drain(backlog: f64, elapsed: Duration, rates: &ServiceRates) -> f64 {
+    (backlog - elapsed.as_secs_f64() * rates.prefill_per_s).max(0.0)
+}
