--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,7 +2,28 @@
 
 mod membership;
 mod peer_link;
+mod routing;
+
+use argh::FromArgs;
+
+/// Measure decisions and print JSON lines.
+#[derive(FromArgs)]
+struct BenchArgs {
+    /// measurement to run: membership or routing; all if none is named
+    #[argh(positional)]
+    name: Option<String>,
+    /// seed of all random choices (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+}
 
 fn main() {
-    membership::run(1);
+    let args: BenchArgs = argh::from_env();
+    let wanted = |name: &str| args.name.as_deref().is_none_or(|wanted| wanted == name);
+    if wanted("membership") {
+        membership::run(args.seed);
+    }
+    if wanted("routing") {
+        routing::run(args.seed);
+    }
 }
--- a/lib/src/request_router.rs
+++ b/lib/src/request_router.rs
@@ -34,9 +34,8 @@
 const ZONE_DISTANCE_S: f64 = 0.003;
 /// Servers whose expected times differ by less than this many seconds count as equal.
 const TIE_S: f64 = 0.002;
-/// Weight of a token that must be computed, against one that waits in the queue: computing it also
-/// delays the requests that come after.
-const COMPUTE_WEIGHT: f64 = 2.0;
+/// Servers that a context is spread to before its requests queue, at most.
+const MAX_SPREAD: usize = 4;
 
 /// Whether a backend server may get new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -208,7 +207,10 @@
         let Some(pool) = self.index.pool(query.service) else { return RouteChoice::NoServer };
         self.candidates.extend(self.holders.iter().map(|holder| holder.server));
         pool.sample(&mut self.rng, &mut self.candidates);
-        let scored = self.score_all(now, query, &self.candidates);
+        let mut scored = self.score_all(now, query, &self.candidates);
+        if self.needs_spread() {
+            scored.retain(|server| !self.holders.iter().any(|held| held.server == server.key));
+        }
         if let Some(key) = pick(&mut self.rng, &scored) {
             return RouteChoice::Server(key);
         }
@@ -228,7 +230,9 @@
         self.prefixes.find(query.blocks, &mut self.holders);
         let tokens = uncached_tokens(&self.holders, key, query);
         let Some(entry) = self.servers.get_mut(key) else { return };
-        entry.load.on_sent(now, tokens, rates_of(&mut self.rates, &entry.info.service));
+        let rates = rates_of(&mut self.rates, &entry.info.service);
+        rates.on_sent(query.prompt_tokens, tokens);
+        entry.load.on_sent(now, tokens, rates);
         self.prefixes.on_dispatched(now, key, query.blocks);
     }
 
@@ -261,11 +265,36 @@
         }
     }
 
+    /// Records that another entry host sent a prompt to a server.
+    pub fn on_location(&mut self, now: Timestamp, key: ServerKey, blocks: &[BlockHash]) {
+        if self.servers.contains_key(key) {
+            self.prefixes.on_dispatched(now, key, blocks);
+        }
+    }
+
     fn rebuild_index(&mut self) {
         let servers = self.keys.values().map(|&key| (key, &self.servers[key].info));
         self.index = RouterIndex::build(&self.home_zone, servers);
     }
 
+    /// Returns whether a context should get one more server before its requests queue.
+    ///
+    /// That is when every server that holds it is crowded; one that just began to compute it is not,
+    /// so a burst spreads one server at a time.
+    fn needs_spread(&self) -> bool {
+        let Some(longest) = self.holders.first() else { return false };
+        if self.holders.len() >= MAX_SPREAD {
+            return false;
+        }
+        let is_long = |holder: &&PrefixHolder| holder.blocks * 2 > longest.blocks;
+        self.holders.iter().filter(is_long).all(|holder| {
+            let entry = self.servers.get(holder.server);
+            entry.is_none_or(|entry| {
+                entry.info.state != ServerState::Live || entry.load.is_crowded()
+            })
+        })
+    }
+
     /// Scores the candidates that may take the attempt.
     fn score_all(
         &self,
@@ -286,7 +315,7 @@
             }
             let distance = if entry.info.zone == self.home_zone { 0.0 } else { ZONE_DISTANCE_S };
             let compute = uncached_tokens(&self.holders, key, query) / rates.prefill_per_s;
-            let expected_s = entry.load.wait_s(now, &rates) + COMPUTE_WEIGHT * compute + distance;
+            let expected_s = entry.load.wait_s(now, &rates) + compute + distance;
             scored.push(ScoredServer { key, expected_s, occupied: entry.load.occupied() });
         }
         scored
--- a/lib/src/router_load.rs
+++ b/lib/src/router_load.rs
@@ -12,6 +12,8 @@
 const RATE_WEIGHT: f64 = 0.05;
 /// Prefills of fewer tokens are dominated by other delays and teach nothing.
 const MIN_OBSERVED_TOKENS: f64 = 256.0;
+/// Share of a batch that is taken when its server counts as crowded, in percent.
+const CROWDED_PERCENT: u32 = 75;
 /// Ended attempts over which the mean hold time is taken.
 const HOLD_SAMPLE: u32 = 32;
 
@@ -22,17 +24,27 @@
     pub prefill_per_s: f64,
     /// Seconds for which an attempt holds its place in the batch.
     pub hold_s: f64,
+    /// Share of prompt tokens that prefix caches lack.
+    pub uncached_share: f64,
     area_s: f64,
     ended: u32,
 }
 
 impl Default for ServiceRates {
     fn default() -> Self {
-        Self { prefill_per_s: 8_000.0, hold_s: 1.0, area_s: 0.0, ended: 0 }
+        Self { prefill_per_s: 8_000.0, hold_s: 1.0, uncached_share: 1.0, area_s: 0.0, ended: 0 }
     }
 }
 
 impl ServiceRates {
+    /// Learns from an attempt that was sent, of whose `prompt_tokens` a cache lacks `uncached`.
+    pub fn on_sent(&mut self, prompt_tokens: u32, uncached: f64) {
+        if prompt_tokens > 0 {
+            let share = uncached / f64::from(prompt_tokens);
+            self.uncached_share += RATE_WEIGHT * (share - self.uncached_share);
+        }
+    }
+
     /// Learns from a first token that came `elapsed` after `tokens` had to be computed.
     pub fn on_prefill(&mut self, tokens: f64, elapsed: Duration) {
         let seconds = elapsed.as_secs_f64();
@@ -67,7 +79,10 @@
 #[derive(Clone, Copy, Debug)]
 struct PendingPrefill {
     sent_at: Timestamp,
-    tokens: f64,
+    /// Tokens of this attempt.
+    own_tokens: f64,
+    /// Those and what was queued before them.
+    queued_tokens: f64,
 }
 
 /// Load of one server as this host estimates it.
@@ -81,6 +96,7 @@
     reported_at: Timestamp,
     own: VecDeque<(Timestamp, OwnEvent)>,
     prefills: VecDeque<PendingPrefill>,
+    first_token_at: Timestamp,
 }
 
 impl ServerLoad {
@@ -94,6 +110,11 @@
         u32::try_from(self.occupied).unwrap_or(0).max(self.in_flight)
     }
 
+    /// Returns whether most of the batch is taken, so that a shared context needs another server.
+    pub fn is_crowded(&self) -> bool {
+        self.batch_limit > 0 && self.occupied() * 100 >= self.batch_limit * CROWDED_PERCENT
+    }
+
     /// Returns the estimated seconds that a new request waits before its prefill starts.
     pub fn wait_s(&self, now: Timestamp, rates: &ServiceRates) -> f64 {
         let prefill = self.backlog(now, rates) / rates.prefill_per_s;
@@ -108,7 +129,11 @@
     pub fn on_sent(&mut self, now: Timestamp, tokens: f64, rates: &mut ServiceRates) {
         self.advance(now, rates);
         self.backlog_tokens += tokens;
-        self.prefills.push_back(PendingPrefill { sent_at: now, tokens: self.backlog_tokens });
+        self.prefills.push_back(PendingPrefill {
+            sent_at: now,
+            own_tokens: tokens,
+            queued_tokens: self.backlog_tokens,
+        });
         self.in_flight += 1;
         self.occupied += 1;
         self.record(now, OwnEvent::Sent { tokens });
@@ -117,7 +142,8 @@
     /// Records a first token; prefills run in the order in which they were sent.
     pub fn on_first_token(&mut self, now: Timestamp, rates: &mut ServiceRates) {
         if let Some(prefill) = self.prefills.pop_front() {
-            rates.on_prefill(prefill.tokens, now.since(prefill.sent_at));
+            self.first_token_at = now;
+            rates.on_prefill(prefill.queued_tokens, now.since(prefill.sent_at));
         }
     }
 
@@ -131,7 +157,9 @@
         self.occupied -= 1;
         rates.on_ended();
         // An attempt that ended without a first token leaves its prefill behind.
-        self.prefills.truncate(self.in_flight as usize);
+        while self.prefills.len() > self.in_flight as usize {
+            self.prefills.pop_front();
+        }
         self.record(now, OwnEvent::Ended);
     }
 
@@ -146,7 +174,9 @@
         self.batch_limit = report.batch_limit;
         self.occupied = i64::from(report.running) + i64::from(report.queued);
         self.own.retain(|(at, _)| *at > made_at);
-        let (mut at, mut backlog) = (made_at, f64::from(report.queued_prompt_tokens));
+        // Engines report whole prompts, whatever their caches hold.
+        let queued = f64::from(report.queued_prompt_tokens) * rates.uncached_share;
+        let (mut at, mut backlog) = (made_at, queued);
         for (event_at, event) in &self.own {
             backlog = drain(backlog, event_at.since(at), rates);
             at = *event_at;
@@ -158,7 +188,17 @@
                 OwnEvent::Ended => self.occupied -= 1,
             }
         }
-        self.backlog_tokens = drain(backlog, now.since(at), rates);
+        // A report leaves out the prefill that runs.
+        self.backlog_tokens =
+            drain(backlog, now.since(at), rates).max(self.own_backlog(now, rates));
+    }
+
+    /// Returns what is left of this host's own prefills.
+    fn own_backlog(&self, now: Timestamp, rates: &ServiceRates) -> f64 {
+        let Some(first) = self.prefills.front() else { return 0.0 };
+        let started_at = first.sent_at.max(self.first_token_at);
+        let tokens = self.prefills.iter().map(|prefill| prefill.own_tokens).sum();
+        drain(tokens, now.since(started_at), rates)
     }
 
     fn backlog(&self, now: Timestamp, rates: &ServiceRates) -> f64 {
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -48,3 +48,7 @@
 pub mod scripted_servers;
 pub mod session_harness;
 pub mod session_judge;
+
+pub mod trace_engine;
+pub mod trace_player;
+pub mod workload;
--- /dev/null
+++ b/lib/testutils/src/trace_engine.rs
@@ -0,0 +1,107 @@
+//! A model engine in virtual time: serial prefill, a bounded batch and a prefix cache.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use pomelostack_lib::engine::CacheEvent;
+use pomelostack_lib::engine::LoadReport;
+use pomelostack_lib::prompt::TOKENS_PER_BLOCK;
+
+use crate::prefix_cache::PrefixCache;
+use crate::workload::TraceRequest;
+
+/// Prompt tokens computed in a second.
+pub const PREFILL_PER_S: f64 = 8_000.0;
+/// Requests in the batch, at most.
+pub const BATCH_LIMIT: u32 = 16;
+/// Blocks of the prefix cache.
+const CACHE_BLOCKS: usize = 8_192;
+/// Time of a prefill that computes nothing.
+const PREFILL_BASE: Duration = Duration::from_millis(5);
+/// Time of one decode step alone, and what each companion adds.
+const DECODE_STEP: Duration = Duration::from_millis(15);
+const DECODE_SLOPE: Duration = Duration::from_micros(200);
+
+/// Returns the time that one answer decodes among `running` requests.
+pub fn decode_time(answer_tokens: u32, running: u32) -> Duration {
+    (DECODE_STEP + DECODE_SLOPE * running) * answer_tokens
+}
+
+/// Returns the time of a prefill.
+pub fn prefill_time(tokens: u32) -> Duration {
+    PREFILL_BASE + Duration::from_secs_f64(f64::from(tokens) / PREFILL_PER_S)
+}
+
+/// One engine.
+#[derive(Debug)]
+pub struct TraceEngine {
+    queue: VecDeque<(usize, u32)>,
+    prefilling: Option<usize>,
+    running: u32,
+    cache: PrefixCache,
+    next_event: u64,
+    /// Tokens computed so far.
+    pub computed_tokens: u64,
+}
+
+impl Default for TraceEngine {
+    fn default() -> Self {
+        Self {
+            queue: VecDeque::new(),
+            prefilling: None,
+            running: 0,
+            cache: PrefixCache::new(CACHE_BLOCKS),
+            next_event: 0,
+            computed_tokens: 0,
+        }
+    }
+}
+
+impl TraceEngine {
+    /// Queues a request.
+    pub fn push(&mut self, index: usize, request: &TraceRequest) {
+        self.queue.push_back((index, request.prompt_tokens));
+    }
+
+    /// Starts the next prefill if there is room; returns its request and its time.
+    pub fn start_prefill(&mut self, requests: &[TraceRequest]) -> Option<(usize, Duration)> {
+        if self.prefilling.is_some() || self.running >= BATCH_LIMIT {
+            return None;
+        }
+        let (index, prompt_tokens) = self.queue.pop_front()?;
+        let cached = self.cache.use_prefix(&requests[index].blocks) * TOKENS_PER_BLOCK;
+        let computed = prompt_tokens - (cached as u32).min(prompt_tokens);
+        self.computed_tokens += u64::from(computed);
+        self.prefilling = Some(index);
+        Some((index, prefill_time(computed)))
+    }
+
+    /// Ends a prefill: returns the time until the answer ends and the cache's changes.
+    pub fn end_prefill(&mut self, request: &TraceRequest) -> (Duration, Vec<CacheEvent>) {
+        self.prefilling = None;
+        self.running += 1;
+        let changes = self.cache.store(&request.blocks).into_iter();
+        let events = changes.map(|(change, block)| {
+            self.next_event += 1;
+            CacheEvent { sequence: self.next_event, change, block }
+        });
+        (decode_time(request.answer_tokens, self.running), events.collect())
+    }
+
+    /// Ends an answer.
+    pub fn end_answer(&mut self) {
+        self.running -= 1;
+    }
+
+    /// Reports the load as it is now.
+    pub fn report(&self, age_ms: u32) -> LoadReport {
+        LoadReport {
+            queued: self.queue.len() as u32,
+            queued_prompt_tokens: self.queue.iter().map(|(_, tokens)| tokens).sum(),
+            running: self.running + u32::from(self.prefilling.is_some()),
+            batch_limit: BATCH_LIMIT,
+            free_blocks: self.cache.free() as u32,
+            age_ms,
+        }
+    }
+}
