router: weigh how full a batch is

Cause: with equal waits the host's own zone won always, so contexts piled up on its few servers and spread early. Change: a full batch counts as 50 ms.

--- a/lib/src/request_router.rs
+++ b/lib/src/request_router.rs
@@ -34,6 +34,9 @@
 const ZONE_DISTANCE_S: f64 = 0.003;
 /// Servers whose expected times differ by less than this many seconds count as equal.
 const TIE_S: f64 = 0.002;
+/// Seconds that a full batch delays a request: decoding is slower, and a context that is placed
+/// among many others must spread sooner.
+const FULL_BATCH_S: f64 = 0.05;
 /// Servers that a context is spread to before its requests queue, at most.
 const MAX_SPREAD: usize = 4;
 
@@ -315,7 +318,10 @@
             }
             let distance = if entry.info.zone == self.home_zone { 0.0 } else { ZONE_DISTANCE_S };
             let compute = uncached_tokens(&self.holders, key, query) / rates.prefill_per_s;
-            let expected_s = entry.load.wait_s(now, &rates) + compute + distance;
+            let expected_s = entry.load.wait_s(now, &rates)
+                + compute
+                + distance
+                + FULL_BATCH_S * entry.load.batch_share();
             scored.push(ScoredServer { key, expected_s, occupied: entry.load.occupied() });
         }
         scored
--- a/lib/src/router_load.rs
+++ b/lib/src/router_load.rs
@@ -115,6 +115,11 @@
         self.batch_limit > 0 && self.occupied() * 100 >= self.batch_limit * CROWDED_PERCENT
     }
 
+    /// Returns the share of the batch that is taken; above 1 requests wait for a place.
+    pub fn batch_share(&self) -> f64 {
+        f64::from(self.occupied()) / f64::from(self.batch_limit.max(1))
+    }
+
     /// Returns the estimated seconds that a new request waits before its prefill starts.
     pub fn wait_s(&self, now: Timestamp, rates: &ServiceRates) -> f64 {
         let prefill = self.backlog(now, rates) / rates.prefill_per_s;
