--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,5 +1,6 @@
 //! Policy measurements and slopes: prints JSON lines.
 
+mod decision_cost;
 mod membership;
 mod peer_link;
 mod routing;
@@ -9,7 +10,7 @@
 /// Measure decisions and print JSON lines.
 #[derive(FromArgs)]
 struct BenchArgs {
-    /// measurement to run: membership or routing; all if none is named
+    /// measurement to run: membership, routing or decision_cost; all if none is named
     #[argh(positional)]
     name: Option<String>,
     /// seed of all random choices (default 1)
@@ -23,6 +24,9 @@
     if wanted("membership") {
         membership::run(args.seed);
     }
+    if wanted("decision_cost") {
+        decision_cost::run(args.seed);
+    }
     if wanted("routing") {
         routing::run(args.seed);
     }
--- /dev/null
+++ b/lib/tests/test_request_router.rs
@@ -0,0 +1,165 @@
+//! Choices of the request router.
+
+use std::net::SocketAddr;
+
+use pomelostack_lib::engine::LoadReport;
+use pomelostack_lib::ids::HostId;
+use pomelostack_lib::ids::ServerId;
+use pomelostack_lib::ids::ServerKey;
+use pomelostack_lib::ids::ServiceName;
+use pomelostack_lib::ids::ZoneName;
+use pomelostack_lib::prompt::BlockHash;
+use pomelostack_lib::request_router::RequestRouter;
+use pomelostack_lib::request_router::RouteChoice;
+use pomelostack_lib::request_router::RouteQuery;
+use pomelostack_lib::request_router::ServerInfo;
+use pomelostack_lib::request_router::ServerState;
+use pomelostack_lib::timestamp::Timestamp;
+use rstest::rstest;
+
+const BLOCKS: u64 = 100;
+
+fn zone(name: &str) -> ZoneName {
+    ZoneName::try_from(name).expect("valid")
+}
+
+fn service() -> ServiceName {
+    ServiceName::try_from("briefing").expect("valid")
+}
+
+fn server(index: u16, zone_name: &str) -> ServerInfo {
+    ServerInfo {
+        id: ServerId::try_from(format!("model-{index}")).expect("valid"),
+        host: HostId::try_from(format!("host-{index}")).expect("valid"),
+        address: SocketAddr::from(([127, 0, 0, 1], 9_000 + index)),
+        zone: zone(zone_name),
+        service: service(),
+        state: ServerState::Live,
+        concurrency: 4,
+    }
+}
+
+struct RouterRig {
+    router: RequestRouter,
+    service: ServiceName,
+    now: Timestamp,
+}
+
+impl RouterRig {
+    fn new(servers: Vec<ServerInfo>) -> Self {
+        let mut router = RequestRouter::new(zone("a"), 1);
+        router.set_servers(Timestamp::default(), servers);
+        Self { router, service: service(), now: Timestamp::from_millis(1_000) }
+    }
+
+    fn key(&self, index: u16) -> ServerKey {
+        self.router.key_of(&server(index, "a").id).expect("known")
+    }
+
+    fn choose(&mut self, blocks: &[BlockHash], excluded: &[ServerKey]) -> RouteChoice {
+        let prompt_tokens = blocks.len() as u32 * 16;
+        let query = RouteQuery { service: &self.service, blocks, prompt_tokens, excluded };
+        self.router.choose(self.now, &query)
+    }
+
+    fn dispatch(&mut self, key: ServerKey, blocks: &[BlockHash]) {
+        let prompt_tokens = blocks.len() as u32 * 16;
+        let query = RouteQuery { service: &self.service, blocks, prompt_tokens, excluded: &[] };
+        self.router.on_dispatched(self.now, key, &query);
+    }
+
+    /// Runs a request to its end, long ago.
+    fn warm(&mut self, key: ServerKey, blocks: &[BlockHash]) {
+        self.dispatch(key, blocks);
+        self.router.on_first_token(self.now, key, 0);
+        self.router.on_ended(self.now, key);
+        self.now = Timestamp::from_millis(self.now.as_millis() + 60_000);
+    }
+}
+
+fn prompt(seed: u64) -> Vec<BlockHash> {
+    (0..BLOCKS).map(|index| BlockHash(seed * 1_000 + index)).collect()
+}
+
+#[test]
+fn warm_server() {
+    let mut rig = RouterRig::new((0..6).map(|index| server(index, "a")).collect());
+    let key = rig.key(4);
+    rig.warm(key, &prompt(1));
+    for _ in 0..20 {
+        assert_eq!(rig.choose(&prompt(1), &[]), RouteChoice::Server(key));
+    }
+}
+
+#[test]
+fn home_zone() {
+    let mut rig = RouterRig::new(vec![server(0, "b"), server(1, "a"), server(2, "c")]);
+    let home = rig.key(1);
+    assert_eq!(rig.choose(&prompt(1), &[]), RouteChoice::Server(home));
+}
+
+#[rstest]
+#[case::leaving(ServerState::Leaving)]
+#[case::suspected(ServerState::Suspected)]
+fn unusable_server(#[case] state: ServerState) {
+    let mut rig = RouterRig::new(vec![server(0, "a"), server(1, "a")]);
+    let (warm, other) = (rig.key(0), rig.key(1));
+    rig.warm(warm, &prompt(1));
+    rig.router.set_state(rig.now, &server(0, "a").id, state);
+    assert_eq!(rig.choose(&prompt(1), &[]), RouteChoice::Server(other));
+    rig.router.set_state(rig.now, &server(1, "a").id, state);
+    assert_eq!(rig.choose(&prompt(1), &[]), RouteChoice::NoServer);
+}
+
+#[test]
+fn excluded_servers() {
+    let mut rig = RouterRig::new(vec![server(0, "a"), server(1, "a")]);
+    let (first, second) = (rig.key(0), rig.key(1));
+    assert_eq!(rig.choose(&prompt(1), &[first]), RouteChoice::Server(second));
+    assert_eq!(rig.choose(&prompt(1), &[first, second]), RouteChoice::NoServer);
+}
+
+#[test]
+fn full_servers() {
+    let mut rig = RouterRig::new(vec![server(0, "a")]);
+    let key = rig.key(0);
+    (0..4).for_each(|_| rig.dispatch(key, &prompt(1)));
+    assert_eq!(rig.choose(&prompt(1), &[]), RouteChoice::Wait);
+    rig.router.on_ended(rig.now, key);
+    assert_eq!(rig.choose(&prompt(1), &[]), RouteChoice::Server(key));
+}
+
+#[test]
+fn far_fallback() {
+    // More servers than a decision samples, all but one of them full.
+    let mut rig = RouterRig::new((0..200).map(|index| server(index, "a")).collect());
+    for index in (0..200).filter(|index| *index != 150) {
+        let key = rig.key(index);
+        (0..4).for_each(|_| rig.dispatch(key, &[]));
+    }
+    let free = rig.key(150);
+    assert_eq!(rig.choose(&prompt(1), &[]), RouteChoice::Server(free));
+}
+
+#[test]
+fn crowded_holder() {
+    let mut rig = RouterRig::new(vec![server(0, "a"), server(1, "a")]);
+    let (warm, other) = (rig.key(0), rig.key(1));
+    rig.warm(warm, &prompt(1));
+    let report = LoadReport { running: 3, batch_limit: 4, ..LoadReport::default() };
+    rig.router.on_load_report(rig.now, warm, &report);
+    assert_eq!(rig.choose(&prompt(1), &[]), RouteChoice::Server(other));
+}
+
+#[test]
+fn late_report() {
+    // The report is older than the prompts that this host sent, so it must not hide them.
+    let mut rig = RouterRig::new(vec![server(0, "a"), server(1, "a")]);
+    let (busy, other) = (rig.key(0), rig.key(1));
+    rig.dispatch(busy, &prompt(1));
+    rig.dispatch(busy, &prompt(2));
+    let report = LoadReport { batch_limit: 16, age_ms: 500, ..LoadReport::default() };
+    rig.router.on_load_report(rig.now, busy, &report);
+    rig.router.on_load_report(rig.now, other, &report);
+    assert_eq!(rig.choose(&prompt(3), &[]), RouteChoice::Server(other));
+}
--- /dev/null
+++ b/lib/tests/test_router_traces.rs
@@ -0,0 +1,65 @@
+//! Routing against least-loaded routing on short traces.
+
+use rstest::rstest;
+use testutils::trace_player::PlayResult;
+use testutils::trace_player::PlaySettings;
+use testutils::trace_player::RouterKind;
+use testutils::trace_player::play;
+use testutils::workload::WorkloadTrace;
+use testutils::workload::gulfwind;
+use testutils::workload::sulh;
+
+const SEED: u64 = 1;
+/// Starts of the short trace: the second half of its courses is met for the first time, too.
+const STARTS: u32 = 4;
+const SULH_SECONDS: u64 = 300;
+/// Views of the process's shape: several entry hosts, each with a part of the requests.
+const VIEWS: usize = 3;
+
+fn run(trace: &WorkloadTrace, settings: PlaySettings) -> PlayResult {
+    let result = play(trace, settings).expect("names are valid");
+    assert_eq!(result.answered, trace.requests.len(), "every request is answered");
+    result
+}
+
+fn fresh(trace: &WorkloadTrace, router: RouterKind) -> PlayResult {
+    run(trace, PlaySettings::fresh(router, VIEWS, SEED))
+}
+
+#[test]
+fn gulfwind_targets() {
+    let trace = gulfwind(SEED, STARTS);
+    let naive = fresh(&trace, RouterKind::Naive);
+    let product = fresh(&trace, RouterKind::Product);
+    let ratio = product.context_tokens as f64 / naive.context_tokens as f64;
+    assert!(ratio <= 0.35, "tokens are {ratio} of least-loaded");
+    assert!(product.p95_ms <= naive.p95_ms, "{product:?} against {naive:?}");
+}
+
+#[test]
+fn sulh_targets() {
+    let trace = sulh(SEED, SULH_SECONDS);
+    let naive = fresh(&trace, RouterKind::Naive);
+    let product = fresh(&trace, RouterKind::Product);
+    assert!(product.context_tokens <= naive.context_tokens, "{product:?} against {naive:?}");
+    assert!(product.p50_ms <= naive.p50_ms, "{product:?} against {naive:?}");
+    assert!(product.p95_ms <= naive.p95_ms, "{product:?} against {naive:?}");
+    assert!(product.p99_ms <= naive.p99_ms, "{product:?} against {naive:?}");
+}
+
+#[rstest]
+#[case::gulfwind(gulfwind(SEED, STARTS))]
+#[case::sulh(sulh(SEED, SULH_SECONDS))]
+fn stale_inputs(#[case] trace: WorkloadTrace) {
+    let fresh = fresh(&trace, RouterKind::Product);
+    let stale = run(&trace, PlaySettings::stale(RouterKind::Product, VIEWS, SEED));
+    let ratio = stale.context_tokens as f64 / fresh.context_tokens as f64;
+    assert!(ratio <= 1.10, "tokens are {ratio} of those with fresh events");
+}
+
+#[test]
+fn same_seed() {
+    let trace = gulfwind(SEED, 1);
+    let settings = PlaySettings::stale(RouterKind::Product, VIEWS, SEED);
+    assert_eq!(run(&trace, settings), run(&trace, settings));
+}
