admission: hold teams to their shares and refuse early

Cause: every session asked the router by itself, so a team that sends more was served more, and a request that could not start in time waited to its deadline. Change: a gate between front door and session: weighted fair queueing by team, team.max_in_flight as a cap, and NOT_RUN at once with Retry-After when the expected wait passes the deadline. Non-idempotent calls pass freely, because an earlier call with the same key may have run.

--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -1,1 +1,210 @@
-//! Not yet written.
+//! Admits requests to the servers of a service: fair shares, caps and early refusal.
+//!
+//! A request that cannot start before its deadline is refused when it comes, not when the deadline
+//! passes. Nothing of a refused request was dispatched, so the refusal may say NOT_RUN.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::fair_queue::FairQueue;
+use crate::ids::ServiceName;
+use crate::ids::TeamName;
+use crate::result_code::ResultCode;
+use crate::timestamp::Timestamp;
+
+/// Weight of one ended request in the mean time for which requests hold their place.
+const HOLD_WEIGHT: f64 = 0.1;
+/// Shortest time after which a refused caller is asked to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Names one request at the gate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct AdmissionTicket(pub u64);
+
+/// A request that asks to be admitted.
+#[derive(Clone, Debug)]
+pub struct AdmissionRequest {
+    /// Service asked for.
+    pub service: ServiceName,
+    /// Requests that the service's servers take at once; 0 if it has none.
+    pub places: u32,
+    /// Team that asks.
+    pub team: TeamName,
+    /// Its weight.
+    pub weight: u32,
+    /// Its requests at once, at most, over all services.
+    pub max_in_flight: u32,
+    /// Time at which the request must have started.
+    pub deadline: Timestamp,
+}
+
+/// What happens at the gate.
+#[derive(Clone, Debug)]
+pub enum AdmissionEvent {
+    /// A request comes.
+    Submit(AdmissionTicket, AdmissionRequest),
+    /// An admitted request ended, or a waiting one was withdrawn.
+    Leave(AdmissionTicket),
+    /// The time of [`AdmissionGate::next_timer`] is reached.
+    Timer,
+}
+
+/// What the gate decides about a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdmissionAction {
+    /// It may go on.
+    Admit(AdmissionTicket),
+    /// It is refused and was not run.
+    Refuse {
+        /// Request.
+        ticket: AdmissionTicket,
+        /// Why.
+        code: ResultCode,
+        /// Time after which it may do better.
+        retry_after: Duration,
+    },
+}
+
+#[derive(Debug)]
+struct AdmissionEntry {
+    request: AdmissionRequest,
+    admitted_at: Option<Timestamp>,
+}
+
+#[derive(Debug, Default)]
+struct ServiceGate {
+    places: u32,
+    running: u32,
+    hold_s: f64,
+    queue: FairQueue<AdmissionTicket>,
+}
+
+/// Decides who may go on to the servers.
+#[derive(Debug, Default)]
+pub struct AdmissionGate {
+    entries: BTreeMap<AdmissionTicket, AdmissionEntry>,
+    services: BTreeMap<ServiceName, ServiceGate>,
+    running: BTreeMap<TeamName, u32>,
+}
+
+impl AdmissionGate {
+    /// Takes an event and returns the decisions that follow.
+    pub fn on_event(&mut self, now: Timestamp, event: AdmissionEvent) -> Vec<AdmissionAction> {
+        let mut actions = match event {
+            AdmissionEvent::Submit(ticket, request) => self.submit(now, ticket, request),
+            AdmissionEvent::Leave(ticket) => {
+                self.leave(now, ticket);
+                Vec::new()
+            }
+            AdmissionEvent::Timer => self.expire(now),
+        };
+        self.admit_waiting(now, &mut actions);
+        actions
+    }
+
+    /// Returns when the first waiting request gives up, if any waits.
+    pub fn next_timer(&self) -> Option<Timestamp> {
+        let waiting = self.entries.values().filter(|entry| entry.admitted_at.is_none());
+        waiting.map(|entry| entry.request.deadline).min()
+    }
+
+    /// Returns the admitted requests of a team.
+    pub fn running(&self, team: &TeamName) -> u32 {
+        self.running.get(team).copied().unwrap_or_default()
+    }
+
+    fn submit(
+        &mut self,
+        now: Timestamp,
+        ticket: AdmissionTicket,
+        request: AdmissionRequest,
+    ) -> Vec<AdmissionAction> {
+        let (code, wait) = self.expected_wait(&request);
+        if now + wait > request.deadline {
+            let retry_after = wait.max(MIN_RETRY_AFTER);
+            return vec![AdmissionAction::Refuse { ticket, code, retry_after }];
+        }
+        let gate = self.services.entry(request.service.clone()).or_default();
+        gate.places = request.places;
+        gate.queue.push(&request.team, request.weight, ticket);
+        self.entries.insert(ticket, AdmissionEntry { request, admitted_at: None });
+        Vec::new()
+    }
+
+    /// Returns how long the request would wait, and the code of the limit that holds it longest.
+    fn expected_wait(&self, request: &AdmissionRequest) -> (ResultCode, Duration) {
+        let Some(gate) = self.services.get(&request.service) else {
+            return (ResultCode::DeadlineUnreachable, Duration::ZERO);
+        };
+        let ahead = gate.queue.waiting(&request.team) as f64;
+        let at_cap = self.running(&request.team) >= request.max_in_flight;
+        let cap_s = match at_cap {
+            true => (ahead + 1.0) * gate.hold_s / f64::from(request.max_in_flight.max(1)),
+            false => 0.0,
+        };
+        let share = f64::from(request.weight)
+            / gate.queue.total_weight(&request.team, request.weight).max(1) as f64;
+        let full = request.places > 0 && gate.running >= request.places;
+        let share_s = match full {
+            true => (ahead + 1.0) * gate.hold_s / (f64::from(request.places) * share),
+            false => 0.0,
+        };
+        if cap_s > share_s {
+            return (ResultCode::TeamOverShare, Duration::from_secs_f64(cap_s));
+        }
+        (ResultCode::DeadlineUnreachable, Duration::from_secs_f64(share_s))
+    }
+
+    fn leave(&mut self, now: Timestamp, ticket: AdmissionTicket) {
+        let Some(entry) = self.entries.remove(&ticket) else { return };
+        let Some(gate) = self.services.get_mut(&entry.request.service) else { return };
+        let Some(admitted_at) = entry.admitted_at else {
+            gate.queue.remove(&entry.request.team, &ticket);
+            return;
+        };
+        gate.running -= 1;
+        gate.hold_s += HOLD_WEIGHT * (now.since(admitted_at).as_secs_f64() - gate.hold_s);
+        if let Some(running) = self.running.get_mut(&entry.request.team) {
+            *running -= 1;
+            if *running == 0 {
+                self.running.remove(&entry.request.team);
+            }
+        }
+    }
+
+    /// Refuses the waiting requests whose deadline has come.
+    fn expire(&mut self, now: Timestamp) -> Vec<AdmissionAction> {
+        let expired = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.admitted_at.is_none() && entry.request.deadline <= now);
+        let expired: Vec<_> = expired.map(|(ticket, _)| *ticket).collect();
+        let refuse = |ticket| AdmissionAction::Refuse {
+            ticket,
+            code: ResultCode::DeadlineUnreachable,
+            retry_after: MIN_RETRY_AFTER,
+        };
+        expired.iter().for_each(|ticket| self.leave(now, *ticket));
+        expired.into_iter().map(refuse).collect()
+    }
+
+    fn admit_waiting(&mut self, now: Timestamp, actions: &mut Vec<AdmissionAction>) {
+        for gate in self.services.values_mut() {
+            while gate.places == 0 || gate.running < gate.places {
+                let (entries, running) = (&self.entries, &self.running);
+                let below_cap = |team: &TeamName| {
+                    let cap = entries.values().find(|entry| entry.request.team == *team);
+                    let cap = cap.map_or(u32::MAX, |entry| entry.request.max_in_flight);
+                    running.get(team).is_none_or(|running| *running < cap)
+                };
+                let Some((team, ticket)) = gate.queue.pop(below_cap) else { break };
+                if let Some(entry) = self.entries.get_mut(&ticket) {
+                    entry.admitted_at = Some(now);
+                }
+                gate.running += 1;
+                *self.running.entry(team).or_default() += 1;
+                actions.push(AdmissionAction::Admit(ticket));
+            }
+        }
+    }
+}
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -9,6 +9,7 @@
 use thiserror::Error;
 
 use crate::admin_server::AdminServer;
+use crate::admission_port::AdmissionPort;
 use crate::claim_keeper::ClaimKeeper;
 use crate::config_follower::ConfigFollower;
 use crate::entry_admin::AdminView;
@@ -147,10 +148,12 @@
         let children = list_children(follower.clone(), poller, sync, pump);
         let supervisor = ChildSupervisor::start(children, clock, sender)?;
 
+        let admission = Arc::new(AdmissionPort::new(clock, ports.router.clone()));
         let driver = Arc::new(SessionDriver::new(ports));
         let door_ports = FrontDoorPorts {
             config: config.clone(),
             driver,
+            admission,
             answers,
             registry: registry.clone(),
             metrics,
--- a/lib/src/front_door.rs
+++ b/lib/src/front_door.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use serde_json::json;
 
+use crate::admission_port::AdmissionPort;
 use crate::answer_reply::answer_reply;
 use crate::answer_store::AnswerStore;
 use crate::caller_guard::CallerGuard;
@@ -51,6 +52,7 @@
 use crate::result_code::ResultCode;
 use crate::session_driver::SessionDriver;
 use crate::session_registry::SessionRegistry;
+use crate::session_request::CallerSink;
 use crate::session_request::CheckedRequest;
 use crate::session_request::RequestWork;
 use crate::settings::FrontDoorSettings;
@@ -63,6 +65,8 @@
     pub config: Arc<ConfigFollower>,
     /// Runs sessions.
     pub driver: Arc<SessionDriver>,
+    /// Admits requests.
+    pub admission: Arc<AdmissionPort>,
     /// Answers that can be fetched again.
     pub answers: Arc<AnswerStore>,
     /// Running sessions.
@@ -260,6 +264,16 @@
         })
     }
 
+    /// Returns the team whose limits hold for a request.
+    ///
+    /// A non-idempotent call passes freely: an earlier one with its key may have run, which only
+    /// its claim can tell, so a refusal here could not say NOT_RUN. A team that was deleted since
+    /// it was identified has no limits any more.
+    fn gated_team(&self, request: &CheckedRequest) -> Option<TeamResource> {
+        let snapshot = self.ports.config.current();
+        snapshot.state.teams.get(&request.team).filter(|_| request.idempotent).cloned()
+    }
+
     /// Starts the thread of a session and returns its output.
     fn start_session(&self, request: CheckedRequest) -> Result<ReplyReceiver> {
         self.ports.metrics.count(CounterMetric::Requests, &request.service.name, 1);
@@ -272,10 +286,21 @@
             self.ports.recorder.clone(),
         );
         let (driver, id) = (self.ports.driver.clone(), request.id);
+        let admission = self.ports.admission.clone();
+        let team = self.gated_team(&request);
         let thread = std::thread::Builder::new()
             .name("session".into())
             .stack_size(SESSION_STACK_BYTES)
-            .spawn(move || driver.run(request, &mut sink));
+            .spawn(move || {
+                let pass = team.map(|team| admission.enter(&request, &team)).transpose();
+                match pass {
+                    Ok(_pass) => driver.run(request, &mut sink),
+                    Err(end) => {
+                        sink.accepted(request.id);
+                        sink.finish(&end);
+                    }
+                }
+            });
         match thread {
             Ok(_) => Ok(receiver),
             Err(error) => {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -112,6 +112,7 @@
 
 // Routing, limits and fleet.
 pub mod admission;
+pub mod admission_port;
 pub mod circuit_breaker;
 pub mod fair_queue;
 pub mod fleet_planner;
