--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -8,12 +8,14 @@
 mod claims;
 mod config_fold;
 mod crash_containment;
+mod decision_cost;
 mod evacuation;
 mod fleet;
 mod fleet_plot;
 mod front_door;
 mod membership;
 mod peer_link;
+mod routing;
 
 use anyhow::Context as _;
 use argh::FromArgs;
@@ -43,11 +45,13 @@
     BenchCase { name: "claims", run: claims::run },
     BenchCase { name: "config-fold", run: config_fold::run },
     BenchCase { name: "crash-containment", run: crash_containment::run },
+    BenchCase { name: "decision-cost", run: decision_cost::run },
     BenchCase { name: "evacuation", run: evacuation::run },
     BenchCase { name: "fleet", run: fleet::run },
     BenchCase { name: "fleet-plot", run: fleet_plot::run },
     BenchCase { name: "front-door", run: front_door::run },
     BenchCase { name: "membership", run: membership::run },
+    BenchCase { name: "routing", run: routing::run },
 ];
 
 fn main() -> anyhow::Result<()> {
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -12,6 +12,7 @@
 use crate::admin_access::OperatorAccess;
 use crate::admin_server::AdminServer;
 use crate::admin_sources::AdminSources;
+use crate::admission_port::AdmissionPort;
 use crate::answer_finder::AnswerFinder;
 use crate::answer_store::AnswerStore;
 use crate::burn_desk::BurnDesk;
@@ -34,6 +35,8 @@
 use crate::handover_taker::HandoverTaker;
 use crate::http_listener::HttpListener;
 use crate::ids::Incarnation;
+use crate::load_poller::LoadPoller;
+use crate::load_poller::PollerPorts;
 use crate::member_keeper::MemberKeeper;
 use crate::metrics::MetricsReporter;
 use crate::metrics_pump::MetricsPump;
@@ -177,6 +180,7 @@
         FrontDoorPorts {
             config: self.config.clone(),
             driver: self.driver.clone(),
+            admission: Arc::new(AdmissionPort::new(self.clock, self.ports.router.clone())),
             answers: Arc::new(finder),
             registry: self.ports.registry.clone(),
             metrics: self.metrics.clone(),
@@ -228,7 +232,11 @@
         view.into_sources()
     }
 
-    fn list_children(&self, follower: Arc<ServerFollower>) -> Vec<ChildSpec> {
+    fn list_children(
+        &self,
+        settings: &EntrySettings,
+        follower: Arc<ServerFollower>,
+    ) -> Vec<ChildSpec> {
         let sync = MemberSync {
             members: self.members.clone(),
             config: self.config.clone(),
@@ -254,12 +262,20 @@
             members: self.members.clone(),
             burn: self.burn.clone(),
         });
+        let poller_ports = PollerPorts {
+            clock: self.clock,
+            config: self.config.clone(),
+            router: self.ports.router.clone(),
+            connector: self.ports.connector.clone(),
+        };
+        let poller = LoadPoller::new(poller_ports, settings.calls.poll_interval);
         let fetcher =
             CheckpointFetcher { config: self.config.clone(), members: self.members.clone() };
         let child =
             |name, work: ChildWork| ChildSpec { name, stall_limit: Some(STALL_LIMIT), work };
         vec![
             child("server-follower", Arc::new(move |context| follower.run(context))),
+            child("load-poller", Arc::new(move |context| poller.run(context))),
             child("member-sync", Arc::new(move |context| sync.run(context))),
             child("checkpoint-fetcher", Arc::new(move |context| fetcher.run(context))),
             child("metrics-pump", Arc::new(move |context| pump.run(context))),
@@ -291,7 +307,7 @@
         let sources = core.admin_sources();
         let admin = entry_parts::start_admin(&settings, &runtime, core.config.clone(), sources)?;
         let (sender, supervised) = mpsc::channel();
-        let children = core.list_children(follower.clone());
+        let children = core.list_children(&settings, follower.clone());
         let supervisor = ChildSupervisor::start(children, core.clock, sender)?;
         let ids = RequestIdSource::new(&settings.host, core.incarnation, rand::random());
         let front_door =
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -124,15 +124,19 @@
 
 // Routing, limits and fleet.
 pub mod admission;
+pub mod admission_port;
 pub mod circuit_breaker;
 pub mod fair_queue;
 pub mod fleet_forecast;
 pub mod fleet_mix;
 pub mod fleet_orders;
 pub mod fleet_planner;
+pub mod load_poller;
 pub mod prefix_map;
 pub mod request_router;
 pub mod retry_budget;
+pub mod router_index;
+pub mod router_load;
 pub mod server_directory;
 
 // The process.
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -54,3 +54,7 @@
 pub mod session_faults;
 pub mod session_harness;
 pub mod session_judge;
+
+pub mod trace_engine;
+pub mod trace_player;
+pub mod workload;
