admission: give no place to a request that is late already

Cause: a waiting request past its deadline could still be admitted and used up a place. Change: every event refuses late requests first.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Policy measurements and slopes: prints JSON lines.
 
 mod decision_cost;
+mod limits;
 mod membership;
 mod peer_link;
 mod routing;
@@ -10,7 +11,7 @@
 /// Measure decisions and print JSON lines.
 #[derive(FromArgs)]
 struct BenchArgs {
-    /// measurement to run: membership, routing or decision_cost; all if none is named
+    /// measurement to run: membership, routing, limits or decision_cost; all if none is named
     #[argh(positional)]
     name: Option<String>,
     /// seed of all random choices (default 1)
@@ -27,6 +28,9 @@
     if wanted("decision_cost") {
         decision_cost::run(args.seed);
     }
+    if wanted("limits") {
+        limits::run(args.seed);
+    }
     if wanted("routing") {
         routing::run(args.seed);
     }
--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -90,14 +90,15 @@
 impl AdmissionGate {
     /// Takes an event and returns the decisions that follow.
     pub fn on_event(&mut self, now: Timestamp, event: AdmissionEvent) -> Vec<AdmissionAction> {
-        let mut actions = match event {
-            AdmissionEvent::Submit(ticket, request) => self.submit(now, ticket, request),
-            AdmissionEvent::Leave(ticket) => {
-                self.leave(now, ticket);
-                Vec::new()
+        // A place must not go to a request that is late already.
+        let mut actions = self.expire(now);
+        match event {
+            AdmissionEvent::Submit(ticket, request) => {
+                actions.extend(self.submit(now, ticket, request));
             }
-            AdmissionEvent::Timer => self.expire(now),
-        };
+            AdmissionEvent::Leave(ticket) => self.leave(now, ticket),
+            AdmissionEvent::Timer => {}
+        }
         self.admit_waiting(now, &mut actions);
         actions
     }
@@ -118,17 +119,17 @@
         now: Timestamp,
         ticket: AdmissionTicket,
         request: AdmissionRequest,
-    ) -> Vec<AdmissionAction> {
+    ) -> Option<AdmissionAction> {
         let (code, wait) = self.expected_wait(&request);
         if now + wait > request.deadline {
             let retry_after = wait.max(MIN_RETRY_AFTER);
-            return vec![AdmissionAction::Refuse { ticket, code, retry_after }];
+            return Some(AdmissionAction::Refuse { ticket, code, retry_after });
         }
         let gate = self.services.entry(request.service.clone()).or_default();
         gate.places = request.places;
         gate.queue.push(&request.team, request.weight, ticket);
         self.entries.insert(ticket, AdmissionEntry { request, admitted_at: None });
-        Vec::new()
+        None
     }
 
     /// Returns how long the request would wait, and the code of the limit that holds it longest.
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod session_harness;
 pub mod session_judge;
 
+pub mod limit_player;
 pub mod trace_engine;
 pub mod trace_player;
 pub mod workload;
