--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -13,6 +13,7 @@
 mod fleet;
 mod fleet_plot;
 mod front_door;
+mod limits;
 mod membership;
 mod peer_link;
 mod routing;
@@ -50,6 +51,7 @@
     BenchCase { name: "fleet", run: fleet::run },
     BenchCase { name: "fleet-plot", run: fleet_plot::run },
     BenchCase { name: "front-door", run: front_door::run },
+    BenchCase { name: "limits", run: limits::run },
     BenchCase { name: "membership", run: membership::run },
     BenchCase { name: "routing", run: routing::run },
 ];
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod session_harness;
 pub mod session_judge;
 
+pub mod limit_player;
 pub mod trace_engine;
 pub mod trace_player;
 pub mod workload;
