tests: name the nearer server in the driver's rig

Cause: five tests of the session driver rely on the first of two equal servers being chosen; the router now draws among equals. Change: the first server alone is in the host's availability zone.

--- a/lib/testutils/src/driver_rig.rs
+++ b/lib/testutils/src/driver_rig.rs
@@ -122,7 +122,11 @@
         let mut router = RequestRouter::new(zone.clone(), 1);
         let addresses: Vec<SocketAddr> =
             (1..=server_count).map(|n| SocketAddr::from(([127, 0, 0, 1], n))).collect();
-        let infos = addresses.iter().map(|address| server_info(*address, &zone)).collect();
+        // The router draws among equal servers; the first one is nearer, so tests know it is used.
+        let far_zone = ZoneName::try_from("salish-b").unwrap();
+        let zones = std::iter::once(&zone).chain(std::iter::repeat(&far_zone));
+        let servers_by_zone = addresses.iter().zip(zones);
+        let infos = servers_by_zone.map(|(address, zone)| server_info(*address, zone)).collect();
         router.set_servers(clock.now(), infos);
         let limits = AnswerLimits {
             max_entries: 10,
