--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -327,6 +327,11 @@
         &self.core.members
     }
 
+    /// Returns the number of requests that run or wait here.
+    pub fn running_requests(&self) -> usize {
+        self.core.ports.registry.running().len()
+    }
+
     /// Returns the claims of this host.
     pub fn claims(&self) -> &ClaimKeeper {
         &self.core.claims
--- a/lib/src/http_listener.rs
+++ b/lib/src/http_listener.rs
@@ -1,7 +1,8 @@
 //! Accepts callers' connections and serves HTTP/1.1 on them.
 //!
 //! A caller that sends its header section too slowly gets a reply with the numbered code and is cut
-//! off; connections beyond the limit wait in the listen queue.
+//! off, and so is one that does not read its reply; connections beyond the limit wait in the listen
+//! queue.
 
 use std::convert::Infallible;
 use std::future::Future;
@@ -13,6 +14,7 @@
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use hyper::Request;
 use hyper::body::Incoming;
@@ -27,6 +29,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
+use tokio::time::Sleep;
 
 use crate::http_reply::FrontError;
 use crate::http_reply::FrontReply;
@@ -131,7 +134,12 @@
         }
         let Ok((stream, twin)) = split_twin(stream) else { return };
         let marks = Arc::new(StreamMarks::default());
-        let io = TokioIo::new(MarkedStream { stream, marks: marks.clone() });
+        let io = TokioIo::new(MarkedStream {
+            stream,
+            marks: marks.clone(),
+            write_timeout: self.settings.write_timeout,
+            write_timer: None,
+        });
         let handler = self.handler.clone();
         let service = service_fn(move |request| {
             let reply = handler(request);
@@ -201,10 +209,26 @@
     withheld: AtomicBool,
 }
 
-/// A stream that marks what passes and withholds replies without a result code.
+/// A stream that marks what passes, withholds replies without a result code, and fails when a write
+/// waits too long for the caller.
 struct MarkedStream {
     stream: TcpStream,
     marks: Arc<StreamMarks>,
+    write_timeout: Duration,
+    /// Runs while a write waits.
+    write_timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl MarkedStream {
+    /// Waits on for a pending write, or fails it if it has waited for the write timeout.
+    fn poll_write_timer(&mut self, cx: &mut Context<'_>) -> Poll<Result<usize>> {
+        let timeout = self.write_timeout;
+        let timer = self.write_timer.get_or_insert_with(|| Box::pin(tokio::time::sleep(timeout)));
+        timer.as_mut().poll(cx).map(|()| {
+            log::info!("event=caller_cut_off reason=\"the caller does not read\"");
+            Err(std::io::ErrorKind::TimedOut.into())
+        })
+    }
 }
 
 /// Returns whether this is the HTTP library's own reply to a request that it could not read.
@@ -239,7 +263,12 @@
             return Poll::Ready(Ok(data.len()));
         }
         self.marks.mid_header.store(false, Ordering::Relaxed);
-        Pin::new(&mut self.stream).poll_write(cx, data)
+        let polled = Pin::new(&mut self.stream).poll_write(cx, data);
+        if polled.is_pending() {
+            return self.poll_write_timer(cx);
+        }
+        self.write_timer = None;
+        polled
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
--- a/lib/src/server_directory.rs
+++ b/lib/src/server_directory.rs
@@ -5,7 +5,6 @@
 //! sooner than that list. A server that any of them calls leaving is leaving.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use crate::host_list::HostDuty;
 use crate::host_list::HostEntry;
@@ -17,6 +16,7 @@
 use crate::request_router::ServerState;
 use crate::resource::ConfigState;
 use crate::resource::ServiceResource;
+use crate::resource::StaticServer;
 use crate::timestamp::Timestamp;
 
 /// Time after which a host that was called leaving may count as live again, if the host list says
@@ -52,13 +52,30 @@
     pub fn servers(&self, config: &ConfigState) -> Vec<ServerInfo> {
         let mut servers = Vec::new();
         for service in config.services.values() {
-            servers.extend(static_servers(service, &config.drained));
+            servers.extend(self.static_servers(service, config));
             let listed = self.hosts.iter().filter_map(|entry| self.listed(entry, service, config));
             servers.extend(listed);
         }
         servers
     }
 
+    fn static_servers(&self, service: &ServiceResource, config: &ConfigState) -> Vec<ServerInfo> {
+        let server = |server: &StaticServer| {
+            let host = HostId::try_from(server.address.to_string()).ok()?;
+            let leaving = self.leaving.contains_key(&host) || config.drained.contains(&host);
+            Some(ServerInfo {
+                id: server_id(&service.name, &host)?,
+                host,
+                address: server.address,
+                zone: server.zone.clone(),
+                service: service.name.clone(),
+                state: if leaving { ServerState::Leaving } else { ServerState::Live },
+                concurrency: service.server_concurrency,
+            })
+        };
+        service.static_servers.iter().filter_map(server).collect()
+    }
+
     fn listed(
         &self,
         entry: &HostEntry,
@@ -90,23 +107,6 @@
     }
 }
 
-fn static_servers(service: &ServiceResource, drained: &BTreeSet<HostId>) -> Vec<ServerInfo> {
-    let server = |server: &crate::resource::StaticServer| {
-        let host = HostId::try_from(server.address.to_string()).ok()?;
-        let drained = drained.contains(&host);
-        Some(ServerInfo {
-            id: server_id(&service.name, &host)?,
-            host,
-            address: server.address,
-            zone: server.zone.clone(),
-            service: service.name.clone(),
-            state: if drained { ServerState::Leaving } else { ServerState::Live },
-            concurrency: service.server_concurrency,
-        })
-    };
-    service.static_servers.iter().filter_map(server).collect()
-}
-
 /// Returns the identity of a service's server on a host; `None` if the joined name is too long.
 fn server_id(service: &ServiceName, host: &HostId) -> Option<ServerId> {
     let id = ServerId::try_from(format!("{service}:{host}"));
--- a/lib/tests/test_handover_state.rs
+++ b/lib/tests/test_handover_state.rs
@@ -4,7 +4,12 @@
 
 use std::time::Duration;
 
+use pomelostack_lib::answer_finder::read_fetched;
+use pomelostack_lib::answer_finder::write_fetched;
+use pomelostack_lib::answer_table::AnswerPart;
+use pomelostack_lib::answer_table::AnswerState;
 use pomelostack_lib::engine::RequestPriority;
+use pomelostack_lib::engine::TokenChunk;
 use pomelostack_lib::handover::HANDOVER_VERSION;
 use pomelostack_lib::handover::HandoverEnd;
 use pomelostack_lib::handover::HandoverPhase;
@@ -12,6 +17,8 @@
 use pomelostack_lib::handover::HandoverWork;
 use pomelostack_lib::handover::MAX_HANDOVER_BYTES;
 use pomelostack_lib::handover::UnfinishedRequest;
+use pomelostack_lib::handover_message::HandoverBody;
+use pomelostack_lib::handover_message::HandoverMessage;
 use pomelostack_lib::handover_protocol::LeaverAction;
 use pomelostack_lib::handover_protocol::LeaverEvent;
 use pomelostack_lib::handover_protocol::LeaverHandover;
@@ -19,9 +26,12 @@
 use pomelostack_lib::handover_protocol::TakerEvent;
 use pomelostack_lib::handover_protocol::TakerHandover;
 use pomelostack_lib::ids::AttemptNumber;
+use pomelostack_lib::ids::HostId;
 use pomelostack_lib::ids::RequestId;
 use pomelostack_lib::ids::ServiceName;
 use pomelostack_lib::ids::TeamName;
+use pomelostack_lib::peer_link;
+use pomelostack_lib::peer_link::FetchedAnswer;
 use pomelostack_lib::result_code::ResultCode;
 use pomelostack_lib::session_request::SessionEnd;
 use pomelostack_lib::timestamp::Timestamp;
@@ -106,6 +116,85 @@
         .unwrap();
 }
 
+fn result(code: u16) -> HandoverResult {
+    let end = HandoverEnd::Unknown { code };
+    HandoverResult { version: HANDOVER_VERSION, id: state().id, end }
+}
+
+#[rstest]
+#[case::offer(HandoverBody::Offer(Box::new(state())))]
+#[case::confirm(HandoverBody::Confirm)]
+#[case::result(HandoverBody::Result(result(301)))]
+fn any_message(#[case] body: HandoverBody) {
+    let message = HandoverMessage::new(HostId::try_from("entry-1").unwrap(), body);
+    let whole = message.encode().unwrap();
+    assert_eq!(HandoverMessage::decode(&whole).unwrap(), message);
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(Config::default(), rng);
+    let inputs = (vec(any::<u8>(), 0..200), 0..whole.len(), any::<u8>());
+    runner
+        .run(&inputs, |(noise, at, byte)| {
+            assert!(HandoverMessage::decode(&noise).is_err());
+            assert!(HandoverMessage::decode(&whole[..at]).is_err());
+            let mut changed = whole.clone();
+            changed[at] = byte;
+            match HandoverMessage::decode(&changed) {
+                Ok(read) => assert_eq!(HandoverMessage::decode(&read.encode().unwrap()), Ok(read)),
+                Err(error) => assert!((600..=602).contains(&error.code().number())),
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+/// An offer inside a message is checked as one on its own.
+#[rstest]
+#[case::phase(|s: &mut UnfinishedRequest| s.phase = HandoverPhase::InFlight)]
+#[case::tokens(|s: &mut UnfinishedRequest| s.tokens = vec![String::new(); 10])]
+#[case::deadline(|s: &mut UnfinishedRequest| s.left_ms = u64::MAX)]
+#[case::version(|s: &mut UnfinishedRequest| s.version = 2)]
+fn bad_offer(#[case] change: fn(&mut UnfinishedRequest)) {
+    let mut state = state();
+    change(&mut state);
+    let offer = HandoverBody::Offer(Box::new(state));
+    let message = HandoverMessage::new(HostId::try_from("entry-1").unwrap(), offer);
+    assert!(HandoverMessage::decode(&message.encode().unwrap()).is_err());
+}
+
+#[test]
+fn fetched_answers() {
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut runner = TestRunner::new_with_rng(Config::default(), rng);
+    let parts = vec((any::<bool>(), any::<u32>(), vec(any::<u8>(), 0..40)), 0..6);
+    let inputs = (vec(".{0,9}", 0..6), any::<bool>(), parts, 0..3_u8);
+    let id = state().id;
+    runner
+        .run(&inputs, |(texts, finished, noise, kind)| {
+            let chunks = texts.into_iter().zip(3..);
+            let chunks = chunks.map(|(text, offset)| TokenChunk { offset, text }).collect();
+            let end = SessionEnd::Unknown { code: ResultCode::ServerLost, retry_after: None };
+            let state = if finished { AnswerState::Finished(end) } else { AnswerState::Running };
+            let part = AnswerPart { chunks, state };
+            let sent = write_fetched(id, Some(part.clone()));
+            assert_eq!(read_fetched(sent), Some(part));
+            let state = match kind {
+                0 => peer_link::AnswerState::Unknown,
+                1 => peer_link::AnswerState::Running,
+                _ => peer_link::AnswerState::Complete(ResultCode::Complete),
+            };
+            let part = |(last, offset, data): (bool, u32, Vec<u8>)| peer_link::AnswerPart {
+                offset: if last { u32::MAX } else { offset },
+                data,
+            };
+            let parts = noise.into_iter().map(part).collect();
+            // A peer's noise makes no end of an answer.
+            let read = read_fetched(FetchedAnswer { state, parts });
+            assert!(read.is_none_or(|part| kind == 1 && part.state == AnswerState::Running));
+            Ok(())
+        })
+        .unwrap();
+}
+
 /// A code that claims NOT_RUN has no proof here, so it is reported as UNKNOWN.
 #[rstest]
 #[case::unknown(ResultCode::ServerLost.number(), ResultCode::ServerLost)]
--- a/lib/tests/test_settings.rs
+++ b/lib/tests/test_settings.rs
@@ -2,6 +2,11 @@
 
 use pomelostack_lib::result_code::ResultCode;
 use pomelostack_lib::settings::EntrySettings;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
 use rstest::rstest;
 use serde_json::Value;
 use serde_json::json;
@@ -116,3 +121,64 @@
     let extra: Vec<_> = page_names.difference(&code_names).collect();
     assert!(missing.is_empty() && extra.is_empty(), "missing {missing:?}, extra {extra:?}");
 }
+
+fn any_json() -> impl Strategy<Value = Value> {
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        ".{0,8}".prop_map(Value::from),
+    ];
+    leaf.prop_recursive(3, 16, 4, |inner| {
+        let list = proptest::collection::vec(inner.clone(), 0..4).prop_map(Value::from);
+        let map = proptest::collection::btree_map(".{0,8}", inner, 0..4);
+        prop_oneof![list, map.prop_map(|map| Value::Object(map.into_iter().collect()))]
+    })
+}
+
+/// Returns the pointers of a value and of all that it holds.
+fn pointers(value: &Value, at: &str, found: &mut Vec<String>) {
+    found.push(at.to_string());
+    match value {
+        Value::Object(fields) => {
+            fields.iter().for_each(|(name, part)| pointers(part, &format!("{at}/{name}"), found));
+        }
+        Value::Array(parts) => {
+            let parts = parts.iter().enumerate();
+            parts.for_each(|(index, part)| pointers(part, &format!("{at}/{index}"), found));
+        }
+        _ => {}
+    }
+}
+
+/// Any value in any place is taken or refused with a code and a path in that place or, for
+/// addresses that have become equal, beside it.
+#[test]
+fn random_settings() {
+    let cases = std::env::var("SETTINGS_CASES").ok().and_then(|text| text.parse().ok());
+    let config =
+        Config { cases: cases.unwrap_or(2_000), failure_persistence: None, ..Config::default() };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let mut places = Vec::new();
+    pointers(&minimal(), "", &mut places);
+    TestRunner::new_with_rng(config, rng)
+        .run(&(proptest::sample::select(places), any_json(), ".{0,40}"), |(place, value, noise)| {
+            let mut settings = minimal();
+            *settings.pointer_mut(&place).expect("the place is there") = value;
+            if let Err(error) = EntrySettings::try_from(settings.to_string().as_str()) {
+                let top = place.split('/').nth(1).unwrap_or_default();
+                let is_there = top.is_empty() || error.path.starts_with(&["$.", top].concat());
+                let is_equal = error.code == ResultCode::SettingsEqualAddresses;
+                prop_assert!(is_there || is_equal, "{error} for {place}");
+                prop_assert!(
+                    error.path.starts_with('$') && !error.problem.is_empty(),
+                    "no path or problem"
+                );
+            }
+            let refused = EntrySettings::try_from(noise.as_str()).expect_err("it is no settings");
+            prop_assert_eq!(&refused.path[..1], "$");
+            Ok(())
+        })
+        .expect("every case holds");
+}
