--- a/cli/tests/test_processes.rs
+++ b/cli/tests/test_processes.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::thread;
 
+use rstest::rstest;
 use rustix::process::Signal;
 use serde_json::json;
 use testutils::dev_cluster::MODEL_SERVICE;
@@ -110,6 +111,35 @@
     check_runs(&fleet, &log);
 }
 
+/// Host 0 is reclaimed in the middle of calls that may not be repeated, and hosts die or are
+/// reclaimed while it hands them over.
+#[rstest]
+#[case::nobody_dies(&[], &[])]
+#[case::leaver_dies(&[0], &[])]
+#[case::taker_dies(&[1], &[])]
+#[case::both_die(&[0, 1], &[])]
+#[case::taker_reclaimed(&[], &[1])]
+fn reclaimed_host(#[case] killed: &[usize], #[case] reclaimed: &[usize]) {
+    let mut fleet = ProcessFleet::start(PROGRAM, 3);
+    fleet.fault_apps(&json!({ "slow": { "extra_ms": 1_000 } }));
+    let (keys, log) = (keys(12), SendLog::default());
+    send_all(&fleet, 0, &keys, &log, || {
+        wait_for_runs(&fleet, 4);
+        fleet.reclaim(0, 3_000);
+        wait_for(|| fleet.caller(0).get("/readyz").status != 200);
+        reclaimed.iter().for_each(|&host| fleet.reclaim(host, 2_000));
+        killed.iter().for_each(|&host| fleet.signal(host, Signal::KILL));
+    });
+    // The notice ends the process by itself, and well.
+    assert_eq!(fleet.wait_for_end(0), !killed.contains(&0));
+    for &host in reclaimed {
+        assert!(fleet.wait_for_end(host));
+    }
+    fleet.fault_apps(&json!({ "slow": { "extra_ms": 0 } }));
+    send_all(&fleet, 2, &keys, &log, || {});
+    check_runs(&fleet, &log);
+}
+
 #[test]
 fn stopped_host() {
     let mut fleet = ProcessFleet::start(PROGRAM, 2);
--- a/lib/src/handover.rs
+++ b/lib/src/handover.rs
@@ -148,27 +148,34 @@
         encode_bounded(self, MAX_HANDOVER_BYTES)
     }
 
-    /// Decodes a state and checks that its fields fit together.
+    /// Decodes a state and checks it.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
         let state: Self = decode_bounded(bytes, HANDOVER_VERSION, MAX_HANDOVER_BYTES)?;
-        let is_model = matches!(state.work, HandoverWork::Model { .. });
-        let fits = match state.phase {
-            HandoverPhase::Repeatable => state.idempotent,
-            HandoverPhase::InFlight => !state.idempotent,
+        state.check()?;
+        Ok(state)
+    }
+
+    /// Checks the version, and that the fields fit together.
+    pub fn check(&self) -> Result<()> {
+        check_version(self.version)?;
+        let is_model = matches!(self.work, HandoverWork::Model { .. });
+        let fits = match self.phase {
+            HandoverPhase::Repeatable => self.idempotent,
+            HandoverPhase::InFlight => !self.idempotent,
             HandoverPhase::NotDispatched => true,
         };
-        if !fits || (is_model && !state.idempotent) || (!is_model && !state.tokens.is_empty()) {
+        if !fits || (is_model && !self.idempotent) || (!is_model && !self.tokens.is_empty()) {
             return Err(RecordError::Malformed("phase does not fit the work".to_owned()));
         }
-        if let HandoverWork::Model { max_tokens, .. } = state.work
-            && state.tokens.len() > max_tokens as usize
+        if let HandoverWork::Model { max_tokens, .. } = self.work
+            && self.tokens.len() > max_tokens as usize
         {
             return Err(RecordError::Malformed("more tokens than asked for".to_owned()));
         }
-        if state.left_ms > MAX_LEFT_MS {
+        if self.left_ms > MAX_LEFT_MS {
             return Err(RecordError::Malformed("deadline is too far".to_owned()));
         }
-        Ok(state)
+        Ok(())
     }
 
     /// Turns the state into a request of this host; `service` is its resource here.
@@ -187,6 +194,14 @@
     }
 }
 
+/// Checks the version of a state or answer that stands inside another record.
+pub fn check_version(found: u16) -> Result<()> {
+    if found == HANDOVER_VERSION {
+        return Ok(());
+    }
+    Err(RecordError::Version { found: u64::from(found), expected: HANDOVER_VERSION })
+}
+
 impl From<&RequestWork> for HandoverWork {
     fn from(work: &RequestWork) -> Self {
         match work {
--- a/lib/src/handover_message.rs
+++ b/lib/src/handover_message.rs
@@ -7,6 +7,7 @@
 use crate::handover::HandoverResult;
 use crate::handover::MAX_HANDOVER_BYTES;
 use crate::handover::UnfinishedRequest;
+use crate::handover::check_version;
 use crate::ids::HostId;
 use crate::record_bounds::Result;
 use crate::record_bounds::decode_bounded;
@@ -49,8 +50,15 @@
         encode_bounded(self, MAX_HANDOVER_BYTES + ENVELOPE_BYTES)
     }
 
-    /// Decodes a message.
+    /// Decodes a message and checks what it carries.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
-        decode_bounded(bytes, HANDOVER_VERSION, MAX_HANDOVER_BYTES + ENVELOPE_BYTES)
+        let limit = MAX_HANDOVER_BYTES + ENVELOPE_BYTES;
+        let message: Self = decode_bounded(bytes, HANDOVER_VERSION, limit)?;
+        match &message.body {
+            HandoverBody::Offer(state) => state.check()?,
+            HandoverBody::Result(result) => check_version(result.version)?,
+            HandoverBody::Confirm => {}
+        }
+        Ok(message)
     }
 }
--- a/lib/testutils/src/dev_cluster.rs
+++ b/lib/testutils/src/dev_cluster.rs
@@ -160,6 +160,11 @@
         self.address(index, ADMIN_PORT_OFFSET)
     }
 
+    /// Returns the address of the cloud.
+    pub fn cloud_address(&self) -> SocketAddr {
+        self.address(1, PLATFORM_PORT_OFFSET)
+    }
+
     /// Returns the settings of an entry host as JSON.
     pub fn settings_json(&self, index: u16) -> Value {
         let platform = |part: u16| self.address(part, PLATFORM_PORT_OFFSET).to_string();
--- a/lib/testutils/src/process_fleet.rs
+++ b/lib/testutils/src/process_fleet.rs
@@ -14,6 +14,7 @@
 use rustix::process::kill_process;
 use serde::Deserialize;
 use serde_json::Value;
+use serde_json::json;
 
 use crate::dev_cluster::DevPlan;
 use crate::dev_cluster::MODEL_SERVICE;
@@ -123,6 +124,14 @@
         kill_process(Pid::from_child(&child.0), signal).expect("the signal is sent");
     }
 
+    /// Has the cloud give notice that it takes an entry host back.
+    pub fn reclaim(&self, index: usize, left_ms: u64) {
+        let url = format!("http://{}/faults", self.plan.cloud_address());
+        let host = format!("entry-{}", index + 1);
+        let fault = json!({ "reclaim_host": { "host": host, "left_ms": left_ms } });
+        ureq::post(url).send_json(fault).expect("the fault is taken");
+    }
+
     /// Waits until an entry host's process has ended, and returns whether it ended well.
     pub fn wait_for_end(&mut self, index: usize) -> bool {
         let mut child = self.entries[index].take().expect("the host runs");
