--- a/lib/src/member_merge.rs
+++ b/lib/src/member_merge.rs
@@ -47,6 +47,7 @@
         actions: &mut Vec<MemberAction>,
     ) {
         let body = message.body.clone();
+        let their_digest = message.table_digest;
         let key = match self.merge_message(now, message, actions) {
             MessageSender::Member(key) => key,
             MessageSender::Skipped(key) => {
@@ -72,7 +73,10 @@
             }
             _ => MessageBody::Noted,
         };
-        let reply = self.compose(Some(key), answer);
+        let mut reply = self.compose(Some(key), answer);
+        if reply.table_digest != their_digest {
+            self.repeat_changes(&mut reply);
+        }
         actions.push(MemberAction::Reply(reply));
     }
 
--- a/lib/src/member_relay.rs
+++ b/lib/src/member_relay.rs
@@ -20,6 +20,7 @@
 use crate::membership::MembershipTable;
 use crate::membership::PAYLOAD_SENDS;
 use crate::peer_message::MessageBody;
+use crate::peer_message::PeerMessage;
 use crate::timestamp::Timestamp;
 
 /// Members of the own region below which silence proves nothing about the local host.
@@ -31,6 +32,12 @@
 /// Bytes of payload sections in one push.
 const PUSH_SECTION_BYTES: usize = 160;
 
+/// Age up to which a change is repeated to members that do not show it.
+const RECENT_LIMIT: Duration = Duration::from_secs(8);
+
+/// Changes repeated on one message, at most.
+const RECENT_PER_MESSAGE: usize = 12;
+
 #[derive(Default)]
 struct ZoneCount {
     live: u32,
@@ -82,6 +89,17 @@
         }
     }
 
+    /// Adds recent changes to the reply to a member whose table differs, however often they were
+    /// sent: a member that missed them gets them in its next exchange with any that has them.
+    pub(crate) fn repeat_changes(&self, reply: &mut PeerMessage) {
+        let since = self.last_event - RECENT_LIMIT;
+        for record in self.roster.recent_changes(since, RECENT_PER_MESSAGE) {
+            if !reply.updates.contains(&record) {
+                reply.updates.push(record);
+            }
+        }
+    }
+
     /// Returns one random member of each other region that is not dead.
     fn pick_abroad(&mut self) -> Vec<MemberKey> {
         let home = self.local.region.clone();
--- a/lib/src/member_roster.rs
+++ b/lib/src/member_roster.rs
@@ -172,6 +172,21 @@
         records
     }
 
+    /// Returns up to `count` members that changed since `since`, the newest change first.
+    ///
+    /// Suspicions are left out, as digests do not count them either.
+    pub fn recent_changes(&self, since: Timestamp, count: usize) -> Vec<MemberRecord> {
+        let mut recent: Vec<&MemberEntry> = self
+            .keys
+            .values()
+            .map(|&key| &self.entries[key])
+            .filter(|entry| entry.changed >= since)
+            .filter(|entry| entry.record.status != MemberStatus::Suspected)
+            .collect();
+        recent.sort_by_key(|entry| std::cmp::Reverse(entry.changed));
+        recent.into_iter().take(count).map(|entry| entry.record.clone()).collect()
+    }
+
     fn count(&mut self, key: MemberKey) {
         let entry = &mut self.entries[key];
         let dead = entry.record.status == MemberStatus::Dead;
--- a/lib/tests/test_member_measure.rs
+++ b/lib/tests/test_member_measure.rs
@@ -18,23 +18,46 @@
 /// HTTP/2 and TCP/IP bytes of one message, as the bench case `peer_link_cost` reports them.
 const TRANSPORT_BYTES: u64 = 150;
 
-fn joined(members: usize, regions: usize) -> MemberQueue {
-    let mut queue = MemberQueue::new(members, regions, 11);
+/// Seed of the tests that run one.
+const SEED: u64 = 11;
+
+fn joined(members: usize, regions: usize, seed: u64) -> MemberQueue {
+    let mut queue = MemberQueue::new(members, regions, seed);
     queue.run_for(JOIN);
     queue.loss_percent = LOSS_PERCENT;
     queue
 }
 
+/// Publishes one payload of each kind on every host.
+fn publish_payloads(queue: &mut MemberQueue, members: usize) {
+    for index in 0..members {
+        let digest = MemberEvent::Publish(SectionKind::LoadDigest, vec![1; 32]);
+        queue.send_event(index, digest);
+        let suspicion = MemberEvent::Publish(SectionKind::CrashSuspicions, vec![1; 16]);
+        queue.send_event(index, suspicion);
+    }
+}
+
 #[rstest]
-#[case(7, 1, 1)]
-#[case(50, 1, 4)]
-#[case(48, 4, 4)]
-fn dead_within_limit(#[case] members: usize, #[case] regions: usize, #[case] at_once: usize) {
-    let mut queue = joined(members, regions);
+#[case(7, 1, 1, 11)]
+#[case(50, 1, 4, 11)]
+#[case(48, 4, 4, 11)]
+#[case(48, 4, 4, 1)]
+#[case(48, 4, 4, 2)]
+#[case(48, 4, 1, 1)]
+#[case(100, 4, 4, 1)]
+fn dead_within_limit(
+    #[case] members: usize,
+    #[case] regions: usize,
+    #[case] at_once: usize,
+    #[case] seed: u64,
+) {
+    let mut queue = joined(members, regions, seed);
     let mut late = 0;
     for round in 0..KILLS / at_once {
         let victims: Vec<usize> =
             (0..at_once).map(|index| (round * 5 + index * 11) % members).collect();
+        publish_payloads(&mut queue, members);
         victims.iter().for_each(|&victim| queue.kill(victim));
         queue.run_for(DETECTION_LIMIT);
         late += victims.iter().filter(|&&victim| queue.routers_of(victim) > 0).count();
@@ -49,7 +72,7 @@
 #[case(50, 1)]
 #[case(48, 4)]
 fn pause_within_limit(#[case] members: usize, #[case] regions: usize) {
-    let mut queue = joined(members, regions);
+    let mut queue = joined(members, regions, SEED);
     for round in 0..10 {
         let victim = round * 5 % members;
         queue.pause(victim, PAUSE);
@@ -67,18 +90,13 @@
 #[case(100, 1)]
 #[case(48, 4)]
 fn bytes_within_limit(#[case] members: usize, #[case] regions: usize) {
-    let mut queue = joined(members, regions);
+    let mut queue = joined(members, regions, SEED);
     (0..members).for_each(|index| {
         queue.take_traffic(index);
     });
     let window = 10;
     for _ in 0..window / 2 {
-        for index in 0..members {
-            let digest = MemberEvent::Publish(SectionKind::LoadDigest, vec![1; 32]);
-            queue.send_event(index, digest);
-            let suspicion = MemberEvent::Publish(SectionKind::CrashSuspicions, vec![1; 16]);
-            queue.send_event(index, suspicion);
-        }
+        publish_payloads(&mut queue, members);
         queue.run_for(Duration::from_secs(2));
     }
     for index in 0..members {
