router: a suspected server gets work again only once it answers

Cause: the host list, read twice a second, made every suspected server live again, whether it answered or not. Change: the suspicion stays until a probe on a new connection is answered, by a thread of its own so that reclaim notices never wait for a silent server. Test: suspected_stays.

--- a/lib/src/circuit_breaker.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Not yet written.
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -271,10 +271,12 @@
         let poller = LoadPoller::new(poller_ports, settings.calls.poll_interval);
         let fetcher =
             CheckpointFetcher { config: self.config.clone(), members: self.members.clone() };
+        let prober = follower.clone();
         let child =
             |name, work: ChildWork| ChildSpec { name, stall_limit: Some(STALL_LIMIT), work };
         vec![
             child("server-follower", Arc::new(move |context| follower.run(context))),
+            child("suspect-prober", Arc::new(move |context| prober.run_probes(context))),
             child("load-poller", Arc::new(move |context| poller.run(context))),
             child("member-sync", Arc::new(move |context| sync.run(context))),
             child("checkpoint-fetcher", Arc::new(move |context| fetcher.run(context))),
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -125,7 +125,6 @@
 // Routing, limits and fleet.
 pub mod admission;
 pub mod admission_port;
-pub mod circuit_breaker;
 pub mod fair_queue;
 pub mod fleet_forecast;
 pub mod fleet_mix;
--- a/lib/src/request_router.rs
+++ b/lib/src/request_router.rs
@@ -137,13 +137,19 @@
     }
 
     /// Replaces the list of servers; what is known about a server that stays is kept.
+    ///
+    /// A suspected server stays suspected while it is listed as live, until [`Self::set_state`].
     pub fn set_servers(&mut self, _now: Timestamp, servers: Vec<ServerInfo>) {
         let mut stale = std::mem::take(&mut self.keys);
         let mut changed = false;
-        for info in servers {
+        for mut info in servers {
             let id = info.id.clone();
             let key = match stale.remove(&id) {
                 Some(key) => {
+                    let known = self.servers[key].info.state;
+                    if known == ServerState::Suspected && info.state == ServerState::Live {
+                        info.state = known;
+                    }
                     changed |= self.servers[key].info != info;
                     self.servers[key].info = info;
                     key
--- a/lib/src/server_follower.rs
+++ b/lib/src/server_follower.rs
@@ -13,8 +13,13 @@
 use crate::host_list::HostList;
 use crate::ids::HostId;
 use crate::request_router::RequestRouter;
+use crate::request_router::ServerInfo;
+use crate::request_router::ServerState;
+use crate::resource::ServiceKind;
 use crate::server_connector::HttpConnector;
 use crate::server_directory::ServerDirectory;
+use crate::session_ports::ProbeResult;
+use crate::session_ports::ServerConnector as _;
 use crate::session_ports::lock;
 use crate::supervisor::ChildContext;
 use crate::timestamp::ProcessClock;
@@ -74,6 +79,48 @@
         self.update_router();
     }
 
+    /// Probes suspected servers until the child must stop.
+    ///
+    /// A thread of its own, since a silent server takes the time limit of a call, and notices must
+    /// not wait for it.
+    pub fn run_probes(&self, context: &ChildContext) {
+        while !context.must_stop() {
+            self.probe_suspected(context);
+            context.report_progress();
+            std::thread::sleep(self.interval);
+        }
+    }
+
+    /// Gives work again to suspected servers that answer a call on a new connection.
+    fn probe_suspected(&self, context: &ChildContext) {
+        let suspected: Vec<ServerInfo> = {
+            let router = lock(&self.ports.router);
+            let servers = router.servers().map(|(_, info)| info);
+            servers.filter(|info| info.state == ServerState::Suspected).cloned().collect()
+        };
+        for info in suspected {
+            context.report_progress();
+            self.ports.connector.retire(info.address);
+            if self.answers(&info) {
+                log::info!("event=server_answers_again server={}", info.id);
+                let now = self.ports.clock.now();
+                lock(&self.ports.router).set_state(now, &info.id, ServerState::Live);
+            }
+        }
+    }
+
+    fn answers(&self, info: &ServerInfo) -> bool {
+        let snapshot = self.ports.config.current();
+        let kind = snapshot.state.services.get(&info.service).map(|service| service.kind);
+        match kind {
+            Some(ServiceKind::Model) => {
+                self.ports.connector.engine(info.address).load_report().is_ok()
+            }
+            Some(ServiceKind::App) => self.ports.connector.probe(info.address) == ProbeResult::Open,
+            None => false,
+        }
+    }
+
     /// Takes a host out of routing at once, as when a peer or an operator announces that it leaves.
     pub fn mark_leaving(&self, host: &HostId) {
         let news = lock(&self.directory).mark_leaving(self.ports.clock.now(), host);
--- a/lib/tests/test_request_router.rs
+++ b/lib/tests/test_request_router.rs
@@ -163,3 +163,16 @@
     rig.router.on_load_report(rig.now, other, &report);
     assert_eq!(rig.choose(&prompt(3), &[]), RouteChoice::Server(other));
 }
+
+#[test]
+fn suspected_stays() {
+    let servers = vec![server(1, "a"), server(2, "b")];
+    let mut rig = RouterRig::new(servers.clone());
+    let suspected = servers[0].id.clone();
+    rig.router.set_state(rig.now, &suspected, ServerState::Suspected);
+    // The platform's list goes on calling it live.
+    rig.router.set_servers(rig.now, servers);
+    assert_eq!(rig.choose(&[], &[]), RouteChoice::Server(rig.key(2)));
+    rig.router.set_state(rig.now, &suspected, ServerState::Live);
+    assert_eq!(rig.choose(&[], &[]), RouteChoice::Server(rig.key(1)));
+}
