--- a/lib/tests/test_slow_callers.rs
+++ b/lib/tests/test_slow_callers.rs
@@ -5,7 +5,6 @@
 use std::io::Write as _;
 use std::net::Shutdown;
 use std::net::TcpStream;
-use std::time::Duration;
 
 use pomelostack_lib::ids::HostId;
 use rstest::rstest;
