admission: a waiting request notices that its caller is gone, and a leave waits for it

Cause, found by vanished_in_queue after the gate came in: a request at the gate is in no registry, so its caller's end was told to nobody and a leaving host did not wait for it. Change: waiting threads look at the caller's presence, the front door counts accepted requests, a host without time refuses waiting ones (205), and a session asks its sink once it is registered.

claims: a claimant whose host cannot be reached counts as gone

Cause: reclaimed_host::both_die took 61 s: the last of three hosts holds the other two for unreachable, not dead, and resends waited for them until their deadline.

--- a/cli/tests/test_processes.rs
+++ b/cli/tests/test_processes.rs
@@ -138,6 +138,10 @@
     fleet.fault_apps(&json!({ "slow": { "extra_ms": 0 } }));
     send_all(&fleet, 2, &keys, &log, || {});
     check_runs(&fleet, &log);
+    // A resend is told what is known at once; it does not wait for a host that is gone.
+    let sends = log.lock().expect("no sender panics");
+    let resends = sends.values().filter_map(|replies| replies.last());
+    assert!(resends.into_iter().all(|reply| reply.code != Some(STILL_RUNNING)), "{sends:?}");
 }
 
 #[test]
--- a/lib/src/admission_port.rs
+++ b/lib/src/admission_port.rs
@@ -3,14 +3,18 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::sync::mpsc::Sender;
+use std::time::Duration;
 
 use crate::admission::AdmissionAction;
 use crate::admission::AdmissionEvent;
 use crate::admission::AdmissionGate;
 use crate::admission::AdmissionRequest;
 use crate::admission::AdmissionTicket;
+use crate::caller_guard::CallerPresence;
 use crate::not_run::NotRunProof;
 use crate::not_run::NotRunRefusal;
 use crate::request_router::RequestRouter;
@@ -22,6 +26,9 @@
 use crate::session_request::SessionEnd;
 use crate::timestamp::ProcessClock;
 
+/// Time between two looks at whether the caller of a waiting request is still there.
+const PRESENCE_CHECK: Duration = Duration::from_millis(50);
+
 #[derive(Default)]
 struct PortState {
     gate: AdmissionGate,
@@ -35,8 +42,8 @@
         for action in self.gate.on_event(clock.now(), event) {
             let (AdmissionAction::Admit(ticket) | AdmissionAction::Refuse { ticket, .. }) = action;
             if let Some(waiter) = self.waiters.remove(&ticket) {
-                let delivered = waiter.send(action).is_ok();
-                debug_assert!(delivered, "a waiter holds its receiver until it has an answer");
+                // A waiter that gave up just now gives its place back by its pass.
+                let _ = waiter.send(action);
             }
         }
     }
@@ -47,6 +54,7 @@
     clock: ProcessClock,
     router: Arc<Mutex<RequestRouter>>,
     state: Arc<Mutex<PortState>>,
+    closed: AtomicBool,
 }
 
 /// Permission to run one request; its place is free again when this is dropped.
@@ -58,14 +66,21 @@
 
 impl Drop for AdmissionPass {
     fn drop(&mut self) {
-        lock(&self.state).apply(self.clock, AdmissionEvent::Leave(self.ticket));
+        let mut state = lock(&self.state);
+        state.waiters.remove(&self.ticket);
+        state.apply(self.clock, AdmissionEvent::Leave(self.ticket));
     }
 }
 
 impl AdmissionPort {
     /// Builds a gate over the servers that the router knows.
     pub fn new(clock: ProcessClock, router: Arc<Mutex<RequestRouter>>) -> Self {
-        Self { clock, router, state: Arc::default() }
+        Self { clock, router, state: Arc::default(), closed: AtomicBool::new(false) }
+    }
+
+    /// Refuses every request that waits, or comes from now on: the host has no time left.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::Relaxed);
     }
 
     /// Waits until the request may run, or returns its final answer if it must not.
@@ -73,6 +88,7 @@
         &self,
         request: &CheckedRequest,
         team: &TeamResource,
+        caller: &CallerPresence,
     ) -> Result<AdmissionPass, SessionEnd> {
         let submitted = AdmissionRequest {
             service: request.service.name.clone(),
@@ -91,18 +107,18 @@
             state.apply(self.clock, AdmissionEvent::Submit(ticket, submitted));
             ticket
         };
+        // Dropped without being returned, the pass gives the place back.
+        let pass = AdmissionPass { clock: self.clock, state: self.state.clone(), ticket };
         loop {
             let left = request.deadline.since(self.clock.now());
-            match receiver.recv_timeout(left) {
-                Ok(AdmissionAction::Admit(_)) => {
-                    return Ok(AdmissionPass {
-                        clock: self.clock,
-                        state: self.state.clone(),
-                        ticket,
-                    });
-                }
+            match receiver.recv_timeout(left.min(PRESENCE_CHECK)) {
+                Ok(AdmissionAction::Admit(_)) => return Ok(pass),
                 Ok(AdmissionAction::Refuse { code, retry_after, .. }) => {
-                    return Err(refuse(code, retry_after));
+                    return Err(refuse(code, Some(retry_after)));
+                }
+                Err(_) if caller.is_gone() => return Err(refuse(ResultCode::CallerGone, None)),
+                Err(_) if self.closed.load(Ordering::Relaxed) => {
+                    return Err(refuse(ResultCode::HostLeaving, None));
                 }
                 // The gate refuses every request whose deadline has come, this one included.
                 Err(_) => lock(&self.state).apply(self.clock, AdmissionEvent::Timer),
@@ -120,9 +136,9 @@
     }
 }
 
-fn refuse(code: ResultCode, retry_after: std::time::Duration) -> SessionEnd {
+fn refuse(code: ResultCode, retry_after: Option<Duration>) -> SessionEnd {
     match NotRunRefusal::new(code, NotRunProof::NeverDispatched) {
-        Some(refusal) => SessionEnd::NotRun { refusal, retry_after: Some(retry_after) },
+        Some(refusal) => SessionEnd::NotRun { refusal, retry_after },
         None => SessionEnd::Unknown { code, retry_after: None },
     }
 }
--- a/lib/src/caller_guard.rs
+++ b/lib/src/caller_guard.rs
@@ -1,24 +1,42 @@
 //! Tells a session when its caller's connection ends before the reply began.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use crate::ids::RequestId;
 use crate::session_event::SessionEvent;
 use crate::session_registry::SessionRegistry;
 
+/// Whether a caller's connection has ended, for threads that wait on its behalf.
+#[derive(Clone, Debug, Default)]
+pub struct CallerPresence(Arc<AtomicBool>);
+
+impl CallerPresence {
+    /// Returns whether the connection has ended.
+    pub fn is_gone(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 /// Reports the caller as gone when it is dropped before [`Self::disarm`].
 ///
 /// The HTTP library drops the future of a reply when the caller's connection ends.
 pub struct CallerGuard {
     registry: Arc<SessionRegistry>,
     request: RequestId,
+    presence: CallerPresence,
     armed: bool,
 }
 
 impl CallerGuard {
     /// Guards a request.
-    pub fn new(registry: Arc<SessionRegistry>, request: RequestId) -> Self {
-        Self { registry, request, armed: true }
+    pub fn new(
+        registry: Arc<SessionRegistry>,
+        request: RequestId,
+        presence: CallerPresence,
+    ) -> Self {
+        Self { registry, request, presence, armed: true }
     }
 
     /// Ends the guard: from now on the reply's stream tells whether the caller is there.
@@ -30,6 +48,7 @@
 impl Drop for CallerGuard {
     fn drop(&mut self) {
         if self.armed {
+            self.presence.0.store(true, Ordering::Relaxed);
             // A session that has just ended needs no news.
             self.registry.send(self.request, SessionEvent::CallerGone);
         }
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -345,9 +345,9 @@
         &self.core.members
     }
 
-    /// Returns the number of requests that run or wait here.
+    /// Returns the number of callers' requests that run or wait here.
     pub fn running_requests(&self) -> usize {
-        self.core.ports.registry.running().len()
+        self.front_door.running()
     }
 
     /// Returns the claims of this host.
--- a/lib/src/entry_leave.rs
+++ b/lib/src/entry_leave.rs
@@ -72,9 +72,9 @@
         }
     }
 
-    /// Returns whether all sessions have ended.
+    /// Returns whether all accepted requests have ended, taken-over ones included.
     fn wait_until_idle(&self, clock: ProcessClock, until: Timestamp) -> bool {
-        while !self.registry.running().is_empty() {
+        while self.front_door.running() > 0 || !self.registry.running().is_empty() {
             if clock.now() >= until {
                 return false;
             }
@@ -89,6 +89,7 @@
         let host = &view.local.host;
         let running = self.registry.running().len();
         log::info!("event=handing_over host={host} running={running} peers={}", peers.len());
+        self.front_door.stop_waiting();
         HandoverLeaver::new(self.ports.clone()).hand_over_all(&peers, until);
         self.wait_until_idle(self.ports.clock, until);
     }
--- a/lib/src/entry_parts.rs
+++ b/lib/src/entry_parts.rs
@@ -40,6 +40,7 @@
 use crate::member_record::MemberStatus;
 use crate::member_record::host_hash;
 use crate::member_record::life_of;
+use crate::member_snapshot::MemberState;
 use crate::peer_client::PeerTimeouts;
 use crate::peer_link::ClusterSecret;
 use crate::request_router::RequestRouter;
@@ -120,7 +121,8 @@
 
 /// Builds the gate through which sessions claim.
 ///
-/// A claimant whose host is no member, or lives another life, is gone.
+/// A claimant whose host is no member, cannot be reached, or lives another life, counts as gone:
+/// whoever waits for its answer is told UNKNOWN at once.
 pub fn build_gate(
     keeper: Arc<ClaimKeeper>,
     clock: ProcessClock,
@@ -131,7 +133,9 @@
         let life = if view.local.host == claimant.host {
             Some(life_of(view.local.incarnation))
         } else {
-            view.find(&claimant.host).map(|member| member.life)
+            let found = view.find(&claimant.host);
+            let reachable = found.filter(|member| member.state != MemberState::Unreachable);
+            reachable.map(|member| member.life)
         };
         life == Some(claimant.incarnation)
     };
--- a/lib/src/front_door.rs
+++ b/lib/src/front_door.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
 use hyper::HeaderMap;
@@ -19,6 +20,7 @@
 use crate::burn;
 use crate::burn_report::BurnReport;
 use crate::caller_guard::CallerGuard;
+use crate::caller_guard::CallerPresence;
 use crate::caller_reply::app_reply;
 use crate::caller_reply::completion_reply;
 use crate::caller_request::Result;
@@ -96,6 +98,7 @@
     ports: FrontDoorPorts,
     ids: RequestIdSource,
     leaving: AtomicBool,
+    running: Arc<AtomicUsize>,
 }
 
 /// What a caller's headers say.
@@ -108,7 +111,7 @@
 impl FrontDoor {
     /// Builds a front door.
     pub fn new(settings: FrontDoorSettings, ports: FrontDoorPorts, ids: RequestIdSource) -> Self {
-        Self { settings, ports, ids, leaving: AtomicBool::new(false) }
+        Self { settings, ports, ids, leaving: AtomicBool::new(false), running: Arc::default() }
     }
 
     /// Refuses new work from now on; running requests go on.
@@ -116,6 +119,16 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Refuses requests that wait for admission: the host has no time left for them.
+    pub fn stop_waiting(&self) {
+        self.ports.admission.close();
+    }
+
+    /// Returns the accepted requests that have no final answer yet, waiting ones included.
+    pub fn running(&self) -> usize {
+        self.running.load(Ordering::Relaxed)
+    }
+
     /// Answers one request.
     pub async fn handle(self: Arc<Self>, request: Request<Incoming>) -> FrontReply {
         match self.route(request).await {
@@ -187,8 +200,9 @@
         let id = checked.id;
         let model = completion.service.as_str();
         let writer = CompletionWriter::new(kind, id, model, wall_clock_ms() / 1_000);
-        let parts = self.start_session(checked)?;
-        let guard = CallerGuard::new(self.ports.registry.clone(), id);
+        let presence = CallerPresence::default();
+        let parts = self.start_session(checked, presence.clone())?;
+        let guard = CallerGuard::new(self.ports.registry.clone(), id, presence);
         let reply = completion_reply(id, &completion, writer, parts).await;
         guard.disarm();
         Ok(reply)
@@ -209,8 +223,9 @@
         let work = RequestWork::App { method, path, headers, body: Arc::from(&body[..]) };
         let checked = self.check(caller, service, work, idempotent)?;
         let id = checked.id;
-        let parts = self.start_session(checked)?;
-        let guard = CallerGuard::new(self.ports.registry.clone(), id);
+        let presence = CallerPresence::default();
+        let parts = self.start_session(checked, presence.clone())?;
+        let guard = CallerGuard::new(self.ports.registry.clone(), id, presence);
         let reply = app_reply(id, parts).await;
         guard.disarm();
         Ok(reply)
@@ -302,7 +317,11 @@
     }
 
     /// Starts the thread of a session and returns its output.
-    fn start_session(&self, request: CheckedRequest) -> Result<ReplyReceiver> {
+    fn start_session(
+        &self,
+        request: CheckedRequest,
+        caller: CallerPresence,
+    ) -> Result<ReplyReceiver> {
         self.ports.metrics.count(CounterMetric::Requests, &request.service.name, 1);
         let (sender, receiver) = open_reply_channel();
         let mut sink = RequestMeter::new(
@@ -315,11 +334,13 @@
         let (driver, id) = (self.ports.driver.clone(), request.id);
         let admission = self.ports.admission.clone();
         let team = self.gated_team(&request);
+        let running = RunningCount::add(&self.running);
         let thread = std::thread::Builder::new()
             .name("session".into())
             .stack_size(SESSION_STACK_BYTES)
             .spawn(move || {
-                let pass = team.map(|team| admission.enter(&request, &team)).transpose();
+                let _running = running;
+                let pass = team.map(|team| admission.enter(&request, &team, &caller)).transpose();
                 match pass {
                     Ok(_pass) => driver.run(request, &mut sink),
                     Err(end) => {
@@ -339,6 +360,22 @@
     }
 }
 
+/// Counts one accepted request until it is dropped.
+struct RunningCount(Arc<AtomicUsize>);
+
+impl RunningCount {
+    fn add(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count.clone())
+    }
+}
+
+impl Drop for RunningCount {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Stack of a session's thread in bytes.
 const SESSION_STACK_BYTES: usize = 256 * 1024;
 
--- a/lib/src/reply_channel.rs
+++ b/lib/src/reply_channel.rs
@@ -47,6 +47,10 @@
     /// The front door knows the id, since it made it.
     fn accepted(&mut self, _id: RequestId) {}
 
+    fn state(&self) -> SinkState {
+        if self.sender.is_closed() { SinkState::Gone } else { SinkState::Open }
+    }
+
     fn token(&mut self, chunk: &TokenChunk) -> SinkState {
         self.send(ReplyPart::Token(chunk.clone()))
     }
--- a/lib/src/request_meter.rs
+++ b/lib/src/request_meter.rs
@@ -125,6 +125,10 @@
         self.inner.accepted(id);
     }
 
+    fn state(&self) -> SinkState {
+        self.inner.state()
+    }
+
     fn token(&mut self, chunk: &TokenChunk) -> SinkState {
         self.measure_token(self.clock.now());
         self.inner.token(chunk)
--- a/lib/src/session_driver.rs
+++ b/lib/src/session_driver.rs
@@ -156,6 +156,10 @@
     }
 
     fn run(mut self) {
+        // A caller that went away before the registry knew the session was reported to nobody.
+        if self.sink.state() == SinkState::Gone {
+            self.pending.push_back(SessionEvent::CallerGone);
+        }
         while !self.session.is_finished() {
             let event = match self.pending.pop_front() {
                 Some(event) => event,
--- a/lib/src/session_request.rs
+++ b/lib/src/session_request.rs
@@ -126,6 +126,11 @@
     /// Tells that the request was accepted under an id.
     fn accepted(&mut self, id: RequestId);
 
+    /// Returns whether the caller still reads, as far as is known without passing anything on.
+    fn state(&self) -> SinkState {
+        SinkState::Open
+    }
+
     /// Passes on one token of the answer, in order and each offset once.
     fn token(&mut self, chunk: &TokenChunk) -> SinkState;
 
