--- a/lib/src/burn_desk.rs
+++ b/lib/src/burn_tracker.rs
@@ -25,13 +25,13 @@
 const FIRST_SYSTEM_CODE: u16 = 200;
 
 /// Counts and reports service-level burn.
-pub struct BurnDesk {
+pub struct BurnTracker {
     config: Arc<ConfigFollower>,
     recorder: Mutex<BurnRecorder>,
 }
 
-impl BurnDesk {
-    /// Builds a desk that has counted nothing.
+impl BurnTracker {
+    /// Builds a tracker that has counted nothing.
     pub fn new(host: HostId, life: Incarnation, config: Arc<ConfigFollower>) -> Self {
         Self { config, recorder: Mutex::new(BurnRecorder::new(host, life)) }
     }
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -15,7 +15,7 @@
 use crate::admission_port::AdmissionPort;
 use crate::answer_finder::AnswerFinder;
 use crate::answer_store::AnswerStore;
-use crate::burn_desk::BurnDesk;
+use crate::burn_tracker::BurnTracker;
 use crate::checkpoint_fetcher::CheckpointFetcher;
 use crate::claim_keeper::ClaimKeeper;
 use crate::cloud::ReclaimNotice;
@@ -29,7 +29,7 @@
 use crate::entry_parts;
 use crate::entry_peer::EntryPeerHandler;
 use crate::entry_sync::MemberSync;
-use crate::evacuation_desk::EvacuationDesk;
+use crate::evacuation_starter::EvacuationStarter;
 use crate::front_door::FrontDoor;
 use crate::front_door::FrontDoorPorts;
 use crate::handover_taker::HandoverTaker;
@@ -39,8 +39,8 @@
 use crate::load_poller::PollerPorts;
 use crate::member_keeper::MemberKeeper;
 use crate::metrics::MetricsReporter;
-use crate::metrics_pump::MetricsPump;
-use crate::metrics_pump::PumpPorts;
+use crate::metrics_sender::MetricsSender;
+use crate::metrics_sender::SenderPorts;
 use crate::peer_link::PeerError;
 use crate::policy_applier::PolicyApplier;
 use crate::request_id_source::RequestIdSource;
@@ -110,7 +110,7 @@
     claims: Arc<ClaimKeeper>,
     answers: Arc<AnswerStore>,
     metrics: Arc<MetricsReporter>,
-    burn: Arc<BurnDesk>,
+    burn: Arc<BurnTracker>,
     members: Arc<MemberKeeper>,
     connector: Arc<HttpConnector>,
     ports: SessionPorts,
@@ -128,7 +128,7 @@
         let answers = entry_parts::build_answers(settings, clock);
         let metrics = Arc::new(MetricsReporter::new(settings.statsd)?);
         let open_taker = Arc::new(OnceLock::new());
-        let burn = Arc::new(BurnDesk::new(settings.host.clone(), incarnation, config.clone()));
+        let burn = Arc::new(BurnTracker::new(settings.host.clone(), incarnation, config.clone()));
         let suspects = Arc::new(Mutex::new(CrashSuspects::new(settings.host.clone())));
         let handler = EntryPeerHandler {
             answers: answers.clone(),
@@ -198,7 +198,7 @@
         settings: &EntrySettings,
         events: mpsc::Sender<EntryEvent>,
     ) -> Arc<ServerFollower> {
-        let desk = EvacuationDesk::new(self.ports.clone());
+        let starter = EvacuationStarter::new(self.ports.clone());
         let host = settings.host.clone();
         let events = Mutex::new(events);
         let on_notice = move |notice: &ReclaimNotice| {
@@ -207,7 +207,7 @@
                 // A process that no longer listens is already leaving.
                 let _ = lock(&events).send(EntryEvent::Reclaimed(left));
             } else {
-                desk.on_notice(notice);
+                starter.on_notice(notice);
             }
         };
         entry_parts::build_follower(
@@ -253,7 +253,7 @@
                 self.members.clone(),
             ),
         };
-        let pump = MetricsPump::new(PumpPorts {
+        let sender = MetricsSender::new(SenderPorts {
             metrics: self.metrics.clone(),
             counters: self.ports.counters.clone(),
             registry: self.ports.registry.clone(),
@@ -280,7 +280,7 @@
             child("load-poller", Arc::new(move |context| poller.run(context))),
             child("member-sync", Arc::new(move |context| sync.run(context))),
             child("checkpoint-fetcher", Arc::new(move |context| fetcher.run(context))),
-            child("metrics-pump", Arc::new(move |context| pump.run(context))),
+            child("metrics-sender", Arc::new(move |context| sender.run(context))),
         ]
     }
 }
--- a/lib/src/entry_admin.rs
+++ b/lib/src/entry_admin.rs
@@ -6,7 +6,7 @@
 use crate::admin_sources::AdminSources;
 use crate::answer_store::AnswerStore;
 use crate::answer_table::AnswerState;
-use crate::burn_desk::BurnDesk;
+use crate::burn_tracker::BurnTracker;
 use crate::config_follower::ConfigFollower;
 use crate::ids::RequestId;
 use crate::member_keeper::MemberKeeper;
@@ -30,7 +30,7 @@
     /// Answers.
     pub answers: Arc<AnswerStore>,
     /// Service-level burn.
-    pub burn: Arc<BurnDesk>,
+    pub burn: Arc<BurnTracker>,
 }
 
 impl AdminView {
--- a/lib/src/entry_peer.rs
+++ b/lib/src/entry_peer.rs
@@ -6,7 +6,7 @@
 
 use crate::answer_finder::write_fetched;
 use crate::answer_store::AnswerStore;
-use crate::burn_desk::BurnDesk;
+use crate::burn_tracker::BurnTracker;
 use crate::config_follower::ConfigFollower;
 use crate::crash_report::CrashReport;
 use crate::crash_suspects::CrashSuspects;
@@ -27,7 +27,7 @@
     /// Configuration of this host.
     pub config: Arc<ConfigFollower>,
     /// Service-level burn of this host.
-    pub burn: Arc<BurnDesk>,
+    pub burn: Arc<BurnTracker>,
     /// Clock of the suspicions.
     pub clock: ProcessClock,
     /// Requests that crash servers.
--- a/lib/src/evacuation_desk.rs
+++ b/lib/src/evacuation_starter.rs
@@ -33,15 +33,15 @@
 const NOTICE_MEMORY: Duration = Duration::from_secs(60);
 
 /// Plans and starts evacuations.
-pub struct EvacuationDesk {
+pub struct EvacuationStarter {
     clock: ProcessClock,
     router: Arc<Mutex<RequestRouter>>,
     runner: Arc<EvacuationRunner>,
     leaving: Mutex<BTreeMap<HostId, Timestamp>>,
 }
 
-impl EvacuationDesk {
-    /// Builds a desk for the sessions of one host.
+impl EvacuationStarter {
+    /// Builds a starter for the sessions of one host.
     pub fn new(ports: SessionPorts) -> Self {
         let rates = EvacuationRates {
             token_time: TOKEN_TIME,
--- a/lib/src/metrics_pump.rs
+++ b/lib/src/metrics_sender.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use crate::burn_desk::BurnDesk;
+use crate::burn_tracker::BurnTracker;
 use crate::claim_keeper::ClaimKeeper;
 use crate::config_follower::ConfigFollower;
 use crate::member_keeper::MemberKeeper;
@@ -21,13 +21,13 @@
 use crate::supervisor::ChildContext;
 
 /// Time between two rounds.
-const PUMP_INTERVAL: Duration = Duration::from_millis(500);
+const SEND_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Rounds between two reports of burn rates.
 const ROUNDS_PER_BURN: u64 = 20;
 
 /// Where the counters and levels are kept.
-pub struct PumpPorts {
+pub struct SenderPorts {
     /// Takes the metrics.
     pub metrics: Arc<MetricsReporter>,
     /// Counts of sessions.
@@ -41,7 +41,7 @@
     /// Members.
     pub members: Arc<MemberKeeper>,
     /// Service-level burn of this host.
-    pub burn: Arc<BurnDesk>,
+    pub burn: Arc<BurnTracker>,
 }
 
 /// Totals as they were sent last.
@@ -53,14 +53,14 @@
 }
 
 /// Sends counters as differences since the last round, and levels as they are.
-pub struct MetricsPump {
-    ports: PumpPorts,
+pub struct MetricsSender {
+    ports: SenderPorts,
     sent: Mutex<SentTotals>,
 }
 
-impl MetricsPump {
-    /// Builds a pump that has sent nothing.
-    pub fn new(ports: PumpPorts) -> Self {
+impl MetricsSender {
+    /// Builds a sender that has sent nothing.
+    pub fn new(ports: SenderPorts) -> Self {
         Self { ports, sent: Mutex::default() }
     }
 
@@ -72,7 +72,7 @@
             self.send_levels();
             self.send_burn();
             context.report_progress();
-            std::thread::sleep(PUMP_INTERVAL);
+            std::thread::sleep(SEND_INTERVAL);
         }
     }
 
