--- a/lib/src/logging.rs
+++ b/lib/src/logging.rs
@@ -1,7 +1,7 @@
 //! Sets up logging: one event a line, with key=value fields.
 //!
-//! A line reads `2026-01-31T12:00:00Z INFO event=request_ended request=… service=… team=…
-//! server=… code=…`. Fields that hold spaces are quoted.
+//! A line reads `2026-01-31T12:00:00Z INFO event=request_ended request=… service=… team=… code=…`.
+//! Fields that hold spaces are quoted.
 
 use std::fs::OpenOptions;
 use std::io::Write;
