--- a/cli/src/commands/mod.rs
+++ b/cli/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod check;
 mod dev;
 mod entry;
+mod gateway;
 mod report;
 
 use std::process::ExitCode;
@@ -24,6 +25,7 @@
     Check(check::CheckCommand),
     Dev(dev::DevCommand),
     Entry(entry::EntryCommand),
+    Gateway(gateway::GatewayCommand),
     Report(report::ReportCommand),
 }
 
@@ -35,6 +37,7 @@
             Command::Check(command) => command.run(),
             Command::Dev(command) => command.run(),
             Command::Entry(command) => command.run(),
+            Command::Gateway(command) => command.run(),
             Command::Report(command) => command.run().map(|()| ExitCode::SUCCESS),
         }
     }
--- a/lib/gen-protos/src/main.rs
+++ b/lib/gen-protos/src/main.rs
@@ -11,7 +11,7 @@
 use anyhow::bail;
 
 /// Packages in the order in which `mod.rs` lists them; each has a file `<name>.proto`.
-const PACKAGES: [&str; 5] = ["admin", "claims", "config", "leases", "peer"];
+const PACKAGES: [&str; 6] = ["admin", "claims", "config", "gateway", "leases", "peer"];
 
 /// Messages that are also the JSON form of configuration: an unknown field is an error.
 const JSON_MESSAGES: [&str; 8] = [
@@ -97,6 +97,7 @@
     builder
         .out_dir(out_dir)
         .btree_map(".pomelostack.admin.FleetClassSpec")
+        .btree_map(".pomelostack.gateway")
         .compile_fds(descriptors)
         .context("cannot generate code")
 }
--- /dev/null
+++ b/lib/src/gateway/backend_directory.rs
@@ -0,0 +1,227 @@
+//! The backend servers that the platform's directory lists.
+//!
+//! Load pattern: the directory's entries lapse by the dozen while its store is away although the
+//! servers live. Removals that arrive around an outage are held back for a grace period, and only
+//! what is still missing afterwards is gone.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use slotmap::SlotMap;
+
+use crate::ids::LogOffset;
+use crate::ids::ServerId;
+use crate::ids::ServerKey;
+use crate::ids::ServiceName;
+use crate::ids::ZoneName;
+use crate::timestamp::Timestamp;
+
+/// Time after the store's return for which a missing entry may still come back; the directory's
+/// contract says two seconds, and half a second is for reading it.
+pub const RETURN_GRACE: Duration = Duration::from_millis(2_500);
+
+/// Time without a successful read after which the store counts as away.
+pub const STORE_AWAY_AFTER: Duration = Duration::from_millis(2_500);
+
+/// Whether a backend server takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServingState {
+    /// It does.
+    Ready,
+    /// It is leaving and finishes what it has.
+    Draining,
+}
+
+/// What a server says of itself in the directory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BackendEntry {
+    /// Identity.
+    pub id: ServerId,
+    /// Service that it runs.
+    pub service: ServiceName,
+    /// Address for requests.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Whether it takes new work.
+    pub state: ServingState,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Time of its start in milliseconds since 1970; tells lives of one id apart.
+    pub born_ms: Option<u64>,
+    /// Whether the cloud may take it back.
+    pub reclaimable: bool,
+    /// Time until it is taken back, if that is known.
+    pub leaves_in: Option<Duration>,
+}
+
+/// A change read from the directory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DirectoryChange {
+    /// The server's entry is now this.
+    Present(BackendEntry),
+    /// The entry was removed, or can no longer be read.
+    Absent(ServerId),
+}
+
+/// What a change did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DirectoryEffect {
+    /// A server joined.
+    Joined(ServerKey),
+    /// A server started again under its old id; what was known of its memory is void.
+    Restarted(ServerKey),
+    /// A server began to leave.
+    Leaving(ServerKey),
+    /// A server is gone.
+    Gone(ServerKey),
+    /// Nothing that matters to routing changed.
+    Unchanged,
+}
+
+/// A listed backend server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BackendServer {
+    /// Its newest entry.
+    pub entry: BackendEntry,
+    /// When the host learned that it leaves, if it does.
+    pub leaving_since: Option<Timestamp>,
+}
+
+/// The directory as this host knows it.
+#[derive(Clone, Debug, Default)]
+pub struct BackendDirectory {
+    servers: SlotMap<ServerKey, BackendServer>,
+    by_id: HashMap<ServerId, ServerKey>,
+    offsets: HashMap<ServerId, LogOffset>,
+    /// Removals that wait for the end of the grace period.
+    held: BTreeMap<ServerId, Timestamp>,
+    /// Last successful read.
+    read_at: Option<Timestamp>,
+    /// Until when removals are held back.
+    grace_until: Option<Timestamp>,
+}
+
+impl BackendDirectory {
+    /// Records a successful read of the store; a long gap before it starts the grace period.
+    pub fn on_read(&mut self, now: Timestamp) {
+        if self.read_at.is_some_and(|at| now.since(at) >= STORE_AWAY_AFTER) {
+            self.grace_until = Some(now + RETURN_GRACE);
+        }
+        self.read_at = Some(now);
+    }
+
+    /// Records that the store refused or failed a read: what lapses now may come back.
+    pub fn on_store_trouble(&mut self, now: Timestamp) {
+        self.grace_until = Some(now + RETURN_GRACE);
+    }
+
+    /// Applies a change; one that is older than what is known of the server has no effect.
+    pub fn apply(
+        &mut self,
+        now: Timestamp,
+        offset: LogOffset,
+        change: DirectoryChange,
+    ) -> DirectoryEffect {
+        let id = match &change {
+            DirectoryChange::Present(entry) => entry.id.clone(),
+            DirectoryChange::Absent(id) => id.clone(),
+        };
+        if self.offsets.get(&id).is_some_and(|known| *known >= offset) {
+            return DirectoryEffect::Unchanged;
+        }
+        self.offsets.insert(id, offset);
+        match change {
+            DirectoryChange::Present(entry) => self.set_present(now, entry),
+            DirectoryChange::Absent(id) => self.set_absent(now, id),
+        }
+    }
+
+    /// Removes what has stayed away for the whole grace period; returns the keys.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<ServerKey> {
+        let due: Vec<ServerId> = self
+            .held
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
+        due.into_iter().filter_map(|id| self.remove(&id)).collect()
+    }
+
+    /// Treats servers that a complete listing does not name as removed.
+    pub fn retain_listed(&mut self, now: Timestamp, listed: &[ServerId]) -> Vec<DirectoryEffect> {
+        let missing: Vec<ServerId> =
+            self.by_id.keys().filter(|id| !listed.contains(id)).cloned().collect();
+        missing.into_iter().map(|id| self.set_absent(now, id)).collect()
+    }
+
+    /// Returns a server.
+    pub fn get(&self, key: ServerKey) -> Option<&BackendServer> {
+        self.servers.get(key)
+    }
+
+    /// Returns the key of a server.
+    pub fn find(&self, id: &ServerId) -> Option<ServerKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Returns the servers of a service, those that leave included.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = (ServerKey, &'a BackendServer)> {
+        self.servers.iter().filter(move |(_, server)| server.entry.service == *service)
+    }
+
+    /// Returns all servers.
+    pub fn iter(&self) -> impl Iterator<Item = (ServerKey, &BackendServer)> {
+        self.servers.iter()
+    }
+
+    fn set_present(&mut self, now: Timestamp, entry: BackendEntry) -> DirectoryEffect {
+        self.held.remove(&entry.id);
+        let leaving = entry.state == ServingState::Draining;
+        let Some(key) = self.find(&entry.id) else {
+            let id = entry.id.clone();
+            let key =
+                self.servers.insert(BackendServer { entry, leaving_since: leaving.then_some(now) });
+            self.by_id.insert(id, key);
+            return DirectoryEffect::Joined(key);
+        };
+        let Some(server) = self.servers.get_mut(key) else { return DirectoryEffect::Unchanged };
+        let restarted =
+            server.entry.born_ms != entry.born_ms || server.entry.address != entry.address;
+        server.entry = entry;
+        match (leaving, server.leaving_since) {
+            (true, None) => {
+                server.leaving_since = Some(now);
+                DirectoryEffect::Leaving(key)
+            }
+            (false, Some(_)) => {
+                server.leaving_since = None;
+                DirectoryEffect::Restarted(key)
+            }
+            _ if restarted => DirectoryEffect::Restarted(key),
+            _ => DirectoryEffect::Unchanged,
+        }
+    }
+
+    fn set_absent(&mut self, now: Timestamp, id: ServerId) -> DirectoryEffect {
+        if let Some(until) = self.grace_until
+            && until > now
+        {
+            self.held.entry(id).or_insert(until);
+            return DirectoryEffect::Unchanged;
+        }
+        self.remove(&id).map_or(DirectoryEffect::Unchanged, DirectoryEffect::Gone)
+    }
+
+    fn remove(&mut self, id: &ServerId) -> Option<ServerKey> {
+        self.held.remove(id);
+        let key = self.by_id.remove(id)?;
+        self.servers.remove(key);
+        Some(key)
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/call_pool.rs
@@ -0,0 +1,215 @@
+//! Connections to backend servers and to the platform, reused between calls.
+//!
+//! A connection carries one call at a time. Dropping a [`PooledConnection`] closes it, which is how
+//! a call whose caller has left is stopped; only [`PooledConnection::release`] keeps it for reuse.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper::header::HeaderMap;
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+/// Time for a connection to open. A dropped opening packet is sent again after a second, so that
+/// trying elsewhere is faster.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Time without traffic after which a keep-alive probe is sent, and between two probes.
+const KEEPALIVE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Unanswered probes after which a connection is dead.
+const KEEPALIVE_PROBES: u32 = 2;
+
+/// Time for which sent bytes may stay unacknowledged.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
+
+/// Time for which an idle connection is kept if its server states no time-out.
+const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(4);
+
+/// Time before a server's own time-out at which its idle connections are no longer used.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+
+/// Idle connections kept per address, at most.
+const MAX_IDLE_PER_ADDRESS: usize = 32;
+
+/// A call that brought no answer.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum CallError {
+    /// No byte of it was sent.
+    #[error("not sent: {0}")]
+    Unsent(String),
+    /// It was sent, and the connection broke or carried no valid answer.
+    #[error("lost: {0}")]
+    Lost(String),
+}
+
+/// Result of a call.
+pub type Result<T> = std::result::Result<T, CallError>;
+
+struct OpenConnection {
+    sender: SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+struct IdleConnection {
+    connection: OpenConnection,
+    expires_at: Instant,
+}
+
+type IdleTable = Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>;
+
+/// The connections of one process.
+#[derive(Clone, Default)]
+pub struct CallPool {
+    idle: IdleTable,
+}
+
+/// A connection in use by one call.
+pub struct PooledConnection {
+    connection: OpenConnection,
+    address: SocketAddr,
+    idle_time: Duration,
+    idle: IdleTable,
+}
+
+impl PooledConnection {
+    /// Keeps the connection for another call, once the answer was read to its end.
+    pub fn release(self) {
+        if self.connection.sender.is_closed() || self.idle_time.is_zero() {
+            return;
+        }
+        let expires_at = Instant::now() + self.idle_time;
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.entry(self.address).or_default();
+        if connections.len() < MAX_IDLE_PER_ADDRESS {
+            connections.push(IdleConnection { connection: self.connection, expires_at });
+        }
+    }
+}
+
+impl CallPool {
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// The caller bounds the time; dropping the future closes the connection.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, PooledConnection)> {
+        loop {
+            let (mut connection, reused) = match self.take_idle(address) {
+                Some(connection) => (connection, true),
+                None => (open(address).await?, false),
+            };
+            if reused && connection.sender.ready().await.is_err() {
+                continue;
+            }
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => {
+                    let idle_time = idle_time(response.headers());
+                    let idle = self.idle.clone();
+                    return Ok((
+                        response,
+                        PooledConnection { connection, address, idle_time, idle },
+                    ));
+                }
+                Err(mut failure) => match failure.take_message() {
+                    // An idle connection that its server had closed: nothing was sent on it.
+                    Some(unsent) if reused => request = unsent,
+                    Some(_) => return Err(CallError::Unsent(failure.error().to_string())),
+                    None => return Err(CallError::Lost(failure.error().to_string())),
+                },
+            }
+        }
+    }
+
+    /// Closes the idle connections to an address whose server is gone.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
+    /// Closes idle connections whose time is over.
+    pub fn expire(&self) {
+        let now = Instant::now();
+        self.idle.borrow_mut().retain(|_, connections| {
+            connections.retain(|idle| idle.expires_at > now && !idle.connection.sender.is_closed());
+            !connections.is_empty()
+        });
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<OpenConnection> {
+        let now = Instant::now();
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(&address)?;
+        while let Some(candidate) = connections.pop() {
+            if candidate.expires_at > now && !candidate.connection.sender.is_closed() {
+                return Some(candidate.connection);
+            }
+        }
+        None
+    }
+}
+
+async fn open(address: SocketAddr) -> Result<OpenConnection> {
+    let unsent = |error: &dyn std::fmt::Display| CallError::Unsent(error.to_string());
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(|_| CallError::Unsent("connect timed out".to_owned()))?
+        .map_err(|error| unsent(&error))?;
+    bound_silence(&stream, UNACKNOWLEDGED_TIMEOUT).map_err(|error| unsent(&error))?;
+    let (sender, connection) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(|error| unsent(&error))?;
+    let task = tokio::task::spawn_local(async move {
+        if let Err(error) = connection.await {
+            log::debug!("event=connection_failed address={address} error=\"{error}\"");
+        }
+    });
+    Ok(OpenConnection { sender, task })
+}
+
+/// Makes a connection end that has gone silent, since a cut link resets nothing.
+pub fn bound_silence(stream: &TcpStream, unacknowledged: Duration) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_PERIOD)
+        .with_interval(KEEPALIVE_PERIOD)
+        .with_retries(KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(unacknowledged))
+}
+
+/// Returns the time for which a connection may stay idle; zero if its server closes it.
+fn idle_time(headers: &HeaderMap) -> Duration {
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("");
+    if text(hyper::header::CONNECTION).to_ascii_lowercase().contains("close") {
+        return Duration::ZERO;
+    }
+    let fields = headers.get("keep-alive").and_then(|value| value.to_str().ok()).unwrap_or("");
+    let timeout = fields.split(',').find_map(|field| field.trim().strip_prefix("timeout="));
+    match timeout.and_then(|seconds| seconds.parse().ok()) {
+        Some(seconds) => Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN),
+        None => DEFAULT_IDLE_TIME,
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/duty_runner.rs
@@ -0,0 +1,241 @@
+//! Performs the duties while this host holds them: usage reports and orders for servers.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::gateway::backend_directory::ServingState;
+use crate::gateway::duty_turn::DutyTurn;
+use crate::gateway::duty_turn::TurnChange;
+use crate::gateway::edges::AppendOutcome;
+use crate::gateway::edges::CloudDuties;
+use crate::gateway::edges::ControlStore;
+use crate::gateway::edges::EdgeError;
+use crate::gateway::edges::FencedOutcome;
+use crate::gateway::fleet_size::FleetOrder;
+use crate::gateway::fleet_size::FleetSize;
+use crate::gateway::gateway_state::GatewayState;
+use crate::gateway::serving_config::ServiceRule;
+use crate::gateway::store_follower::DependencyWatch;
+use crate::gateway::usage_report::ReportBook;
+use crate::gateway::usage_report::ReportStep;
+use crate::ids::FencingNumber;
+use crate::ids::LogOffset;
+use crate::ids::ServiceName;
+use crate::ids::ZoneName;
+use crate::timestamp::wall_clock_ms;
+
+/// Time between two renewals of the membership; several fit into its validity.
+const RENEWAL_PERIOD: Duration = Duration::from_millis(1_200);
+
+/// Time between two looks at what is due.
+const DUTY_PERIOD: Duration = Duration::from_millis(500);
+
+/// What the two tasks share.
+pub struct DutyDesk<S, C> {
+    state: Rc<GatewayState>,
+    store: Rc<S>,
+    cloud: Rc<C>,
+    turn: RefCell<DutyTurn>,
+}
+
+impl<S: ControlStore, C: CloudDuties> DutyDesk<S, C> {
+    /// Builds the desk of a host that holds nothing.
+    pub fn new(state: Rc<GatewayState>, store: Rc<S>, cloud: Rc<C>) -> Self {
+        let turn = DutyTurn::new(state.settings.borrow().duty);
+        Self { state, store, cloud, turn: RefCell::new(turn) }
+    }
+
+    /// Keeps the membership of the group whose members share the duties.
+    pub async fn renew(self: Rc<Self>) {
+        let mut watch = DependencyWatch::new("renew_duty");
+        loop {
+            if self.state.leave.get().is_some() {
+                return self.leave().await;
+            }
+            let sent_at = self.state.now();
+            let generation = self.turn.borrow().generation();
+            let outcome = self.store.renew_duty(generation).await;
+            watch.record(&self.state, &outcome);
+            if let Ok(grant) = outcome {
+                let now = self.state.now();
+                match self.turn.borrow_mut().on_grant(sent_at, now, grant) {
+                    TurnChange::Began(fence) => {
+                        log::info!(
+                            "event=duty_began fence={} generation={}",
+                            fence.0,
+                            grant.generation
+                        );
+                    }
+                    TurnChange::Ended => {
+                        log::info!("event=duty_ended generation={}", grant.generation);
+                    }
+                    TurnChange::Same => {}
+                }
+            }
+            tokio::time::sleep(RENEWAL_PERIOD).await;
+        }
+    }
+
+    /// Hands the duties on when the host stops, so that another holds them at once.
+    async fn leave(&self) {
+        if let Err(error) = self.store.leave_duty().await {
+            log::info!("event=duty_leave_failed detail=\"{error}\"");
+        }
+    }
+
+    /// Performs what is due while the host holds the duties.
+    pub async fn perform(self: Rc<Self>) {
+        let settings = self.state.settings.borrow().clone();
+        let mut book = ReportBook::new(settings.usage_late);
+        let mut fleets: BTreeMap<ServiceName, FleetSize> = BTreeMap::new();
+        loop {
+            tokio::time::sleep(DUTY_PERIOD).await;
+            let now = self.state.now();
+            self.observe_demand(&mut fleets);
+            if self.turn.borrow().may_act(now).is_none() {
+                book.distrust();
+                continue;
+            }
+            if settings.reports_usage {
+                self.report(&mut book).await;
+            }
+            if settings.orders_servers {
+                self.order(&mut fleets).await;
+            }
+        }
+    }
+
+    async fn report(&self, book: &mut ReportBook) {
+        loop {
+            let now = self.state.now();
+            let Some(fence) = self.turn.borrow().may_act(now) else { return };
+            let step = book.next_step(now, wall_clock_ms(), &self.state.ledger.borrow());
+            let outcome = match step {
+                ReportStep::Idle => return,
+                ReportStep::ReadLog(from) => self.read_log(book, from).await,
+                ReportStep::Record { at, record } => self.record(book, at, record).await,
+                ReportStep::Send { window, counts } => {
+                    let outcome = self.cloud.report_usage(fence, window, &counts).await;
+                    log::info!(
+                        "event=usage_reported window={window} requests={} fence={} outcome={outcome:?}",
+                        counts.values().sum::<u64>(),
+                        fence.0
+                    );
+                    self.note_fenced(fence, &outcome);
+                    match outcome {
+                        Ok(FencedOutcome::Accepted | FencedOutcome::Unavailable) => {
+                            book.on_sent(window);
+                            Ok(())
+                        }
+                        Ok(FencedOutcome::Fenced) => return,
+                        Err(error) => Err(error),
+                    }
+                }
+            };
+            if let Err(error) = outcome {
+                log::info!("event=usage_step_failed detail=\"{error}\"");
+                return;
+            }
+        }
+    }
+
+    async fn read_log(&self, book: &mut ReportBook, from: LogOffset) -> Result<(), EdgeError> {
+        let read = self.store.read_usage(from).await?;
+        let skipped = book.on_records(self.state.now(), &read.records, read.next);
+        if skipped > 0 {
+            log::warn!("event=usage_records_skipped code=601 count={skipped}");
+        }
+        Ok(())
+    }
+
+    async fn record(
+        &self,
+        book: &mut ReportBook,
+        at: LogOffset,
+        record: Vec<u8>,
+    ) -> Result<(), EdgeError> {
+        match self.store.append_usage(at, record.clone()).await {
+            Ok(AppendOutcome::Appended(offset)) => {
+                book.on_appended(self.state.now(), &record, offset);
+                Ok(())
+            }
+            Ok(AppendOutcome::Moved) => {
+                book.distrust();
+                Ok(())
+            }
+            Err(error) => {
+                // The record may be there, or come later; the log tells.
+                book.distrust();
+                Err(error)
+            }
+        }
+    }
+
+    /// Takes in the demand that this host and its peers see, whoever holds the duties.
+    fn observe_demand(&self, fleets: &mut BTreeMap<ServiceName, FleetSize>) {
+        let now = self.state.now();
+        let mut total = self.state.demand.borrow_mut().rates(now);
+        for demand in self.state.peers.borrow().fresh(now).flat_map(|summary| &summary.demands) {
+            let Ok(service) = ServiceName::try_from(demand.service.as_str()) else { continue };
+            let sum = total.entry(service).or_default();
+            sum.prefill += demand.prefill_tokens_per_s as f64;
+            sum.output += demand.output_tokens_per_s as f64;
+        }
+        for (service, demand) in total {
+            let fleet =
+                fleets.entry(service.clone()).or_insert_with(|| FleetSize::new(service.clone()));
+            fleet.on_demand(now, demand);
+        }
+    }
+
+    async fn order(&self, fleets: &mut BTreeMap<ServiceName, FleetSize>) {
+        let config = self.state.config.borrow().current().cloned();
+        let Some(config) = config else { return };
+        for service in config.services.values() {
+            let fleet = fleets
+                .entry(service.name.clone())
+                .or_insert_with(|| FleetSize::new(service.name.clone()));
+            for order in self.due_orders(fleet, service) {
+                let now = self.state.now();
+                let Some(fence) = self.turn.borrow().may_act(now) else { return };
+                let outcome = self.cloud.order_servers(fence, &order).await;
+                log_order(&order, fence, &outcome);
+                self.note_fenced(fence, &outcome);
+                let accepted = matches!(outcome, Ok(FencedOutcome::Accepted));
+                fleet.on_outcome(self.state.now(), &order, accepted);
+            }
+        }
+    }
+
+    fn due_orders(&self, fleet: &FleetSize, service: &ServiceRule) -> Vec<FleetOrder> {
+        let Some(bounds) = &service.fleet else { return Vec::new() };
+        let mut present: BTreeMap<ZoneName, u32> = BTreeMap::new();
+        for (_, server) in self.state.directory.borrow().of_service(&service.name) {
+            if server.entry.state == ServingState::Ready {
+                *present.entry(server.entry.zone.clone()).or_default() += 1;
+            }
+        }
+        fleet.orders(self.state.now(), bounds, &present)
+    }
+
+    fn note_fenced(&self, fence: FencingNumber, outcome: &Result<FencedOutcome, EdgeError>) {
+        if matches!(outcome, Ok(FencedOutcome::Fenced)) {
+            self.turn.borrow_mut().on_refused(fence);
+            log::info!("event=duty_fenced fence={}", fence.0);
+        }
+    }
+}
+
+fn log_order(order: &FleetOrder, fence: FencingNumber, outcome: &Result<FencedOutcome, EdgeError>) {
+    log::info!(
+        "event=servers_ordered service={} zone={} desired={} reclaimable={} fence={} \
+         outcome={outcome:?}",
+        order.service,
+        order.zone,
+        order.desired,
+        order.reclaimable,
+        fence.0
+    );
+}
--- /dev/null
+++ b/lib/src/gateway/duty_turn.rs
@@ -0,0 +1,113 @@
+//! Whether this host holds the duties that one host at a time performs.
+//!
+//! Load pattern: the platform's group hands the duties from host to host at every start, death and
+//! outage, at times all at once, and a holder may be frozen while that happens. A host acts only on
+//! a grant that it has held for the whole settling time, which keeps holders from alternating
+//! within that time, and it stops as soon as a grant lapses by its own clock or a newer holder was
+//! seen.
+
+use std::time::Duration;
+
+use crate::ids::FencingNumber;
+use crate::timestamp::Timestamp;
+
+/// What the group said at a renewal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DutyGrant {
+    /// Generation of the group; it rises with each change.
+    pub generation: u64,
+    /// Whether the duties are this host's.
+    pub held: bool,
+}
+
+/// Times that bound a turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DutyBounds {
+    /// Time that a new holder waits before it acts.
+    pub settling: Duration,
+    /// Time after the sending of the last renewal for which a grant is good.
+    pub validity: Duration,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct HeldTurn {
+    /// Fencing number: the generation in which the turn began.
+    fence: FencingNumber,
+    since: Timestamp,
+    renewed_at: Timestamp,
+}
+
+/// A change worth a log line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TurnChange {
+    /// The host holds the duties from now on.
+    Began(FencingNumber),
+    /// It holds them no longer.
+    Ended,
+    /// Nothing changed.
+    Same,
+}
+
+/// This host's turn at the duties.
+#[derive(Clone, Debug)]
+pub struct DutyTurn {
+    bounds: DutyBounds,
+    generation: u64,
+    held: Option<HeldTurn>,
+    /// Largest fencing number that was refused.
+    refused: Option<FencingNumber>,
+}
+
+impl DutyTurn {
+    /// Builds the state of a host that holds nothing.
+    pub fn new(bounds: DutyBounds) -> Self {
+        Self { bounds, generation: 0, held: None, refused: None }
+    }
+
+    /// Returns the newest generation that the group told.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Takes in the group's answer to a renewal that was sent at `sent_at`.
+    pub fn on_grant(&mut self, sent_at: Timestamp, now: Timestamp, grant: DutyGrant) -> TurnChange {
+        if grant.generation < self.generation {
+            return TurnChange::Same;
+        }
+        self.generation = grant.generation;
+        let fence = FencingNumber(grant.generation);
+        if !grant.held || self.refused.is_some_and(|refused| fence <= refused) {
+            return if self.held.take().is_some() { TurnChange::Ended } else { TurnChange::Same };
+        }
+        let lapsed = self.is_lapsed(sent_at);
+        match &mut self.held {
+            Some(turn) if !lapsed => {
+                turn.renewed_at = sent_at;
+                TurnChange::Same
+            }
+            held => {
+                *held = Some(HeldTurn { fence, since: now, renewed_at: sent_at });
+                TurnChange::Began(fence)
+            }
+        }
+    }
+
+    /// Records that the platform refused a fencing number in favour of a larger one.
+    pub fn on_refused(&mut self, fence: FencingNumber) {
+        self.refused = self.refused.max(Some(fence));
+        if self.held.is_some_and(|turn| turn.fence <= fence) {
+            self.held = None;
+        }
+    }
+
+    /// Returns the fencing number to act with now, if the host may act.
+    pub fn may_act(&self, now: Timestamp) -> Option<FencingNumber> {
+        let turn = self.held?;
+        let settled = now.since(turn.since) >= self.bounds.settling;
+        (settled && !self.is_lapsed(now)).then_some(turn.fence)
+    }
+
+    fn is_lapsed(&self, now: Timestamp) -> bool {
+        self.held.is_none_or(|turn| now.since(turn.renewed_at) >= self.bounds.validity)
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/gateway_metrics.rs
@@ -0,0 +1,89 @@
+//! Counters and latency histograms, as text for whoever scrapes them.
+//!
+//! Names and units are listed in `docs/operators/metrics.md`.
+
+use prometheus::Encoder as _;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounterVec;
+use prometheus::IntGaugeVec;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// Upper bounds of the latency histograms' buckets, in seconds: from a fast lookup to the longest
+/// deadline.
+const LATENCY_BUCKETS_S: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 20.0];
+
+/// Result of setting up metrics.
+pub type Result<T> = std::result::Result<T, prometheus::Error>;
+
+/// The metrics of one process.
+#[derive(Clone, Debug)]
+pub struct GatewayMetrics {
+    registry: Registry,
+    /// Requests that ended, by route kind and result code.
+    pub requests: IntCounterVec,
+    /// Attempts that ended, by how.
+    pub attempts: IntCounterVec,
+    /// Events that change what the host believes, by kind.
+    pub events: IntCounterVec,
+    /// Calls to the platform, by call and outcome.
+    pub platform_calls: IntCounterVec,
+    /// Seconds until the whole answer, or a stream's first event, by route kind.
+    pub first_byte: HistogramVec,
+    /// Seconds until the end of the answer, by route kind.
+    pub whole: HistogramVec,
+    /// Levels: requests that run, servers that are listed, peers that are heard.
+    pub levels: IntGaugeVec,
+}
+
+impl GatewayMetrics {
+    /// Registers every metric.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
+        let histogram = |name: &str, help: &str| {
+            let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
+            let histogram = HistogramVec::new(options, &["kind"])?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok::<_, prometheus::Error>(histogram)
+        };
+        let levels =
+            IntGaugeVec::new(Opts::new("pomelostack_level", "Levels of the moment."), &["level"])?;
+        registry.register(Box::new(levels.clone()))?;
+        Ok(Self {
+            requests: counter(
+                "pomelostack_requests_total",
+                "Requests that ended.",
+                &["kind", "code"],
+            )?,
+            attempts: counter("pomelostack_attempts_total", "Attempts that ended.", &["outcome"])?,
+            events: counter("pomelostack_events_total", "Changes of belief.", &["event"])?,
+            platform_calls: counter(
+                "pomelostack_platform_calls_total",
+                "Calls to the platform.",
+                &["call", "outcome"],
+            )?,
+            first_byte: histogram(
+                "pomelostack_first_byte_seconds",
+                "Seconds until the whole answer or a stream's first event.",
+            )?,
+            whole: histogram("pomelostack_answer_seconds", "Seconds until an answer's end.")?,
+            levels,
+            registry,
+        })
+    }
+
+    /// Returns every metric in the text format.
+    pub fn render(&self) -> Result<Vec<u8>> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/gateway_state.rs
@@ -0,0 +1,132 @@
+//! What one host believes, shared by the tasks of its event loop.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use crate::gateway::backend_directory::BackendDirectory;
+use crate::gateway::backend_directory::DirectoryEffect;
+use crate::gateway::call_pool::CallPool;
+use crate::gateway::demand_meter::DemandMeter;
+use crate::gateway::gateway_metrics::GatewayMetrics;
+use crate::gateway::gateway_settings::GatewaySettings;
+use crate::gateway::leave_plan::LeavePlan;
+use crate::gateway::peer_table::PeerTable;
+use crate::gateway::placement::PlacementBoard;
+use crate::gateway::quota_share::QuotaShare;
+use crate::gateway::retry_share::RetryShare;
+use crate::gateway::serving_config::ConfigView;
+use crate::gateway::usage_ledger::HostLife;
+use crate::gateway::usage_ledger::UsageLedger;
+use crate::ids::Incarnation;
+use crate::ids::ServerKey;
+use crate::timestamp::ProcessClock;
+use crate::timestamp::Timestamp;
+use crate::timestamp::wall_clock_ms;
+
+/// State of one host. Each part is borrowed for the length of one decision, never over a wait.
+pub struct GatewayState {
+    /// Settings in force.
+    pub settings: RefCell<Rc<GatewaySettings>>,
+    /// Clock that decisions are timed by.
+    pub clock: ProcessClock,
+    /// This life of this host.
+    pub life: HostLife,
+    /// Metrics.
+    pub metrics: GatewayMetrics,
+    /// Connections to servers and the platform.
+    pub pool: CallPool,
+    /// Configuration in force.
+    pub config: RefCell<ConfigView>,
+    /// Backend servers.
+    pub directory: RefCell<BackendDirectory>,
+    /// Load and warmth of the servers.
+    pub board: RefCell<PlacementBoard>,
+    /// Retry budget.
+    pub retries: RefCell<RetryShare>,
+    /// Quotas.
+    pub quotas: RefCell<QuotaShare>,
+    /// Usage counts.
+    pub ledger: RefCell<UsageLedger>,
+    /// Tokens asked for.
+    pub demand: RefCell<DemandMeter>,
+    /// Peers.
+    pub peers: RefCell<PeerTable>,
+    /// Planned stop, once one was asked for.
+    pub leave: Cell<Option<LeavePlan>>,
+    /// Requests that are not answered yet.
+    pub running: Cell<usize>,
+}
+
+impl GatewayState {
+    /// Builds the state of a host that knows nothing yet.
+    pub fn new(settings: GatewaySettings, metrics: GatewayMetrics) -> Self {
+        let life = (settings.host.clone(), Incarnation(wall_clock_ms()));
+        let window_ms = u64::try_from(settings.usage_window.as_millis()).unwrap_or(u64::MAX);
+        Self {
+            clock: ProcessClock::start(),
+            metrics,
+            pool: CallPool::default(),
+            config: RefCell::default(),
+            directory: RefCell::default(),
+            board: RefCell::new(PlacementBoard::new(settings.zone.clone())),
+            retries: RefCell::new(RetryShare::new(settings.retries)),
+            quotas: RefCell::new(QuotaShare::new(settings.quotas)),
+            ledger: RefCell::new(UsageLedger::new(life.clone(), window_ms)),
+            demand: RefCell::default(),
+            peers: RefCell::new(PeerTable::new(settings.host.clone())),
+            leave: Cell::new(None),
+            running: Cell::new(0),
+            life,
+            settings: RefCell::new(Rc::new(settings)),
+        }
+    }
+
+    /// Returns the time on the process's clock.
+    pub fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// Returns whether the host takes new connections.
+    pub fn is_ready(&self) -> bool {
+        self.leave.get().is_none() && self.config.borrow().current().is_some()
+    }
+
+    /// Carries an effect of the directory over to the other parts, and logs it.
+    pub fn on_directory_effect(&self, effect: DirectoryEffect) {
+        let (event, key) = match effect {
+            DirectoryEffect::Joined(key) => ("server_joined", key),
+            DirectoryEffect::Restarted(key) => ("server_restarted", key),
+            DirectoryEffect::Leaving(key) => ("server_leaving", key),
+            DirectoryEffect::Gone(key) => ("server_gone", key),
+            DirectoryEffect::Unchanged => return,
+        };
+        match effect {
+            DirectoryEffect::Joined(_) | DirectoryEffect::Restarted(_) => {
+                self.board.borrow_mut().reset(key);
+            }
+            DirectoryEffect::Gone(_) => self.board.borrow_mut().remove(key),
+            DirectoryEffect::Leaving(_) | DirectoryEffect::Unchanged => {}
+        }
+        self.log_server(event, key);
+    }
+
+    /// Writes a log line about a server.
+    pub fn log_server(&self, event: &str, key: ServerKey) {
+        self.metrics.events.with_label_values(&[event]).inc();
+        match self.directory.borrow().get(key) {
+            Some(server) => {
+                let entry = &server.entry;
+                log::info!(
+                    "event={event} server={} service={} zone={} address={} state={:?}",
+                    entry.id,
+                    entry.service,
+                    entry.zone,
+                    entry.address,
+                    entry.state
+                );
+            }
+            None => log::info!("event={event} server_key={key:?}"),
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/leave_plan.rs
@@ -0,0 +1,54 @@
+//! When a host that was told to stop ends.
+//!
+//! Load pattern: hosts are stopped in turn under full load. The balancer needs a moment to notice
+//! that a host is not ready; until then the host serves what comes, and it ends as soon as nothing
+//! runs afterwards, or shortly before it would be killed.
+
+use std::time::Duration;
+
+use crate::timestamp::Timestamp;
+
+/// Time that the balancer needs to send no new connections: two failed checks a second apart, and
+/// half a second of margin.
+pub const BALANCER_DELAY: Duration = Duration::from_millis(2_500);
+
+/// Time before the end of the grace period at which the host ends in any case.
+const KILL_MARGIN: Duration = Duration::from_millis(300);
+
+/// What a leaving host does now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaveStep {
+    /// Serve on; connections close after their next answer.
+    Serve,
+    /// Close idle connections and wait for the requests that run.
+    Finish,
+    /// End.
+    Exit,
+}
+
+/// The course of a planned stop.
+#[derive(Clone, Copy, Debug)]
+pub struct LeavePlan {
+    told_at: Timestamp,
+    grace: Duration,
+}
+
+impl LeavePlan {
+    /// Begins at a request to stop that allows some grace.
+    pub fn new(told_at: Timestamp, grace: Duration) -> Self {
+        Self { told_at, grace }
+    }
+
+    /// Returns what to do while `running` requests are unanswered.
+    pub fn step(&self, now: Timestamp, running: usize) -> LeaveStep {
+        let elapsed = now.since(self.told_at);
+        if elapsed + KILL_MARGIN >= self.grace {
+            return LeaveStep::Exit;
+        }
+        match (elapsed >= BALANCER_DELAY, running) {
+            (false, _) => LeaveStep::Serve,
+            (true, 0) => LeaveStep::Exit,
+            (true, _) => LeaveStep::Finish,
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/peer_gossip.rs
@@ -0,0 +1,218 @@
+//! Tells the other hosts what this one has running, spent and counted, and hears the same of them.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use prost::Message as _;
+use tokio::net::UdpSocket;
+
+use crate::gateway::edges::ControlStore;
+use crate::gateway::edges::HostCard;
+use crate::gateway::gateway_state::GatewayState;
+use crate::gateway::placement::PeerLoad;
+use crate::gateway::store_follower::DependencyWatch;
+use crate::gateway::store_follower::RetryPause;
+use crate::gateway::usage_ledger::TeamCounts;
+use crate::ids::HostId;
+use crate::ids::Incarnation;
+use crate::ids::ServerId;
+use crate::ids::ServerKey;
+use crate::ids::TeamName;
+use crate::protos::gateway::HostSummary;
+use crate::protos::gateway::ServerUse;
+use crate::protos::gateway::ServiceDemand;
+use crate::protos::gateway::TeamUse;
+use crate::protos::gateway::WindowUse;
+use crate::timestamp::wall_clock_ms;
+
+/// Time between two summaries: quotas are overshot by what is spent in about this time.
+const SUMMARY_PERIOD: Duration = Duration::from_millis(400);
+
+/// Time between two reads of the hosts' cards while no peer is heard.
+const LONELY_CARD_PERIOD: Duration = Duration::from_secs(3);
+
+/// Time between two reads of the hosts' cards while peers are heard.
+const CARD_PERIOD: Duration = Duration::from_secs(30);
+
+/// Bytes of a summary, at most: what one datagram holds without being split up at most links.
+const MAX_SUMMARY_BYTES: usize = 8 * 1024;
+
+/// Publishes this host's card and reads those of the others.
+pub async fn exchange_cards<S: ControlStore>(state: Rc<GatewayState>, store: Rc<S>) {
+    let settings = state.settings.borrow().clone();
+    let card = HostCard { host: settings.host.clone(), address: settings.summaries };
+    let mut pause = RetryPause::default();
+    let mut watch = DependencyWatch::new("publish_card");
+    loop {
+        let outcome = store.publish_card(&card).await;
+        watch.record(&state, &outcome);
+        if outcome.is_ok() {
+            break;
+        }
+        pause.wait().await;
+    }
+    let mut watch = DependencyWatch::new("list_cards");
+    loop {
+        let outcome = store.list_cards().await;
+        watch.record(&state, &outcome);
+        let now = state.now();
+        if let Ok(cards) = outcome {
+            for card in cards {
+                state.peers.borrow_mut().on_card(now, card.host, card.address);
+            }
+        }
+        let heard = state.peers.borrow().heard(now);
+        let period = if heard == 0 { LONELY_CARD_PERIOD } else { CARD_PERIOD };
+        tokio::time::sleep(period).await;
+    }
+}
+
+/// Sends a summary to every known host, again and again.
+pub async fn send_summaries(state: Rc<GatewayState>, socket: Rc<UdpSocket>) {
+    let mut sequence = 0;
+    loop {
+        tokio::time::sleep(SUMMARY_PERIOD).await;
+        sequence += 1;
+        expire_old(&state);
+        let targets = state.peers.borrow().targets();
+        if targets.is_empty() {
+            continue;
+        }
+        let bytes = build_summary(&state, sequence).encode_to_vec();
+        if bytes.len() > MAX_SUMMARY_BYTES {
+            log::warn!("event=summary_too_large bytes={}", bytes.len());
+        }
+        for target in targets {
+            if let Err(error) = socket.try_send_to(&bytes, target) {
+                // A summary that is lost is made up for by the next.
+                log::debug!("event=summary_not_sent target={target} detail=\"{error}\"");
+            }
+        }
+    }
+}
+
+/// Takes in the summaries of others.
+pub async fn receive_summaries(state: Rc<GatewayState>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; MAX_SUMMARY_BYTES];
+    loop {
+        let length = match socket.recv_from(&mut buffer).await {
+            Ok((length, _)) => length,
+            Err(error) => {
+                log::debug!("event=summary_not_received detail=\"{error}\"");
+                tokio::time::sleep(SUMMARY_PERIOD).await;
+                continue;
+            }
+        };
+        match HostSummary::decode(&buffer[..length]) {
+            Ok(summary) => take_in(&state, summary),
+            Err(error) => {
+                state.metrics.events.with_label_values(&["summary_skipped"]).inc();
+                log::warn!("event=summary_skipped code=601 detail=\"{error}\"");
+            }
+        }
+    }
+}
+
+fn expire_old(state: &GatewayState) {
+    let now = state.now();
+    let window = state.settings.borrow().quotas.window;
+    state.peers.borrow_mut().expire(now, window);
+    state.ledger.borrow_mut().expire(wall_clock_ms());
+    state.pool.expire();
+    apply_peers(state);
+    let running = i64::try_from(state.running.get()).unwrap_or(i64::MAX);
+    state.metrics.levels.with_label_values(&["running_requests"]).set(running);
+}
+
+/// Hands what the peers told over to placement and quotas.
+fn apply_peers(state: &GatewayState) {
+    let now = state.now();
+    let peers = state.peers.borrow();
+    state.quotas.borrow_mut().set_peers(&peers.spending());
+    let directory = state.directory.borrow();
+    let mut loads: BTreeMap<ServerKey, PeerLoad> = BTreeMap::new();
+    for server in peers.fresh(now).flat_map(|summary| &summary.servers) {
+        let key = ServerId::try_from(server.server.as_str()).ok();
+        let Some(key) = key.and_then(|id| directory.find(&id)) else { continue };
+        let load = loads.entry(key).or_default();
+        load.running += server.running;
+        load.prefill_tokens += server.prefill_tokens;
+    }
+    state.board.borrow_mut().set_peer_loads(&loads);
+    let heard = i64::try_from(peers.heard(now)).unwrap_or(i64::MAX);
+    state.metrics.levels.with_label_values(&["peers"]).set(heard);
+}
+
+fn take_in(state: &GatewayState, summary: HostSummary) {
+    let windows: Vec<WindowUse> = summary.windows.clone();
+    let now = state.now();
+    let known = state.peers.borrow().heard(now);
+    if state.peers.borrow_mut().on_summary(now, summary).is_none() {
+        return;
+    }
+    let heard = state.peers.borrow().heard(now);
+    if heard != known {
+        log::info!("event=peers_changed heard={heard}");
+    }
+    let mut ledger = state.ledger.borrow_mut();
+    for window in windows {
+        let Ok(host) = HostId::try_from(window.host.as_str()) else { continue };
+        let life = (host, Incarnation(window.incarnation));
+        if life == state.life {
+            continue;
+        }
+        let counts: TeamCounts = window
+            .counts
+            .iter()
+            .filter_map(|(team, count)| Some((TeamName::try_from(team.as_str()).ok()?, *count)))
+            .collect();
+        ledger.on_told(life, window.window, counts);
+    }
+}
+
+fn build_summary(state: &GatewayState, sequence: u64) -> HostSummary {
+    let now = state.now();
+    let settings = state.settings.borrow();
+    let teams = state.quotas.borrow_mut().own_spending(now);
+    let teams = teams.into_iter().map(|(team, spending)| TeamUse {
+        team: team.into(),
+        spent: spending.spent,
+        asked: spending.asked,
+    });
+    let directory = state.directory.borrow();
+    let board = state.board.borrow();
+    let servers = board.own_loads().filter_map(|(key, load)| {
+        let server = directory.get(key)?;
+        Some(ServerUse {
+            server: server.entry.id.to_string(),
+            running: load.running,
+            prefill_tokens: load.prefill_tokens,
+        })
+    });
+    let ledger = state.ledger.borrow();
+    let windows = ledger.lives().filter(|(_, life, _)| **life == state.life);
+    let windows = windows.map(|(window, (host, incarnation), counts)| WindowUse {
+        host: host.to_string(),
+        incarnation: incarnation.0,
+        window,
+        counts: counts.iter().map(|(team, count)| (team.to_string(), *count)).collect(),
+    });
+    let demands = state.demand.borrow_mut().rates(now);
+    let demands = demands.into_iter().map(|(service, demand)| ServiceDemand {
+        service: service.to_string(),
+        prefill_tokens_per_s: demand.prefill as u64,
+        output_tokens_per_s: demand.output as u64,
+    });
+    HostSummary {
+        host: state.life.0.to_string(),
+        incarnation: state.life.1.0,
+        sequence,
+        address: settings.summaries.to_string(),
+        teams: teams.collect(),
+        servers: servers.collect(),
+        windows: windows.collect(),
+        demands: demands.collect(),
+        crashes: Vec::new(),
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/placement.rs
@@ -0,0 +1,285 @@
+//! Chooses the backend server of an attempt.
+//!
+//! Load pattern: model requests that share long prompt parts, at servers whose prefill and batches
+//! are shared by all hosts. The expected wait is the prefill that is pending at a server, that of
+//! the request's own uncached tokens, and how full the batch is. Hosts that share no memory of what
+//! is warm agree on a home server of each shared prefix by rendezvous hashing; a prefix moves on to
+//! the next server in its order only where waiting at home takes longer than reading it again.
+
+use std::collections::BTreeMap;
+use std::hash::DefaultHasher;
+use std::hash::Hash as _;
+use std::hash::Hasher as _;
+use std::time::Duration;
+
+use slotmap::SecondaryMap;
+
+use crate::gateway::backend_directory::BackendDirectory;
+use crate::gateway::backend_directory::BackendServer;
+use crate::gateway::caller_request::PromptShape;
+use crate::gateway::server_health::HealthEvidence;
+use crate::gateway::server_health::ServerHealth;
+use crate::ids::ServerId;
+use crate::ids::ServerKey;
+use crate::ids::ServiceName;
+use crate::ids::ZoneName;
+use crate::timestamp::Timestamp;
+
+/// Prompt tokens that an engine reads per millisecond; only ratios between servers depend on it.
+pub const PREFILL_TOKENS_PER_MS: f64 = 50.0;
+
+/// Expected milliseconds that each running request adds to the first token of a new one.
+const BATCH_MS_PER_REQUEST: f64 = 1.0;
+
+/// Milliseconds that another availability zone counts for an engine: there and back, and its price.
+const ZONE_MS: f64 = 4.0;
+
+/// Requests per slot above which an engine takes no more; its own queue holds about as many again.
+const ENGINE_FILL: f64 = 1.25;
+
+/// Requests per slot above which an application server takes no more.
+const APP_FILL: f64 = 3.0;
+
+/// Time for which a prompt part counts as warm after its last use at a server.
+const WARM_TIME: Duration = Duration::from_secs(20);
+
+/// Warm prefixes remembered per server; older ones are forgotten first.
+const MAX_WARM_PREFIXES: usize = 512;
+
+/// What other hosts have running at a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PeerLoad {
+    /// Requests.
+    pub running: u32,
+    /// Prompt tokens that were not read when it was told.
+    pub prefill_tokens: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct ServerLoad {
+    running: u32,
+    prefill_tokens: u64,
+    peers: PeerLoad,
+    health: ServerHealth,
+    /// Last use of each prefix here.
+    warm: BTreeMap<u64, Timestamp>,
+}
+
+/// A request as placement sees it.
+#[derive(Clone, Debug)]
+pub struct PlacementQuery<'a> {
+    /// Service that it goes to.
+    pub service: &'a ServiceName,
+    /// Its prompt, if it goes to a model.
+    pub prompt: Option<&'a PromptShape>,
+    /// Servers that must not be chosen.
+    pub excluded: &'a [ServerKey],
+    /// Connections that this host may open to each server.
+    pub max_running: u32,
+}
+
+/// What was chosen, and the figures behind it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum PlacementChoice {
+    /// Send to this server.
+    Server {
+        /// Its key.
+        key: ServerKey,
+        /// Requests that run there, all hosts together.
+        running: u32,
+        /// Prompt tokens that the server has to read for the request.
+        uncached_tokens: u64,
+    },
+    /// Every server is full.
+    Full,
+    /// No server of the service is known.
+    NoServer,
+}
+
+/// Load and warmth of every server.
+#[derive(Clone, Debug)]
+pub struct PlacementBoard {
+    zone: ZoneName,
+    loads: SecondaryMap<ServerKey, ServerLoad>,
+}
+
+impl PlacementBoard {
+    /// Builds an empty board of a host in a zone.
+    pub fn new(zone: ZoneName) -> Self {
+        Self { zone, loads: SecondaryMap::new() }
+    }
+
+    /// Adds a server, or forgets the load and warmth of one that started again.
+    pub fn reset(&mut self, key: ServerKey) {
+        self.loads.insert(key, ServerLoad::default());
+    }
+
+    /// Removes a server.
+    pub fn remove(&mut self, key: ServerKey) {
+        self.loads.remove(key);
+    }
+
+    /// Chooses a server for a request.
+    pub fn choose(
+        &self,
+        now: Timestamp,
+        directory: &BackendDirectory,
+        query: &PlacementQuery<'_>,
+    ) -> PlacementChoice {
+        let ready: Vec<(ServerKey, &BackendServer)> = directory
+            .of_service(query.service)
+            .filter(|(key, server)| server.leaving_since.is_none() && !query.excluded.contains(key))
+            .collect();
+        if ready.is_empty() {
+            return PlacementChoice::NoServer;
+        }
+        let sound: Vec<_> =
+            ready.iter().copied().filter(|(key, _)| !self.is_avoided(now, *key)).collect();
+        // With every server suspected, any of them is a better bet than refusing.
+        let candidates = if sound.is_empty() { ready } else { sound };
+        let home = query.prompt.and_then(PromptShape::shared_prefix).and_then(|prefix| {
+            candidates.iter().max_by_key(|(_, server)| affinity(prefix, &server.entry.id))
+        });
+        let home = home.map(|(key, _)| *key);
+        let mut best: Option<(f64, PlacementChoice)> = None;
+        for (key, server) in candidates {
+            let Some((cost, choice)) = self.weigh(now, key, server, home, query) else { continue };
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, choice));
+            }
+        }
+        best.map_or(PlacementChoice::Full, |(_, choice)| choice)
+    }
+
+    /// Records that an attempt was sent.
+    pub fn on_sent(
+        &mut self,
+        now: Timestamp,
+        key: ServerKey,
+        prompt: Option<&PromptShape>,
+        uncached_tokens: u64,
+    ) {
+        let Some(load) = self.loads.get_mut(key) else { return };
+        load.running += 1;
+        load.prefill_tokens += uncached_tokens;
+        for part in prompt.map_or([].as_slice(), |prompt| &prompt.parts) {
+            load.warm.insert(part.id, now);
+        }
+        if load.warm.len() > MAX_WARM_PREFIXES {
+            load.warm.retain(|_, used_at| now.since(*used_at) < WARM_TIME);
+        }
+        while load.warm.len() > MAX_WARM_PREFIXES {
+            let oldest = load.warm.iter().min_by_key(|(_, used_at)| **used_at).map(|(id, _)| *id);
+            let Some(oldest) = oldest else { break };
+            load.warm.remove(&oldest);
+        }
+    }
+
+    /// Records that an attempt's prompt was read: its first token came, or it ended.
+    pub fn on_prefilled(&mut self, key: ServerKey, uncached_tokens: u64) {
+        if let Some(load) = self.loads.get_mut(key) {
+            load.prefill_tokens = load.prefill_tokens.saturating_sub(uncached_tokens);
+        }
+    }
+
+    /// Records that an attempt ended.
+    pub fn on_ended(&mut self, key: ServerKey) {
+        if let Some(load) = self.loads.get_mut(key) {
+            load.running = load.running.saturating_sub(1);
+        }
+    }
+
+    /// Takes in evidence of a server's health; returns whether the server is newly avoided.
+    pub fn on_evidence(
+        &mut self,
+        now: Timestamp,
+        key: ServerKey,
+        evidence: HealthEvidence,
+    ) -> bool {
+        self.loads.get_mut(key).is_some_and(|load| load.health.on_evidence(now, evidence))
+    }
+
+    /// Replaces what other hosts have running.
+    pub fn set_peer_loads(&mut self, loads: &BTreeMap<ServerKey, PeerLoad>) {
+        for (key, load) in &mut self.loads {
+            load.peers = loads.get(&key).copied().unwrap_or_default();
+        }
+    }
+
+    /// Returns what this host has running at each server that is not idle.
+    pub fn own_loads(&self) -> impl Iterator<Item = (ServerKey, PeerLoad)> {
+        self.loads.iter().filter(|(_, load)| load.running > 0).map(|(key, load)| {
+            (key, PeerLoad { running: load.running, prefill_tokens: load.prefill_tokens })
+        })
+    }
+
+    /// Returns the requests that all hosts have running at a server.
+    pub fn running(&self, key: ServerKey) -> u32 {
+        self.loads.get(key).map_or(0, |load| load.running + load.peers.running)
+    }
+
+    /// Returns the prompt tokens pending at a server, all hosts together.
+    pub fn pending_tokens(&self, key: ServerKey) -> u64 {
+        self.loads.get(key).map_or(0, |load| load.prefill_tokens + load.peers.prefill_tokens)
+    }
+
+    fn is_avoided(&self, now: Timestamp, key: ServerKey) -> bool {
+        self.loads.get(key).is_some_and(|load| load.health.is_avoided(now))
+    }
+
+    /// Returns the expected wait at a server, or `None` if it is full.
+    fn weigh(
+        &self,
+        now: Timestamp,
+        key: ServerKey,
+        server: &BackendServer,
+        home: Option<ServerKey>,
+        query: &PlacementQuery<'_>,
+    ) -> Option<(f64, PlacementChoice)> {
+        let load = self.loads.get(key)?;
+        let running = load.running + load.peers.running;
+        let fill = if query.prompt.is_some() { ENGINE_FILL } else { APP_FILL };
+        if load.running >= query.max_running
+            || f64::from(running) >= f64::from(server.entry.slots) * fill
+        {
+            return None;
+        }
+        let distance = if server.entry.zone == self.zone { 0.0 } else { ZONE_MS };
+        let Some(prompt) = query.prompt else {
+            let queued = f64::from(running) / f64::from(server.entry.slots.max(1));
+            let choice = PlacementChoice::Server { key, running, uncached_tokens: 0 };
+            // A zone away costs less than waiting for a slot, and more than sharing the server.
+            return Some((queued.floor() * ZONE_MS * 2.0 + distance + queued, choice));
+        };
+        let uncached_tokens = load.uncached_tokens(now, prompt, home == Some(key));
+        let pending = load.prefill_tokens + load.peers.prefill_tokens + uncached_tokens;
+        let cost = pending as f64 / PREFILL_TOKENS_PER_MS
+            + f64::from(running) * BATCH_MS_PER_REQUEST
+            + distance;
+        Some((cost, PlacementChoice::Server { key, running, uncached_tokens }))
+    }
+}
+
+impl ServerLoad {
+    /// Returns the tokens of a prompt that the server has to read; `home` takes its shared parts
+    /// for warm, since every host sends them there.
+    fn uncached_tokens(&self, now: Timestamp, prompt: &PromptShape, home: bool) -> u64 {
+        let is_warm = |id: u64| self.warm.get(&id).is_some_and(|at| now.since(*at) < WARM_TIME);
+        let shared = prompt.parts.len().saturating_sub(1);
+        let cached: u64 = prompt
+            .parts
+            .iter()
+            .enumerate()
+            .take_while(|(index, part)| is_warm(part.id) || (home && *index < shared))
+            .map(|(_, part)| u64::from(part.tokens))
+            .sum();
+        u64::from(prompt.prompt_tokens).saturating_sub(cached)
+    }
+}
+
+/// Returns the rank of a server for a prefix; the highest is the prefix's home.
+fn affinity(prefix: u64, server: &ServerId) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (prefix, server.as_str()).hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/lib/src/gateway/request_runner.rs
@@ -0,0 +1,570 @@
+//! Runs one caller's request: admission, placement, attempts, and the answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::http::request;
+
+use crate::gateway::attempt_plan::AttemptFailure;
+use crate::gateway::attempt_plan::AttemptPlan;
+use crate::gateway::attempt_plan::AttemptStep;
+use crate::gateway::attempt_plan::GiveUp;
+use crate::gateway::caller_request::CallerHead;
+use crate::gateway::edges::AttemptHead;
+use crate::gateway::edges::WireDialect;
+use crate::gateway::fleet_size::TokenDemand;
+use crate::gateway::gateway_state::GatewayState;
+use crate::gateway::placement::PlacementChoice;
+use crate::gateway::placement::PlacementQuery;
+use crate::gateway::quota_share::QuotaVerdict;
+use crate::gateway::reply_body::GatewayReply;
+use crate::gateway::reply_body::whole_body;
+use crate::gateway::server_attempt::AttemptAnswer;
+use crate::gateway::server_attempt::AttemptRequest;
+use crate::gateway::server_attempt::ServerAttempt;
+use crate::gateway::server_attempt::send_attempt;
+use crate::gateway::server_health::HealthEvidence;
+use crate::gateway::serving_config::KeyVerdict;
+use crate::gateway::serving_config::RouteRule;
+use crate::gateway::serving_config::ServingConfig;
+use crate::gateway::serving_config::TeamRule;
+use crate::gateway::serving_config::WorkKind;
+use crate::gateway::stream_relay::StreamRelay;
+use crate::ids::ServerKey;
+use crate::ids::ServiceName;
+use crate::ids::TeamName;
+use crate::result_code::ResultCode;
+use crate::timestamp::Timestamp;
+use crate::timestamp::wall_clock_ms;
+
+/// Deadline of a request whose caller names none.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
+
+/// When callers may come back after a refusal for want of a server: about one period of reading the
+/// directory.
+const NO_SERVER_RETRY: Duration = Duration::from_millis(800);
+
+/// When callers may come back after a refusal because all servers are full: about the length of a
+/// short answer.
+const FULL_RETRY: Duration = Duration::from_millis(600);
+
+/// When callers may come back to a host that has no configuration yet.
+const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+
+/// Silence after which a repeatable request is tried elsewhere, as a multiple of its latency goal.
+const SILENCE_PER_GOAL: u32 = 3;
+
+/// Least silence after which a repeatable request is tried elsewhere.
+const LEAST_SILENCE: Duration = Duration::from_millis(250);
+
+/// Part of the remaining time that one attempt of a repeatable request may use while others are
+/// left.
+const SILENCE_PER_TIME_LEFT: u32 = 3;
+
+/// Whether a request still runs, as the host counts it for a planned stop.
+pub struct RunningGuard {
+    state: Rc<GatewayState>,
+}
+
+impl RunningGuard {
+    fn new(state: &Rc<GatewayState>) -> Self {
+        state.running.set(state.running.get() + 1);
+        Self { state: state.clone() }
+    }
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        self.state.running.set(self.state.running.get().saturating_sub(1));
+    }
+}
+
+/// A request that passed its checks, with all that its attempts need.
+pub struct AcceptedRequest {
+    /// Decoded head.
+    pub head: CallerHead,
+    /// Method, path and header fields as the caller sent them.
+    pub parts: request::Parts,
+    /// Body.
+    pub body: Bytes,
+    /// Route.
+    pub route: Rc<RouteRule>,
+    /// Service that the route chose.
+    pub service: ServiceName,
+    /// Team of the caller, if it has one.
+    pub team: Option<Rc<TeamRule>>,
+    /// When it came in.
+    pub arrived_at: Timestamp,
+    /// Version of the configuration that decided.
+    pub version: u64,
+}
+
+impl AcceptedRequest {
+    /// Returns the team's name.
+    pub fn team_name(&self) -> Option<&TeamName> {
+        self.team.as_ref().map(|team| &team.name)
+    }
+
+    fn rank(&self) -> u32 {
+        self.team.as_ref().and_then(|team| team.rank).unwrap_or(self.route.rank)
+    }
+
+    /// Builds the message of an attempt.
+    pub fn message<W: WireDialect>(
+        &self,
+        wire: &W,
+        attempt: &AttemptRequest<'_>,
+    ) -> Request<Full<Bytes>> {
+        let attempt = AttemptHead {
+            server: attempt.server,
+            team: self.team_name(),
+            time_left: attempt.time_left,
+            resume_after: attempt.resume_after,
+            rank: self.rank(),
+        };
+        let mut message = Request::new(Full::new(self.body.clone()));
+        *message.method_mut() = self.parts.method.clone();
+        *message.uri_mut() = self.parts.uri.clone();
+        *message.headers_mut() = wire.attempt_headers(&self.parts.headers, &attempt);
+        message
+    }
+}
+
+/// Why a request ends without a server's answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RefusalReason {
+    code: ResultCode,
+    retry_after: Option<Duration>,
+}
+
+impl RefusalReason {
+    fn new(code: ResultCode) -> Self {
+        Self { code, retry_after: None }
+    }
+
+    fn retry(code: ResultCode, retry_after: Duration) -> Self {
+        Self { code, retry_after: Some(retry_after) }
+    }
+}
+
+/// Serves requests of callers.
+pub struct RequestRunner<W> {
+    state: Rc<GatewayState>,
+    wire: Rc<W>,
+}
+
+impl<W> Clone for RequestRunner<W> {
+    fn clone(&self) -> Self {
+        Self { state: self.state.clone(), wire: self.wire.clone() }
+    }
+}
+
+impl<W: WireDialect + 'static> RequestRunner<W> {
+    /// Builds a runner.
+    pub fn new(state: Rc<GatewayState>, wire: Rc<W>) -> Self {
+        Self { state, wire }
+    }
+
+    /// Answers a request.
+    pub async fn run(&self, request: Request<Incoming>) -> GatewayReply {
+        let guard = RunningGuard::new(&self.state);
+        let arrived_at = self.state.now();
+        let (parts, body) = request.into_parts();
+        let request_id = match self.wire.read_head(&parts) {
+            Ok(head) => head,
+            Err(error) => {
+                let reason = RefusalReason::new(ResultCode::BadValue);
+                log::info!(
+                    "event=request_refused code={} detail=\"{error}\"",
+                    reason.code.number()
+                );
+                return self.refuse(None, "unknown", arrived_at, reason);
+            }
+        };
+        match self.accept(request_id, parts, body, arrived_at).await {
+            Ok(accepted) => self.answer(Rc::new(accepted), guard).await,
+            Err((head, reason)) => self.refuse(Some(&head), "unrouted", arrived_at, reason),
+        }
+    }
+
+    /// Checks a request against the configuration and its team's quota.
+    async fn accept(
+        &self,
+        head: CallerHead,
+        parts: request::Parts,
+        body: Incoming,
+        arrived_at: Timestamp,
+    ) -> Result<AcceptedRequest, (CallerHead, RefusalReason)> {
+        let config = self.state.config.borrow().current().cloned();
+        let Some(config) = config else {
+            let reason = RefusalReason::retry(ResultCode::NotReady, NOT_READY_RETRY);
+            return Err((head, reason));
+        };
+        let (route, team, service) = match check_route(&config, &head, &parts) {
+            Ok(checked) => checked,
+            Err(reason) => return Err((head, reason)),
+        };
+        let body = match self.read_body(&config, body).await {
+            Ok(body) => body,
+            Err(reason) => return Err((head, reason)),
+        };
+        if let Err(reason) = self.check_quota(&head, team.as_deref()) {
+            return Err((head, reason));
+        }
+        let version = config.version;
+        Ok(AcceptedRequest { head, parts, body, route, service, team, arrived_at, version })
+    }
+
+    async fn read_body(
+        &self,
+        config: &ServingConfig,
+        body: Incoming,
+    ) -> Result<Bytes, RefusalReason> {
+        let limited = Limited::new(body, config.limits.body_bytes).collect();
+        match tokio::time::timeout(config.limits.header_timeout, limited).await {
+            Ok(Ok(collected)) => Ok(collected.to_bytes()),
+            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+                Err(RefusalReason::new(ResultCode::BodyTooLarge))
+            }
+            Ok(Err(error)) => {
+                log::info!("event=body_broken detail=\"{error}\"");
+                Err(RefusalReason::new(ResultCode::BadValue))
+            }
+            Err(_) => Err(RefusalReason::new(ResultCode::CallerTooSlow)),
+        }
+    }
+
+    fn check_quota(&self, head: &CallerHead, team: Option<&TeamRule>) -> Result<(), RefusalReason> {
+        let Some(team) = team else { return Ok(()) };
+        let Some(quota) = team.quota else { return Ok(()) };
+        let now = self.state.now();
+        let units = if team.counts_tokens { head.token_cost(team.plain_cost) } else { 1 };
+        let sight = self.state.peers.borrow().sight(now);
+        match self.state.quotas.borrow_mut().admit(now, &team.name, quota, units, sight) {
+            QuotaVerdict::Admitted => Ok(()),
+            QuotaVerdict::Over { retry_after } => {
+                log::info!(
+                    "event=quota_exceeded request={} team={} units={units} peers={sight:?}",
+                    head.request_id,
+                    team.name
+                );
+                Err(RefusalReason::retry(ResultCode::TeamOverShare, retry_after))
+            }
+        }
+    }
+
+    /// Makes attempts until one answers or the request is given up on.
+    async fn answer(&self, request: Rc<AcceptedRequest>, guard: RunningGuard) -> GatewayReply {
+        let patience = request.head.patience.unwrap_or(DEFAULT_PATIENCE);
+        let ends_at = request.arrived_at + patience.min(request.route.time_limit);
+        let kind = request.route.kind;
+        let mut plan = AttemptPlan::new(kind, ends_at, request.route.max_servers);
+        self.state.retries.borrow_mut().on_request(request.arrived_at, &request.service);
+        let mut failed_answer: Option<Response<Bytes>> = None;
+        loop {
+            let now = self.state.now();
+            if now >= ends_at {
+                return self.end(&request, &plan, plan.on_timeout(false));
+            }
+            let (key, uncached) = match self.place(now, &request, plan.tried()) {
+                Ok(placed) => placed,
+                Err(reason) if plan.sent() == 0 => return self.refuse_accepted(&request, reason),
+                Err(_) => return self.relay_or_end(&request, &plan, failed_answer),
+            };
+            let attempt = ServerAttempt::begin(&self.state, &request, key, uncached);
+            let Some(attempt) = attempt else {
+                // The server left between the choice and the attempt.
+                plan.on_failure(now, key, AttemptFailure::Unsent);
+                continue;
+            };
+            let silence = self.silence_limit(now, &request, ends_at);
+            let resume_after = request.head.resume_after;
+            let answer =
+                send_attempt(&*self.wire, attempt, &request, resume_after, ends_at, silence).await;
+            let failure = match answer {
+                AttemptAnswer::Whole(answer) => return self.deliver(&request, key, answer),
+                AttemptAnswer::Stream(stream) => {
+                    return StreamRelay::start(
+                        self.clone_parts(),
+                        request.clone(),
+                        plan,
+                        *stream,
+                        guard,
+                    );
+                }
+                AttemptAnswer::TimedOut => {
+                    return self.end(&request, &plan, plan.on_timeout(true));
+                }
+                AttemptAnswer::Failed(failure, answer) => {
+                    failed_answer = answer.or(failed_answer);
+                    failure
+                }
+            };
+            match plan.on_failure(self.state.now(), key, failure) {
+                AttemptStep::TryAnother { repeat } if self.may_repeat(&request, repeat) => {}
+                AttemptStep::TryAnother { .. } | AttemptStep::RelayFailure => {
+                    return self.relay_or_end(&request, &plan, failed_answer);
+                }
+                AttemptStep::End(give_up) => return self.end(&request, &plan, give_up),
+            }
+        }
+    }
+
+    /// Returns shared handles for a relay that outlives this call.
+    fn clone_parts(&self) -> (Rc<GatewayState>, Rc<W>) {
+        (self.state.clone(), self.wire.clone())
+    }
+
+    /// Returns the silence after which another server is tried: only work that may be repeated is,
+    /// and only while enough time is left for it.
+    fn silence_limit(
+        &self,
+        now: Timestamp,
+        request: &AcceptedRequest,
+        ends_at: Timestamp,
+    ) -> Option<Duration> {
+        if !request.route.kind.is_repeatable() || request.route.max_servers < 2 {
+            return None;
+        }
+        let by_goal = (request.route.latency_goal * SILENCE_PER_GOAL).max(LEAST_SILENCE);
+        Some(by_goal.min(ends_at.since(now) / SILENCE_PER_TIME_LEFT))
+    }
+
+    fn may_repeat(&self, request: &AcceptedRequest, repeat: bool) -> bool {
+        let now = self.state.now();
+        !repeat || self.state.retries.borrow_mut().try_spend(now, &request.service)
+    }
+
+    fn place(
+        &self,
+        now: Timestamp,
+        request: &AcceptedRequest,
+        tried: &[ServerKey],
+    ) -> Result<(ServerKey, u64), RefusalReason> {
+        place_request(&self.state, now, request, tried)
+    }
+
+    /// Relays a server's own failure if there is one, or ends the request.
+    fn relay_or_end(
+        &self,
+        request: &AcceptedRequest,
+        plan: &AttemptPlan,
+        failed_answer: Option<Response<Bytes>>,
+    ) -> GatewayReply {
+        match failed_answer {
+            Some(answer) => {
+                let status = answer.status().as_u16();
+                log_end(&self.state, request, ResultCode::Complete, &format!("status={status}"));
+                answer.map(whole_body)
+            }
+            None => self.end(request, plan, plan.give_up()),
+        }
+    }
+
+    fn deliver(
+        &self,
+        request: &AcceptedRequest,
+        key: ServerKey,
+        answer: Response<Bytes>,
+    ) -> GatewayReply {
+        let detail = format!("server={key:?} status={}", answer.status().as_u16());
+        let elapsed = self.state.now().since(request.arrived_at).as_secs_f64();
+        let kind = [kind_label(request.route.kind)];
+        self.state.metrics.first_byte.with_label_values(&kind).observe(elapsed);
+        log_end(&self.state, request, ResultCode::Complete, &detail);
+        answer.map(whole_body)
+    }
+
+    fn end(&self, request: &AcceptedRequest, plan: &AttemptPlan, give_up: GiveUp) -> GatewayReply {
+        let reason = match give_up {
+            GiveUp::NotRun => {
+                give_back_quota(&self.state, request);
+                RefusalReason::retry(ResultCode::RetriesExhausted, FULL_RETRY)
+            }
+            GiveUp::Unknown if plan.sent() > 1 => RefusalReason::new(ResultCode::AttemptsLost),
+            GiveUp::Unknown => RefusalReason::new(ResultCode::ServerLost),
+            GiveUp::TimedOut => RefusalReason::new(ResultCode::DeadlinePassed),
+        };
+        self.refuse_with_log(request, reason, &format!("attempts={}", plan.sent()))
+    }
+
+    fn refuse_accepted(&self, request: &AcceptedRequest, reason: RefusalReason) -> GatewayReply {
+        give_back_quota(&self.state, request);
+        self.refuse_with_log(request, reason, "attempts=0")
+    }
+
+    fn refuse_with_log(
+        &self,
+        request: &AcceptedRequest,
+        reason: RefusalReason,
+        detail: &str,
+    ) -> GatewayReply {
+        log_end(&self.state, request, reason.code, detail);
+        self.own_reply(Some(&request.head), reason)
+    }
+
+    /// Answers a request that was refused before it was accepted.
+    fn refuse(
+        &self,
+        head: Option<&CallerHead>,
+        kind: &str,
+        arrived_at: Timestamp,
+        reason: RefusalReason,
+    ) -> GatewayReply {
+        let code = reason.code.number();
+        self.state.metrics.requests.with_label_values(&[kind, &code.to_string()]).inc();
+        if let Some(head) = head {
+            log::info!(
+                "event=request_ended request={} host={} code={code} elapsed_ms={} config={}",
+                head.request_id,
+                head.host,
+                self.state.now().since(arrived_at).as_millis(),
+                self.state.config.borrow().current().map_or(0, |config| config.version),
+            );
+        }
+        self.own_reply(head, reason)
+    }
+
+    fn own_reply(&self, head: Option<&CallerHead>, reason: RefusalReason) -> GatewayReply {
+        let request_id = head.map(|head| head.request_id.as_str());
+        let (status, headers) = self.wire.own_answer(request_id, reason.code, reason.retry_after);
+        let body = format!("{{\"error\":{{\"code\":{}}}}}\n", reason.code.number());
+        let mut reply = Response::new(whole_body(Bytes::from(body)));
+        *reply.status_mut() = status;
+        *reply.headers_mut() = headers;
+        reply
+    }
+}
+
+type CheckedRoute = (Rc<RouteRule>, Option<Rc<TeamRule>>, ServiceName);
+
+/// Finds the route, team and service of a request.
+fn check_route(
+    config: &ServingConfig,
+    head: &CallerHead,
+    parts: &request::Parts,
+) -> Result<CheckedRoute, RefusalReason> {
+    let route = config
+        .route(&head.host, parts.uri.path())
+        .ok_or(RefusalReason::new(ResultCode::UnknownRoute))?;
+    let team = match config.check_key(route, head.key.as_deref()) {
+        KeyVerdict::Team(team) => Some(team),
+        KeyVerdict::Anonymous => None,
+        KeyVerdict::Unknown => return Err(RefusalReason::new(ResultCode::Unauthorized)),
+    };
+    let hash = blake3::hash(head.request_id.as_bytes());
+    let mut first = [0; 8];
+    first.copy_from_slice(&hash.as_bytes()[..8]);
+    let service = route
+        .service_for(u64::from_le_bytes(first))
+        .ok_or(RefusalReason::retry(ResultCode::NoServer, NO_SERVER_RETRY))?;
+    Ok((route.clone(), team, service.clone()))
+}
+
+/// Chooses a server for an attempt; returns it with the prompt tokens that it has to read.
+pub fn place_request(
+    state: &GatewayState,
+    now: Timestamp,
+    request: &AcceptedRequest,
+    tried: &[ServerKey],
+) -> Result<(ServerKey, u64), RefusalReason> {
+    let hosts = u32::try_from(state.peers.borrow().heard(now) + 1).unwrap_or(u32::MAX);
+    let config = state.config.borrow().current().cloned();
+    let rule = config.as_ref().and_then(|config| config.services.get(&request.service));
+    // A part is kept for hosts that come up.
+    let max_running = rule.map_or(u32::MAX, |rule| (rule.max_connections / (hosts + 1)).max(2));
+    let query = PlacementQuery {
+        service: &request.service,
+        prompt: request.head.prompt.as_ref(),
+        excluded: tried,
+        max_running,
+    };
+    let choice = state.board.borrow().choose(now, &state.directory.borrow(), &query);
+    match choice {
+        PlacementChoice::Server { key, uncached_tokens, .. } => Ok((key, uncached_tokens)),
+        PlacementChoice::Full => Err(RefusalReason::retry(ResultCode::QueueFull, FULL_RETRY)),
+        PlacementChoice::NoServer => {
+            Err(RefusalReason::retry(ResultCode::NoServer, NO_SERVER_RETRY))
+        }
+    }
+}
+
+fn give_back_quota(state: &GatewayState, request: &AcceptedRequest) {
+    if let Some(team) = request.team.as_ref().filter(|team| team.quota.is_some()) {
+        let units = if team.counts_tokens { request.head.token_cost(team.plain_cost) } else { 1 };
+        state.quotas.borrow_mut().give_back(&team.name, units);
+    }
+}
+
+/// Records that a request began to run: it counts for its team's usage.
+pub fn on_begun(state: &GatewayState, request: &AcceptedRequest) {
+    if let Some(team) = request.team_name() {
+        state.ledger.borrow_mut().on_begun(wall_clock_ms(), team);
+    }
+}
+
+/// Records the tokens that an attempt asks of its service.
+pub fn on_demand(state: &GatewayState, request: &AcceptedRequest, uncached_tokens: u64) {
+    if let Some(prompt) = &request.head.prompt {
+        let tokens = TokenDemand {
+            prefill: uncached_tokens as f64,
+            output: f64::from(prompt.max_output_tokens),
+        };
+        state.demand.borrow_mut().on_request(state.now(), &request.service, tokens);
+    }
+}
+
+/// Takes in how an attempt ended as evidence of its server's health.
+pub fn on_evidence(state: &GatewayState, key: ServerKey, evidence: HealthEvidence) {
+    let avoided = state.board.borrow_mut().on_evidence(state.now(), key, evidence);
+    if avoided {
+        state.log_server("server_avoided", key);
+    }
+}
+
+/// Returns the label of a kind of work in metrics.
+pub fn kind_label(kind: WorkKind) -> &'static str {
+    match kind {
+        WorkKind::Idempotent => "idempotent",
+        WorkKind::Once => "once",
+        WorkKind::Stream { resumable: true } => "resumable_stream",
+        WorkKind::Stream { resumable: false } => "stream",
+    }
+}
+
+/// Writes the line that ends a request, and counts it.
+pub fn log_end(state: &GatewayState, request: &AcceptedRequest, code: ResultCode, detail: &str) {
+    let kind = kind_label(request.route.kind);
+    let number = code.number();
+    let elapsed = state.now().since(request.arrived_at);
+    state.metrics.requests.with_label_values(&[kind, &number.to_string()]).inc();
+    state.metrics.whole.with_label_values(&[kind]).observe(elapsed.as_secs_f64());
+    log::info!(
+        "event=request_ended request={} route={} service={} team={} kind={kind} code={number} \
+         elapsed_ms={} config={} {detail}",
+        request.head.request_id,
+        request.route.name,
+        request.service,
+        request.team_name().map_or("-", TeamName::as_str),
+        elapsed.as_millis(),
+        request.version,
+    );
+}
+
+/// Copies the header fields of an answer that may be passed on.
+pub fn passed_headers(headers: &HeaderMap) -> HeaderMap {
+    let fields = headers
+        .iter()
+        .filter_map(|(name, value)| value.to_str().ok().map(|value| (name.as_str(), value)));
+    let hops = crate::hop_headers::HopHeaders::of(fields);
+    let passed = headers.iter().filter(|(name, _)| !hops.contains(name.as_str()));
+    passed.map(|(name, value)| (name.clone(), value.clone())).collect()
+}
--- /dev/null
+++ b/lib/src/gateway/server_attempt.rs
@@ -0,0 +1,231 @@
+//! One attempt of a request at one backend server.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use http_body_util::Limited;
+use hyper::Response;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::gateway::attempt_plan::AttemptFailure;
+use crate::gateway::call_pool::CallError;
+use crate::gateway::call_pool::PooledConnection;
+use crate::gateway::edges::AnswerVerdict;
+use crate::gateway::edges::WireDialect;
+use crate::gateway::gateway_state::GatewayState;
+use crate::gateway::request_runner::AcceptedRequest;
+use crate::gateway::request_runner::on_begun;
+use crate::gateway::request_runner::on_demand;
+use crate::gateway::request_runner::on_evidence;
+use crate::gateway::request_runner::passed_headers;
+use crate::gateway::server_health::HealthEvidence;
+use crate::ids::ServerId;
+use crate::ids::ServerKey;
+use crate::timestamp::Timestamp;
+
+/// Bytes of a whole answer, at most.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// Load of one attempt on the board, taken off when the attempt ends in any way.
+pub struct ServerAttempt {
+    state: Rc<GatewayState>,
+    /// Server.
+    pub key: ServerKey,
+    id: ServerId,
+    address: std::net::SocketAddr,
+    /// Prompt tokens that still count as unread.
+    unread_tokens: u64,
+}
+
+impl ServerAttempt {
+    /// Puts the attempt on the board; `None` if the server is no longer listed.
+    pub fn begin(
+        state: &Rc<GatewayState>,
+        request: &AcceptedRequest,
+        key: ServerKey,
+        uncached_tokens: u64,
+    ) -> Option<Self> {
+        let (id, address) = {
+            let directory = state.directory.borrow();
+            let server = directory.get(key)?;
+            (server.entry.id.clone(), server.entry.address)
+        };
+        let now = state.now();
+        let prompt = request.head.prompt.as_ref();
+        state.board.borrow_mut().on_sent(now, key, prompt, uncached_tokens);
+        on_demand(state, request, uncached_tokens);
+        Some(Self { state: state.clone(), key, id, address, unread_tokens: uncached_tokens })
+    }
+
+    /// Returns the server's identity.
+    pub fn server(&self) -> &ServerId {
+        &self.id
+    }
+
+    /// Records that the server has read the prompt.
+    pub fn on_prefilled(&mut self) {
+        let tokens = std::mem::take(&mut self.unread_tokens);
+        self.state.board.borrow_mut().on_prefilled(self.key, tokens);
+    }
+}
+
+impl Drop for ServerAttempt {
+    fn drop(&mut self) {
+        self.on_prefilled();
+        self.state.board.borrow_mut().on_ended(self.key);
+    }
+}
+
+/// What an attempt says to its server.
+pub struct AttemptRequest<'a> {
+    /// Server that must run it.
+    pub server: &'a ServerId,
+    /// Time that is left.
+    pub time_left: Duration,
+    /// Event after which a stream goes on.
+    pub resume_after: Option<u64>,
+}
+
+/// A stream whose head has arrived.
+pub struct OpenStream {
+    /// The attempt.
+    pub attempt: ServerAttempt,
+    /// The answer.
+    pub response: Response<Incoming>,
+    /// Its connection.
+    pub connection: PooledConnection,
+}
+
+/// How an attempt went.
+pub enum AttemptAnswer {
+    /// The whole answer, to be relayed.
+    Whole(Response<Bytes>),
+    /// The head of a stream.
+    Stream(Box<OpenStream>),
+    /// It failed; a server's own failure comes with its answer.
+    Failed(AttemptFailure, Option<Response<Bytes>>),
+    /// The request's time was over first.
+    TimedOut,
+}
+
+/// Sends an attempt and waits for a whole answer or the head of a stream.
+///
+/// After `silence` without an answer the attempt counts as lost.
+pub async fn send_attempt<W: WireDialect>(
+    wire: &W,
+    attempt: ServerAttempt,
+    request: &AcceptedRequest,
+    resume_after: Option<u64>,
+    ends_at: Timestamp,
+    silence: Option<Duration>,
+) -> AttemptAnswer {
+    let state = attempt.state.clone();
+    let key = attempt.key;
+    let time_left = ends_at.since(state.now());
+    let limit = silence.map_or(time_left, |silence| silence.min(time_left));
+    let answer =
+        match timeout(limit, exchange(wire, attempt, request, resume_after, time_left)).await {
+            Ok(answer) => answer,
+            Err(_) if limit < time_left => AttemptAnswer::Failed(AttemptFailure::Lost, None),
+            Err(_) => AttemptAnswer::TimedOut,
+        };
+    let evidence = match &answer {
+        AttemptAnswer::Whole(_) | AttemptAnswer::Stream(_) => HealthEvidence::Answered,
+        AttemptAnswer::Failed(AttemptFailure::Unsent | AttemptFailure::Misdirected, _) => {
+            HealthEvidence::Unreachable
+        }
+        AttemptAnswer::Failed(AttemptFailure::Lost | AttemptFailure::Failed, _)
+        | AttemptAnswer::TimedOut => HealthEvidence::Failed,
+        AttemptAnswer::Failed(AttemptFailure::Refused, _) => HealthEvidence::Answered,
+    };
+    on_evidence(&state, key, evidence);
+    answer
+}
+
+async fn exchange<W: WireDialect>(
+    wire: &W,
+    mut attempt: ServerAttempt,
+    request: &AcceptedRequest,
+    resume_after: Option<u64>,
+    time_left: Duration,
+) -> AttemptAnswer {
+    let state = attempt.state.clone();
+    let message = AttemptRequest { server: attempt.server(), time_left, resume_after };
+    let message = request.message(wire, &message);
+    let (response, connection) = match state.pool.call(attempt.address, message).await {
+        Ok(called) => called,
+        Err(error) => {
+            let failure = match error {
+                CallError::Unsent(_) => AttemptFailure::Unsent,
+                CallError::Lost(_) => AttemptFailure::Lost,
+            };
+            log_failure(&state, request, &attempt, failure, &error.to_string());
+            if failure == AttemptFailure::Unsent {
+                state.pool.forget(attempt.address);
+            }
+            return AttemptAnswer::Failed(failure, None);
+        }
+    };
+    let (head, body) = response.into_parts();
+    let verdict = wire.judge_answer(&request.head.request_id, &head);
+    if verdict == AnswerVerdict::Answer
+        && request.route.kind.is_stream()
+        && head.status.is_success()
+    {
+        let response = Response::from_parts(head, body);
+        return AttemptAnswer::Stream(Box::new(OpenStream { attempt, response, connection }));
+    }
+    if verdict == AnswerVerdict::Unusable {
+        log_failure(&state, request, &attempt, AttemptFailure::Lost, "unusable answer");
+        return AttemptAnswer::Failed(AttemptFailure::Lost, None);
+    }
+    let whole = match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
+        Ok(collected) => collected.to_bytes(),
+        Err(error) => {
+            let failure = match verdict {
+                AnswerVerdict::Failure(failure) => failure,
+                AnswerVerdict::Answer | AnswerVerdict::Unusable => AttemptFailure::Lost,
+            };
+            log_failure(&state, request, &attempt, failure, &error.to_string());
+            return AttemptAnswer::Failed(failure, None);
+        }
+    };
+    connection.release();
+    attempt.on_prefilled();
+    let mut answer = Response::new(whole);
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = passed_headers(&head.headers);
+    match verdict {
+        AnswerVerdict::Failure(failure) => {
+            log_failure(&state, request, &attempt, failure, head.status.as_str());
+            // Only a failure of work that ran may be relayed; the others are the gateway's to tell.
+            let ran = failure == AttemptFailure::Failed;
+            if ran {
+                on_begun(&state, request);
+            }
+            AttemptAnswer::Failed(failure, ran.then_some(answer))
+        }
+        AnswerVerdict::Answer | AnswerVerdict::Unusable => {
+            on_begun(&state, request);
+            AttemptAnswer::Whole(answer)
+        }
+    }
+}
+
+fn log_failure(
+    state: &GatewayState,
+    request: &AcceptedRequest,
+    attempt: &ServerAttempt,
+    failure: AttemptFailure,
+    detail: &str,
+) {
+    state.metrics.attempts.with_label_values(&[&format!("{failure:?}")]).inc();
+    log::info!(
+        "event=attempt_failed request={} server={} failure={failure:?} detail=\"{detail}\"",
+        request.head.request_id,
+        attempt.server(),
+    );
+}
--- /dev/null
+++ b/lib/src/gateway/store_follower.rs
@@ -0,0 +1,186 @@
+//! Follows the configuration and the directory in the platform's store.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng as _;
+
+use crate::gateway::backend_directory::DirectoryChange;
+use crate::gateway::edges::ConfigRead;
+use crate::gateway::edges::ControlStore;
+use crate::gateway::edges::DirectoryRead;
+use crate::gateway::edges::EdgeError;
+use crate::gateway::gateway_state::GatewayState;
+use crate::gateway::serving_config::ConfigChange;
+use crate::ids::LogOffset;
+use crate::ids::ServerId;
+
+/// Time that the store holds a read of the configuration while there is nothing new. A connection
+/// that falls silent meanwhile is ended by its keep-alive probes.
+const CONFIG_WAIT: Duration = Duration::from_secs(20);
+
+/// Time between two reads of the directory: news of a leaving server must arrive within two
+/// seconds, and servers write about as often.
+const DIRECTORY_PERIOD: Duration = Duration::from_millis(1_300);
+
+/// First pause after a failed read.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest pause after failed reads: with a longer one a host would learn of a change too late
+/// after the store's return.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// Pause that doubles with each failure, with jitter so that hosts do not return together.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryPause {
+    next: Duration,
+}
+
+impl Default for RetryPause {
+    fn default() -> Self {
+        Self { next: FIRST_PAUSE }
+    }
+}
+
+impl RetryPause {
+    /// Waits after a failure.
+    pub async fn wait(&mut self) {
+        let jitter = rand::rng().random_range(0.5..1.0);
+        tokio::time::sleep(self.next.mul_f64(jitter)).await;
+        self.next = (self.next * 2).min(LONGEST_PAUSE);
+    }
+
+    /// Starts over after a success.
+    pub fn reset(&mut self) {
+        *self = Self::default();
+    }
+}
+
+/// Whether calls to the platform succeed, logged when it changes.
+#[derive(Clone, Debug)]
+pub struct DependencyWatch {
+    name: &'static str,
+    lost: bool,
+}
+
+impl DependencyWatch {
+    /// Watches the calls of a name.
+    pub fn new(name: &'static str) -> Self {
+        Self { name, lost: false }
+    }
+
+    /// Records the outcome of a call.
+    pub fn record<T>(&mut self, state: &GatewayState, outcome: &Result<T, EdgeError>) {
+        let label = if outcome.is_ok() { "ok" } else { "failed" };
+        state.metrics.platform_calls.with_label_values(&[self.name, label]).inc();
+        match (outcome, self.lost) {
+            (Ok(_), true) => log::info!("event=dependency_regained call={}", self.name),
+            (Err(error), false) => {
+                log::warn!("event=dependency_lost call={} detail=\"{error}\"", self.name);
+            }
+            _ => {}
+        }
+        self.lost = outcome.is_err();
+    }
+}
+
+/// Keeps the configuration in force up to date.
+pub async fn follow_config<S: ControlStore>(state: Rc<GatewayState>, store: Rc<S>) {
+    let mut from = None;
+    let mut pause = RetryPause::default();
+    let mut watch = DependencyWatch::new("read_config");
+    loop {
+        let outcome = store.read_config(from, CONFIG_WAIT).await;
+        watch.record(&state, &outcome);
+        match outcome {
+            Ok(read) => {
+                pause.reset();
+                from = Some(read.next);
+                adopt_config(&state, read);
+            }
+            Err(error) => {
+                if error == EdgeError::RecordsDropped {
+                    from = None;
+                }
+                pause.wait().await;
+            }
+        }
+    }
+}
+
+fn adopt_config(state: &GatewayState, read: ConfigRead) {
+    for reason in &read.skipped {
+        log::warn!("event=config_skipped detail=\"{reason}\"");
+    }
+    let Some(config) = read.config else { return };
+    let (version, routes, teams) = (config.version, config.route_count(), config.teams.len());
+    let change = state.config.borrow_mut().offer(config);
+    let event = match change {
+        ConfigChange::Adopted => "config_adopted",
+        ConfigChange::Ignored => "config_ignored",
+    };
+    state.metrics.events.with_label_values(&[event]).inc();
+    log::info!(
+        "event={event} config={version} offset={} routes={routes} teams={teams}",
+        read.next.0
+    );
+}
+
+/// Keeps the directory up to date.
+pub async fn follow_directory<S: ControlStore>(state: Rc<GatewayState>, store: Rc<S>) {
+    let mut from: Option<LogOffset> = None;
+    let mut pause = RetryPause::default();
+    let mut watch = DependencyWatch::new("read_directory");
+    loop {
+        let outcome = store.read_directory(from).await;
+        watch.record(&state, &outcome);
+        match outcome {
+            Ok(read) => {
+                pause.reset();
+                from = Some(read.next);
+                apply_directory(&state, read);
+                tokio::time::sleep(DIRECTORY_PERIOD).await;
+            }
+            Err(error) => {
+                if error == EdgeError::RecordsDropped {
+                    from = None;
+                } else {
+                    let now = state.now();
+                    state.directory.borrow_mut().on_store_trouble(now);
+                }
+                pause.wait().await;
+            }
+        }
+    }
+}
+
+fn apply_directory(state: &GatewayState, read: DirectoryRead) {
+    let now = state.now();
+    for (server, reason) in &read.skipped {
+        log::warn!("event=directory_entry_skipped server={server} detail=\"{reason}\"");
+    }
+    state.directory.borrow_mut().on_read(now);
+    let listed: Vec<ServerId> = read
+        .changes
+        .iter()
+        .filter_map(|(_, change)| match change {
+            DirectoryChange::Present(entry) => Some(entry.id.clone()),
+            DirectoryChange::Absent(_) => None,
+        })
+        .collect();
+    for (offset, change) in read.changes {
+        let effect = state.directory.borrow_mut().apply(now, offset, change);
+        state.on_directory_effect(effect);
+    }
+    if read.complete {
+        let effects = state.directory.borrow_mut().retain_listed(now, &listed);
+        effects.into_iter().for_each(|effect| state.on_directory_effect(effect));
+    }
+    let expired = state.directory.borrow_mut().expire(now);
+    for key in expired {
+        state.board.borrow_mut().remove(key);
+        log::info!("event=server_expired server_key={key:?}");
+    }
+    let servers = i64::try_from(state.directory.borrow().iter().count()).unwrap_or(i64::MAX);
+    state.metrics.levels.with_label_values(&["servers"]).set(servers);
+}
--- /dev/null
+++ b/lib/src/gateway/stream_relay.rs
@@ -0,0 +1,272 @@
+//! Relays a stream of events to its caller, and goes on at another server if its server is lost.
+//!
+//! Only whole events are relayed. Each numbered event is relayed once: what another server sends
+//! again is dropped.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::BodyExt as _;
+use hyper::Response;
+use hyper::body::Frame;
+use hyper::header::CONTENT_LENGTH;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use crate::gateway::attempt_plan::AttemptFailure;
+use crate::gateway::attempt_plan::AttemptPlan;
+use crate::gateway::attempt_plan::AttemptStep;
+use crate::gateway::edges::WireDialect;
+use crate::gateway::event_splitter::EventSplitter;
+use crate::gateway::event_splitter::StreamEvent;
+use crate::gateway::gateway_state::GatewayState;
+use crate::gateway::reply_body::BrokenAnswer;
+use crate::gateway::reply_body::GatewayReply;
+use crate::gateway::reply_body::RelayedPiece;
+use crate::gateway::reply_body::relayed_body;
+use crate::gateway::request_runner::AcceptedRequest;
+use crate::gateway::request_runner::RunningGuard;
+use crate::gateway::request_runner::kind_label;
+use crate::gateway::request_runner::log_end;
+use crate::gateway::request_runner::on_begun;
+use crate::gateway::request_runner::on_evidence;
+use crate::gateway::request_runner::passed_headers;
+use crate::gateway::request_runner::place_request;
+use crate::gateway::server_attempt::AttemptAnswer;
+use crate::gateway::server_attempt::OpenStream;
+use crate::gateway::server_attempt::ServerAttempt;
+use crate::gateway::server_attempt::send_attempt;
+use crate::gateway::server_health::HealthEvidence;
+use crate::result_code::ResultCode;
+use crate::timestamp::Timestamp;
+
+/// Silence in a stream that has begun after which a resumable one goes on elsewhere: several times
+/// the pause that any batch makes.
+const EVENT_SILENCE: Duration = Duration::from_millis(2_000);
+
+/// Silence before the first event after which a resumable stream goes on elsewhere, as a multiple
+/// of its latency goal.
+const FIRST_SILENCE_PER_GOAL: u32 = 3;
+
+/// How relaying one server's part of a stream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PartEnd {
+    /// The stream is complete.
+    Complete,
+    /// The server broke off or fell silent.
+    Lost,
+    /// The caller has gone.
+    CallerGone,
+    /// The request's time is over.
+    TimedOut,
+}
+
+/// A relay of one request's stream.
+pub struct StreamRelay<W> {
+    state: Rc<GatewayState>,
+    wire: Rc<W>,
+    request: Rc<AcceptedRequest>,
+    plan: AttemptPlan,
+    pieces: mpsc::Sender<RelayedPiece>,
+    last_event: Option<u64>,
+    relayed_events: u64,
+}
+
+impl<W: WireDialect + 'static> StreamRelay<W> {
+    /// Starts relaying and returns the answer, which has the first server's head.
+    pub fn start(
+        (state, wire): (Rc<GatewayState>, Rc<W>),
+        request: Rc<AcceptedRequest>,
+        plan: AttemptPlan,
+        stream: OpenStream,
+        guard: RunningGuard,
+    ) -> GatewayReply {
+        let (pieces, body) = relayed_body();
+        let mut reply = Response::new(body);
+        *reply.status_mut() = stream.response.status();
+        *reply.headers_mut() = passed_headers(stream.response.headers());
+        // The length of the first server's part says nothing about the whole.
+        reply.headers_mut().remove(CONTENT_LENGTH);
+        let last_event = request.head.resume_after;
+        let relay = Self { state, wire, request, plan, pieces, last_event, relayed_events: 0 };
+        tokio::task::spawn_local(async move {
+            relay.run(stream).await;
+            drop(guard);
+        });
+        reply
+    }
+
+    async fn run(mut self, stream: OpenStream) {
+        let mut stream = stream;
+        loop {
+            let key = stream.attempt.key;
+            let end = self.relay_part(stream).await;
+            let code = match end {
+                PartEnd::Complete => ResultCode::Complete,
+                PartEnd::CallerGone => ResultCode::CallerLost,
+                PartEnd::TimedOut => ResultCode::DeadlinePassed,
+                PartEnd::Lost => {
+                    on_evidence(&self.state, key, HealthEvidence::Failed);
+                    match self.resume(key).await {
+                        Some(next) => {
+                            stream = next;
+                            continue;
+                        }
+                        None => ResultCode::AttemptsLost,
+                    }
+                }
+            };
+            return self.finish(code).await;
+        }
+    }
+
+    async fn finish(self, code: ResultCode) {
+        let detail = format!("events={} attempts={}", self.relayed_events, self.plan.sent() + 1);
+        log_end(&self.state, &self.request, code, &detail);
+        if code != ResultCode::Complete && code != ResultCode::CallerLost {
+            // A caller that is gone at this very moment needs no sign of the break.
+            let _ = self.pieces.send(Err(BrokenAnswer)).await;
+        }
+    }
+
+    /// Relays what one server sends.
+    async fn relay_part(&mut self, stream: OpenStream) -> PartEnd {
+        let OpenStream { mut attempt, response, connection } = stream;
+        let mut body = response.into_body();
+        let mut splitter = EventSplitter::default();
+        let mut first = true;
+        loop {
+            let limit = self.silence_limit(first);
+            let frame = tokio::select! {
+                frame = timeout(limit, body.frame()) => frame,
+                () = self.pieces.closed() => return PartEnd::CallerGone,
+            };
+            let frame = match frame {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(None) if splitter.has_rest() => return PartEnd::Lost,
+                Ok(None) => {
+                    connection.release();
+                    return PartEnd::Complete;
+                }
+                Ok(Some(Err(error))) => {
+                    self.log_part(&attempt, &error.to_string());
+                    return PartEnd::Lost;
+                }
+                Err(_) if self.state.now() >= self.plan.ends_at() => return PartEnd::TimedOut,
+                Err(_) => {
+                    self.log_part(&attempt, "silent");
+                    return PartEnd::Lost;
+                }
+            };
+            let Ok(bytes) = frame.into_data() else { continue };
+            let events = match splitter.push(&bytes) {
+                Ok(events) => events,
+                Err(error) => {
+                    self.log_part(&attempt, &error.to_string());
+                    return PartEnd::Lost;
+                }
+            };
+            if first && !events.is_empty() {
+                first = false;
+                attempt.on_prefilled();
+                self.on_first_event();
+            }
+            if let Some(end) = self.relay_events(events).await {
+                return end;
+            }
+        }
+    }
+
+    /// Relays whole events; returns why relaying must end, if it must.
+    async fn relay_events(&mut self, events: Vec<StreamEvent>) -> Option<PartEnd> {
+        for event in events {
+            match (event.id, self.last_event) {
+                (Some(id), Some(last)) if id <= last => continue,
+                _ => {}
+            }
+            self.last_event = event.id.or(self.last_event);
+            self.relayed_events += 1;
+            let time_left = self.plan.ends_at().since(self.state.now());
+            match timeout(time_left, self.pieces.send(Ok(Frame::data(event.bytes)))).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return Some(PartEnd::CallerGone),
+                Err(_) => return Some(PartEnd::TimedOut),
+            }
+        }
+        None
+    }
+
+    /// Opens the rest of the stream at another server, if that is allowed and one is found.
+    async fn resume(&mut self, lost: crate::ids::ServerKey) -> Option<OpenStream> {
+        let mut failure = AttemptFailure::Lost;
+        let mut key = lost;
+        loop {
+            let now = self.state.now();
+            let step = self.plan.on_failure(now, key, failure);
+            if !matches!(step, AttemptStep::TryAnother { .. })
+                || !self.state.retries.borrow_mut().try_spend(now, &self.request.service)
+            {
+                return None;
+            }
+            let (next, uncached) =
+                place_request(&self.state, now, &self.request, self.plan.tried()).ok()?;
+            key = next;
+            let attempt = ServerAttempt::begin(&self.state, &self.request, key, uncached)?;
+            let ends_at: Timestamp = self.plan.ends_at();
+            let silence = Some(self.silence_limit(true));
+            log::info!(
+                "event=stream_resumed request={} after={:?} server={}",
+                self.request.head.request_id,
+                self.last_event,
+                attempt.server(),
+            );
+            let answer = send_attempt(
+                &*self.wire,
+                attempt,
+                &self.request,
+                self.last_event,
+                ends_at,
+                silence,
+            );
+            let answer = tokio::select! {
+                answer = answer => answer,
+                () = self.pieces.closed() => return None,
+            };
+            failure = match answer {
+                AttemptAnswer::Stream(stream) => return Some(*stream),
+                AttemptAnswer::Whole(_) | AttemptAnswer::TimedOut => return None,
+                AttemptAnswer::Failed(failure, _) => failure,
+            };
+        }
+    }
+
+    /// Returns how long to wait for the next bytes.
+    fn silence_limit(&self, first: bool) -> Duration {
+        let time_left = self.plan.ends_at().since(self.state.now());
+        if !self.request.route.kind.is_repeatable() {
+            return time_left;
+        }
+        let first_limit = self.request.route.latency_goal * FIRST_SILENCE_PER_GOAL;
+        let limit = if first { first_limit.max(EVENT_SILENCE) } else { EVENT_SILENCE };
+        limit.min(time_left)
+    }
+
+    fn on_first_event(&self) {
+        if self.relayed_events == 0 {
+            on_begun(&self.state, &self.request);
+            let elapsed = self.state.now().since(self.request.arrived_at).as_secs_f64();
+            let kind = [kind_label(self.request.route.kind)];
+            self.state.metrics.first_byte.with_label_values(&kind).observe(elapsed);
+        }
+    }
+
+    fn log_part(&self, attempt: &ServerAttempt, detail: &str) {
+        self.state.metrics.attempts.with_label_values(&["StreamLost"]).inc();
+        log::info!(
+            "event=stream_lost request={} server={} events={} detail=\"{detail}\"",
+            self.request.head.request_id,
+            attempt.server(),
+            self.relayed_events,
+        );
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/usage_ledger.rs
@@ -0,0 +1,91 @@
+//! Counts the requests that began to run, by team and window of the wall clock.
+//!
+//! Load pattern: hosts die between the end of a window and its report. Each host tells its counts to
+//! all others several times a window, and each keeps the largest that it heard of every life of
+//! every host, so that any survivor can report them.
+
+use std::collections::BTreeMap;
+
+use crate::ids::HostId;
+use crate::ids::Incarnation;
+use crate::ids::TeamName;
+
+/// Windows that are kept: the current one and those whose report may still be due.
+pub const KEPT_WINDOWS: u64 = 5;
+
+/// One life of one host.
+pub type HostLife = (HostId, Incarnation);
+
+/// Requests by team.
+pub type TeamCounts = BTreeMap<TeamName, u64>;
+
+/// Counts of every life that this host knows of.
+#[derive(Clone, Debug)]
+pub struct UsageLedger {
+    window_ms: u64,
+    own: HostLife,
+    /// By window and life.
+    windows: BTreeMap<u64, BTreeMap<HostLife, TeamCounts>>,
+}
+
+impl UsageLedger {
+    /// Builds an empty ledger.
+    pub fn new(own: HostLife, window_ms: u64) -> Self {
+        Self { window_ms: window_ms.max(1), own, windows: BTreeMap::new() }
+    }
+
+    /// Returns the window of a wall-clock time in milliseconds since 1970.
+    pub fn window_at(&self, wall_ms: u64) -> u64 {
+        wall_ms / self.window_ms
+    }
+
+    /// Returns the wall-clock time at which a window ends, in milliseconds since 1970.
+    pub fn end_of(&self, window: u64) -> u64 {
+        (window + 1) * self.window_ms
+    }
+
+    /// Counts a request of this host that began to run.
+    pub fn on_begun(&mut self, wall_ms: u64, team: &TeamName) {
+        let window = self.window_at(wall_ms);
+        let counts = self.windows.entry(window).or_default().entry(self.own.clone()).or_default();
+        *counts.entry(team.clone()).or_default() += 1;
+        self.drop_old(window);
+    }
+
+    /// Takes in what a host told of one of its windows.
+    pub fn on_told(&mut self, life: HostLife, window: u64, told: TeamCounts) {
+        let counts = self.windows.entry(window).or_default().entry(life).or_default();
+        for (team, count) in told {
+            let known = counts.entry(team).or_default();
+            *known = (*known).max(count);
+        }
+    }
+
+    /// Returns every life's counts of the kept windows, for telling others.
+    pub fn lives(&self) -> impl Iterator<Item = (u64, &HostLife, &TeamCounts)> {
+        self.windows.iter().flat_map(|(window, lives)| {
+            lives.iter().map(move |(life, counts)| (*window, life, counts))
+        })
+    }
+
+    /// Returns the counts of a window over all lives.
+    pub fn total(&self, window: u64) -> TeamCounts {
+        let mut total = TeamCounts::new();
+        for counts in self.windows.get(&window).into_iter().flat_map(BTreeMap::values) {
+            for (team, count) in counts {
+                *total.entry(team.clone()).or_default() += count;
+            }
+        }
+        total
+    }
+
+    /// Forgets windows that are too old to report at a wall-clock time.
+    pub fn expire(&mut self, wall_ms: u64) {
+        self.drop_old(self.window_at(wall_ms));
+    }
+
+    fn drop_old(&mut self, window: u64) {
+        let first_kept = window.saturating_sub(KEPT_WINDOWS);
+        self.windows = self.windows.split_off(&first_kept);
+    }
+}
--- /dev/null
+++ b/lib/src/gateway/usage_report.rs
@@ -0,0 +1,153 @@
+//! Which usage reports are due, each with counts that never change.
+//!
+//! Load pattern: holders of the duty die or lose it between recording, sending and hearing of a
+//! report. The counts of a window are recorded on the log before they are sent, and the first record
+//! of a window holds, so that two holders cannot report a window differently.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use prost::Message as _;
+
+use crate::gateway::usage_ledger::TeamCounts;
+use crate::gateway::usage_ledger::UsageLedger;
+use crate::ids::LogOffset;
+use crate::ids::TeamName;
+use crate::protos::gateway::UsageRecord;
+use crate::timestamp::Timestamp;
+
+/// Time after a window's end for which the hosts' last counts of it are awaited: hosts tell one
+/// another twice a second, and their clocks differ a little.
+const COUNT_DELAY: Duration = Duration::from_millis(2_000);
+
+/// Time for which another holder's record is left to that holder to send.
+const SENDER_HEAD_START: Duration = Duration::from_millis(1_500);
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReportStep {
+    /// Nothing is due.
+    Idle,
+    /// Read the usage log first.
+    ReadLog(LogOffset),
+    /// Append this record at the offset.
+    Record {
+        /// End of the log as far as it is known.
+        at: LogOffset,
+        /// Encoded record.
+        record: Vec<u8>,
+    },
+    /// Send the recorded counts.
+    Send {
+        /// Window.
+        window: u64,
+        /// Counts.
+        counts: TeamCounts,
+    },
+}
+
+/// Records and reports as far as this host knows them.
+#[derive(Clone, Debug)]
+pub struct ReportBook {
+    late_ms: u64,
+    cursor: LogOffset,
+    is_read: bool,
+    recorded: BTreeMap<u64, (TeamCounts, Timestamp, bool)>,
+    sent: BTreeSet<u64>,
+}
+
+impl ReportBook {
+    /// Builds the book of a host that has read nothing; reports are due `late` after their window.
+    pub fn new(late: Duration) -> Self {
+        let late_ms = u64::try_from(late.as_millis()).unwrap_or(u64::MAX);
+        Self {
+            late_ms,
+            cursor: LogOffset(0),
+            is_read: false,
+            recorded: BTreeMap::new(),
+            sent: BTreeSet::new(),
+        }
+    }
+
+    /// Makes the next step read the log: a record may be there that this host has not seen.
+    pub fn distrust(&mut self) {
+        self.is_read = false;
+    }
+
+    /// Starts over from an offset whose earlier records were dropped.
+    pub fn on_dropped(&mut self, first: LogOffset) {
+        self.cursor = first;
+        self.is_read = false;
+    }
+
+    /// Takes in records read from the log; returns how many could not be decoded.
+    pub fn on_records(&mut self, now: Timestamp, records: &[Vec<u8>], next: LogOffset) -> usize {
+        let mut skipped = 0;
+        for record in records {
+            match UsageRecord::decode(record.as_slice()) {
+                Ok(record) => self.add(now, record, false),
+                Err(_) => skipped += 1,
+            }
+        }
+        self.cursor = next;
+        self.is_read = true;
+        skipped
+    }
+
+    /// Takes in that this host's own record was appended.
+    pub fn on_appended(&mut self, now: Timestamp, record: &[u8], at: LogOffset) {
+        if let Ok(record) = UsageRecord::decode(record) {
+            self.add(now, record, true);
+        }
+        self.cursor = at.next();
+    }
+
+    /// Takes in that a report was accepted or can no longer be.
+    pub fn on_sent(&mut self, window: u64) {
+        self.sent.insert(window);
+    }
+
+    /// Returns what is due at a time, on the process's clock and on the wall clock.
+    pub fn next_step(&self, now: Timestamp, wall_ms: u64, ledger: &UsageLedger) -> ReportStep {
+        let delay_ms = u64::try_from(COUNT_DELAY.as_millis()).unwrap_or(u64::MAX);
+        let ended = ledger.window_at(wall_ms.saturating_sub(delay_ms)).saturating_sub(1);
+        let first = ledger.window_at(wall_ms.saturating_sub(self.late_ms)).saturating_sub(1);
+        for window in first..=ended {
+            if self.sent.contains(&window) {
+                continue;
+            }
+            match self.recorded.get(&window) {
+                Some((counts, _, true)) => {
+                    return ReportStep::Send { window, counts: counts.clone() };
+                }
+                Some((counts, seen_at, false)) if now.since(*seen_at) >= SENDER_HEAD_START => {
+                    return ReportStep::Send { window, counts: counts.clone() };
+                }
+                Some(_) => {}
+                None => {
+                    let counts = ledger.total(window);
+                    if counts.is_empty() {
+                        continue;
+                    }
+                    if !self.is_read {
+                        return ReportStep::ReadLog(self.cursor);
+                    }
+                    let counts = counts.iter().map(|(team, n)| (team.as_str().into(), *n));
+                    let record = UsageRecord { window, counts: counts.collect() };
+                    return ReportStep::Record { at: self.cursor, record: record.encode_to_vec() };
+                }
+            }
+        }
+        ReportStep::Idle
+    }
+
+    fn add(&mut self, now: Timestamp, record: UsageRecord, own: bool) {
+        let counts = record.counts.iter().filter_map(|(team, count)| {
+            // Records are written from checked names, so none is lost here.
+            TeamName::try_from(team.as_str()).ok().map(|team| (team, *count))
+        });
+        let counts = counts.collect();
+        self.recorded.entry(record.window).or_insert((counts, now, own));
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -138,6 +138,9 @@
 pub mod router_load;
 pub mod server_directory;
 
+// The gateway: one event loop per host.
+pub mod gateway;
+
 // The process.
 pub mod answer_reply;
 pub mod caller_guard;
--- a/lib/src/protos/mod.rs
+++ b/lib/src/protos/mod.rs
@@ -17,6 +17,11 @@
 pub mod config {
     include!("pomelostack.config.rs");
 }
+/// Messages between gateway hosts and their records on the log.
+#[rustfmt::skip]
+pub mod gateway {
+    include!("pomelostack.gateway.rs");
+}
 /// Records of the log stream "leases".
 #[rustfmt::skip]
 pub mod leases {
