--- a/lib/src/gateway/duty_runner.rs
+++ b/lib/src/gateway/duty_runner.rs
@@ -15,6 +15,7 @@
 use crate::gateway::edges::FencedOutcome;
 use crate::gateway::fleet_size::FleetOrder;
 use crate::gateway::fleet_size::FleetSize;
+use crate::gateway::fleet_size::TokenDemand;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::serving_config::ServiceRule;
 use crate::gateway::store_follower::DependencyWatch;
@@ -201,7 +202,7 @@
                 let now = self.state.now();
                 let Some(fence) = self.turn.borrow().may_act(now) else { return };
                 let outcome = self.cloud.order_servers(fence, &order).await;
-                log_order(&order, fence, &outcome);
+                log_order(&order, fence, fleet.peak_demand(), &outcome);
                 self.note_fenced(fence, &outcome);
                 let accepted = matches!(outcome, Ok(FencedOutcome::Accepted));
                 fleet.on_outcome(self.state.now(), &order, accepted);
@@ -228,14 +229,21 @@
     }
 }
 
-fn log_order(order: &FleetOrder, fence: FencingNumber, outcome: &Result<FencedOutcome, EdgeError>) {
+fn log_order(
+    order: &FleetOrder,
+    fence: FencingNumber,
+    demand: TokenDemand,
+    outcome: &Result<FencedOutcome, EdgeError>,
+) {
     log::info!(
         "event=servers_ordered service={} zone={} desired={} reclaimable={} fence={} \
-         outcome={outcome:?}",
+         prefill_per_s={:.0} output_per_s={:.0} outcome={outcome:?}",
         order.service,
         order.zone,
         order.desired,
         order.reclaimable,
-        fence.0
+        fence.0,
+        demand.prefill,
+        demand.output,
     );
 }
--- a/lib/src/gateway/fleet_size.rs
+++ b/lib/src/gateway/fleet_size.rs
@@ -15,10 +15,10 @@
 use crate::timestamp::Timestamp;
 
 /// Prompt tokens that one server reads per second when it does nothing else.
-const PREFILL_TOKENS_PER_S: f64 = 50_000.0;
+const PREFILL_TOKENS_PER_S: f64 = 55_000.0;
 
 /// Tokens that one server generates per second at a half-full batch.
-const OUTPUT_TOKENS_PER_S: f64 = 5_000.0;
+const OUTPUT_TOKENS_PER_S: f64 = 16_000.0;
 
 /// Part of a server's capacity that demand may use, so that waves within seconds find room.
 const TARGET_USE: f64 = 0.6;
@@ -72,7 +72,8 @@
 #[derive(Clone, Debug)]
 pub struct FleetSize {
     service: ServiceName,
-    peaks: VecDeque<(Timestamp, f64)>,
+    /// Demands that were the largest since, oldest and largest first.
+    peaks: VecDeque<(Timestamp, TokenDemand)>,
     placed: BTreeMap<ZoneName, PlacedOrder>,
 }
 
@@ -84,11 +85,10 @@
 
     /// Records the demand of the moment.
     pub fn on_demand(&mut self, now: Timestamp, demand: TokenDemand) {
-        let servers = demand.servers();
-        while self.peaks.back().is_some_and(|(_, peak)| *peak <= servers) {
+        while self.peaks.back().is_some_and(|(_, peak)| peak.servers() <= demand.servers()) {
             self.peaks.pop_back();
         }
-        self.peaks.push_back((now, servers));
+        self.peaks.push_back((now, demand));
         while self.peaks.front().is_some_and(|(at, _)| now.since(*at) > PEAK_MEMORY) {
             self.peaks.pop_front();
         }
@@ -123,7 +123,7 @@
 
     /// Returns the number of servers wanted in each zone.
     pub fn desired(&self, bounds: &FleetBounds) -> BTreeMap<ZoneName, u32> {
-        let peak = self.peaks.front().map_or(0.0, |(_, peak)| *peak);
+        let peak = self.peak_demand().servers();
         let mut desired: BTreeMap<ZoneName, u32> =
             bounds.zone_prices.keys().map(|zone| (zone.clone(), bounds.min)).collect();
         let mut zones: Vec<(&ZoneName, f64)> =
@@ -144,6 +144,11 @@
         desired
     }
 
+    /// Returns the largest demand that is remembered.
+    pub fn peak_demand(&self) -> TokenDemand {
+        self.peaks.front().map_or(TokenDemand::default(), |(_, peak)| *peak)
+    }
+
     fn is_pending(&self, now: Timestamp, zone: &ZoneName, count: u32) -> bool {
         self.placed.get(zone).is_some_and(|placed| {
             let delay = if placed.accepted { REPEAT_DELAY } else { REFUSED_DELAY };
--- a/lib/src/gateway/quota_share.rs
+++ b/lib/src/gateway/quota_share.rs
@@ -15,6 +15,10 @@
 use crate::ids::TeamName;
 use crate::timestamp::Timestamp;
 
+/// Part of the operators' tolerance that is used; the rest covers what hosts admit before they hear
+/// of one another.
+const TOLERANCE_PART: f64 = 0.5;
+
 /// Part of the quota up to which hosts admit without regard to parts: what they can overshoot by
 /// at once, in the time that news takes, must fit into the rest.
 const FREE_PART: f64 = 0.6;
@@ -30,6 +34,19 @@
 pub struct QuotaBounds {
     /// Length of the sliding window.
     pub window: Duration,
+    /// Tolerance as a part of a window's quota.
+    pub tolerance_ratio: f64,
+    /// Tolerance in units, on top.
+    pub tolerance_units: f64,
+}
+
+impl QuotaBounds {
+    /// Returns the units that all hosts together may admit in a window.
+    fn admitted_units(&self, quota: TeamQuota) -> f64 {
+        let units = quota.rate as f64 * self.window.as_secs_f64() + quota.burst as f64;
+        let tolerance = units * self.tolerance_ratio + self.tolerance_units;
+        units + tolerance * TOLERANCE_PART
+    }
 }
 
 /// What one host spent of a team's quota and was asked for in the window, in units.
@@ -51,7 +68,7 @@
 }
 
 /// Whether a request is within its team's quota.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum QuotaVerdict {
     /// It is.
     Admitted,
@@ -59,9 +76,24 @@
     Over {
         /// Time until spending of the window that makes room expires.
         retry_after: Duration,
+        /// What decided.
+        basis: QuotaBasis,
     },
 }
 
+/// Units behind a refusal.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaBasis {
+    /// Spent by this host in the window, the refused request included.
+    pub own: f64,
+    /// Spent by all peers, as far as they told.
+    pub peers: f64,
+    /// This host's part of the quota.
+    pub share: f64,
+    /// What all hosts may spend in a window.
+    pub total: f64,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct SpentUnits {
     at: Timestamp,
@@ -101,7 +133,7 @@
         let span = self.bounds.window;
         let window = self.teams.entry(team.clone()).or_default();
         window.expire(now, span);
-        let total = quota.rate as f64 * span.as_secs_f64() + quota.burst as f64;
+        let total = self.bounds.admitted_units(quota);
         let share = window.share(total, units, sight);
         let own = (window.own.spent + units) as f64;
         let all = own + window.peers.spent as f64;
@@ -113,7 +145,9 @@
             window.own.spent += units;
             return QuotaVerdict::Admitted;
         }
-        QuotaVerdict::Over { retry_after: window.time_to_room(now, span, own - share) }
+        let retry_after = window.time_to_room(now, span, own - share);
+        let basis = QuotaBasis { own, peers: all - own, share, total };
+        QuotaVerdict::Over { retry_after, basis }
     }
 
     /// Gives back units of a request that was proved not to have run.
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -250,11 +250,17 @@
         let sight = self.state.peers.borrow().sight(now);
         match self.state.quotas.borrow_mut().admit(now, &team.name, quota, units, sight) {
             QuotaVerdict::Admitted => Ok(()),
-            QuotaVerdict::Over { retry_after } => {
+            QuotaVerdict::Over { retry_after, basis } => {
                 log::info!(
-                    "event=quota_exceeded request={} team={} units={units} peers={sight:?}",
+                    "event=quota_exceeded request={} team={} units={units} peers={sight:?} \
+                     spent={:.0} spent_by_peers={:.0} share={:.0} quota={:.0} retry_after_ms={}",
                     head.request_id,
-                    team.name
+                    team.name,
+                    basis.own,
+                    basis.peers,
+                    basis.share,
+                    basis.total,
+                    retry_after.as_millis(),
                 );
                 Err(RefusalReason::retry(ResultCode::TeamOverShare, retry_after))
             }
