gateway: quotas by sight of peers, missed changes told by peers, refusals while leaving

Missing servers are used last now. Ruled out: a stale read (offsets rose), late delivery of summaries.

--- a/lib/src/gateway/backend_directory.rs
+++ b/lib/src/gateway/backend_directory.rs
@@ -1,8 +1,8 @@
 //! The backend servers that the platform's directory lists.
 //!
 //! Load pattern: the directory's entries lapse by the dozen while its store is away although the
-//! servers live. Removals that arrive around an outage are held back for a grace period, and only
-//! what is still missing afterwards is gone.
+//! servers live. Removals that arrive around an outage are held back for a grace period, in which the
+//! servers are used only if there is no other, and only what is still missing afterwards is gone.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -75,7 +75,7 @@
     Restarted(ServerKey),
     /// A server began to leave.
     Leaving(ServerKey),
-    /// A server is gone.
+    /// A server is gone; its key is no longer listed.
     Gone(ServerKey),
     /// Nothing that matters to routing changed.
     Unchanged,
@@ -88,6 +88,8 @@
     pub entry: BackendEntry,
     /// When the host learned that it leaves, if it does.
     pub leaving_since: Option<Timestamp>,
+    /// Whether its entry is missing, and may yet come back after an outage of the store.
+    pub is_missing: bool,
 }
 
 /// The directory as this host knows it.
@@ -184,9 +186,10 @@
         self.held.remove(&entry.id);
         let leaving = entry.state == ServingState::Draining;
         let Some(key) = self.find(&entry.id) else {
+            let leaving_since = leaving.then_some(now);
             let id = entry.id.clone();
             let key =
-                self.servers.insert(BackendServer { entry, leaving_since: leaving.then_some(now) });
+                self.servers.insert(BackendServer { entry, leaving_since, is_missing: false });
             self.by_id.insert(id, key);
             return DirectoryEffect::Joined(key);
         };
@@ -194,6 +197,7 @@
         let restarted =
             server.entry.born_ms != entry.born_ms || server.entry.address != entry.address;
         server.entry = entry;
+        server.is_missing = false;
         match (leaving, server.leaving_since) {
             (true, None) => {
                 server.leaving_since = Some(now);
@@ -212,7 +216,10 @@
         if let Some(until) = self.grace_until
             && until > now
         {
-            self.held.entry(id).or_insert(until);
+            if let Some(key) = self.find(&id) {
+                self.servers[key].is_missing = true;
+                self.held.entry(id).or_insert(until);
+            }
             return DirectoryEffect::Unchanged;
         }
         self.remove(&id).map_or(DirectoryEffect::Unchanged, DirectoryEffect::Gone)
--- a/lib/src/gateway/gateway_settings.rs
+++ b/lib/src/gateway/gateway_settings.rs
@@ -16,6 +16,8 @@
     pub host: HostId,
     /// Availability zone that it runs in.
     pub zone: ZoneName,
+    /// Whether the whole system starts for the first time, so that nothing can have been spent.
+    pub first_start: bool,
     /// Address for callers.
     pub front: SocketAddr,
     /// Address at which the balancer asks whether the host is ready.
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -4,6 +4,8 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
+use tokio::sync::Notify;
+
 use crate::gateway::backend_directory::BackendDirectory;
 use crate::gateway::backend_directory::DirectoryEffect;
 use crate::gateway::call_pool::CallPool;
@@ -52,6 +54,10 @@
     pub demand: RefCell<DemandMeter>,
     /// Peers.
     pub peers: RefCell<PeerTable>,
+    /// Rung when a peer has a newer configuration.
+    pub config_hint: Notify,
+    /// Rung when peers should hear of this host's spending at once.
+    pub spending_hint: Notify,
     /// Planned stop, once one was asked for.
     pub leave: Cell<Option<LeavePlan>>,
     /// Requests that are not answered yet.
@@ -63,18 +69,25 @@
     pub fn new(settings: GatewaySettings, metrics: GatewayMetrics) -> Self {
         let life = (settings.host.clone(), Incarnation(wall_clock_ms()));
         let window_ms = u64::try_from(settings.usage_window.as_millis()).unwrap_or(u64::MAX);
+        let clock = ProcessClock::start();
+        let mut quotas = QuotaShare::new(settings.quotas);
+        if !settings.first_start {
+            quotas.assume_spent(clock.now());
+        }
         Self {
-            clock: ProcessClock::start(),
+            clock,
             metrics,
             pool: CallPool::default(),
             config: RefCell::default(),
             directory: RefCell::default(),
             board: RefCell::new(PlacementBoard::new(settings.zone.clone())),
             retries: RefCell::new(RetryShare::new(settings.retries)),
-            quotas: RefCell::new(QuotaShare::new(settings.quotas)),
+            quotas: RefCell::new(quotas),
             ledger: RefCell::new(UsageLedger::new(life.clone(), window_ms)),
             demand: RefCell::default(),
             peers: RefCell::new(PeerTable::new(settings.host.clone())),
+            config_hint: Notify::new(),
+            spending_hint: Notify::new(),
             leave: Cell::new(None),
             running: Cell::new(0),
             life,
--- a/lib/src/gateway/leave_plan.rs
+++ b/lib/src/gateway/leave_plan.rs
@@ -39,6 +39,12 @@
         Self { told_at, grace }
     }
 
+    /// Returns the time left for requests that come in now, or `None` as long as all are served.
+    pub fn time_left(&self, now: Timestamp) -> Option<Duration> {
+        let elapsed = now.since(self.told_at);
+        (elapsed >= BALANCER_DELAY).then(|| self.grace.saturating_sub(elapsed + KILL_MARGIN))
+    }
+
     /// Returns what to do while `running` requests are unanswered.
     pub fn step(&self, now: Timestamp, running: usize) -> LeaveStep {
         let elapsed = now.since(self.told_at);
--- a/lib/src/gateway/peer_gossip.rs
+++ b/lib/src/gateway/peer_gossip.rs
@@ -26,9 +26,12 @@
 use crate::protos::gateway::WindowUse;
 use crate::timestamp::wall_clock_ms;
 
-/// Time between two summaries: quotas are overshot by what is spent in about this time.
+/// Time between two summaries if nothing is urgent: load that is older misleads placement.
 const SUMMARY_PERIOD: Duration = Duration::from_millis(400);
 
+/// Least time between two summaries.
+const LEAST_SUMMARY_PERIOD: Duration = Duration::from_millis(40);
+
 /// Time between two reads of the hosts' cards while no peer is heard.
 const LONELY_CARD_PERIOD: Duration = Duration::from_secs(3);
 
@@ -72,9 +75,15 @@
 pub async fn send_summaries(state: Rc<GatewayState>, socket: Rc<UdpSocket>) {
     let mut sequence = 0;
     loop {
-        tokio::time::sleep(SUMMARY_PERIOD).await;
-        sequence += 1;
+        // Hints that come in the meantime are answered together.
+        tokio::time::sleep(LEAST_SUMMARY_PERIOD).await;
+        let rest = SUMMARY_PERIOD - LEAST_SUMMARY_PERIOD;
+        tokio::select! {
+            () = tokio::time::sleep(rest) => {}
+            () = state.spending_hint.notified() => {}
+        }
         expire_old(&state);
+        sequence += 1;
         let targets = state.peers.borrow().targets();
         if targets.is_empty() {
             continue;
@@ -148,9 +157,14 @@
     let windows: Vec<WindowUse> = summary.windows.clone();
     let now = state.now();
     let known = state.peers.borrow().heard(now);
+    let version = state.config.borrow().current().map_or(0, |config| config.version);
+    if summary.config_version > version && version > 0 {
+        state.config_hint.notify_one();
+    }
     if state.peers.borrow_mut().on_summary(now, summary).is_none() {
         return;
     }
+    state.quotas.borrow_mut().set_peers(&state.peers.borrow().spending());
     let heard = state.peers.borrow().heard(now);
     if heard != known {
         log::info!("event=peers_changed heard={heard}");
@@ -174,7 +188,7 @@
 fn build_summary(state: &GatewayState, sequence: u64) -> HostSummary {
     let now = state.now();
     let settings = state.settings.borrow();
-    let teams = state.quotas.borrow_mut().own_spending(now);
+    let teams = state.quotas.borrow_mut().tell_spending(now);
     let teams = teams.into_iter().map(|(team, spending)| TeamUse {
         team: team.into(),
         spent: spending.spent,
@@ -214,5 +228,6 @@
         windows: windows.collect(),
         demands: demands.collect(),
         crashes: Vec::new(),
+        config_version: state.config.borrow().current().map_or(0, |config| config.version),
     }
 }
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -40,7 +40,16 @@
 pub struct PeerTable {
     own: HostId,
     lives: BTreeMap<HostLife, PeerLife>,
-    contacts: BTreeMap<HostId, (SocketAddr, Timestamp)>,
+    contacts: BTreeMap<HostId, PeerContact>,
+}
+
+/// Where a host is reached.
+#[derive(Clone, Copy, Debug)]
+struct PeerContact {
+    address: SocketAddr,
+    listed_at: Timestamp,
+    /// Last summary, if any came.
+    heard_at: Option<Timestamp>,
 }
 
 impl PeerTable {
@@ -51,9 +60,11 @@
 
     /// Adds a host whose card was read.
     pub fn on_card(&mut self, now: Timestamp, host: HostId, address: SocketAddr) {
-        if host != self.own {
-            self.contacts.insert(host, (address, now));
+        if host == self.own {
+            return;
         }
+        let contact = PeerContact { address, listed_at: now, heard_at: None };
+        self.contacts.entry(host).or_insert(contact);
     }
 
     /// Takes in a summary; returns the sender's life if the summary is new and well-formed.
@@ -65,7 +76,8 @@
         if host == self.own || known.is_some_and(|known| known >= summary.sequence) {
             return None;
         }
-        self.contacts.insert(host, (address, now));
+        let contact = PeerContact { address, listed_at: now, heard_at: Some(now) };
+        self.contacts.insert(host, contact);
         self.lives.insert(life.clone(), PeerLife { heard_at: now, summary });
         Some(life)
     }
@@ -76,26 +88,34 @@
         while self.lives.len() > MAX_LIVES {
             self.lives.pop_first();
         }
-        self.contacts.retain(|_, (_, heard_at)| now.since(*heard_at) < CONTACT_LIFE);
+        self.contacts.retain(|_, contact| {
+            now.since(contact.heard_at.unwrap_or(contact.listed_at)) < CONTACT_LIFE
+        });
     }
 
-    /// Returns whether this host hears any peer.
+    /// Returns how many of the hosts that were heard in the last time this host still hears.
     pub fn sight(&self, now: Timestamp) -> PeerSight {
-        if self.lives.values().any(|life| now.since(life.heard_at) < SIGHT_LIFE) {
-            PeerSight::Connected
+        let heard = u32::try_from(self.heard(now)).unwrap_or(u32::MAX);
+        let known = self.contacts.values().filter(|contact| contact.heard_at.is_some()).count();
+        let known = u32::try_from(known).unwrap_or(u32::MAX);
+        // A host that never heard any cannot tell whether it is cut off, or the only one.
+        if known == 0 || (heard + 1) * 2 <= known + 1 {
+            PeerSight::Minority { group: heard + 1 }
         } else {
-            PeerSight::Alone
+            PeerSight::Majority { silent: known.saturating_sub(heard) }
         }
     }
 
     /// Returns the number of peers heard lately.
     pub fn heard(&self, now: Timestamp) -> usize {
-        self.lives.values().filter(|life| now.since(life.heard_at) < SIGHT_LIFE).count()
+        let is_heard =
+            |contact: &&PeerContact| contact.heard_at.is_some_and(|at| now.since(at) < SIGHT_LIFE);
+        self.contacts.values().filter(is_heard).count()
     }
 
     /// Returns the addresses to send summaries to.
     pub fn targets(&self) -> Vec<SocketAddr> {
-        self.contacts.values().map(|(address, _)| *address).collect()
+        self.contacts.values().map(|contact| contact.address).collect()
     }
 
     /// Returns what all peers spent of each team's quota.
--- a/lib/src/gateway/placement.rs
+++ b/lib/src/gateway/placement.rs
@@ -133,8 +133,10 @@
         if ready.is_empty() {
             return PlacementChoice::NoServer;
         }
-        let sound: Vec<_> =
-            ready.iter().copied().filter(|(key, _)| !self.is_avoided(now, *key)).collect();
+        let is_sound = |(key, server): &(ServerKey, &BackendServer)| {
+            !server.is_missing && !self.is_avoided(now, *key)
+        };
+        let sound: Vec<_> = ready.iter().copied().filter(is_sound).collect();
         // With every server suspected, any of them is a better bet than refusing.
         let candidates = if sound.is_empty() { ready } else { sound };
         let home = query.prompt.and_then(PromptShape::shared_prefix).and_then(|prefix| {
--- a/lib/src/gateway/quota_share.rs
+++ b/lib/src/gateway/quota_share.rs
@@ -2,10 +2,13 @@
 //!
 //! Load pattern: one team sends many times its usual, unevenly over hosts that start, die and lose
 //! sight of each other. Each host knows its own spending of the sliding window exactly and that of
-//! its peers a fraction of a second late. Well below the quota a host admits freely; near it each
-//! host keeps to a part of the quota in proportion to the demand that it sees, so that hosts do not
-//! all spend the same room. A host that hears of no peer falls back to a part so small that the
-//! hosts that are cut off stay within the tolerance together.
+//! its peers a fraction of a second late. Well below the quota a host admits freely; near it each host
+//! keeps to a part of the quota in proportion to the demand that it sees, so that hosts do not all
+//! spend the same room. What a host may spend before its peers hear of it is bounded, since it
+//! tells them as soon as a part of the quota was asked for. Hosts that hear fewer than half of the
+//! others keep to small parts, which the others leave free for hosts that they no longer hear. A
+//! host that starts beside running ones, or after all were lost, takes the quota for spent and
+//! frees it over one window.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -23,8 +26,14 @@
 /// at once, in the time that news takes, must fit into the rest.
 const FREE_PART: f64 = 0.6;
 
-/// Part of the quota that a host which hears of no peer may use.
-const ALONE_PART: f64 = 0.1;
+/// Part of the quota that a host may use which hears fewer than half of the others.
+const ALONE_PART: f64 = 0.08;
+
+/// Part of the quota that hosts keep for themselves however many others are silent.
+const LEAST_MAJORITY_PART: f64 = 0.4;
+
+/// Part of the quota that a host is asked for before it tells its peers at once.
+const TELL_PART: f64 = 0.02;
 
 /// Least part of the quota that any host may use, so that new demand is not starved.
 const LEAST_PART: f64 = 0.02;
@@ -58,13 +67,31 @@
     pub asked: u64,
 }
 
-/// How many peers this host hears.
+/// How many of the other hosts this one hears.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeerSight {
-    /// It hears of none, though others may be there.
-    Alone,
-    /// It hears of some.
-    Connected,
+    /// Fewer than half.
+    Minority {
+        /// Hosts that hear one another, this one included.
+        group: u32,
+    },
+    /// Half or more.
+    Majority {
+        /// Hosts that were heard before and no longer are.
+        silent: u32,
+    },
+}
+
+impl PeerSight {
+    /// Returns the part of a quota that the hosts in sight may spend together.
+    fn available_part(self) -> f64 {
+        match self {
+            Self::Minority { group } => ALONE_PART * f64::from(group),
+            Self::Majority { silent } => {
+                (1.0 - ALONE_PART * f64::from(silent)).max(LEAST_MAJORITY_PART)
+            }
+        }
+    }
 }
 
 /// Whether a request is within its team's quota.
@@ -106,6 +133,8 @@
     entries: VecDeque<SpentUnits>,
     own: TeamSpending,
     peers: TeamSpending,
+    /// Units asked for since the peers were told.
+    untold: u64,
 }
 
 /// This host's view of every team's window.
@@ -113,12 +142,33 @@
 pub struct QuotaShare {
     bounds: QuotaBounds,
     teams: BTreeMap<TeamName, TeamWindow>,
+    /// When every quota was taken for spent.
+    assumed_spent_at: Option<Timestamp>,
+    must_tell: bool,
 }
 
 impl QuotaShare {
     /// Builds a view in which nothing was spent.
     pub fn new(bounds: QuotaBounds) -> Self {
-        Self { bounds, teams: BTreeMap::new() }
+        Self { bounds, teams: BTreeMap::new(), assumed_spent_at: None, must_tell: false }
+    }
+
+    /// Takes every quota for spent evenly over the window before `now`: what this host or all hosts
+    /// spent before they were lost is not known.
+    pub fn assume_spent(&mut self, now: Timestamp) {
+        self.assumed_spent_at = Some(now);
+    }
+
+    /// Returns whether the peers should hear of this host's spending at once.
+    pub fn must_tell(&self) -> bool {
+        self.must_tell
+    }
+
+    /// Returns the part of a window's quota that counts as spent before this host's start.
+    fn assumed_part(&self, now: Timestamp) -> f64 {
+        let Some(at) = self.assumed_spent_at else { return 0.0 };
+        let elapsed = now.since(at).as_secs_f64() / self.bounds.window.as_secs_f64();
+        (1.0 - elapsed).max(0.0)
     }
 
     /// Decides on a request of some units and counts it.
@@ -131,16 +181,20 @@
         sight: PeerSight,
     ) -> QuotaVerdict {
         let span = self.bounds.window;
+        let available_part = (sight.available_part() - self.assumed_part(now)).max(0.0);
         let window = self.teams.entry(team.clone()).or_default();
         window.expire(now, span);
-        let total = self.bounds.admitted_units(quota);
-        let share = window.share(total, units, sight);
+        let whole = self.bounds.admitted_units(quota);
+        let total = whole * available_part;
+        let share = window.share(total, units);
         let own = (window.own.spent + units) as f64;
         let all = own + window.peers.spent as f64;
-        let free = sight == PeerSight::Connected && all <= total * FREE_PART;
+        let free = matches!(sight, PeerSight::Majority { .. }) && all <= total * FREE_PART;
         let admitted = free || own <= share;
         window.entries.push_back(SpentUnits { at: now, units, admitted });
         window.own.asked += units;
+        window.untold += units;
+        self.must_tell |= window.untold as f64 > whole * TELL_PART;
         if admitted {
             window.own.spent += units;
             return QuotaVerdict::Admitted;
@@ -170,13 +224,15 @@
         }
     }
 
-    /// Returns this host's own spending of the window.
-    pub fn own_spending(&mut self, now: Timestamp) -> Vec<(TeamName, TeamSpending)> {
+    /// Returns this host's own spending of the window, for telling the peers.
+    pub fn tell_spending(&mut self, now: Timestamp) -> Vec<(TeamName, TeamSpending)> {
         let span = self.bounds.window;
+        self.must_tell = false;
         self.teams
             .iter_mut()
             .filter_map(|(team, window)| {
                 window.expire(now, span);
+                window.untold = 0;
                 (window.own != TeamSpending::default()).then(|| (team.clone(), window.own))
             })
             .collect()
@@ -197,15 +253,10 @@
     }
 
     /// Returns the units that this host may have spent in the window.
-    fn share(&self, total: f64, units: u64, sight: PeerSight) -> f64 {
-        match sight {
-            PeerSight::Alone => total * ALONE_PART,
-            PeerSight::Connected => {
-                let own = (self.own.asked + units) as f64;
-                let part = own / (own + self.peers.asked as f64);
-                total * part.max(LEAST_PART)
-            }
-        }
+    fn share(&self, total: f64, units: u64) -> f64 {
+        let own = (self.own.asked + units) as f64;
+        let part = own / (own + self.peers.asked as f64);
+        total * part.max(LEAST_PART)
     }
 
     /// Returns the time until at least `missing` units of the window have expired.
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -59,6 +59,9 @@
 /// When callers may come back to a host that has no configuration yet.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 
+/// When callers may come back to another host after a refusal by one that is leaving.
+const LEAVING_RETRY: Duration = Duration::from_millis(50);
+
 /// Silence after which a repeatable request is tried elsewhere, as a multiple of its latency goal.
 const SILENCE_PER_GOAL: u32 = 3;
 
@@ -212,6 +215,9 @@
             Ok(checked) => checked,
             Err(reason) => return Err((head, reason)),
         };
+        if let Some(reason) = self.check_leaving(&route) {
+            return Err((head, reason));
+        }
         let body = match self.read_body(&config, body).await {
             Ok(body) => body,
             Err(reason) => return Err((head, reason)),
@@ -223,6 +229,15 @@
         Ok(AcceptedRequest { head, parts, body, route, service, team, arrived_at, version })
     }
 
+    /// Refuses what a leaving host could not finish: by then the balancer sends new connections
+    /// elsewhere if there is any other host.
+    fn check_leaving(&self, route: &RouteRule) -> Option<RefusalReason> {
+        let plan = self.state.leave.get()?;
+        let left = plan.time_left(self.state.now())?;
+        let fits = !route.kind.is_stream() && route.time_limit <= left;
+        (!fits).then_some(RefusalReason::retry(ResultCode::HostLeaving, LEAVING_RETRY))
+    }
+
     async fn read_body(
         &self,
         config: &ServingConfig,
@@ -248,7 +263,11 @@
         let now = self.state.now();
         let units = if team.counts_tokens { head.token_cost(team.plain_cost) } else { 1 };
         let sight = self.state.peers.borrow().sight(now);
-        match self.state.quotas.borrow_mut().admit(now, &team.name, quota, units, sight) {
+        let verdict = self.state.quotas.borrow_mut().admit(now, &team.name, quota, units, sight);
+        if self.state.quotas.borrow().must_tell() {
+            self.state.spending_hint.notify_one();
+        }
+        match verdict {
             QuotaVerdict::Admitted => Ok(()),
             QuotaVerdict::Over { retry_after, basis } => {
                 log::info!(
--- a/lib/src/gateway/store_follower.rs
+++ b/lib/src/gateway/store_follower.rs
@@ -15,9 +15,10 @@
 use crate::ids::LogOffset;
 use crate::ids::ServerId;
 
-/// Time that the store holds a read of the configuration while there is nothing new. A connection
-/// that falls silent meanwhile is ended by its keep-alive probes.
-const CONFIG_WAIT: Duration = Duration::from_secs(20);
+/// Time that the store holds a read of the configuration while there is nothing new. A store in
+/// trouble may forget to answer a held read, so it must be shorter than the time that a host has to
+/// catch up after an outage; peers' versions tell of a missed change sooner.
+const CONFIG_WAIT: Duration = Duration::from_millis(2_500);
 
 /// Time between two reads of the directory: news of a leaving server must arrive within two
 /// seconds, and servers write about as often.
@@ -90,7 +91,11 @@
     let mut pause = RetryPause::default();
     let mut watch = DependencyWatch::new("read_config");
     loop {
-        let outcome = store.read_config(from, CONFIG_WAIT).await;
+        let outcome = tokio::select! {
+            outcome = store.read_config(from, CONFIG_WAIT) => outcome,
+            // A peer has a newer version, so this read was forgotten or is late.
+            () = state.config_hint.notified() => store.read_config(from, Duration::ZERO).await,
+        };
         watch.record(&state, &outcome);
         match outcome {
             Ok(read) => {
@@ -169,6 +174,9 @@
         })
         .collect();
     for (offset, change) in read.changes {
+        if let DirectoryChange::Absent(id) = &change {
+            log::info!("event=directory_entry_removed server={id} offset={}", offset.0);
+        }
         let effect = state.directory.borrow_mut().apply(now, offset, change);
         state.on_directory_effect(effect);
     }
--- a/lib/src/protos/pomelostack.gateway.rs
+++ b/lib/src/protos/pomelostack.gateway.rs
@@ -23,6 +23,9 @@
     pub demands: ::prost::alloc::vec::Vec<ServiceDemand>,
     #[prost(message, repeated, tag = "9")]
     pub crashes: ::prost::alloc::vec::Vec<CrashSight>,
+    /// Version of the configuration in force at the sender.
+    #[prost(uint64, tag = "10")]
+    pub config_version: u64,
 }
 /// Quota units of one team in the sliding window.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
