fleet: reclaimable servers in every zone, ordinary ones for what they leave open

Change: as many reclaimable servers in every zone as let the other zones serve the demand; the fleet that was found stands for a demand not known yet.

--- a/lib/src/gateway/duty_runner.rs
+++ b/lib/src/gateway/duty_runner.rs
@@ -16,6 +16,7 @@
 use crate::gateway::fleet_size::FleetOrder;
 use crate::gateway::fleet_size::FleetSize;
 use crate::gateway::fleet_size::TokenDemand;
+use crate::gateway::fleet_size::ZoneFleet;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::serving_config::ServiceRule;
 use crate::gateway::store_follower::DependencyWatch;
@@ -210,12 +211,16 @@
         }
     }
 
-    fn due_orders(&self, fleet: &FleetSize, service: &ServiceRule) -> Vec<FleetOrder> {
+    fn due_orders(&self, fleet: &mut FleetSize, service: &ServiceRule) -> Vec<FleetOrder> {
         let Some(bounds) = &service.fleet else { return Vec::new() };
-        let mut present: BTreeMap<ZoneName, u32> = BTreeMap::new();
+        let mut present: BTreeMap<ZoneName, ZoneFleet> = BTreeMap::new();
         for (_, server) in self.state.directory.borrow().of_service(&service.name) {
             if server.entry.state == ServingState::Ready {
-                *present.entry(server.entry.zone.clone()).or_default() += 1;
+                let zone = present.entry(server.entry.zone.clone()).or_default();
+                match server.entry.reclaimable {
+                    true => zone.reclaimable += 1,
+                    false => zone.ordinary += 1,
+                }
             }
         }
         fleet.orders(self.state.now(), bounds, &present)
--- a/lib/src/gateway/fleet_size.rs
+++ b/lib/src/gateway/fleet_size.rs
@@ -1,9 +1,11 @@
-//! How many servers of a service to order in each availability zone.
+//! How many servers of a service to order in each availability zone, and of which kind.
 //!
-//! Load pattern: demand that swings within a minute, and servers that take seconds to start and are
-//! by far the largest price. The fleet follows the tokens that callers ask for, up at once and down
-//! only after demand has stayed lower for a while; each zone keeps the least that operators allow,
-//! and what is needed beyond goes to the cheapest zones.
+//! Load pattern: demand that swings within a minute, servers that take seconds to start and are by
+//! far the largest price, and a cloud that takes all reclaimable servers of a zone back at once and
+//! then has none for a while. The fleet follows the tokens that callers ask for, up at once and down
+//! only after demand has stayed lower for a while. Where reclaimable servers are cheap enough, there
+//! are so many in every zone that the other zones carry the load while one is taken back; ordinary
+//! servers make up for what the demand needs beyond those that are there.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -17,7 +19,8 @@
 /// Prompt tokens that one server reads per second when it does nothing else.
 const PREFILL_TOKENS_PER_S: f64 = 55_000.0;
 
-/// Tokens that one server generates per second at a half-full batch.
+/// Announced output tokens that one server serves per second at a half-full batch; answers are
+/// shorter than announced.
 const OUTPUT_TOKENS_PER_S: f64 = 16_000.0;
 
 /// Part of a server's capacity that demand may use, so that waves within seconds find room.
@@ -26,29 +29,47 @@
 /// Time for which the largest demand decides.
 const PEAK_MEMORY: Duration = Duration::from_secs(20);
 
-/// Time after an order until it is repeated if the directory does not show it.
-const REPEAT_DELAY: Duration = Duration::from_secs(4);
+/// Time after the first demand until it is taken for known.
+const UNKNOWN_DEMAND_TIME: Duration = Duration::from_secs(6);
+
+/// Time beyond a server's start after which an order that the directory does not show is repeated.
+const REPEAT_MARGIN: Duration = Duration::from_secs(2);
 
 /// Time after a refused order until the next try in that zone.
-const REFUSED_DELAY: Duration = Duration::from_secs(3);
+const REFUSED_DELAY: Duration = Duration::from_secs(4);
 
 /// Tokens per second that callers ask of a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct TokenDemand {
     /// Prompt tokens that servers have to read.
     pub prefill: f64,
-    /// Tokens that servers have to generate.
+    /// Tokens that servers may have to generate.
     pub output: f64,
 }
 
 impl TokenDemand {
     /// Returns the number of servers that serve the demand.
-    fn servers(self) -> f64 {
+    pub fn servers(self) -> f64 {
         (self.prefill / PREFILL_TOKENS_PER_S + self.output / OUTPUT_TOKENS_PER_S) / TARGET_USE
     }
 }
 
-/// An order for the servers of a service in one zone.
+/// Servers of one zone by kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ZoneFleet {
+    /// Servers that stay.
+    pub ordinary: u32,
+    /// Servers that the cloud may take back.
+    pub reclaimable: u32,
+}
+
+impl ZoneFleet {
+    fn total(self) -> u32 {
+        self.ordinary + self.reclaimable
+    }
+}
+
+/// An order for the servers of one kind of a service in one zone.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FleetOrder {
     /// Service.
@@ -74,13 +95,17 @@
     service: ServiceName,
     /// Demands that were the largest since, oldest and largest first.
     peaks: VecDeque<(Timestamp, TokenDemand)>,
-    placed: BTreeMap<ZoneName, PlacedOrder>,
+    /// Newest order by zone and whether it was for reclaimable servers.
+    placed: BTreeMap<(ZoneName, bool), PlacedOrder>,
+    /// Last time without any demand, and the servers that were there at first: they stand for a
+    /// demand that is not known yet.
+    found: Option<(Timestamp, u32)>,
 }
 
 impl FleetSize {
     /// Builds the state of a service without demand.
     pub fn new(service: ServiceName) -> Self {
-        Self { service, peaks: VecDeque::new(), placed: BTreeMap::new() }
+        Self { service, peaks: VecDeque::new(), placed: BTreeMap::new(), found: None }
     }
 
     /// Records the demand of the moment.
@@ -97,62 +122,124 @@
     /// Records what became of an order.
     pub fn on_outcome(&mut self, now: Timestamp, order: &FleetOrder, accepted: bool) {
         let placed = PlacedOrder { desired: order.desired, at: now, accepted };
-        self.placed.insert(order.zone.clone(), placed);
+        self.placed.insert((order.zone.clone(), order.reclaimable), placed);
+    }
+
+    /// Returns the largest demand that is remembered.
+    pub fn peak_demand(&self) -> TokenDemand {
+        self.peaks.front().map_or(TokenDemand::default(), |(_, peak)| *peak)
     }
 
     /// Returns the orders to place now, given the servers that are there by zone.
     pub fn orders(
-        &self,
+        &mut self,
         now: Timestamp,
         bounds: &FleetBounds,
-        present: &BTreeMap<ZoneName, u32>,
+        present: &BTreeMap<ZoneName, ZoneFleet>,
     ) -> Vec<FleetOrder> {
-        let desired = self.desired(bounds);
-        let differing = desired.into_iter().filter(|(zone, count)| {
-            present.get(zone).copied().unwrap_or(0) != *count && !self.is_pending(now, zone, *count)
-        });
-        differing
-            .map(|(zone, desired)| FleetOrder {
-                service: self.service.clone(),
-                zone,
-                desired,
-                reclaimable: false,
-            })
-            .collect()
-    }
-
-    /// Returns the number of servers wanted in each zone.
-    pub fn desired(&self, bounds: &FleetBounds) -> BTreeMap<ZoneName, u32> {
-        let peak = self.peak_demand().servers();
-        let mut desired: BTreeMap<ZoneName, u32> =
-            bounds.zone_prices.keys().map(|zone| (zone.clone(), bounds.min)).collect();
-        let mut zones: Vec<(&ZoneName, f64)> =
-            bounds.zone_prices.iter().map(|(zone, price)| (zone, *price)).collect();
-        zones.sort_by(|a, b| a.1.total_cmp(&b.1));
-        let mut total: u32 = desired.values().sum();
-        // One more than the demand needs: the fleet must outlast the loss of a server.
-        let wanted = peak.ceil() + 1.0;
-        while f64::from(total) < wanted {
-            let least = zones.iter().copied().min_by_key(|(zone, _)| desired.get(*zone).copied());
-            let Some((zone, _)) = least else { break };
-            let Some(count) = desired.get_mut(zone).filter(|count| **count < bounds.max) else {
-                break;
-            };
-            *count += 1;
-            total += 1;
+        let there: u32 = present.values().map(|fleet| fleet.total()).sum();
+        let found = self.found.map_or(there, |(_, found)| found);
+        if self.peak_demand() == TokenDemand::default() || self.found.is_none() {
+            self.found = Some((now, found));
+        }
+        let needed = self.needed_servers(now);
+        let wanted = plan_zones(bounds, needed, present);
+        let mut orders = Vec::new();
+        for (zone, wanted) in wanted {
+            let there = present.get(&zone).copied().unwrap_or_default();
+            for (reclaimable, desired, count) in [
+                (true, wanted.reclaimable, there.reclaimable),
+                (false, wanted.ordinary, there.ordinary),
+            ] {
+                if desired != count && !self.is_pending(now, &zone, reclaimable, desired, bounds) {
+                    let service = self.service.clone();
+                    let zone = zone.clone();
+                    orders.push(FleetOrder { service, zone, desired, reclaimable });
+                }
+            }
         }
-        desired
+        orders
     }
 
-    /// Returns the largest demand that is remembered.
-    pub fn peak_demand(&self) -> TokenDemand {
-        self.peaks.front().map_or(TokenDemand::default(), |(_, peak)| *peak)
+    /// Returns the servers that the demand needs; one more, so that the loss of one is borne.
+    fn needed_servers(&self, now: Timestamp) -> u32 {
+        let by_demand = self.peak_demand().servers().ceil() as u32 + 1;
+        match self.found {
+            Some((at, found)) if now.since(at) < UNKNOWN_DEMAND_TIME => by_demand.max(found),
+            _ => by_demand,
+        }
     }
 
-    fn is_pending(&self, now: Timestamp, zone: &ZoneName, count: u32) -> bool {
-        self.placed.get(zone).is_some_and(|placed| {
-            let delay = if placed.accepted { REPEAT_DELAY } else { REFUSED_DELAY };
+    fn is_pending(
+        &self,
+        now: Timestamp,
+        zone: &ZoneName,
+        reclaimable: bool,
+        count: u32,
+        bounds: &FleetBounds,
+    ) -> bool {
+        self.placed.get(&(zone.clone(), reclaimable)).is_some_and(|placed| {
+            let delay =
+                if placed.accepted { bounds.boot_time + REPEAT_MARGIN } else { REFUSED_DELAY };
             placed.desired == count && now.since(placed.at) < delay
         })
     }
 }
+
+/// Returns the servers wanted in each zone, given those that are there.
+fn plan_zones(
+    bounds: &FleetBounds,
+    needed: u32,
+    present: &BTreeMap<ZoneName, ZoneFleet>,
+) -> BTreeMap<ZoneName, ZoneFleet> {
+    let reclaimable = reclaimable_each(bounds, needed);
+    let there: u32 = present.values().map(|fleet| fleet.reclaimable).sum();
+    let ordinary = match reclaimable {
+        0 => spread_ordinary(bounds, needed, present, bounds.min),
+        _ => spread_ordinary(bounds, needed.saturating_sub(there), present, 0),
+    };
+    let zones = ordinary.into_iter().map(|(zone, ordinary)| {
+        let room = bounds.max.saturating_sub(ordinary);
+        (zone, ZoneFleet { ordinary, reclaimable: reclaimable.min(room) })
+    });
+    zones.collect()
+}
+
+/// Returns how many reclaimable servers every zone gets, so that the other zones have enough; none
+/// if ordinary ones are cheaper.
+fn reclaimable_each(bounds: &FleetBounds, needed: u32) -> u32 {
+    let Some(price) = bounds.reclaimable_price else { return 0 };
+    let zones = u32::try_from(bounds.zone_prices.len()).unwrap_or(u32::MAX);
+    let each = needed.div_ceil(zones.saturating_sub(1).max(1)).clamp(bounds.min, bounds.max);
+    let is_cheaper = f64::from(each * zones) * price < f64::from(needed);
+    if is_cheaper { each } else { 0 }
+}
+
+/// Spreads ordinary servers: those that are there stay, and more go to the emptiest zones, the
+/// cheapest first.
+fn spread_ordinary(
+    bounds: &FleetBounds,
+    count: u32,
+    present: &BTreeMap<ZoneName, ZoneFleet>,
+    min: u32,
+) -> BTreeMap<ZoneName, u32> {
+    let mut zones: Vec<(&ZoneName, u32)> =
+        bounds.zone_prices.keys().map(|zone| (zone, min)).collect();
+    zones.sort_by(|a, b| bounds.zone_prices[a.0].total_cmp(&bounds.zone_prices[b.0]));
+    let mut rest = count.saturating_sub(zones.iter().map(|(_, count)| count).sum());
+    for (zone, planned) in &mut zones {
+        let there = present.get(*zone).map_or(0, |fleet| fleet.ordinary).min(bounds.max);
+        let kept = there.saturating_sub(*planned).min(rest);
+        *planned += kept;
+        rest -= kept;
+    }
+    while rest > 0 {
+        let emptiest = zones.iter_mut().min_by_key(|(_, planned)| *planned);
+        let Some((_, planned)) = emptiest.filter(|(_, planned)| *planned < bounds.max) else {
+            break;
+        };
+        *planned += 1;
+        rest -= 1;
+    }
+    zones.into_iter().map(|(zone, planned)| (zone.clone(), planned)).collect()
+}
--- a/lib/src/gateway/quota_share.rs
+++ b/lib/src/gateway/quota_share.rs
@@ -190,7 +190,8 @@
         let own = (window.own.spent + units) as f64;
         let all = own + window.peers.spent as f64;
         let free = matches!(sight, PeerSight::Majority { .. }) && all <= total * FREE_PART;
-        let admitted = free || own <= share;
+        // Parts that were measured at different times may add up to more than the whole.
+        let admitted = free || (own <= share && all <= total);
         window.entries.push_back(SpentUnits { at: now, units, admitted });
         window.own.asked += units;
         window.untold += units;
