--- a/lib/src/gateway/duty_turn.rs
+++ b/lib/src/gateway/duty_turn.rs
@@ -29,6 +29,21 @@
     pub validity: Duration,
 }
 
+impl DutyBounds {
+    /// Derives the bounds from the time within which two holders must not alternate.
+    ///
+    /// A holder that was replaced acts for at most the validity. The next one acts at least half a
+    /// lease after that, and if the first one returns, half a lease passes again.
+    pub const fn for_lease(lease: Duration) -> Self {
+        let millis = lease.as_millis() as u64;
+        let validity = millis * 5 / 6;
+        Self {
+            settling: Duration::from_millis(validity + millis / 2),
+            validity: Duration::from_millis(validity),
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct HeldTurn {
     /// Fencing number: the generation in which the turn began.
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -20,8 +20,9 @@
 /// Time for which a summary's load counts: a few summaries may be lost on the way.
 const LOAD_LIFE: Duration = Duration::from_millis(1_800);
 
-/// Time after its last summary for which a peer counts as heard.
-const SIGHT_LIFE: Duration = Duration::from_millis(1_800);
+/// Time after its last summary for which a peer counts as heard: two summaries in a row are hardly
+/// ever lost, and until then both sides of a cut spend as if there were none.
+const SIGHT_LIFE: Duration = Duration::from_millis(900);
 
 /// Time after which a silent peer is told nothing any more.
 const CONTACT_LIFE: Duration = Duration::from_secs(30);
--- a/lib/src/gateway/placement.rs
+++ b/lib/src/gateway/placement.rs
@@ -4,7 +4,7 @@
 //! are shared by all hosts. The expected wait is the prefill that is pending at a server, that of
 //! the request's own uncached tokens, and how full the batch is. Hosts that share no memory of what
 //! is warm agree on a home server of each shared prefix by rendezvous hashing; a prefix moves on to
-//! the next server in its order only where waiting at home takes longer than reading it again.
+//! the next server in its order only where waiting at home costs more than reading it again.
 
 use std::collections::BTreeMap;
 use std::hash::DefaultHasher;
@@ -28,6 +28,10 @@
 /// Prompt tokens that an engine reads per millisecond; only ratios between servers depend on it.
 pub const PREFILL_TOKENS_PER_MS: f64 = 50.0;
 
+/// How often a token that the request has to read counts: once as its own wait, and more since it
+/// holds up everybody else at the server and pushes other prefixes out of its memory.
+const OWN_READ_WEIGHT: f64 = 3.0;
+
 /// Expected milliseconds that each running request adds to the first token of a new one.
 const BATCH_MS_PER_REQUEST: f64 = 1.0;
 
@@ -254,10 +258,10 @@
             return Some((queued.floor() * ZONE_MS * 2.0 + distance + queued, choice));
         };
         let uncached_tokens = load.uncached_tokens(now, prompt, home == Some(key));
-        let pending = load.prefill_tokens + load.peers.prefill_tokens + uncached_tokens;
-        let cost = pending as f64 / PREFILL_TOKENS_PER_MS
-            + f64::from(running) * BATCH_MS_PER_REQUEST
-            + distance;
+        let pending = load.prefill_tokens + load.peers.prefill_tokens;
+        let read = pending as f64 + uncached_tokens as f64 * OWN_READ_WEIGHT;
+        let cost =
+            read / PREFILL_TOKENS_PER_MS + f64::from(running) * BATCH_MS_PER_REQUEST + distance;
         Some((cost, PlacementChoice::Server { key, running, uncached_tokens }))
     }
 }
--- a/lib/src/gateway/quota_share.rs
+++ b/lib/src/gateway/quota_share.rs
@@ -20,14 +20,14 @@
 
 /// Part of the operators' tolerance that is used; the rest covers what hosts admit before they hear
 /// of one another.
-const TOLERANCE_PART: f64 = 0.5;
+const TOLERANCE_PART: f64 = 0.4;
 
 /// Part of the quota up to which hosts admit without regard to parts: what they can overshoot by
 /// at once, in the time that news takes, must fit into the rest.
 const FREE_PART: f64 = 0.6;
 
 /// Part of the quota that a host may use which hears fewer than half of the others.
-const ALONE_PART: f64 = 0.08;
+const ALONE_PART: f64 = 0.06;
 
 /// Part of the quota that hosts keep for themselves however many others are silent.
 const LEAST_MAJORITY_PART: f64 = 0.4;
--- /dev/null
+++ b/lib/tests/test_attempt_plan.rs
@@ -0,0 +1,123 @@
+//! What follows failed attempts: nothing runs twice that may not, and NOT_RUN is true.
+
+use std::time::Duration;
+
+use pomelostack_lib::gateway::attempt_plan::AttemptFailure;
+use pomelostack_lib::gateway::attempt_plan::AttemptPlan;
+use pomelostack_lib::gateway::attempt_plan::AttemptStep;
+use pomelostack_lib::gateway::attempt_plan::GiveUp;
+use pomelostack_lib::gateway::serving_config::WorkKind;
+use pomelostack_lib::ids::ServerKey;
+use pomelostack_lib::timestamp::Timestamp;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const DEADLINE: Duration = Duration::from_secs(10);
+
+fn plan(kind: WorkKind, max_servers: u32) -> AttemptPlan {
+    AttemptPlan::new(kind, Timestamp::default() + DEADLINE, max_servers)
+}
+
+fn fail(plan: &mut AttemptPlan, failure: AttemptFailure) -> AttemptStep {
+    plan.on_failure(Timestamp::default(), ServerKey::default(), failure)
+}
+
+#[rstest]
+#[case(WorkKind::Once)]
+#[case(WorkKind::Stream { resumable: false })]
+fn lost_once_ends(#[case] kind: WorkKind) {
+    let mut plan = plan(kind, 3);
+    assert_eq!(fail(&mut plan, AttemptFailure::Lost), AttemptStep::End(GiveUp::Unknown));
+}
+
+#[test]
+fn refused_once_goes_on() {
+    let mut plan = plan(WorkKind::Once, 2);
+    let step = fail(&mut plan, AttemptFailure::Refused);
+    assert_eq!(step, AttemptStep::TryAnother { repeat: true });
+    let step = fail(&mut plan, AttemptFailure::Refused);
+    assert_eq!(step, AttemptStep::End(GiveUp::NotRun));
+}
+
+#[test]
+fn unsent_is_no_repeat() {
+    let mut plan = plan(WorkKind::Once, 1);
+    let step = fail(&mut plan, AttemptFailure::Unsent);
+    assert_eq!(step, AttemptStep::TryAnother { repeat: false });
+}
+
+#[test]
+fn failure_is_relayed() {
+    let mut plan = plan(WorkKind::Idempotent, 2);
+    let step = fail(&mut plan, AttemptFailure::Failed);
+    assert_eq!(step, AttemptStep::TryAnother { repeat: true });
+    assert_eq!(fail(&mut plan, AttemptFailure::Failed), AttemptStep::RelayFailure);
+}
+
+#[test]
+fn no_time_left() {
+    let mut plan = plan(WorkKind::Idempotent, 3);
+    let late = Timestamp::default() + DEADLINE - Duration::from_millis(5);
+    let step = plan.on_failure(late, ServerKey::default(), AttemptFailure::Refused);
+    assert_eq!(step, AttemptStep::End(GiveUp::NotRun));
+}
+
+#[test]
+fn timeout_tells_truth() {
+    let plan = plan(WorkKind::Once, 1);
+    assert_eq!(plan.on_timeout(false), GiveUp::NotRun);
+    assert_eq!(plan.on_timeout(true), GiveUp::TimedOut);
+}
+
+fn any_failure() -> impl Strategy<Value = AttemptFailure> {
+    prop_oneof![
+        Just(AttemptFailure::Unsent),
+        Just(AttemptFailure::Refused),
+        Just(AttemptFailure::Misdirected),
+        Just(AttemptFailure::Lost),
+        Just(AttemptFailure::Failed),
+    ]
+}
+
+fn any_kind() -> impl Strategy<Value = WorkKind> {
+    prop_oneof![
+        Just(WorkKind::Idempotent),
+        Just(WorkKind::Once),
+        Just(WorkKind::Stream { resumable: false }),
+        Just(WorkKind::Stream { resumable: true }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn invariants_hold(
+        kind in any_kind(),
+        max_servers in 1_u32..4,
+        failures in prop::collection::vec(any_failure(), 1..12),
+    ) {
+        let mut plan = plan(kind, max_servers);
+        let mut runs = 0;
+        let mut sends = 0;
+        for failure in failures {
+            let may_have_run = matches!(failure, AttemptFailure::Lost | AttemptFailure::Failed);
+            runs += u32::from(may_have_run);
+            sends += u32::from(may_have_run || failure == AttemptFailure::Refused);
+            match fail(&mut plan, failure) {
+                AttemptStep::TryAnother { .. } => {
+                    prop_assert!(runs == 0 || kind.is_repeatable());
+                    prop_assert!(sends < max_servers);
+                }
+                AttemptStep::End(GiveUp::NotRun) => {
+                    prop_assert_eq!(runs, 0);
+                    break;
+                }
+                AttemptStep::End(_) | AttemptStep::RelayFailure => {
+                    prop_assert!(runs > 0);
+                    break;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/tests/test_event_splitter.rs
@@ -0,0 +1,64 @@
+//! Streams cut into whole events, wherever the bytes are cut.
+
+use pomelostack_lib::gateway::event_splitter::EventSplitter;
+use pomelostack_lib::gateway::event_splitter::EventTooLong;
+use proptest::prelude::*;
+
+#[test]
+fn half_event_waits() {
+    let mut splitter = EventSplitter::default();
+    assert!(splitter.push(b"id: 7\ndata: a").unwrap().is_empty());
+    assert!(splitter.has_rest());
+    let events = splitter.push(b"b\n\nid: 8\n").unwrap();
+    assert_eq!(events.len(), 1);
+    assert_eq!(events[0].id, Some(7));
+    assert_eq!(&events[0].bytes[..], b"id: 7\ndata: ab\n\n");
+}
+
+#[test]
+fn event_without_id() {
+    let mut splitter = EventSplitter::default();
+    let events = splitter.push(b"data: a\n\n").unwrap();
+    assert_eq!(events[0].id, None);
+}
+
+#[test]
+fn endless_event() {
+    let mut splitter = EventSplitter::default();
+    assert_eq!(splitter.push(&vec![b'a'; 2 << 20]), Err(EventTooLong));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn any_cut(count in 1_u64..20, cuts in prop::collection::vec(1_usize..40, 1..40)) {
+        let whole: Vec<u8> = (0..count)
+            .flat_map(|id| format!("id: {id}\ndata: piece {id}\n\n").into_bytes())
+            .collect();
+        let mut splitter = EventSplitter::default();
+        let mut events = Vec::new();
+        let mut rest = whole.as_slice();
+        for cut in cuts.iter().cycle() {
+            let (now, later) = rest.split_at((*cut).min(rest.len()));
+            events.extend(splitter.push(now).unwrap());
+            rest = later;
+            if rest.is_empty() {
+                break;
+            }
+        }
+        let ids: Vec<u64> = events.iter().filter_map(|event| event.id).collect();
+        prop_assert_eq!(ids, (0..count).collect::<Vec<_>>());
+        let joined: Vec<u8> = events.iter().flat_map(|event| event.bytes.to_vec()).collect();
+        prop_assert_eq!(joined, whole);
+        prop_assert!(!splitter.has_rest());
+    }
+
+    #[test]
+    fn any_bytes(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let mut splitter = EventSplitter::default();
+        let events = splitter.push(&bytes).unwrap();
+        let relayed: usize = events.iter().map(|event| event.bytes.len()).sum();
+        prop_assert!(relayed <= bytes.len());
+    }
+}
--- /dev/null
+++ b/lib/tests/test_fleet_size.rs
@@ -0,0 +1,156 @@
+//! Fleets under demand that swings and a cloud that takes servers back.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use pomelostack_lib::gateway::fleet_size::FleetOrder;
+use pomelostack_lib::gateway::fleet_size::FleetSize;
+use pomelostack_lib::gateway::fleet_size::TokenDemand;
+use pomelostack_lib::gateway::fleet_size::ZoneFleet;
+use pomelostack_lib::gateway::serving_config::FleetBounds;
+use pomelostack_lib::ids::ServiceName;
+use pomelostack_lib::ids::ZoneName;
+use pomelostack_lib::timestamp::Timestamp;
+
+const ZONES: [&str; 4] = ["a", "b", "c", "d"];
+
+fn zone(name: &str) -> ZoneName {
+    ZoneName::try_from(name).unwrap()
+}
+
+fn bounds(reclaimable_price: Option<f64>) -> FleetBounds {
+    FleetBounds {
+        min: 1,
+        max: 6,
+        boot_time: Duration::from_secs(4),
+        reclaimable_price,
+        zone_prices: ZONES.iter().zip([1.0, 0.8, 1.25, 0.9]).map(|(z, p)| (zone(z), p)).collect(),
+    }
+}
+
+fn at(seconds: u64) -> Timestamp {
+    Timestamp::from_millis(seconds * 1_000)
+}
+
+/// A cloud that carries every order out at once, but has no reclaimable servers while it is dry.
+struct PromptCloud {
+    fleet: FleetSize,
+    bounds: FleetBounds,
+    present: BTreeMap<ZoneName, ZoneFleet>,
+    dry: bool,
+}
+
+impl PromptCloud {
+    fn new(reclaimable_price: Option<f64>) -> Self {
+        let ordinary = ZoneFleet { ordinary: 2, reclaimable: 0 };
+        Self {
+            fleet: FleetSize::new(ServiceName::try_from("chat").unwrap()),
+            bounds: bounds(reclaimable_price),
+            present: ZONES.iter().map(|name| (zone(name), ordinary)).collect(),
+            dry: false,
+        }
+    }
+
+    /// Lets the demand of a second be seen and the orders be carried out.
+    fn play(&mut self, second: u64, servers: f64) {
+        // What one server reads per second when it is used as planned.
+        let prefill = servers * 33_000.0;
+        self.fleet.on_demand(at(second), TokenDemand { prefill, output: 0.0 });
+        for order in self.fleet.orders(at(second), &self.bounds, &self.present) {
+            let accepted = self.carry_out(&order);
+            self.fleet.on_outcome(at(second), &order, accepted);
+        }
+    }
+
+    fn carry_out(&mut self, order: &FleetOrder) -> bool {
+        let there = self.present.entry(order.zone.clone()).or_default();
+        if order.reclaimable && self.dry && order.desired > there.reclaimable {
+            return false;
+        }
+        match order.reclaimable {
+            true => there.reclaimable = order.desired,
+            false => there.ordinary = order.desired,
+        }
+        true
+    }
+
+    fn count(&self, count: impl Fn(&ZoneFleet) -> u32) -> u32 {
+        self.present.values().map(count).sum()
+    }
+
+    fn total(&self) -> u32 {
+        self.count(|fleet| fleet.ordinary + fleet.reclaimable)
+    }
+}
+
+#[test]
+fn found_fleet_stands() {
+    // Nothing is known of the demand before the first request: the fleet must not shrink.
+    let mut cloud = PromptCloud::new(None);
+    for second in 0..10 {
+        cloud.play(second, 0.0);
+        assert_eq!(cloud.total(), 8);
+    }
+}
+
+#[test]
+fn follows_demand() {
+    let mut cloud = PromptCloud::new(None);
+    for second in 0..40 {
+        cloud.play(second, 3.0);
+    }
+    assert_eq!(cloud.total(), 4);
+    cloud.play(40, 11.0);
+    assert_eq!(cloud.total(), 12);
+    for second in 41..60 {
+        cloud.play(second, 3.0);
+    }
+    assert_eq!(cloud.total(), 12, "a short ebb is no reason to let servers go");
+    for second in 60..64 {
+        cloud.play(second, 3.0);
+    }
+    assert_eq!(cloud.total(), 4);
+}
+
+#[test]
+fn cheap_reclaimable() {
+    let mut cloud = PromptCloud::new(Some(0.22));
+    for second in 0..40 {
+        cloud.play(second, 5.0);
+    }
+    assert_eq!(cloud.count(|fleet| fleet.ordinary), 0);
+    for name in ZONES {
+        let lost = cloud.present[&zone(name)].reclaimable;
+        assert!(cloud.total() - lost >= 6, "the loss of zone {name} leaves too few");
+    }
+}
+
+#[test]
+fn dear_reclaimable() {
+    let mut cloud = PromptCloud::new(Some(0.95));
+    for second in 0..40 {
+        cloud.play(second, 5.0);
+    }
+    assert_eq!(cloud.count(|fleet| fleet.reclaimable), 0);
+}
+
+#[test]
+fn reclaims_in_turn() {
+    let mut cloud = PromptCloud::new(Some(0.22));
+    for second in 0..40 {
+        cloud.play(second, 5.0);
+    }
+    cloud.dry = true;
+    for (second, name) in (40..).step_by(6).zip(ZONES) {
+        cloud.present.get_mut(&zone(name)).unwrap().reclaimable = 0;
+        for later in second..second + 6 {
+            cloud.play(later, 5.0);
+        }
+        assert!(cloud.total() >= 6, "too few servers after the reclaim of zone {name}");
+    }
+    cloud.dry = false;
+    for second in 64..90 {
+        cloud.play(second, 5.0);
+    }
+    assert_eq!(cloud.count(|fleet| fleet.ordinary), 0, "ordinary servers outlast their use");
+}
--- /dev/null
+++ b/lib/tests/test_leave_plan.rs
@@ -0,0 +1,35 @@
+//! The course of a planned stop.
+
+use std::time::Duration;
+
+use pomelostack_lib::gateway::leave_plan::BALANCER_DELAY;
+use pomelostack_lib::gateway::leave_plan::LeavePlan;
+use pomelostack_lib::gateway::leave_plan::LeaveStep;
+use pomelostack_lib::timestamp::Timestamp;
+
+const GRACE: Duration = Duration::from_secs(8);
+
+fn plan() -> LeavePlan {
+    LeavePlan::new(Timestamp::default(), GRACE)
+}
+
+#[test]
+fn serves_at_first() {
+    let now = Timestamp::default() + Duration::from_secs(1);
+    assert_eq!(plan().step(now, 0), LeaveStep::Serve);
+    assert_eq!(plan().time_left(now), None, "the balancer still sends connections");
+}
+
+#[test]
+fn ends_when_idle() {
+    let now = Timestamp::default() + BALANCER_DELAY;
+    assert_eq!(plan().step(now, 3), LeaveStep::Finish);
+    assert_eq!(plan().step(now, 0), LeaveStep::Exit);
+    assert!(plan().time_left(now).unwrap() < GRACE - BALANCER_DELAY);
+}
+
+#[test]
+fn ends_before_kill() {
+    let now = Timestamp::default() + Duration::from_millis(7_900);
+    assert_eq!(plan().step(now, 3), LeaveStep::Exit);
+}
--- /dev/null
+++ b/lib/tests/test_quota_share.rs
@@ -0,0 +1,231 @@
+//! Quotas that hosts share: never over the tolerance, little refused below the quota.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use pomelostack_lib::gateway::quota_share::PeerSight;
+use pomelostack_lib::gateway::quota_share::QuotaBounds;
+use pomelostack_lib::gateway::quota_share::QuotaShare;
+use pomelostack_lib::gateway::quota_share::QuotaVerdict;
+use pomelostack_lib::gateway::quota_share::TeamSpending;
+use pomelostack_lib::gateway::serving_config::TeamQuota;
+use pomelostack_lib::ids::TeamName;
+use pomelostack_lib::timestamp::Timestamp;
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+const HOSTS: usize = 7;
+const WINDOW: Duration = Duration::from_secs(8);
+const QUOTA: TeamQuota = TeamQuota { rate: 100_000, burst: 100_000 };
+const TOLERANCE_RATIO: f64 = 0.1;
+const TOLERANCE_UNITS: f64 = 140_000.0;
+/// Time between two regular summaries, and the delay of each.
+const SUMMARY_MS: u64 = 400;
+const DELAY_MS: u64 = 20;
+const MEAN_REQUEST_UNITS: u64 = 6_000;
+
+/// Units that the operators' bounds allow in any window.
+fn allowed_units() -> f64 {
+    let units = QUOTA.rate as f64 * WINDOW.as_secs_f64() + QUOTA.burst as f64;
+    units * (1.0 + TOLERANCE_RATIO) + TOLERANCE_UNITS
+}
+
+fn new_share() -> QuotaShare {
+    QuotaShare::new(QuotaBounds {
+        window: WINDOW,
+        tolerance_ratio: TOLERANCE_RATIO,
+        tolerance_units: TOLERANCE_UNITS,
+    })
+}
+
+fn team() -> TeamName {
+    TeamName::try_from("forecast").unwrap()
+}
+
+/// A host and the number of its restarts.
+type HostLife = (usize, u32);
+
+/// What happens to the hosts beside the load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trouble {
+    None,
+    /// Two hosts are cut from all others from the third second on.
+    Cut,
+    /// All hosts are killed at once in the sixth second.
+    Herd,
+    /// One host after the other is restarted.
+    Rolling,
+}
+
+struct PlayedDay {
+    /// Largest number of units admitted in a window.
+    worst_window: u64,
+    asked: u64,
+    admitted: u64,
+}
+
+/// Plays hosts that hear of one another late, at `demand` times the quota's rate.
+fn play_day(seed: u64, demand: f64, trouble: Trouble) -> PlayedDay {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let weights: Vec<f64> = (0..HOSTS).map(|_| rng.random_range(0.2..2.0)).collect();
+    let total_weight: f64 = weights.iter().sum();
+    let mut shares: Vec<QuotaShare> = (0..HOSTS).map(|_| new_share()).collect();
+    // Newest summary of each host that has arrived, and those on their way.
+    // What earlier lives of a host spent counts as long as the window.
+    let mut heard: Vec<BTreeMap<HostLife, (u64, TeamSpending)>> = vec![BTreeMap::new(); HOSTS];
+    let mut on_way: Vec<(u64, HostLife, TeamSpending)> = Vec::new();
+    let mut lives = [0; HOSTS];
+    let mut admitted: Vec<(u64, u64)> = Vec::new();
+    let mut asked = 0;
+    for at_ms in 0..30_000_u64 {
+        let now = Timestamp::from_millis(at_ms);
+        let is_cut = |host: usize| trouble == Trouble::Cut && host < 2 && at_ms >= 3_000;
+        for host in 0..HOSTS {
+            let restarts = match trouble {
+                Trouble::Herd => at_ms == 6_000,
+                Trouble::Rolling => at_ms == 4_000 + 2_000 * host as u64,
+                Trouble::None | Trouble::Cut => false,
+            };
+            if restarts {
+                shares[host] = new_share();
+                shares[host].assume_spent(now);
+                heard[host].clear();
+                lives[host] += 1;
+            }
+            let per_ms = QUOTA.rate as f64 * demand * weights[host] / total_weight / 1_000.0;
+            if rng.random_bool((per_ms / MEAN_REQUEST_UNITS as f64).min(1.0)) {
+                let units = rng.random_range(100..2 * MEAN_REQUEST_UNITS);
+                asked += units;
+                let sight = match (trouble, is_cut(host)) {
+                    (_, true) if at_ms > 4_000 => PeerSight::Minority { group: 1 },
+                    (Trouble::Cut, false) if at_ms > 4_000 => PeerSight::Majority { silent: 2 },
+                    _ => PeerSight::Majority { silent: 0 },
+                };
+                let verdict = shares[host].admit(now, &team(), QUOTA, units, sight);
+                if verdict == QuotaVerdict::Admitted {
+                    admitted.push((at_ms, units));
+                }
+            }
+            let regular = (at_ms + 57 * host as u64).is_multiple_of(SUMMARY_MS);
+            if regular || shares[host].must_tell() {
+                let told = shares[host].tell_spending(now);
+                let spending = told.first().map_or(TeamSpending::default(), |told| told.1);
+                if !is_cut(host) {
+                    on_way.push((at_ms + DELAY_MS, (host, lives[host]), spending));
+                }
+            }
+        }
+        let (arrived, rest) = on_way.into_iter().partition(|(due, _, _)| *due <= at_ms);
+        on_way = rest;
+        let arrived: Vec<(u64, HostLife, TeamSpending)> = arrived;
+        for (_, sender, spending) in arrived {
+            for host in (0..HOSTS).filter(|host| *host != sender.0 && !is_cut(*host)) {
+                heard[host].insert(sender, (at_ms, spending));
+            }
+        }
+        for host in 0..HOSTS {
+            heard[host].retain(|_, (at, _)| at_ms < *at + WINDOW.as_millis() as u64);
+            let sum = heard[host].values().fold(TeamSpending::default(), |sum, (_, spending)| {
+                TeamSpending {
+                    spent: sum.spent + spending.spent,
+                    asked: sum.asked + spending.asked,
+                }
+            });
+            shares[host].set_peers(&BTreeMap::from([(team(), sum)]));
+        }
+    }
+    let window_ms = WINDOW.as_millis() as u64;
+    let worst_window = admitted
+        .iter()
+        .map(|(start, _)| {
+            let inside = admitted.iter().filter(|(at, _)| (*start..start + window_ms).contains(at));
+            inside.map(|(_, units)| units).sum()
+        })
+        .max();
+    let total = admitted.iter().map(|(_, units)| units).sum();
+    PlayedDay { worst_window: worst_window.unwrap_or(0), asked, admitted: total }
+}
+
+#[rstest]
+fn never_over(
+    #[values(Trouble::None, Trouble::Cut, Trouble::Rolling)] trouble: Trouble,
+    #[values(1.5, 4.0, 8.0)] demand: f64,
+    #[values(1, 2, 3)] seed: u64,
+) {
+    assert_within(&play_day(seed, demand, trouble));
+}
+
+#[test]
+fn all_killed() {
+    for seed in 1..=3 {
+        for demand in [1.5, 4.0, 8.0] {
+            assert_within(&play_day(seed, demand, Trouble::Herd));
+        }
+    }
+}
+
+fn assert_within(day: &PlayedDay) {
+    assert!(
+        (day.worst_window as f64) <= allowed_units(),
+        "{} units in a window, {} allowed",
+        day.worst_window,
+        allowed_units()
+    );
+}
+
+#[rstest]
+fn modest_team(#[values(1, 2, 3, 4)] seed: u64) {
+    let day = play_day(seed, 0.55, Trouble::None);
+    assert_eq!(day.admitted, day.asked, "refused below the quota");
+}
+
+#[rstest]
+fn modest_after_herd(#[values(1, 2, 3, 4)] seed: u64) {
+    let day = play_day(seed, 0.55, Trouble::Herd);
+    let refused = day.asked - day.admitted;
+    assert!(refused * 20 <= day.asked, "refused {refused} of {}", day.asked);
+}
+
+#[test]
+fn naive_hosts_overspend() {
+    // Hosts that know nothing of one another each admit a whole quota.
+    let mut shares: Vec<QuotaShare> = (0..HOSTS).map(|_| new_share()).collect();
+    let mut spent = 0;
+    for share in &mut shares {
+        for at_ms in (0..8_000).step_by(10) {
+            let now = Timestamp::from_millis(at_ms);
+            let sight = PeerSight::Majority { silent: 0 };
+            if share.admit(now, &team(), QUOTA, 6_000, sight) == QuotaVerdict::Admitted {
+                spent += 6_000;
+            }
+        }
+    }
+    assert!(f64::from(spent) > allowed_units());
+}
+
+#[test]
+fn returned_units() {
+    let mut share = new_share();
+    let now = Timestamp::from_millis(0);
+    let sight = PeerSight::Minority { group: 1 };
+    while share.admit(now, &team(), QUOTA, 1_000, sight) == QuotaVerdict::Admitted {}
+    share.give_back(&team(), 1_000);
+    assert_eq!(share.admit(now, &team(), QUOTA, 1_000, sight), QuotaVerdict::Admitted);
+}
+
+#[test]
+fn room_comes_back() {
+    let mut share = new_share();
+    let sight = PeerSight::Minority { group: 1 };
+    let start = Timestamp::from_millis(0);
+    let retry_after = loop {
+        match share.admit(start, &team(), QUOTA, 1_000, sight) {
+            QuotaVerdict::Admitted => {}
+            QuotaVerdict::Over { retry_after, .. } => break retry_after,
+        }
+    };
+    let verdict = share.admit(start + retry_after, &team(), QUOTA, 1_000, sight);
+    assert_eq!(verdict, QuotaVerdict::Admitted);
+}
--- /dev/null
+++ b/lib/tests/test_retry_share.rs
@@ -0,0 +1,57 @@
+//! The retry budget that all hosts share.
+
+use std::time::Duration;
+
+use pomelostack_lib::gateway::retry_share::RetryBounds;
+use pomelostack_lib::gateway::retry_share::RetryShare;
+use pomelostack_lib::ids::ServiceName;
+use pomelostack_lib::timestamp::Timestamp;
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+const BOUNDS: RetryBounds =
+    RetryBounds { ratio: 0.2, window: Duration::from_secs(10), allowance: 54.0 };
+const HOSTS: usize = 8;
+
+/// Every request is retried as often as the budget allows, on hosts with uneven load that are
+/// restarted now and then.
+#[test]
+fn storm_within_budget() {
+    let service = ServiceName::try_from("chat").unwrap();
+    for seed in 0..20 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut shares = vec![RetryShare::new(BOUNDS); HOSTS];
+        let weights: Vec<f64> = (0..HOSTS).map(|_| rng.random_range(0.0..0.03)).collect();
+        let (mut requests, mut retries) = (Vec::new(), Vec::new());
+        for at_ms in 0..40_000_u64 {
+            let now = Timestamp::from_millis(at_ms);
+            for host in 0..HOSTS {
+                if at_ms == 20_000 {
+                    shares[host] = RetryShare::new(BOUNDS);
+                }
+                if rng.random_bool(weights[host]) {
+                    shares[host].on_request(now, &service);
+                    requests.push(at_ms);
+                }
+                if shares[host].try_spend(now, &service) {
+                    retries.push(at_ms);
+                }
+            }
+        }
+        for start in (0..30_000).step_by(500) {
+            let inside = |times: &[u64]| {
+                times.iter().filter(|at| (start..start + 10_000).contains(*at)).count() as f64
+            };
+            let allowed = BOUNDS.ratio * inside(&requests) + BOUNDS.allowance;
+            assert!(inside(&retries) <= allowed, "seed {seed}, window from {start} ms");
+        }
+    }
+}
+
+#[test]
+fn idle_host_may_retry() {
+    let service = ServiceName::try_from("chat").unwrap();
+    let mut share = RetryShare::new(BOUNDS);
+    assert!(share.try_spend(Timestamp::default(), &service));
+}
--- /dev/null
+++ b/lib/tests/test_serving_config.rs
@@ -0,0 +1,98 @@
+//! The configuration in force: lookups, and versions that only move forward.
+
+use std::time::Duration;
+
+use pomelostack_lib::gateway::serving_config::CallerLimits;
+use pomelostack_lib::gateway::serving_config::ConfigChange;
+use pomelostack_lib::gateway::serving_config::ConfigView;
+use pomelostack_lib::gateway::serving_config::KeyVerdict;
+use pomelostack_lib::gateway::serving_config::RouteRule;
+use pomelostack_lib::gateway::serving_config::ServingConfig;
+use pomelostack_lib::gateway::serving_config::TeamRule;
+use pomelostack_lib::gateway::serving_config::WorkKind;
+use pomelostack_lib::ids::ServiceName;
+use pomelostack_lib::ids::TeamName;
+
+fn route(name: &str, path_prefix: &str, targets: &[(&str, u32)]) -> RouteRule {
+    RouteRule {
+        name: name.to_owned(),
+        host: "wind.example".to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        kind: WorkKind::Idempotent,
+        time_limit: Duration::from_secs(1),
+        latency_goal: Duration::from_millis(100),
+        rank: 0,
+        targets: targets
+            .iter()
+            .map(|(service, weight)| (ServiceName::try_from(*service).unwrap(), *weight))
+            .collect(),
+        max_servers: 2,
+        anonymous: false,
+    }
+}
+
+fn config(version: u64, keys: &[&str]) -> ServingConfig {
+    let team = TeamRule {
+        name: TeamName::try_from("club").unwrap(),
+        rank: None,
+        quota: None,
+        counts_tokens: false,
+        plain_cost: 0,
+    };
+    let limits = CallerLimits {
+        header_bytes: 16_384,
+        body_bytes: 1 << 20,
+        header_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    let routes = vec![
+        route("all", "/", &[("app", 1)]),
+        route("marks", "/marks/", &[("app", 1), ("model", 3)]),
+    ];
+    let keys = keys.iter().map(|key| (*key).to_owned()).collect();
+    ServingConfig::new(version, routes, Vec::new(), limits, Some(vec![(team, keys)]))
+}
+
+#[test]
+fn longest_prefix() {
+    let config = config(1, &[]);
+    assert_eq!(config.route("wind.example", "/marks/7").unwrap().name, "marks");
+    assert_eq!(config.route("Wind.Example", "/marks").unwrap().name, "all");
+    assert_eq!(config.route("other.example", "/marks/7"), None);
+}
+
+#[test]
+fn weights_divide() {
+    let config = config(1, &[]);
+    let route = config.route("wind.example", "/marks/7").unwrap();
+    let model = (0..400).filter(|hash| route.service_for(*hash).unwrap().as_str() == "model");
+    assert_eq!(model.count(), 300);
+}
+
+#[test]
+fn revoked_key() {
+    let old = config(1, &["k1", "k2"]);
+    let new = config(2, &["k2"]);
+    let route = old.route("wind.example", "/").unwrap();
+    assert!(matches!(old.check_key(route, Some("k1")), KeyVerdict::Team(_)));
+    assert_eq!(new.check_key(route, Some("k1")), KeyVerdict::Unknown);
+    assert_eq!(new.check_key(route, None), KeyVerdict::Unknown);
+}
+
+#[test]
+fn anonymous_route() {
+    let config = config(1, &["k1"]);
+    let open = RouteRule { anonymous: true, ..route("open", "/", &[("app", 1)]) };
+    assert_eq!(config.check_key(&open, None), KeyVerdict::Anonymous);
+    assert!(matches!(config.check_key(&open, Some("k1")), KeyVerdict::Team(_)));
+}
+
+#[test]
+fn never_back() {
+    let mut view = ConfigView::default();
+    assert_eq!(view.offer(config(7, &[])), ConfigChange::Adopted);
+    assert_eq!(view.offer(config(5, &[])), ConfigChange::Ignored);
+    assert_eq!(view.offer(config(7, &[])), ConfigChange::Ignored);
+    assert_eq!(view.offer(config(12, &[])), ConfigChange::Adopted);
+    assert_eq!(view.current().unwrap().version, 12);
+}
--- /dev/null
+++ b/lib/tests/test_usage_report.rs
@@ -0,0 +1,120 @@
+//! Usage reports: one set of counts a window, whoever sends it, and counts that outlive hosts.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use pomelostack_lib::gateway::usage_ledger::TeamCounts;
+use pomelostack_lib::gateway::usage_ledger::UsageLedger;
+use pomelostack_lib::gateway::usage_report::ReportBook;
+use pomelostack_lib::gateway::usage_report::ReportStep;
+use pomelostack_lib::ids::HostId;
+use pomelostack_lib::ids::Incarnation;
+use pomelostack_lib::ids::LogOffset;
+use pomelostack_lib::ids::TeamName;
+use pomelostack_lib::timestamp::Timestamp;
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+const WINDOW_MS: u64 = 5_000;
+const LATE: Duration = Duration::from_secs(10);
+
+fn life(host: &str, incarnation: u64) -> (HostId, Incarnation) {
+    (HostId::try_from(host).unwrap(), Incarnation(incarnation))
+}
+
+fn team() -> TeamName {
+    TeamName::try_from("club").unwrap()
+}
+
+fn counts(count: u64) -> TeamCounts {
+    TeamCounts::from([(team(), count)])
+}
+
+#[test]
+fn counts_outlive_hosts() {
+    let mut survivor = UsageLedger::new(life("h1", 1), WINDOW_MS);
+    survivor.on_begun(1_000, &team());
+    survivor.on_told(life("h2", 1), 0, counts(4));
+    survivor.on_told(life("h2", 1), 0, counts(3));
+    survivor.on_told(life("h2", 2), 0, counts(2));
+    assert_eq!(survivor.total(0), counts(1 + 4 + 2));
+}
+
+#[test]
+fn old_windows_dropped() {
+    let mut ledger = UsageLedger::new(life("h1", 1), WINDOW_MS);
+    ledger.on_begun(1_000, &team());
+    ledger.expire(60_000);
+    assert_eq!(ledger.total(0), TeamCounts::new());
+}
+
+#[test]
+fn due_after_delay() {
+    let mut ledger = UsageLedger::new(life("h1", 1), WINDOW_MS);
+    ledger.on_begun(21_000, &team());
+    let book = ReportBook::new(LATE);
+    let now = Timestamp::default();
+    assert_eq!(book.next_step(now, 25_100, &ledger), ReportStep::Idle);
+    let step = book.next_step(now, 27_100, &ledger);
+    assert_eq!(step, ReportStep::ReadLog(LogOffset(0)));
+}
+
+/// Plays holders that take over from one another at any step, whose appends and reports may be
+/// carried out without an answer.
+#[test]
+fn one_report_a_window() {
+    for seed in 0..300 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut log: Vec<Vec<u8>> = Vec::new();
+        let mut reported: BTreeMap<u64, Vec<TeamCounts>> = BTreeMap::new();
+        let mut books = vec![ReportBook::new(LATE); 3];
+        // Each host heard of other counts.
+        let ledgers: Vec<UsageLedger> = (0..3)
+            .map(|host| {
+                let mut ledger = UsageLedger::new(life("h1", host), WINDOW_MS);
+                for window in 0..12 {
+                    ledger.on_told(life("h2", 1), window, counts(10 + host));
+                }
+                ledger
+            })
+            .collect();
+        let mut holder = 0;
+        for step in 0..600_u64 {
+            let (now, wall_ms) = (Timestamp::from_millis(step * 100), step * 100);
+            if rng.random_bool(0.05) {
+                books[holder].distrust();
+                holder = rng.random_range(0..3);
+            }
+            let book = &mut books[holder];
+            match book.next_step(now, wall_ms, &ledgers[holder]) {
+                ReportStep::Idle => {}
+                ReportStep::ReadLog(from) => {
+                    let records = &log[from.0 as usize..];
+                    book.on_records(now, records, LogOffset(log.len() as u64));
+                }
+                ReportStep::Record { at, record } => {
+                    let fits = at.0 as usize == log.len();
+                    if fits {
+                        log.push(record.clone());
+                    }
+                    match fits && !rng.random_bool(0.3) {
+                        true => book.on_appended(now, &record, at),
+                        // Moved, or done without an answer.
+                        false => book.distrust(),
+                    }
+                }
+                ReportStep::Send { window, counts } => {
+                    reported.entry(window).or_default().push(counts);
+                    if !rng.random_bool(0.3) {
+                        book.on_sent(window);
+                    }
+                }
+            }
+        }
+        assert!(reported.len() >= 8, "seed {seed}: {} windows reported", reported.len());
+        for (window, sent) in reported {
+            assert!(sent.iter().all(|counts| *counts == sent[0]), "seed {seed}: window {window}");
+        }
+    }
+}
