gateway: refuse requests that were beside three crashes of servers

Cause: nothing kept a request that crashes its server from being sent on, by this host or another. Attempts that were lost at a server whose process then turned out to be gone make suspects; hosts tell one another; three crashes refuse. Ruled out: counting lost answers alone, which happen at servers that live on (test_crash_watch lost_answers_alone).

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -10,6 +10,7 @@
 pub mod call_pool;
 pub mod caller_door;
 pub mod caller_request;
+pub mod crash_watch;
 pub mod demand_meter;
 pub mod duty_runner;
 pub mod duty_turn;
--- /dev/null
+++ b/lib/src/gateway/crash_watch.rs
@@ -0,0 +1,117 @@
+//! Keeps requests that crash backend servers from crashing more of them.
+//!
+//! Load pattern: a request that crashes each server that runs it is sent again and again, at any
+//! host, and each crash takes the innocent requests beside it along. A request counts as a suspect
+//! of a crash if its attempt was lost at a server whose process then turned out to be gone. One that
+//! is a suspect of three crashes is refused: innocents are hardly ever beside three in a row.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::ids::ServerId;
+use crate::timestamp::Timestamp;
+
+/// Crashes after which a suspect is refused.
+const CRASHES_TO_REFUSE: usize = 3;
+
+/// Time after a lost attempt within which its server must turn out to be gone.
+const PROOF_TIME: Duration = Duration::from_secs(4);
+
+/// Time for which a crash is held against its suspects; callers come back within seconds.
+const MEMORY: Duration = Duration::from_secs(60);
+
+/// Time for which a sight is told to peers; several summaries go out in it.
+const TELL_TIME: Duration = Duration::from_secs(2);
+
+/// Suspects remembered at most; the crashes of the oldest are forgotten first.
+const MAX_SUSPECTS: usize = 4_096;
+
+/// What tells two requests for the same work apart from others: caller, path and body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WorkPrint(pub u64);
+
+impl WorkPrint {
+    /// Builds the print of a request.
+    pub fn new(caller: &str, path: &str, body: &[u8]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for field in [caller.as_bytes(), path.as_bytes(), body] {
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field);
+        }
+        let mut first = [0; 8];
+        first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        Self(u64::from_le_bytes(first))
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct SuspectRecord {
+    /// Servers that crashed beside it, as this host or a peer saw.
+    crashed: BTreeSet<ServerId>,
+    /// Those that this host saw itself, and when.
+    own: BTreeMap<ServerId, Timestamp>,
+    seen_at: Timestamp,
+}
+
+/// Suspects and the lost attempts that may yet make suspects.
+#[derive(Clone, Debug, Default)]
+pub struct CrashWatch {
+    lost: BTreeMap<ServerId, Vec<(WorkPrint, Timestamp)>>,
+    suspects: BTreeMap<WorkPrint, SuspectRecord>,
+}
+
+impl CrashWatch {
+    /// Records an attempt whose connection broke before its answer was complete.
+    pub fn on_lost(&mut self, now: Timestamp, server: &ServerId, print: WorkPrint) {
+        let lost = self.lost.entry(server.clone()).or_default();
+        lost.retain(|(_, at)| now.since(*at) < PROOF_TIME);
+        lost.push((print, now));
+    }
+
+    /// Records that a server's process is gone; returns the suspects.
+    pub fn on_gone(&mut self, now: Timestamp, server: &ServerId) -> Vec<WorkPrint> {
+        let lost = self.lost.remove(server).unwrap_or_default();
+        let recent = lost.into_iter().filter(|(_, at)| now.since(*at) < PROOF_TIME);
+        let prints: BTreeSet<WorkPrint> = recent.map(|(print, _)| print).collect();
+        for print in &prints {
+            self.on_sight(now, *print, server.clone());
+            if let Some(suspect) = self.suspects.get_mut(print) {
+                suspect.own.insert(server.clone(), now);
+            }
+        }
+        prints.into_iter().collect()
+    }
+
+    /// Takes in that a request was a suspect of a server's crash.
+    pub fn on_sight(&mut self, now: Timestamp, print: WorkPrint, server: ServerId) {
+        let suspect = self.suspects.entry(print).or_default();
+        suspect.crashed.insert(server);
+        suspect.seen_at = now;
+    }
+
+    /// Returns whether a request must not be sent to any server.
+    pub fn is_refused(&self, print: WorkPrint) -> bool {
+        self.suspects.get(&print).is_some_and(|suspect| suspect.crashed.len() >= CRASHES_TO_REFUSE)
+    }
+
+    /// Returns this host's own sights of the last seconds, for telling the peers.
+    pub fn own_sights(&self, now: Timestamp) -> impl Iterator<Item = (WorkPrint, &ServerId)> {
+        let is_recent = move |at: &Timestamp| now.since(*at) < TELL_TIME;
+        self.suspects.iter().flat_map(move |(print, suspect)| {
+            let recent = suspect.own.iter().filter(move |(_, at)| is_recent(at));
+            recent.map(move |(server, _)| (*print, server))
+        })
+    }
+
+    /// Forgets what is too old.
+    pub fn expire(&mut self, now: Timestamp) {
+        self.lost.retain(|_, lost| lost.iter().any(|(_, at)| now.since(*at) < PROOF_TIME));
+        self.suspects.retain(|_, suspect| now.since(suspect.seen_at) < MEMORY);
+        while self.suspects.len() > MAX_SUSPECTS {
+            let oldest = self.suspects.iter().min_by_key(|(_, suspect)| suspect.seen_at);
+            let Some(oldest) = oldest.map(|(print, _)| *print) else { break };
+            self.suspects.remove(&oldest);
+        }
+    }
+}
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -9,6 +9,7 @@
 use crate::gateway::backend_directory::BackendDirectory;
 use crate::gateway::backend_directory::DirectoryEffect;
 use crate::gateway::call_pool::CallPool;
+use crate::gateway::crash_watch::CrashWatch;
 use crate::gateway::demand_meter::DemandMeter;
 use crate::gateway::gateway_metrics::GatewayMetrics;
 use crate::gateway::gateway_settings::GatewaySettings;
@@ -21,6 +22,7 @@
 use crate::gateway::usage_ledger::HostLife;
 use crate::gateway::usage_ledger::UsageLedger;
 use crate::ids::Incarnation;
+use crate::ids::ServerId;
 use crate::ids::ServerKey;
 use crate::timestamp::ProcessClock;
 use crate::timestamp::Timestamp;
@@ -50,6 +52,8 @@
     pub quotas: RefCell<QuotaShare>,
     /// Usage counts.
     pub ledger: RefCell<UsageLedger>,
+    /// Requests that crash servers.
+    pub crashes: RefCell<CrashWatch>,
     /// Tokens asked for.
     pub demand: RefCell<DemandMeter>,
     /// Peers.
@@ -84,6 +88,7 @@
             retries: RefCell::new(RetryShare::new(settings.retries)),
             quotas: RefCell::new(quotas),
             ledger: RefCell::new(UsageLedger::new(life.clone(), window_ms)),
+            crashes: RefCell::default(),
             demand: RefCell::default(),
             peers: RefCell::new(PeerTable::new(settings.host.clone())),
             config_hint: Notify::new(),
@@ -105,6 +110,14 @@
         self.leave.get().is_none() && self.config.borrow().current().is_some()
     }
 
+    /// Records that a server's process is gone.
+    pub fn on_server_gone(&self, server: &ServerId) {
+        let suspects = self.crashes.borrow_mut().on_gone(self.now(), server);
+        if !suspects.is_empty() {
+            log::info!("event=server_crashed server={server} suspects={}", suspects.len());
+        }
+    }
+
     /// Carries an effect of the directory over to the other parts, and logs it.
     pub fn on_directory_effect(&self, effect: DirectoryEffect) {
         let (event, key) = match effect {
@@ -115,8 +128,13 @@
             DirectoryEffect::Unchanged => return,
         };
         match effect {
-            DirectoryEffect::Joined(_) | DirectoryEffect::Restarted(_) => {
+            DirectoryEffect::Joined(_) => self.board.borrow_mut().reset(key),
+            DirectoryEffect::Restarted(_) => {
                 self.board.borrow_mut().reset(key);
+                let id = self.directory.borrow().get(key).map(|server| server.entry.id.clone());
+                if let Some(id) = id {
+                    self.on_server_gone(&id);
+                }
             }
             DirectoryEffect::Gone(_) => self.board.borrow_mut().remove(key),
             DirectoryEffect::Leaving(_) | DirectoryEffect::Unchanged => {}
--- a/lib/src/gateway/peer_gossip.rs
+++ b/lib/src/gateway/peer_gossip.rs
@@ -7,6 +7,7 @@
 use prost::Message as _;
 use tokio::net::UdpSocket;
 
+use crate::gateway::crash_watch::WorkPrint;
 use crate::gateway::edges::ControlStore;
 use crate::gateway::edges::HostCard;
 use crate::gateway::gateway_state::GatewayState;
@@ -19,6 +20,7 @@
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
 use crate::ids::TeamName;
+use crate::protos::gateway::CrashSight;
 use crate::protos::gateway::HostSummary;
 use crate::protos::gateway::ServerUse;
 use crate::protos::gateway::ServiceDemand;
@@ -38,6 +40,9 @@
 /// Time between two reads of the hosts' cards while peers are heard.
 const CARD_PERIOD: Duration = Duration::from_secs(30);
 
+/// Crash suspicions in one summary, at most: those of a zone of servers that crashed.
+const MAX_TOLD_CRASHES: usize = 64;
+
 /// Bytes of a summary, at most: what one datagram holds without being split up at most links.
 const MAX_SUMMARY_BYTES: usize = 8 * 1024;
 
@@ -128,6 +133,7 @@
     let window = state.settings.borrow().quotas.window;
     state.peers.borrow_mut().expire(now, window);
     state.ledger.borrow_mut().expire(wall_clock_ms());
+    state.crashes.borrow_mut().expire(now);
     state.pool.expire();
     apply_peers(state);
     let running = i64::try_from(state.running.get()).unwrap_or(i64::MAX);
@@ -155,6 +161,7 @@
 
 fn take_in(state: &GatewayState, summary: HostSummary) {
     let windows: Vec<WindowUse> = summary.windows.clone();
+    let crashes: Vec<CrashSight> = summary.crashes.clone();
     let now = state.now();
     let known = state.peers.borrow().heard(now);
     let version = state.config.borrow().current().map_or(0, |config| config.version);
@@ -169,6 +176,10 @@
     if heard != known {
         log::info!("event=peers_changed heard={heard}");
     }
+    for sight in crashes {
+        let Ok(server) = ServerId::try_from(sight.server) else { continue };
+        state.crashes.borrow_mut().on_sight(now, WorkPrint(sight.fingerprint), server);
+    }
     let mut ledger = state.ledger.borrow_mut();
     for window in windows {
         let Ok(host) = HostId::try_from(window.host.as_str()) else { continue };
@@ -218,6 +229,10 @@
         prefill_tokens_per_s: demand.prefill as u64,
         output_tokens_per_s: demand.output as u64,
     });
+    let crashes = state.crashes.borrow();
+    let crashes = crashes
+        .own_sights(now)
+        .map(|(print, server)| CrashSight { fingerprint: print.0, server: server.to_string() });
     HostSummary {
         host: state.life.0.to_string(),
         incarnation: state.life.1.0,
@@ -227,7 +242,7 @@
         servers: servers.collect(),
         windows: windows.collect(),
         demands: demands.collect(),
-        crashes: Vec::new(),
+        crashes: crashes.take(MAX_TOLD_CRASHES).collect(),
         config_version: state.config.borrow().current().map_or(0, |config| config.version),
     }
 }
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -18,6 +18,7 @@
 use crate::gateway::attempt_plan::AttemptStep;
 use crate::gateway::attempt_plan::GiveUp;
 use crate::gateway::caller_request::CallerHead;
+use crate::gateway::crash_watch::WorkPrint;
 use crate::gateway::edges::AttemptHead;
 use crate::gateway::edges::WireDialect;
 use crate::gateway::fleet_size::TokenDemand;
@@ -106,6 +107,8 @@
     pub team: Option<Rc<TeamRule>>,
     /// When it came in.
     pub arrived_at: Timestamp,
+    /// What tells other sends of the same work apart from other work.
+    pub print: WorkPrint,
     /// Version of the configuration that decided.
     pub version: u64,
 }
@@ -222,11 +225,17 @@
             Ok(body) => body,
             Err(reason) => return Err((head, reason)),
         };
+        let caller = team.as_ref().map_or("", |team| team.name.as_str());
+        let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
+        let print = WorkPrint::new(caller, path, &body);
+        if self.state.crashes.borrow().is_refused(print) {
+            return Err((head, RefusalReason::new(ResultCode::CrashRefused)));
+        }
         if let Err(reason) = self.check_quota(&head, team.as_deref()) {
             return Err((head, reason));
         }
         let version = config.version;
-        Ok(AcceptedRequest { head, parts, body, route, service, team, arrived_at, version })
+        Ok(AcceptedRequest { print, head, parts, body, route, service, team, arrived_at, version })
     }
 
     /// Refuses what a leaving host could not finish: by then the balancer sends new connections
@@ -334,7 +343,9 @@
                 }
             };
             match plan.on_failure(self.state.now(), key, failure) {
-                AttemptStep::TryAnother { repeat } if self.may_repeat(&request, repeat) => {}
+                AttemptStep::TryAnother { repeat }
+                    if self.may_repeat(&request, repeat)
+                        && !self.state.crashes.borrow().is_refused(request.print) => {}
                 AttemptStep::TryAnother { .. } | AttemptStep::RelayFailure => {
                     return self.relay_or_end(&request, &plan, failed_answer);
                 }
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -163,8 +163,12 @@
                 CallError::Lost(_) => AttemptFailure::Lost,
             };
             log_failure(&state, request, &attempt, failure, &error.to_string());
-            if failure == AttemptFailure::Unsent {
-                state.pool.forget(attempt.address);
+            match failure {
+                AttemptFailure::Unsent => {
+                    state.pool.forget(attempt.address);
+                    state.on_server_gone(attempt.server());
+                }
+                _ => on_lost(&state, request, &attempt),
             }
             return AttemptAnswer::Failed(failure, None);
         }
@@ -215,6 +219,11 @@
     }
 }
 
+/// Remembers a request whose connection broke, in case its server crashed.
+pub fn on_lost(state: &GatewayState, request: &AcceptedRequest, attempt: &ServerAttempt) {
+    state.crashes.borrow_mut().on_lost(state.now(), attempt.server(), request.print);
+}
+
 fn log_failure(
     state: &GatewayState,
     request: &AcceptedRequest,
--- a/lib/src/gateway/store_follower.rs
+++ b/lib/src/gateway/store_follower.rs
@@ -176,6 +176,7 @@
     for (offset, change) in read.changes {
         if let DirectoryChange::Absent(id) = &change {
             log::info!("event=directory_entry_removed server={id} offset={}", offset.0);
+            state.on_server_gone(id);
         }
         let effect = state.directory.borrow_mut().apply(now, offset, change);
         state.on_directory_effect(effect);
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -35,6 +35,7 @@
 use crate::gateway::server_attempt::AttemptAnswer;
 use crate::gateway::server_attempt::OpenStream;
 use crate::gateway::server_attempt::ServerAttempt;
+use crate::gateway::server_attempt::on_lost;
 use crate::gateway::server_attempt::send_attempt;
 use crate::gateway::server_health::HealthEvidence;
 use crate::result_code::ResultCode;
@@ -149,6 +150,7 @@
                     return PartEnd::Complete;
                 }
                 Ok(Some(Err(error))) => {
+                    on_lost(&self.state, &self.request, &attempt);
                     self.log_part(&attempt, &error.to_string());
                     return PartEnd::Lost;
                 }
@@ -204,6 +206,7 @@
             let now = self.state.now();
             let step = self.plan.on_failure(now, key, failure);
             if !matches!(step, AttemptStep::TryAnother { .. })
+                || self.state.crashes.borrow().is_refused(self.request.print)
                 || !self.state.retries.borrow_mut().try_spend(now, &self.request.service)
             {
                 return None;
--- /dev/null
+++ b/lib/tests/test_crash_watch.rs
@@ -0,0 +1,70 @@
+//! Requests that crash servers, and innocents beside them.
+
+use std::time::Duration;
+
+use pomelostack_lib::gateway::crash_watch::CrashWatch;
+use pomelostack_lib::gateway::crash_watch::WorkPrint;
+use pomelostack_lib::ids::ServerId;
+use pomelostack_lib::timestamp::Timestamp;
+
+fn server(index: u64) -> ServerId {
+    ServerId::try_from(format!("s{index}")).unwrap()
+}
+
+fn at(seconds: u64) -> Timestamp {
+    Timestamp::default() + Duration::from_secs(seconds)
+}
+
+#[test]
+fn third_crash_refuses() {
+    let poison = WorkPrint::new("k1", "/a", b"boom");
+    let mut watch = CrashWatch::default();
+    for index in 0..3 {
+        assert!(!watch.is_refused(poison));
+        watch.on_lost(at(index), &server(index), poison);
+        assert_eq!(watch.on_gone(at(index), &server(index)), vec![poison]);
+    }
+    assert!(watch.is_refused(poison));
+    assert!(!watch.is_refused(WorkPrint::new("k2", "/a", b"boom")));
+    watch.expire(at(300));
+    assert!(!watch.is_refused(poison));
+}
+
+#[test]
+fn lost_answers_alone() {
+    // Answers get lost at servers that live on.
+    let innocent = WorkPrint::new("k1", "/a", b"fine");
+    let mut watch = CrashWatch::default();
+    for index in 0..10 {
+        watch.on_lost(at(index), &server(index), innocent);
+    }
+    assert!(!watch.is_refused(innocent));
+}
+
+#[test]
+fn old_loss_forgotten() {
+    let innocent = WorkPrint::new("k1", "/a", b"fine");
+    let mut watch = CrashWatch::default();
+    watch.on_lost(at(0), &server(1), innocent);
+    assert!(watch.on_gone(at(60), &server(1)).is_empty());
+}
+
+#[test]
+fn peers_sights_count() {
+    let poison = WorkPrint::new("k1", "/a", b"boom");
+    let (mut first, mut second) = (CrashWatch::default(), CrashWatch::default());
+    for index in 0..2 {
+        first.on_lost(at(index), &server(index), poison);
+        first.on_gone(at(index), &server(index));
+    }
+    second.on_lost(at(3), &server(9), poison);
+    second.on_gone(at(3), &server(9));
+    // The same sights arrive many times.
+    for _ in 0..3 {
+        for (print, server) in first.own_sights(at(1)) {
+            second.on_sight(at(4), print, server.clone());
+        }
+    }
+    assert!(second.is_refused(poison));
+    assert!(!first.is_refused(poison));
+}
