gateway: the whole path as a process before a stand-in of its platform

cli/tests/test_gateway_process.rs drives the program over real sockets; what callers get and what the replicas ran decide. It found that a lease shorter than the renewal period never let a holder act: renewals follow the lease now.

--- /dev/null
+++ b/cli/tests/test_gateway_process.rs
@@ -0,0 +1,253 @@
+//! The gateway as a process, before a stand-in of its platform.
+//!
+//! Verdicts come from what callers get and what the replicas ran; time only bounds a hang.
+
+use std::io::Read as _;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+use rstest::rstest;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use testutils::deployment_standin::DeploymentStandin;
+use testutils::deployment_standin::ROUTE_HOST;
+use testutils::deployment_standin::ReplicaMode;
+use testutils::deployment_standin::STREAM_EVENTS;
+use testutils::deployment_standin::TEAM_KEY;
+use testutils::deployment_standin::event_text;
+use testutils::hang_guard::wait_for;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_pomelostack");
+
+/// A gateway process and its platform; each test has a loopback address of its own.
+struct GatewayRig {
+    standin: DeploymentStandin,
+    ip: String,
+    settings: PathBuf,
+    process: Child,
+}
+
+/// What a caller got.
+#[derive(Debug, PartialEq, Eq)]
+struct CallerAnswer {
+    status: u16,
+    signature: Option<String>,
+    retry_after: Option<String>,
+    /// The body, or `None` if it broke off.
+    body: Option<String>,
+}
+
+impl GatewayRig {
+    fn start(number: u8) -> Self {
+        let standin = DeploymentStandin::start().unwrap();
+        let ip = format!("127.0.77.{number}");
+        let name = format!("gateway-{}-{number}.json", std::process::id());
+        let settings = std::env::temp_dir().join(name);
+        std::fs::write(&settings, standin.settings("h1", &ip).to_string()).unwrap();
+        let process = Command::new(PROGRAM)
+            .arg("gateway")
+            .env("POMELOSTACK_CONFIG", &settings)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        Self { standin, ip, settings, process }
+    }
+
+    /// Starts a gateway that has a configuration.
+    fn ready(number: u8) -> Self {
+        let rig = Self::start(number);
+        rig.standin.publish_config(3);
+        wait_for(|| rig.readiness() == Some(200));
+        // The directory may be read a moment later than the configuration.
+        wait_for(|| rig.call("GET", "/look/warm", "warm", Some(TEAM_KEY)).status == 200);
+        rig
+    }
+
+    fn agent() -> ureq::Agent {
+        ureq::Agent::config_builder().http_status_as_error(false).build().into()
+    }
+
+    fn readiness(&self) -> Option<u16> {
+        let reply = Self::agent().get(format!("http://{}:7701/ready", self.ip)).call();
+        reply.ok().map(|reply| reply.status().as_u16())
+    }
+
+    fn call(&self, method: &str, path: &str, id: &str, key: Option<&str>) -> CallerAnswer {
+        let mut request = hyper::http::Request::builder()
+            .method(method)
+            .uri(format!("http://{}:7700{path}", self.ip))
+            .header("Host", ROUTE_HOST)
+            .header("Request-Id", id)
+            .header("Request-Deadline", "8000")
+            .header("Tenant-Id", "forged");
+        if let Some(key) = key {
+            request = request.header("Authorization", format!("Token {key}"));
+        }
+        let reply = Self::agent().run(request.body(()).unwrap()).unwrap();
+        let field = |name: &str| {
+            reply.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+        };
+        let (signature, retry_after) = (field("replica-signature"), field("retry-after"));
+        let status = reply.status().as_u16();
+        let mut text = String::new();
+        let read = reply.into_body().into_reader().read_to_string(&mut text);
+        CallerAnswer { status, signature, retry_after, body: read.is_ok().then_some(text) }
+    }
+
+    fn runs_of(&self, id: &str) -> usize {
+        self.standin.runs().iter().filter(|run| run.request_id == id).count()
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.process.id()).unwrap();
+        kill_process(Pid::from_raw(id).unwrap(), signal).unwrap();
+    }
+}
+
+impl Drop for GatewayRig {
+    fn drop(&mut self) {
+        // The process may have ended by itself.
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+fn whole_stream() -> String {
+    (1..=STREAM_EVENTS).map(event_text).collect()
+}
+
+#[test]
+fn no_configuration() {
+    let rig = GatewayRig::start(1);
+    wait_for(|| rig.readiness().is_some());
+    assert_eq!(rig.readiness(), Some(503));
+    let answer = rig.call("GET", "/look/1", "r1", Some(TEAM_KEY));
+    assert_eq!(answer.status, 503);
+    assert!(answer.retry_after.is_some());
+}
+
+#[test]
+fn whole_answers() {
+    let rig = GatewayRig::ready(2);
+    let stream = rig.call("POST", "/brief/1", "r1", Some(TEAM_KEY));
+    assert_eq!((stream.status, stream.body), (200, Some(whole_stream())));
+    assert!(stream.signature.is_some());
+    let call = rig.call("POST", "/book/1", "r2", Some(TEAM_KEY));
+    assert_eq!((call.status, call.body.as_deref()), (200, Some("answer to r2")));
+    for run in rig.standin.runs() {
+        assert_eq!(run.team.as_deref(), Some("club"), "the caller's own claim was passed on");
+        assert!(!run.saw_key);
+    }
+}
+
+#[test]
+fn refused_callers() {
+    let rig = GatewayRig::ready(3);
+    assert_eq!(rig.call("GET", "/look/1", "r1", Some("nobody")).status, 401);
+    assert_eq!(rig.call("GET", "/nowhere/1", "r2", Some(TEAM_KEY)).status, 404);
+    assert_eq!(rig.runs_of("r1") + rig.runs_of("r2"), 0);
+}
+
+#[test]
+fn stream_goes_on() {
+    let rig = GatewayRig::ready(4);
+    rig.standin.set_mode(0, ReplicaMode::CutAfter(3));
+    rig.standin.set_mode(1, ReplicaMode::CutAfter(9));
+    let stream = rig.call("POST", "/brief/1", "r1", Some(TEAM_KEY));
+    assert_eq!((stream.status, stream.body), (200, Some(whole_stream())));
+    let runs = rig.standin.runs();
+    let resumed = runs.iter().find(|run| run.resumed_after.is_some()).unwrap();
+    assert_eq!(resumed.request_id, "r1");
+}
+
+#[test]
+fn broken_stream_looks_broken() {
+    let rig = GatewayRig::ready(5);
+    rig.standin.set_mode(0, ReplicaMode::CutAfter(2));
+    rig.standin.set_mode(1, ReplicaMode::CutAfter(2));
+    let stream = rig.call("POST", "/brief/1", "r1", Some(TEAM_KEY));
+    assert_eq!(stream.body, None);
+    assert_eq!(rig.runs_of("r1"), 2);
+}
+
+#[test]
+fn lost_call_not_repeated() {
+    let rig = GatewayRig::ready(6);
+    rig.standin.set_mode(0, ReplicaMode::LoseAnswer);
+    rig.standin.set_mode(1, ReplicaMode::LoseAnswer);
+    let answer = rig.call("POST", "/book/1", "r1", Some(TEAM_KEY));
+    assert_eq!((answer.status, answer.signature), (502, None));
+    assert_eq!(rig.runs_of("r1"), 1);
+}
+
+#[rstest]
+#[case(7, "/look/1", ReplicaMode::LoseAnswer)]
+#[case(8, "/book/1", ReplicaMode::Refuse)]
+fn other_replica_answers(#[case] number: u8, #[case] path: &str, #[case] mode: ReplicaMode) {
+    let rig = GatewayRig::ready(number);
+    // Whichever replica is asked first fails once; the other one answers.
+    let first = rig.standin.runs().last().map_or(0, |run| run.replica);
+    rig.standin.set_mode(first, mode);
+    let answer = rig.call("GET", path, "r1", Some(TEAM_KEY));
+    assert_eq!((answer.status, answer.body.as_deref()), (200, Some("answer to r1")));
+}
+
+#[test]
+fn all_refuse() {
+    let rig = GatewayRig::ready(9);
+    rig.standin.set_mode(0, ReplicaMode::Refuse);
+    rig.standin.set_mode(1, ReplicaMode::Refuse);
+    let answer = rig.call("POST", "/book/1", "r1", Some(TEAM_KEY));
+    assert_eq!((answer.status, answer.signature), (503, None));
+    assert!(answer.retry_after.is_some());
+    assert_eq!(rig.runs_of("r1"), 0);
+}
+
+#[test]
+fn stop_finishes_stream() {
+    let mut rig = GatewayRig::ready(10);
+    let stream = std::thread::scope(|scope| {
+        let caller = scope.spawn(|| rig.call("POST", "/brief/1", "r1", Some(TEAM_KEY)));
+        wait_for(|| rig.runs_of("r1") == 1);
+        rig.signal(Signal::TERM);
+        wait_for(|| rig.readiness() != Some(200));
+        caller.join().unwrap()
+    });
+    assert_eq!(stream.body, Some(whole_stream()));
+    assert!(rig.process.wait().unwrap().success());
+}
+
+#[test]
+fn reload_drops_nothing() {
+    let rig = GatewayRig::ready(11);
+    let stream = std::thread::scope(|scope| {
+        let caller = scope.spawn(|| rig.call("POST", "/brief/1", "r1", Some(TEAM_KEY)));
+        wait_for(|| rig.runs_of("r1") == 1);
+        std::fs::write(&rig.settings, "{ half a file").unwrap();
+        rig.signal(Signal::HUP);
+        caller.join().unwrap()
+    });
+    assert_eq!(stream.body, Some(whole_stream()));
+    assert_eq!(rig.call("GET", "/look/2", "r2", Some(TEAM_KEY)).status, 200);
+}
+
+#[test]
+fn usage_is_reported() {
+    let rig = GatewayRig::ready(12);
+    wait_for(|| !rig.standin.usage_reports().is_empty());
+    let report = &rig.standin.usage_reports()[0];
+    assert!(report["counts"]["club"].as_u64().is_some_and(|count| count > 0), "{report}");
+}
+
+#[test]
+fn metrics_are_served() {
+    let rig = GatewayRig::ready(13);
+    let reply = GatewayRig::agent().get(format!("http://{}:9464/metrics", rig.ip)).call().unwrap();
+    let text = reply.into_body().read_to_string().unwrap();
+    assert!(text.contains("pomelostack_requests_total{code=\"0\",kind=\"idempotent\"}"), "{text}");
+    assert!(text.contains("pomelostack_answer_seconds_bucket"));
+}
--- a/lib/src/gateway/duty_runner.rs
+++ b/lib/src/gateway/duty_runner.rs
@@ -28,8 +28,8 @@
 use crate::ids::ZoneName;
 use crate::timestamp::wall_clock_ms;
 
-/// Time between two renewals of the membership; several fit into its validity.
-const RENEWAL_PERIOD: Duration = Duration::from_millis(1_200);
+/// Renewals of the membership in the validity of a grant: one may be lost.
+const RENEWALS_PER_VALIDITY: u32 = 2;
 
 /// Time between two looks at what is due.
 const DUTY_PERIOD: Duration = Duration::from_millis(500);
@@ -76,7 +76,8 @@
                     TurnChange::Same => {}
                 }
             }
-            tokio::time::sleep(RENEWAL_PERIOD).await;
+            let validity = self.state.settings.borrow().duty.validity;
+            tokio::time::sleep(validity / RENEWALS_PER_VALIDITY).await;
         }
     }
 
--- /dev/null
+++ b/lib/testutils/src/deployment_standin.rs
@@ -0,0 +1,396 @@
+//! Stand-in of the platform that the gateway is deployed on: its store, its cloud, and two model
+//! replicas that also take plain calls. It speaks the platform's pages over real sockets.
+
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use http_body_util::Either;
+use http_body_util::Full;
+use http_body_util::StreamBody;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+use tokio_stream::wrappers::ReceiverStream;
+
+/// Service that both replicas run.
+pub const SERVICE: &str = "chat";
+/// Key of the only team.
+pub const TEAM_KEY: &str = "k1";
+/// Host name of every route.
+pub const ROUTE_HOST: &str = "wind.example";
+/// Events of a whole stream.
+pub const STREAM_EVENTS: u64 = 12;
+/// Time between two looks for a record while a read is held.
+const HELD_READ_STEP: Duration = Duration::from_millis(20);
+/// Time between two events of a stream.
+const EVENT_GAP: Duration = Duration::from_millis(20);
+
+/// How a replica treats requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReplicaMode {
+    /// It answers them.
+    Answer,
+    /// It runs them and breaks off in the middle of the event after this many.
+    CutAfter(u64),
+    /// It runs them and closes the connection without an answer.
+    LoseAnswer,
+    /// It refuses them, which is proof that it did not run them.
+    Refuse,
+}
+
+/// A request that a replica ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaRun {
+    /// Index of the replica.
+    pub replica: usize,
+    /// Id of the request.
+    pub request_id: String,
+    /// Event after which it went on.
+    pub resumed_after: Option<u64>,
+    /// Team that it was told.
+    pub team: Option<String>,
+    /// Whether the caller's key came along.
+    pub saw_key: bool,
+}
+
+#[derive(Debug, Default)]
+struct DeploymentState {
+    topics: BTreeMap<String, Vec<Vec<u8>>>,
+    modes: Vec<ReplicaMode>,
+    runs: Vec<ReplicaRun>,
+    usage: Vec<Value>,
+    orders: Vec<Value>,
+}
+
+type SharedState = Arc<Mutex<DeploymentState>>;
+type StandinBody =
+    Either<Full<Bytes>, StreamBody<ReceiverStream<Result<Frame<Bytes>, std::io::Error>>>>;
+type StandinReply = Response<StandinBody>;
+
+/// The running stand-in. Its threads end with the process.
+pub struct DeploymentStandin {
+    state: SharedState,
+    /// Address of the store and the cloud.
+    pub platform: SocketAddr,
+    /// Addresses of the replicas.
+    pub replicas: Vec<SocketAddr>,
+}
+
+impl DeploymentStandin {
+    /// Starts the store, the cloud and two replicas, and lists the replicas in the directory.
+    pub fn start() -> std::io::Result<Self> {
+        let state = SharedState::default();
+        lock(&state).modes = vec![ReplicaMode::Answer; 2];
+        let platform = serve(state.clone(), Role::Platform)?;
+        let replicas =
+            vec![serve(state.clone(), Role::Replica(0))?, serve(state.clone(), Role::Replica(1))?];
+        let standin = Self { state, platform, replicas };
+        for index in 0..standin.replicas.len() {
+            standin.list_replica(index, "ready");
+        }
+        Ok(standin)
+    }
+
+    /// Writes a replica's entry into the directory.
+    pub fn list_replica(&self, index: usize, state: &str) {
+        let entry = json!({
+            "service": SERVICE, "address": self.replicas[index].to_string(), "zone": "north",
+            "version": "v1", "slots": 8, "state": state, "sequence": 0, "born": 1,
+        });
+        self.put("keyed.servers", &replica_id(index), &entry);
+    }
+
+    /// Publishes a configuration with one route for each kind of work.
+    pub fn publish_config(&self, version: u64) {
+        let route = |name: &str, prefix: &str, kind: &str, resumable: bool, attempts: u32| {
+            json!({
+                "name": name, "host": ROUTE_HOST, "path-prefix": prefix, "kind": kind,
+                "timeout-ms": 10_000, "latency-goal-ms": 1_000, "priority": 0,
+                "service": SERVICE, "attempts": attempts, "resumable": resumable,
+            })
+        };
+        let config = json!({
+            "version": version,
+            "routes": [
+                route("brief", "/brief/", "streaming", true, 2),
+                route("book", "/book/", "unsafe", false, 2),
+                route("look", "/look/", "safe", false, 2),
+            ],
+            "services": [{"name": SERVICE, "max-conns": 100}],
+            "limits": {"max-header-bytes": 16_384, "max-body-bytes": 1_048_576,
+                       "header-timeout-ms": 3_000, "idle-timeout-ms": 15_000},
+            "tenants": [{"name": "club", "api-keys": [TEAM_KEY]}],
+        });
+        self.put("keyed.op", "config", &config);
+    }
+
+    /// Sets how a replica treats requests.
+    pub fn set_mode(&self, index: usize, mode: ReplicaMode) {
+        lock(&self.state).modes[index] = mode;
+    }
+
+    /// Returns what the replicas ran.
+    pub fn runs(&self) -> Vec<ReplicaRun> {
+        lock(&self.state).runs.clone()
+    }
+
+    /// Returns the usage reports that were accepted.
+    pub fn usage_reports(&self) -> Vec<Value> {
+        lock(&self.state).usage.clone()
+    }
+
+    /// Returns the settings file of a host at an address of its own.
+    pub fn settings(&self, node: &str, ip: &str) -> Value {
+        json!({
+            "node": node, "ip": ip, "zone": "north", "region": "r", "zones": {"north": "r"},
+            "bootstrap": true, "port-range": [7600, 7615],
+            "listen": {"front": format!("{ip}:7700"), "ready": format!("{ip}:7701")},
+            "bounds": {
+                "grace-s": 8, "retry-budget-ratio": 0.2, "budget-window-s": 10,
+                "budget-slack": 54, "quota-window-s": 8, "quota-over": 0.1,
+                "quota-slack": 140_000, "lease-ms": 600, "usage-window-s": 1,
+                "usage-late-s": 10,
+            },
+            "platform": {"address": self.platform.to_string()},
+            "cloud": {"address": self.platform.to_string(), "duties": ["usage_report"]},
+        })
+    }
+
+    fn put(&self, topic: &str, key: &str, value: &Value) {
+        let mut record = vec![key.len() as u8];
+        record.extend_from_slice(key.as_bytes());
+        record.extend_from_slice(value.to_string().as_bytes());
+        lock(&self.state).topics.entry(topic.to_owned()).or_default().push(record);
+    }
+}
+
+/// What one address serves.
+#[derive(Clone, Copy, Debug)]
+enum Role {
+    Platform,
+    Replica(usize),
+}
+
+fn lock(state: &SharedState) -> MutexGuard<'_, DeploymentState> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn replica_id(index: usize) -> String {
+    format!("i-{index}")
+}
+
+/// Serves a role on a loopback port, on a thread of its own.
+fn serve(state: SharedState, role: Role) -> std::io::Result<SocketAddr> {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    thread::spawn(move || {
+        LocalSet::new().block_on(&runtime, async move {
+            let Ok(listener) = TcpListener::from_std(listener) else { return };
+            while let Ok((stream, _)) = listener.accept().await {
+                let state = state.clone();
+                tokio::task::spawn_local(async move {
+                    let service = service_fn(move |request| answer(state.clone(), role, request));
+                    // A connection that the gateway cuts is no failure of the stand-in.
+                    let _ =
+                        http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                });
+            }
+        });
+    });
+    Ok(address)
+}
+
+async fn answer(
+    state: SharedState,
+    role: Role,
+    request: Request<Incoming>,
+) -> Result<StandinReply, std::io::Error> {
+    match role {
+        Role::Platform => Ok(answer_platform(&state, request).await.unwrap_or_else(|e| match e {})),
+        Role::Replica(index) => answer_replica(&state, index, request),
+    }
+}
+
+fn whole(status: StatusCode, body: impl Into<Bytes>) -> StandinReply {
+    let mut reply = Response::new(Either::Left(Full::new(body.into())));
+    *reply.status_mut() = status;
+    reply
+}
+
+async fn answer_platform(
+    state: &SharedState,
+    request: Request<Incoming>,
+) -> Result<StandinReply, Infallible> {
+    let query = request.uri().query().unwrap_or_default().to_owned();
+    let path = request.uri().path().to_owned();
+    let field =
+        |name: &str| query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+    let number = |name: &str| field(name).and_then(|text| text.parse::<u64>().ok());
+    let topic = field("topic").unwrap_or_default().to_owned();
+    let body = request.into_body().collect().await.map(|body| body.to_bytes()).unwrap_or_default();
+    let reply = match path.as_str() {
+        "/log-newest" => whole(StatusCode::OK, newest_page(&lock(state), &topic).to_string()),
+        "/log-read" => {
+            let from = number("from").unwrap_or(0) as usize;
+            let steps = number("wait-ms").unwrap_or(0) / HELD_READ_STEP.as_millis() as u64;
+            for _ in 0..steps {
+                if lock(state).topics.get(&topic).is_some_and(|records| records.len() > from) {
+                    break;
+                }
+                tokio::time::sleep(HELD_READ_STEP).await;
+            }
+            whole(StatusCode::OK, read_page(&lock(state), &topic, from))
+        }
+        "/log-append" => append(&mut lock(state), &topic, number("at"), &body),
+        "/log-join" => {
+            let answer = json!({"generation": 1, "ttl-ms": 4_000, "parts": [["duty", 0, 0]]});
+            whole(StatusCode::OK, answer.to_string())
+        }
+        "/usage" => {
+            lock(state).usage.push(serde_json::from_slice(&body).unwrap_or_default());
+            whole(StatusCode::OK, "{}")
+        }
+        "/scale" => {
+            lock(state).orders.push(serde_json::from_slice(&body).unwrap_or_default());
+            whole(StatusCode::OK, "{}")
+        }
+        _ => whole(StatusCode::NOT_FOUND, "{}"),
+    };
+    Ok(reply)
+}
+
+fn newest_page(state: &DeploymentState, topic: &str) -> Value {
+    let records = state.topics.get(topic).map(Vec::as_slice).unwrap_or_default();
+    let mut newest = BTreeMap::new();
+    for (offset, record) in records.iter().enumerate() {
+        let (key, value) = record[1..].split_at(usize::from(record[0]));
+        let key = String::from_utf8_lossy(key).into_owned();
+        newest.insert(
+            key.clone(),
+            json!({
+                "key": key, "value": STANDARD.encode(value), "offset": offset,
+            }),
+        );
+    }
+    let items: Vec<Value> = newest.into_values().collect();
+    json!({"items": items, "has-more": false, "end": records.len()})
+}
+
+fn read_page(state: &DeploymentState, topic: &str, from: usize) -> Vec<u8> {
+    let records = state.topics.get(topic).map(Vec::as_slice).unwrap_or_default();
+    let mut page = (records.len() as u64).to_be_bytes().to_vec();
+    page.extend_from_slice(&0_u64.to_be_bytes());
+    for record in records.iter().skip(from) {
+        page.extend_from_slice(&(record.len() as u32).to_be_bytes());
+        page.extend_from_slice(record);
+    }
+    page
+}
+
+fn append(
+    state: &mut DeploymentState,
+    topic: &str,
+    at: Option<u64>,
+    framed: &[u8],
+) -> StandinReply {
+    let records = state.topics.entry(topic.to_owned()).or_default();
+    let end = records.len() as u64;
+    if at.is_some_and(|at| at != end) {
+        return whole(StatusCode::PRECONDITION_FAILED, json!({"end": end}).to_string());
+    }
+    records.push(framed.get(4..).unwrap_or_default().to_vec());
+    whole(StatusCode::OK, json!({"offset": end, "end": end + 1}).to_string())
+}
+
+fn answer_replica(
+    state: &SharedState,
+    index: usize,
+    request: Request<Incoming>,
+) -> Result<StandinReply, std::io::Error> {
+    let field = |name: &str| {
+        request.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+    };
+    let request_id = field("Request-Id").unwrap_or_default();
+    let mode = lock(state).modes[index];
+    if field("Expect-Replica").is_some_and(|expected| expected != replica_id(index)) {
+        return Ok(whole(StatusCode::MISDIRECTED_REQUEST, ""));
+    }
+    if mode == ReplicaMode::Refuse {
+        let mut reply = whole(StatusCode::SERVICE_UNAVAILABLE, "");
+        reply.headers_mut().insert("not-executed", hyper::header::HeaderValue::from_static("1"));
+        return Ok(reply);
+    }
+    let resumed_after = field("Last-Event-Id").and_then(|id| id.parse().ok());
+    lock(state).runs.push(ReplicaRun {
+        replica: index,
+        request_id: request_id.clone(),
+        resumed_after,
+        team: field("Tenant-Id"),
+        saw_key: field("Authorization").is_some(),
+    });
+    if mode == ReplicaMode::LoseAnswer {
+        return Err(std::io::ErrorKind::ConnectionReset.into());
+    }
+    let mut reply = if request.uri().path().starts_with("/brief/") {
+        stream_events(resumed_after.unwrap_or(0), mode)
+    } else {
+        whole(StatusCode::OK, format!("answer to {request_id}"))
+    };
+    for (name, value) in [("request-id", request_id), ("replica-signature", replica_id(index))] {
+        if let Ok(value) = hyper::header::HeaderValue::try_from(value) {
+            reply.headers_mut().insert(name, value);
+        }
+    }
+    Ok(reply)
+}
+
+/// Returns the text of an event.
+pub fn event_text(id: u64) -> String {
+    format!("id: {id}\ndata: piece {id}\n\n")
+}
+
+fn stream_events(after: u64, mode: ReplicaMode) -> StandinReply {
+    let (sender, receiver) = mpsc::channel(1);
+    tokio::task::spawn_local(async move {
+        for id in after + 1..=STREAM_EVENTS {
+            tokio::time::sleep(EVENT_GAP).await;
+            let text = event_text(id);
+            let cut = matches!(mode, ReplicaMode::CutAfter(count) if id > after + count);
+            let sent = if cut { text[..text.len() / 2].to_owned() } else { text };
+            if sender.send(Ok(Frame::data(Bytes::from(sent)))).await.is_err() || cut {
+                // The rest of the answer is never sent; the connection breaks.
+                let _ = sender.send(Err(std::io::ErrorKind::ConnectionReset.into())).await;
+                return;
+            }
+        }
+    });
+    let mut reply = Response::new(Either::Right(StreamBody::new(ReceiverStream::new(receiver))));
+    reply.headers_mut().insert(
+        hyper::header::CONTENT_TYPE,
+        hyper::header::HeaderValue::from_static("text/event-stream"),
+    );
+    reply
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod cloud_core;
 pub mod cloud_standin;
 pub mod connection_relay;
+pub mod deployment_standin;
 pub mod dev_cluster;
 pub mod engine_answer;
 pub mod engine_core;
