fleet and duties: cheap servers keep their places, a cut-off holder steps back

Change: reclaimable servers keep their places, peaks count for 10 s, and a host that hears fewer than half of the peers it heard leaves the duties to others. Each attempt logs what placed it and how old the directory was.

--- a/lib/src/gateway/backend_directory.rs
+++ b/lib/src/gateway/backend_directory.rs
@@ -159,6 +159,11 @@
         missing.into_iter().map(|id| self.set_absent(now, id)).collect()
     }
 
+    /// Returns the time since the last successful read, or `None` before the first.
+    pub fn read_age(&self, now: Timestamp) -> Option<Duration> {
+        self.read_at.map(|at| now.since(at))
+    }
+
     /// Returns a server.
     pub fn get(&self, key: ServerKey) -> Option<&BackendServer> {
         self.servers.get(key)
--- a/lib/src/gateway/duty_runner.rs
+++ b/lib/src/gateway/duty_runner.rs
@@ -56,6 +56,10 @@
             if self.state.leave.get().is_some() {
                 return self.leave().await;
             }
+            if self.is_cut_off() {
+                self.step_back().await;
+                continue;
+            }
             let sent_at = self.state.now();
             let generation = self.turn.borrow().generation();
             let outcome = self.store.renew_duty(generation).await;
@@ -81,6 +85,21 @@
         }
     }
 
+    /// Returns whether this host hears too few others to know the counts and demand of all.
+    fn is_cut_off(&self) -> bool {
+        self.state.peers.borrow().is_cut_off(self.state.now())
+    }
+
+    /// Leaves the duties to hosts that hear more of the others, until this one hears them again.
+    async fn step_back(&self) {
+        log::info!("event=duty_stepped_back generation={}", self.turn.borrow().generation());
+        self.leave().await;
+        self.turn.borrow_mut().on_left();
+        while self.is_cut_off() {
+            tokio::time::sleep(DUTY_PERIOD).await;
+        }
+    }
+
     /// Hands the duties on when the host stops, so that another holds them at once.
     async fn leave(&self) {
         if let Err(error) = self.store.leave_duty().await {
--- a/lib/src/gateway/duty_turn.rs
+++ b/lib/src/gateway/duty_turn.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// Records that this host left the group.
+    pub fn on_left(&mut self) {
+        self.held = None;
+    }
+
     /// Returns the fencing number to act with now, if the host may act.
     pub fn may_act(&self, now: Timestamp) -> Option<FencingNumber> {
         let turn = self.held?;
--- a/lib/src/gateway/fleet_size.rs
+++ b/lib/src/gateway/fleet_size.rs
@@ -26,8 +26,9 @@
 /// Part of a server's capacity that demand may use, so that waves within seconds find room.
 const TARGET_USE: f64 = 0.6;
 
-/// Time for which the largest demand decides.
-const PEAK_MEMORY: Duration = Duration::from_secs(20);
+/// Time for which the largest demand decides: servers are back within a start's time, and each
+/// second of the ones that a short peak asked for costs as much as one that is needed.
+const PEAK_MEMORY: Duration = Duration::from_secs(10);
 
 /// Time after the first demand until it is taken for known.
 const UNKNOWN_DEMAND_TIME: Duration = Duration::from_secs(6);
@@ -200,7 +201,8 @@
     };
     let zones = ordinary.into_iter().map(|(zone, ordinary)| {
         let room = bounds.max.saturating_sub(ordinary);
-        (zone, ZoneFleet { ordinary, reclaimable: reclaimable.min(room) })
+        let reclaimable = reclaimable.min(room);
+        (zone, ZoneFleet { ordinary, reclaimable })
     });
     zones.collect()
 }
@@ -216,28 +218,31 @@
 }
 
 /// Spreads ordinary servers: those that are there stay, and more go to the emptiest zones, the
-/// cheapest first.
+/// cheapest first. Reclaimable servers that are there keep their places.
 fn spread_ordinary(
     bounds: &FleetBounds,
     count: u32,
     present: &BTreeMap<ZoneName, ZoneFleet>,
     min: u32,
 ) -> BTreeMap<ZoneName, u32> {
+    let there = |zone: &ZoneName| present.get(zone).copied().unwrap_or_default();
+    let room = |zone: &ZoneName| match min {
+        0 => bounds.max.saturating_sub(there(zone).reclaimable),
+        _ => bounds.max,
+    };
     let mut zones: Vec<(&ZoneName, u32)> =
         bounds.zone_prices.keys().map(|zone| (zone, min)).collect();
     zones.sort_by(|a, b| bounds.zone_prices[a.0].total_cmp(&bounds.zone_prices[b.0]));
     let mut rest = count.saturating_sub(zones.iter().map(|(_, count)| count).sum());
     for (zone, planned) in &mut zones {
-        let there = present.get(*zone).map_or(0, |fleet| fleet.ordinary).min(bounds.max);
-        let kept = there.saturating_sub(*planned).min(rest);
+        let stays = there(zone).ordinary.min(room(zone));
+        let kept = stays.saturating_sub(*planned).min(rest);
         *planned += kept;
         rest -= kept;
     }
     while rest > 0 {
-        let emptiest = zones.iter_mut().min_by_key(|(_, planned)| *planned);
-        let Some((_, planned)) = emptiest.filter(|(_, planned)| *planned < bounds.max) else {
-            break;
-        };
+        let with_room = zones.iter_mut().filter(|(zone, planned)| *planned < room(zone));
+        let Some((_, planned)) = with_room.min_by_key(|(_, planned)| *planned) else { break };
         *planned += 1;
         rest -= 1;
     }
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -116,6 +116,12 @@
         }
     }
 
+    /// Returns whether this host no longer hears half of the peers that it heard before.
+    pub fn is_cut_off(&self, now: Timestamp) -> bool {
+        let heard_before = self.contacts.values().any(|contact| contact.heard_at.is_some());
+        heard_before && matches!(self.sight(now), PeerSight::Minority { .. })
+    }
+
     /// Returns the number of peers heard lately.
     pub fn heard(&self, now: Timestamp) -> usize {
         let is_heard =
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -311,12 +311,13 @@
             if now >= ends_at {
                 return self.end(&request, &plan, plan.on_timeout(false));
             }
-            let (key, uncached) = match self.place(now, &request, plan.tried()) {
+            let placed = match self.place(now, &request, plan.tried()) {
                 Ok(placed) => placed,
                 Err(reason) if plan.sent() == 0 => return self.refuse_accepted(&request, reason),
                 Err(_) => return self.relay_or_end(&request, &plan, failed_answer),
             };
-            let attempt = ServerAttempt::begin(&self.state, &request, key, uncached);
+            let key = placed.key;
+            let attempt = ServerAttempt::begin(&self.state, &request, placed);
             let Some(attempt) = attempt else {
                 // The server left between the choice and the attempt.
                 plan.on_failure(now, key, AttemptFailure::Unsent);
@@ -387,7 +388,7 @@
         now: Timestamp,
         request: &AcceptedRequest,
         tried: &[ServerKey],
-    ) -> Result<(ServerKey, u64), RefusalReason> {
+    ) -> Result<PlacedServer, RefusalReason> {
         place_request(&self.state, now, request, tried)
     }
 
@@ -414,7 +415,9 @@
         key: ServerKey,
         answer: Response<Bytes>,
     ) -> GatewayReply {
-        let detail = format!("server={key:?} status={}", answer.status().as_u16());
+        let directory = self.state.directory.borrow();
+        let server = directory.get(key).map_or("gone", |server| server.entry.id.as_str());
+        let detail = format!("server={server} status={}", answer.status().as_u16());
         let elapsed = self.state.now().since(request.arrived_at).as_secs_f64();
         let kind = [kind_label(request.route.kind)];
         self.state.metrics.first_byte.with_label_values(&kind).observe(elapsed);
@@ -508,13 +511,24 @@
     Ok((route.clone(), team, service.clone()))
 }
 
-/// Chooses a server for an attempt; returns it with the prompt tokens that it has to read.
+/// A server that was chosen for an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlacedServer {
+    /// Its key.
+    pub key: ServerKey,
+    /// Requests that run there, all hosts together.
+    pub running: u32,
+    /// Prompt tokens that it has to read for the request.
+    pub uncached_tokens: u64,
+}
+
+/// Chooses a server for an attempt.
 pub fn place_request(
     state: &GatewayState,
     now: Timestamp,
     request: &AcceptedRequest,
     tried: &[ServerKey],
-) -> Result<(ServerKey, u64), RefusalReason> {
+) -> Result<PlacedServer, RefusalReason> {
     let hosts = u32::try_from(state.peers.borrow().heard(now) + 1).unwrap_or(u32::MAX);
     let config = state.config.borrow().current().cloned();
     let rule = config.as_ref().and_then(|config| config.services.get(&request.service));
@@ -528,7 +542,9 @@
     };
     let choice = state.board.borrow().choose(now, &state.directory.borrow(), &query);
     match choice {
-        PlacementChoice::Server { key, uncached_tokens, .. } => Ok((key, uncached_tokens)),
+        PlacementChoice::Server { key, running, uncached_tokens } => {
+            Ok(PlacedServer { key, running, uncached_tokens })
+        }
         PlacementChoice::Full => Err(RefusalReason::retry(ResultCode::QueueFull, FULL_RETRY)),
         PlacementChoice::NoServer => {
             Err(RefusalReason::retry(ResultCode::NoServer, NO_SERVER_RETRY))
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -17,6 +17,7 @@
 use crate::gateway::edges::WireDialect;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::request_runner::AcceptedRequest;
+use crate::gateway::request_runner::PlacedServer;
 use crate::gateway::request_runner::on_begun;
 use crate::gateway::request_runner::on_demand;
 use crate::gateway::request_runner::on_evidence;
@@ -45,15 +46,22 @@
     pub fn begin(
         state: &Rc<GatewayState>,
         request: &AcceptedRequest,
-        key: ServerKey,
-        uncached_tokens: u64,
+        placed: PlacedServer,
     ) -> Option<Self> {
-        let (id, address) = {
+        let PlacedServer { key, running, uncached_tokens } = placed;
+        let now = state.now();
+        let (id, address, read_age) = {
             let directory = state.directory.borrow();
             let server = directory.get(key)?;
-            (server.entry.id.clone(), server.entry.address)
+            (server.entry.id.clone(), server.entry.address, directory.read_age(now))
         };
-        let now = state.now();
+        log::info!(
+            "event=attempt_started request={} server={id} running={running} \
+             uncached_tokens={uncached_tokens} directory_age_ms={} peers={}",
+            request.head.request_id,
+            read_age.unwrap_or_default().as_millis(),
+            state.peers.borrow().heard(now),
+        );
         let prompt = request.head.prompt.as_ref();
         state.board.borrow_mut().on_sent(now, key, prompt, uncached_tokens);
         on_demand(state, request, uncached_tokens);
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -211,10 +211,9 @@
             {
                 return None;
             }
-            let (next, uncached) =
-                place_request(&self.state, now, &self.request, self.plan.tried()).ok()?;
-            key = next;
-            let attempt = ServerAttempt::begin(&self.state, &self.request, key, uncached)?;
+            let placed = place_request(&self.state, now, &self.request, self.plan.tried()).ok()?;
+            key = placed.key;
+            let attempt = ServerAttempt::begin(&self.state, &self.request, placed)?;
             let ends_at: Timestamp = self.plan.ends_at();
             let silence = Some(self.silence_limit(true));
             log::info!(
