--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -110,9 +110,9 @@
         let known = u32::try_from(known).unwrap_or(u32::MAX);
         // A host that never heard any cannot tell whether it is cut off, or the only one.
         if known == 0 || (heard + 1) * 2 <= known + 1 {
-            PeerSight::Minority { group: heard + 1 }
+            PeerSight::Minority { group: heard + 1, known: known + 1 }
         } else {
-            PeerSight::Majority { silent: known.saturating_sub(heard) }
+            PeerSight::Majority { silent: known.saturating_sub(heard), known: known + 1 }
         }
     }
 
--- a/lib/src/gateway/quota_share.rs
+++ b/lib/src/gateway/quota_share.rs
@@ -5,8 +5,8 @@
 //! its peers a fraction of a second late. Well below the quota a host admits freely; near it each host
 //! keeps to a part of the quota in proportion to the demand that it sees, so that hosts do not all
 //! spend the same room. What a host may spend before its peers hear of it is bounded, since it
-//! tells them as soon as a part of the quota was asked for. Hosts that hear fewer than half of the
-//! others keep to small parts, which the others leave free for hosts that they no longer hear.
+//! tells them as soon as a part of the quota was asked for. Hosts that lose sight of each other keep
+//! to the parts of the hosts that they hear, an equal one for each host.
 //!
 //! Hosts may all be lost at once, so what was spent of a quota is recorded in the store while much
 //! of it is. A host that starts takes the records for its peers' spending, and what may have been
@@ -28,12 +28,9 @@
 /// at once, in the time that news takes, must fit into the rest.
 const FREE_PART: f64 = 0.6;
 
-/// Part of the quota that a host may use which hears fewer than half of the others.
+/// Part of the quota that a host may use which has not heard of any other, and may be one of many.
 const ALONE_PART: f64 = 0.06;
 
-/// Part of the quota that hosts keep for themselves however many others are silent.
-const LEAST_MAJORITY_PART: f64 = 0.4;
-
 /// Part of the quota from which on its spending is recorded.
 const RECORD_PART: f64 = 0.4;
 
@@ -82,11 +79,15 @@
     Minority {
         /// Hosts that hear one another, this one included.
         group: u32,
+        /// Hosts that were heard lately, this one included.
+        known: u32,
     },
     /// Half or more.
     Majority {
-        /// Hosts that were heard before and no longer are.
+        /// Hosts that were heard lately and no longer are.
         silent: u32,
+        /// Hosts that were heard lately, this one included.
+        known: u32,
     },
 }
 
@@ -94,10 +95,9 @@
     /// Returns the part of a quota that the hosts in sight may spend together.
     fn available_part(self) -> f64 {
         match self {
-            Self::Minority { group } => ALONE_PART * f64::from(group),
-            Self::Majority { silent } => {
-                (1.0 - ALONE_PART * f64::from(silent)).max(LEAST_MAJORITY_PART)
-            }
+            Self::Minority { known: 0 | 1, .. } => ALONE_PART,
+            Self::Minority { group, known } => f64::from(group) / f64::from(known),
+            Self::Majority { silent, known } => 1.0 - f64::from(silent) / f64::from(known.max(1)),
         }
     }
 }
--- a/lib/tests/test_peer_table.rs
+++ b/lib/tests/test_peer_table.rs
@@ -64,18 +64,22 @@
 #[test]
 fn sides_of_cut() {
     let mut table = PeerTable::new(host("h1"));
-    assert_eq!(table.sight(at(0)), PeerSight::Minority { group: 1 }, "nobody was heard yet");
+    assert_eq!(
+        table.sight(at(0)),
+        PeerSight::Minority { group: 1, known: 1 },
+        "nobody was heard yet"
+    );
     assert!(!table.is_cut_off(at(0)), "it may be the only host");
     for (index, name) in ["h2", "h3", "h4", "h5"].iter().enumerate() {
         table.on_summary(at(index as u64), summary(name, 1, 1, 0));
     }
-    assert_eq!(table.sight(at(100)), PeerSight::Majority { silent: 0 });
+    assert_eq!(table.sight(at(100)), PeerSight::Majority { silent: 0, known: 5 });
     // Two go on; then one alone.
     table.on_summary(at(2_000), summary("h2", 1, 2, 0));
     table.on_summary(at(2_000), summary("h3", 1, 2, 0));
-    assert_eq!(table.sight(at(2_100)), PeerSight::Majority { silent: 2 });
+    assert_eq!(table.sight(at(2_100)), PeerSight::Majority { silent: 2, known: 5 });
     table.on_summary(at(4_000), summary("h2", 1, 3, 0));
-    assert_eq!(table.sight(at(4_100)), PeerSight::Minority { group: 2 });
+    assert_eq!(table.sight(at(4_100)), PeerSight::Minority { group: 2, known: 5 });
     assert!(table.is_cut_off(at(4_100)));
 }
 
--- a/lib/tests/test_quota_share.rs
+++ b/lib/tests/test_quota_share.rs
@@ -107,9 +107,11 @@
                 let units = rng.random_range(100..2 * MEAN_REQUEST_UNITS);
                 asked += units;
                 let sight = match (trouble, is_cut(host)) {
-                    (_, true) if at_ms > 4_000 => PeerSight::Minority { group: 1 },
-                    (Trouble::Cut, false) if at_ms > 4_000 => PeerSight::Majority { silent: 2 },
-                    _ => PeerSight::Majority { silent: 0 },
+                    (_, true) if at_ms > 4_000 => PeerSight::Minority { group: 1, known: 7 },
+                    (Trouble::Cut, false) if at_ms > 4_000 => {
+                        PeerSight::Majority { silent: 2, known: 7 }
+                    }
+                    _ => PeerSight::Majority { silent: 0, known: 7 },
                 };
                 let verdict = shares[host].admit(now, &team(), QUOTA, units, sight);
                 if verdict == QuotaVerdict::Admitted {
@@ -209,7 +211,7 @@
     for share in &mut shares {
         for at_ms in (0..8_000).step_by(10) {
             let now = Timestamp::from_millis(at_ms);
-            let sight = PeerSight::Majority { silent: 0 };
+            let sight = PeerSight::Majority { silent: 0, known: 7 };
             if share.admit(now, &team(), QUOTA, 6_000, sight) == QuotaVerdict::Admitted {
                 spent += 6_000;
             }
@@ -222,7 +224,7 @@
 fn returned_units() {
     let mut share = new_share();
     let now = Timestamp::from_millis(0);
-    let sight = PeerSight::Minority { group: 1 };
+    let sight = PeerSight::Minority { group: 1, known: 7 };
     while share.admit(now, &team(), QUOTA, 1_000, sight) == QuotaVerdict::Admitted {}
     share.give_back(&team(), 1_000);
     assert_eq!(share.admit(now, &team(), QUOTA, 1_000, sight), QuotaVerdict::Admitted);
@@ -231,7 +233,7 @@
 #[test]
 fn room_comes_back() {
     let mut share = new_share();
-    let sight = PeerSight::Minority { group: 1 };
+    let sight = PeerSight::Minority { group: 1, known: 7 };
     let start = Timestamp::from_millis(0);
     let retry_after = loop {
         match share.admit(start, &team(), QUOTA, 1_000, sight) {
