--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -5,6 +5,7 @@
 //! clocks. What a platform's wire looks like is the business of the crate that implements the
 //! traits of [`edges`].
 
+pub mod accepted_request;
 pub mod attempt_plan;
 pub mod backend_directory;
 pub mod call_pool;
--- a/lib/src/gateway/gateway_host.rs
+++ b/lib/src/gateway/gateway_host.rs
@@ -87,6 +87,22 @@
     spawn_local(caller_door::serve_callers(front, state.clone(), runner, closing));
     spawn_local(caller_door::serve_readiness(ready, state.clone()));
     spawn_local(caller_door::serve_metrics(metrics, state.clone()));
+    follow_store(&state, &store);
+    exchange_summaries(&state, &store, socket);
+    perform_duties(&state, store, cloud);
+
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => reload(&state, &*edges.reload),
+        }
+    }
+    leave(&state, close).await;
+    Ok(())
+}
+
+/// Keeps configuration and directory up to date.
+fn follow_store<S: ControlStore + 'static>(state: &Rc<GatewayState>, store: &Rc<S>) {
     keep_running("config", {
         let (state, store) = (state.clone(), store.clone());
         move || store_follower::follow_config(state.clone(), store.clone())
@@ -95,6 +111,14 @@
         let (state, store) = (state.clone(), store.clone());
         move || store_follower::follow_directory(state.clone(), store.clone())
     });
+}
+
+/// Exchanges cards, spending and summaries with the other hosts.
+fn exchange_summaries<S: ControlStore + 'static>(
+    state: &Rc<GatewayState>,
+    store: &Rc<S>,
+    socket: Rc<UdpSocket>,
+) {
     keep_running("cards", {
         let (state, store) = (state.clone(), store.clone());
         move || peer_gossip::exchange_cards(state.clone(), store.clone())
@@ -111,21 +135,20 @@
         let state = state.clone();
         move || peer_gossip::receive_summaries(state.clone(), socket.clone())
     });
+}
+
+/// Shares the duties with the other hosts.
+fn perform_duties<S, C>(state: &Rc<GatewayState>, store: Rc<S>, cloud: Rc<C>)
+where
+    S: ControlStore + 'static,
+    C: CloudDuties + 'static,
+{
     let desk = Rc::new(DutyDesk::new(state.clone(), store, cloud));
     keep_running("perform_duties", {
         let desk = desk.clone();
         move || desk.clone().perform()
     });
     spawn_local(desk.renew());
-
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = hangup.recv() => reload(&state, &*edges.reload),
-        }
-    }
-    leave(&state, close).await;
-    Ok(())
 }
 
 async fn bind_tcp(address: std::net::SocketAddr) -> anyhow::Result<TcpListener> {
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -24,6 +24,7 @@
 use crate::ids::Incarnation;
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
+use crate::ids::ServiceName;
 use crate::timestamp::ProcessClock;
 use crate::timestamp::Timestamp;
 use crate::timestamp::wall_clock_ms;
@@ -113,6 +114,17 @@
         self.leave.get().is_none() && self.config.borrow().current().is_some()
     }
 
+    /// Takes a retry out of this host's share of a service's budget; returns whether it may be made.
+    pub fn try_retry(&self, now: Timestamp, service: &ServiceName) -> bool {
+        let hosts = self.peers.borrow().known_hosts();
+        let granted = self.retries.borrow_mut().try_spend(now, service, hosts);
+        if !granted {
+            self.metrics.events.with_label_values(&["retry_budget_empty"]).inc();
+            log::info!("event=retry_budget_empty service={service} hosts={hosts}");
+        }
+        granted
+    }
+
     /// Records that a server's process is gone.
     pub fn on_server_gone(&self, server: &ServerId) {
         let suspects = self.crashes.borrow_mut().on_gone(self.now(), server);
--- a/lib/src/gateway/peer_gossip.rs
+++ b/lib/src/gateway/peer_gossip.rs
@@ -180,12 +180,18 @@
         log::info!("event=peers_changed heard={heard}");
     }
     for sight in crashes {
-        let Ok(server) = ServerId::try_from(sight.server) else { continue };
+        let Ok(server) = ServerId::try_from(sight.server) else {
+            log::warn!("event=crash_sight_skipped code=404");
+            continue;
+        };
         state.crashes.borrow_mut().on_sight(now, WorkPrint(sight.fingerprint), server);
     }
     let mut ledger = state.ledger.borrow_mut();
     for window in windows {
-        let Ok(host) = HostId::try_from(window.host.as_str()) else { continue };
+        let Ok(host) = HostId::try_from(window.host.as_str()) else {
+            log::warn!("event=usage_window_skipped code=404");
+            continue;
+        };
         let life = (host, Incarnation(window.incarnation));
         if life == state.life {
             continue;
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -116,6 +116,11 @@
         }
     }
 
+    /// Returns the number of hosts that were heard or listed lately, this one included.
+    pub fn known_hosts(&self) -> u32 {
+        u32::try_from(self.contacts.len() + 1).unwrap_or(u32::MAX)
+    }
+
     /// Returns whether this host no longer hears half of the peers that it heard before.
     pub fn is_cut_off(&self, now: Timestamp) -> bool {
         let heard_before = self.contacts.values().any(|contact| contact.heard_at.is_some());
--- a/lib/src/gateway/retry_share.rs
+++ b/lib/src/gateway/retry_share.rs
@@ -11,9 +11,11 @@
 use crate::ids::ServiceName;
 use crate::timestamp::Timestamp;
 
-/// Part of the common allowance that one life of one host may spend: hosts of one window, restarted
-/// ones included, are taken to be this many at most.
-const ALLOWANCE_PARTS: f64 = 16.0;
+/// Parts that the common allowance is divided into at least; hosts that start know of no other.
+const LEAST_ALLOWANCE_PARTS: f64 = 16.0;
+
+/// Parts of the allowance for each known host, since each may be restarted within a window.
+const PARTS_PER_HOST: f64 = 2.0;
 
 /// Part of the ratio that is spent; the rest covers requests that the window's edge cuts off.
 const RATIO_MARGIN: f64 = 0.8;
@@ -54,11 +56,14 @@
     }
 
     /// Takes one retry out of the share; returns whether it was granted.
-    pub fn try_spend(&mut self, now: Timestamp, service: &ServiceName) -> bool {
+    ///
+    /// `hosts` is the number of hosts that share the allowance, as far as this one knows.
+    pub fn try_spend(&mut self, now: Timestamp, service: &ServiceName, hosts: u32) -> bool {
         let bounds = self.bounds;
+        let parts = (f64::from(hosts) * PARTS_PER_HOST).max(LEAST_ALLOWANCE_PARTS);
         let window = self.window(now, service);
-        let limit = bounds.ratio * RATIO_MARGIN * window.requests.len() as f64
-            + bounds.allowance / ALLOWANCE_PARTS;
+        let limit =
+            bounds.ratio * RATIO_MARGIN * window.requests.len() as f64 + bounds.allowance / parts;
         if (window.retries.len() + 1) as f64 > limit {
             return false;
         }
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -10,18 +10,18 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
+use crate::gateway::accepted_request::AcceptedRequest;
+use crate::gateway::accepted_request::PlacedServer;
+use crate::gateway::accepted_request::on_begun;
+use crate::gateway::accepted_request::on_demand;
+use crate::gateway::accepted_request::on_evidence;
+use crate::gateway::accepted_request::passed_headers;
 use crate::gateway::attempt_plan::AttemptFailure;
 use crate::gateway::call_pool::CallError;
 use crate::gateway::call_pool::PooledConnection;
 use crate::gateway::edges::AnswerVerdict;
 use crate::gateway::edges::WireDialect;
 use crate::gateway::gateway_state::GatewayState;
-use crate::gateway::request_runner::AcceptedRequest;
-use crate::gateway::request_runner::PlacedServer;
-use crate::gateway::request_runner::on_begun;
-use crate::gateway::request_runner::on_demand;
-use crate::gateway::request_runner::on_evidence;
-use crate::gateway::request_runner::passed_headers;
 use crate::gateway::server_health::HealthEvidence;
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
@@ -97,8 +97,8 @@
     pub resume_after: Option<u64>,
 }
 
-/// A stream whose head has arrived.
-pub struct OpenStream {
+/// An answer whose head has arrived.
+pub struct OpenAnswer {
     /// The attempt.
     pub attempt: ServerAttempt,
     /// The answer.
@@ -112,7 +112,7 @@
     /// The whole answer, to be relayed.
     Whole(Response<Bytes>),
     /// The head of a stream.
-    Stream(Box<OpenStream>),
+    Stream(Box<OpenAnswer>),
     /// It failed; a server's own failure comes with its answer.
     Failed(AttemptFailure, Option<Response<Bytes>>),
     /// The request's time was over first.
@@ -155,7 +155,7 @@
 
 async fn exchange<W: WireDialect>(
     wire: &W,
-    mut attempt: ServerAttempt,
+    attempt: ServerAttempt,
     request: &AcceptedRequest,
     resume_after: Option<u64>,
     time_left: Duration,
@@ -188,12 +188,26 @@
         && head.status.is_success()
     {
         let response = Response::from_parts(head, body);
-        return AttemptAnswer::Stream(Box::new(OpenStream { attempt, response, connection }));
+        return AttemptAnswer::Stream(Box::new(OpenAnswer { attempt, response, connection }));
     }
     if verdict == AnswerVerdict::Unusable {
         log_failure(&state, request, &attempt, AttemptFailure::Lost, "unusable answer");
         return AttemptAnswer::Failed(AttemptFailure::Lost, None);
     }
+    let response = Response::from_parts(head, body);
+    let open = OpenAnswer { attempt, response, connection };
+    read_whole(&state, request, verdict, open).await
+}
+
+/// Reads an answer that is not relayed event by event.
+async fn read_whole(
+    state: &GatewayState,
+    request: &AcceptedRequest,
+    verdict: AnswerVerdict,
+    open: OpenAnswer,
+) -> AttemptAnswer {
+    let OpenAnswer { mut attempt, response, connection } = open;
+    let (head, body) = response.into_parts();
     let whole = match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
         Ok(collected) => collected.to_bytes(),
         Err(error) => {
@@ -201,7 +215,7 @@
                 AnswerVerdict::Failure(failure) => failure,
                 AnswerVerdict::Answer | AnswerVerdict::Unusable => AttemptFailure::Lost,
             };
-            log_failure(&state, request, &attempt, failure, &error.to_string());
+            log_failure(state, request, &attempt, failure, &error.to_string());
             return AttemptAnswer::Failed(failure, None);
         }
     };
@@ -212,16 +226,16 @@
     *answer.headers_mut() = passed_headers(&head.headers);
     match verdict {
         AnswerVerdict::Failure(failure) => {
-            log_failure(&state, request, &attempt, failure, head.status.as_str());
+            log_failure(state, request, &attempt, failure, head.status.as_str());
             // Only a failure of work that ran may be relayed; the others are the gateway's to tell.
             let ran = failure == AttemptFailure::Failed;
             if ran {
-                on_begun(&state, request);
+                on_begun(state, request);
             }
             AttemptAnswer::Failed(failure, ran.then_some(answer))
         }
         AnswerVerdict::Answer | AnswerVerdict::Unusable => {
-            on_begun(&state, request);
+            on_begun(state, request);
             AttemptAnswer::Whole(answer)
         }
     }
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -13,6 +13,14 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use crate::gateway::accepted_request::AcceptedRequest;
+use crate::gateway::accepted_request::RunningGuard;
+use crate::gateway::accepted_request::kind_label;
+use crate::gateway::accepted_request::log_end;
+use crate::gateway::accepted_request::on_begun;
+use crate::gateway::accepted_request::on_evidence;
+use crate::gateway::accepted_request::passed_headers;
+use crate::gateway::accepted_request::place_request;
 use crate::gateway::attempt_plan::AttemptFailure;
 use crate::gateway::attempt_plan::AttemptPlan;
 use crate::gateway::attempt_plan::AttemptStep;
@@ -24,16 +32,8 @@
 use crate::gateway::reply_body::GatewayReply;
 use crate::gateway::reply_body::RelayedPiece;
 use crate::gateway::reply_body::relayed_body;
-use crate::gateway::request_runner::AcceptedRequest;
-use crate::gateway::request_runner::RunningGuard;
-use crate::gateway::request_runner::kind_label;
-use crate::gateway::request_runner::log_end;
-use crate::gateway::request_runner::on_begun;
-use crate::gateway::request_runner::on_evidence;
-use crate::gateway::request_runner::passed_headers;
-use crate::gateway::request_runner::place_request;
 use crate::gateway::server_attempt::AttemptAnswer;
-use crate::gateway::server_attempt::OpenStream;
+use crate::gateway::server_attempt::OpenAnswer;
 use crate::gateway::server_attempt::ServerAttempt;
 use crate::gateway::server_attempt::on_lost;
 use crate::gateway::server_attempt::send_attempt;
@@ -79,7 +79,7 @@
         (state, wire): (Rc<GatewayState>, Rc<W>),
         request: Rc<AcceptedRequest>,
         plan: AttemptPlan,
-        stream: OpenStream,
+        stream: OpenAnswer,
         guard: RunningGuard,
     ) -> GatewayReply {
         let (pieces, body) = relayed_body();
@@ -97,7 +97,7 @@
         reply
     }
 
-    async fn run(mut self, stream: OpenStream) {
+    async fn run(mut self, stream: OpenAnswer) {
         let mut stream = stream;
         loop {
             let key = stream.attempt.key;
@@ -131,8 +131,8 @@
     }
 
     /// Relays what one server sends.
-    async fn relay_part(&mut self, stream: OpenStream) -> PartEnd {
-        let OpenStream { mut attempt, response, connection } = stream;
+    async fn relay_part(&mut self, stream: OpenAnswer) -> PartEnd {
+        let OpenAnswer { mut attempt, response, connection } = stream;
         let mut body = response.into_body();
         let mut splitter = EventSplitter::default();
         let mut first = true;
@@ -199,7 +199,7 @@
     }
 
     /// Opens the rest of the stream at another server, if that is allowed and one is found.
-    async fn resume(&mut self, lost: crate::ids::ServerKey) -> Option<OpenStream> {
+    async fn resume(&mut self, lost: crate::ids::ServerKey) -> Option<OpenAnswer> {
         let mut failure = AttemptFailure::Lost;
         let mut key = lost;
         loop {
@@ -207,7 +207,7 @@
             let step = self.plan.on_failure(now, key, failure);
             if !matches!(step, AttemptStep::TryAnother { .. })
                 || self.state.crashes.borrow().is_refused(self.request.print)
-                || !self.state.retries.borrow_mut().try_spend(now, &self.request.service)
+                || !self.state.try_retry(now, &self.request.service)
             {
                 return None;
             }
