gateway: ready once spending is known, and patience with servers that may answer in time

Change: a host is ready once it read the records, asks its peers for summaries at once, and the silence that moves a request is never shorter than its goal.

--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -65,6 +65,8 @@
     pub spending_hint: Notify,
     /// Rung when this host's spending should be recorded.
     pub record_hint: Notify,
+    /// Whether what was spent of quotas before this host's start was read, or cannot be.
+    pub spending_known: Cell<bool>,
     /// Planned stop, once one was asked for.
     pub leave: Cell<Option<LeavePlan>>,
     /// Requests that are not answered yet.
@@ -81,6 +83,7 @@
         if !settings.first_start {
             quotas.assume_spent(clock.now());
         }
+        let spending_known = Cell::new(settings.first_start);
         Self {
             clock,
             metrics,
@@ -97,6 +100,7 @@
             config_hint: Notify::new(),
             spending_hint: Notify::new(),
             record_hint: Notify::new(),
+            spending_known,
             leave: Cell::new(None),
             running: Cell::new(0),
             life,
@@ -111,7 +115,9 @@
 
     /// Returns whether the host takes new connections.
     pub fn is_ready(&self) -> bool {
-        self.leave.get().is_none() && self.config.borrow().current().is_some()
+        self.leave.get().is_none()
+            && self.spending_known.get()
+            && self.config.borrow().current().is_some()
     }
 
     /// Takes a retry out of this host's share of a service's budget; returns whether it may be made.
--- a/lib/src/gateway/peer_gossip.rs
+++ b/lib/src/gateway/peer_gossip.rs
@@ -72,6 +72,8 @@
             for card in cards {
                 state.peers.borrow_mut().on_card(now, card.host, card.address);
             }
+            // The others answer a host that is new to them at once.
+            state.spending_hint.notify_one();
         }
         let heard = state.peers.borrow().heard(now);
         let period = if heard == 0 { LONELY_CARD_PERIOD } else { CARD_PERIOD };
@@ -178,6 +180,7 @@
     let heard = state.peers.borrow().heard(now);
     if heard != known {
         log::info!("event=peers_changed heard={heard}");
+        state.spending_hint.notify_one();
     }
     for sight in crashes {
         let Ok(server) = ServerId::try_from(sight.server) else {
@@ -217,6 +220,8 @@
             take_in_records(&state, &records);
             break;
         }
+        // Serving with every quota taken for spent is better than not serving at all.
+        state.spending_known.set(true);
         pause.wait().await;
     }
     let mut watch = DependencyWatch::new("record_spending");
@@ -247,6 +252,7 @@
         }
     }
     state.quotas.borrow_mut().on_records_read();
+    state.spending_known.set(true);
     log::info!("event=spending_records_read count={} recent={recent}", records.len());
 }
 
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -108,8 +108,11 @@
         let heard = u32::try_from(self.heard(now)).unwrap_or(u32::MAX);
         let known = self.contacts.values().filter(|contact| contact.heard_at.is_some()).count();
         let known = u32::try_from(known).unwrap_or(u32::MAX);
-        // A host that never heard any cannot tell whether it is cut off, or the only one.
-        if known == 0 || (heard + 1) * 2 <= known + 1 {
+        if known == 0 {
+            // A host that never heard any cannot tell whether it is cut off, or the only one.
+            return PeerSight::Minority { group: 1, known: self.known_hosts() };
+        }
+        if (heard + 1) * 2 <= known + 1 {
             PeerSight::Minority { group: heard + 1, known: known + 1 }
         } else {
             PeerSight::Majority { silent: known.saturating_sub(heard), known: known + 1 }
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -113,7 +113,7 @@
         arrived_at: Timestamp,
     ) -> Result<AcceptedRequest, (CallerHead, RefusalReason)> {
         let config = self.state.config.borrow().current().cloned();
-        let Some(config) = config else {
+        let Some(config) = config.filter(|_| self.state.spending_known.get()) else {
             let reason = RefusalReason::retry(ResultCode::NotReady, NOT_READY_RETRY);
             return Err((head, reason));
         };
@@ -277,8 +277,10 @@
         if !request.route.kind.is_repeatable() || request.route.max_servers < 2 {
             return None;
         }
-        let by_goal = (request.route.latency_goal * SILENCE_PER_GOAL).max(LEAST_SILENCE);
-        Some(by_goal.min(ends_at.since(now) / SILENCE_PER_TIME_LEFT))
+        let goal = request.route.latency_goal;
+        // A server that may yet answer in time is not given up on.
+        let by_time_left = (ends_at.since(now) / SILENCE_PER_TIME_LEFT).max(goal);
+        Some((goal * SILENCE_PER_GOAL).max(LEAST_SILENCE).min(by_time_left))
     }
 
     fn may_repeat(&self, request: &AcceptedRequest, repeat: bool) -> bool {
--- a/lib/tests/test_peer_table.rs
+++ b/lib/tests/test_peer_table.rs
@@ -92,6 +92,7 @@
     table.on_card(at(0), host("h1"), "10.0.0.1:7600".parse().expect("valid in tests"));
     table.on_card(at(0), host("h2"), "10.0.0.2:7600".parse().expect("valid in tests"));
     assert_eq!(table.targets(), vec!["10.0.0.2:7600".parse().expect("valid in tests")]);
+    assert_eq!(table.sight(at(0)), PeerSight::Minority { group: 1, known: 2 });
     table.expire(at(60_000), Duration::from_secs(8));
     assert!(table.targets().is_empty());
 }
