--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -145,7 +145,12 @@
             DirectoryEffect::Joined(key) => ("server_joined", key),
             DirectoryEffect::Restarted(key) => ("server_restarted", key),
             DirectoryEffect::Leaving(key) => ("server_leaving", key),
-            DirectoryEffect::Gone(key) => ("server_gone", key),
+            DirectoryEffect::Gone(key) => {
+                // The removal was logged with the server's name when it was read.
+                self.metrics.events.with_label_values(&["server_gone"]).inc();
+                self.board.borrow_mut().remove(key);
+                return;
+            }
             DirectoryEffect::Unchanged => return,
         };
         match effect {
@@ -157,8 +162,8 @@
                     self.on_server_gone(&id);
                 }
             }
-            DirectoryEffect::Gone(_) => self.board.borrow_mut().remove(key),
-            DirectoryEffect::Leaving(_) | DirectoryEffect::Unchanged => {}
+            DirectoryEffect::Gone(_) | DirectoryEffect::Leaving(_) | DirectoryEffect::Unchanged => {
+            }
         }
         self.log_server(event, key);
     }
--- a/lib/src/gateway/log_writer.rs
+++ b/lib/src/gateway/log_writer.rs
@@ -11,10 +11,11 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use simplelog::ConfigBuilder;
 use simplelog::LevelFilter;
 use simplelog::WriteLogger;
 
+use crate::logging::line_config;
+
 /// Bytes that wait for being written, at most: some seconds of lines at full load.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 
@@ -89,14 +90,7 @@
 
     /// Makes this the process's log, one event a line with key=value fields.
     pub fn install(&self) -> std::result::Result<(), log::SetLoggerError> {
-        let config = ConfigBuilder::new()
-            .set_time_format_rfc3339()
-            .set_thread_level(LevelFilter::Off)
-            .set_target_level(LevelFilter::Off)
-            .set_location_level(LevelFilter::Off)
-            .add_filter_allow_str("pomelostack")
-            .build();
-        WriteLogger::init(LevelFilter::Info, config, self.clone())
+        WriteLogger::init(LevelFilter::Info, line_config(), self.clone())
     }
 }
 
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -87,7 +87,7 @@
         let guard = RunningGuard::new(&self.state);
         let arrived_at = self.state.now();
         let (parts, body) = request.into_parts();
-        let request_id = match self.wire.read_head(&parts) {
+        let head = match self.wire.read_head(&parts) {
             Ok(head) => head,
             Err(error) => {
                 let reason = RefusalReason::new(ResultCode::BadValue);
@@ -98,7 +98,7 @@
                 return self.refuse(None, "unknown", arrived_at, reason);
             }
         };
-        match self.accept(request_id, parts, body, arrived_at).await {
+        match self.accept(head, parts, body, arrived_at).await {
             Ok(accepted) => self.answer(Rc::new(accepted), guard).await,
             Err((head, reason)) => self.refuse(Some(&head), "unrouted", arrived_at, reason),
         }
@@ -234,7 +234,7 @@
                 AttemptAnswer::Whole(answer) => return self.deliver(&request, key, answer),
                 AttemptAnswer::Stream(stream) => {
                     return StreamRelay::start(
-                        self.clone_parts(),
+                        self.shared_parts(),
                         request.clone(),
                         plan,
                         *stream,
@@ -261,8 +261,8 @@
         }
     }
 
-    /// Returns shared handles for a relay that outlives this call.
-    fn clone_parts(&self) -> (Rc<GatewayState>, Rc<W>) {
+    /// Returns handles for a relay that outlives this call.
+    fn shared_parts(&self) -> (Rc<GatewayState>, Rc<W>) {
         (self.state.clone(), self.wire.clone())
     }
 
--- a/lib/src/logging.rs
+++ b/lib/src/logging.rs
@@ -6,6 +6,7 @@
 use std::fs::OpenOptions;
 use std::io::Write;
 
+use simplelog::Config;
 use simplelog::ConfigBuilder;
 use simplelog::LevelFilter;
 use simplelog::WriteLogger;
@@ -34,16 +35,20 @@
         Some(path) => Box::new(OpenOptions::new().create(true).append(true).open(path)?),
         None => Box::new(std::io::stderr()),
     };
-    let config = ConfigBuilder::new()
+    WriteLogger::init(level_filter(settings.level), line_config(), writer)?;
+    Ok(())
+}
+
+/// Returns the format of a line, and whose lines are written: those of this project.
+pub fn line_config() -> Config {
+    ConfigBuilder::new()
         .set_time_format_rfc3339()
         .set_thread_level(LevelFilter::Off)
         .set_target_level(LevelFilter::Off)
         .set_location_level(LevelFilter::Off)
         .add_filter_allow_str("pomelostack")
         .add_filter_allow_str("testutils")
-        .build();
-    WriteLogger::init(level_filter(settings.level), config, writer)?;
-    Ok(())
+        .build()
 }
 
 fn level_filter(level: LogLevel) -> LevelFilter {
