--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -122,7 +122,10 @@
     }
 
     async fn finish(self, code: ResultCode) {
-        let detail = format!("events={} attempts={}", self.relayed_events, self.plan.sent() + 1);
+        // The plan counts attempts that failed; any other end leaves one that did not.
+        let unfailed = u32::from(code != ResultCode::AttemptsLost);
+        let attempts = self.plan.sent() + unfailed;
+        let detail = format!("events={} attempts={attempts}", self.relayed_events);
         log_end(&self.state, &self.request, code, &detail);
         if code != ResultCode::Complete && code != ResultCode::CallerLost {
             // A caller that is gone at this very moment needs no sign of the break.
