leases: remove the leases on the log

The platform's store (PROTOCOL, groups of the log) gives a partition of a group one member at a time and a generation that only grows; DutyTurn takes both from there, and /usage and /scale check the number. No process held a lease on the log any more.

The same promise on the platform is tested by test_duty_turn. test_log_edge keeps its check that streams are apart with the stream of the configuration.

--- a/lib/gen-protos/src/main.rs
+++ b/lib/gen-protos/src/main.rs
@@ -11,7 +11,7 @@
 use anyhow::bail;
 
 /// Packages in the order in which `mod.rs` lists them; each has a file `<name>.proto`.
-const PACKAGES: [&str; 6] = ["admin", "claims", "config", "gateway", "leases", "peer"];
+const PACKAGES: [&str; 5] = ["admin", "claims", "config", "gateway", "peer"];
 
 /// Messages that are also the JSON form of configuration: an unknown field is an error.
 const JSON_MESSAGES: [&str; 8] = [
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -32,7 +32,7 @@
 pub mod weight_store;
 pub mod weight_store_client;
 
-// Idempotency and leases on the log.
+// Idempotency on the log.
 pub mod claim_checkpoint;
 pub mod claim_codec;
 pub mod claim_fold;
@@ -43,9 +43,6 @@
 pub mod claim_record;
 pub mod claim_verdict;
 pub mod claim_writer;
-pub mod lease;
-pub mod lease_codec;
-pub mod lease_keeper;
 
 // Configuration and administration.
 pub mod admin_access;
--- a/lib/src/log_service.rs
+++ b/lib/src/log_service.rs
@@ -21,8 +21,6 @@
     Config,
     /// Claims, voids and completions of idempotency keys.
     Claims,
-    /// Leases of duties that need one holder.
-    Leases,
 }
 
 impl LogStream {
@@ -31,7 +29,6 @@
         match self {
             Self::Config => "config",
             Self::Claims => "claims",
-            Self::Leases => "leases",
         }
     }
 }
--- a/lib/src/protos/mod.rs
+++ b/lib/src/protos/mod.rs
@@ -22,11 +22,6 @@
 pub mod gateway {
     include!("pomelostack.gateway.rs");
 }
-/// Records of the log stream "leases".
-#[rustfmt::skip]
-pub mod leases {
-    include!("pomelostack.leases.rs");
-}
 /// Messages between entry hosts.
 #[rustfmt::skip]
 pub mod peer {
--- a/lib/testutils/src/log_standin.rs
+++ b/lib/testutils/src/log_standin.rs
@@ -196,6 +196,6 @@
 
 fn stream_of(path: &str) -> Option<LogStream> {
     let name = path.strip_prefix("/streams/")?.strip_suffix("/records")?;
-    let all = [LogStream::Config, LogStream::Claims, LogStream::Leases];
+    let all = [LogStream::Config, LogStream::Claims];
     all.into_iter().find(|stream| stream.name() == name)
 }
