fleet: remove the planner of a fleet of hosts

The platform's cloud (DEPLOY, /scale) orders backend servers by zone and kind and gives no hosts, no prices per host class and no weight store to spread loads over. FleetSize decides those orders; no process ran the planner.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -10,8 +10,6 @@
 mod crash_containment;
 mod decision_cost;
 mod evacuation;
-mod fleet;
-mod fleet_plot;
 mod front_door;
 mod limits;
 mod membership;
@@ -48,8 +46,6 @@
     BenchCase { name: "crash-containment", run: crash_containment::run },
     BenchCase { name: "decision-cost", run: decision_cost::run },
     BenchCase { name: "evacuation", run: evacuation::run },
-    BenchCase { name: "fleet", run: fleet::run },
-    BenchCase { name: "fleet-plot", run: fleet_plot::run },
     BenchCase { name: "front-door", run: front_door::run },
     BenchCase { name: "limits", run: limits::run },
     BenchCase { name: "membership", run: membership::run },
