--- a/lib/src/gateway/backend_directory.rs
+++ b/lib/src/gateway/backend_directory.rs
@@ -92,6 +92,17 @@
     pub is_missing: bool,
 }
 
+/// A server whose entry stayed away.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ExpiredServer {
+    /// Its former key.
+    pub key: ServerKey,
+    /// Identity.
+    pub id: ServerId,
+    /// Record of its removal, unless a complete listing showed it.
+    pub offset: Option<LogOffset>,
+}
+
 /// The directory as this host knows it.
 #[derive(Clone, Debug, Default)]
 pub struct BackendDirectory {
@@ -100,8 +111,12 @@
     offsets: HashMap<ServerId, LogOffset>,
     /// Removals that wait for the end of the grace period.
     held: BTreeMap<ServerId, Timestamp>,
-    /// Last successful read.
+    /// This host's last successful read.
     read_at: Option<Timestamp>,
+    /// Last successful read of any host.
+    seen_at: Option<Timestamp>,
+    /// Until when failures of reads count as recent.
+    trouble_until: Option<Timestamp>,
     /// Until when removals are held back.
     grace_until: Option<Timestamp>,
 }
@@ -109,14 +124,28 @@
 impl BackendDirectory {
     /// Records a successful read of the store; a long gap before it starts the grace period.
     pub fn on_read(&mut self, now: Timestamp) {
-        if self.read_at.is_some_and(|at| now.since(at) >= STORE_AWAY_AFTER) {
+        self.read_at = Some(now);
+        self.on_peer_read(now, now);
+    }
+
+    /// Records that a peer read the store successfully at a time; as a first read after a long gap
+    /// it starts the grace period here as well.
+    pub fn on_peer_read(&mut self, now: Timestamp, at: Timestamp) {
+        if self.seen_at.is_some_and(|known| at.since(known) >= STORE_AWAY_AFTER) {
             self.grace_until = Some(now + RETURN_GRACE);
         }
-        self.read_at = Some(now);
+        self.seen_at = self.seen_at.max(Some(at));
+    }
+
+    /// Returns whether this host should read the directory as often as if it were alone: entries are
+    /// missing that may come back, or its own reads failed a moment ago.
+    pub fn is_unsettled(&self, now: Timestamp) -> bool {
+        !self.held.is_empty() || self.trouble_until.is_some_and(|until| until > now)
     }
 
     /// Records that the store refused or failed a read: what lapses now may come back.
     pub fn on_store_trouble(&mut self, now: Timestamp) {
+        self.trouble_until = Some(now + RETURN_GRACE);
         self.grace_until = Some(now + RETURN_GRACE);
     }
 
@@ -131,7 +160,7 @@
             DirectoryChange::Present(entry) => entry.id.clone(),
             DirectoryChange::Absent(id) => id.clone(),
         };
-        if self.offsets.get(&id).is_some_and(|known| *known >= offset) {
+        if !self.is_news(&id, offset) {
             return DirectoryEffect::Unchanged;
         }
         self.offsets.insert(id, offset);
@@ -141,15 +170,25 @@
         }
     }
 
-    /// Removes what has stayed away for the whole grace period; returns the keys.
-    pub fn expire(&mut self, now: Timestamp) -> Vec<ServerKey> {
+    /// Removes what has stayed away for the whole grace period.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<ExpiredServer> {
         let due: Vec<ServerId> = self
             .held
             .iter()
             .filter(|(_, until)| **until <= now)
             .map(|(id, _)| id.clone())
             .collect();
-        due.into_iter().filter_map(|id| self.remove(&id)).collect()
+        let remove = |id: ServerId| {
+            let offset = self.offsets.get(&id).copied();
+            let key = self.remove(&id)?;
+            Some(ExpiredServer { key, id, offset })
+        };
+        due.into_iter().filter_map(remove).collect()
+    }
+
+    /// Returns whether a record of a server is newer than what is known of it.
+    pub fn is_news(&self, id: &ServerId, offset: LogOffset) -> bool {
+        self.offsets.get(id).is_none_or(|known| *known < offset)
     }
 
     /// Treats servers that a complete listing does not name as removed.
@@ -159,7 +198,7 @@
         missing.into_iter().map(|id| self.set_absent(now, id)).collect()
     }
 
-    /// Returns the time since the last successful read, or `None` before the first.
+    /// Returns the time since this host's last successful read, or `None` before the first.
     pub fn read_age(&self, now: Timestamp) -> Option<Duration> {
         self.read_at.map(|at| now.since(at))
     }
--- /dev/null
+++ b/lib/src/gateway/directory_news.rs
@@ -0,0 +1,126 @@
+//! Changes of the directory that this host read a moment ago, for telling its peers, and how often
+//! it reads the directory itself.
+//!
+//! Load pattern: dozens of hosts follow a directory in which servers come and go by the dozen. If
+//! each host read it as often as one host alone must, the store's load would grow with the fleet. So
+//! the hosts take turns, and whoever reads a change tells the others with its next summaries.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::gateway::backend_directory::BackendEntry;
+use crate::gateway::backend_directory::DirectoryChange;
+use crate::gateway::backend_directory::ServingState;
+use crate::ids::LogOffset;
+use crate::ids::ServerId;
+use crate::ids::ServiceName;
+use crate::ids::ZoneName;
+use crate::protos::gateway::ServerChange;
+use crate::timestamp::Timestamp;
+
+/// Time for which a change is told: three summaries.
+const TELL_LIFE: Duration = Duration::from_millis(1_200);
+
+/// Changes in one summary at most; with about 90 bytes each they fill a quarter of a datagram. Peers
+/// that miss the others read the directory themselves.
+const MAX_TOLD: usize = 24;
+
+/// Hosts that read as often as one alone must; a larger fleet shares that number of reads.
+const READERS: u32 = 8;
+
+/// Longest stretch of a period: a change whose telling was lost is read by then.
+const LONGEST_STRETCH: u32 = 8;
+
+/// Returns by how much a host may stretch a period in which one host of a fleet should look at the
+/// store, if it hears from `hosts` hosts, itself included.
+pub fn read_stretch(hosts: u32) -> u32 {
+    hosts.div_ceil(READERS).clamp(1, LONGEST_STRETCH)
+}
+
+/// Changes to tell, oldest first.
+#[derive(Clone, Debug, Default)]
+pub struct DirectoryNews {
+    changes: VecDeque<(Timestamp, LogOffset, DirectoryChange)>,
+    /// Changes added since the start.
+    count: u64,
+}
+
+/// What a summary tells.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ToldChanges {
+    /// The last changes.
+    pub changes: Vec<ServerChange>,
+    /// Number of all changes so far.
+    pub count: u64,
+}
+
+impl DirectoryNews {
+    /// Adds a change that this host read and that had an effect.
+    pub fn on_change(&mut self, now: Timestamp, offset: LogOffset, change: DirectoryChange) {
+        self.count += 1;
+        self.changes.push_back((now, offset, change));
+        if self.changes.len() > MAX_TOLD {
+            self.changes.pop_front();
+        }
+    }
+
+    /// Returns what to tell now.
+    pub fn tell(&mut self, now: Timestamp) -> ToldChanges {
+        while self.changes.front().is_some_and(|(at, _, _)| now.since(*at) >= TELL_LIFE) {
+            self.changes.pop_front();
+        }
+        let encode =
+            |(_, offset, change): &(_, LogOffset, DirectoryChange)| encode_change(*offset, change);
+        ToldChanges { changes: self.changes.iter().map(encode).collect(), count: self.count }
+    }
+}
+
+/// Returns whether a peer read changes that this host was not told, by what it told last time and
+/// tells now.
+pub fn is_gap(known_count: Option<u64>, count: u64, told: usize) -> bool {
+    count.saturating_sub(told as u64) > known_count.unwrap_or(0)
+}
+
+fn encode_change(offset: LogOffset, change: &DirectoryChange) -> ServerChange {
+    match change {
+        DirectoryChange::Absent(id) => {
+            ServerChange { offset: offset.0, server: id.to_string(), ..ServerChange::default() }
+        }
+        DirectoryChange::Present(entry) => ServerChange {
+            offset: offset.0,
+            server: entry.id.to_string(),
+            service: entry.service.to_string(),
+            address: entry.address.to_string(),
+            zone: entry.zone.to_string(),
+            draining: entry.state == ServingState::Draining,
+            slots: entry.slots,
+            born_ms: entry.born_ms,
+            reclaimable: entry.reclaimable,
+            leaves_in_ms: entry.leaves_in.map(|left| left.as_millis() as u64),
+        },
+    }
+}
+
+/// Decodes a change that a peer told; `None` if it is malformed.
+pub fn decode_change(told: &ServerChange) -> Option<(LogOffset, DirectoryChange)> {
+    let id = ServerId::try_from(told.server.as_str()).ok()?;
+    let offset = LogOffset(told.offset);
+    if told.address.is_empty() {
+        return Some((offset, DirectoryChange::Absent(id)));
+    }
+    let address: SocketAddr = told.address.parse().ok()?;
+    let state = if told.draining { ServingState::Draining } else { ServingState::Ready };
+    let entry = BackendEntry {
+        id,
+        service: ServiceName::try_from(told.service.as_str()).ok()?,
+        address,
+        zone: ZoneName::try_from(told.zone.as_str()).ok()?,
+        state,
+        slots: told.slots,
+        born_ms: told.born_ms,
+        reclaimable: told.reclaimable,
+        leaves_in: told.leaves_in_ms.map(Duration::from_millis),
+    };
+    Some((offset, DirectoryChange::Present(entry)))
+}
--- a/lib/src/gateway/duty_runner.rs
+++ b/lib/src/gateway/duty_runner.rs
@@ -26,6 +26,7 @@
 use crate::ids::LogOffset;
 use crate::ids::ServiceName;
 use crate::ids::ZoneName;
+use crate::timestamp::Timestamp;
 use crate::timestamp::wall_clock_ms;
 
 /// Renewals of the membership in the validity of a grant: one may be lost.
@@ -52,12 +53,14 @@
     /// Keeps the membership of the group whose members share the duties.
     pub async fn renew(self: Rc<Self>) {
         let mut watch = DependencyWatch::new("renew_duty");
+        let mut cut_since = None;
         loop {
             if self.state.leave.get().is_some() {
                 return self.leave().await;
             }
-            if self.is_cut_off() {
+            if self.has_lost_sight(&mut cut_since) {
                 self.step_back().await;
+                cut_since = None;
                 continue;
             }
             let sent_at = self.state.now();
@@ -87,7 +90,20 @@
 
     /// Returns whether this host hears too few others to know the counts and demand of all.
     fn is_cut_off(&self) -> bool {
-        self.state.peers.borrow().is_cut_off(self.state.now())
+        let members = self.turn.borrow().members();
+        self.state.peers.borrow().is_cut_off_from(self.state.now(), members)
+    }
+
+    /// Returns whether this host has been cut off for longer than the group keeps dead members: until
+    /// then the others may have died, and the duties are nobody's but its own.
+    fn has_lost_sight(&self, cut_since: &mut Option<Timestamp>) -> bool {
+        if !self.is_cut_off() {
+            *cut_since = None;
+            return false;
+        }
+        let now = self.state.now();
+        let since = *cut_since.get_or_insert(now);
+        now.since(since) >= self.state.settings.borrow().duty.membership + DUTY_PERIOD
     }
 
     /// Leaves the duties to hosts that hear more of the others, until this one hears them again.
@@ -109,14 +125,15 @@
 
     /// Performs what is due while the host holds the duties.
     pub async fn perform(self: Rc<Self>) {
-        let settings = self.state.settings.borrow().clone();
-        let mut book = ReportBook::new(settings.usage_late);
+        let mut book = ReportBook::new(self.state.settings.borrow().usage_late);
         let mut fleets: BTreeMap<ServiceName, FleetSize> = BTreeMap::new();
         loop {
             tokio::time::sleep(DUTY_PERIOD).await;
             let now = self.state.now();
+            let settings = self.state.settings.borrow().clone();
+            self.turn.borrow_mut().set_bounds(settings.duty);
             self.observe_demand(&mut fleets);
-            if self.turn.borrow().may_act(now).is_none() {
+            if self.turn.borrow().may_act(now).is_none() || self.is_cut_off() {
                 book.distrust();
                 continue;
             }
--- a/lib/src/gateway/duty_turn.rs
+++ b/lib/src/gateway/duty_turn.rs
@@ -18,6 +18,18 @@
     pub generation: u64,
     /// Whether the duties are this host's.
     pub held: bool,
+    /// Partitions that are dealt to this host.
+    pub own_partitions: u32,
+    /// Partitions that are dealt evenly to all members.
+    pub all_partitions: u32,
+}
+
+impl DutyGrant {
+    /// Estimates the number of members, from the part of the partitions that is this host's. With
+    /// less than two of them there is no upper bound.
+    pub fn members(&self) -> Option<u32> {
+        (self.own_partitions >= 2).then(|| self.all_partitions / self.own_partitions)
+    }
 }
 
 /// Times that bound a turn.
@@ -27,6 +39,8 @@
     pub settling: Duration,
     /// Time after the sending of the last renewal for which a grant is good.
     pub validity: Duration,
+    /// Time without a renewal after which the group drops a member.
+    pub membership: Duration,
 }
 
 impl DutyBounds {
@@ -40,6 +54,7 @@
         Self {
             settling: Duration::from_millis(validity + millis / 2),
             validity: Duration::from_millis(validity),
+            membership: lease,
         }
     }
 }
@@ -68,6 +83,8 @@
 pub struct DutyTurn {
     bounds: DutyBounds,
     generation: u64,
+    /// Members of the group, as far as the last grant tells.
+    members: Option<u32>,
     held: Option<HeldTurn>,
     /// Largest fencing number that was refused.
     refused: Option<FencingNumber>,
@@ -76,7 +93,12 @@
 impl DutyTurn {
     /// Builds the state of a host that holds nothing.
     pub fn new(bounds: DutyBounds) -> Self {
-        Self { bounds, generation: 0, held: None, refused: None }
+        Self { bounds, generation: 0, members: None, held: None, refused: None }
+    }
+
+    /// Changes the times that bound a turn.
+    pub fn set_bounds(&mut self, bounds: DutyBounds) {
+        self.bounds = bounds;
     }
 
     /// Returns the newest generation that the group told.
@@ -90,6 +112,7 @@
             return TurnChange::Same;
         }
         self.generation = grant.generation;
+        self.members = grant.members();
         let fence = FencingNumber(grant.generation);
         if !grant.held || self.refused.is_some_and(|refused| fence <= refused) {
             return if self.held.take().is_some() { TurnChange::Ended } else { TurnChange::Same };
@@ -115,9 +138,15 @@
         }
     }
 
+    /// Returns the number of members of the group, if the last grant tells.
+    pub fn members(&self) -> Option<u32> {
+        self.members
+    }
+
     /// Records that this host left the group.
     pub fn on_left(&mut self) {
         self.held = None;
+        self.members = None;
     }
 
     /// Returns the fencing number to act with now, if the host may act.
--- a/lib/src/gateway/gateway_host.rs
+++ b/lib/src/gateway/gateway_host.rs
@@ -30,6 +30,10 @@
 /// Time between two looks at whether a leaving host may end.
 const LEAVE_PERIOD: Duration = Duration::from_millis(50);
 
+/// Time between two looks at the settings, which may change without a signal; it is half of the three
+/// seconds in which hosts follow other changes.
+const SETTINGS_PERIOD: Duration = Duration::from_millis(1_500);
+
 /// Pause before a task that ended is started again.
 const RESTART_PAUSE: Duration = Duration::from_millis(200);
 
@@ -91,10 +95,13 @@
     exchange_summaries(&state, &store, socket);
     perform_duties(&state, store, cloud);
 
+    let mut watch = SettingsWatch { read: edges.reload, rejected: None };
+    let mut period = tokio::time::interval(SETTINGS_PERIOD);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = hangup.recv() => reload(&state, &*edges.reload),
+            _ = hangup.recv() => watch.look(&state),
+            _ = period.tick() => watch.look(&state),
         }
     }
     leave(&state, close).await;
@@ -170,15 +177,35 @@
     });
 }
 
-fn reload(state: &GatewayState, read: &dyn Fn() -> anyhow::Result<GatewaySettings>) {
-    match read() {
-        Ok(settings) => {
-            let changed = **state.settings.borrow() != settings;
-            log::info!("event=settings_reloaded changed={changed}");
-            *state.settings.borrow_mut() = Rc::new(settings);
+/// Follows the settings.
+struct SettingsWatch {
+    read: Box<dyn Fn() -> anyhow::Result<GatewaySettings>>,
+    /// Why they could not be used at the last look.
+    rejected: Option<String>,
+}
+
+impl SettingsWatch {
+    /// Puts the settings in force if they changed. Those in force hold on as long as the new ones
+    /// cannot be used: a file that is being written is read at the next look.
+    fn look(&mut self, state: &GatewayState) {
+        let rejected = match (self.read)() {
+            Ok(settings) => {
+                if **state.settings.borrow() != settings {
+                    log::info!("event=settings_reloaded");
+                    state.metrics.events.with_label_values(&["settings_reloaded"]).inc();
+                    state.apply_settings(settings);
+                }
+                None
+            }
+            Err(error) => Some(format!("{error:#}")),
+        };
+        if let Some(reason) = &rejected
+            && rejected != self.rejected
+        {
+            log::error!("event=settings_rejected detail=\"{reason}\"");
+            state.metrics.events.with_label_values(&["settings_rejected"]).inc();
         }
-        // The settings in force hold on; a file that is being written is read at the next signal.
-        Err(error) => log::error!("event=settings_rejected detail=\"{error:#}\""),
+        self.rejected = rejected;
     }
 }
 
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -11,6 +11,7 @@
 use crate::gateway::call_pool::CallPool;
 use crate::gateway::crash_watch::CrashWatch;
 use crate::gateway::demand_meter::DemandMeter;
+use crate::gateway::directory_news::DirectoryNews;
 use crate::gateway::gateway_metrics::GatewayMetrics;
 use crate::gateway::gateway_settings::GatewaySettings;
 use crate::gateway::leave_plan::LeavePlan;
@@ -45,6 +46,8 @@
     pub config: RefCell<ConfigView>,
     /// Backend servers.
     pub directory: RefCell<BackendDirectory>,
+    /// Changes of the directory that peers should hear of.
+    pub news: RefCell<DirectoryNews>,
     /// Load and warmth of the servers.
     pub board: RefCell<PlacementBoard>,
     /// Retry budget.
@@ -61,8 +64,10 @@
     pub peers: RefCell<PeerTable>,
     /// Rung when a peer has a newer configuration.
     pub config_hint: Notify,
-    /// Rung when peers should hear of this host's spending at once.
-    pub spending_hint: Notify,
+    /// Whether a peer read changes of the directory that this host was not told.
+    pub directory_hint: Cell<bool>,
+    /// Rung when peers should hear a summary at once.
+    pub summary_hint: Notify,
     /// Rung when this host's spending should be recorded.
     pub record_hint: Notify,
     /// Whether what was spent of quotas before this host's start was read, or cannot be.
@@ -90,15 +95,17 @@
             pool: CallPool::default(),
             config: RefCell::default(),
             directory: RefCell::default(),
+            news: RefCell::default(),
             board: RefCell::new(PlacementBoard::new(settings.zone.clone())),
             retries: RefCell::new(RetryShare::new(settings.retries)),
             quotas: RefCell::new(quotas),
             ledger: RefCell::new(UsageLedger::new(life.clone(), window_ms)),
             crashes: RefCell::default(),
             demand: RefCell::default(),
-            peers: RefCell::new(PeerTable::new(settings.host.clone())),
+            peers: RefCell::new(PeerTable::new(settings.host.clone(), settings.zone.clone())),
             config_hint: Notify::new(),
-            spending_hint: Notify::new(),
+            directory_hint: Cell::new(false),
+            summary_hint: Notify::new(),
             record_hint: Notify::new(),
             spending_known,
             leave: Cell::new(None),
@@ -108,6 +115,14 @@
         }
     }
 
+    /// Puts changed settings in force. Identity, addresses and the length of usage windows are those
+    /// of the start.
+    pub fn apply_settings(&self, settings: GatewaySettings) {
+        self.retries.borrow_mut().set_bounds(settings.retries);
+        self.quotas.borrow_mut().set_bounds(settings.quotas);
+        *self.settings.borrow_mut() = Rc::new(settings);
+    }
+
     /// Returns the time on the process's clock.
     pub fn now(&self) -> Timestamp {
         self.clock.now()
--- a/lib/src/gateway/peer_gossip.rs
+++ b/lib/src/gateway/peer_gossip.rs
@@ -1,6 +1,7 @@
 //! Tells the other hosts what this one has running, spent and counted, and hears the same of them.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,10 +9,13 @@
 use tokio::net::UdpSocket;
 
 use crate::gateway::crash_watch::WorkPrint;
+use crate::gateway::directory_news::decode_change;
+use crate::gateway::directory_news::is_gap;
 use crate::gateway::edges::ControlStore;
 use crate::gateway::edges::HostCard;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::placement::PeerLoad;
+use crate::gateway::store_follower;
 use crate::gateway::store_follower::DependencyWatch;
 use crate::gateway::store_follower::RetryPause;
 use crate::gateway::usage_ledger::TeamCounts;
@@ -31,9 +35,13 @@
 /// Time between two summaries if nothing is urgent: load that is older misleads placement.
 const SUMMARY_PERIOD: Duration = Duration::from_millis(400);
 
-/// Least time between two summaries.
+/// Least time between two summaries, for a host of a small fleet.
 const LEAST_SUMMARY_PERIOD: Duration = Duration::from_millis(40);
 
+/// Datagrams that a host sends in a second at most: a small fleet's at the least period, and a
+/// tenth of the slowest hosts' links with summaries of half a kilobyte.
+const MAX_DATAGRAMS_PER_S: u32 = 200;
+
 /// Time between two reads of the hosts' cards while no peer is heard.
 const LONELY_CARD_PERIOD: Duration = Duration::from_secs(3);
 
@@ -73,7 +81,7 @@
                 state.peers.borrow_mut().on_card(now, card.host, card.address);
             }
             // The others answer a host that is new to them at once.
-            state.spending_hint.notify_one();
+            state.summary_hint.notify_one();
         }
         let heard = state.peers.borrow().heard(now);
         let period = if heard == 0 { LONELY_CARD_PERIOD } else { CARD_PERIOD };
@@ -84,31 +92,48 @@
 /// Sends a summary to every known host, again and again.
 pub async fn send_summaries(state: Rc<GatewayState>, socket: Rc<UdpSocket>) {
     let mut sequence = 0;
+    let mut least = LEAST_SUMMARY_PERIOD;
     loop {
         // Hints that come in the meantime are answered together.
-        tokio::time::sleep(LEAST_SUMMARY_PERIOD).await;
-        let rest = SUMMARY_PERIOD - LEAST_SUMMARY_PERIOD;
+        tokio::time::sleep(least).await;
+        let rest = SUMMARY_PERIOD.saturating_sub(least);
         tokio::select! {
             () = tokio::time::sleep(rest) => {}
-            () = state.spending_hint.notified() => {}
+            () = state.summary_hint.notified() => {}
         }
         expire_old(&state);
         sequence += 1;
-        let targets = state.peers.borrow().targets();
-        if targets.is_empty() {
-            continue;
-        }
-        let bytes = build_summary(&state, sequence).encode_to_vec();
-        if bytes.len() > MAX_SUMMARY_BYTES {
-            log::warn!("event=summary_too_large bytes={}", bytes.len());
-        }
-        for target in targets {
-            if let Err(error) = socket.try_send_to(&bytes, target) {
-                // A summary that is lost is made up for by the next.
-                log::debug!("event=summary_not_sent target={target} detail=\"{error}\"");
-            }
+        let targets = state.peers.borrow().targets(state.now(), sequence);
+        let mut summary = build_summary(&state, sequence);
+        let sent = send_to(&socket, &summary, targets.direct.iter().copied());
+        summary.pass_on = true;
+        let relayed = send_to(&socket, &summary, targets.relays.iter().copied());
+        // Every summary that goes to relays costs as many datagrams again at their hands.
+        let datagrams = sent + relayed * (sent + 1);
+        let period = Duration::from_secs(1) * datagrams / MAX_DATAGRAMS_PER_S;
+        least = period.clamp(LEAST_SUMMARY_PERIOD, SUMMARY_PERIOD);
+    }
+}
+
+/// Sends a summary to some hosts; returns to how many.
+fn send_to(
+    socket: &UdpSocket,
+    summary: &HostSummary,
+    targets: impl Iterator<Item = SocketAddr>,
+) -> u32 {
+    let bytes = summary.encode_to_vec();
+    if bytes.len() > MAX_SUMMARY_BYTES {
+        log::warn!("event=summary_too_large bytes={}", bytes.len());
+    }
+    let mut count = 0;
+    for target in targets {
+        count += 1;
+        if let Err(error) = socket.try_send_to(&bytes, target) {
+            // A summary that is lost is made up for by the next.
+            log::debug!("event=summary_not_sent target={target} detail=\"{error}\"");
         }
     }
+    count
 }
 
 /// Takes in the summaries of others.
@@ -124,7 +149,12 @@
             }
         };
         match HostSummary::decode(&buffer[..length]) {
-            Ok(summary) => take_in(&state, summary),
+            Ok(mut summary) => {
+                if std::mem::take(&mut summary.pass_on) {
+                    send_to(&socket, &summary, state.peers.borrow().neighbours());
+                }
+                take_in(&state, summary);
+            }
             Err(error) => {
                 state.metrics.events.with_label_values(&["summary_skipped"]).inc();
                 log::warn!("event=summary_skipped code=601 detail=\"{error}\"");
@@ -149,7 +179,7 @@
 fn apply_peers(state: &GatewayState) {
     let now = state.now();
     let peers = state.peers.borrow();
-    state.quotas.borrow_mut().set_peers(&peers.spending());
+    state.quotas.borrow_mut().set_peers(peers.spending());
     let directory = state.directory.borrow();
     let mut loads: BTreeMap<ServerKey, PeerLoad> = BTreeMap::new();
     for server in peers.fresh(now).flat_map(|summary| &summary.servers) {
@@ -164,9 +194,13 @@
     state.metrics.levels.with_label_values(&["peers"]).set(heard);
 }
 
-fn take_in(state: &GatewayState, summary: HostSummary) {
+fn take_in(state: &GatewayState, mut summary: HostSummary) {
     let windows: Vec<WindowUse> = summary.windows.clone();
     let crashes: Vec<CrashSight> = summary.crashes.clone();
+    let changes = std::mem::take(&mut summary.changes);
+    let known_count = state.peers.borrow().changes_count(&summary);
+    let is_gap = is_gap(known_count, summary.changes_count, changes.len());
+    let directory_age = summary.directory_age_ms.checked_sub(1).map(Duration::from_millis);
     let now = state.now();
     let known = state.peers.borrow().heard(now);
     let version = state.config.borrow().current().map_or(0, |config| config.version);
@@ -176,11 +210,25 @@
     if state.peers.borrow_mut().on_summary(now, summary).is_none() {
         return;
     }
-    state.quotas.borrow_mut().set_peers(&state.peers.borrow().spending());
+    state.quotas.borrow_mut().set_peers(state.peers.borrow().spending());
     let heard = state.peers.borrow().heard(now);
     if heard != known {
         log::info!("event=peers_changed heard={heard}");
-        state.spending_hint.notify_one();
+        state.summary_hint.notify_one();
+    }
+    if is_gap {
+        state.directory_hint.set(true);
+    }
+    if let Some(age) = directory_age {
+        state.directory.borrow_mut().on_peer_read(now, now - age);
+    }
+    for told in changes {
+        match decode_change(&told) {
+            Some((offset, change)) => {
+                store_follower::apply_change(state, offset, change);
+            }
+            None => log::warn!("event=server_change_skipped code=404 offset={}", told.offset),
+        }
     }
     for sight in crashes {
         let Ok(server) = ServerId::try_from(sight.server) else {
@@ -305,6 +353,7 @@
         prefill_tokens_per_s: demand.prefill as u64,
         output_tokens_per_s: demand.output as u64,
     });
+    let told = state.news.borrow_mut().tell(now);
     let crashes = state.crashes.borrow();
     let crashes = crashes
         .own_sights(now)
@@ -321,5 +370,10 @@
         crashes: crashes.take(MAX_TOLD_CRASHES).collect(),
         config_version: state.config.borrow().current().map_or(0, |config| config.version),
         wall_ms: 0,
+        zone: settings.zone.to_string(),
+        pass_on: false,
+        directory_age_ms: directory.read_age(now).map_or(0, |age| age.as_millis() as u64 + 1),
+        changes: told.changes,
+        changes_count: told.count,
     }
 }
--- a/lib/src/gateway/quota_share.rs
+++ b/lib/src/gateway/quota_share.rs
@@ -171,6 +171,11 @@
         Self { bounds, teams: BTreeMap::new(), assumed: None, must_tell: false, must_record: false }
     }
 
+    /// Changes how quotas are counted; what was spent stays spent.
+    pub fn set_bounds(&mut self, bounds: QuotaBounds) {
+        self.bounds = bounds;
+    }
+
     /// Takes every quota for spent evenly over the window before `now`: what this host or all hosts
     /// spent before they were lost is not known.
     pub fn assume_spent(&mut self, now: Timestamp) {
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -177,7 +177,7 @@
         let sight = self.state.peers.borrow().sight(now);
         let verdict = self.state.quotas.borrow_mut().admit(now, &team.name, quota, units, sight);
         if self.state.quotas.borrow().must_tell() {
-            self.state.spending_hint.notify_one();
+            self.state.summary_hint.notify_one();
         }
         if self.state.quotas.borrow().must_record() {
             self.state.record_hint.notify_one();
--- a/lib/src/gateway/retry_share.rs
+++ b/lib/src/gateway/retry_share.rs
@@ -50,6 +50,11 @@
         Self { bounds, windows: BTreeMap::new() }
     }
 
+    /// Changes the budget; what was spent stays spent.
+    pub fn set_bounds(&mut self, bounds: RetryBounds) {
+        self.bounds = bounds;
+    }
+
     /// Records a caller's request for a service.
     pub fn on_request(&mut self, now: Timestamp, service: &ServiceName) {
         self.window(now, service).requests.push_back(now);
--- a/lib/src/gateway/store_follower.rs
+++ b/lib/src/gateway/store_follower.rs
@@ -6,6 +6,9 @@
 use rand::Rng as _;
 
 use crate::gateway::backend_directory::DirectoryChange;
+use crate::gateway::backend_directory::DirectoryEffect;
+use crate::gateway::backend_directory::ExpiredServer;
+use crate::gateway::directory_news::read_stretch;
 use crate::gateway::edges::ConfigRead;
 use crate::gateway::edges::ControlStore;
 use crate::gateway::edges::DirectoryRead;
@@ -15,15 +18,18 @@
 use crate::ids::LogOffset;
 use crate::ids::ServerId;
 
-/// Time that the store holds a read of the configuration while there is nothing new. A store in
-/// trouble may forget to answer a held read, so it must be shorter than the time that a host has to
-/// catch up after an outage; peers' versions tell of a missed change sooner.
+/// Time that the store holds a read of the configuration while there is nothing new, for a host of a
+/// small fleet. A store in trouble may forget to answer a held read, so it must be shorter than the
+/// time that a host has to catch up after an outage; peers' versions tell of a missed change sooner.
 const CONFIG_WAIT: Duration = Duration::from_millis(2_500);
 
-/// Time between two reads of the directory: news of a leaving server must arrive within two
-/// seconds, and servers write about as often.
+/// Time between two reads of the directory by a host of a small fleet: news of a leaving server must
+/// arrive within two seconds, and servers write about as often.
 const DIRECTORY_PERIOD: Duration = Duration::from_millis(1_300);
 
+/// Time between two looks at whether enough peers are heard while a read is held.
+const SIGHT_PERIOD: Duration = Duration::from_millis(500);
+
 /// First pause after a failed read.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
@@ -91,10 +97,13 @@
     let mut pause = RetryPause::default();
     let mut watch = DependencyWatch::new("read_config");
     loop {
+        let stretch = stretch_of(&state);
         let outcome = tokio::select! {
-            outcome = store.read_config(from, CONFIG_WAIT) => outcome,
+            outcome = store.read_config(from, CONFIG_WAIT * stretch) => outcome,
             // A peer has a newer version, so this read was forgotten or is late.
             () = state.config_hint.notified() => store.read_config(from, Duration::ZERO).await,
+            // Nobody is left to tell of a newer version.
+            () = lose_sight(&state, stretch) => continue,
         };
         watch.record(&state, &outcome);
         match outcome {
@@ -113,6 +122,24 @@
     }
 }
 
+/// Returns by how much this host may stretch its periods of reading the store: the hosts that it
+/// hears tell it what they read.
+fn stretch_of(state: &GatewayState) -> u32 {
+    let peers = state.peers.borrow();
+    let now = state.now();
+    if peers.is_cut_off(now) {
+        return 1;
+    }
+    read_stretch(u32::try_from(peers.heard(now) + 1).unwrap_or(u32::MAX))
+}
+
+/// Waits until this host hears so few others that it may stretch its periods less.
+async fn lose_sight(state: &GatewayState, stretch: u32) {
+    while stretch_of(state) >= stretch {
+        tokio::time::sleep(SIGHT_PERIOD).await;
+    }
+}
+
 fn adopt_config(state: &GatewayState, read: ConfigRead) {
     for reason in &read.skipped {
         log::warn!("event=config_skipped detail=\"{reason}\"");
@@ -144,7 +171,7 @@
                 pause.reset();
                 from = Some(read.next);
                 apply_directory(&state, read);
-                tokio::time::sleep(DIRECTORY_PERIOD).await;
+                wait_for_turn(&state).await;
             }
             Err(error) => {
                 if error == EdgeError::RecordsDropped {
@@ -159,6 +186,50 @@
     }
 }
 
+/// Waits until this host's next read of the directory.
+async fn wait_for_turn(state: &GatewayState) {
+    let started = state.now();
+    // Hosts that started together spread their reads over the period.
+    let spread = rand::rng().random_range(0.75..1.25);
+    loop {
+        tokio::time::sleep(DIRECTORY_PERIOD).await;
+        let now = state.now();
+        let must_read = state.directory_hint.take() || state.directory.borrow().is_unsettled(now);
+        let stretch = match must_read {
+            true => 1,
+            false => stretch_of(state),
+        };
+        if stretch == 1 || now.since(started) >= (DIRECTORY_PERIOD * stretch).mul_f64(spread) {
+            break;
+        }
+    }
+}
+
+/// Applies a change that this host or a peer read; returns whether it matters to others.
+pub fn apply_change(state: &GatewayState, offset: LogOffset, change: DirectoryChange) -> bool {
+    let now = state.now();
+    let entry_of = |id: &ServerId| {
+        let directory = state.directory.borrow();
+        directory.find(id).and_then(|key| directory.get(key)).map(|server| server.entry.clone())
+    };
+    let is_update = match &change {
+        DirectoryChange::Absent(id) => {
+            if state.directory.borrow().is_news(id, offset) {
+                log::info!("event=directory_entry_removed server={id} offset={}", offset.0);
+                state.on_server_gone(id);
+            }
+            false
+        }
+        DirectoryChange::Present(entry) => {
+            state.directory.borrow().is_news(&entry.id, offset)
+                && entry_of(&entry.id).is_some_and(|known| known != *entry)
+        }
+    };
+    let effect = state.directory.borrow_mut().apply(now, offset, change);
+    state.on_directory_effect(effect);
+    is_update || effect != DirectoryEffect::Unchanged
+}
+
 fn apply_directory(state: &GatewayState, read: DirectoryRead) {
     let now = state.now();
     for (server, reason) in &read.skipped {
@@ -174,22 +245,29 @@
         })
         .collect();
     for (offset, change) in read.changes {
-        if let DirectoryChange::Absent(id) = &change {
-            log::info!("event=directory_entry_removed server={id} offset={}", offset.0);
-            state.on_server_gone(id);
+        // All hosts read complete listings themselves, at their start.
+        if apply_change(state, offset, change.clone()) && !read.complete {
+            tell_change(state, offset, change);
         }
-        let effect = state.directory.borrow_mut().apply(now, offset, change);
-        state.on_directory_effect(effect);
     }
     if read.complete {
         let effects = state.directory.borrow_mut().retain_listed(now, &listed);
         effects.into_iter().for_each(|effect| state.on_directory_effect(effect));
     }
     let expired = state.directory.borrow_mut().expire(now);
-    for key in expired {
+    for ExpiredServer { key, id, offset } in expired {
         state.board.borrow_mut().remove(key);
-        log::info!("event=server_expired server_key={key:?}");
+        log::info!("event=server_expired server={id}");
+        if let Some(offset) = offset {
+            tell_change(state, offset, DirectoryChange::Absent(id));
+        }
     }
     let servers = i64::try_from(state.directory.borrow().iter().count()).unwrap_or(i64::MAX);
     state.metrics.levels.with_label_values(&["servers"]).set(servers);
 }
+
+/// Lets the peers hear of a change that this host read.
+fn tell_change(state: &GatewayState, offset: LogOffset, change: DirectoryChange) {
+    state.news.borrow_mut().on_change(state.now(), offset, change);
+    state.summary_hint.notify_one();
+}
--- /dev/null
+++ b/lib/tests/test_directory_news.rs
@@ -0,0 +1,182 @@
+//! Directory changes that hosts tell one another, and reads that a fleet shares.
+
+use std::time::Duration;
+
+use pomelostack_lib::gateway::backend_directory::BackendDirectory;
+use pomelostack_lib::gateway::backend_directory::BackendEntry;
+use pomelostack_lib::gateway::backend_directory::DirectoryChange;
+use pomelostack_lib::gateway::backend_directory::DirectoryEffect;
+use pomelostack_lib::gateway::backend_directory::RETURN_GRACE;
+use pomelostack_lib::gateway::backend_directory::STORE_AWAY_AFTER;
+use pomelostack_lib::gateway::backend_directory::ServingState;
+use pomelostack_lib::gateway::directory_news::DirectoryNews;
+use pomelostack_lib::gateway::directory_news::ToldChanges;
+use pomelostack_lib::gateway::directory_news::decode_change;
+use pomelostack_lib::gateway::directory_news::is_gap;
+use pomelostack_lib::gateway::directory_news::read_stretch;
+use pomelostack_lib::ids::LogOffset;
+use pomelostack_lib::ids::ServerId;
+use pomelostack_lib::ids::ServiceName;
+use pomelostack_lib::ids::ZoneName;
+use pomelostack_lib::protos::gateway::ServerChange;
+use pomelostack_lib::timestamp::Timestamp;
+use proptest::prelude::any;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+use rstest::rstest;
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn server_id(name: &str) -> ServerId {
+    ServerId::try_from(name).expect("valid in tests")
+}
+
+fn entry(name: &str, slots: u32, born_ms: Option<u64>, leaves_ms: Option<u64>) -> BackendEntry {
+    BackendEntry {
+        id: server_id(name),
+        service: ServiceName::try_from("chat").expect("valid in tests"),
+        address: "10.0.1.1:8000".parse().expect("valid in tests"),
+        zone: ZoneName::try_from("north").expect("valid in tests"),
+        state: if slots.is_multiple_of(2) { ServingState::Ready } else { ServingState::Draining },
+        slots,
+        born_ms,
+        reclaimable: slots.is_multiple_of(3),
+        leaves_in: leaves_ms.map(Duration::from_millis),
+    }
+}
+
+proptest! {
+    #[test]
+    fn entries_round_trip(
+        offset in any::<u64>(),
+        slots in any::<u32>(),
+        born in any::<Option<u64>>(),
+        leaves in any::<Option<u64>>(),
+    ) {
+        let change = DirectoryChange::Present(entry("s1", slots, born, leaves));
+        let mut news = DirectoryNews::default();
+        news.on_change(at(0), LogOffset(offset), change.clone());
+        let told: Vec<_> = news.tell(at(1)).changes.iter().map(decode_change).collect();
+        prop_assert_eq!(told, vec![Some((LogOffset(offset), change))]);
+    }
+
+    #[test]
+    fn any_texts(server in ".*", service in ".*", address in ".*", zone in ".*") {
+        // Whatever a datagram says is decoded or skipped.
+        let told = ServerChange { server, service, address, zone, ..ServerChange::default() };
+        if let Some((_, DirectoryChange::Present(entry))) = decode_change(&told) {
+            prop_assert_eq!(entry.address.to_string().parse().ok(), Some(entry.address));
+        }
+    }
+}
+
+#[test]
+fn removal_is_told() {
+    let mut news = DirectoryNews::default();
+    news.on_change(at(0), LogOffset(7), DirectoryChange::Absent(server_id("s1")));
+    let told = news.tell(at(800)).changes;
+    assert_eq!(
+        decode_change(&told[0]),
+        Some((LogOffset(7), DirectoryChange::Absent(server_id("s1"))))
+    );
+    assert!(news.tell(at(2_000)).changes.is_empty(), "three summaries are enough");
+}
+
+#[test]
+fn burst_is_bounded() {
+    let mut news = DirectoryNews::default();
+    for number in 0..500 {
+        news.on_change(at(0), LogOffset(number), DirectoryChange::Absent(server_id("s1")));
+    }
+    let ToldChanges { changes: told, count } = news.tell(at(1));
+    assert!(told.len() <= 40);
+    assert!(is_gap(Some(0), count, told.len()), "whoever hears it knows that changes are missing");
+    assert!(!is_gap(Some(count), count, told.len()));
+    assert_eq!(told.last().map(|change| change.offset), Some(499), "the newest are told");
+}
+
+#[rstest]
+#[case(0, 1)]
+#[case(8, 1)]
+#[case(9, 2)]
+#[case(70, 8)]
+#[case(370, 8)]
+fn reads_are_shared(#[case] hosts: u32, #[case] stretch: u32) {
+    assert_eq!(read_stretch(hosts), stretch);
+}
+
+#[test]
+fn peers_read_for_all() {
+    // Between two reads of its own, ten seconds apart, a host hears that others read; a removal that
+    // it reads then is no sign of an outage.
+    let mut directory = BackendDirectory::default();
+    directory.on_read(at(0));
+    directory.apply(at(0), LogOffset(1), DirectoryChange::Present(entry("s1", 2, Some(1), None)));
+    for second in 1..10 {
+        directory.on_peer_read(at(second * 1_000 + 20), at(second * 1_000));
+    }
+    directory.on_read(at(10_000));
+    let effect =
+        directory.apply(at(10_000), LogOffset(2), DirectoryChange::Absent(server_id("s1")));
+    assert!(matches!(effect, DirectoryEffect::Gone(_)));
+}
+
+#[test]
+fn outage_told_by_peers() {
+    // Nobody could read for a while. The first to read again says so, and what this host reads after
+    // that may come back although its own read came moments later.
+    let mut directory = BackendDirectory::default();
+    directory.on_read(at(0));
+    directory.apply(at(0), LogOffset(1), DirectoryChange::Present(entry("s1", 2, Some(1), None)));
+    let back = at(1_000) + STORE_AWAY_AFTER * 2;
+    directory.on_peer_read(back, back);
+    let now = back + Duration::from_millis(300);
+    directory.on_read(now);
+    let effect = directory.apply(now, LogOffset(2), DirectoryChange::Absent(server_id("s1")));
+    assert_eq!(effect, DirectoryEffect::Unchanged);
+    assert!(directory.is_unsettled(now), "it looks again soon");
+    assert_eq!(directory.expire(back + RETURN_GRACE).len(), 1);
+    assert!(!directory.is_unsettled(back + RETURN_GRACE));
+}
+
+#[test]
+fn told_change_is_old_news() {
+    // A change comes from a peer first and is read in the store later.
+    let mut directory = BackendDirectory::default();
+    directory.on_read(at(0));
+    let change = DirectoryChange::Present(entry("s1", 2, Some(1), None));
+    assert!(directory.is_news(&server_id("s1"), LogOffset(5)));
+    let effect = directory.apply(at(10), LogOffset(5), change.clone());
+    assert!(matches!(effect, DirectoryEffect::Joined(_)));
+    assert!(!directory.is_news(&server_id("s1"), LogOffset(5)));
+    assert_eq!(directory.apply(at(20), LogOffset(5), change), DirectoryEffect::Unchanged);
+    // A told record from before the newest one that was read changes nothing.
+    let late = DirectoryChange::Absent(server_id("s1"));
+    assert_eq!(directory.apply(at(30), LogOffset(4), late), DirectoryEffect::Unchanged);
+}
+
+#[test]
+fn lost_summaries_noticed() {
+    // One change a second, told by each summary of the next second. A host that misses a second of
+    // summaries notices; one that misses a single summary is told all the same.
+    let mut news = DirectoryNews::default();
+    let mut heard_all = None;
+    let mut heard_some = None;
+    for step in 0..40_u64 {
+        if step % 5 == 0 {
+            let change = DirectoryChange::Absent(server_id("s1"));
+            news.on_change(at(step * 200), LogOffset(step), change);
+        }
+        let told = news.tell(at(step * 200));
+        if step % 4 != 1 {
+            assert!(!is_gap(heard_all, told.count, told.changes.len()), "step {step}");
+            heard_all = Some(told.count);
+        }
+        if step < 3 || step > 16 {
+            assert_eq!(is_gap(heard_some, told.count, told.changes.len()), step == 17);
+            heard_some = Some(told.count);
+        }
+    }
+}
--- a/lib/tests/test_duty_turn.rs
+++ b/lib/tests/test_duty_turn.rs
@@ -11,6 +11,7 @@
 use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
 
 /// Time within which two holders must not alternate.
 const LEASE: Duration = Duration::from_secs(3);
@@ -21,7 +22,18 @@
 }
 
 fn grant(generation: u64, held: bool) -> DutyGrant {
-    DutyGrant { generation, held }
+    DutyGrant { generation, held, own_partitions: 3, all_partitions: 12 }
+}
+
+#[rstest]
+#[case(12, 12, Some(1))]
+#[case(4, 12, Some(3))]
+#[case(1, 12, None)]
+#[case(0, 12, None)]
+#[case(1, 0, None)]
+fn members_estimated(#[case] own: u32, #[case] all: u32, #[case] members: Option<u32>) {
+    let grant = DutyGrant { own_partitions: own, all_partitions: all, ..grant(1, true) };
+    assert_eq!(grant.members(), members);
 }
 
 #[test]
--- a/lib/tests/test_peer_table.rs
+++ b/lib/tests/test_peer_table.rs
@@ -1,19 +1,30 @@
 //! What a host hears of its peers, and what it makes of silence.
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use pomelostack_lib::gateway::peer_table::PeerTable;
+use pomelostack_lib::gateway::peer_table::SummaryTargets;
 use pomelostack_lib::gateway::quota_share::PeerSight;
 use pomelostack_lib::ids::HostId;
 use pomelostack_lib::ids::TeamName;
+use pomelostack_lib::ids::ZoneName;
 use pomelostack_lib::protos::gateway::HostSummary;
 use pomelostack_lib::protos::gateway::TeamUse;
 use pomelostack_lib::timestamp::Timestamp;
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
 
 fn host(name: &str) -> HostId {
     HostId::try_from(name).expect("valid in tests")
 }
 
+fn zone(name: &str) -> ZoneName {
+    ZoneName::try_from(name).expect("valid in tests")
+}
+
 fn at(millis: u64) -> Timestamp {
     Timestamp::from_millis(millis)
 }
@@ -38,7 +49,7 @@
 
 #[test]
 fn late_summary_ignored() {
-    let mut table = PeerTable::new(host("h1"));
+    let mut table = PeerTable::new(host("h1"), zone("north"));
     assert!(table.on_summary(at(0), summary("h2", 1, 5, 50)).is_some());
     assert!(table.on_summary(at(10), summary("h2", 1, 4, 40)).is_none());
     assert_eq!(spent(&table), 50);
@@ -46,7 +57,7 @@
 
 #[test]
 fn earlier_life_counts() {
-    let mut table = PeerTable::new(host("h1"));
+    let mut table = PeerTable::new(host("h1"), zone("north"));
     table.on_summary(at(0), summary("h2", 1, 5, 50));
     table.on_summary(at(1_000), summary("h2", 2, 1, 7));
     assert_eq!(spent(&table), 57);
@@ -56,17 +67,17 @@
 
 #[test]
 fn malformed_summary() {
-    let mut table = PeerTable::new(host("h1"));
+    let mut table = PeerTable::new(host("h1"), zone("north"));
     let nameless = HostSummary { host: "no such name!".to_owned(), ..summary("h2", 1, 1, 1) };
     assert!(table.on_summary(at(0), nameless).is_none());
     let homeless = HostSummary { address: "nowhere".to_owned(), ..summary("h2", 1, 1, 1) };
     assert!(table.on_summary(at(0), homeless).is_none());
-    assert!(table.targets().is_empty());
+    assert_eq!(table.targets(at(60_000), 1), SummaryTargets::default());
 }
 
 #[test]
 fn sides_of_cut() {
-    let mut table = PeerTable::new(host("h1"));
+    let mut table = PeerTable::new(host("h1"), zone("north"));
     assert_eq!(
         table.sight(at(0)),
         PeerSight::Minority { group: 1, known: 1 },
@@ -88,11 +99,197 @@
 
 #[test]
 fn card_finds_peer() {
-    let mut table = PeerTable::new(host("h1"));
+    let mut table = PeerTable::new(host("h1"), zone("north"));
     table.on_card(at(0), host("h1"), "10.0.0.1:7600".parse().expect("valid in tests"));
     table.on_card(at(0), host("h2"), "10.0.0.2:7600".parse().expect("valid in tests"));
-    assert_eq!(table.targets(), vec!["10.0.0.2:7600".parse().expect("valid in tests")]);
+    assert_eq!(
+        table.targets(at(0), 1).direct,
+        vec!["10.0.0.2:7600".parse().expect("valid in tests")]
+    );
     assert_eq!(table.sight(at(0)), PeerSight::Minority { group: 1, known: 2 });
     table.expire(at(60_000), Duration::from_secs(8));
-    assert!(table.targets().is_empty());
+    assert_eq!(table.targets(at(60_000), 1), SummaryTargets::default());
+}
+
+/// Hosts of a large fleet, in zones of equal size.
+const FLEET: u64 = 84;
+/// Availability zones of the large fleet.
+const ZONES: u64 = 5;
+/// Time between two summaries of a host.
+const PERIOD_MS: u64 = 400;
+
+fn fleet_host(index: u64) -> HostId {
+    host(&format!("h{index:02}"))
+}
+
+fn fleet_zone(index: u64) -> ZoneName {
+    zone(&format!("zone-{}", index % ZONES))
+}
+
+fn fleet_address(index: u64) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, index as u8], 7_600))
+}
+
+/// A fleet whose summaries arrive at once, unless sender or receiver is dead.
+struct FleetPlay {
+    tables: Vec<PeerTable>,
+    dead: Vec<bool>,
+    /// Datagrams between zones so far.
+    between_zones: u64,
+    /// Datagrams sent by the busiest host in one period.
+    most_sent: u64,
+}
+
+impl FleetPlay {
+    fn start() -> Self {
+        let tables = (0..FLEET).map(|own| {
+            let mut table = PeerTable::new(fleet_host(own), fleet_zone(own));
+            (0..FLEET).for_each(|peer| table.on_card(at(0), fleet_host(peer), fleet_address(peer)));
+            table
+        });
+        let tables = tables.collect();
+        Self { tables, dead: vec![false; FLEET as usize], between_zones: 0, most_sent: 0 }
+    }
+
+    fn deliver(&mut self, now: Timestamp, from: u64, to: SocketAddr, sequence: u64) -> bool {
+        let SocketAddr::V4(to) = to else { return false };
+        let receiver = u64::from(to.ip().octets()[3]);
+        if self.dead[receiver as usize] {
+            return false;
+        }
+        let summary = HostSummary {
+            address: fleet_address(from).to_string(),
+            zone: fleet_zone(from).to_string(),
+            ..summary(fleet_host(from).as_str(), 1, sequence, 1)
+        };
+        self.tables[receiver as usize].on_summary(now, summary);
+        true
+    }
+
+    fn play_period(&mut self, number: u64) {
+        let now = at(number * PERIOD_MS);
+        let mut sent = vec![0; FLEET as usize];
+        for from in (0..FLEET).filter(|from| !self.dead[*from as usize]).collect::<Vec<_>>() {
+            let targets = self.tables[from as usize].targets(now, number);
+            sent[from as usize] += (targets.direct.len() + targets.relays.len()) as u64;
+            for to in targets.direct {
+                self.count_between(from, to);
+                self.deliver(now, from, to, number);
+            }
+            for relay in targets.relays {
+                self.count_between(from, relay);
+                if !self.deliver(now, from, relay, number) {
+                    continue;
+                }
+                let SocketAddr::V4(address) = relay else { continue };
+                let relay = usize::from(address.ip().octets()[3]);
+                let near: Vec<SocketAddr> = self.tables[relay].neighbours().collect();
+                sent[relay] += near.len() as u64;
+                near.into_iter().for_each(|to| {
+                    self.deliver(now, from, to, number);
+                });
+            }
+        }
+        self.most_sent = sent.into_iter().max().unwrap_or(0);
+    }
+
+    fn count_between(&mut self, from: u64, to: SocketAddr) {
+        let SocketAddr::V4(to) = to else { return };
+        let receiver = u64::from(to.ip().octets()[3]);
+        self.between_zones += u64::from(receiver % ZONES != from % ZONES);
+    }
+
+    fn least_heard(&self, now: Timestamp) -> usize {
+        let living = self.tables.iter().zip(&self.dead).filter(|(_, dead)| !**dead);
+        living.map(|(table, _)| table.heard(now)).min().unwrap_or(0)
+    }
+}
+
+#[test]
+fn large_fleet_relays() {
+    let mut play = FleetPlay::start();
+    (1..=2).for_each(|number| play.play_period(number));
+    play.between_zones = 0;
+    (3..=12).for_each(|number| play.play_period(number));
+    assert_eq!(play.least_heard(at(12 * PERIOD_MS)), FLEET as usize - 1);
+    // One datagram for each host, other zone and period; all to all would be 67 times a host.
+    assert_eq!(play.between_zones, FLEET * (ZONES - 1) * 10);
+    // A fair part of the passing on: own zone, other zones, and twice one's part of relaying.
+    assert!(play.most_sent <= (FLEET / ZONES + 1) * (1 + 2 * ZONES), "{}", play.most_sent);
+}
+
+#[test]
+fn dead_relays_passed_over() {
+    let mut play = FleetPlay::start();
+    (1..=5).for_each(|number| play.play_period(number));
+    // Half of the hosts die at once; the others hear each other all the time.
+    (0..FLEET).filter(|index| index % 2 == 0).for_each(|index| play.dead[index as usize] = true);
+    let living = FLEET as usize / 2;
+    let mut least = usize::MAX;
+    for number in 6..=30 {
+        play.play_period(number);
+        if number > 6 + 4 {
+            least = least.min(play.least_heard(at(number * PERIOD_MS)));
+        }
+    }
+    assert_eq!(least, living - 1);
+}
+
+#[test]
+fn silent_zone_found_again() {
+    let mut play = FleetPlay::start();
+    (1..=5).for_each(|number| play.play_period(number));
+    let in_zone = |index: &u64| index % ZONES == 0;
+    (0..FLEET).filter(in_zone).for_each(|index| play.dead[index as usize] = true);
+    (6..=25).for_each(|number| play.play_period(number));
+    (0..FLEET).filter(in_zone).for_each(|index| play.dead[index as usize] = false);
+    (26..=29).for_each(|number| play.play_period(number));
+    assert_eq!(play.least_heard(at(29 * PERIOD_MS)), FLEET as usize - 1);
+}
+
+#[test]
+fn sums_follow_summaries() {
+    // Lives come, go on and expire; the sums equal those taken afresh each time.
+    let mut table = PeerTable::new(host("h1"), zone("north"));
+    let mut naive: BTreeMap<(u64, u64), (u64, u64)> = BTreeMap::new();
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    for step in 0..2_000 {
+        let now = step * 50;
+        let (index, incarnation) = (random.random_range(2..9), random.random_range(1..4));
+        let spending = random.random_range(0..100);
+        let told = summary(&format!("h{index}"), incarnation, step + 1, spending);
+        table.on_summary(at(now), told);
+        naive.insert((index, incarnation), (now, spending));
+        if step % 7 == 0 {
+            table.expire(at(now), Duration::from_millis(700));
+            naive.retain(|_, (heard, _)| now - *heard < 700);
+        }
+        assert_eq!(spent(&table), naive.values().map(|(_, spending)| spending).sum::<u64>());
+    }
+}
+
+#[test]
+fn absurd_spending() {
+    let mut table = PeerTable::new(host("h1"), zone("north"));
+    table.on_summary(at(0), summary("h2", 1, 1, u64::MAX));
+    table.on_summary(at(0), summary("h3", 1, 1, u64::MAX));
+    assert!(spent(&table) > 0);
+    table.expire(at(60_000), Duration::from_secs(8));
+    assert_eq!(spent(&table), 0);
+}
+
+#[test]
+fn dead_or_cut_off() {
+    // Four of six hosts fall silent. As long as the group counts all of them this host may be cut off;
+    // once it counts two, they are dead.
+    let mut table = PeerTable::new(host("h1"), zone("north"));
+    for name in ["h2", "h3", "h4", "h5", "h6"] {
+        table.on_summary(at(0), summary(name, 1, 1, 0));
+    }
+    table.on_summary(at(3_000), summary("h2", 1, 2, 0));
+    assert!(table.is_cut_off_from(at(3_100), None));
+    assert!(table.is_cut_off_from(at(3_100), Some(6)));
+    assert!(!table.is_cut_off_from(at(3_100), Some(2)));
+    // An estimate above what was ever heard changes nothing.
+    assert!(table.is_cut_off_from(at(3_100), Some(12)));
 }
