--- a/cli/src/commands/dev.rs
+++ b/cli/src/commands/dev.rs
@@ -1,16 +1,24 @@
 //! `pomelostack dev`: a whole system on loopback, with stand-ins of the platform.
 
 use std::fs;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::thread;
 
 use anyhow::Context as _;
+use anyhow::bail;
 use argh::FromArgs;
 use pomelostack_lib::logging::init_logging;
 use pomelostack_lib::settings::LogLevel;
 use pomelostack_lib::settings::LogSettings;
+use testutils::deployment_standin::DeploymentStandin;
+use testutils::deployment_standin::FRONT_PORT;
+use testutils::deployment_standin::ROUTE_HOST;
+use testutils::deployment_standin::TEAM_KEY;
 use testutils::dev_cluster::APP_SERVICE;
 use testutils::dev_cluster::DevCluster;
 use testutils::dev_cluster::DevPlan;
@@ -37,6 +45,11 @@
     #[argh(option, default = "3")]
     hosts: u16,
 
+    /// run gateway hosts as they are deployed, at the front door's address and those after it, before
+    /// a stand-in of their platform
+    #[argh(switch)]
+    platform: bool,
+
     /// start the stand-ins alone, for entry hosts that run as processes of their own
     #[argh(switch)]
     platform_only: bool,
@@ -62,6 +75,9 @@
         }
         init_logging(&LogSettings { level: LogLevel::Warn, file: None })?;
         let stop = stop_signal()?;
+        if self.platform {
+            return run_deployment(self.http.ip(), self.hosts);
+        }
         if self.platform_only {
             let platform = plan.start_platform()?;
             print_platform(&platform);
@@ -79,6 +95,45 @@
     }
 }
 
+/// Runs gateway hosts on threads of this process until SIGTERM or Ctrl-C.
+fn run_deployment(first: IpAddr, hosts: u16) -> anyhow::Result<ExitCode> {
+    let IpAddr::V4(first) = first else { bail!("the first host needs an IPv4 address") };
+    let standin = DeploymentStandin::start().context("cannot start the stand-in")?;
+    standin.publish_config(1);
+    let folder = std::env::temp_dir().join(format!("pomelostack-dev-{}", std::process::id()));
+    fs::create_dir_all(&folder).with_context(|| format!("cannot make {}", folder.display()))?;
+    println!("platform      http://{}", standin.platform);
+    for replica in &standin.replicas {
+        println!("model server  http://{replica}");
+    }
+    let mut running = Vec::new();
+    for number in 0..hosts {
+        let ip = Ipv4Addr::from_bits(first.to_bits() + u32::from(number)).to_string();
+        let name = format!("gateway-{}", number + 1);
+        let path = folder.join(format!("{name}.json"));
+        let settings = standin.settings(&name, &ip).to_string();
+        fs::write(&path, settings).with_context(|| format!("cannot write {}", path.display()))?;
+        println!("gateway       http://{ip}:{FRONT_PORT}  settings {}", path.display());
+        running.push(thread::spawn(move || pomelostack_platform::run_with_settings(path)));
+    }
+    println!(
+        "\ntry:\n  curl -N -X POST http://{first}:{FRONT_PORT}/brief/1 -H 'Host: {ROUTE_HOST}' \\"
+    );
+    println!("    -H 'Authorization: Token {TEAM_KEY}' -H 'Request-Id: dev-1' \\");
+    println!("    -H 'Request-Deadline: 8000' -d 'Wind at the start line?'");
+    println!("\nready; Ctrl-C stops");
+    let mut code = ExitCode::SUCCESS;
+    for host in running {
+        let outcome = host.join().unwrap_or_else(|_| Err(anyhow::anyhow!("a host panicked")));
+        if let Err(error) = outcome {
+            eprintln!("gateway: {error:#}");
+            code = ExitCode::FAILURE;
+        }
+    }
+    fs::remove_dir_all(&folder).with_context(|| format!("cannot remove {}", folder.display()))?;
+    Ok(code)
+}
+
 fn write_settings(plan: &DevPlan, folder: &Path) -> anyhow::Result<ExitCode> {
     fs::create_dir_all(folder).with_context(|| format!("cannot make {}", folder.display()))?;
     let write = |name: String, value: serde_json::Value| -> anyhow::Result<()> {
--- /dev/null
+++ b/cli/tests/test_dev_platform.rs
@@ -0,0 +1,57 @@
+//! `pomelostack dev --platform`: the deployed form on loopback.
+
+use std::io::BufRead as _;
+use std::io::BufReader;
+use std::process::Command;
+use std::process::Stdio;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use testutils::deployment_standin::FRONT_PORT;
+use testutils::deployment_standin::ROUTE_HOST;
+use testutils::deployment_standin::STREAM_EVENTS;
+use testutils::deployment_standin::TEAM_KEY;
+use testutils::deployment_standin::event_text;
+use testutils::hang_guard::wait_for;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_pomelostack");
+/// Address of the first host, apart from that of a `dev` that someone runs beside the tests.
+const FIRST_HOST: &str = "127.0.79.1";
+
+#[test]
+fn stream_through_dev() {
+    let mut process = Command::new(PROGRAM)
+        .args(["dev", "--platform", "--hosts", "2", "--http", &format!("{FIRST_HOST}:0")])
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("valid in tests");
+    let output = process.stdout.take().expect("valid in tests");
+    let lines: Vec<String> = BufReader::new(output)
+        .lines()
+        .map(|line| line.expect("valid in tests"))
+        .take_while(|line| !line.starts_with("ready"))
+        .collect();
+    assert!(lines.iter().any(|line| line.contains("curl -N")), "{lines:?}");
+    let agent: ureq::Agent =
+        ureq::Agent::config_builder().http_status_as_error(false).build().into();
+    let call = |host: &str| {
+        agent
+            .post(format!("http://{host}:{FRONT_PORT}/brief/1"))
+            .header("Host", ROUTE_HOST)
+            .header("Request-Id", "r1")
+            .header("Request-Deadline", "8000")
+            .header("Authorization", format!("Token {TEAM_KEY}"))
+            .send("")
+            .ok()
+            .filter(|reply| reply.status().as_u16() == 200)
+            .and_then(|reply| reply.into_body().read_to_string().ok())
+    };
+    let whole: String = (1..=STREAM_EVENTS).map(event_text).collect();
+    for host in [FIRST_HOST, "127.0.79.2"] {
+        wait_for(|| call(host).as_ref() == Some(&whole));
+    }
+    let id = i32::try_from(process.id()).expect("valid in tests");
+    kill_process(Pid::from_raw(id).expect("valid in tests"), Signal::TERM).expect("valid in tests");
+    assert!(process.wait().expect("valid in tests").success());
+}
--- a/cli/tests/test_gateway_process.rs
+++ b/cli/tests/test_gateway_process.rs
@@ -7,6 +7,7 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::Arc;
 
 use rstest::rstest;
 use rustix::process::Pid;
@@ -16,6 +17,7 @@
 use testutils::deployment_standin::ROUTE_HOST;
 use testutils::deployment_standin::ReplicaMode;
 use testutils::deployment_standin::STREAM_EVENTS;
+use testutils::deployment_standin::StoreMode;
 use testutils::deployment_standin::TEAM_KEY;
 use testutils::deployment_standin::event_text;
 use testutils::hang_guard::wait_for;
@@ -24,7 +26,7 @@
 
 /// A gateway process and its platform; each test has a loopback address of its own.
 struct GatewayRig {
-    standin: DeploymentStandin,
+    standin: Arc<DeploymentStandin>,
     ip: String,
     settings: PathBuf,
     process: Child,
@@ -42,11 +44,16 @@
 
 impl GatewayRig {
     fn start(number: u8) -> Self {
-        let standin = DeploymentStandin::start().expect("valid in tests");
+        Self::start_host(Arc::new(DeploymentStandin::start().expect("valid in tests")), number)
+    }
+
+    /// Starts a further host before a platform.
+    fn start_host(standin: Arc<DeploymentStandin>, number: u8) -> Self {
         let ip = format!("127.0.77.{number}");
         let name = format!("gateway-{}-{number}.json", std::process::id());
         let settings = std::env::temp_dir().join(name);
-        std::fs::write(&settings, standin.settings("h1", &ip).to_string()).expect("valid in tests");
+        std::fs::write(&settings, standin.settings(&format!("h{number:02}"), &ip).to_string())
+            .expect("valid in tests");
         let process = Command::new(PROGRAM)
             .arg("gateway")
             .env("POMELOSTACK_CONFIG", &settings)
@@ -60,6 +67,12 @@
     fn ready(number: u8) -> Self {
         let rig = Self::start(number);
         rig.standin.publish_config(3);
+        rig.serving()
+    }
+
+    /// Waits until the host serves.
+    fn serving(self) -> Self {
+        let rig = self;
         wait_for(|| rig.readiness() == Some(200));
         // The directory may be read a moment later than the configuration.
         wait_for(|| rig.call("GET", "/look/warm", "warm", Some(TEAM_KEY)).status == 200);
@@ -75,6 +88,12 @@
         reply.ok().map(|reply| reply.status().as_u16())
     }
 
+    fn metrics(&self) -> String {
+        let url = format!("http://{}:9464/metrics", self.ip);
+        let reply = Self::agent().get(url).call().expect("valid in tests");
+        reply.into_body().read_to_string().expect("valid in tests")
+    }
+
     fn call(&self, method: &str, path: &str, id: &str, key: Option<&str>) -> CallerAnswer {
         let mut request = hyper::http::Request::builder()
             .method(method)
@@ -240,18 +259,92 @@
 fn usage_is_reported() {
     let rig = GatewayRig::ready(12);
     wait_for(|| !rig.standin.usage_reports().is_empty());
-    let report = &rig.standin.usage_reports()[0];
+    let report = &rig.standin.usage_reports()[0].body;
     assert!(report["counts"]["club"].as_u64().is_some_and(|count| count > 0), "{report}");
 }
 
+#[test]
+fn settings_without_signal() {
+    let rig = GatewayRig::ready(14);
+    let counted = |event: &str| rig.metrics().contains(&format!("event=\"{event}\"}} 1"));
+    std::fs::write(&rig.settings, "{ half a file").expect("valid in tests");
+    wait_for(|| counted("settings_rejected"));
+    let mut settings = rig.standin.settings("h14", &rig.ip);
+    settings["bounds"]["retry-budget-ratio"] = 0.5.into();
+    std::fs::write(&rig.settings, settings.to_string()).expect("valid in tests");
+    wait_for(|| counted("settings_reloaded"));
+    assert_eq!(rig.call("GET", "/look/2", "r2", Some(TEAM_KEY)).status, 200);
+}
+
 #[test]
 fn metrics_are_served() {
     let rig = GatewayRig::ready(13);
-    let reply = GatewayRig::agent()
-        .get(format!("http://{}:9464/metrics", rig.ip))
-        .call()
-        .expect("valid in tests");
-    let text = reply.into_body().read_to_string().expect("valid in tests");
+    let text = rig.metrics();
     assert!(text.contains("pomelostack_requests_total{code=\"0\",kind=\"idempotent\"}"), "{text}");
     assert!(text.contains("pomelostack_answer_seconds_bucket"));
 }
+
+#[rstest]
+#[case(20, StoreMode::Refuse)]
+#[case(21, StoreMode::LoseAnswers)]
+fn store_outage(#[case] number: u8, #[case] mode: StoreMode) {
+    let rig = GatewayRig::ready(number);
+    rig.standin.set_store(mode);
+    wait_for(|| rig.metrics().contains("call=\"read_directory\",outcome=\"failed\""));
+    // The last configuration and directory hold, and a change of the outage is made up for.
+    assert_eq!(rig.call("GET", "/look/1", "r1", Some(TEAM_KEY)).status, 200);
+    rig.standin.publish_config(4);
+    assert_eq!(rig.call("GET", "/look/2", "r2", Some(TEAM_KEY)).status, 200);
+    rig.standin.set_store(StoreMode::Answer);
+    wait_for(|| rig.metrics().contains("event=\"config_adopted\"} 2"));
+}
+
+#[test]
+fn entries_lapse_in_outage() {
+    let rig = GatewayRig::ready(22);
+    rig.standin.set_store(StoreMode::Refuse);
+    wait_for(|| rig.metrics().contains("call=\"read_directory\",outcome=\"failed\""));
+    rig.standin.lapse_replica(0);
+    rig.standin.lapse_replica(1);
+    rig.standin.set_store(StoreMode::Answer);
+    for number in 0..20 {
+        // The servers live, and what the store lost of them is no proof of the contrary.
+        let answer = rig.call("GET", "/look/1", &format!("r{number}"), Some(TEAM_KEY));
+        assert_eq!(answer.status, 200);
+        if number == 10 {
+            rig.standin.list_replica(0, "ready");
+            rig.standin.list_replica(1, "ready");
+        }
+    }
+}
+
+#[test]
+fn duty_handed_on() {
+    // The first member holds the duties; it is killed, and the other one reports for both.
+    let first = GatewayRig::ready(30);
+    let second = GatewayRig::start_host(first.standin.clone(), 31).serving();
+    let standin = first.standin.clone();
+    wait_for(|| !standin.usage_reports().is_empty());
+    let fence = standin.usage_reports()[0].fence;
+    drop(first);
+    wait_for(|| second.call("GET", "/look/1", "r1", Some(TEAM_KEY)).status == 200);
+    wait_for(|| standin.usage_reports().iter().any(|report| report.fence > fence));
+    let windows: Vec<u64> = standin
+        .usage_reports()
+        .iter()
+        .filter_map(|report| report.body["window"].as_u64())
+        .collect();
+    let mut distinct = windows.clone();
+    distinct.sort_unstable();
+    distinct.dedup();
+    assert!(!windows.is_empty());
+    for window in distinct {
+        let bodies = standin.usage_reports();
+        let mut counts = bodies
+            .iter()
+            .filter(|report| report.body["window"].as_u64() == Some(window))
+            .map(|report| &report.body["counts"]);
+        let first = counts.next();
+        assert!(counts.all(|other| Some(other) == first), "a window was reported in two ways");
+    }
+}
--- a/lib/testutils/src/deployment_standin.rs
+++ b/lib/testutils/src/deployment_standin.rs
@@ -10,6 +10,7 @@
 use std::sync::PoisonError;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -39,8 +40,12 @@
 pub const TEAM_KEY: &str = "k1";
 /// Host name of every route.
 pub const ROUTE_HOST: &str = "wind.example";
+/// Port at which a gateway serves callers.
+pub const FRONT_PORT: u16 = 7_700;
 /// Events of a whole stream.
 pub const STREAM_EVENTS: u64 = 12;
+/// Partitions of a topic.
+const PARTITIONS: u64 = 12;
 /// Time between two looks for a record while a read is held.
 const HELD_READ_STEP: Duration = Duration::from_millis(20);
 /// Time between two events of a stream.
@@ -59,6 +64,54 @@
     Refuse,
 }
 
+/// How the store treats calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreMode {
+    /// It answers them.
+    #[default]
+    Answer,
+    /// It refuses all of them and does nothing.
+    Refuse,
+    /// It carries out appends and answers nothing.
+    LoseAnswers,
+}
+
+/// The group whose members share the duties.
+#[derive(Debug, Default)]
+struct DutyGroup {
+    /// Time by which each member must have joined again.
+    members: BTreeMap<String, Instant>,
+    generation: u64,
+}
+
+impl DutyGroup {
+    /// Drops members that did not come back in time.
+    fn expire(&mut self, now: Instant) {
+        let count = self.members.len();
+        self.members.retain(|_, until| *until > now);
+        self.generation += u64::from(self.members.len() < count);
+    }
+
+    /// Keeps a member; returns its partitions, dealt evenly in the order of names.
+    fn join(&mut self, now: Instant, member: &str, ttl: Duration) -> Vec<u64> {
+        self.expire(now);
+        let known = self.members.insert(member.to_owned(), now + ttl).is_some();
+        self.generation += u64::from(!known);
+        let place = self.members.keys().take_while(|name| *name != member).count() as u64;
+        let count = self.members.len() as u64;
+        (0..PARTITIONS).filter(|partition| partition % count == place).collect()
+    }
+}
+
+/// A usage report that was accepted.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UsageReport {
+    /// Its fencing number.
+    pub fence: u64,
+    /// Its body.
+    pub body: Value,
+}
+
 /// A request that a replica ran.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReplicaRun {
@@ -77,9 +130,13 @@
 #[derive(Debug, Default)]
 struct DeploymentState {
     topics: BTreeMap<String, Vec<Vec<u8>>>,
+    store: StoreMode,
+    group: DutyGroup,
     modes: Vec<ReplicaMode>,
     runs: Vec<ReplicaRun>,
-    usage: Vec<Value>,
+    usage: Vec<UsageReport>,
+    /// Largest fencing number that a report carried.
+    largest_fence: u64,
     orders: Vec<Value>,
 }
 
@@ -156,7 +213,7 @@
     }
 
     /// Returns the usage reports that were accepted.
-    pub fn usage_reports(&self) -> Vec<Value> {
+    pub fn usage_reports(&self) -> Vec<UsageReport> {
         lock(&self.state).usage.clone()
     }
 
@@ -165,18 +222,33 @@
         json!({
             "node": node, "ip": ip, "zone": "north", "region": "r", "zones": {"north": "r"},
             "bootstrap": true, "port-range": [7600, 7615],
-            "listen": {"front": format!("{ip}:7700"), "ready": format!("{ip}:7701")},
+            "listen": {"front": format!("{ip}:{FRONT_PORT}"), "ready": format!("{ip}:7701")},
             "bounds": {
                 "grace-s": 8, "retry-budget-ratio": 0.2, "budget-window-s": 10,
                 "budget-slack": 54, "quota-window-s": 8, "quota-over": 0.1,
                 "quota-slack": 140_000, "lease-ms": 600, "usage-window-s": 1,
                 "usage-late-s": 10,
             },
-            "platform": {"address": self.platform.to_string()},
+            "platform": {
+                "address": self.platform.to_string(), "parts": PARTITIONS, "ttl-min-ms": 600,
+            },
             "cloud": {"address": self.platform.to_string(), "duties": ["usage_report"]},
         })
     }
 
+    /// Sets how the store treats calls.
+    pub fn set_store(&self, mode: StoreMode) {
+        lock(&self.state).store = mode;
+    }
+
+    /// Removes a replica's entry from the directory, as when it lapses; the replica goes on.
+    pub fn lapse_replica(&self, index: usize) {
+        let id = replica_id(index);
+        let mut record = vec![id.len() as u8];
+        record.extend_from_slice(id.as_bytes());
+        lock(&self.state).topics.entry("keyed.servers".to_owned()).or_default().push(record);
+    }
+
     fn put(&self, topic: &str, key: &str, value: &Value) {
         let mut record = vec![key.len() as u8];
         record.extend_from_slice(key.as_bytes());
@@ -250,7 +322,14 @@
         |name: &str| query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
     let number = |name: &str| field(name).and_then(|text| text.parse::<u64>().ok());
     let topic = field("topic").unwrap_or_default().to_owned();
+    let fence = request.headers().get("fencing-token").and_then(|value| value.to_str().ok());
+    let fence = fence.and_then(|text| text.parse().ok()).unwrap_or(0);
     let body = request.into_body().collect().await.map(|body| body.to_bytes()).unwrap_or_default();
+    let is_store = path.starts_with("/log-");
+    let mode = if is_store { lock(state).store } else { StoreMode::Answer };
+    if mode == StoreMode::Refuse {
+        return Ok(whole(StatusCode::SERVICE_UNAVAILABLE, "{}"));
+    }
     let reply = match path.as_str() {
         "/log-newest" => whole(StatusCode::OK, newest_page(&lock(state), &topic).to_string()),
         "/log-read" => {
@@ -266,11 +345,33 @@
         }
         "/log-append" => append(&mut lock(state), &topic, number("at"), &body),
         "/log-join" => {
-            let answer = json!({"generation": 1, "ttl-ms": 4_000, "parts": [["duty", 0, 0]]});
+            let call: Value = serde_json::from_slice(&body).unwrap_or_default();
+            let ttl = Duration::from_millis(call["ttl-ms"].as_u64().unwrap_or_default());
+            let member = call["member"].as_str().unwrap_or_default();
+            let group = &mut lock(state).group;
+            let held = group.join(Instant::now(), member, ttl);
+            let parts: Vec<Value> = held.iter().map(|part| json!(["duty", part, 0])).collect();
+            let answer = json!({
+                "generation": group.generation, "ttl-ms": ttl.as_millis() as u64, "parts": parts,
+            });
             whole(StatusCode::OK, answer.to_string())
         }
+        "/log-leave" => {
+            let call: Value = serde_json::from_slice(&body).unwrap_or_default();
+            let group = &mut lock(state).group;
+            if group.members.remove(call["member"].as_str().unwrap_or_default()).is_some() {
+                group.generation += 1;
+            }
+            whole(StatusCode::OK, "{}")
+        }
         "/usage" => {
-            lock(state).usage.push(serde_json::from_slice(&body).unwrap_or_default());
+            let state = &mut lock(state);
+            if fence < state.largest_fence {
+                return Ok(whole(StatusCode::CONFLICT, "{}"));
+            }
+            state.largest_fence = fence;
+            let body = serde_json::from_slice(&body).unwrap_or_default();
+            state.usage.push(UsageReport { fence, body });
             whole(StatusCode::OK, "{}")
         }
         "/scale" => {
@@ -279,6 +380,9 @@
         }
         _ => whole(StatusCode::NOT_FOUND, "{}"),
     };
+    if mode == StoreMode::LoseAnswers {
+        std::future::pending::<()>().await;
+    }
     Ok(reply)
 }
 
@@ -288,6 +392,10 @@
     for (offset, record) in records.iter().enumerate() {
         let (key, value) = record[1..].split_at(usize::from(record[0]));
         let key = String::from_utf8_lossy(key).into_owned();
+        if value.is_empty() {
+            newest.remove(&key);
+            continue;
+        }
         newest.insert(
             key.clone(),
             json!({
