--- a/lib/src/gateway/fleet_size.rs
+++ b/lib/src/gateway/fleet_size.rs
@@ -101,12 +101,20 @@
     /// Last time without any demand, and the servers that were there at first: they stand for a
     /// demand that is not known yet.
     found: Option<(Timestamp, u32)>,
+    /// When orders were first considered.
+    first_look: Option<Timestamp>,
 }
 
 impl FleetSize {
     /// Builds the state of a service without demand.
     pub fn new(service: ServiceName) -> Self {
-        Self { service, peaks: VecDeque::new(), placed: BTreeMap::new(), found: None }
+        Self {
+            service,
+            peaks: VecDeque::new(),
+            placed: BTreeMap::new(),
+            found: None,
+            first_look: None,
+        }
     }
 
     /// Records the demand of the moment.
@@ -139,10 +147,20 @@
         present: &BTreeMap<ZoneName, ZoneFleet>,
     ) -> Vec<FleetOrder> {
         let there: u32 = present.values().map(|fleet| fleet.total()).sum();
-        let found = self.found.map_or(there, |(_, found)| found);
-        if self.peak_demand() == TokenDemand::default() || self.found.is_none() {
+        let is_unknown = self.peak_demand() == TokenDemand::default();
+        let found = match self.found {
+            // The first looks may come before all servers are listed.
+            Some((_, found)) if is_unknown && self.placed.is_empty() => found.max(there),
+            Some((_, found)) => found,
+            None => there,
+        };
+        let first_look = *self.first_look.get_or_insert(now);
+        if is_unknown || self.found.is_none() {
             self.found = Some((now, found));
         }
+        if is_unknown && found == 0 && now.since(first_look) < UNKNOWN_DEMAND_TIME {
+            return Vec::new();
+        }
         let needed = self.needed_servers(now);
         let wanted = plan_zones(bounds, needed, present);
         let mut orders = Vec::new();
--- a/lib/src/gateway/store_follower.rs
+++ b/lib/src/gateway/store_follower.rs
@@ -170,8 +170,9 @@
             Ok(read) => {
                 pause.reset();
                 from = Some(read.next);
+                let complete = read.complete;
                 apply_directory(&state, read);
-                wait_for_turn(&state).await;
+                wait_for_turn(&state, complete).await;
             }
             Err(error) => {
                 if error == EdgeError::RecordsDropped {
@@ -187,10 +188,11 @@
 }
 
 /// Waits until this host's next read of the directory.
-async fn wait_for_turn(state: &GatewayState) {
+async fn wait_for_turn(state: &GatewayState, complete: bool) {
     let started = state.now();
-    // Hosts that started together spread their reads over the period.
-    let spread = rand::rng().random_range(0.75..1.25);
+    // Hosts that started together, or lost their place together, spread over the whole period.
+    let spread = if complete { 0.0..1.0 } else { 0.75..1.25 };
+    let spread = rand::rng().random_range(spread);
     loop {
         tokio::time::sleep(DIRECTORY_PERIOD).await;
         let now = state.now();
--- a/lib/tests/test_fleet_size.rs
+++ b/lib/tests/test_fleet_size.rs
@@ -93,6 +93,25 @@
     }
 }
 
+#[test]
+fn late_listing() {
+    // The host that holds the duties looks before it knows of any server, and again when a few of
+    // them are listed; the fleet is none the smaller for it.
+    let mut cloud = PromptCloud::new(None);
+    let listed = std::mem::take(&mut cloud.present);
+    for second in 0..3 {
+        cloud.play(second, 0.0);
+        assert_eq!(cloud.total(), 0, "nothing is ordered before anything is known");
+    }
+    let first = listed.clone().into_iter().take(1).collect();
+    cloud.fleet.orders(at(3), &cloud.bounds, &first);
+    cloud.present = listed;
+    for second in 4..14 {
+        cloud.play(second, 0.0);
+        assert_eq!(cloud.total(), 8);
+    }
+}
+
 #[test]
 fn follows_demand() {
     let mut cloud = PromptCloud::new(None);
--- /dev/null
+++ b/lib/tests/test_store_follower.rs
@@ -0,0 +1,252 @@
+//! Following the store on a virtual clock: held reads that are forgotten, outages, shared reads.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::future::pending;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use pomelostack_lib::gateway::duty_turn::DutyBounds;
+use pomelostack_lib::gateway::duty_turn::DutyGrant;
+use pomelostack_lib::gateway::edges::AppendOutcome;
+use pomelostack_lib::gateway::edges::ConfigRead;
+use pomelostack_lib::gateway::edges::ControlStore;
+use pomelostack_lib::gateway::edges::DirectoryRead;
+use pomelostack_lib::gateway::edges::EdgeError;
+use pomelostack_lib::gateway::edges::HostCard;
+use pomelostack_lib::gateway::edges::RecordsRead;
+use pomelostack_lib::gateway::edges::Result;
+use pomelostack_lib::gateway::gateway_metrics::GatewayMetrics;
+use pomelostack_lib::gateway::gateway_settings::GatewaySettings;
+use pomelostack_lib::gateway::gateway_state::GatewayState;
+use pomelostack_lib::gateway::quota_share::QuotaBounds;
+use pomelostack_lib::gateway::retry_share::RetryBounds;
+use pomelostack_lib::gateway::serving_config::CallerLimits;
+use pomelostack_lib::gateway::serving_config::ServingConfig;
+use pomelostack_lib::gateway::store_follower::follow_config;
+use pomelostack_lib::gateway::store_follower::follow_directory;
+use pomelostack_lib::ids::HostId;
+use pomelostack_lib::ids::LogOffset;
+use pomelostack_lib::ids::ZoneName;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+/// Time in which a change must be in force everywhere.
+const CHANGE_BOUND: Duration = Duration::from_secs(3);
+
+/// How the store treats reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadMode {
+    Answer,
+    /// It never answers a read that it holds, whatever comes.
+    ForgetHeld,
+    Refuse,
+}
+
+/// A store with one configuration after another.
+struct FakeStore {
+    version: Cell<u64>,
+    mode: Cell<ReadMode>,
+    config_reads: Cell<u32>,
+    /// Times of the reads of the directory.
+    directory_reads: RefCell<Vec<Instant>>,
+}
+
+impl FakeStore {
+    fn new() -> Self {
+        Self {
+            version: Cell::new(1),
+            mode: Cell::new(ReadMode::Answer),
+            config_reads: Cell::new(0),
+            directory_reads: RefCell::default(),
+        }
+    }
+
+    fn answer(&self) -> ConfigRead {
+        let version = self.version.get();
+        ConfigRead { config: Some(config(version)), next: LogOffset(version), skipped: Vec::new() }
+    }
+}
+
+fn config(version: u64) -> ServingConfig {
+    let limits = CallerLimits {
+        header_bytes: 16_384,
+        body_bytes: 1 << 20,
+        header_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+    ServingConfig::new(version, Vec::new(), Vec::new(), limits, None)
+}
+
+impl ControlStore for FakeStore {
+    async fn read_config(&self, from: Option<LogOffset>, wait: Duration) -> Result<ConfigRead> {
+        self.config_reads.set(self.config_reads.get() + 1);
+        if self.mode.get() == ReadMode::Refuse {
+            return Err(EdgeError::Refused(503));
+        }
+        let known = from.map_or(0, |from| from.0);
+        if wait.is_zero() || self.version.get() > known {
+            return Ok(self.answer());
+        }
+        let held = async {
+            while self.version.get() <= known || self.mode.get() != ReadMode::Answer {
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        // A held read that ends without a record brings nothing; a forgotten one ends in the client.
+        match tokio::time::timeout(wait, held).await {
+            Ok(()) => Ok(self.answer()),
+            Err(_) if self.mode.get() == ReadMode::ForgetHeld => pending().await,
+            Err(_) if self.mode.get() == ReadMode::Refuse => Err(EdgeError::Refused(503)),
+            Err(_) => Ok(ConfigRead { config: None, next: LogOffset(known), skipped: Vec::new() }),
+        }
+    }
+
+    async fn read_directory(&self, from: Option<LogOffset>) -> Result<DirectoryRead> {
+        self.directory_reads.borrow_mut().push(Instant::now());
+        if self.mode.get() == ReadMode::Refuse {
+            return Err(EdgeError::Refused(503));
+        }
+        let next = LogOffset(0);
+        let complete = from.is_none();
+        Ok(DirectoryRead { changes: Vec::new(), complete, next, skipped: Vec::new() })
+    }
+
+    async fn publish_card(&self, _: &HostCard) -> Result<()> {
+        Ok(())
+    }
+
+    async fn list_cards(&self) -> Result<Vec<HostCard>> {
+        Ok(Vec::new())
+    }
+
+    async fn record_spending(&self, _: Vec<u8>) -> Result<()> {
+        Ok(())
+    }
+
+    async fn list_spending(&self) -> Result<Vec<Vec<u8>>> {
+        Ok(Vec::new())
+    }
+
+    async fn renew_duty(&self, generation: u64) -> Result<DutyGrant> {
+        Ok(DutyGrant { generation, held: false, own_partitions: 0, all_partitions: 0 })
+    }
+
+    async fn leave_duty(&self) -> Result<()> {
+        Ok(())
+    }
+
+    async fn read_usage(&self, next: LogOffset) -> Result<RecordsRead> {
+        Ok(RecordsRead { records: Vec::new(), next })
+    }
+
+    async fn append_usage(&self, at: LogOffset, _: Vec<u8>) -> Result<AppendOutcome> {
+        Ok(AppendOutcome::Appended(at))
+    }
+}
+
+fn state() -> Rc<GatewayState> {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let settings = GatewaySettings {
+        host: HostId::try_from("h1").expect("valid in tests"),
+        zone: ZoneName::try_from("north").expect("valid in tests"),
+        first_start: true,
+        front: address,
+        ready: address,
+        metrics: address,
+        summaries: address,
+        grace: Duration::from_secs(8),
+        retries: RetryBounds { ratio: 0.2, window: Duration::from_secs(10), allowance: 54.0 },
+        quotas: QuotaBounds {
+            window: Duration::from_secs(8),
+            tolerance_ratio: 0.1,
+            tolerance_units: 140_000.0,
+        },
+        duty: DutyBounds::for_lease(Duration::from_secs(3)),
+        reports_usage: true,
+        orders_servers: false,
+        usage_window: Duration::from_secs(5),
+        usage_late: Duration::from_secs(10),
+    };
+    Rc::new(GatewayState::new(settings, GatewayMetrics::new().expect("valid in tests")))
+}
+
+fn version_of(state: &GatewayState) -> u64 {
+    state.config.borrow().current().map_or(0, |config| config.version)
+}
+
+/// Runs a play on a virtual clock.
+fn play<F: Future<Output = ()>>(play: F) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("valid in tests");
+    LocalSet::new().block_on(&runtime, play);
+}
+
+/// Waits until a version is in force; returns how long it took.
+async fn time_to(state: &GatewayState, version: u64) -> Duration {
+    let start = Instant::now();
+    while version_of(state) < version {
+        sleep(Duration::from_millis(10)).await;
+        assert!(start.elapsed() < Duration::from_secs(60), "version {version} never came");
+    }
+    start.elapsed()
+}
+
+#[test]
+fn forgotten_read() {
+    // A store in trouble forgets the reads that it holds. A peer whose read was answered tells the
+    // newer version, and this host asks for it at once instead of waiting for its own read's end.
+    play(async {
+        let (state, store) = (state(), Rc::new(FakeStore::new()));
+        spawn_local(follow_config(state.clone(), store.clone()));
+        time_to(&state, 1).await;
+        store.mode.set(ReadMode::ForgetHeld);
+        sleep(Duration::from_millis(100)).await;
+        store.version.set(2);
+        sleep(Duration::from_millis(400)).await;
+        assert_eq!(version_of(&state), 1, "the read was forgotten");
+        state.config_hint.notify_one();
+        assert!(time_to(&state, 2).await < CHANGE_BOUND);
+    });
+}
+
+#[test]
+fn change_after_outage() {
+    play(async {
+        let (state, store) = (state(), Rc::new(FakeStore::new()));
+        spawn_local(follow_config(state.clone(), store.clone()));
+        time_to(&state, 1).await;
+        store.mode.set(ReadMode::Refuse);
+        store.version.set(2);
+        sleep(Duration::from_secs(30)).await;
+        assert_eq!(version_of(&state), 1, "the last version holds as long as the outage lasts");
+        let asked = store.config_reads.get();
+        store.mode.set(ReadMode::Answer);
+        assert!(time_to(&state, 2).await < CHANGE_BOUND);
+        assert!(asked < 30 * 4, "pauses grow in an outage: {asked} reads");
+    });
+}
+
+#[test]
+fn lone_host_reads_often() {
+    // Without peers nobody else reads for this host, in an outage and after it.
+    play(async {
+        let (state, store) = (state(), Rc::new(FakeStore::new()));
+        spawn_local(follow_directory(state.clone(), store.clone()));
+        sleep(Duration::from_secs(20)).await;
+        store.mode.set(ReadMode::Refuse);
+        sleep(Duration::from_secs(5)).await;
+        store.mode.set(ReadMode::Answer);
+        sleep(Duration::from_secs(20)).await;
+        let reads = store.directory_reads.borrow();
+        let longest = reads.windows(2).map(|pair| pair[1] - pair[0]).max();
+        assert!(longest <= Some(Duration::from_secs(2)), "{longest:?}");
+        assert!(reads.len() < 45 * 4, "{} reads", reads.len());
+    });
+}
