--- a/bench/src/front_door.rs
+++ b/bench/src/front_door.rs
@@ -44,7 +44,7 @@
 }
 
 /// Returns the program that was built beside this one.
-fn program_path() -> PathBuf {
+pub fn program_path() -> PathBuf {
     let own = std::env::current_exe().expect("this program has a path");
     own.with_file_name("pomelostack")
 }
@@ -139,7 +139,7 @@
 }
 
 /// Returns the resident memory of a process in KiB.
-fn resident_kib(process: u32) -> u64 {
+pub fn resident_kib(process: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{process}/status"));
     let status = status.expect("the process runs");
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
@@ -147,7 +147,7 @@
     number.and_then(|text| text.parse().ok()).expect("the status holds the resident memory")
 }
 
-fn new_histogram() -> Histogram<u64> {
+pub fn new_histogram() -> Histogram<u64> {
     // Times up to a minute in microseconds, to three digits.
     Histogram::new_with_bounds(1, 60_000_000, 3).expect("the bounds are valid")
 }
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -11,6 +11,7 @@
 mod decision_cost;
 mod evacuation;
 mod front_door;
+mod gateway_cost;
 mod limits;
 mod membership;
 mod peer_link;
@@ -47,6 +48,7 @@
     BenchCase { name: "decision-cost", run: decision_cost::run },
     BenchCase { name: "evacuation", run: evacuation::run },
     BenchCase { name: "front-door", run: front_door::run },
+    BenchCase { name: "gateway-cost", run: gateway_cost::run },
     BenchCase { name: "limits", run: limits::run },
     BenchCase { name: "membership", run: membership::run },
     BenchCase { name: "routing", run: routing::run },
--- a/lib/src/gateway/backend_directory.rs
+++ b/lib/src/gateway/backend_directory.rs
@@ -11,6 +11,7 @@
 
 use slotmap::SlotMap;
 
+use crate::gateway::directory_news::ReadTimes;
 use crate::ids::LogOffset;
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
@@ -203,6 +204,12 @@
         self.read_at.map(|at| now.since(at))
     }
 
+    /// Returns when this host and any host last read the directory, if this one ever did.
+    pub fn read_times(&self) -> Option<ReadTimes> {
+        let own = self.read_at?;
+        Some(ReadTimes { own, newest: self.seen_at.unwrap_or(own) })
+    }
+
     /// Returns a server.
     pub fn get(&self, key: ServerKey) -> Option<&BackendServer> {
         self.servers.get(key)
--- a/lib/src/gateway/store_follower.rs
+++ b/lib/src/gateway/store_follower.rs
@@ -8,6 +8,7 @@
 use crate::gateway::backend_directory::DirectoryChange;
 use crate::gateway::backend_directory::DirectoryEffect;
 use crate::gateway::backend_directory::ExpiredServer;
+use crate::gateway::directory_news::ReadTurn;
 use crate::gateway::directory_news::read_stretch;
 use crate::gateway::edges::ConfigRead;
 use crate::gateway::edges::ControlStore;
@@ -27,6 +28,9 @@
 /// arrive within two seconds, and servers write about as often.
 const DIRECTORY_PERIOD: Duration = Duration::from_millis(1_300);
 
+/// Time between two looks at whether it is this host's turn to read the directory.
+const TURN_STEP: Duration = Duration::from_millis(100);
+
 /// Time between two looks at whether enough peers are heard while a read is held.
 const SIGHT_PERIOD: Duration = Duration::from_millis(500);
 
@@ -170,9 +174,8 @@
             Ok(read) => {
                 pause.reset();
                 from = Some(read.next);
-                let complete = read.complete;
                 apply_directory(&state, read);
-                wait_for_turn(&state, complete).await;
+                wait_for_turn(&state).await;
             }
             Err(error) => {
                 if error == EdgeError::RecordsDropped {
@@ -188,20 +191,17 @@
 }
 
 /// Waits until this host's next read of the directory.
-async fn wait_for_turn(state: &GatewayState, complete: bool) {
-    let started = state.now();
-    // Hosts that started together, or lost their place together, spread over the whole period.
-    let spread = if complete { 0.0..1.0 } else { 0.75..1.25 };
-    let spread = rand::rng().random_range(spread);
+async fn wait_for_turn(state: &GatewayState) {
+    let mut turn = ReadTurn::default();
+    let mut step = DIRECTORY_PERIOD;
     loop {
-        tokio::time::sleep(DIRECTORY_PERIOD).await;
+        tokio::time::sleep(step).await;
+        step = TURN_STEP;
         let now = state.now();
         let must_read = state.directory_hint.take() || state.directory.borrow().is_unsettled(now);
-        let stretch = match must_read {
-            true => 1,
-            false => stretch_of(state),
-        };
-        if stretch == 1 || now.since(started) >= (DIRECTORY_PERIOD * stretch).mul_f64(spread) {
+        let stretch = if must_read { 1 } else { stretch_of(state) };
+        let Some(times) = state.directory.borrow().read_times() else { break };
+        if turn.is_due(now, times, DIRECTORY_PERIOD, stretch, &mut rand::rng()) {
             break;
         }
     }
--- a/lib/tests/test_directory_news.rs
+++ b/lib/tests/test_directory_news.rs
@@ -10,6 +10,8 @@
 use pomelostack_lib::gateway::backend_directory::STORE_AWAY_AFTER;
 use pomelostack_lib::gateway::backend_directory::ServingState;
 use pomelostack_lib::gateway::directory_news::DirectoryNews;
+use pomelostack_lib::gateway::directory_news::ReadTimes;
+use pomelostack_lib::gateway::directory_news::ReadTurn;
 use pomelostack_lib::gateway::directory_news::ToldChanges;
 use pomelostack_lib::gateway::directory_news::decode_change;
 use pomelostack_lib::gateway::directory_news::is_gap;
@@ -23,6 +25,8 @@
 use proptest::prelude::any;
 use proptest::prop_assert_eq;
 use proptest::proptest;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
 fn at(millis: u64) -> Timestamp {
@@ -180,3 +184,59 @@
         }
     }
 }
+
+/// Period of a host alone.
+const PERIOD: Duration = Duration::from_millis(1_300);
+/// Time between two summaries of a host.
+const SUMMARY_MS: u64 = 400;
+
+/// Plays a fleet that starts with one read of all hosts at once; returns the longest time without a
+/// read and the number of reads.
+fn play_turns(hosts: u64, seed: u64, lively: impl Fn(u64, u64) -> bool) -> (u64, u64) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut turns = vec![ReadTurn::default(); hosts as usize];
+    let mut own = vec![0; hosts as usize];
+    // What each host has told of its last read.
+    let mut told = vec![0; hosts as usize];
+    let (mut last, mut longest, mut count) = (0, 0, 0);
+    for now in (0..60_000_u64).step_by(20) {
+        let newest = told.iter().copied().max().unwrap_or(0);
+        // Hosts that fell silent count as heard for a moment.
+        let heard = (0..hosts).filter(|host| lively(*host, now.saturating_sub(900))).count() as u32;
+        for host in (0..hosts).filter(|host| lively(*host, now)) {
+            let index = host as usize;
+            let times = ReadTimes { own: at(own[index]), newest: at(own[index].max(newest)) };
+            let is_look = now - own[index] >= 1_300 && (now + host * 20) % 100 == 0;
+            let stretch = read_stretch(heard);
+            if is_look && turns[index].is_due(at(now), times, PERIOD, stretch, &mut random) {
+                longest = longest.max(now - last);
+                (last, own[index], count) = (now, now, count + 1);
+            }
+            if (now + host * 20) % SUMMARY_MS == 0 {
+                told[index] = own[index];
+            }
+        }
+    }
+    (longest, count)
+}
+
+#[test]
+fn turns_without_gaps() {
+    // A change is read within two of a lone host's periods, and the fleet reads no more often than a
+    // dozen hosts that each read for themselves.
+    for seed in 0..40 {
+        let (longest, count) = play_turns(70, seed, |_, _| true);
+        assert!(longest <= 2_600, "seed {seed}: {longest} ms without a read");
+        assert!(count <= 12 * 60_000 / 1_300, "seed {seed}: {count} reads");
+    }
+}
+
+#[test]
+fn turns_outlive_hosts() {
+    // Two thirds of the hosts are gone after a while.
+    for seed in 0..40 {
+        let lively = |host: u64, now: u64| host % 3 == 0 || now < 20_000;
+        let (longest, _) = play_turns(70, seed, lively);
+        assert!(longest <= 2_600, "seed {seed}: {longest} ms without a read");
+    }
+}
--- a/lib/testutils/src/deployment_standin.rs
+++ b/lib/testutils/src/deployment_standin.rs
@@ -42,7 +42,7 @@
 pub const ROUTE_HOST: &str = "wind.example";
 /// Port at which a gateway serves callers.
 pub const FRONT_PORT: u16 = 7_700;
-/// Events of a whole stream.
+/// Events of a whole stream, unless the path ends in `/events-` and a number.
 pub const STREAM_EVENTS: u64 = 12;
 /// Partitions of a topic.
 const PARTITIONS: u64 = 12;
@@ -463,7 +463,9 @@
         return Err(std::io::ErrorKind::ConnectionReset.into());
     }
     let mut reply = if request.uri().path().starts_with("/brief/") {
-        stream_events(resumed_after.unwrap_or(0), mode)
+        let count = request.uri().path().rsplit_once("/events-").map(|(_, count)| count.parse());
+        let count = count.and_then(Result::ok).unwrap_or(STREAM_EVENTS);
+        stream_events(resumed_after.unwrap_or(0), count, mode)
     } else {
         whole(StatusCode::OK, format!("answer to {request_id}"))
     };
@@ -480,10 +482,10 @@
     format!("id: {id}\ndata: piece {id}\n\n")
 }
 
-fn stream_events(after: u64, mode: ReplicaMode) -> StandinReply {
+fn stream_events(after: u64, count: u64, mode: ReplicaMode) -> StandinReply {
     let (sender, receiver) = mpsc::channel(1);
     tokio::task::spawn_local(async move {
-        for id in after + 1..=STREAM_EVENTS {
+        for id in after + 1..=count {
             tokio::time::sleep(EVENT_GAP).await;
             let text = event_text(id);
             let cut = matches!(mode, ReplicaMode::CutAfter(count) if id > after + count);
