--- a/lib/tests/test_directory_news.rs
+++ b/lib/tests/test_directory_news.rs
@@ -22,6 +22,7 @@
 use pomelostack_lib::ids::ZoneName;
 use pomelostack_lib::protos::gateway::ServerChange;
 use pomelostack_lib::timestamp::Timestamp;
+use proptest::prelude::ProptestConfig;
 use proptest::prelude::any;
 use proptest::prop_assert_eq;
 use proptest::proptest;
@@ -52,6 +53,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
     #[test]
     fn entries_round_trip(
         offset in any::<u64>(),
--- a/lib/tests/test_peer_table.rs
+++ b/lib/tests/test_peer_table.rs
@@ -13,6 +13,13 @@
 use pomelostack_lib::protos::gateway::HostSummary;
 use pomelostack_lib::protos::gateway::TeamUse;
 use pomelostack_lib::timestamp::Timestamp;
+use proptest::collection::vec;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::proptest;
+use proptest::sample::Index;
+use prost::Message as _;
 use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
@@ -293,3 +300,37 @@
     // An estimate above what was ever heard changes nothing.
     assert!(table.is_cut_off_from(at(3_100), Some(12)));
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn any_datagrams(datagrams in vec(vec(any::<u8>(), 0..200), 0..20)) {
+        // Datagrams come from the network: whatever they hold is taken in or skipped.
+        let mut table = PeerTable::new(host("h1"), zone("north"));
+        for (index, bytes) in datagrams.iter().enumerate() {
+            if let Ok(summary) = HostSummary::decode(bytes.as_slice()) {
+                table.on_summary(at(index as u64), summary);
+            }
+        }
+        table.expire(at(60_000), Duration::from_secs(8));
+        prop_assert!(table.spending().is_empty());
+    }
+
+    #[test]
+    fn damaged_summaries(
+        cuts in vec((any::<Index>(), any::<u8>()), 0..6),
+        spent in any::<u64>(),
+    ) {
+        let mut bytes = summary("h2", 1, 1, spent).encode_to_vec();
+        for (index, value) in cuts {
+            let at = index.index(bytes.len());
+            bytes[at] = value;
+        }
+        let mut table = PeerTable::new(host("h1"), zone("north"));
+        if let Ok(summary) = HostSummary::decode(bytes.as_slice()) {
+            table.on_summary(at(0), summary);
+        }
+        prop_assert!(table.heard(at(1)) <= 1);
+    }
+}
