weight store: remove the client, its stand-in and the setting

The platform's servers load their own weights (PROTOCOL, replicas) and no process ever called the store.

--- a/cli/src/commands/dev.rs
+++ b/cli/src/commands/dev.rs
@@ -154,7 +154,6 @@
     println!("log           http://{}", platform.log_address());
     println!("cloud         http://{}", platform.cloud_address());
     println!("host list     http://{}", platform.host_list_address());
-    println!("weight store  http://{}", platform.weight_store_address());
     for (host, engine) in platform.engines() {
         println!("model server  http://{}  {host}", engine.address());
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -29,8 +29,6 @@
 pub mod log_service;
 pub mod request_meter;
 pub mod server_connector;
-pub mod weight_store;
-pub mod weight_store_client;
 
 // Idempotency on the log.
 pub mod claim_checkpoint;
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -65,8 +65,6 @@
     pub cloud: SocketAddr,
     /// Host list.
     pub host_list: SocketAddr,
-    /// Weight store.
-    pub weight_store: SocketAddr,
     /// Time for which the log keeps records.
     pub log_retention: Duration,
 }
@@ -175,7 +173,6 @@
             ("$.platform.log", self.platform.log),
             ("$.platform.cloud", self.platform.cloud),
             ("$.platform.host_list", self.platform.host_list),
-            ("$.platform.weight_store", self.platform.weight_store),
         ];
         for (index, (path, address)) in named.iter().enumerate() {
             let twin = named[..index].iter().find(|(_, other)| other == address);
@@ -237,7 +234,6 @@
         log: reader.address("log")?,
         cloud: reader.address("cloud")?,
         host_list: reader.address("host_list")?,
-        weight_store: reader.address("weight_store")?,
         log_retention: reader.millis_or("log_retention_ms", 3_600_000, 1_000..=31_536_000_000)?,
     };
     reader.finish()?;
--- a/lib/testutils/src/dev_cluster.rs
+++ b/lib/testutils/src/dev_cluster.rs
@@ -184,7 +184,6 @@
             "peer_token": PEER_TOKEN,
             "platform": {
                 "log": platform(0), "cloud": platform(1), "host_list": platform(2),
-                "weight_store": platform(3),
             },
             "operators": [
                 { "name": "dev", "role": "write", "token_hash": hash(OPERATOR_WRITE_TOKEN) },
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -26,7 +26,6 @@
 pub mod raw_server;
 pub mod server_life;
 mod standin_listener;
-pub mod weight_standin;
 
 pub mod admin_fixture;
 pub mod config_samples;
