--- a/lib/tests/test_directory_news.rs
+++ b/lib/tests/test_directory_news.rs
@@ -181,7 +181,7 @@
             assert!(!is_gap(heard_all, told.count, told.changes.len()), "step {step}");
             heard_all = Some(told.count);
         }
-        if step < 3 || step > 16 {
+        if !(3..=16).contains(&step) {
             assert_eq!(is_gap(heard_some, told.count, told.changes.len()), step == 17);
             heard_some = Some(told.count);
         }
@@ -238,7 +238,7 @@
 fn turns_outlive_hosts() {
     // Two thirds of the hosts are gone after a while.
     for seed in 0..40 {
-        let lively = |host: u64, now: u64| host % 3 == 0 || now < 20_000;
+        let lively = |host: u64, now: u64| host.is_multiple_of(3) || now < 20_000;
         let (longest, _) = play_turns(70, seed, lively);
         assert!(longest <= 2_600, "seed {seed}: {longest} ms without a read");
     }
--- a/lib/tests/test_peer_table.rs
+++ b/lib/tests/test_peer_table.rs
@@ -230,7 +230,9 @@
     let mut play = FleetPlay::start();
     (1..=5).for_each(|number| play.play_period(number));
     // Half of the hosts die at once; the others hear each other all the time.
-    (0..FLEET).filter(|index| index % 2 == 0).for_each(|index| play.dead[index as usize] = true);
+    (0..FLEET)
+        .filter(|index| index.is_multiple_of(2))
+        .for_each(|index| play.dead[index as usize] = true);
     let living = FLEET as usize / 2;
     let mut least = usize::MAX;
     for number in 6..=30 {
@@ -246,7 +248,7 @@
 fn silent_zone_found_again() {
     let mut play = FleetPlay::start();
     (1..=5).for_each(|number| play.play_period(number));
-    let in_zone = |index: &u64| index % ZONES == 0;
+    let in_zone = |index: &u64| index.is_multiple_of(ZONES);
     (0..FLEET).filter(in_zone).for_each(|index| play.dead[index as usize] = true);
     (6..=25).for_each(|number| play.play_period(number));
     (0..FLEET).filter(in_zone).for_each(|index| play.dead[index as usize] = false);
