--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -23,6 +23,7 @@
 pub mod gateway_metrics;
 pub mod gateway_settings;
 pub mod gateway_state;
+pub mod host_summary;
 pub mod leave_plan;
 pub mod log_writer;
 pub mod peer_gossip;
