--- a/lib/src/gateway/quota_share.rs
+++ b/lib/src/gateway/quota_share.rs
@@ -249,7 +249,7 @@
         let share = window.share(total, units);
         let own = (window.own.spent + units) as f64;
         let all = own + window.peers.spent as f64;
-        let likely = all + window.peers_untold().min(whole * MAX_UNTOLD_PART);
+        let likely = all + window.peers_untold(sight).min(whole * MAX_UNTOLD_PART);
         let free = matches!(sight, PeerSight::Majority { .. }) && likely <= total * FREE_PART;
         // Parts that were measured at different times may add up to more than the whole.
         let admitted = free || (own <= share && likely <= total);
@@ -328,11 +328,17 @@
 
     /// Estimates what the peers spent since they told: as much, by their part of the demand, as this
     /// host has spent since it told them.
-    fn peers_untold(&self) -> f64 {
+    ///
+    /// A host that told little takes its part for half of an even one at least, so that a single large
+    /// request does not stand for many.
+    fn peers_untold(&self, sight: PeerSight) -> f64 {
         if self.told_asked == 0 {
             return 0.0;
         }
-        self.untold_spent as f64 * self.peers.asked as f64 / self.told_asked as f64
+        let (PeerSight::Minority { known, .. } | PeerSight::Majority { known, .. }) = sight;
+        let even = f64::from(known.saturating_sub(1));
+        let ratio = self.peers.asked as f64 / self.told_asked as f64;
+        self.untold_spent as f64 * ratio.min(2.0 * even)
     }
 
     /// Returns the units that this host may have spent in the window.
