--- a/bench/src/gateway_cost.rs
+++ b/bench/src/gateway_cost.rs
@@ -7,9 +7,6 @@
 use std::io::Read as _;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::process::Child;
-use std::process::Command;
-use std::process::Stdio;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -20,10 +17,10 @@
 use serde_json::json;
 use testutils::deployment_standin::DeploymentStandin;
 use testutils::deployment_standin::FRONT_PORT;
-use testutils::deployment_standin::ROUTE_HOST;
-use testutils::deployment_standin::TEAM_KEY;
 use testutils::dev_cluster::MODEL_SERVICE;
 use testutils::dev_cluster::TEAMS;
+use testutils::gateway_process::GatewayProcess;
+use testutils::gateway_process::caller_headers;
 use testutils::hang_guard::wait_for;
 use testutils::process_fleet::ProcessFleet;
 
@@ -84,38 +81,16 @@
     });
 }
 
-/// A gateway that is killed when it is dropped.
-struct GatewayProcess(Child);
-
-impl Drop for GatewayProcess {
-    fn drop(&mut self) {
-        // It may have ended already.
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
 fn measure_gateway(program: &Path) {
     let standin = DeploymentStandin::start().expect("loopback ports are free");
     standin.publish_config(1);
-    let settings = std::env::temp_dir().join(format!("gateway-cost-{}.json", std::process::id()));
-    fs::write(&settings, standin.settings("gateway-1", GATEWAY_IP).to_string())
-        .expect("the folder for temporary files can be written");
-    let process = Command::new(program)
-        .arg("gateway")
-        .env("POMELOSTACK_CONFIG", &settings)
-        .stdout(Stdio::null())
-        .spawn()
+    let process = GatewayProcess::start(program, &standin, "gateway-1", GATEWAY_IP)
         .expect("the program was built");
-    let process = GatewayProcess(process);
     let door = SocketAddr::new(GATEWAY_IP.parse().expect("it is an address"), FRONT_PORT);
     let request = |agent: &ureq::Agent, address: SocketAddr, path: &str| {
-        agent
-            .get(format!("http://{address}{path}"))
-            .header("Host", ROUTE_HOST)
-            .header("Request-Id", "cost")
-            .header("Request-Deadline", "60000")
-            .header("Authorization", format!("Token {TEAM_KEY}"))
+        let request = agent.get(format!("http://{address}{path}"));
+        let headers = caller_headers("cost").into_iter();
+        headers.fold(request, |request, (name, value)| request.header(name, value))
     };
     let probe = ureq::agent();
     wait_for(|| request(&probe, door, "/look/1").call().is_ok());
@@ -143,10 +118,8 @@
                 }
             });
         }
-        print_cost("gateway", process.0.id(), &open, &targets);
+        print_cost("gateway", process.id(), &open, &targets);
     });
-    // The file is of no use to anyone; the next run writes its own.
-    let _ = fs::remove_file(&settings);
 }
 
 /// Makes the requests beside the open streams and prints what they cost.
--- a/cli/src/commands/dev.rs
+++ b/cli/src/commands/dev.rs
@@ -17,8 +17,6 @@
 use pomelostack_lib::settings::LogSettings;
 use testutils::deployment_standin::DeploymentStandin;
 use testutils::deployment_standin::FRONT_PORT;
-use testutils::deployment_standin::ROUTE_HOST;
-use testutils::deployment_standin::TEAM_KEY;
 use testutils::dev_cluster::APP_SERVICE;
 use testutils::dev_cluster::DevCluster;
 use testutils::dev_cluster::DevPlan;
@@ -27,6 +25,7 @@
 use testutils::dev_cluster::OPERATOR_WRITE_TOKEN;
 use testutils::dev_cluster::TEAMS;
 use testutils::dev_cluster::dev_configuration;
+use testutils::gateway_process::curl_line;
 use testutils::platform_standin::PlatformStandin;
 
 use crate::commands::entry::stop_signal;
@@ -116,11 +115,7 @@
         println!("gateway       http://{ip}:{FRONT_PORT}  settings {}", path.display());
         running.push(thread::spawn(move || pomelostack_platform::run_with_settings(path)));
     }
-    println!(
-        "\ntry:\n  curl -N -X POST http://{first}:{FRONT_PORT}/brief/1 -H 'Host: {ROUTE_HOST}' \\"
-    );
-    println!("    -H 'Authorization: Token {TEAM_KEY}' -H 'Request-Id: dev-1' \\");
-    println!("    -H 'Request-Deadline: 8000' -d 'Wind at the start line?'");
+    println!("\ntry:\n  {}", curl_line(first.into()));
     println!("\nready; Ctrl-C stops");
     let mut code = ExitCode::SUCCESS;
     for host in running {
--- a/cli/tests/test_dev_platform.rs
+++ b/cli/tests/test_dev_platform.rs
@@ -9,10 +9,9 @@
 use rustix::process::Signal;
 use rustix::process::kill_process;
 use testutils::deployment_standin::FRONT_PORT;
-use testutils::deployment_standin::ROUTE_HOST;
 use testutils::deployment_standin::STREAM_EVENTS;
-use testutils::deployment_standin::TEAM_KEY;
 use testutils::deployment_standin::event_text;
+use testutils::gateway_process::caller_headers;
 use testutils::hang_guard::wait_for;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_pomelostack");
@@ -36,12 +35,10 @@
     let agent: ureq::Agent =
         ureq::Agent::config_builder().http_status_as_error(false).build().into();
     let call = |host: &str| {
-        agent
-            .post(format!("http://{host}:{FRONT_PORT}/brief/1"))
-            .header("Host", ROUTE_HOST)
-            .header("Request-Id", "r1")
-            .header("Request-Deadline", "8000")
-            .header("Authorization", format!("Token {TEAM_KEY}"))
+        let request = agent.post(format!("http://{host}:{FRONT_PORT}/brief/1"));
+        let headers = caller_headers("r1").into_iter();
+        headers
+            .fold(request, |request, (name, value)| request.header(name, value))
             .send("")
             .ok()
             .filter(|reply| reply.status().as_u16() == 200)
--- a/cli/tests/test_gateway_process.rs
+++ b/cli/tests/test_gateway_process.rs
@@ -3,10 +3,7 @@
 //! Verdicts come from what callers get and what the replicas ran; time only bounds a hang.
 
 use std::io::Read as _;
-use std::path::PathBuf;
-use std::process::Child;
-use std::process::Command;
-use std::process::Stdio;
+use std::path::Path;
 use std::sync::Arc;
 
 use rstest::rstest;
@@ -20,6 +17,7 @@
 use testutils::deployment_standin::StoreMode;
 use testutils::deployment_standin::TEAM_KEY;
 use testutils::deployment_standin::event_text;
+use testutils::gateway_process::GatewayProcess;
 use testutils::hang_guard::wait_for;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_pomelostack");
@@ -28,8 +26,7 @@
 struct GatewayRig {
     standin: Arc<DeploymentStandin>,
     ip: String,
-    settings: PathBuf,
-    process: Child,
+    process: GatewayProcess,
 }
 
 /// What a caller got.
@@ -50,17 +47,10 @@
     /// Starts a further host before a platform.
     fn start_host(standin: Arc<DeploymentStandin>, number: u8) -> Self {
         let ip = format!("127.0.77.{number}");
-        let name = format!("gateway-{}-{number}.json", std::process::id());
-        let settings = std::env::temp_dir().join(name);
-        std::fs::write(&settings, standin.settings(&format!("h{number:02}"), &ip).to_string())
+        let host = format!("h{number:02}");
+        let process = GatewayProcess::start(Path::new(PROGRAM), &standin, &host, &ip)
             .expect("valid in tests");
-        let process = Command::new(PROGRAM)
-            .arg("gateway")
-            .env("POMELOSTACK_CONFIG", &settings)
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("valid in tests");
-        Self { standin, ip, settings, process }
+        Self { standin, ip, process }
     }
 
     /// Starts a gateway that has a configuration.
@@ -127,15 +117,6 @@
     }
 }
 
-impl Drop for GatewayRig {
-    fn drop(&mut self) {
-        // The process may have ended by itself.
-        let _ = self.process.kill();
-        let _ = self.process.wait();
-        let _ = std::fs::remove_file(&self.settings);
-    }
-}
-
 fn whole_stream() -> String {
     (1..=STREAM_EVENTS).map(event_text).collect()
 }
@@ -238,7 +219,7 @@
         caller.join().expect("valid in tests")
     });
     assert_eq!(stream.body, Some(whole_stream()));
-    assert!(rig.process.wait().expect("valid in tests").success());
+    assert!(rig.process.wait_for_end().expect("valid in tests"));
 }
 
 #[test]
@@ -247,7 +228,7 @@
     let stream = std::thread::scope(|scope| {
         let caller = scope.spawn(|| rig.call("POST", "/brief/1", "r1", Some(TEAM_KEY)));
         wait_for(|| rig.runs_of("r1") == 1);
-        std::fs::write(&rig.settings, "{ half a file").expect("valid in tests");
+        std::fs::write(rig.process.settings(), "{ half a file").expect("valid in tests");
         rig.signal(Signal::HUP);
         caller.join().expect("valid in tests")
     });
@@ -267,11 +248,11 @@
 fn settings_without_signal() {
     let rig = GatewayRig::ready(14);
     let counted = |event: &str| rig.metrics().contains(&format!("event=\"{event}\"}} 1"));
-    std::fs::write(&rig.settings, "{ half a file").expect("valid in tests");
+    std::fs::write(rig.process.settings(), "{ half a file").expect("valid in tests");
     wait_for(|| counted("settings_rejected"));
     let mut settings = rig.standin.settings("h14", &rig.ip);
     settings["bounds"]["retry-budget-ratio"] = 0.5.into();
-    std::fs::write(&rig.settings, settings.to_string()).expect("valid in tests");
+    std::fs::write(rig.process.settings(), settings.to_string()).expect("valid in tests");
     wait_for(|| counted("settings_reloaded"));
     assert_eq!(rig.call("GET", "/look/2", "r2", Some(TEAM_KEY)).status, 200);
 }
--- /dev/null
+++ b/lib/testutils/src/gateway_process.rs
@@ -0,0 +1,83 @@
+//! A gateway host as a process before the stand-in of its platform, and how callers address it.
+
+use std::fs;
+use std::net::IpAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+use crate::deployment_standin::DeploymentStandin;
+use crate::deployment_standin::FRONT_PORT;
+use crate::deployment_standin::ROUTE_HOST;
+use crate::deployment_standin::TEAM_KEY;
+
+/// Time that callers give a request, in milliseconds: longer than any test takes.
+const CALLER_DEADLINE_MS: &str = "60000";
+
+/// A gateway that is killed when it is dropped, together with its settings file.
+pub struct GatewayProcess {
+    child: Child,
+    settings: PathBuf,
+}
+
+impl GatewayProcess {
+    /// Starts the program as a host at an address of its own.
+    pub fn start(
+        program: &Path,
+        standin: &DeploymentStandin,
+        host: &str,
+        ip: &str,
+    ) -> std::io::Result<Self> {
+        let name = format!("gateway-{}-{ip}.json", std::process::id());
+        let settings = std::env::temp_dir().join(name);
+        fs::write(&settings, standin.settings(host, ip).to_string())?;
+        let child = Command::new(program)
+            .arg("gateway")
+            .env("POMELOSTACK_CONFIG", &settings)
+            .stdout(Stdio::null())
+            .spawn()?;
+        Ok(Self { child, settings })
+    }
+
+    /// Returns the process's id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns the path of the settings file.
+    pub fn settings(&self) -> &Path {
+        &self.settings
+    }
+
+    /// Waits for the process's end; returns whether it ended well.
+    pub fn wait_for_end(&mut self) -> std::io::Result<bool> {
+        self.child.wait().map(|status| status.success())
+    }
+}
+
+impl Drop for GatewayProcess {
+    fn drop(&mut self) {
+        // The process may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.settings);
+    }
+}
+
+/// Returns the header fields of a caller of the only team.
+pub fn caller_headers(request_id: &str) -> [(&'static str, String); 4] {
+    [
+        ("Host", ROUTE_HOST.to_owned()),
+        ("Request-Id", request_id.to_owned()),
+        ("Request-Deadline", CALLER_DEADLINE_MS.to_owned()),
+        ("Authorization", format!("Token {TEAM_KEY}")),
+    ]
+}
+
+/// Returns a command line that sends a streaming request to a gateway.
+pub fn curl_line(gateway: IpAddr) -> String {
+    let headers = caller_headers("dev-1").map(|(name, value)| format!(" -H '{name}: {value}'"));
+    format!("curl -N -X POST http://{gateway}:{FRONT_PORT}/brief/1{}", headers.concat())
+}
