--- a/cli/src/commands/dev.rs
+++ b/cli/src/commands/dev.rs
@@ -107,7 +107,7 @@
     }
     let mut running = Vec::new();
     for number in 0..hosts {
-        let ip = Ipv4Addr::from_bits(first.to_bits() + u32::from(number)).to_string();
+        let ip = Ipv4Addr::from_bits(first.to_bits().wrapping_add(u32::from(number))).to_string();
         let name = format!("gateway-{}", number + 1);
         let path = folder.join(format!("{name}.json"));
         let settings = standin.settings(&name, &ip).to_string();
