cloud stand-in: read the incarnation before the ticker starts

Cause: the ticker thread read the number of its incarnation when it first ran. If stop() came before, it took the number after the end and waited for ever. Ruled out: the other readers of an incarnation run within a call.

--- a/lib/testutils/src/cloud_standin.rs
+++ b/lib/testutils/src/cloud_standin.rs
@@ -39,6 +39,7 @@
 use crate::http_standin::StandinError;
 use crate::http_standin::StandinFault;
 use crate::http_standin::StandinService;
+use crate::process_lifecycle::ProcessIncarnation;
 use crate::process_lifecycle::ProcessLifecycle;
 use crate::process_lifecycle::WaitOutcome;
 
@@ -128,7 +129,11 @@
             registry,
         })?;
         let ticking = service.clone();
-        let ticker = Mutex::new(Some(thread::spawn(move || ticking.tick_until_stopped())));
+        // Read before the thread starts: a thread that first runs after `stop` would not see the end
+        // of its incarnation.
+        let incarnation = service.life.incarnation();
+        let ticker = thread::spawn(move || ticking.tick_until_stopped(incarnation));
+        let ticker = Mutex::new(Some(ticker));
         Ok(Self { server, service, ticker })
     }
 
@@ -200,13 +205,12 @@
         self.outage.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn tick_until_stopped(&self) {
-        let life = self.life.incarnation();
+    fn tick_until_stopped(&self, incarnation: ProcessIncarnation) {
         loop {
             let actions = self.lock().take_due(Instant::now());
             actions.into_iter().for_each(|action| self.run_action(action));
             let next = Some(Instant::now() + TICK_INTERVAL);
-            if self.life.wait(life, next, || false) == WaitOutcome::Crashed {
+            if self.life.wait(incarnation, next, || false) == WaitOutcome::Crashed {
                 return;
             }
         }
