entry: leave() waits until the listeners are closed

Cause: the runtime was shut down in the background, and the server task of the peer link, which holds its listener, is dropped at some later time. Ruled out: the front door's listener is stopped and awaited before.

--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -394,6 +394,7 @@
         self.core.claims.stop();
         self.core.config.stop();
         log::info!("event=entry_left host={} drained={drained}", self.settings.host);
-        self.runtime.shutdown_background();
+        // Waits for the tasks to end: a listener that is still open keeps its port.
+        self.runtime.shutdown_timeout(REPLY_TIMEOUT);
     }
 }
--- a/lib/tests/test_failures.rs
+++ b/lib/tests/test_failures.rs
@@ -161,6 +161,20 @@
     cluster.stop();
 }
 
+#[test]
+fn restart_at_address() {
+    // The ports of a host that has left are free when `leave` returns, also while peers still hold
+    // connections to it.
+    let mut cluster = start(2);
+    let mut entry = cluster.take_entry(1);
+    for _ in 0..8 {
+        entry.leave(LeaveReason::Planned);
+        entry = cluster.plan().start_entry(1).expect("the ports are free");
+    }
+    entry.leave(LeaveReason::Planned);
+    cluster.stop();
+}
+
 #[test]
 fn start_in_outage() {
     let mut cluster = start(2);
