fleet: bear the loss of two zones, hold the reserve while none can be had

The fleet had even given up reclaimable servers at the notice, since the peak of 10 s had passed. Hypothesis: reclaimable servers are cheap, and the host that orders is often lost together with a zone; what stands already needs no order. Change: fleet_plan sizes each zone for the loss of two others where that is cheaper than ordinary servers, else of one; the peak of 40 s decides; nothing reclaimable is given up while a zone is under notice, lost or an order was refused; half of the need in ordinary servers while one zone is left; entries that are missing neither count as capacity nor release anything.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -16,6 +16,7 @@
 pub mod duty_lease;
 pub mod duty_runner;
 pub mod event_splitter;
+pub mod fleet_plan;
 pub mod fleet_scaler;
 pub mod gateway_host;
 pub mod gateway_metrics;
--- a/lib/src/gateway/duty_runner.rs
+++ b/lib/src/gateway/duty_runner.rs
@@ -10,15 +10,14 @@
 use crate::gateway::duty_lease::LeaseChange;
 use crate::gateway::fleet_scaler::FleetOrder;
 use crate::gateway::fleet_scaler::FleetScaler;
+use crate::gateway::fleet_scaler::ListedServers;
 use crate::gateway::fleet_scaler::TokenDemand;
-use crate::gateway::fleet_scaler::ZoneFleet;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::platform_api::AppendOutcome;
 use crate::gateway::platform_api::ControlStore;
 use crate::gateway::platform_api::FencedCloud;
 use crate::gateway::platform_api::FencedOutcome;
 use crate::gateway::platform_api::PlatformError;
-use crate::gateway::serving_config::ServiceRule;
 use crate::gateway::store_follower::DependencyWatch;
 use crate::gateway::usage_report::ReportSchedule;
 use crate::gateway::usage_report::ReportStep;
@@ -234,6 +233,7 @@
             let fleet =
                 fleets.entry(service.clone()).or_insert_with(|| FleetScaler::new(service.clone()));
             fleet.on_demand(now, demand);
+            fleet.on_servers(&self.listed_servers(&service));
         }
     }
 
@@ -244,31 +244,43 @@
             let fleet = fleets
                 .entry(service.name.clone())
                 .or_insert_with(|| FleetScaler::new(service.name.clone()));
-            for order in self.due_orders(fleet, service) {
-                let now = self.state.now();
-                let Some(fence) = self.lease.borrow().active_fence(now) else { return };
-                let outcome = self.cloud.order_servers(fence, &order).await;
-                log_order(&order, fence, fleet.peak_demand(), &outcome);
-                self.handle_fencing(fence, &outcome);
-                let accepted = matches!(outcome, Ok(FencedOutcome::Accepted));
-                fleet.on_outcome(self.state.now(), &order, accepted);
+            let Some(bounds) = &service.fleet else { continue };
+            // The cloud's answers to the first orders decide on the others.
+            for reclaimable in [true, false] {
+                let listed = self.listed_servers(&service.name);
+                for order in fleet.orders(self.state.now(), bounds, &listed, reclaimable) {
+                    let now = self.state.now();
+                    let Some(fence) = self.lease.borrow().active_fence(now) else { return };
+                    let outcome = self.cloud.order_servers(fence, &order).await;
+                    log_order(&order, fence, fleet.current_demand(now), &outcome);
+                    self.handle_fencing(fence, &outcome);
+                    let accepted = matches!(outcome, Ok(FencedOutcome::Accepted));
+                    fleet.on_outcome(self.state.now(), &order, accepted);
+                }
             }
         }
     }
 
-    fn due_orders(&self, fleet: &mut FleetScaler, service: &ServiceRule) -> Vec<FleetOrder> {
-        let Some(bounds) = &service.fleet else { return Vec::new() };
-        let mut present: BTreeMap<ZoneName, ZoneFleet> = BTreeMap::new();
-        for (_, server) in self.state.directory.borrow().of_service(&service.name) {
-            if server.entry.state == ServingState::Ready {
-                let zone = present.entry(server.entry.zone.clone()).or_default();
-                match server.entry.reclaimable {
-                    true => zone.reclaimable += 1,
-                    false => zone.ordinary += 1,
+    /// Returns the servers of a service by availability zone.
+    fn listed_servers(&self, service: &ServiceName) -> BTreeMap<ZoneName, ListedServers> {
+        let mut listed: BTreeMap<ZoneName, ListedServers> = BTreeMap::new();
+        for (_, server) in self.state.directory.borrow().of_service(service) {
+            let entry = &server.entry;
+            let servers = listed.entry(entry.zone.clone()).or_default();
+            let fleet = match entry.state {
+                _ if server.is_missing => &mut servers.missing,
+                ServingState::Ready => &mut servers.ready,
+                ServingState::Draining => {
+                    servers.under_notice += u32::from(entry.reclaimed_in.is_some());
+                    continue;
                 }
+            };
+            match entry.reclaimable {
+                true => fleet.reclaimable += 1,
+                false => fleet.ordinary += 1,
             }
         }
-        fleet.orders(self.state.now(), bounds, &present)
+        listed
     }
 
     fn handle_fencing(&self, fence: FencingToken, outcome: &Result<FencedOutcome, PlatformError>) {
--- a/lib/src/gateway/fleet_scaler.rs
+++ b/lib/src/gateway/fleet_scaler.rs
@@ -1,17 +1,22 @@
-//! Decides how many servers of a service to order in each availability zone, and of which kind.
+//! Decides when to order servers of a service: from its demand, its servers and its earlier orders.
 //!
 //! Load pattern: demand that swings within a minute, servers that take seconds to start and are by
-//! far the largest cost, and a cloud that reclaims all reclaimable servers of a zone at once and
-//! then has none for a while. The fleet follows the tokens that callers request: it scales up at
-//! once, and down only after demand has stayed lower for a while. Where reclaimable servers are
-//! cheap enough, every zone gets so many of them that the other zones can carry the load while one
-//! zone is reclaimed; ordinary servers cover the part of the demand that the existing reclaimable
-//! ones can't.
+//! far the largest cost, and a cloud that refuses orders for a while. The fleet follows the tokens
+//! that callers request: it scales up at once, and down only after demand has stayed lower for a
+//! while. `fleet_plan` turns the number of servers needed into orders for each zone.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::gateway::fleet_plan::MAX_LOST_ZONES;
+use crate::gateway::fleet_plan::ServerNeed;
+use crate::gateway::fleet_plan::SpareMarket;
+use crate::gateway::fleet_plan::ZoneFleet;
+use crate::gateway::fleet_plan::ZoneSupply;
+use crate::gateway::fleet_plan::plan_ordinary;
+use crate::gateway::fleet_plan::plan_reclaimable;
 use crate::gateway::serving_config::FleetBounds;
 use crate::ids::ServiceName;
 use crate::ids::ZoneName;
@@ -27,9 +32,14 @@
 /// Fraction of a server's capacity that demand may use; the rest absorbs bursts within seconds.
 const TARGET_UTILIZATION: f64 = 0.6;
 
-/// Sliding window over which the peak demand sets the fleet size. It is short because servers are
-/// back within their start time, and servers kept after a short peak cost as much as needed ones.
-const PEAK_WINDOW: Duration = Duration::from_secs(10);
+/// Sliding window over which the peak demand sets the number of ordinary servers. It is short
+/// because servers are back within their start time, and servers kept after a short peak cost as
+/// much as needed ones.
+const ORDINARY_PEAK_WINDOW: Duration = Duration::from_secs(10);
+
+/// Sliding window over which the peak demand sets the number of reclaimable servers. They are cheap
+/// to keep, and may be out of stock when demand returns.
+const RECLAIMABLE_PEAK_WINDOW: Duration = Duration::from_secs(40);
 
 /// Time after the first demand until the measured demand is trusted.
 const DEMAND_WARMUP: Duration = Duration::from_secs(6);
@@ -58,21 +68,6 @@
     }
 }
 
-/// Servers of one zone by kind.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ZoneFleet {
-    /// Servers that the cloud does not reclaim.
-    pub ordinary: u32,
-    /// Servers that the cloud may reclaim.
-    pub reclaimable: u32,
-}
-
-impl ZoneFleet {
-    fn total(self) -> u32 {
-        self.ordinary + self.reclaimable
-    }
-}
-
 /// An order for the servers of one kind of a service in one zone.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FleetOrder {
@@ -93,6 +88,17 @@
     accepted: bool,
 }
 
+/// Servers of one zone as the directory lists them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ListedServers {
+    /// Servers that accept requests.
+    pub ready: ZoneFleet,
+    /// Servers whose entries are missing and may reappear.
+    pub missing: ZoneFleet,
+    /// Reclaimable servers that the cloud is about to reclaim.
+    pub under_notice: u32,
+}
+
 /// Demand and orders of one service.
 #[derive(Clone, Debug)]
 pub struct FleetScaler {
@@ -101,6 +107,8 @@
     peaks: VecDeque<(Timestamp, TokenDemand)>,
     /// Last order by zone and by whether it was for reclaimable servers.
     placed: BTreeMap<(ZoneName, bool), PlacedOrder>,
+    /// Zones where reclaimable servers have been listed.
+    reclaimable_seen: BTreeSet<ZoneName>,
     /// Last time without any demand, and the number of servers present at first; their number
     /// stands in for the demand until it is known.
     initial_servers: Option<(Timestamp, u32)>,
@@ -115,6 +123,7 @@
             service,
             peaks: VecDeque::new(),
             placed: BTreeMap::new(),
+            reclaimable_seen: BTreeSet::new(),
             initial_servers: None,
             first_evaluated_at: None,
         }
@@ -130,36 +139,96 @@
             self.peaks.pop_back();
         }
         self.peaks.push_back((now, demand));
-        while self.peaks.front().is_some_and(|(at, _)| now.since(*at) > PEAK_WINDOW) {
+        while self.peaks.front().is_some_and(|(at, _)| now.since(*at) > RECLAIMABLE_PEAK_WINDOW) {
             self.peaks.pop_front();
         }
     }
 
+    /// Records the servers that are listed, also while another host places the orders.
+    pub fn on_servers(&mut self, listed: &BTreeMap<ZoneName, ListedServers>) {
+        let has_reclaimable = |servers: &ListedServers| {
+            servers.ready.reclaimable + servers.missing.reclaimable + servers.under_notice > 0
+        };
+        let zones = listed.iter().filter(|(_, servers)| has_reclaimable(servers));
+        self.reclaimable_seen.extend(zones.map(|(zone, _)| zone.clone()));
+    }
+
     /// Records whether the cloud accepted an order.
     pub fn on_outcome(&mut self, now: Timestamp, order: &FleetOrder, accepted: bool) {
         let placed = PlacedOrder { desired: order.desired, at: now, accepted };
         self.placed.insert((order.zone.clone(), order.reclaimable), placed);
     }
 
-    /// Returns the peak demand in the window.
-    pub fn peak_demand(&self) -> TokenDemand {
-        self.peaks.front().map_or(TokenDemand::default(), |(_, peak)| *peak)
+    /// Returns the peak demand within a sliding window.
+    fn peak_demand(&self, now: Timestamp, window: Duration) -> TokenDemand {
+        let recent = self.peaks.iter().find(|(at, _)| now.since(*at) <= window);
+        recent.map_or(TokenDemand::default(), |(_, peak)| *peak)
     }
 
-    /// Returns the orders to place now, given the servers present in each zone.
+    /// Returns the peak demand that sets the number of ordinary servers.
+    pub fn current_demand(&self, now: Timestamp) -> TokenDemand {
+        self.peak_demand(now, ORDINARY_PEAK_WINDOW)
+    }
+
+    /// Returns the orders for one kind of server to place now, given the servers listed in each zone.
+    ///
+    /// Orders for reclaimable servers go first: whether they are accepted decides how many ordinary
+    /// ones are needed.
     pub fn orders(
         &mut self,
         now: Timestamp,
         bounds: &FleetBounds,
-        present: &BTreeMap<ZoneName, ZoneFleet>,
+        listed: &BTreeMap<ZoneName, ListedServers>,
+        reclaimable: bool,
     ) -> Vec<FleetOrder> {
-        let existing: u32 = present.values().map(|fleet| fleet.total()).sum();
-        let is_demand_unknown = self.peak_demand() == TokenDemand::default();
+        self.on_servers(listed);
+        let Some(need) = self.server_need(now, listed) else { return Vec::new() };
+        let zones: BTreeMap<ZoneName, ZoneSupply> = bounds
+            .zone_prices
+            .keys()
+            .map(|zone| (zone.clone(), self.zone_supply(now, zone, bounds, listed)))
+            .collect();
+        let market = self.market(need, bounds, listed, &zones);
+        let planned = match reclaimable {
+            true => plan_reclaimable(bounds, need, &zones, market),
+            false => plan_ordinary(bounds, need, &zones, market),
+        };
+        let mut orders = Vec::new();
+        for (zone, desired) in planned {
+            let servers = listed.get(&zone).copied().unwrap_or_default();
+            let count = servers.ready.count(reclaimable);
+            // Servers whose entries are missing may be alive, so nothing is released meanwhile.
+            let is_release = desired < count + servers.missing.count(reclaimable);
+            let is_held = is_release && servers.missing.total() > 0;
+            if desired != count
+                && !is_held
+                && !self.is_pending(now, &zone, reclaimable, desired, bounds)
+            {
+                let service = self.service.clone();
+                orders.push(FleetOrder { service, zone, desired, reclaimable });
+            }
+        }
+        orders
+    }
+
+    /// Returns the number of servers needed, or `None` while neither the demand nor any server is
+    /// known.
+    fn server_need(
+        &mut self,
+        now: Timestamp,
+        listed: &BTreeMap<ZoneName, ListedServers>,
+    ) -> Option<ServerNeed> {
+        let existing: u32 = listed.values().map(|servers| servers.ready.total()).sum();
+        let ordinary: u32 = listed.values().map(|servers| servers.ready.ordinary).sum();
+        let is_demand_unknown =
+            self.peak_demand(now, RECLAIMABLE_PEAK_WINDOW) == TokenDemand::default();
         let initial_servers = match self.initial_servers {
             // The first evaluations may run before all servers are listed.
             Some((_, initial_servers)) if is_demand_unknown && self.placed.is_empty() => {
                 initial_servers.max(existing)
             }
+            // The reclaimable ones among them may be ordered to replace the initial servers.
+            Some((_, initial_servers)) if is_demand_unknown => initial_servers.max(ordinary),
             Some((_, initial_servers)) => initial_servers,
             None => existing,
         };
@@ -171,36 +240,61 @@
             && initial_servers == 0
             && now.since(first_evaluated_at) < DEMAND_WARMUP
         {
-            return Vec::new();
+            return None;
         }
-        let needed = self.needed_servers(now);
-        let wanted = plan_zones(bounds, needed, present);
-        let mut orders = Vec::new();
-        for (zone, wanted) in wanted {
-            let existing = present.get(&zone).copied().unwrap_or_default();
-            for (reclaimable, desired, count) in [
-                (true, wanted.reclaimable, existing.reclaimable),
-                (false, wanted.ordinary, existing.ordinary),
-            ] {
-                if desired != count && !self.is_pending(now, &zone, reclaimable, desired, bounds) {
-                    let service = self.service.clone();
-                    let zone = zone.clone();
-                    orders.push(FleetOrder { service, zone, desired, reclaimable });
-                }
-            }
-        }
-        orders
+        // One server more than needed, to tolerate the loss of one.
+        let by_demand = |window| self.peak_demand(now, window).required_servers().ceil() as u32 + 1;
+        let current = by_demand(ORDINARY_PEAK_WINDOW);
+        let recent_peak = by_demand(RECLAIMABLE_PEAK_WINDOW);
+        Some(match self.initial_servers {
+            Some((at, initial_servers)) if now.since(at) < DEMAND_WARMUP => ServerNeed {
+                current: current.max(initial_servers),
+                recent_peak: recent_peak.max(initial_servers),
+                lost_zones: 1,
+            },
+            _ => ServerNeed { current, recent_peak, lost_zones: MAX_LOST_ZONES },
+        })
     }
 
-    /// Returns the number of servers needed for the demand, plus one to tolerate the loss of one.
-    fn needed_servers(&self, now: Timestamp) -> u32 {
-        let by_demand = self.peak_demand().required_servers().ceil() as u32 + 1;
-        match self.initial_servers {
-            Some((at, initial_servers)) if now.since(at) < DEMAND_WARMUP => {
-                by_demand.max(initial_servers)
-            }
-            _ => by_demand,
-        }
+    /// Returns what is known of a zone's servers and of those ordered there.
+    fn zone_supply(
+        &self,
+        now: Timestamp,
+        zone: &ZoneName,
+        bounds: &FleetBounds,
+        listed: &BTreeMap<ZoneName, ListedServers>,
+    ) -> ZoneSupply {
+        let ready = listed.get(zone).copied().unwrap_or_default().ready;
+        let boot_limit = bounds.boot_time + ORDER_RETRY_MARGIN;
+        let booting = self
+            .placed
+            .get(&(zone.clone(), true))
+            .filter(|placed| placed.accepted && now.since(placed.at) < boot_limit)
+            .map_or(0, |placed| placed.desired.saturating_sub(ready.reclaimable));
+        ZoneSupply { ready, booting }
+    }
+
+    /// Returns whether lost reclaimable servers can be replaced: not while a zone is under notice or
+    /// lacks most of those it had, nor after a refused order.
+    fn market(
+        &self,
+        need: ServerNeed,
+        bounds: &FleetBounds,
+        listed: &BTreeMap<ZoneName, ListedServers>,
+        zones: &BTreeMap<ZoneName, ZoneSupply>,
+    ) -> SpareMarket {
+        let zone_count = u32::try_from(bounds.zone_prices.len()).unwrap_or(u32::MAX);
+        let expected = need.current.div_ceil(zone_count.max(1));
+        let is_scarce = |(zone, supply): (&ZoneName, &ZoneSupply)| {
+            let is_under_notice = listed.get(zone).is_some_and(|servers| servers.under_notice > 0);
+            let is_lost = self.reclaimable_seen.contains(zone)
+                && (supply.ready.reclaimable + supply.booting) * 2 < expected;
+            let is_refused = self.placed.get(&(zone.clone(), true)).is_some_and(|placed| {
+                !placed.accepted && placed.desired > supply.ready.reclaimable
+            });
+            is_under_notice || is_lost || is_refused
+        };
+        if zones.iter().any(is_scarce) { SpareMarket::Scarce } else { SpareMarket::Open }
     }
 
     fn is_pending(
@@ -221,66 +315,3 @@
         })
     }
 }
-
-/// Returns the desired servers of each zone, given those present.
-fn plan_zones(
-    bounds: &FleetBounds,
-    needed: u32,
-    present: &BTreeMap<ZoneName, ZoneFleet>,
-) -> BTreeMap<ZoneName, ZoneFleet> {
-    let reclaimable = reclaimable_per_zone(bounds, needed);
-    let existing: u32 = present.values().map(|fleet| fleet.reclaimable).sum();
-    let ordinary = match reclaimable {
-        0 => spread_ordinary(bounds, needed, present, bounds.min),
-        _ => spread_ordinary(bounds, needed.saturating_sub(existing), present, 0),
-    };
-    let zones = ordinary.into_iter().map(|(zone, ordinary)| {
-        let capacity = bounds.max.saturating_sub(ordinary);
-        let reclaimable = reclaimable.min(capacity);
-        (zone, ZoneFleet { ordinary, reclaimable })
-    });
-    zones.collect()
-}
-
-/// Returns the number of reclaimable servers for each zone, such that the other zones suffice when
-/// one is reclaimed; 0 if ordinary servers are cheaper.
-fn reclaimable_per_zone(bounds: &FleetBounds, needed: u32) -> u32 {
-    let Some(price) = bounds.reclaimable_price else { return 0 };
-    let zones = u32::try_from(bounds.zone_prices.len()).unwrap_or(u32::MAX);
-    let per_zone = needed.div_ceil(zones.saturating_sub(1).max(1)).clamp(bounds.min, bounds.max);
-    let is_cheaper = f64::from(per_zone * zones) * price < f64::from(needed);
-    if is_cheaper { per_zone } else { 0 }
-}
-
-/// Distributes ordinary servers over the zones: existing ones stay, and new ones go to the zones
-/// with the fewest, the cheapest first. Existing reclaimable servers count against a zone's
-/// maximum.
-fn spread_ordinary(
-    bounds: &FleetBounds,
-    count: u32,
-    present: &BTreeMap<ZoneName, ZoneFleet>,
-    min: u32,
-) -> BTreeMap<ZoneName, u32> {
-    let existing = |zone: &ZoneName| present.get(zone).copied().unwrap_or_default();
-    let capacity = |zone: &ZoneName| match min {
-        0 => bounds.max.saturating_sub(existing(zone).reclaimable),
-        _ => bounds.max,
-    };
-    let mut zones: Vec<(&ZoneName, u32)> =
-        bounds.zone_prices.keys().map(|zone| (zone, min)).collect();
-    zones.sort_by(|a, b| bounds.zone_prices[a.0].total_cmp(&bounds.zone_prices[b.0]));
-    let mut remaining = count.saturating_sub(zones.iter().map(|(_, count)| count).sum());
-    for (zone, planned) in &mut zones {
-        let retained = existing(zone).ordinary.min(capacity(zone));
-        let kept = retained.saturating_sub(*planned).min(remaining);
-        *planned += kept;
-        remaining -= kept;
-    }
-    while remaining > 0 {
-        let with_capacity = zones.iter_mut().filter(|(zone, planned)| *planned < capacity(zone));
-        let Some((_, planned)) = with_capacity.min_by_key(|(_, planned)| *planned) else { break };
-        *planned += 1;
-        remaining -= 1;
-    }
-    zones.into_iter().map(|(zone, planned)| (zone.clone(), planned)).collect()
-}
--- a/lib/tests/test_fleet_scaler.rs
+++ b/lib/tests/test_fleet_scaler.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use pomelostack_lib::gateway::fleet_plan::ZoneFleet;
 use pomelostack_lib::gateway::fleet_scaler::FleetOrder;
 use pomelostack_lib::gateway::fleet_scaler::FleetScaler;
+use pomelostack_lib::gateway::fleet_scaler::ListedServers;
 use pomelostack_lib::gateway::fleet_scaler::TokenDemand;
-use pomelostack_lib::gateway::fleet_scaler::ZoneFleet;
 use pomelostack_lib::gateway::serving_config::FleetBounds;
 use pomelostack_lib::ids::ServiceName;
 use pomelostack_lib::ids::ZoneName;
@@ -37,46 +38,62 @@
 struct InstantCloud {
     scaler: FleetScaler,
     bounds: FleetBounds,
-    present: BTreeMap<ZoneName, ZoneFleet>,
+    listed: BTreeMap<ZoneName, ListedServers>,
     out_of_reclaimable: bool,
 }
 
 impl InstantCloud {
     fn new(reclaimable_price: Option<f64>) -> Self {
-        let ordinary = ZoneFleet { ordinary: 2, reclaimable: 0 };
+        let ready = ZoneFleet { ordinary: 2, reclaimable: 0 };
+        let servers = ListedServers { ready, ..ListedServers::default() };
         Self {
             scaler: FleetScaler::new(ServiceName::try_from("chat").expect("valid in tests")),
             bounds: bounds(reclaimable_price),
-            present: ZONES.iter().map(|name| (zone(name), ordinary)).collect(),
+            listed: ZONES.iter().map(|name| (zone(name), servers)).collect(),
             out_of_reclaimable: false,
         }
     }
 
     /// Records the demand of one second and fills the resulting orders.
     fn step(&mut self, second: u64, servers: f64) {
+        self.record_demand(second, servers);
+        self.place_orders(second);
+    }
+
+    fn record_demand(&mut self, second: u64, servers: f64) {
         // Prompt tokens per second of one server at the target utilization.
         let prefill = servers * 33_000.0;
         self.scaler.on_demand(at(second), TokenDemand { prefill, output: 0.0 });
-        for order in self.scaler.orders(at(second), &self.bounds, &self.present) {
-            let accepted = self.execute(&order);
-            self.scaler.on_outcome(at(second), &order, accepted);
+    }
+
+    fn place_orders(&mut self, second: u64) {
+        for reclaimable in [true, false] {
+            let orders = self.scaler.orders(at(second), &self.bounds, &self.listed, reclaimable);
+            for order in orders {
+                let accepted = self.execute(&order);
+                self.scaler.on_outcome(at(second), &order, accepted);
+            }
         }
     }
 
     fn execute(&mut self, order: &FleetOrder) -> bool {
-        let existing = self.present.entry(order.zone.clone()).or_default();
-        if order.reclaimable && self.out_of_reclaimable && order.desired > existing.reclaimable {
+        let ready = &mut self.listed.entry(order.zone.clone()).or_default().ready;
+        if order.reclaimable && self.out_of_reclaimable && order.desired > ready.reclaimable {
             return false;
         }
         match order.reclaimable {
-            true => existing.reclaimable = order.desired,
-            false => existing.ordinary = order.desired,
+            true => ready.reclaimable = order.desired,
+            false => ready.ordinary = order.desired,
         }
         true
     }
 
+    fn reclaim(&mut self, name: &str) {
+        self.listed.get_mut(&zone(name)).expect("valid in tests").ready.reclaimable = 0;
+    }
+
     fn count(&self, count: impl Fn(&ZoneFleet) -> u32) -> u32 {
-        self.present.values().map(count).sum()
+        self.listed.values().map(|servers| count(&servers.ready)).sum()
     }
 
     fn total(&self) -> u32 {
@@ -99,14 +116,14 @@
     // The host that places orders evaluates them before it knows of any server, and again when only
     // some servers are listed. The fleet must not shrink.
     let mut cloud = InstantCloud::new(None);
-    let listed = std::mem::take(&mut cloud.present);
+    let listed = std::mem::take(&mut cloud.listed);
     for second in 0..3 {
         cloud.step(second, 0.0);
         assert_eq!(cloud.total(), 0, "nothing is ordered before any server is known");
     }
     let first = listed.clone().into_iter().take(1).collect();
-    cloud.scaler.orders(at(3), &cloud.bounds, &first);
-    cloud.present = listed;
+    cloud.scaler.orders(at(3), &cloud.bounds, &first, false);
+    cloud.listed = listed;
     for second in 4..14 {
         cloud.step(second, 0.0);
         assert_eq!(cloud.total(), 8);
@@ -143,7 +160,7 @@
     for second in 40..60 {
         cloud.step(second, 40.0);
         assert!(cloud.count(|fleet| fleet.reclaimable) >= before);
-        assert!(cloud.present.values().all(|fleet| fleet.ordinary + fleet.reclaimable <= 6));
+        assert!(cloud.listed.values().all(|servers| servers.ready.total() <= 6));
     }
     assert_eq!(cloud.total(), 24);
 }
@@ -155,9 +172,10 @@
         cloud.step(second, 5.0);
     }
     assert_eq!(cloud.count(|fleet| fleet.ordinary), 0);
-    for name in ZONES {
-        let lost = cloud.present[&zone(name)].reclaimable;
-        assert!(cloud.total() - lost >= 6, "the loss of zone {name} leaves too few");
+    for (first, second) in [("a", "b"), ("b", "c"), ("c", "d"), ("d", "a")] {
+        let lost: u32 =
+            [first, second].iter().map(|name| cloud.listed[&zone(name)].ready.reclaimable).sum();
+        assert!(cloud.total() - lost >= 6, "the loss of {first} and {second} leaves too few");
     }
 }
 
@@ -178,7 +196,7 @@
     }
     cloud.out_of_reclaimable = true;
     for (second, name) in (40..).step_by(6).zip(ZONES) {
-        cloud.present.get_mut(&zone(name)).expect("valid in tests").reclaimable = 0;
+        cloud.reclaim(name);
         for later in second..second + 6 {
             cloud.step(later, 5.0);
         }
@@ -190,3 +208,93 @@
     }
     assert_eq!(cloud.count(|fleet| fleet.ordinary), 0, "ordinary servers are no longer needed");
 }
+
+#[test]
+fn last_zone() {
+    // While only one zone has reclaimable servers, its loss must not leave the service without any.
+    let mut cloud = InstantCloud::new(Some(0.22));
+    for second in 0..40 {
+        cloud.step(second, 5.0);
+    }
+    cloud.out_of_reclaimable = true;
+    for (second, name) in [(40, "a"), (41, "b"), (42, "c")] {
+        cloud.reclaim(name);
+        cloud.step(second, 5.0);
+    }
+    assert!(cloud.count(|fleet| fleet.ordinary) >= 3);
+}
+
+#[test]
+fn reserve_survives_dip() {
+    // Demand returns after half a minute, when the cloud may have no reclaimable servers.
+    let mut cloud = InstantCloud::new(Some(0.22));
+    for second in 0..20 {
+        cloud.step(second, 6.0);
+    }
+    let before = cloud.count(|fleet| fleet.reclaimable);
+    for second in 20..45 {
+        cloud.step(second, 2.0);
+        assert_eq!(cloud.count(|fleet| fleet.reclaimable), before);
+    }
+    for second in 45..70 {
+        cloud.step(second, 2.0);
+    }
+    assert!(cloud.count(|fleet| fleet.reclaimable) < before);
+}
+
+#[test]
+fn scarce_market() {
+    // While a zone is under notice, the others give up none of their reclaimable servers.
+    let mut cloud = InstantCloud::new(Some(0.22));
+    for second in 0..20 {
+        cloud.step(second, 6.0);
+    }
+    let before = cloud.listed[&zone("b")].ready.reclaimable;
+    let notified = cloud.listed.get_mut(&zone("a")).expect("valid in tests");
+    notified.under_notice = std::mem::take(&mut notified.ready.reclaimable);
+    cloud.out_of_reclaimable = true;
+    for second in 20..80 {
+        cloud.step(second, 2.0);
+        assert_eq!(cloud.listed[&zone("b")].ready.reclaimable, before);
+    }
+}
+
+#[test]
+fn missing_entries() {
+    // Entries lapse while the store is down although their servers live, so nothing is released.
+    let mut cloud = InstantCloud::new(None);
+    for second in 0..20 {
+        cloud.step(second, 7.0);
+    }
+    for servers in cloud.listed.values_mut() {
+        servers.missing.ordinary = 1;
+        servers.ready.ordinary -= 1;
+    }
+    cloud.record_demand(21, 1.0);
+    for second in 31..40 {
+        cloud.record_demand(second, 1.0);
+        for order in cloud.scaler.orders(at(second), &cloud.bounds, &cloud.listed, false) {
+            assert!(order.desired >= 2, "{order:?}");
+        }
+    }
+}
+
+#[test]
+fn order_holder_changes() {
+    // A host that takes over knows the demand, but not the orders or the first servers.
+    let mut cloud = InstantCloud::new(Some(0.22));
+    for second in 0..40 {
+        cloud.step(second, 5.0);
+    }
+    let before = cloud.listed.clone();
+    cloud.scaler = FleetScaler::new(ServiceName::try_from("chat").expect("valid in tests"));
+    cloud.reclaim("a");
+    cloud.out_of_reclaimable = true;
+    for second in 40..50 {
+        cloud.step(second, 5.0);
+    }
+    for name in ["b", "c", "d"] {
+        let reclaimable = cloud.listed[&zone(name)].ready.reclaimable;
+        assert_eq!(reclaimable, before[&zone(name)].ready.reclaimable);
+    }
+}
