duties: a new holder acts as soon as the last one has stopped

Hypothesis: the extra half lease is owed only by a host that itself acted before; a new one is safe once the old one's validity has passed. Change: a new holder waits for one validity (2.5 s); one that may have acted before, also as an earlier process, until a lease after that. Members renew after 0.3 s while the group changes, since it hands the duties over only when the last holder has renewed.

--- a/lib/src/gateway/duty_lease.rs
+++ b/lib/src/gateway/duty_lease.rs
@@ -1,10 +1,11 @@
 //! The lease on the duties that only one host at a time performs.
 //!
 //! Load pattern: the platform's group rebalances and moves the duties to another host at every start,
-//! crash and outage, at times all at once, and the holder may be frozen while that happens. A host
-//! acts only after it has held the lease for the whole activation delay, so that holders do not
-//! alternate within that time. It stops as soon as the lease expires by its own clock, a renewal shows
-//! that another host holds it, or its fencing token is rejected.
+//! crash and outage, at times all at once, and the holder may be frozen while that happens. Meanwhile
+//! nobody orders servers, so a new holder starts as soon as the last one has certainly stopped. A host
+//! that returns also waits until a lease has passed since it may have acted last, so that holders do
+//! not alternate within that time. A holder stops as soon as the lease expires by its own clock, a
+//! renewal shows that another host holds it, or its fencing token is rejected.
 
 use std::time::Duration;
 
@@ -35,8 +36,8 @@
 /// Timings of the lease on the duties.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DutyTimings {
-    /// Time for which a new holder waits before it acts.
-    pub activation_delay: Duration,
+    /// Time within which two holders must not alternate.
+    pub lease: Duration,
     /// Time for which a grant is valid, counted from when its renewal was sent.
     pub validity: Duration,
     /// Time without a renewal after which the group removes a member.
@@ -44,19 +45,14 @@
 }
 
 impl DutyTimings {
-    /// Derives the timings from the lease: the time within which two holders must not alternate.
+    /// Derives the timings from the lease.
     ///
-    /// A replaced holder acts for at most `validity` after its last renewal. The next holder starts
-    /// to act at least half a lease after that, and if the first holder returns, it waits for another
-    /// half of a lease.
+    /// A replaced holder acts for at most `validity` after its last renewal, and the next one waits
+    /// as long before it acts.
     pub const fn for_lease(lease: Duration) -> Self {
         let millis = lease.as_millis() as u64;
         let validity = millis * 5 / 6;
-        Self {
-            activation_delay: Duration::from_millis(validity + millis / 2),
-            validity: Duration::from_millis(validity),
-            session_timeout: lease,
-        }
+        Self { lease, validity: Duration::from_millis(validity), session_timeout: lease }
     }
 }
 
@@ -89,12 +85,15 @@
     held: Option<HeldLease>,
     /// Largest fencing token that was rejected.
     fenced: Option<FencingToken>,
+    /// Until when this host may have acted in an earlier lease or process.
+    acted_until: Option<Timestamp>,
 }
 
 impl DutyLease {
-    /// Creates a lease that is not held.
-    pub fn new(timings: DutyTimings) -> Self {
-        Self { timings, generation: 0, members: None, held: None, fenced: None }
+    /// Creates a lease that is not held. `acted_until` is when an earlier process of this host may
+    /// have acted last, if there was one.
+    pub fn new(timings: DutyTimings, acted_until: Option<Timestamp>) -> Self {
+        Self { timings, generation: 0, members: None, held: None, fenced: None, acted_until }
     }
 
     /// Changes the timings.
@@ -121,13 +120,15 @@
         self.members = grant.members();
         let fence = FencingToken(grant.generation);
         if !grant.held || self.fenced.is_some_and(|fenced| fence <= fenced) {
-            return if self.held.take().is_some() {
-                LeaseChange::Ended
-            } else {
-                LeaseChange::Unchanged
+            return match self.end_held(now) {
+                Some(_) => LeaseChange::Ended,
+                None => LeaseChange::Unchanged,
             };
         }
         let expired = self.is_expired(sent_at);
+        if expired {
+            self.end_held(now);
+        }
         match &mut self.held {
             Some(lease) if !expired => {
                 lease.renewed_at = sent_at;
@@ -141,10 +142,10 @@
     }
 
     /// Records that the platform rejected a fencing token because it saw a larger one.
-    pub fn on_fenced(&mut self, fence: FencingToken) {
+    pub fn on_fenced(&mut self, now: Timestamp, fence: FencingToken) {
         self.fenced = self.fenced.max(Some(fence));
         if self.held.is_some_and(|lease| lease.fence <= fence) {
-            self.held = None;
+            self.end_held(now);
         }
     }
 
@@ -154,16 +155,27 @@
     }
 
     /// Records that this host left the group.
-    pub fn on_left(&mut self) {
-        self.held = None;
+    pub fn on_left(&mut self, now: Timestamp) {
+        self.end_held(now);
         self.members = None;
     }
 
     /// Returns the fencing token to act with, if the lease is active.
     pub fn active_fence(&self, now: Timestamp) -> Option<FencingToken> {
         let lease = self.held?;
-        let settled = now.since(lease.since) >= self.timings.activation_delay;
-        (settled && !self.is_expired(now)).then_some(lease.fence)
+        let has_replaced = now.since(lease.since) >= self.timings.validity;
+        let alternates = self.acted_until.is_some_and(|until| now < until + self.timings.lease);
+        (has_replaced && !alternates && !self.is_expired(now)).then_some(lease.fence)
+    }
+
+    /// Ends the lease if it is held, and notes until when this host may have acted in it.
+    fn end_held(&mut self, now: Timestamp) -> Option<HeldLease> {
+        let lease = self.held.take()?;
+        let expires_at = lease.renewed_at + self.timings.validity;
+        if expires_at.since(lease.since) >= self.timings.validity {
+            self.acted_until = self.acted_until.max(Some(expires_at.min(now)));
+        }
+        Some(lease)
     }
 
     fn is_expired(&self, now: Timestamp) -> bool {
--- a/lib/src/gateway/duty_runner.rs
+++ b/lib/src/gateway/duty_runner.rs
@@ -31,6 +31,10 @@
 /// Renewals within the validity of a grant. With two, the loss of one does not end the lease.
 const RENEWALS_PER_VALIDITY: u32 = 2;
 
+/// Delay until the next renewal after the group changed. The group hands the duties over only when
+/// their last holder has renewed.
+const SETTLING_RENEWAL_DELAY: Duration = Duration::from_millis(300);
+
 /// Interval of the checks for due work.
 const DUTY_CHECK_PERIOD: Duration = Duration::from_millis(500);
 
@@ -45,7 +49,9 @@
 impl<S: ControlStore, C: FencedCloud> DutyRunner<S, C> {
     /// Creates a runner that does not hold the lease.
     pub fn new(state: Rc<GatewayState>, store: Rc<S>, cloud: Rc<C>) -> Self {
-        let lease = DutyLease::new(state.settings.borrow().duty);
+        let settings = state.settings.borrow().clone();
+        let acted_until = (!settings.first_start).then(|| state.now());
+        let lease = DutyLease::new(settings.duty, acted_until);
         Self { state, store, cloud, lease: RefCell::new(lease) }
     }
 
@@ -64,10 +70,15 @@
             }
             let sent_at = self.state.now();
             let generation = self.lease.borrow().generation();
+            let validity = self.state.settings.borrow().duty.validity;
+            let mut delay = validity / RENEWALS_PER_VALIDITY;
             let outcome = self.store.renew_duty(generation).await;
             watch.record(&self.state, &outcome);
             if let Ok(grant) = outcome {
                 let now = self.state.now();
+                if grant.generation != generation {
+                    delay = SETTLING_RENEWAL_DELAY;
+                }
                 match self.lease.borrow_mut().on_grant(sent_at, now, grant) {
                     LeaseChange::Began(fence) => {
                         log::info!(
@@ -82,8 +93,7 @@
                     LeaseChange::Unchanged => {}
                 }
             }
-            let validity = self.state.settings.borrow().duty.validity;
-            tokio::time::sleep(validity / RENEWALS_PER_VALIDITY).await;
+            tokio::time::sleep(delay).await;
         }
     }
 
@@ -110,7 +120,7 @@
     async fn resign(&self) {
         log::info!("event=duty_stepped_back generation={}", self.lease.borrow().generation());
         self.leave().await;
-        self.lease.borrow_mut().on_left();
+        self.lease.borrow_mut().on_left(self.state.now());
         while self.is_partitioned() {
             tokio::time::sleep(DUTY_CHECK_PERIOD).await;
         }
@@ -285,7 +295,7 @@
 
     fn handle_fencing(&self, fence: FencingToken, outcome: &Result<FencedOutcome, PlatformError>) {
         if matches!(outcome, Ok(FencedOutcome::Fenced)) {
-            self.lease.borrow_mut().on_fenced(fence);
+            self.lease.borrow_mut().on_fenced(self.state.now(), fence);
             log::info!("event=duty_fenced fence={}", fence.0);
         }
     }
