fleet: no release before the first servers are all listed

Ruled out: demand, which is unknown then. Change: nothing is released within the start time of a server after the first evaluation. Test late_initial_servers failed before.

--- a/lib/src/gateway/fleet_scaler.rs
+++ b/lib/src/gateway/fleet_scaler.rs
@@ -199,7 +199,8 @@
             let count = servers.ready.count(reclaimable);
             // Servers whose entries are missing may be alive, so nothing is released meanwhile.
             let is_release = desired < count + servers.missing.count(reclaimable);
-            let is_held = is_release && servers.missing.total() > 0;
+            let is_held =
+                is_release && (servers.missing.total() > 0 || self.is_listing_new(now, bounds));
             if desired != count
                 && !is_held
                 && !self.is_pending(now, &zone, reclaimable, desired, bounds)
@@ -211,6 +212,11 @@
         orders
     }
 
+    /// Returns whether the first listings may still lack servers.
+    fn is_listing_new(&self, now: Timestamp, bounds: &FleetBounds) -> bool {
+        self.first_evaluated_at.is_none_or(|at| now.since(at) < bounds.boot_time)
+    }
+
     /// Returns the number of servers needed, or `None` while neither the demand nor any server is
     /// known.
     fn server_need(
--- a/lib/tests/test_fleet_scaler.rs
+++ b/lib/tests/test_fleet_scaler.rs
@@ -130,6 +130,21 @@
     }
 }
 
+#[test]
+fn late_initial_servers() {
+    // The first listing lacks servers, and orders are placed before the others are listed. All of
+    // them count as the first fleet.
+    let mut cloud = InstantCloud::new(Some(0.22));
+    let listed = cloud.listed.clone();
+    cloud.listed.retain(|name, _| *name == zone("a") || *name == zone("b"));
+    cloud.step(0, 0.0);
+    cloud.listed.extend(listed.into_iter().filter(|(name, _)| *name > zone("b")));
+    for second in 1..5 {
+        cloud.step(second, 0.0);
+        assert!(cloud.total() >= 8, "second {second}");
+    }
+}
+
 #[test]
 fn follows_demand() {
     let mut cloud = InstantCloud::new(None);
