--- a/lib/src/gateway/duty_lease.rs
+++ b/lib/src/gateway/duty_lease.rs
@@ -163,9 +163,9 @@
     /// Returns the fencing token to act with, if the lease is active.
     pub fn active_fence(&self, now: Timestamp) -> Option<FencingToken> {
         let lease = self.held?;
-        let has_replaced = now.since(lease.since) >= self.timings.validity;
-        let alternates = self.acted_until.is_some_and(|until| now < until + self.timings.lease);
-        (has_replaced && !alternates && !self.is_expired(now)).then_some(lease.fence)
+        let has_predecessor_stopped = now.since(lease.since) >= self.timings.validity;
+        let may_alternate = self.acted_until.is_some_and(|until| now < until + self.timings.lease);
+        (has_predecessor_stopped && !may_alternate && !self.is_expired(now)).then_some(lease.fence)
     }
 
     /// Ends the lease if it is held, and notes until when this host may have acted in it.
--- a/lib/src/gateway/duty_runner.rs
+++ b/lib/src/gateway/duty_runner.rs
@@ -258,19 +258,25 @@
             // The cloud's answers to the first orders decide on the others.
             for reclaimable in [true, false] {
                 let listed = self.listed_servers(&service.name);
-                for order in fleet.orders(self.state.now(), bounds, &listed, reclaimable) {
-                    let now = self.state.now();
-                    let Some(fence) = self.lease.borrow().active_fence(now) else { return };
-                    let outcome = self.cloud.order_servers(fence, &order).await;
-                    log_order(&order, fence, fleet.current_demand(now), &outcome);
-                    self.handle_fencing(fence, &outcome);
-                    let accepted = matches!(outcome, Ok(FencedOutcome::Accepted));
-                    fleet.on_outcome(self.state.now(), &order, accepted);
-                }
+                let orders = fleet.orders(self.state.now(), bounds, &listed, reclaimable);
+                self.place_orders(fleet, orders).await;
             }
         }
     }
 
+    /// Places orders while this host holds the lease.
+    async fn place_orders(&self, fleet: &mut FleetScaler, orders: Vec<FleetOrder>) {
+        for order in orders {
+            let now = self.state.now();
+            let Some(fence) = self.lease.borrow().active_fence(now) else { return };
+            let outcome = self.cloud.order_servers(fence, &order).await;
+            log_order(&order, fence, fleet.current_demand(now), &outcome);
+            self.handle_fencing(fence, &outcome);
+            let accepted = matches!(outcome, Ok(FencedOutcome::Accepted));
+            fleet.on_outcome(self.state.now(), &order, accepted);
+        }
+    }
+
     /// Returns the servers of a service by availability zone.
     fn listed_servers(&self, service: &ServiceName) -> BTreeMap<ZoneName, ListedServers> {
         let mut listed: BTreeMap<ZoneName, ListedServers> = BTreeMap::new();
--- a/lib/src/gateway/fleet_plan.rs
+++ b/lib/src/gateway/fleet_plan.rs
@@ -55,7 +55,7 @@
     pub current: u32,
     /// Servers for the demand that may return while the cloud has no reclaimable servers.
     pub recent_peak: u32,
-    /// Zones whose loss the reclaimable servers bear, if the price allows it.
+    /// Zones whose loss the reclaimable servers bear, if the price allows it; at least one.
     pub lost_zones: u32,
 }
 
@@ -123,7 +123,7 @@
         let per_zone = per_zone.clamp(bounds.min, bounds.max);
         (f64::from(per_zone * zones) * price < f64::from(need.recent_peak)).then_some(per_zone)
     };
-    (need.lost_zones.min(1)..=need.lost_zones).rev().find_map(for_losses).unwrap_or(0)
+    (1..=need.lost_zones).rev().find_map(for_losses).unwrap_or(0)
 }
 
 /// Distributes ordinary servers over the zones: existing ones stay, and new ones go to the zones
--- a/lib/src/gateway/fleet_scaler.rs
+++ b/lib/src/gateway/fleet_scaler.rs
@@ -253,6 +253,7 @@
         let current = by_demand(ORDINARY_PEAK_WINDOW);
         let recent_peak = by_demand(RECLAIMABLE_PEAK_WINDOW);
         Some(match self.initial_servers {
+            // The first fleet may be larger than needed, so its full reserve waits for the demand.
             Some((at, initial_servers)) if now.since(at) < DEMAND_WARMUP => ServerNeed {
                 current: current.max(initial_servers),
                 recent_peak: recent_peak.max(initial_servers),
