dev cluster: ask again for the outcome of a pending publish

Cause: restart_at_address failed in 2 of 36 runs beside 12 to 16 busy loops on six cores: 'the cluster starts: Publish("Pending")'. The configuration's record was not read back within the publish timeout, and the harness took the documented outcome Pending (ask again with the same id) for a failure. Ruled out: the ports, which were free in all runs.

--- a/lib/testutils/src/dev_cluster.rs
+++ b/lib/testutils/src/dev_cluster.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use pomelostack_lib::config_publish::PublishOutcome;
 use pomelostack_lib::config_record::ChangeAuthor;
@@ -46,6 +47,8 @@
 
 /// Secret token shared by the entry hosts.
 const PEER_TOKEN: &str = "dev-peer-secret-0000";
+/// Maximum time to publish a configuration, and for an entry host to apply it.
+const PUBLISH_TIMEOUT: Duration = Duration::from_secs(10);
 /// Offset of an entry host's peer port from its HTTP port.
 const PEER_PORT_OFFSET: u16 = 100;
 /// Offset of an entry host's administration port from its HTTP port.
@@ -286,12 +289,18 @@
             wall_ms: wall_clock_ms(),
             operations: vec![ResourceOperation::PutWhole(configuration.to_string())],
         };
-        let offset = match first.config().publish(&change) {
+        let deadline = Instant::now() + PUBLISH_TIMEOUT;
+        let mut outcome = first.config().publish(&change);
+        // The outcome of a change that was not read back in time is asked for with the same id.
+        while outcome == PublishOutcome::Pending && Instant::now() < deadline {
+            outcome = first.config().retry_publish(&change);
+        }
+        let offset = match outcome {
             PublishOutcome::Accepted(offset) => offset,
             other => return Err(DevError::Publish(format!("{other:?}"))),
         };
         for entry in &self.entries {
-            if !entry.config().wait_for(offset, Duration::from_secs(10)) {
+            if !entry.config().wait_for(offset, PUBLISH_TIMEOUT) {
                 return Err(DevError::Publish("an entry host did not apply it within 10 s".into()));
             }
             entry.refresh_servers();
