store follower: log where the configuration is read and where its log ends

A read that succeeded without a record left no trace, so the logs could not tell a host whose position is wrong (1), a listing that is not of one moment with its end (2) and reads that are lost or late (3) apart.

config_read says from, next, first, end and era of each read that moves the position, and of each empty one whose position is not the log's end; the levels config_version, config_position, config_log_end and store_era show the same without logs. No logic changes. test_store_follower and test_gateway_process pass.

--- a/lib/src/gateway/platform_api.rs
+++ b/lib/src/gateway/platform_api.rs
@@ -22,6 +22,7 @@
 use crate::ids::HostId;
 use crate::ids::LogOffset;
 use crate::ids::ServerId;
+use crate::ids::StoreEra;
 use crate::ids::TeamName;
 use crate::result_code::ResultCode;
 
@@ -45,6 +46,17 @@
 /// Result of a call to the platform.
 pub type Result<T> = std::result::Result<T, PlatformError>;
 
+/// What a partition of the store held when it was read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LogBounds {
+    /// Era of the store.
+    pub era: StoreEra,
+    /// Offset of the first retained record; zero if the read does not tell.
+    pub first: LogOffset,
+    /// Offset after the last record.
+    pub end: LogOffset,
+}
+
 /// Result of reading the configuration.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ConfigRead {
@@ -54,6 +66,8 @@
     pub next: LogOffset,
     /// Why each invalid record was skipped.
     pub skipped: Vec<String>,
+    /// Bounds of the configuration log.
+    pub bounds: LogBounds,
 }
 
 /// Result of reading the directory.
--- a/lib/src/gateway/store_follower.rs
+++ b/lib/src/gateway/store_follower.rs
@@ -114,6 +114,7 @@
         match outcome {
             Ok(read) => {
                 backoff.reset();
+                record_config_read(&state, from, &read);
                 from = Some(read.next);
                 adopt_config(&state, read);
             }
@@ -145,6 +146,29 @@
     }
 }
 
+/// Logs a read of the configuration and sets its levels. An empty read is logged only if this host's
+/// position is not the end of the log.
+fn record_config_read(state: &GatewayState, from: Option<LogOffset>, read: &ConfigRead) {
+    let bounds = read.bounds;
+    let set_level = |level: &str, value: u64| {
+        let value = i64::try_from(value).unwrap_or(i64::MAX);
+        state.metrics.levels.with_label_values(&[level]).set(value);
+    };
+    set_level("config_position", read.next.0);
+    set_level("config_log_end", bounds.end.0);
+    set_level("store_era", bounds.era.0);
+    if from != Some(read.next) || read.next != bounds.end {
+        log::info!(
+            "event=config_read from={} next={} first={} end={} era={}",
+            from.map_or("-".to_owned(), |from| from.0.to_string()),
+            read.next.0,
+            bounds.first.0,
+            bounds.end.0,
+            bounds.era.0,
+        );
+    }
+}
+
 fn adopt_config(state: &GatewayState, read: ConfigRead) {
     for reason in &read.skipped {
         log::warn!("event=config_skipped detail=\"{reason}\"");
@@ -157,8 +181,11 @@
         ConfigChange::Ignored => "config_ignored",
     };
     state.metrics.events.with_label_values(&[event]).inc();
+    let in_force = state.config.borrow().current().map_or(0, |config| config.version);
+    let level = i64::try_from(in_force).unwrap_or(i64::MAX);
+    state.metrics.levels.with_label_values(&["config_version"]).set(level);
     log::info!(
-        "event={event} config={version} offset={} routes={routes} teams={teams}",
+        "event={event} config={version} in_force={in_force} offset={} routes={routes} teams={teams}",
         read.next.0
     );
 }
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -189,6 +189,13 @@
     }
 }
 
+/// Number of times that the platform's store came back from an older copy of itself. An offset means
+/// something only within its era.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct StoreEra(pub u64);
+
 /// Orders successive holders of a lease or claim. A receiver that checks it rejects any call with
 /// a smaller token than the largest it has seen.
 #[derive(
--- a/lib/tests/test_store_follower.rs
+++ b/lib/tests/test_store_follower.rs
@@ -17,6 +17,7 @@
 use pomelostack_lib::gateway::platform_api::ControlStore;
 use pomelostack_lib::gateway::platform_api::DirectoryRead;
 use pomelostack_lib::gateway::platform_api::HostAddress;
+use pomelostack_lib::gateway::platform_api::LogBounds;
 use pomelostack_lib::gateway::platform_api::PlatformError;
 use pomelostack_lib::gateway::platform_api::RecordsRead;
 use pomelostack_lib::gateway::platform_api::Result;
@@ -67,10 +68,19 @@
 
     fn answer(&self) -> ConfigRead {
         let version = self.version.get();
-        ConfigRead { config: Some(config(version)), next: LogOffset(version), skipped: Vec::new() }
+        ConfigRead {
+            config: Some(config(version)),
+            next: LogOffset(version),
+            skipped: Vec::new(),
+            bounds: bounds_at(version),
+        }
     }
 }
 
+fn bounds_at(end: u64) -> LogBounds {
+    LogBounds { end: LogOffset(end), ..LogBounds::default() }
+}
+
 fn config(version: u64) -> ServingConfig {
     let limits = CallerLimits {
         header_bytes: 16_384,
@@ -102,7 +112,12 @@
             Ok(()) => Ok(self.answer()),
             Err(_) if self.mode.get() == ReadMode::LoseLongPolls => pending().await,
             Err(_) if self.mode.get() == ReadMode::Refuse => Err(PlatformError::Refused(503)),
-            Err(_) => Ok(ConfigRead { config: None, next: LogOffset(known), skipped: Vec::new() }),
+            Err(_) => Ok(ConfigRead {
+                config: None,
+                next: LogOffset(known),
+                skipped: Vec::new(),
+                bounds: bounds_at(known),
+            }),
         }
     }
 
