deployment stand-in: eras, copies, dropped history, silent connections, links

It now comes back from a copy with a higher Store-Era, answers 410 for offsets that it does not have, drops history, silences open connections and fails the calls of single hosts. The store itself is a core without sockets (store_core).

--- a/cli/tests/test_gateway_process.rs
+++ b/cli/tests/test_gateway_process.rs
@@ -3,128 +3,25 @@
 //! The tests check what callers receive and what the replicas ran. Timeouts only guard against
 //! hangs.
 
-use std::io::Read as _;
-use std::path::Path;
-use std::sync::Arc;
-
 use rstest::rstest;
-use rustix::process::Pid;
 use rustix::process::Signal;
-use rustix::process::kill_process;
 use testutils::bounded_wait::wait_for;
-use testutils::deployment_standin::DeploymentStandin;
-use testutils::deployment_standin::ROUTE_HOST;
 use testutils::deployment_standin::ReplicaMode;
 use testutils::deployment_standin::STREAM_EVENTS;
 use testutils::deployment_standin::StoreMode;
 use testutils::deployment_standin::TEAM_KEY;
 use testutils::deployment_standin::event_text;
-use testutils::gateway_process::GatewayProcess;
+use testutils::gateway_fixture::GatewayFixture;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_pomelostack");
 
-/// A gateway process and its platform. Each test uses its own loopback address.
-struct GatewayFixture {
-    standin: Arc<DeploymentStandin>,
-    ip: String,
-    process: GatewayProcess,
-}
-
-/// Response that a caller received.
-#[derive(Debug, PartialEq, Eq)]
-struct CallerResponse {
-    status: u16,
-    signature: Option<String>,
-    retry_after: Option<String>,
-    /// The body, or `None` if it was truncated.
-    body: Option<String>,
-}
-
-impl GatewayFixture {
-    fn start(number: u8) -> Self {
-        Self::start_host(Arc::new(DeploymentStandin::start().expect("valid in tests")), number)
-    }
-
-    /// Starts a host against a running platform.
-    fn start_host(standin: Arc<DeploymentStandin>, number: u8) -> Self {
-        let ip = format!("127.0.77.{number}");
-        let host = format!("h{number:02}");
-        let process = GatewayProcess::start(Path::new(PROGRAM), &standin, &host, &ip)
-            .expect("valid in tests");
-        Self { standin, ip, process }
-    }
-
-    /// Starts a gateway with a configuration and waits until it serves.
-    fn ready(number: u8) -> Self {
-        let fixture = Self::start(number);
-        fixture.standin.publish_config(3);
-        fixture.serving()
-    }
-
-    /// Waits until the host serves requests.
-    fn serving(self) -> Self {
-        let fixture = self;
-        wait_for(|| fixture.readiness() == Some(200));
-        // The host may read the directory slightly later than the configuration.
-        wait_for(|| fixture.call("GET", "/look/warm", "warm", Some(TEAM_KEY)).status == 200);
-        fixture
-    }
-
-    fn agent() -> ureq::Agent {
-        ureq::Agent::config_builder().http_status_as_error(false).build().into()
-    }
-
-    fn readiness(&self) -> Option<u16> {
-        let reply = Self::agent().get(format!("http://{}:7701/ready", self.ip)).call();
-        reply.ok().map(|reply| reply.status().as_u16())
-    }
-
-    fn metrics(&self) -> String {
-        let url = format!("http://{}:9464/metrics", self.ip);
-        let reply = Self::agent().get(url).call().expect("valid in tests");
-        reply.into_body().read_to_string().expect("valid in tests")
-    }
-
-    fn call(&self, method: &str, path: &str, id: &str, key: Option<&str>) -> CallerResponse {
-        let mut request = hyper::http::Request::builder()
-            .method(method)
-            .uri(format!("http://{}:7700{path}", self.ip))
-            .header("Host", ROUTE_HOST)
-            .header("Request-Id", id)
-            .header("Request-Deadline", "8000")
-            .header("Tenant-Id", "forged");
-        if let Some(key) = key {
-            request = request.header("Authorization", format!("Token {key}"));
-        }
-        let reply =
-            Self::agent().run(request.body(()).expect("valid in tests")).expect("valid in tests");
-        let field = |name: &str| {
-            reply.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
-        };
-        let (signature, retry_after) = (field("replica-signature"), field("retry-after"));
-        let status = reply.status().as_u16();
-        let mut text = String::new();
-        let read = reply.into_body().into_reader().read_to_string(&mut text);
-        CallerResponse { status, signature, retry_after, body: read.is_ok().then_some(text) }
-    }
-
-    fn runs_of(&self, id: &str) -> usize {
-        self.standin.runs().iter().filter(|run| run.request_id == id).count()
-    }
-
-    fn signal(&self, signal: Signal) {
-        let id = i32::try_from(self.process.id()).expect("valid in tests");
-        kill_process(Pid::from_raw(id).expect("valid in tests"), signal).expect("valid in tests");
-    }
-}
-
 fn whole_stream() -> String {
     (1..=STREAM_EVENTS).map(event_text).collect()
 }
 
 #[test]
 fn no_configuration() {
-    let fixture = GatewayFixture::start(1);
+    let fixture = GatewayFixture::start(PROGRAM, 1);
     wait_for(|| fixture.readiness().is_some());
     assert_eq!(fixture.readiness(), Some(503));
     let response = fixture.call("GET", "/look/1", "r1", Some(TEAM_KEY));
@@ -134,7 +31,7 @@
 
 #[test]
 fn complete_answers() {
-    let fixture = GatewayFixture::ready(2);
+    let fixture = GatewayFixture::ready(PROGRAM, 2);
     let stream = fixture.call("POST", "/brief/1", "r1", Some(TEAM_KEY));
     assert_eq!((stream.status, stream.body), (200, Some(whole_stream())));
     assert!(stream.signature.is_some());
@@ -148,7 +45,7 @@
 
 #[test]
 fn refused_callers() {
-    let fixture = GatewayFixture::ready(3);
+    let fixture = GatewayFixture::ready(PROGRAM, 3);
     assert_eq!(fixture.call("GET", "/look/1", "r1", Some("nobody")).status, 401);
     assert_eq!(fixture.call("GET", "/nowhere/1", "r2", Some(TEAM_KEY)).status, 404);
     assert_eq!(fixture.runs_of("r1") + fixture.runs_of("r2"), 0);
@@ -156,7 +53,7 @@
 
 #[test]
 fn stream_resumes() {
-    let fixture = GatewayFixture::ready(4);
+    let fixture = GatewayFixture::ready(PROGRAM, 4);
     fixture.standin.set_replica_mode(0, ReplicaMode::CutAfter(3));
     fixture.standin.set_replica_mode(1, ReplicaMode::CutAfter(9));
     let stream = fixture.call("POST", "/brief/1", "r1", Some(TEAM_KEY));
@@ -168,7 +65,7 @@
 
 #[test]
 fn truncated_stream() {
-    let fixture = GatewayFixture::ready(5);
+    let fixture = GatewayFixture::ready(PROGRAM, 5);
     fixture.standin.set_replica_mode(0, ReplicaMode::CutAfter(2));
     fixture.standin.set_replica_mode(1, ReplicaMode::CutAfter(2));
     let stream = fixture.call("POST", "/brief/1", "r1", Some(TEAM_KEY));
@@ -178,7 +75,7 @@
 
 #[test]
 fn lost_call_not_retried() {
-    let fixture = GatewayFixture::ready(6);
+    let fixture = GatewayFixture::ready(PROGRAM, 6);
     fixture.standin.set_replica_mode(0, ReplicaMode::DropResponse);
     fixture.standin.set_replica_mode(1, ReplicaMode::DropResponse);
     let response = fixture.call("POST", "/book/1", "r1", Some(TEAM_KEY));
@@ -190,7 +87,7 @@
 #[case(7, "/look/1", ReplicaMode::DropResponse)]
 #[case(8, "/book/1", ReplicaMode::Refuse)]
 fn other_replica_answers(#[case] number: u8, #[case] path: &str, #[case] mode: ReplicaMode) {
-    let fixture = GatewayFixture::ready(number);
+    let fixture = GatewayFixture::ready(PROGRAM, number);
     // One replica fails; whichever is asked first, the other one answers.
     let first = fixture.standin.runs().last().map_or(0, |run| run.replica);
     fixture.standin.set_replica_mode(first, mode);
@@ -200,7 +97,7 @@
 
 #[test]
 fn all_refuse() {
-    let fixture = GatewayFixture::ready(9);
+    let fixture = GatewayFixture::ready(PROGRAM, 9);
     fixture.standin.set_replica_mode(0, ReplicaMode::Refuse);
     fixture.standin.set_replica_mode(1, ReplicaMode::Refuse);
     let response = fixture.call("POST", "/book/1", "r1", Some(TEAM_KEY));
@@ -211,11 +108,11 @@
 
 #[test]
 fn stop_finishes_stream() {
-    let mut fixture = GatewayFixture::ready(10);
+    let mut fixture = GatewayFixture::ready(PROGRAM, 10);
     let stream = std::thread::scope(|scope| {
         let caller = scope.spawn(|| fixture.call("POST", "/brief/1", "r1", Some(TEAM_KEY)));
         wait_for(|| fixture.runs_of("r1") == 1);
-        fixture.signal(Signal::TERM);
+        fixture.process.signal(Signal::TERM).expect("valid in tests");
         wait_for(|| fixture.readiness() != Some(200));
         caller.join().expect("valid in tests")
     });
@@ -225,12 +122,12 @@
 
 #[test]
 fn reload_keeps_streams() {
-    let fixture = GatewayFixture::ready(11);
+    let fixture = GatewayFixture::ready(PROGRAM, 11);
     let stream = std::thread::scope(|scope| {
         let caller = scope.spawn(|| fixture.call("POST", "/brief/1", "r1", Some(TEAM_KEY)));
         wait_for(|| fixture.runs_of("r1") == 1);
         std::fs::write(fixture.process.settings(), "{ half a file").expect("valid in tests");
-        fixture.signal(Signal::HUP);
+        fixture.process.signal(Signal::HUP).expect("valid in tests");
         caller.join().expect("valid in tests")
     });
     assert_eq!(stream.body, Some(whole_stream()));
@@ -239,7 +136,7 @@
 
 #[test]
 fn usage_is_reported() {
-    let fixture = GatewayFixture::ready(12);
+    let fixture = GatewayFixture::ready(PROGRAM, 12);
     wait_for(|| !fixture.standin.usage_reports().is_empty());
     let report = &fixture.standin.usage_reports()[0].body;
     assert!(report["counts"]["club"].as_u64().is_some_and(|count| count > 0), "{report}");
@@ -247,7 +144,7 @@
 
 #[test]
 fn reload_without_signal() {
-    let fixture = GatewayFixture::ready(14);
+    let fixture = GatewayFixture::ready(PROGRAM, 14);
     let counted = |event: &str| fixture.metrics().contains(&format!("event=\"{event}\"}} 1"));
     std::fs::write(fixture.process.settings(), "{ half a file").expect("valid in tests");
     wait_for(|| counted("settings_rejected"));
@@ -260,7 +157,7 @@
 
 #[test]
 fn metrics_are_served() {
-    let fixture = GatewayFixture::ready(13);
+    let fixture = GatewayFixture::ready(PROGRAM, 13);
     let text = fixture.metrics();
     assert!(text.contains("pomelostack_requests_total{code=\"0\",kind=\"idempotent\"}"), "{text}");
     assert!(text.contains("pomelostack_answer_seconds_bucket"));
@@ -270,7 +167,7 @@
 #[case(20, StoreMode::Refuse)]
 #[case(21, StoreMode::DropResponses)]
 fn store_outage(#[case] number: u8, #[case] mode: StoreMode) {
-    let fixture = GatewayFixture::ready(number);
+    let fixture = GatewayFixture::ready(PROGRAM, number);
     fixture.standin.set_store_mode(mode);
     wait_for(|| fixture.metrics().contains("call=\"read_directory\",outcome=\"failed\""));
     // During an outage the last configuration and directory stay in use; a change made meanwhile is
@@ -284,7 +181,7 @@
 
 #[test]
 fn entries_expire_in_outage() {
-    let fixture = GatewayFixture::ready(22);
+    let fixture = GatewayFixture::ready(PROGRAM, 22);
     fixture.standin.set_store_mode(StoreMode::Refuse);
     wait_for(|| fixture.metrics().contains("call=\"read_directory\",outcome=\"failed\""));
     fixture.standin.expire_replica(0);
@@ -305,8 +202,8 @@
 fn duty_failover() {
     // The first member holds the duties. After it is killed, the other one reports with a larger
     // fencing token, and no window is reported with two different counts.
-    let first = GatewayFixture::ready(30);
-    let second = GatewayFixture::start_host(first.standin.clone(), 31).serving();
+    let first = GatewayFixture::ready(PROGRAM, 30);
+    let second = GatewayFixture::start_host(PROGRAM, first.standin.clone(), 31).serving();
     let standin = first.standin.clone();
     wait_for(|| !standin.usage_reports().is_empty());
     let fence = standin.usage_reports()[0].fencing_token;
--- a/lib/testutils/src/deployment_standin.rs
+++ b/lib/testutils/src/deployment_standin.rs
@@ -1,9 +1,7 @@
-//! Stand-in for the platform that the gateway is deployed on: its store, its cloud API, and two
-//! model replicas that also serve non-streaming calls. It serves the platform's HTTP API on
-//! loopback sockets.
+//! Stand-in for the platform that the gateway is deployed on: its store, its cloud API, and model
+//! replicas that also serve non-streaming calls. It serves the platform's HTTP API on loopback
+//! sockets.
 
-use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -13,8 +11,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use base64::Engine as _;
-use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use http_body_util::Either;
@@ -35,7 +31,13 @@
 use tokio::task::LocalSet;
 use tokio_stream::wrappers::ReceiverStream;
 
-/// Service that both replicas run.
+use crate::store_core::PARTITIONS;
+use crate::store_core::StoreCopy;
+use crate::store_core::StoreCore;
+use crate::store_core::StoreRejection;
+use crate::store_core::encode_keyed;
+
+/// Service that the replicas run unless others are named.
 pub const SERVICE: &str = "chat";
 /// Key of the only team.
 pub const TEAM_KEY: &str = "k1";
@@ -45,8 +47,14 @@
 pub const FRONT_PORT: u16 = 7_700;
 /// Number of events in a complete stream, unless the path ends in `/events-` and a number.
 pub const STREAM_EVENTS: u64 = 12;
-/// Partitions of a topic.
-const PARTITIONS: u64 = 12;
+/// Topic with the operators' documents.
+const OPERATOR_TOPIC: &str = "keyed.op";
+/// Key of the configuration document.
+const CONFIG_KEY: &str = "config";
+/// State of a replica that accepts requests.
+const READY: &str = "ready";
+/// Topic with the entries of the replicas.
+const SERVER_TOPIC: &str = "keyed.servers";
 /// Interval at which a long-polling read checks for a new record.
 const LONG_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval between the events of a stream.
@@ -73,41 +81,69 @@
     Answer,
     /// It rejects all of them and has no side effects.
     Refuse,
+    /// It resets the connections of all of them and has no side effects.
+    Reset,
+    /// It never responds and has no side effects.
+    Silent,
     /// It processes calls, appends included, but never responds.
     DropResponses,
+    /// It answers after a delay.
+    Slow(Duration),
 }
 
-/// Consumer group whose members divide the partitions of the duties among them.
-#[derive(Debug, Default)]
-struct ConsumerGroup {
-    /// Time at which each member expires unless it joins again.
-    members: BTreeMap<String, Instant>,
-    generation: u64,
+/// Identifies a store address of its own for one host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreLink(usize);
+
+/// What a writer writes again after the store came back from a copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RewriteScope {
+    /// Each record that was lost, in order.
+    AllRecords,
+    /// The newest value of each key whose record was lost.
+    NewestValues,
 }
 
-impl ConsumerGroup {
-    /// Removes the members that did not join again in time.
-    fn expire(&mut self, now: Instant) {
-        let count = self.members.len();
-        self.members.retain(|_, until| *until > now);
-        self.generation += u64::from(self.members.len() < count);
-    }
+/// A record that the operator or a replica wrote.
+#[derive(Clone, Debug)]
+struct WrittenRecord {
+    topic: &'static str,
+    key: String,
+    /// Empty if the key was removed.
+    value: String,
+}
 
-    /// Adds or renews a member and returns its partitions, which are assigned round-robin in the
-    /// order of member names.
-    fn join(&mut self, now: Instant, member: &str, ttl: Duration) -> Vec<u64> {
-        self.expire(now);
-        let known = self.members.insert(member.to_owned(), now + ttl).is_some();
-        self.generation += u64::from(!known);
-        let position = self.members.keys().take_while(|name| *name != member).count() as u64;
-        let count = self.members.len() as u64;
-        (0..PARTITIONS).filter(|partition| partition % count == position).collect()
+impl WrittenRecord {
+    fn names_same_key(&self, other: &Self) -> bool {
+        self.topic == other.topic && self.key == other.key
     }
 }
 
+/// An earlier state of the store, and how much the operator and the replicas had written by then.
+#[derive(Clone, Debug)]
+pub struct StandinCopy {
+    store: StoreCopy,
+    written: usize,
+}
+
+/// A replica and what it says of itself.
+#[derive(Clone, Debug)]
+struct ReplicaState {
+    id: String,
+    service: String,
+    mode: ReplicaMode,
+    state: &'static str,
+    /// Number of its last entry.
+    sequence: u64,
+}
+
 /// An accepted usage report.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UsageReport {
+    /// When it was accepted.
+    pub at: Instant,
+    /// Host that sent it.
+    pub holder: String,
     /// Its fencing token.
     pub fencing_token: u64,
     /// Its JSON body.
@@ -119,6 +155,10 @@
 pub struct ReplicaRun {
     /// Index of the replica.
     pub replica: usize,
+    /// Id of the replica.
+    pub replica_id: String,
+    /// When it ran.
+    pub at: Instant,
     /// Request id.
     pub request_id: String,
     /// Id of the last event before the resumed stream; `None` for a fresh request.
@@ -131,10 +171,21 @@
 
 #[derive(Debug, Default)]
 struct DeploymentState {
-    topics: BTreeMap<String, Vec<Vec<u8>>>,
-    store: StoreMode,
-    group: ConsumerGroup,
-    modes: Vec<ReplicaMode>,
+    store: StoreCore,
+    /// Mode of the store for all callers.
+    mode: StoreMode,
+    /// Mode of the store at the address of each link.
+    link_modes: Vec<StoreMode>,
+    /// What the operator and the replicas wrote, in order.
+    written: Vec<WrittenRecord>,
+    /// What the last restore lost of it.
+    lost: Vec<WrittenRecord>,
+    /// Number of records in `written` after the last restore.
+    restored_at: usize,
+    /// Store connections with a lower number carry nothing any more.
+    silent_below: u64,
+    next_connection: u64,
+    replicas: Vec<ReplicaState>,
     runs: Vec<ReplicaRun>,
     usage: Vec<UsageReport>,
     /// Largest fencing token of any accepted report.
@@ -142,6 +193,13 @@
     scale_requests: Vec<Value>,
 }
 
+impl DeploymentState {
+    /// Returns what the operator and the replicas wrote since the last restore.
+    fn since_restore(&self) -> impl Iterator<Item = &WrittenRecord> {
+        self.written.iter().skip(self.restored_at)
+    }
+}
+
 type SharedState = Arc<Mutex<DeploymentState>>;
 type StandinBody =
     Either<Full<Bytes>, StreamBody<ReceiverStream<Result<Frame<Bytes>, std::io::Error>>>>;
@@ -160,25 +218,84 @@
     /// Starts the store, the cloud API and two replicas, and registers the replicas in the
     /// directory.
     pub fn start() -> std::io::Result<Self> {
+        Self::start_with(&[SERVICE, SERVICE])
+    }
+
+    /// Starts the store, the cloud API and one replica for each of the named services, and
+    /// registers the replicas in the directory.
+    pub fn start_with(services: &[&str]) -> std::io::Result<Self> {
         let state = SharedState::default();
-        lock(&state).modes = vec![ReplicaMode::Answer; 2];
-        let platform = serve(state.clone(), Role::Platform)?;
-        let replicas =
-            vec![serve(state.clone(), Role::Replica(0))?, serve(state.clone(), Role::Replica(1))?];
+        lock(&state).replicas = services
+            .iter()
+            .enumerate()
+            .map(|(index, service)| ReplicaState {
+                id: format!("i-{index}"),
+                service: (*service).to_owned(),
+                mode: ReplicaMode::Answer,
+                state: READY,
+                sequence: 0,
+            })
+            .collect();
+        let platform = serve(state.clone(), Role::Platform(None))?;
+        let replicas = (0..services.len()).map(|index| serve(state.clone(), Role::Replica(index)));
+        let replicas = replicas.collect::<std::io::Result<_>>()?;
         let standin = Self { state, platform, replicas };
         for index in 0..standin.replicas.len() {
-            standin.register_replica(index, "ready");
+            standin.register_replica(index, READY);
         }
         Ok(standin)
     }
 
-    /// Writes a replica's entry into the directory.
-    pub fn register_replica(&self, index: usize, state: &str) {
-        let entry = json!({
-            "service": SERVICE, "address": self.replicas[index].to_string(), "zone": "north",
-            "version": "v1", "slots": 400, "state": state, "sequence": 0, "born": 1,
-        });
-        self.put("keyed.servers", &replica_id(index), &entry);
+    /// Opens another address of the platform, whose mode can be set apart from the others.
+    pub fn open_link(&self) -> std::io::Result<(StoreLink, SocketAddr)> {
+        let link = {
+            let modes = &mut lock(&self.state).link_modes;
+            modes.push(StoreMode::Answer);
+            StoreLink(modes.len() - 1)
+        };
+        Ok((link, serve(self.state.clone(), Role::Platform(Some(link)))?))
+    }
+
+    /// Sets how the store handles calls over a link.
+    pub fn set_link_mode(&self, link: StoreLink, mode: StoreMode) {
+        lock(&self.state).link_modes[link.0] = mode;
+    }
+
+    /// Writes a replica's entry into the directory, `ready` or `draining`.
+    pub fn register_replica(&self, index: usize, state: &'static str) {
+        lock(&self.state).replicas[index].state = state;
+        self.renew_entry(index);
+    }
+
+    /// Writes a replica's entry again with the next sequence number, as it does periodically.
+    pub fn renew_entry(&self, index: usize) {
+        let (id, entry) = {
+            let replica = &mut lock(&self.state).replicas[index];
+            replica.sequence += 1;
+            let entry = json!({
+                "service": replica.service, "address": self.replicas[index].to_string(),
+                "zone": "north", "version": "v1", "slots": 400, "state": replica.state,
+                "sequence": replica.sequence, "born": 1,
+            });
+            (replica.id.clone(), entry)
+        };
+        self.put(SERVER_TOPIC, &id, &entry);
+    }
+
+    /// Removes a replica's entry and starts the replica again under another id.
+    pub fn replace_replica(&self, index: usize, id: &str) {
+        self.expire_replica(index);
+        {
+            let replica = &mut lock(&self.state).replicas[index];
+            (replica.id, replica.state, replica.sequence) = (id.to_owned(), READY, 0);
+        }
+        self.renew_entry(index);
+    }
+
+    /// Returns the id and the service of a replica.
+    pub fn replica(&self, index: usize) -> (String, String) {
+        let replica = &lock(&self.state).replicas[index];
+        (replica.id.clone(), replica.service.clone())
     }
 
     /// Publishes a configuration with one route for each kind: streaming, unsafe and safe.
@@ -202,12 +319,67 @@
                        "header-timeout-ms": 3_000, "idle-timeout-ms": 15_000},
             "tenants": [{"name": "club", "api-keys": [TEAM_KEY]}],
         });
-        self.put("keyed.op", "config", &config);
+        self.publish_document(&config);
+    }
+
+    /// Publishes a configuration document.
+    pub fn publish_document(&self, document: &Value) {
+        self.put(OPERATOR_TOPIC, CONFIG_KEY, document);
+    }
+
+    /// Drops the history of what the operator and the replicas wrote; the newest record of each key
+    /// stays listed.
+    pub fn drop_history(&self) {
+        let store = &mut lock(&self.state).store;
+        store.drop_history(OPERATOR_TOPIC);
+        store.drop_history(SERVER_TOPIC);
+    }
+
+    /// Copies the store's records and group.
+    pub fn copy_store(&self) -> StandinCopy {
+        let state = &lock(&self.state);
+        StandinCopy { store: state.store.copy(), written: state.written.len() }
+    }
+
+    /// Lets the store come back from a copy. What the operator and the replicas wrote since is
+    /// missing until [`Self::rewrite_lost`]. Open connections to the store are reset.
+    pub fn restore_store(&self, copy: StandinCopy) {
+        let state = &mut lock(&self.state);
+        state.store.restore(copy.store);
+        let kept = copy.written.min(state.written.len());
+        state.lost = state.written.split_off(kept);
+        state.restored_at = state.written.len();
+    }
+
+    /// Writes again what the operator and the replicas lost at the last restore, but for keys that
+    /// were written since.
+    pub fn rewrite_lost(&self, scope: RewriteScope) {
+        let state = &mut lock(&self.state);
+        let lost = std::mem::take(&mut state.lost);
+        let rewritten: Vec<WrittenRecord> = lost
+            .iter()
+            .enumerate()
+            .filter(|(index, record)| {
+                let is_superseded =
+                    lost[index + 1..].iter().any(|later| later.names_same_key(record));
+                scope == RewriteScope::AllRecords || !is_superseded
+            })
+            .map(|(_, record)| record.clone())
+            .filter(|record| !state.since_restore().any(|newer| newer.names_same_key(record)))
+            .collect();
+        rewritten.into_iter().for_each(|record| write(state, record));
+    }
+
+    /// Silences the open connections to the store: they stay open and carry nothing, and new ones
+    /// work.
+    pub fn silence_connections(&self) {
+        let state = &mut lock(&self.state);
+        state.silent_below = state.next_connection;
     }
 
     /// Sets how a replica handles requests.
     pub fn set_replica_mode(&self, index: usize, mode: ReplicaMode) {
-        lock(&self.state).modes[index] = mode;
+        lock(&self.state).replicas[index].mode = mode;
     }
 
     /// Returns the requests that the replicas executed, in order.
@@ -222,6 +394,11 @@
 
     /// Returns the contents of the settings file of a gateway host with its own IP address.
     pub fn settings(&self, node: &str, ip: &str) -> Value {
+        self.settings_at(node, ip, self.platform)
+    }
+
+    /// Returns the settings of a gateway host that reaches the platform at an address.
+    pub fn settings_at(&self, node: &str, ip: &str, platform: SocketAddr) -> Value {
         json!({
             "node": node, "ip": ip, "zone": "north", "region": "r", "zones": {"north": "r"},
             "bootstrap": true, "port-range": [7600, 7615],
@@ -233,38 +410,44 @@
                 "usage-late-s": 10,
             },
             "platform": {
-                "address": self.platform.to_string(), "parts": PARTITIONS, "ttl-min-ms": 600,
+                "address": platform.to_string(), "parts": PARTITIONS, "ttl-min-ms": 600,
             },
-            "cloud": {"address": self.platform.to_string(), "duties": ["usage_report"]},
+            "cloud": {"address": platform.to_string(), "duties": ["usage_report"]},
         })
     }
 
     /// Sets how the store handles calls.
     pub fn set_store_mode(&self, mode: StoreMode) {
-        lock(&self.state).store = mode;
+        lock(&self.state).mode = mode;
     }
 
     /// Removes a replica's entry from the directory, as if it had expired, by writing a tombstone.
     /// The replica keeps running.
     pub fn expire_replica(&self, index: usize) {
-        let id = replica_id(index);
-        let mut record = vec![id.len() as u8];
-        record.extend_from_slice(id.as_bytes());
-        lock(&self.state).topics.entry("keyed.servers".to_owned()).or_default().push(record);
+        let state = &mut lock(&self.state);
+        let key = state.replicas[index].id.clone();
+        write(state, WrittenRecord { topic: SERVER_TOPIC, key, value: String::new() });
     }
 
-    fn put(&self, topic: &str, key: &str, value: &Value) {
-        let mut record = vec![key.len() as u8];
-        record.extend_from_slice(key.as_bytes());
-        record.extend_from_slice(value.to_string().as_bytes());
-        lock(&self.state).topics.entry(topic.to_owned()).or_default().push(record);
+    fn put(&self, topic: &'static str, key: &str, value: &Value) {
+        let (key, value) = (key.to_owned(), value.to_string());
+        write(&mut lock(&self.state), WrittenRecord { topic, key, value });
     }
 }
 
+/// Writes a record as the operator or a replica does, and remembers it for a restore.
+fn write(state: &mut DeploymentState, record: WrittenRecord) {
+    let encoded = encode_keyed(&record.key, &record.value);
+    let appended = state.store.append(record.topic, None, encoded);
+    debug_assert!(appended.is_ok(), "an append without an expected offset succeeds");
+    state.written.push(record);
+}
+
 /// Which API an address serves.
 #[derive(Clone, Copy, Debug)]
 enum Role {
-    Platform,
+    /// The store and the cloud, over a link if there is one.
+    Platform(Option<StoreLink>),
     Replica(usize),
 }
 
@@ -272,10 +455,6 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn replica_id(index: usize) -> String {
-    format!("i-{index}")
-}
-
 /// Serves a role on a loopback port in a dedicated thread.
 fn serve(state: SharedState, role: Role) -> std::io::Result<SocketAddr> {
     let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
@@ -287,8 +466,14 @@
             let Ok(listener) = TcpListener::from_std(listener) else { return };
             while let Ok((stream, _)) = listener.accept().await {
                 let state = state.clone();
+                let connection = {
+                    let state = &mut lock(&state);
+                    state.next_connection += 1;
+                    state.next_connection - 1
+                };
                 tokio::task::spawn_local(async move {
-                    let service = service_fn(move |request| answer(state.clone(), role, request));
+                    let service =
+                        service_fn(move |request| answer(state.clone(), role, connection, request));
                     // The gateway may close connections at any time.
                     let _ =
                         http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
@@ -302,10 +487,14 @@
 async fn answer(
     state: SharedState,
     role: Role,
+    connection: u64,
     request: Request<Incoming>,
 ) -> Result<StandinReply, std::io::Error> {
     match role {
-        Role::Platform => Ok(answer_platform(&state, request).await.unwrap_or_else(|e| match e {})),
+        Role::Platform(link) if request.uri().path().starts_with("/log-") => {
+            answer_store(&state, link, connection, request).await
+        }
+        Role::Platform(_) => Ok(answer_cloud(&state, request).await),
         Role::Replica(index) => answer_replica(&state, index, request),
     }
 }
@@ -316,128 +505,145 @@
     reply
 }
 
-async fn answer_platform(
+async fn answer_store(
+    state: &SharedState,
+    link: Option<StoreLink>,
+    connection: u64,
+    request: Request<Incoming>,
+) -> Result<StandinReply, std::io::Error> {
+    let (mode, era) = {
+        let state = lock(state);
+        let link_mode = link.map_or(StoreMode::Answer, |link| state.link_modes[link.0]);
+        let mode = if state.mode == StoreMode::Answer { link_mode } else { state.mode };
+        (mode, state.store.era())
+    };
+    if connection < lock(state).silent_below {
+        std::future::pending::<()>().await;
+    }
+    match mode {
+        StoreMode::Refuse => return Ok(full_response(StatusCode::SERVICE_UNAVAILABLE, "{}")),
+        StoreMode::Reset => return Err(std::io::ErrorKind::ConnectionReset.into()),
+        StoreMode::Silent => std::future::pending().await,
+        StoreMode::Slow(delay) => tokio::time::sleep(delay).await,
+        StoreMode::Answer | StoreMode::DropResponses => {}
+    }
+    let mut reply = carry_out(state, request).await?;
+    if mode == StoreMode::DropResponses || connection < lock(state).silent_below {
+        std::future::pending::<()>().await;
+    }
+    if lock(state).store.era() != era {
+        return Err(std::io::ErrorKind::ConnectionReset.into());
+    }
+    reply.headers_mut().insert("store-era", era.into());
+    Ok(reply)
+}
+
+/// Carries out a call to the store.
+async fn carry_out(
     state: &SharedState,
     request: Request<Incoming>,
-) -> Result<StandinReply, Infallible> {
+) -> Result<StandinReply, std::io::Error> {
     let query = request.uri().query().unwrap_or_default().to_owned();
     let path = request.uri().path().to_owned();
     let field =
         |name: &str| query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
     let number = |name: &str| field(name).and_then(|text| text.parse::<u64>().ok());
-    let topic = field("topic").unwrap_or_default().to_owned();
-    let fencing_token =
-        request.headers().get("fencing-token").and_then(|value| value.to_str().ok());
-    let fencing_token = fencing_token.and_then(|text| text.parse().ok()).unwrap_or(0);
-    let body = request.into_body().collect().await.map(|body| body.to_bytes()).unwrap_or_default();
-    let is_store = path.starts_with("/log-");
-    let mode = if is_store { lock(state).store } else { StoreMode::Answer };
-    if mode == StoreMode::Refuse {
-        return Ok(full_response(StatusCode::SERVICE_UNAVAILABLE, "{}"));
-    }
+    let topic = field("topic").unwrap_or_default();
+    let body = request.into_body().collect().await.map_err(std::io::Error::other)?.to_bytes();
+    let call = || serde_json::from_slice::<Value>(&body).unwrap_or_default();
     let reply = match path.as_str() {
         "/log-newest" => {
-            full_response(StatusCode::OK, newest_page(&lock(state), &topic).to_string())
+            let page = lock(state).store.newest_page(topic);
+            full_response(StatusCode::OK, page.to_string())
         }
         "/log-read" => {
-            let from = number("from").unwrap_or(0) as usize;
-            let steps = number("wait-ms").unwrap_or(0) / LONG_POLL_INTERVAL.as_millis() as u64;
-            for _ in 0..steps {
-                if lock(state).topics.get(&topic).is_some_and(|records| records.len() > from) {
-                    break;
+            let from = number("from").unwrap_or(0);
+            let wait = Duration::from_millis(number("wait-ms").unwrap_or(0));
+            wait_for_answer(state, topic, from, wait).await?;
+            match lock(state).store.read_page(topic, from) {
+                Ok(page) => full_response(StatusCode::OK, page),
+                Err(rejection) => rejected(rejection),
+            }
+        }
+        "/log-append" => {
+            let record = body.get(4..).unwrap_or_default().to_vec();
+            match lock(state).store.append(topic, number("at"), record) {
+                Ok(offset) => {
+                    let answer = json!({"offset": offset, "end": offset + 1});
+                    full_response(StatusCode::OK, answer.to_string())
                 }
-                tokio::time::sleep(LONG_POLL_INTERVAL).await;
+                Err(rejection) => rejected(rejection),
             }
-            full_response(StatusCode::OK, read_page(&lock(state), &topic, from))
         }
-        "/log-append" => append(&mut lock(state), &topic, number("at"), &body),
         "/log-join" => {
-            let call: Value = serde_json::from_slice(&body).unwrap_or_default();
+            let call = call();
             let ttl = Duration::from_millis(call["ttl-ms"].as_u64().unwrap_or_default());
             let member = call["member"].as_str().unwrap_or_default();
-            let group = &mut lock(state).group;
-            let assigned = group.join(Instant::now(), member, ttl);
-            let parts: Vec<Value> = assigned.iter().map(|part| json!(["duty", part, 0])).collect();
+            let (generation, own) = lock(state).store.join(Instant::now(), member, ttl);
+            let parts: Vec<Value> = own.iter().map(|part| json!(["duty", part, 0])).collect();
             let answer = json!({
-                "generation": group.generation, "ttl-ms": ttl.as_millis() as u64, "parts": parts,
+                "generation": generation, "ttl-ms": ttl.as_millis() as u64, "parts": parts,
             });
             full_response(StatusCode::OK, answer.to_string())
         }
         "/log-leave" => {
-            let call: Value = serde_json::from_slice(&body).unwrap_or_default();
-            let group = &mut lock(state).group;
-            if group.members.remove(call["member"].as_str().unwrap_or_default()).is_some() {
-                group.generation += 1;
-            }
-            full_response(StatusCode::OK, "{}")
-        }
-        "/usage" => {
-            let state = &mut lock(state);
-            if fencing_token < state.max_fencing_token {
-                return Ok(full_response(StatusCode::CONFLICT, "{}"));
-            }
-            state.max_fencing_token = fencing_token;
-            let body = serde_json::from_slice(&body).unwrap_or_default();
-            state.usage.push(UsageReport { fencing_token, body });
-            full_response(StatusCode::OK, "{}")
-        }
-        "/scale" => {
-            lock(state).scale_requests.push(serde_json::from_slice(&body).unwrap_or_default());
+            lock(state).store.leave(call()["member"].as_str().unwrap_or_default());
             full_response(StatusCode::OK, "{}")
         }
         _ => full_response(StatusCode::NOT_FOUND, "{}"),
     };
-    if mode == StoreMode::DropResponses {
-        std::future::pending::<()>().await;
-    }
     Ok(reply)
 }
 
-fn newest_page(state: &DeploymentState, topic: &str) -> Value {
-    let records = state.topics.get(topic).map(Vec::as_slice).unwrap_or_default();
-    let mut newest = BTreeMap::new();
-    for (offset, record) in records.iter().enumerate() {
-        let (key, value) = record[1..].split_at(usize::from(record[0]));
-        let key = String::from_utf8_lossy(key).into_owned();
-        if value.is_empty() {
-            newest.remove(&key);
-            continue;
+/// Holds a read until it has an answer, its time is over, or the store came back from a copy.
+async fn wait_for_answer(
+    state: &SharedState,
+    topic: &str,
+    from: u64,
+    wait: Duration,
+) -> Result<(), std::io::Error> {
+    let begin = Instant::now();
+    let era = lock(state).store.era();
+    while begin.elapsed() < wait && !lock(state).store.has_answer(topic, from) {
+        tokio::time::sleep(LONG_POLL_INTERVAL).await;
+        if lock(state).store.era() != era {
+            return Err(std::io::ErrorKind::ConnectionReset.into());
         }
-        newest.insert(
-            key.clone(),
-            json!({
-                "key": key, "value": STANDARD.encode(value), "offset": offset,
-            }),
-        );
     }
-    let items: Vec<Value> = newest.into_values().collect();
-    json!({"items": items, "has-more": false, "end": records.len()})
+    Ok(())
 }
 
-fn read_page(state: &DeploymentState, topic: &str, from: usize) -> Vec<u8> {
-    let records = state.topics.get(topic).map(Vec::as_slice).unwrap_or_default();
-    let mut page = (records.len() as u64).to_be_bytes().to_vec();
-    page.extend_from_slice(&0_u64.to_be_bytes());
-    for record in records.iter().skip(from) {
-        page.extend_from_slice(&(record.len() as u32).to_be_bytes());
-        page.extend_from_slice(record);
-    }
-    page
+fn rejected(rejection: StoreRejection) -> StandinReply {
+    let (status, answer) = match rejection {
+        StoreRejection::Gone(first) => (StatusCode::GONE, json!({"first": first})),
+        StoreRejection::NotAtEnd(end) => (StatusCode::PRECONDITION_FAILED, json!({"end": end})),
+    };
+    full_response(status, answer.to_string())
 }
 
-fn append(
-    state: &mut DeploymentState,
-    topic: &str,
-    at: Option<u64>,
-    framed: &[u8],
-) -> StandinReply {
-    let records = state.topics.entry(topic.to_owned()).or_default();
-    let end = records.len() as u64;
-    if at.is_some_and(|at| at != end) {
-        return full_response(StatusCode::PRECONDITION_FAILED, json!({"end": end}).to_string());
-    }
-    records.push(framed.get(4..).unwrap_or_default().to_vec());
-    full_response(StatusCode::OK, json!({"offset": end, "end": end + 1}).to_string())
+async fn answer_cloud(state: &SharedState, request: Request<Incoming>) -> StandinReply {
+    let path = request.uri().path().to_owned();
+    let field = |name: &str| {
+        let value = request.headers().get(name).and_then(|value| value.to_str().ok());
+        value.map(str::to_owned)
+    };
+    let holder = field("duty-holder").unwrap_or_default();
+    let fencing_token = field("fencing-token").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let body = request.into_body().collect().await.map(|body| body.to_bytes()).unwrap_or_default();
+    let body = serde_json::from_slice(&body).unwrap_or_default();
+    let state = &mut lock(state);
+    match path.as_str() {
+        "/usage" if fencing_token < state.max_fencing_token => {
+            return full_response(StatusCode::CONFLICT, "{}");
+        }
+        "/usage" => {
+            state.max_fencing_token = fencing_token;
+            state.usage.push(UsageReport { at: Instant::now(), holder, fencing_token, body });
+        }
+        "/scale" => state.scale_requests.push(body),
+        _ => return full_response(StatusCode::NOT_FOUND, "{}"),
+    }
+    full_response(StatusCode::OK, "{}")
 }
 
 fn answer_replica(
@@ -449,8 +655,8 @@
         request.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
     };
     let request_id = field("Request-Id").unwrap_or_default();
-    let mode = lock(state).modes[index];
-    if field("Expect-Replica").is_some_and(|expected| expected != replica_id(index)) {
+    let ReplicaState { id, mode, .. } = lock(state).replicas[index].clone();
+    if field("Expect-Replica").is_some_and(|expected| expected != id) {
         return Ok(full_response(StatusCode::MISDIRECTED_REQUEST, ""));
     }
     if mode == ReplicaMode::Refuse {
@@ -461,6 +667,8 @@
     let resumed_after = field("Last-Event-Id").and_then(|id| id.parse().ok());
     lock(state).runs.push(ReplicaRun {
         replica: index,
+        replica_id: id.clone(),
+        at: Instant::now(),
         request_id: request_id.clone(),
         resumed_after,
         team: field("Tenant-Id"),
@@ -476,7 +684,7 @@
     } else {
         full_response(StatusCode::OK, format!("answer to {request_id}"))
     };
-    for (name, value) in [("request-id", request_id), ("replica-signature", replica_id(index))] {
+    for (name, value) in [("request-id", request_id), ("replica-signature", id)] {
         if let Ok(value) = hyper::header::HeaderValue::try_from(value) {
             reply.headers_mut().insert(name, value);
         }
--- a/lib/testutils/src/gateway_process.rs
+++ b/lib/testutils/src/gateway_process.rs
@@ -9,6 +9,11 @@
 use std::process::Command;
 use std::process::Stdio;
 
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use serde_json::Value;
+
 use crate::deployment_standin::DeploymentStandin;
 use crate::deployment_standin::FRONT_PORT;
 use crate::deployment_standin::ROUTE_HOST;
@@ -30,16 +35,33 @@
         standin: &DeploymentStandin,
         host: &str,
         ip: &str,
+    ) -> std::io::Result<Self> {
+        Self::start_with(program, &standin.settings(host, ip), ip, Stdio::null())
+    }
+
+    /// Starts the program with these settings and writes its log to `output`.
+    pub fn start_with(
+        program: &Path,
+        settings: &Value,
+        ip: &str,
+        output: Stdio,
     ) -> std::io::Result<Self> {
         let name = format!("gateway-{}-{ip}.json", std::process::id());
-        let settings = std::env::temp_dir().join(name);
-        fs::write(&settings, standin.settings(host, ip).to_string())?;
+        let path = std::env::temp_dir().join(name);
+        fs::write(&path, settings.to_string())?;
         let child = Command::new(program)
             .arg("gateway")
-            .env("POMELOSTACK_CONFIG", &settings)
-            .stdout(Stdio::null())
+            .env("POMELOSTACK_CONFIG", &path)
+            .stdout(output)
             .spawn()?;
-        Ok(Self { child, settings })
+        Ok(Self { child, settings: path })
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) -> std::io::Result<()> {
+        let id = i32::try_from(self.id()).map_err(std::io::Error::other)?;
+        let id = Pid::from_raw(id).ok_or(std::io::ErrorKind::InvalidInput)?;
+        Ok(kill_process(id, signal)?)
     }
 
     /// Returns the process id.
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -14,6 +14,7 @@
 mod engine_run;
 pub mod engine_standin;
 pub mod front_door_client;
+pub mod gateway_fixture;
 pub mod gateway_process;
 pub mod host_list_standin;
 pub mod host_registry;
@@ -28,6 +29,7 @@
 pub mod process_lifecycle;
 pub mod raw_server;
 mod standin_listener;
+pub mod store_core;
 
 pub mod admin_fixture;
 pub mod config_samples;
