soak: hosts as processes under seeded faults, judged by what callers saw

Runs gateway hosts as processes in front of the deployment stand-in: an operator that changes routes and keys, callers with open connections, replicas that leave, and series of overlapping faults (store refuses, resets, is silent, slow or loses answers, for all hosts or one; comes back from a copy; drops history; connections go silent; hosts are killed, stopped, frozen, reloaded).

--- a/lib/testutils/src/deployment_standin.rs
+++ b/lib/testutils/src/deployment_standin.rs
@@ -104,6 +104,17 @@
     NewestValues,
 }
 
+/// What a writer learns of its write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteOutcome {
+    /// It took effect and was acknowledged.
+    Acknowledged,
+    /// It took effect without an answer.
+    Unanswered,
+    /// It had no effect.
+    Refused,
+}
+
 /// A record that the operator or a replica wrote.
 #[derive(Clone, Debug)]
 struct WrittenRecord {
@@ -327,6 +338,26 @@
         self.put(OPERATOR_TOPIC, CONFIG_KEY, document);
     }
 
+    /// Publishes a configuration document unless the store is unavailable to the operator.
+    pub fn try_publish(&self, document: &Value) -> WriteOutcome {
+        let state = &mut lock(&self.state);
+        let outcome = match state.mode {
+            StoreMode::Answer | StoreMode::Slow(_) => WriteOutcome::Acknowledged,
+            StoreMode::DropResponses => WriteOutcome::Unanswered,
+            StoreMode::Refuse | StoreMode::Reset | StoreMode::Silent => {
+                return WriteOutcome::Refused;
+            }
+        };
+        let (key, value) = (CONFIG_KEY.to_owned(), document.to_string());
+        write(state, WrittenRecord { topic: OPERATOR_TOPIC, key, value });
+        outcome
+    }
+
+    /// Returns whether the store answers the operator and the replicas.
+    pub fn is_store_up(&self) -> bool {
+        matches!(lock(&self.state).mode, StoreMode::Answer | StoreMode::Slow(_))
+    }
+
     /// Drops the history of what the operator and the replicas wrote; the newest record of each key
     /// stays listed.
     pub fn drop_history(&self) {
@@ -387,6 +418,11 @@
         lock(&self.state).runs.clone()
     }
 
+    /// Returns the requests that the replicas executed since the last call, in order.
+    pub fn take_runs(&self) -> Vec<ReplicaRun> {
+        std::mem::take(&mut lock(&self.state).runs)
+    }
+
     /// Returns the accepted usage reports, in order.
     pub fn usage_reports(&self) -> Vec<UsageReport> {
         lock(&self.state).usage.clone()
--- a/lib/testutils/src/gateway_fixture.rs
+++ b/lib/testutils/src/gateway_fixture.rs
@@ -11,11 +11,11 @@
 use crate::deployment_standin::ROUTE_HOST;
 use crate::deployment_standin::TEAM_KEY;
 use crate::gateway_process::GatewayProcess;
+use crate::gateway_process::read_level;
+use crate::gateway_process::read_metrics;
 
 /// Port of the readiness check.
 const READY_PORT: u16 = 7_701;
-/// Port of the metrics.
-const METRICS_PORT: u16 = 9_464;
 /// Deadline of a request in milliseconds.
 const CALL_DEADLINE_MS: &str = "8000";
 
@@ -93,15 +93,12 @@
 
     /// Returns the metrics, or an empty text without a response.
     pub fn metrics(&self) -> String {
-        let url = format!("http://{}:{METRICS_PORT}/metrics", self.ip);
-        let reply = Self::agent().get(url).call().ok();
-        reply.and_then(|reply| reply.into_body().read_to_string().ok()).unwrap_or_default()
+        read_metrics(&self.ip)
     }
 
     /// Returns a level among the metrics.
     pub fn level(&self, name: &str) -> Option<u64> {
-        let prefix = format!("pomelostack_level{{level=\"{name}\"}} ");
-        self.metrics().lines().find_map(|line| line.strip_prefix(&prefix)?.parse().ok())
+        read_level(&self.ip, name)
     }
 
     /// Sends a request and returns the response.
--- a/lib/testutils/src/gateway_process.rs
+++ b/lib/testutils/src/gateway_process.rs
@@ -22,6 +22,9 @@
 /// Deadline of a caller's request in milliseconds; longer than any test takes.
 const REQUEST_DEADLINE_MS: &str = "60000";
 
+/// Port on which a gateway serves its metrics.
+const METRICS_PORT: u16 = 9_464;
+
 /// A gateway process. Dropping it kills the process and removes its settings file.
 pub struct GatewayProcess {
     child: Child,
@@ -74,6 +77,11 @@
         &self.settings
     }
 
+    /// Returns whether the process has exited.
+    pub fn has_exited(&mut self) -> std::io::Result<bool> {
+        self.child.try_wait().map(|status| status.is_some())
+    }
+
     /// Waits for the process to exit and returns whether its exit status was success.
     pub fn wait_for_exit(&mut self) -> std::io::Result<bool> {
         self.child.wait().map(|status| status.success())
@@ -89,6 +97,18 @@
     }
 }
 
+/// Returns the metrics of the gateway at an address, or an empty text without a response.
+pub fn read_metrics(ip: &str) -> String {
+    let reply = ureq::get(format!("http://{ip}:{METRICS_PORT}/metrics")).call().ok();
+    reply.and_then(|reply| reply.into_body().read_to_string().ok()).unwrap_or_default()
+}
+
+/// Returns a level among the metrics of the gateway at an address.
+pub fn read_level(ip: &str, name: &str) -> Option<u64> {
+    let prefix = format!("pomelostack_level{{level=\"{name}\"}} ");
+    read_metrics(ip).lines().find_map(|line| line.strip_prefix(&prefix)?.parse().ok())
+}
+
 /// Returns the request headers that a caller of the only team sends.
 pub fn request_headers(request_id: &str) -> [(&'static str, String); 4] {
     [
--- /dev/null
+++ b/soak/src/fault_plan.rs
@@ -0,0 +1,139 @@
+//! Seeded schedules of faults, in series that overlap and with calm in between.
+
+use std::time::Duration;
+
+use rand::Rng;
+use testutils::deployment_standin::RewriteScope;
+use testutils::deployment_standin::StoreMode;
+
+/// Time between the starts of two series, of which the last part is calm.
+const SERIES_PERIOD: Duration = Duration::from_secs(12);
+
+/// Time from the first to the last fault of a series.
+const SERIES_SPREAD: Duration = Duration::from_secs(2);
+
+/// Largest number of faults in a series.
+const MAX_SERIES_FAULTS: usize = 4;
+
+/// Calm before the first series.
+const LEAD_TIME: Duration = Duration::from_secs(3);
+
+/// A fault.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PlannedFault {
+    /// The store handles all calls in this way.
+    Store {
+        /// The way.
+        mode: StoreMode,
+        /// For how long.
+        duration: Duration,
+    },
+    /// The store handles one host's calls in this way.
+    Link {
+        /// Number of the host.
+        host: usize,
+        /// The way.
+        mode: StoreMode,
+        /// For how long.
+        duration: Duration,
+    },
+    /// The store is away and comes back from a copy.
+    Restore {
+        /// For how long it is away.
+        away: Duration,
+        /// Age of the copy when the store goes away.
+        copy_age: Duration,
+        /// What the operator and the replicas write again.
+        scope: RewriteScope,
+        /// How long after the return they do.
+        rewrite_delay: Duration,
+    },
+    /// The history of what the operator and the replicas wrote is dropped.
+    DropHistory,
+    /// Open connections to the store carry nothing any more.
+    SilenceConnections,
+    /// The processes of some hosts are killed and start again.
+    Kill {
+        /// Numbers of the hosts.
+        hosts: Vec<usize>,
+        /// How long they are down.
+        down: Duration,
+    },
+    /// A host gets SIGTERM and starts again after its exit.
+    Terminate {
+        /// Number of the host.
+        host: usize,
+    },
+    /// A host stands still.
+    Freeze {
+        /// Number of the host.
+        host: usize,
+        /// For how long.
+        duration: Duration,
+    },
+    /// A host gets SIGHUP.
+    Hangup {
+        /// Number of the host.
+        host: usize,
+    },
+}
+
+/// Draws the faults of a run, each with its time, in order.
+pub fn draw_faults(
+    random: &mut impl Rng,
+    hosts: usize,
+    length: Duration,
+) -> Vec<(Duration, PlannedFault)> {
+    let mut faults = Vec::new();
+    let mut begin = LEAD_TIME;
+    while begin + SERIES_PERIOD <= length {
+        for _ in 0..random.random_range(1..=MAX_SERIES_FAULTS) {
+            let at = begin + SERIES_SPREAD.mul_f64(random.random());
+            faults.push((at, draw_fault(random, hosts)));
+        }
+        begin += SERIES_PERIOD;
+    }
+    faults.sort_by_key(|(at, _)| *at);
+    faults
+}
+
+fn draw_fault(random: &mut impl Rng, hosts: usize) -> PlannedFault {
+    let host = random.random_range(0..hosts);
+    let duration = draw_millis(random, 200, 4_000);
+    match random.random_range(0..12) {
+        0 => PlannedFault::Store { mode: draw_mode(random), duration },
+        1 => PlannedFault::Link { host, mode: draw_mode(random), duration },
+        2..=4 => PlannedFault::Restore {
+            away: draw_millis(random, 20, 2_000),
+            copy_age: draw_millis(random, 0, 5_000),
+            scope: match random.random() {
+                true => RewriteScope::AllRecords,
+                false => RewriteScope::NewestValues,
+            },
+            rewrite_delay: draw_millis(random, 0, 1_000),
+        },
+        5 => PlannedFault::DropHistory,
+        6 => PlannedFault::SilenceConnections,
+        7 => PlannedFault::Kill { hosts: vec![host], down: draw_millis(random, 50, 2_000) },
+        8 => {
+            PlannedFault::Kill { hosts: (0..hosts).collect(), down: draw_millis(random, 50, 1_000) }
+        }
+        9 => PlannedFault::Terminate { host },
+        10 => PlannedFault::Freeze { host, duration },
+        _ => PlannedFault::Hangup { host },
+    }
+}
+
+fn draw_mode(random: &mut impl Rng) -> StoreMode {
+    match random.random_range(0..5) {
+        0 => StoreMode::Refuse,
+        1 => StoreMode::Reset,
+        2 => StoreMode::Silent,
+        3 => StoreMode::DropResponses,
+        _ => StoreMode::Slow(draw_millis(random, 20, 400)),
+    }
+}
+
+fn draw_millis(random: &mut impl Rng, least: u64, most: u64) -> Duration {
+    Duration::from_millis(random.random_range(least..=most))
+}
--- /dev/null
+++ b/soak/src/host_fleet.rs
@@ -0,0 +1,142 @@
+//! The gateway hosts of a run, as processes.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use anyhow::Context as _;
+use rustix::process::Signal;
+use testutils::deployment_standin::DeploymentStandin;
+use testutils::deployment_standin::StoreLink;
+use testutils::gateway_process::GatewayProcess;
+
+struct FleetHost {
+    name: String,
+    ip: String,
+    link: StoreLink,
+    platform: SocketAddr,
+    process: Option<GatewayProcess>,
+    is_terminating: bool,
+    /// Number of starts, which callers read.
+    incarnation: Arc<AtomicU32>,
+}
+
+/// All hosts. Dropping the fleet kills their processes.
+pub struct HostFleet {
+    program: PathBuf,
+    standin: Arc<DeploymentStandin>,
+    logs: PathBuf,
+    hosts: Vec<FleetHost>,
+}
+
+impl HostFleet {
+    /// Starts `count` hosts at the addresses `127.SUBNET.0.N`; their logs go into a folder.
+    pub fn start(
+        program: &Path,
+        standin: Arc<DeploymentStandin>,
+        logs: &Path,
+        subnet: u8,
+        count: usize,
+    ) -> anyhow::Result<Self> {
+        let mut fleet = Self {
+            program: program.to_owned(),
+            standin,
+            logs: logs.to_owned(),
+            hosts: Vec::with_capacity(count),
+        };
+        for number in 0..count {
+            let (link, platform) = fleet.standin.open_link().context("cannot open a link")?;
+            fleet.hosts.push(FleetHost {
+                name: format!("host-{number}"),
+                ip: format!("127.{subnet}.0.{}", number + 1),
+                link,
+                platform,
+                process: None,
+                is_terminating: false,
+                incarnation: Arc::default(),
+            });
+            fleet.start_host(number)?;
+        }
+        Ok(fleet)
+    }
+
+    /// Returns the number of hosts.
+    pub fn len(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Returns whether there are no hosts.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+
+    /// Returns the address of a host.
+    pub fn ip(&self, host: usize) -> &str {
+        &self.hosts[host].ip
+    }
+
+    /// Returns the host's own address of the store.
+    pub fn link(&self, host: usize) -> StoreLink {
+        self.hosts[host].link
+    }
+
+    /// Returns the counter of a host's starts.
+    pub fn incarnation(&self, host: usize) -> Arc<AtomicU32> {
+        self.hosts[host].incarnation.clone()
+    }
+
+    /// Starts a host that is down.
+    pub fn start_host(&mut self, number: usize) -> anyhow::Result<()> {
+        let host = &mut self.hosts[number];
+        if host.process.is_some() {
+            return Ok(());
+        }
+        let starts = host.incarnation.fetch_add(1, Ordering::SeqCst);
+        let mut settings = self.standin.settings_at(&host.name, &host.ip, host.platform);
+        settings["bootstrap"] = (starts == 0).into();
+        let path = self.logs.join(format!("{}-{starts}.log", host.name));
+        let log =
+            File::create(&path).with_context(|| format!("cannot write {}", path.display()))?;
+        let process =
+            GatewayProcess::start_with(&self.program, &settings, &host.ip, Stdio::from(log));
+        host.process = Some(process.context("cannot start a host")?);
+        host.is_terminating = false;
+        Ok(())
+    }
+
+    /// Kills a host's process.
+    pub fn kill(&mut self, number: usize) {
+        self.hosts[number].process = None;
+    }
+
+    /// Sends a signal to a host's process, if it has one.
+    pub fn signal(&mut self, number: usize, signal: Signal) -> anyhow::Result<()> {
+        let host = &mut self.hosts[number];
+        host.is_terminating |= signal == Signal::TERM;
+        match &host.process {
+            Some(process) => process.signal(signal).context("cannot signal a host"),
+            None => Ok(()),
+        }
+    }
+
+    /// Starts the hosts again that have exited after SIGTERM; returns their numbers.
+    pub fn restart_exited(&mut self) -> anyhow::Result<Vec<usize>> {
+        let mut exited = Vec::new();
+        for number in 0..self.hosts.len() {
+            let host = &mut self.hosts[number];
+            let Some(process) = &mut host.process else { continue };
+            if process.has_exited()? {
+                anyhow::ensure!(host.is_terminating, "{} ended by itself", host.name);
+                host.process = None;
+                self.start_host(number)?;
+                exited.push(number);
+            }
+        }
+        Ok(exited)
+    }
+}
--- /dev/null
+++ b/soak/src/lib.rs
@@ -0,0 +1,10 @@
+//! Runs gateway hosts as processes in front of the deployment stand-in while seeded faults strike,
+//! and judges what callers and replicas saw.
+
+pub mod config_judge;
+pub mod config_plan;
+pub mod duty_judge;
+pub mod fault_plan;
+pub mod host_fleet;
+pub mod soak_run;
+pub mod touch_record;
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,114 @@
+//! Runs soaks by hand, several at a time: `cargo run --release -p pomelostack-soak -- --runs 50`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use argh::FromArgs;
+use pomelostack_soak::soak_run::SoakReport;
+use pomelostack_soak::soak_run::SoakSettings;
+use pomelostack_soak::soak_run::log_folder;
+use pomelostack_soak::soak_run::run_soak;
+
+/// Second byte of the loopback addresses of the first run.
+const FIRST_SUBNET: u8 = 81;
+
+/// Violations of one run that are printed.
+const MAX_PRINTED: usize = 12;
+
+/// Run gateway hosts as processes under seeded faults and judge what callers saw.
+#[derive(FromArgs)]
+struct SoakCommand {
+    /// gateway program (default target/release/pomelostack)
+    #[argh(option, default = "PathBuf::from(\"target/release/pomelostack\")")]
+    program: PathBuf,
+
+    /// folder for the hosts' logs (default target/soak)
+    #[argh(option, default = "PathBuf::from(\"target/soak\")")]
+    logs: PathBuf,
+
+    /// first seed (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+
+    /// runs, one a seed (default 1)
+    #[argh(option, default = "1")]
+    runs: u64,
+
+    /// runs at a time (default 1)
+    #[argh(option, default = "1")]
+    jobs: u8,
+
+    /// hosts of a run (default 5)
+    #[argh(option, default = "5")]
+    hosts: usize,
+
+    /// length of a run in seconds (default 39)
+    #[argh(option, default = "39")]
+    seconds: u64,
+}
+
+fn main() -> ExitCode {
+    let command: SoakCommand = argh::from_env();
+    let next = AtomicU64::new(0);
+    let broken = AtomicU64::new(0);
+    thread::scope(|scope| {
+        for job in 0..command.jobs {
+            let (command, next, broken) = (&command, &next, &broken);
+            scope.spawn(move || {
+                loop {
+                    let number = next.fetch_add(1, Ordering::SeqCst);
+                    if number >= command.runs {
+                        return;
+                    }
+                    let seed = command.seed + number;
+                    let settings = SoakSettings {
+                        program: command.program.clone(),
+                        logs: log_folder(&command.logs, seed),
+                        seed,
+                        hosts: command.hosts,
+                        length: Duration::from_secs(command.seconds),
+                        subnet: FIRST_SUBNET + job,
+                    };
+                    broken.fetch_add(u64::from(!run_seed(&settings)), Ordering::SeqCst);
+                }
+            });
+        }
+    });
+    let broken = broken.into_inner();
+    println!("runs {} broken {broken}", command.runs);
+    if broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+/// Runs one seed and prints its outcome. Returns whether all rules were kept.
+fn run_seed(settings: &SoakSettings) -> bool {
+    match run_soak(settings) {
+        Ok(report) => {
+            print_report(settings.seed, &report);
+            report.violations.is_empty()
+        }
+        Err(error) => {
+            println!("seed {} failed: {error:#}", settings.seed);
+            false
+        }
+    }
+}
+
+fn print_report(seed: u64, report: &SoakReport) {
+    let mut text = format!(
+        "seed {seed}: {} answers, {} versions, {} faults, {} violations\n",
+        report.answers,
+        report.versions,
+        report.faults.len(),
+        report.violations.len()
+    );
+    if !report.violations.is_empty() {
+        for line in report.faults.iter().chain(report.violations.iter().take(MAX_PRINTED)) {
+            text.push_str(&format!("  {line}\n"));
+        }
+    }
+    print!("{text}");
+}
