process clock: follow a runtime whose time is paused

lone_host_reads_often ran on tokio's virtual clock, but the host's own clock was the machine's and stood still: the test saw one read of the directory and passed because there was no pair of reads to compare.

--- a/lib/src/timestamp.rs
+++ b/lib/src/timestamp.rs
@@ -3,12 +3,12 @@
 use std::ops::Add;
 use std::ops::Sub;
 use std::time::Duration;
-use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::time::Instant;
 
 /// A point in time in microseconds since the origin of its clock.
 ///
@@ -53,7 +53,7 @@
     }
 }
 
-/// The monotonic clock of the process.
+/// The monotonic clock of the process, or that of a runtime whose time is paused.
 ///
 /// Supervisors read it and pass timestamps to decision modules, which never read a clock.
 #[derive(Clone, Copy, Debug)]
--- a/lib/tests/test_store_follower.rs
+++ b/lib/tests/test_store_follower.rs
@@ -263,6 +263,6 @@
         let reads = store.directory_reads.borrow();
         let longest = reads.windows(2).map(|pair| pair[1] - pair[0]).max();
         assert!(longest <= Some(Duration::from_secs(2)), "{longest:?}");
-        assert!(reads.len() < 45 * 4, "{} reads", reads.len());
+        assert!((45 / 2..45 * 4).contains(&reads.len()), "{} reads", reads.len());
     });
 }
