known red: hosts are blind after the store was silent

A long poll that a silent store or connection lost is noticed after 4 s (2.5 s of wait and 1.5 s of margin) in a small fleet and after 21.5 s in a large one. All hosts renew their polls at the same moment, so all are lost together and no peer has a newer version to tell. A host is in touch again 3 s after the trouble (4 s in large deployments).

--- a/lib/tests/test_store_follower.rs
+++ b/lib/tests/test_store_follower.rs
@@ -12,6 +12,8 @@
 use pomelostack_lib::gateway::gateway_metrics::GatewayMetrics;
 use pomelostack_lib::gateway::gateway_settings::GatewaySettings;
 use pomelostack_lib::gateway::gateway_state::GatewayState;
+use pomelostack_lib::gateway::host_summary::build_summary;
+use pomelostack_lib::gateway::host_summary::on_summary;
 use pomelostack_lib::gateway::platform_api::AppendOutcome;
 use pomelostack_lib::gateway::platform_api::ConfigRead;
 use pomelostack_lib::gateway::platform_api::ControlStore;
@@ -30,6 +32,7 @@
 use pomelostack_lib::ids::HostId;
 use pomelostack_lib::ids::LogOffset;
 use pomelostack_lib::ids::ZoneName;
+use rstest::rstest;
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
@@ -38,15 +41,23 @@
 /// Time within which a change must be in force on every host.
 const CHANGE_BOUND: Duration = Duration::from_secs(3);
 
+/// Time between two summaries of a host.
+const SUMMARY_PERIOD: Duration = Duration::from_millis(400);
+
 /// How the store responds to reads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ReadMode {
     Answer,
     /// The store never answers a long poll, even when a record arrives.
     LoseLongPolls,
+    /// The store never answers a read that begins meanwhile.
+    Silent,
     Refuse,
 }
 
+/// Timeout of a read that is not a long poll, and of a long poll beyond its wait.
+const CLIENT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// A store whose configuration changes version by version.
 struct FakeStore {
     version: Cell<u64>,
@@ -94,6 +105,10 @@
 impl ControlStore for FakeStore {
     async fn read_config(&self, from: Option<LogOffset>, wait: Duration) -> Result<ConfigRead> {
         self.config_reads.set(self.config_reads.get() + 1);
+        if self.mode.get() == ReadMode::Silent {
+            sleep(wait + CLIENT_TIMEOUT).await;
+            return Err(PlatformError::Unanswered("timed out".to_owned()));
+        }
         if self.mode.get() == ReadMode::Refuse {
             return Err(PlatformError::Refused(503));
         }
@@ -165,9 +180,13 @@
 }
 
 fn state() -> Rc<GatewayState> {
-    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    host_state(1)
+}
+
+fn host_state(number: u16) -> Rc<GatewayState> {
+    let address = SocketAddr::from(([127, 0, 0, 1], number));
     let settings = GatewaySettings {
-        host: HostId::try_from("h1").expect("valid in tests"),
+        host: HostId::try_from(format!("h{number}").as_str()).expect("valid in tests"),
         zone: ZoneName::try_from("north").expect("valid in tests"),
         first_start: true,
         front: address,
@@ -266,3 +285,45 @@
         assert!((45 / 2..45 * 4).contains(&reads.len()), "{} reads", reads.len());
     });
 }
+
+/// Lets the hosts exchange summaries.
+async fn gossip(hosts: Vec<Rc<GatewayState>>) {
+    for sequence in 1.. {
+        for sender in &hosts {
+            let summary = build_summary(sender, sequence);
+            let others = hosts.iter().filter(|host| !Rc::ptr_eq(host, sender));
+            others.for_each(|host| on_summary(host, summary.clone()));
+        }
+        sleep(SUMMARY_PERIOD).await;
+    }
+}
+
+#[rstest]
+#[case::alone(1, Duration::from_secs(3))]
+#[case::small(7, Duration::from_secs(3))]
+#[case::large(70, Duration::from_secs(4))]
+fn blind_after_silence(#[case] count: u16, #[case] bound: Duration) {
+    // While the store is silent, every host's long poll is lost. No peer has a newer version, so
+    // each host must notice by itself that it would not hear of a change.
+    for silence_ms in (300..6_000).step_by(300) {
+        run_simulation(async move {
+            let store = Rc::new(FakeStore::new());
+            let hosts: Vec<_> = (1..=count).map(host_state).collect();
+            for host in &hosts {
+                spawn_local(follow_config(host.clone(), store.clone()));
+            }
+            spawn_local(gossip(hosts.clone()));
+            sleep(Duration::from_secs(21)).await;
+            store.mode.set(ReadMode::Silent);
+            sleep(Duration::from_millis(silence_ms)).await;
+            store.mode.set(ReadMode::Answer);
+            store.version.set(2);
+            let returned_at = Instant::now();
+            for host in &hosts {
+                time_until(host, 2).await;
+                let late = returned_at.elapsed();
+                assert!(late < bound, "{late:?} after {silence_ms} ms of silence");
+            }
+        });
+    }
+}
