store follower: a held read is no proof that a host would hear of a change

What callers saw: on all hosts at once, and without a warning in the logs, requests were handled by an old version of the configuration for up to a second in small fleets, and for twenty in large ones, after the store was reachable again.

Cause: a host counted as listening while its long poll was open. A store or a connection that goes silent loses the poll, which the host noticed when it timed out: 4 s in a small fleet, 21.5 s in a large one. All hosts renew their polls at the same moment, so all are lost together and the version in the peers' summaries cannot help.

Now a completed read is what counts. A host that neither completed a read of the configuration lately nor heard of one by a peer with its version reads beside the long poll, by the schedule that the directory has; the age of the last read goes into the summaries. Polls are held for 20 s in every fleet, and none is held after a failed read. wait_for_peer_loss goes.

--- a/lib/src/gateway/backend_directory.rs
+++ b/lib/src/gateway/backend_directory.rs
@@ -12,6 +12,7 @@
 
 use slotmap::SlotMap;
 
+use crate::gateway::read_schedule::ReadHistory;
 use crate::gateway::read_schedule::ReadTimes;
 use crate::ids::LogOffset;
 use crate::ids::ServerId;
@@ -114,10 +115,7 @@
     offsets: HashMap<ServerId, LogOffset>,
     /// Missing servers, and when each is removed unless its entry reappears.
     pending_removals: BTreeMap<ServerId, Timestamp>,
-    /// When this host last read the store successfully.
-    own_read_at: Option<Timestamp>,
-    /// When any host last read the store successfully.
-    newest_read_at: Option<Timestamp>,
+    reads: ReadHistory,
     /// Until when the last failed read counts as recent.
     failures_recent_until: Option<Timestamp>,
     /// Until when removals are held.
@@ -128,17 +126,17 @@
     /// Records a successful read of the store. A gap of [`STORE_OUTAGE_THRESHOLD`] before it starts
     /// the grace period.
     pub fn on_read(&mut self, now: Timestamp) {
-        self.own_read_at = Some(now);
         self.on_peer_read(now, now);
+        self.reads.on_read(now);
     }
 
     /// Records that a peer read the store successfully at the given time. The first read after a
     /// long gap starts the grace period on this host as well.
     pub fn on_peer_read(&mut self, now: Timestamp, at: Timestamp) {
-        if self.newest_read_at.is_some_and(|known| at.since(known) >= STORE_OUTAGE_THRESHOLD) {
+        if self.reads.newest().is_some_and(|known| at.since(known) >= STORE_OUTAGE_THRESHOLD) {
             self.grace_ends_at = Some(now + RECOVERY_GRACE_PERIOD);
         }
-        self.newest_read_at = self.newest_read_at.max(Some(at));
+        self.reads.on_peer_read(at);
     }
 
     /// Returns whether this host should read the directory at the full rate: missing entries may
@@ -207,14 +205,13 @@
 
     /// Returns the time since this host's last successful read, or `None` before the first.
     pub fn read_age(&self, now: Timestamp) -> Option<Duration> {
-        self.own_read_at.map(|at| now.since(at))
+        self.reads.age(now)
     }
 
     /// Returns the times of the last read by this host and by any host, or `None` if this host has
     /// not read yet.
     pub fn read_times(&self) -> Option<ReadTimes> {
-        let own = self.own_read_at?;
-        Some(ReadTimes { own, newest: self.newest_read_at.unwrap_or(own) })
+        self.reads.times()
     }
 
     /// Returns a server.
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -17,6 +17,7 @@
 use crate::gateway::peer_table::PeerTable;
 use crate::gateway::placement::PlacementTable;
 use crate::gateway::quota_limiter::QuotaLimiter;
+use crate::gateway::read_schedule::ReadHistory;
 use crate::gateway::retry_limiter::RetryLimiter;
 use crate::gateway::serving_config::ActiveConfig;
 use crate::gateway::shutdown_plan::ShutdownPlan;
@@ -44,6 +45,8 @@
     pub pool: ConnectionPool,
     /// Current configuration.
     pub config: RefCell<ActiveConfig>,
+    /// When the configuration was last read.
+    pub config_reads: RefCell<ReadHistory>,
     /// Backend servers.
     pub directory: RefCell<BackendDirectory>,
     /// Directory changes to send to peers.
@@ -94,6 +97,7 @@
             metrics,
             pool: ConnectionPool::default(),
             config: RefCell::default(),
+            config_reads: RefCell::default(),
             directory: RefCell::default(),
             directory_gossip: RefCell::default(),
             placement: RefCell::new(PlacementTable::new(settings.zone.clone())),
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -25,6 +25,7 @@
 use crate::protos::gateway::ServiceDemand;
 use crate::protos::gateway::TeamUse;
 use crate::protos::gateway::WindowUse;
+use crate::timestamp::Timestamp;
 use crate::timestamp::wall_clock_ms;
 
 /// Maximum number of crash suspicions in one summary: enough for a zone of servers that crashed.
@@ -58,7 +59,7 @@
     let known_count = state.peers.borrow().changes_count(&summary);
     let has_missed = has_missed_changes(known_count, summary.changes_count, changes.len());
     let read_age = summary.directory_age_ms.checked_sub(1).map(Duration::from_millis);
-    check_config_version(state, summary.config_version);
+    check_config_version(state, now, &summary);
     let heard_before = state.peers.borrow().live_peers(now);
     if state.peers.borrow_mut().on_summary(now, summary).is_none() {
         return;
@@ -80,11 +81,17 @@
     windows.iter().for_each(|window| merge_window_counts(state, window));
 }
 
-/// Triggers a read of the configuration if a peer has a newer version.
-fn check_config_version(state: &GatewayState, peer_version: u64) {
+/// Triggers a read of the configuration if a peer has a newer version. Otherwise the peer's last
+/// read shows that there was none.
+fn check_config_version(state: &GatewayState, now: Timestamp, summary: &HostSummary) {
     let version = state.config.borrow().current().map_or(0, |config| config.version);
-    if peer_version > version && version > 0 {
-        state.config_hint.notify_one();
+    if summary.config_version > version {
+        if version > 0 {
+            state.config_hint.notify_one();
+        }
+    } else if let Some(age) = summary.config_age_ms.checked_sub(1) {
+        let read_at = now - Duration::from_millis(age);
+        state.config_reads.borrow_mut().on_peer_read(read_at);
     }
 }
 
@@ -184,6 +191,11 @@
     }
 }
 
+/// Encodes the age of a read; zero if there was none.
+fn encode_age(age: Option<Duration>) -> u64 {
+    age.map_or(0, |age| age.as_millis() as u64 + 1)
+}
+
 /// Builds summary number `sequence`.
 pub fn build_summary(state: &GatewayState, sequence: u64) -> HostSummary {
     let now = state.now();
@@ -239,8 +251,9 @@
         wall_ms: 0,
         zone: settings.zone.to_string(),
         pass_on: false,
-        directory_age_ms: directory.read_age(now).map_or(0, |age| age.as_millis() as u64 + 1),
+        directory_age_ms: encode_age(directory.read_age(now)),
         changes: recent.changes,
         changes_count: recent.count,
+        config_age_ms: encode_age(state.config_reads.borrow().age(now)),
     }
 }
--- a/lib/src/gateway/read_schedule.rs
+++ b/lib/src/gateway/read_schedule.rs
@@ -1,8 +1,7 @@
-//! How often a host reads the directory.
+//! How often a host reads a topic of the store.
 //!
-//! Load pattern: dozens of hosts follow one directory. If each read it at the full rate, the
-//! store's load would grow with the fleet, so hosts that receive each other's summaries share the
-//! reads.
+//! Load pattern: dozens of hosts follow one topic. If each read it at the full rate, the store's
+//! load would grow with the fleet, so hosts that receive each other's summaries share the reads.
 
 use std::time::Duration;
 
@@ -30,7 +29,7 @@
 /// the network.
 const SAME_READ_TOLERANCE: Duration = Duration::from_millis(100);
 
-/// Decides when a host reads the directory next.
+/// Decides when a host reads a topic next.
 ///
 /// After each read that it learns of, a host draws a random delay. The host whose delay ends first
 /// reads next. New jitter for every read keeps hosts from reading in step, and if the host that is
@@ -50,6 +49,42 @@
     pub newest: Timestamp,
 }
 
+/// When this host and its peers last read a topic successfully.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReadHistory {
+    own: Option<Timestamp>,
+    newest: Option<Timestamp>,
+}
+
+impl ReadHistory {
+    /// Records a read by this host.
+    pub fn on_read(&mut self, now: Timestamp) {
+        self.own = Some(now);
+        self.on_peer_read(now);
+    }
+
+    /// Records a read by a peer at the given time.
+    pub fn on_peer_read(&mut self, at: Timestamp) {
+        self.newest = self.newest.max(Some(at));
+    }
+
+    /// Returns the newest read by any host.
+    pub fn newest(&self) -> Option<Timestamp> {
+        self.newest
+    }
+
+    /// Returns the time since this host's last read, or `None` before the first.
+    pub fn age(&self, now: Timestamp) -> Option<Duration> {
+        self.own.map(|at| now.since(at))
+    }
+
+    /// Returns the times of the last reads, or `None` before this host's first.
+    pub fn times(&self) -> Option<ReadTimes> {
+        let own = self.own?;
+        Some(ReadTimes { own, newest: self.newest.unwrap_or(own) })
+    }
+}
+
 impl ReadSchedule {
     /// Returns whether to read now. A host on its own reads once per `period`; `factor` is the
     /// result of [`read_interval_factor`]. A host of a larger fleet reads `2 * factor` periods
--- a/lib/src/gateway/store_follower.rs
+++ b/lib/src/gateway/store_follower.rs
@@ -1,6 +1,7 @@
 //! Keeps this host's copies of the configuration and the directory in sync with the platform's
 //! store.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,20 +21,19 @@
 use crate::ids::LogOffset;
 use crate::ids::ServerId;
 
-/// Timeout of a long poll for the configuration, for a host of a small fleet. A degraded store may
-/// never answer a long poll, so the timeout must be shorter than the time that a host has to catch up
-/// after an outage. Version numbers in the peers' summaries reveal a missed change sooner.
-const CONFIG_POLL_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Timeout of a long poll for the configuration.
+const CONFIG_POLL_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Interval at which a host of a small fleet reads the directory. A draining server must be noticed
-/// within two seconds, and servers update their entries about as often.
-const DIRECTORY_PERIOD: Duration = Duration::from_millis(1_300);
+/// Interval at which a host of a small fleet reads the directory, and the configuration beside a long
+/// poll. A draining server must be noticed within two seconds, and servers update their entries about
+/// as often.
+const READ_PERIOD: Duration = Duration::from_millis(1_300);
 
 /// Interval of the checks whether this host's next read of the directory is due.
 const READ_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
-/// Interval of the checks whether enough peers are reachable during a long poll.
-const PEER_CHECK_PERIOD: Duration = Duration::from_millis(500);
+/// Interval of the checks whether this host's next read of the configuration is due.
+const CONFIG_CHECK_PERIOD: Duration = Duration::from_millis(250);
 
 /// Delay after the first failed read.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
@@ -101,19 +101,18 @@
     let mut from = None;
     let mut backoff = Backoff::default();
     let mut watch = DependencyWatch::new("read_config");
+    let mut is_failing = false;
     loop {
-        let factor = current_interval_factor(&state);
-        let outcome = tokio::select! {
-            outcome = store.read_config(from, CONFIG_POLL_TIMEOUT * factor) => outcome,
-            // A peer has a newer version, so the store lost this long poll or is slow.
-            () = state.config_hint.notified() => store.read_config(from, Duration::ZERO).await,
-            // Too few peers are left to announce a newer version.
-            () = wait_for_peer_loss(&state, factor) => continue,
+        let outcome = match is_failing {
+            true => store.read_config(from, Duration::ZERO).await,
+            false => wait_for_config(&state, &*store, from).await,
         };
         watch.record(&state, &outcome);
+        is_failing = outcome.is_err();
         match outcome {
             Ok(read) => {
                 backoff.reset();
+                state.config_reads.borrow_mut().on_read(state.now());
                 record_config_read(&state, from, &read);
                 from = Some(read.next);
                 adopt_config(&state, read);
@@ -128,6 +127,49 @@
     }
 }
 
+/// Waits for a change of the configuration with a long poll.
+///
+/// A long poll does not show that the store would answer it: a store or connection that went silent
+/// loses the polls of all hosts at once. Unless this host or a peer completed a read recently, the
+/// host therefore reads the configuration beside its long poll.
+async fn wait_for_config<S: ControlStore>(
+    state: &GatewayState,
+    store: &S,
+    from: Option<LogOffset>,
+) -> Result<ConfigRead, PlatformError> {
+    let mut schedule = ReadSchedule::default();
+    let mut poll = pin!(store.read_config(from, CONFIG_POLL_TIMEOUT));
+    loop {
+        tokio::select! {
+            outcome = &mut poll => return outcome,
+            // A peer has a newer version, so the store lost this long poll or is slow.
+            () = state.config_hint.notified() => {
+                return store.read_config(from, Duration::ZERO).await;
+            }
+            () = wait_for_config_check(state, &mut schedule) => {}
+        }
+        let read = store.read_config(from, Duration::ZERO).await?;
+        if from != Some(read.next) {
+            // The long poll was lost, and the peers' may have been too.
+            state.summary_hint.notify_one();
+            return Ok(read);
+        }
+        state.config_reads.borrow_mut().on_read(state.now());
+    }
+}
+
+/// Waits until this host is due to read the configuration beside its long poll.
+async fn wait_for_config_check(state: &GatewayState, schedule: &mut ReadSchedule) {
+    loop {
+        tokio::time::sleep(CONFIG_CHECK_PERIOD).await;
+        let Some(times) = state.config_reads.borrow().times() else { return };
+        let factor = current_interval_factor(state);
+        if schedule.is_due(state.now(), times, READ_PERIOD, factor, &mut rand::rng()) {
+            return;
+        }
+    }
+}
+
 /// Returns the factor by which this host may lengthen its read intervals. It can rely on the hosts
 /// that it reaches, since they announce what they read.
 fn current_interval_factor(state: &GatewayState) -> u32 {
@@ -139,13 +181,6 @@
     read_interval_factor(u32::try_from(peers.live_peers(now) + 1).unwrap_or(u32::MAX))
 }
 
-/// Waits until this host reaches so few peers that its factor drops below `factor`.
-async fn wait_for_peer_loss(state: &GatewayState, factor: u32) {
-    while current_interval_factor(state) >= factor {
-        tokio::time::sleep(PEER_CHECK_PERIOD).await;
-    }
-}
-
 /// Logs a read of the configuration and sets its levels. An empty read is logged only if this host's
 /// position is not the end of the log.
 fn record_config_read(state: &GatewayState, from: Option<LogOffset>, read: &ConfigRead) {
@@ -221,7 +256,7 @@
 /// Waits until this host's next read of the directory is due.
 async fn wait_for_next_read(state: &GatewayState) {
     let mut schedule = ReadSchedule::default();
-    let mut step = DIRECTORY_PERIOD;
+    let mut step = READ_PERIOD;
     loop {
         tokio::time::sleep(step).await;
         step = READ_CHECK_PERIOD;
@@ -229,7 +264,7 @@
         let must_read = state.directory_hint.take() || state.directory.borrow().is_recovering(now);
         let factor = if must_read { 1 } else { current_interval_factor(state) };
         let Some(times) = state.directory.borrow().read_times() else { break };
-        if schedule.is_due(now, times, DIRECTORY_PERIOD, factor, &mut rand::rng()) {
+        if schedule.is_due(now, times, READ_PERIOD, factor, &mut rand::rng()) {
             break;
         }
     }
--- a/lib/src/protos/pomelostack.gateway.rs
+++ b/lib/src/protos/pomelostack.gateway.rs
@@ -47,6 +47,10 @@
     /// Number of directory changes that the sender has read since its start, up to the last one above.
     #[prost(uint64, tag = "16")]
     pub changes_count: u64,
+    /// Milliseconds since the sender's last successful read of the configuration, plus one; 0 if there
+    /// was none.
+    #[prost(uint64, tag = "17")]
+    pub config_age_ms: u64,
 }
 /// Quota units of one team in the sliding window.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
