--- a/lib/src/gateway/duty_lease.rs
+++ b/lib/src/gateway/duty_lease.rs
@@ -10,11 +10,14 @@
 use std::time::Duration;
 
 use crate::ids::FencingToken;
+use crate::ids::StoreEra;
 use crate::timestamp::Timestamp;
 
 /// The group's response to a renewal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DutyGrant {
+    /// Era of the store.
+    pub era: StoreEra,
     /// Generation of the group. It increases with each change of the membership.
     pub generation: u64,
     /// Whether this host holds the duties.
--- a/lib/src/gateway/duty_runner.rs
+++ b/lib/src/gateway/duty_runner.rs
@@ -210,7 +210,7 @@
         record: Vec<u8>,
     ) -> Result<(), PlatformError> {
         match self.store.append_usage(at, record.clone()).await {
-            Ok(AppendOutcome::Appended(offset)) => {
+            Ok(AppendOutcome::Appended { offset, .. }) => {
                 book.on_appended(self.state.now(), &record, offset);
                 Ok(())
             }
--- a/lib/src/gateway/platform_api.rs
+++ b/lib/src/gateway/platform_api.rs
@@ -35,9 +35,12 @@
     /// The platform is overloaded or unavailable. The call had no effect.
     #[error("refused with status {0}")]
     Refused(u16),
-    /// The log no longer retains the requested records.
-    #[error("the requested records are no longer in the log")]
-    RecordsDropped,
+    /// The log does not have the requested records, or not any more.
+    #[error("the requested records are not in the log, which begins at {}", first.0)]
+    RecordsDropped {
+        /// Offset of the first retained record.
+        first: LogOffset,
+    },
     /// The response cannot be decoded.
     #[error("malformed response: {0}")]
     Malformed(String),
@@ -81,6 +84,8 @@
     pub next: LogOffset,
     /// Servers whose entries are invalid and were skipped, with the reason.
     pub skipped: Vec<(ServerId, String)>,
+    /// Bounds of the directory's log.
+    pub bounds: LogBounds,
 }
 
 /// The address at which a host receives its peers' summaries.
@@ -95,8 +100,13 @@
 /// Outcome of a conditional append.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AppendOutcome {
-    /// The record was appended at this offset.
-    Appended(LogOffset),
+    /// The record was appended.
+    Appended {
+        /// Era of the store.
+        era: StoreEra,
+        /// Offset of the record.
+        offset: LogOffset,
+    },
     /// The log does not end at the expected offset. Nothing was appended.
     Conflict,
 }
@@ -108,6 +118,8 @@
     pub records: Vec<Vec<u8>>,
     /// Offset of the next read, which is the end of the log.
     pub next: LogOffset,
+    /// Bounds of the usage log.
+    pub bounds: LogBounds,
 }
 
 /// Client of the platform's store.
--- a/lib/src/gateway/store_follower.rs
+++ b/lib/src/gateway/store_follower.rs
@@ -118,7 +118,7 @@
                 adopt_config(&state, read);
             }
             Err(error) => {
-                if error == PlatformError::RecordsDropped {
+                if matches!(error, PlatformError::RecordsDropped { .. }) {
                     from = None;
                 }
                 backoff.wait().await;
@@ -185,13 +185,9 @@
 /// position is not the end of the log.
 fn record_config_read(state: &GatewayState, from: Option<LogOffset>, read: &ConfigRead) {
     let bounds = read.bounds;
-    let set_level = |level: &str, value: u64| {
-        let value = i64::try_from(value).unwrap_or(i64::MAX);
-        state.metrics.levels.with_label_values(&[level]).set(value);
-    };
-    set_level("config_position", read.next.0);
-    set_level("config_log_end", bounds.end.0);
-    set_level("store_era", bounds.era.0);
+    set_level(state, "config_position", read.next.0);
+    set_level(state, "config_log_end", bounds.end.0);
+    set_level(state, "store_era", bounds.era.0);
     if from != Some(read.next) || read.next != bounds.end {
         log::info!(
             "event=config_read from={} next={} first={} end={} era={}",
@@ -204,6 +200,11 @@
     }
 }
 
+fn set_level(state: &GatewayState, level: &str, value: u64) {
+    let value = i64::try_from(value).unwrap_or(i64::MAX);
+    state.metrics.levels.with_label_values(&[level]).set(value);
+}
+
 fn adopt_config(state: &GatewayState, read: ConfigRead) {
     for reason in &read.skipped {
         log::warn!("event=config_skipped detail=\"{reason}\"");
@@ -217,8 +218,7 @@
     };
     state.metrics.events.with_label_values(&[event]).inc();
     let in_force = state.config.borrow().current().map_or(0, |config| config.version);
-    let level = i64::try_from(in_force).unwrap_or(i64::MAX);
-    state.metrics.levels.with_label_values(&["config_version"]).set(level);
+    set_level(state, "config_version", in_force);
     log::info!(
         "event={event} config={version} in_force={in_force} offset={} routes={routes} teams={teams}",
         read.next.0
@@ -236,12 +236,13 @@
         match outcome {
             Ok(read) => {
                 backoff.reset();
+                set_level(&state, "directory_position", read.next.0);
                 from = Some(read.next);
                 apply_directory(&state, read);
                 wait_for_next_read(&state).await;
             }
             Err(error) => {
-                if error == PlatformError::RecordsDropped {
+                if matches!(error, PlatformError::RecordsDropped { .. }) {
                     from = None;
                 } else {
                     let now = state.now();
@@ -327,8 +328,7 @@
             gossip_change(state, offset, DirectoryChange::Absent(id));
         }
     }
-    let servers = i64::try_from(state.directory.borrow().iter().count()).unwrap_or(i64::MAX);
-    state.metrics.levels.with_label_values(&["servers"]).set(servers);
+    set_level(state, "servers", state.directory.borrow().iter().count() as u64);
 }
 
 /// Queues a change that this host read for the next summary and sends the summary at once.
--- a/lib/tests/test_duty_lease.rs
+++ b/lib/tests/test_duty_lease.rs
@@ -8,6 +8,7 @@
 use pomelostack_lib::gateway::duty_lease::DutyTimings;
 use pomelostack_lib::gateway::duty_lease::LeaseChange;
 use pomelostack_lib::ids::FencingToken;
+use pomelostack_lib::ids::StoreEra;
 use pomelostack_lib::timestamp::Timestamp;
 use rand::Rng as _;
 use rand::SeedableRng as _;
@@ -23,7 +24,7 @@
 }
 
 fn grant(generation: u64, held: bool) -> DutyGrant {
-    DutyGrant { generation, held, own_partitions: 3, all_partitions: 12 }
+    DutyGrant { era: StoreEra::default(), generation, held, own_partitions: 3, all_partitions: 12 }
 }
 
 #[rstest]
--- a/lib/tests/test_store_follower.rs
+++ b/lib/tests/test_store_follower.rs
@@ -31,6 +31,7 @@
 use pomelostack_lib::gateway::store_follower::follow_directory;
 use pomelostack_lib::ids::HostId;
 use pomelostack_lib::ids::LogOffset;
+use pomelostack_lib::ids::StoreEra;
 use pomelostack_lib::ids::ZoneName;
 use rstest::rstest;
 use tokio::task::LocalSet;
@@ -143,7 +144,8 @@
         }
         let next = LogOffset(0);
         let complete = from.is_none();
-        Ok(DirectoryRead { changes: Vec::new(), complete, next, skipped: Vec::new() })
+        let bounds = LogBounds::default();
+        Ok(DirectoryRead { changes: Vec::new(), complete, next, skipped: Vec::new(), bounds })
     }
 
     async fn publish_address(&self, _: &HostAddress) -> Result<()> {
@@ -163,7 +165,8 @@
     }
 
     async fn renew_duty(&self, generation: u64) -> Result<DutyGrant> {
-        Ok(DutyGrant { generation, held: false, own_partitions: 0, all_partitions: 0 })
+        let era = StoreEra::default();
+        Ok(DutyGrant { era, generation, held: false, own_partitions: 0, all_partitions: 0 })
     }
 
     async fn leave_duty(&self) -> Result<()> {
@@ -171,11 +174,11 @@
     }
 
     async fn read_usage(&self, next: LogOffset) -> Result<RecordsRead> {
-        Ok(RecordsRead { records: Vec::new(), next })
+        Ok(RecordsRead { records: Vec::new(), next, bounds: LogBounds::default() })
     }
 
     async fn append_usage(&self, at: LogOffset, _: Vec<u8>) -> Result<AppendOutcome> {
-        Ok(AppendOutcome::Appended(at))
+        Ok(AppendOutcome::Appended { era: StoreEra::default(), offset: at })
     }
 }
 
--- a/lib/testutils/src/deployment_standin.rs
+++ b/lib/testutils/src/deployment_standin.rs
@@ -366,6 +366,11 @@
         store.drop_history(SERVER_TOPIC);
     }
 
+    /// Drops the history of one topic.
+    pub fn drop_topic_history(&self, topic: &str) {
+        lock(&self.state).store.drop_history(topic);
+    }
+
     /// Copies the store's records and group.
     pub fn copy_store(&self) -> StandinCopy {
         let state = &lock(&self.state);
