store follower: an offset is valid within one era of the store only

What callers see: after the store came back from a copy some seconds old, a change that was acknowledged is in force on no host, without a warning once the store is back, until as many records were written as had been lost.

Cause: a host read on from its offset whatever the log was. The store gives the lost offsets out again; a version at an offset that the host had read before is never read, and the empty reads from the end succeed. All hosts stand at the same offset, so no peer has the version either.

LogCursor holds an offset together with the store's era, and drops it when a read shows another era, an end before it, or a first record after it (records that were dropped while the read waited, which the old code skipped). The host then lists the newest document. The version still never goes back.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -24,6 +24,7 @@
 pub mod gateway_state;
 pub mod host_summary;
 pub mod http_listeners;
+pub mod log_cursor;
 pub mod log_writer;
 pub mod peer_gossip;
 pub mod peer_table;
--- a/lib/src/gateway/store_follower.rs
+++ b/lib/src/gateway/store_follower.rs
@@ -11,9 +11,12 @@
 use crate::gateway::backend_directory::DirectoryEffect;
 use crate::gateway::backend_directory::ExpiredServer;
 use crate::gateway::gateway_state::GatewayState;
+use crate::gateway::log_cursor::CursorStep;
+use crate::gateway::log_cursor::LogCursor;
 use crate::gateway::platform_api::ConfigRead;
 use crate::gateway::platform_api::ControlStore;
 use crate::gateway::platform_api::DirectoryRead;
+use crate::gateway::platform_api::LogBounds;
 use crate::gateway::platform_api::PlatformError;
 use crate::gateway::read_schedule::ReadSchedule;
 use crate::gateway::read_schedule::read_interval_factor;
@@ -98,14 +101,14 @@
 
 /// Follows the configuration log with long polls.
 pub async fn follow_config<S: ControlStore>(state: Rc<GatewayState>, store: Rc<S>) {
-    let mut from = None;
+    let mut cursor = LogCursor::default();
     let mut backoff = Backoff::default();
     let mut watch = DependencyWatch::new("read_config");
     let mut is_failing = false;
     loop {
         let outcome = match is_failing {
-            true => store.read_config(from, Duration::ZERO).await,
-            false => wait_for_config(&state, &*store, from).await,
+            true => store.read_config(cursor.offset(), Duration::ZERO).await,
+            false => wait_for_config(&state, &*store, cursor).await,
         };
         watch.record(&state, &outcome);
         is_failing = outcome.is_err();
@@ -113,13 +116,15 @@
             Ok(read) => {
                 backoff.reset();
                 state.config_reads.borrow_mut().on_read(state.now());
-                record_config_read(&state, from, &read);
-                from = Some(read.next);
-                adopt_config(&state, read);
+                record_config_read(&state, cursor.offset(), &read);
+                match cursor.on_read(read.next, read.bounds) {
+                    CursorStep::Apply => adopt_config(&state, read),
+                    CursorStep::StartOver => log_start_over("config", read.bounds),
+                }
             }
             Err(error) => {
                 if matches!(error, PlatformError::RecordsDropped { .. }) {
-                    from = None;
+                    cursor.on_dropped();
                 }
                 backoff.wait().await;
             }
@@ -127,6 +132,16 @@
     }
 }
 
+/// Logs that a position is dropped since it is not one of its log any more.
+fn log_start_over(topic: &str, bounds: LogBounds) {
+    log::warn!(
+        "event=log_position_dropped topic={topic} first={} end={} era={}",
+        bounds.first.0,
+        bounds.end.0,
+        bounds.era.0
+    );
+}
+
 /// Waits for a change of the configuration with a long poll.
 ///
 /// A long poll does not show that the store would answer it: a store or connection that went silent
@@ -135,8 +150,9 @@
 async fn wait_for_config<S: ControlStore>(
     state: &GatewayState,
     store: &S,
-    from: Option<LogOffset>,
+    cursor: LogCursor,
 ) -> Result<ConfigRead, PlatformError> {
+    let from = cursor.offset();
     let mut schedule = ReadSchedule::default();
     let mut poll = pin!(store.read_config(from, CONFIG_POLL_TIMEOUT));
     loop {
@@ -149,7 +165,7 @@
             () = wait_for_config_check(state, &mut schedule) => {}
         }
         let read = store.read_config(from, Duration::ZERO).await?;
-        if from != Some(read.next) {
+        if !cursor.is_unchanged(read.next, read.bounds) {
             // The long poll was lost, and the peers' may have been too.
             state.summary_hint.notify_one();
             return Ok(read);
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -196,6 +196,15 @@
 )]
 pub struct StoreEra(pub u64);
 
+/// Position in a partition of the platform's store. Those of a later era follow all of an earlier one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LogPosition {
+    /// Era of the store.
+    pub era: StoreEra,
+    /// Offset.
+    pub offset: LogOffset,
+}
+
 /// Orders successive holders of a lease or claim. A receiver that checks it rejects any call with
 /// a smaller token than the largest it has seen.
 #[derive(
