directory: records of a restored store count by era, and copied ones change nothing

What callers see: after the store came back from a copy, requests go to servers that have said that they leave, until the directory's offsets have passed the old ones: seconds to minutes by the number of servers.

Cause: a change counts if its offset is larger than the newest known one of the server, and the follower reads on from its old offset. After a restore both are offsets of another log. Copied entries also show a server as ready that has said that it leaves, or that is gone.

The directory now orders by era and offset, in summaries too, and follows with a LogCursor. An entry of a later era changes nothing unless its server gave it a higher number than the newest known one, which the records of servers have carried all along. Another era holds removals like an outage.

--- a/lib/src/gateway/backend_directory.rs
+++ b/lib/src/gateway/backend_directory.rs
@@ -4,6 +4,9 @@
 //! their servers are alive. A removal that arrives during or shortly after an outage is therefore
 //! held for a grace period. The server is then used only if there is no other, and it is removed if
 //! its entry is still missing when the period ends.
+//!
+//! When the store comes back from an older copy, it lists servers as they were some seconds ago. A
+//! record of the new era has an effect only if its server wrote it after the last one known here.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -14,10 +17,11 @@
 
 use crate::gateway::read_schedule::ReadHistory;
 use crate::gateway::read_schedule::ReadTimes;
-use crate::ids::LogOffset;
+use crate::ids::LogPosition;
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
 use crate::ids::ServiceName;
+use crate::ids::StoreEra;
 use crate::ids::ZoneName;
 use crate::timestamp::Timestamp;
 
@@ -59,6 +63,15 @@
     pub reclaimable: bool,
     /// Time until it is reclaimed, if known.
     pub reclaimed_in: Option<Duration>,
+    /// Number that the server gave to the entry; increases with each one.
+    pub sequence: Option<u64>,
+}
+
+impl BackendEntry {
+    /// Returns whether another entry says the same, whatever their sequence numbers.
+    pub fn is_same_state(&self, other: &Self) -> bool {
+        Self { sequence: other.sequence, ..self.clone() } == *other
+    }
 }
 
 /// A change read from the directory.
@@ -103,8 +116,40 @@
     pub key: ServerKey,
     /// Server id.
     pub id: ServerId,
-    /// Offset of the record that removed it, unless a complete listing showed the removal.
-    pub offset: Option<LogOffset>,
+    /// Position of the record that removed it, unless a complete listing showed the removal.
+    pub position: Option<LogPosition>,
+}
+
+/// The newest record of a server, kept when the server is removed.
+#[derive(Clone, Copy, Debug)]
+struct KnownRecord {
+    position: LogPosition,
+    /// Start time in the newest entry.
+    started_at_ms: Option<u64>,
+    /// Sequence number of the newest entry.
+    sequence: Option<u64>,
+    /// Whether the store came back from a copy and has not yet shown a newer entry.
+    may_be_copied: bool,
+}
+
+impl KnownRecord {
+    /// Returns whether an entry was written before the newest known one, or is that one.
+    fn covers(&self, entry: &BackendEntry) -> bool {
+        match (entry.started_at_ms, self.started_at_ms) {
+            (Some(started), Some(known)) if started != known => started < known,
+            _ => {
+                matches!((entry.sequence, self.sequence), (Some(sequence), Some(known)) if sequence <= known)
+            }
+        }
+    }
+}
+
+/// Whether a record says anything new.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RecordAge {
+    New,
+    /// It was copied before the newest known one was written.
+    Covered,
 }
 
 /// This host's view of the directory.
@@ -112,7 +157,9 @@
 pub struct BackendDirectory {
     servers: SlotMap<ServerKey, BackendServer>,
     by_id: HashMap<ServerId, ServerKey>,
-    offsets: HashMap<ServerId, LogOffset>,
+    records: HashMap<ServerId, KnownRecord>,
+    /// Era of the store at this host's last read.
+    era: Option<StoreEra>,
     /// Missing servers, and when each is removed unless its entry reappears.
     pending_removals: BTreeMap<ServerId, Timestamp>,
     reads: ReadHistory,
@@ -123,11 +170,14 @@
 }
 
 impl BackendDirectory {
-    /// Records a successful read of the store. A gap of [`STORE_OUTAGE_THRESHOLD`] before it starts
-    /// the grace period.
-    pub fn on_read(&mut self, now: Timestamp) {
+    /// Records a successful read of the store. A gap of [`STORE_OUTAGE_THRESHOLD`] before it, or
+    /// another era, starts the grace period.
+    pub fn on_read(&mut self, now: Timestamp, era: StoreEra) {
         self.on_peer_read(now, now);
         self.reads.on_read(now);
+        if self.era.replace(era).is_some_and(|known| known != era) {
+            self.grace_ends_at = Some(now + RECOVERY_GRACE_PERIOD);
+        }
     }
 
     /// Records that a peer read the store successfully at the given time. The first read after a
@@ -158,17 +208,19 @@
     pub fn apply(
         &mut self,
         now: Timestamp,
-        offset: LogOffset,
+        position: LogPosition,
         change: DirectoryChange,
     ) -> DirectoryEffect {
         let id = match &change {
             DirectoryChange::Present(entry) => entry.id.clone(),
             DirectoryChange::Absent(id) => id.clone(),
         };
-        if !self.is_newer(&id, offset) {
+        if !self.is_newer(&id, position) {
+            return DirectoryEffect::Unchanged;
+        }
+        if self.record(id, position, &change) == RecordAge::Covered {
             return DirectoryEffect::Unchanged;
         }
-        self.offsets.insert(id, offset);
         match change {
             DirectoryChange::Present(entry) => self.set_present(now, entry),
             DirectoryChange::Absent(id) => self.set_absent(now, id),
@@ -184,16 +236,16 @@
             .map(|(id, _)| id.clone())
             .collect();
         let remove = |id: ServerId| {
-            let offset = self.offsets.get(&id).copied();
+            let position = self.records.get(&id).map(|known| known.position);
             let key = self.remove(&id)?;
-            Some(ExpiredServer { key, id, offset })
+            Some(ExpiredServer { key, id, position })
         };
         due.into_iter().filter_map(remove).collect()
     }
 
     /// Returns whether a record of a server is newer than the last known one.
-    pub fn is_newer(&self, id: &ServerId, offset: LogOffset) -> bool {
-        self.offsets.get(id).is_none_or(|known| *known < offset)
+    pub fn is_newer(&self, id: &ServerId, position: LogPosition) -> bool {
+        self.records.get(id).is_none_or(|known| known.position < position)
     }
 
     /// Treats servers that are missing from a complete listing as removed.
@@ -237,6 +289,27 @@
         self.servers.iter()
     }
 
+    /// Notes the newest record of a server.
+    fn record(
+        &mut self,
+        id: ServerId,
+        position: LogPosition,
+        change: &DirectoryChange,
+    ) -> RecordAge {
+        let fresh =
+            KnownRecord { position, started_at_ms: None, sequence: None, may_be_copied: false };
+        let known = self.records.entry(id).or_insert(fresh);
+        known.may_be_copied |= known.position.era < position.era;
+        known.position = position;
+        let DirectoryChange::Present(entry) = change else { return RecordAge::New };
+        if known.may_be_copied && known.covers(entry) {
+            return RecordAge::Covered;
+        }
+        (known.started_at_ms, known.sequence) = (entry.started_at_ms, entry.sequence);
+        known.may_be_copied = false;
+        RecordAge::New
+    }
+
     fn set_present(&mut self, now: Timestamp, entry: BackendEntry) -> DirectoryEffect {
         self.pending_removals.remove(&entry.id);
         let draining = entry.state == ServingState::Draining;
--- a/lib/src/gateway/directory_gossip.rs
+++ b/lib/src/gateway/directory_gossip.rs
@@ -12,8 +12,10 @@
 use crate::gateway::backend_directory::DirectoryChange;
 use crate::gateway::backend_directory::ServingState;
 use crate::ids::LogOffset;
+use crate::ids::LogPosition;
 use crate::ids::ServerId;
 use crate::ids::ServiceName;
+use crate::ids::StoreEra;
 use crate::ids::ZoneName;
 use crate::protos::gateway::ServerChange;
 use crate::timestamp::Timestamp;
@@ -28,7 +30,7 @@
 /// Changes to gossip, oldest first.
 #[derive(Clone, Debug, Default)]
 pub struct DirectoryGossip {
-    changes: VecDeque<(Timestamp, LogOffset, DirectoryChange)>,
+    changes: VecDeque<(Timestamp, LogPosition, DirectoryChange)>,
     /// Number of changes added since the host started.
     count: u64,
 }
@@ -44,9 +46,9 @@
 
 impl DirectoryGossip {
     /// Adds a change that this host read and that had an effect.
-    pub fn on_change(&mut self, now: Timestamp, offset: LogOffset, change: DirectoryChange) {
+    pub fn on_change(&mut self, now: Timestamp, position: LogPosition, change: DirectoryChange) {
         self.count += 1;
-        self.changes.push_back((now, offset, change));
+        self.changes.push_back((now, position, change));
         if self.changes.len() > MAX_CHANGES_PER_SUMMARY {
             self.changes.pop_front();
         }
@@ -57,8 +59,9 @@
         while self.changes.front().is_some_and(|(at, _, _)| now.since(*at) >= GOSSIP_WINDOW) {
             self.changes.pop_front();
         }
-        let encode =
-            |(_, offset, change): &(_, LogOffset, DirectoryChange)| encode_change(*offset, change);
+        let encode = |(_, position, change): &(_, LogPosition, DirectoryChange)| {
+            encode_change(*position, change)
+        };
         GossipedChanges { changes: self.changes.iter().map(encode).collect(), count: self.count }
     }
 }
@@ -71,13 +74,15 @@
     count.saturating_sub(included as u64) > known_count.unwrap_or(0)
 }
 
-fn encode_change(offset: LogOffset, change: &DirectoryChange) -> ServerChange {
+fn encode_change(position: LogPosition, change: &DirectoryChange) -> ServerChange {
+    let (era, offset) = (position.era.0, position.offset.0);
     match change {
         DirectoryChange::Absent(id) => {
-            ServerChange { offset: offset.0, server: id.to_string(), ..ServerChange::default() }
+            ServerChange { era, offset, server: id.to_string(), ..ServerChange::default() }
         }
         DirectoryChange::Present(entry) => ServerChange {
-            offset: offset.0,
+            era,
+            offset,
             server: entry.id.to_string(),
             service: entry.service.to_string(),
             address: entry.address.to_string(),
@@ -87,16 +92,17 @@
             born_ms: entry.started_at_ms,
             reclaimable: entry.reclaimable,
             leaves_in_ms: entry.reclaimed_in.map(|left| left.as_millis() as u64),
+            sequence: entry.sequence,
         },
     }
 }
 
 /// Decodes a change received from a peer; `None` if it is malformed.
-pub fn decode_change(received: &ServerChange) -> Option<(LogOffset, DirectoryChange)> {
+pub fn decode_change(received: &ServerChange) -> Option<(LogPosition, DirectoryChange)> {
     let id = ServerId::try_from(received.server.as_str()).ok()?;
-    let offset = LogOffset(received.offset);
+    let position = LogPosition { era: StoreEra(received.era), offset: LogOffset(received.offset) };
     if received.address.is_empty() {
-        return Some((offset, DirectoryChange::Absent(id)));
+        return Some((position, DirectoryChange::Absent(id)));
     }
     let address: SocketAddr = received.address.parse().ok()?;
     let state = if received.draining { ServingState::Draining } else { ServingState::Ready };
@@ -110,6 +116,7 @@
         started_at_ms: received.born_ms,
         reclaimable: received.reclaimable,
         reclaimed_in: received.leaves_in_ms.map(Duration::from_millis),
+        sequence: received.sequence,
     };
-    Some((offset, DirectoryChange::Present(entry)))
+    Some((position, DirectoryChange::Present(entry)))
 }
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -97,9 +97,9 @@
 
 fn apply_server_change(state: &GatewayState, encoded: &ServerChange) {
     match decode_change(encoded) {
-        Some((offset, change)) => {
+        Some((position, change)) => {
             // Peers receive the change from the host that read it.
-            store_follower::apply_change(state, offset, change);
+            store_follower::apply_change(state, position, change);
         }
         None => log::warn!("event=server_change_skipped code=404 offset={}", encoded.offset),
     }
--- a/lib/src/gateway/store_follower.rs
+++ b/lib/src/gateway/store_follower.rs
@@ -22,6 +22,7 @@
 use crate::gateway::read_schedule::read_interval_factor;
 use crate::gateway::serving_config::ConfigChange;
 use crate::ids::LogOffset;
+use crate::ids::LogPosition;
 use crate::ids::ServerId;
 
 /// Timeout of a long poll for the configuration.
@@ -243,23 +244,27 @@
 
 /// Follows the directory, in turn with the peers.
 pub async fn follow_directory<S: ControlStore>(state: Rc<GatewayState>, store: Rc<S>) {
-    let mut from: Option<LogOffset> = None;
+    let mut cursor = LogCursor::default();
     let mut backoff = Backoff::default();
     let mut watch = DependencyWatch::new("read_directory");
     loop {
-        let outcome = store.read_directory(from).await;
+        let outcome = store.read_directory(cursor.offset()).await;
         watch.record(&state, &outcome);
         match outcome {
             Ok(read) => {
                 backoff.reset();
                 set_level(&state, "directory_position", read.next.0);
-                from = Some(read.next);
-                apply_directory(&state, read);
-                wait_for_next_read(&state).await;
+                match cursor.on_read(read.next, read.bounds) {
+                    CursorStep::Apply => {
+                        apply_directory(&state, read);
+                        wait_for_next_read(&state).await;
+                    }
+                    CursorStep::StartOver => log_start_over("directory", read.bounds),
+                }
             }
             Err(error) => {
                 if matches!(error, PlatformError::RecordsDropped { .. }) {
-                    from = None;
+                    cursor.on_dropped();
                 } else {
                     let now = state.now();
                     state.directory.borrow_mut().on_read_failure(now);
@@ -288,7 +293,7 @@
 }
 
 /// Applies a change that this host or a peer read. Returns whether it should be gossiped.
-pub fn apply_change(state: &GatewayState, offset: LogOffset, change: DirectoryChange) -> bool {
+pub fn apply_change(state: &GatewayState, position: LogPosition, change: DirectoryChange) -> bool {
     let now = state.now();
     let entry_of = |id: &ServerId| {
         let directory = state.directory.borrow();
@@ -296,18 +301,22 @@
     };
     let is_update = match &change {
         DirectoryChange::Absent(id) => {
-            if state.directory.borrow().is_newer(id, offset) {
-                log::info!("event=directory_entry_removed server={id} offset={}", offset.0);
+            if state.directory.borrow().is_newer(id, position) {
+                log::info!(
+                    "event=directory_entry_removed server={id} offset={} era={}",
+                    position.offset.0,
+                    position.era.0
+                );
                 state.on_server_gone(id);
             }
             false
         }
         DirectoryChange::Present(entry) => {
-            state.directory.borrow().is_newer(&entry.id, offset)
-                && entry_of(&entry.id).is_some_and(|known| known != *entry)
+            state.directory.borrow().is_newer(&entry.id, position)
+                && entry_of(&entry.id).is_some_and(|known| !known.is_same_state(entry))
         }
     };
-    let effect = state.directory.borrow_mut().apply(now, offset, change);
+    let effect = state.directory.borrow_mut().apply(now, position, change);
     state.on_directory_effect(effect);
     is_update || effect != DirectoryEffect::Unchanged
 }
@@ -317,7 +326,7 @@
     for (server, reason) in &read.skipped {
         log::warn!("event=directory_entry_skipped server={server} detail=\"{reason}\"");
     }
-    state.directory.borrow_mut().on_read(now);
+    state.directory.borrow_mut().on_read(now, read.bounds.era);
     let listed: Vec<ServerId> = read
         .changes
         .iter()
@@ -327,9 +336,10 @@
         })
         .collect();
     for (offset, change) in read.changes {
+        let position = LogPosition { era: read.bounds.era, offset };
         // Every host reads a full snapshot itself at startup, so snapshots are not gossiped.
-        if apply_change(state, offset, change.clone()) && !read.complete {
-            gossip_change(state, offset, change);
+        if apply_change(state, position, change.clone()) && !read.complete {
+            gossip_change(state, position, change);
         }
     }
     if read.complete {
@@ -337,18 +347,18 @@
         effects.into_iter().for_each(|effect| state.on_directory_effect(effect));
     }
     let expired = state.directory.borrow_mut().expire(now);
-    for ExpiredServer { key, id, offset } in expired {
+    for ExpiredServer { key, id, position } in expired {
         state.placement.borrow_mut().remove(key);
         log::info!("event=server_expired server={id}");
-        if let Some(offset) = offset {
-            gossip_change(state, offset, DirectoryChange::Absent(id));
+        if let Some(position) = position {
+            gossip_change(state, position, DirectoryChange::Absent(id));
         }
     }
     set_level(state, "servers", state.directory.borrow().iter().count() as u64);
 }
 
 /// Queues a change that this host read for the next summary and sends the summary at once.
-fn gossip_change(state: &GatewayState, offset: LogOffset, change: DirectoryChange) {
-    state.directory_gossip.borrow_mut().on_change(state.now(), offset, change);
+fn gossip_change(state: &GatewayState, position: LogPosition, change: DirectoryChange) {
+    state.directory_gossip.borrow_mut().on_change(state.now(), position, change);
     state.summary_hint.notify_one();
 }
--- a/lib/src/protos/pomelostack.gateway.rs
+++ b/lib/src/protos/pomelostack.gateway.rs
@@ -120,6 +120,12 @@
     pub reclaimable: bool,
     #[prost(uint64, optional, tag = "10")]
     pub leaves_in_ms: ::core::option::Option<u64>,
+    /// Era of the store that the offset belongs to.
+    #[prost(uint64, tag = "11")]
+    pub era: u64,
+    /// Number that the server gave to its entry.
+    #[prost(uint64, optional, tag = "12")]
+    pub sequence: ::core::option::Option<u64>,
 }
 /// A request that was running at a backend server when the server's process ended.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/tests/test_directory_gossip.rs
+++ b/lib/tests/test_directory_gossip.rs
@@ -17,8 +17,10 @@
 use pomelostack_lib::gateway::read_schedule::ReadTimes;
 use pomelostack_lib::gateway::read_schedule::read_interval_factor;
 use pomelostack_lib::ids::LogOffset;
+use pomelostack_lib::ids::LogPosition;
 use pomelostack_lib::ids::ServerId;
 use pomelostack_lib::ids::ServiceName;
+use pomelostack_lib::ids::StoreEra;
 use pomelostack_lib::ids::ZoneName;
 use pomelostack_lib::protos::gateway::ServerChange;
 use pomelostack_lib::timestamp::Timestamp;
@@ -30,6 +32,10 @@
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
+fn position(offset: u64) -> LogPosition {
+    LogPosition { era: StoreEra::default(), offset: LogOffset(offset) }
+}
+
 fn at(millis: u64) -> Timestamp {
     Timestamp::from_millis(millis)
 }
@@ -54,6 +60,7 @@
         started_at_ms,
         reclaimable: slots.is_multiple_of(3),
         reclaimed_in: leaves_ms.map(Duration::from_millis),
+        sequence: None,
     }
 }
 
@@ -62,16 +69,20 @@
 
     #[test]
     fn entries_round_trip(
+        era in any::<u64>(),
         offset in any::<u64>(),
         slots in any::<u32>(),
         born in any::<Option<u64>>(),
         leaves in any::<Option<u64>>(),
+        sequence in any::<Option<u64>>(),
     ) {
-        let change = DirectoryChange::Present(entry("s1", slots, born, leaves));
+        let entry = BackendEntry { sequence, ..entry("s1", slots, born, leaves) };
+        let change = DirectoryChange::Present(entry);
+        let position = LogPosition { era: StoreEra(era), offset: LogOffset(offset) };
         let mut gossip = DirectoryGossip::default();
-        gossip.on_change(at(0), LogOffset(offset), change.clone());
+        gossip.on_change(at(0), position, change.clone());
         let gossiped: Vec<_> = gossip.recent_changes(at(1)).changes.iter().map(decode_change).collect();
-        prop_assert_eq!(gossiped, vec![Some((LogOffset(offset), change))]);
+        prop_assert_eq!(gossiped, vec![Some((position, change))]);
     }
 
     #[test]
@@ -87,11 +98,11 @@
 #[test]
 fn removal_is_gossiped() {
     let mut gossip = DirectoryGossip::default();
-    gossip.on_change(at(0), LogOffset(7), DirectoryChange::Absent(server_id("s1")));
+    gossip.on_change(at(0), position(7), DirectoryChange::Absent(server_id("s1")));
     let gossiped = gossip.recent_changes(at(800)).changes;
     assert_eq!(
         decode_change(&gossiped[0]),
-        Some((LogOffset(7), DirectoryChange::Absent(server_id("s1"))))
+        Some((position(7), DirectoryChange::Absent(server_id("s1"))))
     );
     assert!(gossip.recent_changes(at(2_000)).changes.is_empty(), "three summaries are enough");
 }
@@ -100,7 +111,7 @@
 fn burst_is_bounded() {
     let mut gossip = DirectoryGossip::default();
     for number in 0..500 {
-        gossip.on_change(at(0), LogOffset(number), DirectoryChange::Absent(server_id("s1")));
+        gossip.on_change(at(0), position(number), DirectoryChange::Absent(server_id("s1")));
     }
     let GossipedChanges { changes: gossiped, count } = gossip.recent_changes(at(1));
     assert!(gossiped.len() <= 40);
@@ -131,14 +142,13 @@
     // Between two of its own reads, ten seconds apart, a host learns that its peers read the store.
     // A removal in its next read does not indicate an outage.
     let mut directory = BackendDirectory::default();
-    directory.on_read(at(0));
-    directory.apply(at(0), LogOffset(1), DirectoryChange::Present(entry("s1", 2, Some(1), None)));
+    directory.on_read(at(0), StoreEra::default());
+    directory.apply(at(0), position(1), DirectoryChange::Present(entry("s1", 2, Some(1), None)));
     for second in 1..10 {
         directory.on_peer_read(at(second * 1_000 + 20), at(second * 1_000));
     }
-    directory.on_read(at(10_000));
-    let effect =
-        directory.apply(at(10_000), LogOffset(2), DirectoryChange::Absent(server_id("s1")));
+    directory.on_read(at(10_000), StoreEra::default());
+    let effect = directory.apply(at(10_000), position(2), DirectoryChange::Absent(server_id("s1")));
     assert!(matches!(effect, DirectoryEffect::Removed(_)));
 }
 
@@ -147,13 +157,13 @@
     // No host could read for a while. The first one to read again gossips it, and that starts the
     // grace period on this host, although it reads the store only moments later.
     let mut directory = BackendDirectory::default();
-    directory.on_read(at(0));
-    directory.apply(at(0), LogOffset(1), DirectoryChange::Present(entry("s1", 2, Some(1), None)));
+    directory.on_read(at(0), StoreEra::default());
+    directory.apply(at(0), position(1), DirectoryChange::Present(entry("s1", 2, Some(1), None)));
     let back = at(1_000) + STORE_OUTAGE_THRESHOLD * 2;
     directory.on_peer_read(back, back);
     let now = back + Duration::from_millis(300);
-    directory.on_read(now);
-    let effect = directory.apply(now, LogOffset(2), DirectoryChange::Absent(server_id("s1")));
+    directory.on_read(now, StoreEra::default());
+    let effect = directory.apply(now, position(2), DirectoryChange::Absent(server_id("s1")));
     assert_eq!(effect, DirectoryEffect::Unchanged);
     assert!(directory.is_recovering(now), "it reads again soon");
     assert_eq!(directory.expire(back + RECOVERY_GRACE_PERIOD).len(), 1);
@@ -164,16 +174,16 @@
 fn known_change_ignored() {
     // A change arrives from a peer first and is read from the store later.
     let mut directory = BackendDirectory::default();
-    directory.on_read(at(0));
+    directory.on_read(at(0), StoreEra::default());
     let change = DirectoryChange::Present(entry("s1", 2, Some(1), None));
-    assert!(directory.is_newer(&server_id("s1"), LogOffset(5)));
-    let effect = directory.apply(at(10), LogOffset(5), change.clone());
+    assert!(directory.is_newer(&server_id("s1"), position(5)));
+    let effect = directory.apply(at(10), position(5), change.clone());
     assert!(matches!(effect, DirectoryEffect::Joined(_)));
-    assert!(!directory.is_newer(&server_id("s1"), LogOffset(5)));
-    assert_eq!(directory.apply(at(20), LogOffset(5), change), DirectoryEffect::Unchanged);
+    assert!(!directory.is_newer(&server_id("s1"), position(5)));
+    assert_eq!(directory.apply(at(20), position(5), change), DirectoryEffect::Unchanged);
     // A gossiped record that is older than the last one read has no effect.
     let late = DirectoryChange::Absent(server_id("s1"));
-    assert_eq!(directory.apply(at(30), LogOffset(4), late), DirectoryEffect::Unchanged);
+    assert_eq!(directory.apply(at(30), position(4), late), DirectoryEffect::Unchanged);
 }
 
 #[test]
@@ -187,7 +197,7 @@
     for step in 0..40_u64 {
         if step % 5 == 0 {
             let change = DirectoryChange::Absent(server_id("s1"));
-            gossip.on_change(at(step * 200), LogOffset(step), change);
+            gossip.on_change(at(step * 200), position(step), change);
         }
         let gossiped = gossip.recent_changes(at(step * 200));
         if step % 4 != 1 {
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -15,6 +15,7 @@
 use pomelostack_lib::gateway::placement::PlacementTable;
 use pomelostack_lib::gateway::server_health::HealthEvidence;
 use pomelostack_lib::ids::LogOffset;
+use pomelostack_lib::ids::LogPosition;
 use pomelostack_lib::ids::ServerId;
 use pomelostack_lib::ids::ServerKey;
 use pomelostack_lib::ids::ServiceName;
@@ -54,10 +55,12 @@
                 started_at_ms: Some(1),
                 reclaimable: false,
                 reclaimed_in: None,
+                sequence: None,
             };
             let change = DirectoryChange::Present(entry);
             let offset = LogOffset(index as u64);
-            if let DirectoryEffect::Joined(key) = directory.apply(now(), offset, change) {
+            let position = LogPosition { offset, ..LogPosition::default() };
+            if let DirectoryEffect::Joined(key) = directory.apply(now(), position, change) {
                 table.reset(key);
                 keys.push(key);
             }
