usage report: start over when the log does not have the cursor

What operators see: no usage is reported any more, by a holder of the duties that lived through a restore of the store, and by any host that takes the duties over once the first records of the usage log have expired.

Cause: the cursor is an offset, 0 at first, and a read from an offset that the log does not have (410) was only logged and made again, for ever. After a restore the cursor is also one of another log: an append at it may succeed by chance behind records that the host has not read.

The schedule starts over at the first offset that the store names, when a read is rejected or its bounds or era do not fit; an append in another era is read back. EraWatch holds the newest era that this host has seen in a response or a peer's summary; a restore is logged (store_restored) and leads to reads of configuration and directory at once.

--- a/cli/tests/test_store_restore.rs
+++ b/cli/tests/test_store_restore.rs
@@ -91,11 +91,14 @@
     let first = GatewayFixture::ready(PROGRAM, 45);
     wait_for_new_report(&first);
     let copy = first.standin.copy_store();
-    let second = GatewayFixture::start_host(PROGRAM, first.standin.clone(), 46).serving();
-    wait_for(|| first.level("peers") == Some(1));
-    drop(second);
-    wait_for(|| first.level("peers") == Some(0));
-    wait_for_new_report(&first);
+    // Each start and each loss of a member raises the generation.
+    for _ in 0..3 {
+        let second = GatewayFixture::start_host(PROGRAM, first.standin.clone(), 46).serving();
+        wait_for(|| first.level("peers") == Some(1));
+        drop(second);
+        wait_for(|| first.level("peers") == Some(0));
+        wait_for_new_report(&first);
+    }
     first.standin.restore_store(copy);
     for _ in 0..3 {
         wait_for_new_report(&first);
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -39,6 +39,7 @@
 pub mod server_health;
 pub mod serving_config;
 pub mod shutdown_plan;
+pub mod store_era;
 pub mod store_follower;
 pub mod stream_relay;
 pub mod usage_ledger;
--- a/lib/src/gateway/duty_runner.rs
+++ b/lib/src/gateway/duty_runner.rs
@@ -195,8 +195,16 @@
         book: &mut ReportSchedule,
         from: LogOffset,
     ) -> Result<(), PlatformError> {
-        let read = self.store.read_usage(from).await?;
-        let skipped = book.on_records(self.state.now(), &read.records, read.next);
+        let read = match self.store.read_usage(from).await {
+            Err(PlatformError::RecordsDropped { first }) if first != from => {
+                log::info!("event=usage_log_position_dropped from={} first={}", from.0, first.0);
+                book.on_dropped(first);
+                return Ok(());
+            }
+            outcome => outcome?,
+        };
+        self.state.observe_era(read.bounds.era);
+        let skipped = book.on_records(self.state.now(), &read);
         if skipped > 0 {
             log::warn!("event=usage_records_skipped code=601 count={skipped}");
         }
@@ -210,8 +218,9 @@
         record: Vec<u8>,
     ) -> Result<(), PlatformError> {
         match self.store.append_usage(at, record.clone()).await {
-            Ok(AppendOutcome::Appended { offset, .. }) => {
-                book.on_appended(self.state.now(), &record, offset);
+            Ok(AppendOutcome::Appended { era, offset }) => {
+                self.state.observe_era(era);
+                book.on_appended(self.state.now(), &record, era, offset);
                 Ok(())
             }
             Ok(AppendOutcome::Conflict) => {
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -21,12 +21,15 @@
 use crate::gateway::retry_limiter::RetryLimiter;
 use crate::gateway::serving_config::ActiveConfig;
 use crate::gateway::shutdown_plan::ShutdownPlan;
+use crate::gateway::store_era::EraChange;
+use crate::gateway::store_era::EraWatch;
 use crate::gateway::usage_ledger::HostIncarnation;
 use crate::gateway::usage_ledger::UsageLedger;
 use crate::ids::Incarnation;
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
 use crate::ids::ServiceName;
+use crate::ids::StoreEra;
 use crate::timestamp::ProcessClock;
 use crate::timestamp::Timestamp;
 use crate::timestamp::wall_clock_ms;
@@ -43,6 +46,8 @@
     pub metrics: GatewayMetrics,
     /// Connections to servers and the platform.
     pub pool: ConnectionPool,
+    /// Era of the platform's store.
+    pub store_era: EraWatch,
     /// Current configuration.
     pub config: RefCell<ActiveConfig>,
     /// When the configuration was last read.
@@ -95,6 +100,7 @@
         Self {
             clock,
             metrics,
+            store_era: EraWatch::new(incarnation.1.0),
             pool: ConnectionPool::default(),
             config: RefCell::default(),
             config_reads: RefCell::default(),
@@ -132,6 +138,18 @@
         self.clock.now()
     }
 
+    /// Records the era of the store in a response, or in a peer's summary. After a restore, the
+    /// configuration and the directory are read at once.
+    pub fn observe_era(&self, era: StoreEra) {
+        let change = self.store_era.observe(era, wall_clock_ms());
+        if change == EraChange::Restored {
+            self.metrics.events.with_label_values(&["store_restored"]).inc();
+            log::warn!("event=store_restored era={}", era.0);
+            self.config_hint.notify_one();
+            self.directory_hint.set(true);
+        }
+    }
+
     /// Returns whether the host accepts new connections.
     pub fn is_ready(&self) -> bool {
         self.shutdown.get().is_none()
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -17,6 +17,7 @@
 use crate::ids::Incarnation;
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
+use crate::ids::StoreEra;
 use crate::ids::TeamName;
 use crate::protos::gateway::CrashSight;
 use crate::protos::gateway::HostSummary;
@@ -59,6 +60,7 @@
     let known_count = state.peers.borrow().changes_count(&summary);
     let has_missed = has_missed_changes(known_count, summary.changes_count, changes.len());
     let read_age = summary.directory_age_ms.checked_sub(1).map(Duration::from_millis);
+    state.observe_era(StoreEra(summary.store_era));
     check_config_version(state, now, &summary);
     let heard_before = state.peers.borrow().live_peers(now);
     if state.peers.borrow_mut().on_summary(now, summary).is_none() {
@@ -254,6 +256,7 @@
         directory_age_ms: encode_age(directory.read_age(now)),
         changes: recent.changes,
         changes_count: recent.count,
+        store_era: state.store_era.current().unwrap_or_default().0,
         config_age_ms: encode_age(state.config_reads.borrow().age(now)),
     }
 }
--- a/lib/src/gateway/store_follower.rs
+++ b/lib/src/gateway/store_follower.rs
@@ -116,6 +116,7 @@
         match outcome {
             Ok(read) => {
                 backoff.reset();
+                state.observe_era(read.bounds.era);
                 state.config_reads.borrow_mut().on_read(state.now());
                 record_config_read(&state, cursor.offset(), &read);
                 match cursor.on_read(read.next, read.bounds) {
@@ -253,6 +254,7 @@
         match outcome {
             Ok(read) => {
                 backoff.reset();
+                state.observe_era(read.bounds.era);
                 set_level(&state, "directory_position", read.next.0);
                 match cursor.on_read(read.next, read.bounds) {
                     CursorStep::Apply => {
--- a/lib/src/gateway/usage_report.rs
+++ b/lib/src/gateway/usage_report.rs
@@ -11,9 +11,11 @@
 
 use prost::Message as _;
 
+use crate::gateway::platform_api::RecordsRead;
 use crate::gateway::usage_ledger::TeamCounts;
 use crate::gateway::usage_ledger::UsageLedger;
 use crate::ids::LogOffset;
+use crate::ids::StoreEra;
 use crate::ids::TeamName;
 use crate::protos::gateway::UsageRecord;
 use crate::timestamp::Timestamp;
@@ -53,6 +55,8 @@
 pub struct ReportSchedule {
     deadline_ms: u64,
     cursor: LogOffset,
+    /// Era of the store that the cursor belongs to.
+    era: Option<StoreEra>,
     is_current: bool,
     recorded: BTreeMap<u64, (TeamCounts, Timestamp, bool)>,
     sent: BTreeSet<u64>,
@@ -66,6 +70,7 @@
         Self {
             deadline_ms,
             cursor: LogOffset(0),
+            era: None,
             is_current: false,
             recorded: BTreeMap::new(),
             sent: BTreeSet::new(),
@@ -77,32 +82,43 @@
         self.is_current = false;
     }
 
-    /// Restarts from the first offset of a log whose earlier records were dropped.
-    pub fn on_truncated(&mut self, first: LogOffset) {
+    /// Starts over from the first offset of a log that does not have the cursor.
+    pub fn on_dropped(&mut self, first: LogOffset) {
         self.cursor = first;
         self.is_current = false;
     }
 
-    /// Adds records read from the log; returns how many could not be decoded.
-    pub fn on_records(&mut self, now: Timestamp, records: &[Vec<u8>], next: LogOffset) -> usize {
+    /// Adds records read from the log at the cursor; returns how many could not be decoded.
+    pub fn on_records(&mut self, now: Timestamp, read: &RecordsRead) -> usize {
+        let bounds = read.bounds;
+        let is_restored = self.era.is_some_and(|era| era != bounds.era);
+        self.era = Some(bounds.era);
+        if is_restored || self.cursor < bounds.first || read.next > bounds.end {
+            self.on_dropped(bounds.first);
+            return 0;
+        }
         let mut skipped = 0;
-        for record in records {
+        for record in &read.records {
             match UsageRecord::decode(record.as_slice()) {
                 Ok(record) => self.add(now, record, false),
                 Err(_) => skipped += 1,
             }
         }
-        self.cursor = next;
+        self.cursor = read.next;
         self.is_current = true;
         skipped
     }
 
-    /// Adds a record that this host appended at `at`.
-    pub fn on_appended(&mut self, now: Timestamp, record: &[u8], at: LogOffset) {
+    /// Adds a record that this host appended at `offset`. In another era than that of the cursor it
+    /// may follow records that this host has not read.
+    pub fn on_appended(&mut self, now: Timestamp, record: &[u8], era: StoreEra, offset: LogOffset) {
+        if self.era != Some(era) {
+            return self.mark_stale();
+        }
         if let Ok(record) = UsageRecord::decode(record) {
             self.add(now, record, true);
         }
-        self.cursor = at.next();
+        self.cursor = offset.next();
     }
 
     /// Marks a window as done: its report was accepted, or can no longer be.
@@ -136,7 +152,8 @@
                         return ReportStep::ReadLog(self.cursor);
                     }
                     let counts = counts.iter().map(|(team, n)| (team.as_str().into(), *n));
-                    let record = UsageRecord { window, counts: counts.collect() };
+                    let era = self.era.unwrap_or_default().0;
+                    let record = UsageRecord { window, counts: counts.collect(), era };
                     return ReportStep::Record { at: self.cursor, record: record.encode_to_vec() };
                 }
             }
--- a/lib/src/protos/pomelostack.gateway.rs
+++ b/lib/src/protos/pomelostack.gateway.rs
@@ -51,6 +51,9 @@
     /// was none.
     #[prost(uint64, tag = "17")]
     pub config_age_ms: u64,
+    /// Newest era of the store that the sender knows.
+    #[prost(uint64, tag = "18")]
+    pub store_era: u64,
 }
 /// Quota units of one team in the sliding window.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -145,4 +148,7 @@
         ::prost::alloc::string::String,
         u64,
     >,
+    /// Era of the store that the holder knew.
+    #[prost(uint64, tag = "3")]
+    pub era: u64,
 }
