usage report: no second report of a window whose record a restore lost

Cause: the counts of a window are fixed by its record on the log, and a host without that record takes the window for unreported. A restore loses records of windows that were sent.

A window without a record that ended before this host came to know the era is left out, unless a record made in this era shows that windows from its own on were still open then (records carry the holder's era). A host that starts later counts from its start: what it would report of windows before it has only from others. A missing report is priced; a second one breaks a rule.

--- a/lib/src/gateway/duty_runner.rs
+++ b/lib/src/gateway/duty_runner.rs
@@ -204,7 +204,8 @@
             outcome => outcome?,
         };
         self.state.observe_era(read.bounds.era);
-        let skipped = book.on_records(self.state.now(), &read);
+        let known_since_ms = self.state.store_era.known_since_ms();
+        let skipped = book.on_records(self.state.now(), &read, known_since_ms);
         if skipped > 0 {
             log::warn!("event=usage_records_skipped code=601 count={skipped}");
         }
--- a/lib/src/gateway/usage_report.rs
+++ b/lib/src/gateway/usage_report.rs
@@ -4,6 +4,10 @@
 //! report, sending it and receiving the response. The counts of a window are appended to the log
 //! before they are sent, and the first record of a window wins, so that two holders cannot report
 //! different counts.
+//!
+//! When the store comes back from a copy, records of windows that were sent may be gone. A host that
+//! does not know such a record leaves the window unreported: a missing report costs less than two
+//! that differ.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -58,6 +62,10 @@
     /// Era of the store that the cursor belongs to.
     era: Option<StoreEra>,
     is_current: bool,
+    /// Windows that ended before this time on the wall clock may have been recorded in an earlier era.
+    era_known_since_ms: u64,
+    /// First window that was recorded in this era. Later ones were not recorded before it.
+    first_window_of_era: Option<u64>,
     recorded: BTreeMap<u64, (TeamCounts, Timestamp, bool)>,
     sent: BTreeSet<u64>,
 }
@@ -72,6 +80,8 @@
             cursor: LogOffset(0),
             era: None,
             is_current: false,
+            era_known_since_ms: 0,
+            first_window_of_era: None,
             recorded: BTreeMap::new(),
             sent: BTreeSet::new(),
         }
@@ -89,10 +99,19 @@
     }
 
     /// Adds records read from the log at the cursor; returns how many could not be decoded.
-    pub fn on_records(&mut self, now: Timestamp, read: &RecordsRead) -> usize {
+    /// `era_known_since_ms` is when this host came to know the era, on the wall clock.
+    pub fn on_records(
+        &mut self,
+        now: Timestamp,
+        read: &RecordsRead,
+        era_known_since_ms: u64,
+    ) -> usize {
         let bounds = read.bounds;
         let is_restored = self.era.is_some_and(|era| era != bounds.era);
-        self.era = Some(bounds.era);
+        if self.era.replace(bounds.era) != Some(bounds.era) {
+            self.era_known_since_ms = era_known_since_ms;
+            self.first_window_of_era = None;
+        }
         if is_restored || self.cursor < bounds.first || read.next > bounds.end {
             self.on_dropped(bounds.first);
             return 0;
@@ -151,6 +170,9 @@
                     if !self.is_current {
                         return ReportStep::ReadLog(self.cursor);
                     }
+                    if self.may_be_lost(window, ledger) {
+                        continue;
+                    }
                     let counts = counts.iter().map(|(team, n)| (team.as_str().into(), *n));
                     let era = self.era.unwrap_or_default().0;
                     let record = UsageRecord { window, counts: counts.collect(), era };
@@ -161,7 +183,17 @@
         ReportStep::Idle
     }
 
+    /// Returns whether a window without a record may have been recorded and sent in an earlier era.
+    fn may_be_lost(&self, window: u64, ledger: &UsageLedger) -> bool {
+        ledger.window_end_ms(window) <= self.era_known_since_ms
+            && self.first_window_of_era.is_none_or(|first| window < first)
+    }
+
     fn add(&mut self, now: Timestamp, record: UsageRecord, own: bool) {
+        if self.era == Some(StoreEra(record.era)) {
+            let first = self.first_window_of_era.get_or_insert(record.window);
+            *first = record.window.min(*first);
+        }
         let counts = record.counts.iter().filter_map(|(team, count)| {
             // Records are written from validated names, so none is lost here.
             TeamName::try_from(team.as_str()).ok().map(|team| (team, *count))
--- a/lib/tests/test_usage_report.rs
+++ b/lib/tests/test_usage_report.rs
@@ -94,6 +94,8 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut log = UsageLog::default();
         let mut copies: Vec<UsageLog> = Vec::new();
+        // When each host came to know the log's era.
+        let mut known_since_ms = [0; 3];
         let mut reported: BTreeMap<u64, Vec<TeamCounts>> = BTreeMap::new();
         let mut schedules = vec![ReportSchedule::new(DEADLINE); 3];
         // Each host has received different counts.
@@ -119,6 +121,7 @@
                 let age = rng.random_range(0..50.min(copies.len()));
                 let copy = copies[copies.len() - 1 - age].clone();
                 log = UsageLog { era: log.era + 1, records: copy.records };
+                known_since_ms = [wall_ms; 3];
                 copies.clear();
             }
             let schedule = &mut schedules[holder];
@@ -126,7 +129,7 @@
                 ReportStep::Idle => {}
                 ReportStep::ReadLog(from) => match log.read(from) {
                     Some(read) => {
-                        schedule.on_records(now, &read);
+                        schedule.on_records(now, &read, known_since_ms[holder]);
                     }
                     None => schedule.on_dropped(LogOffset(0)),
                 },
