peer gossip: publish the host's address again after the store came back from a copy

What operators see: a host that starts after a restore does not find the hosts that had published their addresses within the lost seconds, nor they it, for up to 30 s; until then each counts the others' spending as nothing.

Cause: the address is published once, at the start.

The writes of the store return its era, and the address is published again once a later era is known.

Evidence: lost_address_published failed before (1 publication after a restore, 2 required) and passes. lost_spending_recorded, the same for the records of spending, fails and is listed.

--- a/lib/src/gateway/peer_gossip.rs
+++ b/lib/src/gateway/peer_gossip.rs
@@ -14,6 +14,7 @@
 use crate::gateway::platform_api::HostAddress;
 use crate::gateway::store_follower::Backoff;
 use crate::gateway::store_follower::DependencyWatch;
+use crate::ids::StoreEra;
 use crate::protos::gateway::HostSummary;
 use crate::timestamp::wall_clock_ms;
 
@@ -46,24 +47,49 @@
 /// Maximum size of a summary: a datagram of this size is not fragmented on most links.
 const MAX_SUMMARY_BYTES: usize = 8 * 1024;
 
-/// Publishes this host's address and polls the addresses of other hosts.
+/// Publishes this host's address and polls the addresses of other hosts. Publishes it again when the
+/// store came back from a copy, which may not have it.
 pub async fn exchange_addresses<S: ControlStore>(state: Rc<GatewayState>, store: Rc<S>) {
     let settings = state.settings.borrow().clone();
     let address = HostAddress { host: settings.host.clone(), address: settings.summaries };
+    let mut publish_watch = DependencyWatch::new("publish_card");
+    let mut list_watch = DependencyWatch::new("list_cards");
+    loop {
+        let era = publish_address(&state, &*store, &address, &mut publish_watch).await;
+        state.observe_era(era);
+        tokio::select! {
+            () = poll_addresses(&state, &*store, &mut list_watch) => {}
+            () = state.store_era.wait_for_restore(Some(era)) => {}
+        }
+    }
+}
+
+/// Publishes this host's address until that succeeds. Returns the store's era.
+async fn publish_address<S: ControlStore>(
+    state: &GatewayState,
+    store: &S,
+    address: &HostAddress,
+    watch: &mut DependencyWatch,
+) -> StoreEra {
     let mut pause = Backoff::default();
-    let mut watch = DependencyWatch::new("publish_card");
     loop {
-        let outcome = store.publish_address(&address).await;
-        watch.record(&state, &outcome);
-        if outcome.is_ok() {
-            break;
+        let outcome = store.publish_address(address).await;
+        watch.record(state, &outcome);
+        if let Ok(era) = outcome {
+            return era;
         }
         pause.wait().await;
     }
-    let mut watch = DependencyWatch::new("list_cards");
+}
+
+async fn poll_addresses<S: ControlStore>(
+    state: &GatewayState,
+    store: &S,
+    watch: &mut DependencyWatch,
+) {
     loop {
         let outcome = store.list_addresses().await;
-        watch.record(&state, &outcome);
+        watch.record(state, &outcome);
         let now = state.now();
         if let Ok(listed) = outcome {
             for peer in listed {
--- a/lib/src/gateway/platform_api.rs
+++ b/lib/src/gateway/platform_api.rs
@@ -133,14 +133,14 @@
     /// Reads directory changes from an offset, or all entries if `from` is `None`.
     async fn read_directory(&self, from: Option<LogOffset>) -> Result<DirectoryRead>;
 
-    /// Publishes this host's address.
-    async fn publish_address(&self, address: &HostAddress) -> Result<()>;
+    /// Publishes this host's address. Returns the store's era, which the record may not outlive.
+    async fn publish_address(&self, address: &HostAddress) -> Result<StoreEra>;
 
     /// Lists the addresses of all hosts.
     async fn list_addresses(&self) -> Result<Vec<HostAddress>>;
 
-    /// Writes this host's quota spending, which replaces its last record.
-    async fn record_spending(&self, record: Vec<u8>) -> Result<()>;
+    /// Writes this host's quota spending, which replaces its last record. Returns the store's era.
+    async fn record_spending(&self, record: Vec<u8>) -> Result<StoreEra>;
 
     /// Lists the newest quota spending record of every host.
     async fn list_spending(&self) -> Result<Vec<Vec<u8>>>;
--- a/lib/src/gateway/store_era.rs
+++ b/lib/src/gateway/store_era.rs
@@ -58,8 +58,12 @@
         *self.era.borrow()
     }
 
-    /// Returns a receiver that is notified of each new era.
-    pub fn subscribe(&self) -> watch::Receiver<Option<StoreEra>> {
-        self.era.subscribe()
+    /// Waits until the store has come back from a copy since `written_in`, the era in which a record
+    /// was written; for ever if there is none.
+    pub async fn wait_for_restore(&self, written_in: Option<StoreEra>) {
+        let Some(written_in) = written_in else { return std::future::pending().await };
+        let is_later = |era: &Option<StoreEra>| era.is_some_and(|era| era > written_in);
+        // The sender lives as long as this watch, so the wait ends only with a later era.
+        let _ = self.era.subscribe().wait_for(is_later).await;
     }
 }
--- a/lib/tests/test_store_follower.rs
+++ b/lib/tests/test_store_follower.rs
@@ -1,4 +1,5 @@
-//! The store follower on a virtual clock: lost long polls, store outages and read intervals.
+//! The tasks that read and write the store, on a virtual clock: lost long polls, outages, read
+//! intervals, and records that a restored store has lost.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -14,6 +15,8 @@
 use pomelostack_lib::gateway::gateway_state::GatewayState;
 use pomelostack_lib::gateway::host_summary::build_summary;
 use pomelostack_lib::gateway::host_summary::on_summary;
+use pomelostack_lib::gateway::peer_gossip::exchange_addresses;
+use pomelostack_lib::gateway::peer_gossip::record_spending;
 use pomelostack_lib::gateway::platform_api::AppendOutcome;
 use pomelostack_lib::gateway::platform_api::ConfigRead;
 use pomelostack_lib::gateway::platform_api::ControlStore;
@@ -23,16 +26,19 @@
 use pomelostack_lib::gateway::platform_api::PlatformError;
 use pomelostack_lib::gateway::platform_api::RecordsRead;
 use pomelostack_lib::gateway::platform_api::Result;
+use pomelostack_lib::gateway::quota_limiter::PeerReachability;
 use pomelostack_lib::gateway::quota_limiter::QuotaBounds;
 use pomelostack_lib::gateway::retry_limiter::RetryBounds;
 use pomelostack_lib::gateway::serving_config::CallerLimits;
 use pomelostack_lib::gateway::serving_config::ServingConfig;
+use pomelostack_lib::gateway::serving_config::TeamQuota;
 use pomelostack_lib::gateway::store_follower::follow_config;
 use pomelostack_lib::gateway::store_follower::follow_directory;
 use pomelostack_lib::ids::GroupGeneration;
 use pomelostack_lib::ids::HostId;
 use pomelostack_lib::ids::LogOffset;
 use pomelostack_lib::ids::StoreEra;
+use pomelostack_lib::ids::TeamName;
 use pomelostack_lib::ids::ZoneName;
 use rstest::rstest;
 use tokio::task::LocalSet;
@@ -67,6 +73,9 @@
     config_reads: Cell<u32>,
     /// Times of the directory reads.
     directory_reads: RefCell<Vec<Instant>>,
+    era: Cell<StoreEra>,
+    addresses_published: Cell<u32>,
+    spending_recorded: Cell<u32>,
 }
 
 impl FakeStore {
@@ -76,6 +85,9 @@
             mode: Cell::new(ReadMode::Answer),
             config_reads: Cell::new(0),
             directory_reads: RefCell::default(),
+            era: Cell::default(),
+            addresses_published: Cell::new(0),
+            spending_recorded: Cell::new(0),
         }
     }
 
@@ -149,16 +161,18 @@
         Ok(DirectoryRead { changes: Vec::new(), complete, next, skipped: Vec::new(), bounds })
     }
 
-    async fn publish_address(&self, _: &HostAddress) -> Result<()> {
-        Ok(())
+    async fn publish_address(&self, _: &HostAddress) -> Result<StoreEra> {
+        self.addresses_published.set(self.addresses_published.get() + 1);
+        Ok(self.era.get())
     }
 
     async fn list_addresses(&self) -> Result<Vec<HostAddress>> {
         Ok(Vec::new())
     }
 
-    async fn record_spending(&self, _: Vec<u8>) -> Result<()> {
-        Ok(())
+    async fn record_spending(&self, _: Vec<u8>) -> Result<StoreEra> {
+        self.spending_recorded.set(self.spending_recorded.get() + 1);
+        Ok(self.era.get())
     }
 
     async fn list_spending(&self) -> Result<Vec<Vec<u8>>> {
@@ -330,3 +344,44 @@
         });
     }
 }
+
+/// Raises the store's era, which the host learns from another call.
+fn restore(state: &GatewayState, store: &FakeStore) {
+    let era = StoreEra(store.era.get().0 + 1);
+    store.era.set(era);
+    state.observe_era(era);
+}
+
+#[test]
+fn lost_address_published() {
+    run_simulation(async {
+        let (state, store) = (state(), Rc::new(FakeStore::new()));
+        spawn_local(exchange_addresses(state.clone(), store.clone()));
+        sleep(Duration::from_secs(60)).await;
+        assert_eq!(store.addresses_published.get(), 1);
+        for restores in 1..=3 {
+            restore(&state, &store);
+            sleep(CHANGE_BOUND).await;
+            assert_eq!(store.addresses_published.get(), 1 + restores);
+        }
+    });
+}
+
+#[test]
+fn lost_spending_recorded() {
+    run_simulation(async {
+        let (state, store) = (state(), Rc::new(FakeStore::new()));
+        spawn_local(record_spending(state.clone(), store.clone()));
+        let team = TeamName::try_from("club").expect("valid in tests");
+        let quota = TeamQuota { rate: 100_000, burst: 0 };
+        let reachability = PeerReachability::Majority { silent: 0, known: 2 };
+        state.quotas.borrow_mut().admit(state.now(), &team, quota, 400_000, reachability);
+        assert!(state.quotas.borrow().must_record());
+        state.record_hint.notify_one();
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(store.spending_recorded.get(), 1);
+        restore(&state, &store);
+        sleep(CHANGE_BOUND).await;
+        assert_eq!(store.spending_recorded.get(), 2);
+    });
+}
