peer gossip: record spending again after the store came back from a copy

What operators see: when all hosts are killed within a quota's window after a restore, the starting hosts do not know what was spent, and the quota is overspent by what the lost records said.

Cause: spending is recorded when a further part of a quota is spent; a record that a restore lost stayed lost until then.

The write returns the era of the record, and spending is recorded again once a later era is known.

--- a/lib/src/gateway/peer_gossip.rs
+++ b/lib/src/gateway/peer_gossip.rs
@@ -190,6 +190,17 @@
     state.metrics.levels.with_label_values(&["running_requests"]).set(running);
 }
 
+/// Why spending may have to be recorded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RecordCause {
+    /// This host spent a further part of a quota.
+    Spent,
+    /// The store came back from a copy that may not have the last record.
+    Restored,
+    /// Time has passed.
+    Elapsed,
+}
+
 /// Reads the spending recorded before this host's start, then records spending when needed.
 pub async fn record_spending<S: ControlStore>(state: Rc<GatewayState>, store: Rc<S>) {
     let mut pause = Backoff::default();
@@ -206,17 +217,26 @@
         pause.wait().await;
     }
     let mut watch = DependencyWatch::new("record_spending");
+    let mut recorded_in = None;
     loop {
         let scope = state.peers.borrow().record_scope(state.now());
         let period = match scope {
             RecordScope::Own => SCOPE_CHECK_PERIOD,
             RecordScope::Zone | RecordScope::Nothing => ZONE_RECORD_PERIOD,
         };
-        let hinted = tokio::time::timeout(period, state.record_hint.notified()).await.is_ok();
-        let must_record = match scope {
-            RecordScope::Own => hinted,
-            RecordScope::Zone => host_summary::exceeds_record_threshold(&state),
-            RecordScope::Nothing => false,
+        let cause = tokio::select! {
+            () = state.record_hint.notified() => RecordCause::Spent,
+            () = state.store_era.wait_for_restore(recorded_in) => RecordCause::Restored,
+            () = tokio::time::sleep(period) => RecordCause::Elapsed,
+        };
+        let must_record = match (scope, cause) {
+            (RecordScope::Nothing, _) => {
+                recorded_in = None;
+                false
+            }
+            (_, RecordCause::Restored) | (RecordScope::Own, RecordCause::Spent) => true,
+            (RecordScope::Own, RecordCause::Elapsed) => false,
+            (RecordScope::Zone, _) => host_summary::exceeds_record_threshold(&state),
         };
         if !must_record {
             continue;
@@ -225,6 +245,14 @@
         let outcome = store.record_spending(record).await;
         // The next record replaces a lost one.
         watch.record(&state, &outcome);
+        match outcome {
+            Ok(era) => {
+                state.observe_era(era);
+                recorded_in = Some(era);
+                pause.reset();
+            }
+            Err(_) => pause.wait().await,
+        }
         tokio::time::sleep(MIN_RECORD_PERIOD).await;
     }
 }
