--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -27,6 +27,7 @@
 use testutils::deployment_standin::WriteOutcome;
 use testutils::gateway_process::read_level;
 
+use crate::config_judge::CONFIG_BOUND;
 use crate::config_judge::ConfigFault;
 use crate::config_judge::Observation;
 use crate::config_judge::SentVersion;
@@ -179,6 +180,8 @@
         world.stop.store(true, Ordering::SeqCst);
         touch
     })?;
+    // The last change may have been acknowledged just now.
+    thread::sleep(CONFIG_BOUND);
     judge(&world, &fleet, &touch, &mut report);
     Ok(report)
 }
