--- /dev/null
+++ b/lib/testutils/src/deployment_server.rs
@@ -0,0 +1,319 @@
+//! HTTP servers of the deployment stand-in: the store, the cloud and the replicas.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use http_body_util::Either;
+use http_body_util::Full;
+use http_body_util::StreamBody;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+use tokio_stream::wrappers::ReceiverStream;
+
+use crate::deployment_standin::STREAM_EVENTS;
+use crate::deployment_state::ReplicaMode;
+use crate::deployment_state::ReplicaRun;
+use crate::deployment_state::ReplicaState;
+use crate::deployment_state::SharedState;
+use crate::deployment_state::StoreLink;
+use crate::deployment_state::StoreMode;
+use crate::deployment_state::UsageReport;
+use crate::deployment_state::lock;
+use crate::store_core::StoreRejection;
+
+/// Interval at which a long-polling read checks for a new record.
+const LONG_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval between the events of a stream.
+const EVENT_INTERVAL: Duration = Duration::from_millis(20);
+
+type StandinBody =
+    Either<Full<Bytes>, StreamBody<ReceiverStream<Result<Frame<Bytes>, std::io::Error>>>>;
+type StandinReply = Response<StandinBody>;
+
+/// Which API an address serves.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Role {
+    /// The store and the cloud, over a link if there is one.
+    Platform(Option<StoreLink>),
+    Replica(usize),
+}
+
+/// Serves a role on a loopback port in a dedicated thread.
+pub(crate) fn serve(state: SharedState, role: Role) -> std::io::Result<SocketAddr> {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    thread::spawn(move || {
+        LocalSet::new().block_on(&runtime, async move {
+            let Ok(listener) = TcpListener::from_std(listener) else { return };
+            while let Ok((stream, _)) = listener.accept().await {
+                let state = state.clone();
+                let connection = {
+                    let state = &mut lock(&state);
+                    state.next_connection += 1;
+                    state.next_connection - 1
+                };
+                tokio::task::spawn_local(async move {
+                    let service =
+                        service_fn(move |request| answer(state.clone(), role, connection, request));
+                    // The gateway may close connections at any time.
+                    let _ =
+                        http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+                });
+            }
+        });
+    });
+    Ok(address)
+}
+
+async fn answer(
+    state: SharedState,
+    role: Role,
+    connection: u64,
+    request: Request<Incoming>,
+) -> Result<StandinReply, std::io::Error> {
+    match role {
+        Role::Platform(link) if request.uri().path().starts_with("/log-") => {
+            answer_store(&state, link, connection, request).await
+        }
+        Role::Platform(_) => Ok(answer_cloud(&state, request).await),
+        Role::Replica(index) => answer_replica(&state, index, request),
+    }
+}
+
+fn full_response(status: StatusCode, body: impl Into<Bytes>) -> StandinReply {
+    let mut reply = Response::new(Either::Left(Full::new(body.into())));
+    *reply.status_mut() = status;
+    reply
+}
+
+async fn answer_store(
+    state: &SharedState,
+    link: Option<StoreLink>,
+    connection: u64,
+    request: Request<Incoming>,
+) -> Result<StandinReply, std::io::Error> {
+    let (mode, era) = {
+        let state = lock(state);
+        let link_mode = link.map_or(StoreMode::Answer, |link| state.link_modes[link.0]);
+        let mode = if state.mode == StoreMode::Answer { link_mode } else { state.mode };
+        (mode, state.store.era())
+    };
+    if connection < lock(state).silent_below {
+        std::future::pending::<()>().await;
+    }
+    match mode {
+        StoreMode::Refuse => return Ok(full_response(StatusCode::SERVICE_UNAVAILABLE, "{}")),
+        StoreMode::Reset => return Err(std::io::ErrorKind::ConnectionReset.into()),
+        StoreMode::Silent => std::future::pending().await,
+        StoreMode::Slow(delay) => tokio::time::sleep(delay).await,
+        StoreMode::Answer | StoreMode::DropResponses => {}
+    }
+    let mut reply = carry_out(state, request).await?;
+    if mode == StoreMode::DropResponses || connection < lock(state).silent_below {
+        std::future::pending::<()>().await;
+    }
+    if lock(state).store.era() != era {
+        return Err(std::io::ErrorKind::ConnectionReset.into());
+    }
+    reply.headers_mut().insert("store-era", era.into());
+    Ok(reply)
+}
+
+/// Carries out a call to the store.
+async fn carry_out(
+    state: &SharedState,
+    request: Request<Incoming>,
+) -> Result<StandinReply, std::io::Error> {
+    let query = request.uri().query().unwrap_or_default().to_owned();
+    let path = request.uri().path().to_owned();
+    let field =
+        |name: &str| query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
+    let number = |name: &str| field(name).and_then(|text| text.parse::<u64>().ok());
+    let topic = field("topic").unwrap_or_default();
+    let body = request.into_body().collect().await.map_err(std::io::Error::other)?.to_bytes();
+    let call = || serde_json::from_slice::<Value>(&body).unwrap_or_default();
+    let reply = match path.as_str() {
+        "/log-newest" => {
+            let page = lock(state).store.newest_page(topic);
+            full_response(StatusCode::OK, page.to_string())
+        }
+        "/log-read" => {
+            let from = number("from").unwrap_or(0);
+            let wait = Duration::from_millis(number("wait-ms").unwrap_or(0));
+            wait_for_answer(state, topic, from, wait).await?;
+            match lock(state).store.read_page(topic, from) {
+                Ok(page) => full_response(StatusCode::OK, page),
+                Err(rejection) => rejected(rejection),
+            }
+        }
+        "/log-append" => {
+            let record = body.get(4..).unwrap_or_default().to_vec();
+            match lock(state).store.append(topic, number("at"), record) {
+                Ok(offset) => {
+                    let answer = json!({"offset": offset, "end": offset + 1});
+                    full_response(StatusCode::OK, answer.to_string())
+                }
+                Err(rejection) => rejected(rejection),
+            }
+        }
+        "/log-join" => {
+            let call = call();
+            let ttl = Duration::from_millis(call["ttl-ms"].as_u64().unwrap_or_default());
+            let member = call["member"].as_str().unwrap_or_default();
+            let (generation, own) = lock(state).store.join(Instant::now(), member, ttl);
+            let parts: Vec<Value> = own.iter().map(|part| json!(["duty", part, 0])).collect();
+            let answer = json!({
+                "generation": generation, "ttl-ms": ttl.as_millis() as u64, "parts": parts,
+            });
+            full_response(StatusCode::OK, answer.to_string())
+        }
+        "/log-leave" => {
+            lock(state).store.leave(call()["member"].as_str().unwrap_or_default());
+            full_response(StatusCode::OK, "{}")
+        }
+        _ => full_response(StatusCode::NOT_FOUND, "{}"),
+    };
+    Ok(reply)
+}
+
+/// Holds a read until it has an answer, its time is over, or the store came back from a copy.
+async fn wait_for_answer(
+    state: &SharedState,
+    topic: &str,
+    from: u64,
+    wait: Duration,
+) -> Result<(), std::io::Error> {
+    let begin = Instant::now();
+    let era = lock(state).store.era();
+    while begin.elapsed() < wait && !lock(state).store.has_answer(topic, from) {
+        tokio::time::sleep(LONG_POLL_INTERVAL).await;
+        if lock(state).store.era() != era {
+            return Err(std::io::ErrorKind::ConnectionReset.into());
+        }
+    }
+    Ok(())
+}
+
+fn rejected(rejection: StoreRejection) -> StandinReply {
+    let (status, answer) = match rejection {
+        StoreRejection::Gone(first) => (StatusCode::GONE, json!({"first": first})),
+        StoreRejection::NotAtEnd(end) => (StatusCode::PRECONDITION_FAILED, json!({"end": end})),
+    };
+    full_response(status, answer.to_string())
+}
+
+async fn answer_cloud(state: &SharedState, request: Request<Incoming>) -> StandinReply {
+    let path = request.uri().path().to_owned();
+    let field = |name: &str| {
+        let value = request.headers().get(name).and_then(|value| value.to_str().ok());
+        value.map(str::to_owned)
+    };
+    let holder = field("duty-holder").unwrap_or_default();
+    let fencing_token = field("fencing-token").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let body = request.into_body().collect().await.map(|body| body.to_bytes()).unwrap_or_default();
+    let body = serde_json::from_slice(&body).unwrap_or_default();
+    let state = &mut lock(state);
+    match path.as_str() {
+        "/usage" if fencing_token < state.max_fencing_token => {
+            return full_response(StatusCode::CONFLICT, "{}");
+        }
+        "/usage" => {
+            state.max_fencing_token = fencing_token;
+            state.usage.push(UsageReport { at: Instant::now(), holder, fencing_token, body });
+        }
+        "/scale" => state.scale_requests.push(body),
+        _ => return full_response(StatusCode::NOT_FOUND, "{}"),
+    }
+    full_response(StatusCode::OK, "{}")
+}
+
+fn answer_replica(
+    state: &SharedState,
+    index: usize,
+    request: Request<Incoming>,
+) -> Result<StandinReply, std::io::Error> {
+    let field = |name: &str| {
+        request.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+    };
+    let request_id = field("Request-Id").unwrap_or_default();
+    let ReplicaState { id, mode, .. } = lock(state).replicas[index].clone();
+    if field("Expect-Replica").is_some_and(|expected| expected != id) {
+        return Ok(full_response(StatusCode::MISDIRECTED_REQUEST, ""));
+    }
+    if mode == ReplicaMode::Refuse {
+        let mut reply = full_response(StatusCode::SERVICE_UNAVAILABLE, "");
+        reply.headers_mut().insert("not-executed", hyper::header::HeaderValue::from_static("1"));
+        return Ok(reply);
+    }
+    let resumed_after = field("Last-Event-Id").and_then(|id| id.parse().ok());
+    lock(state).runs.push(ReplicaRun {
+        replica: index,
+        replica_id: id.clone(),
+        at: Instant::now(),
+        request_id: request_id.clone(),
+        resumed_after,
+        team: field("Tenant-Id"),
+        received_team_key: field("Authorization").is_some(),
+    });
+    if mode == ReplicaMode::DropResponse {
+        return Err(std::io::ErrorKind::ConnectionReset.into());
+    }
+    let mut reply = if request.uri().path().starts_with("/brief/") {
+        let count = request.uri().path().rsplit_once("/events-").map(|(_, count)| count.parse());
+        let count = count.and_then(Result::ok).unwrap_or(STREAM_EVENTS);
+        stream_events(resumed_after.unwrap_or(0), count, mode)
+    } else {
+        full_response(StatusCode::OK, format!("answer to {request_id}"))
+    };
+    for (name, value) in [("request-id", request_id), ("replica-signature", id)] {
+        if let Ok(value) = hyper::header::HeaderValue::try_from(value) {
+            reply.headers_mut().insert(name, value);
+        }
+    }
+    Ok(reply)
+}
+
+/// Returns the server-sent event with the given id.
+pub fn event_text(id: u64) -> String {
+    format!("id: {id}\ndata: piece {id}\n\n")
+}
+
+fn stream_events(after: u64, count: u64, mode: ReplicaMode) -> StandinReply {
+    let (sender, receiver) = mpsc::channel(1);
+    tokio::task::spawn_local(async move {
+        for id in after + 1..=count {
+            tokio::time::sleep(EVENT_INTERVAL).await;
+            let text = event_text(id);
+            let cut = matches!(mode, ReplicaMode::CutAfter(count) if id > after + count);
+            let sent = if cut { text[..text.len() / 2].to_owned() } else { text };
+            if sender.send(Ok(Frame::data(Bytes::from(sent)))).await.is_err() || cut {
+                // Break the connection without sending the rest of the answer.
+                let _ = sender.send(Err(std::io::ErrorKind::ConnectionReset.into())).await;
+                return;
+            }
+        }
+    });
+    let mut reply = Response::new(Either::Right(StreamBody::new(ReceiverStream::new(receiver))));
+    reply.headers_mut().insert(
+        hyper::header::CONTENT_TYPE,
+        hyper::header::HeaderValue::from_static("text/event-stream"),
+    );
+    reply
+}
--- /dev/null
+++ b/lib/testutils/src/deployment_state.rs
@@ -0,0 +1,179 @@
+//! State of the deployment stand-in: its store, its replicas, and what was written and run.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+
+use crate::store_core::StoreCopy;
+use crate::store_core::StoreCore;
+use crate::store_core::encode_keyed;
+
+/// How a replica handles requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReplicaMode {
+    /// It runs and answers them.
+    Answer,
+    /// It runs them, sends this many events and drops the connection within the next one.
+    CutAfter(u64),
+    /// It runs them and closes the connection without a response.
+    DropResponse,
+    /// It rejects them with a header that says that they were not executed.
+    Refuse,
+}
+
+/// How the store handles calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreMode {
+    /// It answers them.
+    #[default]
+    Answer,
+    /// It rejects all of them and has no side effects.
+    Refuse,
+    /// It resets the connections of all of them and has no side effects.
+    Reset,
+    /// It never responds and has no side effects.
+    Silent,
+    /// It processes calls, appends included, but never responds.
+    DropResponses,
+    /// It answers after a delay.
+    Slow(Duration),
+}
+
+/// Identifies a store address of its own for one host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreLink(pub(crate) usize);
+
+/// What a writer writes again after the store came back from a copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RewriteScope {
+    /// Each record that was lost, in order.
+    AllRecords,
+    /// The newest value of each key whose record was lost.
+    NewestValues,
+}
+
+/// What a writer learns of its write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteOutcome {
+    /// It took effect and was acknowledged.
+    Acknowledged,
+    /// It took effect without an answer.
+    Unanswered,
+    /// It had no effect.
+    Refused,
+}
+
+/// A record that the operator or a replica wrote.
+#[derive(Clone, Debug)]
+pub(crate) struct WrittenRecord {
+    pub(crate) topic: &'static str,
+    pub(crate) key: String,
+    /// Empty if the key was removed.
+    pub(crate) value: String,
+}
+
+impl WrittenRecord {
+    pub(crate) fn names_same_key(&self, other: &Self) -> bool {
+        self.topic == other.topic && self.key == other.key
+    }
+}
+
+/// An earlier state of the store, and how much the operator and the replicas had written by then.
+#[derive(Clone, Debug)]
+pub struct StandinCopy {
+    pub(crate) store: StoreCopy,
+    pub(crate) written: usize,
+}
+
+/// A replica and what it says of itself.
+#[derive(Clone, Debug)]
+pub(crate) struct ReplicaState {
+    pub(crate) id: String,
+    pub(crate) service: String,
+    pub(crate) mode: ReplicaMode,
+    pub(crate) state: &'static str,
+    /// Number of its last entry.
+    pub(crate) sequence: u64,
+}
+
+/// An accepted usage report.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UsageReport {
+    /// When it was accepted.
+    pub at: Instant,
+    /// Host that sent it.
+    pub holder: String,
+    /// Its fencing token.
+    pub fencing_token: u64,
+    /// Its JSON body.
+    pub body: Value,
+}
+
+/// A request that a replica executed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaRun {
+    /// Index of the replica.
+    pub replica: usize,
+    /// Id of the replica.
+    pub replica_id: String,
+    /// When it ran.
+    pub at: Instant,
+    /// Request id.
+    pub request_id: String,
+    /// Id of the last event before the resumed stream; `None` for a fresh request.
+    pub resumed_after: Option<u64>,
+    /// Team that the gateway named to the replica.
+    pub team: Option<String>,
+    /// Whether the gateway forwarded the caller's key.
+    pub received_team_key: bool,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct DeploymentState {
+    pub(crate) store: StoreCore,
+    /// Mode of the store for all callers.
+    pub(crate) mode: StoreMode,
+    /// Mode of the store at the address of each link.
+    pub(crate) link_modes: Vec<StoreMode>,
+    /// What the operator and the replicas wrote, in order.
+    pub(crate) written: Vec<WrittenRecord>,
+    /// What the last restore lost of it.
+    pub(crate) lost: Vec<WrittenRecord>,
+    /// Number of records in `written` after the last restore.
+    pub(crate) restored_at: usize,
+    /// Store connections with a lower number carry nothing any more.
+    pub(crate) silent_below: u64,
+    pub(crate) next_connection: u64,
+    pub(crate) replicas: Vec<ReplicaState>,
+    pub(crate) runs: Vec<ReplicaRun>,
+    pub(crate) usage: Vec<UsageReport>,
+    /// Largest fencing token of any accepted report.
+    pub(crate) max_fencing_token: u64,
+    pub(crate) scale_requests: Vec<Value>,
+}
+
+impl DeploymentState {
+    /// Returns what the operator and the replicas wrote since the last restore.
+    pub(crate) fn since_restore(&self) -> impl Iterator<Item = &WrittenRecord> {
+        self.written.iter().skip(self.restored_at)
+    }
+}
+
+pub(crate) type SharedState = Arc<Mutex<DeploymentState>>;
+
+pub(crate) fn lock(state: &SharedState) -> MutexGuard<'_, DeploymentState> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Writes a record as the operator or a replica does, and remembers it for a restore.
+pub(crate) fn write(state: &mut DeploymentState, record: WrittenRecord) {
+    let encoded = encode_keyed(&record.key, &record.value);
+    let appended = state.store.append(record.topic, None, encoded);
+    debug_assert!(appended.is_ok(), "an append without an expected offset succeeds");
+    state.written.push(record);
+}
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -4,7 +4,9 @@
 pub mod config_judge;
 pub mod config_plan;
 pub mod duty_judge;
+mod fault_injector;
 pub mod fault_plan;
 pub mod host_fleet;
+mod run_verdict;
 pub mod soak_run;
 pub mod touch_record;
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -1,6 +1,5 @@
-//! One run: hosts, callers, operator, replicas and faults, and the judgement at its end.
+//! One run: hosts, callers, operator, replicas and faults.
 
-use std::collections::VecDeque;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -17,36 +16,24 @@
 use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
-use rustix::process::Signal;
 use testutils::deployment_standin::DeploymentStandin;
 use testutils::deployment_standin::FRONT_PORT;
 use testutils::deployment_standin::ROUTE_HOST;
-use testutils::deployment_standin::RewriteScope;
-use testutils::deployment_standin::StandinCopy;
-use testutils::deployment_standin::StoreMode;
 use testutils::deployment_standin::WriteOutcome;
 use testutils::gateway_process::read_level;
 
 use crate::config_judge::CONFIG_BOUND;
-use crate::config_judge::ConfigFault;
 use crate::config_judge::Observation;
 use crate::config_judge::SentVersion;
-use crate::config_judge::judge_answers;
 use crate::config_plan::ConfigVersion;
 use crate::config_plan::ProbeOutcome;
 use crate::config_plan::ProbeRequest;
 use crate::config_plan::SERVICES;
-use crate::duty_judge::AcceptedReport;
 use crate::duty_judge::LeavingReplica;
-use crate::duty_judge::ObservedRun;
-use crate::duty_judge::judge_reports;
-use crate::duty_judge::judge_runs;
-use crate::fault_plan::PlannedFault;
+use crate::fault_injector::inject_faults;
 use crate::fault_plan::draw_faults;
 use crate::host_fleet::HostFleet;
-use crate::touch_record::Disturbance;
-use crate::touch_record::DisturbedPart;
-use crate::touch_record::TouchRecord;
+use crate::run_verdict::judge_run;
 
 /// Replicas of each service.
 const SERVICE_REPLICAS: usize = 2;
@@ -66,21 +53,12 @@
 /// Time from a replica's notice until it is replaced.
 const DRAIN_TIME: Duration = Duration::from_millis(3_500);
 
-/// Time between two copies of the store.
-const COPY_PERIOD: Duration = Duration::from_millis(250);
-
-/// Number of copies kept.
-const MAX_COPIES: usize = 24;
-
 /// Interval of the loops that wait for the next event.
-const TICK: Duration = Duration::from_millis(10);
+pub(crate) const TICK: Duration = Duration::from_millis(10);
 
 /// Time for the hosts to start and find one another.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Lease on the duties in the stand-in's settings.
-const DUTY_LEASE: Duration = Duration::from_millis(600);
-
 /// What a run is made of.
 #[derive(Clone, Debug)]
 pub struct SoakSettings {
@@ -112,17 +90,18 @@
 }
 
 /// What the threads of a run share.
-struct SoakWorld {
-    standin: Arc<DeploymentStandin>,
-    start: Instant,
+pub(crate) struct SoakWorld {
+    pub(crate) standin: Arc<DeploymentStandin>,
+    pub(crate) start: Instant,
     stop: AtomicBool,
-    observations: Mutex<Vec<Observation>>,
-    versions: Mutex<Vec<SentVersion>>,
-    leaving: Mutex<Vec<LeavingReplica>>,
+    pub(crate) observations: Mutex<Vec<Observation>>,
+    pub(crate) versions: Mutex<Vec<SentVersion>>,
+    pub(crate) leaving: Mutex<Vec<LeavingReplica>>,
 }
 
 impl SoakWorld {
-    fn now(&self) -> Duration {
+    /// Returns the time since the start of the run.
+    pub(crate) fn now(&self) -> Duration {
         self.start.elapsed()
     }
 
@@ -131,7 +110,7 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -182,7 +161,7 @@
     })?;
     // The last change may have been acknowledged just now.
     thread::sleep(CONFIG_BOUND);
-    judge(&world, &fleet, &touch, &mut report);
+    judge_run(&world, &fleet, &touch, &mut report);
     Ok(report)
 }
 
@@ -314,252 +293,6 @@
     }
 }
 
-/// What happens at a point of time in the course of a fault.
-enum FaultStep {
-    Begin(PlannedFault),
-    /// A mode of the store ends.
-    EndStore(u64),
-    EndLink(usize),
-    Return {
-        copy: StandinCopy,
-        scope: RewriteScope,
-        rewrite_delay: Duration,
-        mode: u64,
-    },
-    Rewrite(RewriteScope, Duration),
-    Start(usize),
-    Thaw(usize),
-}
-
-/// Injects the faults of a run and records when they disturbed what.
-struct FaultInjector<'a> {
-    world: &'a SoakWorld,
-    fleet: &'a mut HostFleet,
-    steps: Vec<(Duration, FaultStep)>,
-    /// Modes of the store in force, the last one first in effect, each with its begin.
-    modes: Vec<(u64, StoreMode, Duration)>,
-    next_mode: u64,
-    copies: VecDeque<(Duration, StandinCopy)>,
-    touch: TouchRecord,
-}
-
-fn inject_faults(
-    world: &SoakWorld,
-    fleet: &mut HostFleet,
-    faults: Vec<(Duration, PlannedFault)>,
-    length: Duration,
-) -> anyhow::Result<TouchRecord> {
-    let steps = faults.into_iter().map(|(at, fault)| (at, FaultStep::Begin(fault))).collect();
-    let mut injector = FaultInjector {
-        world,
-        fleet,
-        steps,
-        modes: Vec::new(),
-        next_mode: 0,
-        copies: VecDeque::new(),
-        touch: TouchRecord::default(),
-    };
-    let mut next_copy = Duration::ZERO;
-    while world.now() < length {
-        thread::sleep(TICK);
-        let now = world.now();
-        if now >= next_copy && world.standin.is_store_up() {
-            next_copy = now + COPY_PERIOD;
-            injector.keep_copy(now);
-        }
-        for host in injector.fleet.restart_exited()? {
-            injector.disturb(DisturbedPart::Host(host), now, now);
-        }
-        injector.steps.sort_by_key(|(at, _)| *at);
-        while injector.steps.first().is_some_and(|(at, _)| *at <= now) {
-            let (_, step) = injector.steps.remove(0);
-            injector.take_step(now, step)?;
-        }
-    }
-    Ok(injector.touch)
-}
-
-impl FaultInjector<'_> {
-    fn keep_copy(&mut self, now: Duration) {
-        self.copies.push_back((now, self.world.standin.copy_store()));
-        if self.copies.len() > MAX_COPIES {
-            self.copies.pop_front();
-        }
-    }
-
-    fn disturb(&mut self, part: DisturbedPart, from: Duration, to: Duration) {
-        self.touch.add(Disturbance { part, from, to });
-    }
-
-    fn take_step(&mut self, now: Duration, step: FaultStep) -> anyhow::Result<()> {
-        match step {
-            FaultStep::Begin(fault) => self.begin(now, fault)?,
-            FaultStep::EndStore(number) => self.end_mode(now, number),
-            FaultStep::EndLink(host) => {
-                let link = self.fleet.link(host);
-                self.world.standin.set_link_mode(link, StoreMode::Answer);
-                self.disturb(DisturbedPart::Host(host), now, now);
-            }
-            FaultStep::Return { copy, scope, rewrite_delay, mode } => {
-                self.world.standin.restore_store(copy);
-                // Older copies do not fit what is written from now on.
-                self.copies.clear();
-                self.end_mode(now, mode);
-                self.steps.push((now + rewrite_delay, FaultStep::Rewrite(scope, now)));
-            }
-            FaultStep::Rewrite(scope, returned_at) => {
-                self.world.standin.rewrite_lost(scope);
-                self.disturb(DisturbedPart::Store, returned_at, now);
-            }
-            FaultStep::Start(host) => {
-                self.fleet.start_host(host)?;
-                self.disturb(DisturbedPart::Host(host), now, now);
-            }
-            FaultStep::Thaw(host) => {
-                self.fleet.signal(host, Signal::CONT)?;
-                self.disturb(DisturbedPart::Host(host), now, now);
-            }
-        }
-        Ok(())
-    }
-
-    fn begin(&mut self, now: Duration, fault: PlannedFault) -> anyhow::Result<()> {
-        match fault {
-            PlannedFault::Store { mode, duration } => {
-                let number = self.begin_mode(now, mode);
-                self.steps.push((now + duration, FaultStep::EndStore(number)));
-            }
-            PlannedFault::Link { host, mode, duration } => {
-                self.world.standin.set_link_mode(self.fleet.link(host), mode);
-                self.steps.push((now + duration, FaultStep::EndLink(host)));
-                self.disturb(DisturbedPart::Host(host), now, now + duration);
-            }
-            PlannedFault::Restore { away, copy_age, scope, rewrite_delay } => {
-                let old_enough = |(at, _): &&(Duration, StandinCopy)| *at + copy_age <= now;
-                let copy = self.copies.iter().rev().find(old_enough).or(self.copies.front());
-                let Some((_, copy)) = copy.cloned() else { return Ok(()) };
-                let mode = self.begin_mode(now, StoreMode::Reset);
-                let step = FaultStep::Return { copy, scope, rewrite_delay, mode };
-                self.steps.push((now + away, step));
-            }
-            PlannedFault::DropHistory => {
-                self.world.standin.drop_history();
-                self.disturb(DisturbedPart::Store, now, now);
-            }
-            PlannedFault::SilenceConnections => {
-                self.world.standin.silence_connections();
-                self.disturb(DisturbedPart::Store, now, now);
-            }
-            PlannedFault::Kill { hosts, down } => {
-                for host in hosts {
-                    self.fleet.kill(host);
-                    self.steps.push((now + down, FaultStep::Start(host)));
-                    self.disturb(DisturbedPart::Host(host), now, now + down);
-                }
-            }
-            PlannedFault::Terminate { host } => {
-                self.fleet.signal(host, Signal::TERM)?;
-                self.disturb(DisturbedPart::Host(host), now, now);
-            }
-            PlannedFault::Freeze { host, duration } => {
-                self.fleet.signal(host, Signal::STOP)?;
-                self.steps.push((now + duration, FaultStep::Thaw(host)));
-                self.disturb(DisturbedPart::Host(host), now, now + duration);
-            }
-            PlannedFault::Hangup { host } => self.fleet.signal(host, Signal::HUP)?,
-        }
-        Ok(())
-    }
-
-    fn begin_mode(&mut self, now: Duration, mode: StoreMode) -> u64 {
-        self.next_mode += 1;
-        self.modes.push((self.next_mode, mode, now));
-        self.world.standin.set_store_mode(mode);
-        self.next_mode
-    }
-
-    fn end_mode(&mut self, now: Duration, number: u64) {
-        if let Some(index) = self.modes.iter().position(|(other, _, _)| *other == number) {
-            let (_, _, since) = self.modes.remove(index);
-            self.disturb(DisturbedPart::Store, since, now);
-        }
-        let mode = self.modes.last().map_or(StoreMode::Answer, |(_, mode, _)| *mode);
-        self.world.standin.set_store_mode(mode);
-    }
-}
-
-fn judge(world: &SoakWorld, fleet: &HostFleet, touch: &TouchRecord, report: &mut SoakReport) {
-    let versions = lock(&world.versions);
-    let mut observations = lock(&world.observations);
-    observations.sort_by_key(|seen| seen.ended_at);
-    report.answers = observations.len();
-    report.versions = versions.iter().filter(|sent| sent.acknowledged_at.is_some()).count();
-    for (index, fault) in judge_answers(&versions, &observations, touch) {
-        let seen = &observations[index];
-        let kind = match fault {
-            ConfigFault::NotInForce { .. } => "not in force in time",
-            ConfigFault::WentBack { .. } => "came back older",
-            ConfigFault::NeverAllowed => "never allowed",
-        };
-        report.violations.push(format!(
-            "CONFIG at {:.3?} host {} start {}: {kind}, {fault:?}, {:?} {:?}",
-            seen.sent_at, seen.host, seen.incarnation, seen.request, seen.outcome
-        ));
-    }
-    judge_duties(world, touch, report);
-    judge_end(&versions, fleet, report);
-}
-
-fn judge_duties(world: &SoakWorld, touch: &TouchRecord, report: &mut SoakReport) {
-    let reports: Vec<AcceptedReport> = world
-        .standin
-        .usage_reports()
-        .into_iter()
-        .map(|accepted| AcceptedReport {
-            at: accepted.at.saturating_duration_since(world.start),
-            holder: accepted.holder,
-            fencing_token: accepted.fencing_token,
-            window: accepted.body["window"].as_u64().unwrap_or_default(),
-            counts: accepted.body["counts"].clone(),
-        })
-        .collect();
-    if reports.is_empty() {
-        report.violations.push("no usage was reported".to_owned());
-    }
-    let faults = judge_reports(&reports, DUTY_LEASE);
-    report.violations.extend(faults.iter().map(|fault| format!("ONE: {fault:?}")));
-    let runs: Vec<ObservedRun> = world
-        .standin
-        .take_runs()
-        .into_iter()
-        .filter_map(|run| {
-            let host = run.request_id.split('-').next()?.parse().ok()?;
-            let at = run.at.saturating_duration_since(world.start);
-            Some(ObservedRun { replica: run.replica_id, host, at })
-        })
-        .collect();
-    for run in judge_runs(&lock(&world.leaving), &runs, touch) {
-        report.violations.push(format!("DRAIN: {run:?}"));
-    }
-}
-
-/// Judges what the hosts know after the last calm.
-fn judge_end(versions: &[SentVersion], fleet: &HostFleet, report: &mut SoakReport) {
-    let newest = versions.iter().filter(|sent| sent.acknowledged_at.is_some());
-    let newest = newest.map(|sent| sent.config.version).max().unwrap_or(0);
-    let others = fleet.len() as u64 - 1;
-    for host in 0..fleet.len() {
-        let level = |name: &str| read_level(fleet.ip(host), name);
-        let (version, peers) = (level("config_version"), level("peers"));
-        if version.is_none_or(|version| version < newest) {
-            report.violations.push(format!("END: host {host} has {version:?}, not {newest}"));
-        }
-        if peers != Some(others) {
-            report.violations.push(format!("END: host {host} hears {peers:?} peers, not {others}"));
-        }
-    }
-}
-
 /// Returns the folder of a run's logs.
 pub fn log_folder(root: &Path, seed: u64) -> PathBuf {
     root.join(format!("seed-{seed}"))
