deployment stand-in: replicas that fall silent and go on

A replica can send nothing to all of its callers for a while, or pause within each stream after some events.

--- a/lib/testutils/src/deployment_server.rs
+++ b/lib/testutils/src/deployment_server.rs
@@ -1,6 +1,7 @@
 //! HTTP servers of the deployment stand-in: the store, the cloud and the replicas.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -93,7 +94,7 @@
             answer_store(&state, link, connection, request).await
         }
         Role::Platform(_) => Ok(answer_cloud(&state, request).await),
-        Role::Replica(index) => answer_replica(&state, index, request),
+        Role::Replica(index) => answer_replica(&state, index, request).await,
     }
 }
 
@@ -244,7 +245,18 @@
     full_response(StatusCode::OK, "{}")
 }
 
-fn answer_replica(
+/// Waits while a replica sends nothing.
+async fn wait_while_silent(state: &SharedState, index: usize) {
+    loop {
+        let silent_until = lock(state).replicas[index].silent_until;
+        match silent_until.filter(|until| *until > Instant::now()) {
+            Some(until) => tokio::time::sleep_until(until.into()).await,
+            None => return,
+        }
+    }
+}
+
+async fn answer_replica(
     state: &SharedState,
     index: usize,
     request: Request<Incoming>,
@@ -278,10 +290,11 @@
     let mut reply = if request.uri().path().starts_with("/brief/") {
         let count = request.uri().path().rsplit_once("/events-").map(|(_, count)| count.parse());
         let count = count.and_then(Result::ok).unwrap_or(STREAM_EVENTS);
-        stream_events(resumed_after.unwrap_or(0), count, mode)
+        stream_events(state.clone(), index, resumed_after.unwrap_or(0)..count, mode)
     } else {
         full_response(StatusCode::OK, format!("answer to {request_id}"))
     };
+    wait_while_silent(state, index).await;
     for (name, value) in [("request-id", request_id), ("replica-signature", id)] {
         if let Ok(value) = hyper::header::HeaderValue::try_from(value) {
             reply.headers_mut().insert(name, value);
@@ -295,11 +308,24 @@
     format!("id: {id}\ndata: piece {id}\n\n")
 }
 
-fn stream_events(after: u64, count: u64, mode: ReplicaMode) -> StandinReply {
+/// Sends the events of a stream after the first of a range of ids, up to the last.
+fn stream_events(
+    state: SharedState,
+    index: usize,
+    ids: Range<u64>,
+    mode: ReplicaMode,
+) -> StandinReply {
     let (sender, receiver) = mpsc::channel(1);
     tokio::task::spawn_local(async move {
-        for id in after + 1..=count {
+        let after = ids.start;
+        for id in after + 1..=ids.end {
             tokio::time::sleep(EVENT_INTERVAL).await;
+            if let ReplicaMode::PauseAfter { events, pause } = mode
+                && id == after + events + 1
+            {
+                tokio::time::sleep(pause).await;
+            }
+            wait_while_silent(&state, index).await;
             let text = event_text(id);
             let cut = matches!(mode, ReplicaMode::CutAfter(count) if id > after + count);
             let sent = if cut { text[..text.len() / 2].to_owned() } else { text };
--- a/lib/testutils/src/deployment_standin.rs
+++ b/lib/testutils/src/deployment_standin.rs
@@ -5,6 +5,8 @@
 use serde_json::Value;
 use serde_json::json;
 use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
 
 use crate::deployment_server::Role;
 use crate::deployment_server::serve;
@@ -73,6 +75,7 @@
                 mode: ReplicaMode::Answer,
                 state: READY,
                 sequence: 0,
+                silent_until: None,
             })
             .collect();
         let platform = serve(state.clone(), Role::Platform(None))?;
@@ -246,6 +249,12 @@
         lock(&self.state).replicas[index].mode = mode;
     }
 
+    /// Makes a replica send nothing for a while and then go on, to all of its callers at once. It
+    /// still reads requests and runs them.
+    pub fn silence_replica(&self, index: usize, duration: Duration) {
+        lock(&self.state).replicas[index].silent_until = Some(Instant::now() + duration);
+    }
+
     /// Returns the requests that the replicas executed, in order.
     pub fn runs(&self) -> Vec<ReplicaRun> {
         lock(&self.state).runs.clone()
--- a/lib/testutils/src/deployment_state.rs
+++ b/lib/testutils/src/deployment_state.rs
@@ -20,6 +20,13 @@
     Answer,
     /// It runs them, sends this many events and drops the connection within the next one.
     CutAfter(u64),
+    /// It runs them, sends this many events, sends nothing for a while and goes on.
+    PauseAfter {
+        /// Events before the pause.
+        events: u64,
+        /// How long it sends nothing.
+        pause: Duration,
+    },
     /// It runs them and closes the connection without a response.
     DropResponse,
     /// It rejects them with a header that says that they were not executed.
@@ -99,6 +106,8 @@
     pub(crate) state: &'static str,
     /// Number of its last entry.
     pub(crate) sequence: u64,
+    /// Until when it reads requests and sends nothing.
+    pub(crate) silent_until: Option<Instant>,
 }
 
 /// An accepted usage report.
