deployment stand-in: replicas that write without end

ReplicaMode::Endless takes the connection over from hyper once a request has arrived and writes one of twelve kinds of endless response until the write fails. Apart from the endless part the head is valid, so that the caller can't tell from it that the response is unusable.

--- a/lib/testutils/src/deployment_server.rs
+++ b/lib/testutils/src/deployment_server.rs
@@ -21,6 +21,7 @@
 use serde_json::Value;
 use serde_json::json;
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 use tokio_stream::wrappers::ReceiverStream;
@@ -34,6 +35,8 @@
 use crate::deployment_state::StoreMode;
 use crate::deployment_state::UsageReport;
 use crate::deployment_state::lock;
+use crate::endless_response::EndlessKind;
+use crate::endless_response::EndlessResponse;
 use crate::store_core::StoreRejection;
 
 /// Interval at which a long-polling read checks for a new record.
@@ -69,23 +72,36 @@
                     state.next_connection += 1;
                     state.next_connection - 1
                 };
-                tokio::task::spawn_local(async move {
-                    let service =
-                        service_fn(move |request| answer(state.clone(), role, connection, request));
-                    // The gateway may close connections at any time.
-                    let _ =
-                        http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
-                });
+                tokio::task::spawn_local(serve_connection(state, role, connection, stream));
             }
         });
     });
     Ok(address)
 }
 
+/// Serves a connection until it is closed, or until a response that no HTTP library writes takes it
+/// over.
+async fn serve_connection(state: SharedState, role: Role, number: u64, stream: TcpStream) {
+    let (takeovers, mut takeover) = mpsc::unbounded_channel();
+    let service =
+        service_fn(move |request| answer(state.clone(), role, number, takeovers.clone(), request));
+    let mut connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    // The gateway may close connections at any time.
+    let response = tokio::select! {
+        _ = &mut connection => return,
+        response = takeover.recv() => response,
+    };
+    let mut stream = connection.into_parts().io.into_inner();
+    if let Some(response) = response {
+        let _ = response.write_to(&mut stream).await;
+    }
+}
+
 async fn answer(
     state: SharedState,
     role: Role,
     connection: u64,
+    takeovers: mpsc::UnboundedSender<EndlessResponse>,
     request: Request<Incoming>,
 ) -> Result<StandinReply, std::io::Error> {
     match role {
@@ -93,7 +109,14 @@
             answer_store(&state, link, connection, request).await
         }
         Role::Platform(_) => Ok(answer_cloud(&state, request).await),
-        Role::Replica(index) => answer_replica(&state, index, request),
+        Role::Replica(index) => {
+            let mut reply = answer_replica(&state, index, request)?;
+            if let Some(response) = reply.extensions_mut().remove::<EndlessResponse>() {
+                takeovers.send(response).map_err(std::io::Error::other)?;
+                std::future::pending::<()>().await;
+            }
+            Ok(reply)
+        }
     }
 }
 
@@ -262,6 +285,9 @@
         reply.headers_mut().insert("not-executed", hyper::header::HeaderValue::from_static("1"));
         return Ok(reply);
     }
+    if mode == ReplicaMode::Endless(EndlessKind::RefusalBody) {
+        return Ok(endless_reply(EndlessKind::RefusalBody, request_id, id));
+    }
     let resumed_after = field("Last-Event-Id").and_then(|id| id.parse().ok());
     lock(state).runs.push(ReplicaRun {
         replica: index,
@@ -275,6 +301,9 @@
     if mode == ReplicaMode::DropResponse {
         return Err(std::io::ErrorKind::ConnectionReset.into());
     }
+    if let ReplicaMode::Endless(kind) = mode {
+        return Ok(endless_reply(kind, request_id, id));
+    }
     let mut reply = if request.uri().path().starts_with("/brief/") {
         let count = request.uri().path().rsplit_once("/events-").map(|(_, count)| count.parse());
         let count = count.and_then(Result::ok).unwrap_or(STREAM_EVENTS);
@@ -290,6 +319,13 @@
     Ok(reply)
 }
 
+/// Returns a reply whose connection is taken over by a response without end.
+fn endless_reply(kind: EndlessKind, request_id: String, signature: String) -> StandinReply {
+    let mut reply = full_response(StatusCode::OK, "");
+    reply.extensions_mut().insert(EndlessResponse { kind, request_id, signature });
+    reply
+}
+
 /// Returns the server-sent event with the given id.
 pub fn event_text(id: u64) -> String {
     format!("id: {id}\ndata: piece {id}\n\n")
--- a/lib/testutils/src/deployment_standin.rs
+++ b/lib/testutils/src/deployment_standin.rs
@@ -24,6 +24,7 @@
 pub use crate::deployment_state::StoreMode;
 pub use crate::deployment_state::UsageReport;
 pub use crate::deployment_state::WriteOutcome;
+pub use crate::endless_response::EndlessKind;
 
 /// Service that the replicas run unless others are named.
 pub const SERVICE: &str = "chat";
--- a/lib/testutils/src/deployment_state.rs
+++ b/lib/testutils/src/deployment_state.rs
@@ -9,6 +9,7 @@
 
 use serde_json::Value;
 
+use crate::endless_response::EndlessKind;
 use crate::store_core::StoreCopy;
 use crate::store_core::StoreCore;
 use crate::store_core::encode_keyed;
@@ -24,6 +25,8 @@
     DropResponse,
     /// It rejects them with a header that says that they were not executed.
     Refuse,
+    /// It writes a response without end until the caller closes the connection.
+    Endless(EndlessKind),
 }
 
 /// How the store handles calls.
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod deployment_standin;
 mod deployment_state;
 pub mod dev_cluster;
+mod endless_response;
 pub mod engine_answer;
 pub mod engine_core;
 mod engine_run;
