gateway: every accepted request has one closing line

Callers saw connections that ended without a response, and the log had no line for them: the future of a request is dropped when its caller leaves or the process exits, and only a request that reached its end was logged. The log could not tell the two apart.

AcceptedRequest now logs its end when it is dropped before anything else did, with `dropped=true`: code 306 for a caller that left, 309 (new: HostStopped) when the process exits, and 900 when the task panicked.

--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -1,6 +1,7 @@
 //! A request that passed its checks, with the bookkeeping of its way through the host: placement,
 //! quota refunds, usage, demand, server health, and the log line at its end.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -56,6 +57,40 @@
     }
 }
 
+/// Whether the end of a request has been logged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum ClosingLine {
+    /// Not yet: the request is running.
+    #[default]
+    Due,
+    /// It has been logged.
+    Logged,
+}
+
+/// A request's way out of the host: logs its end if nothing else did before it is dropped.
+pub struct RequestEnd {
+    state: Rc<GatewayState>,
+    line: Cell<ClosingLine>,
+}
+
+impl RequestEnd {
+    /// Builds the end of a request that is running.
+    pub fn new(state: &Rc<GatewayState>) -> Self {
+        Self { state: state.clone(), line: Cell::default() }
+    }
+
+    /// Returns the code of a request that is dropped while it is running.
+    fn code_when_dropped(&self) -> ResultCode {
+        if std::thread::panicking() {
+            ResultCode::Internal
+        } else if self.state.stopped.get() {
+            ResultCode::HostStopped
+        } else {
+            ResultCode::CallerLost
+        }
+    }
+}
+
 /// A request that passed its checks, with everything that its attempts need.
 pub struct AcceptedRequest {
     /// Parsed head.
@@ -76,6 +111,17 @@
     pub fingerprint: CallFingerprint,
     /// Version of the configuration that the request was checked against.
     pub config_version: u64,
+    /// Logs the end of the request.
+    pub end: RequestEnd,
+}
+
+impl Drop for AcceptedRequest {
+    fn drop(&mut self) {
+        if self.end.line.get() == ClosingLine::Due {
+            let code = self.end.code_when_dropped();
+            log_request_end(&self.end.state, self, code, "dropped=true");
+        }
+    }
 }
 
 impl AcceptedRequest {
@@ -226,6 +272,7 @@
     code: ResultCode,
     detail: &str,
 ) {
+    request.end.line.set(ClosingLine::Logged);
     let kind = request_kind_label(request.route.kind);
     let number = code.number();
     let elapsed = state.now().since(request.arrived_at);
--- a/lib/src/gateway/gateway_host.rs
+++ b/lib/src/gateway/gateway_host.rs
@@ -229,5 +229,6 @@
         }
         tokio::time::sleep(DRAIN_CHECK_PERIOD).await;
     }
+    state.stopped.set(true);
     log::info!("event=host_stopped running={}", state.in_flight.get());
 }
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -17,6 +17,7 @@
 use crate::gateway::accepted_request::PlacedServer;
 use crate::gateway::accepted_request::QUEUE_FULL_RETRY_AFTER;
 use crate::gateway::accepted_request::RefusalReason;
+use crate::gateway::accepted_request::RequestEnd;
 use crate::gateway::accepted_request::log_request_end;
 use crate::gateway::accepted_request::place_request;
 use crate::gateway::accepted_request::refund_quota;
@@ -149,6 +150,7 @@
             team,
             arrived_at,
             config_version,
+            end: RequestEnd::new(&self.state),
         })
     }
 
--- a/lib/src/result_code.rs
+++ b/lib/src/result_code.rs
@@ -130,6 +130,8 @@
     BadServerAnswer = 307, Unknown, 502;
     /// The request is still running on another host.
     StillRunning = 308, Unknown, 409;
+    /// The host exited while the request ran.
+    HostStopped = 309, Unknown, 502;
 
     /// The settings file cannot be read.
     SettingsUnreadable = 400, NotRun, 400;
--- a/lib/testutils/src/deployment_server.rs
+++ b/lib/testutils/src/deployment_server.rs
@@ -256,6 +256,8 @@
     }
 }
 
+/// Answers a request at a replica. A path that ends in `/bytes-` and a number names the size of the
+/// answer to a call.
 async fn answer_replica(
     state: &SharedState,
     index: usize,
@@ -292,7 +294,11 @@
         let count = count.and_then(Result::ok).unwrap_or(STREAM_EVENTS);
         stream_events(state.clone(), index, resumed_after.unwrap_or(0)..count, mode)
     } else {
-        full_response(StatusCode::OK, format!("answer to {request_id}"))
+        let size = request.uri().path().rsplit_once("/bytes-").map(|(_, size)| size.parse());
+        match size.and_then(Result::ok) {
+            Some(size) => full_response(StatusCode::OK, vec![b'x'; size]),
+            None => full_response(StatusCode::OK, format!("answer to {request_id}")),
+        }
     };
     wait_while_silent(state, index).await;
     for (name, value) in [("request-id", request_id), ("replica-signature", id)] {
--- a/lib/testutils/src/deployment_standin.rs
+++ b/lib/testutils/src/deployment_standin.rs
@@ -142,6 +142,11 @@
 
     /// Publishes a configuration with one route for each kind: streaming, unsafe and safe.
     pub fn publish_config(&self, version: u64) {
+        self.publish_document(&Self::config_document(version));
+    }
+
+    /// Returns a configuration document with one route for each kind.
+    pub fn config_document(version: u64) -> Value {
         let route = |name: &str, prefix: &str, kind: &str, resumable: bool, attempts: u32| {
             json!({
                 "name": name, "host": ROUTE_HOST, "path-prefix": prefix, "kind": kind,
@@ -149,7 +154,7 @@
                 "service": SERVICE, "attempts": attempts, "resumable": resumable,
             })
         };
-        let config = json!({
+        json!({
             "version": version,
             "routes": [
                 route("brief", "/brief/", "streaming", true, 2),
@@ -160,8 +165,7 @@
             "limits": {"max-header-bytes": 16_384, "max-body-bytes": 1_048_576,
                        "header-timeout-ms": 3_000, "idle-timeout-ms": 15_000},
             "tenants": [{"name": "club", "api-keys": [TEAM_KEY]}],
-        });
-        self.publish_document(&config);
+        })
     }
 
     /// Publishes a configuration document.
