front: close idle connections by the limit in force, after reading what was sent

Callers saw kept connections end with a reset although their whole request had been sent, in two cases: after a configuration had raised the idle limit, and after the process had been stopped for longer than the limit.

Cause: the idle limit was hyper's header read timeout. It was set when the connection was opened, so a connection kept the limit of that moment. And after SIGCONT the event loop's wait returns without events, so timers fire before the loop learns that sockets are readable; hyper then found nothing to read and an expired timer.

The host now has a timer of its own for each connection. CallerPhase decides without I/O: the limit is that of the configuration in force, or that of the start of the idle period if it was longer, since a caller may not know of a lowered one. A head section has the idle period it began in, and at least `header-timeout-ms` from its first byte. Before a connection is closed, the kernel is asked for unread bytes; an idle connection is shut down gracefully. The socket and the response bodies report the phase; a response counts as written once hyper has flushed it.

A connection that ends while a request on it has no complete response is logged with what ended it (caller_connection_failed), and one that is closed for a slow head (caller_connection_closed). An idle connection leaves no line.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -8,6 +8,8 @@
 pub mod accepted_request;
 pub mod attempt_plan;
 pub mod backend_directory;
+pub mod caller_connection;
+pub mod caller_phase;
 pub mod caller_request;
 pub mod connection_pool;
 pub mod crash_tracker;
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -84,6 +84,8 @@
     pub shutdown: Cell<Option<ShutdownPlan>>,
     /// Number of requests in flight.
     pub in_flight: Cell<usize>,
+    /// Number of open connections of callers.
+    pub connections: Cell<usize>,
     /// Whether the process is about to exit, and drops what is still running.
     pub stopped: Cell<bool>,
 }
@@ -122,6 +124,7 @@
             spending_known,
             shutdown: Cell::new(None),
             in_flight: Cell::new(0),
+            connections: Cell::new(0),
             stopped: Cell::new(false),
             incarnation,
             settings: RefCell::new(Rc::new(settings)),
