shutdown: wait until every response is written to its caller

A caller that read slowly lost the rest of its answer when its host got SIGTERM: the host exits as soon as no request is in flight, and a request stops counting when its response is handed to hyper, or its last chunk is queued, not when it is written to the socket.

A draining host now also waits for its open connections. `host_stopped` says how many connections were open.

--- a/lib/src/gateway/gateway_host.rs
+++ b/lib/src/gateway/gateway_host.rs
@@ -23,6 +23,7 @@
 use crate::gateway::platform_api::FencedCloud;
 use crate::gateway::platform_api::WireProtocol;
 use crate::gateway::request_runner::RequestRunner;
+use crate::gateway::shutdown_plan::DrainLoad;
 use crate::gateway::shutdown_plan::ShutdownPlan;
 use crate::gateway::shutdown_plan::ShutdownStep;
 use crate::gateway::store_follower;
@@ -220,7 +221,9 @@
         grace.as_millis()
     );
     loop {
-        match plan.step(state.now(), state.in_flight.get()) {
+        let load =
+            DrainLoad { requests: state.in_flight.get(), connections: state.connections.get() };
+        match plan.step(state.now(), load) {
             ShutdownStep::Serve => {}
             ShutdownStep::Drain => {
                 close.send_replace(true);
@@ -230,5 +233,9 @@
         tokio::time::sleep(DRAIN_CHECK_PERIOD).await;
     }
     state.stopped.set(true);
-    log::info!("event=host_stopped running={}", state.in_flight.get());
+    log::info!(
+        "event=host_stopped running={} connections={}",
+        state.in_flight.get(),
+        state.connections.get()
+    );
 }
--- a/lib/src/gateway/shutdown_plan.rs
+++ b/lib/src/gateway/shutdown_plan.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: hosts are stopped one after the other under full load. The load balancer needs a
 //! moment to notice that a host is not ready. Until then the host serves new requests. Afterwards
-//! it exits as soon as no request is running, or shortly before it would be killed.
+//! it exits as soon as no request is running and every response is written to its caller's socket,
+//! or shortly before it would be killed.
 
 use std::time::Duration;
 
@@ -26,6 +27,16 @@
     Exit,
 }
 
+/// What a host has not finished.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DrainLoad {
+    /// Requests without a response.
+    pub requests: usize,
+    /// Open connections of callers. While the host drains, a connection closes once its last
+    /// response is written.
+    pub connections: usize,
+}
+
 /// Times of a graceful shutdown.
 #[derive(Clone, Copy, Debug)]
 pub struct ShutdownPlan {
@@ -45,16 +56,18 @@
         (elapsed >= BALANCER_DELAY).then(|| self.grace.saturating_sub(elapsed + KILL_MARGIN))
     }
 
-    /// Returns what to do while `running` requests have no response yet.
-    pub fn step(&self, now: Timestamp, running: usize) -> ShutdownStep {
+    /// Returns what to do with what is not finished.
+    pub fn step(&self, now: Timestamp, load: DrainLoad) -> ShutdownStep {
         let elapsed = now.since(self.requested_at);
         if elapsed + KILL_MARGIN >= self.grace {
             return ShutdownStep::Exit;
         }
-        match (elapsed >= BALANCER_DELAY, running) {
-            (false, _) => ShutdownStep::Serve,
-            (true, 0) => ShutdownStep::Exit,
-            (true, _) => ShutdownStep::Drain,
+        if elapsed < BALANCER_DELAY {
+            return ShutdownStep::Serve;
+        }
+        match load {
+            DrainLoad { requests: 0, connections: 0 } => ShutdownStep::Exit,
+            DrainLoad { .. } => ShutdownStep::Drain,
         }
     }
 }
