known red: four ways in which a hedge does not help

Found by a review of the hedged attempts, each by a test that fails: the head of a hedge alone drops a server that would go on (8 s, cut); bytes that complete no event put off the hedge (cut at the deadline); a hedge that is refused is replaced only after another whole limit (6.3 s instead of 3); the error of the second server is lost when the first one times out (504 instead of 500).

--- a/cli/tests/test_silent_server.rs
+++ b/cli/tests/test_silent_server.rs
@@ -1,10 +1,14 @@
 //! Backend servers that fall silent for a while and go on: no answer ends because of it.
 
+use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use rstest::rstest;
 use testutils::bounded_wait::wait_for;
+use testutils::deployment_standin::DeploymentStandin;
 use testutils::deployment_standin::ReplicaMode;
+use testutils::deployment_standin::SERVICE;
 use testutils::deployment_standin::STREAM_EVENTS;
 use testutils::deployment_standin::TEAM_KEY;
 use testutils::deployment_standin::event_text;
@@ -19,6 +23,12 @@
 /// Longer than the time limits of two attempts, shorter than the deadline.
 const ANSWER_PAUSE: Duration = Duration::from_millis(5_500);
 
+/// Longer than any deadline.
+const PAST_DEADLINE: Duration = Duration::from_secs(60);
+
+/// Time for a host to react, on a busy machine.
+const SLACK: Duration = Duration::from_millis(1_500);
+
 fn whole_stream() -> String {
     (1..=STREAM_EVENTS).map(event_text).collect()
 }
@@ -27,6 +37,31 @@
     (0..2).for_each(|index| fixture.standin.silence_replica(index, duration));
 }
 
+fn start_servers(number: u8, count: usize, attempts: u32) -> GatewayFixture {
+    let standin = DeploymentStandin::start_with(&vec![SERVICE; count]).expect("valid in tests");
+    let mut document = DeploymentStandin::config_document(3);
+    for route in document["routes"].as_array_mut().into_iter().flatten() {
+        route["attempts"] = attempts.into();
+    }
+    standin.publish_document(&document);
+    GatewayFixture::start_host(PROGRAM, Arc::new(standin), number).serving()
+}
+
+/// Calls a stream, does something once it runs at a replica, and returns the response and its time.
+fn call_and(fixture: &GatewayFixture, action: impl FnOnce(usize)) -> (CallerResponse, Duration) {
+    std::thread::scope(|scope| {
+        let caller = scope.spawn(|| {
+            let begin = Instant::now();
+            let path = format!("/brief/1/events-{STREAM_EVENTS}");
+            (fixture.call("POST", &path, "r1", Some(TEAM_KEY)), begin.elapsed())
+        });
+        wait_for(|| fixture.runs_of("r1") == 1);
+        let run = fixture.standin.runs().into_iter().find(|run| run.request_id == "r1");
+        action(run.expect("valid in tests").replica);
+        caller.join().expect("valid in tests")
+    })
+}
+
 fn is_complete(response: &CallerResponse) -> bool {
     response.status == 200 && response.body == Some(whole_stream())
 }
@@ -81,15 +116,10 @@
 fn route_moves_meanwhile() {
     // The only other server of the old service leaves beside the change.
     let fixture = GatewayFixture::ready(PROGRAM, 46);
-    let stream = std::thread::scope(|scope| {
-        let caller = scope.spawn(|| fixture.call("POST", "/brief/1", "r1", Some(TEAM_KEY)));
-        wait_for(|| fixture.runs_of("r1") == 1);
-        let run = fixture.standin.runs().into_iter().find(|run| run.request_id == "r1");
-        let index = run.expect("valid in tests").replica;
+    let (stream, _) = call_and(&fixture, |index| {
         fixture.standin.silence_replica(index, STREAM_PAUSE);
         fixture.standin.register_replica(1 - index, "draining");
         fixture.standin.publish_config(9);
-        caller.join().expect("valid in tests")
     });
     assert!(is_complete(&stream), "{stream:?}");
 }
@@ -97,15 +127,61 @@
 #[test]
 fn other_server_takes_over() {
     let fixture = GatewayFixture::ready(PROGRAM, 47);
-    let stream = std::thread::scope(|scope| {
-        let caller = scope.spawn(|| fixture.call("POST", "/brief/1", "r1", Some(TEAM_KEY)));
-        wait_for(|| fixture.runs_of("r1") == 1);
-        let run = fixture.standin.runs().into_iter().find(|run| run.request_id == "r1");
-        let index = run.expect("valid in tests").replica;
-        // Past the deadline: only the other server can complete the stream.
-        fixture.standin.silence_replica(index, Duration::from_secs(60));
-        caller.join().expect("valid in tests")
+    // Past the deadline: only the other server can complete the stream.
+    let (stream, _) = call_and(&fixture, |index| {
+        fixture.standin.silence_replica(index, PAST_DEADLINE);
     });
     assert!(is_complete(&stream), "{stream:?}");
     assert_eq!(fixture.runs_of("r1"), 2);
 }
+
+#[test]
+fn hedge_sends_only_its_head() {
+    // The first server goes on while the second one has sent nothing but the head.
+    let fixture = GatewayFixture::ready(PROGRAM, 48);
+    let (stream, time) = call_and(&fixture, |index| {
+        fixture.standin.silence_replica(index, STREAM_PAUSE);
+        let mode = ReplicaMode::PauseAfter { events: 0, pause: PAST_DEADLINE };
+        fixture.standin.set_replica_mode(1 - index, mode);
+    });
+    assert!(is_complete(&stream), "{stream:?}");
+    assert!(time < STREAM_PAUSE + SLACK, "{time:?}");
+}
+
+#[test]
+fn trickle_is_silence() {
+    // Bytes that complete no event do not put off the hedge.
+    let fixture = GatewayFixture::ready(PROGRAM, 49);
+    fixture.standin.set_replica_mode(0, ReplicaMode::TrickleAfter(3));
+    let (stream, time) = call_and(&fixture, |index| {
+        assert_eq!(index, 0, "the first server is asked first");
+    });
+    assert!(is_complete(&stream), "{stream:?}");
+    assert!(time < STREAM_PAUSE + SLACK, "{time:?}");
+}
+
+#[test]
+fn refused_hedge_is_replaced() {
+    let fixture = start_servers(50, 3, 3);
+    // The retry budget grows with the requests.
+    for number in 0..20 {
+        fixture.call("GET", "/look/1", &format!("look-{number}"), Some(TEAM_KEY));
+    }
+    fixture.standin.set_replica_mode(1, ReplicaMode::Refuse);
+    let (stream, time) = call_and(&fixture, |index| {
+        assert_eq!(index, 0, "the first server is asked first");
+        fixture.standin.silence_replica(index, PAST_DEADLINE);
+    });
+    assert!(is_complete(&stream), "{stream:?}");
+    assert!(time < STREAM_PAUSE + SLACK, "{time:?}");
+}
+
+#[test]
+fn server_error_beside_silence() {
+    // The second server's own error is the answer if the first one never answers.
+    let fixture = GatewayFixture::ready(PROGRAM, 51);
+    fixture.standin.silence_replica(0, PAST_DEADLINE);
+    fixture.standin.set_replica_mode(1, ReplicaMode::Fail);
+    let response = fixture.call("GET", "/look/1", "r1", Some(TEAM_KEY));
+    assert_eq!((response.status, response.signature.as_deref()), (500, Some("i-1")));
+}
--- a/lib/testutils/src/deployment_server.rs
+++ b/lib/testutils/src/deployment_server.rs
@@ -329,6 +329,9 @@
             None => full_response(StatusCode::OK, format!("answer to {request_id}")),
         }
     };
+    if mode == ReplicaMode::Fail {
+        *reply.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+    }
     wait_while_silent(state, index).await;
     for (name, value) in [("request-id", request_id), ("replica-signature", id)] {
         if let Ok(value) = hyper::header::HeaderValue::try_from(value) {
@@ -368,6 +371,12 @@
                 tokio::time::sleep(pause).await;
             }
             wait_while_silent(&state, index).await;
+            while matches!(mode, ReplicaMode::TrickleAfter(events) if id > after + events) {
+                tokio::time::sleep(EVENT_INTERVAL).await;
+                if sender.send(Ok(Frame::data(Bytes::from_static(b":")))).await.is_err() {
+                    return;
+                }
+            }
             let text = event_text(id);
             let cut = matches!(mode, ReplicaMode::CutAfter(count) if id > after + count);
             let sent = if cut { text[..text.len() / 2].to_owned() } else { text };
--- a/lib/testutils/src/deployment_state.rs
+++ b/lib/testutils/src/deployment_state.rs
@@ -28,8 +28,12 @@
         /// How long it sends nothing.
         pause: Duration,
     },
+    /// It runs them, sends this many events and then single bytes that complete no event.
+    TrickleAfter(u64),
     /// It runs them and closes the connection without a response.
     DropResponse,
+    /// It runs them and answers with an error of its own.
+    Fail,
     /// It rejects them with a header that says that they were not executed.
     Refuse,
     /// It writes a response without end until the caller closes the connection.
