attempts: a hedge counts from its first event, not from its head

Callers saw a stream end although its server went on a second later: the second server had sent a head and nothing else, and that head dropped the first one.

Cause: a hedged attempt ended with the head of its response. It now ends with its first complete event; what was read of the stream goes on to the relay.

--- a/lib/src/gateway/attempt_race.rs
+++ b/lib/src/gateway/attempt_race.rs
@@ -20,6 +20,7 @@
 use crate::gateway::platform_api::WireProtocol;
 use crate::gateway::server_attempt::AttemptOutcome;
 use crate::gateway::server_attempt::ServerAttempt;
+use crate::gateway::server_attempt::await_first_event;
 use crate::gateway::server_attempt::send_attempt;
 use crate::gateway::server_health::HealthEvidence;
 use crate::ids::ServerKey;
@@ -87,6 +88,33 @@
         true
     }
 
+    /// Sends a hedged attempt, which ends only with the first event of a stream: its head alone does
+    /// not show that the server goes on.
+    fn start_hedge(
+        &mut self,
+        placed: PlacedServer,
+        plan: &AttemptPlan,
+        after: Option<u64>,
+    ) -> bool {
+        if !self.start(placed, plan.deadline(), after) {
+            return false;
+        }
+        let Some(attempt) = self.running.pop() else { return false };
+        let RunningAttempt { key, is_silent, outcome } = attempt;
+        let (state, request) = (self.state.clone(), self.request.clone());
+        let deadline = plan.deadline();
+        let outcome = Box::pin(async move {
+            match outcome.await {
+                AttemptOutcome::Stream(stream) => {
+                    await_first_event(&state, &request, *stream, deadline).await
+                }
+                outcome => outcome,
+            }
+        });
+        self.running.push(RunningAttempt { key, is_silent, outcome });
+        true
+    }
+
     /// Starts a hedged attempt beside those that are silent, `open` and those in flight, if the plan,
     /// the retry budget and the servers allow one.
     pub fn hedge(
@@ -107,7 +135,7 @@
             return HedgeOutcome::Denied;
         };
         if !self.state.try_retry(now, &self.request.service)
-            || !self.start(placed, plan.deadline(), resume_after)
+            || !self.start_hedge(placed, plan, resume_after)
         {
             return HedgeOutcome::Denied;
         }
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -262,7 +262,6 @@
             let failure = match outcome {
                 AttemptOutcome::Buffered(response) => return self.deliver(&request, key, response),
                 AttemptOutcome::Stream(stream) => {
-                    race.drop_rest(&mut plan);
                     return StreamRelay::start(
                         self.state.clone(),
                         race,
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -19,6 +19,8 @@
 use crate::gateway::attempt_plan::AttemptFailure;
 use crate::gateway::connection_pool::CallError;
 use crate::gateway::connection_pool::PooledConnection;
+use crate::gateway::event_splitter::EventSplitter;
+use crate::gateway::event_splitter::StreamEvent;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::platform_api::ResponseClass;
 use crate::gateway::platform_api::WireProtocol;
@@ -112,6 +114,17 @@
     pub response: Response<Incoming>,
     /// Connection that carries the response.
     pub connection: PooledConnection,
+    /// What was read of the body as events.
+    pub begun: BegunStream,
+}
+
+/// The part of a stream that was read before it is relayed.
+#[derive(Default)]
+pub struct BegunStream {
+    /// Splits the bytes that follow.
+    pub splitter: EventSplitter,
+    /// Complete events.
+    pub events: Vec<StreamEvent>,
 }
 
 /// How an attempt ended.
@@ -184,17 +197,54 @@
     let class = wire.classify_response(&request.head.request_id, &head);
     if class == ResponseClass::Relay && request.route.kind.is_stream() && head.status.is_success() {
         let response = Response::from_parts(head, body);
-        return AttemptOutcome::Stream(Box::new(OpenResponse { attempt, response, connection }));
+        let begun = BegunStream::default();
+        return AttemptOutcome::Stream(Box::new(OpenResponse {
+            attempt,
+            response,
+            connection,
+            begun,
+        }));
     }
     if class == ResponseClass::Unusable {
         log_failure(&state, request, &attempt, AttemptFailure::Lost, "unusable response");
         return AttemptOutcome::Failed(AttemptFailure::Lost, None);
     }
     let response = Response::from_parts(head, body);
-    let open = OpenResponse { attempt, response, connection };
+    let open = OpenResponse { attempt, response, connection, begun: BegunStream::default() };
     buffer_response(&state, request, class, open).await
 }
 
+/// Reads a stream up to its first complete event, until the deadline.
+pub async fn await_first_event(
+    state: &GatewayState,
+    request: &AcceptedRequest,
+    stream: OpenResponse,
+    deadline: Timestamp,
+) -> AttemptOutcome {
+    let mut stream = stream;
+    let time_left = deadline.since(state.now());
+    match timeout(time_left, read_first_event(&mut stream)).await {
+        Ok(Ok(())) => AttemptOutcome::Stream(Box::new(stream)),
+        Ok(Err(detail)) => {
+            log_failure(state, request, &stream.attempt, AttemptFailure::Lost, &detail);
+            AttemptOutcome::Failed(AttemptFailure::Lost, None)
+        }
+        Err(_) => AttemptOutcome::TimedOut,
+    }
+}
+
+async fn read_first_event(stream: &mut OpenResponse) -> std::result::Result<(), String> {
+    let BegunStream { splitter, events } = &mut stream.begun;
+    while events.is_empty() {
+        let frame = stream.response.body_mut().frame().await;
+        let frame = frame.ok_or("no event")?.map_err(|error| error.to_string())?;
+        if let Ok(bytes) = frame.into_data() {
+            *events = splitter.push(&bytes).map_err(|error| error.to_string())?;
+        }
+    }
+    Ok(())
+}
+
 /// Reads a response to its end, for one that is not relayed event by event.
 async fn buffer_response(
     state: &GatewayState,
@@ -202,7 +252,7 @@
     class: ResponseClass,
     open: OpenResponse,
 ) -> AttemptOutcome {
-    let OpenResponse { mut attempt, response, connection } = open;
+    let OpenResponse { mut attempt, response, connection, .. } = open;
     let (head, body) = response.into_parts();
     let bytes = match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
         Ok(collected) => collected.to_bytes(),
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -30,7 +30,6 @@
 use crate::gateway::attempt_race::AttemptRace;
 use crate::gateway::attempt_race::RaceEvent;
 use crate::gateway::attempt_race::record_silent_server;
-use crate::gateway::event_splitter::EventSplitter;
 use crate::gateway::event_splitter::StreamEvent;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::platform_api::WireProtocol;
@@ -39,6 +38,7 @@
 use crate::gateway::reply_body::TruncatedStream;
 use crate::gateway::reply_body::streaming_body;
 use crate::gateway::server_attempt::AttemptOutcome;
+use crate::gateway::server_attempt::BegunStream;
 use crate::gateway::server_attempt::OpenResponse;
 use crate::gateway::server_attempt::ServerAttempt;
 use crate::gateway::server_attempt::record_lost;
@@ -162,11 +162,17 @@
 
     /// Relays events from one server until its stream ends.
     async fn relay_from_server(&mut self, stream: OpenResponse) -> RelayEnd {
-        let OpenResponse { mut attempt, response, connection } = stream;
+        let OpenResponse { mut attempt, response, connection, begun } = stream;
         let mut body = response.into_body();
-        let mut splitter = EventSplitter::default();
+        let BegunStream { mut splitter, events } = begun;
         let mut first = true;
         let mut was_silent = false;
+        if !events.is_empty() {
+            first = false;
+            if let Some(end) = self.on_events(&mut attempt, true, events).await {
+                return end;
+            }
+        }
         loop {
             let read = match self.next_event(&mut body, first).await {
                 RelayEvent::Read(read) => read,
@@ -210,18 +216,29 @@
                 continue;
             }
             was_silent = false;
-            self.race.drop_rest(&mut self.plan);
-            if first {
-                first = false;
-                attempt.on_prefilled();
-                self.on_first_event();
-            }
-            if let Some(end) = self.relay_events(events).await {
+            let is_first = std::mem::take(&mut first);
+            if let Some(end) = self.on_events(&mut attempt, is_first, events).await {
                 return end;
             }
         }
     }
 
+    /// Relays events of the stream that is kept and drops the attempts beside it; returns how
+    /// relaying ended if it cannot continue.
+    async fn on_events(
+        &mut self,
+        attempt: &mut ServerAttempt,
+        is_first: bool,
+        events: Vec<StreamEvent>,
+    ) -> Option<RelayEnd> {
+        self.race.drop_rest(&mut self.plan);
+        if is_first {
+            attempt.on_prefilled();
+            self.on_first_event();
+        }
+        self.relay_events(events).await
+    }
+
     /// Waits for the next piece of a stream and for what may end the wait.
     async fn next_event(&mut self, body: &mut Incoming, first: bool) -> RelayEvent {
         let time_left = self.plan.deadline().since(self.state.now());
@@ -289,10 +306,7 @@
             }
             let (key, outcome) = self.next_ended().await?;
             let failure = match outcome {
-                AttemptOutcome::Stream(stream) => {
-                    self.race.drop_rest(&mut self.plan);
-                    return Some(*stream);
-                }
+                AttemptOutcome::Stream(stream) => return Some(*stream),
                 AttemptOutcome::Buffered(_) | AttemptOutcome::TimedOut => return None,
                 AttemptOutcome::Failed(failure, _) => failure,
             };
