stream relay: silence lasts until an event is complete

Cause: the time limit started again with every frame, so bytes that complete no event kept a stream from being hedged until the deadline. It runs from the last complete event now.

Evidence: trickle_is_silence, cut at the deadline before.

--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -45,6 +45,7 @@
 use crate::gateway::server_health::HealthEvidence;
 use crate::ids::ServerKey;
 use crate::result_code::ResultCode;
+use crate::timestamp::Timestamp;
 
 /// Time without data in a started stream after which a resumable one is hedged: several times the
 /// pause that any batch causes.
@@ -167,6 +168,8 @@
         let BegunStream { mut splitter, events } = begun;
         let mut first = true;
         let mut was_silent = false;
+        // Since the last event or hedge; bytes that complete no event do not count.
+        let mut quiet_since = self.state.now();
         if !events.is_empty() {
             first = false;
             if let Some(end) = self.on_events(&mut attempt, true, events).await {
@@ -174,13 +177,14 @@
             }
         }
         loop {
-            let read = match self.next_event(&mut body, first).await {
+            let read = match self.next_event(&mut body, first, quiet_since).await {
                 RelayEvent::Read(read) => read,
                 RelayEvent::HedgeEnded(key, outcome) => match self.on_hedge_ended(key, outcome) {
                     Some(stream) => return RelayEnd::Superseded(stream),
                     None => continue,
                 },
                 RelayEvent::Silent(silence) => {
+                    quiet_since = self.state.now();
                     if !was_silent {
                         record_silent_server(&self.state, &self.request, attempt.key, silence);
                     }
@@ -220,6 +224,7 @@
             if let Some(end) = self.on_events(&mut attempt, is_first, events).await {
                 return end;
             }
+            quiet_since = self.state.now();
         }
     }
 
@@ -240,9 +245,16 @@
     }
 
     /// Waits for the next piece of a stream and for what may end the wait.
-    async fn next_event(&mut self, body: &mut Incoming, first: bool) -> RelayEvent {
-        let time_left = self.plan.deadline().since(self.state.now());
-        let limit = self.silence_limit(first);
+    async fn next_event(
+        &mut self,
+        body: &mut Incoming,
+        first: bool,
+        quiet_since: Timestamp,
+    ) -> RelayEvent {
+        let now = self.state.now();
+        let time_left = self.plan.deadline().since(now);
+        let limit = self.silence_limit(first, time_left);
+        let wait = limit.saturating_sub(now.since(quiet_since)).min(time_left);
         let is_hedged = !self.race.is_empty();
         tokio::select! {
             frame = body.frame() => RelayEvent::Read(frame),
@@ -251,7 +263,7 @@
                 RaceEvent::Silent => RelayEvent::Silent(limit),
             },
             () = self.chunks.closed() => RelayEvent::CallerDisconnected,
-            () = tokio::time::sleep(limit) => match limit < time_left {
+            () = tokio::time::sleep(wait) => match wait < time_left {
                 true => RelayEvent::Silent(limit),
                 false => RelayEvent::TimedOut,
             },
@@ -335,7 +347,8 @@
     /// disconnects.
     async fn next_ended(&mut self) -> Option<(ServerKey, AttemptOutcome)> {
         loop {
-            let limit = self.silence_limit(true);
+            let time_left = self.plan.deadline().since(self.state.now());
+            let limit = self.silence_limit(true, time_left);
             let event = tokio::select! {
                 event = self.race.next(Some(limit)) => event,
                 () = self.chunks.closed() => return None,
@@ -351,8 +364,7 @@
 
     /// Returns the time without data after which the stream is hedged: the time left for one that is
     /// not resumable.
-    fn silence_limit(&self, first: bool) -> Duration {
-        let time_left = self.plan.deadline().since(self.state.now());
+    fn silence_limit(&self, first: bool, time_left: Duration) -> Duration {
         if !self.request.route.kind.is_repeatable() {
             return time_left;
         }
