attempts: replace a hedge that certainly did not run at once

Cause: after a hedge that was refused or not sent, the next one waited for a whole further limit, while the first server was still silent.

Evidence: refused_hedge_is_replaced took 6.3 s before, against 3 s and slack.

--- a/lib/src/gateway/attempt_plan.rs
+++ b/lib/src/gateway/attempt_plan.rs
@@ -33,6 +33,16 @@
     Failed,
 }
 
+impl AttemptFailure {
+    /// Returns whether the server certainly did not run the request.
+    pub fn is_not_run(self) -> bool {
+        match self {
+            Self::Unsent | Self::Refused | Self::Misdirected => true,
+            Self::Lost | Self::Failed => false,
+        }
+    }
+}
+
 /// Why a request ends without a server's response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GiveUpReason {
--- a/lib/src/gateway/attempt_race.rs
+++ b/lib/src/gateway/attempt_race.rs
@@ -70,6 +70,11 @@
         self.running.is_empty()
     }
 
+    /// Returns whether the attempts in flight are silent.
+    pub fn is_silent(&self) -> bool {
+        !self.running.is_empty() && self.running.iter().all(|attempt| attempt.is_silent)
+    }
+
     /// Sends an attempt; returns whether its server was still in the directory.
     pub fn start(
         &mut self,
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -280,7 +280,11 @@
                 }
             };
             match plan.on_failure(self.state.now(), key, failure) {
-                AttemptStep::AwaitOther => {}
+                AttemptStep::AwaitOther => {
+                    if failure.is_not_run() && race.is_silent() {
+                        race.hedge(&mut plan, None, resume_after);
+                    }
+                }
                 AttemptStep::TryAnother { is_retry }
                     if self.may_retry(&request, is_retry)
                         && !self.state.crashes.borrow().is_refused(request.fingerprint) => {}
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -179,10 +179,16 @@
         loop {
             let read = match self.next_event(&mut body, first, quiet_since).await {
                 RelayEvent::Read(read) => read,
-                RelayEvent::HedgeEnded(key, outcome) => match self.on_hedge_ended(key, outcome) {
-                    Some(stream) => return RelayEnd::Superseded(stream),
-                    None => continue,
-                },
+                RelayEvent::HedgeEnded(_, AttemptOutcome::Stream(stream)) => {
+                    return RelayEnd::Superseded(stream);
+                }
+                RelayEvent::HedgeEnded(key, outcome) => {
+                    let failure = self.on_hedge_failed(key, outcome);
+                    if failure.is_not_run() && was_silent {
+                        self.race.hedge(&mut self.plan, Some(attempt.key), self.last_event);
+                    }
+                    continue;
+                }
                 RelayEvent::Silent(silence) => {
                     quiet_since = self.state.now();
                     if !was_silent {
@@ -270,20 +276,16 @@
         }
     }
 
-    /// Returns the stream of a hedged attempt that was answered with one.
-    fn on_hedge_ended(
-        &mut self,
-        key: ServerKey,
-        outcome: AttemptOutcome,
-    ) -> Option<Box<OpenResponse>> {
+    /// Records a hedged attempt that failed. The stream that is relayed goes on.
+    fn on_hedge_failed(&mut self, key: ServerKey, outcome: AttemptOutcome) -> AttemptFailure {
         let failure = match outcome {
-            AttemptOutcome::Stream(stream) => return Some(stream),
-            AttemptOutcome::Buffered(_) | AttemptOutcome::TimedOut => AttemptFailure::Lost,
             AttemptOutcome::Failed(failure, _) => failure,
+            AttemptOutcome::Stream(_) | AttemptOutcome::Buffered(_) | AttemptOutcome::TimedOut => {
+                AttemptFailure::Lost
+            }
         };
-        // The stream that is relayed goes on, whatever the plan says of the hedge.
         self.plan.on_failure(self.state.now(), key, failure);
-        None
+        failure
     }
 
     /// Relays complete events; returns how relaying ended if it cannot continue.
