attempts: relay a server's own error if no other attempt answers

Cause: the end of a request by its deadline or by a lost attempt ignored the error that another server had answered. A stream that goes on after a silence now also counts as evidence that its server is healthy.

Evidence: server_error_beside_silence, 504 instead of the signed 500 before.

--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -235,7 +235,8 @@
         loop {
             let now = self.state.now();
             if now >= deadline {
-                return self.end(&request, &plan, plan.on_timeout(!race.is_empty()));
+                let give_up = plan.on_timeout(!race.is_empty());
+                return self.relay_or_end(&request, &plan, give_up, error_response);
             }
             if race.is_empty() {
                 let placed = match place_request(&self.state, now, &request, plan.tried()) {
@@ -243,7 +244,9 @@
                     Err(reason) if plan.sent() == 0 => {
                         return self.refuse_accepted(&request, reason);
                     }
-                    Err(_) => return self.relay_or_end(&request, &plan, error_response),
+                    Err(_) => {
+                        return self.relay_or_end(&request, &plan, plan.give_up(), error_response);
+                    }
                 };
                 if !race.start(placed, deadline, resume_after) {
                     // The server was removed between its selection and the attempt.
@@ -272,7 +275,8 @@
                     );
                 }
                 AttemptOutcome::TimedOut => {
-                    return self.end(&request, &plan, plan.on_timeout(true));
+                    let give_up = plan.on_timeout(true);
+                    return self.relay_or_end(&request, &plan, give_up, error_response);
                 }
                 AttemptOutcome::Failed(failure, response) => {
                     error_response = response.or(error_response);
@@ -289,9 +293,11 @@
                     if self.may_retry(&request, is_retry)
                         && !self.state.crashes.borrow().is_refused(request.fingerprint) => {}
                 AttemptStep::TryAnother { .. } | AttemptStep::RelayFailure => {
-                    return self.relay_or_end(&request, &plan, error_response);
+                    return self.relay_or_end(&request, &plan, plan.give_up(), error_response);
+                }
+                AttemptStep::End(give_up) => {
+                    return self.relay_or_end(&request, &plan, give_up, error_response);
                 }
-                AttemptStep::End(give_up) => return self.end(&request, &plan, give_up),
             }
         }
     }
@@ -323,6 +329,7 @@
         &self,
         request: &AcceptedRequest,
         plan: &AttemptPlan,
+        give_up: GiveUpReason,
         error_response: Option<Response<Bytes>>,
     ) -> GatewayReply {
         match error_response {
@@ -336,7 +343,7 @@
                 );
                 response.map(full_body)
             }
-            None => self.end(request, plan, plan.give_up()),
+            None => self.end(request, plan, give_up),
         }
     }
 
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -225,7 +225,9 @@
             if events.is_empty() {
                 continue;
             }
-            was_silent = false;
+            if std::mem::take(&mut was_silent) {
+                record_health(&self.state, attempt.key, HealthEvidence::Answered);
+            }
             let is_first = std::mem::take(&mut first);
             if let Some(end) = self.on_events(&mut attempt, is_first, events).await {
                 return end;
