retry budget: hedges leave half of it for attempts that failed

Cause: hedges and retries drew on one budget, so a server's silence could use up what resumes streams after a crash moments later. Hedges may use half of a host's share. A resume now finds a server before it spends a retry.

Evidence: hedges_leave_retries: without the fraction the hedges take the whole share and no retry is left (by the code; the test needs the new argument).

--- a/lib/src/gateway/attempt_race.rs
+++ b/lib/src/gateway/attempt_race.rs
@@ -18,6 +18,7 @@
 use crate::gateway::attempt_plan::AttemptPlan;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::platform_api::WireProtocol;
+use crate::gateway::retry_limiter::RetryPurpose;
 use crate::gateway::server_attempt::AttemptOutcome;
 use crate::gateway::server_attempt::ServerAttempt;
 use crate::gateway::server_attempt::await_first_event;
@@ -139,7 +140,7 @@
         let Ok(placed) = place_request(&self.state, now, &self.request, &excluded) else {
             return HedgeOutcome::Denied;
         };
-        if !self.state.try_retry(now, &self.request.service)
+        if !self.state.try_retry(now, &self.request.service, RetryPurpose::Hedge)
             || !self.start_hedge(placed, plan, resume_after)
         {
             return HedgeOutcome::Denied;
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -19,6 +19,7 @@
 use crate::gateway::quota_limiter::QuotaLimiter;
 use crate::gateway::read_schedule::ReadHistory;
 use crate::gateway::retry_limiter::RetryLimiter;
+use crate::gateway::retry_limiter::RetryPurpose;
 use crate::gateway::serving_config::ActiveConfig;
 use crate::gateway::shutdown_plan::ShutdownPlan;
 use crate::gateway::store_era::EraChange;
@@ -165,12 +166,14 @@
 
     /// Spends a retry from this host's share of a service's retry budget. Returns whether the retry
     /// may be made.
-    pub fn try_retry(&self, now: Timestamp, service: &ServiceName) -> bool {
+    pub fn try_retry(&self, now: Timestamp, service: &ServiceName, purpose: RetryPurpose) -> bool {
         let hosts = self.peers.borrow().known_hosts();
-        let granted = self.retries.borrow_mut().try_spend(now, service, hosts);
+        let granted = self.retries.borrow_mut().try_spend(now, service, hosts, purpose);
         if !granted {
             self.metrics.events.with_label_values(&["retry_budget_empty"]).inc();
-            log::info!("event=retry_budget_empty service={service} hosts={hosts}");
+            log::info!(
+                "event=retry_budget_empty service={service} hosts={hosts} purpose={purpose:?}"
+            );
         }
         granted
     }
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -34,6 +34,7 @@
 use crate::gateway::quota_limiter::QuotaDecision;
 use crate::gateway::reply_body::GatewayReply;
 use crate::gateway::reply_body::full_body;
+use crate::gateway::retry_limiter::RetryPurpose;
 use crate::gateway::server_attempt::AttemptOutcome;
 use crate::gateway::serving_config::KeyCheck;
 use crate::gateway::serving_config::RouteRule;
@@ -321,7 +322,7 @@
 
     fn may_retry(&self, request: &AcceptedRequest, is_retry: bool) -> bool {
         let now = self.state.now();
-        !is_retry || self.state.try_retry(now, &request.service)
+        !is_retry || self.state.try_retry(now, &request.service, RetryPurpose::Failure)
     }
 
     /// Relays the server's own error response if there is one, or else ends the request.
--- a/lib/src/gateway/retry_limiter.rs
+++ b/lib/src/gateway/retry_limiter.rs
@@ -22,6 +22,19 @@
 /// Fraction of the ratio that is used; the rest covers requests at the edge of the window.
 const USED_RATIO_FRACTION: f64 = 0.8;
 
+/// Fraction of this host's share that hedged attempts may use; the rest is left for attempts that
+/// failed.
+const HEDGE_FRACTION: f64 = 0.5;
+
+/// What a retry is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryPurpose {
+    /// It replaces an attempt that failed.
+    Failure,
+    /// It runs beside a silent attempt.
+    Hedge,
+}
+
 /// Retry budget as configured.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryBounds {
@@ -65,13 +78,23 @@
     /// Spends one retry of this host's share; returns whether it was granted.
     ///
     /// `hosts` is the number of hosts known to share the allowance.
-    pub fn try_spend(&mut self, now: Timestamp, service: &ServiceName, hosts: u32) -> bool {
+    pub fn try_spend(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        hosts: u32,
+        purpose: RetryPurpose,
+    ) -> bool {
+        let fraction = match purpose {
+            RetryPurpose::Failure => 1.0,
+            RetryPurpose::Hedge => HEDGE_FRACTION,
+        };
         let bounds = self.bounds;
         let parts = (f64::from(hosts) * PARTS_PER_HOST).max(MIN_ALLOWANCE_PARTS);
         let window = self.window(now, service);
         let limit = bounds.ratio * USED_RATIO_FRACTION * window.requests.len() as f64
             + bounds.allowance / parts;
-        if (window.retries.len() + 1) as f64 > limit {
+        if (window.retries.len() + 1) as f64 > limit * fraction {
             return false;
         }
         window.retries.push_back(now);
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -37,6 +37,7 @@
 use crate::gateway::reply_body::RelayedChunk;
 use crate::gateway::reply_body::TruncatedStream;
 use crate::gateway::reply_body::streaming_body;
+use crate::gateway::retry_limiter::RetryPurpose;
 use crate::gateway::server_attempt::AttemptOutcome;
 use crate::gateway::server_attempt::BegunStream;
 use crate::gateway::server_attempt::OpenResponse;
@@ -333,12 +334,13 @@
     /// Sends an attempt that resumes the stream; `None` if none may be sent.
     fn start_resume(&mut self) -> Option<()> {
         let now = self.state.now();
-        if self.state.crashes.borrow().is_refused(self.request.fingerprint)
-            || !self.state.try_retry(now, &self.request.service)
-        {
+        if self.state.crashes.borrow().is_refused(self.request.fingerprint) {
             return None;
         }
         let placed = place_request(&self.state, now, &self.request, self.plan.tried()).ok()?;
+        if !self.state.try_retry(now, &self.request.service, RetryPurpose::Failure) {
+            return None;
+        }
         log::info!(
             "event=stream_resumed request={} after={:?}",
             self.request.head.request_id,
--- a/lib/tests/test_retry_limiter.rs
+++ b/lib/tests/test_retry_limiter.rs
@@ -4,6 +4,7 @@
 
 use pomelostack_lib::gateway::retry_limiter::RetryBounds;
 use pomelostack_lib::gateway::retry_limiter::RetryLimiter;
+use pomelostack_lib::gateway::retry_limiter::RetryPurpose;
 use pomelostack_lib::ids::ServiceName;
 use pomelostack_lib::timestamp::Timestamp;
 use rand::Rng as _;
@@ -35,7 +36,7 @@
                     limiters[host].on_request(now, &service);
                     requests.push(at_ms);
                 }
-                if limiters[host].try_spend(now, &service, hosts as u32) {
+                if limiters[host].try_spend(now, &service, hosts as u32, RetryPurpose::Failure) {
                     retries.push(at_ms);
                 }
             }
@@ -54,5 +55,19 @@
 fn idle_host_may_retry() {
     let service = ServiceName::try_from("chat").expect("valid in tests");
     let mut limiter = RetryLimiter::new(BOUNDS);
-    assert!(limiter.try_spend(Timestamp::default(), &service, 1));
+    assert!(limiter.try_spend(Timestamp::default(), &service, 1, RetryPurpose::Failure));
+}
+
+/// A silent zone makes every request hedge; a crash right after it still finds a budget.
+#[test]
+fn hedges_leave_retries() {
+    let service = ServiceName::try_from("chat").expect("valid in tests");
+    let mut limiter = RetryLimiter::new(BOUNDS);
+    let now = Timestamp::default();
+    (0..100).for_each(|_| limiter.on_request(now, &service));
+    let mut spend =
+        |purpose| (0..100).filter(|_| limiter.try_spend(now, &service, 8, purpose)).count();
+    let hedges = spend(RetryPurpose::Hedge);
+    let retries = spend(RetryPurpose::Failure);
+    assert!(hedges > 0 && retries >= hedges, "{hedges} hedges, then {retries} retries");
 }
