--- a/cli/tests/test_caller_connections.rs
+++ b/cli/tests/test_caller_connections.rs
@@ -3,8 +3,10 @@
 use std::thread::sleep;
 use std::time::Duration;
 
+use rstest::rstest;
 use rustix::process::Signal;
 use serde_json::Value;
+use serde_json::json;
 use testutils::bounded_wait::wait_for;
 use testutils::deployment_standin::DeploymentStandin;
 use testutils::gateway_process::read_level;
@@ -21,6 +23,8 @@
 /// Callers of a host that is stopped, and how often it is stopped.
 const CALLERS: usize = 20;
 const STALLS: usize = 8;
+/// The longest duration that a document can state, in milliseconds.
+const HUGE_MS: f64 = 1.8e22;
 
 fn start(number: u8, edit: impl FnOnce(&mut Value)) -> LoggedGateway {
     LoggedGateway::start(PROGRAM, number, GRACE_S, edit).expect("valid in tests")
@@ -140,3 +144,28 @@
     }
     assert_eq!(gateway.runs_of("slow"), 0);
 }
+
+/// Extreme durations in a configuration don't end requests or connections.
+#[rstest]
+#[case::limits(116, "limits")]
+#[case::routes(117, "routes")]
+fn huge_durations(#[case] number: u8, #[case] part: &str) {
+    let gateway = start(number, |document| match part {
+        "limits" => {
+            for limit in ["header-timeout-ms", "idle-timeout-ms"] {
+                document["limits"][limit] = json!(HUGE_MS);
+            }
+        }
+        _ => {
+            for route in document["routes"].as_array_mut().expect("valid in tests") {
+                route["timeout-ms"] = json!(HUGE_MS);
+                route["latency-goal-ms"] = json!(HUGE_MS);
+            }
+        }
+    });
+    let mut caller = RawCaller::connect(&gateway.ip).expect("valid in tests");
+    answered(&mut caller, "r1");
+    caller.request("POST", "/brief/1", "r2").expect("valid in tests");
+    wait_for(|| !gateway.ends_of("r2").is_empty());
+    assert!(gateway.ends_of("r2")[0].contains(" code=0 "));
+}
