front: a panic during a request is answered 500

A panic in the handling of a request ended the task of its connection, and the caller got no response. In the task that relays a stream it closed the queue of chunks, so that a broken stream would have ended like a complete one.

The panic is now caught for the one request: it is logged (request_panicked) and counted, and answered with code 900 and status 500, which promises nothing; a relayed stream ends with an error. Shared state is borrowed for one decision at a time, so unwinding leaves no borrow behind.

No request is known that still panics, so the reply to one and the end of its stream are not covered by a test with a process.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -28,6 +28,7 @@
 pub mod http_listeners;
 pub mod log_cursor;
 pub mod log_writer;
+pub mod panic_catcher;
 pub mod peer_gossip;
 pub mod peer_table;
 pub mod placement;
--- a/lib/src/gateway/http_listeners.rs
+++ b/lib/src/gateway/http_listeners.rs
@@ -28,6 +28,7 @@
 use crate::gateway::caller_phase::PhaseStep;
 use crate::gateway::connection_pool::set_tcp_timeouts;
 use crate::gateway::gateway_state::GatewayState;
+use crate::gateway::panic_catcher::catch_panic;
 use crate::gateway::platform_api::WireProtocol;
 use crate::gateway::reply_body::GatewayReply;
 use crate::gateway::reply_body::full_body;
@@ -188,7 +189,14 @@
     runner: &RequestRunner<W>,
     request: Request<Incoming>,
 ) -> GatewayReply {
-    let mut reply = runner.run(request).await;
+    let mut reply = match catch_panic(runner.run(request)).await {
+        Ok(reply) => reply,
+        Err(panic) => {
+            log::error!("event=request_panicked detail=\"{panic}\"");
+            state.metrics.events.with_label_values(&["request_panicked"]).inc();
+            runner.panic_reply()
+        }
+    };
     if state.shutdown.get().is_some() {
         reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -423,6 +423,11 @@
         self.error_reply(head, reason)
     }
 
+    /// Builds the reply to a request whose handling panicked.
+    pub fn panic_reply(&self) -> GatewayReply {
+        self.error_reply(None, RefusalReason::new(ResultCode::Internal))
+    }
+
     fn error_reply(&self, head: Option<&CallerHead>, reason: RefusalReason) -> GatewayReply {
         let request_id = head.map(|head| head.request_id.as_str());
         let (status, headers) =
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -27,6 +27,7 @@
 use crate::gateway::event_splitter::EventSplitter;
 use crate::gateway::event_splitter::StreamEvent;
 use crate::gateway::gateway_state::GatewayState;
+use crate::gateway::panic_catcher::catch_panic;
 use crate::gateway::platform_api::WireProtocol;
 use crate::gateway::reply_body::GatewayReply;
 use crate::gateway::reply_body::RelayedChunk;
@@ -90,8 +91,14 @@
         reply.headers_mut().remove(CONTENT_LENGTH);
         let last_event = request.head.resume_after;
         let relay = Self { state, wire, request, plan, chunks, last_event, relayed_events: 0 };
+        let chunks = relay.chunks.clone();
         tokio::task::spawn_local(async move {
-            relay.run(stream).await;
+            if let Err(panic) = catch_panic(relay.run(stream)).await {
+                log::error!("event=request_panicked detail=\"{panic}\"");
+                // Without an error the body would look complete. Sending fails only if the caller
+                // disconnected meanwhile.
+                let _ = chunks.send(Err(TruncatedStream)).await;
+            }
             drop(guard);
         });
         reply
