pool: bound the idle timeout that a server states

A server that answers with `Keep-Alive: timeout=` and a number near the largest 64-bit one made the gateway panic when the connection went back to the pool: the sum with the current time overflowed. The caller's connection ended without the answer that had just been read, and a stream lost its closing line.

A connection is now kept idle for a minute at most, whatever its server states.

--- a/lib/src/gateway/connection_pool.rs
+++ b/lib/src/gateway/connection_pool.rs
@@ -42,6 +42,9 @@
 /// Idle timeout of a connection whose server sends no `Keep-Alive` timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Maximum idle timeout of a connection, whatever its server states.
+const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Margin by which the pool's idle timeout is shorter than the server's own.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
@@ -211,7 +214,9 @@
     let fields = headers.get("keep-alive").and_then(|value| value.to_str().ok()).unwrap_or("");
     let timeout = fields.split(',').find_map(|field| field.trim().strip_prefix("timeout="));
     match timeout.and_then(|seconds| seconds.parse().ok()) {
-        Some(seconds) => Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN),
+        Some(seconds) => {
+            Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN).min(MAX_IDLE_TIMEOUT)
+        }
         None => DEFAULT_IDLE_TIMEOUT,
     }
 }
