soak: callers with long requests, and a judge of requests without an answer

Users saw requests that were accepted end without an answer. The soak judged configuration, duties and draining with short safe calls and could not see it.

Callers with connections of their own now hold streams, safe and unsafe requests of up to seven seconds beside the changes. Each knows when its request was wholly sent and how its connection ended. A judge without I/O looks for requests that were passed on and lost, ran twice, ran although refused, or reached too many replicas, and for wrong replies. Replicas fall silent, hang, cut their answers and refuse; routes move, are split and get other limits. A process that ends by itself and a host above 160 MB are violations.

--- a/cli/tests/test_soak.rs
+++ b/cli/tests/test_soak.rs
@@ -21,6 +21,7 @@
         logs: log_folder(Path::new(env!("CARGO_TARGET_TMPDIR")), seed),
         seed,
         hosts: 5,
+        callers: 6,
         length: Duration::from_secs(39),
         subnet: FIRST_SUBNET + number,
     };
--- a/lib/testutils/src/deployment_server.rs
+++ b/lib/testutils/src/deployment_server.rs
@@ -275,21 +275,33 @@
         return Ok(reply);
     }
     let resumed_after = field("Last-Event-Id").and_then(|id| id.parse().ok());
-    lock(state).runs.push(ReplicaRun {
-        replica: index,
-        replica_id: id.clone(),
-        at: Instant::now(),
-        request_id: request_id.clone(),
-        resumed_after,
-        team: field("Tenant-Id"),
-        received_team_key: field("Authorization").is_some(),
-    });
+    let run_count = {
+        let state = &mut lock(state);
+        state.run_count += 1;
+        state.runs.push(ReplicaRun {
+            replica: index,
+            replica_id: id.clone(),
+            at: Instant::now(),
+            mode,
+            request_id: request_id.clone(),
+            resumed_after,
+            team: field("Tenant-Id"),
+            received_team_key: field("Authorization").is_some(),
+        });
+        state.run_count
+    };
     if mode == ReplicaMode::DropResponse {
         return Err(std::io::ErrorKind::ConnectionReset.into());
     }
-    let mut reply = if request.uri().path().starts_with("/brief/") {
-        let count = request.uri().path().rsplit_once("/events-").map(|(_, count)| count.parse());
-        let count = count.and_then(Result::ok).unwrap_or(STREAM_EVENTS);
+    if matches!(mode, ReplicaMode::HangOn { one_in } if run_count.is_multiple_of(one_in)) {
+        std::future::pending::<()>().await;
+    }
+    let path = request.uri().path();
+    if let Some(delay) = path_number(path, "/after-ms-") {
+        tokio::time::sleep(Duration::from_millis(delay)).await;
+    }
+    let mut reply = if path.starts_with("/brief/") {
+        let count = path_number(path, "/events-").unwrap_or(STREAM_EVENTS);
         stream_events(state.clone(), index, resumed_after.unwrap_or(0)..count, mode)
     } else {
         full_response(StatusCode::OK, format!("answer to {request_id}"))
@@ -303,6 +315,11 @@
     Ok(reply)
 }
 
+/// Returns the number that follows a marker at the end of a path.
+fn path_number(path: &str, marker: &str) -> Option<u64> {
+    path.rsplit_once(marker)?.1.parse().ok()
+}
+
 /// Returns the server-sent event with the given id.
 pub fn event_text(id: u64) -> String {
     format!("id: {id}\ndata: piece {id}\n\n")
--- a/lib/testutils/src/deployment_state.rs
+++ b/lib/testutils/src/deployment_state.rs
@@ -27,6 +27,11 @@
         /// How long it sends nothing.
         pause: Duration,
     },
+    /// It runs them and never responds to one in so many of them.
+    HangOn {
+        /// One in this many requests hangs.
+        one_in: u64,
+    },
     /// It runs them and closes the connection without a response.
     DropResponse,
     /// It rejects them with a header that says that they were not executed.
@@ -132,6 +137,8 @@
     pub replica_id: String,
     /// When it ran.
     pub at: Instant,
+    /// How the replica handled requests when it began.
+    pub mode: ReplicaMode,
     /// Request id.
     pub request_id: String,
     /// Id of the last event before the resumed stream; `None` for a fresh request.
@@ -160,6 +167,8 @@
     pub(crate) next_connection: u64,
     pub(crate) replicas: Vec<ReplicaState>,
     pub(crate) runs: Vec<ReplicaRun>,
+    /// Number of runs so far.
+    pub(crate) run_count: u64,
     pub(crate) usage: Vec<UsageReport>,
     /// Largest fencing token of any accepted report.
     pub(crate) max_fencing_token: u64,
--- /dev/null
+++ b/soak/src/call_judge.rs
@@ -0,0 +1,282 @@
+//! Judges whether each request that was wholly sent got a whole answer, the right one, and ran as
+//! often as its kind allows.
+
+use std::collections::BTreeMap;
+use std::str;
+use std::time::Duration;
+
+use testutils::deployment_standin::ReplicaMode;
+use testutils::deployment_standin::event_text;
+
+use crate::config_judge::CONFIG_BOUND;
+use crate::config_judge::SentVersion;
+use crate::reply_parser::ReplyParser;
+use crate::reply_parser::ReplyProgress;
+use crate::touch_record::TouchRecord;
+use crate::work_plan::WORK_ROUTES;
+
+/// Time from the last byte of a request to the end of its connection, for a request that crossed the
+/// close of an idle connection.
+const CROSSING_SLACK: Duration = Duration::from_millis(500);
+
+/// Time before the deadline from which it counts as reached.
+const DEADLINE_SLACK: Duration = Duration::from_millis(100);
+
+/// Time after SIGTERM until which a host takes requests that it may have to break off.
+const BALANCER_TIME: Duration = Duration::from_secs(3);
+
+/// Part of the grace period in which a host breaks off what still runs.
+const LAST_PART: f64 = 1.0 / 6.0;
+
+/// How a request ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CallOutcome {
+    /// A whole answer of success.
+    Complete,
+    /// A whole answer of failure, which may have run.
+    Failure(u16),
+    /// A whole answer that promises that the request has not run and never will.
+    Refused(u16),
+    /// The connection ended within the answer.
+    Cut,
+    /// The connection ended before the answer.
+    Closed,
+    /// There was no whole answer when the caller gave up.
+    TimedOut,
+    /// The answer breaks the protocol.
+    Malformed,
+}
+
+impl CallOutcome {
+    /// Returns the outcome of a whole reply.
+    pub fn of_reply(parser: &ReplyParser) -> Self {
+        match parser.head().map_or(0, |head| head.status) {
+            200..=299 => Self::Complete,
+            status @ (408 | 421 | 429 | 503) => Self::Refused(status),
+            status => Self::Failure(status),
+        }
+    }
+
+    /// Returns the outcome of a connection that ended before a whole reply.
+    pub fn of_closed(parser: &ReplyParser) -> Self {
+        match parser.progress() {
+            ReplyProgress::AwaitingHead => Self::Closed,
+            ReplyProgress::ReadingBody | ReplyProgress::Complete => Self::Cut,
+        }
+    }
+}
+
+/// What is wrong with a reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReplyFault {
+    /// A success without the signature of a replica.
+    Unsigned,
+    /// It belongs to another request.
+    OtherRequest,
+    /// A body that no replica sent.
+    WrongBody,
+    /// A stream whose events are not those from the first on, each once.
+    WrongEvents,
+    /// A stream that ends as if it were complete before its last event.
+    MissingEnd,
+}
+
+/// Returns what is wrong with a reply, whole or in part, to the request with this id, and with this
+/// number of events if it is a stream.
+pub fn check_reply(id: &str, events: Option<u64>, parser: &ReplyParser) -> Option<ReplyFault> {
+    let head = parser.head().filter(|head| (200..300).contains(&head.status))?;
+    if head.field("replica-signature").is_none() {
+        return Some(ReplyFault::Unsigned);
+    }
+    if head.field("request-id") != Some(id) {
+        return Some(ReplyFault::OtherRequest);
+    }
+    let is_whole = parser.progress() == ReplyProgress::Complete;
+    match events {
+        Some(events) => check_events(parser.body(), events, is_whole),
+        None => {
+            let is_right = parser.body() == format!("answer to {id}").as_bytes();
+            (is_whole && !is_right).then_some(ReplyFault::WrongBody)
+        }
+    }
+}
+
+fn check_events(body: &[u8], events: u64, is_whole: bool) -> Option<ReplyFault> {
+    let expected: String = (1..=events).map(event_text).collect();
+    match expected.as_bytes().strip_prefix(body) {
+        None => Some(ReplyFault::WrongEvents),
+        Some(missing) => (is_whole && !missing.is_empty()).then_some(ReplyFault::MissingEnd),
+    }
+}
+
+/// A request that was wholly sent. Times are counted from the start of the run.
+#[derive(Clone, Debug)]
+pub struct CallRecord {
+    /// Number of the host.
+    pub host: usize,
+    /// Id of the request.
+    pub request_id: String,
+    /// Index of its route.
+    pub route: usize,
+    /// Whether its connection had carried another request.
+    pub is_reused: bool,
+    /// When its first byte was sent.
+    pub started_at: Duration,
+    /// When its last byte was sent.
+    pub sent_at: Duration,
+    /// When it ended for its caller.
+    pub ended_at: Duration,
+    /// How long the caller waits.
+    pub deadline: Duration,
+    /// How it ended.
+    pub outcome: CallOutcome,
+    /// What is wrong with the reply.
+    pub fault: Option<ReplyFault>,
+}
+
+/// A run of a request at a replica.
+#[derive(Clone, Debug)]
+pub struct WorkRun {
+    /// Id of the replica.
+    pub replica: String,
+    /// How the replica handled requests when the run began.
+    pub mode: ReplicaMode,
+}
+
+impl WorkRun {
+    fn broke_off(&self) -> bool {
+        match self.mode {
+            ReplicaMode::CutAfter(_) | ReplicaMode::DropResponse => true,
+            ReplicaMode::Answer
+            | ReplicaMode::PauseAfter { .. }
+            | ReplicaMode::HangOn { .. }
+            | ReplicaMode::Refuse => false,
+        }
+    }
+}
+
+/// How a request broke a rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallFault {
+    /// It was passed on and its connection ended without a whole answer.
+    Lost,
+    /// It was not passed on, and its connection ended long after it was sent.
+    Unread,
+    /// It had neither an answer nor an end a second after its deadline.
+    Unanswered,
+    /// It ran more often than its kind allows.
+    RanTwice,
+    /// It ran, although the status promises that it never does.
+    RefusedAndRan,
+    /// It reached more replicas than its route allows.
+    TooManyAttempts,
+    /// The reply is wrong.
+    WrongReply(ReplyFault),
+    /// The reply breaks the protocol.
+    Malformed,
+}
+
+/// What is known of a run besides its calls.
+pub struct CallContext<'a> {
+    /// Runs by request id, in the order of their begin.
+    pub runs: &'a BTreeMap<String, Vec<WorkRun>>,
+    /// Versions of the configuration.
+    pub versions: &'a [SentVersion],
+    /// When which host was disturbed.
+    pub touch: &'a TouchRecord,
+    /// Time from SIGTERM until a host is killed.
+    pub grace: Duration,
+}
+
+/// Returns the faults among the calls, each with the index of its call.
+pub fn judge_calls(calls: &[CallRecord], context: &CallContext<'_>) -> Vec<(usize, CallFault)> {
+    let judged = calls.iter().enumerate();
+    judged.flat_map(|(index, call)| context.judge(call).map(move |fault| (index, fault))).collect()
+}
+
+impl CallContext<'_> {
+    fn judge(&self, call: &CallRecord) -> impl Iterator<Item = CallFault> + use<> {
+        let runs = self.runs.get(&call.request_id).map_or(&[][..], Vec::as_slice);
+        let faults = [self.judge_end(call, runs), judge_runs(call, runs)];
+        let reply = call.fault.map(CallFault::WrongReply);
+        let malformed = call.outcome == CallOutcome::Malformed;
+        // The bytes of a replica that broke off may be no answer.
+        let malformed = malformed && !runs.iter().any(WorkRun::broke_off);
+        let replies = [reply, malformed.then_some(CallFault::Malformed)];
+        faults.into_iter().chain(replies).flatten()
+    }
+
+    /// Judges how the connection ended. A disturbance of the store excuses nothing here.
+    fn judge_end(&self, call: &CallRecord, runs: &[WorkRun]) -> Option<CallFault> {
+        let fault = match call.outcome {
+            CallOutcome::Cut | CallOutcome::Closed if !runs.is_empty() => CallFault::Lost,
+            CallOutcome::Cut => CallFault::Lost,
+            CallOutcome::Closed if call.ended_at > call.sent_at + CROSSING_SLACK => {
+                CallFault::Unread
+            }
+            CallOutcome::TimedOut => CallFault::Unanswered,
+            CallOutcome::Complete
+            | CallOutcome::Failure(_)
+            | CallOutcome::Refused(_)
+            | CallOutcome::Closed
+            | CallOutcome::Malformed => return None,
+        };
+        if !self.touch.processes_ran(call.host, call.sent_at, call.ended_at) {
+            return None;
+        }
+        let is_excused = match fault {
+            CallFault::Unanswered => false,
+            _ => {
+                runs.iter().any(WorkRun::broke_off)
+                    || self.is_time_over(call)
+                    || self.is_leaving(call)
+            }
+        };
+        (!is_excused).then_some(fault)
+    }
+
+    /// Returns whether the caller's deadline or the time limit of a version that may be in force was
+    /// reached.
+    fn is_time_over(&self, call: &CallRecord) -> bool {
+        let in_touch = self.touch.in_touch(call.host, call.started_at, call.started_at);
+        let due = self
+            .versions
+            .iter()
+            .filter(|sent| {
+                sent.acknowledged_at.is_some_and(|at| at + CONFIG_BOUND <= call.started_at)
+            })
+            .map(|sent| sent.config.version)
+            .max()
+            .filter(|_| in_touch)
+            .unwrap_or(0);
+        let limits = self
+            .versions
+            .iter()
+            .filter(|sent| sent.config.version >= due && sent.sent_at <= call.sent_at)
+            .map(|sent| sent.config.work.time_limit(call.route));
+        let limit = limits.min().unwrap_or(call.deadline).min(call.deadline);
+        call.ended_at + DEADLINE_SLACK >= call.started_at + limit
+    }
+
+    /// Returns whether a request that was taken before the balancer knew that the host leaves still
+    /// ran at the end of the grace period.
+    fn is_leaving(&self, call: &CallRecord) -> bool {
+        self.touch.shutdown_begin(call.host, call.ended_at).is_some_and(|begin| {
+            call.sent_at <= begin + BALANCER_TIME
+                && call.ended_at >= begin + self.grace.mul_f64(1.0 - LAST_PART)
+        })
+    }
+}
+
+fn judge_runs(call: &CallRecord, runs: &[WorkRun]) -> Option<CallFault> {
+    let route = WORK_ROUTES[call.route];
+    let is_refused = matches!(call.outcome, CallOutcome::Refused(_));
+    let sound = runs.iter().filter(|run| !run.broke_off()).count();
+    if !route.kind.is_repeatable() && runs.len() > 1 {
+        return Some(CallFault::RanTwice);
+    }
+    if !route.kind.is_repeatable() && is_refused && !runs.is_empty() {
+        return Some(CallFault::RefusedAndRan);
+    }
+    (sound > route.attempts).then_some(CallFault::TooManyAttempts)
+}
--- a/soak/src/config_plan.rs
+++ b/soak/src/config_plan.rs
@@ -9,6 +9,9 @@
 use serde_json::json;
 use testutils::deployment_standin::ROUTE_HOST;
 
+use crate::work_plan::WORK_KEY;
+use crate::work_plan::WorkSettings;
+
 /// Services that routes lead to.
 pub const SERVICES: [&str; 2] = ["alpha", "beta"];
 /// Number of path prefixes that routes come and go on.
@@ -68,13 +71,20 @@
     /// Service by path prefix.
     routes: BTreeMap<usize, usize>,
     keys: BTreeSet<usize>,
+    /// Routes for long work.
+    pub work: WorkSettings,
 }
 
 impl ConfigVersion {
     /// Returns the first version, with all routes and keys.
     pub fn first() -> Self {
         let routes = (0..PREFIX_COUNT).map(|prefix| (prefix, prefix % SERVICES.len()));
-        Self { version: 1, routes: routes.collect(), keys: (0..KEY_COUNT).collect() }
+        Self {
+            version: 1,
+            routes: routes.collect(),
+            keys: (0..KEY_COUNT).collect(),
+            work: WorkSettings::default(),
+        }
     }
 
     /// Draws the next version: a route moves, goes or comes, or a key does.
@@ -120,13 +130,15 @@
                 "attempts": 2,
             })
         });
-        let keys: Vec<String> = self.keys.iter().map(|key| key_text(*key)).collect();
+        let mut keys: Vec<String> = self.keys.iter().map(|key| key_text(*key)).collect();
+        keys.push(WORK_KEY.to_owned());
         json!({
             "version": self.version,
-            "routes": routes.collect::<Vec<_>>(),
+            "routes": routes.chain(self.work.route_documents()).collect::<Vec<_>>(),
             "services": SERVICES.map(|name| json!({"name": name, "max-conns": 500})),
             "limits": {"max-header-bytes": 16_384, "max-body-bytes": 1_048_576,
-                       "header-timeout-ms": 3_000, "idle-timeout-ms": 15_000},
+                       "header-timeout-ms": 3_000,
+                       "idle-timeout-ms": self.work.idle_limit_ms()},
             "tenants": [{"name": "club", "api-keys": keys}],
         })
     }
--- a/soak/src/fault_injector.rs
+++ b/soak/src/fault_injector.rs
@@ -1,10 +1,12 @@
 //! Carries out planned faults, which may overlap.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::thread;
 use std::time::Duration;
 
 use rustix::process::Signal;
+use testutils::deployment_standin::ReplicaMode;
 use testutils::deployment_standin::RewriteScope;
 use testutils::deployment_standin::StandinCopy;
 use testutils::deployment_standin::StoreMode;
@@ -20,6 +22,9 @@
 /// Time between two copies of the store.
 const COPY_PERIOD: Duration = Duration::from_millis(250);
 
+/// Time between two readings of the hosts' memory.
+const MEMORY_PERIOD: Duration = Duration::from_millis(200);
+
 /// Number of copies kept.
 const MAX_COPIES: usize = 24;
 
@@ -29,6 +34,8 @@
     /// A mode of the store ends.
     EndStore(u64),
     EndLink(usize),
+    /// A mode of a replica ends.
+    EndReplica(usize, u64),
     Return {
         copy: StandinCopy,
         scope: RewriteScope,
@@ -48,6 +55,10 @@
     /// Modes of the store in force, the last one first in effect, each with its begin.
     modes: Vec<(u64, StoreMode, Duration)>,
     next_mode: u64,
+    /// The newest mode of each replica.
+    replica_modes: BTreeMap<usize, u64>,
+    /// Hosts that got SIGTERM and still run, and when.
+    leaving: BTreeMap<usize, Duration>,
     copies: VecDeque<(Duration, StandinCopy)>,
     touch: TouchRecord,
 }
@@ -67,10 +78,12 @@
         steps,
         modes: Vec::new(),
         next_mode: 0,
+        replica_modes: BTreeMap::new(),
+        leaving: BTreeMap::new(),
         copies: VecDeque::new(),
         touch: TouchRecord::default(),
     };
-    let mut next_copy = Duration::ZERO;
+    let (mut next_copy, mut next_reading) = (Duration::ZERO, Duration::ZERO);
     while world.now() < length {
         thread::sleep(TICK);
         let now = world.now();
@@ -78,8 +91,12 @@
             next_copy = now + COPY_PERIOD;
             injector.keep_copy(now);
         }
+        if now >= next_reading {
+            next_reading = now + MEMORY_PERIOD;
+            injector.fleet.read_memory();
+        }
         for host in injector.fleet.restart_exited()? {
-            injector.disturb(DisturbedPart::Host(host), now, now);
+            injector.end_shutdown(host, world.now());
         }
         injector.steps.sort_by_key(|(at, _)| *at);
         while injector.steps.first().is_some_and(|(at, _)| *at <= now) {
@@ -87,6 +104,7 @@
             injector.take_step(now, step)?;
         }
     }
+    (0..injector.fleet.len()).for_each(|host| injector.end_shutdown(host, length));
     Ok(injector.touch)
 }
 
@@ -102,6 +120,13 @@
         self.touch.add(Disturbance { part, from, to });
     }
 
+    /// Records the shutdown of a host that has ended.
+    fn end_shutdown(&mut self, host: usize, now: Duration) {
+        if let Some(begin) = self.leaving.remove(&host) {
+            self.disturb(DisturbedPart::Shutdown(host), begin, now);
+        }
+    }
+
     fn take_step(&mut self, now: Duration, step: FaultStep) -> anyhow::Result<()> {
         match step {
             FaultStep::Begin(fault) => self.begin(now, fault)?,
@@ -109,7 +134,13 @@
             FaultStep::EndLink(host) => {
                 let link = self.fleet.link(host);
                 self.world.standin.set_link_mode(link, StoreMode::Answer);
-                self.disturb(DisturbedPart::Host(host), now, now);
+                self.disturb(DisturbedPart::Link(host), now, now);
+            }
+            FaultStep::EndReplica(replica, number) => {
+                // A newer mode stays.
+                if self.replica_modes.get(&replica) == Some(&number) {
+                    self.world.standin.set_replica_mode(replica, ReplicaMode::Answer);
+                }
             }
             FaultStep::Return { copy, scope, rewrite_delay, mode } => {
                 self.world.standin.restore_store(copy);
@@ -143,7 +174,7 @@
             PlannedFault::Link { host, mode, duration } => {
                 self.world.standin.set_link_mode(self.fleet.link(host), mode);
                 self.steps.push((now + duration, FaultStep::EndLink(host)));
-                self.disturb(DisturbedPart::Host(host), now, now + duration);
+                self.disturb(DisturbedPart::Link(host), now, now + duration);
             }
             PlannedFault::Restore { away, copy_age, scope, rewrite_delay } => {
                 let old_enough = |(at, _): &&(Duration, StandinCopy)| *at + copy_age <= now;
@@ -164,20 +195,34 @@
             PlannedFault::Kill { hosts, down } => {
                 for host in hosts {
                     self.fleet.kill(host);
+                    self.end_shutdown(host, now);
                     self.steps.push((now + down, FaultStep::Start(host)));
                     self.disturb(DisturbedPart::Host(host), now, now + down);
                 }
             }
             PlannedFault::Terminate { host } => {
-                self.fleet.signal(host, Signal::TERM)?;
-                self.disturb(DisturbedPart::Host(host), now, now);
+                if self.fleet.signal(host, Signal::TERM)? {
+                    self.leaving.entry(host).or_insert(now);
+                }
             }
             PlannedFault::Freeze { host, duration } => {
                 self.fleet.signal(host, Signal::STOP)?;
                 self.steps.push((now + duration, FaultStep::Thaw(host)));
                 self.disturb(DisturbedPart::Host(host), now, now + duration);
             }
-            PlannedFault::Hangup { host } => self.fleet.signal(host, Signal::HUP)?,
+            PlannedFault::Hangup { host } => {
+                self.fleet.signal(host, Signal::HUP)?;
+            }
+            PlannedFault::Silence { replica, duration } => {
+                self.world.standin.silence_replica(replica, duration);
+            }
+            PlannedFault::Replica { replica, mode, duration } => {
+                self.next_mode += 1;
+                self.replica_modes.insert(replica, self.next_mode);
+                self.world.standin.set_replica_mode(replica, mode);
+                let step = FaultStep::EndReplica(replica, self.next_mode);
+                self.steps.push((now + duration, step));
+            }
         }
         Ok(())
     }
--- a/soak/src/fault_plan.rs
+++ b/soak/src/fault_plan.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rand::Rng;
+use testutils::deployment_standin::ReplicaMode;
 use testutils::deployment_standin::RewriteScope;
 use testutils::deployment_standin::StoreMode;
 
@@ -15,6 +16,15 @@
 /// Largest number of faults in a series.
 const MAX_SERIES_FAULTS: usize = 4;
 
+/// Calm before the end of a run.
+const END_CALM: Duration = Duration::from_secs(5);
+
+/// Time before the end of a run until which hosts are told to leave.
+const LEAVE_CALM: Duration = Duration::from_secs(14);
+
+/// Longest time between two troubles of replicas.
+const MAX_TROUBLE_PERIOD: Duration = Duration::from_millis(1_500);
+
 /// Calm before the first series.
 const LEAD_TIME: Duration = Duration::from_secs(3);
 
@@ -76,6 +86,22 @@
         /// Number of the host.
         host: usize,
     },
+    /// A replica sends nothing to all of its callers for a while and goes on.
+    Silence {
+        /// Index of the replica.
+        replica: usize,
+        /// For how long.
+        duration: Duration,
+    },
+    /// A replica handles requests in this way.
+    Replica {
+        /// Index of the replica.
+        replica: usize,
+        /// The way.
+        mode: ReplicaMode,
+        /// For how long.
+        duration: Duration,
+    },
 }
 
 /// Draws the faults of a run, each with its time, in order.
@@ -124,6 +150,51 @@
     }
 }
 
+/// Draws the troubles of replicas and the planned work of a run, each with its time, in order.
+pub fn draw_troubles(
+    random: &mut impl Rng,
+    hosts: usize,
+    replicas: usize,
+    length: Duration,
+) -> Vec<(Duration, PlannedFault)> {
+    let mut faults = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        at += MAX_TROUBLE_PERIOD.mul_f64(random.random());
+        if at + END_CALM > length {
+            return faults;
+        }
+        faults.push((at, draw_trouble(random, hosts, replicas, at + LEAVE_CALM <= length)));
+    }
+}
+
+fn draw_trouble(
+    random: &mut impl Rng,
+    hosts: usize,
+    replicas: usize,
+    may_leave: bool,
+) -> PlannedFault {
+    let host = random.random_range(0..hosts);
+    let replica = random.random_range(0..replicas);
+    let duration = draw_millis(random, 200, 3_000);
+    let mode = match random.random_range(0..16) {
+        0..=6 => {
+            return PlannedFault::Silence { replica, duration: draw_millis(random, 300, 3_000) };
+        }
+        7 if may_leave => return PlannedFault::Terminate { host },
+        7..=9 => return PlannedFault::Hangup { host },
+        10 | 11 => ReplicaMode::PauseAfter {
+            events: random.random_range(0..20),
+            pause: draw_millis(random, 300, 3_000),
+        },
+        12 => ReplicaMode::HangOn { one_in: random.random_range(1..10) },
+        13 => ReplicaMode::CutAfter(random.random_range(0..20)),
+        14 => ReplicaMode::DropResponse,
+        _ => ReplicaMode::Refuse,
+    };
+    PlannedFault::Replica { replica, mode, duration }
+}
+
 fn draw_mode(random: &mut impl Rng) -> StoreMode {
     match random.random_range(0..5) {
         0 => StoreMode::Refuse,
--- a/soak/src/host_fleet.rs
+++ b/soak/src/host_fleet.rs
@@ -1,5 +1,6 @@
 //! The gateway hosts of a run, as processes.
 
+use std::fs;
 use std::fs::File;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -24,6 +25,8 @@
     is_terminating: bool,
     /// Number of starts, which callers read.
     incarnation: Arc<AtomicU32>,
+    /// Largest resident memory of any of its processes, in KiB.
+    peak_memory: u64,
 }
 
 /// All hosts. Dropping the fleet kills their processes.
@@ -32,6 +35,8 @@
     standin: Arc<DeploymentStandin>,
     logs: PathBuf,
     hosts: Vec<FleetHost>,
+    /// Hosts whose processes ended by themselves, with the exit status.
+    self_ended: Vec<String>,
 }
 
 impl HostFleet {
@@ -48,6 +53,7 @@
             standin,
             logs: logs.to_owned(),
             hosts: Vec::with_capacity(count),
+            self_ended: Vec::new(),
         };
         for number in 0..count {
             let (link, platform) = fleet.standin.open_link().context("cannot open a link")?;
@@ -59,6 +65,7 @@
                 process: None,
                 is_terminating: false,
                 incarnation: Arc::default(),
+                peak_memory: 0,
             });
             fleet.start_host(number)?;
         }
@@ -114,24 +121,46 @@
         self.hosts[number].process = None;
     }
 
-    /// Sends a signal to a host's process, if it has one.
-    pub fn signal(&mut self, number: usize, signal: Signal) -> anyhow::Result<()> {
+    /// Sends a signal to a host's process; returns whether it has one.
+    pub fn signal(&mut self, number: usize, signal: Signal) -> anyhow::Result<bool> {
         let host = &mut self.hosts[number];
+        let Some(process) = &host.process else { return Ok(false) };
+        process.signal(signal).context("cannot signal a host")?;
         host.is_terminating |= signal == Signal::TERM;
-        match &host.process {
-            Some(process) => process.signal(signal).context("cannot signal a host"),
-            None => Ok(()),
+        Ok(true)
+    }
+
+    /// Reads the largest resident memory of each process so far.
+    pub fn read_memory(&mut self) {
+        for host in &mut self.hosts {
+            let Some(process) = &host.process else { continue };
+            // A process that has just ended has no memory.
+            let peak = peak_memory(process.id()).unwrap_or(0);
+            host.peak_memory = host.peak_memory.max(peak);
         }
     }
 
-    /// Starts the hosts again that have exited after SIGTERM; returns their numbers.
+    /// Returns the largest resident memory of a host's processes in KiB.
+    pub fn peak_memory(&self, host: usize) -> u64 {
+        self.hosts[host].peak_memory
+    }
+
+    /// Returns the hosts whose processes ended by themselves.
+    pub fn self_ended(&self) -> &[String] {
+        &self.self_ended
+    }
+
+    /// Starts the hosts again that have exited, after SIGTERM or by themselves; returns their numbers.
     pub fn restart_exited(&mut self) -> anyhow::Result<Vec<usize>> {
         let mut exited = Vec::new();
         for number in 0..self.hosts.len() {
             let host = &mut self.hosts[number];
             let Some(process) = &mut host.process else { continue };
             if process.has_exited()? {
-                anyhow::ensure!(host.is_terminating, "{} ended by itself", host.name);
+                if !host.is_terminating {
+                    let starts = host.incarnation.load(Ordering::SeqCst);
+                    self.self_ended.push(format!("{} start {starts}", host.name));
+                }
                 host.process = None;
                 self.start_host(number)?;
                 exited.push(number);
@@ -140,3 +169,10 @@
         Ok(exited)
     }
 }
+
+/// Returns the largest resident memory of a process so far, in KiB.
+fn peak_memory(process: u32) -> Option<u64> {
+    let status = fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+    line.trim().strip_suffix(" kB")?.parse().ok()
+}
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -1,12 +1,16 @@
 //! Runs gateway hosts as processes in front of the deployment stand-in while seeded faults strike,
 //! and judges what callers and replicas saw.
 
+pub mod call_judge;
 pub mod config_judge;
 pub mod config_plan;
 pub mod duty_judge;
 mod fault_injector;
 pub mod fault_plan;
 pub mod host_fleet;
+pub mod reply_parser;
 mod run_verdict;
 pub mod soak_run;
 pub mod touch_record;
+mod work_caller;
+pub mod work_plan;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -46,6 +46,10 @@
     #[argh(option, default = "5")]
     hosts: usize,
 
+    /// callers with long requests for each host (default 12)
+    #[argh(option, default = "12")]
+    callers: usize,
+
     /// length of a run in seconds (default 39)
     #[argh(option, default = "39")]
     seconds: u64,
@@ -70,6 +74,7 @@
                         logs: log_folder(&command.logs, seed),
                         seed,
                         hosts: command.hosts,
+                        callers: command.callers,
                         length: Duration::from_secs(command.seconds),
                         subnet: FIRST_SUBNET + job,
                     };
@@ -99,8 +104,10 @@
 
 fn print_report(seed: u64, report: &SoakReport) {
     let mut text = format!(
-        "seed {seed}: {} answers, {} versions, {} faults, {} violations\n",
+        "seed {seed}: {} answers, {:?}, {} KiB, {} versions, {} faults, {} violations\n",
         report.answers,
+        report.outcomes,
+        report.peak_memory_kib,
         report.versions,
         report.faults.len(),
         report.violations.len()
--- a/soak/src/run_verdict.rs
+++ b/soak/src/run_verdict.rs
@@ -1,9 +1,14 @@
 //! Judges a whole run.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use testutils::deployment_standin::ReplicaRun;
 use testutils::gateway_process::read_level;
 
+use crate::call_judge::CallContext;
+use crate::call_judge::WorkRun;
+use crate::call_judge::judge_calls;
 use crate::config_judge::ConfigFault;
 use crate::config_judge::SentVersion;
 use crate::config_judge::judge_answers;
@@ -16,10 +21,17 @@
 use crate::soak_run::SoakWorld;
 use crate::soak_run::lock;
 use crate::touch_record::TouchRecord;
+use crate::work_plan::WORK_ROUTES;
 
 /// Lease on the duties in the stand-in's settings.
 const DUTY_LEASE: Duration = Duration::from_millis(600);
 
+/// Time from SIGTERM until a host is killed in the stand-in's settings.
+const GRACE: Duration = Duration::from_secs(8);
+
+/// Memory of a host in KiB.
+const HOST_MEMORY_KIB: u64 = 160 * 1024;
+
 /// Adds the rules that a run broke to its report.
 pub(crate) fn judge_run(
     world: &SoakWorld,
@@ -44,11 +56,57 @@
             seen.sent_at, seen.host, seen.incarnation, seen.request, seen.outcome
         ));
     }
-    judge_duties(world, touch, report);
+    let runs = world.standin.take_runs();
+    judge_work(world, &versions, &runs, touch, report);
+    judge_duties(world, runs, touch, report);
+    judge_processes(fleet, report);
     judge_end(&versions, fleet, report);
 }
 
-fn judge_duties(world: &SoakWorld, touch: &TouchRecord, report: &mut SoakReport) {
+fn judge_work(
+    world: &SoakWorld,
+    versions: &[SentVersion],
+    replica_runs: &[ReplicaRun],
+    touch: &TouchRecord,
+    report: &mut SoakReport,
+) {
+    let mut runs: BTreeMap<String, Vec<WorkRun>> = BTreeMap::new();
+    for run in replica_runs {
+        let (replica, mode) = (run.replica_id.clone(), run.mode);
+        runs.entry(run.request_id.clone()).or_default().push(WorkRun { replica, mode });
+    }
+    let calls = lock(&world.calls);
+    for call in calls.iter() {
+        *report.outcomes.entry(call.outcome).or_default() += 1;
+    }
+    let context = CallContext { runs: &runs, versions, touch, grace: GRACE };
+    for (index, fault) in judge_calls(&calls, &context) {
+        let call = &calls[index];
+        report.violations.push(format!(
+            "CALL {fault:?}: {}, {call:?}, runs {:?}",
+            WORK_ROUTES[call.route].prefix,
+            runs.get(&call.request_id)
+        ));
+    }
+}
+
+fn judge_processes(fleet: &HostFleet, report: &mut SoakReport) {
+    report.violations.extend(fleet.self_ended().iter().map(|host| format!("ENDED: {host}")));
+    for host in 0..fleet.len() {
+        let peak = fleet.peak_memory(host);
+        report.peak_memory_kib = report.peak_memory_kib.max(peak);
+        if peak > HOST_MEMORY_KIB {
+            report.violations.push(format!("MEMORY: host {host} took {peak} KiB"));
+        }
+    }
+}
+
+fn judge_duties(
+    world: &SoakWorld,
+    runs: Vec<ReplicaRun>,
+    touch: &TouchRecord,
+    report: &mut SoakReport,
+) {
     let reports: Vec<AcceptedReport> = world
         .standin
         .usage_reports()
@@ -66,9 +124,7 @@
     }
     let faults = judge_reports(&reports, DUTY_LEASE);
     report.violations.extend(faults.iter().map(|fault| format!("ONE: {fault:?}")));
-    let runs: Vec<ObservedRun> = world
-        .standin
-        .take_runs()
+    let runs: Vec<ObservedRun> = runs
         .into_iter()
         .filter_map(|run| {
             let host = run.request_id.split('-').next()?.parse().ok()?;
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -1,5 +1,8 @@
 //! One run: hosts, callers, operator, replicas and faults.
 
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -22,6 +25,8 @@
 use testutils::deployment_standin::WriteOutcome;
 use testutils::gateway_process::read_level;
 
+use crate::call_judge::CallOutcome;
+use crate::call_judge::CallRecord;
 use crate::config_judge::CONFIG_BOUND;
 use crate::config_judge::Observation;
 use crate::config_judge::SentVersion;
@@ -32,8 +37,10 @@
 use crate::duty_judge::LeavingReplica;
 use crate::fault_injector::inject_faults;
 use crate::fault_plan::draw_faults;
+use crate::fault_plan::draw_troubles;
 use crate::host_fleet::HostFleet;
 use crate::run_verdict::judge_run;
+use crate::work_caller::call_work;
 
 /// Replicas of each service.
 const SERVICE_REPLICAS: usize = 2;
@@ -53,6 +60,9 @@
 /// Time from a replica's notice until it is replaced.
 const DRAIN_TIME: Duration = Duration::from_millis(3_500);
 
+/// Distance between the seeds of two callers of a host.
+const CALLER_SEED_STEP: u64 = 1_000_000;
+
 /// Interval of the loops that wait for the next event.
 pub(crate) const TICK: Duration = Duration::from_millis(10);
 
@@ -70,6 +80,8 @@
     pub seed: u64,
     /// Number of hosts.
     pub hosts: usize,
+    /// Callers with long requests for each host.
+    pub callers: usize,
     /// Length of the run.
     pub length: Duration,
     /// Second byte of the hosts' loopback addresses.
@@ -81,6 +93,10 @@
 pub struct SoakReport {
     /// Answers that were judged.
     pub answers: usize,
+    /// Long requests by their outcome.
+    pub outcomes: BTreeMap<CallOutcome, usize>,
+    /// Largest resident memory of a host, in KiB.
+    pub peak_memory_kib: u64,
     /// Versions that were acknowledged.
     pub versions: usize,
     /// Faults that struck.
@@ -95,6 +111,7 @@
     pub(crate) start: Instant,
     stop: AtomicBool,
     pub(crate) observations: Mutex<Vec<Observation>>,
+    pub(crate) calls: Mutex<Vec<CallRecord>>,
     pub(crate) versions: Mutex<Vec<SentVersion>>,
     pub(crate) leaving: Mutex<Vec<LeavingReplica>>,
 }
@@ -105,7 +122,7 @@
         self.start.elapsed()
     }
 
-    fn is_running(&self) -> bool {
+    pub(crate) fn is_running(&self) -> bool {
         !self.stop.load(Ordering::SeqCst)
     }
 }
@@ -135,6 +152,7 @@
         start: Instant::now(),
         stop: AtomicBool::new(false),
         observations: Mutex::default(),
+        calls: Mutex::default(),
         versions: Mutex::new(vec![SentVersion {
             config: first,
             sent_at: Duration::ZERO,
@@ -143,15 +161,26 @@
         leaving: Mutex::default(),
     };
     let mut random = ChaCha8Rng::seed_from_u64(settings.seed);
-    let faults = draw_faults(&mut random, settings.hosts, settings.length);
+    let seed_of = |number: u64| settings.seed.wrapping_mul(1_000).wrapping_add(number);
+    let mut faults = draw_faults(&mut random, settings.hosts, settings.length);
+    let mut random = ChaCha8Rng::seed_from_u64(seed_of(103));
+    let replicas = world.standin.replicas.len();
+    faults.extend(draw_troubles(&mut random, settings.hosts, replicas, settings.length));
+    faults.sort_by_key(|(at, _)| *at);
     let listed = faults.iter().map(|(at, fault)| format!("{at:.3?} {fault:?}")).collect();
     let mut report = SoakReport { faults: listed, ..SoakReport::default() };
-    let seed_of = |number: u64| settings.seed.wrapping_mul(1_000).wrapping_add(number);
     let touch = thread::scope(|scope| {
         for host in 0..settings.hosts {
             let (world, ip) = (&world, fleet.ip(host).to_owned());
             let (incarnation, seed) = (fleet.incarnation(host), seed_of(host as u64 + 1));
+            let address: IpAddr = ip.parse().context("a host has no address")?;
+            let front = SocketAddr::new(address, FRONT_PORT);
             scope.spawn(move || call_host(world, host, &ip, &incarnation, seed));
+            for caller in 0..settings.callers {
+                let seed = seed_of(CALLER_SEED_STEP * (caller as u64 + 1) + host as u64);
+                let name = format!("w{caller}");
+                scope.spawn(move || call_work(world, host, front, &name, seed));
+            }
         }
         scope.spawn(|| change_config(&world, seed_of(101)));
         scope.spawn(|| run_replicas(&world, seed_of(102)));
@@ -234,6 +263,7 @@
 /// newer one replaces it.
 fn change_config(world: &SoakWorld, seed: u64) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut work_random = ChaCha8Rng::seed_from_u64(seed.wrapping_add(3));
     let mut config = ConfigVersion::first();
     let mut pending = false;
     let mut next_change = world.now();
@@ -242,6 +272,7 @@
         if world.now() >= next_change {
             next_change = world.now() + Duration::from_millis(random.random_range(30..3_000));
             config = config.next(&mut random);
+            config.work = config.work.next(&mut work_random);
             pending = true;
             lock(&world.versions).push(SentVersion {
                 config: config.clone(),
--- a/soak/src/touch_record.rs
+++ b/soak/src/touch_record.rs
@@ -10,8 +10,12 @@
 pub enum DisturbedPart {
     /// The store, and with it every host.
     Store,
-    /// One host, or its way to the store.
+    /// One host's way to the store.
+    Link(usize),
+    /// The process of one host: it was killed, started or stood still.
     Host(usize),
+    /// The process of one host got SIGTERM and ended.
+    Shutdown(usize),
 }
 
 /// A span of time in which a part was disturbed, counted from the start of the run.
@@ -39,11 +43,31 @@
 
     /// Returns whether a host was in touch all the while.
     pub fn in_touch(&self, host: usize, from: Duration, to: Duration) -> bool {
+        self.is_calm(from.saturating_sub(CONTACT_TIME), to, |part| match part {
+            DisturbedPart::Store => true,
+            DisturbedPart::Link(other)
+            | DisturbedPart::Host(other)
+            | DisturbedPart::Shutdown(other) => other == host,
+        })
+    }
+
+    /// Returns whether a host's process was there and ran from the time of contact before `from` to
+    /// `to`, planned shutdowns included.
+    pub fn processes_ran(&self, host: usize, from: Duration, to: Duration) -> bool {
         self.is_calm(from.saturating_sub(CONTACT_TIME), to, |part| {
-            part == DisturbedPart::Store || part == DisturbedPart::Host(host)
+            part == DisturbedPart::Host(host)
         })
     }
 
+    /// Returns when the shutdown of a host began that was under way at a moment.
+    pub fn shutdown_begin(&self, host: usize, at: Duration) -> Option<Duration> {
+        self.disturbances
+            .iter()
+            .filter(|item| item.part == DisturbedPart::Shutdown(host))
+            .find(|item| item.from <= at && item.to >= at)
+            .map(|item| item.from)
+    }
+
     fn is_calm(
         &self,
         from: Duration,
