--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -1,5 +1,7 @@
 //! Runs soaks by hand, several at a time: `cargo run --release -p pomelostack-soak -- --runs 50`.
 
+use std::fs;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::atomic::AtomicU64;
@@ -7,6 +9,7 @@
 use std::thread;
 use std::time::Duration;
 
+use anyhow::Context as _;
 use argh::FromArgs;
 use pomelostack_soak::soak_run::SoakReport;
 use pomelostack_soak::soak_run::SoakSettings;
@@ -17,7 +20,7 @@
 const FIRST_SUBNET: u8 = 81;
 
 /// Violations of one run that are printed.
-const MAX_PRINTED: usize = 12;
+const MAX_PRINTED: usize = 3;
 
 /// Run gateway hosts as processes under seeded faults and judge what callers saw.
 #[derive(FromArgs)]
@@ -93,6 +96,9 @@
     match run_soak(settings) {
         Ok(report) => {
             print_report(settings.seed, &report);
+            if let Err(error) = write_report(&settings.logs, &report) {
+                println!("seed {}: {error:#}", settings.seed);
+            }
             report.violations.is_empty()
         }
         Err(error) => {
@@ -112,10 +118,17 @@
         report.faults.len(),
         report.violations.len()
     );
-    if !report.violations.is_empty() {
-        for line in report.faults.iter().chain(report.violations.iter().take(MAX_PRINTED)) {
-            text.push_str(&format!("  {line}\n"));
-        }
+    for line in report.violations.iter().take(MAX_PRINTED) {
+        text.push_str(&format!("  {line}\n"));
     }
     print!("{text}");
 }
+
+/// Writes all faults and violations beside the logs of the hosts.
+fn write_report(logs: &Path, report: &SoakReport) -> anyhow::Result<()> {
+    let path = logs.join("report.txt");
+    let lines: Vec<&str> =
+        report.faults.iter().chain(&report.violations).map(String::as_str).collect();
+    fs::write(&path, lines.join("\n") + "\n")
+        .with_context(|| format!("cannot write {}", path.display()))
+}
