--- a/soak/src/call_judge.rs
+++ b/soak/src/call_judge.rs
@@ -144,9 +144,13 @@
 }
 
 impl WorkRun {
+    fn is_endless(&self) -> bool {
+        matches!(self.mode, ReplicaMode::Endless(_))
+    }
+
     fn broke_off(&self) -> bool {
         match self.mode {
-            ReplicaMode::CutAfter(_) | ReplicaMode::DropResponse => true,
+            ReplicaMode::CutAfter(_) | ReplicaMode::DropResponse | ReplicaMode::Endless(_) => true,
             ReplicaMode::Answer
             | ReplicaMode::PauseAfter { .. }
             | ReplicaMode::HangOn { .. }
@@ -198,11 +202,14 @@
     fn judge(&self, call: &CallRecord) -> impl Iterator<Item = CallFault> + use<> {
         let runs = self.runs.get(&call.request_id).map_or(&[][..], Vec::as_slice);
         let faults = [self.judge_end(call, runs), judge_runs(call, runs)];
-        let reply = call.fault.map(CallFault::WrongReply);
-        let malformed = call.outcome == CallOutcome::Malformed;
-        // The bytes of a replica that broke off may be no answer.
-        let malformed = malformed && !runs.iter().any(WorkRun::broke_off);
-        let replies = [reply, malformed.then_some(CallFault::Malformed)];
+        let is_malformed = call.outcome == CallOutcome::Malformed;
+        let (replies, is_malformed) = match runs.iter().any(WorkRun::is_endless) {
+            // What such a replica writes may be no answer, but it must not look like a whole one.
+            true => (call.fault.filter(|_| call.outcome == CallOutcome::Complete), false),
+            false => (call.fault, is_malformed),
+        };
+        let replies =
+            [replies.map(CallFault::WrongReply), is_malformed.then_some(CallFault::Malformed)];
         faults.into_iter().chain(replies).flatten()
     }
 
--- a/soak/src/fault_plan.rs
+++ b/soak/src/fault_plan.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use rand::Rng;
+use rand::seq::IndexedRandom as _;
+use testutils::deployment_standin::EndlessKind;
 use testutils::deployment_standin::ReplicaMode;
 use testutils::deployment_standin::RewriteScope;
 use testutils::deployment_standin::StoreMode;
@@ -177,7 +179,7 @@
     let host = random.random_range(0..hosts);
     let replica = random.random_range(0..replicas);
     let duration = draw_millis(random, 200, 3_000);
-    let mode = match random.random_range(0..16) {
+    let mode = match random.random_range(0..18) {
         0..=6 => {
             return PlannedFault::Silence { replica, duration: draw_millis(random, 300, 3_000) };
         }
@@ -190,6 +192,10 @@
         12 => ReplicaMode::HangOn { one_in: random.random_range(1..10) },
         13 => ReplicaMode::CutAfter(random.random_range(0..20)),
         14 => ReplicaMode::DropResponse,
+        15 | 16 => {
+            let kind = EndlessKind::ALL.choose(random).copied();
+            ReplicaMode::Endless(kind.unwrap_or(EndlessKind::SizedBody))
+        }
         _ => ReplicaMode::Refuse,
     };
     PlannedFault::Replica { replica, mode, duration }
--- a/soak/src/work_caller.rs
+++ b/soak/src/work_caller.rs
@@ -51,6 +51,9 @@
 /// One in so many pauses is an idle one.
 const IDLE_RATIO: u32 = 6;
 
+/// Largest body that a caller reads, far more than a sound replica sends.
+const MAX_REPLY_BYTES: usize = 1024 * 1024;
+
 /// Size of a read.
 const READ_BYTES: usize = 16 * 1024;
 
@@ -179,6 +182,7 @@
             Ok(0) => return CallOutcome::of_closed(parser),
             Ok(count) => match parser.push(&buffer[..count]) {
                 Ok(ReplyProgress::Complete) => return CallOutcome::of_reply(parser),
+                Ok(_) if parser.body().len() > MAX_REPLY_BYTES => return CallOutcome::Malformed,
                 Ok(ReplyProgress::AwaitingHead | ReplyProgress::ReadingBody) => {}
                 Err(_) => return CallOutcome::Malformed,
             },
