soak: count what excuses calls without an answer; addresses can be chosen

The first subnet is now an option, and a run ends after ten processes that ended by themselves. The excuses are printed, so that a judge that excuses too much shows.

--- a/soak/src/call_judge.rs
+++ b/soak/src/call_judge.rs
@@ -180,6 +180,29 @@
     Malformed,
 }
 
+/// Why a request may end without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CallExcuse {
+    /// The process of its host was killed, had just started, or stood still.
+    HostDisturbed,
+    /// It crossed the close of its connection and was not passed on.
+    CrossedClose,
+    /// Its replica broke off.
+    ReplicaBrokeOff,
+    /// Its deadline or the time limit of its route was reached.
+    TimeOver,
+    /// Its host left, and it still ran at the end of the grace period.
+    HostLeaving,
+}
+
+/// How the end of a connection is judged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EndVerdict {
+    Answered,
+    Excused(CallExcuse),
+    Faulty(CallFault),
+}
+
 /// What is known of a run besides its calls.
 pub struct CallContext<'a> {
     /// Runs by request id, in the order of their begin.
@@ -198,10 +221,32 @@
     judged.flat_map(|(index, call)| context.judge(call).map(move |fault| (index, fault))).collect()
 }
 
+/// Returns how many calls ended without an answer for each reason that excuses it.
+pub fn count_excuses(
+    calls: &[CallRecord],
+    context: &CallContext<'_>,
+) -> BTreeMap<CallExcuse, usize> {
+    let mut counts = BTreeMap::new();
+    for call in calls {
+        if let EndVerdict::Excused(excuse) = context.judge_end(call, context.runs_of(call)) {
+            *counts.entry(excuse).or_default() += 1;
+        }
+    }
+    counts
+}
+
 impl CallContext<'_> {
+    fn runs_of(&self, call: &CallRecord) -> &[WorkRun] {
+        self.runs.get(&call.request_id).map_or(&[], Vec::as_slice)
+    }
+
     fn judge(&self, call: &CallRecord) -> impl Iterator<Item = CallFault> + use<> {
-        let runs = self.runs.get(&call.request_id).map_or(&[][..], Vec::as_slice);
-        let faults = [self.judge_end(call, runs), judge_runs(call, runs)];
+        let runs = self.runs_of(call);
+        let end = match self.judge_end(call, runs) {
+            EndVerdict::Faulty(fault) => Some(fault),
+            EndVerdict::Answered | EndVerdict::Excused(_) => None,
+        };
+        let faults = [end, judge_runs(call, runs)];
         let is_malformed = call.outcome == CallOutcome::Malformed;
         let (replies, is_malformed) = match runs.iter().any(WorkRun::is_endless) {
             // What such a replica writes may be no answer, but it must not look like a whole one.
@@ -214,32 +259,33 @@
     }
 
     /// Judges how the connection ended. A disturbance of the store excuses nothing here.
-    fn judge_end(&self, call: &CallRecord, runs: &[WorkRun]) -> Option<CallFault> {
+    fn judge_end(&self, call: &CallRecord, runs: &[WorkRun]) -> EndVerdict {
         let fault = match call.outcome {
-            CallOutcome::Cut | CallOutcome::Closed if !runs.is_empty() => CallFault::Lost,
             CallOutcome::Cut => CallFault::Lost,
-            CallOutcome::Closed if call.ended_at > call.sent_at + CROSSING_SLACK => {
-                CallFault::Unread
-            }
+            CallOutcome::Closed if !runs.is_empty() => CallFault::Lost,
+            CallOutcome::Closed => CallFault::Unread,
             CallOutcome::TimedOut => CallFault::Unanswered,
             CallOutcome::Complete
             | CallOutcome::Failure(_)
             | CallOutcome::Refused(_)
-            | CallOutcome::Closed
-            | CallOutcome::Malformed => return None,
+            | CallOutcome::Malformed => return EndVerdict::Answered,
         };
+        let crossed = fault == CallFault::Unread && call.ended_at <= call.sent_at + CROSSING_SLACK;
         if !self.touch.processes_ran(call.host, call.sent_at, call.ended_at) {
-            return None;
+            EndVerdict::Excused(CallExcuse::HostDisturbed)
+        } else if crossed {
+            EndVerdict::Excused(CallExcuse::CrossedClose)
+        } else if fault == CallFault::Unanswered {
+            EndVerdict::Faulty(fault)
+        } else if runs.iter().any(WorkRun::broke_off) {
+            EndVerdict::Excused(CallExcuse::ReplicaBrokeOff)
+        } else if self.is_time_over(call) {
+            EndVerdict::Excused(CallExcuse::TimeOver)
+        } else if self.is_leaving(call) {
+            EndVerdict::Excused(CallExcuse::HostLeaving)
+        } else {
+            EndVerdict::Faulty(fault)
         }
-        let is_excused = match fault {
-            CallFault::Unanswered => false,
-            _ => {
-                runs.iter().any(WorkRun::broke_off)
-                    || self.is_time_over(call)
-                    || self.is_leaving(call)
-            }
-        };
-        (!is_excused).then_some(fault)
     }
 
     /// Returns whether the caller's deadline or the time limit of a version that may be in force was
--- a/soak/src/host_fleet.rs
+++ b/soak/src/host_fleet.rs
@@ -16,6 +16,9 @@
 use testutils::deployment_standin::StoreLink;
 use testutils::gateway_process::GatewayProcess;
 
+/// Processes that may end by themselves before a run is given up.
+const MAX_SELF_ENDED: usize = 10;
+
 struct FleetHost {
     name: String,
     ip: String,
@@ -160,6 +163,11 @@
                 if !host.is_terminating {
                     let starts = host.incarnation.load(Ordering::SeqCst);
                     self.self_ended.push(format!("{} start {starts}", host.name));
+                    anyhow::ensure!(
+                        self.self_ended.len() <= MAX_SELF_ENDED,
+                        "hosts end by themselves: {:?}",
+                        self.self_ended
+                    );
                 }
                 host.process = None;
                 self.start_host(number)?;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -16,9 +16,6 @@
 use pomelostack_soak::soak_run::log_folder;
 use pomelostack_soak::soak_run::run_soak;
 
-/// Second byte of the loopback addresses of the first run.
-const FIRST_SUBNET: u8 = 81;
-
 /// Violations of one run that are printed.
 const MAX_PRINTED: usize = 3;
 
@@ -45,6 +42,10 @@
     #[argh(option, default = "1")]
     jobs: u8,
 
+    /// second byte of the loopback addresses of the first job (default 81)
+    #[argh(option, default = "81")]
+    subnet: u8,
+
     /// hosts of a run (default 5)
     #[argh(option, default = "5")]
     hosts: usize,
@@ -79,7 +80,7 @@
                         hosts: command.hosts,
                         callers: command.callers,
                         length: Duration::from_secs(command.seconds),
-                        subnet: FIRST_SUBNET + job,
+                        subnet: command.subnet + job,
                     };
                     broken.fetch_add(u64::from(!run_seed(&settings)), Ordering::SeqCst);
                 }
@@ -110,9 +111,10 @@
 
 fn print_report(seed: u64, report: &SoakReport) {
     let mut text = format!(
-        "seed {seed}: {} answers, {:?}, {} KiB, {} versions, {} faults, {} violations\n",
+        "seed {seed}: {} answers, {:?}, excused {:?}, {} KiB, {} versions, {} faults, {} violations\n",
         report.answers,
         report.outcomes,
+        report.excuses,
         report.peak_memory_kib,
         report.versions,
         report.faults.len(),
--- a/soak/src/run_verdict.rs
+++ b/soak/src/run_verdict.rs
@@ -8,6 +8,7 @@
 
 use crate::call_judge::CallContext;
 use crate::call_judge::WorkRun;
+use crate::call_judge::count_excuses;
 use crate::call_judge::judge_calls;
 use crate::config_judge::ConfigFault;
 use crate::config_judge::SentVersion;
@@ -80,6 +81,7 @@
         *report.outcomes.entry(call.outcome).or_default() += 1;
     }
     let context = CallContext { runs: &runs, versions, touch, grace: GRACE };
+    report.excuses = count_excuses(&calls, &context);
     for (index, fault) in judge_calls(&calls, &context) {
         let call = &calls[index];
         report.violations.push(format!(
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -25,6 +25,7 @@
 use testutils::deployment_standin::WriteOutcome;
 use testutils::gateway_process::read_level;
 
+use crate::call_judge::CallExcuse;
 use crate::call_judge::CallOutcome;
 use crate::call_judge::CallRecord;
 use crate::config_judge::CONFIG_BOUND;
@@ -95,6 +96,8 @@
     pub answers: usize,
     /// Long requests by their outcome.
     pub outcomes: BTreeMap<CallOutcome, usize>,
+    /// Long requests without an answer by what excuses them.
+    pub excuses: BTreeMap<CallExcuse, usize>,
     /// Largest resident memory of a host, in KiB.
     pub peak_memory_kib: u64,
     /// Versions that were acknowledged.
--- a/soak/tests/test_call_judge.rs
+++ b/soak/tests/test_call_judge.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use pomelostack_soak::call_judge::CallContext;
+use pomelostack_soak::call_judge::CallExcuse;
 use pomelostack_soak::call_judge::CallFault;
 use pomelostack_soak::call_judge::CallOutcome;
 use pomelostack_soak::call_judge::CallRecord;
 use pomelostack_soak::call_judge::ReplyFault;
 use pomelostack_soak::call_judge::WorkRun;
 use pomelostack_soak::call_judge::check_reply;
+use pomelostack_soak::call_judge::count_excuses;
 use pomelostack_soak::call_judge::judge_calls;
 use pomelostack_soak::config_judge::SentVersion;
 use pomelostack_soak::config_plan::ConfigVersion;
@@ -168,6 +170,25 @@
     assert_eq!(judge_calm(call(WorkKind::Unsafe, ended_ms, outcome), &[]), Vec::from_iter(fault));
 }
 
+#[rstest]
+#[case::broke_off(ReplicaMode::CutAfter(1), 12_000, Some(CallExcuse::ReplicaBrokeOff))]
+#[case::time_over(ReplicaMode::Answer, 15_000, Some(CallExcuse::TimeOver))]
+#[case::lost(ReplicaMode::Answer, 12_000, None)]
+fn excused_call(
+    #[case] mode: ReplicaMode,
+    #[case] ended_ms: u64,
+    #[case] excuse: Option<CallExcuse>,
+) {
+    let cut = call(WorkKind::Resumable, ended_ms, CallOutcome::Cut);
+    let run = WorkRun { replica: "i-0".to_owned(), mode };
+    let runs = BTreeMap::from([(cut.request_id.clone(), vec![run])]);
+    let versions = [sent(ConfigVersion::first(), 0)];
+    let touch = TouchRecord::default();
+    let context =
+        CallContext { runs: &runs, versions: &versions, touch: &touch, grace: millis(8_000) };
+    assert_eq!(count_excuses(&[cut], &context), excuse.into_iter().map(|it| (it, 1)).collect());
+}
+
 #[rstest]
 #[case::safe(WorkKind::Safe, CallOutcome::Complete, 2, None)]
 #[case::stream(WorkKind::Resumable, CallOutcome::Refused(503), 2, None)]
