--- a/lib/testutils/src/deployment_state.rs
+++ b/lib/testutils/src/deployment_state.rs
@@ -30,6 +30,11 @@
     },
     /// It runs them, sends this many events and then single bytes that complete no event.
     TrickleAfter(u64),
+    /// It runs them and never responds to one in so many of them.
+    HangOn {
+        /// One in this many requests hangs.
+        one_in: u64,
+    },
     /// It runs them and closes the connection without a response.
     DropResponse,
     /// It runs them and answers with an error of its own.
@@ -139,6 +144,8 @@
     pub replica_id: String,
     /// When it ran.
     pub at: Instant,
+    /// How the replica handled requests when it began.
+    pub mode: ReplicaMode,
     /// Request id.
     pub request_id: String,
     /// Id of the last event before the resumed stream; `None` for a fresh request.
@@ -167,6 +174,8 @@
     pub(crate) next_connection: u64,
     pub(crate) replicas: Vec<ReplicaState>,
     pub(crate) runs: Vec<ReplicaRun>,
+    /// Number of runs so far.
+    pub(crate) run_count: u64,
     pub(crate) usage: Vec<UsageReport>,
     /// Largest fencing token of any accepted report.
     pub(crate) max_fencing_token: u64,
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -1,5 +1,7 @@
 //! Runs soaks by hand, several at a time: `cargo run --release -p pomelostack-soak -- --runs 50`.
 
+use std::fs;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::atomic::AtomicU64;
@@ -7,17 +9,15 @@
 use std::thread;
 use std::time::Duration;
 
+use anyhow::Context as _;
 use argh::FromArgs;
 use pomelostack_soak::soak_run::SoakReport;
 use pomelostack_soak::soak_run::SoakSettings;
 use pomelostack_soak::soak_run::log_folder;
 use pomelostack_soak::soak_run::run_soak;
 
-/// Second byte of the loopback addresses of the first run.
-const FIRST_SUBNET: u8 = 81;
-
 /// Violations of one run that are printed.
-const MAX_PRINTED: usize = 12;
+const MAX_PRINTED: usize = 3;
 
 /// Run gateway hosts as processes under seeded faults and judge what callers saw.
 #[derive(FromArgs)]
@@ -42,10 +42,18 @@
     #[argh(option, default = "1")]
     jobs: u8,
 
+    /// second byte of the loopback addresses of the first job (default 81)
+    #[argh(option, default = "81")]
+    subnet: u8,
+
     /// hosts of a run (default 5)
     #[argh(option, default = "5")]
     hosts: usize,
 
+    /// callers with long requests for each host (default 12)
+    #[argh(option, default = "12")]
+    callers: usize,
+
     /// length of a run in seconds (default 39)
     #[argh(option, default = "39")]
     seconds: u64,
@@ -70,8 +78,9 @@
                         logs: log_folder(&command.logs, seed),
                         seed,
                         hosts: command.hosts,
+                        callers: command.callers,
                         length: Duration::from_secs(command.seconds),
-                        subnet: FIRST_SUBNET + job,
+                        subnet: command.subnet + job,
                     };
                     broken.fetch_add(u64::from(!run_seed(&settings)), Ordering::SeqCst);
                 }
@@ -88,6 +97,9 @@
     match run_soak(settings) {
         Ok(report) => {
             print_report(settings.seed, &report);
+            if let Err(error) = write_report(&settings.logs, &report) {
+                println!("seed {}: {error:#}", settings.seed);
+            }
             report.violations.is_empty()
         }
         Err(error) => {
@@ -99,16 +111,26 @@
 
 fn print_report(seed: u64, report: &SoakReport) {
     let mut text = format!(
-        "seed {seed}: {} answers, {} versions, {} faults, {} violations\n",
+        "seed {seed}: {} answers, {:?}, excused {:?}, {} KiB, {} versions, {} faults, {} violations\n",
         report.answers,
+        report.outcomes,
+        report.excuses,
+        report.peak_memory_kib,
         report.versions,
         report.faults.len(),
         report.violations.len()
     );
-    if !report.violations.is_empty() {
-        for line in report.faults.iter().chain(report.violations.iter().take(MAX_PRINTED)) {
-            text.push_str(&format!("  {line}\n"));
-        }
+    for line in report.violations.iter().take(MAX_PRINTED) {
+        text.push_str(&format!("  {line}\n"));
     }
     print!("{text}");
 }
+
+/// Writes all faults and violations beside the logs of the hosts.
+fn write_report(logs: &Path, report: &SoakReport) -> anyhow::Result<()> {
+    let path = logs.join("report.txt");
+    let lines: Vec<&str> =
+        report.faults.iter().chain(&report.violations).map(String::as_str).collect();
+    fs::write(&path, lines.join("\n") + "\n")
+        .with_context(|| format!("cannot write {}", path.display()))
+}
