connection pool: limit the bytes before the head of a response

A server that sends interim (1xx) responses without end held its request until the deadline: unrepeatable_call::interim_responses got 504 after 8 s. hyper skips interim responses without counting them, and read a head into a buffer of up to 409,600 + 8,192 bytes.

hyper's read buffer is now 64 KiB, which also limits the pieces of a body, and a wrapper of the connection counts what arrives between the request and the end of the head. Its limit of 256 KiB is above the read buffer, because the first bytes of a body arrive with the head before the caller of the pool can end the count.

With it the request gets 502 as soon as the limit is reached, and a repeatable one is tried at another server.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -22,6 +22,7 @@
 pub mod gateway_metrics;
 pub mod gateway_settings;
 pub mod gateway_state;
+pub mod head_limit;
 pub mod host_summary;
 pub mod http_listeners;
 pub mod log_cursor;
--- a/lib/src/gateway/connection_pool.rs
+++ b/lib/src/gateway/connection_pool.rs
@@ -26,6 +26,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::gateway::head_limit::HeadAllowance;
+use crate::gateway::head_limit::HeadLimitedStream;
+
 /// Timeout of a connect. TCP retransmits a lost SYN only after one second, so that trying another
 /// server is faster than waiting.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -48,6 +51,12 @@
 /// Maximum number of idle connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 
+/// Maximum size of the buffer that hyper reads into: it limits a head, and each piece of a body.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+
+/// Maximum number of bytes before the end of a response's head, interim responses included.
+const MAX_HEAD_BYTES: usize = 256 << 10;
+
 /// A request that got no response.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 pub enum CallError {
@@ -64,6 +73,7 @@
 
 struct OpenConnection {
     sender: SendRequest<Full<Bytes>>,
+    head_allowance: HeadAllowance,
     task: JoinHandle<()>,
 }
 
@@ -126,7 +136,10 @@
             if reused && connection.sender.ready().await.is_err() {
                 continue;
             }
-            match connection.sender.try_send_request(request).await {
+            connection.head_allowance.start(MAX_HEAD_BYTES);
+            let sent = connection.sender.try_send_request(request).await;
+            connection.head_allowance.stop();
+            match sent {
                 Ok(response) => {
                     let idle_timeout = idle_timeout(response.headers());
                     let idle = self.idle.clone();
@@ -179,14 +192,19 @@
         .map_err(|_| CallError::Unsent("connect timed out".to_owned()))?
         .map_err(|error| unsent(&error))?;
     set_tcp_timeouts(&stream, TCP_USER_TIMEOUT).map_err(|error| unsent(&error))?;
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(|error| unsent(&error))?;
+    let head_allowance = HeadAllowance::default();
+    let stream = HeadLimitedStream::new(stream, head_allowance.clone());
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| unsent(&error))?;
     let task = tokio::task::spawn_local(async move {
         if let Err(error) = connection.await {
             log::debug!("event=connection_failed address={address} error=\"{error}\"");
         }
     });
-    Ok(OpenConnection { sender, task })
+    Ok(OpenConnection { sender, head_allowance, task })
 }
 
 /// Sets `TCP_NODELAY`, keepalive probes and the user timeout, so that a connection over a cut link
