gateway: a budget for all buffered responses

Each buffered response could take 16 MiB, with no limit for all of them, and kept one handle and the read buffer behind it for each chunk. 40 requests to servers that write without end took a host to 247,768 KiB with chunked bodies and to 505,688 KiB with every kind, where a host has 163,840 KiB. A server that sends chunks of one byte held a request until its deadline.

Response bodies are copied into one buffer each, whose capacity is leased from a budget of 48 MiB for the host. A lease may grow only as far as as much is left for the others, so that responses without end run into the threshold together and small ones always fit. Frozen bytes keep their lease until hyper has written them to the caller.

A stated length beyond the limit fails at once. A body may have 65,536 frames, since tiny chunks cost processor time rather than memory. The body of a refusal is not relayed, so at most 64 KiB of it are read.

Ending the largest holder instead was not chosen: it needs a way to reach into another request, and a cut request is not the one that asked.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -8,6 +8,8 @@
 pub mod accepted_request;
 pub mod attempt_plan;
 pub mod backend_directory;
+pub mod body_reader;
+pub mod buffer_budget;
 pub mod caller_request;
 pub mod connection_pool;
 pub mod crash_tracker;
@@ -25,6 +27,7 @@
 pub mod head_limit;
 pub mod host_summary;
 pub mod http_listeners;
+pub mod leased_buffer;
 pub mod log_cursor;
 pub mod log_writer;
 pub mod peer_gossip;
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -8,6 +8,7 @@
 
 use crate::gateway::backend_directory::BackendDirectory;
 use crate::gateway::backend_directory::DirectoryEffect;
+use crate::gateway::buffer_budget::BufferBudget;
 use crate::gateway::connection_pool::ConnectionPool;
 use crate::gateway::crash_tracker::CrashTracker;
 use crate::gateway::demand_meter::DemandMeter;
@@ -34,6 +35,9 @@
 use crate::timestamp::Timestamp;
 use crate::timestamp::wall_clock_ms;
 
+/// Budget of the bytes buffered from servers.
+const BUFFER_BUDGET_BYTES: usize = 48 << 20;
+
 /// State of one host. A part is borrowed for one decision only, never across an `await`.
 pub struct GatewayState {
     /// Current settings.
@@ -46,6 +50,8 @@
     pub metrics: GatewayMetrics,
     /// Connections to servers and the platform.
     pub pool: ConnectionPool,
+    /// Budget of the bytes buffered from servers.
+    pub buffers: BufferBudget,
     /// Era of the platform's store.
     pub store_era: EraWatch,
     /// Current configuration.
@@ -102,6 +108,7 @@
             metrics,
             store_era: EraWatch::new(incarnation.1.0),
             pool: ConnectionPool::default(),
+            buffers: BufferBudget::new(BUFFER_BUDGET_BYTES),
             config: RefCell::default(),
             config_reads: RefCell::default(),
             directory: RefCell::default(),
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -4,8 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
-use http_body_util::Limited;
 use hyper::Response;
 use hyper::body::Incoming;
 use tokio::time::timeout;
@@ -17,6 +15,7 @@
 use crate::gateway::accepted_request::record_health;
 use crate::gateway::accepted_request::record_started;
 use crate::gateway::attempt_plan::AttemptFailure;
+use crate::gateway::body_reader::read_body;
 use crate::gateway::connection_pool::CallError;
 use crate::gateway::connection_pool::PooledConnection;
 use crate::gateway::gateway_state::GatewayState;
@@ -30,6 +29,10 @@
 /// Maximum size of a buffered response in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
+/// Maximum size in bytes of a body that is not relayed, and read only so that its connection can be
+/// used again.
+const MAX_DISCARDED_BYTES: usize = 64 << 10;
+
 /// An attempt at a server. Its load counts on the placement table until it is dropped.
 pub struct ServerAttempt {
     state: Rc<GatewayState>,
@@ -212,8 +215,14 @@
 ) -> AttemptOutcome {
     let OpenResponse { mut attempt, response, connection } = open;
     let (head, body) = response.into_parts();
-    let bytes = match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
-        Ok(collected) => collected.to_bytes(),
+    let limit = match class {
+        ResponseClass::Failure(AttemptFailure::Failed)
+        | ResponseClass::Relay
+        | ResponseClass::Unusable => MAX_RESPONSE_BYTES,
+        ResponseClass::Failure(_) => MAX_DISCARDED_BYTES,
+    };
+    let bytes = match read_body(body, state.buffers.lease(limit)).await {
+        Ok(bytes) => bytes,
         Err(error) => {
             let failure = match class {
                 ResponseClass::Failure(failure) => failure,
