--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -137,7 +137,7 @@
     async fn relay_from_server(&mut self, stream: OpenResponse) -> RelayEnd {
         let OpenResponse { mut attempt, response, connection } = stream;
         let mut body = response.into_body();
-        let mut splitter = EventSplitter::default();
+        let mut splitter = EventSplitter::new(&self.state.buffers);
         let mut first = true;
         loop {
             let limit = self.read_timeout(first);
@@ -164,41 +164,43 @@
                 }
             };
             let Ok(bytes) = frame.into_data() else { continue };
-            let events = match splitter.push(&bytes) {
-                Ok(events) => events,
-                Err(error) => {
-                    self.log_stream_lost(&attempt, &error.to_string());
-                    return RelayEnd::Lost;
+            let mut pushed = splitter.push(&bytes);
+            loop {
+                let event = match pushed.and_then(|()| splitter.next_event()) {
+                    Ok(Some(event)) => event,
+                    Ok(None) => break,
+                    Err(error) => {
+                        self.log_stream_lost(&attempt, &error.to_string());
+                        return RelayEnd::Lost;
+                    }
+                };
+                pushed = Ok(());
+                if first {
+                    first = false;
+                    attempt.on_prefilled();
+                    self.on_first_event();
+                }
+                if let Some(end) = self.relay_event(event).await {
+                    return end;
                 }
-            };
-            if first && !events.is_empty() {
-                first = false;
-                attempt.on_prefilled();
-                self.on_first_event();
-            }
-            if let Some(end) = self.relay_events(events).await {
-                return end;
             }
         }
     }
 
-    /// Relays complete events; returns how relaying ended if it cannot continue.
-    async fn relay_events(&mut self, events: Vec<StreamEvent>) -> Option<RelayEnd> {
-        for event in events {
-            match (event.id, self.last_event) {
-                (Some(id), Some(last)) if id <= last => continue,
-                _ => {}
-            }
-            self.last_event = event.id.or(self.last_event);
-            self.relayed_events += 1;
-            let time_left = self.plan.deadline().since(self.state.now());
-            match timeout(time_left, self.chunks.send(Ok(Frame::data(event.bytes)))).await {
-                Ok(Ok(())) => {}
-                Ok(Err(_)) => return Some(RelayEnd::CallerDisconnected),
-                Err(_) => return Some(RelayEnd::TimedOut),
-            }
+    /// Relays a complete event; returns how relaying ended if it cannot continue.
+    async fn relay_event(&mut self, event: StreamEvent) -> Option<RelayEnd> {
+        match (event.id, self.last_event) {
+            (Some(id), Some(last)) if id <= last => return None,
+            _ => {}
+        }
+        self.last_event = event.id.or(self.last_event);
+        self.relayed_events += 1;
+        let time_left = self.plan.deadline().since(self.state.now());
+        match timeout(time_left, self.chunks.send(Ok(Frame::data(event.bytes)))).await {
+            Ok(Ok(())) => None,
+            Ok(Err(_)) => Some(RelayEnd::CallerDisconnected),
+            Err(_) => Some(RelayEnd::TimedOut),
         }
-        None
     }
 
     /// Resumes the stream at another server, if the plan and the retry budget allow it and a server
