reply body: limit the bytes queued for the caller of a stream

A stream queues up to 32 events for its caller, and an event may have 1 MiB, so that one slow reader could hold 32 MiB.

The relay waits for space as it did for a free slot, so that the server feels the same backpressure.

--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -8,9 +8,7 @@
 
 use http_body_util::BodyExt as _;
 use hyper::Response;
-use hyper::body::Frame;
 use hyper::header::CONTENT_LENGTH;
-use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use crate::gateway::accepted_request::AcceptedRequest;
@@ -28,9 +26,8 @@
 use crate::gateway::event_splitter::StreamEvent;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::platform_api::WireProtocol;
+use crate::gateway::reply_body::ChunkSender;
 use crate::gateway::reply_body::GatewayReply;
-use crate::gateway::reply_body::RelayedChunk;
-use crate::gateway::reply_body::TruncatedStream;
 use crate::gateway::reply_body::streaming_body;
 use crate::gateway::server_attempt::AttemptOutcome;
 use crate::gateway::server_attempt::OpenResponse;
@@ -68,7 +65,7 @@
     wire: Rc<W>,
     request: Rc<AcceptedRequest>,
     plan: AttemptPlan,
-    chunks: mpsc::Sender<RelayedChunk>,
+    chunks: ChunkSender,
     last_event: Option<u64>,
     relayed_events: u64,
 }
@@ -129,7 +126,7 @@
         log_request_end(&self.state, &self.request, code, &detail);
         if code != ResultCode::Complete && code != ResultCode::CallerLost {
             // Sending fails only if the caller disconnected meanwhile; it needs no error then.
-            let _ = self.chunks.send(Err(TruncatedStream)).await;
+            let _ = self.chunks.send_truncated().await;
         }
     }
 
@@ -196,7 +193,7 @@
         self.last_event = event.id.or(self.last_event);
         self.relayed_events += 1;
         let time_left = self.plan.deadline().since(self.state.now());
-        match timeout(time_left, self.chunks.send(Ok(Frame::data(event.bytes)))).await {
+        match timeout(time_left, self.chunks.send(event.bytes)).await {
             Ok(Ok(())) => None,
             Ok(Err(_)) => Some(RelayEnd::CallerDisconnected),
             Err(_) => Some(RelayEnd::TimedOut),
