stream relay: end a stream at its deadline while events arrive

The relay looked at the deadline only when a read timed out or the queue to the caller was full. A server that sent events without a pause to a caller that read them as fast was relayed for ever: bounded_memory::empty_events did not end within 60 s. An event past the deadline now ends the relay.

--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -193,6 +193,9 @@
         self.last_event = event.id.or(self.last_event);
         self.relayed_events += 1;
         let time_left = self.plan.deadline().since(self.state.now());
+        if time_left.is_zero() {
+            return Some(RelayEnd::TimedOut);
+        }
         match timeout(time_left, self.chunks.send(event.bytes)).await {
             Ok(Ok(())) => None,
             Ok(Err(_)) => Some(RelayEnd::CallerDisconnected),
