--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -8,6 +8,7 @@
 
 use crate::gateway::backend_directory::BackendDirectory;
 use crate::gateway::backend_directory::DirectoryEffect;
+use crate::gateway::buffer_budget::BufferBudget;
 use crate::gateway::connection_pool::ConnectionPool;
 use crate::gateway::crash_tracker::CrashTracker;
 use crate::gateway::demand_meter::DemandMeter;
@@ -35,6 +36,9 @@
 use crate::timestamp::Timestamp;
 use crate::timestamp::wall_clock_ms;
 
+/// Budget of the bytes buffered from servers.
+const BUFFER_BUDGET_BYTES: usize = 48 << 20;
+
 /// State of one host. A part is borrowed for one decision only, never across an `await`.
 pub struct GatewayState {
     /// Current settings.
@@ -47,6 +51,8 @@
     pub metrics: GatewayMetrics,
     /// Connections to servers and the platform.
     pub pool: ConnectionPool,
+    /// Budget of the bytes buffered from servers.
+    pub buffers: BufferBudget,
     /// Era of the platform's store.
     pub store_era: EraWatch,
     /// Current configuration.
@@ -107,6 +113,7 @@
             metrics,
             store_era: EraWatch::new(incarnation.1.0),
             pool: ConnectionPool::default(),
+            buffers: BufferBudget::new(BUFFER_BUDGET_BYTES),
             config: RefCell::default(),
             config_reads: RefCell::default(),
             directory: RefCell::default(),
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
-use http_body_util::Limited;
 use hyper::Response;
 use hyper::body::Incoming;
 use tokio::time::timeout;
@@ -17,6 +16,8 @@
 use crate::gateway::accepted_request::record_health;
 use crate::gateway::accepted_request::record_started;
 use crate::gateway::attempt_plan::AttemptFailure;
+use crate::gateway::body_reader::read_body;
+use crate::gateway::buffer_budget::BufferBudget;
 use crate::gateway::connection_pool::CallError;
 use crate::gateway::connection_pool::PooledConnection;
 use crate::gateway::event_splitter::EventSplitter;
@@ -32,6 +33,10 @@
 /// Maximum size of a buffered response in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
+/// Maximum size in bytes of a body that is not relayed, and read only so that its connection can be
+/// used again.
+const MAX_DISCARDED_BYTES: usize = 64 << 10;
+
 /// An attempt at a server. Its load counts on the placement table until it is dropped.
 pub struct ServerAttempt {
     state: Rc<GatewayState>,
@@ -119,12 +124,18 @@
 }
 
 /// The part of a stream that was read before it is relayed.
-#[derive(Default)]
 pub struct BegunStream {
-    /// Splits the bytes that follow.
+    /// Holds what was read, but for the first event.
     pub splitter: EventSplitter,
-    /// Complete events.
-    pub events: Vec<StreamEvent>,
+    /// The first event.
+    pub first_event: Option<StreamEvent>,
+}
+
+impl BegunStream {
+    /// Builds a stream of which nothing was read, with buffers leased from `budget`.
+    pub fn new(budget: &BufferBudget) -> Self {
+        Self { splitter: EventSplitter::new(budget), first_event: None }
+    }
 }
 
 /// How an attempt ended.
@@ -197,7 +208,7 @@
     let class = wire.classify_response(&request.head.request_id, &head);
     if class == ResponseClass::Relay && request.route.kind.is_stream() && head.status.is_success() {
         let response = Response::from_parts(head, body);
-        let begun = BegunStream::default();
+        let begun = BegunStream::new(&state.buffers);
         return AttemptOutcome::Stream(Box::new(OpenResponse {
             attempt,
             response,
@@ -210,7 +221,8 @@
         return AttemptOutcome::Failed(AttemptFailure::Lost, None);
     }
     let response = Response::from_parts(head, body);
-    let open = OpenResponse { attempt, response, connection, begun: BegunStream::default() };
+    let open =
+        OpenResponse { attempt, response, connection, begun: BegunStream::new(&state.buffers) };
     buffer_response(&state, request, class, open).await
 }
 
@@ -234,12 +246,13 @@
 }
 
 async fn read_first_event(stream: &mut OpenResponse) -> std::result::Result<(), String> {
-    let BegunStream { splitter, events } = &mut stream.begun;
-    while events.is_empty() {
+    let BegunStream { splitter, first_event } = &mut stream.begun;
+    while first_event.is_none() {
         let frame = stream.response.body_mut().frame().await;
         let frame = frame.ok_or("no event")?.map_err(|error| error.to_string())?;
         if let Ok(bytes) = frame.into_data() {
-            *events = splitter.push(&bytes).map_err(|error| error.to_string())?;
+            splitter.push(&bytes).map_err(|error| error.to_string())?;
+            *first_event = splitter.next_event().map_err(|error| error.to_string())?;
         }
     }
     Ok(())
@@ -254,8 +267,14 @@
 ) -> AttemptOutcome {
     let OpenResponse { mut attempt, response, connection, .. } = open;
     let (head, body) = response.into_parts();
-    let bytes = match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
-        Ok(collected) => collected.to_bytes(),
+    let limit = match class {
+        ResponseClass::Failure(AttemptFailure::Failed)
+        | ResponseClass::Relay
+        | ResponseClass::Unusable => MAX_RESPONSE_BYTES,
+        ResponseClass::Failure(_) => MAX_DISCARDED_BYTES,
+    };
+    let bytes = match read_body(body, state.buffers.lease(limit)).await {
+        Ok(bytes) => bytes,
         Err(error) => {
             let failure = match class {
                 ResponseClass::Failure(failure) => failure,
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -13,7 +13,6 @@
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
-use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use crate::gateway::accepted_request::AcceptedRequest;
@@ -34,9 +33,8 @@
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::panic_catcher::catch_panic;
 use crate::gateway::platform_api::WireProtocol;
+use crate::gateway::reply_body::ChunkSender;
 use crate::gateway::reply_body::GatewayReply;
-use crate::gateway::reply_body::RelayedChunk;
-use crate::gateway::reply_body::TruncatedStream;
 use crate::gateway::reply_body::streaming_body;
 use crate::gateway::retry_limiter::RetryPurpose;
 use crate::gateway::server_attempt::AttemptOutcome;
@@ -92,7 +90,7 @@
     plan: AttemptPlan,
     /// Attempts beside the stream that is relayed.
     race: AttemptRace<W>,
-    chunks: mpsc::Sender<RelayedChunk>,
+    chunks: ChunkSender,
     last_event: Option<u64>,
     relayed_events: u64,
 }
@@ -121,7 +119,7 @@
                 log::error!("event=request_panicked detail=\"{panic}\"");
                 // Without an error the body would look complete. Sending fails only if the caller
                 // disconnected meanwhile.
-                let _ = chunks.send(Err(TruncatedStream)).await;
+                let _ = chunks.send_truncated().await;
             }
             drop(guard);
         });
@@ -165,7 +163,7 @@
         log_request_end(&self.state, &self.request, code, &detail);
         if code != ResultCode::Complete && code != ResultCode::CallerLost {
             // Sending fails only if the caller disconnected meanwhile; it needs no error then.
-            let _ = self.chunks.send(Err(TruncatedStream)).await;
+            let _ = self.chunks.send_truncated().await;
         }
     }
 
@@ -173,18 +171,34 @@
     async fn relay_from_server(&mut self, stream: OpenResponse) -> RelayEnd {
         let OpenResponse { mut attempt, response, connection, begun } = stream;
         let mut body = response.into_body();
-        let BegunStream { mut splitter, events } = begun;
+        let BegunStream { mut splitter, mut first_event } = begun;
         let mut first = true;
         let mut was_silent = false;
         // Since the last event or hedge; bytes that complete no event do not count.
         let mut quiet_since = self.state.now();
-        if !events.is_empty() {
-            first = false;
-            if let Some(end) = self.on_events(&mut attempt, true, events).await {
-                return end;
-            }
-        }
         loop {
+            loop {
+                let event = match first_event.take() {
+                    Some(event) => Ok(Some(event)),
+                    None => splitter.next_event(),
+                };
+                let event = match event {
+                    Ok(Some(event)) => event,
+                    Ok(None) => break,
+                    Err(error) => {
+                        self.log_stream_lost(&attempt, &error.to_string());
+                        return RelayEnd::Lost;
+                    }
+                };
+                if std::mem::take(&mut was_silent) {
+                    record_health(&self.state, attempt.key, HealthEvidence::Answered);
+                }
+                let is_first = std::mem::take(&mut first);
+                if let Some(end) = self.on_event(&mut attempt, is_first, event).await {
+                    return end;
+                }
+                quiet_since = self.state.now();
+            }
             let read = match self.next_event(&mut body, first, quiet_since).await {
                 RelayEvent::Read(read) => read,
                 RelayEvent::HedgeEnded(_, AttemptOutcome::Stream(stream)) => {
@@ -223,41 +237,27 @@
                 }
             };
             let Ok(bytes) = frame.into_data() else { continue };
-            let events = match splitter.push(&bytes) {
-                Ok(events) => events,
-                Err(error) => {
-                    self.log_stream_lost(&attempt, &error.to_string());
-                    return RelayEnd::Lost;
-                }
-            };
-            if events.is_empty() {
-                continue;
-            }
-            if std::mem::take(&mut was_silent) {
-                record_health(&self.state, attempt.key, HealthEvidence::Answered);
+            if let Err(error) = splitter.push(&bytes) {
+                self.log_stream_lost(&attempt, &error.to_string());
+                return RelayEnd::Lost;
             }
-            let is_first = std::mem::take(&mut first);
-            if let Some(end) = self.on_events(&mut attempt, is_first, events).await {
-                return end;
-            }
-            quiet_since = self.state.now();
         }
     }
 
-    /// Relays events of the stream that is kept and drops the attempts beside it; returns how
+    /// Relays an event of the stream that is kept and drops the attempts beside it; returns how
     /// relaying ended if it cannot continue.
-    async fn on_events(
+    async fn on_event(
         &mut self,
         attempt: &mut ServerAttempt,
         is_first: bool,
-        events: Vec<StreamEvent>,
+        event: StreamEvent,
     ) -> Option<RelayEnd> {
         self.race.drop_rest(&mut self.plan);
         if is_first {
             attempt.on_prefilled();
             self.on_first_event();
         }
-        self.relay_events(events).await
+        self.relay_event(event).await
     }
 
     /// Waits for the next piece of a stream and for what may end the wait.
@@ -298,23 +298,23 @@
         failure
     }
 
-    /// Relays complete events; returns how relaying ended if it cannot continue.
-    async fn relay_events(&mut self, events: Vec<StreamEvent>) -> Option<RelayEnd> {
-        for event in events {
-            match (event.id, self.last_event) {
-                (Some(id), Some(last)) if id <= last => continue,
-                _ => {}
-            }
-            self.last_event = event.id.or(self.last_event);
-            self.relayed_events += 1;
-            let time_left = self.plan.deadline().since(self.state.now());
-            match timeout(time_left, self.chunks.send(Ok(Frame::data(event.bytes)))).await {
-                Ok(Ok(())) => {}
-                Ok(Err(_)) => return Some(RelayEnd::CallerDisconnected),
-                Err(_) => return Some(RelayEnd::TimedOut),
-            }
+    /// Relays a complete event; returns how relaying ended if it cannot continue.
+    async fn relay_event(&mut self, event: StreamEvent) -> Option<RelayEnd> {
+        match (event.id, self.last_event) {
+            (Some(id), Some(last)) if id <= last => return None,
+            _ => {}
+        }
+        self.last_event = event.id.or(self.last_event);
+        self.relayed_events += 1;
+        let time_left = self.plan.deadline().since(self.state.now());
+        if time_left.is_zero() {
+            return Some(RelayEnd::TimedOut);
+        }
+        match timeout(time_left, self.chunks.send(event.bytes)).await {
+            Ok(Ok(())) => None,
+            Ok(Err(_)) => Some(RelayEnd::CallerDisconnected),
+            Err(_) => Some(RelayEnd::TimedOut),
         }
-        None
     }
 
     /// Resumes the stream at another server, if the plan and the retry budget allow it and a server
--- a/soak/src/call_judge.rs
+++ b/soak/src/call_judge.rs
@@ -150,10 +150,14 @@
 
     fn broke_off(&self) -> bool {
         match self.mode {
-            ReplicaMode::CutAfter(_) | ReplicaMode::DropResponse | ReplicaMode::Endless(_) => true,
+            ReplicaMode::CutAfter(_)
+            | ReplicaMode::TrickleAfter(_)
+            | ReplicaMode::DropResponse
+            | ReplicaMode::Endless(_) => true,
             ReplicaMode::Answer
             | ReplicaMode::PauseAfter { .. }
             | ReplicaMode::HangOn { .. }
+            | ReplicaMode::Fail
             | ReplicaMode::Refuse => false,
         }
     }
