--- a/lib/testutils/src/deployment_standin.rs
+++ b/lib/testutils/src/deployment_standin.rs
@@ -5,6 +5,8 @@
 use serde_json::Value;
 use serde_json::json;
 use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
 
 use crate::deployment_server::Role;
 use crate::deployment_server::serve;
@@ -74,6 +76,7 @@
                 mode: ReplicaMode::Answer,
                 state: READY,
                 sequence: 0,
+                silent_until: None,
             })
             .collect();
         let platform = serve(state.clone(), Role::Platform(None))?;
@@ -140,6 +143,11 @@
 
     /// Publishes a configuration with one route for each kind: streaming, unsafe and safe.
     pub fn publish_config(&self, version: u64) {
+        self.publish_document(&Self::config_document(version));
+    }
+
+    /// Returns a configuration document with one route for each kind.
+    pub fn config_document(version: u64) -> Value {
         let route = |name: &str, prefix: &str, kind: &str, resumable: bool, attempts: u32| {
             json!({
                 "name": name, "host": ROUTE_HOST, "path-prefix": prefix, "kind": kind,
@@ -147,7 +155,7 @@
                 "service": SERVICE, "attempts": attempts, "resumable": resumable,
             })
         };
-        let config = json!({
+        json!({
             "version": version,
             "routes": [
                 route("brief", "/brief/", "streaming", true, 2),
@@ -158,8 +166,7 @@
             "limits": {"max-header-bytes": 16_384, "max-body-bytes": 1_048_576,
                        "header-timeout-ms": 3_000, "idle-timeout-ms": 15_000},
             "tenants": [{"name": "club", "api-keys": [TEAM_KEY]}],
-        });
-        self.publish_document(&config);
+        })
     }
 
     /// Publishes a configuration document.
@@ -247,6 +254,12 @@
         lock(&self.state).replicas[index].mode = mode;
     }
 
+    /// Makes a replica send nothing for a while and then go on, to all of its callers at once. It
+    /// still reads requests and runs them.
+    pub fn silence_replica(&self, index: usize, duration: Duration) {
+        lock(&self.state).replicas[index].silent_until = Some(Instant::now() + duration);
+    }
+
     /// Returns the requests that the replicas executed, in order.
     pub fn runs(&self) -> Vec<ReplicaRun> {
         lock(&self.state).runs.clone()
