--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -133,15 +133,12 @@
     }
 
     /// Adds recorded spending as of `recorded_at`, which may be that of this host's earlier
-    /// incarnations. A summary of the same incarnation takes precedence. Recorded demand is not
-    /// counted: the hosts that it came from may be gone, and those that are not publish theirs.
+    /// incarnations. A summary of the same incarnation takes precedence.
     pub fn on_record(&mut self, recorded_at: Timestamp, record: HostSummary) {
         let Ok(host) = HostId::try_from(record.host.as_str()) else { return };
         let incarnation = (host, Incarnation(record.incarnation));
         if !self.entries.contains_key(&incarnation) {
-            let mut entry = PeerEntry::new(recorded_at, record);
-            entry.spending.iter_mut().for_each(|(_, spending)| spending.asked = 0);
-            self.insert_entry(incarnation, entry);
+            self.insert_entry(incarnation, PeerEntry::new(recorded_at, record));
         }
     }
 
--- a/lib/src/gateway/quota_limiter.rs
+++ b/lib/src/gateway/quota_limiter.rs
@@ -3,15 +3,11 @@
 //! Load pattern: one team sends many times its usual traffic, unevenly over hosts that start, die
 //! and are partitioned from each other. Each host knows its own spending in the sliding window
 //! exactly and that of its peers a fraction of a second late. Well below the quota a host admits
-//! every request. Near the quota hosts divide the remaining capacity among themselves in proportion
-//! to the demand that they have published: until the peers know what a host has spent, it spends no
-//! more than its share of what was left before. The shares add up to the remaining capacity however
-//! suddenly demand rises, since a rise counts only once it is published. A share may be smaller than
-//! a request, which is then admitted with the probability that the share covers.
-//!
-//! A host publishes its spending as soon as a small fraction of the quota has been requested. The
-//! hosts on one side of a partition together use only their fraction of the quota, counting an equal
-//! part for each host.
+//! every request. Near the quota each host is limited to a share in proportion to the demand it
+//! sees, so that hosts do not all spend the same remaining capacity. Spending that the peers do not
+//! know of yet is bounded: a host publishes its spending as soon as a small fraction of the quota
+//! has been requested. The hosts on one side of a partition together use only their fraction of the
+//! quota, counting an equal part for each host.
 //!
 //! All hosts may be lost at once, so spending is recorded in the store once a large fraction of a
 //! quota is spent. A host that starts counts the records as its peers' spending. It assumes that
@@ -21,8 +17,6 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use rand::Rng;
-
 use crate::gateway::serving_config::TeamQuota;
 use crate::ids::TeamName;
 use crate::timestamp::Timestamp;
@@ -47,12 +41,12 @@
 /// Fraction of the quota requested at a host that makes it publish its spending at once.
 const PUBLISH_FRACTION: f64 = 0.02;
 
-/// Time after which all peers have received a summary, through a relay or not.
-const RELAY_DELAY: Duration = Duration::from_millis(100);
+/// Upper bound, as a fraction of the quota, on the estimate of the peers' unpublished spending. At
+/// eight times the quota's rate a large fleet spends that much between two summaries.
+const MAX_UNPUBLISHED_FRACTION: f64 = 0.4;
 
-/// Minimum shares of all hosts together as a fraction of the remaining capacity, so that new demand
-/// is not starved.
-const MIN_SHARES_FRACTION: f64 = 0.14;
+/// Minimum share of any host as a fraction of the quota, so that new demand is not starved.
+const MIN_SHARE_FRACTION: f64 = 0.02;
 
 /// Sliding window over which quotas are counted, and the tolerance above them.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -103,13 +97,6 @@
 }
 
 impl PeerReachability {
-    /// Returns the number of hosts heard from recently, including this one.
-    fn known_hosts(self) -> u32 {
-        match self {
-            Self::Minority { known, .. } | Self::Majority { known, .. } => known.max(1),
-        }
-    }
-
     /// Returns the fraction of a quota that the reachable hosts may spend together.
     fn available_fraction(self) -> f64 {
         match self {
@@ -141,7 +128,7 @@
     pub own: f64,
     /// Spent by all peers according to their summaries.
     pub peers: f64,
-    /// This host's share of the remaining capacity.
+    /// This host's share of the quota.
     pub share: f64,
     /// Limit for all reachable hosts together in a window.
     pub total: f64,
@@ -161,6 +148,8 @@
     peers: TeamSpending,
     /// Units requested since the last summary.
     unpublished: u64,
+    /// Units admitted since the last summary.
+    unpublished_spent: u64,
     /// Units requested in the window, according to the last summary.
     published_asked: u64,
     /// Units admitted since the last record.
@@ -174,26 +163,6 @@
     at: Timestamp,
 }
 
-/// Times at which this host sent summaries, at least [`RELAY_DELAY`] apart.
-#[derive(Clone, Copy, Debug, Default)]
-struct SummaryTimes {
-    last: Option<Timestamp>,
-    previous: Option<Timestamp>,
-}
-
-impl SummaryTimes {
-    fn on_sent(&mut self, now: Timestamp) {
-        if self.last.is_none_or(|last| now.since(last) >= RELAY_DELAY) {
-            *self = Self { last: Some(now), previous: self.last };
-        }
-    }
-
-    /// Returns when the newest summary was sent that all peers have received.
-    fn last_received(&self, now: Timestamp) -> Option<Timestamp> {
-        self.last.filter(|last| now.since(*last) >= RELAY_DELAY).or(self.previous)
-    }
-}
-
 /// Sliding windows of all teams as this host sees them.
 #[derive(Clone, Debug)]
 pub struct QuotaLimiter {
@@ -201,7 +170,6 @@
     teams: BTreeMap<TeamName, TeamWindow>,
     /// Assumed spending before this host's start.
     assumed: Option<AssumedSpending>,
-    summaries: SummaryTimes,
     must_publish: bool,
     must_record: bool,
 }
@@ -213,7 +181,6 @@
             bounds,
             teams: BTreeMap::new(),
             assumed: None,
-            summaries: SummaryTimes::default(),
             must_publish: false,
             must_record: false,
         }
@@ -283,7 +250,6 @@
         quota: TeamQuota,
         units: u64,
         reachability: PeerReachability,
-        random: &mut impl Rng,
     ) -> QuotaDecision {
         let span = self.bounds.window;
         let available_fraction =
@@ -292,33 +258,31 @@
         window.expire(now, span);
         let window_units = self.bounds.admitted_units(quota);
         let total = window_units * available_fraction;
+        let share = window.share(total, units);
         let own = (window.own.spent + units) as f64;
         let all = own + window.peers.spent as f64;
-        let unseen = window.spent_since(self.summaries.last_received(now)) as f64;
-        let remaining = total - (all - units as f64 - unseen);
-        let even = 1.0 / f64::from(reachability.known_hosts());
-        // A host that has just started has no published demand yet.
-        let fraction = match self.summaries.last {
-            Some(_) => window.demand_fraction(even),
-            None => even,
-        };
-        let share = remaining * fraction;
+        let estimated = all
+            + window
+                .estimate_unpublished(reachability)
+                .min(window_units * MAX_UNPUBLISHED_FRACTION);
         let is_unrestricted = matches!(reachability, PeerReachability::Majority { .. })
-            && all <= total * UNRESTRICTED_FRACTION;
-        let admitted =
-            is_unrestricted || unseen + units as f64 * random.random_range(0.0..1.0) < share;
+            && estimated <= total * UNRESTRICTED_FRACTION;
+        // Shares are computed from measurements of different times, so they may add up to more than
+        // the total.
+        let admitted = is_unrestricted || (own <= share && estimated <= total);
         window.entries.push_back(WindowEntry { at: now, units, admitted });
         window.own.asked += units;
         window.unpublished += units;
         self.must_publish |= window.unpublished as f64 > window_units * PUBLISH_FRACTION;
         if admitted {
             window.own.spent += units;
+            window.unpublished_spent += units;
             window.unrecorded += units;
             self.must_record |= all > window_units * RECORD_FRACTION
                 && window.unrecorded as f64 > window_units * RECORD_STEP_FRACTION;
             return QuotaDecision::Admitted;
         }
-        let retry_after = window.time_until_capacity(now, span, unseen + units as f64 - share);
+        let retry_after = window.time_until_capacity(now, span, own - share);
         let usage = QuotaUsage { own, peers: all - own, share, total };
         QuotaDecision::Exceeded { retry_after, usage }
     }
@@ -346,10 +310,9 @@
     /// Returns this host's spending in the window and marks it as published.
     pub fn publish_spending(&mut self, now: Timestamp) -> Vec<(TeamName, TeamSpending)> {
         self.must_publish = false;
-        self.summaries.on_sent(now);
         for window in self.teams.values_mut() {
             window.expire(now, self.bounds.window);
-            window.unpublished = 0;
+            (window.unpublished, window.unpublished_spent) = (0, 0);
             window.published_asked = window.own.asked;
         }
         self.own_spending(now)
@@ -380,19 +343,27 @@
         }
     }
 
-    /// Returns the units that this host has admitted since `start`, or in the whole window.
-    fn spent_since(&self, start: Option<Timestamp>) -> u64 {
-        let is_recent = |entry: &&WindowEntry| start.is_none_or(|start| entry.at >= start);
-        let recent = self.entries.iter().rev().take_while(is_recent);
-        recent.filter(|entry| entry.admitted).map(|entry| entry.units).sum()
+    /// Estimates what the peers have spent since their last summaries: this host's spending since
+    /// its own last summary, scaled by the ratio of the peers' demand to its own.
+    ///
+    /// The ratio is capped at twice that of evenly spread demand, so that a single large request at
+    /// a host with little demand does not count as many at its peers.
+    fn estimate_unpublished(&self, reachability: PeerReachability) -> f64 {
+        if self.published_asked == 0 {
+            return 0.0;
+        }
+        let (PeerReachability::Minority { known, .. } | PeerReachability::Majority { known, .. }) =
+            reachability;
+        let even = f64::from(known.saturating_sub(1));
+        let ratio = self.peers.asked as f64 / self.published_asked as f64;
+        self.unpublished_spent as f64 * ratio.min(2.0 * even)
     }
 
-    /// Returns this host's fraction of the published demand, of which `even` would be an equal part.
-    fn demand_fraction(&self, even: f64) -> f64 {
-        let own = self.published_asked as f64;
-        let all = own + self.peers.asked as f64;
-        let fraction = if all > 0.0 { own / all } else { even };
-        fraction.max(even * MIN_SHARES_FRACTION)
+    /// Returns the number of units that this host may spend in the window.
+    fn share(&self, total: f64, units: u64) -> f64 {
+        let own = (self.own.asked + units) as f64;
+        let fraction = own / (own + self.peers.asked as f64);
+        total * fraction.max(MIN_SHARE_FRACTION)
     }
 
     /// Returns the time until at least `missing` admitted units have left the window.
