stream relay, request runner: split the loops into steps

RelayedStream holds what the relay knows of one server's stream. No change of behaviour but one: a stream that ends within an event is logged as lost (it left no line). test_silent_server, test_gateway_process, test_endless_response, test_leaving_host and test_caller_connections pass (65 tests).

--- a/lib/src/gateway/attempt_race.rs
+++ b/lib/src/gateway/attempt_race.rs
@@ -1,8 +1,8 @@
 //! Attempts of one request that are in flight at the same time.
 //!
 //! Load pattern: a sound server sends nothing for a while and goes on. Its attempt is never given up
-//! before another server has answered: a hedged attempt runs beside it, and the first one to answer
-//! is kept. Without a second server, or with an empty retry budget, the first attempt goes on alone.
+//! before another server has answered: a hedged attempt runs beside it, and the first one with an
+//! answer, or with the next event of a stream, is kept. Without a second server, or with an empty retry budget, the first attempt goes on alone.
 
 use std::future::Future;
 use std::future::poll_fn;
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -66,6 +66,14 @@
 /// remains for the hedged attempt.
 const TIME_LEFT_DIVISOR: u32 = 3;
 
+/// Whether an attempt was sent.
+enum StartOutcome {
+    /// It was.
+    Started,
+    /// Its server was removed after it had been selected.
+    ServerGone,
+}
+
 /// Handles requests of callers.
 pub struct RequestRunner<W> {
     state: Rc<GatewayState>,
@@ -240,19 +248,15 @@
                 return self.relay_or_end(&request, &plan, give_up, error_response);
             }
             if race.is_empty() {
-                let placed = match place_request(&self.state, now, &request, plan.tried()) {
-                    Ok(placed) => placed,
+                match self.start_attempt(&request, &mut plan, &mut race) {
+                    Ok(StartOutcome::Started) => {}
+                    Ok(StartOutcome::ServerGone) => continue,
                     Err(reason) if plan.sent() == 0 => {
                         return self.refuse_accepted(&request, reason);
                     }
                     Err(_) => {
                         return self.relay_or_end(&request, &plan, plan.give_up(), error_response);
                     }
-                };
-                if !race.start(placed, deadline, resume_after) {
-                    // The server was removed between its selection and the attempt.
-                    plan.on_failure(now, placed.key, AttemptFailure::Unsent);
-                    continue;
                 }
             }
             let (key, outcome) = match race.next(self.silence_limit(now, &request, deadline)).await
@@ -284,23 +288,37 @@
                     failure
                 }
             };
-            match plan.on_failure(self.state.now(), key, failure) {
+            let give_up = match plan.on_failure(self.state.now(), key, failure) {
                 AttemptStep::AwaitOther => {
                     if failure.is_not_run() && race.is_silent() {
                         race.hedge(&mut plan, None, resume_after);
                     }
+                    continue;
                 }
-                AttemptStep::TryAnother { is_retry }
-                    if self.may_retry(&request, is_retry)
-                        && !self.state.crashes.borrow().is_refused(request.fingerprint) => {}
-                AttemptStep::TryAnother { .. } | AttemptStep::RelayFailure => {
-                    return self.relay_or_end(&request, &plan, plan.give_up(), error_response);
-                }
-                AttemptStep::End(give_up) => {
-                    return self.relay_or_end(&request, &plan, give_up, error_response);
+                AttemptStep::TryAnother { is_retry } if self.may_retry(&request, is_retry) => {
+                    continue;
                 }
-            }
+                AttemptStep::TryAnother { .. } | AttemptStep::RelayFailure => plan.give_up(),
+                AttemptStep::End(give_up) => give_up,
+            };
+            return self.relay_or_end(&request, &plan, give_up, error_response);
+        }
+    }
+
+    /// Selects a server and sends it an attempt.
+    fn start_attempt(
+        &self,
+        request: &AcceptedRequest,
+        plan: &mut AttemptPlan,
+        race: &mut AttemptRace<W>,
+    ) -> Result<StartOutcome, RefusalReason> {
+        let now = self.state.now();
+        let placed = place_request(&self.state, now, request, plan.tried())?;
+        if race.start(placed, plan.deadline(), request.head.resume_after) {
+            return Ok(StartOutcome::Started);
         }
+        plan.on_failure(now, placed.key, AttemptFailure::Unsent);
+        Ok(StartOutcome::ServerGone)
     }
 
     /// Returns the time after which another server is tried beside a silent attempt; `None` for work
@@ -322,7 +340,8 @@
 
     fn may_retry(&self, request: &AcceptedRequest, is_retry: bool) -> bool {
         let now = self.state.now();
-        !is_retry || self.state.try_retry(now, &request.service, RetryPurpose::Failure)
+        (!is_retry || self.state.try_retry(now, &request.service, RetryPurpose::Failure))
+            && !self.state.crashes.borrow().is_refused(request.fingerprint)
     }
 
     /// Relays the server's own error response if there is one, or else ends the request.
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -29,6 +29,9 @@
 use crate::gateway::attempt_race::AttemptRace;
 use crate::gateway::attempt_race::RaceEvent;
 use crate::gateway::attempt_race::record_silent_server;
+use crate::gateway::connection_pool::PooledConnection;
+use crate::gateway::event_splitter;
+use crate::gateway::event_splitter::EventSplitter;
 use crate::gateway::event_splitter::StreamEvent;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::panic_catcher::catch_panic;
@@ -83,6 +86,45 @@
     TimedOut,
 }
 
+/// The stream of one server while it is relayed.
+struct RelayedStream {
+    attempt: ServerAttempt,
+    body: Incoming,
+    connection: PooledConnection,
+    splitter: EventSplitter,
+    first_event: Option<StreamEvent>,
+    /// Whether an event of it was relayed.
+    has_begun: bool,
+    /// Whether it has been silent for longer than expected.
+    is_silent: bool,
+    /// Since the last event or hedge; bytes that complete no event do not count.
+    quiet_since: Timestamp,
+}
+
+impl RelayedStream {
+    fn new(stream: OpenResponse, now: Timestamp) -> Self {
+        let OpenResponse { attempt, response, connection, begun } = stream;
+        let BegunStream { splitter, first_event } = begun;
+        Self {
+            attempt,
+            body: response.into_body(),
+            connection,
+            splitter,
+            first_event,
+            has_begun: false,
+            is_silent: false,
+            quiet_since: now,
+        }
+    }
+
+    fn next_complete_event(&mut self) -> event_splitter::Result<Option<StreamEvent>> {
+        match self.first_event.take() {
+            Some(event) => Ok(Some(event)),
+            None => self.splitter.next_event(),
+        }
+    }
+}
+
 /// The relay of one request's stream.
 pub struct StreamRelay<W> {
     state: Rc<GatewayState>,
@@ -169,111 +211,103 @@
 
     /// Relays events from one server until its stream ends.
     async fn relay_from_server(&mut self, stream: OpenResponse) -> RelayEnd {
-        let OpenResponse { mut attempt, response, connection, begun } = stream;
-        let mut body = response.into_body();
-        let BegunStream { mut splitter, mut first_event } = begun;
-        let mut first = true;
-        let mut was_silent = false;
-        // Since the last event or hedge; bytes that complete no event do not count.
-        let mut quiet_since = self.state.now();
+        let mut stream = RelayedStream::new(stream, self.state.now());
         loop {
-            loop {
-                let event = match first_event.take() {
-                    Some(event) => Ok(Some(event)),
-                    None => splitter.next_event(),
-                };
-                let event = match event {
-                    Ok(Some(event)) => event,
-                    Ok(None) => break,
-                    Err(error) => {
-                        self.log_stream_lost(&attempt, &error.to_string());
-                        return RelayEnd::Lost;
+            if let Some(end) = self.relay_complete_events(&mut stream).await {
+                return end;
+            }
+            match self.next_event(&mut stream).await {
+                RelayEvent::Read(Some(Ok(frame))) => {
+                    let Ok(bytes) = frame.into_data() else { continue };
+                    if let Err(error) = stream.splitter.push(&bytes) {
+                        return self.lose_stream(&stream, &error.to_string());
                     }
-                };
-                if std::mem::take(&mut was_silent) {
-                    record_health(&self.state, attempt.key, HealthEvidence::Answered);
                 }
-                let is_first = std::mem::take(&mut first);
-                if let Some(end) = self.on_event(&mut attempt, is_first, event).await {
-                    return end;
+                RelayEvent::Read(Some(Err(error))) => {
+                    record_lost(&self.state, &self.request, &stream.attempt);
+                    return self.lose_stream(&stream, &error.to_string());
                 }
-                quiet_since = self.state.now();
-            }
-            let read = match self.next_event(&mut body, first, quiet_since).await {
-                RelayEvent::Read(read) => read,
-                RelayEvent::HedgeEnded(_, AttemptOutcome::Stream(stream)) => {
-                    return RelayEnd::Superseded(stream);
+                RelayEvent::Read(None) if stream.splitter.has_partial_event() => {
+                    return self.lose_stream(&stream, "ended within an event");
                 }
-                RelayEvent::HedgeEnded(key, outcome) => {
-                    let failure = self.on_hedge_failed(key, outcome);
-                    if failure.is_not_run() && was_silent {
-                        self.race.hedge(&mut self.plan, Some(attempt.key), self.last_event);
-                    }
-                    continue;
+                RelayEvent::Read(None) => {
+                    stream.connection.release();
+                    return RelayEnd::Complete;
                 }
-                RelayEvent::Silent(silence) => {
-                    quiet_since = self.state.now();
-                    if !was_silent {
-                        record_silent_server(&self.state, &self.request, attempt.key, silence);
-                    }
-                    was_silent = true;
-                    self.race.hedge(&mut self.plan, Some(attempt.key), self.last_event);
-                    continue;
+                RelayEvent::HedgeEnded(_, AttemptOutcome::Stream(next)) => {
+                    return RelayEnd::Superseded(next);
                 }
+                RelayEvent::HedgeEnded(key, outcome) => {
+                    self.on_hedge_failed(&stream, key, outcome);
+                }
+                RelayEvent::Silent(silence) => self.on_silence(&mut stream, silence),
                 RelayEvent::CallerDisconnected => return RelayEnd::CallerDisconnected,
                 RelayEvent::TimedOut => return RelayEnd::TimedOut,
+            }
+        }
+    }
+
+    /// Relays what is complete of a stream; returns how relaying ended if it cannot continue.
+    async fn relay_complete_events(&mut self, stream: &mut RelayedStream) -> Option<RelayEnd> {
+        loop {
+            let event = match stream.next_complete_event() {
+                Ok(Some(event)) => event,
+                Ok(None) => return None,
+                Err(error) => return Some(self.lose_stream(stream, &error.to_string())),
             };
-            let frame = match read {
-                Some(Ok(frame)) => frame,
-                None if splitter.has_partial_event() => return RelayEnd::Lost,
-                None => {
-                    connection.release();
-                    return RelayEnd::Complete;
-                }
-                Some(Err(error)) => {
-                    record_lost(&self.state, &self.request, &attempt);
-                    self.log_stream_lost(&attempt, &error.to_string());
-                    return RelayEnd::Lost;
-                }
-            };
-            let Ok(bytes) = frame.into_data() else { continue };
-            if let Err(error) = splitter.push(&bytes) {
-                self.log_stream_lost(&attempt, &error.to_string());
-                return RelayEnd::Lost;
+            // This stream is kept, so the attempts beside it are not needed.
+            self.race.drop_rest(&mut self.plan);
+            if std::mem::take(&mut stream.is_silent) {
+                record_health(&self.state, stream.attempt.key, HealthEvidence::Answered);
+            }
+            if !std::mem::replace(&mut stream.has_begun, true) {
+                stream.attempt.on_prefilled();
+                self.on_first_event();
+            }
+            if let Some(end) = self.relay_event(event).await {
+                return Some(end);
             }
+            stream.quiet_since = self.state.now();
         }
     }
 
-    /// Relays an event of the stream that is kept and drops the attempts beside it; returns how
-    /// relaying ended if it cannot continue.
-    async fn on_event(
-        &mut self,
-        attempt: &mut ServerAttempt,
-        is_first: bool,
-        event: StreamEvent,
-    ) -> Option<RelayEnd> {
-        self.race.drop_rest(&mut self.plan);
-        if is_first {
-            attempt.on_prefilled();
-            self.on_first_event();
+    /// Hedges a stream that is silent.
+    fn on_silence(&mut self, stream: &mut RelayedStream, silence: Duration) {
+        stream.quiet_since = self.state.now();
+        if !std::mem::replace(&mut stream.is_silent, true) {
+            record_silent_server(&self.state, &self.request, stream.attempt.key, silence);
         }
-        self.relay_event(event).await
+        self.race.hedge(&mut self.plan, Some(stream.attempt.key), self.last_event);
+    }
+
+    /// Records a hedged attempt that failed, and replaces it if its server certainly did not run it.
+    fn on_hedge_failed(&mut self, stream: &RelayedStream, key: ServerKey, outcome: AttemptOutcome) {
+        let failure = match outcome {
+            AttemptOutcome::Failed(failure, _) => failure,
+            AttemptOutcome::Stream(_) | AttemptOutcome::Buffered(_) | AttemptOutcome::TimedOut => {
+                AttemptFailure::Lost
+            }
+        };
+        self.plan.on_failure(self.state.now(), key, failure);
+        if failure.is_not_run() && stream.is_silent {
+            self.race.hedge(&mut self.plan, Some(stream.attempt.key), self.last_event);
+        }
+    }
+
+    fn lose_stream(&self, stream: &RelayedStream, detail: &str) -> RelayEnd {
+        self.log_stream_lost(&stream.attempt, detail);
+        RelayEnd::Lost
     }
 
     /// Waits for the next piece of a stream and for what may end the wait.
-    async fn next_event(
-        &mut self,
-        body: &mut Incoming,
-        first: bool,
-        quiet_since: Timestamp,
-    ) -> RelayEvent {
+    async fn next_event(&mut self, stream: &mut RelayedStream) -> RelayEvent {
         let now = self.state.now();
         let time_left = self.plan.deadline().since(now);
-        let limit = self.silence_limit(first, time_left);
-        let wait = limit.saturating_sub(now.since(quiet_since)).min(time_left);
+        let limit = self.silence_limit(!stream.has_begun, time_left);
+        let wait = limit.saturating_sub(now.since(stream.quiet_since)).min(time_left);
         let is_hedged = !self.race.is_empty();
         tokio::select! {
-            frame = body.frame() => RelayEvent::Read(frame),
+            frame = stream.body.frame() => RelayEvent::Read(frame),
             event = self.race.next(None), if is_hedged => match event {
                 RaceEvent::Ended(key, outcome) => RelayEvent::HedgeEnded(key, outcome),
                 RaceEvent::Silent => RelayEvent::Silent(limit),
@@ -286,18 +320,6 @@
         }
     }
 
-    /// Records a hedged attempt that failed. The stream that is relayed goes on.
-    fn on_hedge_failed(&mut self, key: ServerKey, outcome: AttemptOutcome) -> AttemptFailure {
-        let failure = match outcome {
-            AttemptOutcome::Failed(failure, _) => failure,
-            AttemptOutcome::Stream(_) | AttemptOutcome::Buffered(_) | AttemptOutcome::TimedOut => {
-                AttemptFailure::Lost
-            }
-        };
-        self.plan.on_failure(self.state.now(), key, failure);
-        failure
-    }
-
     /// Relays a complete event; returns how relaying ended if it cannot continue.
     async fn relay_event(&mut self, event: StreamEvent) -> Option<RelayEnd> {
         match (event.id, self.last_event) {
