process fleet: bounded calls for the journals of the stand-ins

The stand-in's stack showed every pool thread of tiny_http reading from a kept connection, and none in a handler: its task pool checks for waiting threads before it queues a connection, so two connections that arrive together may count on one waiting thread, and the second one stays queued while kept connections hold the others. A later connection gets a thread of its own, which then takes the queued one.

The call has a time limit and is made again, at most four times, each over a connection of its own. What the tests check is unchanged. Seen once in three runs of the suite; not reproduced on purpose.

--- a/lib/testutils/src/process_fleet.rs
+++ b/lib/testutils/src/process_fleet.rs
@@ -8,6 +8,7 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::time::Duration;
 
 use rustix::process::Pid;
 use rustix::process::Signal;
@@ -23,6 +24,12 @@
 use crate::dev_cluster::TEAMS;
 use crate::front_door_client::FrontDoorClient;
 
+/// Timeout of a call for a journal.
+const JOURNAL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Number of calls for a journal before it counts as unreadable.
+const JOURNAL_TRIES: u32 = 4;
+
 /// A process that is killed when it is dropped.
 struct KillOnDrop(Child);
 
@@ -209,15 +216,18 @@
 }
 
 fn read_journals(servers: &[SocketAddr]) -> Vec<RunRecord> {
-    let mut runs = Vec::new();
-    for address in servers {
-        let url = format!("http://{address}/journal");
-        let mut reply = ureq::get(url).call().expect("the journal can be read");
-        let records: Vec<RunRecord> =
-            reply.body_mut().read_json().expect("the journal is a JSON list");
-        runs.extend(records);
-    }
-    runs
+    servers.iter().flat_map(read_journal).collect()
+}
+
+fn read_journal(server: &SocketAddr) -> Vec<RunRecord> {
+    let agent: ureq::Agent =
+        ureq::Agent::config_builder().timeout_global(Some(JOURNAL_TIMEOUT)).build().into();
+    let url = format!("http://{server}/journal");
+    // Under load tiny_http may leave a connection without a thread until another one is opened.
+    let mut replies = (0..JOURNAL_TRIES).map(|_| agent.get(&url).call());
+    let reply = replies.find(|reply| !matches!(reply, Err(ureq::Error::Timeout(_))));
+    let mut reply = reply.expect("the journal is sent in time").expect("the journal can be read");
+    reply.body_mut().read_json().expect("the journal is a JSON list")
 }
 
 /// Parses the address from a line that `dev` prints for a server of this kind.
