gateway: stop sending to servers that say they leave, and keep their pauses

Servers now say in their responses that they are leaving (`Server-Leaving: 1`), and a 503 may state for how long a server wants no request from this host (`Retry-After`). Both were ignored: a server that had said so went on receiving requests until the directory listed it as draining, and one that was turning requests away was asked again at once.

A departure counts in the directory as draining, by server id and start time of the process, so that placement, hedges, resumes and the fleet follow it whatever entries say later; peers learn it from summaries. A pause is kept by placement by server id and checked once more when the connection is open; only the host that was asked keeps it. If all servers pause, callers are refused at once with the time of the first one, spread by request. After a pause one request at a time goes first.

Ruled out: keeping both in the state of a server key, which is new whenever an entry comes back after an outage of the store.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -45,6 +45,7 @@
 pub mod retry_limiter;
 pub mod server_attempt;
 pub mod server_health;
+pub mod server_pause;
 pub mod serving_config;
 pub mod shutdown_plan;
 pub mod store_era;
--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -38,6 +38,13 @@
 /// Retry delay stated to callers when all servers are full: about the duration of a short response.
 pub const QUEUE_FULL_RETRY_AFTER: Duration = Duration::from_millis(600);
 
+/// Maximum share by which the retry delay of a caller exceeds the pause that a server asked for, so
+/// that callers do not return all at once.
+const RETRY_SPREAD: f64 = 0.25;
+
+/// Maximum retry delay beyond that share.
+const MIN_RETRY_SPREAD: Duration = Duration::from_millis(200);
+
 /// Counts a request as in flight while it lives; a draining host waits for these.
 pub struct InFlightGuard {
     state: Rc<GatewayState>,
@@ -214,12 +221,24 @@
         PlacementChoice::Full => {
             Err(RefusalReason::with_retry_after(ResultCode::QueueFull, QUEUE_FULL_RETRY_AFTER))
         }
+        PlacementChoice::Paused { until } => {
+            let retry_after = spread_retry_after(until.since(now), &request.head.request_id);
+            Err(RefusalReason::with_retry_after(ResultCode::QueueFull, retry_after))
+        }
         PlacementChoice::NoServer => {
             Err(RefusalReason::with_retry_after(ResultCode::NoServer, NO_SERVER_RETRY_AFTER))
         }
     }
 }
 
+/// Returns a retry delay for the time after which a server accepts requests again; callers get
+/// different ones.
+pub fn spread_retry_after(delay: Duration, request_id: &str) -> Duration {
+    let hash = blake3::hash(request_id.as_bytes());
+    let share = f64::from(hash.as_bytes()[0]) / f64::from(u8::MAX);
+    delay + (delay.mul_f64(RETRY_SPREAD) + MIN_RETRY_SPREAD).mul_f64(share)
+}
+
 /// Refunds the quota of a request that did not run.
 pub fn refund_quota(state: &GatewayState, request: &AcceptedRequest) {
     if let Some(team) = request.team.as_ref().filter(|team| team.quota.is_some()) {
--- a/lib/src/gateway/attempt_plan.rs
+++ b/lib/src/gateway/attempt_plan.rs
@@ -22,6 +22,8 @@
 pub enum AttemptFailure {
     /// No byte of the request left this host.
     Unsent,
+    /// The server asked for a pause while its connection was being opened; nothing was sent.
+    Withheld,
     /// The server reported that it did not run the request; a later retry may succeed.
     Refused,
     /// Another server, or a restarted process of the same one, has the address; it did not run the
@@ -37,7 +39,7 @@
     /// Returns whether the server certainly did not run the request.
     pub fn is_not_run(self) -> bool {
         match self {
-            Self::Unsent | Self::Refused | Self::Misdirected => true,
+            Self::Unsent | Self::Withheld | Self::Refused | Self::Misdirected => true,
             Self::Lost | Self::Failed => false,
         }
     }
@@ -124,7 +126,7 @@
     ) -> AttemptStep {
         self.tried.push(server);
         match failure {
-            AttemptFailure::Unsent => self.unsent += 1,
+            AttemptFailure::Unsent | AttemptFailure::Withheld => self.unsent += 1,
             AttemptFailure::Misdirected => self.unsent += 1,
             AttemptFailure::Refused => self.sent += 1,
             AttemptFailure::Lost | AttemptFailure::Failed => {
--- a/lib/src/gateway/backend_directory.rs
+++ b/lib/src/gateway/backend_directory.rs
@@ -32,6 +32,12 @@
 /// Time without a successful read after which the store counts as unavailable.
 pub const STORE_OUTAGE_THRESHOLD: Duration = Duration::from_millis(2_500);
 
+/// Maximum number of servers known to be leaving by their own word; the oldest are dropped first.
+const MAX_DEPARTURES: usize = 4_096;
+
+/// Time for which a departure is told to peers; it spans several summaries.
+const DEPARTURE_GOSSIP_WINDOW: Duration = Duration::from_secs(2);
+
 /// Whether a backend server accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServingState {
@@ -120,6 +126,34 @@
     pub position: Option<LogPosition>,
 }
 
+/// Who told this host that a server is leaving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DepartureSource {
+    /// The server itself.
+    Server,
+    /// A peer that heard it from the server.
+    Peer,
+}
+
+/// A server's own word that it is leaving. It holds for the process that gave it, whatever the
+/// directory lists.
+#[derive(Clone, Copy, Debug)]
+struct ServerDeparture {
+    started_at_ms: Option<u64>,
+    heard_at: Timestamp,
+    source: DepartureSource,
+}
+
+impl ServerDeparture {
+    /// Returns whether an entry is of the process that is leaving.
+    fn covers(&self, entry: &BackendEntry) -> bool {
+        match (self.started_at_ms, entry.started_at_ms) {
+            (Some(left), Some(started)) => left == started,
+            _ => true,
+        }
+    }
+}
+
 /// The newest record of a server, kept when the server is removed.
 #[derive(Clone, Copy, Debug)]
 struct KnownRecord {
@@ -158,6 +192,7 @@
     servers: SlotMap<ServerKey, BackendServer>,
     by_id: HashMap<ServerId, ServerKey>,
     records: HashMap<ServerId, KnownRecord>,
+    departures: HashMap<ServerId, ServerDeparture>,
     /// Era of the store at this host's last read.
     era: Option<StoreEra>,
     /// Missing servers, and when each is removed unless its entry reappears.
@@ -227,6 +262,49 @@
         }
     }
 
+    /// Records that a server says that it is leaving; it counts as draining from now on. `started_at_ms`
+    /// tells its process from later ones of the same id.
+    pub fn on_departure(
+        &mut self,
+        now: Timestamp,
+        id: &ServerId,
+        started_at_ms: Option<u64>,
+        source: DepartureSource,
+    ) -> DirectoryEffect {
+        if self.departures.get(id).is_some_and(|known| known.started_at_ms == started_at_ms) {
+            return DirectoryEffect::Unchanged;
+        }
+        let departure = ServerDeparture { started_at_ms, heard_at: now, source };
+        self.departures.insert(id.clone(), departure);
+        if self.departures.len() > MAX_DEPARTURES {
+            let oldest = self.departures.iter().min_by_key(|(_, departure)| departure.heard_at);
+            if let Some(oldest) = oldest.map(|(id, _)| id.clone()) {
+                self.departures.remove(&oldest);
+            }
+        }
+        let Some(key) = self.find(id) else { return DirectoryEffect::Unchanged };
+        let Some(server) = self.servers.get_mut(key) else { return DirectoryEffect::Unchanged };
+        if server.draining_since.is_some() || !departure.covers(&server.entry) {
+            return DirectoryEffect::Unchanged;
+        }
+        server.draining_since = Some(now);
+        DirectoryEffect::Draining(key)
+    }
+
+    /// Returns the servers that recently told this host that they are leaving, with the start times of
+    /// their processes.
+    pub fn recent_departures(
+        &self,
+        now: Timestamp,
+    ) -> impl Iterator<Item = (&ServerId, Option<u64>)> {
+        let is_recent = move |departure: &ServerDeparture| {
+            departure.source == DepartureSource::Server
+                && now.since(departure.heard_at) < DEPARTURE_GOSSIP_WINDOW
+        };
+        let recent = self.departures.iter().filter(move |(_, departure)| is_recent(departure));
+        recent.map(|(id, departure)| (id, departure.started_at_ms))
+    }
+
     /// Removes the servers whose grace period has ended.
     pub fn expire(&mut self, now: Timestamp) -> Vec<ExpiredServer> {
         let due: Vec<ServerId> = self
@@ -312,7 +390,8 @@
 
     fn set_present(&mut self, now: Timestamp, entry: BackendEntry) -> DirectoryEffect {
         self.pending_removals.remove(&entry.id);
-        let draining = entry.state == ServingState::Draining;
+        let departed = self.departures.get(&entry.id).is_some_and(|known| known.covers(&entry));
+        let draining = departed || entry.state == ServingState::Draining;
         let Some(key) = self.find(&entry.id) else {
             let draining_since = draining.then_some(now);
             let id = entry.id.clone();
--- a/lib/src/gateway/connection_pool.rs
+++ b/lib/src/gateway/connection_pool.rs
@@ -66,6 +66,9 @@
     /// No byte of the request was sent.
     #[error("not sent: {0}")]
     Unsent(String),
+    /// It was no longer wanted when there was a connection.
+    #[error("no longer wanted")]
+    Withheld,
     /// The request was sent, and the connection broke or carried no valid response.
     #[error("lost: {0}")]
     Lost(String),
@@ -127,9 +130,19 @@
     ///
     /// Has no timeout besides that of the connect; dropping the future closes the connection.
     pub async fn call(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, PooledConnection)> {
+        self.call_if(address, request, || true).await
+    }
+
+    /// Sends a request as [`Self::call`] does, if `is_wanted` still holds once there is a connection.
+    pub async fn call_if(
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
+        is_wanted: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, PooledConnection)> {
         loop {
             let (mut connection, reused) = match self.take_idle(address) {
@@ -139,6 +152,9 @@
             if reused && connection.sender.ready().await.is_err() {
                 continue;
             }
+            if !is_wanted() {
+                return Err(CallError::Withheld);
+            }
             connection.head_allowance.start(MAX_HEAD_BYTES);
             let sent = connection.sender.try_send_request(request).await;
             connection.head_allowance.stop();
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -7,6 +7,7 @@
 use tokio::sync::Notify;
 
 use crate::gateway::backend_directory::BackendDirectory;
+use crate::gateway::backend_directory::DepartureSource;
 use crate::gateway::backend_directory::DirectoryEffect;
 use crate::gateway::buffer_budget::BufferBudget;
 use crate::gateway::connection_pool::ConnectionPool;
@@ -185,6 +186,22 @@
         granted
     }
 
+    /// Records that a server says that it is leaving.
+    pub fn on_departure(
+        &self,
+        server: &ServerId,
+        started_at_ms: Option<u64>,
+        source: DepartureSource,
+    ) {
+        let now = self.now();
+        let effect = self.directory.borrow_mut().on_departure(now, server, started_at_ms, source);
+        if effect != DirectoryEffect::Unchanged {
+            log::info!("event=server_departure server={server} source={source:?}");
+            self.on_directory_effect(effect);
+            self.summary_hint.notify_one();
+        }
+    }
+
     /// Records that a server's process exited.
     pub fn on_server_gone(&self, server: &ServerId) {
         let suspects = self.crashes.borrow_mut().on_server_gone(self.now(), server);
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -5,6 +5,7 @@
 
 use prost::Message as _;
 
+use crate::gateway::backend_directory::DepartureSource;
 use crate::gateway::crash_tracker::CallFingerprint;
 use crate::gateway::directory_gossip::decode_change;
 use crate::gateway::directory_gossip::has_missed_changes;
@@ -20,6 +21,7 @@
 use crate::ids::StoreEra;
 use crate::ids::TeamName;
 use crate::protos::gateway::CrashSight;
+use crate::protos::gateway::Departure;
 use crate::protos::gateway::HostSummary;
 use crate::protos::gateway::ServerChange;
 use crate::protos::gateway::ServerUse;
@@ -32,6 +34,9 @@
 /// Maximum number of crash suspicions in one summary: enough for a zone of servers that crashed.
 const MAX_SUMMARY_CRASHES: usize = 64;
 
+/// Maximum number of departures in one summary: enough for a zone of servers that leave.
+const MAX_SUMMARY_DEPARTURES: usize = 64;
+
 /// Updates placement and quotas with the current state of the peers.
 pub fn apply_peer_summaries(state: &GatewayState) {
     let now = state.now();
@@ -57,6 +62,7 @@
     let windows = std::mem::take(&mut summary.windows);
     let crashes = std::mem::take(&mut summary.crashes);
     let changes = std::mem::take(&mut summary.changes);
+    let departures = std::mem::take(&mut summary.departures);
     let known_count = state.peers.borrow().changes_count(&summary);
     let has_missed = has_missed_changes(known_count, summary.changes_count, changes.len());
     let read_age = summary.directory_age_ms.checked_sub(1).map(Duration::from_millis);
@@ -80,6 +86,7 @@
     }
     changes.iter().for_each(|change| apply_server_change(state, change));
     crashes.into_iter().for_each(|report| apply_crash_report(state, report));
+    departures.into_iter().for_each(|departure| apply_departure(state, departure));
     windows.iter().for_each(|window| merge_window_counts(state, window));
 }
 
@@ -117,6 +124,13 @@
     }
 }
 
+fn apply_departure(state: &GatewayState, departure: Departure) {
+    match ServerId::try_from(departure.server) {
+        Ok(server) => state.on_departure(&server, departure.born_ms, DepartureSource::Peer),
+        Err(error) => log::warn!("event=departure_skipped code=404 detail=\"{error}\""),
+    }
+}
+
 fn merge_window_counts(state: &GatewayState, window: &WindowUse) {
     let host = match HostId::try_from(window.host.as_str()) {
         Ok(host) => host,
@@ -239,6 +253,10 @@
         fingerprint: fingerprint.0,
         server: server.to_string(),
     });
+    let departures = directory.recent_departures(now).map(|(server, started_at_ms)| Departure {
+        server: server.to_string(),
+        born_ms: started_at_ms,
+    });
     HostSummary {
         host: state.incarnation.0.to_string(),
         incarnation: state.incarnation.1.0,
@@ -249,6 +267,7 @@
         windows: windows.collect(),
         demands: demands.collect(),
         crashes: crashes.take(MAX_SUMMARY_CRASHES).collect(),
+        departures: departures.take(MAX_SUMMARY_DEPARTURES).collect(),
         config_version: state.config.borrow().current().map_or(0, |config| config.version),
         wall_ms: 0,
         zone: settings.zone.to_string(),
--- a/lib/src/gateway/placement.rs
+++ b/lib/src/gateway/placement.rs
@@ -20,6 +20,8 @@
 use crate::gateway::caller_request::PromptShape;
 use crate::gateway::server_health::HealthEvidence;
 use crate::gateway::server_health::ServerHealth;
+use crate::gateway::server_pause::PauseState;
+use crate::gateway::server_pause::PauseTable;
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
 use crate::ids::ServiceName;
@@ -99,6 +101,11 @@
     },
     /// Every server is full.
     Full,
+    /// Every server asked this host for a pause.
+    Paused {
+        /// When the first pause ends.
+        until: Timestamp,
+    },
     /// No server of the service is known.
     NoServer,
 }
@@ -108,12 +115,13 @@
 pub struct PlacementTable {
     zone: ZoneName,
     loads: SecondaryMap<ServerKey, ServerLoad>,
+    pauses: PauseTable,
 }
 
 impl PlacementTable {
     /// Creates an empty table for a host in the given zone.
     pub fn new(zone: ZoneName) -> Self {
-        Self { zone, loads: SecondaryMap::new() }
+        Self { zone, loads: SecondaryMap::new(), pauses: PauseTable::default() }
     }
 
     /// Adds a server, or clears the state of one that restarted.
@@ -142,12 +150,18 @@
         if ready.is_empty() {
             return PlacementChoice::NoServer;
         }
+        let open = match self.open_servers(now, ready) {
+            Ok(open) => open,
+            Err(until) => return PlacementChoice::Paused { until },
+        };
         let is_healthy = |(key, server): &(ServerKey, &BackendServer)| {
-            !server.is_missing && !self.is_avoided(now, *key)
+            !server.is_missing
+                && !self.is_avoided(now, *key)
+                && self.pauses.state(now, &server.entry.id) == PauseState::Open
         };
-        let healthy: Vec<_> = ready.iter().copied().filter(is_healthy).collect();
+        let healthy: Vec<_> = open.iter().copied().filter(is_healthy).collect();
         // If no server is healthy, trying any of them is better than refusing the request.
-        let candidates = if healthy.is_empty() { ready } else { healthy };
+        let candidates = if healthy.is_empty() { open } else { healthy };
         let home = query.prompt.and_then(PromptShape::shared_prefix).and_then(|prefix| {
             candidates.iter().max_by_key(|(_, server)| rendezvous_score(prefix, &server.entry.id))
         });
@@ -164,6 +178,47 @@
         best.map_or(PlacementChoice::Full, |(_, choice)| choice)
     }
 
+    /// Returns the servers that asked for no pause, or when the first pause ends if all did.
+    fn open_servers<'a>(
+        &self,
+        now: Timestamp,
+        ready: Vec<(ServerKey, &'a BackendServer)>,
+    ) -> Result<Vec<(ServerKey, &'a BackendServer)>, Timestamp> {
+        let mut first_end: Option<Timestamp> = None;
+        let mut open = ready;
+        open.retain(|(_, server)| match self.pauses.state(now, &server.entry.id) {
+            PauseState::Open | PauseState::OnTrial => true,
+            PauseState::PausedUntil(until) => {
+                first_end = Some(first_end.map_or(until, |first| first.min(until)));
+                false
+            }
+        });
+        match first_end {
+            Some(until) if open.is_empty() => Err(until),
+            _ => Ok(open),
+        }
+    }
+
+    /// Returns whether a server asked this host for a pause that has not ended.
+    pub fn is_paused(&self, now: Timestamp, server: &ServerId) -> bool {
+        matches!(self.pauses.state(now, server), PauseState::PausedUntil(_))
+    }
+
+    /// Records that a server asked this host for a pause.
+    pub fn on_pause(&mut self, now: Timestamp, server: &ServerId, pause: Duration) {
+        self.pauses.on_pause(now, server, pause);
+    }
+
+    /// Records that a request was handed to a server's connection.
+    pub fn on_handed_over(&mut self, now: Timestamp, server: &ServerId) {
+        self.pauses.on_sent(now, server);
+    }
+
+    /// Records that a server answered without asking for a pause.
+    pub fn on_answered(&mut self, now: Timestamp, server: &ServerId) {
+        self.pauses.on_answered(now, server);
+    }
+
     /// Records that an attempt was sent.
     pub fn on_sent(
         &mut self,
--- a/lib/src/gateway/platform_api.rs
+++ b/lib/src/gateway/platform_api.rs
@@ -217,6 +217,15 @@
     Unusable,
 }
 
+/// What a server says of itself in the head of a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServerNotice {
+    /// Whether the server is leaving.
+    pub is_leaving: bool,
+    /// Time for which it accepts no requests from this host.
+    pub pause: Option<Duration>,
+}
+
 /// The platform's HTTP protocol, as callers and servers use it.
 pub trait WireProtocol {
     /// Parses the head of a caller's request.
@@ -228,6 +237,13 @@
     /// Classifies a server's response to a request by its head.
     fn classify_response(&self, request_id: &str, head: &response::Parts) -> ResponseClass;
 
+    /// Returns what a server says of itself in the head of a response. A malformed field is ignored,
+    /// and an error tells which one.
+    fn read_notice(
+        &self,
+        head: &response::Parts,
+    ) -> (ServerNotice, std::result::Result<(), HeadError>);
+
     /// Returns the status and headers of a response that the gateway itself generates.
     fn gateway_response(
         &self,
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -16,6 +16,7 @@
 use crate::gateway::accepted_request::record_health;
 use crate::gateway::accepted_request::record_started;
 use crate::gateway::attempt_plan::AttemptFailure;
+use crate::gateway::backend_directory::DepartureSource;
 use crate::gateway::body_reader::read_body;
 use crate::gateway::buffer_budget::BufferBudget;
 use crate::gateway::connection_pool::CallError;
@@ -23,7 +24,9 @@
 use crate::gateway::event_splitter::EventSplitter;
 use crate::gateway::event_splitter::StreamEvent;
 use crate::gateway::gateway_state::GatewayState;
+use crate::gateway::platform_api::HeadError;
 use crate::gateway::platform_api::ResponseClass;
+use crate::gateway::platform_api::ServerNotice;
 use crate::gateway::platform_api::WireProtocol;
 use crate::gateway::server_health::HealthEvidence;
 use crate::ids::ServerId;
@@ -171,6 +174,7 @@
         AttemptOutcome::Failed(AttemptFailure::Lost | AttemptFailure::Failed, _)
         | AttemptOutcome::TimedOut => HealthEvidence::Failed,
         AttemptOutcome::Failed(AttemptFailure::Refused, _) => HealthEvidence::Answered,
+        AttemptOutcome::Failed(AttemptFailure::Withheld, _) => return outcome,
     };
     record_health(&state, key, evidence);
     outcome
@@ -186,12 +190,15 @@
     let state = attempt.state.clone();
     let message = AttemptRequest { server: attempt.server(), time_left, resume_after };
     let message = request.message(wire, &message);
-    let (response, connection) = match state.pool.call(attempt.address, message).await {
+    let is_wanted = || hand_over(&state, attempt.server());
+    let (response, connection) = match state.pool.call_if(attempt.address, message, is_wanted).await
+    {
         Ok(called) => called,
         Err(error) => {
             let failure = match error {
                 CallError::Unsent(_) => AttemptFailure::Unsent,
                 CallError::Lost(_) => AttemptFailure::Lost,
+                CallError::Withheld => AttemptFailure::Withheld,
             };
             log_failure(&state, request, &attempt, failure, &error.to_string());
             match failure {
@@ -199,12 +206,14 @@
                     state.pool.close_idle(attempt.address);
                     state.on_server_gone(attempt.server());
                 }
+                AttemptFailure::Withheld => {}
                 _ => record_lost(&state, request, &attempt),
             }
             return AttemptOutcome::Failed(failure, None);
         }
     };
     let (head, body) = response.into_parts();
+    record_notice(&state, &attempt, wire.read_notice(&head));
     let class = wire.classify_response(&request.head.request_id, &head);
     if class == ResponseClass::Relay && request.route.kind.is_stream() && head.status.is_success() {
         let response = Response::from_parts(head, body);
@@ -226,6 +235,44 @@
     buffer_response(&state, request, class, open).await
 }
 
+/// Returns whether a request may be handed to its server's connection, and records it if so.
+fn hand_over(state: &GatewayState, server: &ServerId) -> bool {
+    let now = state.now();
+    let mut placement = state.placement.borrow_mut();
+    if placement.is_paused(now, server) {
+        return false;
+    }
+    placement.on_handed_over(now, server);
+    true
+}
+
+/// Records what a server says of itself in the head of a response.
+fn record_notice(
+    state: &GatewayState,
+    attempt: &ServerAttempt,
+    (notice, errors): (ServerNotice, std::result::Result<(), HeadError>),
+) {
+    let (now, server) = (state.now(), attempt.server());
+    if let Err(error) = errors {
+        state.metrics.events.with_label_values(&["server_notice_skipped"]).inc();
+        log::warn!("event=server_notice_skipped code=404 server={server} detail=\"{error}\"");
+    }
+    if notice.is_leaving {
+        let started_at_ms =
+            state.directory.borrow().get(attempt.key).and_then(|known| known.entry.started_at_ms);
+        state.on_departure(server, started_at_ms, DepartureSource::Server);
+    }
+    let mut placement = state.placement.borrow_mut();
+    match notice.pause {
+        Some(pause) => {
+            placement.on_pause(now, server, pause);
+            state.metrics.events.with_label_values(&["server_paused"]).inc();
+            log::info!("event=server_paused server={server} pause_ms={}", pause.as_millis());
+        }
+        None => placement.on_answered(now, server),
+    }
+}
+
 /// Reads a stream up to its first complete event, until the deadline.
 pub async fn await_first_event(
     state: &GatewayState,
--- a/lib/src/protos/pomelostack.gateway.rs
+++ b/lib/src/protos/pomelostack.gateway.rs
@@ -54,6 +54,9 @@
     /// Newest era of the store that the sender knows.
     #[prost(uint64, tag = "18")]
     pub store_era: u64,
+    /// Servers that recently told the sender that they are leaving.
+    #[prost(message, repeated, tag = "19")]
+    pub departures: ::prost::alloc::vec::Vec<Departure>,
 }
 /// Quota units of one team in the sliding window.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -130,6 +133,15 @@
     #[prost(uint64, optional, tag = "12")]
     pub sequence: ::core::option::Option<u64>,
 }
+/// A backend server that says that it is leaving.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct Departure {
+    #[prost(string, tag = "1")]
+    pub server: ::prost::alloc::string::String,
+    /// Start time of its process in milliseconds since 1970, if known.
+    #[prost(uint64, optional, tag = "2")]
+    pub born_ms: ::core::option::Option<u64>,
+}
 /// A request that was running at a backend server when the server's process ended.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct CrashSight {
--- a/lib/tests/test_backend_directory.rs
+++ b/lib/tests/test_backend_directory.rs
@@ -4,6 +4,7 @@
 
 use pomelostack_lib::gateway::backend_directory::BackendDirectory;
 use pomelostack_lib::gateway::backend_directory::BackendEntry;
+use pomelostack_lib::gateway::backend_directory::DepartureSource;
 use pomelostack_lib::gateway::backend_directory::DirectoryChange;
 use pomelostack_lib::gateway::backend_directory::DirectoryEffect;
 use pomelostack_lib::gateway::backend_directory::RECOVERY_GRACE_PERIOD;
@@ -209,3 +210,61 @@
     directory.apply(at(400), restored(1), numbered(2, ServingState::Ready));
     assert!(directory.expire(at(200) + RECOVERY_GRACE_PERIOD).is_empty());
 }
+
+/// Returns a directory whose server said that it is leaving.
+fn leaving_one() -> BackendDirectory {
+    let mut directory = listing_one();
+    let effect =
+        directory.on_departure(at(100), &server_id("s1"), Some(1), DepartureSource::Server);
+    assert!(matches!(effect, DirectoryEffect::Draining(_)));
+    directory
+}
+
+fn is_draining(directory: &BackendDirectory) -> bool {
+    let server = directory.find(&server_id("s1")).and_then(|key| directory.get(key));
+    server.expect("the server is listed").draining_since.is_some()
+}
+
+#[test]
+fn departure_outlasts_entries() {
+    let mut directory = leaving_one();
+    directory.apply(at(200), position(2), DirectoryChange::Present(entry("s1", 1)));
+    assert!(is_draining(&directory));
+    directory.apply(at(300), position(3), DirectoryChange::Absent(server_id("s1")));
+    directory.apply(at(9_000), position(4), DirectoryChange::Present(entry("s1", 1)));
+    assert!(is_draining(&directory));
+}
+
+#[test]
+fn departure_before_entry() {
+    // A peer's word may arrive before the directory lists the server.
+    let mut directory = BackendDirectory::default();
+    directory.on_departure(at(0), &server_id("s1"), Some(1), DepartureSource::Peer);
+    directory.apply(at(100), position(1), DirectoryChange::Present(entry("s1", 1)));
+    assert!(is_draining(&directory));
+}
+
+#[test]
+fn departure_of_last_process() {
+    let mut directory = leaving_one();
+    let change = DirectoryChange::Present(entry("s1", 2));
+    let effect = directory.apply(at(200), position(2), change);
+    assert!(matches!(effect, DirectoryEffect::Restarted(_)));
+    assert!(!is_draining(&directory));
+}
+
+#[test]
+fn departure_told_to_peers() {
+    let mut directory = leaving_one();
+    directory.on_departure(at(200), &server_id("s2"), None, DepartureSource::Peer);
+    let told = |now| directory.recent_departures(now).map(|(id, _)| id.clone()).collect::<Vec<_>>();
+    assert_eq!(told(at(1_000)), [server_id("s1")]);
+    assert!(told(at(10_000)).is_empty());
+}
+
+#[test]
+fn repeated_departure() {
+    let mut directory = leaving_one();
+    let effect = directory.on_departure(at(200), &server_id("s1"), Some(1), DepartureSource::Peer);
+    assert_eq!(effect, DirectoryEffect::Unchanged);
+}
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -1,6 +1,7 @@
 //! Placement: cached prefixes, full servers, avoided servers, and peers' load.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use pomelostack_lib::gateway::backend_directory::BackendDirectory;
 use pomelostack_lib::gateway::backend_directory::BackendEntry;
@@ -186,3 +187,31 @@
     fixture.table.reset(other);
     assert_eq!(fixture.chosen(Some(&prompt)), home);
 }
+
+#[test]
+fn paused_never() {
+    // Unlike an avoided server, a paused one is not even a last resort.
+    let mut fixture = Fixture::new(&["a", "b"]);
+    let ids = ["s0", "s1"].map(|id| ServerId::try_from(id).expect("valid in tests"));
+    fixture.table.on_pause(now(), &ids[0], Duration::from_millis(700));
+    assert_eq!(fixture.chosen(None), fixture.keys[1]);
+    fixture.table.on_pause(now(), &ids[1], Duration::from_millis(300));
+    let until = now() + Duration::from_millis(300);
+    assert_eq!(fixture.choose(None, &[]), PlacementChoice::Paused { until });
+    // A new key of the same server, after its entry was missing, has the same pause.
+    fixture.table.reset(fixture.keys[0]);
+    assert_eq!(fixture.choose(None, &[]), PlacementChoice::Paused { until });
+}
+
+#[test]
+fn return_after_pause() {
+    // One request at a time shows whether a server accepts them again: no herd returns with it.
+    let mut fixture = Fixture::new(&["a", "b"]);
+    let id = ServerId::try_from("s0").expect("valid in tests");
+    fixture.table.on_pause(Timestamp::from_millis(500), &id, Duration::from_millis(400));
+    assert_eq!(fixture.chosen(None), fixture.keys[0]);
+    fixture.table.on_handed_over(now(), &id);
+    assert_eq!(fixture.chosen(None), fixture.keys[1]);
+    fixture.table.on_answered(now(), &id);
+    assert_eq!(fixture.chosen(None), fixture.keys[0]);
+}
--- a/lib/testutils/src/deployment_server.rs
+++ b/lib/testutils/src/deployment_server.rs
@@ -299,6 +299,16 @@
         reply.headers_mut().insert("not-executed", hyper::header::HeaderValue::from_static("1"));
         return Ok(reply);
     }
+    if let ReplicaMode::TurnAway { retry_after } = mode {
+        lock(state).replicas[index].turned_away.push(Instant::now());
+        let mut reply = full_response(StatusCode::SERVICE_UNAVAILABLE, "");
+        let fields = [("not-executed", "1"), ("retry-after", retry_after)];
+        reply.headers_mut().extend(fields.map(|(name, value)| {
+            let name = hyper::header::HeaderName::from_static(name);
+            (name, hyper::header::HeaderValue::from_static(value))
+        }));
+        return Ok(reply);
+    }
     if mode == ReplicaMode::Endless(EndlessKind::RefusalBody) {
         return Ok(endless_reply(EndlessKind::RefusalBody, request_id, id));
     }
@@ -344,6 +354,10 @@
     if mode == ReplicaMode::Fail {
         *reply.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
     }
+    if mode == ReplicaMode::Leaving {
+        let value = hyper::header::HeaderValue::from_static("1");
+        reply.headers_mut().insert("server-leaving", value);
+    }
     wait_while_silent(state, index).await;
     for (name, value) in [("request-id", request_id), ("replica-signature", id)] {
         if let Ok(value) = hyper::header::HeaderValue::try_from(value) {
--- a/lib/testutils/src/deployment_standin.rs
+++ b/lib/testutils/src/deployment_standin.rs
@@ -77,6 +77,7 @@
                 state: READY,
                 sequence: 0,
                 silent_until: None,
+                turned_away: Vec::new(),
             })
             .collect();
         let platform = serve(state.clone(), Role::Platform(None))?;
@@ -260,6 +261,11 @@
         lock(&self.state).replicas[index].silent_until = Some(Instant::now() + duration);
     }
 
+    /// Returns when a replica turned requests away, in order.
+    pub fn turned_away(&self, index: usize) -> Vec<Instant> {
+        lock(&self.state).replicas[index].turned_away.clone()
+    }
+
     /// Returns the requests that the replicas executed, in order.
     pub fn runs(&self) -> Vec<ReplicaRun> {
         lock(&self.state).runs.clone()
--- a/lib/testutils/src/deployment_state.rs
+++ b/lib/testutils/src/deployment_state.rs
@@ -41,6 +41,13 @@
     Fail,
     /// It rejects them with a header that says that they were not executed.
     Refuse,
+    /// It rejects them likewise, and states in seconds when it wants the next one.
+    TurnAway {
+        /// The field as it is sent.
+        retry_after: &'static str,
+    },
+    /// It runs and answers them, and says in each response that it is leaving.
+    Leaving,
     /// It writes a response without end until the caller closes the connection.
     Endless(EndlessKind),
 }
@@ -120,6 +127,8 @@
     pub(crate) sequence: u64,
     /// Until when it reads requests and sends nothing.
     pub(crate) silent_until: Option<Instant>,
+    /// Requests that it turned away.
+    pub(crate) turned_away: Vec<Instant>,
 }
 
 /// An accepted usage report.
--- a/soak/src/call_judge.rs
+++ b/soak/src/call_judge.rs
@@ -158,7 +158,9 @@
             | ReplicaMode::PauseAfter { .. }
             | ReplicaMode::HangOn { .. }
             | ReplicaMode::Fail
-            | ReplicaMode::Refuse => false,
+            | ReplicaMode::Refuse
+            | ReplicaMode::TurnAway { .. }
+            | ReplicaMode::Leaving => false,
         }
     }
 }
