--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -16,6 +16,7 @@
 mod membership;
 mod peer_link;
 mod routing;
+mod summary_cost;
 
 use anyhow::Context as _;
 use argh::FromArgs;
@@ -52,6 +53,7 @@
     BenchCase { name: "limits", run: limits::run },
     BenchCase { name: "membership", run: membership::run },
     BenchCase { name: "routing", run: routing::run },
+    BenchCase { name: "summary-cost", run: summary_cost::run },
 ];
 
 fn main() -> anyhow::Result<()> {
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -78,6 +78,8 @@
     pub demand: RefCell<DemandMeter>,
     /// Summaries and addresses of the peers.
     pub peers: RefCell<PeerTable>,
+    /// Whether peers reported spending that the quotas do not count yet.
+    pub has_new_spending: Cell<bool>,
     /// Notified when a peer has a newer configuration.
     pub config_hint: Notify,
     /// Whether a peer read directory changes that this host has not received.
@@ -126,6 +128,7 @@
             crashes: RefCell::default(),
             demand: RefCell::default(),
             peers: RefCell::new(PeerTable::new(settings.host.clone(), settings.zone.clone())),
+            has_new_spending: Cell::new(false),
             config_hint: Notify::new(),
             directory_hint: Cell::new(false),
             summary_hint: Notify::new(),
@@ -165,6 +168,14 @@
         }
     }
 
+    /// Counts what peers reported since the last call. Hundreds of summaries may arrive between two
+    /// decisions on quotas.
+    pub fn update_peer_spending(&self) {
+        if self.has_new_spending.take() {
+            self.quotas.borrow_mut().set_peer_spending(self.peers.borrow().spending());
+        }
+    }
+
     /// Returns whether the host accepts new connections.
     pub fn is_ready(&self) -> bool {
         self.shutdown.get().is_none()
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -11,6 +11,7 @@
 use crate::gateway::directory_gossip::has_missed_changes;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::peer_table::RecordScope;
+use crate::gateway::peer_table::SummaryOutcome;
 use crate::gateway::placement::PeerLoad;
 use crate::gateway::store_follower;
 use crate::gateway::usage_ledger::TeamCounts;
@@ -42,6 +43,7 @@
     let now = state.now();
     let peers = state.peers.borrow();
     state.quotas.borrow_mut().set_peer_spending(peers.spending());
+    state.has_new_spending.set(false);
     let directory = state.directory.borrow();
     let mut loads: BTreeMap<ServerKey, PeerLoad> = BTreeMap::new();
     for server in peers.fresh_summaries(now).flat_map(|summary| &summary.servers) {
@@ -68,16 +70,17 @@
     let read_age = summary.directory_age_ms.checked_sub(1).map(Duration::from_millis);
     state.observe_era(StoreEra(summary.store_era));
     check_config_version(state, now, &summary);
-    let heard_before = state.peers.borrow().live_peers(now);
-    if state.peers.borrow_mut().on_summary(now, summary).is_none() {
-        return;
-    }
-    state.quotas.borrow_mut().set_peer_spending(state.peers.borrow().spending());
-    let heard = state.peers.borrow().live_peers(now);
-    if heard != heard_before {
-        log::info!("event=peers_changed heard={heard}");
-        state.summary_hint.notify_one();
+    let outcome = state.peers.borrow_mut().on_summary(now, summary);
+    match outcome {
+        SummaryOutcome::Ignored => return,
+        SummaryOutcome::Merged => {}
+        SummaryOutcome::PeerHeard => {
+            let heard = state.peers.borrow().live_peers(now);
+            log::info!("event=peers_changed heard={heard}");
+            state.summary_hint.notify_one();
+        }
     }
+    state.has_new_spending.set(true);
     if let Some(age) = read_age {
         state.directory.borrow_mut().on_peer_read(now, now - age);
     }
@@ -175,6 +178,7 @@
 
 /// Returns whether all hosts together spent so much of any team's quota that it must be recorded.
 pub fn exceeds_record_threshold(state: &GatewayState) -> bool {
+    state.update_peer_spending();
     let config = state.config.borrow();
     let Some(config) = config.current() else { return false };
     let quota_of = |team: &TeamName| config.teams.get(team).and_then(|rule| rule.quota);
@@ -232,14 +236,12 @@
             prefill_tokens: load.prefill_tokens,
         })
     });
-    let ledger = state.ledger.borrow();
-    let windows =
-        ledger.incarnations().filter(|(_, incarnation, _)| **incarnation == state.incarnation);
-    let windows = windows.map(|(window, (host, incarnation), counts)| WindowUse {
-        host: host.to_string(),
-        incarnation: incarnation.0,
+    let windows = state.ledger.borrow_mut().windows_to_tell(sequence).into_iter();
+    let windows = windows.map(|(window, counts)| WindowUse {
+        host: state.incarnation.0.to_string(),
+        incarnation: state.incarnation.1.0,
         window,
-        counts: counts.iter().map(|(team, count)| (team.to_string(), *count)).collect(),
+        counts: counts.into_iter().map(|(team, count)| (team.into(), count)).collect(),
     });
     let demands = state.demand.borrow_mut().rates(now);
     let demands = demands.into_iter().map(|(service, demand)| ServiceDemand {
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -67,6 +67,17 @@
     Nothing,
 }
 
+/// What a summary changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SummaryOutcome {
+    /// Nothing: it is malformed, this host's own, or not newer than the last one of its sender.
+    Ignored,
+    /// The state of a peer that was heard from.
+    Merged,
+    /// The state of a peer that was silent or unknown before.
+    PeerHeard,
+}
+
 #[derive(Clone, Debug)]
 struct PeerEntry {
     heard_at: Timestamp,
@@ -111,6 +122,13 @@
     heard_at: Option<Timestamp>,
 }
 
+impl PeerContact {
+    /// Returns whether the last summary is within the heartbeat timeout.
+    fn is_live(&self, now: Timestamp) -> bool {
+        self.heard_at.is_some_and(|at| now.since(at) < HEARTBEAT_TIMEOUT)
+    }
+}
+
 impl PeerTable {
     /// Builds an empty table.
     pub fn new(own: HostId, zone: ZoneName) -> Self {
@@ -142,20 +160,25 @@
         }
     }
 
-    /// Merges a summary; returns the sender's incarnation if the summary is new and well-formed.
-    pub fn on_summary(&mut self, now: Timestamp, summary: HostSummary) -> Option<HostIncarnation> {
-        let host = HostId::try_from(summary.host.as_str()).ok()?;
-        let address: SocketAddr = summary.address.parse().ok()?;
+    /// Merges a summary.
+    pub fn on_summary(&mut self, now: Timestamp, summary: HostSummary) -> SummaryOutcome {
+        let host = HostId::try_from(summary.host.as_str());
+        let (Ok(host), Ok(address)) = (host, summary.address.parse()) else {
+            return SummaryOutcome::Ignored;
+        };
         let incarnation = (host.clone(), Incarnation(summary.incarnation));
         let known = self.entries.get(&incarnation).map(|entry| entry.summary.sequence);
         if host == self.own || known.is_some_and(|known| known >= summary.sequence) {
-            return None;
+            return SummaryOutcome::Ignored;
         }
         let zone = ZoneName::try_from(summary.zone.as_str()).ok();
         let contact = PeerContact { address, zone, listed_at: now, heard_at: Some(now) };
-        self.contacts.insert(host, contact);
-        self.insert_entry(incarnation.clone(), PeerEntry::new(now, summary));
-        Some(incarnation)
+        let known = self.contacts.insert(host, contact);
+        self.insert_entry(incarnation, PeerEntry::new(now, summary));
+        match known.is_some_and(|known| known.is_live(now)) {
+            true => SummaryOutcome::Merged,
+            false => SummaryOutcome::PeerHeard,
+        }
     }
 
     /// Returns the number of directory changes that the sender had counted as of its previous
@@ -243,10 +266,7 @@
 
     /// Returns the number of peers whose last summary is within the heartbeat timeout.
     pub fn live_peers(&self, now: Timestamp) -> usize {
-        let is_heard = |contact: &&PeerContact| {
-            contact.heard_at.is_some_and(|at| now.since(at) < HEARTBEAT_TIMEOUT)
-        };
-        self.contacts.values().filter(is_heard).count()
+        self.contacts.values().filter(|contact| contact.is_live(now)).count()
     }
 
     /// Returns the addresses to send summary number `sequence` to.
@@ -298,9 +318,7 @@
             return RecordScope::Own;
         }
         let precedes = |(host, contact): (&HostId, &PeerContact)| {
-            *host < self.own
-                && contact.zone.as_ref() == Some(&self.zone)
-                && contact.heard_at.is_some_and(|at| now.since(at) < HEARTBEAT_TIMEOUT)
+            *host < self.own && contact.zone.as_ref() == Some(&self.zone) && contact.is_live(now)
         };
         match self.contacts.iter().any(precedes) {
             true => RecordScope::Nothing,
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -200,6 +200,7 @@
         let now = self.state.now();
         let units = if team.counts_tokens { head.token_cost(team.default_cost) } else { 1 };
         let reachability = self.state.peers.borrow().reachability(now);
+        self.state.update_peer_spending();
         let decision =
             self.state.quotas.borrow_mut().admit(now, &team.name, quota, units, reachability);
         if self.state.quotas.borrow().must_publish() {
--- a/lib/src/gateway/usage_ledger.rs
+++ b/lib/src/gateway/usage_ledger.rs
@@ -13,6 +13,12 @@
 /// Number of windows kept: the current one and those whose report may still be due.
 pub const KEPT_WINDOWS: u64 = 5;
 
+/// Summaries in a row that carry a window after it changed, since a summary may be lost.
+const REPEATED_SUMMARIES: u64 = 2;
+
+/// Every so many summaries carry a window that did not change, for hosts that started since.
+const UNCHANGED_WINDOW_INTERVAL: u64 = 5;
+
 /// One incarnation of one host: its life from one start to the next.
 pub type HostIncarnation = (HostId, Incarnation);
 
@@ -26,12 +32,23 @@
     own: HostIncarnation,
     /// By window and incarnation.
     windows: BTreeMap<u64, BTreeMap<HostIncarnation, TeamCounts>>,
+    /// What this host's summaries have told of its windows.
+    told: BTreeMap<u64, ToldWindow>,
+}
+
+/// The state of a window when a summary first told it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct ToldWindow {
+    /// Requests of all teams.
+    requests: u64,
+    /// Number of the summary.
+    sequence: u64,
 }
 
 impl UsageLedger {
     /// Builds an empty ledger.
     pub fn new(own: HostIncarnation, window_ms: u64) -> Self {
-        Self { window_ms: window_ms.max(1), own, windows: BTreeMap::new() }
+        Self { window_ms: window_ms.max(1), own, windows: BTreeMap::new(), told: BTreeMap::new() }
     }
 
     /// Returns the window of a wall-clock time in milliseconds since 1970.
@@ -67,11 +84,24 @@
         }
     }
 
-    /// Returns the counts of every incarnation in all kept windows.
-    pub fn incarnations(&self) -> impl Iterator<Item = (u64, &HostIncarnation, &TeamCounts)> {
-        self.windows.iter().flat_map(|(window, incarnations)| {
-            incarnations.iter().map(move |(incarnation, counts)| (*window, incarnation, counts))
-        })
+    /// Returns this host's windows that summary number `sequence` carries: those that changed since
+    /// the last few summaries, and the others from time to time.
+    pub fn windows_to_tell(&mut self, sequence: u64) -> Vec<(u64, TeamCounts)> {
+        let mut windows = Vec::new();
+        for (window, incarnations) in &self.windows {
+            let Some(counts) = incarnations.get(&self.own) else { continue };
+            let requests = counts.values().sum();
+            let told = self.told.entry(*window).or_insert(ToldWindow { requests, sequence });
+            if told.requests != requests {
+                *told = ToldWindow { requests, sequence };
+            }
+            let is_due = sequence.wrapping_sub(told.sequence) < REPEATED_SUMMARIES
+                || sequence.wrapping_add(*window).is_multiple_of(UNCHANGED_WINDOW_INTERVAL);
+            if is_due {
+                windows.push((*window, counts.clone()));
+            }
+        }
+        windows
     }
 
     /// Returns the counts of a window summed over all incarnations.
@@ -93,5 +123,6 @@
     fn drop_old(&mut self, window: u64) {
         let first_kept = window.saturating_sub(KEPT_WINDOWS);
         self.windows = self.windows.split_off(&first_kept);
+        self.told = self.told.split_off(&first_kept);
     }
 }
--- a/lib/tests/test_peer_table.rs
+++ b/lib/tests/test_peer_table.rs
@@ -6,6 +6,7 @@
 
 use pomelostack_lib::gateway::peer_table::PeerTable;
 use pomelostack_lib::gateway::peer_table::RecordScope;
+use pomelostack_lib::gateway::peer_table::SummaryOutcome;
 use pomelostack_lib::gateway::peer_table::SummaryTargets;
 use pomelostack_lib::gateway::quota_limiter::PeerReachability;
 use pomelostack_lib::ids::HostId;
@@ -58,8 +59,8 @@
 #[test]
 fn late_summary_ignored() {
     let mut table = PeerTable::new(host("h1"), zone("north"));
-    assert!(table.on_summary(at(0), summary("h2", 1, 5, 50)).is_some());
-    assert!(table.on_summary(at(10), summary("h2", 1, 4, 40)).is_none());
+    assert_eq!(table.on_summary(at(0), summary("h2", 1, 5, 50)), SummaryOutcome::PeerHeard);
+    assert_eq!(table.on_summary(at(10), summary("h2", 1, 4, 40)), SummaryOutcome::Ignored);
     assert_eq!(spent(&table), 50);
 }
 
@@ -77,9 +78,9 @@
 fn malformed_summary() {
     let mut table = PeerTable::new(host("h1"), zone("north"));
     let nameless = HostSummary { host: "no such name!".to_owned(), ..summary("h2", 1, 1, 1) };
-    assert!(table.on_summary(at(0), nameless).is_none());
+    assert_eq!(table.on_summary(at(0), nameless), SummaryOutcome::Ignored);
     let homeless = HostSummary { address: "nowhere".to_owned(), ..summary("h2", 1, 1, 1) };
-    assert!(table.on_summary(at(0), homeless).is_none());
+    assert_eq!(table.on_summary(at(0), homeless), SummaryOutcome::Ignored);
     assert_eq!(table.targets(at(60_000), 1), SummaryTargets::default());
 }
 
