gossip: tell a burst of directory changes from few hosts, and forward summaries together

When more servers come or go than a summary holds, all hosts read for themselves, and each then told what it had read; at 3 KB a summary the relays' links of 20 Mbit/s were full, summaries were lost (234 of 294 peers heard from, 22 changes a second at each host), and lost changes made all hosts read again.

Change: summaries say up to where their host has read; a change is told only by the first three hosts that have read it, and by those that have already told it. A summary holds 40 changes.

The fleet counts a server that says it is leaving as draining.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -51,5 +51,6 @@
 pub mod store_era;
 pub mod store_follower;
 pub mod stream_relay;
+pub mod summary_relay;
 pub mod usage_ledger;
 pub mod usage_report;
--- a/lib/src/gateway/directory_gossip.rs
+++ b/lib/src/gateway/directory_gossip.rs
@@ -23,16 +23,40 @@
 /// Time for which a change is included in summaries: three of them.
 const GOSSIP_WINDOW: Duration = Duration::from_millis(1_200);
 
-/// Maximum number of changes in one summary; at about 90 bytes each they fill a quarter of a
-/// datagram. Peers that miss changes read the directory themselves.
-const MAX_CHANGES_PER_SUMMARY: usize = 24;
+/// Maximum number of changes in one summary; at about 90 bytes each they fill half of a datagram.
+/// Peers that miss changes read the directory themselves.
+const MAX_CHANGES_PER_SUMMARY: usize = 40;
+
+/// Number of peers that have read a change after which this host does not tell it as well. When many
+/// servers come or go at once, dozens of hosts read the same changes, and telling them all would fill
+/// the links.
+const ENOUGH_READERS: usize = 3;
+
+/// A change that this host read.
+#[derive(Clone, Debug)]
+struct ReadChange {
+    read_at: Timestamp,
+    position: LogPosition,
+    change: DirectoryChange,
+    /// Whether a summary has carried it.
+    is_told: bool,
+}
+
+impl ReadChange {
+    /// Returns whether a host that has read up to `next` knows the change.
+    fn is_before(&self, next: LogPosition) -> bool {
+        self.position.era == next.era && self.position < next
+    }
+}
 
 /// Changes to gossip, oldest first.
 #[derive(Clone, Debug, Default)]
 pub struct DirectoryGossip {
-    changes: VecDeque<(Timestamp, LogPosition, DirectoryChange)>,
+    changes: VecDeque<ReadChange>,
     /// Number of changes added since the host started.
     count: u64,
+    /// Position after the last read.
+    read_to: LogPosition,
 }
 
 /// The changes in one summary.
@@ -45,27 +69,59 @@
 }
 
 impl DirectoryGossip {
+    /// Records up to where this host has read the directory.
+    pub fn on_read(&mut self, next: LogPosition) {
+        self.read_to = next;
+    }
+
+    /// Returns up to where this host has read the directory.
+    pub fn read_to(&self) -> LogPosition {
+        self.read_to
+    }
+
     /// Adds a change that this host read and that had an effect.
     pub fn on_change(&mut self, now: Timestamp, position: LogPosition, change: DirectoryChange) {
         self.count += 1;
-        self.changes.push_back((now, position, change));
+        self.changes.push_back(ReadChange { read_at: now, position, change, is_told: false });
         if self.changes.len() > MAX_CHANGES_PER_SUMMARY {
             self.changes.pop_front();
         }
     }
 
-    /// Returns the changes to include in the next summary, and drops older ones.
-    pub fn recent_changes(&mut self, now: Timestamp) -> GossipedChanges {
-        while self.changes.front().is_some_and(|(at, _, _)| now.since(*at) >= GOSSIP_WINDOW) {
+    /// Returns the changes to include in the next summary, and drops older ones. Those that enough
+    /// peers have read, up to `peers_read_to`, are not told unless a summary has carried them.
+    pub fn recent_changes(
+        &mut self,
+        now: Timestamp,
+        peers_read_to: Option<LogPosition>,
+    ) -> GossipedChanges {
+        while self.changes.front().is_some_and(|first| now.since(first.read_at) >= GOSSIP_WINDOW) {
             self.changes.pop_front();
         }
-        let encode = |(_, position, change): &(_, LogPosition, DirectoryChange)| {
-            encode_change(*position, change)
+        let queued = self.changes.len();
+        self.changes.retain(|read| {
+            read.is_told || !peers_read_to.is_some_and(|read_to| read.is_before(read_to))
+        });
+        // A change that is never told counts for nobody.
+        self.count -= (queued - self.changes.len()) as u64;
+        let encode = |read: &mut ReadChange| {
+            read.is_told = true;
+            encode_change(read.position, &read.change)
         };
-        GossipedChanges { changes: self.changes.iter().map(encode).collect(), count: self.count }
+        GossipedChanges {
+            changes: self.changes.iter_mut().map(encode).collect(),
+            count: self.count,
+        }
     }
 }
 
+/// Returns the position up to which enough peers have read, if there are that many.
+pub fn read_by_enough(peers_read_to: impl Iterator<Item = LogPosition>) -> Option<LogPosition> {
+    let mut positions: Vec<LogPosition> = peers_read_to.collect();
+    let index = positions.len().checked_sub(ENOUGH_READERS)?;
+    Some(*positions.select_nth_unstable(index).1)
+}
+
 /// Returns whether a peer read changes that this host never received.
 ///
 /// `known_count` is the peer's count in its last summary, `count` the one in its new summary, and
--- a/lib/src/gateway/duty_runner.rs
+++ b/lib/src/gateway/duty_runner.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use crate::gateway::backend_directory::ServingState;
 use crate::gateway::duty_lease::DutyLease;
 use crate::gateway::duty_lease::LeaseChange;
 use crate::gateway::fleet_scaler::FleetOrder;
@@ -296,10 +295,10 @@
         for (_, server) in self.state.directory.borrow().of_service(service) {
             let entry = &server.entry;
             let servers = listed.entry(entry.zone.clone()).or_default();
-            let fleet = match entry.state {
+            let fleet = match server.draining_since {
                 _ if server.is_missing => &mut servers.missing,
-                ServingState::Ready => &mut servers.ready,
-                ServingState::Draining => {
+                None => &mut servers.ready,
+                Some(_) => {
                     servers.under_notice += u32::from(entry.reclaimed_in.is_some());
                     continue;
                 }
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -9,6 +9,7 @@
 use crate::gateway::crash_tracker::CallFingerprint;
 use crate::gateway::directory_gossip::decode_change;
 use crate::gateway::directory_gossip::has_missed_changes;
+use crate::gateway::directory_gossip::read_by_enough;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::peer_table::RecordScope;
 use crate::gateway::peer_table::SummaryOutcome;
@@ -249,7 +250,9 @@
         prefill_tokens_per_s: demand.prefill as u64,
         output_tokens_per_s: demand.output as u64,
     });
-    let recent = state.directory_gossip.borrow_mut().recent_changes(now);
+    let peers_read_to = read_by_enough(state.peers.borrow().directory_positions(now));
+    let recent = state.directory_gossip.borrow_mut().recent_changes(now, peers_read_to);
+    let directory_read_to = state.directory_gossip.borrow().read_to();
     let crashes = state.crashes.borrow();
     let crashes = crashes.own_reports(now).map(|(fingerprint, server)| CrashSight {
         fingerprint: fingerprint.0,
@@ -271,13 +274,14 @@
         crashes: crashes.take(MAX_SUMMARY_CRASHES).collect(),
         departures: departures.take(MAX_SUMMARY_DEPARTURES).collect(),
         config_version: state.config.borrow().current().map_or(0, |config| config.version),
-        wall_ms: 0,
         zone: settings.zone.to_string(),
-        pass_on: false,
         directory_age_ms: encode_age(directory.read_age(now)),
+        directory_next: directory_read_to.offset.0,
+        directory_era: directory_read_to.era.0,
         changes: recent.changes,
         changes_count: recent.count,
         store_era: state.store_era.current().unwrap_or_default().0,
         config_age_ms: encode_age(state.config_reads.borrow().age(now)),
+        ..HostSummary::default()
     }
 }
--- a/lib/src/gateway/peer_gossip.rs
+++ b/lib/src/gateway/peer_gossip.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use prost::Message as _;
 use tokio::net::UdpSocket;
 
@@ -14,6 +15,7 @@
 use crate::gateway::platform_api::HostAddress;
 use crate::gateway::store_follower::Backoff;
 use crate::gateway::store_follower::DependencyWatch;
+use crate::gateway::summary_relay::SummaryRelay;
 use crate::ids::StoreEra;
 use crate::protos::gateway::HostSummary;
 use crate::timestamp::wall_clock_ms;
@@ -24,6 +26,9 @@
 /// Minimum time between two summaries of a host in a small fleet.
 const MIN_SUMMARY_PERIOD: Duration = Duration::from_millis(40);
 
+/// Maximum time between two summaries of a host in a large fleet.
+const MAX_SUMMARY_PERIOD: Duration = Duration::from_millis(600);
+
 /// Maximum number of datagrams that a host sends per second: enough for a small fleet at the
 /// minimum period, and a tenth of the slowest hosts' bandwidth at half a kilobyte per summary.
 const MAX_DATAGRAMS_PER_S: u32 = 200;
@@ -108,10 +113,11 @@
 pub async fn send_summaries(state: Rc<GatewayState>, socket: Rc<UdpSocket>) {
     let mut sequence = 0;
     let mut min_period = MIN_SUMMARY_PERIOD;
+    let mut max_period = SUMMARY_PERIOD;
     loop {
         // Hints that arrive during the minimum period share one summary.
         tokio::time::sleep(min_period).await;
-        let rest = SUMMARY_PERIOD.saturating_sub(min_period);
+        let rest = max_period.saturating_sub(min_period);
         tokio::select! {
             () = tokio::time::sleep(rest) => {}
             () = state.summary_hint.notified() => {}
@@ -120,13 +126,16 @@
         sequence += 1;
         let targets = state.peers.borrow().targets(state.now(), sequence);
         let mut summary = host_summary::build_summary(&state, sequence);
+        summary.period_ms = u32::try_from(max_period.as_millis()).unwrap_or(u32::MAX);
         let sent = send_to(&socket, &summary, targets.direct.iter().copied());
         summary.pass_on = true;
         let relayed = send_to(&socket, &summary, targets.relays.iter().copied());
         // Relays send each forwarded summary to as many hosts again.
         let datagrams = sent + relayed * (sent + 1);
         let period = Duration::from_secs(1) * datagrams / MAX_DATAGRAMS_PER_S;
-        min_period = period.clamp(MIN_SUMMARY_PERIOD, SUMMARY_PERIOD);
+        let is_large = state.peers.borrow().is_large_fleet();
+        max_period = if is_large { MAX_SUMMARY_PERIOD } else { SUMMARY_PERIOD };
+        min_period = period.clamp(MIN_SUMMARY_PERIOD, max_period);
     }
 }
 
@@ -136,14 +145,17 @@
     summary: &HostSummary,
     targets: impl Iterator<Item = SocketAddr>,
 ) -> u32 {
-    let bytes = summary.encode_to_vec();
+    send_bytes(socket, &summary.encode_to_vec(), targets)
+}
+
+fn send_bytes(socket: &UdpSocket, bytes: &[u8], targets: impl Iterator<Item = SocketAddr>) -> u32 {
     if bytes.len() > MAX_SUMMARY_BYTES {
         log::warn!("event=summary_too_large bytes={}", bytes.len());
     }
     let mut count = 0;
     for target in targets {
         count += 1;
-        if let Err(error) = socket.try_send_to(&bytes, target) {
+        if let Err(error) = socket.try_send_to(bytes, target) {
             // The next summary replaces a lost one.
             log::debug!("event=summary_not_sent target={target} detail=\"{error}\"");
         }
@@ -154,30 +166,66 @@
 /// Receives, forwards and merges the summaries of peers.
 pub async fn receive_summaries(state: Rc<GatewayState>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_SUMMARY_BYTES];
+    let mut relay = SummaryRelay::default();
     loop {
-        let length = match socket.recv_from(&mut buffer).await {
-            Ok((length, _)) => length,
-            Err(error) => {
-                log::debug!("event=summary_not_received detail=\"{error}\"");
-                tokio::time::sleep(SUMMARY_PERIOD).await;
+        let due_in = relay.due_at().map(|due_at| due_at.since(state.now()));
+        let received = tokio::select! {
+            received = socket.recv_from(&mut buffer) => received,
+            () = tokio::time::sleep(due_in.unwrap_or_default()), if due_in.is_some() => {
+                forward_bundle(&state, &socket, relay.take());
                 continue;
             }
         };
-        match HostSummary::decode(&buffer[..length]) {
-            Ok(mut summary) => {
-                if std::mem::take(&mut summary.pass_on) {
-                    send_to(&socket, &summary, state.peers.borrow().zone_peers());
-                }
-                host_summary::on_summary(&state, summary);
-            }
+        match received {
+            Ok((length, _)) => on_datagram(&state, &socket, &mut relay, &buffer[..length]),
             Err(error) => {
-                state.metrics.events.with_label_values(&["summary_skipped"]).inc();
-                log::warn!("event=summary_skipped code=601 detail=\"{error}\"");
+                log::debug!("event=summary_not_received detail=\"{error}\"");
+                tokio::time::sleep(SUMMARY_PERIOD).await;
             }
         }
     }
 }
 
+fn on_datagram(
+    state: &GatewayState,
+    socket: &UdpSocket,
+    relay: &mut SummaryRelay,
+    datagram: &[u8],
+) {
+    let Some(mut summary) = decode_summary(state, datagram) else { return };
+    if !summary.forwarded.is_empty() {
+        let forwarded = summary.forwarded.iter().filter_map(|bytes| decode_summary(state, bytes));
+        return forwarded.for_each(|summary| host_summary::on_summary(state, summary));
+    }
+    if std::mem::take(&mut summary.pass_on) {
+        if state.peers.borrow().is_large_fleet() {
+            let bundle = relay.push(state.now(), Bytes::copy_from_slice(datagram));
+            bundle.into_iter().for_each(|bundle| forward_bundle(state, socket, bundle));
+        } else {
+            send_to(socket, &summary, state.peers.borrow().zone_peers());
+        }
+    }
+    host_summary::on_summary(state, summary);
+}
+
+fn decode_summary(state: &GatewayState, bytes: &[u8]) -> Option<HostSummary> {
+    match HostSummary::decode(bytes) {
+        Ok(summary) => Some(summary),
+        Err(error) => {
+            state.metrics.events.with_label_values(&["summary_skipped"]).inc();
+            log::warn!("event=summary_skipped code=601 detail=\"{error}\"");
+            None
+        }
+    }
+}
+
+/// Forwards summaries to the other hosts of this host's availability zone in one datagram.
+fn forward_bundle(state: &GatewayState, socket: &UdpSocket, bundle: Vec<Bytes>) {
+    let forwarded = bundle.into_iter().map(Vec::from).collect();
+    let message = HostSummary { forwarded, ..HostSummary::default() };
+    send_to(socket, &message, state.peers.borrow().zone_peers());
+}
+
 fn expire_old(state: &GatewayState) {
     let now = state.now();
     let window = state.settings.borrow().quotas.window;
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -19,11 +19,25 @@
 use crate::gateway::usage_ledger::HostIncarnation;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
+use crate::ids::LogOffset;
+use crate::ids::LogPosition;
+use crate::ids::StoreEra;
 use crate::ids::TeamName;
 use crate::ids::ZoneName;
 use crate::protos::gateway::HostSummary;
 use crate::timestamp::Timestamp;
 
+/// Fleet beyond which hosts send summaries less often and relays forward them together.
+const LARGE_FLEET_HOSTS: u32 = 128;
+
+/// Heartbeat timeout and lifetime of a summary's load, in periods of its sender, if these are longer
+/// than the fixed ones.
+const HEARTBEAT_PERIODS: f64 = 2.5;
+const LOAD_PERIODS: f64 = 4.5;
+
+/// Maximum period of summaries that is believed.
+const MAX_STATED_PERIOD: Duration = Duration::from_secs(2);
+
 /// Time for which a summary's load is used; a few summaries in a row may be lost.
 const LOAD_TTL: Duration = Duration::from_millis(1_800);
 
@@ -120,12 +134,19 @@
     listed_at: Timestamp,
     /// Time of the last summary, if there was one.
     heard_at: Option<Timestamp>,
+    /// Time between two summaries, as the host stated it.
+    period: Duration,
+}
+
+fn stated_period(summary: &HostSummary) -> Duration {
+    Duration::from_millis(u64::from(summary.period_ms)).min(MAX_STATED_PERIOD)
 }
 
 impl PeerContact {
     /// Returns whether the last summary is within the heartbeat timeout.
     fn is_live(&self, now: Timestamp) -> bool {
-        self.heard_at.is_some_and(|at| now.since(at) < HEARTBEAT_TIMEOUT)
+        let timeout = self.period.mul_f64(HEARTBEAT_PERIODS).max(HEARTBEAT_TIMEOUT);
+        self.heard_at.is_some_and(|at| now.since(at) < timeout)
     }
 }
 
@@ -146,7 +167,8 @@
         if host == self.own {
             return;
         }
-        let contact = PeerContact { address, zone: None, listed_at: now, heard_at: None };
+        let period = Duration::ZERO;
+        let contact = PeerContact { address, zone: None, listed_at: now, heard_at: None, period };
         self.contacts.entry(host).or_insert(contact);
     }
 
@@ -172,7 +194,9 @@
             return SummaryOutcome::Ignored;
         }
         let zone = ZoneName::try_from(summary.zone.as_str()).ok();
-        let contact = PeerContact { address, zone, listed_at: now, heard_at: Some(now) };
+        let period = stated_period(&summary);
+        let heard_at = Some(now);
+        let contact = PeerContact { address, zone, listed_at: now, heard_at, period };
         let known = self.contacts.insert(host, contact);
         self.insert_entry(incarnation, PeerEntry::new(now, summary));
         match known.is_some_and(|known| known.is_live(now)) {
@@ -249,6 +273,11 @@
         u32::try_from(self.contacts.len() + 1).unwrap_or(u32::MAX)
     }
 
+    /// Returns whether the fleet is so large that summaries are sent less often and forwarded together.
+    pub fn is_large_fleet(&self) -> bool {
+        self.known_hosts() > LARGE_FLEET_HOSTS
+    }
+
     /// Returns whether this host hears from fewer than half of the peers it heard from before.
     pub fn is_partitioned(&self, now: Timestamp) -> bool {
         self.is_partitioned_among(now, None)
@@ -287,7 +316,8 @@
         let turn = usize::try_from(rank.wrapping_add(sequence)).unwrap_or_default();
         for mut contacts in others.into_values() {
             let is_heard = |contact: &&PeerContact| {
-                contact.heard_at.is_some_and(|at| now.since(at) < RELAY_TTL)
+                let ttl = contact.period.mul_f64(LOAD_PERIODS).max(RELAY_TTL);
+                contact.heard_at.is_some_and(|at| now.since(at) < ttl)
             };
             // If the whole zone is silent, its hosts are tried in turn until one is heard from
             // again.
@@ -339,11 +369,22 @@
         total
     }
 
+    /// Returns up to where each peer that is heard from has read the directory.
+    pub fn directory_positions(&self, now: Timestamp) -> impl Iterator<Item = LogPosition> {
+        self.fresh_summaries(now).map(|summary| LogPosition {
+            era: StoreEra(summary.directory_era),
+            offset: LogOffset(summary.directory_next),
+        })
+    }
+
     /// Returns the summaries whose load has not expired.
     pub fn fresh_summaries(&self, now: Timestamp) -> impl Iterator<Item = &HostSummary> {
         self.entries
             .values()
-            .filter(move |entry| now.since(entry.heard_at) < LOAD_TTL)
+            .filter(move |entry| {
+                let ttl = stated_period(&entry.summary).mul_f64(LOAD_PERIODS).max(LOAD_TTL);
+                now.since(entry.heard_at) < ttl
+            })
             .map(|entry| &entry.summary)
     }
 }
--- a/lib/src/gateway/store_follower.rs
+++ b/lib/src/gateway/store_follower.rs
@@ -344,6 +344,8 @@
             gossip_change(state, position, change);
         }
     }
+    let next = LogPosition { era: read.bounds.era, offset: read.next };
+    state.directory_gossip.borrow_mut().on_read(next);
     if read.complete {
         let effects = state.directory.borrow_mut().retain_listed(now, &listed);
         effects.into_iter().for_each(|effect| state.on_directory_effect(effect));
--- a/lib/src/protos/pomelostack.gateway.rs
+++ b/lib/src/protos/pomelostack.gateway.rs
@@ -57,6 +57,18 @@
     /// Servers that recently told the sender that they are leaving.
     #[prost(message, repeated, tag = "19")]
     pub departures: ::prost::alloc::vec::Vec<Departure>,
+    /// Milliseconds between two summaries of the sender.
+    #[prost(uint32, tag = "20")]
+    pub period_ms: u32,
+    /// Encoded summaries of hosts in other availability zones, which a relay forwards together. The
+    /// message that carries them says nothing else.
+    #[prost(bytes = "vec", repeated, tag = "21")]
+    pub forwarded: ::prost::alloc::vec::Vec<::prost::alloc::vec::Vec<u8>>,
+    /// Offset up to which the sender has read the directory, and the era of the store that it belongs to.
+    #[prost(uint64, tag = "22")]
+    pub directory_next: u64,
+    #[prost(uint64, tag = "23")]
+    pub directory_era: u64,
 }
 /// Quota units of one team in the sliding window.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/tests/test_directory_gossip.rs
+++ b/lib/tests/test_directory_gossip.rs
@@ -13,6 +13,7 @@
 use pomelostack_lib::gateway::directory_gossip::GossipedChanges;
 use pomelostack_lib::gateway::directory_gossip::decode_change;
 use pomelostack_lib::gateway::directory_gossip::has_missed_changes;
+use pomelostack_lib::gateway::directory_gossip::read_by_enough;
 use pomelostack_lib::gateway::read_schedule::ReadSchedule;
 use pomelostack_lib::gateway::read_schedule::ReadTimes;
 use pomelostack_lib::gateway::read_schedule::read_interval_factor;
@@ -28,6 +29,7 @@
 use proptest::prelude::any;
 use proptest::prop_assert_eq;
 use proptest::proptest;
+use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -81,7 +83,7 @@
         let position = LogPosition { era: StoreEra(era), offset: LogOffset(offset) };
         let mut gossip = DirectoryGossip::default();
         gossip.on_change(at(0), position, change.clone());
-        let gossiped: Vec<_> = gossip.recent_changes(at(1)).changes.iter().map(decode_change).collect();
+        let gossiped: Vec<_> = gossip.recent_changes(at(1), None).changes.iter().map(decode_change).collect();
         prop_assert_eq!(gossiped, vec![Some((position, change))]);
     }
 
@@ -99,12 +101,15 @@
 fn removal_is_gossiped() {
     let mut gossip = DirectoryGossip::default();
     gossip.on_change(at(0), position(7), DirectoryChange::Absent(server_id("s1")));
-    let gossiped = gossip.recent_changes(at(800)).changes;
+    let gossiped = gossip.recent_changes(at(800), None).changes;
     assert_eq!(
         decode_change(&gossiped[0]),
         Some((position(7), DirectoryChange::Absent(server_id("s1"))))
     );
-    assert!(gossip.recent_changes(at(2_000)).changes.is_empty(), "three summaries are enough");
+    assert!(
+        gossip.recent_changes(at(2_000), None).changes.is_empty(),
+        "three summaries are enough"
+    );
 }
 
 #[test]
@@ -113,7 +118,7 @@
     for number in 0..500 {
         gossip.on_change(at(0), position(number), DirectoryChange::Absent(server_id("s1")));
     }
-    let GossipedChanges { changes: gossiped, count } = gossip.recent_changes(at(1));
+    let GossipedChanges { changes: gossiped, count } = gossip.recent_changes(at(1), None);
     assert!(gossiped.len() <= 40);
     assert!(
         has_missed_changes(Some(0), count, gossiped.len()),
@@ -199,7 +204,7 @@
             let change = DirectoryChange::Absent(server_id("s1"));
             gossip.on_change(at(step * 200), position(step), change);
         }
-        let gossiped = gossip.recent_changes(at(step * 200));
+        let gossiped = gossip.recent_changes(at(step * 200), None);
         if step % 4 != 1 {
             assert!(
                 !has_missed_changes(count_all, gossiped.count, gossiped.changes.len()),
@@ -273,3 +278,70 @@
         assert!(longest <= 2_600, "seed {seed}: {longest} ms without a read");
     }
 }
+
+/// Lets hundreds of hosts read the same burst of changes within a second, with summaries that take a
+/// while to arrive. Returns how many of the hosts told the changes.
+fn simulate_burst(hosts: u64, seed: u64) -> usize {
+    const CHANGES: u64 = 30;
+    const PERIOD_MS: u64 = 600;
+    const DELAY_MS: u64 = 200;
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let reads: Vec<u64> = (0..hosts).map(|_| random.random_range(0..1_000)).collect();
+    // Each host's next summary after its read.
+    let mut sends: Vec<(u64, usize)> = reads
+        .iter()
+        .enumerate()
+        .map(|(host, read_at)| (read_at + random.random_range(0..PERIOD_MS), host))
+        .collect();
+    sends.sort_unstable();
+    let mut sent = Vec::new();
+    let mut told = 0;
+    for (send_at, host) in sends {
+        let mut gossip = DirectoryGossip::default();
+        for offset in 0..CHANGES {
+            let change = DirectoryChange::Absent(server_id("s1"));
+            gossip.on_change(at(reads[host]), position(offset), change);
+        }
+        let heard = sent.iter().filter(|sent_at| **sent_at + DELAY_MS <= send_at);
+        let read_to = read_by_enough(heard.map(|_| position(CHANGES)));
+        let summary = gossip.recent_changes(at(send_at), read_to);
+        assert_eq!(summary.count, summary.changes.len() as u64);
+        told += usize::from(!summary.changes.is_empty());
+        sent.push(send_at);
+    }
+    told
+}
+
+#[test]
+fn burst_told_by_few() {
+    for seed in 0..20 {
+        let told = simulate_burst(295, seed);
+        assert!((3..=60).contains(&told), "{told} of 295 hosts told the changes");
+    }
+}
+
+#[test]
+fn told_change_repeated() {
+    // A change that a summary has carried is repeated whoever else has read it: the summary may be lost.
+    let mut gossip = DirectoryGossip::default();
+    gossip.on_change(at(0), position(7), DirectoryChange::Absent(server_id("s1")));
+    assert_eq!(gossip.recent_changes(at(100), None).changes.len(), 1);
+    assert_eq!(gossip.recent_changes(at(500), Some(position(8))).changes.len(), 1);
+    assert_eq!(gossip.recent_changes(at(900), Some(position(8))).count, 1);
+}
+
+#[test]
+fn readers_of_another_era() {
+    // An offset of an era that this host has not read in says nothing of this one's changes.
+    let mut gossip = DirectoryGossip::default();
+    gossip.on_change(at(0), position(7), DirectoryChange::Absent(server_id("s1")));
+    let later = LogPosition { era: StoreEra(9), offset: LogOffset(100) };
+    assert_eq!(gossip.recent_changes(at(100), Some(later)).changes.len(), 1);
+}
+
+#[test]
+fn enough_readers() {
+    let read_to = |offsets: &[u64]| read_by_enough(offsets.iter().copied().map(position));
+    assert_eq!(read_to(&[9, 9]), None);
+    assert_eq!(read_to(&[4, 9, 7, 8, 0]), Some(position(7)));
+}
