--- a/lib/src/gateway/backend_directory.rs
+++ b/lib/src/gateway/backend_directory.rs
@@ -74,9 +74,14 @@
 }
 
 impl BackendEntry {
-    /// Returns whether another entry says the same, whatever their sequence numbers.
+    /// Returns whether another entry says the same, whatever their sequence numbers. A server that is
+    /// reclaimed writes the time left in each of its entries.
     pub fn is_same_state(&self, other: &Self) -> bool {
-        Self { sequence: other.sequence, ..self.clone() } == *other
+        let reclaimed_in = match (self.reclaimed_in, other.reclaimed_in) {
+            (Some(_), left @ Some(_)) => left,
+            (own, _) => own,
+        };
+        Self { sequence: other.sequence, reclaimed_in, ..self.clone() } == *other
     }
 }
 
--- a/lib/tests/test_backend_directory.rs
+++ b/lib/tests/test_backend_directory.rs
@@ -268,3 +268,16 @@
     let effect = directory.on_departure(at(200), &server_id("s1"), Some(1), DepartureSource::Peer);
     assert_eq!(effect, DirectoryEffect::Unchanged);
 }
+
+#[test]
+fn reclaim_countdown() {
+    // The entries of a zone of servers under notice differ in the time left, which is nothing to tell.
+    let left = |millis| BackendEntry {
+        reclaimed_in: Some(Duration::from_millis(millis)),
+        sequence: Some(millis),
+        ..entry("s1", 1)
+    };
+    assert!(left(3_000).is_same_state(&left(1_800)));
+    assert!(!left(3_000).is_same_state(&entry("s1", 1)));
+    assert!(!entry("s1", 1).is_same_state(&left(3_000)));
+}
