tests: a late second copy of an answer on a connection in use again

Other operators saw a caller get the answer of another request. Looked for with a server that repeats one in five of its answers on its connections, before the answer to the next request: no caller gets it, since the copy names another request. The attempt counts as lost: a repeatable call is answered by another server, one that may run once gets 502 and no promise.

--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -38,6 +38,7 @@
 
 pub mod admin_fixture;
 pub mod config_samples;
+pub mod late_copy_server;
 pub mod least_loaded_router;
 pub mod naive_claims;
 pub mod naive_config;
