gossip: relays of a large fleet pace what they forward

Cause: a relay sent a bundle of up to 7 KB to 48 hosts at once, which overflows the queue of a link of 20 Mbit/s.

Change: four datagrams at a time, at 1.2 MB/s.

Sums of the peers' spending are looked up by the name in the summary, without a checked copy of each.

--- a/lib/src/gateway/peer_gossip.rs
+++ b/lib/src/gateway/peer_gossip.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use prost::Message as _;
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
 
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::host_summary;
@@ -49,6 +50,16 @@
 /// Time between two checks whether the fleet has become large.
 const SCOPE_CHECK_PERIOD: Duration = Duration::from_secs(5);
 
+/// Rate at which a relay of a large fleet forwards, in bytes per second: half of the slowest hosts'
+/// bandwidth.
+const FORWARD_BYTES_PER_S: f64 = 1_200_000.0;
+
+/// Datagrams that a relay sends at once; more would overflow the queue of a slow link.
+const FORWARD_BURST: usize = 4;
+
+/// Maximum number of bundles that wait to be forwarded.
+const MAX_PENDING_BUNDLES: usize = 8;
+
 /// Maximum size of a summary: a datagram of this size is not fragmented on most links.
 const MAX_SUMMARY_BYTES: usize = 8 * 1024;
 
@@ -165,6 +176,18 @@
 
 /// Receives, forwards and merges the summaries of peers.
 pub async fn receive_summaries(state: Rc<GatewayState>, socket: Rc<UdpSocket>) {
+    let (sender, receiver) = mpsc::channel(MAX_PENDING_BUNDLES);
+    tokio::join!(
+        receive_datagrams(&state, &socket, sender),
+        forward_bundles(&state, &socket, receiver),
+    );
+}
+
+async fn receive_datagrams(
+    state: &GatewayState,
+    socket: &UdpSocket,
+    forwarder: mpsc::Sender<Vec<Bytes>>,
+) {
     let mut buffer = vec![0; MAX_SUMMARY_BYTES];
     let mut relay = SummaryRelay::default();
     loop {
@@ -172,12 +195,17 @@
         let received = tokio::select! {
             received = socket.recv_from(&mut buffer) => received,
             () = tokio::time::sleep(due_in.unwrap_or_default()), if due_in.is_some() => {
-                forward_bundle(&state, &socket, relay.take());
+                queue_bundle(&forwarder, relay.take());
                 continue;
             }
         };
         match received {
-            Ok((length, _)) => on_datagram(&state, &socket, &mut relay, &buffer[..length]),
+            Ok((length, _)) => {
+                let datagram = &buffer[..length];
+                if let Some(bundle) = on_datagram(state, socket, &mut relay, datagram) {
+                    queue_bundle(&forwarder, bundle);
+                }
+            }
             Err(error) => {
                 log::debug!("event=summary_not_received detail=\"{error}\"");
                 tokio::time::sleep(SUMMARY_PERIOD).await;
@@ -186,26 +214,29 @@
     }
 }
 
+/// Merges what a datagram carries; returns summaries to forward, if some are due.
 fn on_datagram(
     state: &GatewayState,
     socket: &UdpSocket,
     relay: &mut SummaryRelay,
     datagram: &[u8],
-) {
-    let Some(mut summary) = decode_summary(state, datagram) else { return };
+) -> Option<Vec<Bytes>> {
+    let mut summary = decode_summary(state, datagram)?;
     if !summary.forwarded.is_empty() {
         let forwarded = summary.forwarded.iter().filter_map(|bytes| decode_summary(state, bytes));
-        return forwarded.for_each(|summary| host_summary::on_summary(state, summary));
+        forwarded.for_each(|summary| host_summary::on_summary(state, summary));
+        return None;
     }
+    let mut bundle = None;
     if std::mem::take(&mut summary.pass_on) {
         if state.peers.borrow().is_large_fleet() {
-            let bundle = relay.push(state.now(), Bytes::copy_from_slice(datagram));
-            bundle.into_iter().for_each(|bundle| forward_bundle(state, socket, bundle));
+            bundle = relay.push(state.now(), Bytes::copy_from_slice(datagram));
         } else {
             send_to(socket, &summary, state.peers.borrow().zone_peers());
         }
     }
     host_summary::on_summary(state, summary);
+    bundle
 }
 
 fn decode_summary(state: &GatewayState, bytes: &[u8]) -> Option<HostSummary> {
@@ -219,11 +250,30 @@
     }
 }
 
-/// Forwards summaries to the other hosts of this host's availability zone in one datagram.
-fn forward_bundle(state: &GatewayState, socket: &UdpSocket, bundle: Vec<Bytes>) {
-    let forwarded = bundle.into_iter().map(Vec::from).collect();
-    let message = HostSummary { forwarded, ..HostSummary::default() };
-    send_to(socket, &message, state.peers.borrow().zone_peers());
+fn queue_bundle(forwarder: &mpsc::Sender<Vec<Bytes>>, bundle: Vec<Bytes>) {
+    if let Err(error) = forwarder.try_send(bundle) {
+        // The next summaries replace lost ones.
+        log::debug!("event=summaries_not_forwarded detail=\"{error}\"");
+    }
+}
+
+/// Forwards bundles of summaries to the other hosts of this host's availability zone, each in one
+/// datagram, at a rate that leaves the link free for callers.
+async fn forward_bundles(
+    state: &GatewayState,
+    socket: &UdpSocket,
+    mut bundles: mpsc::Receiver<Vec<Bytes>>,
+) {
+    while let Some(bundle) = bundles.recv().await {
+        let forwarded = bundle.into_iter().map(Vec::from).collect();
+        let message = HostSummary { forwarded, ..HostSummary::default() }.encode_to_vec();
+        let targets: Vec<SocketAddr> = state.peers.borrow().zone_peers().collect();
+        for burst in targets.chunks(FORWARD_BURST) {
+            send_bytes(socket, &message, burst.iter().copied());
+            let bytes = message.len() * burst.len();
+            tokio::time::sleep(Duration::from_secs_f64(bytes as f64 / FORWARD_BYTES_PER_S)).await;
+        }
+    }
 }
 
 fn expire_old(state: &GatewayState) {
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -96,24 +96,31 @@
 struct PeerEntry {
     heard_at: Timestamp,
     summary: HostSummary,
-    /// Spending decoded from the summary.
-    spending: Vec<(TeamName, TeamSpending)>,
 }
 
 impl PeerEntry {
-    fn new(heard_at: Timestamp, summary: HostSummary) -> Self {
-        let spending = summary.teams.iter().filter_map(|team| {
-            let name = TeamName::try_from(team.team.as_str()).ok()?;
-            Some((
-                name,
-                TeamSpending { spent: team.spent.min(MAX_UNITS), asked: team.asked.min(MAX_UNITS) },
-            ))
-        });
-        let spending = spending.collect();
-        Self { heard_at, summary, spending }
+    /// Returns the spending in the summary by team; names are not checked.
+    fn spending(&self) -> impl Iterator<Item = (&str, TeamSpending)> {
+        self.summary.teams.iter().map(|team| {
+            let (spent, asked) = (team.spent.min(MAX_UNITS), team.asked.min(MAX_UNITS));
+            (team.team.as_str(), TeamSpending { spent, asked })
+        })
     }
 }
 
+/// Adds spending to the sum of a team; a team with an invalid name has none.
+fn add_spending(sums: &mut BTreeMap<TeamName, TeamSpending>, team: &str, spending: TeamSpending) {
+    let sum = match sums.get_mut(team) {
+        Some(sum) => sum,
+        None => {
+            let Ok(name) = TeamName::try_from(team) else { return };
+            sums.entry(name).or_default()
+        }
+    };
+    sum.spent += spending.spent;
+    sum.asked += spending.asked;
+}
+
 /// Peers by incarnation, and the addresses of their hosts.
 #[derive(Clone, Debug)]
 pub struct PeerTable {
@@ -178,7 +185,7 @@
         let Ok(host) = HostId::try_from(record.host.as_str()) else { return };
         let incarnation = (host, Incarnation(record.incarnation));
         if !self.entries.contains_key(&incarnation) {
-            self.insert_entry(incarnation, PeerEntry::new(recorded_at, record));
+            self.insert_entry(incarnation, PeerEntry { heard_at: recorded_at, summary: record });
         }
     }
 
@@ -198,7 +205,7 @@
         let heard_at = Some(now);
         let contact = PeerContact { address, zone, listed_at: now, heard_at, period };
         let known = self.contacts.insert(host, contact);
-        self.insert_entry(incarnation, PeerEntry::new(now, summary));
+        self.insert_entry(incarnation, PeerEntry { heard_at: now, summary });
         match known.is_some_and(|known| known.is_live(now)) {
             true => SummaryOutcome::Merged,
             false => SummaryOutcome::PeerHeard,
@@ -214,17 +221,15 @@
     }
 
     fn insert_entry(&mut self, key: HostIncarnation, entry: PeerEntry) {
-        for (team, spending) in &entry.spending {
-            let total = self.total_spending.entry(team.clone()).or_default();
-            total.spent += spending.spent;
-            total.asked += spending.asked;
+        for (team, spending) in entry.spending() {
+            add_spending(&mut self.total_spending, team, spending);
         }
         let replaced = self.entries.insert(key, entry);
         replaced.iter().for_each(|entry| self.subtract_spending(entry));
     }
 
     fn subtract_spending(&mut self, entry: &PeerEntry) {
-        for (team, spending) in &entry.spending {
+        for (team, spending) in entry.spending() {
             let Some(total) = self.total_spending.get_mut(team) else { continue };
             total.spent -= spending.spent;
             total.asked -= spending.asked;
@@ -312,7 +317,7 @@
             }
         }
         // Hosts of one zone choose different relays, so that the forwarding load is spread evenly.
-        let rank = self.contacts.range(..&self.own).count() as u64;
+        let rank = self.contacts.range::<HostId, _>(..&self.own).count() as u64;
         let turn = usize::try_from(rank.wrapping_add(sequence)).unwrap_or_default();
         for mut contacts in others.into_values() {
             let is_heard = |contact: &&PeerContact| {
@@ -361,10 +366,8 @@
         let mut total: BTreeMap<TeamName, TeamSpending> = BTreeMap::new();
         let in_zone =
             self.entries.values().filter(|entry| entry.summary.zone == self.zone.as_str());
-        for (team, spending) in in_zone.flat_map(|entry| &entry.spending) {
-            let sum = total.entry(team.clone()).or_default();
-            sum.spent += spending.spent;
-            sum.asked += spending.asked;
+        for (team, spending) in in_zone.flat_map(PeerEntry::spending) {
+            add_spending(&mut total, team, spending);
         }
         total
     }
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -25,8 +25,8 @@
 pub type Result<T> = std::result::Result<T, NameError>;
 
 fn check_name(raw: &str) -> Result<Arc<str>> {
-    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.' | ':');
-    if raw.is_empty() || raw.len() > MAX_NAME_BYTES || !raw.chars().all(allowed) {
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.:".contains(&byte);
+    if raw.is_empty() || raw.len() > MAX_NAME_BYTES || !raw.bytes().all(allowed) {
         return Err(NameError { found: raw.chars().take(MAX_NAME_BYTES).collect() });
     }
     Ok(Arc::from(raw))
@@ -39,6 +39,12 @@
         #[serde(try_from = "String", into = "String")]
         pub struct $name(Arc<str>);
 
+        impl std::borrow::Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
         impl $name {
             /// Returns the name as text.
             pub fn as_str(&self) -> &str {
