--- a/lib/tests/test_peer_table.rs
+++ b/lib/tests/test_peer_table.rs
@@ -25,6 +25,7 @@
 use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
 
 fn host(name: &str) -> HostId {
     HostId::try_from(name).expect("valid in tests")
@@ -367,3 +368,32 @@
     table.on_summary(at(0), HostSummary { zone: "north".to_owned(), ..summary("h1", 1, 1, 5) });
     assert_eq!(table.record_scope(at(1)), RecordScope::Own);
 }
+
+#[rstest]
+#[case::unstated(0, 900)]
+#[case::small_fleet(400, 1_000)]
+#[case::large_fleet(600, 1_500)]
+#[case::absurd(u32::MAX, 5_000)]
+fn silence_by_stated_period(#[case] period_ms: u32, #[case] timeout_ms: u64) {
+    let mut table = PeerTable::new(host("h1"), zone("north"));
+    let stated = |sequence| HostSummary { period_ms, ..summary("h2", 1, sequence, 0) };
+    assert_eq!(table.on_summary(at(0), stated(1)), SummaryOutcome::PeerHeard);
+    assert_eq!(table.live_peers(at(timeout_ms - 1)), 1);
+    assert_eq!(table.live_peers(at(timeout_ms)), 0);
+    assert_eq!(table.on_summary(at(timeout_ms), stated(2)), SummaryOutcome::PeerHeard);
+    assert_eq!(table.on_summary(at(timeout_ms + 1), stated(3)), SummaryOutcome::Merged);
+}
+
+#[test]
+fn invalid_team_names() {
+    let mut table = PeerTable::new(host("h1"), zone("north"));
+    let mut named = summary("h2", 1, 1, 50);
+    named.teams.push(TeamUse { team: "no name".to_owned(), spent: 7, asked: 7 });
+    named.teams.push(TeamUse { team: String::new(), spent: 7, asked: 7 });
+    table.on_summary(at(0), named);
+    assert_eq!(table.spending().len(), 1);
+    table.on_summary(at(10), summary("h2", 1, 2, 20));
+    assert_eq!(spent(&table), 20);
+    table.expire(at(60_000), Duration::from_secs(8));
+    assert!(table.spending().is_empty());
+}
