attempts: a departure is that of the process that the attempt was sent to

A response of a server's earlier process, read after the directory listed its successor under the same id, would have marked the successor as leaving; one of a server no longer listed would have covered any process of that id.

--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -38,12 +38,11 @@
 /// Retry delay stated to callers when all servers are full: about the duration of a short response.
 pub const QUEUE_FULL_RETRY_AFTER: Duration = Duration::from_millis(600);
 
-/// Maximum share by which the retry delay of a caller exceeds the pause that a server asked for, so
-/// that callers do not return all at once.
-const RETRY_SPREAD: f64 = 0.25;
-
-/// Maximum retry delay beyond that share.
-const MIN_RETRY_SPREAD: Duration = Duration::from_millis(200);
+/// Maximum by which the retry delay of a caller exceeds the pause that a server asked for: a fraction of
+/// the pause, and a time for short ones. Callers get different delays, so that they do not return all
+/// at once.
+const RETRY_SPREAD_FRACTION: f64 = 0.25;
+const RETRY_SPREAD_TIME: Duration = Duration::from_millis(200);
 
 /// Counts a request as in flight while it lives; a draining host waits for these.
 pub struct InFlightGuard {
@@ -235,8 +234,8 @@
 /// different ones.
 pub fn spread_retry_after(delay: Duration, request_id: &str) -> Duration {
     let hash = blake3::hash(request_id.as_bytes());
-    let share = f64::from(hash.as_bytes()[0]) / f64::from(u8::MAX);
-    delay + (delay.mul_f64(RETRY_SPREAD) + MIN_RETRY_SPREAD).mul_f64(share)
+    let fraction = f64::from(hash.as_bytes()[0]) / f64::from(u8::MAX);
+    delay + (delay.mul_f64(RETRY_SPREAD_FRACTION) + RETRY_SPREAD_TIME).mul_f64(fraction)
 }
 
 /// Refunds the quota of a request that did not run.
--- a/lib/src/gateway/directory_gossip.rs
+++ b/lib/src/gateway/directory_gossip.rs
@@ -20,7 +20,7 @@
 use crate::protos::gateway::ServerChange;
 use crate::timestamp::Timestamp;
 
-/// Time for which a change is included in summaries: three of them.
+/// Time for which a change is included in summaries: three of them, or two in the largest fleets.
 const GOSSIP_WINDOW: Duration = Duration::from_millis(1_200);
 
 /// Maximum number of changes in one summary; at about 90 bytes each they fill half of a datagram.
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -16,6 +16,7 @@
 use crate::gateway::accepted_request::record_health;
 use crate::gateway::accepted_request::record_started;
 use crate::gateway::attempt_plan::AttemptFailure;
+use crate::gateway::backend_directory::BackendEntry;
 use crate::gateway::backend_directory::DepartureSource;
 use crate::gateway::body_reader::read_body;
 use crate::gateway::buffer_budget::BufferBudget;
@@ -47,6 +48,8 @@
     pub key: ServerKey,
     id: ServerId,
     address: std::net::SocketAddr,
+    /// Start time of the server's process, in milliseconds since 1970.
+    started_at_ms: Option<u64>,
     /// Prompt tokens that still count as not prefilled.
     pending_prefill_tokens: u64,
 }
@@ -61,10 +64,11 @@
     ) -> Option<Self> {
         let PlacedServer { key, running, uncached_tokens } = placed;
         let now = state.now();
-        let (id, address, read_age) = {
+        let (id, address, started_at_ms, read_age) = {
             let directory = state.directory.borrow();
             let server = directory.get(key)?;
-            (server.entry.id.clone(), server.entry.address, directory.read_age(now))
+            let BackendEntry { id, address, started_at_ms, .. } = &server.entry;
+            (id.clone(), *address, *started_at_ms, directory.read_age(now))
         };
         log::info!(
             "event=attempt_started request={} server={id} running={running} \
@@ -81,6 +85,7 @@
             key,
             id,
             address,
+            started_at_ms,
             pending_prefill_tokens: uncached_tokens,
         })
     }
@@ -258,9 +263,7 @@
         log::warn!("event=server_notice_skipped code=404 server={server} detail=\"{error}\"");
     }
     if notice.is_leaving {
-        let started_at_ms =
-            state.directory.borrow().get(attempt.key).and_then(|known| known.entry.started_at_ms);
-        state.on_departure(server, started_at_ms, DepartureSource::Server);
+        state.on_departure(server, attempt.started_at_ms, DepartureSource::Server);
     }
     let mut placement = state.placement.borrow_mut();
     match notice.pause {
