stand-ins: name themselves in the Server field, as before

Four golden replies of test_front_door show that the front door passes on a field that the application set itself. It was tiny_http's name and is now the stand-in's; the check is the same.

--- a/lib/testutils/src/http_standin.rs
+++ b/lib/testutils/src/http_standin.rs
@@ -46,6 +46,9 @@
 /// Largest request body that a stand-in accepts, in bytes; larger ones get status 413.
 pub const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
+/// `Server` field of each response but streamed ones.
+const SERVER_NAME: &str = "stand-in";
+
 /// Chunks of a streamed response that may wait for its client to read.
 const PENDING_CHUNKS: usize = 16;
 
@@ -352,6 +355,7 @@
     pub fn respond(self, status: u16, headers: &[(&str, &str)], body: Vec<u8>) {
         let mut response = Response::new(Either::Left(Full::new(Bytes::from(body))));
         *response.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
+        response.headers_mut().insert(hyper::header::SERVER, HeaderValue::from_static(SERVER_NAME));
         for (name, value) in headers {
             if let (Ok(name), Ok(value)) =
                 (name.parse::<HeaderName>(), value.parse::<HeaderValue>())
