--- a/lib/tests/test_peer_table.rs
+++ b/lib/tests/test_peer_table.rs
@@ -397,3 +397,19 @@
     table.expire(at(60_000), Duration::from_secs(8));
     assert!(table.spending().is_empty());
 }
+
+#[test]
+fn recorder_replaced() {
+    // The record of a zone's former recorder holds the spending of hosts that are still heard from.
+    let mut table = PeerTable::new(host("h1"), zone("north"));
+    let in_zone = |name, sequence, spent| HostSummary {
+        zone: "north".to_owned(),
+        ..summary(name, 1, sequence, spent)
+    };
+    table.on_record(at(0), in_zone("h0", 0, 100));
+    table.on_summary(at(100), in_zone("h2", 1, 100));
+    assert_eq!(spent(&table), 100);
+    let recorded = table.zone_spending();
+    let recorded = recorded.values().map(|spending| spending.spent).sum::<u64>();
+    assert_eq!(recorded, 100, "the next record");
+}
