--- a/lib/src/gateway/caller_request.rs
+++ b/lib/src/gateway/caller_request.rs
@@ -1,7 +1,11 @@
 //! The parsed head of a caller's request.
 
+use std::fmt;
 use std::time::Duration;
 
+/// Maximum number of parts in a log line.
+const MAX_LOGGED_PARTS: usize = 16;
+
 /// One part of a prompt, which other requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
@@ -31,6 +35,28 @@
             [.., shared, _] => Some(shared.id),
         }
     }
+
+    /// Returns the parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
+
+/// The shared parts of a prompt as they are logged: hexadecimal identifiers, separated by commas.
+pub struct PartList<'a>(pub Option<&'a PromptShape>);
+
+impl fmt::Display for PartList<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let shared = self.0.map_or(&[][..], PromptShape::shared_parts);
+        if shared.is_empty() {
+            return formatter.write_str("-");
+        }
+        for (index, part) in shared.iter().take(MAX_LOGGED_PARTS).enumerate() {
+            let separator = if index > 0 { "," } else { "" };
+            write!(formatter, "{separator}{:08x}", part.id)?;
+        }
+        if shared.len() > MAX_LOGGED_PARTS { formatter.write_str(",...") } else { Ok(()) }
+    }
 }
 
 /// The head of a caller's request.
--- a/lib/src/gateway/crash_tracker.rs
+++ b/lib/src/gateway/crash_tracker.rs
@@ -30,6 +30,17 @@
 /// Maximum number of suspects; the oldest are evicted first.
 const MAX_SUSPECTS: usize = 4_096;
 
+/// What showed that a server's process is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExitEvidence {
+    /// A new connection was not established.
+    NotConnected,
+    /// The directory lists a new process.
+    Restarted,
+    /// The directory lists the server no more.
+    Unlisted,
+}
+
 /// Identifies requests with the same caller, path and body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallFingerprint(pub u64);
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -12,6 +12,7 @@
 use crate::gateway::buffer_budget::BufferBudget;
 use crate::gateway::connection_pool::ConnectionPool;
 use crate::gateway::crash_tracker::CrashTracker;
+use crate::gateway::crash_tracker::ExitEvidence;
 use crate::gateway::demand_meter::DemandMeter;
 use crate::gateway::directory_gossip::DirectoryGossip;
 use crate::gateway::gateway_metrics::GatewayMetrics;
@@ -214,10 +215,14 @@
     }
 
     /// Records that a server's process exited.
-    pub fn on_server_gone(&self, server: &ServerId) {
+    pub fn on_server_gone(&self, server: &ServerId, evidence: ExitEvidence) {
         let suspects = self.crashes.borrow_mut().on_server_gone(self.now(), server);
         if !suspects.is_empty() {
-            log::info!("event=server_crashed server={server} suspects={}", suspects.len());
+            log::info!(
+                "event=server_crashed server={server} evidence={evidence:?} suspects={} first={:016x}",
+                suspects.len(),
+                suspects[0].0,
+            );
         }
     }
 
@@ -241,7 +246,7 @@
                 self.placement.borrow_mut().reset(key);
                 let id = self.directory.borrow().get(key).map(|server| server.entry.id.clone());
                 if let Some(id) = id {
-                    self.on_server_gone(&id);
+                    self.on_server_gone(&id, ExitEvidence::Restarted);
                 }
             }
             DirectoryEffect::Removed(_)
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -20,8 +20,10 @@
 use crate::gateway::backend_directory::DepartureSource;
 use crate::gateway::body_reader::read_body;
 use crate::gateway::buffer_budget::BufferBudget;
+use crate::gateway::caller_request::PartList;
 use crate::gateway::connection_pool::CallError;
 use crate::gateway::connection_pool::PooledConnection;
+use crate::gateway::crash_tracker::ExitEvidence;
 use crate::gateway::event_splitter::EventSplitter;
 use crate::gateway::event_splitter::StreamEvent;
 use crate::gateway::gateway_state::GatewayState;
@@ -209,7 +211,7 @@
             match failure {
                 AttemptFailure::Unsent => {
                     state.pool.close_idle(attempt.address);
-                    state.on_server_gone(attempt.server());
+                    state.on_server_gone(attempt.server(), ExitEvidence::NotConnected);
                 }
                 AttemptFailure::Withheld => {}
                 _ => record_lost(&state, request, &attempt),
@@ -374,8 +376,9 @@
 ) {
     state.metrics.attempts.with_label_values(&[&format!("{failure:?}")]).inc();
     log::info!(
-        "event=attempt_failed request={} server={} failure={failure:?} detail=\"{detail}\"",
+        "event=attempt_failed request={} server={} failure={failure:?} parts={} detail=\"{detail}\"",
         request.head.request_id,
         attempt.server(),
+        PartList(request.head.prompt.as_ref()),
     );
 }
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -29,6 +29,7 @@
 use crate::gateway::attempt_race::AttemptRace;
 use crate::gateway::attempt_race::RaceEvent;
 use crate::gateway::attempt_race::record_silent_server;
+use crate::gateway::caller_request::PartList;
 use crate::gateway::connection_pool::PooledConnection;
 use crate::gateway::event_splitter;
 use crate::gateway::event_splitter::EventSplitter;
@@ -420,10 +421,11 @@
     fn log_stream_lost(&self, attempt: &ServerAttempt, detail: &str) {
         self.state.metrics.attempts.with_label_values(&["StreamLost"]).inc();
         log::info!(
-            "event=stream_lost request={} server={} events={} detail=\"{detail}\"",
+            "event=stream_lost request={} server={} events={} parts={} detail=\"{detail}\"",
             self.request.head.request_id,
             attempt.server(),
             self.relayed_events,
+            PartList(self.request.head.prompt.as_ref()),
         );
     }
 }
