--- a/lib/testutils/src/deployment_server.rs
+++ b/lib/testutils/src/deployment_server.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::ops::Range;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -21,13 +22,18 @@
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
 use serde_json::json;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 use tokio_stream::wrappers::ReceiverStream;
 
+use crate::deployment_standin::READY;
+use crate::deployment_standin::SERVER_TOPIC;
 use crate::deployment_standin::STREAM_EVENTS;
+use crate::deployment_state::ReplicaCrash;
 use crate::deployment_state::ReplicaMode;
 use crate::deployment_state::ReplicaRun;
 use crate::deployment_state::ReplicaState;
@@ -35,13 +41,17 @@
 use crate::deployment_state::StoreLink;
 use crate::deployment_state::StoreMode;
 use crate::deployment_state::UsageReport;
+use crate::deployment_state::WrittenRecord;
 use crate::deployment_state::lock;
+use crate::deployment_state::write;
 use crate::endless_response::EndlessKind;
 use crate::endless_response::EndlessResponse;
 use crate::store_core::StoreRejection;
 
 /// Interval at which a long-polling read checks for a new record.
 const LONG_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time from the begin of a request to the crash that it causes.
+const CRASH_DELAY: Duration = Duration::from_millis(30);
 /// Interval between the events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -65,24 +75,62 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     thread::spawn(move || {
         LocalSet::new().block_on(&runtime, async move {
-            let Ok(listener) = TcpListener::from_std(listener) else { return };
-            while let Ok((stream, _)) = listener.accept().await {
-                let state = state.clone();
-                let connection = {
-                    let state = &mut lock(&state);
-                    state.next_connection += 1;
-                    state.next_connection - 1
-                };
-                tokio::task::spawn_local(serve_connection(state, role, connection, stream));
+            let Ok(mut listener) = TcpListener::from_std(listener) else { return };
+            let crash = crash_signal(&state, role);
+            loop {
+                tokio::select! {
+                    () = accept_connections(&state, role, &listener) => return,
+                    () = crash.notified() => {}
+                }
+                drop(listener);
+                let down = lock(&state).crash_down;
+                tokio::time::sleep(down).await;
+                let Ok(bound) = TcpListener::bind(address).await else { return };
+                listener = bound;
+                restart_replica(&state, role, address);
             }
         });
     });
     Ok(address)
 }
 
+async fn accept_connections(state: &SharedState, role: Role, listener: &TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let state = state.clone();
+        let connection = {
+            let state = &mut lock(&state);
+            state.next_connection += 1;
+            state.next_connection - 1
+        };
+        tokio::task::spawn_local(serve_connection(state, role, connection, stream));
+    }
+}
+
+/// Returns what is notified when the process of a role crashes; that of the platform never does.
+fn crash_signal(state: &SharedState, role: Role) -> Arc<Notify> {
+    match role {
+        Role::Platform(_) => Arc::default(),
+        Role::Replica(index) => lock(state).replicas[index].crash.clone(),
+    }
+}
+
+/// Replaces the entry of a crashed replica by that of its new process.
+fn restart_replica(state: &SharedState, role: Role, address: SocketAddr) {
+    let Role::Replica(index) = role else { return };
+    let state = &mut lock(state);
+    let old = state.replicas[index].id.clone();
+    write(state, WrittenRecord { topic: SERVER_TOPIC, key: old, value: String::new() });
+    let id = format!("i-{index}-crash{}", state.crashes.len());
+    let replica = &mut state.replicas[index];
+    (replica.id, replica.state, replica.sequence) = (id, READY, 1);
+    let (key, value) = (replica.id.clone(), replica.entry(address).to_string());
+    write(state, WrittenRecord { topic: SERVER_TOPIC, key, value });
+}
+
 /// Serves a connection until it is closed, or until a response that no HTTP library writes takes it
 /// over.
 async fn serve_connection(state: SharedState, role: Role, number: u64, stream: TcpStream) {
+    let crash = crash_signal(&state, role);
     let (takeovers, mut takeover) = mpsc::unbounded_channel();
     let service =
         service_fn(move |request| answer(state.clone(), role, number, takeovers.clone(), request));
@@ -91,6 +139,12 @@
     let response = tokio::select! {
         _ = &mut connection => return,
         response = takeover.recv() => response,
+        () = crash.notified() => {
+            let stream = connection.into_parts().io.into_inner();
+            // Without lingering, the connection is reset. It may be closed already.
+            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            return;
+        }
     };
     let mut stream = connection.into_parts().io.into_inner();
     if let Some(response) = response {
@@ -313,6 +367,7 @@
         return Ok(endless_reply(EndlessKind::RefusalBody, request_id, id));
     }
     let resumed_after = field("Last-Event-Id").and_then(|id| id.parse().ok());
+    let crashing_part = find_crashing_part(state, field("Prompt-Prefix").as_deref());
     let run_count = {
         let state = &mut lock(state);
         state.run_count += 1;
@@ -325,9 +380,13 @@
             resumed_after,
             team: field("Tenant-Id"),
             received_team_key: field("Authorization").is_some(),
+            crashing_part,
         });
         state.run_count
     };
+    if let Some(part) = crashing_part {
+        tokio::task::spawn_local(crash_replica(state.clone(), index, id.clone(), part));
+    }
     if mode == ReplicaMode::DropResponse {
         return Err(std::io::ErrorKind::ConnectionReset.into());
     }
@@ -367,6 +426,27 @@
     Ok(reply)
 }
 
+/// Returns the first part of a prompt that crashes replicas, if there is one.
+fn find_crashing_part(state: &SharedState, prompt: Option<&str>) -> Option<u64> {
+    let (shared, _) = prompt?.rsplit_once(',')?;
+    let ids = shared.split(',').filter_map(|part| part.split_once(':')).map(|(id, _)| id);
+    let crashing = &lock(state).crashing_parts;
+    ids.filter_map(|id| u64::from_str_radix(id, 16).ok()).find(|id| crashing.contains(id))
+}
+
+/// Lets a replica's process crash soon, unless it is gone by then.
+async fn crash_replica(state: SharedState, index: usize, replica_id: String, part: u64) {
+    tokio::time::sleep(CRASH_DELAY).await;
+    let state = &mut lock(&state);
+    if state.replicas[index].id != replica_id
+        || state.crashes.iter().any(|crash| crash.replica_id == replica_id)
+    {
+        return;
+    }
+    state.crashes.push(ReplicaCrash { at: Instant::now(), replica_id, part });
+    state.replicas[index].crash.notify_waiters();
+}
+
 /// Returns the number that follows a marker at the end of a path.
 fn path_number(path: &str, marker: &str) -> Option<u64> {
     path.rsplit_once(marker)?.1.parse().ok()
--- a/lib/testutils/src/deployment_standin.rs
+++ b/lib/testutils/src/deployment_standin.rs
@@ -5,6 +5,7 @@
 use serde_json::Value;
 use serde_json::json;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -18,6 +19,7 @@
 use crate::store_core::PARTITIONS;
 
 pub use crate::deployment_server::event_text;
+pub use crate::deployment_state::ReplicaCrash;
 pub use crate::deployment_state::ReplicaMode;
 pub use crate::deployment_state::ReplicaRun;
 pub use crate::deployment_state::RewriteScope;
@@ -43,9 +45,9 @@
 /// Key of the configuration document.
 const CONFIG_KEY: &str = "config";
 /// State of a replica that accepts requests.
-const READY: &str = "ready";
+pub(crate) const READY: &str = "ready";
 /// Topic with the entries of the replicas.
-const SERVER_TOPIC: &str = "keyed.servers";
+pub(crate) const SERVER_TOPIC: &str = "keyed.servers";
 
 /// A running stand-in. Its threads run until the process exits.
 pub struct DeploymentStandin {
@@ -78,6 +80,7 @@
                 sequence: 0,
                 silent_until: None,
                 turned_away: Vec::new(),
+                crash: Arc::default(),
             })
             .collect();
         let platform = serve(state.clone(), Role::Platform(None))?;
@@ -116,12 +119,7 @@
         let (id, entry) = {
             let replica = &mut lock(&self.state).replicas[index];
             replica.sequence += 1;
-            let entry = json!({
-                "service": replica.service, "address": self.replicas[index].to_string(),
-                "zone": "north", "version": "v1", "slots": 400, "state": replica.state,
-                "sequence": replica.sequence, "born": 1,
-            });
-            (replica.id.clone(), entry)
+            (replica.id.clone(), replica.entry(self.replicas[index]))
         };
         self.put(SERVER_TOPIC, &id, &entry);
     }
@@ -261,6 +259,19 @@
         lock(&self.state).replicas[index].silent_until = Some(Instant::now() + duration);
     }
 
+    /// Makes each replica crash that begins to answer a request with one of these parts anywhere but
+    /// at the end of its prompt. A crashed replica is down for a while and comes back with another
+    /// id.
+    pub fn set_crashing_parts(&self, parts: &[u64], down: Duration) {
+        let state = &mut lock(&self.state);
+        (state.crashing_parts, state.crash_down) = (parts.to_vec(), down);
+    }
+
+    /// Returns the crashes of replicas by requests, in order.
+    pub fn crashes(&self) -> Vec<ReplicaCrash> {
+        lock(&self.state).crashes.clone()
+    }
+
     /// Returns when a replica turned requests away, in order.
     pub fn turned_away(&self, index: usize) -> Vec<Instant> {
         lock(&self.state).replicas[index].turned_away.clone()
--- a/lib/testutils/src/deployment_state.rs
+++ b/lib/testutils/src/deployment_state.rs
@@ -1,5 +1,6 @@
 //! State of the deployment stand-in: its store, its replicas, and what was written and run.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -8,6 +9,8 @@
 use std::time::Instant;
 
 use serde_json::Value;
+use serde_json::json;
+use tokio::sync::Notify;
 
 use crate::endless_response::EndlessKind;
 use crate::store_core::StoreCopy;
@@ -129,6 +132,30 @@
     pub(crate) silent_until: Option<Instant>,
     /// Requests that it turned away.
     pub(crate) turned_away: Vec<Instant>,
+    /// Notified when its process crashes.
+    pub(crate) crash: Arc<Notify>,
+}
+
+impl ReplicaState {
+    /// Returns its entry in the directory.
+    pub(crate) fn entry(&self, address: SocketAddr) -> Value {
+        json!({
+            "service": self.service, "address": address.to_string(), "zone": "north",
+            "version": "v1", "slots": 400, "state": self.state, "sequence": self.sequence,
+            "born": 1,
+        })
+    }
+}
+
+/// The crash of a replica's process by a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaCrash {
+    /// When it crashed.
+    pub at: Instant,
+    /// Id of the replica.
+    pub replica_id: String,
+    /// Part of the request's prompt that crashed it.
+    pub part: u64,
 }
 
 /// An accepted usage report.
@@ -163,6 +190,8 @@
     pub team: Option<String>,
     /// Whether the gateway forwarded the caller's key.
     pub received_team_key: bool,
+    /// Part of its prompt that crashes replicas, if it has one.
+    pub crashing_part: Option<u64>,
 }
 
 #[derive(Debug, Default)]
@@ -189,6 +218,11 @@
     /// Largest fencing token of any accepted report.
     pub(crate) max_fencing_token: u64,
     pub(crate) scale_requests: Vec<Value>,
+    /// Parts of prompts that crash the replicas that begin to answer them.
+    pub(crate) crashing_parts: Vec<u64>,
+    /// For how long a replica is down after a crash.
+    pub(crate) crash_down: Duration,
+    pub(crate) crashes: Vec<ReplicaCrash>,
 }
 
 impl DeploymentState {
--- a/lib/testutils/src/gateway_fixture.rs
+++ b/lib/testutils/src/gateway_fixture.rs
@@ -19,6 +19,9 @@
 /// Deadline of a request in milliseconds.
 const CALL_DEADLINE_MS: &str = "8000";
 
+/// Prompt and output tokens of a request with a prompt.
+const PROMPT_TOKENS: &str = "900,20";
+
 /// A gateway process and its platform. Each fixture uses its own loopback address.
 pub struct GatewayFixture {
     /// The platform.
@@ -103,6 +106,23 @@
 
     /// Sends a request and returns the response.
     pub fn call(&self, method: &str, path: &str, id: &str, key: Option<&str>) -> CallerResponse {
+        self.call_with(method, path, id, key, &[])
+    }
+
+    /// Sends a request for a stream with a prompt, given as it is sent, and returns the response.
+    pub fn call_prompt(&self, path: &str, id: &str, prompt: &str) -> CallerResponse {
+        let fields = [("Token-Counts", PROMPT_TOKENS), ("Prompt-Prefix", prompt)];
+        self.call_with("POST", path, id, Some(TEAM_KEY), &fields)
+    }
+
+    fn call_with(
+        &self,
+        method: &str,
+        path: &str,
+        id: &str,
+        key: Option<&str>,
+        fields: &[(&str, &str)],
+    ) -> CallerResponse {
         let mut request = hyper::http::Request::builder()
             .method(method)
             .uri(format!("http://{}:{FRONT_PORT}{path}", self.ip))
@@ -110,6 +130,9 @@
             .header("Request-Id", id)
             .header("Request-Deadline", CALL_DEADLINE_MS)
             .header("Tenant-Id", "forged");
+        for (name, value) in fields {
+            request = request.header(*name, *value);
+        }
         if let Some(key) = key {
             request = request.header("Authorization", format!("Token {key}"));
         }
