gateway: refuse requests by the parts that crash servers

Cause: a request was known by caller, path and body, so that requests of which no two are alike never reached three crashes. Crashes were also confirmed late, by the next connection or by the store, and told for two seconds only, so that hosts that started later never heard of them.

Change: PartSuspects counts the crashes of each part of a request's work, the whole request included, until a request with it is answered. Three in a row convict a part, with the parts that all its lost requests share, unless another part explains the same crashes. Lost requests are told by crash, so that all hosts judge alike. A lost attempt probes its server's port at once; an entry that the store drops no longer counts as a crash. Verdicts are told in turn by every summary and recorded in the store, do not lapse while requests are refused, and are lifted when such a request is answered. Attempts in queues, repeats and hedges are checked again before they are sent.

--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -12,7 +12,6 @@
 use hyper::http::request;
 
 use crate::gateway::caller_request::CallerHead;
-use crate::gateway::crash_tracker::CallFingerprint;
 use crate::gateway::fleet_scaler::TokenDemand;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::placement::PlacementChoice;
@@ -31,6 +30,8 @@
 use crate::result_code::ResultCode;
 use crate::timestamp::Timestamp;
 use crate::timestamp::wall_clock_ms;
+use crate::work_parts::WorkPart;
+use crate::work_parts::WorkParts;
 
 /// Retry delay stated to callers when the service has no server: about one directory poll interval.
 pub const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(800);
@@ -113,8 +114,10 @@
     pub team: Option<Rc<TeamRule>>,
     /// Arrival time.
     pub arrived_at: Timestamp,
-    /// Fingerprint that all resends of the same work share.
-    pub fingerprint: CallFingerprint,
+    /// The whole work, which all resends share.
+    pub whole: WorkPart,
+    /// Parts of the work, of which other requests may share some.
+    pub work: WorkParts,
     /// Version of the configuration that the request was checked against.
     pub config_version: u64,
     /// Logs the end of the request.
--- a/lib/src/gateway/attempt_race.rs
+++ b/lib/src/gateway/attempt_race.rs
@@ -130,8 +130,7 @@
         resume_after: Option<u64>,
     ) -> HedgeOutcome {
         let now = self.state.now();
-        if !plan.may_hedge(now) || self.state.crashes.borrow().is_refused(self.request.fingerprint)
-        {
+        if !plan.may_hedge(now) || self.state.crashes.borrow().is_refused(&self.request.work) {
             return HedgeOutcome::Denied;
         }
         let in_flight = self.running.iter().map(|attempt| attempt.key);
--- a/lib/src/gateway/gateway_host.rs
+++ b/lib/src/gateway/gateway_host.rs
@@ -27,6 +27,7 @@
 use crate::gateway::shutdown_plan::ShutdownPlan;
 use crate::gateway::shutdown_plan::ShutdownStep;
 use crate::gateway::store_follower;
+use crate::gateway::verdict_keeper;
 
 /// Interval of the checks whether a draining host may exit.
 const DRAIN_CHECK_PERIOD: Duration = Duration::from_millis(50);
@@ -136,6 +137,10 @@
         let (state, store) = (state.clone(), store.clone());
         move || peer_gossip::record_spending(state.clone(), store.clone())
     });
+    supervise("verdicts", {
+        let (state, store) = (state.clone(), store.clone());
+        move || verdict_keeper::keep_verdicts(state.clone(), store.clone())
+    });
     supervise("send_summaries", {
         let (state, socket) = (state.clone(), socket.clone());
         move || peer_gossip::send_summaries(state.clone(), socket.clone())
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -19,6 +19,7 @@
 use crate::gateway::gateway_settings::GatewaySettings;
 use crate::gateway::peer_table::PeerTable;
 use crate::gateway::placement::PlacementTable;
+use crate::gateway::process_probe::ProcessProbes;
 use crate::gateway::quota_limiter::QuotaLimiter;
 use crate::gateway::read_schedule::ReadHistory;
 use crate::gateway::retry_limiter::RetryLimiter;
@@ -34,13 +35,29 @@
 use crate::ids::ServerKey;
 use crate::ids::ServiceName;
 use crate::ids::StoreEra;
+use crate::part_suspects::FLEET_PACE;
+use crate::part_suspects::LARGE_FLEET_PACE;
 use crate::timestamp::ProcessClock;
 use crate::timestamp::Timestamp;
 use crate::timestamp::wall_clock_ms;
+use crate::verdict_table::PartVerdict;
+use crate::verdict_table::VerdictState;
+use crate::work_parts::WorkParts;
 
 /// Budget of the bytes buffered from servers.
 const BUFFER_BUDGET_BYTES: usize = 48 << 20;
 
+/// Where a change of a verdict comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VerdictSource {
+    /// This host's own judgement.
+    Own,
+    /// A peer's summary.
+    Peer,
+    /// The store.
+    Store,
+}
+
 /// State of one host. A part is borrowed for one decision only, never across an `await`.
 pub struct GatewayState {
     /// Current settings.
@@ -75,6 +92,8 @@
     pub ledger: RefCell<UsageLedger>,
     /// Requests suspected of crashing servers.
     pub crashes: RefCell<CrashTracker>,
+    /// Probes of servers that lost attempts.
+    pub probes: ProcessProbes,
     /// Rates of requested tokens.
     pub demand: RefCell<DemandMeter>,
     /// Summaries and addresses of the peers.
@@ -89,6 +108,8 @@
     pub summary_hint: Notify,
     /// Notified when this host's quota spending should be recorded in the store.
     pub record_hint: Notify,
+    /// Notified when a verdict changed.
+    pub verdict_hint: Notify,
     /// Whether the quota spending from before this host's start was read, or cannot be read.
     pub spending_known: Cell<bool>,
     /// Plan of the graceful shutdown, once it was requested.
@@ -127,6 +148,7 @@
             quotas: RefCell::new(quotas),
             ledger: RefCell::new(UsageLedger::new(incarnation.clone(), window_ms)),
             crashes: RefCell::default(),
+            probes: ProcessProbes::default(),
             demand: RefCell::default(),
             peers: RefCell::new(PeerTable::new(settings.host.clone(), settings.zone.clone())),
             has_new_spending: Cell::new(false),
@@ -134,6 +156,7 @@
             directory_hint: Cell::new(false),
             summary_hint: Notify::new(),
             record_hint: Notify::new(),
+            verdict_hint: Notify::new(),
             spending_known,
             shutdown: Cell::new(None),
             in_flight: Cell::new(0),
@@ -214,16 +237,60 @@
         }
     }
 
-    /// Records that a server's process exited.
+    /// Records that a server's process exited. Requests that were lost with it may have crashed it.
     pub fn on_server_gone(&self, server: &ServerId, evidence: ExitEvidence) {
-        let suspects = self.crashes.borrow_mut().on_server_gone(self.now(), server);
-        if !suspects.is_empty() {
-            log::info!(
-                "event=server_crashed server={server} evidence={evidence:?} suspects={} first={:016x}",
-                suspects.len(),
-                suspects[0].0,
-            );
+        let lost = self.crashes.borrow_mut().on_server_gone(self.now(), server);
+        if lost.is_empty() {
+            return;
         }
+        self.metrics.events.with_label_values(&["server_crashed"]).inc();
+        let parts: WorkParts = lost.iter().flat_map(|lost| lost.parts.iter()).collect();
+        log::info!(
+            "event=server_crashed server={server} evidence={evidence:?} suspects={} parts={parts}",
+            lost.len(),
+        );
+        self.summary_hint.notify_one();
+    }
+
+    /// Judges recent crashes and logs new verdicts on parts of requests.
+    pub fn judge_crashes(&self) {
+        let now = self.now();
+        let (is_large, view) = {
+            let peers = self.peers.borrow();
+            (peers.is_large_fleet(), peers.fleet_view(now))
+        };
+        let pace = if is_large { LARGE_FLEET_PACE } else { FLEET_PACE };
+        let changed = {
+            let mut crashes = self.crashes.borrow_mut();
+            crashes.suspects_mut().set_pace(pace);
+            crashes.judge(now, wall_clock_ms(), view)
+        };
+        changed.iter().for_each(|verdict| self.on_verdict(verdict, VerdictSource::Own));
+        let in_force = self.crashes.borrow().suspects().verdicts().in_force().count();
+        let in_force = i64::try_from(in_force).unwrap_or(i64::MAX);
+        self.metrics.levels.with_label_values(&["crash_verdicts"]).set(in_force);
+    }
+
+    /// Merges a verdict that a peer or the store tells.
+    pub fn merge_verdict(&self, verdict: PartVerdict, source: VerdictSource) {
+        let now = self.now();
+        if self.crashes.borrow_mut().suspects_mut().merge_verdict(now, verdict.clone()) {
+            self.on_verdict(&verdict, source);
+        }
+    }
+
+    fn on_verdict(&self, verdict: &PartVerdict, source: VerdictSource) {
+        let PartVerdict { parts, state, changed_ms, crashes } = verdict;
+        let event = match state {
+            VerdictState::InForce => "crash_verdict",
+            VerdictState::Lifted => "crash_verdict_lifted",
+        };
+        self.metrics.events.with_label_values(&[event]).inc();
+        log::warn!(
+            "event={event} parts={parts} crashes={crashes} changed_ms={changed_ms} source={source:?}"
+        );
+        self.summary_hint.notify_one();
+        self.verdict_hint.notify_one();
     }
 
     /// Propagates a directory change to the placement and crash state, and logs it.
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -6,7 +6,8 @@
 use prost::Message as _;
 
 use crate::gateway::backend_directory::DepartureSource;
-use crate::gateway::crash_tracker::CallFingerprint;
+use crate::gateway::crash_news;
+use crate::gateway::crash_news::CrashNews;
 use crate::gateway::directory_gossip::decode_change;
 use crate::gateway::directory_gossip::has_missed_changes;
 use crate::gateway::directory_gossip::read_by_enough;
@@ -22,7 +23,6 @@
 use crate::ids::ServerKey;
 use crate::ids::StoreEra;
 use crate::ids::TeamName;
-use crate::protos::gateway::CrashSight;
 use crate::protos::gateway::Departure;
 use crate::protos::gateway::HostSummary;
 use crate::protos::gateway::ServerChange;
@@ -33,9 +33,6 @@
 use crate::timestamp::Timestamp;
 use crate::timestamp::wall_clock_ms;
 
-/// Maximum number of crash suspicions in one summary: enough for a zone of servers that crashed.
-const MAX_SUMMARY_CRASHES: usize = 64;
-
 /// Maximum number of departures in one summary: enough for a zone of servers that leave.
 const MAX_SUMMARY_DEPARTURES: usize = 64;
 
@@ -63,7 +60,11 @@
 pub fn on_summary(state: &GatewayState, mut summary: HostSummary) {
     let now = state.now();
     let windows = std::mem::take(&mut summary.windows);
-    let crashes = std::mem::take(&mut summary.crashes);
+    let news = CrashNews {
+        crashes: std::mem::take(&mut summary.crashes),
+        cleared_parts: std::mem::take(&mut summary.cleared_parts),
+        verdicts: std::mem::take(&mut summary.verdicts),
+    };
     let changes = std::mem::take(&mut summary.changes);
     let departures = std::mem::take(&mut summary.departures);
     let known_count = state.peers.borrow().changes_count(&summary);
@@ -89,7 +90,7 @@
         state.directory_hint.set(true);
     }
     changes.iter().for_each(|change| apply_server_change(state, change));
-    crashes.into_iter().for_each(|report| apply_crash_report(state, report));
+    crash_news::apply_crash_news(state, &news);
     departures.into_iter().for_each(|departure| apply_departure(state, departure));
     windows.iter().for_each(|window| merge_window_counts(state, window));
 }
@@ -118,16 +119,6 @@
     }
 }
 
-fn apply_crash_report(state: &GatewayState, report: CrashSight) {
-    match ServerId::try_from(report.server) {
-        Ok(server) => {
-            let fingerprint = CallFingerprint(report.fingerprint);
-            state.crashes.borrow_mut().on_crash_report(state.now(), fingerprint, server);
-        }
-        Err(error) => log::warn!("event=crash_sight_skipped code=404 detail=\"{error}\""),
-    }
-}
-
 fn apply_departure(state: &GatewayState, departure: Departure) {
     match ServerId::try_from(departure.server) {
         Ok(server) => state.on_departure(&server, departure.born_ms, DepartureSource::Peer),
@@ -253,11 +244,7 @@
     let peers_read_to = read_by_enough(state.peers.borrow().directory_positions(now));
     let recent = state.directory_gossip.borrow_mut().recent_changes(now, peers_read_to);
     let directory_read_to = state.directory_gossip.borrow().read_to();
-    let crashes = state.crashes.borrow();
-    let crashes = crashes.own_reports(now).map(|(fingerprint, server)| CrashSight {
-        fingerprint: fingerprint.0,
-        server: server.to_string(),
-    });
+    let news = CrashNews::recent(state, now, sequence);
     let departures = directory.recent_departures(now).map(|(server, started_at_ms)| Departure {
         server: server.to_string(),
         born_ms: started_at_ms,
@@ -271,7 +258,9 @@
         servers: servers.collect(),
         windows: windows.collect(),
         demands: demands.collect(),
-        crashes: crashes.take(MAX_SUMMARY_CRASHES).collect(),
+        crashes: news.crashes,
+        cleared_parts: news.cleared_parts,
+        verdicts: news.verdicts,
         departures: departures.take(MAX_SUMMARY_DEPARTURES).collect(),
         config_version: state.config.borrow().current().map_or(0, |config| config.version),
         zone: settings.zone.to_string(),
--- a/lib/src/gateway/peer_gossip.rs
+++ b/lib/src/gateway/peer_gossip.rs
@@ -281,7 +281,7 @@
     let window = state.settings.borrow().quotas.window;
     state.peers.borrow_mut().expire(now, window);
     state.ledger.borrow_mut().expire(wall_clock_ms());
-    state.crashes.borrow_mut().expire(now);
+    state.judge_crashes();
     state.pool.close_expired();
     host_summary::apply_peer_summaries(state);
     let running = i64::try_from(state.in_flight.get()).unwrap_or(i64::MAX);
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -24,11 +24,12 @@
 use crate::ids::StoreEra;
 use crate::ids::TeamName;
 use crate::ids::ZoneName;
+use crate::part_suspects::FleetView;
 use crate::protos::gateway::HostSummary;
 use crate::timestamp::Timestamp;
 
 /// Fleet beyond which hosts send summaries less often and relays forward them together.
-const LARGE_FLEET_HOSTS: u32 = 128;
+pub const LARGE_FLEET_HOSTS: u32 = 128;
 
 /// Heartbeat timeout and lifetime of a summary's load, in periods of its sender, if these are longer
 /// than the fixed ones.
@@ -288,6 +289,18 @@
         self.is_partitioned_among(now, None)
     }
 
+    /// Returns how much of the fleet this host hears of. A silent host may have ended meanwhile.
+    pub fn fleet_view(&self, now: Timestamp) -> FleetView {
+        let known = self.contacts.values().filter(|contact| contact.heard_at.is_some()).count();
+        if self.is_partitioned(now) {
+            FleetView::Partial
+        } else if self.live_peers(now) < known {
+            FleetView::Most
+        } else {
+            FleetView::Whole
+        }
+    }
+
     /// Returns whether this host, with the peers it hears from, is at most half of the fleet. The
     /// fleet is the hosts it has heard from recently, or `living` hosts if that is fewer.
     pub fn is_partitioned_among(&self, now: Timestamp, living: Option<u32>) -> bool {
@@ -298,6 +311,11 @@
         known > 0 && (heard + 1) * 2 <= hosts
     }
 
+    /// Returns whether no peer with a smaller name is heard from.
+    pub fn is_first_live(&self, now: Timestamp) -> bool {
+        !self.contacts.range::<HostId, _>(..&self.own).any(|(_, contact)| contact.is_live(now))
+    }
+
     /// Returns the number of peers whose last summary is within the heartbeat timeout.
     pub fn live_peers(&self, now: Timestamp) -> usize {
         self.contacts.values().filter(|contact| contact.is_live(now)).count()
--- a/lib/src/gateway/platform_api.rs
+++ b/lib/src/gateway/platform_api.rs
@@ -145,6 +145,13 @@
     /// Lists the newest quota spending record of every host.
     async fn list_spending(&self) -> Result<Vec<Vec<u8>>>;
 
+    /// Writes the verdicts on requests that crash servers, which replaces this host's last record.
+    /// Returns the store's era.
+    async fn record_verdicts(&self, record: Vec<u8>) -> Result<StoreEra>;
+
+    /// Lists the newest record of verdicts of every host.
+    async fn list_verdicts(&self) -> Result<Vec<Vec<u8>>>;
+
     /// Joins the group that elects the holder of the duties, or renews this host's membership.
     async fn renew_duty(&self, generation: GroupGeneration) -> Result<DutyGrant>;
 
--- /dev/null
+++ b/lib/src/gateway/process_probe.rs
@@ -0,0 +1,90 @@
+//! Finds out whether the process of a server that lost attempts still runs.
+//!
+//! A crash closes all connections of a server at once. The first attempt that is lost opens a new
+//! connection, and those that are lost beside it wait for the same outcome.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt as _;
+use tokio::net::TcpStream;
+use tokio::sync::OnceCell;
+use tokio::time::timeout;
+
+use crate::ids::ServerId;
+use crate::timestamp::Timestamp;
+
+/// Time for the connection to be established.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Time for which a new connection must stay open. The listener of a process that is just ending may
+/// accept one more.
+const STAY_TIME: Duration = Duration::from_millis(20);
+
+/// Time for which an outcome holds for further attempts that are lost at the same server.
+const OUTCOME_TTL: Duration = Duration::from_millis(250);
+
+/// Number of connections that are tried while they are closed at once.
+const MAX_CONNECTIONS: usize = 3;
+
+/// Outcome of a probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeOutcome {
+    /// The server accepts connections.
+    Serves,
+    /// Its host refuses connections: the process is gone.
+    Refused,
+    /// There was no response, or connections are closed at once.
+    Unknown,
+}
+
+#[derive(Clone, Debug)]
+struct PendingProbe {
+    begun_at: Timestamp,
+    outcome: Rc<OnceCell<ProbeOutcome>>,
+}
+
+/// The probes of one process.
+#[derive(Debug, Default)]
+pub struct ProcessProbes {
+    probes: RefCell<BTreeMap<ServerId, PendingProbe>>,
+}
+
+impl ProcessProbes {
+    /// Returns whether a server accepts connections now, or did a moment ago.
+    pub async fn probe(
+        &self,
+        now: Timestamp,
+        server: &ServerId,
+        address: SocketAddr,
+    ) -> ProbeOutcome {
+        let outcome = {
+            let mut probes = self.probes.borrow_mut();
+            probes.retain(|_, probe| now.since(probe.begun_at) < OUTCOME_TTL);
+            let probe = probes
+                .entry(server.clone())
+                .or_insert_with(|| PendingProbe { begun_at: now, outcome: Rc::default() });
+            probe.outcome.clone()
+        };
+        *outcome.get_or_init(|| try_connections(address)).await
+    }
+}
+
+async fn try_connections(address: SocketAddr) -> ProbeOutcome {
+    for _ in 0..MAX_CONNECTIONS {
+        let mut stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+                return ProbeOutcome::Refused;
+            }
+            Ok(Err(_)) | Err(_) => return ProbeOutcome::Unknown,
+        };
+        if timeout(STAY_TIME, stream.read(&mut [0])).await.is_err() {
+            return ProbeOutcome::Serves;
+        }
+    }
+    ProbeOutcome::Unknown
+}
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -28,7 +28,8 @@
 use crate::gateway::attempt_race::AttemptRace;
 use crate::gateway::attempt_race::RaceEvent;
 use crate::gateway::caller_request::CallerHead;
-use crate::gateway::crash_tracker::CallFingerprint;
+use crate::gateway::caller_request::PartList;
+use crate::gateway::caller_request::PromptShape;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::platform_api::WireProtocol;
 use crate::gateway::quota_limiter::QuotaDecision;
@@ -45,6 +46,8 @@
 use crate::ids::ServiceName;
 use crate::result_code::ResultCode;
 use crate::timestamp::Timestamp;
+use crate::work_parts::WorkPart;
+use crate::work_parts::WorkParts;
 
 /// Timeout of a request whose caller states none.
 const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
@@ -141,8 +144,12 @@
         };
         let caller = team.as_ref().map_or("", |team| team.name.as_str());
         let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
-        let fingerprint = CallFingerprint::new(caller, path, &body);
-        if self.state.crashes.borrow().is_refused(fingerprint) {
+        let whole = WorkPart::of_request(&[caller.as_bytes(), path.as_bytes(), &body]);
+        let shared = head.prompt.as_ref().map_or(&[][..], PromptShape::shared_parts);
+        let prompt =
+            shared.iter().map(|part| WorkPart::of_prompt(service.as_str(), &part.id.to_be_bytes()));
+        let work = WorkParts::new(whole, prompt);
+        if self.meets_verdict(&head, &work) {
             return Err((head, RefusalReason::new(ResultCode::CrashRefused)));
         }
         if let Err(reason) = self.check_quota(&head, team.as_deref()) {
@@ -150,7 +157,8 @@
         }
         let config_version = config.version;
         Ok(AcceptedRequest {
-            fingerprint,
+            whole,
+            work,
             head,
             parts,
             body,
@@ -163,6 +171,23 @@
         })
     }
 
+    /// Returns whether a request has parts that crash servers, and logs why it is refused.
+    fn meets_verdict(&self, head: &CallerHead, work: &WorkParts) -> bool {
+        let now = self.state.now();
+        let mut crashes = self.state.crashes.borrow_mut();
+        let Some(record) = crashes.refuse(now, work) else { return false };
+        self.state.metrics.events.with_label_values(&["crash_refused"]).inc();
+        log::info!(
+            "event=crash_refused request={} parts={} verdict={} crashes={} age_ms={}",
+            head.request_id,
+            PartList(head.prompt.as_ref()),
+            record.verdict.parts,
+            record.verdict.crashes,
+            now.since(record.learned_at).as_millis(),
+        );
+        true
+    }
+
     /// Refuses requests that a draining host could not finish in time. By then the load balancer
     /// sends new connections to other hosts, if there are any.
     fn check_draining(&self, route: &RouteRule) -> Option<RefusalReason> {
@@ -342,7 +367,7 @@
     fn may_retry(&self, request: &AcceptedRequest, is_retry: bool) -> bool {
         let now = self.state.now();
         (!is_retry || self.state.try_retry(now, &request.service, RetryPurpose::Failure))
-            && !self.state.crashes.borrow().is_refused(request.fingerprint)
+            && !self.state.crashes.borrow().is_refused(&request.work)
     }
 
     /// Relays the server's own error response if there is one, or else ends the request.
@@ -391,6 +416,10 @@
         give_up: GiveUpReason,
     ) -> GatewayReply {
         let reason = match give_up {
+            GiveUpReason::NotRun if self.meets_verdict(&request.head, &request.work) => {
+                refund_quota(&self.state, request);
+                RefusalReason::new(ResultCode::CrashRefused)
+            }
             GiveUpReason::NotRun => {
                 refund_quota(&self.state, request);
                 RefusalReason::with_retry_after(
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -18,12 +18,15 @@
 use crate::gateway::attempt_plan::AttemptFailure;
 use crate::gateway::backend_directory::BackendEntry;
 use crate::gateway::backend_directory::DepartureSource;
+use crate::gateway::backend_directory::ServingState;
+use crate::gateway::body_reader::BodyError;
 use crate::gateway::body_reader::read_body;
 use crate::gateway::buffer_budget::BufferBudget;
 use crate::gateway::caller_request::PartList;
 use crate::gateway::connection_pool::CallError;
 use crate::gateway::connection_pool::PooledConnection;
 use crate::gateway::crash_tracker::ExitEvidence;
+use crate::gateway::crash_tracker::LostAttempt;
 use crate::gateway::event_splitter::EventSplitter;
 use crate::gateway::event_splitter::StreamEvent;
 use crate::gateway::gateway_state::GatewayState;
@@ -31,6 +34,7 @@
 use crate::gateway::platform_api::ResponseClass;
 use crate::gateway::platform_api::ServerNotice;
 use crate::gateway::platform_api::WireProtocol;
+use crate::gateway::process_probe::ProbeOutcome;
 use crate::gateway::server_health::HealthEvidence;
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
@@ -50,6 +54,9 @@
     pub key: ServerKey,
     id: ServerId,
     address: std::net::SocketAddr,
+    began_at: Timestamp,
+    /// When the first event of its stream came, if one did.
+    answer_begun_at: Option<Timestamp>,
     /// Start time of the server's process, in milliseconds since 1970.
     started_at_ms: Option<u64>,
     /// Prompt tokens that still count as not prefilled.
@@ -87,6 +94,8 @@
             key,
             id,
             address,
+            began_at: now,
+            answer_begun_at: None,
             started_at_ms,
             pending_prefill_tokens: uncached_tokens,
         })
@@ -97,8 +106,14 @@
         &self.id
     }
 
+    /// Records that the first event of the stream came.
+    pub fn on_first_event(&mut self) {
+        self.answer_begun_at = Some(self.state.now());
+        self.on_prefilled();
+    }
+
     /// Records that the server has prefilled the prompt.
-    pub fn on_prefilled(&mut self) {
+    fn on_prefilled(&mut self) {
         let tokens = std::mem::take(&mut self.pending_prefill_tokens);
         self.state.placement.borrow_mut().on_prefilled(self.key, tokens);
     }
@@ -197,7 +212,7 @@
     let state = attempt.state.clone();
     let message = AttemptRequest { server: attempt.server(), time_left, resume_after };
     let message = request.message(wire, &message);
-    let is_wanted = || hand_over(&state, attempt.server());
+    let is_wanted = || hand_over(&state, request, attempt.server());
     let (response, connection) = match state.pool.call_if(attempt.address, message, is_wanted).await
     {
         Ok(called) => called,
@@ -211,10 +226,12 @@
             match failure {
                 AttemptFailure::Unsent => {
                     state.pool.close_idle(attempt.address);
-                    state.on_server_gone(attempt.server(), ExitEvidence::NotConnected);
+                    if state.crashes.borrow().has_lost(attempt.server()) {
+                        confirm_crash(&state, &attempt).await;
+                    }
                 }
                 AttemptFailure::Withheld => {}
-                _ => record_lost(&state, request, &attempt),
+                _ => record_lost(&state, request, &attempt).await,
             }
             return AttemptOutcome::Failed(failure, None);
         }
@@ -243,8 +260,11 @@
 }
 
 /// Returns whether a request may be handed to its server's connection, and records it if so.
-fn hand_over(state: &GatewayState, server: &ServerId) -> bool {
+fn hand_over(state: &GatewayState, request: &AcceptedRequest, server: &ServerId) -> bool {
     let now = state.now();
+    if state.crashes.borrow().is_refused(&request.work) {
+        return false;
+    }
     let mut placement = state.placement.borrow_mut();
     if placement.is_paused(now, server) {
         return false;
@@ -291,6 +311,7 @@
         Ok(Ok(())) => AttemptOutcome::Stream(Box::new(stream)),
         Ok(Err(detail)) => {
             log_failure(state, request, &stream.attempt, AttemptFailure::Lost, &detail);
+            record_lost(state, request, &stream.attempt).await;
             AttemptOutcome::Failed(AttemptFailure::Lost, None)
         }
         Err(_) => AttemptOutcome::TimedOut,
@@ -333,6 +354,9 @@
                 ResponseClass::Relay | ResponseClass::Unusable => AttemptFailure::Lost,
             };
             log_failure(state, request, &attempt, failure, &error.to_string());
+            if matches!(error, BodyError::Connection(_)) {
+                record_lost(state, request, &attempt).await;
+            }
             return AttemptOutcome::Failed(failure, None);
         }
     };
@@ -348,23 +372,54 @@
             let ran = failure == AttemptFailure::Failed;
             if ran {
                 record_started(state, request);
+                record_answered(state, request);
             }
             AttemptOutcome::Failed(failure, ran.then_some(response))
         }
         ResponseClass::Relay | ResponseClass::Unusable => {
             record_started(state, request);
+            record_answered(state, request);
             AttemptOutcome::Buffered(response)
         }
     }
 }
 
-/// Records a request whose connection broke as a suspect, in case its server crashed.
-pub fn record_lost(state: &GatewayState, request: &AcceptedRequest, attempt: &ServerAttempt) {
-    state.crashes.borrow_mut().on_connection_lost(
-        state.now(),
-        attempt.server(),
-        request.fingerprint,
-    );
+/// Records that a request was answered soundly, so that it does not crash servers.
+pub fn record_answered(state: &GatewayState, request: &AcceptedRequest) {
+    state.crashes.borrow_mut().on_answered(state.now(), &request.work);
+}
+
+/// Records a request whose connection broke, and whether its server crashed.
+pub async fn record_lost(state: &GatewayState, request: &AcceptedRequest, attempt: &ServerAttempt) {
+    let (now, server) = (state.now(), attempt.server());
+    let lost = LostAttempt {
+        whole: request.whole,
+        work: &request.work,
+        began_at: attempt.began_at,
+        answer_begun_at: attempt.answer_begun_at,
+    };
+    state.crashes.borrow_mut().on_connection_lost(now, server, &lost);
+    confirm_crash(state, attempt).await;
+}
+
+/// Finds out whether a server that lost attempts still runs. The end of a server that is leaving is
+/// no crash.
+async fn confirm_crash(state: &GatewayState, attempt: &ServerAttempt) {
+    let server = attempt.server();
+    let is_ready = state
+        .directory
+        .borrow()
+        .get(attempt.key)
+        .is_some_and(|listed| listed.entry.state == ServingState::Ready);
+    let outcome = match is_ready {
+        true => state.probes.probe(state.now(), server, attempt.address).await,
+        false => ProbeOutcome::Serves,
+    };
+    match outcome {
+        ProbeOutcome::Refused => state.on_server_gone(server, ExitEvidence::Refused),
+        ProbeOutcome::Serves => state.crashes.borrow_mut().on_server_alive(server),
+        ProbeOutcome::Unknown => {}
+    }
 }
 
 fn log_failure(
--- a/lib/src/gateway/store_follower.rs
+++ b/lib/src/gateway/store_follower.rs
@@ -10,7 +10,6 @@
 use crate::gateway::backend_directory::DirectoryChange;
 use crate::gateway::backend_directory::DirectoryEffect;
 use crate::gateway::backend_directory::ExpiredServer;
-use crate::gateway::crash_tracker::ExitEvidence;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::log_cursor::CursorStep;
 use crate::gateway::log_cursor::LogCursor;
@@ -310,7 +309,8 @@
                     position.offset.0,
                     position.era.0
                 );
-                state.on_server_gone(id, ExitEvidence::Unlisted);
+                // The whole host or its zone may be gone.
+                state.crashes.borrow_mut().on_server_alive(id);
             }
             false
         }
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -45,12 +45,17 @@
 use crate::gateway::server_attempt::BegunStream;
 use crate::gateway::server_attempt::OpenResponse;
 use crate::gateway::server_attempt::ServerAttempt;
+use crate::gateway::server_attempt::record_answered;
 use crate::gateway::server_attempt::record_lost;
 use crate::gateway::server_health::HealthEvidence;
 use crate::ids::ServerKey;
 use crate::result_code::ResultCode;
 use crate::timestamp::Timestamp;
 
+/// Time after its first event from which a stream that goes on shows that its request does not crash
+/// the server.
+const SOUND_STREAM_TIME: Duration = Duration::from_secs(2);
+
 /// Time without data in a started stream after which a resumable one is hedged: several times the
 /// pause that any batch causes.
 const EVENT_SILENCE_LIMIT: Duration = Duration::from_millis(2_000);
@@ -96,6 +101,8 @@
     first_event: Option<StreamEvent>,
     /// Whether an event of it was relayed.
     has_begun: bool,
+    /// When its first event was relayed, until it counts as sound.
+    begun_at: Option<Timestamp>,
     /// Whether it has been silent for longer than expected.
     is_silent: bool,
     /// Since the last event or hedge; bytes that complete no event do not count.
@@ -113,6 +120,7 @@
             splitter,
             first_event,
             has_begun: false,
+            begun_at: None,
             is_silent: false,
             quiet_since: now,
         }
@@ -225,7 +233,7 @@
                     }
                 }
                 RelayEvent::Read(Some(Err(error))) => {
-                    record_lost(&self.state, &self.request, &stream.attempt);
+                    record_lost(&self.state, &self.request, &stream.attempt).await;
                     return self.lose_stream(&stream, &error.to_string());
                 }
                 RelayEvent::Read(None) if stream.splitter.has_partial_event() => {
@@ -233,6 +241,7 @@
                 }
                 RelayEvent::Read(None) => {
                     stream.connection.release();
+                    record_answered(&self.state, &self.request);
                     return RelayEnd::Complete;
                 }
                 RelayEvent::HedgeEnded(_, AttemptOutcome::Stream(next)) => {
@@ -261,10 +270,15 @@
             if std::mem::take(&mut stream.is_silent) {
                 record_health(&self.state, stream.attempt.key, HealthEvidence::Answered);
             }
+            let now = self.state.now();
             if !std::mem::replace(&mut stream.has_begun, true) {
-                stream.attempt.on_prefilled();
+                stream.begun_at = Some(now);
+                stream.attempt.on_first_event();
                 self.on_first_event();
             }
+            if stream.begun_at.take_if(|at| now.since(*at) >= SOUND_STREAM_TIME).is_some() {
+                record_answered(&self.state, &self.request);
+            }
             if let Some(end) = self.relay_event(event).await {
                 return Some(end);
             }
@@ -364,7 +378,7 @@
     /// Sends an attempt that resumes the stream; `None` if none may be sent.
     fn start_resume(&mut self) -> Option<()> {
         let now = self.state.now();
-        if self.state.crashes.borrow().is_refused(self.request.fingerprint) {
+        if self.state.crashes.borrow().is_refused(&self.request.work) {
             return None;
         }
         let placed = place_request(&self.state, now, &self.request, self.plan.tried()).ok()?;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -106,6 +106,7 @@
 pub mod handover_protocol;
 pub mod handover_receiver;
 pub mod handover_sender;
+pub mod part_suspects;
 pub mod record_bounds;
 pub mod request_session;
 pub mod session_attempt;
@@ -116,6 +117,8 @@
 pub mod session_registry;
 pub mod session_request;
 pub mod session_stream;
+pub mod verdict_table;
+pub mod work_parts;
 
 // Routing, limits and backend servers.
 pub mod admission;
--- a/lib/src/protos/pomelostack.gateway.rs
+++ b/lib/src/protos/pomelostack.gateway.rs
@@ -69,6 +69,12 @@
     pub directory_next: u64,
     #[prost(uint64, tag = "23")]
     pub directory_era: u64,
+    /// Parts of requests that the sender recently had answered and that were suspects of a crash.
+    #[prost(message, repeated, tag = "24")]
+    pub cleared_parts: ::prost::alloc::vec::Vec<ClearedPart>,
+    /// Some of the verdicts that the sender knows; each is told from time to time.
+    #[prost(message, repeated, tag = "25")]
+    pub verdicts: ::prost::alloc::vec::Vec<CrashVerdict>,
 }
 /// Quota units of one team in the sliding window.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -154,13 +160,61 @@
     #[prost(uint64, optional, tag = "2")]
     pub born_ms: ::core::option::Option<u64>,
 }
-/// A request that was running at a backend server when the server's process ended.
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+/// Requests that were running at a backend server when the server's process crashed.
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct CrashSight {
-    #[prost(fixed64, tag = "1")]
-    pub fingerprint: u64,
     #[prost(string, tag = "2")]
     pub server: ::prost::alloc::string::String,
+    /// Milliseconds since the crash.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+    #[prost(message, repeated, tag = "4")]
+    pub requests: ::prost::alloc::vec::Vec<LostWork>,
+}
+/// A request that was lost in a crash.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LostWork {
+    /// Hashes of the request and of the parts of its prompt.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub parts: ::prost::alloc::vec::Vec<u64>,
+    /// Milliseconds from its sending to the crash.
+    #[prost(uint32, tag = "2")]
+    pub ran_ms: u32,
+    /// Whether its answer had gone on for a while.
+    #[prost(bool, tag = "3")]
+    pub going_on: bool,
+}
+/// A part of requests that are answered.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ClearedPart {
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Milliseconds since the answer.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+}
+/// A verdict on parts of requests that crash backend servers.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CrashVerdict {
+    #[prost(fixed64, repeated, tag = "1")]
+    pub parts: ::prost::alloc::vec::Vec<u64>,
+    /// Whether requests with these parts are no longer refused.
+    #[prost(bool, tag = "2")]
+    pub lifted: bool,
+    /// Wall-clock time of the last change in milliseconds since 1970.
+    #[prost(uint64, tag = "3")]
+    pub changed_ms: u64,
+    #[prost(uint32, tag = "4")]
+    pub crashes: u32,
+}
+/// Record in the store of the verdicts that a host knows.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct VerdictList {
+    #[prost(message, repeated, tag = "1")]
+    pub verdicts: ::prost::alloc::vec::Vec<CrashVerdict>,
+    /// Wall-clock time of the writer in milliseconds since 1970.
+    #[prost(uint64, tag = "2")]
+    pub wall_ms: u64,
 }
 /// Log record of the counts to report for a window. The first record of a window wins.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/lib/tests/test_store_follower.rs
+++ b/lib/tests/test_store_follower.rs
@@ -179,6 +179,14 @@
         Ok(Vec::new())
     }
 
+    async fn record_verdicts(&self, _: Vec<u8>) -> Result<StoreEra> {
+        Ok(self.era.get())
+    }
+
+    async fn list_verdicts(&self) -> Result<Vec<Vec<u8>>> {
+        Ok(Vec::new())
+    }
+
     async fn renew_duty(&self, generation: GroupGeneration) -> Result<DutyGrant> {
         Ok(DutyGrant { generation, held: false, own_partitions: 0, all_partitions: 0 })
     }
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod log_standin;
 pub mod logged_gateway;
 pub mod membership_sim;
+pub mod part_fleet;
 pub mod platform_standin;
 pub mod prefix_cache;
 pub mod process_fleet;
