crash suspects: refuse requests by the parts of their prompts, as the gateway does

The entry interface had the same fault: it keys its evidence by the whole text, so requests of which no two are alike each cost two servers. Both interfaces now ask PartSuspects; here the parts of a prompt are its lines. Reports carry the parts of lost requests for ten seconds, cleared parts and verdicts (version 2 of the encoding). common_part of test_crash_suspects plays 80 such requests among 300 sound ones at 8 hosts: at most eight crashes, all sound requests are answered.

--- a/bench/src/crash_containment.rs
+++ b/bench/src/crash_containment.rs
@@ -99,6 +99,7 @@
     let mut jobs = Vec::new();
     for n in 0..HARMLESS_REQUESTS {
         jobs.push(FleetJob {
+            part: None,
             at: Timestamp::from_millis(rng.random_range(0..60_000)),
             host: rng.random_range(0..HOSTS),
             fingerprint: WorkFingerprint(1_000 + n),
@@ -108,6 +109,7 @@
     }
     for n in 0..CRASHING_REQUESTS {
         jobs.push(FleetJob {
+            part: None,
             at: Timestamp::from_millis(1_000 + n * resend_interval_ms),
             host: rng.random_range(0..HOSTS),
             fingerprint: CRASHING_WORK,
--- a/lib/src/crash_evidence.rs
+++ b/lib/src/crash_evidence.rs
@@ -105,7 +105,7 @@
             crash.server == view.server
                 && at.since(crash.at).max(crash.at.since(at)) <= SAME_CRASH_WINDOW
         });
-        let companions = || view.companions.iter().take(MAX_AFFECTED_REQUESTS).copied().collect();
+        let companions = || view.companions.iter().take(MAX_AFFECTED_REQUESTS).cloned().collect();
         match known {
             Some(crash) => {
                 crash.views.entry(view.reporter.clone()).or_insert_with(companions);
--- a/lib/src/crash_report.rs
+++ b/lib/src/crash_report.rs
@@ -9,13 +9,17 @@
 use crate::ids::HostId;
 use crate::ids::ServerId;
 use crate::ids::ZoneName;
+use crate::part_suspects::AnswerProgress;
 use crate::record_bounds::RecordError;
 use crate::record_bounds::Result;
 use crate::record_bounds::decode_bounded;
 use crate::record_bounds::encode_bounded;
+use crate::verdict_table::PartVerdict;
+use crate::work_parts::WorkPart;
+use crate::work_parts::WorkParts;
 
 /// Version of the encoding.
-pub const REPORT_VERSION: u16 = 1;
+pub const REPORT_VERSION: u16 = 2;
 
 /// Largest encoded report, in bytes.
 pub const MAX_REPORT_BYTES: usize = 64 * 1024;
@@ -32,13 +36,32 @@
 )]
 pub struct WorkFingerprint(pub u128);
 
+/// Maximum number of parts of requests in a report: sixteen kilobytes.
+pub const MAX_REPORT_PARTS: usize = 2_048;
+
+/// Maximum number of verdicts in a report.
+pub const MAX_REPORT_VERDICTS: usize = 64;
+
 /// A request that was in flight on a server when it crashed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AffectedRequest {
     /// Request.
     pub fingerprint: WorkFingerprint,
     /// Time for which it had run there, in milliseconds.
     pub ran_ms: u64,
+    /// Its parts that may have crashed the server; empty in reports of old crashes.
+    pub parts: WorkParts,
+    /// How far its answer was.
+    pub progress: AnswerProgress,
+}
+
+/// A part of requests that are answered, and the time since the answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgedPart {
+    /// Part.
+    pub part: WorkPart,
+    /// Time since the answer, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// One host's view of one crash.
@@ -107,6 +130,10 @@
     pub cleared: Vec<AgedVerdict>,
     /// Refused requests, with the time since each was last sent.
     pub refused: Vec<AgedVerdict>,
+    /// Parts of requests that the sender recently had answered and that were suspects.
+    pub cleared_parts: Vec<AgedPart>,
+    /// Verdicts on parts of requests.
+    pub verdicts: Vec<PartVerdict>,
 }
 
 impl CrashReport {
@@ -124,6 +151,8 @@
             report.busy.len(),
             report.cleared.len(),
             report.refused.len(),
+            report.cleared_parts.len(),
+            report.verdicts.len(),
         ];
         let companions = report.crashes.iter().map(|crash| crash.companions.len()).max();
         if lists.into_iter().any(|len| len > MAX_REPORT_ENTRIES)
--- a/lib/src/crash_report_broadcaster.rs
+++ b/lib/src/crash_report_broadcaster.rs
@@ -14,6 +14,8 @@
 use crate::session_ports::lock;
 use crate::timestamp::ProcessClock;
 use crate::timestamp::Timestamp;
+use crate::timestamp::wall_clock_ms;
+use crate::verdict_table::PartVerdict;
 
 /// Time after which an unchanged report is sent again.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(500);
@@ -50,7 +52,13 @@
     /// changes and repeats are noticed only here.
     pub fn broadcast(&self) {
         let now = self.clock.now();
-        let report = lock(&self.suspects).report(now);
+        let (changed, report) = {
+            let mut suspects = lock(&self.suspects);
+            (suspects.judge(now, wall_clock_ms()), suspects.report(now))
+        };
+        for PartVerdict { parts, state, crashes, .. } in &changed {
+            log::warn!("event=crash_verdict parts={parts} state={state:?} crashes={crashes}");
+        }
         if !lock(&self.last).is_due(now, &report) {
             return;
         }
@@ -96,15 +104,28 @@
 fn without_ages(report: &CrashReport) -> CrashReport {
     let mut content = report.clone();
     content.crashes.iter_mut().for_each(|crash| crash.age_ms = 0);
+    content.cleared_parts.iter_mut().for_each(|cleared| cleared.age_ms = 0);
     content.cleared.iter_mut().chain(&mut content.refused).for_each(|verdict| verdict.age_ms = 0);
     content
 }
 
 fn is_empty(report: &CrashReport) -> bool {
-    let CrashReport { version: _, from: _, crashes, trials, busy, cleared, refused } = report;
+    let CrashReport {
+        version: _,
+        from: _,
+        crashes,
+        trials,
+        busy,
+        cleared,
+        refused,
+        cleared_parts,
+        verdicts,
+    } = report;
     crashes.is_empty()
         && trials.is_empty()
         && busy.is_empty()
         && cleared.is_empty()
         && refused.is_empty()
+        && cleared_parts.is_empty()
+        && verdicts.is_empty()
 }
--- a/lib/src/crash_suspects.rs
+++ b/lib/src/crash_suspects.rs
@@ -14,9 +14,13 @@
 use crate::crash_evidence::CrashVerdict;
 use crate::crash_evidence::SETTLE_TIME;
 use crate::crash_report::AffectedRequest;
+use crate::crash_report::AgedPart;
 use crate::crash_report::CrashReport;
 use crate::crash_report::CrashView;
 use crate::crash_report::MAX_AFFECTED_REQUESTS;
+use crate::crash_report::MAX_REPORT_ENTRIES;
+use crate::crash_report::MAX_REPORT_PARTS;
+use crate::crash_report::MAX_REPORT_VERDICTS;
 use crate::crash_report::REPORT_VERSION;
 use crate::crash_report::TrialReply;
 use crate::crash_report::TrialView;
@@ -25,9 +29,17 @@
 use crate::ids::RequestId;
 use crate::ids::ServerId;
 use crate::ids::ZoneName;
+use crate::part_suspects::AnswerProgress;
+use crate::part_suspects::FleetView;
+use crate::part_suspects::LossSource;
+use crate::part_suspects::LostRequest;
+use crate::part_suspects::PartSuspects;
 use crate::session_request::CheckedRequest;
 use crate::session_request::RequestWork;
 use crate::timestamp::Timestamp;
+use crate::verdict_table::PartVerdict;
+use crate::work_parts::WorkPart;
+use crate::work_parts::WorkParts;
 
 /// Time that a suspect must run alone, in addition to its longest run before a crash, to be cleared.
 pub const TRIAL_MARGIN: Duration = Duration::from_secs(2);
@@ -47,6 +59,15 @@
 /// crash.
 pub const ANNOUNCEMENT_EXPIRY: Duration = Duration::from_secs(600);
 
+/// Length of the shortest line of a prompt that is a part of its own.
+const MIN_PART_BYTES: usize = 8;
+
+/// Time for which parts that were answered are told to peers.
+const CLEARED_PART_WINDOW: Duration = Duration::from_secs(5);
+
+/// Age of a crash up to which the parts of its requests are told to peers.
+const PART_REPORT_WINDOW: Duration = Duration::from_secs(10);
+
 impl From<&CheckedRequest> for WorkFingerprint {
     fn from(request: &CheckedRequest) -> Self {
         let mut hasher = blake3::Hasher::new();
@@ -69,6 +90,32 @@
     }
 }
 
+/// The parts of a request's work. Those of a prompt are its lines.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SuspectWork {
+    /// The whole work.
+    pub whole: WorkPart,
+    /// All parts.
+    pub parts: WorkParts,
+}
+
+impl From<&CheckedRequest> for SuspectWork {
+    fn from(request: &CheckedRequest) -> Self {
+        let fingerprint = WorkFingerprint::from(request);
+        let whole = WorkPart::of_request(&[&fingerprint.0.to_be_bytes()]);
+        let service = request.service.name.as_str();
+        let lines = match &request.work {
+            RequestWork::Model { prompt, .. } => prompt.lines(),
+            RequestWork::App { .. } => "".lines(),
+        };
+        let parts = lines
+            .map(str::trim)
+            .filter(|line| line.len() >= MIN_PART_BYTES)
+            .map(|line| WorkPart::of_prompt(service, line.as_bytes()));
+        Self { whole, parts: WorkParts::new(whole, parts) }
+    }
+}
+
 /// Where a request may be sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SuspectPlacement {
@@ -111,6 +158,8 @@
     failed_at: Option<Timestamp>,
     /// Whether its connection was lost.
     lost: bool,
+    /// When the first piece of its answer came, if one did.
+    answer_begun_at: Option<Timestamp>,
 }
 
 #[derive(Clone, Debug)]
@@ -142,6 +191,10 @@
     trial_count: u64,
     peers: BTreeMap<HostId, PeerState>,
     announced: BTreeMap<ServerId, Timestamp>,
+    parts: PartSuspects,
+    works: BTreeMap<RequestId, SuspectWork>,
+    /// Parts that were answered, to tell peers.
+    cleared_parts: BTreeMap<WorkPart, Timestamp>,
 }
 
 impl CrashSuspects {
@@ -155,13 +208,27 @@
             trial_count: 0,
             peers: BTreeMap::new(),
             announced: BTreeMap::new(),
+            parts: PartSuspects::default(),
+            works: BTreeMap::new(),
+            cleared_parts: BTreeMap::new(),
         }
     }
 
+    /// Records the parts of a request's work, until [`Self::forget`].
+    pub fn admit(&mut self, request: RequestId, work: SuspectWork) {
+        self.works.insert(request, work);
+    }
+
+    /// Judges recent crashes, and returns verdicts on parts of requests that have changed.
+    pub fn judge(&mut self, now: Timestamp, wall_ms: u64) -> Vec<PartVerdict> {
+        self.cleared_parts.retain(|_, at| now.since(*at) < CLEARED_PART_WINDOW);
+        self.parts.judge(now, wall_ms, FleetView::Whole)
+    }
+
     /// Returns whether there are no suspects and no trials, so that requests may go to any server.
     pub fn has_no_suspects(&self) -> bool {
         let no_trials = self.trials.is_empty() && self.peers.values().all(|p| p.trials.is_empty());
-        no_trials && self.evidence.is_empty()
+        no_trials && self.evidence.is_empty() && self.parts.verdicts().is_empty()
     }
 
     /// Decides where a request may be sent. `candidates` are the servers that could run it.
@@ -176,6 +243,11 @@
             return SuspectPlacement::Free { avoid: Vec::new() };
         }
         self.expire(now);
+        if let Some(work) = self.works.get(&request)
+            && self.parts.refuse(now, &work.parts).is_some()
+        {
+            return SuspectPlacement::Refused;
+        }
         match self.evidence.verdict(now, fingerprint) {
             CrashVerdict::Clear => SuspectPlacement::Free { avoid: self.trial_servers() },
             CrashVerdict::Pending => SuspectPlacement::Hold,
@@ -213,7 +285,13 @@
         request: RequestId,
         server: &ServerId,
     ) {
-        let attempt = InFlight { fingerprint, since: now, failed_at: None, lost: false };
+        let attempt = InFlight {
+            fingerprint,
+            since: now,
+            failed_at: None,
+            lost: false,
+            answer_begun_at: None,
+        };
         self.in_flight.entry(server.clone()).or_default().insert(request, attempt);
         if let Some(trial) = self.trials.get_mut(&fingerprint)
             && trial.request == request
@@ -247,11 +325,26 @@
         if exit == AttemptExit::Answered && self.evidence.involves(fingerprint) {
             self.evidence.add_cleared(now, fingerprint);
         }
+        if exit == AttemptExit::Answered
+            && let Some(work) = self.works.get(&request)
+        {
+            let cleared = self.parts.on_answered(now, &work.parts);
+            self.cleared_parts.extend(cleared.into_iter().map(|part| (part, now)));
+        }
+    }
+
+    /// Records that the first piece of an attempt's answer came.
+    pub fn on_answer_begun(&mut self, now: Timestamp, request: RequestId, server: &ServerId) {
+        let attempt = self.in_flight.get_mut(server).and_then(|found| found.get_mut(&request));
+        if let Some(attempt) = attempt {
+            attempt.answer_begun_at.get_or_insert(now);
+        }
     }
 
     /// Removes a request that has ended, and cancels its trial if that has not started.
     pub fn forget(&mut self, request: RequestId) {
         self.trials.retain(|_, trial| trial.request != request || trial.started_at.is_some());
+        self.works.remove(&request);
     }
 
     /// Records that a server's shutdown was announced. Its exit no longer counts as a crash.
@@ -312,11 +405,30 @@
             self.evidence.drop_crashes(server, now - SETTLE_TIME);
             return;
         }
-        let companions =
-            attempts.values().take(MAX_AFFECTED_REQUESTS).map(|attempt| AffectedRequest {
+        let lost: Vec<LostRequest> = attempts
+            .iter()
+            .filter_map(|(request, attempt)| {
+                let SuspectWork { whole, parts } = self.works.get(request)?;
+                let progress = AnswerProgress::of(now, attempt.answer_begun_at);
+                Some(LostRequest::new(*whole, parts, attempt.since, progress))
+            })
+            .collect();
+        if !lost.is_empty() {
+            self.parts.on_crash(now, now, server, lost);
+        }
+        let works = &self.works;
+        let companions = attempts.iter().take(MAX_AFFECTED_REQUESTS).map(|(request, attempt)| {
+            let progress = AnswerProgress::of(now, attempt.answer_begun_at);
+            let lost = works.get(request).map(|SuspectWork { whole, parts }| {
+                LostRequest::new(*whole, parts, attempt.since, progress)
+            });
+            AffectedRequest {
                 fingerprint: attempt.fingerprint,
                 ran_ms: u64::try_from(now.since(attempt.since).as_millis()).unwrap_or(u64::MAX),
-            });
+                parts: lost.map(|lost| lost.parts).unwrap_or_default(),
+                progress,
+            }
+        });
         let view = CrashView {
             server: server.clone(),
             zone: zone.clone(),
@@ -344,10 +456,18 @@
             server: trial.server.clone(),
             fingerprint,
         });
+        let verdicts = self.parts.verdicts().records();
+        let verdicts = verdicts.take(MAX_REPORT_VERDICTS).map(|record| record.verdict.clone());
+        let cleared_parts = self.cleared_parts.iter().map(|(part, at)| AgedPart {
+            part: *part,
+            age_ms: u64::try_from(now.since(*at).as_millis()).unwrap_or(u64::MAX),
+        });
         CrashReport {
             version: REPORT_VERSION,
             from: self.host.clone(),
-            crashes: self.evidence.views(now),
+            verdicts: verdicts.collect(),
+            cleared_parts: cleared_parts.take(MAX_REPORT_ENTRIES).collect(),
+            crashes: without_old_parts(self.evidence.views(now)),
             trials: trials.collect(),
             busy: busy.collect(),
             cleared: self.evidence.cleared(now),
@@ -364,6 +484,16 @@
         {
             self.evidence.add_view(now, view);
         }
+        for view in &report.crashes {
+            self.merge_lost(now, view);
+        }
+        for cleared in &report.cleared_parts {
+            let at = now - Duration::from_millis(cleared.age_ms);
+            self.parts.clear(at, cleared.part);
+        }
+        for verdict in &report.verdicts {
+            self.parts.merge_verdict(now, verdict.clone());
+        }
         for verdict in &report.cleared {
             let at = now - Duration::from_millis(verdict.age_ms);
             self.evidence.add_cleared(at, verdict.fingerprint);
@@ -379,6 +509,23 @@
         self.peers.insert(report.from.clone(), peer);
     }
 
+    /// Merges the requests that another host lost in a crash.
+    fn merge_lost(&mut self, now: Timestamp, view: &CrashView) {
+        if view.reporter == self.host || self.announced.contains_key(&view.server) {
+            return;
+        }
+        let at = now - Duration::from_millis(view.age_ms);
+        let lost = view.companions.iter().filter(|lost| !lost.parts.is_empty()).map(|lost| {
+            let began_at = at - Duration::from_millis(lost.ran_ms);
+            let (parts, source) = (lost.parts.clone(), LossSource::Peer);
+            LostRequest { parts, began_at, source, progress: lost.progress }
+        });
+        let lost: Vec<LostRequest> = lost.collect();
+        if !lost.is_empty() {
+            self.parts.on_crash(now, at, &view.server, lost);
+        }
+    }
+
     /// Clears suspects whose trial has lasted long enough and drops expired entries.
     fn expire(&mut self, now: Timestamp) {
         self.evidence.expire(now);
@@ -404,3 +551,18 @@
         attempt.failed_at.is_none_or(|at| now.since(at) < FAILED_ATTEMPT_RETENTION)
     });
 }
+
+/// Leaves the parts of requests out of views of old crashes, and beyond the maximum of a report.
+fn without_old_parts(mut views: Vec<CrashView>) -> Vec<CrashView> {
+    let mut count = 0;
+    for view in &mut views {
+        let is_old = Duration::from_millis(view.age_ms) >= PART_REPORT_WINDOW;
+        for companion in &mut view.companions {
+            count += companion.parts.len();
+            if is_old || count > MAX_REPORT_PARTS {
+                companion.parts = WorkParts::default();
+            }
+        }
+    }
+    views
+}
--- a/lib/src/gateway/crash_tracker.rs
+++ b/lib/src/gateway/crash_tracker.rs
@@ -10,7 +10,6 @@
 use crate::ids::ServerId;
 use crate::part_suspects::AnswerProgress;
 use crate::part_suspects::FleetView;
-use crate::part_suspects::LossSource;
 use crate::part_suspects::LostRequest;
 use crate::part_suspects::MAX_LOST_REQUESTS;
 use crate::part_suspects::PartSuspects;
@@ -24,9 +23,6 @@
 /// crash.
 const CRASH_CONFIRMATION_WINDOW: Duration = Duration::from_secs(4);
 
-/// Time since its begin after which an answer shows that no part of the prompt crashes the server.
-const SOUND_ANSWER_TIME: Duration = Duration::from_millis(700);
-
 /// Time for which news is gossiped to peers; it spans several summaries.
 const GOSSIP_WINDOW: Duration = Duration::from_secs(2);
 
@@ -69,14 +65,9 @@
 }
 
 impl LostAttempt<'_> {
-    /// Returns the request with the parts that may have crashed the server.
     fn lost_request(&self, now: Timestamp) -> LostRequest {
-        let is_going_on = self.answer_begun_at.is_some_and(|at| now.since(at) >= SOUND_ANSWER_TIME);
-        let (parts, progress) = match is_going_on {
-            true => (WorkParts::new(self.whole, []), AnswerProgress::GoingOn),
-            false => (self.work.clone(), AnswerProgress::Beginning),
-        };
-        LostRequest { parts, began_at: self.began_at, source: LossSource::Own, progress }
+        let progress = AnswerProgress::of(now, self.answer_begun_at);
+        LostRequest::new(self.whole, self.work, self.began_at, progress)
     }
 }
 
--- a/lib/src/part_suspects.rs
+++ b/lib/src/part_suspects.rs
@@ -19,6 +19,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::ids::ServerId;
 use crate::timestamp::Timestamp;
 use crate::verdict_table::PartVerdict;
@@ -65,6 +68,9 @@
 /// Reports of the end of one server within this time are of the same crash.
 const SAME_CRASH_WINDOW: Duration = Duration::from_secs(5);
 
+/// Time since its begin after which an answer shows that no part of the prompt crashes the server.
+const SOUND_ANSWER_TIME: Duration = Duration::from_millis(700);
+
 /// Time for which a crash is kept.
 const CRASH_RETENTION: Duration = Duration::from_secs(3_600);
 
@@ -93,7 +99,7 @@
 }
 
 /// How far the answer to a lost request was.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum AnswerProgress {
     /// It had not begun, or just so.
     Beginning,
@@ -101,6 +107,16 @@
     GoingOn,
 }
 
+impl AnswerProgress {
+    /// Returns how far an answer is that began at a time, if it has.
+    pub fn of(now: Timestamp, begun_at: Option<Timestamp>) -> Self {
+        match begun_at.is_some_and(|at| now.since(at) >= SOUND_ANSWER_TIME) {
+            true => Self::GoingOn,
+            false => Self::Beginning,
+        }
+    }
+}
+
 /// How much of the fleet a host hears of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FleetView {
@@ -125,6 +141,23 @@
     pub progress: AnswerProgress,
 }
 
+impl LostRequest {
+    /// Builds a request that this host lost, with those of its parts that may have crashed the server: a
+    /// part does so when an answer to it begins, and a whole request at any time.
+    pub fn new(
+        whole: WorkPart,
+        work: &WorkParts,
+        began_at: Timestamp,
+        progress: AnswerProgress,
+    ) -> Self {
+        let parts = match progress {
+            AnswerProgress::Beginning => work.clone(),
+            AnswerProgress::GoingOn => WorkParts::new(whole, []),
+        };
+        Self { parts, began_at, source: LossSource::Own, progress }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct CrashRecord {
     server: ServerId,
--- a/lib/src/session_driver.rs
+++ b/lib/src/session_driver.rs
@@ -19,6 +19,7 @@
 use self::claiming::claim_or_wait;
 use crate::answer_table::AnswerError;
 use crate::crash_suspects::AttemptExit;
+use crate::crash_suspects::SuspectWork;
 use crate::crash_suspects::WorkFingerprint;
 use crate::engine::TokenChunk;
 use crate::handover::HandoverPhase;
@@ -138,6 +139,7 @@
             RequestWork::App { .. } => (Vec::new(), 0),
         };
         ports.registry.insert(request.id, sender.clone());
+        lock(&ports.suspects).admit(request.id, SuspectWork::from(request.as_ref()));
         Self {
             ports,
             session,
--- a/lib/src/session_driver/attempts.rs
+++ b/lib/src/session_driver/attempts.rs
@@ -56,6 +56,7 @@
         {
             let now = self.ports.clock.now();
             lock(&self.ports.router).on_first_token(now, current.key, self.prompt_tokens);
+            lock(&self.ports.suspects).on_answer_begun(now, self.request.id, &current.server);
         }
     }
 
--- a/lib/tests/test_crash_suspects.rs
+++ b/lib/tests/test_crash_suspects.rs
@@ -18,6 +18,7 @@
 use pomelostack_lib::ids::ServerId;
 use pomelostack_lib::ids::ZoneName;
 use pomelostack_lib::timestamp::Timestamp;
+use pomelostack_lib::work_parts::WorkPart;
 use proptest::collection::vec;
 use proptest::prelude::any;
 use proptest::test_runner::Config;
@@ -38,10 +39,19 @@
 const CRASHING: WorkFingerprint = WorkFingerprint(1);
 const OTHER_CRASHING: WorkFingerprint = WorkFingerprint(2);
 const MAX_CRASHES: u32 = 2;
+/// Crashes by requests that share a part: five, and three requests more.
+const MAX_PART_CRASHES: u32 = 8;
 
 fn job(at_ms: u64, host: usize, fingerprint: WorkFingerprint) -> FleetJob {
     let at = Timestamp::from_millis(at_ms);
-    FleetJob { at, host, fingerprint, length: Duration::from_secs(1), crashes_after: None }
+    FleetJob {
+        at,
+        host,
+        fingerprint,
+        length: Duration::from_secs(1),
+        crashes_after: None,
+        part: None,
+    }
 }
 
 /// Requests that crash nothing, spread over 60 s, each with different work.
@@ -92,6 +102,33 @@
     }
 }
 
+/// Requests of which no two are alike crash servers by a part that they share.
+#[test]
+fn common_part() {
+    for seed in 0..3 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut jobs = background(&mut rng, 300);
+        for job in &mut jobs {
+            let number: u64 = rng.random_range(0..20);
+            job.part = Some(WorkPart::of_prompt("chat", &number.to_be_bytes()));
+        }
+        jobs.extend((0..80).map(|number| FleetJob {
+            crashes_after: Some(Duration::from_millis(50)),
+            part: Some(WorkPart::of_prompt("chat", b"crashes servers")),
+            ..job(
+                1_000 + 700 * number,
+                rng.random_range(0..HOSTS),
+                WorkFingerprint(5_000 + u128::from(number)),
+            )
+        }));
+        let fleet = CrashFleet::new(HOSTS, SERVERS, REPORT_DELAY, ServerChoice::LeastLoaded);
+        let counts = fleet.play(&jobs, Timestamp::from_millis(150_000));
+        let crashes: u32 = counts.crashes.values().sum();
+        assert!(crashes <= MAX_PART_CRASHES, "seed {seed}: {crashes} crashes");
+        assert_eq!(counts.answered, 300, "seed {seed}: {counts:?}");
+    }
+}
+
 /// Two hosts that start trials of two suspects at once must not choose the same server, or neither
 /// suspect ever runs alone. Seed 9 lost 12 servers to this.
 #[test]
--- a/lib/testutils/src/crash_fleet.rs
+++ b/lib/testutils/src/crash_fleet.rs
@@ -14,12 +14,15 @@
 use pomelostack_lib::crash_suspects::CrashSuspects;
 use pomelostack_lib::crash_suspects::ExitCause;
 use pomelostack_lib::crash_suspects::SuspectPlacement;
+use pomelostack_lib::crash_suspects::SuspectWork;
 use pomelostack_lib::crash_suspects::WorkFingerprint;
 use pomelostack_lib::ids::HostId;
 use pomelostack_lib::ids::RequestId;
 use pomelostack_lib::ids::ServerId;
 use pomelostack_lib::ids::ZoneName;
 use pomelostack_lib::timestamp::Timestamp;
+use pomelostack_lib::work_parts::WorkPart;
+use pomelostack_lib::work_parts::WorkParts;
 
 /// Duration of one simulation step.
 pub const STEP: Duration = Duration::from_millis(10);
@@ -43,6 +46,8 @@
     pub length: Duration,
     /// Time after which it crashes its server, or `None` if it does not.
     pub crashes_after: Option<Duration>,
+    /// Part of its prompt that other requests share, if there is one.
+    pub part: Option<WorkPart>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -174,6 +179,7 @@
     }
 
     fn send_report(&mut self, now: Timestamp, from: usize) {
+        self.hosts[from].judge(now, now.as_millis());
         let report = Arc::new(self.hosts[from].report(now));
         for host in (0..self.hosts.len()).filter(|&host| host != from) {
             let report = report.clone();
@@ -206,6 +212,11 @@
         let up: Vec<usize> = (0..self.up_at.len()).filter(|&s| self.up_at[s] <= now).collect();
         let candidates: Vec<ServerId> = up.iter().map(|&server| server_id(server)).collect();
         let host = &mut self.hosts[job.host];
+        if let Some(part) = job.part {
+            let whole = WorkPart::of_request(&[&job.fingerprint.0.to_be_bytes()]);
+            let parts = WorkParts::new(whole, [part]);
+            host.admit(job_id(index), SuspectWork { whole, parts });
+        }
         let chosen = match host.place(now, job.fingerprint, job_id(index), &candidates) {
             SuspectPlacement::Free { avoid } => {
                 let free = up.into_iter().filter(|&server| !avoid.contains(&server_id(server)));
--- a/lib/testutils/src/deployment_server.rs
+++ b/lib/testutils/src/deployment_server.rs
@@ -40,6 +40,7 @@
 use crate::deployment_state::SharedState;
 use crate::deployment_state::StoreLink;
 use crate::deployment_state::StoreMode;
+use crate::deployment_state::TurnedAway;
 use crate::deployment_state::UsageReport;
 use crate::deployment_state::WrittenRecord;
 use crate::deployment_state::lock;
@@ -47,6 +48,8 @@
 use crate::endless_response::EndlessKind;
 use crate::endless_response::EndlessResponse;
 use crate::store_core::StoreRejection;
+use crate::unframed_response::UnframedBody;
+use crate::unframed_response::UnframedResponse;
 
 /// Interval at which a long-polling read checks for a new record.
 const LONG_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -59,6 +62,13 @@
     Either<Full<Bytes>, StreamBody<ReceiverStream<Result<Frame<Bytes>, std::io::Error>>>>;
 type StandinReply = Response<StandinBody>;
 
+/// A response that no HTTP library writes.
+#[derive(Clone, Debug)]
+enum Takeover {
+    Endless(EndlessResponse),
+    Unframed(UnframedResponse),
+}
+
 /// Which API an address serves.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Role {
@@ -147,8 +157,11 @@
         }
     };
     let mut stream = connection.into_parts().io.into_inner();
-    if let Some(response) = response {
-        let _ = response.write_to(&mut stream).await;
+    // The gateway may close the connection at any time.
+    match response {
+        Some(Takeover::Endless(response)) => drop(response.write_to(&mut stream).await),
+        Some(Takeover::Unframed(response)) => drop(response.write_to(&mut stream).await),
+        None => {}
     }
 }
 
@@ -156,7 +169,7 @@
     state: SharedState,
     role: Role,
     connection: u64,
-    takeovers: mpsc::UnboundedSender<EndlessResponse>,
+    takeovers: mpsc::UnboundedSender<Takeover>,
     request: Request<Incoming>,
 ) -> Result<StandinReply, std::io::Error> {
     match role {
@@ -166,7 +179,7 @@
         Role::Platform(_) => Ok(answer_cloud(&state, request).await),
         Role::Replica(index) => {
             let mut reply = answer_replica(&state, index, request).await?;
-            if let Some(response) = reply.extensions_mut().remove::<EndlessResponse>() {
+            if let Some(response) = reply.extensions_mut().remove::<Takeover>() {
                 takeovers.send(response).map_err(std::io::Error::other)?;
                 std::future::pending::<()>().await;
             }
@@ -354,7 +367,12 @@
         return Ok(reply);
     }
     if let ReplicaMode::TurnAway { retry_after } = mode {
-        lock(state).replicas[index].turned_away.push(Instant::now());
+        let at = Instant::now();
+        {
+            let state = &mut lock(state);
+            state.replicas[index].turned_away.push(at);
+            state.rejections.push(TurnedAway { replica_id: id, request_id, at });
+        }
         let mut reply = full_response(StatusCode::SERVICE_UNAVAILABLE, "");
         let fields = [("not-executed", "1"), ("retry-after", retry_after)];
         reply.headers_mut().extend(fields.map(|(name, value)| {
@@ -400,6 +418,18 @@
     if let Some(delay) = path_number(path, "/after-ms-") {
         tokio::time::sleep(Duration::from_millis(delay)).await;
     }
+    if let ReplicaMode::Unframed(end) = mode {
+        let body = if path.starts_with("/brief/") {
+            let count = path_number(path, "/events-").unwrap_or(STREAM_EVENTS);
+            UnframedBody::Events(resumed_after.unwrap_or(0)..count)
+        } else {
+            UnframedBody::Text(format!("answer to {request_id}"))
+        };
+        let response = UnframedResponse { end, body, request_id, signature: id };
+        let mut reply = full_response(StatusCode::OK, "");
+        reply.extensions_mut().insert(Takeover::Unframed(response));
+        return Ok(reply);
+    }
     let mut reply = if path.starts_with("/brief/") {
         let count = path_number(path, "/events-").unwrap_or(STREAM_EVENTS);
         stream_events(state.clone(), index, resumed_after.unwrap_or(0)..count, mode)
@@ -455,7 +485,8 @@
 /// Returns a reply whose connection is taken over by a response without end.
 fn endless_reply(kind: EndlessKind, request_id: String, signature: String) -> StandinReply {
     let mut reply = full_response(StatusCode::OK, "");
-    reply.extensions_mut().insert(EndlessResponse { kind, request_id, signature });
+    let response = EndlessResponse { kind, request_id, signature };
+    reply.extensions_mut().insert(Takeover::Endless(response));
     reply
 }
 
--- a/lib/testutils/src/deployment_standin.rs
+++ b/lib/testutils/src/deployment_standin.rs
@@ -26,6 +26,8 @@
 pub use crate::deployment_state::StandinCopy;
 pub use crate::deployment_state::StoreLink;
 pub use crate::deployment_state::StoreMode;
+pub use crate::deployment_state::TurnedAway;
+pub use crate::deployment_state::UnframedEnd;
 pub use crate::deployment_state::UsageReport;
 pub use crate::deployment_state::WriteOutcome;
 pub use crate::endless_response::EndlessKind;
@@ -277,6 +279,11 @@
         lock(&self.state).replicas[index].turned_away.clone()
     }
 
+    /// Returns the requests that replicas turned away until later, in order.
+    pub fn rejections(&self) -> Vec<TurnedAway> {
+        lock(&self.state).rejections.clone()
+    }
+
     /// Returns the requests that the replicas executed, in order.
     pub fn runs(&self) -> Vec<ReplicaRun> {
         lock(&self.state).runs.clone()
--- a/lib/testutils/src/deployment_state.rs
+++ b/lib/testutils/src/deployment_state.rs
@@ -51,10 +51,24 @@
     },
     /// It runs and answers them, and says in each response that it is leaving.
     Leaving,
+    /// It runs and answers them with neither a length nor chunks, so that the answer ends with its
+    /// connection.
+    Unframed(UnframedEnd),
     /// It writes a response without end until the caller closes the connection.
     Endless(EndlessKind),
 }
 
+/// How an answer ends that ends with its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnframedEnd {
+    /// Completely, and the connection is closed in order.
+    Complete,
+    /// The connection is reset before the last piece.
+    Reset,
+    /// The connection is closed in order, within the last event of a stream.
+    InsideEvent,
+}
+
 /// How the store handles calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreMode {
@@ -194,6 +208,17 @@
     pub crashing_part: Option<u64>,
 }
 
+/// A request that a replica turned away until later.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TurnedAway {
+    /// Id of the replica.
+    pub replica_id: String,
+    /// Request id.
+    pub request_id: String,
+    /// When it was turned away.
+    pub at: Instant,
+}
+
 #[derive(Debug, Default)]
 pub(crate) struct DeploymentState {
     pub(crate) store: StoreCore,
@@ -223,6 +248,7 @@
     /// For how long a replica is down after a crash.
     pub(crate) crash_down: Duration,
     pub(crate) crashes: Vec<ReplicaCrash>,
+    pub(crate) rejections: Vec<TurnedAway>,
 }
 
 impl DeploymentState {
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -63,4 +63,5 @@
 pub mod overload_simulator;
 pub mod trace_engine;
 pub mod trace_player;
+mod unframed_response;
 pub mod workload;
--- a/soak/src/call_judge.rs
+++ b/soak/src/call_judge.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use testutils::deployment_standin::ReplicaMode;
+use testutils::deployment_standin::UnframedEnd;
 use testutils::deployment_standin::event_text;
 
 use crate::config_judge::CONFIG_BOUND;
@@ -141,6 +142,8 @@
     pub replica: String,
     /// How the replica handled requests when the run began.
     pub mode: ReplicaMode,
+    /// Whether its process crashed during the run, or may have.
+    pub crashed: bool,
 }
 
 impl WorkRun {
@@ -149,7 +152,11 @@
     }
 
     fn broke_off(&self) -> bool {
+        if self.crashed {
+            return true;
+        }
         match self.mode {
+            ReplicaMode::Unframed(end) => end != UnframedEnd::Complete,
             ReplicaMode::CutAfter(_)
             | ReplicaMode::TrickleAfter(_)
             | ReplicaMode::DropResponse
--- a/soak/src/fault_injector.rs
+++ b/soak/src/fault_injector.rs
@@ -35,7 +35,7 @@
     EndStore(u64),
     EndLink(usize),
     /// A mode of a replica ends.
-    EndReplica(usize, u64),
+    EndReplica(usize, u64, ReplicaMode),
     Return {
         copy: StandinCopy,
         scope: RewriteScope,
@@ -136,7 +136,11 @@
                 self.world.standin.set_link_mode(link, StoreMode::Answer);
                 self.disturb(DisturbedPart::Link(host), now, now);
             }
-            FaultStep::EndReplica(replica, number) => {
+            FaultStep::EndReplica(replica, number, mode) => {
+                // What has said that it leaves does not come back.
+                if mode == ReplicaMode::Leaving {
+                    self.world.standin.replace_replica(replica, &format!("i-{replica}-l{number}"));
+                }
                 // A newer mode stays.
                 if self.replica_modes.get(&replica) == Some(&number) {
                     self.world.standin.set_replica_mode(replica, ReplicaMode::Answer);
@@ -220,7 +224,7 @@
                 self.next_mode += 1;
                 self.replica_modes.insert(replica, self.next_mode);
                 self.world.standin.set_replica_mode(replica, mode);
-                let step = FaultStep::EndReplica(replica, self.next_mode);
+                let step = FaultStep::EndReplica(replica, self.next_mode, mode);
                 self.steps.push((now + duration, step));
             }
         }
--- a/soak/src/fault_plan.rs
+++ b/soak/src/fault_plan.rs
@@ -8,6 +8,7 @@
 use testutils::deployment_standin::ReplicaMode;
 use testutils::deployment_standin::RewriteScope;
 use testutils::deployment_standin::StoreMode;
+use testutils::deployment_standin::UnframedEnd;
 
 /// Time between the starts of two series, of which the last part is calm.
 const SERIES_PERIOD: Duration = Duration::from_secs(12);
@@ -27,6 +28,14 @@
 /// Longest time between two troubles of replicas.
 const MAX_TROUBLE_PERIOD: Duration = Duration::from_millis(1_500);
 
+/// Longest time between two notices of replicas.
+const MAX_NOTICE_PERIOD: Duration = Duration::from_millis(3_000);
+
+/// Pause that replicas ask for, as they send it.
+const PAUSE_FIELD: &str = "1.5";
+/// The same pause as a time.
+pub const PAUSE_TIME: Duration = Duration::from_millis(1_500);
+
 /// Calm before the first series.
 const LEAD_TIME: Duration = Duration::from_secs(3);
 
@@ -152,6 +161,32 @@
     }
 }
 
+/// Draws what replicas say and how they end their answers, each with its time, in order.
+pub fn draw_notices(
+    random: &mut impl Rng,
+    replicas: usize,
+    length: Duration,
+) -> Vec<(Duration, PlannedFault)> {
+    let mut faults = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        at += MAX_NOTICE_PERIOD.mul_f64(random.random());
+        if at + END_CALM > length {
+            return faults;
+        }
+        let mode = match random.random_range(0..5) {
+            0 => ReplicaMode::Leaving,
+            1 => ReplicaMode::TurnAway { retry_after: PAUSE_FIELD },
+            2 => ReplicaMode::Unframed(UnframedEnd::Complete),
+            3 => ReplicaMode::Unframed(UnframedEnd::Reset),
+            _ => ReplicaMode::Unframed(UnframedEnd::InsideEvent),
+        };
+        let replica = random.random_range(0..replicas);
+        let duration = draw_millis(random, 300, 2_000);
+        faults.push((at, PlannedFault::Replica { replica, mode, duration }));
+    }
+}
+
 /// Draws the troubles of replicas and the planned work of a run, each with its time, in order.
 pub fn draw_troubles(
     random: &mut impl Rng,
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -4,10 +4,12 @@
 pub mod call_judge;
 pub mod config_judge;
 pub mod config_plan;
+mod crash_caller;
 pub mod duty_judge;
 mod fault_injector;
 pub mod fault_plan;
 pub mod host_fleet;
+pub mod part_judge;
 pub mod reply_parser;
 mod run_verdict;
 pub mod soak_run;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -111,12 +111,13 @@
 
 fn print_report(seed: u64, report: &SoakReport) {
     let mut text = format!(
-        "seed {seed}: {} answers, {:?}, excused {:?}, {} KiB, {} versions, {} faults, {} violations\n",
+        "seed {seed}: {} answers, {:?}, excused {:?}, {} KiB, {} versions, {} crashes, {} faults, {} violations\n",
         report.answers,
         report.outcomes,
         report.excuses,
         report.peak_memory_kib,
         report.versions,
+        report.crashes,
         report.faults.len(),
         report.violations.len()
     );
--- a/soak/src/run_verdict.rs
+++ b/soak/src/run_verdict.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::time::Duration;
+use std::time::Instant;
 
+use testutils::deployment_standin::ReplicaMode;
 use testutils::deployment_standin::ReplicaRun;
 use testutils::gateway_process::read_level;
 
@@ -17,7 +19,13 @@
 use crate::duty_judge::ObservedRun;
 use crate::duty_judge::judge_reports;
 use crate::duty_judge::judge_runs;
+use crate::fault_plan::PAUSE_TIME;
 use crate::host_fleet::HostFleet;
+use crate::part_judge::ArrivalOutcome;
+use crate::part_judge::ReplicaArrival;
+use crate::part_judge::judge_crashing;
+use crate::part_judge::judge_leaving;
+use crate::part_judge::judge_pauses;
 use crate::soak_run::SoakReport;
 use crate::soak_run::SoakWorld;
 use crate::soak_run::lock;
@@ -59,6 +67,7 @@
     }
     let runs = world.standin.take_runs();
     judge_work(world, &versions, &runs, touch, report);
+    judge_parts(world, &runs, touch, report);
     judge_duties(world, runs, touch, report);
     judge_processes(fleet, report);
     judge_end(&versions, fleet, report);
@@ -72,9 +81,11 @@
     report: &mut SoakReport,
 ) {
     let mut runs: BTreeMap<String, Vec<WorkRun>> = BTreeMap::new();
+    let crashes = world.standin.crashes();
     for run in replica_runs {
         let (replica, mode) = (run.replica_id.clone(), run.mode);
-        runs.entry(run.request_id.clone()).or_default().push(WorkRun { replica, mode });
+        let crashed = crashes.iter().any(|crash| crash.replica_id == replica && crash.at >= run.at);
+        runs.entry(run.request_id.clone()).or_default().push(WorkRun { replica, mode, crashed });
     }
     let calls = lock(&world.calls);
     for call in calls.iter() {
@@ -92,6 +103,45 @@
     }
 }
 
+fn judge_parts(
+    world: &SoakWorld,
+    runs: &[ReplicaRun],
+    touch: &TouchRecord,
+    report: &mut SoakReport,
+) {
+    let since_start = |at: Instant| at.saturating_duration_since(world.start);
+    let host_of = |request_id: &str| request_id.split('-').next()?.parse().ok();
+    let run_arrivals = runs.iter().filter_map(|run| {
+        let outcome = match (run.crashing_part, run.mode) {
+            (Some(_), _) => ArrivalOutcome::Crashed,
+            (None, ReplicaMode::Leaving) => ArrivalOutcome::SaidLeaving,
+            (None, _) => ArrivalOutcome::Answered,
+        };
+        let (replica, at) = (run.replica_id.clone(), since_start(run.at));
+        Some(ReplicaArrival { replica, host: host_of(&run.request_id)?, at, outcome })
+    });
+    let rejections = world.standin.rejections();
+    let rejected = rejections.iter().filter_map(|rejection| {
+        let (replica, at) = (rejection.replica_id.clone(), since_start(rejection.at));
+        let (host, outcome) = (host_of(&rejection.request_id)?, ArrivalOutcome::TurnedAway);
+        Some(ReplicaArrival { replica, host, at, outcome })
+    });
+    let arrivals: Vec<ReplicaArrival> = run_arrivals.chain(rejected).collect();
+    let crashes: Vec<Duration> =
+        world.standin.crashes().iter().map(|crash| since_start(crash.at)).collect();
+    report.crashes = crashes.len();
+    let faults = [
+        ("BUDGET", judge_crashing(&arrivals, &crashes, touch)),
+        ("LEAVING", judge_leaving(&arrivals, touch)),
+        ("PAUSE", judge_pauses(&arrivals, PAUSE_TIME, touch)),
+    ];
+    for (rule, faulty) in faults {
+        report.violations.extend(faulty.iter().map(|arrival| format!("{rule}: {arrival:?}")));
+    }
+    let refused = lock(&world.wrongly_refused);
+    report.violations.extend(refused.iter().map(|id| format!("PART: {id} was refused")));
+}
+
 fn judge_processes(fleet: &HostFleet, report: &mut SoakReport) {
     report.violations.extend(fleet.self_ended().iter().map(|host| format!("ENDED: {host}")));
     for host in 0..fleet.len() {
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -35,9 +35,11 @@
 use crate::config_plan::ProbeOutcome;
 use crate::config_plan::ProbeRequest;
 use crate::config_plan::SERVICES;
+use crate::crash_caller::call_crashing;
 use crate::duty_judge::LeavingReplica;
 use crate::fault_injector::inject_faults;
 use crate::fault_plan::draw_faults;
+use crate::fault_plan::draw_notices;
 use crate::fault_plan::draw_troubles;
 use crate::host_fleet::HostFleet;
 use crate::run_verdict::judge_run;
@@ -61,6 +63,13 @@
 /// Time from a replica's notice until it is replaced.
 const DRAIN_TIME: Duration = Duration::from_millis(3_500);
 
+/// Part of prompts that crashes replicas, and for how long they are down.
+pub(crate) const CRASHING_PART: u64 = 0xbad;
+const CRASH_DOWN_TIME: Duration = Duration::from_millis(800);
+
+/// First of the seeds of the callers whose requests crash replicas.
+const CRASH_SEED: u64 = 500_000;
+
 /// Distance between the seeds of two callers of a host.
 const CALLER_SEED_STEP: u64 = 1_000_000;
 
@@ -102,6 +111,8 @@
     pub peak_memory_kib: u64,
     /// Versions that were acknowledged.
     pub versions: usize,
+    /// Crashes of replicas by requests.
+    pub crashes: usize,
     /// Faults that struck.
     pub faults: Vec<String>,
     /// Rules that were broken.
@@ -117,6 +128,8 @@
     pub(crate) calls: Mutex<Vec<CallRecord>>,
     pub(crate) versions: Mutex<Vec<SentVersion>>,
     pub(crate) leaving: Mutex<Vec<LeavingReplica>>,
+    /// Sound requests that were refused because of their parts.
+    pub(crate) wrongly_refused: Mutex<Vec<String>>,
 }
 
 impl SoakWorld {
@@ -162,6 +175,7 @@
             acknowledged_at: Some(Duration::ZERO),
         }]),
         leaving: Mutex::default(),
+        wrongly_refused: Mutex::default(),
     };
     let mut random = ChaCha8Rng::seed_from_u64(settings.seed);
     let seed_of = |number: u64| settings.seed.wrapping_mul(1_000).wrapping_add(number);
@@ -169,7 +183,10 @@
     let mut random = ChaCha8Rng::seed_from_u64(seed_of(103));
     let replicas = world.standin.replicas.len();
     faults.extend(draw_troubles(&mut random, settings.hosts, replicas, settings.length));
+    let mut random = ChaCha8Rng::seed_from_u64(seed_of(104));
+    faults.extend(draw_notices(&mut random, replicas, settings.length));
     faults.sort_by_key(|(at, _)| *at);
+    world.standin.set_crashing_parts(&[CRASHING_PART], CRASH_DOWN_TIME);
     let listed = faults.iter().map(|(at, fault)| format!("{at:.3?} {fault:?}")).collect();
     let mut report = SoakReport { faults: listed, ..SoakReport::default() };
     let touch = thread::scope(|scope| {
@@ -179,6 +196,8 @@
             let address: IpAddr = ip.parse().context("a host has no address")?;
             let front = SocketAddr::new(address, FRONT_PORT);
             scope.spawn(move || call_host(world, host, &ip, &incarnation, seed));
+            let crash_seed = seed_of(CRASH_SEED + host as u64);
+            scope.spawn(move || call_crashing(world, host, front, crash_seed));
             for caller in 0..settings.callers {
                 let seed = seed_of(CALLER_SEED_STEP * (caller as u64 + 1) + host as u64);
                 let name = format!("w{caller}");
--- a/soak/tests/test_call_judge.rs
+++ b/soak/tests/test_call_judge.rs
@@ -63,6 +63,7 @@
     touch: &TouchRecord,
 ) -> Vec<CallFault> {
     let run = |(index, mode): (usize, &ReplicaMode)| WorkRun {
+        crashed: false,
         replica: format!("i-{index}"),
         mode: *mode,
     };
@@ -180,7 +181,7 @@
     #[case] excuse: Option<CallExcuse>,
 ) {
     let cut = call(WorkKind::Resumable, ended_ms, CallOutcome::Cut);
-    let run = WorkRun { replica: "i-0".to_owned(), mode };
+    let run = WorkRun { replica: "i-0".to_owned(), mode, crashed: false };
     let runs = BTreeMap::from([(cut.request_id.clone(), vec![run])]);
     let versions = [sent(ConfigVersion::first(), 0)];
     let touch = TouchRecord::default();
