--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -69,6 +69,9 @@
 /// remains for the hedged attempt.
 const TIME_LEFT_DIVISOR: u32 = 3;
 
+/// Scope of parts of prompts that are not those of one service.
+const ANY_SERVICE: &str = "";
+
 /// Whether an attempt was sent.
 enum StartOutcome {
     /// It was.
@@ -146,8 +149,11 @@
         let path = parts.uri.path_and_query().map_or("", |path| path.as_str());
         let whole = WorkPart::of_request(&[caller.as_bytes(), path.as_bytes(), &body]);
         let shared = head.prompt.as_ref().map_or(&[][..], PromptShape::shared_parts);
-        let prompt =
-            shared.iter().map(|part| WorkPart::of_prompt(service.as_str(), &part.id.to_be_bytes()));
+        // Several services may run the same software, or only one of them may crash.
+        let prompt = shared.iter().flat_map(|part| {
+            [service.as_str(), ANY_SERVICE]
+                .map(|service| WorkPart::of_prompt(service, &part.id.to_be_bytes()))
+        });
         let work = WorkParts::new(whole, prompt);
         if self.meets_verdict(&head, &work) {
             return Err((head, RefusalReason::new(ResultCode::CrashRefused)));
--- a/lib/src/work_parts.rs
+++ b/lib/src/work_parts.rs
@@ -7,7 +7,7 @@
 
 /// Maximum number of parts of one request. Of more, those with the smallest hashes are kept, so that
 /// requests that share a part tend to keep it alike.
-pub const MAX_WORK_PARTS: usize = 32;
+pub const MAX_WORK_PARTS: usize = 48;
 
 /// Hash of one part of a request's work, within its service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
--- a/lib/tests/test_part_suspects.rs
+++ b/lib/tests/test_part_suspects.rs
@@ -9,6 +9,7 @@
 use pomelostack_lib::part_suspects::LostRequest;
 use pomelostack_lib::part_suspects::PartSuspects;
 use pomelostack_lib::timestamp::Timestamp;
+use pomelostack_lib::work_parts::MAX_WORK_PARTS;
 use pomelostack_lib::work_parts::WorkPart;
 use pomelostack_lib::work_parts::WorkParts;
 use rand::Rng as _;
@@ -309,6 +310,6 @@
         let lost = (0..3).map(|number| work(crash * 10 + number, &parts)).collect();
         crash_each(&mut suspects, 1_000 + crash * 1_000, &[lost]);
     }
-    assert!(suspects.watched_parts() <= 128 * 32 * 32);
+    assert!(suspects.watched_parts() <= 128 * 32 * MAX_WORK_PARTS);
     assert!(suspects.verdicts().records().count() <= 256);
 }
--- a/lib/testutils/src/deployment_server.rs
+++ b/lib/testutils/src/deployment_server.rs
@@ -69,6 +69,17 @@
     Unframed(UnframedResponse),
 }
 
+async fn write_takeover(
+    response: Option<Takeover>,
+    stream: &mut TcpStream,
+) -> Result<(), std::io::Error> {
+    match response {
+        Some(Takeover::Endless(response)) => response.write_to(stream).await,
+        Some(Takeover::Unframed(response)) => response.write_to(stream).await,
+        None => Ok(()),
+    }
+}
+
 /// Which API an address serves.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Role {
@@ -158,10 +169,11 @@
     };
     let mut stream = connection.into_parts().io.into_inner();
     // The gateway may close the connection at any time.
-    match response {
-        Some(Takeover::Endless(response)) => drop(response.write_to(&mut stream).await),
-        Some(Takeover::Unframed(response)) => drop(response.write_to(&mut stream).await),
-        None => {}
+    tokio::select! {
+        _ = write_takeover(response, &mut stream) => {}
+        () = crash.notified() => {
+            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        }
     }
 }
 
@@ -473,7 +485,7 @@
     {
         return;
     }
-    state.crashes.push(ReplicaCrash { at: Instant::now(), replica_id, part });
+    state.crashes.push(ReplicaCrash { replica: index, at: Instant::now(), replica_id, part });
     state.replicas[index].crash.notify_waiters();
 }
 
--- a/lib/testutils/src/deployment_state.rs
+++ b/lib/testutils/src/deployment_state.rs
@@ -65,7 +65,7 @@
     Complete,
     /// The connection is reset before the last piece.
     Reset,
-    /// The connection is closed in order, within the last event of a stream.
+    /// The connection is closed in order, within the last event of a stream. Other answers are complete.
     InsideEvent,
 }
 
@@ -164,6 +164,8 @@
 /// The crash of a replica's process by a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReplicaCrash {
+    /// Index of the replica.
+    pub replica: usize,
     /// When it crashed.
     pub at: Instant,
     /// Id of the replica.
--- a/lib/testutils/src/unframed_response.rs
+++ b/lib/testutils/src/unframed_response.rs
@@ -52,6 +52,7 @@
             }
             UnframedBody::Events(ids) => (ids.start + 1..=ids.end).map(event_text).collect(),
         };
+        let is_stream = matches!(self.body, UnframedBody::Events(_));
         for (index, piece) in pieces.iter().enumerate() {
             tokio::time::sleep(EVENT_INTERVAL).await;
             let is_last = index + 1 == pieces.len();
@@ -59,7 +60,7 @@
                 UnframedEnd::Reset if is_last => {
                     return SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
                 }
-                UnframedEnd::InsideEvent if is_last => {
+                UnframedEnd::InsideEvent if is_last && is_stream => {
                     stream.write_all(&piece.as_bytes()[..piece.len() / 2]).await?;
                 }
                 UnframedEnd::Complete | UnframedEnd::Reset | UnframedEnd::InsideEvent => {
--- a/soak/src/run_verdict.rs
+++ b/soak/src/run_verdict.rs
@@ -38,6 +38,9 @@
 /// Time from SIGTERM until a host is killed in the stand-in's settings.
 const GRACE: Duration = Duration::from_secs(8);
 
+/// Longest time for which a caller holds a request.
+const MAX_RUN_TIME: Duration = Duration::from_secs(8);
+
 /// Memory of a host in KiB.
 const HOST_MEMORY_KIB: u64 = 160 * 1024;
 
@@ -84,7 +87,9 @@
     let crashes = world.standin.crashes();
     for run in replica_runs {
         let (replica, mode) = (run.replica_id.clone(), run.mode);
-        let crashed = crashes.iter().any(|crash| crash.replica_id == replica && crash.at >= run.at);
+        let crashed = crashes.iter().any(|crash| {
+            crash.replica == run.replica && crash.at >= run.at && crash.at <= run.at + MAX_RUN_TIME
+        });
         runs.entry(run.request_id.clone()).or_default().push(WorkRun { replica, mode, crashed });
     }
     let calls = lock(&world.calls);
