--- a/cli/tests/test_crashing_parts.rs
+++ b/cli/tests/test_crashing_parts.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use testutils::bounded_wait::wait_for;
 use testutils::deployment_standin::DeploymentStandin;
 use testutils::deployment_standin::SERVICE;
 use testutils::gateway_fixture::GatewayFixture;
@@ -108,3 +109,31 @@
     let served = later.iter().filter(|answer| answer.status == 200).count();
     assert!(served > 20 && served == later.len(), "{served} of {} served", later.len());
 }
+
+#[test]
+fn verdict_outlives_hosts() {
+    let standin = DeploymentStandin::start_with(&[SERVICE; SERVERS]).expect("valid in tests");
+    standin.set_crashing_parts(&[CRASHING_PART], DOWN_TIME);
+    standin.publish_config(3);
+    let standin = Arc::new(standin);
+    let host = GatewayFixture::start_host(PROGRAM, standin.clone(), 138).serving();
+    let send = |host: &GatewayFixture, number: u32| {
+        let (id, prompt) =
+            (format!("c{number}"), format!("aa:800,{CRASHING_PART:x}:60,{number:x}:40"));
+        host.call_prompt(&format!("/brief/{id}"), &id, &prompt)
+    };
+    let mut sent = 0;
+    wait_for(|| {
+        sent += 1;
+        send(&host, sent).status == 503 && host.level("crash_verdicts") == Some(1)
+    });
+    // The record is written after the verdict is in force.
+    wait_for(|| host.metrics().contains("call=\"record_verdicts\",outcome=\"ok\""));
+    drop(host);
+    let crashes = standin.crashes().len();
+    let host = GatewayFixture::start_host(PROGRAM, standin.clone(), 138).serving();
+    wait_for(|| host.level("crash_verdicts") == Some(1));
+    let refused = send(&host, sent + 1);
+    assert_eq!((refused.status, refused.retry_after), (503, None));
+    assert_eq!(standin.crashes().len(), crashes);
+}
--- a/lib/src/part_suspects.rs
+++ b/lib/src/part_suspects.rs
@@ -37,18 +37,22 @@
 /// Number of crashes after which a part is convicted beside others that explain them as well.
 pub const DECIDING_CRASHES: usize = 5;
 
-/// Part of the crashes since its first one that a part must explain: with the share in the first line
-/// [`CONVICTING_CRASHES`] are enough, and with that in the second [`DECIDING_CRASHES`]. Several
-/// parts may crash servers at the same time.
+/// Least fraction of the crashes of its time that a part must explain for [`CONVICTING_CRASHES`] to be
+/// enough.
 const CLEAR_SHARE: f64 = 0.5;
+
+/// Least fraction that a part must explain to be convicted at all. Several parts may crash servers at
+/// the same time.
 const FAIR_SHARE: f64 = 0.2;
 
 /// The same while servers end so fast that their crashes are not all kept.
 const CROWDED_SHARE: f64 = 0.9;
 
-/// Part of a part's crashes that another one must explain to be its rival, since the requests of some
-/// hosts may be unknown, and part from which the two can hardly be told apart.
+/// Least fraction of a part's crashes that another one must explain to be its rival. The requests of
+/// some hosts may be unknown.
 const RIVAL_SHARE: f64 = 0.5;
+
+/// Fraction from which two rivals can hardly be told apart.
 const NEAR_SHARE: f64 = 0.8;
 
 /// Time before the first crash of a part in which other crashes count as well.
@@ -205,6 +209,19 @@
         common as f64 >= other.crashes.len() as f64 * share
     }
 
+    /// Returns whether a part with `count` separate crashes is a better explanation than a rival: it is in
+    /// fewer of the requests that were lost in a crash, or explains more crashes.
+    fn outweighs(&self, rival: &Self, count: usize) -> bool {
+        match self.compare_lost(rival) {
+            Ordering::Less => count > CONVICTING_CRASHES,
+            Ordering::Equal if rival.explains(self, NEAR_SHARE) => {
+                count >= DECIDING_CRASHES && self.lost_rate() <= rival.lost_rate()
+            }
+            Ordering::Equal => count > CONVICTING_CRASHES,
+            Ordering::Greater => false,
+        }
+    }
+
     /// Returns the number of lost requests for each crash.
     fn lost_rate(&self) -> f64 {
         self.lost_requests as f64 / self.crashes.len().max(1) as f64
@@ -405,30 +422,32 @@
         suspects.into_iter().find_map(|(part, count)| {
             let cover = &covers[&part];
             let shared = self.shared_parts(part, cover);
-            let is_new = self.verdicts.find(&shared).is_none();
-            let share = self.explained_share(now, cover);
-            let is_clear = share >= CLEAR_SHARE
-                && view == FleetView::Whole
-                && self.is_begin_fatal(part, cover);
-            let least = if self.is_crowded(cover) { CROWDED_SHARE } else { FAIR_SHARE };
-            if !is_new || share < least || (!is_clear && count < DECIDING_CRASHES) {
-                return None;
-            }
             let mut rivals = covers.iter().filter(|(other, rival)| {
                 !shared.contains(**other) && rival.explains(cover, RIVAL_SHARE)
             });
-            let is_decided = rivals.all(|(_, rival)| match cover.compare_lost(rival) {
-                Ordering::Less => count > CONVICTING_CRASHES,
-                Ordering::Equal if rival.explains(cover, NEAR_SHARE) => {
-                    count >= DECIDING_CRASHES && cover.lost_rate() <= rival.lost_rate()
-                }
-                Ordering::Equal => count > CONVICTING_CRASHES,
-                Ordering::Greater => false,
-            });
-            is_decided.then_some((shared, count))
+            let is_convicted = self.verdicts.find(&shared).is_none()
+                && self.is_conspicuous(now, view, part, cover, count)
+                && rivals.all(|(_, rival)| cover.outweighs(rival, count));
+            is_convicted.then_some((shared, count))
         })
     }
 
+    /// Returns whether a part explains enough of the crashes of its time.
+    fn is_conspicuous(
+        &self,
+        now: Timestamp,
+        view: FleetView,
+        part: WorkPart,
+        cover: &PartCover,
+        count: usize,
+    ) -> bool {
+        let share = self.explained_share(now, cover);
+        let least = if self.is_crowded(cover) { CROWDED_SHARE } else { FAIR_SHARE };
+        let is_clear =
+            share >= CLEAR_SHARE && view == FleetView::Whole && self.is_begin_fatal(part, cover);
+        share >= least && (is_clear || count >= DECIDING_CRASHES)
+    }
+
     /// Returns the settled crashes that each part is a suspect of.
     fn covers(&self, now: Timestamp) -> BTreeMap<WorkPart, PartCover> {
         let mut covers: BTreeMap<WorkPart, PartCover> = BTreeMap::new();
--- a/lib/tests/test_crash_suspects.rs
+++ b/lib/tests/test_crash_suspects.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use pomelostack_lib::crash_report::CrashReport;
+use pomelostack_lib::crash_report::REPORT_VERSION;
 use pomelostack_lib::crash_suspects::AttemptExit;
 use pomelostack_lib::crash_suspects::CrashSuspects;
 use pomelostack_lib::crash_suspects::ExitCause;
@@ -343,7 +344,9 @@
             Ok(())
         })
         .unwrap();
-    let newer = String::from_utf8(whole).unwrap().replace("\"version\":1", "\"version\":2");
+    let version = |number: u16| format!("\"version\":{number}");
+    let whole = String::from_utf8(whole).unwrap();
+    let newer = whole.replace(&version(REPORT_VERSION), &version(REPORT_VERSION + 1));
     assert_eq!(CrashReport::decode(newer.as_bytes()).unwrap_err().code().number(), 600);
     assert_eq!(CrashReport::decode(&vec![b' '; 1 << 17]).unwrap_err().code().number(), 602);
 }
