--- a/lib/tests/test_part_suspects.rs
+++ b/lib/tests/test_part_suspects.rs
@@ -313,3 +313,27 @@
     assert!(suspects.watched_parts() <= 128 * 32 * MAX_WORK_PARTS);
     assert!(suspects.verdicts().records().count() <= 256);
 }
+
+#[test]
+fn next_service() {
+    // Part 2 crashed the servers of one service, which is part 3, and then crashes those of another.
+    let mut suspects = PartSuspects::default();
+    let first: Vec<_> = (0..4).map(|number| vec![work(number, &[2, 3])]).collect();
+    let next = crash_each(&mut suspects, 1_000, &first);
+    assert!(suspects.find_verdict(&work(20, &[2, 4])).is_none());
+    let lost = vec![work(21, &[2, 4]), work(22, &[2, 4])];
+    crash_each(&mut suspects, next, &[lost]);
+    assert!(suspects.find_verdict(&work(23, &[2, 4])).is_some());
+}
+
+#[test]
+fn popular_first_part() {
+    // Part 1 is in all requests, and none of them is answered for a while.
+    let mut suspects = PartSuspects::default();
+    let crashes: Vec<_> = (0..4)
+        .map(|number| vec![work(number, &[1, 2]), work(50 + number, &[1]), work(70 + number, &[1])])
+        .collect();
+    crash_each(&mut suspects, 1_000, &crashes);
+    assert!(suspects.find_verdict(&work(90, &[1])).is_none());
+    assert!(suspects.find_verdict(&work(91, &[1, 2])).is_some());
+}
