--- a/lib/src/part_suspects.rs
+++ b/lib/src/part_suspects.rs
@@ -423,9 +423,7 @@
             let cover = &covers[&part];
             let shared = self.shared_parts(part, cover);
             let mut rivals = covers.iter().filter(|(other, rival)| {
-                !shared.contains(**other)
-                    && rival.explains(cover, RIVAL_SHARE)
-                    && !self.is_convicted_beside(**other, rival, part)
+                !shared.contains(**other) && rival.explains(cover, RIVAL_SHARE)
             });
             let is_convicted = self.verdicts.find(&shared).is_none()
                 && self.is_conspicuous(now, view, part, cover, count)
@@ -534,15 +532,6 @@
         count
     }
 
-    /// Returns whether a part is convicted already, and all its lost requests have another one: it is no
-    /// other explanation of the crashes that the other one has besides.
-    fn is_convicted_beside(&self, part: WorkPart, cover: &PartCover, other: WorkPart) -> bool {
-        let crashes = cover.crashes.iter().map(|index| &self.crashes[*index]);
-        let mut lost = crashes.flat_map(|crash| self.lost_with(part, crash));
-        self.verdicts.in_force().any(|record| record.verdict.parts.contains(part))
-            && lost.all(|lost| lost.parts.contains(other))
-    }
-
     /// Returns whether all requests with a part were lost when their answers began.
     fn is_begin_fatal(&self, part: WorkPart, cover: &PartCover) -> bool {
         let crashes = cover.crashes.iter().map(|index| &self.crashes[*index]);
