gateway: log the limits that servers name for all hosts together

Nothing of a server's limit could be seen: not which one it named, nor when, nor whether a host knew of it when it sent a request. The header is decoded now, a change of it is logged and counted, and attempt_started names the limit that is known. Routing is as before.

--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -17,6 +17,7 @@
 use crate::gateway::directory_gossip::DirectoryGossip;
 use crate::gateway::gateway_metrics::GatewayMetrics;
 use crate::gateway::gateway_settings::GatewaySettings;
+use crate::gateway::limit_table::LimitTable;
 use crate::gateway::peer_table::PeerTable;
 use crate::gateway::placement::PlacementTable;
 use crate::gateway::process_probe::ProcessProbes;
@@ -84,6 +85,8 @@
     pub directory_gossip: RefCell<DirectoryGossip>,
     /// Load and cached prompt prefixes of the servers.
     pub placement: RefCell<PlacementTable>,
+    /// Limits that servers name.
+    pub limits: RefCell<LimitTable>,
     /// Retry budget.
     pub retries: RefCell<RetryLimiter>,
     /// Quotas.
@@ -144,6 +147,7 @@
             directory: RefCell::default(),
             directory_gossip: RefCell::default(),
             placement: RefCell::new(PlacementTable::new(settings.zone.clone())),
+            limits: RefCell::default(),
             retries: RefCell::new(RetryLimiter::new(settings.retries)),
             quotas: RefCell::new(quotas),
             ledger: RefCell::new(UsageLedger::new(incarnation.clone(), window_ms)),
--- a/lib/src/gateway/platform_api.rs
+++ b/lib/src/gateway/platform_api.rs
@@ -16,6 +16,7 @@
 use crate::gateway::caller_request::CallerHead;
 use crate::gateway::duty_lease::DutyGrant;
 use crate::gateway::fleet_scaler::FleetOrder;
+use crate::gateway::server_limit::LimitNotice;
 use crate::gateway::serving_config::ServingConfig;
 use crate::gateway::usage_ledger::TeamCounts;
 use crate::ids::FencingToken;
@@ -231,6 +232,8 @@
     pub is_leaving: bool,
     /// Time for which it accepts no requests from this host.
     pub pause: Option<Duration>,
+    /// What it says of its limit for all hosts together.
+    pub limit: LimitNotice,
 }
 
 /// The platform's HTTP protocol, as callers and servers use it.
@@ -244,10 +247,11 @@
     /// Classifies a server's response to a request by its head.
     fn classify_response(&self, request_id: &str, head: &response::Parts) -> ResponseClass;
 
-    /// Returns what a server says of itself in the head of a response. A malformed field is ignored,
-    /// and an error tells which one.
+    /// Returns what a server says of itself in the head of the response to a request. A malformed field
+    /// is ignored, and an error tells which one.
     fn read_notice(
         &self,
+        request_id: &str,
         head: &response::Parts,
     ) -> (ServerNotice, std::result::Result<(), HeadError>);
 
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -30,12 +30,14 @@
 use crate::gateway::event_splitter::EventSplitter;
 use crate::gateway::event_splitter::StreamEvent;
 use crate::gateway::gateway_state::GatewayState;
+use crate::gateway::limit_table::LimitChange;
 use crate::gateway::platform_api::HeadError;
 use crate::gateway::platform_api::ResponseClass;
 use crate::gateway::platform_api::ServerNotice;
 use crate::gateway::platform_api::WireProtocol;
 use crate::gateway::process_probe::ProbeOutcome;
 use crate::gateway::server_health::HealthEvidence;
+use crate::gateway::server_limit::LimitNotice;
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
 use crate::timestamp::Timestamp;
@@ -79,12 +81,14 @@
             let BackendEntry { id, address, started_at_ms, .. } = &server.entry;
             (id.clone(), *address, *started_at_ms, directory.read_age(now))
         };
+        let limit = state.limits.borrow().limit(&id);
         log::info!(
             "event=attempt_started request={} server={id} running={running} \
-             uncached_tokens={uncached_tokens} directory_age_ms={} peers={}",
+             uncached_tokens={uncached_tokens} directory_age_ms={} peers={} limit_per_s={}",
             request.head.request_id,
             read_age.unwrap_or_default().as_millis(),
             state.peers.borrow().live_peers(now),
+            limit.map_or("-".to_owned(), |limit| limit.per_second().to_string()),
         );
         let prompt = request.head.prompt.as_ref();
         state.placement.borrow_mut().on_sent(now, key, prompt, uncached_tokens);
@@ -237,7 +241,7 @@
         }
     };
     let (head, body) = response.into_parts();
-    record_notice(&state, &attempt, wire.read_notice(&head));
+    record_notice(&state, &attempt, wire.read_notice(&request.head.request_id, &head));
     let class = wire.classify_response(&request.head.request_id, &head);
     if class == ResponseClass::Relay && request.route.kind.is_stream() && head.status.is_success() {
         let response = Response::from_parts(head, body);
@@ -284,6 +288,7 @@
         state.metrics.events.with_label_values(&["server_notice_skipped"]).inc();
         log::warn!("event=server_notice_skipped code=404 server={server} detail=\"{error}\"");
     }
+    record_limit(state, server, notice.limit);
     if notice.is_leaving {
         state.on_departure(server, attempt.started_at_ms, DepartureSource::Server);
     }
@@ -298,6 +303,26 @@
     }
 }
 
+fn record_limit(state: &GatewayState, server: &ServerId, notice: LimitNotice) {
+    let mut limits = state.limits.borrow_mut();
+    match limits.on_notice(server, notice) {
+        LimitChange::Unchanged => return,
+        LimitChange::Named(limit) => {
+            state.metrics.events.with_label_values(&["server_limit_named"]).inc();
+            log::info!(
+                "event=server_limit_named server={server} limit_per_s={} source=server",
+                limit.per_second()
+            );
+        }
+        LimitChange::Ended => {
+            state.metrics.events.with_label_values(&["server_limit_ended"]).inc();
+            log::info!("event=server_limit_ended server={server} source=server");
+        }
+    }
+    let limited = i64::try_from(limits.len()).unwrap_or(i64::MAX);
+    state.metrics.levels.with_label_values(&["limited_servers"]).set(limited);
+}
+
 /// Reads a stream up to its first complete event, until the deadline.
 pub async fn await_first_event(
     state: &GatewayState,
--- a/lib/testutils/src/deployment_server.rs
+++ b/lib/testutils/src/deployment_server.rs
@@ -55,6 +55,9 @@
 const LONG_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Time from the begin of a request to the crash that it causes.
 const CRASH_DELAY: Duration = Duration::from_millis(30);
+/// Field with the limit of a replica.
+const SERVER_LIMIT: hyper::header::HeaderName =
+    hyper::header::HeaderName::from_static("server-limit");
 /// Interval between the events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -191,6 +194,9 @@
         Role::Platform(_) => Ok(answer_cloud(&state, request).await),
         Role::Replica(index) => {
             let mut reply = answer_replica(&state, index, request).await?;
+            let limit = lock(&state).replicas[index].limit.clone();
+            let limit = limit.map(hyper::header::HeaderValue::try_from).and_then(Result::ok);
+            reply.headers_mut().extend(limit.map(|limit| (SERVER_LIMIT, limit)));
             if let Some(response) = reply.extensions_mut().remove::<Takeover>() {
                 takeovers.send(response).map_err(std::io::Error::other)?;
                 std::future::pending::<()>().await;
--- a/lib/testutils/src/deployment_standin.rs
+++ b/lib/testutils/src/deployment_standin.rs
@@ -83,6 +83,7 @@
                 silent_until: None,
                 turned_away: Vec::new(),
                 crash: Arc::default(),
+                limit: None,
             })
             .collect();
         let platform = serve(state.clone(), Role::Platform(None))?;
@@ -105,6 +106,11 @@
         Ok((link, serve(self.state.clone(), Role::Platform(Some(link)))?))
     }
 
+    /// Makes a replica name a limit in its answers from now on, or none.
+    pub fn set_limit(&self, index: usize, limit: Option<&str>) {
+        lock(&self.state).replicas[index].limit = limit.map(str::to_owned);
+    }
+
     /// Sets how the store handles calls over a link.
     pub fn set_link_mode(&self, link: StoreLink, mode: StoreMode) {
         lock(&self.state).link_modes[link.0] = mode;
--- a/lib/testutils/src/deployment_state.rs
+++ b/lib/testutils/src/deployment_state.rs
@@ -148,6 +148,8 @@
     pub(crate) turned_away: Vec<Instant>,
     /// Notified when its process crashes.
     pub(crate) crash: Arc<Notify>,
+    /// Limit that it names in its answers, as it is sent.
+    pub(crate) limit: Option<String>,
 }
 
 impl ReplicaState {
