limits: share the limit that a server names among all hosts

Callers saw nothing; a server in need got several times the requests that it had asked all hosts for. Nothing read its limit (hypothesis 1), and a limit that each host keeps for itself would not have held either (hypothesis 2).

The limit is now believed by all hosts (limit_belief), told by those that heard it, and divided among a few holders that all hosts agree on by rendezvous hashing over the hosts that they hear from, weighted by stated demand (limit_fleet, demand_level). A request takes its place when it is handed to its connection (limit_table), so that hedges, repeats, resumed streams and what waited for a connection count. The other hosts send nothing there: placement leaves the server out, and refuses at once with the time of the next place if no other is open. A place has a cost, so that requests take it which save that much elsewhere. A limit that ends returns in steps.

Weighed in the model and not taken: equal parts (295 hosts with full buckets break the limit in their first second), counts from summaries (too late), random shares (four seconds' chance breaks the bound at one request a second about once in a thousand windows, by the Poisson distribution).

--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -195,6 +195,8 @@
     pub running: u32,
     /// Prompt tokens that the server must prefill, since they are not in its prefix cache.
     pub uncached_tokens: u64,
+    /// Servers of the service that their limits closed to this host.
+    pub limited: u32,
 }
 
 /// Selects a server for an attempt, excluding those already tried.
@@ -217,14 +219,27 @@
     };
     let choice = state.placement.borrow().choose(now, &state.directory.borrow(), &query);
     match choice {
-        PlacementChoice::Server { key, running, uncached_tokens } => {
-            Ok(PlacedServer { key, running, uncached_tokens })
+        PlacementChoice::Server { key, running, uncached_tokens, limited } => {
+            if limited > 0 {
+                state.metrics.events.with_label_values(&["limit_turned_elsewhere"]).inc();
+            }
+            Ok(PlacedServer { key, running, uncached_tokens, limited })
         }
         PlacementChoice::Full => {
             Err(RefusalReason::with_retry_after(ResultCode::QueueFull, QUEUE_FULL_RETRY_AFTER))
         }
-        PlacementChoice::Paused { until } => {
+        PlacementChoice::Closed { until, limited } => {
             let retry_after = spread_retry_after(until.since(now), &request.head.request_id);
+            if limited > 0 {
+                state.metrics.events.with_label_values(&["limit_turned_away"]).inc();
+                log::info!(
+                    "event=limit_turned_away request={} service={} servers={limited} \
+                     retry_after_ms={}",
+                    request.head.request_id,
+                    request.service,
+                    retry_after.as_millis(),
+                );
+            }
             Err(RefusalReason::with_retry_after(ResultCode::QueueFull, retry_after))
         }
         PlacementChoice::NoServer => {
--- a/lib/src/gateway/gateway_host.rs
+++ b/lib/src/gateway/gateway_host.rs
@@ -220,6 +220,9 @@
     let grace = state.settings.borrow().grace;
     let plan = ShutdownPlan::new(state.now(), grace);
     state.shutdown.set(Some(plan));
+    // Peers take this host's parts of limits as soon as they hear that it is leaving.
+    state.refresh_limits();
+    state.summary_hint.notify_one();
     log::info!(
         "event=host_leaving running={} grace_ms={}",
         state.in_flight.get(),
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -2,22 +2,30 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use tokio::sync::Notify;
 
 use crate::gateway::backend_directory::BackendDirectory;
+use crate::gateway::backend_directory::BackendEntry;
 use crate::gateway::backend_directory::DepartureSource;
 use crate::gateway::backend_directory::DirectoryEffect;
 use crate::gateway::buffer_budget::BufferBudget;
 use crate::gateway::connection_pool::ConnectionPool;
 use crate::gateway::crash_tracker::CrashTracker;
 use crate::gateway::crash_tracker::ExitEvidence;
+use crate::gateway::demand_level::DemandLevel;
+use crate::gateway::demand_level::DemandLevels;
 use crate::gateway::demand_meter::DemandMeter;
 use crate::gateway::directory_gossip::DirectoryGossip;
 use crate::gateway::gateway_metrics::GatewayMetrics;
 use crate::gateway::gateway_settings::GatewaySettings;
-use crate::gateway::limit_table::LimitTable;
+use crate::gateway::limit_belief::LimitChange;
+use crate::gateway::limit_belief::LimitSource;
+use crate::gateway::limit_belief::LimitStatement;
+use crate::gateway::limit_fleet::LimitFleet;
+use crate::gateway::limit_table::LimitListing;
 use crate::gateway::peer_table::PeerTable;
 use crate::gateway::placement::PlacementTable;
 use crate::gateway::process_probe::ProcessProbes;
@@ -85,8 +93,6 @@
     pub directory_gossip: RefCell<DirectoryGossip>,
     /// Load and cached prompt prefixes of the servers.
     pub placement: RefCell<PlacementTable>,
-    /// Limits that servers name.
-    pub limits: RefCell<LimitTable>,
     /// Retry budget.
     pub retries: RefCell<RetryLimiter>,
     /// Quotas.
@@ -99,6 +105,8 @@
     pub probes: ProcessProbes,
     /// Rates of requested tokens.
     pub demand: RefCell<DemandMeter>,
+    /// Demand for each service as it is stated to peers.
+    pub levels: RefCell<DemandLevels>,
     /// Summaries and addresses of the peers.
     pub peers: RefCell<PeerTable>,
     /// Whether peers reported spending that the quotas do not count yet.
@@ -147,13 +155,13 @@
             directory: RefCell::default(),
             directory_gossip: RefCell::default(),
             placement: RefCell::new(PlacementTable::new(settings.zone.clone())),
-            limits: RefCell::default(),
             retries: RefCell::new(RetryLimiter::new(settings.retries)),
             quotas: RefCell::new(quotas),
             ledger: RefCell::new(UsageLedger::new(incarnation.clone(), window_ms)),
             crashes: RefCell::default(),
             probes: ProcessProbes::default(),
             demand: RefCell::default(),
+            levels: RefCell::new(DemandLevels::new(clock.now())),
             peers: RefCell::new(PeerTable::new(settings.host.clone(), settings.zone.clone())),
             has_new_spending: Cell::new(false),
             config_hint: Notify::new(),
@@ -241,6 +249,95 @@
         }
     }
 
+    /// Merges what a server states of its limit for all hosts together.
+    pub fn on_limit_statement(
+        &self,
+        server: &ServerId,
+        started_at_ms: Option<u64>,
+        statement: LimitStatement,
+        source: LimitSource,
+    ) {
+        let now = self.now();
+        let change = {
+            let mut placement = self.placement.borrow_mut();
+            let limits = placement.limits_mut();
+            if limits.is_empty() && matches!(statement, LimitStatement::Unnamed { .. }) {
+                return;
+            }
+            limits.on_statement(now, server, started_at_ms, statement, source)
+        };
+        if change != LimitChange::Unchanged {
+            self.log_limit_change(server, change, source);
+            self.refresh_limits();
+            self.summary_hint.notify_one();
+        }
+    }
+
+    /// Puts into force what servers have stated of their limits for long enough, and updates this host's
+    /// parts of them.
+    pub fn refresh_limits(&self) {
+        let now = self.now();
+        if self.placement.borrow().limits().is_empty() {
+            return;
+        }
+        let changes = self.placement.borrow_mut().limits_mut().settle(now);
+        for (server, change) in changes {
+            self.log_limit_change(&server, change, LimitSource::Server);
+        }
+        let directory = self.directory.borrow();
+        let peers = self.peers.borrow();
+        let levels = self.levels.borrow();
+        let mut fleets: BTreeMap<ServiceName, LimitFleet> = BTreeMap::new();
+        self.placement.borrow_mut().limits_mut().set_parts(now, |server, rate| {
+            let key = directory.find(server);
+            let Some(listed) = key.and_then(|key| directory.get(key)) else {
+                return LimitListing::Unlisted;
+            };
+            let service = &listed.entry.service;
+            let fleet = fleets.entry(service.clone()).or_insert_with(|| {
+                let own_level = match self.shutdown.get() {
+                    Some(_) => DemandLevel::NONE,
+                    None => levels.known_level(now, service),
+                };
+                peers.limit_fleet(now, service, own_level)
+            });
+            LimitListing::Listed(fleet.part(server, rate))
+        });
+        self.count_limits();
+    }
+
+    fn count_limits(&self) {
+        let placement = self.placement.borrow();
+        let (mut count, mut named, mut held) = (0, 0, 0);
+        for (limit, part) in placement.limits().in_force() {
+            count += 1;
+            named += i64::try_from(limit.per_1000_s()).unwrap_or(i64::MAX);
+            held += part.map_or(0, |part| (part.rate * 1_000.0) as i64);
+        }
+        let levels = &self.metrics.levels;
+        levels.with_label_values(&["limited_servers"]).set(count);
+        levels.with_label_values(&["limits_named_per_1000_s"]).set(named);
+        levels.with_label_values(&["limits_held_per_1000_s"]).set(held);
+    }
+
+    fn log_limit_change(&self, server: &ServerId, change: LimitChange, source: LimitSource) {
+        let event = match change {
+            LimitChange::Unchanged => return,
+            LimitChange::InForce(limit) => {
+                log::info!(
+                    "event=server_limit_named server={server} limit_per_s={} source={source:?}",
+                    limit.per_second()
+                );
+                "server_limit_named"
+            }
+            LimitChange::Ended => {
+                log::info!("event=server_limit_ended server={server}");
+                "server_limit_ended"
+            }
+        };
+        self.metrics.events.with_label_values(&[event]).inc();
+    }
+
     /// Records that a server's process exited. Requests that were lost with it may have crashed it.
     pub fn on_server_gone(&self, server: &ServerId, evidence: ExitEvidence) {
         let lost = self.crashes.borrow_mut().on_server_gone(self.now(), server);
@@ -315,8 +412,9 @@
             DirectoryEffect::Joined(_) => self.placement.borrow_mut().reset(key),
             DirectoryEffect::Restarted(_) => {
                 self.placement.borrow_mut().reset(key);
-                let id = self.directory.borrow().get(key).map(|server| server.entry.id.clone());
-                if let Some(id) = id {
+                let entry = self.directory.borrow().get(key).map(|server| server.entry.clone());
+                if let Some(BackendEntry { id, started_at_ms, .. }) = entry {
+                    self.placement.borrow_mut().limits_mut().on_restarted(&id, started_at_ms);
                     self.on_server_gone(&id, ExitEvidence::Restarted);
                 }
             }
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -1,6 +1,7 @@
 //! Builds this host's summaries and applies those of its peers.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use prost::Message as _;
@@ -11,21 +12,28 @@
 use crate::gateway::directory_gossip::decode_change;
 use crate::gateway::directory_gossip::has_missed_changes;
 use crate::gateway::directory_gossip::read_by_enough;
+use crate::gateway::fleet_scaler::TokenDemand;
 use crate::gateway::gateway_state::GatewayState;
+use crate::gateway::limit_belief::LimitSource;
+use crate::gateway::limit_belief::LimitStatement;
+use crate::gateway::limit_table::ToldLimit;
 use crate::gateway::peer_table::RecordScope;
 use crate::gateway::peer_table::SummaryOutcome;
 use crate::gateway::placement::PeerLoad;
+use crate::gateway::server_limit::RequestLimit;
 use crate::gateway::store_follower;
 use crate::gateway::usage_ledger::TeamCounts;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
+use crate::ids::ServiceName;
 use crate::ids::StoreEra;
 use crate::ids::TeamName;
 use crate::protos::gateway::Departure;
 use crate::protos::gateway::HostSummary;
 use crate::protos::gateway::ServerChange;
+use crate::protos::gateway::ServerLimit;
 use crate::protos::gateway::ServerUse;
 use crate::protos::gateway::ServiceDemand;
 use crate::protos::gateway::TeamUse;
@@ -36,6 +44,10 @@
 /// Maximum number of departures in one summary: enough for a zone of servers that leave.
 const MAX_SUMMARY_DEPARTURES: usize = 64;
 
+/// Maximum number of limits in one summary: a quarter of a datagram. If there are more, each summary
+/// tells others of them.
+const MAX_SUMMARY_LIMITS: usize = 48;
+
 /// Updates placement and quotas with the current state of the peers.
 pub fn apply_peer_summaries(state: &GatewayState) {
     let now = state.now();
@@ -67,6 +79,7 @@
     };
     let changes = std::mem::take(&mut summary.changes);
     let departures = std::mem::take(&mut summary.departures);
+    let limits = std::mem::take(&mut summary.limits);
     let known_count = state.peers.borrow().changes_count(&summary);
     let has_missed = has_missed_changes(known_count, summary.changes_count, changes.len());
     let read_age = summary.directory_age_ms.checked_sub(1).map(Duration::from_millis);
@@ -92,6 +105,7 @@
     changes.iter().for_each(|change| apply_server_change(state, change));
     crash_news::apply_crash_news(state, &news);
     departures.into_iter().for_each(|departure| apply_departure(state, departure));
+    limits.iter().take(MAX_SUMMARY_LIMITS).for_each(|told| apply_limit(state, told));
     windows.iter().for_each(|window| merge_window_counts(state, window));
 }
 
@@ -208,6 +222,71 @@
     age.map_or(0, |age| age.as_millis() as u64 + 1)
 }
 
+/// Builds what this host states of the demand for each service. Levels are stated while servers name
+/// limits, which hosts divide by them.
+fn encode_demands(state: &GatewayState, now: Timestamp) -> Vec<ServiceDemand> {
+    let rates = state.demand.borrow_mut().rates(now);
+    let encode = |(service, demand): (&ServiceName, &TokenDemand)| ServiceDemand {
+        service: service.to_string(),
+        prefill_tokens_per_s: demand.prefill as u64,
+        output_tokens_per_s: demand.output as u64,
+        level: None,
+    };
+    let mut demands: Vec<ServiceDemand> = rates.iter().map(encode).collect();
+    let placement = state.placement.borrow();
+    let mut levels = state.levels.borrow_mut();
+    if placement.limits().is_empty() {
+        levels.state_none();
+        return demands;
+    }
+    let directory = state.directory.borrow();
+    let services: BTreeSet<&ServiceName> =
+        directory.iter().map(|(_, server)| &server.entry.service).collect();
+    for service in services {
+        let level = Some(levels.state_level(now, service).number());
+        match demands.iter_mut().find(|demand| demand.service == service.as_str()) {
+            Some(demand) => demand.level = level,
+            None => demands.push(ServiceDemand {
+                service: service.to_string(),
+                level,
+                ..ServiceDemand::default()
+            }),
+        }
+    }
+    demands
+}
+
+fn encode_limit(now: Timestamp, told: &ToldLimit) -> ServerLimit {
+    let (limit, at) = match told.statement {
+        LimitStatement::Named { limit, heard_at } => (limit.per_1000_s(), heard_at),
+        LimitStatement::Unnamed { sent_at } => (0, sent_at),
+    };
+    ServerLimit {
+        server: told.server.to_string(),
+        born_ms: told.started_at_ms,
+        limit_per_1000_s: limit,
+        age_ms: u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX),
+    }
+}
+
+fn apply_limit(state: &GatewayState, told: &ServerLimit) {
+    let server = match ServerId::try_from(told.server.as_str()) {
+        Ok(server) => server,
+        Err(error) => {
+            log::warn!("event=server_limit_skipped code=404 detail=\"{error}\"");
+            return;
+        }
+    };
+    let at = state.now() - Duration::from_millis(told.age_ms);
+    let statement = match told.limit_per_1000_s {
+        0 => LimitStatement::Unnamed { sent_at: at },
+        limit => {
+            LimitStatement::Named { limit: RequestLimit::from_per_1000_s(limit), heard_at: at }
+        }
+    };
+    state.on_limit_statement(&server, told.born_ms, statement, LimitSource::Peer);
+}
+
 /// Builds summary number `sequence`.
 pub fn build_summary(state: &GatewayState, sequence: u64) -> HostSummary {
     let now = state.now();
@@ -235,12 +314,8 @@
         window,
         counts: counts.into_iter().map(|(team, count)| (team.into(), count)).collect(),
     });
-    let demands = state.demand.borrow_mut().rates(now);
-    let demands = demands.into_iter().map(|(service, demand)| ServiceDemand {
-        service: service.to_string(),
-        prefill_tokens_per_s: demand.prefill as u64,
-        output_tokens_per_s: demand.output as u64,
-    });
+    let limits = board.limits().told(now, sequence, MAX_SUMMARY_LIMITS);
+    let limits = limits.into_iter().map(|told| encode_limit(now, &told));
     let peers_read_to = read_by_enough(state.peers.borrow().directory_positions(now));
     let recent = state.directory_gossip.borrow_mut().recent_changes(now, peers_read_to);
     let directory_read_to = state.directory_gossip.borrow().read_to();
@@ -257,7 +332,9 @@
         teams: teams.collect(),
         servers: servers.collect(),
         windows: windows.collect(),
-        demands: demands.collect(),
+        demands: encode_demands(state, now),
+        limits: limits.collect(),
+        leaving: state.shutdown.get().is_some(),
         crashes: news.crashes,
         cleared_parts: news.cleared_parts,
         verdicts: news.verdicts,
--- a/lib/src/gateway/peer_gossip.rs
+++ b/lib/src/gateway/peer_gossip.rs
@@ -108,6 +108,7 @@
         watch.record(state, &outcome);
         let now = state.now();
         if let Ok(listed) = outcome {
+            state.peers.borrow_mut().on_list_read();
             for peer in listed {
                 state.peers.borrow_mut().on_listed(now, peer.host, peer.address);
             }
@@ -284,6 +285,7 @@
     state.judge_crashes();
     state.pool.close_expired();
     host_summary::apply_peer_summaries(state);
+    state.refresh_limits();
     let running = i64::try_from(state.in_flight.get()).unwrap_or(i64::MAX);
     state.metrics.levels.with_label_values(&["running_requests"]).set(running);
 }
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -14,6 +14,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::gateway::demand_level::DemandLevel;
+use crate::gateway::limit_fleet::FleetHost;
+use crate::gateway::limit_fleet::FleetSize;
+use crate::gateway::limit_fleet::LimitFleet;
 use crate::gateway::quota_limiter::PeerReachability;
 use crate::gateway::quota_limiter::TeamSpending;
 use crate::gateway::usage_ledger::HostIncarnation;
@@ -21,6 +25,7 @@
 use crate::ids::Incarnation;
 use crate::ids::LogOffset;
 use crate::ids::LogPosition;
+use crate::ids::ServiceName;
 use crate::ids::StoreEra;
 use crate::ids::TeamName;
 use crate::ids::ZoneName;
@@ -49,6 +54,10 @@
 /// Time without a summary after which a peer is not chosen as a relay; a few summaries may be lost.
 const RELAY_TTL: Duration = Duration::from_millis(1_800);
 
+/// Time without a summary for which a peer still counts as a holder of limits: it may hear no
+/// summaries either, and must have stopped before another host takes its parts.
+const HOLDER_TTL: Duration = Duration::from_secs(6);
+
 /// Time without a summary after which a peer's address is dropped.
 const CONTACT_TTL: Duration = Duration::from_secs(30);
 
@@ -129,6 +138,8 @@
     zone: ZoneName,
     entries: BTreeMap<HostIncarnation, PeerEntry>,
     contacts: BTreeMap<HostId, PeerContact>,
+    /// Whether the list of hosts was read.
+    is_listed: bool,
     /// Spending of all entries, updated incrementally since it is read after every summary.
     total_spending: BTreeMap<TeamName, TeamSpending>,
 }
@@ -144,6 +155,8 @@
     heard_at: Option<Timestamp>,
     /// Time between two summaries, as the host stated it.
     period: Duration,
+    /// Whether the host says that it is leaving.
+    is_leaving: bool,
 }
 
 fn stated_period(summary: &HostSummary) -> Duration {
@@ -166,17 +179,29 @@
             zone,
             entries: BTreeMap::new(),
             contacts: BTreeMap::new(),
+            is_listed: false,
             total_spending: BTreeMap::new(),
         }
     }
 
+    /// Records that the list of hosts was read.
+    pub fn on_list_read(&mut self) {
+        self.is_listed = true;
+    }
+
     /// Adds a host whose address was read from the store.
     pub fn on_listed(&mut self, now: Timestamp, host: HostId, address: SocketAddr) {
         if host == self.own {
             return;
         }
-        let period = Duration::ZERO;
-        let contact = PeerContact { address, zone: None, listed_at: now, heard_at: None, period };
+        let contact = PeerContact {
+            address,
+            zone: None,
+            listed_at: now,
+            heard_at: None,
+            period: Duration::ZERO,
+            is_leaving: false,
+        };
         self.contacts.entry(host).or_insert(contact);
     }
 
@@ -204,7 +229,8 @@
         let zone = ZoneName::try_from(summary.zone.as_str()).ok();
         let period = stated_period(&summary);
         let heard_at = Some(now);
-        let contact = PeerContact { address, zone, listed_at: now, heard_at, period };
+        let is_leaving = summary.leaving;
+        let contact = PeerContact { address, zone, listed_at: now, heard_at, period, is_leaving };
         let known = self.contacts.insert(host, contact);
         self.insert_entry(incarnation, PeerEntry { heard_at: now, summary });
         match known.is_some_and(|known| known.is_live(now)) {
@@ -311,6 +337,44 @@
         known > 0 && (heard + 1) * 2 <= hosts
     }
 
+    /// Returns the hosts that may send to the servers of a service. `own_level` is this host's demand.
+    pub fn limit_fleet(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        own_level: DemandLevel,
+    ) -> LimitFleet {
+        let mut newest: BTreeMap<&HostId, &HostSummary> = BTreeMap::new();
+        for ((host, _), entry) in &self.entries {
+            let is_holder = *host != self.own
+                && entry.summary.sequence > 0
+                && now.since(entry.heard_at) < HOLDER_TTL;
+            if is_holder {
+                // Incarnations of a host are in order.
+                newest.insert(host, &entry.summary);
+            }
+        }
+        let peers = newest.into_iter().filter(|(_, summary)| !summary.leaving);
+        let peers = peers.map(|(host, summary)| {
+            let demand = summary.demands.iter().find(|demand| demand.service == service.as_str());
+            let level = demand.and_then(|demand| demand.level);
+            FleetHost::new(host, level.map_or(DemandLevel::UNSTATED, DemandLevel::stated))
+        });
+        LimitFleet::new(FleetHost::new(&self.own, own_level), peers.collect(), self.fleet_size())
+    }
+
+    /// Returns how many hosts there are, without those that say that they are leaving.
+    fn fleet_size(&self) -> FleetSize {
+        let heard = self.contacts.values().filter(|contact| contact.heard_at.is_some());
+        let staying = heard.filter(|contact| !contact.is_leaving).count();
+        let hosts = |count: usize| FleetSize::Hosts(u32::try_from(count + 1).unwrap_or(u32::MAX));
+        match staying {
+            0 if !self.is_listed => FleetSize::Unknown,
+            0 => hosts(self.contacts.values().filter(|contact| !contact.is_leaving).count()),
+            staying => hosts(staying),
+        }
+    }
+
     /// Returns whether no peer with a smaller name is heard from.
     pub fn is_first_live(&self, now: Timestamp) -> bool {
         !self.contacts.range::<HostId, _>(..&self.own).any(|(_, contact)| contact.is_live(now))
--- a/lib/src/gateway/placement.rs
+++ b/lib/src/gateway/placement.rs
@@ -18,6 +18,8 @@
 use crate::gateway::backend_directory::BackendDirectory;
 use crate::gateway::backend_directory::BackendServer;
 use crate::gateway::caller_request::PromptShape;
+use crate::gateway::limit_table::LimitState;
+use crate::gateway::limit_table::LimitTable;
 use crate::gateway::server_health::HealthEvidence;
 use crate::gateway::server_health::ServerHealth;
 use crate::gateway::server_pause::PauseState;
@@ -55,6 +57,17 @@
 /// Maximum number of cached prefixes tracked per server; the least recently used are evicted first.
 const MAX_WARM_PREFIXES: usize = 512;
 
+/// Cost of a place at a server that names a limit, in milliseconds: a request takes one if it saves
+/// that much prefill or waiting, so that places are left for those that need them.
+const LIMITED_ENGINE_COST_MS: f64 = 120.0;
+
+/// The same for an application server: twice that of waiting for a slot.
+const LIMITED_APP_COST_MS: f64 = 16.0;
+
+/// Time after the last response that named a limit from which on a place costs nothing, since only a
+/// response shows that the limit has ended.
+const LIMIT_CHECK_TIME: Duration = Duration::from_secs(2);
+
 /// Load that other hosts put on a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PeerLoad {
@@ -98,13 +111,17 @@
         running: u32,
         /// Prompt tokens of the request that the server has to prefill.
         uncached_tokens: u64,
+        /// Servers that their limits closed to this host.
+        limited: u32,
     },
-    /// Every server is full.
+    /// Every server is full, or accepts no request from this host for now.
     Full,
-    /// Every server asked this host for a pause.
-    Paused {
-        /// When the first pause ends.
+    /// Every server asked this host for a pause or has reached its limit.
+    Closed {
+        /// When the first one opens.
         until: Timestamp,
+        /// Servers that their limits closed to this host.
+        limited: u32,
     },
     /// No server of the service is known.
     NoServer,
@@ -116,12 +133,27 @@
     zone: ZoneName,
     loads: SecondaryMap<ServerKey, ServerLoad>,
     pauses: PauseTable,
+    limits: LimitTable,
+}
+
+/// The servers that accept requests from this host.
+struct OpenServers<'a> {
+    servers: Vec<(ServerKey, &'a BackendServer)>,
+    /// When the first of the others opens.
+    first_opens_at: Option<Timestamp>,
+    /// How many of the others their limits closed.
+    limited: u32,
 }
 
 impl PlacementTable {
     /// Creates an empty table for a host in the given zone.
     pub fn new(zone: ZoneName) -> Self {
-        Self { zone, loads: SecondaryMap::new(), pauses: PauseTable::default() }
+        Self {
+            zone,
+            loads: SecondaryMap::new(),
+            pauses: PauseTable::default(),
+            limits: LimitTable::default(),
+        }
     }
 
     /// Adds a server, or clears the state of one that restarted.
@@ -150,10 +182,10 @@
         if ready.is_empty() {
             return PlacementChoice::NoServer;
         }
-        let open = match self.open_servers(now, ready) {
-            Ok(open) => open,
-            Err(until) => return PlacementChoice::Paused { until },
-        };
+        let OpenServers { servers: open, first_opens_at, limited } = self.open_servers(now, ready);
+        if let Some(until) = first_opens_at.filter(|_| open.is_empty()) {
+            return PlacementChoice::Closed { until, limited };
+        }
         let is_healthy = |(key, server): &(ServerKey, &BackendServer)| {
             !server.is_missing
                 && !self.is_avoided(now, *key)
@@ -171,34 +203,75 @@
             let Some((cost, choice)) = self.cost_at(now, key, server, home, query) else {
                 continue;
             };
+            let cost = cost + self.limit_cost(now, server, query);
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, choice));
             }
         }
-        best.map_or(PlacementChoice::Full, |(_, choice)| choice)
+        match best {
+            Some((_, PlacementChoice::Server { key, running, uncached_tokens, .. })) => {
+                PlacementChoice::Server { key, running, uncached_tokens, limited }
+            }
+            Some((_, choice)) => choice,
+            None => PlacementChoice::Full,
+        }
     }
 
-    /// Returns the servers that asked for no pause, or when the first pause ends if all did.
+    /// Returns the servers that neither a pause nor a limit closes to this host.
     fn open_servers<'a>(
         &self,
         now: Timestamp,
         ready: Vec<(ServerKey, &'a BackendServer)>,
-    ) -> Result<Vec<(ServerKey, &'a BackendServer)>, Timestamp> {
-        let mut first_end: Option<Timestamp> = None;
-        let mut open = ready;
-        open.retain(|(_, server)| match self.pauses.state(now, &server.entry.id) {
-            PauseState::Open | PauseState::OnTrial => true,
-            PauseState::PausedUntil(until) => {
-                first_end = Some(first_end.map_or(until, |first| first.min(until)));
-                false
-            }
+    ) -> OpenServers<'a> {
+        let mut open = OpenServers { servers: ready, first_opens_at: None, limited: 0 };
+        let OpenServers { servers, first_opens_at, limited } = &mut open;
+        servers.retain(|(_, server)| {
+            let entry = &server.entry;
+            let paused_until = match self.pauses.state(now, &entry.id) {
+                PauseState::Open | PauseState::OnTrial => None,
+                PauseState::PausedUntil(until) => Some(until),
+            };
+            let limited_until = match self.limits.state(now, &entry.id, entry.started_at_ms) {
+                LimitState::Unlimited | LimitState::Open { .. } => None,
+                LimitState::ClosedUntil(until) => Some(until),
+            };
+            *limited += u32::from(limited_until.is_some());
+            let Some(opens_at) = paused_until.max(limited_until) else { return true };
+            *first_opens_at = Some(first_opens_at.map_or(opens_at, |first| first.min(opens_at)));
+            false
         });
-        match first_end {
-            Some(until) if open.is_empty() => Err(until),
-            _ => Ok(open),
+        open
+    }
+
+    /// Returns the cost of a place at a server, in milliseconds.
+    fn limit_cost(
+        &self,
+        now: Timestamp,
+        server: &BackendServer,
+        query: &PlacementQuery<'_>,
+    ) -> f64 {
+        let entry = &server.entry;
+        match self.limits.state(now, &entry.id, entry.started_at_ms) {
+            LimitState::Open { named_at } if now.since(named_at) < LIMIT_CHECK_TIME => {
+                match query.prompt {
+                    Some(_) => LIMITED_ENGINE_COST_MS,
+                    None => LIMITED_APP_COST_MS,
+                }
+            }
+            LimitState::Open { .. } | LimitState::Unlimited | LimitState::ClosedUntil(_) => 0.0,
         }
     }
 
+    /// Returns the limits that servers name.
+    pub fn limits(&self) -> &LimitTable {
+        &self.limits
+    }
+
+    /// Returns the limits that servers name, to change them.
+    pub fn limits_mut(&mut self) -> &mut LimitTable {
+        &mut self.limits
+    }
+
     /// Returns whether a server asked this host for a pause that has not ended.
     pub fn is_paused(&self, now: Timestamp, server: &ServerId) -> bool {
         matches!(self.pauses.state(now, server), PauseState::PausedUntil(_))
@@ -316,7 +389,7 @@
         let zone_cost = if server.entry.zone == self.zone { 0.0 } else { CROSS_ZONE_COST_MS };
         let Some(prompt) = query.prompt else {
             let queued = f64::from(running) / f64::from(server.entry.slots.max(1));
-            let choice = PlacementChoice::Server { key, running, uncached_tokens: 0 };
+            let choice = PlacementChoice::Server { key, running, uncached_tokens: 0, limited: 0 };
             // Another zone costs less than waiting for a slot, and more than sharing the server.
             return Some((queued.floor() * CROSS_ZONE_COST_MS * 2.0 + zone_cost + queued, choice));
         };
@@ -326,7 +399,7 @@
         let cost = tokens_to_read / PREFILL_TOKENS_PER_MS
             + f64::from(running) * BATCH_MS_PER_REQUEST
             + zone_cost;
-        Some((cost, PlacementChoice::Server { key, running, uncached_tokens }))
+        Some((cost, PlacementChoice::Server { key, running, uncached_tokens, limited: 0 }))
     }
 }
 
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt of a request at one backend server.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -30,7 +31,8 @@
 use crate::gateway::event_splitter::EventSplitter;
 use crate::gateway::event_splitter::StreamEvent;
 use crate::gateway::gateway_state::GatewayState;
-use crate::gateway::limit_table::LimitChange;
+use crate::gateway::limit_belief::LimitSource;
+use crate::gateway::limit_belief::LimitStatement;
 use crate::gateway::platform_api::HeadError;
 use crate::gateway::platform_api::ResponseClass;
 use crate::gateway::platform_api::ServerNotice;
@@ -63,6 +65,10 @@
     started_at_ms: Option<u64>,
     /// Prompt tokens that still count as not prefilled.
     pending_prefill_tokens: u64,
+    /// Whether it keeps a place at its server's limit, until it is handed to a connection.
+    has_reserved: Cell<bool>,
+    /// When it was handed to a connection.
+    sent_at: Cell<Timestamp>,
 }
 
 impl ServerAttempt {
@@ -73,7 +79,7 @@
         request: &AcceptedRequest,
         placed: PlacedServer,
     ) -> Option<Self> {
-        let PlacedServer { key, running, uncached_tokens } = placed;
+        let PlacedServer { key, running, uncached_tokens, limited } = placed;
         let now = state.now();
         let (id, address, started_at_ms, read_age) = {
             let directory = state.directory.borrow();
@@ -81,17 +87,22 @@
             let BackendEntry { id, address, started_at_ms, .. } = &server.entry;
             (id.clone(), *address, *started_at_ms, directory.read_age(now))
         };
-        let limit = state.limits.borrow().limit(&id);
+        let limit = state.placement.borrow().limits().limit(&id, started_at_ms);
         log::info!(
             "event=attempt_started request={} server={id} running={running} \
-             uncached_tokens={uncached_tokens} directory_age_ms={} peers={} limit_per_s={}",
+             uncached_tokens={uncached_tokens} directory_age_ms={} peers={} limit_per_s={} \
+             closed_by_limits={limited}",
             request.head.request_id,
             read_age.unwrap_or_default().as_millis(),
             state.peers.borrow().live_peers(now),
             limit.map_or("-".to_owned(), |limit| limit.per_second().to_string()),
         );
         let prompt = request.head.prompt.as_ref();
-        state.placement.borrow_mut().on_sent(now, key, prompt, uncached_tokens);
+        {
+            let mut placement = state.placement.borrow_mut();
+            placement.on_sent(now, key, prompt, uncached_tokens);
+            placement.limits_mut().reserve(&id);
+        }
         record_demand(state, request, uncached_tokens);
         Some(Self {
             state: state.clone(),
@@ -102,6 +113,8 @@
             answer_begun_at: None,
             started_at_ms,
             pending_prefill_tokens: uncached_tokens,
+            has_reserved: Cell::new(true),
+            sent_at: Cell::new(now),
         })
     }
 
@@ -116,6 +129,18 @@
         self.on_prefilled();
     }
 
+    /// Records that something of the response arrived.
+    pub fn on_heard(&self) {
+        let now = self.state.now();
+        self.state.placement.borrow_mut().limits_mut().on_heard(now, &self.id);
+    }
+
+    fn release_place(&self) {
+        if self.has_reserved.take() {
+            self.state.placement.borrow_mut().limits_mut().release(&self.id);
+        }
+    }
+
     /// Records that the server has prefilled the prompt.
     fn on_prefilled(&mut self) {
         let tokens = std::mem::take(&mut self.pending_prefill_tokens);
@@ -126,6 +151,7 @@
 impl Drop for ServerAttempt {
     fn drop(&mut self) {
         self.on_prefilled();
+        self.release_place();
         self.state.placement.borrow_mut().on_ended(self.key);
     }
 }
@@ -216,7 +242,7 @@
     let state = attempt.state.clone();
     let message = AttemptRequest { server: attempt.server(), time_left, resume_after };
     let message = request.message(wire, &message);
-    let is_wanted = || hand_over(&state, request, attempt.server());
+    let is_wanted = || hand_over(&state, request, &attempt);
     let (response, connection) = match state.pool.call_if(attempt.address, message, is_wanted).await
     {
         Ok(called) => called,
@@ -264,15 +290,22 @@
 }
 
 /// Returns whether a request may be handed to its server's connection, and records it if so.
-fn hand_over(state: &GatewayState, request: &AcceptedRequest, server: &ServerId) -> bool {
-    let now = state.now();
+fn hand_over(state: &GatewayState, request: &AcceptedRequest, attempt: &ServerAttempt) -> bool {
+    let (now, server) = (state.now(), attempt.server());
     if state.crashes.borrow().is_refused(&request.work) {
         return false;
     }
+    attempt.release_place();
     let mut placement = state.placement.borrow_mut();
     if placement.is_paused(now, server) {
         return false;
     }
+    if !placement.limits_mut().take(now, server, attempt.started_at_ms) {
+        state.metrics.events.with_label_values(&["limit_withheld"]).inc();
+        log::info!("event=limit_withheld request={} server={server}", request.head.request_id);
+        return false;
+    }
+    attempt.sent_at.set(now);
     placement.on_handed_over(now, server);
     true
 }
@@ -288,7 +321,7 @@
         state.metrics.events.with_label_values(&["server_notice_skipped"]).inc();
         log::warn!("event=server_notice_skipped code=404 server={server} detail=\"{error}\"");
     }
-    record_limit(state, server, notice.limit);
+    record_limit(state, attempt, notice.limit);
     if notice.is_leaving {
         state.on_departure(server, attempt.started_at_ms, DepartureSource::Server);
     }
@@ -303,24 +336,15 @@
     }
 }
 
-fn record_limit(state: &GatewayState, server: &ServerId, notice: LimitNotice) {
-    let mut limits = state.limits.borrow_mut();
-    match limits.on_notice(server, notice) {
-        LimitChange::Unchanged => return,
-        LimitChange::Named(limit) => {
-            state.metrics.events.with_label_values(&["server_limit_named"]).inc();
-            log::info!(
-                "event=server_limit_named server={server} limit_per_s={} source=server",
-                limit.per_second()
-            );
-        }
-        LimitChange::Ended => {
-            state.metrics.events.with_label_values(&["server_limit_ended"]).inc();
-            log::info!("event=server_limit_ended server={server} source=server");
-        }
-    }
-    let limited = i64::try_from(limits.len()).unwrap_or(i64::MAX);
-    state.metrics.levels.with_label_values(&["limited_servers"]).set(limited);
+fn record_limit(state: &GatewayState, attempt: &ServerAttempt, notice: LimitNotice) {
+    attempt.on_heard();
+    let statement = match notice {
+        LimitNotice::Named(limit) => LimitStatement::Named { limit, heard_at: state.now() },
+        LimitNotice::Unnamed => LimitStatement::Unnamed { sent_at: attempt.sent_at.get() },
+        LimitNotice::Unknown => return,
+    };
+    let server = attempt.server();
+    state.on_limit_statement(server, attempt.started_at_ms, statement, LimitSource::Server);
 }
 
 /// Reads a stream up to its first complete event, until the deadline.
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -265,6 +265,7 @@
                 Ok(None) => return None,
                 Err(error) => return Some(self.lose_stream(stream, &error.to_string())),
             };
+            stream.attempt.on_heard();
             // This stream is kept, so the attempts beside it are not needed.
             self.race.drop_rest(&mut self.plan);
             if std::mem::take(&mut stream.is_silent) {
--- a/lib/src/protos/pomelostack.gateway.rs
+++ b/lib/src/protos/pomelostack.gateway.rs
@@ -75,6 +75,12 @@
     /// Some of the verdicts that the sender knows; each is told from time to time.
     #[prost(message, repeated, tag = "25")]
     pub verdicts: ::prost::alloc::vec::Vec<CrashVerdict>,
+    /// Limits that servers stated to the sender, or their ends.
+    #[prost(message, repeated, tag = "26")]
+    pub limits: ::prost::alloc::vec::Vec<ServerLimit>,
+    /// Whether the sender is leaving.
+    #[prost(bool, tag = "27")]
+    pub leaving: bool,
 }
 /// Quota units of one team in the sliding window.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -120,6 +126,25 @@
     pub prefill_tokens_per_s: u64,
     #[prost(uint64, tag = "3")]
     pub output_tokens_per_s: u64,
+    /// Level of the sender's requests for the service; stated only while servers name limits.
+    #[prost(uint32, optional, tag = "4")]
+    pub level: ::core::option::Option<u32>,
+}
+/// What a backend server stated of the requests that it accepts from all hosts together.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ServerLimit {
+    #[prost(string, tag = "1")]
+    pub server: ::prost::alloc::string::String,
+    /// Start time of its process in milliseconds since 1970, if known.
+    #[prost(uint64, optional, tag = "2")]
+    pub born_ms: ::core::option::Option<u64>,
+    /// Requests per 1,000 seconds; 0 if it named no limit.
+    #[prost(uint64, tag = "3")]
+    pub limit_per_1000_s: u64,
+    /// Milliseconds since the response that named the limit; since the request was sent, if the response
+    /// named none.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
 }
 /// A directory record: an entry, or its removal if the address is empty.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -197,10 +197,10 @@
     assert_eq!(fixture.chosen(None), fixture.keys[1]);
     fixture.table.on_pause(now(), &ids[1], Duration::from_millis(300));
     let until = now() + Duration::from_millis(300);
-    assert_eq!(fixture.choose(None, &[]), PlacementChoice::Paused { until });
+    assert_eq!(fixture.choose(None, &[]), PlacementChoice::Closed { until, limited: 0 });
     // A new key of the same server, after its entry was missing, has the same pause.
     fixture.table.reset(fixture.keys[0]);
-    assert_eq!(fixture.choose(None, &[]), PlacementChoice::Paused { until });
+    assert_eq!(fixture.choose(None, &[]), PlacementChoice::Closed { until, limited: 0 });
 }
 
 #[test]
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod host_registry;
 pub mod http_standin;
 pub mod journal;
+pub mod limit_simulator;
 pub mod log_fake;
 pub mod log_standin;
 pub mod logged_gateway;
