--- a/lib/testutils/src/deployment_server.rs
+++ b/lib/testutils/src/deployment_server.rs
@@ -17,6 +17,8 @@
 use hyper::StatusCode;
 use hyper::body::Frame;
 use hyper::body::Incoming;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -33,6 +35,7 @@
 use crate::deployment_standin::READY;
 use crate::deployment_standin::SERVER_TOPIC;
 use crate::deployment_standin::STREAM_EVENTS;
+use crate::deployment_state::LimitAnswer;
 use crate::deployment_state::ReplicaCrash;
 use crate::deployment_state::ReplicaMode;
 use crate::deployment_state::ReplicaRun;
@@ -56,8 +59,7 @@
 /// Time from the begin of a request to the crash that it causes.
 const CRASH_DELAY: Duration = Duration::from_millis(30);
 /// Field with the limit of a replica.
-const SERVER_LIMIT: hyper::header::HeaderName =
-    hyper::header::HeaderName::from_static("server-limit");
+const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 /// Interval between the events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -147,6 +149,7 @@
     let id = format!("i-{index}-crash{}", state.crashes.len());
     let replica = &mut state.replicas[index];
     (replica.id, replica.state, replica.sequence) = (id, READY, 1);
+    replica.limit = None;
     let (key, value) = (replica.id.clone(), replica.entry(address).to_string());
     write(state, WrittenRecord { topic: SERVER_TOPIC, key, value });
 }
@@ -193,10 +196,9 @@
         }
         Role::Platform(_) => Ok(answer_cloud(&state, request).await),
         Role::Replica(index) => {
+            let request_id = request.headers().get("request-id").cloned();
             let mut reply = answer_replica(&state, index, request).await?;
-            let limit = lock(&state).replicas[index].limit.clone();
-            let limit = limit.map(hyper::header::HeaderValue::try_from).and_then(Result::ok);
-            reply.headers_mut().extend(limit.map(|limit| (SERVER_LIMIT, limit)));
+            reply.headers_mut().extend(name_limit(&state, index, request_id.as_ref()));
             if let Some(response) = reply.extensions_mut().remove::<Takeover>() {
                 takeovers.send(response).map_err(std::io::Error::other)?;
                 std::future::pending::<()>().await;
@@ -206,6 +208,20 @@
     }
 }
 
+/// Returns the field in which a replica names its limit, and records it.
+fn name_limit(
+    state: &SharedState,
+    index: usize,
+    request_id: Option<&HeaderValue>,
+) -> Option<(HeaderName, HeaderValue)> {
+    let state = &mut lock(state);
+    let limit = state.replicas[index].limit.clone()?;
+    let request_id = request_id.and_then(|id| id.to_str().ok()).unwrap_or_default().to_owned();
+    let replica_id = state.replicas[index].id.clone();
+    state.limit_answers.push(LimitAnswer { replica_id, request_id, at: Instant::now() });
+    Some((SERVER_LIMIT, HeaderValue::try_from(limit).ok()?))
+}
+
 fn full_response(status: StatusCode, body: impl Into<Bytes>) -> StandinReply {
     let mut reply = Response::new(Either::Left(Full::new(body.into())));
     *reply.status_mut() = status;
--- a/lib/testutils/src/deployment_standin.rs
+++ b/lib/testutils/src/deployment_standin.rs
@@ -19,6 +19,8 @@
 use crate::store_core::PARTITIONS;
 
 pub use crate::deployment_server::event_text;
+pub use crate::deployment_state::LimitAnswer;
+pub use crate::deployment_state::LimitRecord;
 pub use crate::deployment_state::ReplicaCrash;
 pub use crate::deployment_state::ReplicaMode;
 pub use crate::deployment_state::ReplicaRun;
@@ -108,7 +110,7 @@
 
     /// Makes a replica name a limit in its answers from now on, or none.
     pub fn set_limit(&self, index: usize, limit: Option<&str>) {
-        lock(&self.state).replicas[index].limit = limit.map(str::to_owned);
+        lock(&self.state).set_limit(index, limit.map(str::to_owned));
     }
 
     /// Sets how the store handles calls over a link.
@@ -138,6 +140,7 @@
         {
             let replica = &mut lock(&self.state).replicas[index];
             (replica.id, replica.state, replica.sequence) = (id.to_owned(), READY, 0);
+            replica.limit = None;
         }
         self.renew_entry(index);
     }
@@ -290,6 +293,16 @@
         lock(&self.state).rejections.clone()
     }
 
+    /// Returns the changes of the limits that replicas name, in order. A new process names none.
+    pub fn limit_records(&self) -> Vec<LimitRecord> {
+        lock(&self.state).limit_records.clone()
+    }
+
+    /// Returns the answers that named a limit, in order.
+    pub fn limit_answers(&self) -> Vec<LimitAnswer> {
+        lock(&self.state).limit_answers.clone()
+    }
+
     /// Returns the requests that the replicas executed, in order.
     pub fn runs(&self) -> Vec<ReplicaRun> {
         lock(&self.state).runs.clone()
--- a/lib/testutils/src/deployment_state.rs
+++ b/lib/testutils/src/deployment_state.rs
@@ -212,6 +212,28 @@
     pub crashing_part: Option<u64>,
 }
 
+/// A change of the limit that a replica names.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LimitRecord {
+    /// Id of the replica.
+    pub replica_id: String,
+    /// When it changed.
+    pub at: Instant,
+    /// The limit as it is sent; `None` if it names none.
+    pub limit: Option<String>,
+}
+
+/// An answer of a replica that named its limit.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LimitAnswer {
+    /// Id of the replica.
+    pub replica_id: String,
+    /// Request id.
+    pub request_id: String,
+    /// When its head was sent.
+    pub at: Instant,
+}
+
 /// A request that a replica turned away until later.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TurnedAway {
@@ -253,9 +275,19 @@
     pub(crate) crash_down: Duration,
     pub(crate) crashes: Vec<ReplicaCrash>,
     pub(crate) rejections: Vec<TurnedAway>,
+    pub(crate) limit_records: Vec<LimitRecord>,
+    pub(crate) limit_answers: Vec<LimitAnswer>,
 }
 
 impl DeploymentState {
+    /// Changes the limit that a replica names.
+    pub(crate) fn set_limit(&mut self, index: usize, limit: Option<String>) {
+        let replica = &mut self.replicas[index];
+        replica.limit.clone_from(&limit);
+        let replica_id = replica.id.clone();
+        self.limit_records.push(LimitRecord { replica_id, at: Instant::now(), limit });
+    }
+
     /// Returns what the operator and the replicas wrote since the last restore.
     pub(crate) fn since_restore(&self) -> impl Iterator<Item = &WrittenRecord> {
         self.written.iter().skip(self.restored_at)
--- a/lib/testutils/src/limit_simulator.rs
+++ b/lib/testutils/src/limit_simulator.rs
@@ -46,7 +46,7 @@
 const SLACK: f64 = 5.0;
 
 /// Time until what a server names holds for the hosts that passed it on.
-const NOTICE_TIME: Duration = Duration::from_millis(500);
+pub const NOTICE_TIME: Duration = Duration::from_millis(500);
 
 /// Time from the process's clock to the begin of a simulation: all hosts have run for a while.
 const WARM_TIME: Duration = Duration::from_secs(60);
@@ -96,6 +96,19 @@
     pub fn at(&self, now: Timestamp) -> Option<f64> {
         self.0.iter().rev().find(|(from, _)| *from <= now).and_then(|(_, limit)| *limit)
     }
+
+    /// Returns the requests that are allowed in a window; `None` if the server names no limit in a part
+    /// of it. A lower limit holds once it could be noticed.
+    pub fn allowed(&self, begin: Timestamp) -> Option<f64> {
+        let mut requests = 0.0;
+        let steps = (WINDOW.as_millis() / STEP.as_millis()) as u32;
+        for step in 0..steps {
+            let at = begin + STEP * step;
+            let limit = self.at(at)?.max(self.at(at - NOTICE_TIME)?);
+            requests += limit;
+        }
+        Some(requests * STEP.as_secs_f64() * 1.5 + SLACK)
+    }
 }
 
 /// What happens to the fleet besides the requests.
@@ -172,7 +185,7 @@
             while told.get(last).is_some_and(|at| at.since(*begin) < WINDOW) {
                 last += 1;
             }
-            let Some(allowed) = allowed_in_window(schedule, *begin) else { continue };
+            let Some(allowed) = schedule.allowed(*begin) else { continue };
             let count = last - first;
             let excess = |(count, allowed, _): (usize, f64, Timestamp)| count as f64 - allowed;
             let found = (count, allowed, *begin);
@@ -191,19 +204,6 @@
     }
 }
 
-/// Returns the requests that are allowed in a window; `None` if the server names no limit in a part of
-/// it. A lower limit holds once it could be noticed.
-fn allowed_in_window(schedule: &LimitSchedule, begin: Timestamp) -> Option<f64> {
-    let mut allowed = 0.0;
-    let steps = (WINDOW.as_millis() / STEP.as_millis()) as u32;
-    for step in 0..steps {
-        let at = begin + STEP * step;
-        let limit = schedule.at(at)?.max(schedule.at(at - NOTICE_TIME)?);
-        allowed += limit * STEP.as_secs_f64();
-    }
-    Some(allowed * 1.5 + SLACK)
-}
-
 struct SimHost {
     name: HostId,
     table: LimitTable,
--- a/soak/src/fault_injector.rs
+++ b/soak/src/fault_injector.rs
@@ -45,6 +45,12 @@
     Rewrite(RewriteScope, Duration),
     Start(usize),
     Thaw(usize),
+    /// A replica's process names this limit, or none, unless another process has taken its place.
+    Limit {
+        replica: usize,
+        id: String,
+        limit: Option<&'static str>,
+    },
 }
 
 /// Injects the faults of a run and records when they disturbed what.
@@ -157,6 +163,11 @@
                 self.world.standin.rewrite_lost(scope);
                 self.disturb(DisturbedPart::Store, returned_at, now);
             }
+            FaultStep::Limit { replica, id, limit } => {
+                if self.world.standin.replica(replica).0 == id {
+                    self.world.standin.set_limit(replica, limit);
+                }
+            }
             FaultStep::Start(host) => {
                 self.fleet.start_host(host)?;
                 self.disturb(DisturbedPart::Host(host), now, now);
@@ -220,6 +231,13 @@
             PlannedFault::Silence { replica, duration } => {
                 self.world.standin.silence_replica(replica, duration);
             }
+            PlannedFault::Limits { replica, limits } => {
+                let (id, _) = self.world.standin.replica(replica);
+                for (after, limit) in limits {
+                    let step = FaultStep::Limit { replica, id: id.clone(), limit };
+                    self.steps.push((now + after, step));
+                }
+            }
             PlannedFault::Replica { replica, mode, duration } => {
                 self.next_mode += 1;
                 self.replica_modes.insert(replica, self.next_mode);
--- a/soak/src/fault_plan.rs
+++ b/soak/src/fault_plan.rs
@@ -31,6 +31,15 @@
 /// Longest time between two notices of replicas.
 const MAX_NOTICE_PERIOD: Duration = Duration::from_millis(3_000);
 
+/// Longest time between the begins of two series of limits.
+const MAX_LIMITS_PERIOD: Duration = Duration::from_secs(8);
+
+/// Limits that replicas name, as they are sent.
+const LIMITS: &[&str] = &["0.2", "0.5", "1", "1.1", "2", "5", "12"];
+
+/// Fields that name no limit.
+const MALFORMED_LIMITS: &[&str] = &["", "-1", "NaN", "inf", "few", "1, 2"];
+
 /// Pause that replicas ask for, as they send it.
 const PAUSE_FIELD: &str = "1.5";
 /// The same pause as a time.
@@ -104,6 +113,13 @@
         /// For how long.
         duration: Duration,
     },
+    /// A replica names limits in its answers, each from a time after the begin on.
+    Limits {
+        /// Index of the replica.
+        replica: usize,
+        /// The limits as they are sent; it names none where there is `None`.
+        limits: Vec<(Duration, Option<&'static str>)>,
+    },
     /// A replica handles requests in this way.
     Replica {
         /// Index of the replica.
@@ -187,6 +203,42 @@
     }
 }
 
+/// Draws the limits that replicas name, each series with its time, in order. Replicas of a service may
+/// name limits at the same time.
+pub fn draw_limits(
+    random: &mut impl Rng,
+    replicas: usize,
+    length: Duration,
+) -> Vec<(Duration, PlannedFault)> {
+    let mut faults = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        at += MAX_LIMITS_PERIOD.mul_f64(random.random());
+        if at + END_CALM > length {
+            return faults;
+        }
+        let replica = random.random_range(0..replicas);
+        let limits = draw_limit_series(random);
+        faults.push((at, PlannedFault::Limits { replica, limits }));
+    }
+}
+
+fn draw_limit_series(random: &mut impl Rng) -> Vec<(Duration, Option<&'static str>)> {
+    let mut limits = Vec::new();
+    let mut after = Duration::ZERO;
+    for _ in 0..random.random_range(1..=4) {
+        let fields = if random.random_ratio(1, 8) { MALFORMED_LIMITS } else { LIMITS };
+        limits.push((after, fields.choose(random).copied()));
+        after += draw_millis(random, 200, 9_000);
+        if random.random_ratio(1, 4) {
+            limits.push((after, None));
+            after += draw_millis(random, 200, 2_000);
+        }
+    }
+    limits.push((after, None));
+    limits
+}
+
 /// Draws the troubles of replicas and the planned work of a run, each with its time, in order.
 pub fn draw_troubles(
     random: &mut impl Rng,
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -9,6 +9,7 @@
 mod fault_injector;
 pub mod fault_plan;
 pub mod host_fleet;
+pub mod limit_judge;
 pub mod part_judge;
 pub mod reply_parser;
 mod run_verdict;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -111,13 +111,14 @@
 
 fn print_report(seed: u64, report: &SoakReport) {
     let mut text = format!(
-        "seed {seed}: {} answers, {:?}, excused {:?}, {} KiB, {} versions, {} crashes, {} faults, {} violations\n",
+        "seed {seed}: {} answers, {:?}, excused {:?}, {} KiB, {} versions, {} crashes, {} limited, {} faults, {} violations\n",
         report.answers,
         report.outcomes,
         report.excuses,
         report.peak_memory_kib,
         report.versions,
         report.crashes,
+        report.limited,
         report.faults.len(),
         report.violations.len()
     );
--- a/soak/src/run_verdict.rs
+++ b/soak/src/run_verdict.rs
@@ -21,6 +21,8 @@
 use crate::duty_judge::judge_runs;
 use crate::fault_plan::PAUSE_TIME;
 use crate::host_fleet::HostFleet;
+use crate::limit_judge::LimitArrival;
+use crate::limit_judge::LimitedReplica;
 use crate::part_judge::ArrivalOutcome;
 use crate::part_judge::ReplicaArrival;
 use crate::part_judge::judge_crashing;
@@ -71,6 +73,7 @@
     let runs = world.standin.take_runs();
     judge_work(world, &versions, &runs, touch, report);
     judge_parts(world, &runs, touch, report);
+    judge_limits(world, &runs, touch, report);
     judge_duties(world, runs, touch, report);
     judge_processes(fleet, report);
     judge_end(&versions, fleet, report);
@@ -147,6 +150,46 @@
     report.violations.extend(refused.iter().map(|id| format!("PART: {id} was refused")));
 }
 
+fn judge_limits(
+    world: &SoakWorld,
+    runs: &[ReplicaRun],
+    touch: &TouchRecord,
+    report: &mut SoakReport,
+) {
+    let since_start = |at: Instant| at.saturating_duration_since(world.start);
+    let host_of = |request_id: &str| request_id.split('-').next()?.parse().ok();
+    let mut replicas: BTreeMap<String, LimitedReplica> = BTreeMap::new();
+    for record in world.standin.limit_records() {
+        let limit = record.limit.and_then(|limit| limit.parse().ok());
+        let limit = limit.filter(|limit: &f64| limit.is_finite() && *limit >= 0.0);
+        let replica = replicas.entry(record.replica_id).or_default();
+        replica.limits.push((since_start(record.at), limit));
+    }
+    for answer in world.standin.limit_answers() {
+        let host = host_of(&answer.request_id);
+        let replica = replicas.get_mut(&answer.replica_id);
+        if let (Some(host), Some(replica)) = (host, replica) {
+            replica.answers.push(LimitArrival { host, at: since_start(answer.at) });
+        }
+    }
+    let rejections = world.standin.rejections();
+    let rejected = rejections.iter().map(|item| (&item.replica_id, &item.request_id, item.at));
+    let ran = runs.iter().map(|run| (&run.replica_id, &run.request_id, run.at));
+    for (replica, request_id, at) in ran.chain(rejected) {
+        let replica = replicas.get_mut(replica);
+        if let (Some(host), Some(replica)) = (host_of(request_id), replica) {
+            replica.arrivals.push(LimitArrival { host, at: since_start(at) });
+        }
+    }
+    for (id, replica) in replicas {
+        let told = replica.told_arrivals(touch);
+        report.limited += told.len();
+        if let Some(excess) = replica.worst_excess(&told) {
+            report.violations.push(format!("LIMIT: {id}: {excess:?}, {:?}", replica.limits));
+        }
+    }
+}
+
 fn judge_processes(fleet: &HostFleet, report: &mut SoakReport) {
     report.violations.extend(fleet.self_ended().iter().map(|host| format!("ENDED: {host}")));
     for host in 0..fleet.len() {
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -39,6 +39,7 @@
 use crate::duty_judge::LeavingReplica;
 use crate::fault_injector::inject_faults;
 use crate::fault_plan::draw_faults;
+use crate::fault_plan::draw_limits;
 use crate::fault_plan::draw_notices;
 use crate::fault_plan::draw_troubles;
 use crate::host_fleet::HostFleet;
@@ -113,6 +114,8 @@
     pub versions: usize,
     /// Crashes of replicas by requests.
     pub crashes: usize,
+    /// Requests that reached replicas which named a limit, from hosts that knew it.
+    pub limited: usize,
     /// Faults that struck.
     pub faults: Vec<String>,
     /// Rules that were broken.
@@ -185,6 +188,8 @@
     faults.extend(draw_troubles(&mut random, settings.hosts, replicas, settings.length));
     let mut random = ChaCha8Rng::seed_from_u64(seed_of(104));
     faults.extend(draw_notices(&mut random, replicas, settings.length));
+    let mut random = ChaCha8Rng::seed_from_u64(seed_of(105));
+    faults.extend(draw_limits(&mut random, replicas, settings.length));
     faults.sort_by_key(|(at, _)| *at);
     world.standin.set_crashing_parts(&[CRASHING_PART], CRASH_DOWN_TIME);
     let listed = faults.iter().map(|(at, fault)| format!("{at:.3?} {fault:?}")).collect();
--- a/soak/src/touch_record.rs
+++ b/soak/src/touch_record.rs
@@ -59,6 +59,14 @@
         })
     }
 
+    /// Returns whether a host's process ran on, also beyond a planned shutdown.
+    pub fn ran_on(&self, host: usize, from: Duration, to: Duration) -> bool {
+        self.is_calm(from.saturating_sub(CONTACT_TIME), to, |part| match part {
+            DisturbedPart::Host(other) | DisturbedPart::Shutdown(other) => other == host,
+            DisturbedPart::Store | DisturbedPart::Link(_) => false,
+        })
+    }
+
     /// Returns when the shutdown of a host began that was under way at a moment.
     pub fn shutdown_begin(&self, host: usize, at: Duration) -> Option<Duration> {
         self.disturbances
