--- a/lib/testutils/src/deployment_server.rs
+++ b/lib/testutils/src/deployment_server.rs
@@ -218,7 +218,8 @@
     let limit = state.replicas[index].limit.clone()?;
     let request_id = request_id.and_then(|id| id.to_str().ok()).unwrap_or_default().to_owned();
     let replica_id = state.replicas[index].id.clone();
-    state.limit_answers.push(LimitAnswer { replica_id, request_id, at: Instant::now() });
+    let at = Instant::now();
+    state.limit_answers.push(LimitAnswer { replica_id, request_id, at, limit: limit.clone() });
     Some((SERVER_LIMIT, HeaderValue::try_from(limit).ok()?))
 }
 
--- a/lib/testutils/src/deployment_state.rs
+++ b/lib/testutils/src/deployment_state.rs
@@ -232,6 +232,8 @@
     pub request_id: String,
     /// When its head was sent.
     pub at: Instant,
+    /// The limit as it was sent.
+    pub limit: String,
 }
 
 /// A request that a replica turned away until later.
--- a/soak/src/run_verdict.rs
+++ b/soak/src/run_verdict.rs
@@ -160,12 +160,12 @@
     let host_of = |request_id: &str| request_id.split('-').next()?.parse().ok();
     let mut replicas: BTreeMap<String, LimitedReplica> = BTreeMap::new();
     for record in world.standin.limit_records() {
-        let limit = record.limit.and_then(|limit| limit.parse().ok());
-        let limit = limit.filter(|limit: &f64| limit.is_finite() && *limit >= 0.0);
+        let limit = record.limit.as_deref().and_then(parse_limit);
         let replica = replicas.entry(record.replica_id).or_default();
         replica.limits.push((since_start(record.at), limit));
     }
-    for answer in world.standin.limit_answers() {
+    let answers = world.standin.limit_answers().into_iter();
+    for answer in answers.filter(|answer| parse_limit(&answer.limit).is_some()) {
         let host = host_of(&answer.request_id);
         let replica = replicas.get_mut(&answer.replica_id);
         if let (Some(host), Some(replica)) = (host, replica) {
@@ -190,6 +190,11 @@
     }
 }
 
+/// Returns the requests per second that a replica names, if its field is a number of them.
+fn parse_limit(field: &str) -> Option<f64> {
+    field.parse().ok().filter(|limit: &f64| limit.is_finite() && *limit >= 0.0)
+}
+
 fn judge_processes(fleet: &HostFleet, report: &mut SoakReport) {
     report.violations.extend(fleet.self_ended().iter().map(|host| format!("ENDED: {host}")));
     for host in 0..fleet.len() {
