fleet: a server that names a limit counts with the capacity that it names

Servers in need took a fraction of their requests and counted as whole, so that nothing was ordered in their place. The missing part is added to the need, by what a request has cost lately, and kept for ten seconds after the last limit, since limits come and go. limited_servers: two more servers while two take next to nothing by turns, and none after.

--- a/lib/src/gateway/demand_meter.rs
+++ b/lib/src/gateway/demand_meter.rs
@@ -24,6 +24,17 @@
         self.services.entry(service.clone()).or_default().push_back((now, tokens));
     }
 
+    /// Returns the servers that one request per second for a service needs, by the recent ones; `None`
+    /// if there are none.
+    pub fn servers_per_request(&self, service: &ServiceName) -> Option<f64> {
+        let entries = self.services.get(service).filter(|entries| !entries.is_empty())?;
+        let sum = entries.iter().fold(TokenDemand::default(), |sum, (_, tokens)| TokenDemand {
+            prefill: sum.prefill + tokens.prefill,
+            output: sum.output + tokens.output,
+        });
+        Some(sum.required_servers() / entries.len() as f64)
+    }
+
     /// Returns the demand of each service in tokens per second.
     pub fn rates(&mut self, now: Timestamp) -> BTreeMap<ServiceName, TokenDemand> {
         let seconds = AVERAGING_WINDOW.as_secs_f64();
--- a/lib/src/gateway/duty_runner.rs
+++ b/lib/src/gateway/duty_runner.rs
@@ -267,6 +267,7 @@
                 .entry(service.name.clone())
                 .or_insert_with(|| FleetScaler::new(service.name.clone()));
             let Some(bounds) = &service.fleet else { continue };
+            fleet.on_shortfall(self.state.now(), self.limited_shortfall(&service.name));
             // The cloud's answers to the first orders decide on the others.
             for reclaimable in [true, false] {
                 let listed = self.listed_servers(&service.name);
@@ -289,6 +290,19 @@
         }
     }
 
+    /// Returns how many servers of a service are missing, since some take fewer requests than they could.
+    fn limited_shortfall(&self, service: &ServiceName) -> f64 {
+        let per_request = self.state.demand.borrow().servers_per_request(service);
+        let Some(per_request) = per_request else { return 0.0 };
+        let (directory, placement) = (self.state.directory.borrow(), self.state.placement.borrow());
+        let limits = directory.of_service(service).filter_map(|(_, server)| {
+            let entry = &server.entry;
+            let is_ready = server.draining_since.is_none() && !server.is_missing;
+            placement.limits().limit(&entry.id, entry.started_at_ms).filter(|_| is_ready)
+        });
+        limits.map(|limit| (1.0 - limit.per_second() * per_request).max(0.0)).sum()
+    }
+
     /// Returns the servers of a service by availability zone.
     fn listed_servers(&self, service: &ServiceName) -> BTreeMap<ZoneName, ListedServers> {
         let mut listed: BTreeMap<ZoneName, ListedServers> = BTreeMap::new();
--- a/lib/src/gateway/fleet_scaler.rs
+++ b/lib/src/gateway/fleet_scaler.rs
@@ -41,6 +41,10 @@
 /// to keep, and may be out of stock when demand returns.
 const RECLAIMABLE_PEAK_WINDOW: Duration = Duration::from_secs(40);
 
+/// Time for which servers that name limits are made up for after the last of them is free: limits come
+/// and go within seconds, and servers take as long to start.
+const SHORTFALL_HOLD: Duration = Duration::from_secs(10);
+
 /// Time after the first demand until the measured demand is trusted.
 const DEMAND_WARMUP: Duration = Duration::from_secs(6);
 
@@ -114,6 +118,8 @@
     initial_servers: Option<(Timestamp, u32)>,
     /// When orders were first evaluated.
     first_evaluated_at: Option<Timestamp>,
+    /// Servers that those with limits lack, and when there were so many.
+    shortfall: Option<(Timestamp, f64)>,
 }
 
 impl FleetScaler {
@@ -126,6 +132,7 @@
             reclaimable_seen: BTreeSet::new(),
             initial_servers: None,
             first_evaluated_at: None,
+            shortfall: None,
         }
     }
 
@@ -153,6 +160,16 @@
         self.reclaimable_seen.extend(zones.map(|(zone, _)| zone.clone()));
     }
 
+    /// Records how many servers are missing, since those that name limits count with what they name.
+    pub fn on_shortfall(&mut self, now: Timestamp, servers: f64) {
+        let is_kept = self
+            .shortfall
+            .is_some_and(|(at, known)| known > servers && now.since(at) < SHORTFALL_HOLD);
+        if !is_kept {
+            self.shortfall = (servers > 0.0).then_some((now, servers));
+        }
+    }
+
     /// Records whether the cloud accepted an order.
     pub fn on_outcome(&mut self, now: Timestamp, order: &FleetOrder, accepted: bool) {
         let placed = PlacedOrder { desired: order.desired, at: now, accepted };
@@ -249,14 +266,16 @@
             return None;
         }
         // One server more than needed, to tolerate the loss of one.
-        let by_demand = |window| self.peak_demand(now, window).required_servers().ceil() as u32 + 1;
+        let shortfall = self.shortfall.map_or(0.0, |(_, servers)| servers).ceil() as u32;
+        let by_demand =
+            |window| self.peak_demand(now, window).required_servers().ceil() as u32 + 1 + shortfall;
         let current = by_demand(ORDINARY_PEAK_WINDOW);
         let recent_peak = by_demand(RECLAIMABLE_PEAK_WINDOW);
         Some(match self.initial_servers {
             // The first fleet may be larger than needed, so its full reserve waits for the demand.
             Some((at, initial_servers)) if now.since(at) < DEMAND_WARMUP => ServerNeed {
-                current: current.max(initial_servers),
-                recent_peak: recent_peak.max(initial_servers),
+                current: current.max(initial_servers + shortfall),
+                recent_peak: recent_peak.max(initial_servers + shortfall),
                 lost_zones: 1,
             },
             _ => ServerNeed { current, recent_peak, lost_zones: MAX_LOST_ZONES },
--- a/lib/tests/test_fleet_scaler.rs
+++ b/lib/tests/test_fleet_scaler.rs
@@ -313,3 +313,24 @@
         assert_eq!(reclaimable, before[&zone(name)].ready.reclaimable);
     }
 }
+
+#[test]
+fn limited_servers() {
+    let mut cloud = InstantCloud::new(None);
+    for second in 0..30 {
+        cloud.step(second, 5.2);
+    }
+    let before = cloud.total();
+    // Two servers take next to nothing, by turns.
+    for second in 30..60 {
+        let shortfall = if second % 4 == 0 { 0.0 } else { 1.8 };
+        cloud.scaler.on_shortfall(at(second), shortfall);
+        cloud.step(second, 5.2);
+        assert_eq!(cloud.total(), before + 2, "second {second}");
+    }
+    for second in 60..80 {
+        cloud.scaler.on_shortfall(at(second), 0.0);
+        cloud.step(second, 5.2);
+    }
+    assert_eq!(cloud.total(), before);
+}
