retries: a host that knows nothing of its peers takes itself for one of the largest fleet

Until it has read the list of hosts or heard from one, its part is that of one among 512, and what its own requests allow.

--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -222,7 +222,7 @@
     /// Spends a retry from this host's share of a service's retry budget. Returns whether the retry
     /// may be made.
     pub fn try_retry(&self, now: Timestamp, service: &ServiceName, purpose: RetryPurpose) -> bool {
-        let hosts = self.peers.borrow().known_hosts();
+        let hosts = self.peers.borrow().possible_hosts();
         let granted = self.retries.borrow_mut().try_spend(now, service, hosts, purpose);
         if !granted {
             self.metrics.events.with_label_values(&["retry_budget_empty"]).inc();
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -65,8 +65,11 @@
 /// the traffic between zones is small compared with that of the callers.
 const MAX_DIRECT_HOSTS: u32 = 12;
 
+/// Hosts of the largest deployment.
+const MAX_FLEET_HOSTS: u32 = 512;
+
 /// Maximum number of incarnations kept: twice the hosts of a deployment.
-const MAX_INCARNATIONS: usize = 1_024;
+const MAX_INCARNATIONS: usize = 2 * MAX_FLEET_HOSTS as usize;
 
 /// Maximum units taken from one entry, so that no sum over all entries overflows.
 const MAX_UNITS: u64 = 1 << 48;
@@ -305,6 +308,15 @@
         u32::try_from(self.contacts.len() + 1).unwrap_or(u32::MAX)
     }
 
+    /// Returns the number of hosts that this host may be one of: the known ones, or the largest fleet as
+    /// long as it knows nothing of its peers.
+    pub fn possible_hosts(&self) -> u32 {
+        match self.fleet_size() {
+            FleetSize::Unknown => MAX_FLEET_HOSTS,
+            FleetSize::Hosts(_) => self.known_hosts(),
+        }
+    }
+
     /// Returns whether the fleet is so large that summaries are sent less often and forwarded together.
     pub fn is_large_fleet(&self) -> bool {
         self.known_hosts() > LARGE_FLEET_HOSTS
--- a/lib/tests/test_retry_limiter.rs
+++ b/lib/tests/test_retry_limiter.rs
@@ -2,10 +2,13 @@
 
 use std::time::Duration;
 
+use pomelostack_lib::gateway::peer_table::PeerTable;
 use pomelostack_lib::gateway::retry_limiter::RetryBounds;
 use pomelostack_lib::gateway::retry_limiter::RetryLimiter;
 use pomelostack_lib::gateway::retry_limiter::RetryPurpose;
+use pomelostack_lib::ids::HostId;
 use pomelostack_lib::ids::ServiceName;
+use pomelostack_lib::ids::ZoneName;
 use pomelostack_lib::timestamp::Timestamp;
 use rand::Rng as _;
 use rand::SeedableRng as _;
@@ -71,3 +74,20 @@
     let retries = spend(RetryPurpose::Failure);
     assert!(hedges > 0 && retries >= hedges, "{hedges} hedges, then {retries} retries");
 }
+
+/// Hosts that all start at once and know nothing of each other yet.
+#[test]
+fn unknown_fleet() {
+    let service = ServiceName::try_from("chat").expect("valid in tests");
+    let zone = ZoneName::try_from("a").expect("valid in tests");
+    let retries = (0..295).map(|number| {
+        let host = HostId::try_from(format!("h{number}")).expect("valid in tests");
+        let hosts = PeerTable::new(host, zone.clone()).possible_hosts();
+        let mut limiter = RetryLimiter::new(BOUNDS);
+        let now = Timestamp::default();
+        let spent = |_: &usize| limiter.try_spend(now, &service, hosts, RetryPurpose::Failure);
+        (0..100).filter(spent).count()
+    });
+    let retries: usize = retries.sum();
+    assert!(retries as f64 <= BOUNDS.allowance, "{retries} retries");
+}
