placement: hosts share the connections of a server also if there are more hosts than connections

Each host could open two connections to any server, so that 295 hosts could hold 590 at a server of 360 and 84 hosts 168 at one of 100 (connections_of_fleet failed for these before). Where a share is less than one connection, only as many hosts as there are connections use a server, others each. Deployments with a share of two or more are as before.

--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -14,6 +14,7 @@
 use crate::gateway::caller_request::CallerHead;
 use crate::gateway::fleet_scaler::TokenDemand;
 use crate::gateway::gateway_state::GatewayState;
+use crate::gateway::placement::ConnectionShare;
 use crate::gateway::placement::PlacementChoice;
 use crate::gateway::placement::PlacementQuery;
 use crate::gateway::platform_api::AttemptHead;
@@ -206,16 +207,17 @@
     request: &AcceptedRequest,
     tried: &[ServerKey],
 ) -> Result<PlacedServer, RefusalReason> {
-    let hosts = u32::try_from(state.peers.borrow().live_peers(now) + 1).unwrap_or(u32::MAX);
     let config = state.config.borrow().current().cloned();
     let rule = config.as_ref().and_then(|config| config.services.get(&request.service));
-    // Leaves one host's share of the connections free for a host that starts.
-    let max_running = rule.map_or(u32::MAX, |rule| (rule.max_connections / (hosts + 1)).max(2));
+    let connections = rule.map_or(ConnectionShare::UNLIMITED, |rule| {
+        let (hosts, rank) = state.peers.borrow().live_rank(now);
+        ConnectionShare { max_connections: rule.max_connections, hosts, rank }
+    });
     let query = PlacementQuery {
         service: &request.service,
         prompt: request.head.prompt.as_ref(),
         excluded: tried,
-        max_running,
+        connections,
     };
     let choice = state.placement.borrow().choose(now, &state.directory.borrow(), &query);
     match choice {
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -397,6 +397,17 @@
         self.contacts.values().filter(|contact| contact.is_live(now)).count()
     }
 
+    /// Returns the number of hosts that are heard from, this one included, and how many of them come before
+    /// this one by name.
+    pub fn live_rank(&self, now: Timestamp) -> (u32, u32) {
+        let (mut hosts, mut rank) = (1, 0);
+        for (host, _) in self.contacts.iter().filter(|(_, contact)| contact.is_live(now)) {
+            hosts += 1;
+            rank += u32::from(*host < self.own);
+        }
+        (hosts, rank)
+    }
+
     /// Returns the addresses to send summary number `sequence` to.
     pub fn targets(&self, now: Timestamp, sequence: u64) -> SummaryTargets {
         let is_large = self.known_hosts() > MAX_DIRECT_HOSTS;
--- a/lib/src/gateway/placement.rs
+++ b/lib/src/gateway/placement.rs
@@ -87,6 +87,36 @@
     warm: BTreeMap<u64, Timestamp>,
 }
 
+/// This host's share of the connections that each server of a service accepts from all hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionShare {
+    /// Connections that a server accepts.
+    pub max_connections: u32,
+    /// Hosts that share them.
+    pub hosts: u32,
+    /// Number of this host among them, from 0.
+    pub rank: u32,
+}
+
+impl ConnectionShare {
+    /// As many connections as a host likes.
+    pub const UNLIMITED: Self = Self { max_connections: u32::MAX, hosts: 1, rank: 0 };
+
+    /// Returns how many connections this host may use at a server. One host's share is left free for a
+    /// host that starts. A server with fewer connections than hosts serves only some of them.
+    pub fn at_server(self, server: &ServerId) -> u32 {
+        let share = self.max_connections / self.hosts.saturating_add(1);
+        if share > 0 {
+            return share;
+        }
+        let mut hasher = DefaultHasher::new();
+        server.as_str().hash(&mut hasher);
+        let turn = (hasher.finish() % u64::from(self.hosts) + u64::from(self.rank))
+            % u64::from(self.hosts);
+        u32::from(turn < u64::from(self.max_connections))
+    }
+}
+
 /// The properties of a request that matter to its placement.
 #[derive(Clone, Debug)]
 pub struct PlacementQuery<'a> {
@@ -96,8 +126,8 @@
     pub prompt: Option<&'a PromptShape>,
     /// Servers that must not be chosen.
     pub excluded: &'a [ServerKey],
-    /// Maximum number of connections from this host to each server.
-    pub max_running: u32,
+    /// This host's share of the servers' connections.
+    pub connections: ConnectionShare,
 }
 
 /// The result of a choice, with the load it was based on.
@@ -381,7 +411,7 @@
         let load = self.loads.get(key)?;
         let running = load.running + load.peers.running;
         let max_fill = if query.prompt.is_some() { MAX_ENGINE_FILL } else { MAX_APP_FILL };
-        if load.running >= query.max_running
+        if load.running >= query.connections.at_server(&server.entry.id)
             || f64::from(running) >= f64::from(server.entry.slots) * max_fill
         {
             return None;
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -10,6 +10,7 @@
 use pomelostack_lib::gateway::backend_directory::ServingState;
 use pomelostack_lib::gateway::caller_request::PromptPart;
 use pomelostack_lib::gateway::caller_request::PromptShape;
+use pomelostack_lib::gateway::placement::ConnectionShare;
 use pomelostack_lib::gateway::placement::PeerLoad;
 use pomelostack_lib::gateway::placement::PlacementChoice;
 use pomelostack_lib::gateway::placement::PlacementQuery;
@@ -22,6 +23,7 @@
 use pomelostack_lib::ids::ServiceName;
 use pomelostack_lib::ids::ZoneName;
 use pomelostack_lib::timestamp::Timestamp;
+use rstest::rstest;
 
 const SLOTS: u32 = 8;
 
@@ -71,7 +73,12 @@
 
     fn choose(&self, prompt: Option<&PromptShape>, excluded: &[ServerKey]) -> PlacementChoice {
         let service = service();
-        let query = PlacementQuery { service: &service, prompt, excluded, max_running: 1_000 };
+        let query = PlacementQuery {
+            service: &service,
+            prompt,
+            excluded,
+            connections: ConnectionShare::UNLIMITED,
+        };
         self.table.choose(now(), &self.directory, &query)
     }
 
@@ -215,3 +222,15 @@
     fixture.table.on_answered(now(), &id);
     assert_eq!(fixture.chosen(None), fixture.keys[0]);
 }
+
+#[rstest]
+fn connections_of_fleet(#[values(8, 84, 295)] hosts: u32, #[values(100, 360, 1_900)] most: u32) {
+    for number in 0..20 {
+        let server = ServerId::try_from(format!("s{number}")).expect("valid in tests");
+        let shares = (0..hosts)
+            .map(|rank| ConnectionShare { max_connections: most, hosts, rank }.at_server(&server));
+        let sum: u32 = shares.sum();
+        assert!(sum <= most, "{sum} connections of {hosts} hosts to a server of {most}");
+        assert!(sum * 4 >= most.min(hosts) * 3, "{sum} connections of {hosts} hosts of {most}");
+    }
+}
