--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -305,6 +305,9 @@
         log::info!("event=limit_withheld request={} server={server}", request.head.request_id);
         return false;
     }
+    if placement.limits().limit(server, attempt.started_at_ms).is_some() {
+        state.metrics.events.with_label_values(&["limited_sent"]).inc();
+    }
     attempt.sent_at.set(now);
     placement.on_handed_over(now, server);
     true
