--- a/lib/testutils/src/deployment_server.rs
+++ b/lib/testutils/src/deployment_server.rs
@@ -198,30 +198,43 @@
         Role::Replica(index) => {
             let request_id = request.headers().get("request-id").cloned();
             let mut reply = answer_replica(&state, index, request).await?;
-            if let Some(response) = reply.extensions_mut().remove::<Takeover>() {
-                // Responses that no HTTP library writes name no limit.
+            let limit = |state| name_limit(state, index, request_id.as_ref());
+            if let Some(mut response) = reply.extensions_mut().remove::<Takeover>() {
+                match &mut response {
+                    Takeover::Unframed(response) => response.limit = limit(&state),
+                    Takeover::Endless(response) if response.kind.completes_head() => {
+                        response.limit = limit(&state);
+                    }
+                    Takeover::Endless(_) => {}
+                }
                 takeovers.send(response).map_err(std::io::Error::other)?;
                 std::future::pending::<()>().await;
             }
-            reply.headers_mut().extend(name_limit(&state, index, request_id.as_ref()));
+            let limit = limit(&state).map(HeaderValue::try_from).and_then(Result::ok);
+            reply.headers_mut().extend(limit.map(|limit| (SERVER_LIMIT, limit)));
             Ok(reply)
         }
     }
 }
 
-/// Returns the field in which a replica names its limit, and records it.
+/// Returns the line of a head that names a limit, or nothing.
+pub(crate) fn limit_line(limit: Option<&str>) -> String {
+    limit.map_or(String::new(), |limit| format!("{SERVER_LIMIT}: {limit}\r\n"))
+}
+
+/// Returns the limit that a replica names in an answer, and records it.
 fn name_limit(
     state: &SharedState,
     index: usize,
     request_id: Option<&HeaderValue>,
-) -> Option<(HeaderName, HeaderValue)> {
+) -> Option<String> {
     let state = &mut lock(state);
     let limit = state.replicas[index].limit.clone()?;
     let request_id = request_id.and_then(|id| id.to_str().ok()).unwrap_or_default().to_owned();
     let replica_id = state.replicas[index].id.clone();
     let at = Instant::now();
     state.limit_answers.push(LimitAnswer { replica_id, request_id, at, limit: limit.clone() });
-    Some((SERVER_LIMIT, HeaderValue::try_from(limit).ok()?))
+    Some(limit)
 }
 
 fn full_response(status: StatusCode, body: impl Into<Bytes>) -> StandinReply {
@@ -461,7 +474,7 @@
         } else {
             UnframedBody::Text(format!("answer to {request_id}"))
         };
-        let response = UnframedResponse { end, body, request_id, signature: id };
+        let response = UnframedResponse { end, body, request_id, signature: id, limit: None };
         let mut reply = full_response(StatusCode::OK, "");
         reply.extensions_mut().insert(Takeover::Unframed(response));
         return Ok(reply);
@@ -521,7 +534,7 @@
 /// Returns a reply whose connection is taken over by a response without end.
 fn endless_reply(kind: EndlessKind, request_id: String, signature: String) -> StandinReply {
     let mut reply = full_response(StatusCode::OK, "");
-    let response = EndlessResponse { kind, request_id, signature };
+    let response = EndlessResponse { kind, request_id, signature, limit: None };
     reply.extensions_mut().insert(Takeover::Endless(response));
     reply
 }
--- a/lib/testutils/src/endless_response.rs
+++ b/lib/testutils/src/endless_response.rs
@@ -5,6 +5,8 @@
 use tokio::io::AsyncWrite;
 use tokio::io::AsyncWriteExt as _;
 
+use crate::deployment_server::limit_line;
+
 /// Number of times that a repeated piece is written in one go.
 const PIECES_PER_WRITE: usize = 512;
 
@@ -63,6 +65,11 @@
         Self::EmptyEvents,
     ];
 
+    /// Returns whether the head of the response ends.
+    pub(crate) fn completes_head(self) -> bool {
+        !matches!(self, Self::HeaderLine | Self::HeaderFields | Self::InterimResponses)
+    }
+
     /// Returns whether the replica executes the request.
     pub fn is_executed(self) -> bool {
         self != Self::RefusalBody
@@ -75,6 +82,8 @@
     pub(crate) kind: EndlessKind,
     pub(crate) request_id: String,
     pub(crate) signature: String,
+    /// Limit that its replica names, as it is sent.
+    pub(crate) limit: Option<String>,
 }
 
 impl EndlessResponse {
@@ -116,9 +125,11 @@
     }
 
     fn open_head(&self, status: &str) -> String {
-        let Self { request_id, signature, .. } = self;
+        let Self { request_id, signature, limit, .. } = self;
+        let limit = limit_line(limit.as_deref());
         format!(
-            "HTTP/1.1 {status}\r\nrequest-id: {request_id}\r\nreplica-signature: {signature}\r\n"
+            "HTTP/1.1 {status}\r\nrequest-id: {request_id}\r\nreplica-signature: {signature}\r\n\
+             {limit}"
         )
     }
 
--- a/lib/testutils/src/unframed_response.rs
+++ b/lib/testutils/src/unframed_response.rs
@@ -9,6 +9,7 @@
 use tokio::net::TcpStream;
 
 use crate::deployment_server::event_text;
+use crate::deployment_server::limit_line;
 use crate::deployment_state::UnframedEnd;
 
 /// Interval between the events of a stream.
@@ -30,19 +31,22 @@
     pub(crate) body: UnframedBody,
     pub(crate) request_id: String,
     pub(crate) signature: String,
+    /// Limit that its replica names, as it is sent.
+    pub(crate) limit: Option<String>,
 }
 
 impl UnframedResponse {
     /// Writes the response and ends the connection.
     pub(crate) async fn write_to(&self, stream: &mut TcpStream) -> io::Result<()> {
         let Self { request_id, signature, .. } = self;
+        let limit = limit_line(self.limit.as_deref());
         let kind = match self.body {
             UnframedBody::Text(_) => "text/plain",
             UnframedBody::Events(_) => "text/event-stream",
         };
         let head = format!(
             "HTTP/1.1 200 OK\r\nrequest-id: {request_id}\r\nreplica-signature: {signature}\r\n\
-             content-type: {kind}\r\nconnection: close\r\n\r\n"
+             {limit}content-type: {kind}\r\nconnection: close\r\n\r\n"
         );
         stream.write_all(head.as_bytes()).await?;
         let pieces: Vec<String> = match &self.body {
