--- a/lib/src/gateway/limit_belief.rs
+++ b/lib/src/gateway/limit_belief.rs
@@ -19,10 +19,10 @@
 const RAISE_DELAY: Duration = Duration::from_millis(1_500);
 
 /// Time within which the rate doubles after the end of a limit.
-const RECOVERY_DOUBLING: Duration = Duration::from_millis(500);
+const RECOVERY_DOUBLING: Duration = Duration::from_secs(1);
 
 /// Time after the end of a limit from which on the rate is not limited.
-const RECOVERY_TIME: Duration = Duration::from_secs(4);
+const RECOVERY_TIME: Duration = Duration::from_secs(6);
 
 /// Time for which a response is told to peers although they may know newer ones; it spans two
 /// summaries.
