--- a/soak/src/fault_plan.rs
+++ b/soak/src/fault_plan.rs
@@ -177,6 +177,17 @@
     }
 }
 
+/// Draws the time of the next fault of a series, unless it is too near the end of the run.
+fn draw_next(
+    random: &mut impl Rng,
+    last: Duration,
+    period: Duration,
+    length: Duration,
+) -> Option<Duration> {
+    let at = last + period.mul_f64(random.random());
+    (at + END_CALM <= length).then_some(at)
+}
+
 /// Draws what replicas say and how they end their answers, each with its time, in order.
 pub fn draw_notices(
     random: &mut impl Rng,
@@ -185,11 +196,8 @@
 ) -> Vec<(Duration, PlannedFault)> {
     let mut faults = Vec::new();
     let mut at = Duration::ZERO;
-    loop {
-        at += MAX_NOTICE_PERIOD.mul_f64(random.random());
-        if at + END_CALM > length {
-            return faults;
-        }
+    while let Some(next) = draw_next(random, at, MAX_NOTICE_PERIOD, length) {
+        at = next;
         let mode = match random.random_range(0..5) {
             0 => ReplicaMode::Leaving,
             1 => ReplicaMode::TurnAway { retry_after: PAUSE_FIELD },
@@ -201,6 +209,7 @@
         let duration = draw_millis(random, 300, 2_000);
         faults.push((at, PlannedFault::Replica { replica, mode, duration }));
     }
+    faults
 }
 
 /// Draws the limits that replicas name, each series with its time, in order. Replicas of a service may
@@ -212,15 +221,13 @@
 ) -> Vec<(Duration, PlannedFault)> {
     let mut faults = Vec::new();
     let mut at = Duration::ZERO;
-    loop {
-        at += MAX_LIMITS_PERIOD.mul_f64(random.random());
-        if at + END_CALM > length {
-            return faults;
-        }
+    while let Some(next) = draw_next(random, at, MAX_LIMITS_PERIOD, length) {
+        at = next;
         let replica = random.random_range(0..replicas);
         let limits = draw_limit_series(random);
         faults.push((at, PlannedFault::Limits { replica, limits }));
     }
+    faults
 }
 
 fn draw_limit_series(random: &mut impl Rng) -> Vec<(Duration, Option<&'static str>)> {
@@ -248,13 +255,11 @@
 ) -> Vec<(Duration, PlannedFault)> {
     let mut faults = Vec::new();
     let mut at = Duration::ZERO;
-    loop {
-        at += MAX_TROUBLE_PERIOD.mul_f64(random.random());
-        if at + END_CALM > length {
-            return faults;
-        }
+    while let Some(next) = draw_next(random, at, MAX_TROUBLE_PERIOD, length) {
+        at = next;
         faults.push((at, draw_trouble(random, hosts, replicas, at + LEAVE_CALM <= length)));
     }
+    faults
 }
 
 fn draw_trouble(
--- a/soak/src/run_verdict.rs
+++ b/soak/src/run_verdict.rs
@@ -111,6 +111,11 @@
     }
 }
 
+/// Returns the number of the host that a request was sent to.
+fn host_of(request_id: &str) -> Option<usize> {
+    request_id.split('-').next()?.parse().ok()
+}
+
 fn judge_parts(
     world: &SoakWorld,
     runs: &[ReplicaRun],
@@ -118,7 +123,6 @@
     report: &mut SoakReport,
 ) {
     let since_start = |at: Instant| at.saturating_duration_since(world.start);
-    let host_of = |request_id: &str| request_id.split('-').next()?.parse().ok();
     let run_arrivals = runs.iter().filter_map(|run| {
         let outcome = match (run.crashing_part, run.mode) {
             (Some(_), _) => ArrivalOutcome::Crashed,
@@ -157,7 +161,6 @@
     report: &mut SoakReport,
 ) {
     let since_start = |at: Instant| at.saturating_duration_since(world.start);
-    let host_of = |request_id: &str| request_id.split('-').next()?.parse().ok();
     let mut replicas: BTreeMap<String, LimitedReplica> = BTreeMap::new();
     for record in world.standin.limit_records() {
         let limit = record.limit.as_deref().and_then(parse_limit);
@@ -232,7 +235,7 @@
     let runs: Vec<ObservedRun> = runs
         .into_iter()
         .filter_map(|run| {
-            let host = run.request_id.split('-').next()?.parse().ok()?;
+            let host = host_of(&run.request_id)?;
             let at = run.at.saturating_duration_since(world.start);
             Some(ObservedRun { replica: run.replica_id, host, at })
         })
