limits: update the part of one server when its limit changes; log source, age and part

Each change of a limit computed the parts of all servers again: with limits that change in each answer at 160 servers this cost a host 160 parts an answer. Only the server's own part is computed now; the parts of all are still set each round. The log lines of a change give source, age and this host's part, after the change.

test_limit_table, test_placement and test_server_limits pass; no figure of the processor time was taken.

--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::sync::Notify;
 
@@ -267,8 +268,9 @@
             limits.on_statement(now, server, started_at_ms, statement, source)
         };
         if change != LimitChange::Unchanged {
-            self.log_limit_change(server, change, source);
-            self.refresh_limits();
+            self.refresh_limit(now, server);
+            let age = now.since(statement.at());
+            self.log_limit_change(server, change, &format!("{source:?}"), age);
             self.summary_hint.notify_one();
         }
     }
@@ -281,31 +283,44 @@
             return;
         }
         let changes = self.placement.borrow_mut().limits_mut().settle(now);
-        for (server, change) in changes {
-            self.log_limit_change(&server, change, LimitSource::Server);
-        }
-        let directory = self.directory.borrow();
-        let peers = self.peers.borrow();
-        let levels = self.levels.borrow();
         let mut fleets: BTreeMap<ServiceName, LimitFleet> = BTreeMap::new();
         self.placement.borrow_mut().limits_mut().set_parts(now, |server, rate| {
-            let key = directory.find(server);
-            let Some(listed) = key.and_then(|key| directory.get(key)) else {
-                return LimitListing::Unlisted;
-            };
-            let service = &listed.entry.service;
-            let fleet = fleets.entry(service.clone()).or_insert_with(|| {
-                let own_level = match self.shutdown.get() {
-                    Some(_) => DemandLevel::NONE,
-                    None => levels.known_level(now, service),
-                };
-                peers.limit_fleet(now, service, own_level)
-            });
+            let Some(service) = self.listed_service(server) else { return LimitListing::Unlisted };
+            let fleet =
+                fleets.entry(service).or_insert_with_key(|service| self.limit_fleet(now, service));
             LimitListing::Listed(fleet.part(server, rate))
         });
+        for (server, change) in changes {
+            self.log_limit_change(&server, change, "Settled", Duration::ZERO);
+        }
+        self.count_limits();
+    }
+
+    /// Updates this host's part of one server's limit.
+    fn refresh_limit(&self, now: Timestamp, server: &ServerId) {
+        let service = self.listed_service(server);
+        let fleet = service.map(|service| self.limit_fleet(now, &service));
+        self.placement.borrow_mut().limits_mut().set_part(now, server, |rate| match fleet {
+            Some(fleet) => LimitListing::Listed(fleet.part(server, rate)),
+            None => LimitListing::Unlisted,
+        });
         self.count_limits();
     }
 
+    fn listed_service(&self, server: &ServerId) -> Option<ServiceName> {
+        let directory = self.directory.borrow();
+        Some(directory.get(directory.find(server)?)?.entry.service.clone())
+    }
+
+    /// Returns the hosts that may send to the servers of a service.
+    fn limit_fleet(&self, now: Timestamp, service: &ServiceName) -> LimitFleet {
+        let own_level = match self.shutdown.get() {
+            Some(_) => DemandLevel::NONE,
+            None => self.levels.borrow().known_level(now, service),
+        };
+        self.peers.borrow().limit_fleet(now, service, own_level)
+    }
+
     fn count_limits(&self) {
         let placement = self.placement.borrow();
         let (mut count, mut named, mut held) = (0, 0, 0);
@@ -320,22 +335,26 @@
         levels.with_label_values(&["limits_held_per_1000_s"]).set(held);
     }
 
-    fn log_limit_change(&self, server: &ServerId, change: LimitChange, source: LimitSource) {
-        let event = match change {
+    fn log_limit_change(
+        &self,
+        server: &ServerId,
+        change: LimitChange,
+        source: &str,
+        age: Duration,
+    ) {
+        let (event, limit) = match change {
             LimitChange::Unchanged => return,
-            LimitChange::InForce(limit) => {
-                log::info!(
-                    "event=server_limit_named server={server} limit_per_s={} source={source:?}",
-                    limit.per_second()
-                );
-                "server_limit_named"
-            }
-            LimitChange::Ended => {
-                log::info!("event=server_limit_ended server={server}");
-                "server_limit_ended"
-            }
+            LimitChange::InForce(limit) => ("server_limit_named", limit.per_second()),
+            LimitChange::Ended => ("server_limit_ended", 0.0),
         };
         self.metrics.events.with_label_values(&[event]).inc();
+        let part = self.placement.borrow().limits().part(server).unwrap_or_default();
+        log::info!(
+            "event={event} server={server} limit_per_s={limit} source={source} age_ms={} \
+             part_per_s={:.3}",
+            age.as_millis(),
+            part.rate,
+        );
     }
 
     /// Records that a server's process exited. Requests that were lost with it may have crashed it.
--- a/lib/src/gateway/limit_belief.rs
+++ b/lib/src/gateway/limit_belief.rs
@@ -64,6 +64,16 @@
     },
 }
 
+impl LimitStatement {
+    /// Returns the time that the statement counts from.
+    pub fn at(self) -> Timestamp {
+        match self {
+            Self::Named { heard_at, .. } => heard_at,
+            Self::Unnamed { sent_at } => sent_at,
+        }
+    }
+}
+
 /// What a statement or the time changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LimitChange {
--- a/lib/src/gateway/limit_table.rs
+++ b/lib/src/gateway/limit_table.rs
@@ -164,6 +164,16 @@
         self.filled_at = now;
     }
 
+    fn list(&mut self, now: Timestamp, list: impl FnOnce(f64) -> LimitListing) {
+        let rate = self.belief.rate(now);
+        let listing = list(rate.unwrap_or_default());
+        self.is_listed = listing != LimitListing::Unlisted;
+        if let LimitListing::Listed(part) = listing {
+            self.listed_at = now;
+            self.set_part(now, part.filter(|_| rate.is_some()));
+        }
+    }
+
     fn on_heard(&mut self, now: Timestamp) {
         let Some(since) = self.unheard_since.take() else { return };
         if now.since(since) < UNHEARD_LIMIT {
@@ -274,13 +284,19 @@
         mut list: impl FnMut(&ServerId, f64) -> LimitListing,
     ) {
         for (server, known) in &mut self.servers {
-            let rate = known.belief.rate(now);
-            let listing = list(server, rate.unwrap_or_default());
-            known.is_listed = listing != LimitListing::Unlisted;
-            if let LimitListing::Listed(part) = listing {
-                known.listed_at = now;
-                known.set_part(now, part.filter(|_| rate.is_some()));
-            }
+            known.list(now, |rate| list(server, rate));
+        }
+    }
+
+    /// Sets this host's part of one server's limit, as [`Self::set_parts`] does.
+    pub fn set_part(
+        &mut self,
+        now: Timestamp,
+        server: &ServerId,
+        list: impl FnOnce(f64) -> LimitListing,
+    ) {
+        if let Some(known) = self.servers.get_mut(server) {
+            known.list(now, list);
         }
     }
 
