part suspects: a part in more lost requests than its rival needs crashes without it

Being in fewer lost requests, the sound part was a rival that the crashing one could never outweigh: 31 crashes until the verdict, 26 late requests. Ruled out: late confirmations and reports, the logs of all three hosts have each crash within milliseconds.

Both are one rule now: a part that is in more lost requests than a rival needs three separate crashes without the rival. unknown_loss and bystander_of_one_host show the two; both failed before.

Hosts' logs of tests are kept when a test fails, and common_part prints its crashes.

--- a/cli/tests/test_crashing_parts.rs
+++ b/cli/tests/test_crashing_parts.rs
@@ -100,8 +100,10 @@
             .runs()
             .into_iter()
             .filter(|run| run.crashing_part.is_some() && run.at > fifth.at + CONTACT_TIME);
-        let late = late.count();
-        assert!(late <= MAX_LATE_RUNS, "{late} more runs, {} crashes", crashes.len());
+        let late: Vec<_> = late.map(|run| (run.at - crashes[0].at, run.replica)).collect();
+        let crashed: Vec<_> =
+            crashes.iter().map(|crash| (crash.at - crashes[0].at, crash.replica)).collect();
+        assert!(late.len() <= MAX_LATE_RUNS, "late runs {late:?}, crashes {crashed:?}");
     }
     let last = &crashes[crashes.len().min(CRASH_LIMIT) - 1];
     let later: Vec<&SoundAnswer> =
--- a/lib/src/part_suspects.rs
+++ b/lib/src/part_suspects.rs
@@ -209,17 +209,10 @@
         common as f64 >= other.crashes.len() as f64 * share
     }
 
-    /// Returns whether a part with `count` separate crashes is a better explanation than a rival: it is in
-    /// fewer of the requests that were lost in a crash, or explains more crashes.
-    fn outweighs(&self, rival: &Self, count: usize) -> bool {
-        match self.compare_lost(rival) {
-            Ordering::Less => count > CONVICTING_CRASHES,
-            Ordering::Equal if rival.explains(self, NEAR_SHARE) => {
-                count >= DECIDING_CRASHES && self.lost_rate() <= rival.lost_rate()
-            }
-            Ordering::Equal => count > CONVICTING_CRASHES,
-            Ordering::Greater => false,
-        }
+    /// Returns the crashes of this cover that another one does not explain.
+    fn without(&self, other: &Self) -> Vec<usize> {
+        let is_other = |index: &usize| other.crashes.binary_search(index).is_ok();
+        self.crashes.iter().copied().filter(|index| !is_other(index)).collect()
     }
 
     /// Returns the number of lost requests for each crash.
@@ -413,7 +406,7 @@
         let mut suspects: Vec<(WorkPart, usize)> = covers
             .iter()
             .filter(|(_, cover)| cover.crashes.len() >= CONVICTING_CRASHES)
-            .map(|(part, cover)| (*part, self.count_separate(*part, cover)))
+            .map(|(part, cover)| (*part, self.count_separate(*part, &cover.crashes)))
             .filter(|(_, count)| *count >= CONVICTING_CRASHES)
             .collect();
         suspects.sort_by_key(|(part, count)| {
@@ -427,11 +420,34 @@
             });
             let is_convicted = self.verdicts.find(&shared).is_none()
                 && self.is_conspicuous(now, view, part, cover, count)
-                && rivals.all(|(_, rival)| cover.outweighs(rival, count));
+                && rivals.all(|(_, rival)| self.outweighs(part, cover, rival, count));
             is_convicted.then_some((shared, count))
         })
     }
 
+    /// Returns whether a part with `count` separate crashes is a better explanation than a rival: it is in
+    /// fewer of the requests that were lost in a crash, or explains more crashes. A part in more of
+    /// them may be a popular one, and a few of its crashes the rival's whose requests are unknown.
+    fn outweighs(
+        &self,
+        part: WorkPart,
+        cover: &PartCover,
+        rival: &PartCover,
+        count: usize,
+    ) -> bool {
+        let is_no_more = cover.lost_rate() <= rival.lost_rate();
+        match cover.compare_lost(rival) {
+            Ordering::Less => count > CONVICTING_CRASHES,
+            Ordering::Equal if rival.explains(cover, NEAR_SHARE) => {
+                count >= DECIDING_CRASHES && is_no_more
+            }
+            Ordering::Equal if is_no_more => count > CONVICTING_CRASHES,
+            Ordering::Equal | Ordering::Greater => {
+                self.count_separate(part, &cover.without(rival)) >= CONVICTING_CRASHES
+            }
+        }
+    }
+
     /// Returns whether a part explains enough of the crashes of its time.
     fn is_conspicuous(
         &self,
@@ -514,10 +530,10 @@
 
     /// Counts the crashes of a part, of which those at one moment are one: a crash is separate from
     /// the one before if a request with the part was sent after that.
-    fn count_separate(&self, part: WorkPart, cover: &PartCover) -> usize {
+    fn count_separate(&self, part: WorkPart, crashes: &[usize]) -> usize {
         let mut count = 0;
         let mut last: Option<Timestamp> = None;
-        for crash in cover.crashes.iter().map(|index| &self.crashes[*index]) {
+        for crash in crashes.iter().map(|index| &self.crashes[*index]) {
             let is_separate = last.is_none_or(|last| {
                 self.lost_with(part, crash).any(|lost| match lost.source {
                     LossSource::Own => lost.began_at > last && crash.at > last + SAME_MOMENT,
--- a/lib/tests/test_part_suspects.rs
+++ b/lib/tests/test_part_suspects.rs
@@ -337,3 +337,34 @@
     assert!(suspects.find_verdict(&work(90, &[1])).is_none());
     assert!(suspects.find_verdict(&work(91, &[1, 2])).is_some());
 }
+
+#[test]
+fn unknown_loss() {
+    // Part 1 is in all requests. Nobody tells of the request with part 2 in the last crash.
+    let mut suspects = PartSuspects::default();
+    let crashes = vec![
+        vec![work(1, &[1, 2]), work(2, &[1]), work(3, &[1])],
+        vec![work(4, &[1, 2])],
+        vec![work(5, &[1, 2])],
+        vec![work(6, &[1])],
+    ];
+    crash_each(&mut suspects, 1_000, &crashes);
+    assert!(suspects.find_verdict(&work(7, &[1])).is_none());
+    assert!(suspects.find_verdict(&work(8, &[1, 2])).is_some());
+}
+
+#[test]
+fn bystander_of_one_host() {
+    // Two requests with part 2 are lost in each crash, and one with part 7 in every other.
+    let mut suspects = PartSuspects::default();
+    let crashes: Vec<_> = (0..6)
+        .map(|number| {
+            let mut lost = vec![work(number, &[2]), work(50 + number, &[2])];
+            lost.extend((number % 2 == 0).then(|| work(70 + number, &[7])));
+            lost
+        })
+        .collect();
+    crash_each(&mut suspects, 1_000, &crashes);
+    assert!(suspects.find_verdict(&work(90, &[2])).is_some());
+    assert!(suspects.find_verdict(&work(91, &[7])).is_none());
+}
--- a/lib/testutils/src/gateway_process.rs
+++ b/lib/testutils/src/gateway_process.rs
@@ -2,6 +2,7 @@
 //! of its callers.
 
 use std::fs;
+use std::fs::File;
 use std::net::IpAddr;
 use std::path::Path;
 use std::path::PathBuf;
@@ -25,10 +26,12 @@
 /// Port on which a gateway serves its metrics.
 const METRICS_PORT: u16 = 9_464;
 
-/// A gateway process. Dropping it kills the process and removes its settings file.
+/// A gateway process. Dropping it kills the process and removes its settings file and its log; the
+/// log of a test that fails is kept.
 pub struct GatewayProcess {
     child: Child,
     settings: PathBuf,
+    log: Option<PathBuf>,
 }
 
 impl GatewayProcess {
@@ -39,7 +42,12 @@
         host: &str,
         ip: &str,
     ) -> std::io::Result<Self> {
-        Self::start_with(program, &standin.settings(host, ip), ip, Stdio::null())
+        let log = std::env::temp_dir().join(format!("gateway-{}-{ip}.log", std::process::id()));
+        let output = File::options().create(true).append(true).open(&log)?;
+        let settings = standin.settings(host, ip);
+        let mut process = Self::start_with(program, &settings, ip, output.into())?;
+        process.log = Some(log);
+        Ok(process)
     }
 
     /// Starts the program with these settings and writes its log to `output`.
@@ -57,7 +65,7 @@
             .env("POMELOSTACK_CONFIG", &path)
             .stdout(output)
             .spawn()?;
-        Ok(Self { child, settings: path })
+        Ok(Self { child, settings: path, log: None })
     }
 
     /// Sends a signal to the process.
@@ -94,6 +102,11 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = fs::remove_file(&self.settings);
+        match &self.log {
+            Some(log) if std::thread::panicking() => eprintln!("log of a host: {}", log.display()),
+            Some(log) => drop(fs::remove_file(log)),
+            None => {}
+        }
     }
 }
 
