part suspects: one crash in another service convicts the parts of a verdict in all

A host can't tell which parts of a verdict are the same in other services: all were plain hashes. The lowest bit of a hash tells it now. A request of another service that was lost in a crash and has each part of the verdict convicts them in all services at once, unless one with them was answered there (sound_in_next_service).

Hosts of the versions before and after hash parts differently, so that they know none of each other's verdicts while a release is rolled out.

--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -69,9 +69,6 @@
 /// remains for the hedged attempt.
 const TIME_LEFT_DIVISOR: u32 = 3;
 
-/// Scope of parts of prompts that are not those of one service.
-const ANY_SERVICE: &str = "";
-
 /// Whether an attempt was sent.
 enum StartOutcome {
     /// It was.
@@ -151,8 +148,8 @@
         let shared = head.prompt.as_ref().map_or(&[][..], PromptShape::shared_parts);
         // Several services may run the same software, or only one of them may crash.
         let prompt = shared.iter().flat_map(|part| {
-            [service.as_str(), ANY_SERVICE]
-                .map(|service| WorkPart::of_prompt(service, &part.id.to_be_bytes()))
+            let id = part.id.to_be_bytes();
+            [WorkPart::of_prompt(service.as_str(), &id), WorkPart::of_any_service(&id)]
         });
         let work = WorkParts::new(whole, prompt);
         if self.meets_verdict(&head, &work) {
--- a/lib/src/part_suspects.rs
+++ b/lib/src/part_suspects.rs
@@ -9,6 +9,9 @@
 //! parts that all those requests share, unless another part explains the same crashes: then a
 //! further crash decides between them. Crashes with a convicted part count against no other part.
 //!
+//! A part is known within its service and in any service. When requests with a convicted part crash a
+//! server of another service as well, one crash is enough to convict the part in all services.
+//!
 //! Servers also end without the fault of any request. Those that are lost at one moment, such as the
 //! servers of an availability zone, are one crash. While servers end one after the other, a part
 //! must explain a fair share of these crashes to be convicted.
@@ -234,6 +237,13 @@
     }
 }
 
+/// A part that explains crashes of another one.
+#[derive(Clone, Copy, Debug)]
+struct RivalPart<'a> {
+    cover: &'a PartCover,
+    is_convicted: bool,
+}
+
 /// Suspects of crashes and verdicts, as known to one host.
 #[derive(Clone, Debug)]
 pub struct PartSuspects {
@@ -377,7 +387,10 @@
         for crash in self.crashes.iter_mut().filter(|crash| crash.is_settled(now, pace)) {
             is_due |= !std::mem::replace(&mut crash.is_judged, true);
         }
-        while is_due && let Some((parts, crashes)) = self.convict_next(now, view) {
+        while is_due
+            && let Some((parts, crashes)) =
+                self.convict_next(now, view).or_else(|| self.convict_in_any_service(now))
+        {
             let state = VerdictState::InForce;
             let crashes = u32::try_from(crashes).unwrap_or(u32::MAX);
             let verdict = PartVerdict { parts, state, changed_ms: wall_ms, crashes };
@@ -403,6 +416,8 @@
     /// Returns the parts to convict next and the number of their crashes, if there are any.
     fn convict_next(&self, now: Timestamp, view: FleetView) -> Option<(WorkParts, usize)> {
         let covers = self.covers(now);
+        let convicted: BTreeSet<WorkPart> =
+            self.verdicts.in_force().flat_map(|record| record.verdict.parts.iter()).collect();
         let mut suspects: Vec<(WorkPart, usize)> = covers
             .iter()
             .filter(|(_, cover)| cover.crashes.len() >= CONVICTING_CRASHES)
@@ -420,28 +435,54 @@
             });
             let is_convicted = self.verdicts.find(&shared).is_none()
                 && self.is_conspicuous(now, view, part, cover, count)
-                && rivals.all(|(_, rival)| self.outweighs(part, cover, rival, count));
+                && rivals.all(|(other, rival)| {
+                    let rival = RivalPart { cover: rival, is_convicted: convicted.contains(other) };
+                    self.outweighs(part, cover, count, rival)
+                });
             is_convicted.then_some((shared, count))
         })
     }
 
+    /// Returns the parts of a verdict that were lost in another service as well, and the number of crashes,
+    /// if no request with them was answered since the verdict.
+    fn convict_in_any_service(&self, now: Timestamp) -> Option<(WorkParts, usize)> {
+        self.verdicts.in_force().find_map(|record| {
+            let parts = record.verdict.parts.in_any_service()?;
+            if self.verdicts.find(&parts).is_some() {
+                return None;
+            }
+            let is_lost = |crash: &CrashRecord| {
+                let since = crash.at.min(record.learned_at);
+                crash.is_settled(now, self.pace)
+                    && parts.iter().any(|part| !self.is_cleared_since(part, since))
+                    && crash.lost.iter().any(|lost| {
+                        lost.parts.contains_all(&parts)
+                            && !lost.parts.contains_all(&record.verdict.parts)
+                    })
+            };
+            let crashes = usize::try_from(record.verdict.crashes).unwrap_or(usize::MAX);
+            self.crashes.iter().any(is_lost).then(|| (parts, crashes.saturating_add(1)))
+        })
+    }
+
     /// Returns whether a part with `count` separate crashes is a better explanation than a rival: it is in
     /// fewer of the requests that were lost in a crash, or explains more crashes. A part in more of
     /// them may be a popular one, and a few of its crashes the rival's whose requests are unknown.
+    /// So it needs crashes without the rival, as it does if the rival is convicted already.
     fn outweighs(
         &self,
         part: WorkPart,
         cover: &PartCover,
-        rival: &PartCover,
         count: usize,
+        RivalPart { cover: rival, is_convicted }: RivalPart<'_>,
     ) -> bool {
-        let is_no_more = cover.lost_rate() <= rival.lost_rate();
+        let is_no_more = !is_convicted && cover.lost_rate() <= rival.lost_rate();
         match cover.compare_lost(rival) {
             Ordering::Less => count > CONVICTING_CRASHES,
-            Ordering::Equal if rival.explains(cover, NEAR_SHARE) => {
-                count >= DECIDING_CRASHES && is_no_more
-            }
-            Ordering::Equal if is_no_more => count > CONVICTING_CRASHES,
+            Ordering::Equal if is_no_more => match rival.explains(cover, NEAR_SHARE) {
+                true => count >= DECIDING_CRASHES,
+                false => count > CONVICTING_CRASHES,
+            },
             Ordering::Equal | Ordering::Greater => {
                 self.count_separate(part, &cover.without(rival)) >= CONVICTING_CRASHES
             }
--- a/lib/src/work_parts.rs
+++ b/lib/src/work_parts.rs
@@ -9,22 +9,35 @@
 /// requests that share a part tend to keep it alike.
 pub const MAX_WORK_PARTS: usize = 48;
 
-/// Hash of one part of a request's work, within its service.
+/// Hash of one part of a request's work. The lowest bit is set if it is the same in all services.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct WorkPart(pub u64);
 
+/// Bit of a hash that is set if the part is the same in all services.
+const ANY_SERVICE_BIT: u64 = 1;
+
 impl WorkPart {
-    /// Hashes a part of a prompt, given by its identifier or its text.
+    /// Hashes a part of a prompt within its service, given by its identifier or its text.
     pub fn of_prompt(service: &str, part: &[u8]) -> Self {
-        Self::hash(&[b"prompt", service.as_bytes(), part])
+        Self(Self::hash(&[b"prompt", service.as_bytes(), part]) & !ANY_SERVICE_BIT)
+    }
+
+    /// Hashes a part of a prompt in any service.
+    pub fn of_any_service(part: &[u8]) -> Self {
+        Self(Self::hash(&[b"prompt of any service", part]) | ANY_SERVICE_BIT)
     }
 
     /// Hashes a whole request: every resend of the same work is the same part.
     pub fn of_request(fields: &[&[u8]]) -> Self {
-        Self::hash(fields)
+        Self(Self::hash(fields) & !ANY_SERVICE_BIT)
     }
 
-    fn hash(fields: &[&[u8]]) -> Self {
+    /// Returns whether it is a part of a prompt in any service.
+    pub fn is_of_any_service(self) -> bool {
+        self.0 & ANY_SERVICE_BIT != 0
+    }
+
+    fn hash(fields: &[&[u8]]) -> u64 {
         let mut hasher = blake3::Hasher::new();
         for field in fields {
             hasher.update(&(field.len() as u64).to_le_bytes());
@@ -32,7 +45,7 @@
         }
         let mut first = [0; 8];
         first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-        Self(u64::from_le_bytes(first))
+        u64::from_le_bytes(first)
     }
 }
 
@@ -76,6 +89,13 @@
         self.0.retain(|part| keep(*part));
     }
 
+    /// Returns the parts that are the same in all services, if there is one for each part of the
+    /// prompt within its service and nothing else.
+    pub fn in_any_service(&self) -> Option<Self> {
+        let parts: Self = self.iter().filter(|part| part.is_of_any_service()).collect();
+        (!parts.is_empty() && parts.len() * 2 == self.len()).then_some(parts)
+    }
+
     /// Returns the number of parts.
     pub fn len(&self) -> usize {
         self.0.len()
--- a/lib/tests/test_part_suspects.rs
+++ b/lib/tests/test_part_suspects.rs
@@ -314,16 +314,57 @@
     assert!(suspects.verdicts().records().count() <= 256);
 }
 
+/// Parts of a request to a service, as hosts build them.
+fn service_work(request: u64, service: &str, parts: &[u64]) -> WorkParts {
+    let prompt = parts.iter().flat_map(|number| {
+        let id = number.to_be_bytes();
+        [WorkPart::of_prompt(service, &id), WorkPart::of_any_service(&id)]
+    });
+    WorkParts::new(whole(request), prompt)
+}
+
+/// Records crashes of one service by part 2 until there is a verdict. Part 1 is in all requests.
+fn convict_in_first_service(suspects: &mut PartSuspects) -> u64 {
+    let first: Vec<_> = (0..4).map(|number| vec![service_work(number, "chat", &[1, 2])]).collect();
+    let next = crash_each(suspects, 1_000, &first);
+    assert!(suspects.find_verdict(&service_work(20, "chat", &[1, 2])).is_some());
+    assert!(suspects.find_verdict(&service_work(20, "code", &[1, 2])).is_none());
+    next
+}
+
 #[test]
 fn next_service() {
-    // Part 2 crashed the servers of one service, which is part 3, and then crashes those of another.
+    // Part 2 crashed the servers of one service, and then crashes those of another.
+    let mut suspects = PartSuspects::default();
+    let next = convict_in_first_service(&mut suspects);
+    let lost = [21, 22].map(|number| service_work(number, "code", &[1, 2]));
+    crash_each(&mut suspects, next, &[lost.to_vec()]);
+    assert!(suspects.find_verdict(&service_work(23, "code", &[1, 2])).is_some());
+    assert!(suspects.find_verdict(&service_work(24, "code", &[1])).is_none());
+    assert!(suspects.find_verdict(&service_work(25, "chat", &[1])).is_none());
+}
+
+#[test]
+fn sound_in_next_service() {
+    // The servers of another service answer requests with the part, before and after one is lost there.
+    let mut suspects = PartSuspects::default();
+    let next = convict_in_first_service(&mut suspects);
+    suspects.on_answered(at(next), &service_work(21, "code", &[1, 2]));
+    let next = crash_each(&mut suspects, next + 1, &[vec![service_work(22, "code", &[1, 2])]]);
+    assert!(suspects.find_verdict(&service_work(23, "code", &[1, 2])).is_none());
+    suspects.on_answered(at(next), &service_work(24, "code", &[1, 2]));
+    suspects.judge(at(next + 1_000), next, FleetView::Whole);
+    assert!(suspects.find_verdict(&service_work(25, "code", &[1, 2])).is_none());
+}
+
+#[test]
+fn popular_part_of_next_service() {
+    // A request of another service is lost that has only the popular part of a verdict.
     let mut suspects = PartSuspects::default();
-    let first: Vec<_> = (0..4).map(|number| vec![work(number, &[2, 3])]).collect();
-    let next = crash_each(&mut suspects, 1_000, &first);
-    assert!(suspects.find_verdict(&work(20, &[2, 4])).is_none());
-    let lost = vec![work(21, &[2, 4]), work(22, &[2, 4])];
-    crash_each(&mut suspects, next, &[lost]);
-    assert!(suspects.find_verdict(&work(23, &[2, 4])).is_some());
+    let next = convict_in_first_service(&mut suspects);
+    crash_each(&mut suspects, next, &[vec![service_work(21, "code", &[1])]]);
+    assert!(suspects.find_verdict(&service_work(22, "code", &[1])).is_none());
+    assert!(suspects.find_verdict(&service_work(23, "chat", &[1])).is_none());
 }
 
 #[test]
