part suspects: crashes are judged again when a silent host is back

Crashes that were judged while a host was missing are judged again when none is.

Ruled out: late reports (all hosts' crash lines are within milliseconds), rivals (the popular part is in all the lost requests with the part).

--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -327,12 +327,15 @@
         self.is_partitioned_among(now, None)
     }
 
-    /// Returns how much of the fleet this host hears of. A silent host may have ended meanwhile.
+    /// Returns how much of the fleet this host hears of. A silent host may have ended meanwhile; one
+    /// that said that it was leaving told what it had lost.
     pub fn fleet_view(&self, now: Timestamp) -> FleetView {
-        let known = self.contacts.values().filter(|contact| contact.heard_at.is_some()).count();
+        let is_missing = |contact: &PeerContact| {
+            contact.heard_at.is_some() && !contact.is_live(now) && !contact.is_leaving
+        };
         if self.is_partitioned(now) {
             FleetView::Partial
-        } else if self.live_peers(now) < known {
+        } else if self.contacts.values().any(is_missing) {
             FleetView::Most
         } else {
             FleetView::Whole
--- a/lib/src/part_suspects.rs
+++ b/lib/src/part_suspects.rs
@@ -252,6 +252,8 @@
     watched: BTreeMap<WorkPart, WatchedPart>,
     verdicts: VerdictTable,
     pace: ReportPace,
+    /// Whether crashes were judged while some hosts were silent, and must be again once they are not.
+    is_judged_in_part: bool,
 }
 
 impl Default for PartSuspects {
@@ -261,6 +263,7 @@
             watched: BTreeMap::new(),
             verdicts: VerdictTable::default(),
             pace: FLEET_PACE,
+            is_judged_in_part: false,
         }
     }
 }
@@ -383,10 +386,13 @@
             self.crashes.clear();
             return changed;
         }
-        let (mut is_due, pace) = (false, self.pace);
+        let (mut is_due, pace) = (self.is_judged_in_part && view == FleetView::Whole, self.pace);
         for crash in self.crashes.iter_mut().filter(|crash| crash.is_settled(now, pace)) {
             is_due |= !std::mem::replace(&mut crash.is_judged, true);
         }
+        if is_due {
+            self.is_judged_in_part = view != FleetView::Whole;
+        }
         while is_due
             && let Some((parts, crashes)) =
                 self.convict_next(now, view).or_else(|| self.convict_in_any_service(now))
--- a/lib/tests/test_part_suspects.rs
+++ b/lib/tests/test_part_suspects.rs
@@ -193,6 +193,15 @@
 
 /// Reports a crash a second for each list of lost requests, and judges after each.
 fn crash_each(suspects: &mut PartSuspects, first_ms: u64, crashes: &[Vec<WorkParts>]) -> u64 {
+    crash_each_with(suspects, first_ms, crashes, FleetView::Whole)
+}
+
+fn crash_each_with(
+    suspects: &mut PartSuspects,
+    first_ms: u64,
+    crashes: &[Vec<WorkParts>],
+    view: FleetView,
+) -> u64 {
     let mut millis = first_ms;
     for lost in crashes {
         let lost = lost.iter().map(|parts| LostRequest {
@@ -202,7 +211,7 @@
             progress: AnswerProgress::Beginning,
         });
         suspects.on_crash(at(millis), at(millis), &server(millis), lost);
-        suspects.judge(at(millis + 900), millis, FleetView::Whole);
+        suspects.judge(at(millis + 900), millis, view);
         millis += 1_000;
     }
     millis
@@ -409,3 +418,14 @@
     assert!(suspects.find_verdict(&work(90, &[2])).is_some());
     assert!(suspects.find_verdict(&work(91, &[7])).is_none());
 }
+
+#[test]
+fn silent_host_returns() {
+    // A host is silent while three crashes are judged, and had no part in them.
+    let mut suspects = PartSuspects::default();
+    let crashes: Vec<_> = (0..3).map(|number| vec![work(number, &[2])]).collect();
+    let next = crash_each_with(&mut suspects, 1_000, &crashes, FleetView::Most);
+    assert!(suspects.find_verdict(&work(9, &[2])).is_none());
+    assert_eq!(suspects.judge(at(next), next, FleetView::Whole).len(), 1);
+    assert!(suspects.find_verdict(&work(9, &[2])).is_some());
+}
--- a/lib/tests/test_peer_table.rs
+++ b/lib/tests/test_peer_table.rs
@@ -12,6 +12,7 @@
 use pomelostack_lib::ids::HostId;
 use pomelostack_lib::ids::TeamName;
 use pomelostack_lib::ids::ZoneName;
+use pomelostack_lib::part_suspects::FleetView;
 use pomelostack_lib::protos::gateway::HostSummary;
 use pomelostack_lib::protos::gateway::TeamUse;
 use pomelostack_lib::timestamp::Timestamp;
@@ -107,6 +108,30 @@
     assert!(table.is_partitioned(at(4_100)));
 }
 
+#[test]
+fn missing_hosts() {
+    let mut table = PeerTable::new(host("h1"), zone("north"));
+    for name in ["h2", "h3", "h4", "h5"] {
+        table.on_summary(at(0), summary(name, 1, 1, 0));
+    }
+    assert_eq!(table.fleet_view(at(100)), FleetView::Whole);
+    // One host ends and says so; then another one falls silent.
+    table.on_summary(at(200), HostSummary { leaving: true, ..summary("h2", 1, 2, 0) });
+    for name in ["h3", "h4", "h5"] {
+        table.on_summary(at(2_000), summary(name, 1, 2, 0));
+    }
+    assert_eq!(table.fleet_view(at(2_500)), FleetView::Whole);
+    table.on_summary(at(4_000), summary("h3", 1, 3, 0));
+    table.on_summary(at(4_000), summary("h5", 1, 3, 0));
+    assert_eq!(table.fleet_view(at(4_100)), FleetView::Most);
+    // The host that left starts again, and is silent.
+    table.on_summary(at(4_200), summary("h2", 2, 1, 0));
+    table.on_summary(at(6_500), summary("h4", 1, 3, 0));
+    table.on_summary(at(6_500), summary("h3", 1, 4, 0));
+    table.on_summary(at(6_500), summary("h5", 1, 4, 0));
+    assert_eq!(table.fleet_view(at(6_600)), FleetView::Most);
+}
+
 #[test]
 fn listed_peer_found() {
     let mut table = PeerTable::new(host("h1"), zone("north"));
