limits: hosts that fell silent stay known for an hour; the rate is free 5 s after the end

A cut of more than 30 s between hosts, both sides of which reach callers and servers: peers' addresses were dropped, each side took itself for the whole fleet, and the sides together sent 61 requests of 47 allowed (84 hosts, 7 a second), 56 of 47 and 13 of 11 (8 hosts). Shown by long_cut, whose three partition cases failed. A host that fell silent and did not say that it was leaving counts for an hour now; one that said so does not. A host that starts within the cut still knows only those that it hears from (docs/design/server-limits.md).

--- a/lib/src/gateway/limit_belief.rs
+++ b/lib/src/gateway/limit_belief.rs
@@ -22,7 +22,7 @@
 const RECOVERY_DOUBLING: Duration = Duration::from_secs(1);
 
 /// Time after the end of a limit from which on the rate is not limited.
-const RECOVERY_TIME: Duration = Duration::from_secs(6);
+const RECOVERY_TIME: Duration = Duration::from_secs(5);
 
 /// Time for which a response is told to peers although they may know newer ones; it spans two
 /// summaries.
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -61,6 +61,10 @@
 /// Time without a summary after which a peer's address is dropped.
 const CONTACT_TTL: Duration = Duration::from_secs(30);
 
+/// Time for which a host that fell silent, and did not say that it was leaving, counts as one that
+/// may still send to servers.
+const SILENT_TTL: Duration = Duration::from_secs(3_600);
+
 /// Largest fleet in which each host sends its summaries to all others. With up to a dozen hosts,
 /// the traffic between zones is small compared with that of the callers.
 const MAX_DIRECT_HOSTS: u32 = 12;
@@ -141,6 +145,9 @@
     zone: ZoneName,
     entries: BTreeMap<HostIncarnation, PeerEntry>,
     contacts: BTreeMap<HostId, PeerContact>,
+    /// Hosts that fell silent without saying that they were leaving, and when they were last heard.
+    /// They may still send to servers.
+    silent: BTreeMap<HostId, Timestamp>,
     /// Whether the list of hosts was read.
     is_listed: bool,
     /// Spending of all entries, updated incrementally since it is read after every summary.
@@ -182,6 +189,7 @@
             zone,
             entries: BTreeMap::new(),
             contacts: BTreeMap::new(),
+            silent: BTreeMap::new(),
             is_listed: false,
             total_spending: BTreeMap::new(),
         }
@@ -234,6 +242,7 @@
         let heard_at = Some(now);
         let is_leaving = summary.leaving;
         let contact = PeerContact { address, zone, listed_at: now, heard_at, period, is_leaving };
+        self.silent.remove(&host);
         let known = self.contacts.insert(host, contact);
         self.insert_entry(incarnation, PeerEntry { heard_at: now, summary });
         match known.is_some_and(|known| known.is_live(now)) {
@@ -281,9 +290,14 @@
             let first = self.entries.pop_first();
             first.iter().for_each(|(_, entry)| self.subtract_spending(entry));
         }
-        self.contacts.retain(|_, contact| {
-            now.since(contact.heard_at.unwrap_or(contact.listed_at)) < CONTACT_TTL
-        });
+        let is_stale = |_: &HostId, contact: &mut PeerContact| {
+            now.since(contact.heard_at.unwrap_or(contact.listed_at)) >= CONTACT_TTL
+        };
+        let stale = self.contacts.extract_if(.., is_stale);
+        let silent = stale.filter(|(_, contact)| !contact.is_leaving);
+        let silent = silent.filter_map(|(host, contact)| Some((host, contact.heard_at?)));
+        self.silent.extend(silent);
+        self.silent.retain(|_, heard_at| now.since(*heard_at) < SILENT_TTL);
     }
 
     /// Returns how many of the other recently known hosts this host still hears from.
@@ -383,10 +397,14 @@
         let heard = self.contacts.values().filter(|contact| contact.heard_at.is_some());
         let staying = heard.filter(|contact| !contact.is_leaving).count();
         let hosts = |count: usize| FleetSize::Hosts(u32::try_from(count + 1).unwrap_or(u32::MAX));
+        let silent = self.silent.len();
         match staying {
-            0 if !self.is_listed => FleetSize::Unknown,
-            0 => hosts(self.contacts.values().filter(|contact| !contact.is_leaving).count()),
-            staying => hosts(staying),
+            0 if !self.is_listed && silent == 0 => FleetSize::Unknown,
+            0 => {
+                let listed = self.contacts.values().filter(|contact| !contact.is_leaving).count();
+                hosts(listed.max(silent))
+            }
+            staying => hosts(staying + silent),
         }
     }
 
--- a/lib/tests/test_limit_fleet.rs
+++ b/lib/tests/test_limit_fleet.rs
@@ -134,6 +134,25 @@
     check_windows(&outcome, &schedules, begin() + CONTACT);
 }
 
+#[rstest]
+#[case::partition(&[(5_000, LimitFault::Partition), (70_000, LimitFault::Heal)])]
+#[case::cut_off(&[(5_000, LimitFault::CutOff(0)), (6_000, LimitFault::CutOff(1)),
+    (70_000, LimitFault::Reconnect(0))])]
+fn long_cut(
+    #[case] faults: &[(u64, LimitFault)],
+    #[values(8, 84)] hosts: usize,
+    #[values(1.0, 7.0)] limit: f64,
+) {
+    let schedules = limited(3, limit);
+    let shape = LimitShape::of_hosts(hosts, limit * OVERLOAD * 3.0);
+    let mut simulator = LimitSimulator::new(shape, schedules.clone(), 1);
+    for (millis, fault) in faults {
+        simulator.add_fault(after(*millis), *fault);
+    }
+    let outcome = simulator.run(after(80_000));
+    check_windows(&outcome, &schedules, begin() + CONTACT);
+}
+
 #[rstest]
 fn lossy_summaries(#[values(8, 84)] hosts: usize, #[values(1, 2)] seed: u64) {
     let mut shape = LimitShape::of_hosts(hosts, 600.0);
