stand-in: a connection that its replica accepted before its crash ends with it

Traced with the hosts' logs: the verdict stood after the third crash and was lifted 42 ms later, since a request with the crashing part was answered whole. The stand-in had accepted its connection at the moment of the crash, and waited for the crash's notice only once the connection's task ran, after it. The program did what it should: a sound answer lifts a verdict.

--- a/lib/testutils/src/deployment_server.rs
+++ b/lib/testutils/src/deployment_server.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::ops::Range;
+use std::pin::pin;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -128,7 +129,16 @@
             state.next_connection += 1;
             state.next_connection - 1
         };
-        tokio::task::spawn_local(serve_connection(state, role, connection, stream));
+        let process = replica_id(&state, role);
+        tokio::task::spawn_local(serve_connection(state, role, connection, process, stream));
+    }
+}
+
+/// Returns the id of a replica's process.
+fn replica_id(state: &SharedState, role: Role) -> Option<String> {
+    match role {
+        Role::Platform(_) => None,
+        Role::Replica(index) => Some(lock(state).replicas[index].id.clone()),
     }
 }
 
@@ -156,8 +166,20 @@
 
 /// Serves a connection until it is closed, or until a response that no HTTP library writes takes it
 /// over.
-async fn serve_connection(state: SharedState, role: Role, number: u64, stream: TcpStream) {
-    let crash = crash_signal(&state, role);
+async fn serve_connection(
+    state: SharedState,
+    role: Role,
+    number: u64,
+    process: Option<String>,
+    stream: TcpStream,
+) {
+    let signal = crash_signal(&state, role);
+    let mut crash = pin!(signal.notified());
+    // The process may have crashed since it accepted the connection.
+    if lock(&state).crashes.iter().any(|crash| Some(&crash.replica_id) == process.as_ref()) {
+        reset(&stream);
+        return;
+    }
     let (takeovers, mut takeover) = mpsc::unbounded_channel();
     let service =
         service_fn(move |request| answer(state.clone(), role, number, takeovers.clone(), request));
@@ -166,23 +188,22 @@
     let response = tokio::select! {
         _ = &mut connection => return,
         response = takeover.recv() => response,
-        () = crash.notified() => {
-            let stream = connection.into_parts().io.into_inner();
-            // Without lingering, the connection is reset. It may be closed already.
-            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
-            return;
-        }
+        () = &mut crash => return reset(&connection.into_parts().io.into_inner()),
     };
     let mut stream = connection.into_parts().io.into_inner();
     // The gateway may close the connection at any time.
     tokio::select! {
         _ = write_takeover(response, &mut stream) => {}
-        () = crash.notified() => {
-            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
-        }
+        () = &mut crash => reset(&stream),
     }
 }
 
+/// Lets a connection be reset when it is dropped.
+fn reset(stream: &TcpStream) {
+    // It may be closed already.
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
 async fn answer(
     state: SharedState,
     role: Role,
