--- a/lib/testutils/src/http_standin.rs
+++ b/lib/testutils/src/http_standin.rs
@@ -11,6 +11,7 @@
 use std::sync::PoisonError;
 use std::thread;
 use std::thread::JoinHandle;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
@@ -99,6 +100,9 @@
     fn apply_fault(&self, fault: Self::Fault);
 }
 
+/// Time for the response to a fault that ends connections to be written.
+const RESPONSE_TIME: Duration = Duration::from_millis(50);
+
 fn dispatch_request<S: StandinService>(service: &S, exchange: HttpExchange) {
     if (exchange.method(), exchange.path()) != ("POST", "/faults") {
         return service.serve(exchange);
@@ -106,6 +110,8 @@
     match exchange.json::<S::Fault>() {
         Ok(fault) if fault.ends_connections() => {
             exchange.respond_json(200, &());
+            // The server's thread writes the response.
+            thread::sleep(RESPONSE_TIME);
             service.apply_fault(fault);
         }
         Ok(fault) => {
