gateway: log the software version of servers, and which streams callers resume

The version of an entry and the caller's name of the stream's first attempt are decoded and logged; summaries carry the version with directory changes. No choice depends on them yet.

A version or an attempt's name of any bytes has a short label: itself, or its hash. Servers that state no version count as one. A peer of a build that reads no versions tells entries without one; they are skipped and the directory is read instead.

The metrics count listed servers by service and version.

--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -12,6 +12,7 @@
 use hyper::http::request;
 
 use crate::gateway::caller_request::CallerHead;
+use crate::gateway::caller_request::EventNumber;
 use crate::gateway::fleet_scaler::TokenDemand;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::placement::ConnectionShare;
@@ -318,13 +319,15 @@
     state.metrics.total_latency.with_label_values(&[kind]).observe(elapsed.as_secs_f64());
     log::info!(
         "event=request_ended request={} route={} service={} team={} kind={kind} code={number} \
-         elapsed_ms={} config={} {detail}",
+         elapsed_ms={} config={} origin={} after={} {detail}",
         request.head.request_id,
         request.route.name,
         request.service,
         request.team_name().map_or("-", TeamName::as_str),
         elapsed.as_millis(),
         request.config_version,
+        request.head.origin,
+        EventNumber(request.head.resume_after),
     );
 }
 
--- a/lib/src/gateway/attempt_race.rs
+++ b/lib/src/gateway/attempt_race.rs
@@ -83,7 +83,8 @@
         deadline: Timestamp,
         resume_after: Option<u64>,
     ) -> bool {
-        let Some(attempt) = ServerAttempt::start(&self.state, &self.request, placed) else {
+        let Some(attempt) = ServerAttempt::start(&self.state, &self.request, placed, resume_after)
+        else {
             return false;
         };
         let (wire, request) = (self.wire.clone(), self.request.clone());
--- a/lib/src/gateway/backend_directory.rs
+++ b/lib/src/gateway/backend_directory.rs
@@ -23,6 +23,7 @@
 use crate::ids::ServiceName;
 use crate::ids::StoreEra;
 use crate::ids::ZoneName;
+use crate::software_version::SoftwareVersion;
 use crate::timestamp::Timestamp;
 
 /// Time after the store recovers for which a missing entry may still reappear: two seconds by the
@@ -58,6 +59,8 @@
     pub address: SocketAddr,
     /// Availability zone.
     pub zone: ZoneName,
+    /// Version of the software that it runs.
+    pub version: SoftwareVersion,
     /// Whether it accepts new requests.
     pub state: ServingState,
     /// Maximum number of concurrent requests.
--- a/lib/src/gateway/caller_request.rs
+++ b/lib/src/gateway/caller_request.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::time::Duration;
 
+use crate::text_label::TextLabel;
+
 /// Maximum number of parts in a log line.
 const MAX_LOGGED_PARTS: usize = 16;
 
@@ -59,6 +61,40 @@
     }
 }
 
+/// The number of the event after which a stream resumes, as it is logged: a dash for a new stream.
+pub struct EventNumber(pub Option<u64>);
+
+impl fmt::Display for EventNumber {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(number) => number.fmt(formatter),
+            None => formatter.write_str("-"),
+        }
+    }
+}
+
+/// The attempt of its caller that brought the first event of a stream which a request resumes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum StreamOrigin {
+    /// The request names none.
+    #[default]
+    Unnamed,
+    /// Label of the attempt's identifier.
+    Named(TextLabel),
+    /// The request names several.
+    Ambiguous,
+}
+
+impl fmt::Display for StreamOrigin {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unnamed => formatter.write_str("-"),
+            Self::Named(label) => label.fmt(formatter),
+            Self::Ambiguous => formatter.write_str("ambiguous"),
+        }
+    }
+}
+
 /// The head of a caller's request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CallerHead {
@@ -72,6 +108,8 @@
     pub timeout: Option<Duration>,
     /// Number of the last event that the caller has, if it resumes a stream.
     pub resume_after: Option<u64>,
+    /// Where the stream that it resumes began.
+    pub origin: StreamOrigin,
     /// Size and parts of the prompt, for a model request.
     pub prompt: Option<PromptShape>,
 }
--- a/lib/src/gateway/directory_gossip.rs
+++ b/lib/src/gateway/directory_gossip.rs
@@ -18,6 +18,7 @@
 use crate::ids::StoreEra;
 use crate::ids::ZoneName;
 use crate::protos::gateway::ServerChange;
+use crate::software_version::SoftwareVersion;
 use crate::timestamp::Timestamp;
 
 /// Time for which a change is included in summaries: three of them, or two in the largest fleets.
@@ -149,11 +150,13 @@
             reclaimable: entry.reclaimable,
             leaves_in_ms: entry.reclaimed_in.map(|left| left.as_millis() as u64),
             sequence: entry.sequence,
+            version: Some(entry.version.to_string()),
         },
     }
 }
 
-/// Decodes a change received from a peer; `None` if it is malformed.
+/// Decodes a change received from a peer; `None` if it is malformed, or is an entry without a version
+/// as builds tell it that read none.
 pub fn decode_change(received: &ServerChange) -> Option<(LogPosition, DirectoryChange)> {
     let id = ServerId::try_from(received.server.as_str()).ok()?;
     let position = LogPosition { era: StoreEra(received.era), offset: LogOffset(received.offset) };
@@ -167,6 +170,7 @@
         service: ServiceName::try_from(received.service.as_str()).ok()?,
         address,
         zone: ZoneName::try_from(received.zone.as_str()).ok()?,
+        version: SoftwareVersion::parse(received.version.as_deref()?)?,
         state,
         slots: received.slots,
         started_at_ms: received.born_ms,
--- a/lib/src/gateway/gateway_metrics.rs
+++ b/lib/src/gateway/gateway_metrics.rs
@@ -37,6 +37,8 @@
     pub total_latency: HistogramVec,
     /// Gauges: requests in flight, listed servers, reachable peers.
     pub levels: IntGaugeVec,
+    /// Gauge: listed servers, by service and version of their software.
+    pub servers: IntGaugeVec,
 }
 
 impl GatewayMetrics {
@@ -57,6 +59,11 @@
         let levels =
             IntGaugeVec::new(Opts::new("pomelostack_level", "Levels of the moment."), &["level"])?;
         registry.register(Box::new(levels.clone()))?;
+        let servers = IntGaugeVec::new(
+            Opts::new("pomelostack_servers", "Listed servers."),
+            &["service", "version"],
+        )?;
+        registry.register(Box::new(servers.clone()))?;
         Ok(Self {
             requests: counter(
                 "pomelostack_requests_total",
@@ -79,6 +86,7 @@
                 "Seconds until an answer's end.",
             )?,
             levels,
+            servers,
             registry,
         })
     }
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -451,8 +451,9 @@
             Some(server) => {
                 let entry = &server.entry;
                 log::info!(
-                    "event={event} server={} service={} zone={} address={} state={:?}",
+                    "event={event} server={} version={} service={} zone={} address={} state={:?}",
                     entry.id,
+                    entry.version,
                     entry.service,
                     entry.zone,
                     entry.address,
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -129,7 +129,10 @@
             // Peers receive the change from the host that read it.
             store_follower::apply_change(state, position, change);
         }
-        None => log::warn!("event=server_change_skipped code=404 offset={}", encoded.offset),
+        None => {
+            log::warn!("event=server_change_skipped code=404 offset={}", encoded.offset);
+            state.directory_hint.set(true);
+        }
     }
 }
 
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -28,6 +28,7 @@
 use crate::gateway::attempt_race::AttemptRace;
 use crate::gateway::attempt_race::RaceEvent;
 use crate::gateway::caller_request::CallerHead;
+use crate::gateway::caller_request::EventNumber;
 use crate::gateway::caller_request::PartList;
 use crate::gateway::caller_request::PromptShape;
 use crate::gateway::gateway_state::GatewayState;
@@ -467,11 +468,14 @@
         self.state.metrics.requests.with_label_values(&[kind, &code.to_string()]).inc();
         if let Some(head) = head {
             log::info!(
-                "event=request_ended request={} host={} code={code} elapsed_ms={} config={}",
+                "event=request_ended request={} host={} code={code} elapsed_ms={} config={} \
+                 origin={} after={}",
                 head.request_id,
                 head.host,
                 self.state.now().since(arrived_at).as_millis(),
                 self.state.config.borrow().current().map_or(0, |config| config.version),
+                head.origin,
+                EventNumber(head.resume_after),
             );
         }
         self.error_reply(head, reason)
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -23,6 +23,7 @@
 use crate::gateway::body_reader::BodyError;
 use crate::gateway::body_reader::read_body;
 use crate::gateway::buffer_budget::BufferBudget;
+use crate::gateway::caller_request::EventNumber;
 use crate::gateway::caller_request::PartList;
 use crate::gateway::connection_pool::CallError;
 use crate::gateway::connection_pool::PooledConnection;
@@ -42,6 +43,7 @@
 use crate::gateway::server_limit::LimitNotice;
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
+use crate::software_version::SoftwareVersion;
 use crate::timestamp::Timestamp;
 
 /// Maximum size of a buffered response in bytes.
@@ -63,6 +65,8 @@
     answer_begun_at: Option<Timestamp>,
     /// Start time of the server's process, in milliseconds since 1970.
     started_at_ms: Option<u64>,
+    /// Version of the server's software.
+    version: SoftwareVersion,
     /// Prompt tokens that still count as not prefilled.
     pending_prefill_tokens: u64,
     /// Whether it keeps a place at its server's limit, until it is handed to a connection.
@@ -78,21 +82,24 @@
         state: &Rc<GatewayState>,
         request: &AcceptedRequest,
         placed: PlacedServer,
+        resume_after: Option<u64>,
     ) -> Option<Self> {
         let PlacedServer { key, running, uncached_tokens, limited } = placed;
         let now = state.now();
-        let (id, address, started_at_ms, read_age) = {
+        let (id, address, started_at_ms, version, read_age) = {
             let directory = state.directory.borrow();
             let server = directory.get(key)?;
-            let BackendEntry { id, address, started_at_ms, .. } = &server.entry;
-            (id.clone(), *address, *started_at_ms, directory.read_age(now))
+            let BackendEntry { id, address, started_at_ms, version, .. } = &server.entry;
+            (id.clone(), *address, *started_at_ms, version.clone(), directory.read_age(now))
         };
         let limit = state.placement.borrow().limits().limit(&id, started_at_ms);
         log::info!(
-            "event=attempt_started request={} server={id} running={running} \
-             uncached_tokens={uncached_tokens} directory_age_ms={} peers={} limit_per_s={} \
+            "event=attempt_started request={} server={id} version={version} origin={} after={} \
+             running={running} uncached_tokens={uncached_tokens} directory_age_ms={} peers={} limit_per_s={} \
              closed_by_limits={limited}",
             request.head.request_id,
+            request.head.origin,
+            EventNumber(resume_after),
             read_age.unwrap_or_default().as_millis(),
             state.peers.borrow().live_peers(now),
             limit.map_or("-".to_owned(), |limit| limit.per_second().to_string()),
@@ -112,6 +119,7 @@
             began_at: now,
             answer_begun_at: None,
             started_at_ms,
+            version,
             pending_prefill_tokens: uncached_tokens,
             has_reserved: Cell::new(true),
             sent_at: Cell::new(now),
@@ -123,6 +131,11 @@
         &self.id
     }
 
+    /// Returns the version of the server's software.
+    pub fn version(&self) -> &SoftwareVersion {
+        &self.version
+    }
+
     /// Records that the first event of the stream came.
     pub fn on_first_event(&mut self) {
         self.answer_begun_at = Some(self.state.now());
--- a/lib/src/gateway/store_follower.rs
+++ b/lib/src/gateway/store_follower.rs
@@ -1,6 +1,7 @@
 //! Keeps this host's copies of the configuration and the directory in sync with the platform's
 //! store.
 
+use std::collections::BTreeMap;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,6 +25,8 @@
 use crate::ids::LogOffset;
 use crate::ids::LogPosition;
 use crate::ids::ServerId;
+use crate::ids::ServiceName;
+use crate::software_version::SoftwareVersion;
 
 /// Timeout of a long poll for the configuration.
 const CONFIG_POLL_TIMEOUT: Duration = Duration::from_secs(20);
@@ -39,6 +42,12 @@
 /// Interval of the checks whether this host's next read of the configuration is due.
 const CONFIG_CHECK_PERIOD: Duration = Duration::from_millis(250);
 
+/// Maximum number of versions of a service that the metrics tell apart.
+const MAX_COUNTED_VERSIONS: usize = 8;
+
+/// Label of the other versions in the metrics.
+const OTHER_VERSIONS: &str = "other";
+
 /// Delay after the first failed read.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 
@@ -360,6 +369,25 @@
         }
     }
     set_level(state, "servers", state.directory.borrow().iter().count() as u64);
+    count_versions(state);
+}
+
+/// Sets the number of listed servers of each version of a service.
+fn count_versions(state: &GatewayState) {
+    let directory = state.directory.borrow();
+    let mut counts: BTreeMap<(&ServiceName, &SoftwareVersion), i64> = BTreeMap::new();
+    for (_, server) in directory.iter() {
+        *counts.entry((&server.entry.service, &server.entry.version)).or_default() += 1;
+    }
+    let servers = &state.metrics.servers;
+    servers.reset();
+    let mut versions: BTreeMap<&ServiceName, usize> = BTreeMap::new();
+    for ((service, version), count) in counts {
+        let shown = versions.entry(service).or_default();
+        *shown += 1;
+        let label = if *shown > MAX_COUNTED_VERSIONS { OTHER_VERSIONS } else { version.as_str() };
+        servers.with_label_values(&[service.as_str(), label]).add(count);
+    }
 }
 
 /// Queues a change that this host read for the next summary and sends the summary at once.
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -29,6 +29,7 @@
 use crate::gateway::attempt_race::AttemptRace;
 use crate::gateway::attempt_race::RaceEvent;
 use crate::gateway::attempt_race::record_silent_server;
+use crate::gateway::caller_request::EventNumber;
 use crate::gateway::caller_request::PartList;
 use crate::gateway::connection_pool::PooledConnection;
 use crate::gateway::event_splitter;
@@ -50,6 +51,7 @@
 use crate::gateway::server_health::HealthEvidence;
 use crate::ids::ServerKey;
 use crate::result_code::ResultCode;
+use crate::software_version::SoftwareVersion;
 use crate::timestamp::Timestamp;
 
 /// Time after its first event from which a stream that goes on shows that its request does not crash
@@ -144,6 +146,8 @@
     chunks: ChunkSender,
     last_event: Option<u64>,
     relayed_events: u64,
+    /// Software version of the last server of which an event was relayed.
+    relayed_version: Option<SoftwareVersion>,
 }
 
 impl<W: WireProtocol + 'static> StreamRelay<W> {
@@ -163,7 +167,16 @@
         // The first server's length is wrong if another server resumes the stream.
         reply.headers_mut().remove(CONTENT_LENGTH);
         let last_event = request.head.resume_after;
-        let relay = Self { state, request, plan, race, chunks, last_event, relayed_events: 0 };
+        let relay = Self {
+            state,
+            request,
+            plan,
+            race,
+            chunks,
+            last_event,
+            relayed_events: 0,
+            relayed_version: None,
+        };
         let chunks = relay.chunks.clone();
         tokio::task::spawn_local(async move {
             if let Err(panic) = catch_panic(relay.run(stream)).await {
@@ -210,7 +223,9 @@
         // The plan counts only failed attempts; any other end adds one that did not fail.
         let unfailed = u32::from(code != ResultCode::AttemptsLost);
         let attempts = self.plan.sent() + unfailed;
-        let detail = format!("events={} attempts={attempts}", self.relayed_events);
+        let version = self.relayed_version.as_ref().map_or("-", SoftwareVersion::as_str);
+        let detail =
+            format!("events={} attempts={attempts} version={version}", self.relayed_events);
         log_request_end(&self.state, &self.request, code, &detail);
         if code != ResultCode::Complete && code != ResultCode::CallerLost {
             // Sending fails only if the caller disconnected meanwhile; it needs no error then.
@@ -274,6 +289,7 @@
             let now = self.state.now();
             if !std::mem::replace(&mut stream.has_begun, true) {
                 stream.begun_at = Some(now);
+                self.relayed_version = Some(stream.attempt.version().clone());
                 stream.attempt.on_first_event();
                 self.on_first_event();
             }
@@ -387,9 +403,9 @@
             return None;
         }
         log::info!(
-            "event=stream_resumed request={} after={:?}",
+            "event=stream_resumed request={} after={}",
             self.request.head.request_id,
-            self.last_event,
+            EventNumber(self.last_event),
         );
         self.race.start(placed, self.plan.deadline(), self.last_event).then_some(())
     }
@@ -436,9 +452,10 @@
     fn log_stream_lost(&self, attempt: &ServerAttempt, detail: &str) {
         self.state.metrics.attempts.with_label_values(&["StreamLost"]).inc();
         log::info!(
-            "event=stream_lost request={} server={} events={} parts={} detail=\"{detail}\"",
+            "event=stream_lost request={} server={} version={} events={} parts={} detail=\"{detail}\"",
             self.request.head.request_id,
             attempt.server(),
+            attempt.version(),
             self.relayed_events,
             PartList(self.request.head.prompt.as_ref()),
         );
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod protos;
 pub mod record_error;
 pub mod result_code;
+pub mod software_version;
+pub mod text_label;
 pub mod timestamp;
 
 // External systems and their clients.
--- a/lib/src/protos/pomelostack.gateway.rs
+++ b/lib/src/protos/pomelostack.gateway.rs
@@ -175,6 +175,9 @@
     /// Number that the server gave to its entry.
     #[prost(uint64, optional, tag = "12")]
     pub sequence: ::core::option::Option<u64>,
+    /// Label of the version of its software.
+    #[prost(string, optional, tag = "13")]
+    pub version: ::core::option::Option<::prost::alloc::string::String>,
 }
 /// A backend server that says that it is leaving.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/tests/test_backend_directory.rs
+++ b/lib/tests/test_backend_directory.rs
@@ -15,6 +15,7 @@
 use pomelostack_lib::ids::ServiceName;
 use pomelostack_lib::ids::StoreEra;
 use pomelostack_lib::ids::ZoneName;
+use pomelostack_lib::software_version::SoftwareVersion;
 use pomelostack_lib::timestamp::Timestamp;
 
 fn server_id(name: &str) -> ServerId {
@@ -27,6 +28,7 @@
         service: ServiceName::try_from("chat").expect("valid in tests"),
         address: "10.0.0.1:80".parse().expect("valid in tests"),
         zone: ZoneName::try_from("a").expect("valid in tests"),
+        version: SoftwareVersion::UNSTATED,
         state: ServingState::Ready,
         slots: 8,
         started_at_ms: Some(started_at_ms),
--- a/lib/tests/test_directory_gossip.rs
+++ b/lib/tests/test_directory_gossip.rs
@@ -24,6 +24,7 @@
 use pomelostack_lib::ids::StoreEra;
 use pomelostack_lib::ids::ZoneName;
 use pomelostack_lib::protos::gateway::ServerChange;
+use pomelostack_lib::software_version::SoftwareVersion;
 use pomelostack_lib::timestamp::Timestamp;
 use proptest::prelude::ProptestConfig;
 use proptest::prelude::any;
@@ -57,6 +58,7 @@
         service: ServiceName::try_from("chat").expect("valid in tests"),
         address: "10.0.1.1:8000".parse().expect("valid in tests"),
         zone: ZoneName::try_from("north").expect("valid in tests"),
+        version: SoftwareVersion::UNSTATED,
         state: if slots.is_multiple_of(2) { ServingState::Ready } else { ServingState::Draining },
         slots,
         started_at_ms,
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -22,6 +22,7 @@
 use pomelostack_lib::ids::ServerKey;
 use pomelostack_lib::ids::ServiceName;
 use pomelostack_lib::ids::ZoneName;
+use pomelostack_lib::software_version::SoftwareVersion;
 use pomelostack_lib::timestamp::Timestamp;
 use rstest::rstest;
 
@@ -53,6 +54,7 @@
                 service: service(),
                 address: format!("10.0.0.{index}:80").parse().expect("valid in tests"),
                 zone: ZoneName::try_from(*zone).expect("valid in tests"),
+                version: SoftwareVersion::UNSTATED,
                 state: ServingState::Ready,
                 slots: SLOTS,
                 started_at_ms: Some(1),
