--- a/lib/testutils/src/deployment_server.rs
+++ b/lib/testutils/src/deployment_server.rs
@@ -33,6 +33,7 @@
 use tokio::task::LocalSet;
 use tokio_stream::wrappers::ReceiverStream;
 
+use crate::deployment_standin::FIRST_VERSION;
 use crate::deployment_standin::READY;
 use crate::deployment_standin::SERVER_TOPIC;
 use crate::deployment_standin::STREAM_EVENTS;
@@ -427,7 +428,7 @@
         request.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
     };
     let request_id = field("Request-Id").unwrap_or_default();
-    let ReplicaState { id, mode, .. } = lock(state).replicas[index].clone();
+    let ReplicaState { id, mode, version, .. } = lock(state).replicas[index].clone();
     if field("Expect-Replica").is_some_and(|expected| expected != id) {
         return Ok(full_response(StatusCode::MISDIRECTED_REQUEST, ""));
     }
@@ -469,6 +470,7 @@
             team: field("Tenant-Id"),
             received_team_key: field("Authorization").is_some(),
             crashing_part,
+            version: version.clone(),
         });
         state.run_count
     };
@@ -502,7 +504,7 @@
     }
     let mut reply = if path.starts_with("/brief/") {
         let count = path_number(path, "/events-").unwrap_or(STREAM_EVENTS);
-        stream_events(state.clone(), index, resumed_after.unwrap_or(0)..count, mode)
+        stream_events(state.clone(), index, resumed_after.unwrap_or(0)..count, mode, version)
     } else {
         let size = request.uri().path().rsplit_once("/bytes-").map(|(_, size)| size.parse());
         match size.and_then(Result::ok) {
@@ -565,12 +567,21 @@
     format!("id: {id}\ndata: piece {id}\n\n")
 }
 
+/// Returns the server-sent event with the given id, as replicas of a software version write it.
+pub fn versioned_event_text(id: u64, version: &str) -> String {
+    match version {
+        FIRST_VERSION => event_text(id),
+        version => format!("id: {id}\ndata: piece {id} of {version}\n\n"),
+    }
+}
+
 /// Sends the events of a stream after the first of a range of ids, up to the last.
 fn stream_events(
     state: SharedState,
     index: usize,
     ids: Range<u64>,
     mode: ReplicaMode,
+    version: String,
 ) -> StandinReply {
     let (sender, receiver) = mpsc::channel(1);
     tokio::task::spawn_local(async move {
@@ -589,7 +600,7 @@
                     return;
                 }
             }
-            let text = event_text(id);
+            let text = versioned_event_text(id, &version);
             let cut = matches!(mode, ReplicaMode::CutAfter(count) if id > after + count);
             let sent = if cut { text[..text.len() / 2].to_owned() } else { text };
             if sender.send(Ok(Frame::data(Bytes::from(sent)))).await.is_err() || cut {
--- a/lib/testutils/src/deployment_standin.rs
+++ b/lib/testutils/src/deployment_standin.rs
@@ -19,6 +19,7 @@
 use crate::store_core::PARTITIONS;
 
 pub use crate::deployment_server::event_text;
+pub use crate::deployment_server::versioned_event_text;
 pub use crate::deployment_state::LimitAnswer;
 pub use crate::deployment_state::LimitRecord;
 pub use crate::deployment_state::ReplicaCrash;
@@ -44,6 +45,8 @@
 pub const FRONT_PORT: u16 = 7_700;
 /// Number of events in a complete stream, unless the path ends in `/events-` and a number.
 pub const STREAM_EVENTS: u64 = 12;
+/// Software version of a replica until it is released anew.
+pub const FIRST_VERSION: &str = "v1";
 /// Topic with the operators' documents.
 const OPERATOR_TOPIC: &str = "keyed.op";
 /// Key of the configuration document.
@@ -86,6 +89,7 @@
                 turned_away: Vec::new(),
                 crash: Arc::default(),
                 limit: None,
+                version: FIRST_VERSION.to_owned(),
             })
             .collect();
         let platform = serve(state.clone(), Role::Platform(None))?;
@@ -145,6 +149,18 @@
         self.renew_entry(index);
     }
 
+    /// Removes a replica's entry and starts the replica again under another id with software of a
+    /// version. Requests that it runs go on, as at a replica that is leaving.
+    pub fn release_replica(&self, index: usize, id: &str, version: &str) {
+        lock(&self.state).replicas[index].version = version.to_owned();
+        self.replace_replica(index, id);
+    }
+
+    /// Returns the software version of a replica.
+    pub fn version(&self, index: usize) -> String {
+        lock(&self.state).replicas[index].version.clone()
+    }
+
     /// Returns the id and the service of a replica.
     pub fn replica(&self, index: usize) -> (String, String) {
         let replica = &lock(&self.state).replicas[index];
--- a/lib/testutils/src/deployment_state.rs
+++ b/lib/testutils/src/deployment_state.rs
@@ -150,6 +150,8 @@
     pub(crate) crash: Arc<Notify>,
     /// Limit that it names in its answers, as it is sent.
     pub(crate) limit: Option<String>,
+    /// Version of its software.
+    pub(crate) version: String,
 }
 
 impl ReplicaState {
@@ -157,7 +159,7 @@
     pub(crate) fn entry(&self, address: SocketAddr) -> Value {
         json!({
             "service": self.service, "address": address.to_string(), "zone": "north",
-            "version": "v1", "slots": 400, "state": self.state, "sequence": self.sequence,
+            "version": self.version, "slots": 400, "state": self.state, "sequence": self.sequence,
             "born": 1,
         })
     }
@@ -210,6 +212,8 @@
     pub received_team_key: bool,
     /// Part of its prompt that crashes replicas, if it has one.
     pub crashing_part: Option<u64>,
+    /// Version of the replica's software.
+    pub version: String,
 }
 
 /// A change of the limit that a replica names.
--- a/lib/testutils/src/gateway_fixture.rs
+++ b/lib/testutils/src/gateway_fixture.rs
@@ -115,7 +115,16 @@
         self.call_with("POST", path, id, Some(TEAM_KEY), &fields)
     }
 
-    fn call_with(
+    /// Resumes a stream after one of its events, as a caller does that lost its answer. `origin` is
+    /// the attempt that brought the first event.
+    pub fn resume_stream(&self, path: &str, id: &str, origin: &str, after: u64) -> CallerResponse {
+        let after = after.to_string();
+        let fields = [("Resumes", origin), ("Last-Event-Id", after.as_str())];
+        self.call_with("POST", path, id, Some(TEAM_KEY), &fields)
+    }
+
+    /// Sends a request with additional header fields and returns the response.
+    pub fn call_with(
         &self,
         method: &str,
         path: &str,
