streams: go on only at the software version that began them

Cause: no choice of a server for a stream that has begun looked at versions, and no host knew which version began a stream that a caller took up. The class of fault is a fact that must outlive every host and was kept by none.

Every resumable stream is bound to the version of the server whose event is relayed first; resumes, hedges and take-ups are placed at that version only. For take-ups at any host, also after all hosts were lost, the store names one version of each service, its base. Streams at the base are not recorded: a stream that no list names is of the base. Any other one is in its host's list in the store before its first event is relayed; the list is written while the prompt is prefilled. A host that meets a take-up it does not know reads bases and lists anew. A base changes only when its version has had no server for longer than callers wait, by a conditional append. Lists are written with the store's epochs, so that a late append of an older list has no effect. If no server of the version is left, the caller is told so at once (210, without a time to come back).

--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -25,11 +25,13 @@
 use crate::gateway::serving_config::RequestKind;
 use crate::gateway::serving_config::RouteRule;
 use crate::gateway::serving_config::TeamRule;
+use crate::gateway::stream_binding::StreamBinding;
 use crate::hop_headers::HopByHopHeaders;
 use crate::ids::ServerKey;
 use crate::ids::ServiceName;
 use crate::ids::TeamName;
 use crate::result_code::ResultCode;
+use crate::software_version::SoftwareVersion;
 use crate::timestamp::Timestamp;
 use crate::timestamp::wall_clock_ms;
 use crate::work_parts::WorkPart;
@@ -122,6 +124,8 @@
     pub work: WorkParts,
     /// Version of the configuration that the request was checked against.
     pub config_version: u64,
+    /// Binds a stream that may be resumed to the software version that began it.
+    pub binding: Option<StreamBinding>,
     /// Logs the end of the request.
     pub end: RequestEnd,
 }
@@ -214,11 +218,17 @@
         let (hosts, rank) = state.peers.borrow().live_rank(now);
         ConnectionShare { max_connections: rule.max_connections, hosts, rank }
     });
+    let bound = request.binding.as_ref().and_then(StreamBinding::version);
+    let required = match (&bound, &request.binding) {
+        (None, Some(_)) => state.versions.borrow().required_version(&request.service).cloned(),
+        _ => None,
+    };
     let query = PlacementQuery {
         service: &request.service,
         prompt: request.head.prompt.as_ref(),
         excluded: tried,
         connections,
+        version: bound.as_ref().or(required.as_ref()),
     };
     let choice = state.placement.borrow().choose(now, &state.directory.borrow(), &query);
     match choice {
@@ -245,12 +255,28 @@
             }
             Err(RefusalReason::with_retry_after(ResultCode::QueueFull, retry_after))
         }
+        PlacementChoice::NoServer
+            if bound.is_some_and(|version| is_version_gone(state, &request.service, &version)) =>
+        {
+            Err(RefusalReason::new(ResultCode::VersionGone))
+        }
         PlacementChoice::NoServer => {
             Err(RefusalReason::with_retry_after(ResultCode::NoServer, NO_SERVER_RETRY_AFTER))
         }
     }
 }
 
+/// Returns whether no server of a service runs a software version that does not leave.
+pub fn is_version_gone(
+    state: &GatewayState,
+    service: &ServiceName,
+    version: &SoftwareVersion,
+) -> bool {
+    let directory = state.directory.borrow();
+    let mut servers = directory.of_service(service);
+    !servers.any(|(_, server)| server.entry.version == *version && server.draining_since.is_none())
+}
+
 /// Returns a retry delay for the time after which a server accepts requests again; callers get
 /// different ones.
 pub fn spread_retry_after(delay: Duration, request_id: &str) -> Duration {
--- a/lib/src/gateway/gateway_host.rs
+++ b/lib/src/gateway/gateway_host.rs
@@ -28,6 +28,7 @@
 use crate::gateway::shutdown_plan::ShutdownStep;
 use crate::gateway::store_follower;
 use crate::gateway::verdict_keeper;
+use crate::gateway::version_keeper;
 
 /// Interval of the checks whether a draining host may exit.
 const DRAIN_CHECK_PERIOD: Duration = Duration::from_millis(50);
@@ -96,6 +97,7 @@
     spawn_local(http_listeners::serve_metrics(metrics, state.clone()));
     follow_store(&state, &store);
     exchange_summaries(&state, &store, socket);
+    keep_versions(&state, &store);
     perform_duties(&state, store, cloud);
 
     let mut watch = SettingsWatch { read: clients.reload, rejected: None };
@@ -151,6 +153,22 @@
     });
 }
 
+/// Starts the tasks that keep the software versions of streams.
+fn keep_versions<S: ControlStore + 'static>(state: &Rc<GatewayState>, store: &Rc<S>) {
+    supervise("follow_versions", {
+        let (state, store) = (state.clone(), store.clone());
+        move || version_keeper::follow_versions(state.clone(), store.clone())
+    });
+    supervise("record_streams", {
+        let (state, store) = (state.clone(), store.clone());
+        move || version_keeper::record_streams(state.clone(), store.clone())
+    });
+    supervise("keep_bases", {
+        let (state, store) = (state.clone(), store.clone());
+        move || version_keeper::keep_bases(state.clone(), store.clone())
+    });
+}
+
 /// Starts the tasks that compete for the lease on the duties and perform them.
 fn perform_duties<S, C>(state: &Rc<GatewayState>, store: Rc<S>, cloud: Rc<C>)
 where
--- a/lib/src/gateway/gateway_metrics.rs
+++ b/lib/src/gateway/gateway_metrics.rs
@@ -33,6 +33,10 @@
     pub platform_calls: IntCounterVec,
     /// Seconds until the full response, or until a stream's first event, by route kind.
     pub first_byte_latency: HistogramVec,
+    /// Seconds until the store acknowledged a list of streams, by outcome.
+    pub record_latency: HistogramVec,
+    /// Streams that callers took up, by outcome.
+    pub resumed_streams: IntCounterVec,
     /// Seconds until the end of the response, by route kind.
     pub total_latency: HistogramVec,
     /// Gauges: requests in flight, listed servers, reachable peers.
@@ -50,9 +54,9 @@
             registry.register(Box::new(counter.clone()))?;
             Ok::<_, prometheus::Error>(counter)
         };
-        let histogram = |name: &str, help: &str| {
+        let histogram = |name: &str, help: &str, label: &str| {
             let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
-            let histogram = HistogramVec::new(options, &["kind"])?;
+            let histogram = HistogramVec::new(options, &[label])?;
             registry.register(Box::new(histogram.clone()))?;
             Ok::<_, prometheus::Error>(histogram)
         };
@@ -80,10 +84,22 @@
             first_byte_latency: histogram(
                 "pomelostack_first_byte_seconds",
                 "Seconds until the whole answer or a stream's first event.",
+                "kind",
+            )?,
+            record_latency: histogram(
+                "pomelostack_stream_record_seconds",
+                "Seconds until the store acknowledged a list of streams.",
+                "outcome",
+            )?,
+            resumed_streams: counter(
+                "pomelostack_resumed_streams_total",
+                "Streams that callers took up.",
+                &["outcome"],
             )?,
             total_latency: histogram(
                 "pomelostack_answer_seconds",
                 "Seconds until an answer's end.",
+                "kind",
             )?,
             levels,
             servers,
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -40,6 +40,9 @@
 use crate::gateway::store_era::EraWatch;
 use crate::gateway::usage_ledger::HostIncarnation;
 use crate::gateway::usage_ledger::UsageLedger;
+use crate::gateway::version_census::ReturnedVersion;
+use crate::gateway::version_keeper::VersionSync;
+use crate::gateway::version_ledger::VersionLedger;
 use crate::ids::Incarnation;
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
@@ -100,6 +103,10 @@
     pub quotas: RefCell<QuotaLimiter>,
     /// Usage counts.
     pub ledger: RefCell<UsageLedger>,
+    /// Software versions at which streams began.
+    pub versions: RefCell<VersionLedger>,
+    /// Reads and records of these versions.
+    pub version_sync: VersionSync,
     /// Requests suspected of crashing servers.
     pub crashes: RefCell<CrashTracker>,
     /// Probes of servers that lost attempts.
@@ -159,6 +166,8 @@
             retries: RefCell::new(RetryLimiter::new(settings.retries)),
             quotas: RefCell::new(quotas),
             ledger: RefCell::new(UsageLedger::new(incarnation.clone(), window_ms)),
+            versions: RefCell::default(),
+            version_sync: VersionSync::default(),
             crashes: RefCell::default(),
             probes: ProcessProbes::default(),
             demand: RefCell::default(),
@@ -197,14 +206,27 @@
     /// configuration and the directory are read at once.
     pub fn observe_era(&self, era: StoreEra) {
         let change = self.store_era.observe(era, wall_clock_ms());
+        self.versions.borrow_mut().on_era(self.now(), era);
         if change == EraChange::Restored {
             self.metrics.events.with_label_values(&["store_restored"]).inc();
             log::warn!("event=store_restored era={}", era.0);
             self.config_hint.notify_one();
             self.directory_hint.set(true);
+            self.version_sync.request_record();
         }
     }
 
+    /// Records which software versions the directory lists.
+    pub fn observe_versions(&self) {
+        let now = self.now();
+        let mut versions = self.versions.borrow_mut();
+        let returned = versions.census_mut().observe(now, &self.directory.borrow());
+        for ReturnedVersion { service, version } in &returned {
+            log::info!("event=version_returned service={service} version={version}");
+        }
+        versions.on_returned(now, &returned);
+    }
+
     /// Counts what peers reported since the last call. Hundreds of summaries may arrive between two
     /// decisions on quotas.
     pub fn update_peer_spending(&self) {
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -103,6 +103,9 @@
         state.directory_hint.set(true);
     }
     changes.iter().for_each(|change| apply_server_change(state, change));
+    if !changes.is_empty() {
+        state.observe_versions();
+    }
     crash_news::apply_crash_news(state, &news);
     departures.into_iter().for_each(|departure| apply_departure(state, departure));
     limits.iter().take(MAX_SUMMARY_LIMITS).for_each(|told| apply_limit(state, told));
--- a/lib/src/gateway/placement.rs
+++ b/lib/src/gateway/placement.rs
@@ -28,6 +28,7 @@
 use crate::ids::ServerKey;
 use crate::ids::ServiceName;
 use crate::ids::ZoneName;
+use crate::software_version::SoftwareVersion;
 use crate::timestamp::Timestamp;
 
 /// Prompt tokens that an engine prefills per millisecond; affects only the relative costs of
@@ -128,6 +129,8 @@
     pub excluded: &'a [ServerKey],
     /// This host's share of the servers' connections.
     pub connections: ConnectionShare,
+    /// Software version that the server must run, if only one may be chosen.
+    pub version: Option<&'a SoftwareVersion>,
 }
 
 /// The result of a choice, with the load it was based on.
@@ -206,7 +209,9 @@
         let ready: Vec<(ServerKey, &BackendServer)> = directory
             .of_service(query.service)
             .filter(|(key, server)| {
-                server.draining_since.is_none() && !query.excluded.contains(key)
+                server.draining_since.is_none()
+                    && !query.excluded.contains(key)
+                    && query.version.is_none_or(|version| server.entry.version == *version)
             })
             .collect();
         if ready.is_empty() {
--- a/lib/src/gateway/platform_api.rs
+++ b/lib/src/gateway/platform_api.rs
@@ -24,6 +24,7 @@
 use crate::ids::HostId;
 use crate::ids::LogOffset;
 use crate::ids::ServerId;
+use crate::ids::ServiceName;
 use crate::ids::StoreEra;
 use crate::ids::TeamName;
 use crate::result_code::ResultCode;
@@ -124,6 +125,31 @@
     pub bounds: LogBounds,
 }
 
+/// What the store keeps of streams and software versions.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct VersionsRead {
+    /// Newest record of each service's base.
+    pub bases: Vec<(ServiceName, Vec<u8>)>,
+    /// Offset after the last record of a base.
+    pub bases_end: LogOffset,
+    /// Newest list of each host.
+    pub lists: Vec<(HostId, Vec<u8>)>,
+    /// Records whose keys are no names, or that have no value.
+    pub malformed: usize,
+    /// Era of the store.
+    pub era: StoreEra,
+}
+
+/// Place of a record among those of its writer. The store carries out no record of a lower epoch, and
+/// the sequence numbers of an epoch follow one another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WriterPlace {
+    /// Epoch of the writer.
+    pub epoch: u64,
+    /// Number of the record in its epoch.
+    pub sequence: u64,
+}
+
 /// Client of the platform's store.
 #[expect(async_fn_in_trait, reason = "all futures run on the one event loop")]
 pub trait ControlStore {
@@ -153,6 +179,21 @@
     /// Lists the newest record of verdicts of every host.
     async fn list_verdicts(&self) -> Result<Vec<Vec<u8>>>;
 
+    /// Reads the bases of all services and the streams that hosts began at other software versions.
+    /// Both are at least as new as the call.
+    async fn read_versions(&self) -> Result<VersionsRead>;
+
+    /// Replaces this host's list of such streams. Returns the store's era.
+    async fn record_streams(&self, record: Vec<u8>, place: WriterPlace) -> Result<StoreEra>;
+
+    /// Records the base of a service if the records of bases end at offset `at`.
+    async fn append_base(
+        &self,
+        at: LogOffset,
+        service: &ServiceName,
+        record: Vec<u8>,
+    ) -> Result<AppendOutcome>;
+
     /// Joins the group that elects the holder of the duties, or renews this host's membership.
     async fn renew_duty(&self, generation: GroupGeneration) -> Result<DutyGrant>;
 
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -17,6 +17,7 @@
 use crate::gateway::accepted_request::QUEUE_FULL_RETRY_AFTER;
 use crate::gateway::accepted_request::RefusalReason;
 use crate::gateway::accepted_request::RequestEnd;
+use crate::gateway::accepted_request::is_version_gone;
 use crate::gateway::accepted_request::log_request_end;
 use crate::gateway::accepted_request::place_request;
 use crate::gateway::accepted_request::refund_quota;
@@ -31,6 +32,7 @@
 use crate::gateway::caller_request::EventNumber;
 use crate::gateway::caller_request::PartList;
 use crate::gateway::caller_request::PromptShape;
+use crate::gateway::caller_request::StreamOrigin;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::platform_api::WireProtocol;
 use crate::gateway::quota_limiter::QuotaDecision;
@@ -42,10 +44,13 @@
 use crate::gateway::serving_config::RouteRule;
 use crate::gateway::serving_config::ServingConfig;
 use crate::gateway::serving_config::TeamRule;
+use crate::gateway::stream_binding::StreamBinding;
+use crate::gateway::stream_binding::bind_request;
 use crate::gateway::stream_relay::StreamRelay;
 use crate::ids::ServerKey;
 use crate::ids::ServiceName;
 use crate::result_code::ResultCode;
+use crate::text_label::TextLabel;
 use crate::timestamp::Timestamp;
 use crate::work_parts::WorkPart;
 use crate::work_parts::WorkParts;
@@ -156,6 +161,19 @@
         if self.meets_verdict(&head, &work) {
             return Err((head, RefusalReason::new(ResultCode::CrashRefused)));
         }
+        let wait = head.timeout.unwrap_or(DEFAULT_REQUEST_TIMEOUT);
+        let team_name = team.as_ref().map(|team| &team.name);
+        let binding = match route.kind.is_resumable_stream() {
+            true => match bind_request(&self.state, &head, team_name, &service, wait).await {
+                Ok(binding) => Some(binding),
+                Err(reason) => return Err((head, reason)),
+            },
+            false => None,
+        };
+        let bound = binding.as_ref().and_then(StreamBinding::version);
+        if bound.is_some_and(|version| is_version_gone(&self.state, &service, &version)) {
+            return Err((head, RefusalReason::new(ResultCode::VersionGone)));
+        }
         if let Err(reason) = self.check_quota(&head, team.as_deref()) {
             return Err((head, reason));
         }
@@ -171,6 +189,7 @@
             team,
             arrived_at,
             config_version,
+            binding,
             end: RequestEnd::new(&self.state),
         })
     }
@@ -514,7 +533,13 @@
         KeyCheck::Anonymous => None,
         KeyCheck::Unknown => return Err(RefusalReason::new(ResultCode::Unauthorized)),
     };
-    let hash = blake3::hash(head.request_id.as_bytes());
+    // A stream that is taken up goes where its first attempt went.
+    let hash = match &head.origin {
+        StreamOrigin::Named(origin) => blake3::hash(origin.as_str().as_bytes()),
+        StreamOrigin::Unnamed | StreamOrigin::Ambiguous => {
+            blake3::hash(TextLabel::of(head.request_id.as_bytes()).as_str().as_bytes())
+        }
+    };
     let mut first = [0; 8];
     first.copy_from_slice(&hash.as_bytes()[..8]);
     let service = route
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -41,6 +41,7 @@
 use crate::gateway::process_probe::ProbeOutcome;
 use crate::gateway::server_health::HealthEvidence;
 use crate::gateway::server_limit::LimitNotice;
+use crate::gateway::version_ledger::StreamBegin;
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
 use crate::software_version::SoftwareVersion;
@@ -111,7 +112,7 @@
             placement.limits_mut().reserve(&id);
         }
         record_demand(state, request, uncached_tokens);
-        Some(Self {
+        let attempt = Self {
             state: state.clone(),
             key,
             id,
@@ -123,7 +124,12 @@
             pending_prefill_tokens: uncached_tokens,
             has_reserved: Cell::new(true),
             sent_at: Cell::new(now),
-        })
+        };
+        if let Some(binding) = &request.binding {
+            // The version is recorded while the server prefills the prompt.
+            binding.on_sent(state, &attempt.stream_begin(request));
+        }
+        Some(attempt)
     }
 
     /// Returns the identifier of the server.
@@ -136,6 +142,11 @@
         &self.version
     }
 
+    /// Returns where a stream begins whose first event comes from this attempt.
+    pub fn stream_begin(&self, request: &AcceptedRequest) -> StreamBegin {
+        StreamBegin { service: request.service.clone(), version: self.version.clone() }
+    }
+
     /// Records that the first event of the stream came.
     pub fn on_first_event(&mut self) {
         self.answer_begun_at = Some(self.state.now());
--- a/lib/src/gateway/serving_config.rs
+++ b/lib/src/gateway/serving_config.rs
@@ -1,6 +1,7 @@
 //! The operators' configuration as used by the gateway. Its version never goes backwards.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,6 +33,11 @@
         }
     }
 
+    /// Returns whether the response is a stream that another server can resume.
+    pub fn is_resumable_stream(self) -> bool {
+        self == Self::Stream { resumable: true }
+    }
+
     /// Returns whether the response is relayed event by event.
     pub fn is_stream(self) -> bool {
         matches!(self, Self::Stream { .. })
@@ -231,6 +237,15 @@
         }
     }
 
+    /// Returns the services with streams that may be resumed.
+    pub fn resumable_services(&self) -> BTreeSet<ServiceName> {
+        let routes = self.routes.values().flatten();
+        let resumable = routes.filter(|route| route.kind.is_resumable_stream());
+        resumable
+            .flat_map(|route| route.targets.iter().map(|(service, _)| service.clone()))
+            .collect()
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/lib/src/gateway/store_follower.rs
+++ b/lib/src/gateway/store_follower.rs
@@ -370,6 +370,7 @@
     }
     set_level(state, "servers", state.directory.borrow().iter().count() as u64);
     count_versions(state);
+    state.observe_versions();
 }
 
 /// Sets the number of listed servers of each version of a service.
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -49,6 +49,7 @@
 use crate::gateway::server_attempt::record_answered;
 use crate::gateway::server_attempt::record_lost;
 use crate::gateway::server_health::HealthEvidence;
+use crate::gateway::stream_binding::BindOutcome;
 use crate::ids::ServerKey;
 use crate::result_code::ResultCode;
 use crate::software_version::SoftwareVersion;
@@ -74,6 +75,8 @@
     Lost,
     /// The server was silent, and another one resumes the stream.
     Superseded(Box<OpenResponse>),
+    /// The software version of the server could not be recorded.
+    Unrecorded,
     /// The caller disconnected.
     CallerDisconnected,
     /// The request's deadline passed.
@@ -199,6 +202,7 @@
                 RelayEnd::Complete => ResultCode::Complete,
                 RelayEnd::CallerDisconnected => ResultCode::CallerLost,
                 RelayEnd::TimedOut => ResultCode::DeadlinePassed,
+                RelayEnd::Unrecorded => ResultCode::VersionUnrecorded,
                 RelayEnd::Superseded(next) => {
                     self.plan.on_hedge_dropped(key);
                     stream = *next;
@@ -286,6 +290,11 @@
             if std::mem::take(&mut stream.is_silent) {
                 record_health(&self.state, stream.attempt.key, HealthEvidence::Answered);
             }
+            if !stream.has_begun
+                && let Some(end) = self.bind_version(stream).await
+            {
+                return Some(end);
+            }
             let now = self.state.now();
             if !std::mem::replace(&mut stream.has_begun, true) {
                 stream.begun_at = Some(now);
@@ -303,6 +312,25 @@
         }
     }
 
+    /// Binds the request to the software version of the server whose first event is to be relayed; returns
+    /// how relaying ended if that may not be.
+    async fn bind_version(&mut self, stream: &RelayedStream) -> Option<RelayEnd> {
+        let request = self.request.clone();
+        let binding = request.binding.as_ref()?;
+        let begin = stream.attempt.stream_begin(&request);
+        let time_left = self.plan.deadline().since(self.state.now());
+        let outcome = tokio::select! {
+            outcome = binding.bind(&self.state, &begin) => outcome,
+            () = self.chunks.closed() => return Some(RelayEnd::CallerDisconnected),
+            () = tokio::time::sleep(time_left) => return Some(RelayEnd::TimedOut),
+        };
+        match outcome {
+            BindOutcome::Bound => None,
+            BindOutcome::OtherVersion => Some(self.lose_stream(stream, "another software version")),
+            BindOutcome::Unrecorded => Some(RelayEnd::Unrecorded),
+        }
+    }
+
     /// Hedges a stream that is silent.
     fn on_silence(&mut self, stream: &mut RelayedStream, silence: Duration) {
         stream.quiet_since = self.state.now();
--- /dev/null
+++ b/lib/src/gateway/version_keeper.rs
@@ -0,0 +1,318 @@
+//! Keeps the software versions at which streams began in the store, and reads them for streams that
+//! callers take up.
+
+use std::cell::Cell;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::sync::watch;
+
+use crate::gateway::gateway_state::GatewayState;
+use crate::gateway::platform_api::AppendOutcome;
+use crate::gateway::platform_api::ControlStore;
+use crate::gateway::platform_api::PlatformError;
+use crate::gateway::platform_api::VersionsRead;
+use crate::gateway::platform_api::WriterPlace;
+use crate::gateway::store_follower::Backoff;
+use crate::gateway::store_follower::DependencyWatch;
+use crate::gateway::version_ledger::BaseProposal;
+use crate::gateway::version_ledger::FleetStart;
+use crate::gateway::version_ledger::RecordTicket;
+use crate::gateway::version_ledger::VersionRecords;
+use crate::gateway::version_records::DecodedVersions;
+use crate::gateway::version_records::decode_versions;
+use crate::gateway::version_records::encode_base;
+use crate::gateway::version_records::encode_list;
+use crate::ids::LogOffset;
+use crate::ids::ServiceName;
+use crate::timestamp::Timestamp;
+use crate::timestamp::wall_clock_ms;
+
+/// Interval of the checks whether something must be read or recorded.
+const CHECK_PERIOD: Duration = Duration::from_secs(1);
+
+/// Minimum time between two reads: callers that come back together share them.
+const READ_SPACING: Duration = Duration::from_millis(50);
+
+/// Longest wait for a read of the directory that confirms that a version is gone.
+const CONFIRM_TIME: Duration = Duration::from_secs(5);
+
+/// Interval of the checks for that read.
+const CONFIRM_PERIOD: Duration = Duration::from_millis(100);
+
+/// A read of the records that ended.
+#[derive(Clone, Debug, Default)]
+struct FinishedRead {
+    /// Number of the read.
+    number: u64,
+    /// What it showed, unless it failed.
+    records: Option<Rc<VersionRecords>>,
+    /// Offset after the last record of a base.
+    bases_end: LogOffset,
+}
+
+/// Lets requests wait for what the tasks of this module read and record.
+#[derive(Debug, Default)]
+pub struct VersionSync {
+    read_hint: Notify,
+    /// Number of the last read that somebody waits for.
+    wanted: Cell<u64>,
+    /// Number of the last read that was begun.
+    begun: Cell<u64>,
+    finished: watch::Sender<FinishedRead>,
+    record_hint: Notify,
+    recorded: watch::Sender<RecordTicket>,
+    /// Epoch of the last writer of this host's list, as far as it was read.
+    list_epoch: Cell<u64>,
+}
+
+impl VersionSync {
+    /// Asks for a read of the records without waiting for it.
+    pub fn request_read(&self) {
+        self.wanted.set(self.begun.get() + 1);
+        self.read_hint.notify_one();
+    }
+
+    /// Returns the records as a read shows them that begins from now on; `None` if it fails or takes
+    /// longer than `limit`.
+    pub async fn read(&self, limit: Duration) -> Option<Rc<VersionRecords>> {
+        self.read_with_end(limit).await.map(|(records, _)| records)
+    }
+
+    async fn read_with_end(&self, limit: Duration) -> Option<(Rc<VersionRecords>, LogOffset)> {
+        self.request_read();
+        let number = self.wanted.get();
+        let mut finished = self.finished.subscribe();
+        let ended = finished.wait_for(|read| read.number >= number);
+        // The sender lives as long as this value, so only the time limit ends the wait early.
+        let read = tokio::time::timeout(limit, ended).await.ok()?.ok()?.clone();
+        Some((read.records?, read.bases_end))
+    }
+
+    /// Asks for the list to be recorded.
+    pub fn request_record(&self) {
+        self.record_hint.notify_one();
+    }
+
+    /// Waits until the list is recorded up to a state. Returns whether it is within `limit`.
+    pub async fn wait_for_record(&self, ticket: RecordTicket, limit: Duration) -> bool {
+        let mut recorded = self.recorded.subscribe();
+        let done = recorded.wait_for(|recorded| *recorded >= ticket);
+        tokio::time::timeout(limit, done).await.is_ok_and(|done| done.is_ok())
+    }
+
+    async fn wait_for_request(&self) {
+        while self.wanted.get() <= self.begun.get() {
+            self.read_hint.notified().await;
+        }
+    }
+}
+
+/// Reads the records when a request or the ledger needs them.
+pub async fn follow_versions<S: ControlStore>(state: Rc<GatewayState>, store: Rc<S>) {
+    let mut watch = DependencyWatch::new("read_versions");
+    let mut backoff = Backoff::default();
+    let sync = &state.version_sync;
+    loop {
+        tokio::select! {
+            () = sync.wait_for_request() => {}
+            () = tokio::time::sleep(CHECK_PERIOD) => {
+                if !must_read(&state) {
+                    continue;
+                }
+            }
+        }
+        sync.begun.set(sync.begun.get() + 1);
+        let number = sync.begun.get();
+        let read_at = state.now();
+        let outcome = store.read_versions().await;
+        watch.record(&state, &outcome);
+        let finished = match &outcome {
+            Ok(read) => {
+                state.observe_era(read.era);
+                let records = Some(apply_read(&state, read_at, read));
+                FinishedRead { number, records, bases_end: read.bases_end }
+            }
+            Err(_) => FinishedRead { number, ..FinishedRead::default() },
+        };
+        sync.finished.send_replace(finished);
+        match outcome {
+            Ok(_) => {
+                backoff.reset();
+                tokio::time::sleep(READ_SPACING).await;
+            }
+            Err(_) => backoff.wait().await,
+        }
+    }
+}
+
+fn must_read(state: &GatewayState) -> bool {
+    let services = resumable_services(state);
+    state.observe_versions();
+    state.versions.borrow_mut().must_read(state.now(), &services)
+}
+
+/// Returns the services with streams that may be resumed.
+fn resumable_services(state: &GatewayState) -> BTreeSet<ServiceName> {
+    let config = state.config.borrow();
+    config.current().map(|config| config.resumable_services()).unwrap_or_default()
+}
+
+fn apply_read(state: &GatewayState, read_at: Timestamp, read: &VersionsRead) -> Rc<VersionRecords> {
+    let DecodedVersions { records, own, own_epoch, skipped } =
+        decode_versions(read, &state.incarnation.0);
+    if skipped > 0 {
+        state.metrics.events.with_label_values(&["version_record_skipped"]).inc();
+        log::warn!("event=version_records_skipped code=601 count={skipped}");
+    }
+    let sync = &state.version_sync;
+    sync.list_epoch.set(sync.list_epoch.get().max(own_epoch));
+    let changed = state.versions.borrow_mut().on_read(state.now(), read_at, &records, own);
+    for (service, version) in changed {
+        state.metrics.events.with_label_values(&["version_base"]).inc();
+        log::info!("event=version_base service={service} version={version} era={}", read.era.0);
+    }
+    sync.request_record();
+    Rc::new(records)
+}
+
+/// Records this host's list whenever it changes.
+pub async fn record_streams<S: ControlStore>(state: Rc<GatewayState>, store: Rc<S>) {
+    let mut watch = DependencyWatch::new("record_streams");
+    let mut backoff = Backoff::default();
+    let mut place = WriterPlace { epoch: state.incarnation.1.0, sequence: 0 };
+    let mut epoch_step = 1;
+    loop {
+        let update = state.versions.borrow().pending_list();
+        let Some(update) = update else {
+            state.version_sync.record_hint.notified().await;
+            continue;
+        };
+        let former = state.version_sync.list_epoch.get();
+        if place.epoch <= former && place.sequence == 0 {
+            place.epoch = former + 1;
+        }
+        let count = update.streams.values().map(Vec::len).sum::<usize>();
+        let record = encode_list(&update, place.epoch, wall_clock_ms());
+        let (begun_at, bytes) = (state.now(), record.len());
+        let outcome = store.record_streams(record, place).await;
+        watch.record(&state, &outcome);
+        let elapsed = state.now().since(begun_at);
+        let label = if outcome.is_ok() { "ok" } else { "failed" };
+        state.metrics.record_latency.with_label_values(&[label]).observe(elapsed.as_secs_f64());
+        match outcome {
+            Ok(era) => {
+                state.observe_era(era);
+                place.sequence += 1;
+                epoch_step = 1;
+                state.versions.borrow_mut().on_recorded(update.ticket);
+                state.version_sync.recorded.send_replace(update.ticket);
+                log::info!(
+                    "event=streams_recorded count={count} bytes={bytes} elapsed_ms={}",
+                    elapsed.as_millis()
+                );
+                backoff.reset();
+            }
+            Err(error) => {
+                // The store may carry this record out late, and then not after one of a later epoch.
+                place = WriterPlace { epoch: place.epoch + epoch_step, sequence: 0 };
+                epoch_step *= 2;
+                state.versions.borrow_mut().on_record_failed();
+                log::warn!(
+                    "event=streams_unrecorded count={count} elapsed_ms={} detail=\"{error}\"",
+                    elapsed.as_millis()
+                );
+                backoff.wait().await;
+            }
+        }
+    }
+}
+
+/// Records the first base of each service, and a new one when its version is gone. One host does so for
+/// all.
+pub async fn keep_bases<S: ControlStore>(state: Rc<GatewayState>, store: Rc<S>) {
+    let mut watch = DependencyWatch::new("append_base");
+    loop {
+        tokio::time::sleep(CHECK_PERIOD).await;
+        state.observe_versions();
+        state.versions.borrow_mut().expire(state.now());
+        count_streams(&state);
+        if !state.peers.borrow().is_first_live(state.now()) {
+            continue;
+        }
+        for service in resumable_services(&state) {
+            let Some(records) = state.version_sync.finished.borrow().records.clone() else {
+                continue;
+            };
+            if propose_base(&state, &service, &records).is_some() {
+                change_base(&state, &*store, &service, &mut watch).await;
+            }
+        }
+    }
+}
+
+fn count_streams(state: &GatewayState) {
+    let listed = i64::try_from(state.versions.borrow().listed_count()).unwrap_or(i64::MAX);
+    state.metrics.levels.with_label_values(&["recorded_streams"]).set(listed);
+}
+
+fn propose_base(
+    state: &GatewayState,
+    service: &ServiceName,
+    records: &VersionRecords,
+) -> Option<BaseProposal> {
+    let start = match state.settings.borrow().first_start {
+        true => FleetStart::First,
+        false => FleetStart::Later,
+    };
+    state.versions.borrow().propose_base(state.now(), service, records, start)
+}
+
+/// Changes the base of a service if the directory and the records, read anew, still ask for it.
+async fn change_base<S: ControlStore>(
+    state: &GatewayState,
+    store: &S,
+    service: &ServiceName,
+    watch: &mut DependencyWatch,
+) {
+    if !wait_for_directory(state).await {
+        return;
+    }
+    let Some((records, at)) = state.version_sync.read_with_end(CONFIRM_TIME).await else { return };
+    state.observe_versions();
+    let Some(BaseProposal { service, base }) = propose_base(state, service, &records) else {
+        return;
+    };
+    let outcome = store.append_base(at, &service, encode_base(&base)).await;
+    watch.record(state, &outcome);
+    match outcome {
+        Ok(AppendOutcome::Appended { era, .. }) => {
+            state.observe_era(era);
+            log::info!("event=version_base_recorded service={service} version={}", base.version);
+        }
+        Ok(AppendOutcome::Conflict) => {}
+        Err(PlatformError::Unanswered(_)) => {
+            log::warn!("event=version_base_unanswered service={service}");
+        }
+        Err(error) => {
+            log::warn!("event=version_base_refused service={service} detail=\"{error}\"");
+        }
+    }
+    state.version_sync.request_read();
+}
+
+/// Waits for a read of the directory by this host. Returns whether there was one.
+async fn wait_for_directory(state: &GatewayState) -> bool {
+    let begun_at = state.now();
+    state.directory_hint.set(true);
+    while state.now().since(begun_at) < CONFIRM_TIME {
+        tokio::time::sleep(CONFIRM_PERIOD).await;
+        let times = state.directory.borrow().read_times();
+        if times.is_some_and(|times| times.own > begun_at) {
+            return true;
+        }
+    }
+    false
+}
--- a/lib/src/protos/pomelostack.gateway.rs
+++ b/lib/src/protos/pomelostack.gateway.rs
@@ -258,3 +258,39 @@
     #[prost(uint64, tag = "3")]
     pub era: u64,
 }
+/// Record in the store of the streams that a host began at another software version than the base of
+/// their service, and of those of its former incarnation.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct StreamList {
+    #[prost(message, repeated, tag = "1")]
+    pub versions: ::prost::alloc::vec::Vec<VersionStreams>,
+    /// Epoch of the writer, which a later incarnation of the host exceeds.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// Wall-clock time of the writer in milliseconds since 1970.
+    #[prost(uint64, tag = "3")]
+    pub wall_ms: u64,
+}
+/// Streams that began at one software version of a service.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct VersionStreams {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// Label of the version.
+    #[prost(string, tag = "2")]
+    pub version: ::prost::alloc::string::String,
+    /// Hashes of the callers' attempts that brought their first events.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub streams: ::prost::alloc::vec::Vec<u64>,
+}
+/// Record in the store of the base of a service: the software version that began the streams which
+/// no list names.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct VersionBase {
+    /// Label of the version.
+    #[prost(string, tag = "1")]
+    pub version: ::prost::alloc::string::String,
+    /// Era of the store in which all lists were complete.
+    #[prost(uint64, tag = "2")]
+    pub era: u64,
+}
--- a/lib/src/result_code.rs
+++ b/lib/src/result_code.rs
@@ -111,6 +111,12 @@
     NotReady = 208, NotRun, 503;
     /// The caller disconnected before the request was dispatched.
     CallerGone = 209, NotRun, 499;
+    /// No backend server runs the software version that began the stream.
+    VersionGone = 210, NotRun, 503;
+    /// It cannot be told at which software version the stream began, now or later.
+    StreamUntraceable = 211, NotRun, 503;
+    /// It is not known now at which software version the stream began.
+    StreamUntraced = 212, NotRun, 503;
 
     /// The backend server was lost while it ran non-idempotent work.
     ServerLost = 300, Unknown, 502;
@@ -132,6 +138,8 @@
     StillRunning = 308, Unknown, 409;
     /// The host exited while the request ran.
     HostStopped = 309, Unknown, 502;
+    /// The software version that began the stream could not be recorded.
+    VersionUnrecorded = 310, Unknown, 502;
 
     /// The settings file cannot be read.
     SettingsUnreadable = 400, NotRun, 400;
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -79,6 +79,7 @@
             service: &service,
             prompt,
             excluded,
+            version: None,
             connections: ConnectionShare::UNLIMITED,
         };
         self.table.choose(now(), &self.directory, &query)
--- a/lib/tests/test_store_follower.rs
+++ b/lib/tests/test_store_follower.rs
@@ -26,6 +26,8 @@
 use pomelostack_lib::gateway::platform_api::PlatformError;
 use pomelostack_lib::gateway::platform_api::RecordsRead;
 use pomelostack_lib::gateway::platform_api::Result;
+use pomelostack_lib::gateway::platform_api::VersionsRead;
+use pomelostack_lib::gateway::platform_api::WriterPlace;
 use pomelostack_lib::gateway::quota_limiter::PeerReachability;
 use pomelostack_lib::gateway::quota_limiter::QuotaBounds;
 use pomelostack_lib::gateway::retry_limiter::RetryBounds;
@@ -37,6 +39,7 @@
 use pomelostack_lib::ids::GroupGeneration;
 use pomelostack_lib::ids::HostId;
 use pomelostack_lib::ids::LogOffset;
+use pomelostack_lib::ids::ServiceName;
 use pomelostack_lib::ids::StoreEra;
 use pomelostack_lib::ids::TeamName;
 use pomelostack_lib::ids::ZoneName;
@@ -187,6 +190,23 @@
         Ok(Vec::new())
     }
 
+    async fn read_versions(&self) -> Result<VersionsRead> {
+        Ok(VersionsRead::default())
+    }
+
+    async fn record_streams(&self, _: Vec<u8>, _: WriterPlace) -> Result<StoreEra> {
+        Ok(self.era.get())
+    }
+
+    async fn append_base(
+        &self,
+        at: LogOffset,
+        _: &ServiceName,
+        _: Vec<u8>,
+    ) -> Result<AppendOutcome> {
+        Ok(AppendOutcome::Appended { era: self.era.get(), offset: at })
+    }
+
     async fn renew_duty(&self, generation: GroupGeneration) -> Result<DutyGrant> {
         Ok(DutyGrant { generation, held: false, own_partitions: 0, all_partitions: 0 })
     }
--- a/lib/testutils/src/deployment_server.rs
+++ b/lib/testutils/src/deployment_server.rs
@@ -52,6 +52,7 @@
 use crate::deployment_state::write;
 use crate::endless_response::EndlessKind;
 use crate::endless_response::EndlessResponse;
+use crate::store_core::ProducerPlace;
 use crate::store_core::StoreRejection;
 use crate::unframed_response::UnframedBody;
 use crate::unframed_response::UnframedResponse;
@@ -327,7 +328,17 @@
         }
         "/log-append" => {
             let record = body.get(4..).unwrap_or_default().to_vec();
-            match lock(state).store.append(topic, number("at"), record) {
+            let place = field("producer").map(|producer| ProducerPlace {
+                producer: producer.to_owned(),
+                epoch: number("epoch").unwrap_or_default(),
+                sequence: number("sequence").unwrap_or_default(),
+            });
+            let store = &mut lock(state).store;
+            let appended = match place {
+                Some(place) => store.append_in_place(topic, &place, record),
+                None => store.append(topic, number("at"), record),
+            };
+            match appended {
                 Ok(offset) => {
                     let answer = json!({"offset": offset, "end": offset + 1});
                     full_response(StatusCode::OK, answer.to_string())
@@ -377,6 +388,10 @@
     let (status, answer) = match rejection {
         StoreRejection::Gone(first) => (StatusCode::GONE, json!({"first": first})),
         StoreRejection::NotAtEnd(end) => (StatusCode::PRECONDITION_FAILED, json!({"end": end})),
+        StoreRejection::Fenced => (StatusCode::CONFLICT, json!({"reason": "fenced"})),
+        StoreRejection::Sequence(next) => {
+            (StatusCode::CONFLICT, json!({"reason": "seq", "sequence": next}))
+        }
     };
     full_response(status, answer.to_string())
 }
--- a/lib/testutils/src/store_core.rs
+++ b/lib/testutils/src/store_core.rs
@@ -23,8 +23,35 @@
     Gone(u64),
     /// The partition does not end at the expected offset but at this one.
     NotAtEnd(u64),
+    /// The producer has written with a higher epoch.
+    Fenced,
+    /// The producer's next sequence number is this one.
+    Sequence(u64),
 }
 
+/// Place of a record among those of its producer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ProducerPlace {
+    /// Name of the producer.
+    pub producer: String,
+    /// Epoch; records of lower ones are rejected.
+    pub epoch: u64,
+    /// Number of the record in its epoch.
+    pub sequence: u64,
+}
+
+/// What a partition knows of a producer.
+#[derive(Clone, Debug, Default)]
+struct ProducerState {
+    epoch: u64,
+    next: u64,
+    /// Sequence numbers and offsets of its last records.
+    recent: Vec<(u64, u64)>,
+}
+
+/// Number of a producer's last records of which a repeat gets the first answer again.
+const KEPT_ANSWERS: usize = 5;
+
 /// Result of a read or an append.
 pub type Result<T> = std::result::Result<T, StoreRejection>;
 
@@ -43,6 +70,7 @@
     records: Vec<Vec<u8>>,
     /// Newest record of each key, with its offset; kept when the record itself is dropped.
     newest: BTreeMap<String, (u64, Vec<u8>)>,
+    producers: BTreeMap<String, ProducerState>,
 }
 
 impl LogPartition {
@@ -112,6 +140,38 @@
         Ok(end)
     }
 
+    /// Appends a record of a producer and returns its offset. A repeat is not appended again.
+    pub fn append_in_place(
+        &mut self,
+        topic: &str,
+        place: &ProducerPlace,
+        record: Vec<u8>,
+    ) -> Result<u64> {
+        let partition = self.topics.entry(topic.to_owned()).or_default();
+        let end = partition.end();
+        let state = partition.producers.entry(place.producer.clone()).or_default();
+        if place.epoch < state.epoch {
+            return Err(StoreRejection::Fenced);
+        }
+        if place.epoch > state.epoch {
+            *state = ProducerState { epoch: place.epoch, next: place.sequence, recent: Vec::new() };
+        }
+        let repeated = state.recent.iter().find(|(sequence, _)| *sequence == place.sequence);
+        if let Some((_, offset)) = repeated {
+            return Ok(*offset);
+        }
+        if place.sequence != state.next {
+            return Err(StoreRejection::Sequence(state.next));
+        }
+        state.next += 1;
+        state.recent.push((place.sequence, end));
+        if state.recent.len() > KEPT_ANSWERS {
+            state.recent.remove(0);
+        }
+        partition.push(topic.starts_with(KEYED_PREFIX), record);
+        Ok(end)
+    }
+
     /// Returns the newest value of a key.
     pub fn newest(&self, topic: &str, key: &str) -> Option<&[u8]> {
         self.topics.get(topic)?.newest.get(key).map(|(_, value)| value.as_slice())
