quotas: streams that callers take up again go before new requests

A take-up that is refused now keeps its units free of new requests at its host for 3 s, about as long as callers heed a retry delay. Charging a take-up less was ruled out: the users count each attempt that arrives at a server.

Callers lose fewer answers that were half there.

--- a/lib/src/gateway/quota_limiter.rs
+++ b/lib/src/gateway/quota_limiter.rs
@@ -9,6 +9,10 @@
 //! has been requested. The hosts on one side of a partition together use only their fraction of the
 //! quota, counting an equal part for each host.
 //!
+//! Streams that their callers take up again go first: work was done for them already, and their callers
+//! try a few times only. What was refused to them is kept free of new requests until they may have
+//! come back.
+//!
 //! All hosts may be lost at once, so spending is recorded in the store once a large fraction of a
 //! quota is spent. A host that starts counts the records as its peers' spending. It assumes that
 //! spending which may not have been recorded is spread evenly over the window.
@@ -48,6 +52,9 @@
 /// Minimum share of any host as a fraction of the quota, so that new demand is not starved.
 const MIN_SHARE_FRACTION: f64 = 0.02;
 
+/// Time for which the units of a stream that was refused are kept for its return.
+const RETURN_TIME: Duration = Duration::from_secs(3);
+
 /// Sliding window over which quotas are counted, and the tolerance above them.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuotaBounds {
@@ -107,6 +114,15 @@
     }
 }
 
+/// What a request's units are for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QuotaClaim {
+    /// New work.
+    New,
+    /// A stream that its caller takes up again.
+    TakenUp,
+}
+
 /// Whether a request is within its team's quota.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum QuotaDecision {
@@ -154,6 +170,16 @@
     published_asked: u64,
     /// Units admitted since the last record.
     unrecorded: u64,
+    /// Units of refused streams that may come back, oldest first.
+    returning: VecDeque<ReturningStream>,
+}
+
+/// A stream that was refused when its caller took it up.
+#[derive(Clone, Copy, Debug)]
+struct ReturningStream {
+    /// Until when its units are kept.
+    kept_until: Timestamp,
+    units: u64,
 }
 
 /// Fraction of every quota that is assumed to be spent.
@@ -249,6 +275,7 @@
         team: &TeamName,
         quota: TeamQuota,
         units: u64,
+        claim: QuotaClaim,
         reachability: PeerReachability,
     ) -> QuotaDecision {
         let span = self.bounds.window;
@@ -265,11 +292,12 @@
             + window
                 .estimate_unpublished(reachability)
                 .min(window_units * MAX_UNPUBLISHED_FRACTION);
+        let kept = window.kept_units(now, claim) as f64;
         let is_unrestricted = matches!(reachability, PeerReachability::Majority { .. })
-            && estimated <= total * UNRESTRICTED_FRACTION;
+            && estimated + kept <= total * UNRESTRICTED_FRACTION;
         // Shares are computed from measurements of different times, so they may add up to more than
         // the total.
-        let admitted = is_unrestricted || (own <= share && estimated <= total);
+        let admitted = is_unrestricted || (own + kept <= share && estimated + kept <= total);
         window.entries.push_back(WindowEntry { at: now, units, admitted });
         window.own.asked += units;
         window.unpublished += units;
@@ -278,11 +306,18 @@
             window.own.spent += units;
             window.unpublished_spent += units;
             window.unrecorded += units;
+            if claim == QuotaClaim::TakenUp {
+                window.on_returned(units);
+            }
             self.must_record |= all > window_units * RECORD_FRACTION
                 && window.unrecorded as f64 > window_units * RECORD_STEP_FRACTION;
             return QuotaDecision::Admitted;
         }
-        let retry_after = window.time_until_capacity(now, span, own - share);
+        let retry_after = window.time_until_capacity(now, span, own + kept - share);
+        if claim == QuotaClaim::TakenUp {
+            let kept_until = now + RETURN_TIME;
+            window.returning.push_back(ReturningStream { kept_until, units });
+        }
         let usage = QuotaUsage { own, peers: all - own, share, total };
         QuotaDecision::Exceeded { retry_after, usage }
     }
@@ -343,6 +378,24 @@
         }
     }
 
+    /// Returns the units that a request must leave to streams that may come back.
+    fn kept_units(&mut self, now: Timestamp, claim: QuotaClaim) -> u64 {
+        self.returning.retain(|stream| stream.kept_until > now);
+        match claim {
+            QuotaClaim::New => self.returning.iter().map(|stream| stream.units).sum(),
+            QuotaClaim::TakenUp => 0,
+        }
+    }
+
+    /// Records that a stream was admitted; one of its size need not be expected any more.
+    fn on_returned(&mut self, units: u64) {
+        let returned = self.returning.iter().position(|stream| stream.units == units);
+        match returned {
+            Some(index) => drop(self.returning.remove(index)),
+            None => drop(self.returning.pop_front()),
+        }
+    }
+
     /// Estimates what the peers have spent since their last summaries: this host's spending since
     /// its own last summary, scaled by the ratio of the peers' demand to its own.
     ///
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -35,6 +35,7 @@
 use crate::gateway::caller_request::StreamOrigin;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::platform_api::WireProtocol;
+use crate::gateway::quota_limiter::QuotaClaim;
 use crate::gateway::quota_limiter::QuotaDecision;
 use crate::gateway::reply_body::GatewayReply;
 use crate::gateway::reply_body::full_body;
@@ -171,10 +172,12 @@
             false => None,
         };
         let bound = binding.as_ref().and_then(StreamBinding::version);
+        let is_taken_up = bound.is_some();
         if bound.is_some_and(|version| is_version_gone(&self.state, &service, &version)) {
             return Err((head, RefusalReason::new(ResultCode::VersionGone)));
         }
-        if let Err(reason) = self.check_quota(&head, team.as_deref()) {
+        let claim = if is_taken_up { QuotaClaim::TakenUp } else { QuotaClaim::New };
+        if let Err(reason) = self.check_quota(&head, team.as_deref(), claim) {
             return Err((head, reason));
         }
         let config_version = config.version;
@@ -242,15 +245,26 @@
         }
     }
 
-    fn check_quota(&self, head: &CallerHead, team: Option<&TeamRule>) -> Result<(), RefusalReason> {
+    fn check_quota(
+        &self,
+        head: &CallerHead,
+        team: Option<&TeamRule>,
+        claim: QuotaClaim,
+    ) -> Result<(), RefusalReason> {
         let Some(team) = team else { return Ok(()) };
         let Some(quota) = team.quota else { return Ok(()) };
         let now = self.state.now();
         let units = if team.counts_tokens { head.token_cost(team.default_cost) } else { 1 };
         let reachability = self.state.peers.borrow().reachability(now);
         self.state.update_peer_spending();
-        let decision =
-            self.state.quotas.borrow_mut().admit(now, &team.name, quota, units, reachability);
+        let decision = self.state.quotas.borrow_mut().admit(
+            now,
+            &team.name,
+            quota,
+            units,
+            claim,
+            reachability,
+        );
         if self.state.quotas.borrow().must_publish() {
             self.state.summary_hint.notify_one();
         }
--- a/lib/tests/test_quota_limiter.rs
+++ b/lib/tests/test_quota_limiter.rs
@@ -6,6 +6,7 @@
 
 use pomelostack_lib::gateway::quota_limiter::PeerReachability;
 use pomelostack_lib::gateway::quota_limiter::QuotaBounds;
+use pomelostack_lib::gateway::quota_limiter::QuotaClaim;
 use pomelostack_lib::gateway::quota_limiter::QuotaDecision;
 use pomelostack_lib::gateway::quota_limiter::QuotaLimiter;
 use pomelostack_lib::gateway::quota_limiter::TeamSpending;
@@ -180,7 +181,8 @@
                     }
                     _ => PeerReachability::Majority { silent: 0, known },
                 };
-                let decision = limiters[host].admit(now, &team(), quota, units, reachability);
+                let decision =
+                    limiters[host].admit(now, &team(), quota, units, QuotaClaim::New, reachability);
                 if decision == QuotaDecision::Admitted {
                     admitted.push((at_ms, units));
                 }
@@ -338,7 +340,9 @@
         for at_ms in (0..8_000).step_by(10) {
             let now = Timestamp::from_millis(at_ms);
             let reachability = PeerReachability::Majority { silent: 0, known: 7 };
-            if limiter.admit(now, &team(), QUOTA, 6_000, reachability) == QuotaDecision::Admitted {
+            if limiter.admit(now, &team(), QUOTA, 6_000, QuotaClaim::New, reachability)
+                == QuotaDecision::Admitted
+            {
                 spent += 6_000;
             }
         }
@@ -351,9 +355,14 @@
     let mut limiter = new_limiter();
     let now = Timestamp::from_millis(0);
     let reachability = PeerReachability::Minority { group: 1, known: 7 };
-    while limiter.admit(now, &team(), QUOTA, 1_000, reachability) == QuotaDecision::Admitted {}
+    while limiter.admit(now, &team(), QUOTA, 1_000, QuotaClaim::New, reachability)
+        == QuotaDecision::Admitted
+    {}
     limiter.refund(&team(), 1_000);
-    assert_eq!(limiter.admit(now, &team(), QUOTA, 1_000, reachability), QuotaDecision::Admitted);
+    assert_eq!(
+        limiter.admit(now, &team(), QUOTA, 1_000, QuotaClaim::New, reachability),
+        QuotaDecision::Admitted
+    );
 }
 
 #[test]
@@ -362,11 +371,60 @@
     let reachability = PeerReachability::Minority { group: 1, known: 7 };
     let start = Timestamp::from_millis(0);
     let retry_after = loop {
-        match limiter.admit(start, &team(), QUOTA, 1_000, reachability) {
+        match limiter.admit(start, &team(), QUOTA, 1_000, QuotaClaim::New, reachability) {
             QuotaDecision::Admitted => {}
             QuotaDecision::Exceeded { retry_after, .. } => break retry_after,
         }
     };
-    let decision = limiter.admit(start + retry_after, &team(), QUOTA, 1_000, reachability);
+    let decision =
+        limiter.admit(start + retry_after, &team(), QUOTA, 1_000, QuotaClaim::New, reachability);
     assert_eq!(decision, QuotaDecision::Admitted);
 }
+
+/// Streams break off while new requests use up the quota, and their callers take them up a few times.
+#[test]
+fn returning_streams() {
+    let reachability = PeerReachability::Majority { silent: 0, known: 1 };
+    let mut limiter = new_limiter();
+    let mut random = ChaCha8Rng::seed_from_u64(41);
+    let (streams, units) = (40, 14_000);
+    let mut tries: Vec<(u64, u32)> = (0..streams).map(|_| (10_000, 4)).collect();
+    let (mut went_on, mut begun, mut refused) = (0, 0, 0);
+    for at_ms in 0..20_000 {
+        // New requests ask for twice and a half the rate.
+        if at_ms % 10 == 0 {
+            let size = random.random_range(1_000..4_000);
+            let decision = limiter.admit(
+                Timestamp::from_millis(at_ms),
+                &team(),
+                QUOTA,
+                size,
+                QuotaClaim::New,
+                reachability,
+            );
+            let admitted = decision == QuotaDecision::Admitted;
+            (begun, refused) = (begun + u32::from(admitted), refused + u32::from(!admitted));
+        }
+        for (due, left) in tries.iter_mut().filter(|(due, left)| *due == at_ms && *left > 0) {
+            let decision = limiter.admit(
+                Timestamp::from_millis(at_ms),
+                &team(),
+                QUOTA,
+                units,
+                QuotaClaim::TakenUp,
+                reachability,
+            );
+            *left -= 1;
+            if decision == QuotaDecision::Admitted {
+                (went_on, *left) = (went_on + 1, 0);
+            }
+            *due += 1_000 + random.random_range(0..200);
+        }
+    }
+    let share = f64::from(went_on) / f64::from(streams as u32);
+    let share_of_new = f64::from(begun) / f64::from(begun + refused);
+    assert!(
+        share >= share_of_new,
+        "{share} of the streams went on, {share_of_new} of new ones began"
+    );
+}
