--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -229,6 +229,7 @@
         excluded: tried,
         connections,
         version: bound.as_ref().or(required.as_ref()),
+        is_resumed: bound.is_some(),
     };
     let choice = state.placement.borrow().choose(now, &state.directory.borrow(), &query);
     match choice {
--- a/lib/src/gateway/placement.rs
+++ b/lib/src/gateway/placement.rs
@@ -49,6 +49,9 @@
 /// Requests per slot at which an engine counts as full; its own queue holds about as many again.
 const MAX_ENGINE_FILL: f64 = 1.25;
 
+/// The same for a stream that has begun and may go on at few servers only.
+const MAX_RESUMED_FILL: f64 = 1.5;
+
 /// Requests per slot at which an application server counts as full.
 const MAX_APP_FILL: f64 = 3.0;
 
@@ -131,6 +134,8 @@
     pub connections: ConnectionShare,
     /// Software version that the server must run, if only one may be chosen.
     pub version: Option<&'a SoftwareVersion>,
+    /// Whether the caller has events of the stream.
+    pub is_resumed: bool,
 }
 
 /// The result of a choice, with the load it was based on.
@@ -415,7 +420,11 @@
     ) -> Option<(f64, PlacementChoice)> {
         let load = self.loads.get(key)?;
         let running = load.running + load.peers.running;
-        let max_fill = if query.prompt.is_some() { MAX_ENGINE_FILL } else { MAX_APP_FILL };
+        let max_fill = match query.prompt {
+            Some(_) if query.is_resumed => MAX_RESUMED_FILL,
+            Some(_) => MAX_ENGINE_FILL,
+            None => MAX_APP_FILL,
+        };
         if load.running >= query.connections.at_server(&server.entry.id)
             || f64::from(running) >= f64::from(server.entry.slots) * max_fill
         {
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -45,16 +45,22 @@
 impl Fixture {
     /// Creates one server in each of the given zones; the host is in zone "a".
     fn new(zones: &[&str]) -> Self {
+        let unstated: Vec<_> = zones.iter().map(|zone| (*zone, "")).collect();
+        Self::with_versions(&unstated)
+    }
+
+    /// Creates servers in zones and with software versions.
+    fn with_versions(servers: &[(&str, &str)]) -> Self {
         let mut directory = BackendDirectory::default();
         let mut table = PlacementTable::new(ZoneName::try_from("a").expect("valid in tests"));
         let mut keys = Vec::new();
-        for (index, zone) in zones.iter().enumerate() {
+        for (index, (zone, version)) in servers.iter().enumerate() {
             let entry = BackendEntry {
                 id: ServerId::try_from(format!("s{index}")).expect("valid in tests"),
                 service: service(),
                 address: format!("10.0.0.{index}:80").parse().expect("valid in tests"),
                 zone: ZoneName::try_from(*zone).expect("valid in tests"),
-                version: SoftwareVersion::UNSTATED,
+                version: SoftwareVersion::of(version.as_bytes()),
                 state: ServingState::Ready,
                 slots: SLOTS,
                 started_at_ms: Some(1),
@@ -80,6 +86,22 @@
             prompt,
             excluded,
             version: None,
+            is_resumed: false,
+            connections: ConnectionShare::UNLIMITED,
+        };
+        self.table.choose(now(), &self.directory, &query)
+    }
+
+    /// Chooses a server for a stream that began at a version.
+    fn resume_at(&self, version: &str, excluded: &[ServerKey]) -> PlacementChoice {
+        let (service, version) = (service(), SoftwareVersion::of(version.as_bytes()));
+        let prompt = prompt(2, 3);
+        let query = PlacementQuery {
+            service: &service,
+            prompt: Some(&prompt),
+            excluded,
+            version: Some(&version),
+            is_resumed: true,
             connections: ConnectionShare::UNLIMITED,
         };
         self.table.choose(now(), &self.directory, &query)
@@ -237,3 +259,38 @@
         assert!(sum * 4 >= most.min(hosts) * 3, "{sum} connections of {hosts} hosts of {most}");
     }
 }
+
+#[test]
+fn resumed_at_its_version() {
+    let mut fixture = Fixture::with_versions(&[("a", "v1"), ("b", "v2"), ("b", "v2")]);
+    let PlacementChoice::Server { key, .. } = fixture.resume_at("v2", &[]) else {
+        panic!("a server is free");
+    };
+    assert!(fixture.keys[1..].contains(&key));
+    assert_eq!(fixture.resume_at("v2", &fixture.keys[1..]), PlacementChoice::NoServer);
+    assert_eq!(fixture.resume_at("v3", &[]), PlacementChoice::NoServer);
+    // Servers that failed are tried if there are no others of the version.
+    for index in [1, 2] {
+        for _ in 0..3 {
+            fixture.table.on_evidence(now(), fixture.keys[index], HealthEvidence::Unreachable);
+        }
+    }
+    assert!(matches!(fixture.resume_at("v2", &[]), PlacementChoice::Server { .. }));
+}
+
+#[test]
+fn resumed_when_full() {
+    let mut fixture = Fixture::with_versions(&[("a", "v1"), ("b", "v1")]);
+    while let PlacementChoice::Server { key, .. } = fixture.choose(Some(&prompt(2, 3)), &[]) {
+        fixture.table.on_sent(now(), key, None, 0);
+    }
+    let resumed = std::iter::from_fn(|| match fixture.resume_at("v1", &[]) {
+        PlacementChoice::Server { key, .. } => {
+            fixture.table.on_sent(now(), key, None, 0);
+            Some(key)
+        }
+        _ => None,
+    });
+    assert_eq!(resumed.count(), 2 * SLOTS as usize / 4);
+    assert_eq!(fixture.resume_at("v1", &[]), PlacementChoice::Full);
+}
