stream versions: a change of a base cannot meet streams that rely on it

A model in virtual time (testutils version_world: hosts, servers of several versions, a store with late and lost appends, copies and cuts) makes all orders of a few steps in small worlds, and random ones with 8, 84 and 295 hosts.

- a stream that could not be recorded began nevertheless, when its host saw no server of the base any more.
None does now; while lists cannot be recorded, new streams begin at the base, or are refused at once (213);
- a change of a base was decided, its version came back, streams of it began without a record, and the change took effect late.
It is announced in the list of the host that makes it and confirmed by a second read of the directory; a host whose base comes back, or that reads an announcement, records all streams until a later record of the base, which it writes itself after 3 s;
- a version that came and went between two looks at the directory was not noticed;
- the store came back from a copy: the base counted again after 5 s, although a host that was cut off had not recorded its list anew.
It counts after the longest life of a stream;
- a host without the store took the only version that it knew for that of every stream, though its peers had read of others.
It does so only if it hears most hosts and none has read later.

In a fleet that starts, the first host writes the bases before the others read.

--- a/cli/tests/test_software_versions.rs
+++ b/cli/tests/test_software_versions.rs
@@ -209,3 +209,29 @@
     // Other requests use what is there.
     assert_eq!(host.call("GET", "/look/1", "l1", Some(TEAM_KEY)).status, 200);
 }
+
+/// Callers of earlier builds name no attempt. Their streams go on while all streams are of one version,
+/// also at a host that recorded some before it knew the base.
+#[test]
+fn unnamed_origin() {
+    let standin = DeploymentStandin::start_with(&[SERVICE; 2]).expect("valid in tests");
+    let standin = Arc::new(standin);
+    standin.publish_config(3);
+    let host = GatewayFixture::start_host(PROGRAM, standin.clone(), 159).serving();
+    begin_streams(&host, "s", 2);
+    std::thread::sleep(READ_TIME);
+    drop(host);
+    let host = GatewayFixture::start_host(PROGRAM, standin.clone(), 159);
+    wait_for(|| host.readiness() == Some(200));
+    begin_streams(&host, "t", 2);
+    let take_up = |id: &str| {
+        host.call_with("POST", PATH, id, Some(TEAM_KEY), &[("Last-Event-Id", "3")]).status
+    };
+    assert_eq!(take_up("u1"), 200);
+    standin.release_replica(1, "i-1-v2", "v2");
+    std::thread::sleep(READ_TIME);
+    begin_streams(&host, "v", 12);
+    assert!(standin.runs().iter().any(|run| run.version == "v2"));
+    let answer = host.call_with("POST", PATH, "u2", Some(TEAM_KEY), &[("Last-Event-Id", "3")]);
+    assert_eq!((answer.status, answer.retry_after), (503, None));
+}
--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -26,6 +26,7 @@
 use crate::gateway::serving_config::RouteRule;
 use crate::gateway::serving_config::TeamRule;
 use crate::gateway::stream_binding::StreamBinding;
+use crate::gateway::version_ledger::BeginRule;
 use crate::hop_headers::HopByHopHeaders;
 use crate::ids::ServerKey;
 use crate::ids::ServiceName;
@@ -219,16 +220,25 @@
         ConnectionShare { max_connections: rule.max_connections, hosts, rank }
     });
     let bound = request.binding.as_ref().and_then(StreamBinding::version);
-    let required = match (&bound, &request.binding) {
-        (None, Some(_)) => state.versions.borrow().required_version(&request.service).cloned(),
-        _ => None,
+    let versions = state.versions.borrow();
+    let version = match (&bound, &request.binding) {
+        (Some(version), _) => Some(version),
+        (None, None) => None,
+        (None, Some(_)) => match versions.begin_rule(&request.service) {
+            BeginRule::AnyVersion => None,
+            BeginRule::OnlyAt(version) => Some(version),
+            BeginRule::Nowhere => {
+                let code = ResultCode::VersionUnrecorded;
+                return Err(RefusalReason::with_retry_after(code, NO_SERVER_RETRY_AFTER));
+            }
+        },
     };
     let query = PlacementQuery {
         service: &request.service,
         prompt: request.head.prompt.as_ref(),
         excluded: tried,
         connections,
-        version: bound.as_ref().or(required.as_ref()),
+        version,
         is_resumed: bound.is_some(),
     };
     let choice = state.placement.borrow().choose(now, &state.directory.borrow(), &query);
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -12,6 +12,7 @@
 use crate::gateway::backend_directory::BackendEntry;
 use crate::gateway::backend_directory::DepartureSource;
 use crate::gateway::backend_directory::DirectoryEffect;
+use crate::gateway::backend_directory::STORE_OUTAGE_THRESHOLD;
 use crate::gateway::buffer_budget::BufferBudget;
 use crate::gateway::connection_pool::ConnectionPool;
 use crate::gateway::crash_tracker::CrashTracker;
@@ -32,6 +33,7 @@
 use crate::gateway::process_probe::ProcessProbes;
 use crate::gateway::quota_limiter::QuotaLimiter;
 use crate::gateway::read_schedule::ReadHistory;
+use crate::gateway::read_schedule::ReadTimes;
 use crate::gateway::retry_limiter::RetryLimiter;
 use crate::gateway::retry_limiter::RetryPurpose;
 use crate::gateway::serving_config::ActiveConfig;
@@ -40,8 +42,10 @@
 use crate::gateway::store_era::EraWatch;
 use crate::gateway::usage_ledger::HostIncarnation;
 use crate::gateway::usage_ledger::UsageLedger;
+use crate::gateway::version_census::ListedServer;
 use crate::gateway::version_census::ReturnedVersion;
 use crate::gateway::version_keeper::VersionSync;
+use crate::gateway::version_ledger::DirectoryView;
 use crate::gateway::version_ledger::VersionLedger;
 use crate::ids::Incarnation;
 use crate::ids::ServerId;
@@ -216,11 +220,28 @@
         }
     }
 
+    /// Returns how this host's directory relates to those of its peers.
+    pub fn directory_view(&self) -> DirectoryView {
+        let times = self.directory.borrow().read_times();
+        let is_newest = times
+            .is_some_and(|ReadTimes { own, newest }| newest.since(own) <= STORE_OUTAGE_THRESHOLD);
+        match is_newest && !self.peers.borrow().is_partitioned(self.now()) {
+            true => DirectoryView::Shared,
+            false => DirectoryView::Outdated,
+        }
+    }
+
     /// Records which software versions the directory lists.
     pub fn observe_versions(&self) {
         let now = self.now();
         let mut versions = self.versions.borrow_mut();
-        let returned = versions.census_mut().observe(now, &self.directory.borrow());
+        let directory = self.directory.borrow();
+        let listed = directory.iter().map(|(_, server)| ListedServer {
+            service: &server.entry.service,
+            version: &server.entry.version,
+            is_staying: server.draining_since.is_none(),
+        });
+        let returned = versions.census_mut().observe(now, listed);
         for ReturnedVersion { service, version } in &returned {
             log::info!("event=version_returned service={service} version={version}");
         }
@@ -450,9 +471,13 @@
             DirectoryEffect::Unchanged => return,
         };
         match effect {
-            DirectoryEffect::Joined(_) => self.placement.borrow_mut().reset(key),
+            DirectoryEffect::Joined(_) => {
+                self.placement.borrow_mut().reset(key);
+                self.record_joined(key);
+            }
             DirectoryEffect::Restarted(_) => {
                 self.placement.borrow_mut().reset(key);
+                self.record_joined(key);
                 let entry = self.directory.borrow().get(key).map(|server| server.entry.clone());
                 if let Some(BackendEntry { id, started_at_ms, .. }) = entry {
                     self.placement.borrow_mut().limits_mut().on_restarted(&id, started_at_ms);
@@ -466,6 +491,15 @@
         self.record_server_event(event, key);
     }
 
+    /// Records that a server joined or restarted, with the version of its software.
+    fn record_joined(&self, key: ServerKey) {
+        let directory = self.directory.borrow();
+        if let Some(server) = directory.get(key) {
+            let (service, version) = (&server.entry.service, &server.entry.version);
+            self.versions.borrow_mut().on_joined(self.now(), service, version);
+        }
+    }
+
     /// Counts and logs an event about a server.
     pub fn record_server_event(&self, event: &str, key: ServerKey) {
         self.metrics.events.with_label_values(&[event]).inc();
--- a/lib/src/gateway/platform_api.rs
+++ b/lib/src/gateway/platform_api.rs
@@ -128,8 +128,8 @@
 /// What the store keeps of streams and software versions.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct VersionsRead {
-    /// Newest record of each service's base.
-    pub bases: Vec<(ServiceName, Vec<u8>)>,
+    /// Newest record of each service's base, with its offset.
+    pub bases: Vec<(ServiceName, LogOffset, Vec<u8>)>,
     /// Offset after the last record of a base.
     pub bases_end: LogOffset,
     /// Newest list of each host.
--- a/lib/src/gateway/store_follower.rs
+++ b/lib/src/gateway/store_follower.rs
@@ -22,6 +22,7 @@
 use crate::gateway::read_schedule::ReadSchedule;
 use crate::gateway::read_schedule::read_interval_factor;
 use crate::gateway::serving_config::ConfigChange;
+use crate::gateway::version_keeper;
 use crate::ids::LogOffset;
 use crate::ids::LogPosition;
 use crate::ids::ServerId;
@@ -370,7 +371,7 @@
     }
     set_level(state, "servers", state.directory.borrow().iter().count() as u64);
     count_versions(state);
-    state.observe_versions();
+    version_keeper::on_directory_read(state);
 }
 
 /// Sets the number of listed servers of each version of a service.
--- a/lib/src/gateway/stream_binding.rs
+++ b/lib/src/gateway/stream_binding.rs
@@ -10,7 +10,6 @@
 use crate::gateway::caller_request::StreamOrigin;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::version_ledger::RecordNeed;
-use crate::gateway::version_ledger::RecordTicket;
 use crate::gateway::version_ledger::StreamBegin;
 use crate::gateway::version_ledger::StreamKey;
 use crate::gateway::version_ledger::StreamTrace;
@@ -83,8 +82,9 @@
             };
         }
         if let RecordNeed::Recorded(ticket) = self.on_sent(state, begin)
-            && await_record(state, begin, ticket).await == RecordOutcome::Failed
+            && !state.version_sync.wait_for_record(ticket, RECORD_WAIT).await
         {
+            state.metrics.events.with_label_values(&["stream_unrecorded"]).inc();
             return BindOutcome::Unrecorded;
         }
         if let Some(key) = self.key {
@@ -95,34 +95,6 @@
     }
 }
 
-/// Whether a stream may begin whose version must be recorded.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum RecordOutcome {
-    /// It is recorded.
-    Recorded,
-    /// It is not, and no server is there at which it could be resumed by mistake.
-    NotNeeded,
-    /// It is not.
-    Failed,
-}
-
-async fn await_record(
-    state: &GatewayState,
-    begin: &StreamBegin,
-    ticket: RecordTicket,
-) -> RecordOutcome {
-    let may_begin = || state.versions.borrow().may_begin_unrecorded(&begin.service);
-    let wait = match state.versions.borrow().is_failing() && may_begin() {
-        true => Duration::ZERO,
-        false => RECORD_WAIT,
-    };
-    if state.version_sync.wait_for_record(ticket, wait).await {
-        return RecordOutcome::Recorded;
-    }
-    state.metrics.events.with_label_values(&["stream_unrecorded"]).inc();
-    if may_begin() { RecordOutcome::NotNeeded } else { RecordOutcome::Failed }
-}
-
 /// Returns the binding of a request for a stream that may be resumed. For one that takes a stream up, finds
 /// out at which version it began.
 pub async fn bind_request(
@@ -151,7 +123,8 @@
             let records = state.version_sync.read(TRACE_WAIT).await;
             state.observe_versions();
             let versions = state.versions.borrow();
-            versions.trace(state.now(), key, service, records.as_deref())
+            let view = state.directory_view();
+            versions.trace(state.now(), key, service, records.as_deref(), view)
         }
     };
     let StreamTrace::Version(version, source) = trace else {
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -202,7 +202,7 @@
                 RelayEnd::Complete => ResultCode::Complete,
                 RelayEnd::CallerDisconnected => ResultCode::CallerLost,
                 RelayEnd::TimedOut => ResultCode::DeadlinePassed,
-                RelayEnd::Unrecorded => ResultCode::VersionUnrecorded,
+                RelayEnd::Unrecorded => ResultCode::StreamUnrecorded,
                 RelayEnd::Superseded(next) => {
                     self.plan.on_hedge_dropped(key);
                     stream = *next;
--- a/lib/src/gateway/version_census.rs
+++ b/lib/src/gateway/version_census.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::gateway::backend_directory::BackendDirectory;
 use crate::ids::ServiceName;
 use crate::software_version::SoftwareVersion;
 use crate::timestamp::Timestamp;
@@ -17,6 +16,17 @@
 /// Maximum number of versions of a service that are kept. Of more, those that were listed last stay.
 const MAX_VERSIONS: usize = 256;
 
+/// A server as it is listed.
+#[derive(Clone, Copy, Debug)]
+pub struct ListedServer<'a> {
+    /// Service that it runs.
+    pub service: &'a ServiceName,
+    /// Version of its software.
+    pub version: &'a SoftwareVersion,
+    /// Whether it is not leaving.
+    pub is_staying: bool,
+}
+
 /// When a version was listed, and with how many servers.
 #[derive(Clone, Copy, Debug)]
 struct VersionSighting {
@@ -44,18 +54,17 @@
 
 impl VersionCensus {
     /// Records what the directory lists now; returns the versions that are back.
-    pub fn observe(
+    pub fn observe<'a>(
         &mut self,
         now: Timestamp,
-        directory: &BackendDirectory,
+        listed: impl Iterator<Item = ListedServer<'a>>,
     ) -> Vec<ReturnedVersion> {
         self.began_at.get_or_insert(now);
         let mut returned = Vec::new();
         for sighting in self.services.values_mut().flat_map(BTreeMap::values_mut) {
             sighting.staying = 0;
         }
-        for (_, server) in directory.iter() {
-            let (service, version) = (&server.entry.service, &server.entry.version);
+        for ListedServer { service, version, is_staying } in listed {
             if !self.services.contains_key(service) {
                 self.services.insert(service.clone(), BTreeMap::new());
             }
@@ -67,10 +76,10 @@
                         returned.push(ReturnedVersion { service, version });
                     }
                     sighting.last = now;
-                    sighting.staying += usize::from(server.draining_since.is_none());
+                    sighting.staying += usize::from(is_staying);
                 }
                 None => {
-                    let staying = usize::from(server.draining_since.is_none());
+                    let staying = usize::from(is_staying);
                     versions.insert(version.clone(), VersionSighting { last: now, staying });
                 }
             }
@@ -86,6 +95,30 @@
         returned
     }
 
+    /// Records that a server of a version joined, however soon it leaves again. Returns whether the
+    /// version was away before, as far as this host knows.
+    pub fn on_joined(
+        &mut self,
+        now: Timestamp,
+        service: &ServiceName,
+        version: &SoftwareVersion,
+    ) -> bool {
+        let has_begun = self.began_at.is_some();
+        let versions = self.services.entry(service.clone()).or_default();
+        let Some(sighting) = versions.get_mut(version) else {
+            versions.insert(version.clone(), VersionSighting { last: now, staying: 0 });
+            return has_begun;
+        };
+        let was_away = now.since(sighting.last) > ABSENCE_TIME;
+        sighting.last = now;
+        was_away
+    }
+
+    /// Returns when this host first saw the directory.
+    pub fn began_at(&self) -> Option<Timestamp> {
+        self.began_at
+    }
+
     /// Returns the version of a service that alone was listed for at least `span`; `None` if there were
     /// several, or this host has not looked for that long.
     pub fn only_version(
--- a/lib/src/gateway/version_keeper.rs
+++ b/lib/src/gateway/version_keeper.rs
@@ -26,8 +26,8 @@
 use crate::gateway::version_records::encode_base;
 use crate::gateway::version_records::encode_list;
 use crate::ids::LogOffset;
+use crate::ids::LogPosition;
 use crate::ids::ServiceName;
-use crate::timestamp::Timestamp;
 use crate::timestamp::wall_clock_ms;
 
 /// Interval of the checks whether something must be read or recorded.
@@ -126,13 +126,12 @@
         }
         sync.begun.set(sync.begun.get() + 1);
         let number = sync.begun.get();
-        let read_at = state.now();
         let outcome = store.read_versions().await;
         watch.record(&state, &outcome);
         let finished = match &outcome {
             Ok(read) => {
                 state.observe_era(read.era);
-                let records = Some(apply_read(&state, read_at, read));
+                let records = Some(apply_read(&state, read));
                 FinishedRead { number, records, bases_end: read.bases_end }
             }
             Err(_) => FinishedRead { number, ..FinishedRead::default() },
@@ -148,10 +147,23 @@
     }
 }
 
+/// Asks for a read of the records if the ledger needs one, after the directory was read.
+pub fn on_directory_read(state: &GatewayState) {
+    state.versions.borrow_mut().on_directory_read(state.now());
+    if must_read(state) {
+        state.version_sync.request_read();
+    }
+}
+
 fn must_read(state: &GatewayState) -> bool {
     let services = resumable_services(state);
     state.observe_versions();
-    state.versions.borrow_mut().must_read(state.now(), &services)
+    let now = state.now();
+    let start = match state.peers.borrow().is_first_live(now) {
+        true => FleetStart::Later,
+        false => fleet_start(state),
+    };
+    state.versions.borrow().must_read(now, &services, start)
 }
 
 /// Returns the services with streams that may be resumed.
@@ -160,16 +172,16 @@
     config.current().map(|config| config.resumable_services()).unwrap_or_default()
 }
 
-fn apply_read(state: &GatewayState, read_at: Timestamp, read: &VersionsRead) -> Rc<VersionRecords> {
+fn apply_read(state: &GatewayState, read: &VersionsRead) -> Rc<VersionRecords> {
     let DecodedVersions { records, own, own_epoch, skipped } =
-        decode_versions(read, &state.incarnation.0);
+        decode_versions(read, &state.incarnation.0, wall_clock_ms());
     if skipped > 0 {
         state.metrics.events.with_label_values(&["version_record_skipped"]).inc();
         log::warn!("event=version_records_skipped code=601 count={skipped}");
     }
     let sync = &state.version_sync;
     sync.list_epoch.set(sync.list_epoch.get().max(own_epoch));
-    let changed = state.versions.borrow_mut().on_read(state.now(), read_at, &records, own);
+    let changed = state.versions.borrow_mut().on_read(state.now(), &records, own);
     for (service, version) in changed {
         state.metrics.events.with_label_values(&["version_base"]).inc();
         log::info!("event=version_base service={service} version={version} era={}", read.era.0);
@@ -239,7 +251,9 @@
         state.observe_versions();
         state.versions.borrow_mut().expire(state.now());
         count_streams(&state);
-        if !state.peers.borrow().is_first_live(state.now()) {
+        let now = state.now();
+        let is_first = state.peers.borrow().is_first_live(now);
+        if !is_first && !state.versions.borrow().is_in_doubt(now) {
             continue;
         }
         for service in resumable_services(&state) {
@@ -258,15 +272,19 @@
     state.metrics.levels.with_label_values(&["recorded_streams"]).set(listed);
 }
 
+fn fleet_start(state: &GatewayState) -> FleetStart {
+    match state.settings.borrow().first_start {
+        true => FleetStart::First,
+        false => FleetStart::Later,
+    }
+}
+
 fn propose_base(
     state: &GatewayState,
     service: &ServiceName,
     records: &VersionRecords,
 ) -> Option<BaseProposal> {
-    let start = match state.settings.borrow().first_start {
-        true => FleetStart::First,
-        false => FleetStart::Later,
-    };
+    let start = fleet_start(state);
     state.versions.borrow().propose_base(state.now(), service, records, start)
 }
 
@@ -277,20 +295,30 @@
     service: &ServiceName,
     watch: &mut DependencyWatch,
 ) {
-    if !wait_for_directory(state).await {
-        return;
+    let Some((mut proposal, records, at)) = confirm_proposal(state, service).await else { return };
+    // No host relies on a base that there never was.
+    if records.bases.contains_key(service) {
+        let position = LogPosition { era: records.era, offset: at };
+        let ticket = state.versions.borrow_mut().announce_base(position);
+        state.version_sync.request_record();
+        if !state.version_sync.wait_for_record(ticket, CONFIRM_TIME).await {
+            return;
+        }
+        // Servers that joined before the announcement may serve hosts that have not read it.
+        match confirm_proposal(state, service).await {
+            Some((confirmed, _, end)) if end == at => proposal = confirmed,
+            _ => return,
+        }
     }
-    let Some((records, at)) = state.version_sync.read_with_end(CONFIRM_TIME).await else { return };
-    state.observe_versions();
-    let Some(BaseProposal { service, base }) = propose_base(state, service, &records) else {
-        return;
-    };
-    let outcome = store.append_base(at, &service, encode_base(&base)).await;
+    let outcome = store.append_base(at, service, encode_base(&proposal)).await;
     watch.record(state, &outcome);
     match outcome {
         Ok(AppendOutcome::Appended { era, .. }) => {
             state.observe_era(era);
-            log::info!("event=version_base_recorded service={service} version={}", base.version);
+            log::info!(
+                "event=version_base_recorded service={service} version={}",
+                proposal.version
+            );
         }
         Ok(AppendOutcome::Conflict) => {}
         Err(PlatformError::Unanswered(_)) => {
@@ -303,6 +331,21 @@
     state.version_sync.request_read();
 }
 
+/// Returns how the base of a service should change by a new read of the directory and the records, these
+/// records, and the offset after the last record of a base.
+async fn confirm_proposal(
+    state: &GatewayState,
+    service: &ServiceName,
+) -> Option<(BaseProposal, Rc<VersionRecords>, LogOffset)> {
+    if !wait_for_directory(state).await {
+        return None;
+    }
+    let (records, end) = state.version_sync.read_with_end(CONFIRM_TIME).await?;
+    state.observe_versions();
+    let proposal = propose_base(state, service, &records)?;
+    Some((proposal, records, end))
+}
+
 /// Waits for a read of the directory by this host. Returns whether there was one.
 async fn wait_for_directory(state: &GatewayState) -> bool {
     let begun_at = state.now();
--- a/lib/src/gateway/version_ledger.rs
+++ b/lib/src/gateway/version_ledger.rs
@@ -14,6 +14,7 @@
 
 use crate::gateway::version_census::ReturnedVersion;
 use crate::gateway::version_census::VersionCensus;
+use crate::ids::LogPosition;
 use crate::ids::ServiceName;
 use crate::ids::StoreEra;
 use crate::ids::TeamName;
@@ -25,7 +26,7 @@
 const EXPECTED_WAIT: Duration = Duration::from_secs(30);
 
 /// Longest time for which a caller is taken to wait.
-const MAX_WAIT: Duration = Duration::from_secs(600);
+pub const MAX_WAIT: Duration = Duration::from_secs(600);
 
 /// Time after its caller's deadline for which a stream stays known: clocks and links differ.
 const EXPIRY_MARGIN: Duration = Duration::from_secs(5);
@@ -33,15 +34,14 @@
 /// Time for which a server may serve after it was last listed.
 const SERVER_EXIT_TIME: Duration = Duration::from_secs(30);
 
-/// Time that hosts need to record their streams anew after the store came back from a copy.
-const REWRITE_TIME: Duration = Duration::from_secs(5);
+/// Time after which a host that doubts a base renews it, if no other host did.
+const RENEWAL_TIME: Duration = Duration::from_secs(3);
 
-/// Time after the return of a version from which on a read of its service's base holds: a change of the
-/// base that was decided before may take as long.
-const RETURN_TIME: Duration = Duration::from_secs(2);
+/// Time without a read of the directory after which versions may have gone and returned unseen.
+const DIRECTORY_GAP: Duration = Duration::from_secs(20);
 
 /// Interval of the reads while the base of a service is not known.
-const UNKNOWN_READ_PERIOD: Duration = Duration::from_millis(1_500);
+const UNKNOWN_READ_PERIOD: Duration = Duration::from_secs(2);
 
 /// Interval of the reads while this host lists streams.
 const LISTED_READ_PERIOD: Duration = Duration::from_secs(10);
@@ -84,6 +84,17 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RecordTicket(pub u64);
 
+/// Where new streams of a service may begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BeginRule<'a> {
+    /// At any server.
+    AnyVersion,
+    /// At servers of this version.
+    OnlyAt(&'a SoftwareVersion),
+    /// At none.
+    Nowhere,
+}
+
 /// What must happen before the first event of a stream is relayed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RecordNeed {
@@ -102,7 +113,7 @@
     Record,
     /// No list names the stream.
     Base,
-    /// The store cannot be read, and no other version was listed for long.
+    /// The store cannot be read, and for long no host has known a server of another version.
     OnlyVersion,
 }
 
@@ -124,6 +135,8 @@
     pub version: SoftwareVersion,
     /// Era of the store in which the lists were complete.
     pub era: StoreEra,
+    /// Position of the record.
+    pub position: LogPosition,
 }
 
 /// Where a stream began according to all lists.
@@ -144,6 +157,8 @@
     pub bases: BTreeMap<ServiceName, VersionBase>,
     /// Streams that began at other versions.
     pub streams: HashMap<StreamKey, ListedBegin>,
+    /// Whether a host may be about to change a base.
+    pub is_changing: bool,
 }
 
 impl VersionRecords {
@@ -161,10 +176,11 @@
         self.bases.get(service).filter(|base| base.era == self.era).map(|base| &base.version)
     }
 
-    /// Returns whether a list names a stream of a service.
-    fn lists_service(&self, service: &ServiceName) -> bool {
+    /// Returns whether a list names a stream of a service that is not of the base.
+    fn lists_others(&self, service: &ServiceName) -> bool {
+        let base = self.base(service);
         self.streams.values().any(|listed| match listed {
-            ListedBegin::At(begin) => begin.service == *service,
+            ListedBegin::At(begin) => begin.service == *service && Some(&begin.version) != base,
             ListedBegin::Several => true,
         })
     }
@@ -179,12 +195,30 @@
     Later,
 }
 
+/// How this host's directory relates to those of its peers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DirectoryView {
+    /// It hears most hosts, and none of them has read the directory later.
+    Shared,
+    /// Others may know servers that it does not know.
+    Outdated,
+}
+
 /// What this host believes of a service's base.
 #[derive(Clone, Debug)]
 struct BaseBelief {
     version: SoftwareVersion,
-    /// If its servers returned since it was read, from when on a read shows whether it had changed.
-    suspect_until: Option<Timestamp>,
+    /// Position of its record.
+    position: LogPosition,
+    /// Since when it is in doubt, if it is: servers of the version are back, and a change of the base that
+    /// was decided without them may still be carried out. Any later record prevents that.
+    doubted_since: Option<Timestamp>,
+}
+
+impl BaseBelief {
+    fn doubt(&mut self, now: Timestamp) {
+        self.doubted_since.get_or_insert(now);
+    }
 }
 
 /// A stream that this host knows.
@@ -203,16 +237,20 @@
 /// The versions at which streams began, as far as this host knows them.
 #[derive(Clone, Debug, Default)]
 pub struct VersionLedger {
-    streams: HashMap<StreamKey, KnownStream>,
+    streams: BTreeMap<StreamKey, KnownStream>,
     expirations: BTreeSet<(Timestamp, StreamKey)>,
     bases: BTreeMap<ServiceName, BaseBelief>,
     census: VersionCensus,
+    /// When this host last read the directory itself.
+    directory_read_at: Option<Timestamp>,
     /// Last state of the list.
     changed: RecordTicket,
     /// State of the list that is recorded.
     recorded: RecordTicket,
     /// Whether the last try to record the list failed.
     is_failing: bool,
+    /// Where this host is about to append a base.
+    base_at: Option<LogPosition>,
     /// Longest time for which callers of streams wait, if it is beyond the expected one.
     longest_wait: Duration,
     /// Since when this host knows the store's era.
@@ -230,6 +268,8 @@
     pub ticket: RecordTicket,
     /// Streams by service and version.
     pub streams: BTreeMap<(ServiceName, SoftwareVersion), Vec<StreamKey>>,
+    /// Where the host is about to append a base.
+    pub base_at: Option<LogPosition>,
 }
 
 /// A base to record.
@@ -237,8 +277,10 @@
 pub struct BaseProposal {
     /// Service.
     pub service: ServiceName,
-    /// Its new base.
-    pub base: VersionBase,
+    /// Version of the streams that no list names from now on.
+    pub version: SoftwareVersion,
+    /// Era of the store.
+    pub era: StoreEra,
 }
 
 impl VersionLedger {
@@ -253,31 +295,59 @@
         &mut self.census
     }
 
+    /// Records that this host read the directory itself. After a gap the bases are read again.
+    pub fn on_directory_read(&mut self, now: Timestamp) {
+        if self.has_gap(now) {
+            self.bases.values_mut().for_each(|belief| belief.doubt(now));
+        }
+        self.directory_read_at = Some(now);
+    }
+
+    /// Records that a server joined or restarted. Its version may have been away, also if a peer told so
+    /// while this host does not read the directory.
+    pub fn on_joined(&mut self, now: Timestamp, service: &ServiceName, version: &SoftwareVersion) {
+        let has_gap = self.has_gap(now);
+        let was_away = self.census.on_joined(now, service, version);
+        if let Some(belief) = self.bases.get_mut(service)
+            && (has_gap || was_away)
+            && belief.version == *version
+        {
+            belief.doubt(now);
+        }
+    }
+
+    fn has_gap(&self, now: Timestamp) -> bool {
+        self.directory_read_at.is_some_and(|read_at| now.since(read_at) > DIRECTORY_GAP)
+    }
+
     /// Records that versions are listed again after a while.
     pub fn on_returned(&mut self, now: Timestamp, returned: &[ReturnedVersion]) {
         for ReturnedVersion { service, version } in returned {
             if let Some(belief) = self.bases.get_mut(service)
                 && belief.version == *version
             {
-                belief.suspect_until = Some(now + RETURN_TIME);
+                belief.doubt(now);
             }
         }
     }
 
     /// Returns whether the records must be read although no caller asks for it: the base of one of
     /// these services is not known or may have changed, or keeping this host's list costs calls that a
-    /// new base may make needless.
-    pub fn must_read(&self, now: Timestamp, services: &BTreeSet<ServiceName>) -> bool {
-        let age = self.read_at.map(|read_at| now.since(read_at));
-        let is_due = |period: Duration| age.is_none_or(|age| age >= period);
+    /// new base may make needless. In a fleet that starts, the first host records the bases before the
+    /// others read them.
+    pub fn must_read(
+        &self,
+        now: Timestamp,
+        services: &BTreeSet<ServiceName>,
+        start: FleetStart,
+    ) -> bool {
+        let began_at = self.census.began_at().filter(|_| start == FleetStart::First);
+        let read_at = self.read_at.or(began_at);
+        let is_due = |period: Duration| read_at.is_none_or(|read_at| now.since(read_at) >= period);
         let is_unknown = |service: &ServiceName| {
-            self.census.staying_versions(service) > 0
-                && match self.bases.get(service) {
-                    Some(belief) => belief.suspect_until.is_some_and(|until| until <= now),
-                    None => true,
-                }
+            self.census.staying_versions(service) > 0 && self.base(service).is_none()
         };
-        (services.iter().any(is_unknown) && is_due(UNKNOWN_READ_PERIOD))
+        (is_due(UNKNOWN_READ_PERIOD) && services.iter().any(is_unknown))
             || (is_due(LISTED_READ_PERIOD) && self.listed_count() > 0)
     }
 
@@ -365,9 +435,11 @@
         key: Option<StreamKey>,
         service: &ServiceName,
         records: Option<&VersionRecords>,
+        view: DirectoryView,
     ) -> StreamTrace {
         let only_version = || {
             let only = self.census.only_version(now, service, self.longest_life());
+            let only = only.filter(|_| view == DirectoryView::Shared);
             match only.filter(|version| self.base(service) == Some(version)) {
                 Some(version) => StreamTrace::Version(version.clone(), TraceSource::OnlyVersion),
                 None => StreamTrace::Unavailable,
@@ -379,7 +451,7 @@
                 return StreamTrace::Version(begin.version.clone(), TraceSource::Record);
             }
             Some(ListedBegin::At(_) | ListedBegin::Several) => return StreamTrace::Untraceable,
-            None if key.is_none() && records.lists_service(service) => {
+            None if key.is_none() && records.lists_others(service) => {
                 return StreamTrace::Untraceable;
             }
             None => {}
@@ -390,12 +462,11 @@
         }
     }
 
-    /// Records what a read of the store showed that was begun at `read_at`. `own` are the streams of this
+    /// Records what a read of the store showed. `own` are the streams of this
     /// host's list, which its former incarnation may have written. Returns the bases that changed.
     pub fn on_read(
         &mut self,
         now: Timestamp,
-        read_at: Timestamp,
         records: &VersionRecords,
         own: Vec<(StreamKey, StreamBegin)>,
     ) -> Vec<(ServiceName, SoftwareVersion)> {
@@ -419,17 +490,28 @@
         self.on_era(now, records.era);
         let mut changed = Vec::new();
         for (service, base) in &records.bases {
-            // A base of an earlier era is older than what this host knows, if it knows one.
-            if base.era != records.era {
+            // A base of an earlier era is older than what this host knows, if it knows one. One that was
+            // read before the directory may have changed before a server that this host lists joined.
+            if base.era != records.era || self.census.began_at().is_none() {
                 continue;
             }
-            let known = self.bases.get(service).and_then(|belief| belief.suspect_until);
-            let suspect_until = known.filter(|until| read_at < *until);
-            let belief = BaseBelief { version: base.version.clone(), suspect_until };
-            let former = self.bases.insert(service.clone(), belief);
+            let former = self.bases.get(service);
+            // A read that began before another one may end after it.
+            if former.is_some_and(|former| former.position > base.position) {
+                continue;
+            }
+            // Doubt ends with a later record.
+            let doubted_since = match former {
+                _ if records.is_changing => Some(now),
+                Some(former) if former.position == base.position => former.doubted_since,
+                _ => None,
+            };
             if former.is_none_or(|former| former.version != base.version) {
                 changed.push((service.clone(), base.version.clone()));
             }
+            let (version, position) = (base.version.clone(), base.position);
+            let belief = BaseBelief { version, position, doubted_since };
+            self.bases.insert(service.clone(), belief);
         }
         changed
     }
@@ -462,7 +544,14 @@
             let StreamBegin { service, version } = known.begin.clone();
             streams.entry((service, version)).or_default().push(*key);
         }
-        Some(ListUpdate { ticket: self.changed, streams })
+        Some(ListUpdate { ticket: self.changed, streams, base_at: self.base_at })
+    }
+
+    /// Announces with the list that this host is about to append a base at a position. Hosts that read the
+    /// list rely on no base until the position is taken.
+    pub fn announce_base(&mut self, at: LogPosition) -> RecordTicket {
+        self.base_at = Some(at);
+        self.next_ticket()
     }
 
     /// Records that the list was recorded up to a state.
@@ -481,6 +570,13 @@
         self.is_failing
     }
 
+    /// Returns whether this host doubts the base of a service for so long that it should renew it.
+    pub fn is_in_doubt(&self, now: Timestamp) -> bool {
+        self.bases.values().any(|belief| {
+            belief.doubted_since.is_some_and(|since| now.since(since) >= RENEWAL_TIME)
+        })
+    }
+
     /// Returns whether this host has read the base of a service.
     pub fn knows_base(&self, service: &ServiceName) -> bool {
         self.bases.contains_key(service)
@@ -491,20 +587,14 @@
         self.streams.values().filter(|known| known.ticket.is_some()).count()
     }
 
-    /// Returns the version that new streams of a service should begin at: the base, while others
-    /// cannot be recorded.
-    pub fn required_version(&self, service: &ServiceName) -> Option<&SoftwareVersion> {
-        let base = self.base(service).filter(|_| self.is_failing)?;
-        self.census.has_servers(service, base).then_some(base)
-    }
-
-    /// Returns whether a stream that cannot be recorded may begin nevertheless: no server of the base is
-    /// there at which it could be resumed by mistake.
-    pub fn may_begin_unrecorded(&self, service: &ServiceName) -> bool {
-        match self.bases.get(service) {
-            Some(belief) => !self.census.has_servers(service, &belief.version),
-            None => self.census.staying_versions(service) <= 1,
+    /// Returns where new streams of a service may begin: at the base only, while others cannot be
+    /// recorded.
+    pub fn begin_rule(&self, service: &ServiceName) -> BeginRule<'_> {
+        if !self.is_failing {
+            return BeginRule::AnyVersion;
         }
+        let base = self.base(service).filter(|base| self.census.has_servers(service, base));
+        base.map_or(BeginRule::Nowhere, BeginRule::OnlyAt)
     }
 
     /// Returns the base of a service to record, if it should change. `records` are those of a read that
@@ -519,22 +609,37 @@
         let span = self.longest_life();
         let known_for = self.began_at.map_or(Duration::ZERO, |began_at| now.since(began_at));
         let propose = |version: &SoftwareVersion| {
-            let base = VersionBase { version: version.clone(), era: records.era };
-            Some(BaseProposal { service: service.clone(), base })
+            Some(BaseProposal {
+                service: service.clone(),
+                version: version.clone(),
+                era: records.era,
+            })
         };
+        let is_doubted = self.bases.get(service).is_some_and(|belief| {
+            belief.doubted_since.is_some_and(|since| now.since(since) >= RENEWAL_TIME)
+        });
         match records.bases.get(service) {
+            Some(base)
+                if base.era == records.era
+                    && is_doubted
+                    && self.census.has_servers(service, &base.version) =>
+            {
+                propose(&base.version)
+            }
             Some(base) if base.era == records.era => self
                 .census
                 .is_gone(now, service, &base.version, span)
                 .then(|| self.census.largest(service))
                 .flatten()
                 .and_then(propose),
-            // The store came back from a copy: hosts that were there before know what it lost.
-            _ if let Some(belief) = self.bases.get(service) => {
+            // The store came back from a copy, and some lists may be lost.
+            Some(base) => {
                 let (_, since) = self.era_since?;
-                (now.since(since) >= REWRITE_TIME).then(|| propose(&belief.version)).flatten()
+                let belief = self.bases.get(service).map(|belief| &belief.version);
+                let version = belief.unwrap_or(&base.version);
+                let is_settled = known_for >= span && now.since(since) >= span;
+                is_settled.then(|| propose(version)).flatten()
             }
-            Some(base) => (known_for >= span).then(|| propose(&base.version)).flatten(),
             None => {
                 let is_first = start == FleetStart::First;
                 let is_settled =
@@ -556,15 +661,14 @@
 
     /// Returns the longest time from the begin of a stream, or from when its server was last listed, until
     /// its caller gives up.
-    fn longest_life(&self) -> Duration {
+    pub fn longest_life(&self) -> Duration {
         self.longest_wait.max(EXPECTED_WAIT) + SERVER_EXIT_TIME
     }
 
+    /// Returns the base of a service, unless it may have changed since it was read.
     fn base(&self, service: &ServiceName) -> Option<&SoftwareVersion> {
-        self.bases
-            .get(service)
-            .filter(|belief| belief.suspect_until.is_none())
-            .map(|belief| &belief.version)
+        let belief = self.bases.get(service).filter(|belief| belief.doubted_since.is_none());
+        belief.map(|belief| &belief.version)
     }
 
     fn next_ticket(&mut self) -> RecordTicket {
--- a/lib/src/protos/pomelostack.gateway.rs
+++ b/lib/src/protos/pomelostack.gateway.rs
@@ -270,6 +270,11 @@
     /// Wall-clock time of the writer in milliseconds since 1970.
     #[prost(uint64, tag = "3")]
     pub wall_ms: u64,
+    /// Offset at which the writer is about to append a base, and the era of the store that it belongs to.
+    #[prost(uint64, optional, tag = "4")]
+    pub base_at: ::core::option::Option<u64>,
+    #[prost(uint64, tag = "5")]
+    pub base_era: u64,
 }
 /// Streams that began at one software version of a service.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/src/result_code.rs
+++ b/lib/src/result_code.rs
@@ -117,6 +117,8 @@
     StreamUntraceable = 211, NotRun, 503;
     /// It is not known now at which software version the stream began.
     StreamUntraced = 212, NotRun, 503;
+    /// The software version that would begin the stream cannot be recorded now.
+    VersionUnrecorded = 213, NotRun, 503;
 
     /// The backend server was lost while it ran non-idempotent work.
     ServerLost = 300, Unknown, 502;
@@ -138,8 +140,8 @@
     StillRunning = 308, Unknown, 409;
     /// The host exited while the request ran.
     HostStopped = 309, Unknown, 502;
-    /// The software version that began the stream could not be recorded.
-    VersionUnrecorded = 310, Unknown, 502;
+    /// The software version that began the stream could not be recorded, and no event was relayed.
+    StreamUnrecorded = 310, Unknown, 502;
 
     /// The settings file cannot be read.
     SettingsUnreadable = 400, NotRun, 400;
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -65,4 +65,5 @@
 pub mod trace_engine;
 pub mod trace_player;
 mod unframed_response;
+pub mod version_world;
 pub mod workload;
