--- a/review/standin/bench.rs
+++ b/review/standin/bench.rs
@@ -23,6 +23,11 @@
 /// Last number of the loopback address of the platform and the servers.
 const PLATFORM_ADDRESS: u8 = 2;
 
+/// Service of plain calls, and the slots of servers, as in the users' site files.
+const APPLICATION: &str = "desk";
+const APPLICATION_SLOTS: u64 = 6;
+const ENGINE_SLOTS: u64 = 64;
+
 /// Whether the rule held.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -82,6 +87,7 @@
             version: version.to_owned(),
             address: self.net.free_port(PLATFORM_ADDRESS)?,
             store: self.platform.address,
+            slots: if service == APPLICATION { APPLICATION_SLOTS } else { ENGINE_SLOTS },
             gap_ms,
             silence_ms,
         };
--- a/review/standin/refusal_copy.rs
+++ b/review/standin/refusal_copy.rs
@@ -22,7 +22,7 @@
 const COPYING_SERVERS: usize = 2;
 
 /// One in this many answers is sent again.
-const COPIES_ONE_IN: u64 = 34;
+const COPIES_ONE_IN: u64 = 40;
 
 /// Callers, each with one call at a time.
 const CALLERS: usize = 40;
--- a/review/standin/replica.rs
+++ b/review/standin/replica.rs
@@ -38,9 +38,14 @@
 /// Time until the first token of a stream.
 const PREFILL_TIME: Duration = Duration::from_millis(30);
 
-/// Time that a plain call takes, and how many a server runs at once. It rejects any further ones.
+/// Time that a plain call takes.
 const CALL_TIME: Duration = Duration::from_millis(60);
-const CALL_SLOTS: u64 = 6;
+
+/// Plain calls that wait for a slot. Any further ones are rejected.
+const QUEUED_CALLS: u64 = 3;
+
+/// Interval at which a call that waits looks for a free slot.
+const SLOT_CHECK: Duration = Duration::from_millis(1);
 
 /// What a server is.
 #[derive(Clone, Debug)]
@@ -57,6 +62,8 @@
     pub address: SocketAddr,
     /// Address of the store.
     pub store: SocketAddr,
+    /// Requests that it runs at once.
+    pub slots: u64,
     /// Time between two events of a stream in milliseconds.
     pub gap_ms: u64,
     /// Time for which each stream is silent once between its first token and its first event.
@@ -65,14 +72,16 @@
 
 impl ReplicaSpec {
     fn arguments(&self) -> Vec<String> {
-        let Self { id, service, zone, version, address, store, gap_ms, silence_ms } = self.clone();
+        let Self { id, service, zone, version, address, store, slots, gap_ms, silence_ms } =
+            self.clone();
         let (address, store) = (address.to_string(), store.to_string());
-        let numbers = [gap_ms.to_string(), silence_ms.to_string()];
+        let numbers = [slots, gap_ms, silence_ms].map(|number| number.to_string());
         [vec![id, service, zone, version, address, store], numbers.to_vec()].concat()
     }
 
     fn parse(arguments: &[String]) -> Option<Self> {
-        let [id, service, zone, version, address, store, gap_ms, silence_ms] = arguments else {
+        let [id, service, zone, version, address, store, slots, gap_ms, silence_ms] = arguments
+        else {
             return None;
         };
         Some(Self {
@@ -82,6 +91,7 @@
             version: version.clone(),
             address: address.parse().ok()?,
             store: store.parse().ok()?,
+            slots: slots.parse().ok()?,
             gap_ms: gap_ms.parse().ok()?,
             silence_ms: silence_ms.parse().ok()?,
         })
@@ -153,7 +163,9 @@
     /// One in this many answers to plain calls is sent again; zero if none is.
     copies_one_in: AtomicU64,
     answers: AtomicU64,
+    /// Plain calls that run or wait, and those that run.
     calls: AtomicU64,
+    running: AtomicU64,
 }
 
 /// Runs a server until it is killed, or until the process that started it has ended.
@@ -168,6 +180,7 @@
         copies_one_in: AtomicU64::new(0),
         answers: AtomicU64::new(0),
         calls: AtomicU64::new(0),
+        running: AtomicU64::new(0),
     });
     replica.write_entry(1);
     let writer = replica.clone();
@@ -199,10 +212,10 @@
 
 impl Replica {
     fn write_entry(&self, sequence: u64) {
-        let ReplicaSpec { id, service, zone, version, address, store, .. } = &self.spec;
+        let ReplicaSpec { id, service, zone, version, address, store, slots, .. } = &self.spec;
         let value = format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
-             \"version\":\"{version}\",\"slots\":64,\"state\":\"ready\",\"cold-remaining-ms\":0,\
+             \"version\":\"{version}\",\"slots\":{slots},\"state\":\"ready\",\"cold-remaining-ms\":0,\
              \"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\
              \"sequence\":{sequence},\"born\":{}}}",
             self.born
@@ -262,27 +275,42 @@
             let count = count.parse().unwrap_or(1);
             return self.stream(stream, request_id, signature.1, after.unwrap_or(0), count);
         }
-        let late_copy = std::mem::take(copy);
-        let answer = if self.calls.fetch_add(1, Ordering::SeqCst) < CALL_SLOTS {
+        let mut late_copy = std::mem::take(copy);
+        if self.copies_one_in.load(Ordering::Relaxed) == 0 {
+            late_copy.clear();
+        }
+        let places = self.spec.slots + QUEUED_CALLS;
+        let answer = if self.calls.fetch_add(1, Ordering::SeqCst) < places {
+            self.wait_for_slot();
             self.log("run", request_id, if late_copy.is_empty() { "-" } else { "after-a-copy" });
-            stream.write_all(&late_copy)?;
+            // The host may close the connection; the call runs on.
+            drop(stream.write_all(&late_copy));
             thread::sleep(CALL_TIME);
+            self.running.fetch_sub(1, Ordering::SeqCst);
             self.log("end", request_id, "whole");
             let body = format!("answer to {request_id}");
             response("200 OK", &[echo, signature], body.as_bytes())
         } else {
-            stream.write_all(&late_copy)?;
+            drop(stream.write_all(&late_copy));
             response("503 Service Unavailable", &[("Not-Executed", "1")], b"")
         };
         self.calls.fetch_sub(1, Ordering::SeqCst);
         stream.write_all(&answer)?;
         let one_in = self.copies_one_in.load(Ordering::Relaxed);
-        if one_in > 0 && self.answers.fetch_add(1, Ordering::Relaxed).is_multiple_of(one_in) {
+        if one_in > 0 && (self.answers.fetch_add(1, Ordering::Relaxed) + 1).is_multiple_of(one_in) {
             *copy = answer;
         }
         Ok(())
     }
 
+    fn wait_for_slot(&self) {
+        let slots = self.spec.slots;
+        let take = |running| (running < slots).then_some(running + 1);
+        while self.running.fetch_update(Ordering::SeqCst, Ordering::SeqCst, take).is_err() {
+            thread::sleep(SLOT_CHECK);
+        }
+    }
+
     fn stream(
         &self,
         stream: &mut TcpStream,
