version_ledger: list streams of the base after a drill of the store

Cause: the record of the base counts only in the era in which it was written, and it is written anew after the longest life of a stream, since lists may be lost. Hosts went on to begin streams at the base without a record, so that no other host could trace them.

Ruled out: quotas (no 429), the directory (six servers of v1 listed), lost lists (streams of v2 went on).

Hosts now list all streams that they know from a new era on, until the base is recorded in it. No first event waits for that, so a store that fails again breaks nothing off.

--- a/lib/src/gateway/version_keeper.rs
+++ b/lib/src/gateway/version_keeper.rs
@@ -36,6 +36,12 @@
 /// Minimum time between two reads: callers that come back together share them.
 const READ_SPACING: Duration = Duration::from_millis(50);
 
+/// Minimum time between two records of the list that nothing waits for.
+const ADVISED_SPACING: Duration = Duration::from_secs(1);
+
+/// Minimum time between two such records, per live host: the store bounds the writes of all hosts.
+const ADVISED_SPACING_PER_HOST: Duration = Duration::from_millis(10);
+
 /// Longest wait for a read of the directory that confirms that a version is gone.
 const CONFIRM_TIME: Duration = Duration::from_secs(5);
 
@@ -196,12 +202,21 @@
     let mut backoff = Backoff::default();
     let mut place = WriterPlace { epoch: state.incarnation.1.0, sequence: 0 };
     let mut epoch_step = 1;
+    let mut spaced_until = state.now();
     loop {
         let update = state.versions.borrow().pending_list();
         let Some(update) = update else {
             state.version_sync.record_hint.notified().await;
             continue;
         };
+        if !update.is_awaited && state.now() < spaced_until {
+            let spacing = spaced_until.since(state.now());
+            let hint = state.version_sync.record_hint.notified();
+            // Either way the list is looked at anew.
+            let _ = tokio::time::timeout(spacing, hint).await;
+            continue;
+        }
+        spaced_until = state.now() + advised_spacing(&state);
         let former = state.version_sync.list_epoch.get();
         if place.epoch <= former && place.sequence == 0 {
             place.epoch = former + 1;
@@ -242,6 +257,11 @@
     }
 }
 
+fn advised_spacing(state: &GatewayState) -> Duration {
+    let live = state.peers.borrow().live_peers(state.now());
+    ADVISED_SPACING.max(ADVISED_SPACING_PER_HOST * u32::try_from(live).unwrap_or(u32::MAX))
+}
+
 /// Records the first base of each service, and a new one when its version is gone. One host does so for
 /// all.
 pub async fn keep_bases<S: ControlStore>(state: Rc<GatewayState>, store: Rc<S>) {
--- a/lib/src/gateway/version_ledger.rs
+++ b/lib/src/gateway/version_ledger.rs
@@ -5,7 +5,9 @@
 //! names only the attempt that brought the first event. The store therefore names one version of each
 //! service, its base. A stream at the base has no record: one that nobody knows is of the base. Any
 //! other stream is recorded in the store before its first event is relayed. The base changes only when
-//! its version has had no server for longer than any caller waits.
+//! its version has had no server for longer than any caller waits. After the store came back from a copy,
+//! lists may be lost, so that a stream that nobody knows may be of any version: until the base is recorded
+//! anew, streams of the base are listed as well.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -100,6 +102,9 @@
 pub enum RecordNeed {
     /// Nothing: the stream is of the base.
     Nothing,
+    /// Nothing, but the list is to be recorded soon: the stream is of the base, and the record of that is
+    /// of an earlier era.
+    Advised,
     /// The list must be recorded up to this state.
     Recorded(RecordTicket),
 }
@@ -176,9 +181,10 @@
         self.bases.get(service).filter(|base| base.era == self.era).map(|base| &base.version)
     }
 
-    /// Returns whether a list names a stream of a service that is not of the base.
+    /// Returns whether a list names a stream of a service that is not of the base, whatever the era of its
+    /// record.
     fn lists_others(&self, service: &ServiceName) -> bool {
-        let base = self.base(service);
+        let base = self.bases.get(service).map(|base| &base.version);
         self.streams.values().any(|listed| match listed {
             ListedBegin::At(begin) => begin.service == *service && Some(&begin.version) != base,
             ListedBegin::Several => true,
@@ -221,6 +227,28 @@
     }
 }
 
+/// Whether this host's list names a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StreamListing {
+    /// It does not: the stream is of the base.
+    Unlisted,
+    /// It does from this state on, so that other hosts can trace the stream while the record of the base is
+    /// of an earlier era. Without it they refuse to resume the stream.
+    Advised(RecordTicket),
+    /// It must from this state on, since other hosts would take the stream for one of the base.
+    Required(RecordTicket),
+}
+
+impl StreamListing {
+    fn need(self) -> RecordNeed {
+        match self {
+            Self::Unlisted => RecordNeed::Nothing,
+            Self::Advised(_) => RecordNeed::Advised,
+            Self::Required(ticket) => RecordNeed::Recorded(ticket),
+        }
+    }
+}
+
 /// A stream that this host knows.
 #[derive(Clone, Debug)]
 struct KnownStream {
@@ -230,8 +258,7 @@
     /// Whether attempts with the same name had events of several versions.
     is_ambiguous: bool,
     expires_at: Timestamp,
-    /// State of the list from which on it holds the stream as it is here, if it must.
-    ticket: Option<RecordTicket>,
+    listing: StreamListing,
 }
 
 /// The versions at which streams began, as far as this host knows them.
@@ -245,6 +272,8 @@
     directory_read_at: Option<Timestamp>,
     /// Last state of the list.
     changed: RecordTicket,
+    /// Last state of the list that a stream or an announcement waits for.
+    required: RecordTicket,
     /// State of the list that is recorded.
     recorded: RecordTicket,
     /// Whether the last try to record the list failed.
@@ -266,6 +295,8 @@
 pub struct ListUpdate {
     /// State of the list.
     pub ticket: RecordTicket,
+    /// Whether a stream or an announcement waits until it is recorded.
+    pub is_awaited: bool,
     /// Streams by service and version.
     pub streams: BTreeMap<(ServiceName, SoftwareVersion), Vec<StreamKey>>,
     /// Where the host is about to append a base.
@@ -363,32 +394,51 @@
         let wait = wait.min(MAX_WAIT);
         self.longest_wait = self.longest_wait.max(wait);
         let expires_at = now + wait + EXPIRY_MARGIN;
-        let is_base = self.base(&begin.service) == Some(&begin.version);
-        let Some(known) = self.streams.get_mut(&key) else {
-            let ticket = (!is_base).then(|| self.next_ticket());
-            let known = KnownStream {
-                begin: begin.clone(),
-                has_events: false,
-                is_ambiguous: false,
-                expires_at,
-                ticket,
-            };
-            self.insert(key, known);
-            return need(ticket);
-        };
-        if known.begin == *begin {
-            return need(known.ticket);
+        let former = self.streams.get(&key);
+        if let Some(known) = former.filter(|known| known.begin == *begin) {
+            return known.listing.need();
         }
-        if known.has_events {
-            known.is_ambiguous = true;
+        let is_listed = former.is_some_and(|known| known.listing != StreamListing::Unlisted);
+        let listing = self.next_listing(begin, is_listed);
+        match self.streams.get_mut(&key) {
+            Some(known) => {
+                known.is_ambiguous |= known.has_events;
+                known.begin = begin.clone();
+                known.listing = listing;
+            }
+            None => {
+                let known = KnownStream {
+                    begin: begin.clone(),
+                    has_events: false,
+                    is_ambiguous: false,
+                    expires_at,
+                    listing,
+                };
+                self.insert(key, known);
+            }
         }
-        known.begin = begin.clone();
-        // Once a list may have named it with another version, a list must name it with this one.
-        if known.ticket.is_some() || !is_base {
-            self.changed.0 += 1;
-            known.ticket = Some(self.changed);
+        listing.need()
+    }
+
+    /// Returns how this host lists a stream that an attempt may begin. Once a list may have named the stream
+    /// with another version, a list must name it with this one.
+    fn next_listing(&mut self, begin: &StreamBegin, is_listed: bool) -> StreamListing {
+        let is_base = self.base(&begin.service) == Some(&begin.version);
+        match is_base && !is_listed {
+            true if !self.is_base_outdated(&begin.service) => StreamListing::Unlisted,
+            true => {
+                self.changed.0 += 1;
+                StreamListing::Advised(self.changed)
+            }
+            false => StreamListing::Required(self.next_ticket()),
         }
-        need(known.ticket)
+    }
+
+    /// Returns whether the record of a base that this host knows is of an earlier era, which tells other hosts
+    /// nothing.
+    fn is_base_outdated(&self, service: &ServiceName) -> bool {
+        let base_era = self.bases.get(service).map(|belief| belief.position.era);
+        self.era_since.is_some_and(|(era, _)| base_era.is_some_and(|base_era| base_era < era))
     }
 
     /// Records that the first event of a stream is relayed.
@@ -410,8 +460,9 @@
             return;
         }
         let expires_at = now + wait.min(MAX_WAIT) + EXPIRY_MARGIN;
+        let listing = StreamListing::Unlisted;
         let known =
-            KnownStream { begin, has_events: true, is_ambiguous: false, expires_at, ticket: None };
+            KnownStream { begin, has_events: true, is_ambiguous: false, expires_at, listing };
         self.insert(key, known);
     }
 
@@ -476,13 +527,13 @@
             let expires_at = now + self.longest_life();
             for (key, begin) in own {
                 // It is in the list already, and stays there.
-                let ticket = Some(self.recorded);
+                let listing = StreamListing::Required(self.recorded);
                 let known = KnownStream {
                     begin,
                     has_events: true,
                     is_ambiguous: false,
                     expires_at,
-                    ticket,
+                    listing,
                 };
                 self.insert(key, known);
             }
@@ -516,15 +567,26 @@
         changed
     }
 
-    /// Records an era of the store. After the store came back from a copy, the list is recorded again.
+    /// Records an era of the store. After the store came back from a copy, the list is recorded again, with
+    /// all streams that this host knows: the record of the base tells other hosts nothing any more.
     pub fn on_era(&mut self, now: Timestamp, era: StoreEra) {
         let known = self.era_since;
         if known.is_some_and(|(known, _)| known >= era) {
             return;
         }
         self.era_since = Some((era, now));
-        if known.is_some() && self.listed_count() > 0 {
-            self.changed.0 += 1;
+        if known.is_none() {
+            return;
+        }
+        if self.listed_count() > 0 {
+            self.next_ticket();
+        }
+        let advised = RecordTicket(self.changed.0 + 1);
+        for known in self.streams.values_mut() {
+            if known.listing == StreamListing::Unlisted && !known.is_ambiguous {
+                known.listing = StreamListing::Advised(advised);
+                self.changed = advised;
+            }
         }
     }
 
@@ -535,16 +597,20 @@
             return None;
         }
         let mut streams: BTreeMap<_, Vec<StreamKey>> = BTreeMap::new();
-        let latest = self.expirations.iter().rev();
-        let listed = latest.filter_map(|(_, key)| {
-            let known = self.streams.get(key)?;
-            known.ticket.map(|_| (key, known))
-        });
-        for (key, known) in listed.take(MAX_LISTED_STREAMS) {
+        let latest = || {
+            let latest = self.expirations.iter().rev();
+            latest.filter_map(|(_, key)| Some((key, self.streams.get(key)?)))
+        };
+        let required =
+            latest().filter(|(_, known)| matches!(known.listing, StreamListing::Required(_)));
+        let advised =
+            latest().filter(|(_, known)| matches!(known.listing, StreamListing::Advised(_)));
+        for (key, known) in required.chain(advised).take(MAX_LISTED_STREAMS) {
             let StreamBegin { service, version } = known.begin.clone();
             streams.entry((service, version)).or_default().push(*key);
         }
-        Some(ListUpdate { ticket: self.changed, streams, base_at: self.base_at })
+        let is_awaited = self.required > self.recorded;
+        Some(ListUpdate { ticket: self.changed, is_awaited, streams, base_at: self.base_at })
     }
 
     /// Announces with the list that this host is about to append a base at a position. Hosts that read the
@@ -584,7 +650,7 @@
 
     /// Returns the number of streams in this host's list.
     pub fn listed_count(&self) -> usize {
-        self.streams.values().filter(|known| known.ticket.is_some()).count()
+        self.streams.values().filter(|known| known.listing != StreamListing::Unlisted).count()
     }
 
     /// Returns where new streams of a service may begin: at the base only, while others cannot be
@@ -673,6 +739,7 @@
 
     fn next_ticket(&mut self) -> RecordTicket {
         self.changed.0 += 1;
+        self.required = self.changed;
         self.changed
     }
 
@@ -681,7 +748,3 @@
         self.streams.insert(key, known);
     }
 }
-
-fn need(ticket: Option<RecordTicket>) -> RecordNeed {
-    ticket.map_or(RecordNeed::Nothing, RecordNeed::Recorded)
-}
--- a/lib/tests/test_stream_versions.rs
+++ b/lib/tests/test_stream_versions.rs
@@ -259,3 +259,74 @@
     assert!(begun > 0 && elsewhere > 0 && changes > 0);
     assert!(traced > 2 * refused, "{traced} take-ups were traced, {refused} refused");
 }
+
+/// How often the store comes back from a copy.
+#[derive(Clone, Copy, Debug)]
+enum DrillSeries {
+    Single,
+    Repeated,
+}
+
+/// Lets the hosts that live record what they have to.
+fn record_all(world: &mut VersionWorld, hosts: usize) {
+    for host in 0..hosts {
+        for step in [WorldStep::ReadDirectory(host), WorldStep::Record(host)] {
+            if world.allows(step) {
+                world.apply(step);
+            }
+        }
+    }
+}
+
+/// Begins a stream at each version and records it if it must be.
+fn begin_at_both(world: &mut VersionWorld, host: usize) {
+    for version in 0..2 {
+        let stream = world.stream_count();
+        world.apply(WorldStep::Send(host, version));
+        if world.allows(WorldStep::Record(host)) {
+            world.apply(WorldStep::Record(host));
+        }
+        world.apply(WorldStep::RelayFirst(stream));
+    }
+}
+
+/// A store that came back from a copy left streams of the base untraceable at other hosts (LOST).
+#[rstest]
+fn drill_keeps_streams(
+    #[values(3, 8, 84, 295)] hosts: usize,
+    #[values(DrillSeries::Single, DrillSeries::Repeated)] series: DrillSeries,
+    #[values(false, true)] all_lost: bool,
+) {
+    let mut world = VersionWorld::new(hosts, 2);
+    world.apply(WorldStep::Release(1));
+    record_all(&mut world, hosts);
+    begin_at_both(&mut world, 0);
+    world.apply(WorldStep::CopyStore);
+    world.apply(WorldStep::PassSeconds);
+    begin_at_both(&mut world, 0);
+    world.apply(WorldStep::RestoreStore);
+    record_all(&mut world, hosts);
+    begin_at_both(&mut world, 0);
+    if let DrillSeries::Repeated = series {
+        world.apply(WorldStep::CopyStore);
+        world.apply(WorldStep::PassSeconds);
+        begin_at_both(&mut world, 0);
+        world.apply(WorldStep::RestoreStore);
+        record_all(&mut world, hosts);
+        begin_at_both(&mut world, 0);
+    }
+    match all_lost {
+        true => {
+            world.apply(WorldStep::KillAll);
+            (1..hosts).for_each(|host| world.apply(WorldStep::Start(host)));
+        }
+        false => world.apply(WorldStep::Kill(0)),
+    }
+    record_all(&mut world, hosts);
+    let streams = world.stream_count();
+    for stream in 0..streams {
+        world.apply(WorldStep::TakeUp(hosts - 1, stream));
+    }
+    let counts = world.counts();
+    assert_eq!((counts.traced as usize, counts.refused), (streams, 0), "{counts:?}");
+}
--- a/lib/tests/test_version_ledger.rs
+++ b/lib/tests/test_version_ledger.rs
@@ -99,6 +99,49 @@
     assert_eq!(ledger.pending_list(), None);
 }
 
+#[test]
+fn outdated_base() {
+    // After a drill of the store other hosts cannot tell that an unlisted stream is of the base (LOST).
+    let mut ledger = host();
+    ledger.on_sent(at(1), KEY, &begin("v1"), WAIT);
+    ledger.on_era(at(2), StoreEra(1));
+    assert_eq!(ledger.on_sent(at(3), StreamKey(8), &begin("v1"), WAIT), RecordNeed::Advised);
+    let update = ledger.pending_list().expect("valid in tests");
+    assert!(!update.is_awaited);
+    let listed = &update.streams[&(service("chat"), version("v1"))];
+    assert_eq!(listed.len(), 2);
+    // A stream of another version is still recorded before its first event.
+    assert!(matches!(
+        ledger.on_sent(at(4), StreamKey(9), &begin("v2"), WAIT),
+        RecordNeed::Recorded(_)
+    ));
+    assert!(ledger.pending_list().is_some_and(|update| update.is_awaited));
+    // So is one that a list may have named with the base's version.
+    assert!(matches!(ledger.on_sent(at(5), KEY, &begin("v2"), WAIT), RecordNeed::Recorded(_)));
+    // Once the base is recorded anew, its streams are not listed.
+    let update = ledger.pending_list().expect("valid in tests");
+    ledger.on_recorded(update.ticket);
+    let mut read = records("v1", 1);
+    read.bases.values_mut().for_each(|base| base.era = StoreEra(1));
+    ledger.on_read(at(6), &read, Vec::new());
+    assert_eq!(ledger.on_sent(at(7), StreamKey(10), &begin("v1"), WAIT), RecordNeed::Nothing);
+    assert_eq!(ledger.pending_list(), None);
+}
+
+#[test]
+fn crowded_list() {
+    // Streams that other hosts would take for ones of the base are listed before all others (ORDER).
+    let mut ledger = host();
+    ledger.on_era(at(1), StoreEra(1));
+    ledger.on_sent(at(2), KEY, &begin("v2"), WAIT);
+    for number in 0..MAX_LISTED_STREAMS as u64 + 5 {
+        ledger.on_sent(at(3 + number), StreamKey(100 + number), &begin("v1"), WAIT);
+    }
+    let update = ledger.pending_list().expect("valid in tests");
+    assert_eq!(update.streams[&(service("chat"), version("v2"))], [KEY]);
+    assert_eq!(update.streams.values().flatten().count(), MAX_LISTED_STREAMS);
+}
+
 #[test]
 fn tried_elsewhere_first() {
     // A list may have named the stream with the version of the attempt that failed.
--- a/lib/testutils/src/version_world.rs
+++ b/lib/testutils/src/version_world.rs
@@ -435,7 +435,7 @@
         let Some(host) = &self.hosts[sent.host] else { return false };
         let mut ledger = host.ledger.clone();
         match ledger.on_sent(self.now, key(stream), &begin(sent.version), CALLER_WAIT) {
-            RecordNeed::Nothing => true,
+            RecordNeed::Nothing | RecordNeed::Advised => true,
             RecordNeed::Recorded(ticket) => host.recorded >= ticket,
         }
     }
