server_attempt: close connections whose answer names no request

Cause: a full server refuses without a Request-Id. The connection went back to the pool, and a late copy of that refusal was taken as the proof that the next call there had not run.

Ruled out: keeping such connections for repeatable calls only, since a false refusal would send a stream to a second server beside the first. A request that hyper gives back unsent had no byte written (read only).

A connection that carried an answer without a name is now closed. A refusal without a name is then proof: a copy of any earlier answer on the connection would carry that one's name.

--- a/lib/src/gateway/connection_pool.rs
+++ b/lib/src/gateway/connection_pool.rs
@@ -111,6 +111,12 @@
 }
 
 impl PooledConnection {
+    /// Closes the connection when it is released, since a late copy of the response that it carried could not
+    /// be told from the response to the next request.
+    pub fn forbid_reuse(&mut self) {
+        self.idle_timeout = Duration::ZERO;
+    }
+
     /// Returns the connection to the pool. Only valid once the response was read to its end.
     pub fn release(self) {
         if self.connection.sender.is_closed() || self.idle_timeout.is_zero() {
--- a/lib/src/gateway/platform_api.rs
+++ b/lib/src/gateway/platform_api.rs
@@ -288,6 +288,9 @@
     /// Classifies a server's response to a request by its head.
     fn classify_response(&self, request_id: &str, head: &response::Parts) -> ResponseClass;
 
+    /// Returns whether the head of a response names the request that it belongs to.
+    fn names_request(&self, head: &response::Parts) -> bool;
+
     /// Returns what a server says of itself in the head of the response to a request. A malformed field
     /// is ignored, and an error tells which one.
     fn read_notice(
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -267,32 +267,35 @@
     let message = AttemptRequest { server: attempt.server(), time_left, resume_after };
     let message = request.message(wire, &message);
     let is_wanted = || hand_over(&state, request, &attempt);
-    let (response, connection) = match state.pool.call_if(attempt.address, message, is_wanted).await
-    {
-        Ok(called) => called,
-        Err(error) => {
-            let failure = match error {
-                CallError::Unsent(_) => AttemptFailure::Unsent,
-                CallError::Lost(_) => AttemptFailure::Lost,
-                CallError::Withheld => AttemptFailure::Withheld,
-            };
-            log_failure(&state, request, &attempt, failure, &error.to_string());
-            match failure {
-                AttemptFailure::Unsent => {
-                    state.pool.close_idle(attempt.address);
-                    if state.crashes.borrow().has_lost(attempt.server()) {
-                        confirm_crash(&state, &attempt).await;
+    let (response, mut connection) =
+        match state.pool.call_if(attempt.address, message, is_wanted).await {
+            Ok(called) => called,
+            Err(error) => {
+                let failure = match error {
+                    CallError::Unsent(_) => AttemptFailure::Unsent,
+                    CallError::Lost(_) => AttemptFailure::Lost,
+                    CallError::Withheld => AttemptFailure::Withheld,
+                };
+                log_failure(&state, request, &attempt, failure, &error.to_string());
+                match failure {
+                    AttemptFailure::Unsent => {
+                        state.pool.close_idle(attempt.address);
+                        if state.crashes.borrow().has_lost(attempt.server()) {
+                            confirm_crash(&state, &attempt).await;
+                        }
                     }
+                    AttemptFailure::Withheld => {}
+                    _ => record_lost(&state, request, &attempt).await,
                 }
-                AttemptFailure::Withheld => {}
-                _ => record_lost(&state, request, &attempt).await,
+                return AttemptOutcome::Failed(failure, None);
             }
-            return AttemptOutcome::Failed(failure, None);
-        }
-    };
+        };
     let (head, body) = response.into_parts();
     record_notice(&state, &attempt, wire.read_notice(&request.head.request_id, &head));
     let class = wire.classify_response(&request.head.request_id, &head);
+    if !wire.names_request(&head) {
+        connection.forbid_reuse();
+    }
     if class == ResponseClass::Relay && request.route.kind.is_stream() && head.status.is_success() {
         let response = Response::from_parts(head, body);
         let begun = BegunStream::new(&state.buffers);
