--- a/cli/tests/test_silent_server.rs
+++ b/cli/tests/test_silent_server.rs
@@ -26,6 +26,9 @@
 /// Longer than any deadline.
 const PAST_DEADLINE: Duration = Duration::from_secs(60);
 
+/// Longest time for which two servers may work on one stream.
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
+
 /// Time for a host to react, on a busy machine.
 const SLACK: Duration = Duration::from_millis(1_500);
 
@@ -91,6 +94,34 @@
     assert!(response.body.is_some());
 }
 
+/// A server that is silent within a stream, and one that takes the stream up and is silent before its first
+/// event, worked on it side by side for as long as both were silent (TWICE).
+#[rstest]
+#[case::between_events(58, Duration::from_millis(100))]
+#[case::before_first_event(59, Duration::ZERO)]
+fn hedge_overlap(#[case] number: u8, #[case] lead: Duration) {
+    let fixture = GatewayFixture::ready(PROGRAM, number);
+    let second_pause = Duration::from_millis(1_500);
+    let (stream, _) = call_and(&fixture, |first| {
+        let mode = ReplicaMode::PauseAfter { events: 0, pause: second_pause };
+        fixture.standin.set_replica_mode(1 - first, mode);
+        std::thread::sleep(lead);
+        fixture.standin.silence_replica(first, ANSWER_PAUSE);
+    });
+    assert!(is_complete(&stream), "{stream:?}");
+    let runs = fixture.standin.runs().into_iter().filter(|run| run.request_id == "r1");
+    let runs: Vec<_> = runs.collect();
+    let [first, second] = &runs[..] else { panic!("two servers run the stream: {runs:?}") };
+    let end_of_first = || {
+        let mut ends = fixture.standin.stream_ends().into_iter();
+        ends.find(|end| end.request_id == "r1" && end.replica == first.replica)
+    };
+    wait_for(|| end_of_first().is_some());
+    let end = end_of_first().expect("the first run ended").at;
+    let overlap = end.saturating_duration_since(second.at);
+    assert!(overlap < MAX_OVERLAP, "both servers worked for {overlap:?}");
+}
+
 #[test]
 fn retry_budget_empty() {
     const STREAMS: usize = 80;
--- a/lib/testutils/src/deployment_server.rs
+++ b/lib/testutils/src/deployment_server.rs
@@ -45,6 +45,7 @@
 use crate::deployment_state::SharedState;
 use crate::deployment_state::StoreLink;
 use crate::deployment_state::StoreMode;
+use crate::deployment_state::StreamEnd;
 use crate::deployment_state::TurnedAway;
 use crate::deployment_state::UsageReport;
 use crate::deployment_state::WrittenRecord;
@@ -519,7 +520,8 @@
     }
     let mut reply = if path.starts_with("/brief/") {
         let count = path_number(path, "/events-").unwrap_or(STREAM_EVENTS);
-        stream_events(state.clone(), index, resumed_after.unwrap_or(0)..count, mode, version)
+        let run = StreamRun { request_id: request_id.clone(), replica: index, version, mode };
+        stream_events(state.clone(), run, resumed_after.unwrap_or(0)..count)
     } else {
         let size = request.uri().path().rsplit_once("/bytes-").map(|(_, size)| size.parse());
         match size.and_then(Result::ok) {
@@ -590,40 +592,59 @@
     }
 }
 
-/// Sends the events of a stream after the first of a range of ids, up to the last.
-fn stream_events(
-    state: SharedState,
-    index: usize,
-    ids: Range<u64>,
-    mode: ReplicaMode,
+/// A stream that a replica executes.
+struct StreamRun {
+    request_id: String,
+    replica: usize,
     version: String,
-) -> StandinReply {
-    let (sender, receiver) = mpsc::channel(1);
-    tokio::task::spawn_local(async move {
-        let after = ids.start;
-        for id in after + 1..=ids.end {
+    mode: ReplicaMode,
+}
+
+async fn send_events(
+    state: &SharedState,
+    run: &StreamRun,
+    ids: Range<u64>,
+    sender: &mpsc::Sender<std::io::Result<Frame<Bytes>>>,
+) {
+    let StreamRun { replica: index, version, mode, .. } = run;
+    let (index, mode) = (*index, *mode);
+    let after = ids.start;
+    for id in after + 1..=ids.end {
+        tokio::time::sleep(EVENT_INTERVAL).await;
+        if let ReplicaMode::PauseAfter { events, pause } = mode
+            && id == after + events + 1
+        {
+            tokio::time::sleep(pause).await;
+        }
+        wait_while_silent(state, index).await;
+        while matches!(mode, ReplicaMode::TrickleAfter(events) if id > after + events) {
             tokio::time::sleep(EVENT_INTERVAL).await;
-            if let ReplicaMode::PauseAfter { events, pause } = mode
-                && id == after + events + 1
-            {
-                tokio::time::sleep(pause).await;
-            }
-            wait_while_silent(&state, index).await;
-            while matches!(mode, ReplicaMode::TrickleAfter(events) if id > after + events) {
-                tokio::time::sleep(EVENT_INTERVAL).await;
-                if sender.send(Ok(Frame::data(Bytes::from_static(b":")))).await.is_err() {
-                    return;
-                }
-            }
-            let text = versioned_event_text(id, &version);
-            let cut = matches!(mode, ReplicaMode::CutAfter(count) if id > after + count);
-            let sent = if cut { text[..text.len() / 2].to_owned() } else { text };
-            if sender.send(Ok(Frame::data(Bytes::from(sent)))).await.is_err() || cut {
-                // Break the connection without sending the rest of the answer.
-                let _ = sender.send(Err(std::io::ErrorKind::ConnectionReset.into())).await;
+            if sender.send(Ok(Frame::data(Bytes::from_static(b":")))).await.is_err() {
                 return;
             }
         }
+        let text = versioned_event_text(id, version);
+        let cut = matches!(mode, ReplicaMode::CutAfter(count) if id > after + count);
+        let sent = if cut { text[..text.len() / 2].to_owned() } else { text };
+        if sender.send(Ok(Frame::data(Bytes::from(sent)))).await.is_err() || cut {
+            // Break the connection without sending the rest of the answer.
+            let _ = sender.send(Err(std::io::ErrorKind::ConnectionReset.into())).await;
+            return;
+        }
+    }
+}
+
+/// Sends the events of a stream after the first of a range of ids, up to the last.
+fn stream_events(state: SharedState, run: StreamRun, ids: Range<u64>) -> StandinReply {
+    let (sender, receiver) = mpsc::channel(1);
+    tokio::task::spawn_local(async move {
+        // A replica stops its work when its caller closes the connection.
+        tokio::select! {
+            () = send_events(&state, &run, ids, &sender) => {}
+            () = sender.closed() => {}
+        }
+        let StreamRun { request_id, replica, .. } = run;
+        lock(&state).stream_ends.push(StreamEnd { replica, request_id, at: Instant::now() });
     });
     let mut reply = Response::new(Either::Right(StreamBody::new(ReceiverStream::new(receiver))));
     reply.headers_mut().insert(
--- a/lib/testutils/src/deployment_standin.rs
+++ b/lib/testutils/src/deployment_standin.rs
@@ -29,6 +29,7 @@
 pub use crate::deployment_state::StandinCopy;
 pub use crate::deployment_state::StoreLink;
 pub use crate::deployment_state::StoreMode;
+pub use crate::deployment_state::StreamEnd;
 pub use crate::deployment_state::TurnedAway;
 pub use crate::deployment_state::UnframedEnd;
 pub use crate::deployment_state::UsageReport;
@@ -324,6 +325,11 @@
         lock(&self.state).runs.clone()
     }
 
+    /// Returns the streams that ended at replicas, in order.
+    pub fn stream_ends(&self) -> Vec<StreamEnd> {
+        lock(&self.state).stream_ends.clone()
+    }
+
     /// Returns the requests that the replicas executed since the last call, in order.
     pub fn take_runs(&self) -> Vec<ReplicaRun> {
         std::mem::take(&mut lock(&self.state).runs)
--- a/lib/testutils/src/deployment_state.rs
+++ b/lib/testutils/src/deployment_state.rs
@@ -216,6 +216,17 @@
     pub version: String,
 }
 
+/// The end of a stream that a replica executed: it was sent whole or broken off, or its connection was closed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamEnd {
+    /// Index of the replica.
+    pub replica: usize,
+    /// Request id.
+    pub request_id: String,
+    /// When it ended.
+    pub at: Instant,
+}
+
 /// A change of the limit that a replica names.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LimitRecord {
@@ -269,6 +280,7 @@
     pub(crate) next_connection: u64,
     pub(crate) replicas: Vec<ReplicaState>,
     pub(crate) runs: Vec<ReplicaRun>,
+    pub(crate) stream_ends: Vec<StreamEnd>,
     /// Number of runs so far.
     pub(crate) run_count: u64,
     pub(crate) usage: Vec<UsageReport>,
