request_runner: check again before passing on whether a leaving host can finish

In a planned stop a call whose body was complete only after 2.5 s was passed on and cut at the end of the grace period, without an answer, also if it may not be repeated (LOST).

Cause: the check whether a request can be finished stood before its body was read, and before the records of a stream were read.

Ruled out: limits of callers (the shorter one counts), reloads (a call keeps its route), second attempts (same deadline).

The check is made again before the quota is charged, by the call's deadline. An answer needs 200 ms before the exit to be written.

--- a/cli/tests/test_leaving_host.rs
+++ b/cli/tests/test_leaving_host.rs
@@ -4,16 +4,20 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use pomelostack_lib::gateway::shutdown_plan::BALANCER_DELAY;
 use rustix::process::Signal;
 use testutils::bounded_wait::wait_for;
 use testutils::logged_gateway::LoggedGateway;
 use testutils::raw_caller::RawCaller;
+use testutils::raw_caller::request_text;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_pomelostack");
 /// Grace period of hosts that need not finish anything, in seconds.
 const SHORT_GRACE_S: u64 = 3;
 /// Grace period of hosts that finish what they serve, in seconds.
 const LONG_GRACE_S: u64 = 12;
+/// Grace period that is shorter than the time limit of routes, in seconds.
+const MIDDLE_GRACE_S: u64 = 6;
 /// Size of an answer that does not fit into the buffers of a connection.
 const ANSWER_BYTES: usize = 12_000_000;
 /// Time for which a caller reads slowly after the signal; the load balancer's delay ends within it.
@@ -58,6 +62,24 @@
     assert!(begin.elapsed() < Duration::from_secs(LONG_GRACE_S), "it exits once nothing is left");
 }
 
+/// A call whose body was complete only late in the grace period was passed on, and cut at its end (LOST).
+#[test]
+fn slow_body() {
+    let mut gateway =
+        LoggedGateway::start(PROGRAM, 103, MIDDLE_GRACE_S, |_| {}).expect("valid in tests");
+    let mut caller = RawCaller::connect(&gateway.ip).expect("valid in tests");
+    let head = request_text("POST", "/book/1", "r1").replace("Length: 0", "Length: 4");
+    caller.send(&format!("{head}bo")).expect("valid in tests");
+    gateway.process.signal(Signal::TERM).expect("valid in tests");
+    sleep(BALANCER_DELAY + Duration::from_millis(100));
+    (0..2).for_each(|index| gateway.standin.silence_replica(index, Duration::from_secs(60)));
+    caller.send("dy").expect("valid in tests");
+    let response = caller.response().map(|response| response.status);
+    assert_eq!(response.ok(), Some(503), "the call cannot end before the host exits");
+    assert_eq!(gateway.runs_of("r1"), 0);
+    assert!(gateway.process.wait_for_exit().expect("valid in tests"));
+}
+
 /// Idle connections don't keep a host from exiting.
 #[test]
 fn idle_connections() {
--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -119,6 +119,8 @@
     pub team: Option<Rc<TeamRule>>,
     /// Arrival time.
     pub arrived_at: Timestamp,
+    /// When its caller, or its route, stops waiting.
+    pub deadline: Timestamp,
     /// The whole work, which all resends share.
     pub whole: WorkPart,
     /// Parts of the work, of which other requests may share some.
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -142,7 +142,9 @@
             Ok(checked) => checked,
             Err(reason) => return Err((head, reason)),
         };
-        if let Some(reason) = self.check_draining(&route) {
+        let wait = head.timeout.unwrap_or(DEFAULT_REQUEST_TIMEOUT);
+        let deadline = arrived_at + wait.min(route.time_limit);
+        if let Some(reason) = self.check_draining(&route, deadline) {
             return Err((head, reason));
         }
         let body = match self.read_body(&config, body).await {
@@ -162,7 +164,6 @@
         if self.meets_verdict(&head, &work) {
             return Err((head, RefusalReason::new(ResultCode::CrashRefused)));
         }
-        let wait = head.timeout.unwrap_or(DEFAULT_REQUEST_TIMEOUT);
         let team_name = team.as_ref().map(|team| &team.name);
         let binding = match route.kind.is_resumable_stream() {
             true => match bind_request(&self.state, &head, team_name, &service, wait).await {
@@ -176,6 +177,10 @@
         if bound.is_some_and(|version| is_version_gone(&self.state, &service, &version)) {
             return Err((head, RefusalReason::new(ResultCode::VersionGone)));
         }
+        // A slow body, or a read of the store, may have taken until late in the grace period.
+        if let Some(reason) = self.check_draining(&route, deadline) {
+            return Err((head, reason));
+        }
         let claim = if is_taken_up { QuotaClaim::TakenUp } else { QuotaClaim::New };
         if let Err(reason) = self.check_quota(&head, team.as_deref(), claim) {
             return Err((head, reason));
@@ -191,6 +196,7 @@
             service,
             team,
             arrived_at,
+            deadline,
             config_version,
             binding,
             end: RequestEnd::new(&self.state),
@@ -214,12 +220,13 @@
         true
     }
 
-    /// Refuses requests that a draining host could not finish in time. By then the load balancer
-    /// sends new connections to other hosts, if there are any.
-    fn check_draining(&self, route: &RouteRule) -> Option<RefusalReason> {
+    /// Refuses requests that a draining host could not finish by their deadline. By then the load
+    /// balancer sends new connections to other hosts, if there are any.
+    fn check_draining(&self, route: &RouteRule, deadline: Timestamp) -> Option<RefusalReason> {
         let plan = self.state.shutdown.get()?;
-        let left = plan.time_left(self.state.now())?;
-        let fits = !route.kind.is_stream() && route.time_limit <= left;
+        let now = self.state.now();
+        let left = plan.time_left(now)?;
+        let fits = !route.kind.is_stream() && deadline.since(now) <= left;
         (!fits).then_some(RefusalReason::with_retry_after(
             ResultCode::HostLeaving,
             DRAINING_RETRY_AFTER,
@@ -296,8 +303,7 @@
         request: Rc<AcceptedRequest>,
         guard: InFlightGuard,
     ) -> GatewayReply {
-        let timeout = request.head.timeout.unwrap_or(DEFAULT_REQUEST_TIMEOUT);
-        let deadline = request.arrived_at + timeout.min(request.route.time_limit);
+        let deadline = request.deadline;
         let kind = request.route.kind;
         let mut plan = AttemptPlan::new(kind, deadline, request.route.max_servers);
         self.state.retries.borrow_mut().on_request(request.arrived_at, &request.service);
--- a/lib/src/gateway/shutdown_plan.rs
+++ b/lib/src/gateway/shutdown_plan.rs
@@ -16,6 +16,9 @@
 /// Time before the end of the grace period at which the host exits in any case.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time before the exit by which a request must end, so that its answer is written.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
+
 /// What a host does during shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ShutdownStep {
@@ -50,10 +53,11 @@
         Self { requested_at, grace }
     }
 
-    /// Returns the time left for new requests, or `None` while all of them are served.
+    /// Returns the time within which new requests must end, or `None` while all of them are served.
     pub fn time_left(&self, now: Timestamp) -> Option<Duration> {
         let elapsed = now.since(self.requested_at);
-        (elapsed >= BALANCER_DELAY).then(|| self.grace.saturating_sub(elapsed + KILL_MARGIN))
+        let margin = KILL_MARGIN + ANSWER_MARGIN;
+        (elapsed >= BALANCER_DELAY).then(|| self.grace.saturating_sub(elapsed + margin))
     }
 
     /// Returns what to do with what is not finished.
--- a/lib/tests/test_shutdown_plan.rs
+++ b/lib/tests/test_shutdown_plan.rs
@@ -39,6 +39,14 @@
     assert_eq!(plan().step(now, load(3, 3)), ShutdownStep::Exit);
 }
 
+/// An answer at the moment of the exit was not written any more (LOST).
+#[test]
+fn answers_before_exit() {
+    let late = Timestamp::default() + Duration::from_millis(6_000);
+    let end = late + plan().time_left(late).expect("valid in tests");
+    assert_eq!(plan().step(end + Duration::from_millis(150), load(0, 1)), ShutdownStep::Drain);
+}
+
 #[test]
 fn waits_for_connections() {
     let now = Timestamp::default() + BALANCER_DELAY;
