stream_binding: take the only version of a service on news alone

In the first moments of a cut all peers count as live and none has told of a later read of the directory, so a host that could not read the store took the only version it had listed for the newest state. A stream of servers that joined meanwhile would go on at another version (ORDER).

Cause: DirectoryView::Shared was a lack of news.

Ruled out: asking for news from every live peer. Of 295 hosts with a summary each 600 ms some are always late, and a host would refuse all take-ups while the store is away.

Nine tenths of the live peers must be heard from after the take-up came, and 100 ms later than that, so that summaries which waited in the socket while the process stood still do not count. The wait is at most 0.9 s and only where the only version would be used.

cut_has_no_news: its first check shows that the former question does not see the cut; the predicate is new.

--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -220,12 +220,13 @@
         }
     }
 
-    /// Returns how this host's directory relates to those of its peers.
-    pub fn directory_view(&self) -> DirectoryView {
+    /// Returns how this host's directory relates to those of its peers, by what they told since a time.
+    pub fn directory_view(&self, since: Timestamp) -> DirectoryView {
         let times = self.directory.borrow().read_times();
         let is_newest = times
             .is_some_and(|ReadTimes { own, newest }| newest.since(own) <= STORE_OUTAGE_THRESHOLD);
-        match is_newest && !self.peers.borrow().is_partitioned(self.now()) {
+        let (now, peers) = (self.now(), self.peers.borrow());
+        match is_newest && !peers.is_partitioned(now) && peers.has_news_since(now, since) {
             true => DirectoryView::Shared,
             false => DirectoryView::Outdated,
         }
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -51,6 +51,9 @@
 /// ever lost, and until the timeout both sides of a partition spend as if there were none.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Share of the live peers that must be heard from for their news to count as complete, in percent.
+const MIN_NEWS_PERCENT: u64 = 90;
+
 /// Time without a summary after which a peer is not chosen as a relay; a few summaries may be lost.
 const RELAY_TTL: Duration = Duration::from_millis(1_800);
 
@@ -413,6 +416,18 @@
         !self.contacts.range::<HostId, _>(..&self.own).any(|(_, contact)| contact.is_live(now))
     }
 
+    /// Returns whether most live peers were heard from since a time. A peer counts as live for a while after
+    /// its last summary, so that in the first moments of a cut all of them do.
+    pub fn has_news_since(&self, now: Timestamp, since: Timestamp) -> bool {
+        let live = self.contacts.values().filter(|contact| contact.is_live(now));
+        let (mut peers, mut heard) = (0_u64, 0_u64);
+        for contact in live {
+            peers += 1;
+            heard += u64::from(contact.heard_at.is_some_and(|at| at >= since));
+        }
+        heard * 100 >= peers * MIN_NEWS_PERCENT
+    }
+
     /// Returns the number of peers whose last summary is within the heartbeat timeout.
     pub fn live_peers(&self, now: Timestamp) -> usize {
         self.contacts.values().filter(|contact| contact.is_live(now)).count()
--- a/lib/src/gateway/stream_binding.rs
+++ b/lib/src/gateway/stream_binding.rs
@@ -9,6 +9,7 @@
 use crate::gateway::caller_request::EventNumber;
 use crate::gateway::caller_request::StreamOrigin;
 use crate::gateway::gateway_state::GatewayState;
+use crate::gateway::version_ledger::DirectoryView;
 use crate::gateway::version_ledger::RecordNeed;
 use crate::gateway::version_ledger::StreamBegin;
 use crate::gateway::version_ledger::StreamKey;
@@ -19,10 +20,21 @@
 use crate::result_code::ResultCode;
 use crate::software_version::SoftwareVersion;
 use crate::text_label::TextLabel;
+use crate::timestamp::Timestamp;
 
 /// Longest wait for the records of streams; a store that answers takes a fraction of it.
 const TRACE_WAIT: Duration = Duration::from_millis(600);
 
+/// Time after the arrival of a request from which on what peers tell is news: after a stall of the process,
+/// old summaries are read together with the request.
+const NEWS_DELAY: Duration = Duration::from_millis(100);
+
+/// Longest wait for news: most peers tell something within two summary periods.
+const NEWS_WAIT: Duration = Duration::from_millis(900);
+
+/// Interval of the checks for news.
+const NEWS_CHECK_PERIOD: Duration = Duration::from_millis(50);
+
 /// Longest time for which the first event of a stream waits until the stream is recorded.
 const RECORD_WAIT: Duration = Duration::from_millis(800);
 
@@ -120,11 +132,20 @@
     let trace = match recalled {
         Some(trace) => trace,
         None => {
+            let news_since = state.now() + NEWS_DELAY;
             let records = state.version_sync.read(TRACE_WAIT).await;
-            state.observe_versions();
-            let versions = state.versions.borrow();
-            let view = state.directory_view();
-            versions.trace(state.now(), key, service, records.as_deref(), view)
+            let trace = |view| {
+                state.observe_versions();
+                let versions = state.versions.borrow();
+                versions.trace(state.now(), key, service, records.as_deref(), view)
+            };
+            match trace(DirectoryView::Shared) {
+                StreamTrace::Version(_, TraceSource::OnlyVersion) => {
+                    wait_for_news(state, news_since).await;
+                    trace(state.directory_view(news_since))
+                }
+                trace => trace,
+            }
         }
     };
     let StreamTrace::Version(version, source) = trace else {
@@ -145,6 +166,17 @@
     Ok(StreamBinding { key, version: RefCell::new(Some(version)), wait })
 }
 
+/// Waits until most peers were heard from since a time, or for as long as that may take.
+async fn wait_for_news(state: &GatewayState, since: Timestamp) {
+    let until = since + NEWS_WAIT;
+    while state.now() < until {
+        if state.peers.borrow().has_news_since(state.now(), since) {
+            return;
+        }
+        tokio::time::sleep(NEWS_CHECK_PERIOD).await;
+    }
+}
+
 fn log_trace(head: &CallerHead, version: &SoftwareVersion, source: TraceSource) {
     log::info!(
         "event=stream_traced request={} origin={} after={} version={version} source={source:?}",
--- a/lib/tests/test_peer_table.rs
+++ b/lib/tests/test_peer_table.rs
@@ -86,6 +86,29 @@
     assert_eq!(table.targets(at(60_000), 1), SummaryTargets::default());
 }
 
+/// In the first moments of a cut all peers count as live, and a host took what it knew for the newest (ORDER).
+#[rstest]
+fn cut_has_no_news(#[values(3, 8, 84, 295)] hosts: u64) {
+    let mut table = PeerTable::new(host("h0"), zone("north"));
+    let hear_all = |table: &mut PeerTable, now: Timestamp, sequence: u64| {
+        for number in 1..hosts {
+            table.on_summary(now, summary(&format!("h{number}"), 1, sequence, 0));
+        }
+    };
+    hear_all(&mut table, at(1_000), 1);
+    assert!(!table.is_partitioned(at(1_600)), "the cut is not known yet");
+    assert!(!table.has_news_since(at(1_600), at(1_100)));
+    hear_all(&mut table, at(1_400), 2);
+    assert!(table.has_news_since(at(1_600), at(1_100)));
+    assert!(!table.has_news_since(at(1_600), at(1_500)));
+}
+
+#[test]
+fn only_host_has_news() {
+    let table = PeerTable::new(host("h0"), zone("north"));
+    assert!(table.has_news_since(at(1_600), at(1_100)));
+}
+
 #[test]
 fn partition_sides() {
     let mut table = PeerTable::new(host("h1"), zone("north"));
