accepted_request: invite callers of versions not listed yet to come again

A caller whose stream is recorded at a version of which the host has listed no server was told not to come back (503, code 210). The servers may only just have joined, and the host may be late to read of them (LOST).

Cause: the refusal took a directory that may be seconds old for the newest state.

Ruled out: waiting for a read of the directory before the refusal, since what cannot be served is refused at once.

A version that the host has not listed is refused with Retry-After (code 202); one that was listed and has left is refused for good.

version_not_listed_yet failed before (no Retry-After) and passes now.

--- a/cli/tests/test_software_versions.rs
+++ b/cli/tests/test_software_versions.rs
@@ -210,6 +210,30 @@
     assert_eq!(host.call("GET", "/look/1", "l1", Some(TEAM_KEY)).status, 200);
 }
 
+/// A host that has never listed a server of the version may only be late to read of it: its callers were told
+/// not to come back (LOST).
+#[test]
+fn version_not_listed_yet() {
+    let (standin, [host]) = start_mixed([164]);
+    let streams = begin_streams(&host, "s", 12);
+    let newer = |id: &&String| run_of(&standin, id).is_some_and(|run| run.version == "v2");
+    let newer: Vec<String> = streams.iter().filter(newer).cloned().collect();
+    assert!(!newer.is_empty(), "some streams begin at the newer version");
+    standin.expire_replica(2);
+    standin.expire_replica(3);
+    drop(host);
+    let host = GatewayFixture::start_host(PROGRAM, standin.clone(), 164);
+    wait_for(|| host.readiness() == Some(200));
+    for answer in take_up(&host, &newer, "t") {
+        assert_eq!(answer.status, 503);
+        assert!(answer.retry_after.is_some(), "its servers may only just have joined");
+    }
+    release(&standin, "v2");
+    wait_for(|| host.level("servers") == Some(4));
+    let answers = take_up(&host, &newer, "u");
+    assert_eq!(check_versions(&standin, &newer, "u", &answers), newer.len());
+}
+
 /// Callers of earlier builds name no attempt. Their streams go on while all streams are of one version,
 /// also at a host that recorded some before it knew the base.
 #[test]
--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -11,6 +11,7 @@
 use hyper::Request;
 use hyper::http::request;
 
+use crate::gateway::backend_directory::BackendServer;
 use crate::gateway::caller_request::CallerHead;
 use crate::gateway::caller_request::EventNumber;
 use crate::gateway::fleet_scaler::TokenDemand;
@@ -268,26 +269,35 @@
             }
             Err(RefusalReason::with_retry_after(ResultCode::QueueFull, retry_after))
         }
-        PlacementChoice::NoServer
-            if bound.is_some_and(|version| is_version_gone(state, &request.service, &version)) =>
-        {
-            Err(RefusalReason::new(ResultCode::VersionGone))
-        }
         PlacementChoice::NoServer => {
-            Err(RefusalReason::with_retry_after(ResultCode::NoServer, NO_SERVER_RETRY_AFTER))
+            let gone = bound.and_then(|version| refuse_absent(state, &request.service, &version));
+            Err(gone.unwrap_or(RefusalReason::with_retry_after(
+                ResultCode::NoServer,
+                NO_SERVER_RETRY_AFTER,
+            )))
         }
     }
 }
 
-/// Returns whether no server of a service runs a software version that does not leave.
-pub fn is_version_gone(
+/// Refuses to resume a stream if no server of a service that stays runs its software version. If this host
+/// has not listed any, it may only be late to read of them.
+pub fn refuse_absent(
     state: &GatewayState,
     service: &ServiceName,
     version: &SoftwareVersion,
-) -> bool {
+) -> Option<RefusalReason> {
     let directory = state.directory.borrow();
     let mut servers = directory.of_service(service);
-    !servers.any(|(_, server)| server.entry.version == *version && server.draining_since.is_none())
+    let stays = |server: &BackendServer| {
+        server.entry.version == *version && server.draining_since.is_none()
+    };
+    if servers.any(|(_, server)| stays(server)) {
+        return None;
+    }
+    Some(match state.versions.borrow().census().was_listed(service, version) {
+        true => RefusalReason::new(ResultCode::VersionGone),
+        false => RefusalReason::with_retry_after(ResultCode::NoServer, NO_SERVER_RETRY_AFTER),
+    })
 }
 
 /// Returns a retry delay for the time after which a server accepts requests again; callers get
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -17,10 +17,10 @@
 use crate::gateway::accepted_request::QUEUE_FULL_RETRY_AFTER;
 use crate::gateway::accepted_request::RefusalReason;
 use crate::gateway::accepted_request::RequestEnd;
-use crate::gateway::accepted_request::is_version_gone;
 use crate::gateway::accepted_request::log_request_end;
 use crate::gateway::accepted_request::place_request;
 use crate::gateway::accepted_request::refund_quota;
+use crate::gateway::accepted_request::refuse_absent;
 use crate::gateway::accepted_request::request_kind_label;
 use crate::gateway::attempt_plan::AttemptFailure;
 use crate::gateway::attempt_plan::AttemptPlan;
@@ -174,8 +174,9 @@
         };
         let bound = binding.as_ref().and_then(StreamBinding::version);
         let is_taken_up = bound.is_some();
-        if bound.is_some_and(|version| is_version_gone(&self.state, &service, &version)) {
-            return Err((head, RefusalReason::new(ResultCode::VersionGone)));
+        let absent = bound.and_then(|version| refuse_absent(&self.state, &service, &version));
+        if let Some(reason) = absent {
+            return Err((head, reason));
         }
         // A slow body, or a read of the store, may have taken until late in the grace period.
         if let Some(reason) = self.check_draining(&route, deadline) {
--- a/lib/src/gateway/version_census.rs
+++ b/lib/src/gateway/version_census.rs
@@ -153,6 +153,11 @@
         staying.max_by_key(|(_, sighting)| sighting.staying).map(|(version, _)| version)
     }
 
+    /// Returns whether a server of a version is listed, or was lately.
+    pub fn was_listed(&self, service: &ServiceName, version: &SoftwareVersion) -> bool {
+        self.services.get(service).is_some_and(|versions| versions.contains_key(version))
+    }
+
     /// Returns whether a version has servers that stay.
     pub fn has_servers(&self, service: &ServiceName, version: &SoftwareVersion) -> bool {
         let versions = self.services.get(service);
