head_limit: share a budget among all heads that a host awaits

A faulty server that sends long heads slowly makes a host keep up to 64 KiB for each call: 184,792 KiB with 1,800 calls, where 163,840 are allowed; a host runs out of memory before its connections are used up (LOST: processes that end by themselves).

Cause: heads were limited one by one only.

Ruled out: the other kinds of test_endless_response, bounded before.

Bytes before heads are leased from 32 MiB. A head may have at most as much as is then left to the others, so that sound heads still fit.

--- a/cli/tests/test_endless_response.rs
+++ b/cli/tests/test_endless_response.rs
@@ -4,6 +4,7 @@
 
 use std::fs;
 use std::sync::Arc;
+use std::time::Duration;
 
 use rstest::rstest;
 use serde_json::Value;
@@ -17,12 +18,16 @@
 use testutils::deployment_standin::TEAM_KEY;
 use testutils::deployment_standin::event_text;
 use testutils::gateway_fixture::GatewayFixture;
+use testutils::raw_caller::RawCaller;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_pomelostack");
 
 /// Memory of a host in KiB.
 const HOST_MEMORY_KIB: u64 = 160 * 1024;
 
+/// Calls whose heads come slowly, each with a connection of its caller and one to its server.
+const SLOW_HEADS: usize = 1_800;
+
 /// Requests that are sent at once.
 const CONCURRENT_CALLS: usize = 40;
 
@@ -134,6 +139,41 @@
     assert_eq!(fixture.runs_of("r1"), 1);
 }
 
+/// Heads that come slowly were each held in a buffer of its own, whatever their number (LOST: the process runs out
+/// of memory).
+#[test]
+fn many_slow_heads() {
+    let standin = DeploymentStandin::start_with(&[SERVICE, ENDLESS_SERVICE, ENDLESS_SERVICE]);
+    let standin = Arc::new(standin.expect("the stand-in starts"));
+    let mut document = config_with_endless_service();
+    document["services"][1]["max-conns"] = (2 * SLOW_HEADS).into();
+    standin.publish_document(&document);
+    let fixture = GatewayFixture::start_host(PROGRAM, standin, 86).serving();
+    for replica in ENDLESS_REPLICAS {
+        let mode = ReplicaMode::Endless(EndlessKind::SlowHead);
+        fixture.standin.set_replica_mode(replica, mode);
+    }
+    let callers: Vec<RawCaller> = (0..SLOW_HEADS)
+        .map(|number| {
+            let mut caller = RawCaller::connect(&fixture.ip).expect("the host accepts");
+            caller.request("POST", "/book/1", &format!("r{number}")).expect("the host reads");
+            caller
+        })
+        .collect();
+    std::thread::sleep(Duration::from_secs(3));
+    let ran = fixture.standin.runs().len();
+    for call in 0..4 {
+        let id = format!("sound{call}");
+        let response = fixture.call("GET", "/sound/1", &id, Some(TEAM_KEY));
+        assert_eq!((response.status, response.body), (200, Some(format!("answer to {id}"))));
+    }
+    drop(callers);
+    let peak = peak_memory_kib(&fixture).expect("the process is the same");
+    println!("peak resident memory: {peak} KiB after {ran} runs");
+    assert!(ran > SLOW_HEADS / 2, "{ran} calls ran");
+    assert!(peak < HOST_MEMORY_KIB, "{peak} KiB of {HOST_MEMORY_KIB} KiB");
+}
+
 #[rstest]
 #[case::chunked_body(80, &[EndlessKind::ChunkedBody])]
 #[case::tiny_chunks(81, &[EndlessKind::TinyChunks])]
--- a/lib/src/gateway/connection_pool.rs
+++ b/lib/src/gateway/connection_pool.rs
@@ -26,6 +26,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::gateway::buffer_budget::BufferBudget;
 use crate::gateway::head_limit::HeadAllowance;
 use crate::gateway::head_limit::HeadLimitedStream;
 
@@ -60,6 +61,9 @@
 /// Maximum number of bytes before the end of a response's head, interim responses included.
 const MAX_HEAD_BYTES: usize = 256 << 10;
 
+/// Maximum number of bytes before the ends of all heads that are awaited.
+const HEAD_BUDGET_BYTES: usize = 32 << 20;
+
 /// A request that got no response.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 pub enum CallError {
@@ -97,9 +101,17 @@
 type IdleTable = Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>;
 
 /// The connection pool of one process. Clones share the same connections.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct ConnectionPool {
     idle: IdleTable,
+    /// Budget of the heads that are awaited.
+    heads: BufferBudget,
+}
+
+impl Default for ConnectionPool {
+    fn default() -> Self {
+        Self { idle: IdleTable::default(), heads: BufferBudget::new(HEAD_BUDGET_BYTES) }
+    }
 }
 
 /// A connection in use by one request.
@@ -161,7 +173,7 @@
             if !is_wanted() {
                 return Err(CallError::Withheld);
             }
-            connection.head_allowance.start(MAX_HEAD_BYTES);
+            connection.head_allowance.start(self.heads.lease(MAX_HEAD_BYTES));
             let sent = connection.sender.try_send_request(request).await;
             connection.head_allowance.stop();
             match sent {
--- a/lib/src/gateway/head_limit.rs
+++ b/lib/src/gateway/head_limit.rs
@@ -1,8 +1,9 @@
 //! Limits the bytes that a server sends before the head of its response is complete.
 //!
-//! hyper limits a single head. It skips interim responses without counting them.
+//! hyper limits a single head. It skips interim responses without counting them. Heads that come slowly stay in
+//! its buffers, so that all heads that a host awaits share a budget besides.
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -14,21 +15,31 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 
+use crate::gateway::buffer_budget;
+use crate::gateway::buffer_budget::BufferLease;
+
 /// Bytes that may still arrive before a head; unlimited while no head is awaited.
 #[derive(Clone, Debug, Default)]
 pub struct HeadAllowance {
-    left: Rc<Cell<Option<usize>>>,
+    lease: Rc<RefCell<Option<BufferLease>>>,
 }
 
 impl HeadAllowance {
-    /// Starts to wait for a head of at most `limit` bytes, interim responses included.
-    pub fn start(&self, limit: usize) {
-        self.left.set(Some(limit));
+    /// Starts to wait for a head that fits into a lease, interim responses included.
+    pub fn start(&self, lease: BufferLease) {
+        self.lease.replace(Some(lease));
     }
 
     /// Ends the wait.
     pub fn stop(&self) {
-        self.left.set(None);
+        self.lease.replace(None);
+    }
+
+    fn take(&self, bytes: usize) -> buffer_budget::Result<()> {
+        match &mut *self.lease.borrow_mut() {
+            Some(lease) => lease.resize(lease.held() + bytes),
+            None => Ok(()),
+        }
     }
 }
 
@@ -52,15 +63,14 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.allowance.left.get() == Some(0) {
-            return Poll::Ready(Err(io::Error::other("bytes before the head exceed the limit")));
-        }
         let filled = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
         let read = buffer.filled().len() - filled;
-        let left = self.allowance.left.get();
-        self.allowance.left.set(left.map(|left| left.saturating_sub(read)));
-        Poll::Ready(Ok(()))
+        Poll::Ready(
+            self.allowance
+                .take(read)
+                .map_err(|error| io::Error::other(format!("bytes before the head: {error}"))),
+        )
     }
 }
 
--- a/lib/testutils/src/endless_response.rs
+++ b/lib/testutils/src/endless_response.rs
@@ -1,6 +1,7 @@
 //! Responses that never end: a replica writes them until its caller closes the connection.
 
 use std::io;
+use std::time::Duration;
 
 use tokio::io::AsyncWrite;
 use tokio::io::AsyncWriteExt as _;
@@ -16,6 +17,12 @@
 /// Chunk of a chunked body, with its size line.
 const FILLER_CHUNK: &str = "10\r\nxxxxxxxxxxxxxxxx\r\n";
 
+/// Bytes of a slow head that come at once.
+const SLOW_HEAD_BYTES: usize = 56 << 10;
+
+/// Time between two writes of a slow head.
+const SLOW_PERIOD: Duration = Duration::from_secs(1);
+
 /// Length of a body that no caller can hold.
 const HUGE_LENGTH: u64 = 1 << 40;
 
@@ -46,10 +53,12 @@
     StreamEvent,
     /// Empty events of a stream that carry neither a number nor data.
     EmptyEvents,
+    /// A long head, whose lines then come slowly.
+    SlowHead,
 }
 
 impl EndlessKind {
-    /// Every kind.
+    /// Every kind that is written as fast as it is read.
     pub const ALL: [Self; 12] = [
         Self::HeaderLine,
         Self::HeaderFields,
@@ -67,7 +76,10 @@
 
     /// Returns whether the head of the response ends.
     pub(crate) fn completes_head(self) -> bool {
-        !matches!(self, Self::HeaderLine | Self::HeaderFields | Self::InterimResponses)
+        !matches!(
+            self,
+            Self::HeaderLine | Self::HeaderFields | Self::InterimResponses | Self::SlowHead
+        )
     }
 
     /// Returns whether the replica executes the request.
@@ -93,6 +105,9 @@
         let block = self.kind.repeated_piece().repeat(PIECES_PER_WRITE);
         loop {
             stream.write_all(block.as_bytes()).await?;
+            if self.kind == EndlessKind::SlowHead {
+                tokio::time::sleep(SLOW_PERIOD).await;
+            }
         }
     }
 
@@ -101,6 +116,9 @@
         match self.kind {
             EndlessKind::HeaderLine => format!("{}x-filler: ", self.open_head("200 OK")),
             EndlessKind::HeaderFields => self.open_head("200 OK"),
+            EndlessKind::SlowHead => {
+                format!("{}x-filler: {}\r\n", self.open_head("200 OK"), "x".repeat(SLOW_HEAD_BYTES))
+            }
             EndlessKind::InterimResponses => String::new(),
             EndlessKind::SizedBody => {
                 format!("{}content-length: {HUGE_LENGTH}\r\n\r\n", self.open_head("200 OK"))
@@ -143,6 +161,7 @@
         match self {
             Self::HeaderLine | Self::SizedBody | Self::ChunkExtension => FILLER,
             Self::HeaderFields | Self::Trailers => "x-filler: x\r\n",
+            Self::SlowHead => "x",
             Self::InterimResponses => "HTTP/1.1 103 Early Hints\r\nx-filler: x\r\n\r\n",
             Self::TinyChunks => "1\r\nx\r\n",
             Self::EmptyEvents => "10\r\n\n\n\n\n\n\n\n\n\n\n\n\n\n\n\n\n\r\n",
