request_runner: share a budget among the bodies of callers

Cause: bodies of callers were limited one by one only.

Ruled out: fewer frames for callers' bodies, since a sound caller may send small chunks; the time limit bounds those.

Bodies are leased from 48 MiB until their request is finished. One that does not fit is refused with 503 and Retry-After before anything runs.

--- a/cli/tests/test_endless_response.rs
+++ b/cli/tests/test_endless_response.rs
@@ -2,7 +2,6 @@
 //!
 //! Timeouts only guard against hangs.
 
-use std::fs;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -72,13 +71,6 @@
     fixture.standin.runs().last().expect("a request ran").replica
 }
 
-/// Returns the peak resident memory of the gateway in KiB, or `None` if the process is gone.
-fn peak_memory_kib(fixture: &GatewayFixture) -> Option<u64> {
-    let status = fs::read_to_string(format!("/proc/{}/status", fixture.process.id())).ok()?;
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
-    line.trim().strip_suffix(" kB")?.parse().ok()
-}
-
 #[rstest]
 #[case::header_line(60, EndlessKind::HeaderLine)]
 #[case::header_fields(61, EndlessKind::HeaderFields)]
@@ -168,7 +160,7 @@
         assert_eq!((response.status, response.body), (200, Some(format!("answer to {id}"))));
     }
     drop(callers);
-    let peak = peak_memory_kib(&fixture).expect("the process is the same");
+    let peak = fixture.peak_memory_kib().expect("the process is the same");
     println!("peak resident memory: {peak} KiB after {ran} runs");
     assert!(ran > SLOW_HEADS / 2, "{ran} calls ran");
     assert!(peak < HOST_MEMORY_KIB, "{peak} KiB of {HOST_MEMORY_KIB} KiB");
@@ -207,7 +199,7 @@
             assert_eq!((response.status, response.body), (200, Some(format!("answer to {id}"))));
         }
     });
-    let peak = peak_memory_kib(&fixture).expect("the process is the same");
+    let peak = fixture.peak_memory_kib().expect("the process is the same");
     println!("peak resident memory: {peak} KiB");
     assert!(peak < HOST_MEMORY_KIB, "{peak} KiB of {HOST_MEMORY_KIB} KiB");
 }
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -64,6 +64,9 @@
 /// Budget of the bytes buffered from servers.
 const BUFFER_BUDGET_BYTES: usize = 48 << 20;
 
+/// Budget of the bodies of callers whose requests are not finished.
+const CALLER_BUDGET_BYTES: usize = 48 << 20;
+
 /// Where a change of a verdict comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum VerdictSource {
@@ -89,6 +92,8 @@
     pub pool: ConnectionPool,
     /// Budget of the bytes buffered from servers.
     pub buffers: BufferBudget,
+    /// Budget of the bodies of callers.
+    pub caller_buffers: BufferBudget,
     /// Era of the platform's store.
     pub store_era: EraWatch,
     /// Current configuration.
@@ -162,6 +167,7 @@
             store_era: EraWatch::new(incarnation.1.0),
             pool: ConnectionPool::default(),
             buffers: BufferBudget::new(BUFFER_BUDGET_BYTES),
+            caller_buffers: BufferBudget::new(CALLER_BUDGET_BYTES),
             config: RefCell::default(),
             config_reads: RefCell::default(),
             directory: RefCell::default(),
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -4,8 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -28,6 +26,9 @@
 use crate::gateway::attempt_plan::GiveUpReason;
 use crate::gateway::attempt_race::AttemptRace;
 use crate::gateway::attempt_race::RaceEvent;
+use crate::gateway::body_reader::BodyError;
+use crate::gateway::body_reader::read_body;
+use crate::gateway::buffer_budget::BufferError;
 use crate::gateway::caller_request::CallerHead;
 use crate::gateway::caller_request::EventNumber;
 use crate::gateway::caller_request::PartList;
@@ -239,12 +240,18 @@
         config: &ServingConfig,
         body: Incoming,
     ) -> Result<Bytes, RefusalReason> {
-        let limited = Limited::new(body, config.limits.body_bytes).collect();
-        match tokio::time::timeout(config.limits.header_timeout, limited).await {
-            Ok(Ok(collected)) => Ok(collected.to_bytes()),
-            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+        let lease = self.state.caller_buffers.lease(config.limits.body_bytes);
+        let read = read_body(body, lease, usize::MAX);
+        match tokio::time::timeout(config.limits.header_timeout, read).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(BodyError::Buffer(BufferError::TooLong { .. }))) => {
                 Err(RefusalReason::new(ResultCode::BodyTooLarge))
             }
+            Ok(Err(error @ BodyError::Buffer(BufferError::Exhausted { .. }))) => {
+                self.state.metrics.events.with_label_values(&["body_refused"]).inc();
+                log::info!("event=body_refused detail=\"{error}\"");
+                Err(RefusalReason::with_retry_after(ResultCode::QueueFull, QUEUE_FULL_RETRY_AFTER))
+            }
             Ok(Err(error)) => {
                 log::info!("event=body_broken detail=\"{error}\"");
                 Err(RefusalReason::new(ResultCode::BadValue))
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -21,6 +21,7 @@
 use crate::gateway::backend_directory::DepartureSource;
 use crate::gateway::backend_directory::ServingState;
 use crate::gateway::body_reader::BodyError;
+use crate::gateway::body_reader::MAX_SERVER_FRAMES;
 use crate::gateway::body_reader::read_body;
 use crate::gateway::buffer_budget::BufferBudget;
 use crate::gateway::caller_request::EventNumber;
@@ -424,7 +425,7 @@
         | ResponseClass::Unusable => MAX_RESPONSE_BYTES,
         ResponseClass::Failure(_) => MAX_DISCARDED_BYTES,
     };
-    let bytes = match read_body(body, state.buffers.lease(limit)).await {
+    let bytes = match read_body(body, state.buffers.lease(limit), MAX_SERVER_FRAMES).await {
         Ok(bytes) => bytes,
         Err(error) => {
             let failure = match class {
--- a/lib/testutils/src/gateway_fixture.rs
+++ b/lib/testutils/src/gateway_fixture.rs
@@ -1,5 +1,6 @@
 //! A gateway process in front of the deployment stand-in, and a caller of it.
 
+use std::fs;
 use std::io::Read as _;
 use std::path::Path;
 use std::path::PathBuf;
@@ -104,6 +105,13 @@
         read_level(&self.ip, name)
     }
 
+    /// Returns the peak resident memory of the host in KiB, or `None` if the process is gone.
+    pub fn peak_memory_kib(&self) -> Option<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.process.id())).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        line.trim().strip_suffix(" kB")?.parse().ok()
+    }
+
     /// Sends a request and returns the response.
     pub fn call(&self, method: &str, path: &str, id: &str, key: Option<&str>) -> CallerResponse {
         self.call_with(method, path, id, key, &[])
