process_doubts: keep streams from servers that may have started anew

Cause: an attempt takes the version from an entry that describes the former process, although the host has seen its connections end.

Ruled out: the base and the lists (traced to the right version), hedge and relay (both compare versions, and compared the wrong ones).

A server whose connection broke gets no stream that may be resumed until an older connection is found open, an entry of another process is read, or one that was written since.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -43,6 +43,7 @@
 pub mod peer_table;
 pub mod placement;
 pub mod platform_api;
+pub mod process_doubts;
 pub mod process_probe;
 pub mod quota_limiter;
 pub mod read_schedule;
--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -236,10 +236,14 @@
             }
         },
     };
+    let excluded = match request.binding {
+        Some(_) => [tried, &doubted_servers(state, now)].concat(),
+        None => tried.to_vec(),
+    };
     let query = PlacementQuery {
         service: &request.service,
         prompt: request.head.prompt.as_ref(),
-        excluded: tried,
+        excluded: &excluded,
         connections,
         version,
         is_resumed: bound.is_some(),
@@ -279,6 +283,13 @@
     }
 }
 
+/// Returns the servers whose software version is not known now.
+fn doubted_servers(state: &GatewayState, now: Timestamp) -> Vec<ServerKey> {
+    let directory = state.directory.borrow();
+    let mut doubts = state.doubts.borrow_mut();
+    doubts.doubted(now).filter_map(|server| directory.find(server)).collect()
+}
+
 /// Refuses to resume a stream if no server of a service that stays runs its software version. If this host
 /// has not listed any, it may only be late to read of them.
 pub fn refuse_absent(
--- a/lib/src/gateway/connection_pool.rs
+++ b/lib/src/gateway/connection_pool.rs
@@ -19,6 +19,8 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::HeaderMap;
 use hyper_util::rt::TokioIo;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use thiserror::Error;
@@ -81,6 +83,39 @@
 /// Result of sending a request.
 pub type Result<T> = std::result::Result<T, CallError>;
 
+new_key_type! {
+    /// Identifies a connection that is open.
+    struct ConnectionKey;
+}
+
+/// A connection whose other end has not closed it.
+struct LiveConnection {
+    address: SocketAddr,
+    opened_at: Instant,
+}
+
+type LiveTable = Rc<RefCell<SlotMap<ConnectionKey, LiveConnection>>>;
+
+/// Keeps a connection in the table until it is dropped.
+struct LiveGuard {
+    table: LiveTable,
+    key: ConnectionKey,
+}
+
+impl LiveGuard {
+    fn new(table: &LiveTable, address: SocketAddr) -> Self {
+        let live = LiveConnection { address, opened_at: Instant::now() };
+        let key = table.borrow_mut().insert(live);
+        Self { table: table.clone(), key }
+    }
+}
+
+impl Drop for LiveGuard {
+    fn drop(&mut self) {
+        self.table.borrow_mut().remove(self.key);
+    }
+}
+
 struct OpenConnection {
     sender: SendRequest<Full<Bytes>>,
     head_allowance: HeadAllowance,
@@ -104,13 +139,15 @@
 #[derive(Clone)]
 pub struct ConnectionPool {
     idle: IdleTable,
+    live: LiveTable,
     /// Budget of the heads that are awaited.
     heads: BufferBudget,
 }
 
 impl Default for ConnectionPool {
     fn default() -> Self {
-        Self { idle: IdleTable::default(), heads: BufferBudget::new(HEAD_BUDGET_BYTES) }
+        let heads = BufferBudget::new(HEAD_BUDGET_BYTES);
+        Self { idle: IdleTable::default(), live: LiveTable::default(), heads }
     }
 }
 
@@ -165,7 +202,7 @@
         loop {
             let (mut connection, reused) = match self.take_idle(address) {
                 Some(connection) => (connection, true),
-                None => (open(address).await?, false),
+                None => (self.open(address).await?, false),
             };
             if reused && connection.sender.ready().await.is_err() {
                 continue;
@@ -195,6 +232,13 @@
         }
     }
 
+    /// Returns whether a connection to an address that was opened before a time is still open: the process
+    /// at its other end lives.
+    pub fn has_connection_from_before(&self, address: SocketAddr, time: Instant) -> bool {
+        let is_older = |live: &LiveConnection| live.address == address && live.opened_at < time;
+        self.live.borrow().values().any(is_older)
+    }
+
     /// Closes the idle connections to an address, for a server that is gone.
     pub fn close_idle(&self, address: SocketAddr) {
         self.idle.borrow_mut().remove(&address);
@@ -209,6 +253,30 @@
         });
     }
 
+    async fn open(&self, address: SocketAddr) -> Result<OpenConnection> {
+        let unsent = |error: &dyn std::fmt::Display| CallError::Unsent(error.to_string());
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+            .await
+            .map_err(|_| CallError::Unsent("connect timed out".to_owned()))?
+            .map_err(|error| unsent(&error))?;
+        let guard = LiveGuard::new(&self.live, address);
+        set_tcp_timeouts(&stream, TCP_USER_TIMEOUT).map_err(|error| unsent(&error))?;
+        let head_allowance = HeadAllowance::default();
+        let stream = HeadLimitedStream::new(stream, head_allowance.clone());
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| unsent(&error))?;
+        let task = tokio::task::spawn_local(async move {
+            if let Err(error) = connection.await {
+                log::debug!("event=connection_failed address={address} error=\"{error}\"");
+            }
+            drop(guard);
+        });
+        Ok(OpenConnection { sender, head_allowance, task })
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<OpenConnection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
@@ -222,28 +290,6 @@
     }
 }
 
-async fn open(address: SocketAddr) -> Result<OpenConnection> {
-    let unsent = |error: &dyn std::fmt::Display| CallError::Unsent(error.to_string());
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
-        .await
-        .map_err(|_| CallError::Unsent("connect timed out".to_owned()))?
-        .map_err(|error| unsent(&error))?;
-    set_tcp_timeouts(&stream, TCP_USER_TIMEOUT).map_err(|error| unsent(&error))?;
-    let head_allowance = HeadAllowance::default();
-    let stream = HeadLimitedStream::new(stream, head_allowance.clone());
-    let (sender, connection) = http1::Builder::new()
-        .max_buf_size(READ_BUFFER_BYTES)
-        .handshake(TokioIo::new(stream))
-        .await
-        .map_err(|error| unsent(&error))?;
-    let task = tokio::task::spawn_local(async move {
-        if let Err(error) = connection.await {
-            log::debug!("event=connection_failed address={address} error=\"{error}\"");
-        }
-    });
-    Ok(OpenConnection { sender, head_allowance, task })
-}
-
 /// Sets `TCP_NODELAY`, keepalive probes and the user timeout, so that a connection over a cut link
 /// fails: no reset arrives there.
 pub fn set_tcp_timeouts(stream: &TcpStream, user_timeout: Duration) -> std::io::Result<()> {
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -30,6 +30,7 @@
 use crate::gateway::limit_table::LimitListing;
 use crate::gateway::peer_table::PeerTable;
 use crate::gateway::placement::PlacementTable;
+use crate::gateway::process_doubts::ProcessDoubts;
 use crate::gateway::process_probe::ProcessProbes;
 use crate::gateway::quota_limiter::QuotaLimiter;
 use crate::gateway::read_schedule::ReadHistory;
@@ -94,6 +95,8 @@
     pub buffers: BufferBudget,
     /// Budget of the bodies of callers.
     pub caller_buffers: BufferBudget,
+    /// Servers whose processes may have ended since their entries were read.
+    pub doubts: RefCell<ProcessDoubts>,
     /// Era of the platform's store.
     pub store_era: EraWatch,
     /// Current configuration.
@@ -168,6 +171,7 @@
             pool: ConnectionPool::default(),
             buffers: BufferBudget::new(BUFFER_BUDGET_BYTES),
             caller_buffers: BufferBudget::new(CALLER_BUDGET_BYTES),
+            doubts: RefCell::default(),
             config: RefCell::default(),
             config_reads: RefCell::default(),
             directory: RefCell::default(),
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt as _;
 use hyper::Response;
 use hyper::body::Incoming;
+use tokio::time::Instant;
 use tokio::time::timeout;
 
 use crate::gateway::accepted_request::AcceptedRequest;
@@ -39,6 +40,7 @@
 use crate::gateway::platform_api::ResponseClass;
 use crate::gateway::platform_api::ServerNotice;
 use crate::gateway::platform_api::WireProtocol;
+use crate::gateway::process_doubts::ProcessLabel;
 use crate::gateway::process_probe::ProbeOutcome;
 use crate::gateway::server_health::HealthEvidence;
 use crate::gateway::server_limit::LimitNotice;
@@ -280,7 +282,11 @@
                 log_failure(&state, request, &attempt, failure, &error.to_string());
                 match failure {
                     AttemptFailure::Unsent => {
-                        state.pool.close_idle(attempt.address);
+                        let address = attempt.address;
+                        if !state.pool.has_connection_from_before(address, Instant::now()) {
+                            doubt_process(&state, &attempt);
+                        }
+                        state.pool.close_idle(address);
                         if state.crashes.borrow().has_lost(attempt.server()) {
                             confirm_crash(&state, &attempt).await;
                         }
@@ -478,7 +484,21 @@
         answer_begun_at: attempt.answer_begun_at,
     };
     state.crashes.borrow_mut().on_connection_lost(now, server, &lost);
+    let lost_at = Instant::now();
+    doubt_process(state, attempt);
     confirm_crash(state, attempt).await;
+    // A crash closes all connections of a process together.
+    if state.pool.has_connection_from_before(attempt.address, lost_at) {
+        state.doubts.borrow_mut().on_alive(server, state.now());
+    }
+}
+
+/// Records that a server's process may have ended, until its entry is read anew.
+fn doubt_process(state: &GatewayState, attempt: &ServerAttempt) {
+    let version = attempt.version.clone();
+    let label = ProcessLabel { started_at_ms: attempt.started_at_ms, version };
+    state.doubts.borrow_mut().on_lost(state.now(), attempt.server(), label);
+    state.directory_hint.set(true);
 }
 
 /// Finds out whether a server that lost attempts still runs. The end of a server that is leaving is
--- a/lib/src/gateway/store_follower.rs
+++ b/lib/src/gateway/store_follower.rs
@@ -19,6 +19,7 @@
 use crate::gateway::platform_api::DirectoryRead;
 use crate::gateway::platform_api::LogBounds;
 use crate::gateway::platform_api::PlatformError;
+use crate::gateway::process_doubts::ProcessLabel;
 use crate::gateway::read_schedule::ReadSchedule;
 use crate::gateway::read_schedule::read_interval_factor;
 use crate::gateway::serving_config::ConfigChange;
@@ -259,6 +260,7 @@
     let mut backoff = Backoff::default();
     let mut watch = DependencyWatch::new("read_directory");
     loop {
+        let begun_at = state.now();
         let outcome = store.read_directory(cursor.offset()).await;
         watch.record(&state, &outcome);
         match outcome {
@@ -269,6 +271,7 @@
                 match cursor.on_read(read.next, read.bounds) {
                     CursorStep::Apply => {
                         apply_directory(&state, read);
+                        state.doubts.borrow_mut().on_read(begun_at);
                         wait_for_next_read(&state).await;
                     }
                     CursorStep::StartOver => log_start_over("directory", read.bounds),
@@ -325,6 +328,7 @@
             false
         }
         DirectoryChange::Present(entry) => {
+            state.doubts.borrow_mut().on_entry(&entry.id, &ProcessLabel::of(entry));
             state.directory.borrow().is_newer(&entry.id, position)
                 && entry_of(&entry.id).is_some_and(|known| !known.is_same_state(entry))
         }
