--- a/lib/src/gateway/attempt_race.rs
+++ b/lib/src/gateway/attempt_race.rs
@@ -2,9 +2,7 @@
 //!
 //! Load pattern: a sound server sends nothing for a while and goes on. Its attempt is never given up
 //! before another server has answered: a hedged attempt runs beside it, and the first one with an
-//! answer, or with the next event of a stream, is kept. Two servers work on one stream for a moment only: once the
-//! hedged attempt's server has begun, it has a short time for its first event, and then goes on alone. Without a
-//! second server, or with an empty retry budget, the first attempt goes on alone.
+//! answer, or with the next event of a stream, is kept. Without a second server, or with an empty retry budget, the first attempt goes on alone.
 
 use std::future::Future;
 use std::future::poll_fn;
@@ -22,7 +20,6 @@
 use crate::gateway::platform_api::WireProtocol;
 use crate::gateway::retry_limiter::RetryPurpose;
 use crate::gateway::server_attempt::AttemptOutcome;
-use crate::gateway::server_attempt::OpenResponse;
 use crate::gateway::server_attempt::ServerAttempt;
 use crate::gateway::server_attempt::await_first_event;
 use crate::gateway::server_attempt::send_attempt;
@@ -30,13 +27,9 @@
 use crate::ids::ServerKey;
 use crate::timestamp::Timestamp;
 
-/// Longest time for which the server of a hedged attempt runs a stream beside another one.
-const MAX_OVERLAP: Duration = Duration::from_millis(250);
-
 /// An attempt without an outcome yet.
 struct RunningAttempt {
     key: ServerKey,
-    is_hedged: bool,
     /// Whether its server has been silent for longer than expected.
     is_silent: bool,
     outcome: Pin<Box<dyn Future<Output = AttemptOutcome>>>,
@@ -46,8 +39,6 @@
 pub enum RaceEvent {
     /// An attempt ended.
     Ended(ServerKey, AttemptOutcome),
-    /// The server of a hedged attempt runs the stream; any other attempt must end now.
-    HedgeBegan(ServerKey, Box<OpenResponse>),
     /// No attempt ended within the time limit.
     Silent,
 }
@@ -100,13 +91,12 @@
         let outcome = Box::pin(async move {
             send_attempt(&*wire, attempt, &request, resume_after, deadline).await
         });
-        let key = placed.key;
-        self.running.push(RunningAttempt { key, is_hedged: false, is_silent: false, outcome });
+        self.running.push(RunningAttempt { key: placed.key, is_silent: false, outcome });
         true
     }
 
-    /// Sends a hedged attempt. The head of its stream does not show that the server goes on, but that it runs
-    /// the stream: the attempt ends with the first event, or when two servers may not run it any longer.
+    /// Sends a hedged attempt, which ends only with the first event of a stream: its head alone does
+    /// not show that the server goes on.
     fn start_hedge(
         &mut self,
         placed: PlacedServer,
@@ -117,19 +107,18 @@
             return false;
         }
         let Some(attempt) = self.running.pop() else { return false };
-        let RunningAttempt { key, is_silent, outcome, .. } = attempt;
+        let RunningAttempt { key, is_silent, outcome } = attempt;
         let (state, request) = (self.state.clone(), self.request.clone());
         let deadline = plan.deadline();
         let outcome = Box::pin(async move {
             match outcome.await {
                 AttemptOutcome::Stream(stream) => {
-                    let until = deadline.min(state.now() + MAX_OVERLAP);
-                    await_first_event(&state, &request, *stream, until).await
+                    await_first_event(&state, &request, *stream, deadline).await
                 }
                 outcome => outcome,
             }
         });
-        self.running.push(RunningAttempt { key, is_hedged: true, is_silent, outcome });
+        self.running.push(RunningAttempt { key, is_silent, outcome });
         true
     }
 
@@ -165,13 +154,8 @@
         let ended = poll_fn(|context| {
             for index in 0..self.running.len() {
                 if let Poll::Ready(outcome) = self.running[index].outcome.as_mut().poll(context) {
-                    let RunningAttempt { key, is_hedged, .. } = self.running.swap_remove(index);
-                    return Poll::Ready(match outcome {
-                        AttemptOutcome::Stream(stream) if is_hedged => {
-                            RaceEvent::HedgeBegan(key, stream)
-                        }
-                        outcome => RaceEvent::Ended(key, outcome),
-                    });
+                    let attempt = self.running.swap_remove(index);
+                    return Poll::Ready(RaceEvent::Ended(attempt.key, outcome));
                 }
             }
             Poll::Pending
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -340,10 +340,6 @@
             let (key, outcome) = match race.next(self.silence_limit(now, &request, deadline)).await
             {
                 RaceEvent::Ended(key, outcome) => (key, outcome),
-                RaceEvent::HedgeBegan(key, stream) => {
-                    race.drop_rest(&mut plan);
-                    (key, AttemptOutcome::Stream(stream))
-                }
                 RaceEvent::Silent => {
                     race.hedge(&mut plan, None, resume_after);
                     continue;
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -384,22 +384,23 @@
     state.on_limit_statement(server, attempt.started_at_ms, statement, LimitSource::Server);
 }
 
-/// Reads a stream up to its first complete event, or what comes of it `until` then.
+/// Reads a stream up to its first complete event, until the deadline.
 pub async fn await_first_event(
     state: &GatewayState,
     request: &AcceptedRequest,
     stream: OpenResponse,
-    until: Timestamp,
+    deadline: Timestamp,
 ) -> AttemptOutcome {
     let mut stream = stream;
-    let time_left = until.since(state.now());
+    let time_left = deadline.since(state.now());
     match timeout(time_left, read_first_event(&mut stream)).await {
-        Ok(Ok(())) | Err(_) => AttemptOutcome::Stream(Box::new(stream)),
+        Ok(Ok(())) => AttemptOutcome::Stream(Box::new(stream)),
         Ok(Err(detail)) => {
             log_failure(state, request, &stream.attempt, AttemptFailure::Lost, &detail);
             record_lost(state, request, &stream.attempt).await;
             AttemptOutcome::Failed(AttemptFailure::Lost, None)
         }
+        Err(_) => AttemptOutcome::TimedOut,
     }
 }
 
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -370,9 +370,6 @@
             frame = stream.body.frame() => RelayEvent::Read(frame),
             event = self.race.next(None), if is_hedged => match event {
                 RaceEvent::Ended(key, outcome) => RelayEvent::HedgeEnded(key, outcome),
-                RaceEvent::HedgeBegan(key, stream) => {
-                    RelayEvent::HedgeEnded(key, AttemptOutcome::Stream(stream))
-                }
                 RaceEvent::Silent => RelayEvent::Silent(limit),
             },
             () = self.chunks.closed() => RelayEvent::CallerDisconnected,
@@ -453,10 +450,6 @@
             };
             match event {
                 RaceEvent::Ended(key, outcome) => return Some((key, outcome)),
-                RaceEvent::HedgeBegan(key, stream) => {
-                    self.race.drop_rest(&mut self.plan);
-                    return Some((key, AttemptOutcome::Stream(stream)));
-                }
                 RaceEvent::Silent => {
                     self.race.hedge(&mut self.plan, None, self.last_event);
                 }
