gateway: rooms for quotas and capacity, and the rank of a request

Cause: the new parts for hard load need modules of their own, and the quota did not know how urgent a request is.

Change: quota_limiter moves to gateway/quota, and fleet_scaler, fleet_plan and demand_meter to gateway/capacity. RequestRank orders requests by the priority of their team, or else of their route. No decision changes.

--- a/bench/src/summary_cost.rs
+++ b/bench/src/summary_cost.rs
@@ -10,7 +10,7 @@
 use pomelostack_lib::gateway::gateway_settings::GatewaySettings;
 use pomelostack_lib::gateway::gateway_state::GatewayState;
 use pomelostack_lib::gateway::host_summary;
-use pomelostack_lib::gateway::quota_limiter::QuotaBounds;
+use pomelostack_lib::gateway::quota::quota_limiter::QuotaBounds;
 use pomelostack_lib::gateway::retry_limiter::RetryBounds;
 use pomelostack_lib::ids::HostId;
 use pomelostack_lib::ids::TeamName;
--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -14,13 +14,14 @@
 use crate::gateway::backend_directory::BackendServer;
 use crate::gateway::caller_request::CallerHead;
 use crate::gateway::caller_request::EventNumber;
-use crate::gateway::fleet_scaler::TokenDemand;
+use crate::gateway::capacity::fleet_scaler::TokenDemand;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::placement::ConnectionShare;
 use crate::gateway::placement::PlacementChoice;
 use crate::gateway::placement::PlacementQuery;
 use crate::gateway::platform_api::AttemptHead;
 use crate::gateway::platform_api::WireProtocol;
+use crate::gateway::request_rank::RequestRank;
 use crate::gateway::server_attempt::AttemptRequest;
 use crate::gateway::server_health::HealthEvidence;
 use crate::gateway::serving_config::RequestKind;
@@ -149,9 +150,9 @@
         self.team.as_ref().map(|team| &team.name)
     }
 
-    /// Returns the priority of the team, or else that of the route.
-    fn priority(&self) -> u32 {
-        self.team.as_ref().and_then(|team| team.priority).unwrap_or(self.route.priority)
+    /// Returns the urgency.
+    pub fn rank(&self) -> RequestRank {
+        RequestRank::of(self.team.as_deref(), &self.route)
     }
 
     /// Builds the HTTP request of an attempt.
@@ -165,7 +166,7 @@
             team: self.team_name(),
             time_left: attempt.time_left,
             resume_after: attempt.resume_after,
-            priority: self.priority(),
+            priority: self.rank().priority,
         };
         let mut message = Request::new(Full::new(self.body.clone()));
         *message.method_mut() = self.parts.method.clone();
--- /dev/null
+++ b/lib/src/gateway/capacity.rs
@@ -0,0 +1,5 @@
+//! What servers can do, what callers demand of them, and the fleet that is ordered for it.
+
+pub mod demand_meter;
+pub mod fleet_plan;
+pub mod fleet_scaler;
--- a/lib/src/gateway/demand_meter.rs
+++ b/lib/src/gateway/capacity/demand_meter.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::gateway::fleet_scaler::TokenDemand;
+use crate::gateway::capacity::fleet_scaler::TokenDemand;
 use crate::ids::ServiceName;
 use crate::timestamp::Timestamp;
 
--- a/lib/src/gateway/duty_runner.rs
+++ b/lib/src/gateway/duty_runner.rs
@@ -5,12 +5,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::gateway::capacity::fleet_scaler::FleetOrder;
+use crate::gateway::capacity::fleet_scaler::FleetScaler;
+use crate::gateway::capacity::fleet_scaler::ListedServers;
+use crate::gateway::capacity::fleet_scaler::TokenDemand;
 use crate::gateway::duty_lease::DutyLease;
 use crate::gateway::duty_lease::LeaseChange;
-use crate::gateway::fleet_scaler::FleetOrder;
-use crate::gateway::fleet_scaler::FleetScaler;
-use crate::gateway::fleet_scaler::ListedServers;
-use crate::gateway::fleet_scaler::TokenDemand;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::platform_api::AppendOutcome;
 use crate::gateway::platform_api::ControlStore;
--- a/lib/src/gateway/gateway_settings.rs
+++ b/lib/src/gateway/gateway_settings.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::gateway::duty_lease::DutyTimings;
-use crate::gateway::quota_limiter::QuotaBounds;
+use crate::gateway::quota::quota_limiter::QuotaBounds;
 use crate::gateway::retry_limiter::RetryBounds;
 use crate::ids::HostId;
 use crate::ids::ZoneName;
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -7,12 +7,12 @@
 use prost::Message as _;
 
 use crate::gateway::backend_directory::DepartureSource;
+use crate::gateway::capacity::fleet_scaler::TokenDemand;
 use crate::gateway::crash_news;
 use crate::gateway::crash_news::CrashNews;
 use crate::gateway::directory_gossip::decode_change;
 use crate::gateway::directory_gossip::has_missed_changes;
 use crate::gateway::directory_gossip::read_by_enough;
-use crate::gateway::fleet_scaler::TokenDemand;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::limit_belief::LimitSource;
 use crate::gateway::limit_belief::LimitStatement;
--- /dev/null
+++ b/lib/src/gateway/quota.rs
@@ -0,0 +1,3 @@
+//! Quotas of teams over all hosts.
+
+pub mod quota_limiter;
--- a/lib/src/gateway/quota_limiter.rs
+++ b/lib/src/gateway/quota/quota_limiter.rs
@@ -21,6 +21,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::gateway::request_rank::RequestRank;
 use crate::gateway::serving_config::TeamQuota;
 use crate::ids::TeamName;
 use crate::timestamp::Timestamp;
@@ -123,6 +124,19 @@
     TakenUp,
 }
 
+/// What a request asks of its team's quota.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuotaRequest {
+    /// Units that it costs.
+    pub units: u64,
+    /// What the units are for.
+    pub claim: QuotaClaim,
+    /// Urgency.
+    pub rank: RequestRank,
+    /// Whether it waits at this host since it asked before, so that its units are counted as asked.
+    pub has_asked: bool,
+}
+
 /// Whether a request is within its team's quota.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum QuotaDecision {
@@ -154,6 +168,8 @@
 struct WindowEntry {
     at: Timestamp,
     units: u64,
+    /// The units, unless they were counted as asked before.
+    asked: u64,
     admitted: bool,
 }
 
@@ -268,16 +284,17 @@
         assumed.fraction * (1.0 - elapsed).max(0.0)
     }
 
-    /// Decides whether a request of `units` is within its team's quota, and counts it.
+    /// Decides whether a request is within its team's quota, and counts it.
     pub fn admit(
         &mut self,
         now: Timestamp,
         team: &TeamName,
         quota: TeamQuota,
-        units: u64,
-        claim: QuotaClaim,
+        request: QuotaRequest,
         reachability: PeerReachability,
     ) -> QuotaDecision {
+        let QuotaRequest { units, claim, has_asked, .. } = request;
+        let asked = if has_asked { 0 } else { units };
         let span = self.bounds.window;
         let available_fraction =
             (reachability.available_fraction() - self.assumed_fraction(now)).max(0.0);
@@ -285,7 +302,7 @@
         window.expire(now, span);
         let window_units = self.bounds.admitted_units(quota);
         let total = window_units * available_fraction;
-        let share = window.share(total, units);
+        let share = window.share(total, asked);
         let own = (window.own.spent + units) as f64;
         let all = own + window.peers.spent as f64;
         let estimated = all
@@ -298,9 +315,9 @@
         // Shares are computed from measurements of different times, so they may add up to more than
         // the total.
         let admitted = is_unrestricted || (own + kept <= share && estimated + kept <= total);
-        window.entries.push_back(WindowEntry { at: now, units, admitted });
-        window.own.asked += units;
-        window.unpublished += units;
+        window.entries.push_back(WindowEntry { at: now, units, asked, admitted });
+        window.own.asked += asked;
+        window.unpublished += asked;
         self.must_publish |= window.unpublished as f64 > window_units * PUBLISH_FRACTION;
         if admitted {
             window.own.spent += units;
@@ -370,7 +387,7 @@
         while let Some(entry) = self.entries.front()
             && now.since(entry.at) >= span
         {
-            self.own.asked = self.own.asked.saturating_sub(entry.units);
+            self.own.asked = self.own.asked.saturating_sub(entry.asked);
             if entry.admitted {
                 self.own.spent = self.own.spent.saturating_sub(entry.units);
             }
@@ -413,8 +430,8 @@
     }
 
     /// Returns the number of units that this host may spend in the window.
-    fn share(&self, total: f64, units: u64) -> f64 {
-        let own = (self.own.asked + units) as f64;
+    fn share(&self, total: f64, asked: u64) -> f64 {
+        let own = (self.own.asked + asked) as f64;
         let fraction = own / (own + self.peers.asked as f64);
         total * fraction.max(MIN_SHARE_FRACTION)
     }
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -36,10 +36,12 @@
 use crate::gateway::caller_request::StreamOrigin;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::platform_api::WireProtocol;
-use crate::gateway::quota_limiter::QuotaClaim;
-use crate::gateway::quota_limiter::QuotaDecision;
+use crate::gateway::quota::quota_limiter::QuotaClaim;
+use crate::gateway::quota::quota_limiter::QuotaDecision;
+use crate::gateway::quota::quota_limiter::QuotaRequest;
 use crate::gateway::reply_body::GatewayReply;
 use crate::gateway::reply_body::full_body;
+use crate::gateway::request_rank::RequestRank;
 use crate::gateway::retry_limiter::RetryPurpose;
 use crate::gateway::server_attempt::AttemptOutcome;
 use crate::gateway::serving_config::KeyCheck;
@@ -184,7 +186,7 @@
             return Err((head, reason));
         }
         let claim = if is_taken_up { QuotaClaim::TakenUp } else { QuotaClaim::New };
-        if let Err(reason) = self.check_quota(&head, team.as_deref(), claim) {
+        if let Err(reason) = self.check_quota(&head, &route, team.as_deref(), claim) {
             return Err((head, reason));
         }
         let config_version = config.version;
@@ -263,6 +265,7 @@
     fn check_quota(
         &self,
         head: &CallerHead,
+        route: &RouteRule,
         team: Option<&TeamRule>,
         claim: QuotaClaim,
     ) -> Result<(), RefusalReason> {
@@ -270,16 +273,12 @@
         let Some(quota) = team.quota else { return Ok(()) };
         let now = self.state.now();
         let units = if team.counts_tokens { head.token_cost(team.default_cost) } else { 1 };
+        let rank = RequestRank::of(Some(team), route);
+        let request = QuotaRequest { units, claim, rank, has_asked: false };
         let reachability = self.state.peers.borrow().reachability(now);
         self.state.update_peer_spending();
-        let decision = self.state.quotas.borrow_mut().admit(
-            now,
-            &team.name,
-            quota,
-            units,
-            claim,
-            reachability,
-        );
+        let decision =
+            self.state.quotas.borrow_mut().admit(now, &team.name, quota, request, reachability);
         if self.state.quotas.borrow().must_publish() {
             self.state.summary_hint.notify_one();
         }
--- a/lib/tests/test_fleet_scaler.rs
+++ b/lib/tests/test_fleet_scaler.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use pomelostack_lib::gateway::fleet_plan::ZoneFleet;
-use pomelostack_lib::gateway::fleet_scaler::FleetOrder;
-use pomelostack_lib::gateway::fleet_scaler::FleetScaler;
-use pomelostack_lib::gateway::fleet_scaler::ListedServers;
-use pomelostack_lib::gateway::fleet_scaler::TokenDemand;
+use pomelostack_lib::gateway::capacity::fleet_plan::ZoneFleet;
+use pomelostack_lib::gateway::capacity::fleet_scaler::FleetOrder;
+use pomelostack_lib::gateway::capacity::fleet_scaler::FleetScaler;
+use pomelostack_lib::gateway::capacity::fleet_scaler::ListedServers;
+use pomelostack_lib::gateway::capacity::fleet_scaler::TokenDemand;
 use pomelostack_lib::gateway::serving_config::FleetBounds;
 use pomelostack_lib::ids::ServiceName;
 use pomelostack_lib::ids::ZoneName;
--- a/lib/tests/test_peer_table.rs
+++ b/lib/tests/test_peer_table.rs
@@ -8,7 +8,7 @@
 use pomelostack_lib::gateway::peer_table::RecordScope;
 use pomelostack_lib::gateway::peer_table::SummaryOutcome;
 use pomelostack_lib::gateway::peer_table::SummaryTargets;
-use pomelostack_lib::gateway::quota_limiter::PeerReachability;
+use pomelostack_lib::gateway::quota::quota_limiter::PeerReachability;
 use pomelostack_lib::ids::HostId;
 use pomelostack_lib::ids::TeamName;
 use pomelostack_lib::ids::ZoneName;
--- a/lib/tests/test_quota_limiter.rs
+++ b/lib/tests/test_quota_limiter.rs
@@ -4,12 +4,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use pomelostack_lib::gateway::quota_limiter::PeerReachability;
-use pomelostack_lib::gateway::quota_limiter::QuotaBounds;
-use pomelostack_lib::gateway::quota_limiter::QuotaClaim;
-use pomelostack_lib::gateway::quota_limiter::QuotaDecision;
-use pomelostack_lib::gateway::quota_limiter::QuotaLimiter;
-use pomelostack_lib::gateway::quota_limiter::TeamSpending;
+use pomelostack_lib::gateway::quota::quota_limiter::PeerReachability;
+use pomelostack_lib::gateway::quota::quota_limiter::QuotaBounds;
+use pomelostack_lib::gateway::quota::quota_limiter::QuotaClaim;
+use pomelostack_lib::gateway::quota::quota_limiter::QuotaDecision;
+use pomelostack_lib::gateway::quota::quota_limiter::QuotaLimiter;
+use pomelostack_lib::gateway::quota::quota_limiter::QuotaRequest;
+use pomelostack_lib::gateway::quota::quota_limiter::TeamSpending;
+use pomelostack_lib::gateway::request_rank::RequestRank;
 use pomelostack_lib::gateway::serving_config::TeamQuota;
 use pomelostack_lib::ids::TeamName;
 use pomelostack_lib::timestamp::Timestamp;
@@ -109,6 +111,11 @@
     TeamName::try_from("forecast").expect("valid in tests")
 }
 
+fn new_request(units: u64) -> QuotaRequest {
+    let rank = RequestRank { priority: 0, route: 0 };
+    QuotaRequest { units, claim: QuotaClaim::New, rank, has_asked: false }
+}
+
 /// A host and the number of its restarts.
 type HostIncarnation = (usize, u32);
 
@@ -182,7 +189,7 @@
                     _ => PeerReachability::Majority { silent: 0, known },
                 };
                 let decision =
-                    limiters[host].admit(now, &team(), quota, units, QuotaClaim::New, reachability);
+                    limiters[host].admit(now, &team(), quota, new_request(units), reachability);
                 if decision == QuotaDecision::Admitted {
                     admitted.push((at_ms, units));
                 }
@@ -340,7 +347,7 @@
         for at_ms in (0..8_000).step_by(10) {
             let now = Timestamp::from_millis(at_ms);
             let reachability = PeerReachability::Majority { silent: 0, known: 7 };
-            if limiter.admit(now, &team(), QUOTA, 6_000, QuotaClaim::New, reachability)
+            if limiter.admit(now, &team(), QUOTA, new_request(6_000), reachability)
                 == QuotaDecision::Admitted
             {
                 spent += 6_000;
@@ -355,12 +362,12 @@
     let mut limiter = new_limiter();
     let now = Timestamp::from_millis(0);
     let reachability = PeerReachability::Minority { group: 1, known: 7 };
-    while limiter.admit(now, &team(), QUOTA, 1_000, QuotaClaim::New, reachability)
+    while limiter.admit(now, &team(), QUOTA, new_request(1_000), reachability)
         == QuotaDecision::Admitted
     {}
     limiter.refund(&team(), 1_000);
     assert_eq!(
-        limiter.admit(now, &team(), QUOTA, 1_000, QuotaClaim::New, reachability),
+        limiter.admit(now, &team(), QUOTA, new_request(1_000), reachability),
         QuotaDecision::Admitted
     );
 }
@@ -371,13 +378,13 @@
     let reachability = PeerReachability::Minority { group: 1, known: 7 };
     let start = Timestamp::from_millis(0);
     let retry_after = loop {
-        match limiter.admit(start, &team(), QUOTA, 1_000, QuotaClaim::New, reachability) {
+        match limiter.admit(start, &team(), QUOTA, new_request(1_000), reachability) {
             QuotaDecision::Admitted => {}
             QuotaDecision::Exceeded { retry_after, .. } => break retry_after,
         }
     };
     let decision =
-        limiter.admit(start + retry_after, &team(), QUOTA, 1_000, QuotaClaim::New, reachability);
+        limiter.admit(start + retry_after, &team(), QUOTA, new_request(1_000), reachability);
     assert_eq!(decision, QuotaDecision::Admitted);
 }
 
@@ -398,8 +405,7 @@
                 Timestamp::from_millis(at_ms),
                 &team(),
                 QUOTA,
-                size,
-                QuotaClaim::New,
+                new_request(size),
                 reachability,
             );
             let admitted = decision == QuotaDecision::Admitted;
@@ -410,8 +416,7 @@
                 Timestamp::from_millis(at_ms),
                 &team(),
                 QUOTA,
-                units,
-                QuotaClaim::TakenUp,
+                QuotaRequest { claim: QuotaClaim::TakenUp, ..new_request(units) },
                 reachability,
             );
             *left -= 1;
--- a/lib/tests/test_store_follower.rs
+++ b/lib/tests/test_store_follower.rs
@@ -28,9 +28,11 @@
 use pomelostack_lib::gateway::platform_api::Result;
 use pomelostack_lib::gateway::platform_api::VersionsRead;
 use pomelostack_lib::gateway::platform_api::WriterPlace;
-use pomelostack_lib::gateway::quota_limiter::PeerReachability;
-use pomelostack_lib::gateway::quota_limiter::QuotaBounds;
-use pomelostack_lib::gateway::quota_limiter::QuotaClaim;
+use pomelostack_lib::gateway::quota::quota_limiter::PeerReachability;
+use pomelostack_lib::gateway::quota::quota_limiter::QuotaBounds;
+use pomelostack_lib::gateway::quota::quota_limiter::QuotaClaim;
+use pomelostack_lib::gateway::quota::quota_limiter::QuotaRequest;
+use pomelostack_lib::gateway::request_rank::RequestRank;
 use pomelostack_lib::gateway::retry_limiter::RetryBounds;
 use pomelostack_lib::gateway::serving_config::CallerLimits;
 use pomelostack_lib::gateway::serving_config::ServingConfig;
@@ -404,14 +406,13 @@
         let team = TeamName::try_from("club").expect("valid in tests");
         let quota = TeamQuota { rate: 100_000, burst: 0 };
         let reachability = PeerReachability::Majority { silent: 0, known: 2 };
-        state.quotas.borrow_mut().admit(
-            state.now(),
-            &team,
-            quota,
-            400_000,
-            QuotaClaim::New,
-            reachability,
-        );
+        let request = QuotaRequest {
+            units: 400_000,
+            claim: QuotaClaim::New,
+            rank: RequestRank { priority: 0, route: 0 },
+            has_asked: false,
+        };
+        state.quotas.borrow_mut().admit(state.now(), &team, quota, request, reachability);
         assert!(state.quotas.borrow().must_record());
         state.record_hint.notify_one();
         sleep(Duration::from_secs(1)).await;
