request_rank: state the route's priority to servers as well

Cause: servers were told the priority of the team alone where a team sets one, so that within a team the requests of an urgent route waited in any order among all others.

Change: all ranks that a configuration allows, by team and then by route, become one scale of the ten levels that servers tell apart.

--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -127,6 +127,8 @@
     pub whole: WorkPart,
     /// Parts of the work, of which other requests may share some.
     pub work: WorkParts,
+    /// Level of priority that servers are told.
+    pub priority_level: u32,
     /// Version of the configuration that the request was checked against.
     pub config_version: u64,
     /// Binds a stream that may be resumed to the software version that began it.
@@ -166,7 +168,7 @@
             team: self.team_name(),
             time_left: attempt.time_left,
             resume_after: attempt.resume_after,
-            priority: self.rank().priority,
+            priority: self.priority_level,
         };
         let mut message = Request::new(Full::new(self.body.clone()));
         *message.method_mut() = self.parts.method.clone();
--- a/lib/src/gateway/request_rank.rs
+++ b/lib/src/gateway/request_rank.rs
@@ -1,5 +1,7 @@
 //! Urgency of a request, by which scarce room is given out.
 
+use std::collections::BTreeSet;
+
 use crate::gateway::serving_config::RouteRule;
 use crate::gateway::serving_config::TeamRule;
 
@@ -19,3 +21,35 @@
         Self { priority, route: route.priority }
     }
 }
+
+/// Levels of priority that servers tell apart.
+const PRIORITY_LEVELS: usize = 10;
+
+/// Levels of priority that the ranks of a configuration are stated as to servers.
+///
+/// Servers know one number only. The priority of the team alone would let the requests of a team that
+/// sets one wait for each other in any order, whatever their routes say.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PriorityScale {
+    /// Ranks of the configuration, the most urgent first.
+    ranks: Vec<RequestRank>,
+}
+
+impl PriorityScale {
+    /// Builds the scale of the ranks that requests can have.
+    pub fn new(ranks: impl IntoIterator<Item = RequestRank>) -> Self {
+        let ranks: BTreeSet<RequestRank> = ranks.into_iter().collect();
+        Self { ranks: ranks.into_iter().collect() }
+    }
+
+    /// Returns the level of a rank; 0 is the most urgent. Neighbouring ranks share a level only if there
+    /// are more ranks than levels.
+    pub fn level(&self, rank: RequestRank) -> u32 {
+        let index = self.ranks.partition_point(|other| *other < rank);
+        let level = match self.ranks.len() {
+            0..=PRIORITY_LEVELS => index.min(PRIORITY_LEVELS - 1),
+            count => (index * PRIORITY_LEVELS / count).min(PRIORITY_LEVELS - 1),
+        };
+        level as u32
+    }
+}
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -190,6 +190,7 @@
             return Err((head, reason));
         }
         let config_version = config.version;
+        let priority_level = config.priority_level(RequestRank::of(team.as_deref(), &route));
         Ok(AcceptedRequest {
             whole,
             work,
@@ -201,6 +202,7 @@
             team,
             arrived_at,
             deadline,
+            priority_level,
             config_version,
             binding,
             end: RequestEnd::new(&self.state),
--- a/lib/src/gateway/serving_config.rs
+++ b/lib/src/gateway/serving_config.rs
@@ -6,6 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::gateway::request_rank::PriorityScale;
+use crate::gateway::request_rank::RequestRank;
 use crate::ids::ServiceName;
 use crate::ids::TeamName;
 use crate::ids::ZoneName;
@@ -176,6 +178,7 @@
     routes: HashMap<String, Vec<Rc<RouteRule>>>,
     keys: HashMap<String, Rc<TeamRule>>,
     uses_keys: bool,
+    priorities: PriorityScale,
 }
 
 /// Result of checking a caller's key.
@@ -200,6 +203,7 @@
         limits: CallerLimits,
         teams: Option<Vec<(TeamRule, Vec<String>)>>,
     ) -> Self {
+        let priorities = PriorityScale::new(request_ranks(&routes, teams.as_deref()));
         let mut by_host: HashMap<String, Vec<Rc<RouteRule>>> = HashMap::new();
         for route in routes {
             by_host.entry(route.host.clone()).or_default().push(Rc::new(route));
@@ -216,7 +220,21 @@
             by_key.extend(keys.into_iter().map(|key| (key, team.clone())));
         }
         let services = services.into_iter().map(|rule| (rule.name.clone(), rule)).collect();
-        Self { version, services, limits, teams: by_name, routes: by_host, keys: by_key, uses_keys }
+        Self {
+            version,
+            services,
+            limits,
+            teams: by_name,
+            routes: by_host,
+            keys: by_key,
+            uses_keys,
+            priorities,
+        }
+    }
+
+    /// Returns the level of priority that a rank is stated as to servers.
+    pub fn priority_level(&self, rank: RequestRank) -> u32 {
+        self.priorities.level(rank)
     }
 
     /// Returns the route of the host with the longest matching path prefix.
@@ -252,6 +270,19 @@
     }
 }
 
+/// Returns the ranks that the requests of all teams can have on the routes.
+fn request_ranks(
+    routes: &[RouteRule],
+    teams: Option<&[(TeamRule, Vec<String>)]>,
+) -> Vec<RequestRank> {
+    // One team of each priority, and no team.
+    let by_priority: BTreeMap<Option<u32>, &TeamRule> =
+        teams.unwrap_or_default().iter().map(|(team, _)| (team.priority, team)).collect();
+    let teams: Vec<Option<&TeamRule>> = by_priority.into_values().map(Some).chain([None]).collect();
+    let of_route = |route| teams.iter().map(move |team| RequestRank::of(*team, route));
+    routes.iter().flat_map(of_route).collect()
+}
+
 /// Whether a version was adopted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConfigChange {
--- a/lib/tests/test_serving_config.rs
+++ b/lib/tests/test_serving_config.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use pomelostack_lib::gateway::request_rank::PriorityScale;
+use pomelostack_lib::gateway::request_rank::RequestRank;
 use pomelostack_lib::gateway::serving_config::ActiveConfig;
 use pomelostack_lib::gateway::serving_config::CallerLimits;
 use pomelostack_lib::gateway::serving_config::ConfigChange;
@@ -99,3 +101,23 @@
     assert_eq!(active.adopt_if_newer(config(12, &[])), ConfigChange::Adopted);
     assert_eq!(active.current().expect("valid in tests").version, 12);
 }
+
+/// Servers were told the priority of a team alone, so that its urgent routes waited for all others.
+#[test]
+fn routes_within_team() {
+    let ranks =
+        (0..3).flat_map(|priority| (0..3).map(move |route| RequestRank { priority, route }));
+    let scale = PriorityScale::new(ranks.clone());
+    let levels: Vec<u32> = ranks.map(|rank| scale.level(rank)).collect();
+    assert_eq!(levels, [0, 1, 2, 3, 4, 5, 6, 7, 8]);
+}
+
+/// More ranks than servers tell apart keep their order.
+#[test]
+fn shared_levels() {
+    let ranks = (0..35).map(|priority| RequestRank { priority, route: 0 });
+    let scale = PriorityScale::new(ranks.clone());
+    let levels: Vec<u32> = ranks.map(|rank| scale.level(rank)).collect();
+    assert!(levels.is_sorted());
+    assert_eq!((levels.first(), levels.last()), (Some(&0), Some(&9)));
+}
