quota: pace spending by a token bucket over all hosts

Cause: a team that sent several times its usual load spent the quota of eight seconds in one or two, and was refused for the rest of the window. After a crash of all hosts a whole window counted as spent.

Change: quota_pace chooses depth and refill of a bucket so that no window holds more than its bound, wherever it begins. Hosts tell running totals in their summaries (TeamUse.total, total_asked), from which each keeps the bucket's level. While the level exceeds what peers may have admitted meanwhile, all requests are admitted; otherwise each host admits from its part of the refill (host_credit), a request of any size once its credit has reached a threshold below the mean size. A host that starts takes the bucket as empty, and counts an equal part for every listed host until it has heard from them. retry_after is the time until the credit suffices, at most a quarter of the window.

--- a/bench/src/summary_cost.rs
+++ b/bench/src/summary_cost.rs
@@ -119,6 +119,8 @@
         team: team((first_team + index) % TEAMS).to_string(),
         spent: rng.random_range(1..100_000),
         asked: rng.random_range(1..100_000),
+        total: rng.random_range(1..100_000),
+        total_asked: rng.random_range(1..100_000),
     });
     let teams = teams.collect();
     let servers = (0..USED_SERVERS).map(|_| ServerUse {
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -159,7 +159,7 @@
         let incarnation = (settings.host.clone(), Incarnation(wall_clock_ms()));
         let window_ms = u64::try_from(settings.usage_window.as_millis()).unwrap_or(u64::MAX);
         let clock = ProcessClock::start();
-        let mut quotas = QuotaLimiter::new(settings.quotas);
+        let mut quotas = QuotaLimiter::new(settings.quotas).with_host(&settings.host);
         if !settings.first_start {
             quotas.assume_spent(clock.now());
         }
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -212,6 +212,8 @@
         team: team.into(),
         spent: spending.spent,
         asked: spending.asked,
+        total: spending.total,
+        total_asked: spending.total_asked,
     });
     HostSummary {
         host: state.incarnation.0.to_string(),
@@ -302,6 +304,8 @@
         team: team.into(),
         spent: spending.spent,
         asked: spending.asked,
+        total: spending.total,
+        total_asked: spending.total_asked,
     });
     let directory = state.directory.borrow();
     let board = state.placement.borrow();
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -44,6 +44,12 @@
 /// Maximum period of summaries that is believed.
 const MAX_STATED_PERIOD: Duration = Duration::from_secs(2);
 
+/// Number of the first summaries of a host that has just started.
+const START_SUMMARIES: u64 = 5;
+
+/// Time after the first list of hosts within which the listed hosts that run are heard from.
+const JOIN_TIME: Duration = Duration::from_millis(2_000);
+
 /// Time for which a summary's load is used; a few summaries in a row may be lost.
 const LOAD_TTL: Duration = Duration::from_millis(1_800);
 
@@ -123,7 +129,7 @@
     fn spending(&self) -> impl Iterator<Item = (&str, TeamSpending)> {
         self.summary.teams.iter().map(|team| {
             let (spent, asked) = (team.spent.min(MAX_UNITS), team.asked.min(MAX_UNITS));
-            (team.team.as_str(), TeamSpending { spent, asked })
+            (team.team.as_str(), TeamSpending { spent, asked, ..TeamSpending::default() })
         })
     }
 }
@@ -153,6 +159,8 @@
     silent: BTreeMap<HostId, Timestamp>,
     /// Whether the list of hosts was read.
     is_listed: bool,
+    /// When the first host was listed.
+    first_listed_at: Option<Timestamp>,
     /// Spending of all entries, updated incrementally since it is read after every summary.
     total_spending: BTreeMap<TeamName, TeamSpending>,
 }
@@ -194,6 +202,7 @@
             contacts: BTreeMap::new(),
             silent: BTreeMap::new(),
             is_listed: false,
+            first_listed_at: None,
             total_spending: BTreeMap::new(),
         }
     }
@@ -208,6 +217,7 @@
         if host == self.own {
             return;
         }
+        self.first_listed_at.get_or_insert(now);
         let contact = PeerContact {
             address,
             zone: None,
@@ -266,10 +276,39 @@
         for (team, spending) in entry.spending() {
             add_spending(&mut self.total_spending, team, spending);
         }
+        self.count_growth(&key, &entry);
         let replaced = self.entries.insert(key, entry);
         replaced.iter().for_each(|entry| self.subtract_spending(entry));
     }
 
+    /// Counts what a peer spent since its previous summary. What an incarnation spent before its first
+    /// one is counted if it has started recently or replaces one that was known: otherwise this host has
+    /// started later, and assumes what was spent before its start.
+    fn count_growth(&mut self, key: &HostIncarnation, entry: &PeerEntry) {
+        let known = self.entries.get(key).filter(|known| known.summary.sequence > 0);
+        let incarnations = self.entries.range((key.0.clone(), Incarnation(0))..);
+        let mut incarnations = incarnations.take_while(|((host, _), _)| *host == key.0);
+        let is_replaced = incarnations.any(|((_, incarnation), _)| *incarnation < key.1);
+        let is_new = is_replaced || entry.summary.sequence <= START_SUMMARIES;
+        if entry.summary.sequence == 0 || (known.is_none() && !is_new) {
+            return;
+        }
+        for team in &entry.summary.teams {
+            let Some(sum) = self.total_spending.get_mut(team.team.as_str()) else { continue };
+            let before = known.and_then(|known| {
+                known.summary.teams.iter().find(|before| before.team == team.team)
+            });
+            let (total, total_asked) = before.map_or((0, 0), |team| (team.total, team.total_asked));
+            // A host does not spend more between two summaries than in its window.
+            let spent = i64::try_from(team.spent.min(MAX_UNITS)).unwrap_or(i64::MAX);
+            let asked = i64::try_from(team.asked.min(MAX_UNITS)).unwrap_or(i64::MAX);
+            let grown = team.total.saturating_sub(total).clamp(-spent, spent);
+            let grown_asked = team.total_asked.saturating_sub(total_asked).clamp(0, asked);
+            sum.total = sum.total.saturating_add(grown);
+            sum.total_asked = sum.total_asked.saturating_add(grown_asked);
+        }
+    }
+
     fn subtract_spending(&mut self, entry: &PeerEntry) {
         for (team, spending) in entry.spending() {
             let Some(total) = self.total_spending.get_mut(team) else { continue };
@@ -308,6 +347,11 @@
         let heard = u32::try_from(self.live_peers(now)).unwrap_or(u32::MAX);
         let known = self.contacts.values().filter(|contact| contact.heard_at.is_some()).count();
         let known = u32::try_from(known).unwrap_or(u32::MAX);
+        let is_starting = self.first_listed_at.is_some_and(|at| now.since(at) < JOIN_TIME);
+        if is_starting && (heard + 1) * 2 <= self.known_hosts() {
+            // Hosts that start together would each take the few that they have heard from for all.
+            return PeerReachability::Minority { group: heard + 1, known: self.known_hosts() };
+        }
         if known == 0 {
             // A host that has never heard from a peer cannot tell whether it is partitioned or the
             // only one.
--- a/lib/src/gateway/quota.rs
+++ b/lib/src/gateway/quota.rs
@@ -1,3 +1,5 @@
 //! Quotas of teams over all hosts.
 
+pub mod host_credit;
 pub mod quota_limiter;
+pub mod quota_pace;
--- a/lib/src/gateway/quota/quota_limiter.rs
+++ b/lib/src/gateway/quota/quota_limiter.rs
@@ -1,28 +1,35 @@
 //! Distributed rate limiter: enforces each team's quota over all hosts.
 //!
 //! Load pattern: one team sends many times its usual traffic, unevenly over hosts that start, die
-//! and are partitioned from each other. Each host knows its own spending in the sliding window
-//! exactly and that of its peers a fraction of a second late. Well below the quota a host admits
-//! every request. Near the quota each host is limited to a share in proportion to the demand it
-//! sees, so that hosts do not all spend the same remaining capacity. Spending that the peers do not
-//! know of yet is bounded: a host publishes its spending as soon as a small fraction of the quota
-//! has been requested. The hosts on one side of a partition together use only their fraction of the
-//! quota, counting an equal part for each host.
+//! and are partitioned from each other. Each host knows its own spending exactly and that of its
+//! peers a fraction of a second late. Spending is paced by a token bucket over all hosts whose refill
+//! and depth keep the bound of every window (`quota_pace`), so that a team that sends too much is
+//! served evenly and not in bursts. While the bucket is well filled a host admits every request.
+//! Otherwise it is limited to its part of the refill, in proportion to the demand that it sees
+//! (`host_credit`). What it spends between two summaries is scaled to all hosts and counts as spent
+//! already. The hosts on one side of a partition together use only their fraction of the quota,
+//! counting an equal part for each host.
 //!
 //! Streams that their callers take up again go first: work was done for them already, and their callers
 //! try a few times only. What was refused to them is kept free of new requests until they may have
 //! come back.
 //!
-//! All hosts may be lost at once, so spending is recorded in the store once a large fraction of a
-//! quota is spent. A host that starts counts the records as its peers' spending. It assumes that
-//! spending which may not have been recorded is spread evenly over the window.
+//! All hosts may be lost at once, with what they knew. A host that starts assumes that the bucket is
+//! empty, which is no more than any spending before it can have left.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
+use std::hash::DefaultHasher;
+use std::hash::Hash as _;
+use std::hash::Hasher as _;
 use std::time::Duration;
 
+use crate::gateway::quota::host_credit::HostCredit;
+use crate::gateway::quota::quota_pace::BucketLevel;
+use crate::gateway::quota::quota_pace::QuotaPace;
 use crate::gateway::request_rank::RequestRank;
 use crate::gateway::serving_config::TeamQuota;
+use crate::ids::HostId;
 use crate::ids::TeamName;
 use crate::timestamp::Timestamp;
 
@@ -30,9 +37,9 @@
 /// hear from each other.
 const TOLERANCE_FRACTION: f64 = 0.4;
 
-/// Fraction of the quota up to which hosts admit without regard to their shares. The rest must
-/// cover what all hosts together can overspend before a summary arrives.
-const UNRESTRICTED_FRACTION: f64 = 0.6;
+/// Level of the bucket, as a fraction of its depth, above which hosts admit without regard to their
+/// parts.
+const POOL_FRACTION: f64 = 0.1;
 
 /// Fraction of the quota for a host that has not heard from any peer and may be one of many.
 const ISOLATED_FRACTION: f64 = 0.06;
@@ -46,12 +53,55 @@
 /// Fraction of the quota requested at a host that makes it publish its spending at once.
 const PUBLISH_FRACTION: f64 = 0.02;
 
-/// Upper bound, as a fraction of the quota, on the estimate of the peers' unpublished spending. At
-/// eight times the quota's rate a large fleet spends that much between two summaries.
-const MAX_UNPUBLISHED_FRACTION: f64 = 0.4;
+/// Time within which a surplus or deficit of the bucket changes the refill of all hosts. Shorter than
+/// the delay of summaries would make hosts overcorrect together.
+const CORRECTION_TIME: Duration = Duration::from_secs(1);
 
-/// Minimum share of any host as a fraction of the quota, so that new demand is not starved.
-const MIN_SHARE_FRACTION: f64 = 0.02;
+/// Largest factor on the refill while the bucket has a surplus.
+const MAX_REFILL_FACTOR: f64 = 2.0;
+
+/// Minimum part of any host, as a fraction of an equal part, so that new demand is not starved.
+const MIN_PART_FRACTION: f64 = 0.25;
+
+/// Time after a start, or after a team's first request, in which a host may not know the demand at its
+/// peers, and the largest part of the refill that it takes meanwhile, in equal parts.
+const START_TIME: Duration = Duration::from_millis(1_500);
+const START_PARTS: f64 = 2.0;
+
+/// Time over which the peers' demand is averaged.
+const DEMAND_TIME: Duration = Duration::from_secs(1);
+
+/// Shortest time over which a rate is computed.
+const MIN_RATE_TIME: Duration = Duration::from_micros(1);
+
+/// Time from a change at a peer until its summary arrives, beside the time between two summaries.
+const SUMMARY_DELAY: Duration = Duration::from_millis(100);
+
+/// Time between two summaries before one was sent.
+const DEFAULT_SUMMARY_PERIOD: Duration = Duration::from_millis(400);
+
+/// Longest time between two summaries that is believed.
+const MAX_SUMMARY_PERIOD: Duration = Duration::from_secs(1);
+
+/// Requests of the mean size at one host that are no evidence of more demand at all hosts.
+const SURGE_REQUESTS: f64 = 3.0;
+
+/// Time after a refusal for which a host saves its part of the refill for a large request.
+const SAVING_TIME: Duration = Duration::from_secs(2);
+
+/// Level of the bucket, as a fraction of its depth, below which every host saves.
+const SAVING_FRACTION: f64 = 0.75;
+
+/// Longest time after which a refused request is told to ask again, as a fraction of the window.
+const MAX_RETRY_FRACTION: f64 = 0.25;
+
+/// Spending that is assumed at a start, as a fraction of the bucket's depth: before records of
+/// spending were read, and after.
+const UNREAD_FRACTION: f64 = 1.5;
+const UNRECORDED_FRACTION: f64 = 1.0;
+
+/// Longest time in seconds that is computed for a refusal.
+const MAX_WAIT_S: f64 = 3_600.0;
 
 /// Time for which the units of a stream that was refused are kept for its return.
 const RETURN_TIME: Duration = Duration::from_secs(3);
@@ -74,6 +124,10 @@
         let tolerance = units * self.tolerance_ratio + self.tolerance_units;
         units + tolerance * TOLERANCE_FRACTION
     }
+
+    fn pace(&self, quota: TeamQuota) -> QuotaPace {
+        QuotaPace::new(self.admitted_units(quota), quota.rate as f64, self.window)
+    }
 }
 
 /// Units of one team's quota in the sliding window of one host.
@@ -83,6 +137,10 @@
     pub spent: u64,
     /// Units requested, including refused ones.
     pub asked: u64,
+    /// Units admitted since the start of the host; since this host's start for a sum over peers.
+    pub total: i64,
+    /// Units requested since then.
+    pub total_asked: i64,
 }
 
 /// How many of the other recently known hosts this host still hears from.
@@ -105,6 +163,14 @@
 }
 
 impl PeerReachability {
+    /// Returns the number of hosts that are heard from, including this one.
+    fn group(self) -> u32 {
+        match self {
+            Self::Minority { group, .. } => group,
+            Self::Majority { silent, known } => known.saturating_sub(silent),
+        }
+    }
+
     /// Returns the fraction of a quota that the reachable hosts may spend together.
     fn available_fraction(self) -> f64 {
         match self {
@@ -144,7 +210,7 @@
     Admitted,
     /// The request exceeds the quota.
     Exceeded {
-        /// Time until enough spending leaves the window.
+        /// Time until the request would be admitted here, according to what is known.
         retry_after: Duration,
         /// Units that the decision is based on.
         usage: QuotaUsage,
@@ -158,9 +224,9 @@
     pub own: f64,
     /// Spent by all peers according to their summaries.
     pub peers: f64,
-    /// This host's share of the quota.
+    /// Units that this host may spend now.
     pub share: f64,
-    /// Limit for all reachable hosts together in a window.
+    /// Units that all reachable hosts together may spend now; negative if they spent too much.
     pub total: f64,
 }
 
@@ -178,12 +244,20 @@
     entries: VecDeque<WindowEntry>,
     own: TeamSpending,
     peers: TeamSpending,
+    /// Bucket of all hosts as this host knows it.
+    level: BucketLevel,
+    /// This host's part of the bucket.
+    credit: HostCredit,
+    /// Time of the last refusal.
+    refused_at: Option<Timestamp>,
+    /// Since when units are requested here.
+    active_since: Option<Timestamp>,
     /// Units requested since the last summary.
     unpublished: u64,
-    /// Units admitted since the last summary.
-    unpublished_spent: u64,
-    /// Units requested in the window, according to the last summary.
-    published_asked: u64,
+    /// Units that peers requested since the last refill.
+    peer_growth: f64,
+    /// Units per second that peers requested recently.
+    peer_rate: f64,
     /// Units admitted since the last record.
     unrecorded: u64,
     /// Units of refused streams that may come back, oldest first.
@@ -198,7 +272,7 @@
     units: u64,
 }
 
-/// Fraction of every quota that is assumed to be spent.
+/// Fraction of every bucket that is assumed to be spent.
 #[derive(Clone, Copy, Debug)]
 struct AssumedSpending {
     fraction: f64,
@@ -212,6 +286,11 @@
     teams: BTreeMap<TeamName, TeamWindow>,
     /// Assumed spending before this host's start.
     assumed: Option<AssumedSpending>,
+    /// Number from 0 to 1 in which hosts differ.
+    phase: f64,
+    published_at: Option<Timestamp>,
+    /// Mean time between two summaries.
+    publish_period: Duration,
     must_publish: bool,
     must_record: bool,
 }
@@ -223,27 +302,38 @@
             bounds,
             teams: BTreeMap::new(),
             assumed: None,
+            phase: 0.5,
+            published_at: None,
+            publish_period: DEFAULT_SUMMARY_PERIOD,
             must_publish: false,
             must_record: false,
         }
     }
 
+    /// Names this host. Hosts differ in the times at which they admit requests that are larger than
+    /// their parts.
+    pub fn with_host(mut self, host: &HostId) -> Self {
+        let mut hasher = DefaultHasher::new();
+        host.hash(&mut hasher);
+        self.phase = hasher.finish() as f64 / u64::MAX as f64;
+        self
+    }
+
     /// Changes the bounds; counted spending is kept.
     pub fn set_bounds(&mut self, bounds: QuotaBounds) {
         self.bounds = bounds;
     }
 
-    /// Assumes that every quota was spent in full, evenly over the window before `now`. What this
-    /// host or all hosts spent before a crash is unknown.
+    /// Assumes that the bucket of every quota is empty at `now`: what this host or all hosts spent
+    /// before a crash is unknown, and no more than the bucket's deficit may be unrecorded.
     pub fn assume_spent(&mut self, now: Timestamp) {
-        self.assumed = Some(AssumedSpending { fraction: 1.0, at: now });
+        self.assumed = Some(AssumedSpending { fraction: UNREAD_FRACTION, at: now });
     }
 
-    /// Lowers the assumed spending to the fraction that is not recorded, after the records were
-    /// read.
+    /// Lowers the assumed spending after the records were read.
     pub fn on_records_read(&mut self) {
         if let Some(assumed) = &mut self.assumed {
-            assumed.fraction = RECORD_FRACTION;
+            assumed.fraction = UNRECORDED_FRACTION;
         }
     }
 
@@ -277,13 +367,6 @@
         self.must_publish
     }
 
-    /// Returns the fraction of a window's quota that counts as spent before this host's start.
-    fn assumed_fraction(&self, now: Timestamp) -> f64 {
-        let Some(assumed) = self.assumed else { return 0.0 };
-        let elapsed = now.since(assumed.at).as_secs_f64() / self.bounds.window.as_secs_f64();
-        assumed.fraction * (1.0 - elapsed).max(0.0)
-    }
-
     /// Decides whether a request is within its team's quota, and counts it.
     pub fn admit(
         &mut self,
@@ -296,46 +379,54 @@
         let QuotaRequest { units, claim, has_asked, .. } = request;
         let asked = if has_asked { 0 } else { units };
         let span = self.bounds.window;
-        let available_fraction =
-            (reachability.available_fraction() - self.assumed_fraction(now)).max(0.0);
-        let window = self.teams.entry(team.clone()).or_default();
-        window.expire(now, span);
         let window_units = self.bounds.admitted_units(quota);
-        let total = window_units * available_fraction;
-        let share = window.share(total, asked);
-        let own = (window.own.spent + units) as f64;
-        let all = own + window.peers.spent as f64;
-        let estimated = all
-            + window
-                .estimate_unpublished(reachability)
-                .min(window_units * MAX_UNPUBLISHED_FRACTION);
+        let pace = self.bounds.pace(quota).scaled(reachability.available_fraction());
+        let phase = self.phase;
+        let started_at = self.assumed.map(|assumed| assumed.at);
+        let unpublished_time = self.published_at.map_or(self.publish_period, |at| now.since(at));
+        let hidden_time = self.publish_period / 2 + SUMMARY_DELAY;
+        let window = self.teams.entry(team.clone()).or_insert_with(|| TeamWindow::new(phase));
+        window.expire(now, span);
+        window.on_asked(now, asked);
+        let part = window.part(now, started_at, reachability);
+        let refill = window.refill(now, span, pace, part, self.assumed);
         let kept = window.kept_units(now, claim) as f64;
-        let is_unrestricted = matches!(reachability, PeerReachability::Majority { .. })
-            && estimated + kept <= total * UNRESTRICTED_FRACTION;
-        // Shares are computed from measurements of different times, so they may add up to more than
-        // the total.
-        let admitted = is_unrestricted || (own + kept <= share && estimated + kept <= total);
-        window.entries.push_back(WindowEntry { at: now, units, asked, admitted });
-        window.own.asked += asked;
-        window.unpublished += asked;
+        let level = window.level.available(pace) - kept;
+        let hidden = window.hidden_units(unpublished_time, hidden_time, span, reachability);
+        let is_pooled = matches!(reachability, PeerReachability::Majority { .. })
+            && level - hidden >= pace.depth * POOL_FRACTION;
+        let missing = window.credit.missing_units(kept);
+        let admitted = is_pooled || missing <= 0.0;
+        if admitted || asked > 0 {
+            window.entries.push_back(WindowEntry { at: now, units, asked, admitted });
+        }
         self.must_publish |= window.unpublished as f64 > window_units * PUBLISH_FRACTION;
         if admitted {
             window.own.spent += units;
-            window.unpublished_spent += units;
+            window.own.total = window.own.total.saturating_add_unsigned(units);
+            window.level.charge(units as f64);
+            window.credit.charge(units, part * pace.depth);
             window.unrecorded += units;
             if claim == QuotaClaim::TakenUp {
                 window.on_returned(units);
             }
+            let all = (window.own.spent + window.peers.spent) as f64;
             self.must_record |= all > window_units * RECORD_FRACTION
                 && window.unrecorded as f64 > window_units * RECORD_STEP_FRACTION;
             return QuotaDecision::Admitted;
         }
-        let retry_after = window.time_until_capacity(now, span, own + kept - share);
+        window.refused_at = Some(now);
         if claim == QuotaClaim::TakenUp {
             let kept_until = now + RETURN_TIME;
             window.returning.push_back(ReturningStream { kept_until, units });
         }
-        let usage = QuotaUsage { own, peers: all - own, share, total };
+        let retry_after = retry_time(missing, refill).min(span.mul_f64(MAX_RETRY_FRACTION));
+        let usage = QuotaUsage {
+            own: (window.own.spent + units) as f64,
+            peers: window.peers.spent as f64,
+            share: window.credit.units(),
+            total: level,
+        };
         QuotaDecision::Exceeded { retry_after, usage }
     }
 
@@ -346,26 +437,40 @@
         if let Some(entry) = window.entries.iter_mut().rev().find(admitted) {
             entry.admitted = false;
             window.own.spent = window.own.spent.saturating_sub(units);
+            window.own.total = window.own.total.saturating_sub_unsigned(units);
+            window.level.charge(-(units as f64));
+            window.credit.refund(units);
         }
     }
 
-    /// Replaces the spending of all peers, summed by team.
+    /// Replaces the spending of all peers, summed by team, and charges what they spent since the last
+    /// call to the buckets.
     pub fn set_peer_spending(&mut self, peers: &BTreeMap<TeamName, TeamSpending>) {
         for (team, window) in &mut self.teams {
-            window.peers = peers.get(team).copied().unwrap_or_default();
+            window.peers = TeamSpending { spent: 0, asked: 0, ..window.peers };
+            if let Some(spending) = peers.get(team) {
+                window.set_peers(*spending);
+            }
         }
         for (team, spending) in peers {
-            self.teams.entry(team.clone()).or_default().peers = *spending;
+            if !self.teams.contains_key(team) {
+                let mut window = TeamWindow::new(self.phase);
+                window.set_peers(*spending);
+                self.teams.insert(team.clone(), window);
+            }
         }
     }
 
     /// Returns this host's spending in the window and marks it as published.
     pub fn publish_spending(&mut self, now: Timestamp) -> Vec<(TeamName, TeamSpending)> {
         self.must_publish = false;
+        if let Some(at) = self.published_at.replace(now) {
+            let period = now.since(at).min(MAX_SUMMARY_PERIOD);
+            self.publish_period = (self.publish_period * 3 + period) / 4;
+        }
         for window in self.teams.values_mut() {
             window.expire(now, self.bounds.window);
-            (window.unpublished, window.unpublished_spent) = (0, 0);
-            window.published_asked = window.own.asked;
+            window.unpublished = 0;
         }
         self.own_spending(now)
     }
@@ -382,7 +487,64 @@
     }
 }
 
+/// Returns the time until missing units are refilled, rounded up so that the request is admitted then.
+fn retry_time(missing: f64, refill_per_s: f64) -> Duration {
+    let seconds = missing / refill_per_s.max(f64::MIN_POSITIVE);
+    Duration::from_secs_f64(seconds.clamp(0.0, MAX_WAIT_S)) + Duration::from_millis(1)
+}
+
 impl TeamWindow {
+    fn new(phase: f64) -> Self {
+        Self { credit: HostCredit::new(phase), ..Self::default() }
+    }
+
+    /// Replaces the spending of all peers, and charges its growth to the bucket.
+    fn set_peers(&mut self, peers: TeamSpending) {
+        let growth = peers.total.saturating_sub(self.peers.total);
+        self.level.charge(growth as f64);
+        self.peer_growth += peers.total_asked.saturating_sub(self.peers.total_asked) as f64;
+        self.peers = peers;
+    }
+
+    /// Refills the bucket and this host's part of it. Returns the part's refill per second.
+    fn refill(
+        &mut self,
+        now: Timestamp,
+        span: Duration,
+        pace: QuotaPace,
+        part: f64,
+        assumed: Option<AssumedSpending>,
+    ) -> f64 {
+        let has_refused = self.refused_at.is_some_and(|at| now.since(at) < SAVING_TIME);
+        let Some(refilled_at) = self.level.refilled_at() else {
+            let window_units = pace.rate * span.as_secs_f64();
+            let spent = (self.peers.spent as f64 / window_units.max(1.0)).min(1.0);
+            let assumed_spent = assumed.map_or(0.0, |assumed| {
+                let elapsed = now.since(assumed.at).as_secs_f64();
+                pace.depth * assumed.fraction - pace.rate * elapsed
+            });
+            self.level.start(now, assumed_spent.max(pace.depth * spent), pace);
+            self.peer_growth = 0.0;
+            self.peer_rate = self.peers.asked as f64 / span.as_secs_f64();
+            self.credit.fill(part * self.level.available(pace).max(0.0));
+            return part * pace.rate;
+        };
+        let elapsed = now.since(refilled_at);
+        self.level.refill(now, elapsed, pace);
+        let correction = self.level.available(pace) / CORRECTION_TIME.as_secs_f64();
+        let factor = 1.0 + correction / pace.rate.max(f64::MIN_POSITIVE);
+        let refill = part * pace.rate * factor.clamp(0.0, MAX_REFILL_FACTOR);
+        let elapsed_s = elapsed.as_secs_f64().max(MIN_RATE_TIME.as_secs_f64());
+        let recent_rate = std::mem::take(&mut self.peer_growth) / elapsed_s;
+        let weight = -(-elapsed_s / DEMAND_TIME.as_secs_f64()).exp_m1();
+        self.peer_rate += (recent_rate - self.peer_rate) * weight;
+        let is_saving = has_refused || self.level.available(pace) < pace.depth * SAVING_FRACTION;
+        let pooled = part * self.level.available(pace).max(0.0);
+        let kept: u64 = self.returning.iter().map(|stream| stream.units).sum();
+        self.credit.refill(refill * elapsed.as_secs_f64(), pooled, is_saving, kept as f64);
+        refill
+    }
+
     fn expire(&mut self, now: Timestamp, span: Duration) {
         while let Some(entry) = self.entries.front()
             && now.since(entry.at) >= span
@@ -413,38 +575,61 @@
         }
     }
 
-    /// Estimates what the peers have spent since their last summaries: this host's spending since
-    /// its own last summary, scaled by the ratio of the peers' demand to its own.
-    ///
-    /// The ratio is capped at twice that of evenly spread demand, so that a single large request at
-    /// a host with little demand does not count as many at its peers.
-    fn estimate_unpublished(&self, reachability: PeerReachability) -> f64 {
-        if self.published_asked == 0 {
-            return 0.0;
+    /// Counts units that are requested.
+    fn on_asked(&mut self, now: Timestamp, asked: u64) {
+        if asked == 0 {
+            return;
+        }
+        if self.own.asked == 0 {
+            self.active_since = Some(now);
         }
-        let (PeerReachability::Minority { known, .. } | PeerReachability::Majority { known, .. }) =
-            reachability;
-        let even = f64::from(known.saturating_sub(1));
-        let ratio = self.peers.asked as f64 / self.published_asked as f64;
-        self.unpublished_spent as f64 * ratio.min(2.0 * even)
+        self.own.asked += asked;
+        self.own.total_asked = self.own.total_asked.saturating_add_unsigned(asked);
+        self.unpublished += asked;
+        self.credit.observe_request(asked);
     }
 
-    /// Returns the number of units that this host may spend in the window.
-    fn share(&self, total: f64, asked: u64) -> f64 {
-        let own = (self.own.asked + asked) as f64;
-        let fraction = own / (own + self.peers.asked as f64);
-        total * fraction.max(MIN_SHARE_FRACTION)
+    /// Returns whether this host may not know the demand at its peers yet.
+    fn is_starting(&self, now: Timestamp, started_at: Option<Timestamp>) -> bool {
+        let is_recent = |at: Option<Timestamp>| at.is_some_and(|at| now.since(at) < START_TIME);
+        is_recent(started_at) || is_recent(self.active_since)
     }
 
-    /// Returns the time until at least `missing` admitted units have left the window.
-    fn time_until_capacity(&self, now: Timestamp, span: Duration, missing: f64) -> Duration {
-        let mut freed = 0.0;
-        for entry in self.entries.iter().filter(|entry| entry.admitted) {
-            freed += entry.units as f64;
-            if freed >= missing {
-                return (entry.at + span).since(now);
-            }
+    /// Estimates what the peers admitted and could not tell yet: what they are asked for usually, scaled
+    /// by how much demand grew since this host's last summary, as far as it can tell from its own
+    /// requests. If they have told of none, they may be asked as much as this host.
+    fn hidden_units(
+        &self,
+        unpublished_time: Duration,
+        hidden_time: Duration,
+        span: Duration,
+        reachability: PeerReachability,
+    ) -> f64 {
+        let noise = (SURGE_REQUESTS * self.credit.mean_units()).max(1.0);
+        let unpublished = self.unpublished as f64;
+        if self.peers.asked == 0 {
+            let peers = f64::from(reachability.group().saturating_sub(1));
+            return (unpublished - noise).max(0.0) * peers;
+        }
+        let usual_rate = self.own.asked as f64 / span.as_secs_f64();
+        let usual = usual_rate * unpublished_time.as_secs_f64();
+        let surge_factor = ((unpublished + noise) / (usual + noise)).max(1.0);
+        self.peer_rate * hidden_time.as_secs_f64() * surge_factor
+    }
+
+    /// Returns this host's part of the refill: its part of the demand.
+    fn part(
+        &self,
+        now: Timestamp,
+        started_at: Option<Timestamp>,
+        reachability: PeerReachability,
+    ) -> f64 {
+        let even = 1.0 / f64::from(reachability.group().max(1));
+        let own = self.own.asked as f64;
+        let part = (own / (own + self.peers.asked as f64).max(1.0)).max(even * MIN_PART_FRACTION);
+        match self.is_starting(now, started_at) {
+            true => part.min(even * START_PARTS),
+            false => part,
         }
-        span
     }
 }
--- a/lib/src/protos/pomelostack.gateway.rs
+++ b/lib/src/protos/pomelostack.gateway.rs
@@ -82,7 +82,7 @@
     #[prost(bool, tag = "27")]
     pub leaving: bool,
 }
-/// Quota units of one team in the sliding window.
+/// Quota units of one team; in the sliding window, unless stated otherwise.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TeamUse {
     #[prost(string, tag = "1")]
@@ -91,6 +91,11 @@
     pub spent: u64,
     #[prost(uint64, tag = "3")]
     pub asked: u64,
+    /// Units spent and requested since the sender's start.
+    #[prost(int64, tag = "4")]
+    pub total: i64,
+    #[prost(int64, tag = "5")]
+    pub total_asked: i64,
 }
 /// Load that the sender has running at one backend server.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/tests/test_peer_table.rs
+++ b/lib/tests/test_peer_table.rs
@@ -46,7 +46,7 @@
         incarnation,
         sequence,
         address: "10.0.0.9:7600".to_owned(),
-        teams: vec![TeamUse { team: "club".to_owned(), spent, asked: spent }],
+        teams: vec![TeamUse { team: "club".to_owned(), spent, asked: spent, ..TeamUse::default() }],
         ..HostSummary::default()
     }
 }
@@ -436,8 +436,13 @@
 fn invalid_team_names() {
     let mut table = PeerTable::new(host("h1"), zone("north"));
     let mut named = summary("h2", 1, 1, 50);
-    named.teams.push(TeamUse { team: "no name".to_owned(), spent: 7, asked: 7 });
-    named.teams.push(TeamUse { team: String::new(), spent: 7, asked: 7 });
+    named.teams.push(TeamUse {
+        team: "no name".to_owned(),
+        spent: 7,
+        asked: 7,
+        ..TeamUse::default()
+    });
+    named.teams.push(TeamUse { team: String::new(), spent: 7, asked: 7, ..TeamUse::default() });
     table.on_summary(at(0), named);
     assert_eq!(table.spending().len(), 1);
     table.on_summary(at(10), summary("h2", 1, 2, 20));
@@ -446,6 +451,20 @@
     assert!(table.spending().is_empty());
 }
 
+/// Guards against hosts that start together and each spend a quota as if there were two of them.
+#[test]
+fn joining_hosts() {
+    let mut table = PeerTable::new(host("h0"), zone("north"));
+    for number in 1..8 {
+        let address = "10.0.0.9:7600".parse().expect("valid in tests");
+        table.on_listed(at(0), host(&format!("h{number}")), address);
+    }
+    table.on_summary(at(100), summary("h1", 1, 1, 0));
+    assert_eq!(table.reachability(at(200)), PeerReachability::Minority { group: 2, known: 8 });
+    table.on_summary(at(1_800), summary("h1", 1, 2, 0));
+    assert_eq!(table.reachability(at(2_000)), PeerReachability::Majority { silent: 0, known: 2 });
+}
+
 #[test]
 fn recorder_replaced() {
     // The record of a zone's former recorder holds the spending of hosts that are still heard from.
--- a/lib/tests/test_quota_limiter.rs
+++ b/lib/tests/test_quota_limiter.rs
@@ -13,6 +13,7 @@
 use pomelostack_lib::gateway::quota::quota_limiter::TeamSpending;
 use pomelostack_lib::gateway::request_rank::RequestRank;
 use pomelostack_lib::gateway::serving_config::TeamQuota;
+use pomelostack_lib::ids::HostId;
 use pomelostack_lib::ids::TeamName;
 use pomelostack_lib::timestamp::Timestamp;
 use rand::Rng as _;
@@ -28,6 +29,8 @@
 /// Time between two periodic summaries, and the delay of each.
 const SUMMARY_MS: u64 = 400;
 const DELAY_MS: u64 = 20;
+/// Time after its start in which a host's summaries show that it has just started.
+const START_MS: u64 = 1_500;
 /// Minimum time between two records of a host.
 const RECORD_MS: u64 = 250;
 /// Minimum time between two records of a zone.
@@ -119,6 +122,52 @@
 /// A host and the number of its restarts.
 type HostIncarnation = (usize, u32);
 
+/// Summaries that a host received.
+#[derive(Clone, Debug, Default)]
+struct HeardSummaries {
+    /// Newest summary of each incarnation, and when it arrived.
+    newest: BTreeMap<HostIncarnation, (u64, TeamSpending)>,
+    /// Units that peers spent and were asked for between their summaries.
+    total: i64,
+    total_asked: i64,
+}
+
+impl HeardSummaries {
+    fn insert(
+        &mut self,
+        at_ms: u64,
+        sender: HostIncarnation,
+        is_new: bool,
+        spending: TeamSpending,
+    ) {
+        let known = self.newest.insert(sender, (at_ms, spending));
+        let is_replaced = self.newest.range((sender.0, 0)..sender).next().is_some();
+        match known {
+            Some((_, known)) => {
+                self.total += spending.total - known.total;
+                self.total_asked += spending.total_asked - known.total_asked;
+            }
+            None if is_replaced || is_new => {
+                self.total += spending.total;
+                self.total_asked += spending.total_asked;
+            }
+            None => {}
+        }
+    }
+
+    /// Returns the sum over all incarnations whose summaries are not older than the window.
+    fn sum(&mut self, at_ms: u64) -> TeamSpending {
+        self.newest.retain(|_, (at, _)| at_ms < *at + WINDOW.as_millis() as u64);
+        let (total, total_asked) = (self.total, self.total_asked);
+        let mut sum = TeamSpending { total, total_asked, ..TeamSpending::default() };
+        for (_, spending) in self.newest.values() {
+            sum.spent += spending.spent;
+            sum.asked += spending.asked;
+        }
+        sum
+    }
+}
+
 /// Faults during the simulation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fault {
@@ -136,6 +185,15 @@
     worst_window: u64,
     asked: u64,
     admitted: u64,
+    /// Time in milliseconds and units of each admitted request.
+    admissions: Vec<(u64, u64)>,
+}
+
+impl SimulationResult {
+    fn admitted_between(&self, from_ms: u64, to_ms: u64) -> u64 {
+        let inside = self.admissions.iter().filter(|(at, _)| (from_ms..to_ms).contains(at));
+        inside.map(|(_, units)| units).sum()
+    }
 }
 
 /// Simulates hosts whose summaries arrive late.
@@ -145,13 +203,16 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let weights: Vec<f64> = (0..hosts).map(|_| rng.random_range(0.2..2.0)).collect();
     let total_weight: f64 = weights.iter().sum();
-    let mut limiters: Vec<QuotaLimiter> = (0..hosts).map(|_| new_limiter()).collect();
+    let host_limiter = |host: usize| {
+        new_limiter().with_host(&HostId::try_from(format!("h{host}")).expect("valid in tests"))
+    };
+    let mut limiters: Vec<QuotaLimiter> = (0..hosts).map(host_limiter).collect();
     // Newest summary of each host that has arrived, and summaries in flight. Spending of earlier
     // incarnations counts as long as the window.
-    let mut heard: Vec<BTreeMap<HostIncarnation, (u64, TeamSpending)>> =
-        vec![BTreeMap::new(); hosts];
+    let mut heard = vec![HeardSummaries::default(); hosts];
     let mut in_flight: Vec<(u64, HostIncarnation, TeamSpending)> = Vec::new();
     let mut restart_counts = vec![0; hosts];
+    let mut started_ms = vec![0; hosts];
     let mut published_ms = vec![0; hosts];
     // The store: newest record of each host with the time it was written.
     let mut records: BTreeMap<usize, (u64, HostIncarnation, TeamSpending)> = BTreeMap::new();
@@ -167,12 +228,13 @@
                 Fault::None | Fault::Partition => false,
             };
             if restarts {
-                limiters[host] = new_limiter();
+                limiters[host] = host_limiter(host);
                 limiters[host].assume_spent(now);
-                heard[host].clear();
+                heard[host] = HeardSummaries::default();
                 restart_counts[host] += 1;
+                started_ms[host] = at_ms;
                 for (written_ms, incarnation, spending) in records.values() {
-                    heard[host].insert(*incarnation, (*written_ms, *spending));
+                    heard[host].newest.insert(*incarnation, (*written_ms, *spending));
                 }
                 limiters[host].on_records_read();
             }
@@ -206,7 +268,7 @@
             if must_record {
                 let own = limiters[host].record_spending(now);
                 let mut spending = own.first().map_or(TeamSpending::default(), |own| own.1);
-                for ((peer, _), (_, published)) in &heard[host] {
+                for ((peer, _), (_, published)) in &heard[host].newest {
                     if fleet.recording_zones.is_some_and(|zones| peer % zones == host % zones) {
                         spending.spent += published.spent;
                         spending.asked += published.asked;
@@ -235,19 +297,14 @@
         let arrived: Vec<(u64, HostIncarnation, TeamSpending)> = arrived;
         for (_, sender, spending) in arrived {
             for host in (0..hosts).filter(|host| *host != sender.0 && !is_partitioned(*host)) {
-                heard[host].insert(sender, (at_ms, spending));
+                let is_new = at_ms < started_ms[sender.0] + START_MS;
+                heard[host].insert(at_ms, sender, is_new, spending);
             }
         }
         // Large fleets expire summaries less often, which saves time.
         let step = hosts as u64 / HOSTS as u64;
         for host in (0..hosts).filter(|_| at_ms.is_multiple_of(step)) {
-            heard[host].retain(|_, (at, _)| at_ms < *at + WINDOW.as_millis() as u64);
-            let sum = heard[host].values().fold(TeamSpending::default(), |sum, (_, spending)| {
-                TeamSpending {
-                    spent: sum.spent + spending.spent,
-                    asked: sum.asked + spending.asked,
-                }
-            });
+            let sum = heard[host].sum(at_ms);
             limiters[host].set_peer_spending(&BTreeMap::from([(team(), sum)]));
         }
     }
@@ -260,7 +317,8 @@
         })
         .max();
     let total = admitted.iter().map(|(_, units)| units).sum();
-    SimulationResult { worst_window: worst_window.unwrap_or(0), asked, admitted: total }
+    let worst_window = worst_window.unwrap_or(0);
+    SimulationResult { worst_window, asked, admitted: total, admissions: admitted }
 }
 
 #[rstest]
@@ -325,6 +383,19 @@
     }
 }
 
+/// Guards against refusals of what the rate entitles a team to, after it has spent a window's quota at
+/// once.
+#[rstest]
+fn steady_use(#[values(LARGE_FLEET, LARGEST_FLEET)] fleet: Fleet, #[values(1, 2)] seed: u64) {
+    let result = simulate(fleet, seed, Demand::constant(7.0), Fault::None);
+    assert_within(fleet.quota, &result);
+    for from_ms in (2_000..28_000).step_by(500) {
+        let admitted = result.admitted_between(from_ms, from_ms + 2_000);
+        let limit = 2 * fleet.quota.rate;
+        assert!(admitted * 10 >= limit * 9, "{admitted} of {limit} from {from_ms} ms");
+    }
+}
+
 #[rstest]
 fn below_quota(#[values(1, 2, 3, 4)] seed: u64) {
     let result = simulate(SMALL_FLEET, seed, Demand::constant(0.55), Fault::None);
