capacity: speeds of servers, learned from the times that hosts see

The speed of engines and of plain servers was known only as constants of one engine.

SpeedTable learns the prefill speed of each server and of each service from times to first events, and the service time of plain calls. It takes the common value of requests that found no known work ahead, so that queues do not lower it and prompts cached unknown to the host do not raise it.

--- a/lib/src/gateway/capacity.rs
+++ b/lib/src/gateway/capacity.rs
@@ -3,3 +3,6 @@
 pub mod demand_meter;
 pub mod fleet_plan;
 pub mod fleet_scaler;
+pub mod sample_ring;
+pub mod service_speed;
+pub mod speed_table;
--- /dev/null
+++ b/lib/src/gateway/capacity/speed_table.rs
@@ -0,0 +1,487 @@
+//! Speed of each server, learned from the times that hosts see.
+//!
+//! Load pattern: engines differ in speed from service to service and within one, requests wait behind
+//! the prompts of other hosts, prefixes are cached that this host does not know of, and servers slow
+//! down for moments. The time to a first event is `fixed + tokens / speed` for a request that waits for
+//! nothing. Only requests that found no known work ahead of them count, of those only the large ones for
+//! the speed and the small ones for the fixed time, and of their values the most common one
+//! (`sample_ring`). Waiting in a queue thus does not lower the learned speed, and a prompt that was cached
+//! unknown to this host does not raise it. At a server that is never free, requests count with the
+//! tokens that were known to be ahead of them.
+//!
+//! Hosts pass their measurements on in summaries (`speed_gossip`), so that all hosts learn the same and
+//! nothing is lost with one of them.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use slotmap::SecondaryMap;
+
+use crate::gateway::caller_request::PromptShape;
+use crate::gateway::capacity::sample_ring::SampleRing;
+use crate::gateway::capacity::sample_ring::SampleSource;
+use crate::gateway::capacity::service_speed::INITIAL_FIRST_EVENT;
+use crate::gateway::capacity::service_speed::INITIAL_OUTPUT_TOKENS_PER_S;
+use crate::gateway::capacity::service_speed::INITIAL_PREFILL_TOKENS_PER_MS;
+use crate::gateway::capacity::service_speed::ServiceSpeed;
+use crate::gateway::capacity::service_speed::SpeedBasis;
+use crate::ids::ServerKey;
+use crate::ids::ServiceName;
+use crate::timestamp::Timestamp;
+
+/// Measurements kept of each server.
+const SERVER_SAMPLES: usize = 40;
+
+/// Measurements from which on the speed of a server, or of a service, counts as learned.
+pub const MIN_SAMPLES: usize = 8;
+
+/// Measurements kept of small prompts, and of all servers of a service together.
+const SERVICE_SAMPLES: usize = 64;
+
+/// Maximum number of measurements that wait for the next summary: those of one summary at twice the
+/// traffic per host of the largest deployment.
+pub const MAX_SHARED_SAMPLES: usize = 6;
+
+/// A request waited for nothing if less than this share of its own tokens was ahead of it.
+const MAX_PENDING_SHARE: f64 = 0.25;
+
+/// Time without an undisturbed measurement after which disturbed ones count as well.
+const DISTURBED_DELAY: Duration = Duration::from_secs(10);
+
+/// Prompts of at least this share of the typical size, weighted by tokens, measure the speed. For
+/// smaller ones most of the time is the fixed one.
+const LARGE_PROMPT_SHARE: f64 = 0.5;
+
+/// Prompts of at most this share of the typical size measure the fixed time.
+const SMALL_PROMPT_SHARE: f64 = 0.25;
+
+/// Share of the small prompts that wait for nothing at the least; the others take longer than the fixed
+/// time, and none takes less.
+const FIXED_TIME_QUANTILE: f64 = 0.1;
+
+/// Weight of a new prompt in the typical size.
+const SIZE_WEIGHT: f64 = 0.02;
+
+/// Part of a measured time that is prefill at the least, so that no fixed time explains all of it.
+const MIN_PREFILL_PART: f64 = 0.2;
+
+/// Range of believable speeds in prompt tokens per millisecond. Values outside are errors of a peer.
+const BELIEVABLE_TOKENS_PER_MS: std::ops::RangeInclusive<f64> = 0.1..=20_000.0;
+
+/// Longest believable time of a measurement.
+const MAX_ELAPSED: Duration = Duration::from_secs(60);
+
+/// Whether something besides the prompt took part of the measured time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadQuality {
+    /// Nothing that this host knows of.
+    Undisturbed,
+    /// Other prompts were ahead, or parts of the prompt may be cached.
+    Disturbed,
+}
+
+/// What a server had to read before the first event of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptRead {
+    /// Prompt tokens of the request that are certainly not cached.
+    pub own_tokens: u64,
+    /// Prompt tokens that were known to be ahead of it.
+    pub pending_tokens: u64,
+    /// What else may have taken time.
+    pub quality: ReadQuality,
+}
+
+/// The state of a server when a request was sent to it.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerMoment {
+    /// Prompt tokens of other requests that it had not prefilled, as far as known.
+    pub pending_tokens: u64,
+    /// Requests in flight there.
+    pub running: u32,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+}
+
+impl PromptRead {
+    /// Returns all prompt tokens that were read before the first event.
+    pub fn tokens(self) -> u64 {
+        self.own_tokens.saturating_add(self.pending_tokens)
+    }
+
+    /// Returns what a server has to read for a request; `None` if the time to its first event shows
+    /// nothing of the speed, since it waits for a slot or its own part is cached.
+    pub fn of_request(
+        prompt: &PromptShape,
+        uncached_tokens: u64,
+        moment: ServerMoment,
+    ) -> Option<Self> {
+        let shared: u64 = prompt.shared_parts().iter().map(|part| u64::from(part.tokens)).sum();
+        let own = u64::from(prompt.prompt_tokens).saturating_sub(shared);
+        if own == 0 || uncached_tokens < own || moment.running >= moment.slots {
+            return None;
+        }
+        // Shared parts that this host has not sent there may have come from another host.
+        let is_known = uncached_tokens == own;
+        let is_free = moment.pending_tokens as f64 <= own as f64 * MAX_PENDING_SHARE;
+        Some(match is_known && is_free {
+            true => Self { own_tokens: own, pending_tokens: 0, quality: ReadQuality::Undisturbed },
+            false => Self {
+                own_tokens: own,
+                pending_tokens: moment.pending_tokens,
+                quality: ReadQuality::Disturbed,
+            },
+        })
+    }
+}
+
+/// A measured first event.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReadSample {
+    /// What the server read.
+    pub read: PromptRead,
+    /// Time from sending the request to its first event.
+    pub elapsed: Duration,
+}
+
+impl ReadSample {
+    fn elapsed_ms(self) -> f64 {
+        self.elapsed.as_secs_f64() * 1_000.0
+    }
+
+    /// Returns the prompt tokens per millisecond, given the time that a first event takes anyway.
+    fn tokens_per_ms(self, fixed_ms: f64) -> f64 {
+        let prefill_ms = (self.elapsed_ms() - fixed_ms).max(self.elapsed_ms() * MIN_PREFILL_PART);
+        self.read.tokens() as f64 / prefill_ms
+    }
+
+    /// Returns whether the measurement is possible at all.
+    fn is_believable(self) -> bool {
+        self.elapsed <= MAX_ELAPSED
+            && BELIEVABLE_TOKENS_PER_MS.contains(&(self.read.tokens() as f64 / self.elapsed_ms()))
+    }
+}
+
+/// A measurement to share with peers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum SpeedSample {
+    /// The time to a first event.
+    Read(ReadSample),
+    /// The service time of a plain call.
+    Plain(Duration),
+}
+
+/// What is known of one server's process.
+#[derive(Clone, Debug)]
+struct ServerSpeed {
+    /// Index of its service.
+    service: usize,
+    reads: SampleRing<ReadSample>,
+    undisturbed_at: Option<Timestamp>,
+    prefill_tokens_per_ms: Option<f64>,
+    plain: SampleRing<Duration>,
+    plain_ms: Option<f64>,
+}
+
+/// What is known of the servers of one service.
+#[derive(Clone, Debug)]
+struct ServiceStats {
+    name: ServiceName,
+    /// Mean and mean square of the prompts' sizes.
+    mean_tokens: f64,
+    mean_square_tokens: f64,
+    small_reads: SampleRing<ReadSample>,
+    fixed_ms: f64,
+    /// Measurements of all servers.
+    reads: SampleRing<ReadSample>,
+    prefill_tokens_per_ms: Option<f64>,
+    plain: SampleRing<Duration>,
+    plain_ms: Option<f64>,
+    learned_at: Option<Timestamp>,
+}
+
+impl ServiceStats {
+    fn new(name: ServiceName) -> Self {
+        Self {
+            name,
+            mean_tokens: 0.0,
+            mean_square_tokens: 0.0,
+            small_reads: SampleRing::new(SERVICE_SAMPLES),
+            fixed_ms: INITIAL_FIRST_EVENT.as_secs_f64() * 1_000.0,
+            reads: SampleRing::new(SERVICE_SAMPLES),
+            prefill_tokens_per_ms: None,
+            plain: SampleRing::new(SERVICE_SAMPLES),
+            plain_ms: None,
+            learned_at: None,
+        }
+    }
+
+    /// Returns the size of the prompt that a typical token belongs to.
+    fn typical_tokens(&self) -> f64 {
+        if self.mean_tokens > 0.0 { self.mean_square_tokens / self.mean_tokens } else { 0.0 }
+    }
+
+    fn is_large(&self, sample: ReadSample) -> bool {
+        sample.read.own_tokens as f64 >= self.typical_tokens() * LARGE_PROMPT_SHARE
+    }
+
+    fn on_size(&mut self, tokens: u64) {
+        let tokens = tokens as f64;
+        let weight = if self.mean_tokens > 0.0 { SIZE_WEIGHT } else { 1.0 };
+        self.mean_tokens += (tokens - self.mean_tokens) * weight;
+        self.mean_square_tokens += (tokens * tokens - self.mean_square_tokens) * weight;
+    }
+
+    /// Learns the fixed time from a small prompt.
+    fn on_small_read(&mut self, now: Timestamp, sample: ReadSample) {
+        self.small_reads.push(now, SampleSource::Own, sample);
+        if self.small_reads.len() < MIN_SAMPLES {
+            return;
+        }
+        let speed = self.prefill_tokens_per_ms.unwrap_or(INITIAL_PREFILL_TOKENS_PER_MS);
+        let fixed =
+            |sample: ReadSample| sample.elapsed_ms() - sample.read.own_tokens as f64 / speed;
+        let fixed = self.small_reads.quantile(FIXED_TIME_QUANTILE, fixed);
+        self.fixed_ms = fixed.map_or(self.fixed_ms, |fixed| fixed.max(0.0));
+    }
+
+    /// Returns the speed that measurements of large prompts show.
+    fn speed_of(&self, reads: &SampleRing<ReadSample>) -> Option<f64> {
+        let large_only = |sample: ReadSample| match self.is_large(sample) {
+            true => sample.tokens_per_ms(self.fixed_ms),
+            // Values that are not positive do not count.
+            false => 0.0,
+        };
+        if reads.len() < MIN_SAMPLES { None } else { reads.common_value(large_only) }
+    }
+}
+
+/// Learned speeds of all servers.
+#[derive(Clone, Debug, Default)]
+pub struct SpeedTable {
+    servers: SecondaryMap<ServerKey, ServerSpeed>,
+    services: Vec<ServiceStats>,
+    /// Measurements of this host for the next summary.
+    unshared: VecDeque<(ServerKey, SpeedSample)>,
+}
+
+impl SpeedTable {
+    /// Adds a server of a service, or forgets what was learned of one that restarted.
+    pub fn on_joined(&mut self, key: ServerKey, service: &ServiceName) {
+        let service = self.service_index(service);
+        let speed = ServerSpeed {
+            service,
+            reads: SampleRing::new(SERVER_SAMPLES),
+            undisturbed_at: None,
+            prefill_tokens_per_ms: None,
+            plain: SampleRing::new(SERVER_SAMPLES),
+            plain_ms: None,
+        };
+        self.servers.insert(key, speed);
+    }
+
+    /// Removes a server; what it added to the knowledge of its service stays.
+    pub fn remove(&mut self, key: ServerKey) {
+        self.servers.remove(key);
+    }
+
+    fn service_index(&mut self, name: &ServiceName) -> usize {
+        match self.services.iter().position(|stats| stats.name == *name) {
+            Some(index) => index,
+            None => {
+                self.services.push(ServiceStats::new(name.clone()));
+                self.services.len() - 1
+            }
+        }
+    }
+
+    /// Records that the first event of a request of this host came from a server.
+    pub fn on_first_event(
+        &mut self,
+        now: Timestamp,
+        key: ServerKey,
+        read: PromptRead,
+        elapsed: Duration,
+    ) {
+        let sample = ReadSample { read, elapsed };
+        let Some(service) = self.servers.get(key).map(|server| server.service) else { return };
+        if !sample.is_believable() {
+            return;
+        }
+        let stats = &mut self.services[service];
+        let size = stats.typical_tokens();
+        stats.on_size(read.own_tokens);
+        if (read.own_tokens as f64) <= size * SMALL_PROMPT_SHARE {
+            // Behind a queue all first events are late, and none shows the fixed time.
+            if read.quality == ReadQuality::Undisturbed {
+                stats.on_small_read(now, sample);
+            }
+            return;
+        }
+        if self.learn_read(now, key, sample, SampleSource::Own) {
+            self.share(key, SpeedSample::Read(sample));
+        }
+    }
+
+    /// Records the time from sending a plain call to its complete answer. `moment` is that of sending.
+    pub fn on_plain_answer(
+        &mut self,
+        now: Timestamp,
+        key: ServerKey,
+        moment: ServerMoment,
+        elapsed: Duration,
+    ) {
+        // A call that waits for a slot shows nothing of the speed.
+        if moment.running < moment.slots && elapsed <= MAX_ELAPSED {
+            self.learn_plain(now, key, elapsed, SampleSource::Own);
+            self.share(key, SpeedSample::Plain(elapsed));
+        }
+    }
+
+    /// Records a measurement of a peer.
+    pub fn on_peer_sample(
+        &mut self,
+        now: Timestamp,
+        key: ServerKey,
+        sample: SpeedSample,
+        peer: SampleSource,
+    ) {
+        match sample {
+            SpeedSample::Read(sample) if sample.is_believable() => {
+                self.learn_read(now, key, sample, peer);
+            }
+            SpeedSample::Plain(elapsed) if elapsed <= MAX_ELAPSED => {
+                self.learn_plain(now, key, elapsed, peer);
+            }
+            SpeedSample::Read(_) | SpeedSample::Plain(_) => {}
+        }
+    }
+
+    /// Returns the measurements for the next summary, and forgets them: later ones replace lost ones.
+    pub fn take_unshared(&mut self) -> Vec<(ServerKey, SpeedSample)> {
+        self.unshared.drain(..).collect()
+    }
+
+    fn share(&mut self, key: ServerKey, sample: SpeedSample) {
+        if self.unshared.len() >= MAX_SHARED_SAMPLES {
+            self.unshared.pop_front();
+        }
+        self.unshared.push_back((key, sample));
+    }
+
+    /// Learns from the first event of a large prompt; returns whether it was one that counts.
+    fn learn_read(
+        &mut self,
+        now: Timestamp,
+        key: ServerKey,
+        sample: ReadSample,
+        source: SampleSource,
+    ) -> bool {
+        let Some(server) = self.servers.get_mut(key) else { return false };
+        let stats = &mut self.services[server.service];
+        if !stats.is_large(sample) {
+            return false;
+        }
+        match sample.read.quality {
+            ReadQuality::Undisturbed => server.undisturbed_at = Some(now),
+            ReadQuality::Disturbed => {
+                let last = server.undisturbed_at;
+                if last.is_some_and(|at| now.since(at) < DISTURBED_DELAY) {
+                    return false;
+                }
+            }
+        }
+        server.reads.push(now, source, sample);
+        stats.reads.push(now, source, sample);
+        server.prefill_tokens_per_ms =
+            stats.speed_of(&server.reads).or(server.prefill_tokens_per_ms);
+        let service = server.service;
+        self.update_service(now, service);
+        true
+    }
+
+    /// Updates the expected speed of a server of a service: the mean over those that are known, or what
+    /// the measurements of all of them show.
+    fn update_service(&mut self, now: Timestamp, service: usize) {
+        let known = self.servers.values().filter(|server| server.service == service);
+        let speeds = known.filter_map(|server| server.prefill_tokens_per_ms);
+        let (count, sum) =
+            speeds.fold((0_u32, 0.0), |(count, sum), speed| (count + 1, sum + speed));
+        let stats = &mut self.services[service];
+        let pooled = if count == 0 { stats.speed_of(&stats.reads) } else { None };
+        let mean = (count > 0).then(|| sum / f64::from(count));
+        if let Some(speed) = mean.or(pooled) {
+            stats.prefill_tokens_per_ms = Some(speed);
+            stats.learned_at = Some(now);
+        }
+    }
+
+    fn learn_plain(
+        &mut self,
+        now: Timestamp,
+        key: ServerKey,
+        elapsed: Duration,
+        source: SampleSource,
+    ) {
+        let Some(server) = self.servers.get_mut(key) else { return };
+        let stats = &mut self.services[server.service];
+        server.plain.push(now, source, elapsed);
+        stats.plain.push(now, source, elapsed);
+        let millis = |elapsed: Duration| elapsed.as_secs_f64() * 1_000.0;
+        server.plain_ms = server.plain.common_value(millis);
+        stats.plain_ms = stats.plain.common_value(millis);
+    }
+
+    /// Returns the prompt tokens that a server prefills per millisecond: as measured there, else as
+    /// expected of a server of its service, else the initial guess.
+    pub fn prefill_tokens_per_ms(&self, _now: Timestamp, key: ServerKey) -> f64 {
+        let server = self.servers.get(key);
+        let learned = server.and_then(|server| {
+            let expected = self.services[server.service].prefill_tokens_per_ms;
+            server.prefill_tokens_per_ms.or(expected)
+        });
+        learned.unwrap_or(INITIAL_PREFILL_TOKENS_PER_MS)
+    }
+
+    /// Returns the usual time of a plain call at a server that has a free slot: as measured there, else
+    /// as expected of a server of its service; `None` before any was measured.
+    pub fn service_time(&self, _now: Timestamp, key: ServerKey) -> Option<Duration> {
+        let server = self.servers.get(key)?;
+        let millis = server.plain_ms.or(self.services[server.service].plain_ms)?;
+        Some(Duration::from_secs_f64(millis / 1_000.0))
+    }
+
+    /// Returns what is expected of a server of a service.
+    pub fn of_service(&self, _now: Timestamp, service: &ServiceName) -> ServiceSpeed {
+        let stats = self.services.iter().find(|stats| stats.name == *service);
+        match stats.and_then(|stats| stats.prefill_tokens_per_ms) {
+            Some(tokens_per_ms) => ServiceSpeed {
+                prefill_tokens_per_s: tokens_per_ms * 1_000.0,
+                output_tokens_per_s: INITIAL_OUTPUT_TOKENS_PER_S,
+                basis: SpeedBasis::Learned,
+            },
+            None => ServiceSpeed::INITIAL,
+        }
+    }
+
+    /// Returns the time to the first event that does not depend on the prompt, for a service.
+    pub fn fixed_time(&self, service: &ServiceName) -> Duration {
+        let stats = self.services.iter().find(|stats| stats.name == *service);
+        stats.map_or(INITIAL_FIRST_EVENT, |stats| Duration::from_secs_f64(stats.fixed_ms / 1_000.0))
+    }
+
+    /// Returns the learned speed of each service in prompt tokens per millisecond, with the time since
+    /// the last measurement and the number of servers that were measured.
+    pub fn learned(
+        &self,
+        now: Timestamp,
+    ) -> impl Iterator<Item = (&ServiceName, f64, Duration, usize)> {
+        self.services.iter().enumerate().filter_map(move |(index, stats)| {
+            let is_known = |server: &&ServerSpeed| {
+                server.service == index && server.prefill_tokens_per_ms.is_some()
+            };
+            let known = self.servers.values().filter(is_known).count();
+            let age = now.since(stats.learned_at?);
+            Some((&stats.name, stats.prefill_tokens_per_ms?, age, known))
+        })
+    }
+}
--- /dev/null
+++ b/lib/tests/test_speed_table.rs
@@ -0,0 +1,324 @@
+//! Learned speeds against simulated engines: queues, unknown caches, uneven servers and bad reports.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use pomelostack_lib::gateway::caller_request::PromptPart;
+use pomelostack_lib::gateway::caller_request::PromptShape;
+use pomelostack_lib::gateway::capacity::sample_ring::SampleSource;
+use pomelostack_lib::gateway::capacity::service_speed::INITIAL_PREFILL_TOKENS_PER_MS;
+use pomelostack_lib::gateway::capacity::service_speed::SpeedBasis;
+use pomelostack_lib::gateway::capacity::speed_table::PromptRead;
+use pomelostack_lib::gateway::capacity::speed_table::ReadQuality;
+use pomelostack_lib::gateway::capacity::speed_table::ReadSample;
+use pomelostack_lib::gateway::capacity::speed_table::ServerMoment;
+use pomelostack_lib::gateway::capacity::speed_table::SpeedSample;
+use pomelostack_lib::gateway::capacity::speed_table::SpeedTable;
+use pomelostack_lib::ids::ServerKey;
+use pomelostack_lib::ids::ServiceName;
+use pomelostack_lib::timestamp::Timestamp;
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use slotmap::SlotMap;
+
+const SLOTS: u32 = 24;
+const HOSTS: usize = 12;
+/// Delay after which other hosts learn of pending prompts and measurements.
+const SUMMARY_DELAY_MS: f64 = 400.0;
+/// Share of the prompts whose own part is cached unknown to the hosts, and the part that is not.
+const CACHED_SHARE: f64 = 0.1;
+const CACHED_PART: f64 = 0.3;
+/// Share of the prompts whose shared part is no longer cached.
+const EVICTED_SHARE: f64 = 0.15;
+/// Share of the prompts that an engine prefills more slowly, and by what factor.
+const SLOW_SHARE: f64 = 0.15;
+const SLOW_FACTOR: f64 = 2.5;
+/// Shared and own tokens of a prompt, and its share of the requests.
+const PROMPTS: [(u32, u32, f64); 3] = [(5_382, 6_610, 0.25), (198, 628, 0.35), (568, 1_800, 0.4)];
+
+fn service() -> ServiceName {
+    ServiceName::try_from("chat").expect("valid in tests")
+}
+
+fn moment() -> ServerMoment {
+    ServerMoment { pending_tokens: 0, running: 0, slots: SLOTS }
+}
+
+fn read(tokens: u64) -> PromptRead {
+    PromptRead { own_tokens: tokens, pending_tokens: 0, quality: ReadQuality::Undisturbed }
+}
+
+/// A prompt with one shared and one own part.
+fn prompt(shared: u32, own: u32) -> PromptShape {
+    let parts = vec![PromptPart { id: 1, tokens: shared }, PromptPart { id: 2, tokens: own }];
+    PromptShape { prompt_tokens: shared + own, max_output_tokens: 100, parts }
+}
+
+/// An engine that prefills one prompt after the other.
+#[derive(Clone)]
+struct SimulatedEngine {
+    key: ServerKey,
+    tokens_per_ms: f64,
+    free_at_ms: f64,
+    /// Sending time, tokens, time of the first event and sender of each prompt.
+    prompts: Vec<(f64, u64, f64, usize)>,
+}
+
+/// Hosts that send to engines and exchange what they measure.
+struct SimulatedFleet {
+    random: ChaCha8Rng,
+    engines: Vec<SimulatedEngine>,
+    hosts: Vec<SpeedTable>,
+    fixed_ms: f64,
+    now_ms: f64,
+    /// First events and measurements that are still to come, by time in microseconds.
+    events: BTreeMap<(u64, u64), FleetEvent>,
+    count: u64,
+}
+
+enum FleetEvent {
+    FirstEvent { host: usize, key: ServerKey, read: PromptRead, elapsed: Duration },
+    Shared { from: usize, key: ServerKey, sample: SpeedSample },
+}
+
+impl SimulatedFleet {
+    fn new(speeds: &[f64], fixed_ms: f64) -> Self {
+        let mut keys: SlotMap<ServerKey, ()> = SlotMap::with_key();
+        let engines: Vec<_> = speeds
+            .iter()
+            .map(|speed| SimulatedEngine {
+                key: keys.insert(()),
+                tokens_per_ms: *speed,
+                free_at_ms: 0.0,
+                prompts: Vec::new(),
+            })
+            .collect();
+        let mut table = SpeedTable::default();
+        engines.iter().for_each(|engine| table.on_joined(engine.key, &service()));
+        Self {
+            random: ChaCha8Rng::seed_from_u64(3),
+            engines,
+            hosts: vec![table; HOSTS],
+            fixed_ms,
+            now_ms: 0.0,
+            events: BTreeMap::new(),
+            count: 0,
+        }
+    }
+
+    fn push(&mut self, at_ms: f64, event: FleetEvent) {
+        self.count += 1;
+        self.events.insert(((at_ms * 1_000.0) as u64, self.count), event);
+    }
+
+    /// Sends prompts for a time, at a share of the engines' prefill speed.
+    fn run(&mut self, seconds: f64, load: f64) {
+        let work = |(shared, own, share): &(u32, u32, f64)| {
+            let odd =
+                CACHED_SHARE * CACHED_PART + EVICTED_SHARE + 1.0 - CACHED_SHARE - EVICTED_SHARE;
+            (f64::from(*own) * odd + f64::from(*shared) * EVICTED_SHARE) * share
+        };
+        let slow = 1.0 + SLOW_SHARE * (SLOW_FACTOR - 1.0);
+        let mean = PROMPTS.iter().map(work).sum::<f64>() * slow;
+        let speed: f64 = self.engines.iter().map(|engine| engine.tokens_per_ms).sum();
+        let until = self.now_ms + seconds * 1_000.0;
+        while self.now_ms < until {
+            let interval = mean / (speed * load);
+            self.now_ms -= interval * (1.0 - self.random.random::<f64>()).ln();
+            self.deliver();
+            self.send();
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.events.first_entry() {
+            let micros = entry.key().0;
+            if micros > (self.now_ms * 1_000.0) as u64 {
+                return;
+            }
+            let now = Timestamp(micros);
+            match entry.remove() {
+                FleetEvent::FirstEvent { host, key, read, elapsed } => {
+                    self.hosts[host].on_first_event(now, key, read, elapsed);
+                    let samples = self.hosts[host].take_unshared();
+                    let at = micros as f64 / 1_000.0 + SUMMARY_DELAY_MS;
+                    for (key, sample) in samples {
+                        self.push(at, FleetEvent::Shared { from: host, key, sample });
+                    }
+                }
+                FleetEvent::Shared { from, key, sample } => {
+                    let source = SampleSource::Peer(from as u64);
+                    let peers = self.hosts.iter_mut().enumerate().filter(|(host, _)| *host != from);
+                    peers.for_each(|(_, peer)| peer.on_peer_sample(now, key, sample, source));
+                }
+            }
+        }
+    }
+
+    fn send(&mut self) {
+        let now = self.now_ms;
+        let mut choice = self.random.random::<f64>();
+        let &(shared, own, _) = PROMPTS
+            .iter()
+            .find(|(_, _, share)| {
+                choice -= share;
+                choice < 0.0
+            })
+            .unwrap_or(&PROMPTS[0]);
+        let host = self.random.random_range(0..HOSTS);
+        // Faster engines get more prompts, in proportion to their speed.
+        let total: f64 = self.engines.iter().map(|engine| engine.tokens_per_ms).sum();
+        let mut pick = self.random.random::<f64>() * total;
+        let index = self.engines.iter().position(|engine| {
+            pick -= engine.tokens_per_ms;
+            pick < 0.0
+        });
+        let engine = &mut self.engines[index.unwrap_or_default()];
+        engine.prompts.retain(|(_, _, first_at, _)| *first_at > now - SUMMARY_DELAY_MS);
+        let known = engine.prompts.iter().filter(|(sent_at, _, first_at, sender)| {
+            let seen_at = if *sender == host { now } else { now - SUMMARY_DELAY_MS };
+            *sent_at <= seen_at && *first_at > seen_at
+        });
+        let pending_tokens = known.map(|(_, tokens, _, _)| tokens).sum();
+        let moment = ServerMoment { pending_tokens, ..moment() };
+        // Shared parts are sometimes gone from the cache, and some sessions come back.
+        let odd = self.random.random::<f64>();
+        let tokens = match odd {
+            odd if odd < CACHED_SHARE => f64::from(own) * CACHED_PART,
+            odd if odd < CACHED_SHARE + EVICTED_SHARE => f64::from(own + shared),
+            _ => f64::from(own),
+        };
+        let slow = if self.random.random::<f64>() < SLOW_SHARE { SLOW_FACTOR } else { 1.0 };
+        let begin = engine.free_at_ms.max(now);
+        engine.free_at_ms = begin + tokens / engine.tokens_per_ms * slow;
+        let first_at = engine.free_at_ms + self.fixed_ms * self.random.random_range(0.9..1.2);
+        engine.prompts.push((now, u64::from(own), first_at, host));
+        let key = engine.key;
+        let prompt = prompt(shared, own);
+        if let Some(read) = PromptRead::of_request(&prompt, u64::from(own), moment) {
+            let elapsed = Duration::from_secs_f64((first_at - now) / 1_000.0);
+            self.push(first_at, FleetEvent::FirstEvent { host, key, read, elapsed });
+        }
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp((self.now_ms * 1_000.0) as u64)
+    }
+
+    /// Returns the learned speed of the service as a share of the engines' mean speed.
+    fn service_ratio(&self) -> f64 {
+        let sum: f64 = self.engines.iter().map(|engine| engine.tokens_per_ms).sum();
+        let speed = self.hosts[0].of_service(self.now(), &service());
+        assert_eq!(speed.basis, SpeedBasis::Learned);
+        speed.prefill_tokens_per_s / 1_000.0 / (sum / self.engines.len() as f64)
+    }
+}
+
+#[rstest]
+fn engine_speeds(
+    #[values(13.0, 53.0)] fixed_ms: f64,
+    #[values(20.0, 56.9, 140.0)] tokens_per_ms: f64,
+    #[values(0.2, 0.5, 0.8)] load: f64,
+) {
+    // The estimate must neither fall with queues nor rise with unknown caches. At eight tenths of the
+    // capacity few prompts wait for nothing, and the estimate may only be too low.
+    let mut fleet = SimulatedFleet::new(&[tokens_per_ms; 8], fixed_ms);
+    fleet.run(60.0, load);
+    let ratio = fleet.service_ratio();
+    let least = if load > 0.6 { 0.7 } else { 0.9 };
+    assert!((least..=1.1).contains(&ratio), "{ratio}");
+}
+
+#[test]
+fn overloaded_engines() {
+    // Waiting time is not speed: ten seconds of queues must not shrink the estimate.
+    let mut fleet = SimulatedFleet::new(&[56.9; 8], 30.0);
+    fleet.run(15.0, 0.5);
+    for _ in 0..10 {
+        fleet.run(1.0, 1.5);
+        let ratio = fleet.service_ratio();
+        assert!((0.85..=1.15).contains(&ratio), "{ratio}");
+    }
+}
+
+#[test]
+fn uneven_engines() {
+    // A host that does not tell fast engines from slow ones loads both alike.
+    let speeds = [84.0, 140.0, 224.0, 84.0, 140.0, 224.0];
+    let mut fleet = SimulatedFleet::new(&speeds, 25.0);
+    fleet.run(60.0, 0.5);
+    for engine in &fleet.engines {
+        let learned = fleet.hosts[1].prefill_tokens_per_ms(fleet.now(), engine.key);
+        let ratio = learned / engine.tokens_per_ms;
+        assert!((0.85..=1.15).contains(&ratio), "{learned} of {}", engine.tokens_per_ms);
+    }
+    let ratio = fleet.service_ratio();
+    assert!((0.9..=1.1).contains(&ratio), "{ratio}");
+}
+
+#[test]
+fn restarted_server() {
+    // What was learned of a server's former process does not hold for the next one.
+    let mut fleet = SimulatedFleet::new(&[20.0, 100.0], 20.0);
+    fleet.run(20.0, 0.4);
+    let now = fleet.now();
+    let key = fleet.engines[0].key;
+    let table = &mut fleet.hosts[0];
+    table.on_joined(key, &service());
+    let expected = table.of_service(now, &service()).prefill_tokens_per_s / 1_000.0;
+    assert!((table.prefill_tokens_per_ms(now, key) - expected).abs() < 1e-6);
+}
+
+#[test]
+fn nothing_learned() {
+    // After a restart of all hosts the initial guess holds until enough was measured.
+    let fleet = SimulatedFleet::new(&[20.0], 20.0);
+    let table = &fleet.hosts[0];
+    let now = fleet.now();
+    assert_eq!(
+        table.prefill_tokens_per_ms(now, fleet.engines[0].key),
+        INITIAL_PREFILL_TOKENS_PER_MS
+    );
+    assert_eq!(table.of_service(now, &service()).basis, SpeedBasis::Guessed);
+    assert_eq!(table.service_time(now, fleet.engines[0].key), None);
+}
+
+#[test]
+fn absurd_reports() {
+    // One peer that reports a speed beyond all others must not set the estimate.
+    let mut fleet = SimulatedFleet::new(&[56.9; 4], 20.0);
+    let key = fleet.engines[0].key;
+    for second in 0..15 {
+        fleet.run(1.0, 0.5);
+        let now = fleet.now();
+        for tokens in [100, 6_000, 100_000] {
+            let elapsed = Duration::from_millis(7 + second);
+            let sample = SpeedSample::Read(ReadSample { read: read(tokens), elapsed });
+            fleet.hosts[0].on_peer_sample(now, key, sample, SampleSource::Peer(99));
+        }
+    }
+    let learned = fleet.hosts[0].prefill_tokens_per_ms(fleet.now(), key);
+    assert!((45.0..70.0).contains(&learned), "{learned}");
+}
+
+#[test]
+fn plain_calls() {
+    // Calls that wait for a slot, and single slow ones, do not change the service time.
+    let mut fleet = SimulatedFleet::new(&[1.0, 1.0], 0.0);
+    let keys: Vec<_> = fleet.engines.iter().map(|engine| engine.key).collect();
+    let table = &mut fleet.hosts[0];
+    for index in 0..40_u64 {
+        let now = Timestamp::from_millis(index * 100);
+        let millis = if index % 7 == 0 { 150 } else { 60 + index % 3 };
+        table.on_plain_answer(now, keys[0], moment(), Duration::from_millis(millis));
+        let full = ServerMoment { running: SLOTS, ..moment() };
+        table.on_plain_answer(now, keys[0], full, Duration::from_millis(400));
+    }
+    let now = Timestamp::from_millis(4_000);
+    for key in keys {
+        let time = table.service_time(now, key).expect("was measured");
+        assert!((58..=64).contains(&time.as_millis()), "{time:?}");
+    }
+}
