capacity: fleets and placement by learned speeds, and servers for late callers

The size of a fleet and the cost of a model server used constants of one engine: 55,000 prompt tokens a second and 50 a millisecond. Other engines got too many servers or too few.

The constants remain as the initial guess. Hosts state how many of their answers were late; while it is more than 4%, the servers that the learned speed saves are added again, within four seconds.

--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -346,6 +346,14 @@
     }
 }
 
+/// Records how long a model request took to its first event, by which late callers are counted.
+pub fn record_timeliness(state: &GatewayState, request: &AcceptedRequest, elapsed: Duration) {
+    if request.head.prompt.is_some() && request.head.resume_after.is_none() {
+        let is_late = elapsed > request.route.latency_goal;
+        state.lateness.borrow_mut().on_answer(state.now(), &request.service, is_late);
+    }
+}
+
 /// Records how an attempt ended as evidence of its server's health, and logs if the server is now
 /// avoided.
 pub fn record_health(state: &GatewayState, key: ServerKey, evidence: HealthEvidence) {
@@ -375,7 +383,11 @@
     request.end.line.set(ClosingLine::Logged);
     let kind = request_kind_label(request.route.kind);
     let number = code.number();
-    let elapsed = state.now().since(request.arrived_at);
+    let now = state.now();
+    let elapsed = now.since(request.arrived_at);
+    if code == ResultCode::QueueFull && request.head.prompt.is_some() {
+        state.lateness.borrow_mut().on_answer(now, &request.service, true);
+    }
     state.metrics.requests.with_label_values(&[kind, &number.to_string()]).inc();
     state.metrics.total_latency.with_label_values(&[kind]).observe(elapsed.as_secs_f64());
     log::info!(
--- a/lib/src/gateway/capacity.rs
+++ b/lib/src/gateway/capacity.rs
@@ -3,6 +3,8 @@
 pub mod demand_meter;
 pub mod fleet_plan;
 pub mod fleet_scaler;
+pub mod lateness_meter;
 pub mod sample_ring;
 pub mod service_speed;
+pub mod speed_gossip;
 pub mod speed_table;
--- a/lib/src/gateway/capacity/demand_meter.rs
+++ b/lib/src/gateway/capacity/demand_meter.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::gateway::capacity::fleet_scaler::TokenDemand;
+use crate::gateway::capacity::service_speed::ServiceSpeed;
 use crate::ids::ServiceName;
 use crate::timestamp::Timestamp;
 
@@ -26,13 +27,13 @@
 
     /// Returns the servers that one request per second for a service needs, by the recent ones; `None`
     /// if there are none.
-    pub fn servers_per_request(&self, service: &ServiceName) -> Option<f64> {
+    pub fn servers_per_request(&self, service: &ServiceName, speed: ServiceSpeed) -> Option<f64> {
         let entries = self.services.get(service).filter(|entries| !entries.is_empty())?;
         let sum = entries.iter().fold(TokenDemand::default(), |sum, (_, tokens)| TokenDemand {
             prefill: sum.prefill + tokens.prefill,
             output: sum.output + tokens.output,
         });
-        Some(sum.required_servers() / entries.len() as f64)
+        Some(sum.required_servers(speed) / entries.len() as f64)
     }
 
     /// Returns the demand of each service in tokens per second.
--- a/lib/src/gateway/capacity/fleet_scaler.rs
+++ b/lib/src/gateway/capacity/fleet_scaler.rs
@@ -2,8 +2,10 @@
 //!
 //! Load pattern: demand that swings within a minute, servers that take seconds to start and are by
 //! far the largest cost, and a cloud that refuses orders for a while. The fleet follows the tokens
-//! that callers request: it scales up at once, and down only after demand has stayed lower for a
-//! while. `fleet_plan` turns the number of servers needed into orders for each zone.
+//! that callers request, divided by the speed that is learned of the service's servers: it scales up at
+//! once, and down only after demand has stayed lower for a while. A learned speed shows neither bursts
+//! nor uneven servers. While callers are late, the servers that it saves compared with the initial guess
+//! are therefore added again. `fleet_plan` turns the number of servers needed into orders for each zone.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -17,18 +19,14 @@
 use crate::gateway::capacity::fleet_plan::ZoneSupply;
 use crate::gateway::capacity::fleet_plan::plan_ordinary;
 use crate::gateway::capacity::fleet_plan::plan_reclaimable;
+use crate::gateway::capacity::lateness_meter::AnswerCounts;
+use crate::gateway::capacity::service_speed::ServiceSpeed;
+use crate::gateway::capacity::service_speed::SpeedBasis;
 use crate::gateway::serving_config::FleetBounds;
 use crate::ids::ServiceName;
 use crate::ids::ZoneName;
 use crate::timestamp::Timestamp;
 
-/// Prompt tokens that one server prefills per second when it does nothing else.
-const PREFILL_TOKENS_PER_S: f64 = 55_000.0;
-
-/// Requested output tokens that one server serves per second with a half-full batch; responses are
-/// shorter than the requested maximum.
-const OUTPUT_TOKENS_PER_S: f64 = 16_000.0;
-
 /// Fraction of a server's capacity that demand may use; the rest absorbs bursts within seconds.
 const TARGET_UTILIZATION: f64 = 0.6;
 
@@ -45,6 +43,24 @@
 /// and go within seconds, and servers take as long to start.
 const SHORTFALL_HOLD: Duration = Duration::from_secs(10);
 
+/// Share of late answers above which servers are added, and the one below which they are given up again.
+/// A few percent are late for reasons that servers do not mend, such as lost hosts.
+const HIGH_LATE_SHARE: f64 = 0.04;
+const LOW_LATE_SHARE: f64 = 0.02;
+
+/// Answers below which their late share is left to chance.
+const MIN_COUNTED_ANSWERS: u64 = 50;
+
+/// Part of the saved servers that is added per second while callers are late: all of them within the
+/// start time of a server.
+const RELIEF_RISE_PER_S: f64 = 0.25;
+
+/// Part of the saved servers that is given up per second while callers are served in time.
+const RELIEF_FALL_PER_S: f64 = 0.02;
+
+/// Time between two counts up to which the change of the relief is in proportion to it.
+const MAX_RELIEF_STEP: Duration = Duration::from_secs(1);
+
 /// Time after the first demand until the measured demand is trusted.
 const DEMAND_WARMUP: Duration = Duration::from_secs(6);
 
@@ -65,13 +81,22 @@
 }
 
 impl TokenDemand {
-    /// Returns the number of servers needed for the demand.
-    pub fn required_servers(self) -> f64 {
-        (self.prefill / PREFILL_TOKENS_PER_S + self.output / OUTPUT_TOKENS_PER_S)
+    /// Returns the number of servers of a speed that the demand needs.
+    pub fn required_servers(self, speed: ServiceSpeed) -> f64 {
+        (self.prefill / speed.prefill_tokens_per_s + self.output / speed.output_tokens_per_s)
             / TARGET_UTILIZATION
     }
 }
 
+/// Demand at one time.
+#[derive(Clone, Copy, Debug)]
+struct DemandPeak {
+    at: Timestamp,
+    demand: TokenDemand,
+    /// Servers needed, at the speed that was known then.
+    servers: f64,
+}
+
 /// An order for the servers of one kind of a service in one zone.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FleetOrder {
@@ -108,7 +133,13 @@
 pub struct FleetScaler {
     service: ServiceName,
     /// Sliding-window maximum: each entry is larger than all later ones; oldest and largest first.
-    peaks: VecDeque<(Timestamp, TokenDemand)>,
+    peaks: VecDeque<DemandPeak>,
+    /// Speed of a server.
+    speed: ServiceSpeed,
+    /// Part of the servers saved by the learned speed that is added again, from 0 to 1.
+    relief: f64,
+    /// When the lateness of callers was last counted.
+    relief_at: Option<Timestamp>,
     /// Last order by zone and by whether it was for reclaimable servers.
     placed: BTreeMap<(ZoneName, bool), PlacedOrder>,
     /// Zones where reclaimable servers have been listed.
@@ -128,6 +159,9 @@
         Self {
             service,
             peaks: VecDeque::new(),
+            speed: ServiceSpeed::INITIAL,
+            relief: 0.0,
+            relief_at: None,
             placed: BTreeMap::new(),
             reclaimable_seen: BTreeSet::new(),
             initial_servers: None,
@@ -136,21 +170,55 @@
         }
     }
 
+    /// Records the speed that is expected of a server.
+    pub fn on_speed(&mut self, speed: ServiceSpeed) {
+        let is_first_learned =
+            self.speed.basis == SpeedBasis::Guessed && speed.basis == SpeedBasis::Learned;
+        self.speed = speed;
+        if is_first_learned {
+            // What was needed by the guess no longer counts.
+            for peak in std::mem::take(&mut self.peaks) {
+                self.push_peak(peak.at, peak.demand);
+            }
+        }
+    }
+
+    /// Records how many callers of all hosts were served late.
+    pub fn on_lateness(&mut self, now: Timestamp, counts: AnswerCounts) {
+        let step = now.since(self.relief_at.unwrap_or(now)).min(MAX_RELIEF_STEP).as_secs_f64();
+        self.relief_at = Some(now);
+        if counts.answers < MIN_COUNTED_ANSWERS {
+            return;
+        }
+        let change = match counts.late_share() {
+            share if share > HIGH_LATE_SHARE => RELIEF_RISE_PER_S * step,
+            share if share < LOW_LATE_SHARE => -RELIEF_FALL_PER_S * step,
+            _ => 0.0,
+        };
+        self.relief = (self.relief + change).clamp(0.0, 1.0);
+    }
+
+    /// Returns the part of the saved servers that is added again, from 0 to 1.
+    pub fn relief(&self) -> f64 {
+        self.relief
+    }
+
     /// Records the current demand.
     pub fn on_demand(&mut self, now: Timestamp, demand: TokenDemand) {
-        while self
-            .peaks
-            .back()
-            .is_some_and(|(_, peak)| peak.required_servers() <= demand.required_servers())
-        {
-            self.peaks.pop_back();
-        }
-        self.peaks.push_back((now, demand));
-        while self.peaks.front().is_some_and(|(at, _)| now.since(*at) > RECLAIMABLE_PEAK_WINDOW) {
+        self.push_peak(now, demand);
+        while self.peaks.front().is_some_and(|peak| now.since(peak.at) > RECLAIMABLE_PEAK_WINDOW) {
             self.peaks.pop_front();
         }
     }
 
+    fn push_peak(&mut self, at: Timestamp, demand: TokenDemand) {
+        let servers = demand.required_servers(self.speed);
+        while self.peaks.back().is_some_and(|peak| peak.servers <= servers) {
+            self.peaks.pop_back();
+        }
+        self.peaks.push_back(DemandPeak { at, demand, servers });
+    }
+
     /// Records the servers that are listed, also while another host places the orders.
     pub fn on_servers(&mut self, listed: &BTreeMap<ZoneName, ListedServers>) {
         let has_reclaimable = |servers: &ListedServers| {
@@ -176,15 +244,22 @@
         self.placed.insert((order.zone.clone(), order.reclaimable), placed);
     }
 
-    /// Returns the peak demand within a sliding window.
-    fn peak_demand(&self, now: Timestamp, window: Duration) -> TokenDemand {
-        let recent = self.peaks.iter().find(|(at, _)| now.since(*at) <= window);
-        recent.map_or(TokenDemand::default(), |(_, peak)| *peak)
+    /// Returns the demand within a sliding window that needed most servers.
+    fn peak(&self, now: Timestamp, window: Duration) -> Option<&DemandPeak> {
+        self.peaks.iter().find(|peak| now.since(peak.at) <= window)
     }
 
     /// Returns the peak demand that sets the number of ordinary servers.
     pub fn current_demand(&self, now: Timestamp) -> TokenDemand {
-        self.peak_demand(now, ORDINARY_PEAK_WINDOW)
+        self.peak(now, ORDINARY_PEAK_WINDOW).map_or(TokenDemand::default(), |peak| peak.demand)
+    }
+
+    /// Returns the servers needed for the peak demand within a sliding window, with those that are added
+    /// since callers are late.
+    fn required_servers(&self, now: Timestamp, window: Duration) -> f64 {
+        let Some(peak) = self.peak(now, window) else { return 0.0 };
+        let guessed = peak.demand.required_servers(ServiceSpeed::INITIAL);
+        peak.servers + (guessed - peak.servers).max(0.0) * self.relief
     }
 
     /// Returns the orders for one kind of server to place now, given the servers listed in each zone.
@@ -243,8 +318,9 @@
     ) -> Option<ServerNeed> {
         let existing: u32 = listed.values().map(|servers| servers.ready.total()).sum();
         let ordinary: u32 = listed.values().map(|servers| servers.ready.ordinary).sum();
-        let is_demand_unknown =
-            self.peak_demand(now, RECLAIMABLE_PEAK_WINDOW) == TokenDemand::default();
+        let is_demand_unknown = self
+            .peak(now, RECLAIMABLE_PEAK_WINDOW)
+            .is_none_or(|peak| peak.demand == TokenDemand::default());
         let initial_servers = match self.initial_servers {
             // The first evaluations may run before all servers are listed.
             Some((_, initial_servers)) if is_demand_unknown && self.placed.is_empty() => {
@@ -267,8 +343,7 @@
         }
         // One server more than needed, to tolerate the loss of one.
         let shortfall = self.shortfall.map_or(0.0, |(_, servers)| servers).ceil() as u32;
-        let by_demand =
-            |window| self.peak_demand(now, window).required_servers().ceil() as u32 + 1 + shortfall;
+        let by_demand = |window| self.required_servers(now, window).ceil() as u32 + 1 + shortfall;
         let current = by_demand(ORDINARY_PEAK_WINDOW);
         let recent_peak = by_demand(RECLAIMABLE_PEAK_WINDOW);
         Some(match self.initial_servers {
--- a/lib/src/gateway/capacity/speed_table.rs
+++ b/lib/src/gateway/capacity/speed_table.rs
@@ -426,9 +426,13 @@
         let stats = &mut self.services[server.service];
         server.plain.push(now, source, elapsed);
         stats.plain.push(now, source, elapsed);
-        let millis = |elapsed: Duration| elapsed.as_secs_f64() * 1_000.0;
-        server.plain_ms = server.plain.common_value(millis);
-        stats.plain_ms = stats.plain.common_value(millis);
+        // Of clusters alike the fastest counts, so calls per millisecond are compared.
+        let usual_ms = |ring: &SampleRing<Duration>| {
+            let rate = ring.common_value(|elapsed| 1.0 / (elapsed.as_secs_f64() * 1_000.0));
+            rate.map(|rate| 1.0 / rate)
+        };
+        server.plain_ms = usual_ms(&server.plain);
+        stats.plain_ms = usual_ms(&stats.plain);
     }
 
     /// Returns the prompt tokens that a server prefills per millisecond: as measured there, else as
--- a/lib/src/gateway/duty_runner.rs
+++ b/lib/src/gateway/duty_runner.rs
@@ -9,6 +9,7 @@
 use crate::gateway::capacity::fleet_scaler::FleetScaler;
 use crate::gateway::capacity::fleet_scaler::ListedServers;
 use crate::gateway::capacity::fleet_scaler::TokenDemand;
+use crate::gateway::capacity::lateness_meter::AnswerCounts;
 use crate::gateway::duty_lease::DutyLease;
 use crate::gateway::duty_lease::LeaseChange;
 use crate::gateway::gateway_state::GatewayState;
@@ -254,11 +255,29 @@
         for (service, demand) in total {
             let fleet =
                 fleets.entry(service.clone()).or_insert_with(|| FleetScaler::new(service.clone()));
+            fleet.on_speed(self.state.placement.borrow().speeds().of_service(now, &service));
+            fleet.on_lateness(now, self.answer_counts(now, &service));
             fleet.on_demand(now, demand);
             fleet.on_servers(&self.listed_servers(&service));
         }
     }
 
+    /// Returns how many answers of a service callers got from all hosts, and how many were late.
+    fn answer_counts(&self, now: Timestamp, service: &ServiceName) -> AnswerCounts {
+        let mut total = AnswerCounts::default();
+        let lateness = self.state.lateness.borrow();
+        lateness
+            .counts(now)
+            .filter(|(name, _)| *name == service)
+            .for_each(|(_, own)| total.add(own));
+        let peers = self.state.peers.borrow();
+        let stated = peers.fresh_summaries(now).flat_map(|summary| &summary.timeliness);
+        for stated in stated.filter(|stated| stated.service == service.as_str()) {
+            total.add(AnswerCounts { answers: stated.answers, late: stated.late });
+        }
+        total
+    }
+
     async fn order_servers(&self, fleets: &mut BTreeMap<ServiceName, FleetScaler>) {
         let config = self.state.config.borrow().current().cloned();
         let Some(config) = config else { return };
@@ -292,7 +311,8 @@
 
     /// Returns how many servers of a service are missing, since some take fewer requests than they could.
     fn limited_shortfall(&self, service: &ServiceName) -> f64 {
-        let per_request = self.state.demand.borrow().servers_per_request(service);
+        let speed = self.state.placement.borrow().speeds().of_service(self.state.now(), service);
+        let per_request = self.state.demand.borrow().servers_per_request(service, speed);
         let Some(per_request) = per_request else { return 0.0 };
         let (directory, placement) = (self.state.directory.borrow(), self.state.placement.borrow());
         let limits = directory.of_service(service).filter_map(|(_, server)| {
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -15,6 +15,7 @@
 use crate::gateway::backend_directory::STORE_OUTAGE_THRESHOLD;
 use crate::gateway::buffer_budget::BufferBudget;
 use crate::gateway::capacity::demand_meter::DemandMeter;
+use crate::gateway::capacity::lateness_meter::LatenessMeter;
 use crate::gateway::connection_pool::ConnectionPool;
 use crate::gateway::crash_tracker::CrashTracker;
 use crate::gateway::crash_tracker::ExitEvidence;
@@ -125,6 +126,8 @@
     pub probes: ProcessProbes,
     /// Rates of requested tokens.
     pub demand: RefCell<DemandMeter>,
+    /// Late answers.
+    pub lateness: RefCell<LatenessMeter>,
     /// Demand for each service as it is stated to peers.
     pub levels: RefCell<DemandLevels>,
     /// Summaries and addresses of the peers.
@@ -185,6 +188,7 @@
             crashes: RefCell::default(),
             probes: ProcessProbes::default(),
             demand: RefCell::default(),
+            lateness: RefCell::default(),
             levels: RefCell::new(DemandLevels::new(clock.now())),
             peers: RefCell::new(PeerTable::new(settings.host.clone(), settings.zone.clone())),
             has_new_spending: Cell::new(false),
@@ -508,6 +512,7 @@
         if let Some(server) = directory.get(key) {
             let (service, version) = (&server.entry.service, &server.entry.version);
             self.versions.borrow_mut().on_joined(self.now(), service, version);
+            self.placement.borrow_mut().speeds_mut().on_joined(key, service);
         }
     }
 
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -8,6 +8,7 @@
 
 use crate::gateway::backend_directory::DepartureSource;
 use crate::gateway::capacity::fleet_scaler::TokenDemand;
+use crate::gateway::capacity::speed_gossip;
 use crate::gateway::crash_news;
 use crate::gateway::crash_news::CrashNews;
 use crate::gateway::directory_gossip::decode_change;
@@ -80,6 +81,8 @@
     let changes = std::mem::take(&mut summary.changes);
     let departures = std::mem::take(&mut summary.departures);
     let limits = std::mem::take(&mut summary.limits);
+    let measurements = std::mem::take(&mut summary.measurements);
+    let sender = summary.host.clone();
     let known_count = state.peers.borrow().changes_count(&summary);
     let has_missed = has_missed_changes(known_count, summary.changes_count, changes.len());
     let read_age = summary.directory_age_ms.checked_sub(1).map(Duration::from_millis);
@@ -110,6 +113,11 @@
     departures.into_iter().for_each(|departure| apply_departure(state, departure));
     limits.iter().take(MAX_SUMMARY_LIMITS).for_each(|told| apply_limit(state, told));
     windows.iter().for_each(|window| merge_window_counts(state, window));
+    if !measurements.is_empty() {
+        let (directory, mut placement) = (state.directory.borrow(), state.placement.borrow_mut());
+        let speeds = placement.speeds_mut();
+        speed_gossip::apply_samples(now, speeds, &directory, &sender, &measurements);
+    }
 }
 
 /// Triggers a read of the configuration if a peer has a newer version. Otherwise the peer's last
@@ -304,6 +312,8 @@
         asked: spending.asked,
     });
     let directory = state.directory.borrow();
+    let measurements =
+        speed_gossip::encode_samples(state.placement.borrow_mut().speeds_mut(), &directory);
     let board = state.placement.borrow();
     let servers = board.own_loads().filter_map(|(key, load)| {
         let server = directory.get(key)?;
@@ -340,6 +350,8 @@
         windows: windows.collect(),
         demands: encode_demands(state, now),
         limits: limits.collect(),
+        measurements,
+        timeliness: speed_gossip::encode_lateness(now, &state.lateness.borrow()),
         leaving: state.shutdown.get().is_some(),
         crashes: news.crashes,
         cleared_parts: news.cleared_parts,
--- a/lib/src/gateway/placement.rs
+++ b/lib/src/gateway/placement.rs
@@ -18,6 +18,7 @@
 use crate::gateway::backend_directory::BackendDirectory;
 use crate::gateway::backend_directory::BackendServer;
 use crate::gateway::caller_request::PromptShape;
+use crate::gateway::capacity::speed_table::SpeedTable;
 use crate::gateway::limit_table::LimitState;
 use crate::gateway::limit_table::LimitTable;
 use crate::gateway::server_health::HealthEvidence;
@@ -31,10 +32,6 @@
 use crate::software_version::SoftwareVersion;
 use crate::timestamp::Timestamp;
 
-/// Prompt tokens that an engine prefills per millisecond; affects only the relative costs of
-/// servers.
-pub const PREFILL_TOKENS_PER_MS: f64 = 50.0;
-
 /// Weight of an uncached token of the request: 1 for its own wait, and more because it also delays
 /// the other requests on the server and evicts other prefixes from its cache.
 const UNCACHED_TOKEN_WEIGHT: f64 = 3.0;
@@ -172,6 +169,7 @@
     loads: SecondaryMap<ServerKey, ServerLoad>,
     pauses: PauseTable,
     limits: LimitTable,
+    speeds: SpeedTable,
 }
 
 /// The servers that accept requests from this host.
@@ -191,6 +189,7 @@
             loads: SecondaryMap::new(),
             pauses: PauseTable::default(),
             limits: LimitTable::default(),
+            speeds: SpeedTable::default(),
         }
     }
 
@@ -202,6 +201,7 @@
     /// Removes a server.
     pub fn remove(&mut self, key: ServerKey) {
         self.loads.remove(key);
+        self.speeds.remove(key);
     }
 
     /// Chooses a server for a request.
@@ -312,6 +312,16 @@
         &mut self.limits
     }
 
+    /// Returns the learned speeds of the servers.
+    pub fn speeds(&self) -> &SpeedTable {
+        &self.speeds
+    }
+
+    /// Returns the learned speeds of the servers, to change them.
+    pub fn speeds_mut(&mut self) -> &mut SpeedTable {
+        &mut self.speeds
+    }
+
     /// Returns whether a server asked this host for a pause that has not ended.
     pub fn is_paused(&self, now: Timestamp, server: &ServerId) -> bool {
         matches!(self.pauses.state(now, server), PauseState::PausedUntil(_))
@@ -440,7 +450,7 @@
         let uncached_tokens = load.uncached_tokens(now, prompt, home == Some(key));
         let pending = load.prefill_tokens + load.peers.prefill_tokens;
         let tokens_to_read = pending as f64 + uncached_tokens as f64 * UNCACHED_TOKEN_WEIGHT;
-        let cost = tokens_to_read / PREFILL_TOKENS_PER_MS
+        let cost = tokens_to_read / self.speeds.prefill_tokens_per_ms(now, key)
             + f64::from(running) * BATCH_MS_PER_REQUEST
             + zone_cost;
         Some((cost, PlacementChoice::Server { key, running, uncached_tokens, limited: 0 }))
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -27,6 +27,8 @@
 use crate::gateway::buffer_budget::BufferBudget;
 use crate::gateway::caller_request::EventNumber;
 use crate::gateway::caller_request::PartList;
+use crate::gateway::capacity::speed_table::PromptRead;
+use crate::gateway::capacity::speed_table::ServerMoment;
 use crate::gateway::connection_pool::CallError;
 use crate::gateway::connection_pool::PooledConnection;
 use crate::gateway::crash_tracker::ExitEvidence;
@@ -77,6 +79,10 @@
     has_reserved: Cell<bool>,
     /// When it was handed to a connection.
     sent_at: Cell<Timestamp>,
+    /// State of the server when it was sent.
+    moment: ServerMoment,
+    /// What the server reads before the first event, if the time to it shows the server's speed.
+    read: Cell<Option<PromptRead>>,
 }
 
 impl ServerAttempt {
@@ -90,12 +96,15 @@
     ) -> Option<Self> {
         let PlacedServer { key, running, uncached_tokens, limited } = placed;
         let now = state.now();
-        let (id, address, started_at_ms, version, read_age) = {
+        let (id, address, started_at_ms, version, slots, read_age) = {
             let directory = state.directory.borrow();
             let server = directory.get(key)?;
-            let BackendEntry { id, address, started_at_ms, version, .. } = &server.entry;
-            (id.clone(), *address, *started_at_ms, version.clone(), directory.read_age(now))
+            let BackendEntry { id, address, started_at_ms, version, slots, .. } = &server.entry;
+            let read_age = directory.read_age(now);
+            (id.clone(), *address, *started_at_ms, version.clone(), *slots, read_age)
         };
+        let pending_tokens = state.placement.borrow().pending_tokens(key);
+        let moment = ServerMoment { pending_tokens, running, slots };
         let limit = state.placement.borrow().limits().limit(&id, started_at_ms);
         log::info!(
             "event=attempt_started request={} server={id} version={version} origin={} after={} \
@@ -127,6 +136,13 @@
             pending_prefill_tokens: uncached_tokens,
             has_reserved: Cell::new(true),
             sent_at: Cell::new(now),
+            moment,
+            read: Cell::new(
+                // A stream that is taken up skips events, which no speed explains.
+                prompt
+                    .filter(|_| resume_after.is_none())
+                    .and_then(|prompt| PromptRead::of_request(prompt, uncached_tokens, moment)),
+            ),
         };
         if let Some(binding) = &request.binding {
             // The version is recorded while the server prefills the prompt.
@@ -156,6 +172,23 @@
         self.on_prefilled();
     }
 
+    /// Records that the first event arrived, as a measurement of the server's speed.
+    pub fn on_first_event_read(&self) {
+        let Some(read) = self.read.take() else { return };
+        let now = self.state.now();
+        let elapsed = now.since(self.sent_at.get());
+        let mut placement = self.state.placement.borrow_mut();
+        placement.speeds_mut().on_first_event(now, self.key, read, elapsed);
+    }
+
+    /// Records that the whole answer of a plain call arrived, as a measurement of the server's speed.
+    fn on_plain_answer(&self) {
+        let now = self.state.now();
+        let elapsed = now.since(self.sent_at.get());
+        let mut placement = self.state.placement.borrow_mut();
+        placement.speeds_mut().on_plain_answer(now, self.key, self.moment, elapsed);
+    }
+
     /// Records that something of the response arrived.
     pub fn on_heard(&self) {
         let now = self.state.now();
@@ -414,6 +447,7 @@
             *first_event = splitter.next_event().map_err(|error| error.to_string())?;
         }
     }
+    stream.attempt.on_first_event_read();
     Ok(())
 }
 
@@ -463,6 +497,9 @@
             AttemptOutcome::Failed(failure, ran.then_some(response))
         }
         ResponseClass::Relay | ResponseClass::Unusable => {
+            if request.head.prompt.is_none() {
+                attempt.on_plain_answer();
+            }
             record_started(state, request);
             record_answered(state, request);
             AttemptOutcome::Buffered(response)
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -22,6 +22,7 @@
 use crate::gateway::accepted_request::place_request;
 use crate::gateway::accepted_request::record_health;
 use crate::gateway::accepted_request::record_started;
+use crate::gateway::accepted_request::record_timeliness;
 use crate::gateway::accepted_request::request_kind_label;
 use crate::gateway::attempt_plan::AttemptFailure;
 use crate::gateway::attempt_plan::AttemptPlan;
@@ -285,6 +286,7 @@
                 Err(error) => return Some(self.lose_stream(stream, &error.to_string())),
             };
             stream.attempt.on_heard();
+            stream.attempt.on_first_event_read();
             // This stream is kept, so the attempts beside it are not needed.
             self.race.drop_rest(&mut self.plan);
             if std::mem::take(&mut stream.is_silent) {
@@ -471,9 +473,11 @@
     fn on_first_event(&self) {
         if self.relayed_events == 0 {
             record_started(&self.state, &self.request);
-            let elapsed = self.state.now().since(self.request.arrived_at).as_secs_f64();
+            let elapsed = self.state.now().since(self.request.arrived_at);
             let kind = [request_kind_label(self.request.route.kind)];
-            self.state.metrics.first_byte_latency.with_label_values(&kind).observe(elapsed);
+            let latency = self.state.metrics.first_byte_latency.with_label_values(&kind);
+            latency.observe(elapsed.as_secs_f64());
+            record_timeliness(&self.state, &self.request, elapsed);
         }
     }
 
--- a/lib/src/protos/pomelostack.gateway.rs
+++ b/lib/src/protos/pomelostack.gateway.rs
@@ -81,6 +81,44 @@
     /// Whether the sender is leaving.
     #[prost(bool, tag = "27")]
     pub leaving: bool,
+    /// The sender's newest measurements of servers' speeds.
+    #[prost(message, repeated, tag = "32")]
+    pub measurements: ::prost::alloc::vec::Vec<SpeedMeasurement>,
+    /// How many of the sender's recent answers were late.
+    #[prost(message, repeated, tag = "33")]
+    pub timeliness: ::prost::alloc::vec::Vec<ServiceTimeliness>,
+}
+/// A measured time of one request at one server.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct SpeedMeasurement {
+    #[prost(string, tag = "1")]
+    pub server: ::prost::alloc::string::String,
+    /// Start time of its process in milliseconds since 1970, if known.
+    #[prost(uint64, optional, tag = "2")]
+    pub born_ms: ::core::option::Option<u64>,
+    /// Prompt tokens of the request that the server certainly read; 0 for a plain call.
+    #[prost(uint32, tag = "3")]
+    pub prompt_tokens: u32,
+    /// Microseconds to the first event, or to the whole answer of a plain call.
+    #[prost(uint32, tag = "4")]
+    pub elapsed_us: u32,
+    /// Whether other prompts were ahead of the request, or parts of its prompt may have been cached.
+    #[prost(bool, tag = "5")]
+    pub disturbed: bool,
+    /// Prompt tokens that were known to be ahead of it, if it was disturbed.
+    #[prost(uint32, tag = "6")]
+    pub pending_tokens: u32,
+}
+/// Answers of one service that callers got from the sender within the last seconds.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ServiceTimeliness {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub answers: u64,
+    /// Those after the latency goal, and requests refused because all servers were full.
+    #[prost(uint64, tag = "3")]
+    pub late: u64,
 }
 /// Quota units of one team in the sliding window.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/tests/test_fleet_scaler.rs
+++ b/lib/tests/test_fleet_scaler.rs
@@ -8,6 +8,9 @@
 use pomelostack_lib::gateway::capacity::fleet_scaler::FleetScaler;
 use pomelostack_lib::gateway::capacity::fleet_scaler::ListedServers;
 use pomelostack_lib::gateway::capacity::fleet_scaler::TokenDemand;
+use pomelostack_lib::gateway::capacity::lateness_meter::AnswerCounts;
+use pomelostack_lib::gateway::capacity::service_speed::ServiceSpeed;
+use pomelostack_lib::gateway::capacity::service_speed::SpeedBasis;
 use pomelostack_lib::gateway::serving_config::FleetBounds;
 use pomelostack_lib::ids::ServiceName;
 use pomelostack_lib::ids::ZoneName;
@@ -334,3 +337,55 @@
     }
     assert_eq!(cloud.total(), before);
 }
+
+/// A learned speed as a multiple of the initial guess.
+fn learned(factor: f64) -> ServiceSpeed {
+    let initial = ServiceSpeed::INITIAL;
+    ServiceSpeed {
+        prefill_tokens_per_s: initial.prefill_tokens_per_s * factor,
+        output_tokens_per_s: initial.output_tokens_per_s * factor,
+        basis: SpeedBasis::Learned,
+    }
+}
+
+#[test]
+fn learned_speed() {
+    // A fleet must have the servers that its engines need, and not those of another engine.
+    let mut cloud = InstantCloud::new(None);
+    for second in 0..20 {
+        cloud.step(second, 11.0);
+    }
+    assert_eq!(cloud.total(), 12);
+    for second in 20..22 {
+        cloud.scaler.on_speed(learned(2.0));
+        cloud.step(second, 11.0);
+    }
+    assert_eq!(cloud.total(), 7, "what the guess needed must not count once the speed is learned");
+    cloud.scaler.on_speed(learned(0.7));
+    cloud.step(22, 11.0);
+    assert_eq!(cloud.total(), 17);
+}
+
+#[test]
+fn late_callers() {
+    // A speed that shows too little of what servers need must not leave callers late.
+    let mut cloud = InstantCloud::new(None);
+    let mut totals = Vec::new();
+    for second in 0..90 {
+        let late = if (20..50).contains(&second) { 100 } else { 5 };
+        cloud.scaler.on_speed(learned(2.0));
+        cloud.scaler.on_lateness(at(second), AnswerCounts { answers: 1_000, late });
+        cloud.step(second, 11.0);
+        totals.push(cloud.total());
+    }
+    assert_eq!((totals[19], totals[26], totals[49]), (7, 12, 12));
+    assert!(totals[60] > 9, "the servers go slowly, so that callers are not late again at once");
+    // Few answers show nothing.
+    let mut quiet = InstantCloud::new(None);
+    for second in 0..30 {
+        quiet.scaler.on_speed(learned(2.0));
+        quiet.scaler.on_lateness(at(second), AnswerCounts { answers: 20, late: 20 });
+        quiet.step(second, 11.0);
+    }
+    assert_eq!(quiet.total(), 7);
+}
