capacity: slow moments, stalled streams, late parts and deadlines out of reach

Placement knew neither that a server was slow at the moment nor what a long prompt does to the streams beside it, requests that no server could answer in time were sent, and the log did not say which part of an answer was late.

The last measurements of a server lower the speed that placement expects for a second. A route's gap-aim-ms is read; a prompt that would stall a server's streams for more than half of the shortest goal costs more there. A model request whose first event cannot come by its deadline is refused with code 200. Late answers are logged (answer_late) and counted by part; late pauses count for the fleet's size. Learned speeds, their age and observed against expected times are metrics.

test_speed_table, test_placement, test_fleet_scaler and test_serving_config pass.

--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -14,7 +14,11 @@
 use crate::gateway::backend_directory::BackendServer;
 use crate::gateway::caller_request::CallerHead;
 use crate::gateway::caller_request::EventNumber;
+use crate::gateway::capacity::answer_timing::AnswerGoals;
+use crate::gateway::capacity::answer_timing::AnswerTiming;
+use crate::gateway::capacity::answer_timing::LatePart;
 use crate::gateway::capacity::fleet_scaler::TokenDemand;
+use crate::gateway::capacity::service_speed::SpeedBasis;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::placement::ConnectionShare;
 use crate::gateway::placement::PlacementChoice;
@@ -30,6 +34,7 @@
 use crate::gateway::stream_binding::StreamBinding;
 use crate::gateway::version_ledger::BeginRule;
 use crate::hop_headers::HopByHopHeaders;
+use crate::ids::ServerId;
 use crate::ids::ServerKey;
 use crate::ids::ServiceName;
 use crate::ids::TeamName;
@@ -255,6 +260,7 @@
             if limited > 0 {
                 state.metrics.events.with_label_values(&["limit_turned_elsewhere"]).inc();
             }
+            check_deadline(state, now, request, key, uncached_tokens)?;
             Ok(PlacedServer { key, running, uncached_tokens, limited })
         }
         PlacementChoice::Full => {
@@ -284,6 +290,41 @@
     }
 }
 
+/// Refuses a model request whose first event cannot come before its deadline, going by the server that
+/// was selected: where the expected wait is least.
+fn check_deadline(
+    state: &GatewayState,
+    now: Timestamp,
+    request: &AcceptedRequest,
+    key: ServerKey,
+    uncached_tokens: u64,
+) -> Result<(), RefusalReason> {
+    if request.head.prompt.is_none() || request.head.resume_after.is_some() {
+        return Ok(());
+    }
+    let placement = state.placement.borrow();
+    let speeds = placement.speeds();
+    if speeds.of_service(now, &request.service).basis == SpeedBasis::Guessed {
+        return Ok(());
+    }
+    let tokens = placement.pending_tokens(key).saturating_add(uncached_tokens);
+    let expected = speeds.first_event_time(key, tokens);
+    let time_left = request.deadline.since(now);
+    if expected <= time_left {
+        return Ok(());
+    }
+    state.metrics.events.with_label_values(&["deadline_unreachable"]).inc();
+    log::info!(
+        "event=deadline_unreachable request={} service={} expected_ms={} time_left_ms={}",
+        request.head.request_id,
+        request.service,
+        expected.as_millis(),
+        time_left.as_millis(),
+    );
+    let retry_after = spread_retry_after(expected - time_left, &request.head.request_id);
+    Err(RefusalReason::with_retry_after(ResultCode::DeadlineUnreachable, retry_after))
+}
+
 /// Returns the servers whose software version is not known now.
 fn doubted_servers(state: &GatewayState, now: Timestamp) -> Vec<ServerKey> {
     let directory = state.directory.borrow();
@@ -354,6 +395,41 @@
     }
 }
 
+/// Logs and counts an answer that was late, with the part that was. `server` sent its first event, which
+/// was expected `expected` after the request was sent there.
+pub fn record_late_answer(
+    state: &GatewayState,
+    request: &AcceptedRequest,
+    timing: &AnswerTiming,
+    server: &ServerId,
+    expected: Duration,
+) {
+    let RouteRule { latency_goal, pause_goal, name, .. } = &*request.route;
+    // The first events of a stream that is taken up came from an earlier request.
+    let first_event = match request.head.resume_after {
+        Some(_) => Duration::MAX,
+        None => *latency_goal,
+    };
+    let Some(late) = timing.late_part(AnswerGoals { first_event, pause: *pause_goal }) else {
+        return;
+    };
+    let service = &request.service;
+    if late.part == LatePart::Pause && request.head.prompt.is_some() {
+        state.lateness.borrow_mut().on_late_pause(state.now(), service);
+    }
+    let labels = [service.as_str(), late.part.label()];
+    state.metrics.late_answers.with_label_values(&labels).inc();
+    log::info!(
+        "event=answer_late request={} route={name} service={service} server={server} part={} \
+         observed_ms={} goal_ms={} expected_ms={}",
+        request.head.request_id,
+        late.part,
+        late.observed.as_millis(),
+        late.goal.as_millis(),
+        expected.as_millis(),
+    );
+}
+
 /// Records how an attempt ended as evidence of its server's health, and logs if the server is now
 /// avoided.
 pub fn record_health(state: &GatewayState, key: ServerKey, evidence: HealthEvidence) {
@@ -385,7 +461,8 @@
     let number = code.number();
     let now = state.now();
     let elapsed = now.since(request.arrived_at);
-    if code == ResultCode::QueueFull && request.head.prompt.is_some() {
+    let is_overload = matches!(code, ResultCode::QueueFull | ResultCode::DeadlineUnreachable);
+    if is_overload && request.head.prompt.is_some() {
         state.lateness.borrow_mut().on_answer(now, &request.service, true);
     }
     state.metrics.requests.with_label_values(&[kind, &number.to_string()]).inc();
--- a/lib/src/gateway/capacity.rs
+++ b/lib/src/gateway/capacity.rs
@@ -1,5 +1,6 @@
 //! What servers can do, what callers demand of them, and the fleet that is ordered for it.
 
+pub mod answer_timing;
 pub mod demand_meter;
 pub mod fleet_plan;
 pub mod fleet_scaler;
--- a/lib/src/gateway/capacity/lateness_meter.rs
+++ b/lib/src/gateway/capacity/lateness_meter.rs
@@ -68,6 +68,14 @@
         }
     }
 
+    /// Counts an answer as late whose first event was counted as in time.
+    pub fn on_late_pause(&mut self, now: Timestamp, service: &ServiceName) {
+        let newest = self.services.get_mut(service).and_then(VecDeque::back_mut);
+        if let Some((_, counts)) = newest.filter(|(at, _)| now.since(*at) < COUNTING_PERIOD) {
+            counts.late += 1;
+        }
+    }
+
     /// Returns the counts of the services that were used.
     pub fn counts(&self, now: Timestamp) -> impl Iterator<Item = (&ServiceName, AnswerCounts)> {
         self.services.iter().filter_map(move |(service, slots)| {
--- a/lib/src/gateway/capacity/speed_table.rs
+++ b/lib/src/gateway/capacity/speed_table.rs
@@ -9,9 +9,13 @@
 //! unknown to this host does not raise it. At a server that is never free, requests count with the
 //! tokens that were known to be ahead of them.
 //!
+//! A server that slows down for a moment is told from a slow one by its last measurements: they reduce
+//! the speed that placement expects for as long as they are recent, and leave the learned speed as it is.
+//!
 //! Hosts pass their measurements on in summaries (`speed_gossip`), so that all hosts learn the same and
 //! nothing is lost with one of them.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -68,9 +72,27 @@
 /// Range of believable speeds in prompt tokens per millisecond. Values outside are errors of a peer.
 const BELIEVABLE_TOKENS_PER_MS: std::ops::RangeInclusive<f64> = 0.1..=20_000.0;
 
+/// Time for which the last measurements of a server show that it is slow at the moment: about a
+/// transient slowdown, so that the server is used again soon after it.
+const SLOWDOWN_PERIOD: Duration = Duration::from_millis(1_000);
+
+/// Measurements that must agree that a server is slow at the moment; a single one may have met a queue.
+const SLOWDOWN_SAMPLES: usize = 2;
+
+/// Slowdown below which times scatter anyway, and the largest one that is taken into account.
+const MIN_SLOWDOWN: f64 = 1.5;
+const MAX_SLOWDOWN: f64 = 10.0;
+
+/// Part of the pause goal that reading prompts may take up at a server before its streams count as
+/// stalled. The rest is for the prompts of other hosts that are not known yet.
+const STALL_SHARE: f64 = 0.5;
+
 /// Longest believable time of a measurement.
 const MAX_ELAPSED: Duration = Duration::from_secs(60);
 
+/// Change of a learned speed that is worth a log line.
+const NOTICEABLE_CHANGE: f64 = 0.1;
+
 /// Whether something besides the prompt took part of the measured time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadQuality {
@@ -170,6 +192,21 @@
     Plain(Duration),
 }
 
+/// What was learned of the servers of a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LearnedSpeed {
+    /// Service.
+    pub service: ServiceName,
+    /// Prompt tokens that one server prefills per millisecond.
+    pub tokens_per_ms: f64,
+    /// Time to a first event that does not depend on the prompt.
+    pub fixed: Duration,
+    /// Time since the last measurement.
+    pub age: Duration,
+    /// Servers of which enough was measured; 0 if the measurements were taken together.
+    pub servers: usize,
+}
+
 /// What is known of one server's process.
 #[derive(Clone, Debug)]
 struct ServerSpeed {
@@ -180,6 +217,29 @@
     prefill_tokens_per_ms: Option<f64>,
     plain: SampleRing<Duration>,
     plain_ms: Option<f64>,
+    /// Time of the last measurements as a multiple of what was expected, oldest first.
+    recent: VecDeque<(Timestamp, f64)>,
+}
+
+impl ServerSpeed {
+    fn on_ratio(&mut self, now: Timestamp, ratio: f64) {
+        if self.recent.len() >= SLOWDOWN_SAMPLES {
+            self.recent.pop_front();
+        }
+        self.recent.push_back((now, ratio));
+    }
+
+    /// Returns by what factor the server is slower than usual, if its last measurements agree on it.
+    fn slowdown(&self, now: Timestamp) -> f64 {
+        let is_recent = |(at, _): &&(Timestamp, f64)| now.since(*at) < SLOWDOWN_PERIOD;
+        let recent = self.recent.iter().filter(is_recent);
+        let (count, least) = recent
+            .fold((0, f64::INFINITY), |(count, least), (_, ratio)| (count + 1, ratio.min(least)));
+        match count >= SLOWDOWN_SAMPLES && least >= MIN_SLOWDOWN {
+            true => least.min(MAX_SLOWDOWN),
+            false => 1.0,
+        }
+    }
 }
 
 /// What is known of the servers of one service.
@@ -197,6 +257,10 @@
     plain: SampleRing<Duration>,
     plain_ms: Option<f64>,
     learned_at: Option<Timestamp>,
+    /// Shortest pause goal of its streams.
+    pause_goal: Option<Duration>,
+    /// Speed that was last returned as a change.
+    told_tokens_per_ms: Option<f64>,
 }
 
 impl ServiceStats {
@@ -212,6 +276,8 @@
             plain: SampleRing::new(SERVICE_SAMPLES),
             plain_ms: None,
             learned_at: None,
+            pause_goal: None,
+            told_tokens_per_ms: None,
         }
     }
 
@@ -275,6 +341,7 @@
             prefill_tokens_per_ms: None,
             plain: SampleRing::new(SERVER_SAMPLES),
             plain_ms: None,
+            recent: VecDeque::new(),
         };
         self.servers.insert(key, speed);
     }
@@ -284,6 +351,15 @@
         self.servers.remove(key);
     }
 
+    /// Sets the shortest pause goal of each service's streams; other services have none.
+    pub fn set_pause_goals(&mut self, goals: &BTreeMap<ServiceName, Duration>) {
+        self.services.iter_mut().for_each(|stats| stats.pause_goal = None);
+        for (service, goal) in goals {
+            let index = self.service_index(service);
+            self.services[index].pause_goal = Some(*goal);
+        }
+    }
+
     fn service_index(&mut self, name: &ServiceName) -> usize {
         match self.services.iter().position(|stats| stats.name == *name) {
             Some(index) => index,
@@ -381,6 +457,11 @@
         if !stats.is_large(sample) {
             return false;
         }
+        let known = server.prefill_tokens_per_ms.or(stats.prefill_tokens_per_ms);
+        if let Some(speed) = known {
+            let expected_ms = stats.fixed_ms + sample.read.tokens() as f64 / speed;
+            server.on_ratio(now, sample.elapsed_ms() / expected_ms);
+        }
         match sample.read.quality {
             ReadQuality::Undisturbed => server.undisturbed_at = Some(now),
             ReadQuality::Disturbed => {
@@ -424,6 +505,9 @@
     ) {
         let Some(server) = self.servers.get_mut(key) else { return };
         let stats = &mut self.services[server.service];
+        if let Some(usual_ms) = server.plain_ms.or(stats.plain_ms) {
+            server.on_ratio(now, elapsed.as_secs_f64() * 1_000.0 / usual_ms);
+        }
         server.plain.push(now, source, elapsed);
         stats.plain.push(now, source, elapsed);
         // Of clusters alike the fastest counts, so calls per millisecond are compared.
@@ -436,14 +520,40 @@
     }
 
     /// Returns the prompt tokens that a server prefills per millisecond: as measured there, else as
-    /// expected of a server of its service, else the initial guess.
-    pub fn prefill_tokens_per_ms(&self, _now: Timestamp, key: ServerKey) -> f64 {
+    /// expected of a server of its service, else the initial guess; less while the server is slow.
+    pub fn prefill_tokens_per_ms(&self, now: Timestamp, key: ServerKey) -> f64 {
+        self.usual_tokens_per_ms(key) / self.slowdown(now, key)
+    }
+
+    fn usual_tokens_per_ms(&self, key: ServerKey) -> f64 {
+        let Some(server) = self.servers.get(key) else { return INITIAL_PREFILL_TOKENS_PER_MS };
+        let expected = self.services[server.service].prefill_tokens_per_ms;
+        server.prefill_tokens_per_ms.or(expected).unwrap_or(INITIAL_PREFILL_TOKENS_PER_MS)
+    }
+
+    /// Returns by what factor a server is slower than usual at the moment; 1 if it is not.
+    pub fn slowdown(&self, now: Timestamp, key: ServerKey) -> f64 {
+        self.servers.get(key).map_or(1.0, |server| server.slowdown(now))
+    }
+
+    /// Returns the expected time to the first event of a request with so many prompt tokens to read,
+    /// its own and those ahead of it, at the usual speed: a queue that this host does not know of looks
+    /// like a slowdown, and must not lead to a refusal.
+    pub fn first_event_time(&self, key: ServerKey, tokens: u64) -> Duration {
+        let fixed_ms = self.servers.get(key).map(|server| self.services[server.service].fixed_ms);
+        let fixed_ms = fixed_ms.unwrap_or(INITIAL_FIRST_EVENT.as_secs_f64() * 1_000.0);
+        let prefill_ms = tokens as f64 / self.usual_tokens_per_ms(key);
+        Duration::from_secs_f64((fixed_ms + prefill_ms) / 1_000.0)
+    }
+
+    /// Returns by how many milliseconds the streams at a server would pause beyond what their goal
+    /// leaves for it while the server reads so many prompt tokens.
+    pub fn stall_ms(&self, now: Timestamp, key: ServerKey, tokens: u64) -> f64 {
         let server = self.servers.get(key);
-        let learned = server.and_then(|server| {
-            let expected = self.services[server.service].prefill_tokens_per_ms;
-            server.prefill_tokens_per_ms.or(expected)
-        });
-        learned.unwrap_or(INITIAL_PREFILL_TOKENS_PER_MS)
+        let goal = server.and_then(|server| self.services[server.service].pause_goal);
+        let Some(goal) = goal else { return 0.0 };
+        let pause_ms = tokens as f64 / self.prefill_tokens_per_ms(now, key);
+        (pause_ms - goal.as_secs_f64() * 1_000.0 * STALL_SHARE).max(0.0)
     }
 
     /// Returns the usual time of a plain call at a server that has a free slot: as measured there, else
@@ -473,19 +583,38 @@
         stats.map_or(INITIAL_FIRST_EVENT, |stats| Duration::from_secs_f64(stats.fixed_ms / 1_000.0))
     }
 
-    /// Returns the learned speed of each service in prompt tokens per millisecond, with the time since
-    /// the last measurement and the number of servers that were measured.
-    pub fn learned(
-        &self,
-        now: Timestamp,
-    ) -> impl Iterator<Item = (&ServiceName, f64, Duration, usize)> {
-        self.services.iter().enumerate().filter_map(move |(index, stats)| {
+    /// Returns the learned speed of each service.
+    pub fn learned(&self, now: Timestamp) -> Vec<LearnedSpeed> {
+        let learned = |(index, stats): (usize, &ServiceStats)| {
             let is_known = |server: &&ServerSpeed| {
                 server.service == index && server.prefill_tokens_per_ms.is_some()
             };
-            let known = self.servers.values().filter(is_known).count();
-            let age = now.since(stats.learned_at?);
-            Some((&stats.name, stats.prefill_tokens_per_ms?, age, known))
-        })
+            Some(LearnedSpeed {
+                service: stats.name.clone(),
+                tokens_per_ms: stats.prefill_tokens_per_ms?,
+                fixed: Duration::from_secs_f64(stats.fixed_ms / 1_000.0),
+                age: now.since(stats.learned_at?),
+                servers: self.servers.values().filter(is_known).count(),
+            })
+        };
+        self.services.iter().enumerate().filter_map(learned).collect()
+    }
+
+    /// Returns the learned speeds that changed noticeably since they were last returned.
+    pub fn take_changes(&mut self, now: Timestamp) -> Vec<LearnedSpeed> {
+        let mut changed = self.learned(now);
+        changed.retain(|learned| {
+            let stats = self.services.iter_mut().find(|stats| stats.name == learned.service);
+            stats.is_some_and(|stats| {
+                let is_close =
+                    |told: f64| (learned.tokens_per_ms / told - 1.0).abs() < NOTICEABLE_CHANGE;
+                let is_changed = !stats.told_tokens_per_ms.is_some_and(is_close);
+                if is_changed {
+                    stats.told_tokens_per_ms = Some(learned.tokens_per_ms);
+                }
+                is_changed
+            })
+        });
+        changed
     }
 }
--- a/lib/src/gateway/gateway_metrics.rs
+++ b/lib/src/gateway/gateway_metrics.rs
@@ -16,6 +16,9 @@
 const LATENCY_BUCKETS_S: [f64; 12] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 20.0];
 
+/// Upper bounds of the buckets of observed times as multiples of the expected ones.
+const RATIO_BUCKETS: [f64; 8] = [0.5, 0.8, 1.0, 1.25, 1.5, 2.0, 4.0, 10.0];
+
 /// Result of setting up metrics.
 pub type Result<T> = std::result::Result<T, prometheus::Error>;
 
@@ -43,6 +46,12 @@
     pub levels: IntGaugeVec,
     /// Gauge: listed servers, by service and version of their software.
     pub servers: IntGaugeVec,
+    /// Gauge: what was learned of the servers of a service, by service and value.
+    pub speeds: IntGaugeVec,
+    /// Late answers, by service and the part that was late.
+    pub late_answers: IntCounterVec,
+    /// Time to the first event as a multiple of the expected time, by service.
+    pub first_event_ratio: HistogramVec,
 }
 
 impl GatewayMetrics {
@@ -68,6 +77,18 @@
             &["service", "version"],
         )?;
         registry.register(Box::new(servers.clone()))?;
+        let speeds = IntGaugeVec::new(
+            Opts::new("pomelostack_learned_speed", "Learned speed of a service's servers."),
+            &["service", "value"],
+        )?;
+        registry.register(Box::new(speeds.clone()))?;
+        let ratios = HistogramOpts::new(
+            "pomelostack_first_event_ratio",
+            "Time to the first event divided by the expected time.",
+        );
+        let first_event_ratio =
+            HistogramVec::new(ratios.buckets(RATIO_BUCKETS.to_vec()), &["service"])?;
+        registry.register(Box::new(first_event_ratio.clone()))?;
         Ok(Self {
             requests: counter(
                 "pomelostack_requests_total",
@@ -101,8 +122,15 @@
                 "Seconds until an answer's end.",
                 "kind",
             )?,
+            late_answers: counter(
+                "pomelostack_late_answers_total",
+                "Late answers.",
+                &["service", "part"],
+            )?,
             levels,
             servers,
+            speeds,
+            first_event_ratio,
             registry,
         })
     }
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -16,6 +16,7 @@
 use crate::gateway::buffer_budget::BufferBudget;
 use crate::gateway::capacity::demand_meter::DemandMeter;
 use crate::gateway::capacity::lateness_meter::LatenessMeter;
+use crate::gateway::capacity::speed_table::LearnedSpeed;
 use crate::gateway::connection_pool::ConnectionPool;
 use crate::gateway::crash_tracker::CrashTracker;
 use crate::gateway::crash_tracker::ExitEvidence;
@@ -379,6 +380,33 @@
         self.peers.borrow().limit_fleet(now, service, own_level)
     }
 
+    /// Updates the metrics of learned speeds, and logs those that changed.
+    pub fn report_speeds(&self) {
+        let now = self.now();
+        let mut placement = self.placement.borrow_mut();
+        let speeds = placement.speeds_mut();
+        for LearnedSpeed { service, tokens_per_ms, fixed, age, servers } in speeds.learned(now) {
+            let set = |name: &str, value: u128| {
+                let value = i64::try_from(value).unwrap_or(i64::MAX);
+                self.metrics.speeds.with_label_values(&[service.as_str(), name]).set(value);
+            };
+            set("prefill_tokens_per_s", (tokens_per_ms * 1_000.0) as u128);
+            set("fixed_first_event_us", fixed.as_micros());
+            set("age_ms", age.as_millis());
+            set("measured_servers", servers as u128);
+        }
+        for LearnedSpeed { service, tokens_per_ms, fixed, age, servers } in speeds.take_changes(now)
+        {
+            log::info!(
+                "event=speed_learned service={service} prefill_per_s={:.0} fixed_us={} age_ms={} \
+                 servers={servers}",
+                tokens_per_ms * 1_000.0,
+                fixed.as_micros(),
+                age.as_millis(),
+            );
+        }
+    }
+
     fn count_limits(&self) {
         let placement = self.placement.borrow();
         let (mut count, mut named, mut held) = (0, 0, 0);
--- a/lib/src/gateway/peer_gossip.rs
+++ b/lib/src/gateway/peer_gossip.rs
@@ -286,6 +286,7 @@
     state.pool.close_expired();
     host_summary::apply_peer_summaries(state);
     state.refresh_limits();
+    state.report_speeds();
     let running = i64::try_from(state.in_flight.get()).unwrap_or(i64::MAX);
     state.metrics.levels.with_label_values(&["running_requests"]).set(running);
 }
--- a/lib/src/gateway/placement.rs
+++ b/lib/src/gateway/placement.rs
@@ -2,7 +2,8 @@
 //!
 //! Load pattern: model requests whose prompts share long prefixes, on servers whose prefill and
 //! batch capacity is shared by all hosts. The cost of a server is an estimate of the wait there:
-//! its pending prefill, the request's own uncached tokens, and how full its batch is. Hosts don't
+//! its pending prefill and the request's own uncached tokens at the speed learned of the server, how full
+//! its batch is, and for how long the request would stall the streams there. Hosts don't
 //! share which prefixes are cached where; they agree on a home server for each shared prefix by
 //! rendezvous hashing. A request goes to another server only if waiting at home costs more than
 //! prefilling the prefix again.
@@ -39,6 +40,10 @@
 /// Expected milliseconds that each running request adds to a new request's time to first token.
 const BATCH_MS_PER_REQUEST: f64 = 1.0;
 
+/// Weight of a millisecond by which a running stream is stalled beyond its pause goal: stalling two
+/// streams costs as much as the wait of the request that stalls them.
+const STALL_WEIGHT: f64 = 0.5;
+
 /// Cost of a server in another availability zone, in milliseconds: the round trip, and the price of
 /// the traffic.
 const CROSS_ZONE_COST_MS: f64 = 4.0;
@@ -450,8 +455,9 @@
         let uncached_tokens = load.uncached_tokens(now, prompt, home == Some(key));
         let pending = load.prefill_tokens + load.peers.prefill_tokens;
         let tokens_to_read = pending as f64 + uncached_tokens as f64 * UNCACHED_TOKEN_WEIGHT;
+        let stall_ms = self.speeds.stall_ms(now, key, pending + uncached_tokens);
         let cost = tokens_to_read / self.speeds.prefill_tokens_per_ms(now, key)
-            + f64::from(running) * BATCH_MS_PER_REQUEST
+            + f64::from(running) * (BATCH_MS_PER_REQUEST + stall_ms * STALL_WEIGHT)
             + zone_cost;
         Some((cost, PlacementChoice::Server { key, running, uncached_tokens, limited: 0 }))
     }
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -49,6 +49,7 @@
 use crate::gateway::version_ledger::StreamBegin;
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
+use crate::ids::ServiceName;
 use crate::software_version::SoftwareVersion;
 use crate::timestamp::Timestamp;
 
@@ -83,6 +84,8 @@
     moment: ServerMoment,
     /// What the server reads before the first event, if the time to it shows the server's speed.
     read: Cell<Option<PromptRead>>,
+    /// Expected time from sending to the first event.
+    expected: Duration,
 }
 
 impl ServerAttempt {
@@ -103,7 +106,12 @@
             let read_age = directory.read_age(now);
             (id.clone(), *address, *started_at_ms, version.clone(), *slots, read_age)
         };
-        let pending_tokens = state.placement.borrow().pending_tokens(key);
+        let (pending_tokens, expected) = {
+            let placement = state.placement.borrow();
+            let pending_tokens = placement.pending_tokens(key);
+            let tokens = pending_tokens.saturating_add(uncached_tokens);
+            (pending_tokens, placement.speeds().first_event_time(key, tokens))
+        };
         let moment = ServerMoment { pending_tokens, running, slots };
         let limit = state.placement.borrow().limits().limit(&id, started_at_ms);
         log::info!(
@@ -137,6 +145,7 @@
             has_reserved: Cell::new(true),
             sent_at: Cell::new(now),
             moment,
+            expected,
             read: Cell::new(
                 // A stream that is taken up skips events, which no speed explains.
                 prompt
@@ -156,6 +165,11 @@
         &self.id
     }
 
+    /// Returns the expected time from sending to the first event.
+    pub fn expected(&self) -> Duration {
+        self.expected
+    }
+
     /// Returns the version of the server's software.
     pub fn version(&self) -> &SoftwareVersion {
         &self.version
@@ -173,10 +187,13 @@
     }
 
     /// Records that the first event arrived, as a measurement of the server's speed.
-    pub fn on_first_event_read(&self) {
+    pub fn on_first_event_read(&self, service: &ServiceName) {
         let Some(read) = self.read.take() else { return };
         let now = self.state.now();
         let elapsed = now.since(self.sent_at.get());
+        let ratio = elapsed.as_secs_f64() / self.expected.as_secs_f64().max(f64::EPSILON);
+        let ratios = &self.state.metrics.first_event_ratio;
+        ratios.with_label_values(&[service.as_str()]).observe(ratio);
         let mut placement = self.state.placement.borrow_mut();
         placement.speeds_mut().on_first_event(now, self.key, read, elapsed);
     }
@@ -427,7 +444,10 @@
     let mut stream = stream;
     let time_left = deadline.since(state.now());
     match timeout(time_left, read_first_event(&mut stream)).await {
-        Ok(Ok(())) => AttemptOutcome::Stream(Box::new(stream)),
+        Ok(Ok(())) => {
+            stream.attempt.on_first_event_read(&request.service);
+            AttemptOutcome::Stream(Box::new(stream))
+        }
         Ok(Err(detail)) => {
             log_failure(state, request, &stream.attempt, AttemptFailure::Lost, &detail);
             record_lost(state, request, &stream.attempt).await;
@@ -447,7 +467,6 @@
             *first_event = splitter.next_event().map_err(|error| error.to_string())?;
         }
     }
-    stream.attempt.on_first_event_read();
     Ok(())
 }
 
--- a/lib/src/gateway/serving_config.rs
+++ b/lib/src/gateway/serving_config.rs
@@ -59,6 +59,8 @@
     pub time_limit: Duration,
     /// Target latency of the response, or of its first event.
     pub latency_goal: Duration,
+    /// Target for the longest pause between two events of a stream, if there is one.
+    pub pause_goal: Option<Duration>,
     /// Priority of requests; 0 is served first.
     pub priority: u32,
     /// Services and their weights.
@@ -246,6 +248,21 @@
             .collect()
     }
 
+    /// Returns the shortest of the pause goals of the streams that each service runs.
+    pub fn pause_goals(&self) -> BTreeMap<ServiceName, Duration> {
+        let mut goals: BTreeMap<ServiceName, Duration> = BTreeMap::new();
+        for route in self.routes.values().flatten() {
+            let Some(goal) = route.pause_goal else { continue };
+            for (service, _) in &route.targets {
+                goals
+                    .entry(service.clone())
+                    .and_modify(|known| *known = goal.min(*known))
+                    .or_insert(goal);
+            }
+        }
+        goals
+    }
+
     /// Returns the number of routes.
     pub fn route_count(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/lib/src/gateway/store_follower.rs
+++ b/lib/src/gateway/store_follower.rs
@@ -240,7 +240,11 @@
     }
     let Some(config) = read.config else { return };
     let (version, routes, teams) = (config.version, config.route_count(), config.teams.len());
+    let pause_goals = config.pause_goals();
     let change = state.config.borrow_mut().adopt_if_newer(config);
+    if change == ConfigChange::Adopted {
+        state.placement.borrow_mut().speeds_mut().set_pause_goals(&pause_goals);
+    }
     let event = match change {
         ConfigChange::Adopted => "config_adopted",
         ConfigChange::Ignored => "config_ignored",
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -21,6 +21,7 @@
 use crate::gateway::accepted_request::log_request_end;
 use crate::gateway::accepted_request::place_request;
 use crate::gateway::accepted_request::record_health;
+use crate::gateway::accepted_request::record_late_answer;
 use crate::gateway::accepted_request::record_started;
 use crate::gateway::accepted_request::record_timeliness;
 use crate::gateway::accepted_request::request_kind_label;
@@ -32,6 +33,7 @@
 use crate::gateway::attempt_race::record_silent_server;
 use crate::gateway::caller_request::EventNumber;
 use crate::gateway::caller_request::PartList;
+use crate::gateway::capacity::answer_timing::AnswerTiming;
 use crate::gateway::connection_pool::PooledConnection;
 use crate::gateway::event_splitter;
 use crate::gateway::event_splitter::EventSplitter;
@@ -51,6 +53,7 @@
 use crate::gateway::server_attempt::record_lost;
 use crate::gateway::server_health::HealthEvidence;
 use crate::gateway::stream_binding::BindOutcome;
+use crate::ids::ServerId;
 use crate::ids::ServerKey;
 use crate::result_code::ResultCode;
 use crate::software_version::SoftwareVersion;
@@ -152,6 +155,10 @@
     relayed_events: u64,
     /// Software version of the last server of which an event was relayed.
     relayed_version: Option<SoftwareVersion>,
+    /// Times of the answer's events.
+    timing: AnswerTiming,
+    /// Server that sent the first event, and when it was expected after the sending.
+    begun_at_server: Option<(ServerId, Duration)>,
 }
 
 impl<W: WireProtocol + 'static> StreamRelay<W> {
@@ -180,6 +187,8 @@
             last_event,
             relayed_events: 0,
             relayed_version: None,
+            timing: AnswerTiming::default(),
+            begun_at_server: None,
         };
         let chunks = relay.chunks.clone();
         tokio::task::spawn_local(async move {
@@ -232,6 +241,9 @@
         let detail =
             format!("events={} attempts={attempts} version={version}", self.relayed_events);
         log_request_end(&self.state, &self.request, code, &detail);
+        if let Some((server, expected)) = &self.begun_at_server {
+            record_late_answer(&self.state, &self.request, &self.timing, server, *expected);
+        }
         if code != ResultCode::Complete && code != ResultCode::CallerLost {
             // Sending fails only if the caller disconnected meanwhile; it needs no error then.
             let _ = self.chunks.send_truncated().await;
@@ -286,7 +298,9 @@
                 Err(error) => return Some(self.lose_stream(stream, &error.to_string())),
             };
             stream.attempt.on_heard();
-            stream.attempt.on_first_event_read();
+            stream.attempt.on_first_event_read(&self.request.service);
+            let read_at = self.state.now();
+            self.timing.on_event_read(read_at, self.request.arrived_at);
             // This stream is kept, so the attempts beside it are not needed.
             self.race.drop_rest(&mut self.plan);
             if std::mem::take(&mut stream.is_silent) {
@@ -301,6 +315,8 @@
             if !std::mem::replace(&mut stream.has_begun, true) {
                 stream.begun_at = Some(now);
                 self.relayed_version = Some(stream.attempt.version().clone());
+                let begun_at = || (stream.attempt.server().clone(), stream.attempt.expected());
+                self.begun_at_server.get_or_insert_with(begun_at);
                 stream.attempt.on_first_event();
                 self.on_first_event();
             }
@@ -311,6 +327,7 @@
                 return Some(end);
             }
             stream.quiet_since = self.state.now();
+            self.timing.on_event_relayed(stream.quiet_since, read_at);
         }
     }
 
--- a/lib/tests/test_placement.rs
+++ b/lib/tests/test_placement.rs
@@ -10,6 +10,8 @@
 use pomelostack_lib::gateway::backend_directory::ServingState;
 use pomelostack_lib::gateway::caller_request::PromptPart;
 use pomelostack_lib::gateway::caller_request::PromptShape;
+use pomelostack_lib::gateway::capacity::speed_table::PromptRead;
+use pomelostack_lib::gateway::capacity::speed_table::ReadQuality;
 use pomelostack_lib::gateway::placement::ConnectionShare;
 use pomelostack_lib::gateway::placement::PeerLoad;
 use pomelostack_lib::gateway::placement::PlacementChoice;
@@ -294,3 +296,45 @@
     assert_eq!(resumed.count(), 2 * SLOTS as usize / 4);
     assert_eq!(fixture.resume_at("v1", &[]), PlacementChoice::Full);
 }
+
+/// Lets a table learn that a server prefills a prompt of 5,000 tokens in a number of milliseconds.
+fn teach(table: &mut PlacementTable, key: ServerKey, millis: u64) {
+    let read =
+        PromptRead { own_tokens: 5_000, pending_tokens: 0, quality: ReadQuality::Undisturbed };
+    let elapsed = Duration::from_millis(20 + millis);
+    for at_ms in 0..20 {
+        table.speeds_mut().on_first_event(Timestamp::from_millis(at_ms), key, read, elapsed);
+    }
+}
+
+#[test]
+fn faster_server() {
+    // Equal queues are not equal waits at uneven servers.
+    let mut fixture = Fixture::new(&["a", "a"]);
+    let prompt = prompt(10, 100);
+    let home = fixture.chosen(Some(&prompt));
+    let other = fixture.keys.iter().copied().find(|key| *key != home).expect("two servers");
+    for key in [home, other] {
+        fixture.table.speeds_mut().on_joined(key, &service());
+        teach(&mut fixture.table, key, if key == home { 100 } else { 25 });
+    }
+    assert_eq!(fixture.chosen(Some(&prompt)), home);
+    let load = PeerLoad { running: 2, prefill_tokens: 20_000 };
+    fixture.table.set_peer_loads(&BTreeMap::from([(home, load), (other, load)]));
+    assert_eq!(fixture.chosen(Some(&prompt)), other);
+}
+
+#[test]
+fn stalled_streams() {
+    // Prompts that pile up at a server must not stall its streams beyond their pause goal.
+    let mut fixture = Fixture::new(&["a", "a"]);
+    let prompt = prompt(10, 100);
+    let home = fixture.chosen(Some(&prompt));
+    fixture.keys.iter().for_each(|key| fixture.table.speeds_mut().on_joined(*key, &service()));
+    let load = PeerLoad { running: 6, prefill_tokens: 8_000 };
+    fixture.table.set_peer_loads(&BTreeMap::from([(home, load)]));
+    assert_eq!(fixture.chosen(Some(&prompt)), home);
+    let goals = BTreeMap::from([(service(), Duration::from_millis(200))]);
+    fixture.table.speeds_mut().set_pause_goals(&goals);
+    assert_ne!(fixture.chosen(Some(&prompt)), home);
+}
--- a/lib/tests/test_serving_config.rs
+++ b/lib/tests/test_serving_config.rs
@@ -21,6 +21,7 @@
         kind: RequestKind::Idempotent,
         time_limit: Duration::from_secs(1),
         latency_goal: Duration::from_millis(100),
+        pause_goal: None,
         priority: 0,
         targets: targets
             .iter()
--- a/lib/tests/test_speed_table.rs
+++ b/lib/tests/test_speed_table.rs
@@ -3,19 +3,34 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use pomelostack_lib::gateway::backend_directory::BackendDirectory;
+use pomelostack_lib::gateway::backend_directory::BackendEntry;
+use pomelostack_lib::gateway::backend_directory::DirectoryChange;
+use pomelostack_lib::gateway::backend_directory::ServingState;
 use pomelostack_lib::gateway::caller_request::PromptPart;
 use pomelostack_lib::gateway::caller_request::PromptShape;
+use pomelostack_lib::gateway::capacity::answer_timing::AnswerGoals;
+use pomelostack_lib::gateway::capacity::answer_timing::AnswerTiming;
+use pomelostack_lib::gateway::capacity::answer_timing::LatePart;
 use pomelostack_lib::gateway::capacity::sample_ring::SampleSource;
 use pomelostack_lib::gateway::capacity::service_speed::INITIAL_PREFILL_TOKENS_PER_MS;
 use pomelostack_lib::gateway::capacity::service_speed::SpeedBasis;
+use pomelostack_lib::gateway::capacity::speed_gossip::apply_samples;
 use pomelostack_lib::gateway::capacity::speed_table::PromptRead;
 use pomelostack_lib::gateway::capacity::speed_table::ReadQuality;
 use pomelostack_lib::gateway::capacity::speed_table::ReadSample;
 use pomelostack_lib::gateway::capacity::speed_table::ServerMoment;
 use pomelostack_lib::gateway::capacity::speed_table::SpeedSample;
 use pomelostack_lib::gateway::capacity::speed_table::SpeedTable;
+use pomelostack_lib::ids::LogOffset;
+use pomelostack_lib::ids::LogPosition;
+use pomelostack_lib::ids::ServerId;
 use pomelostack_lib::ids::ServerKey;
 use pomelostack_lib::ids::ServiceName;
+use pomelostack_lib::ids::StoreEra;
+use pomelostack_lib::ids::ZoneName;
+use pomelostack_lib::protos::gateway::SpeedMeasurement;
+use pomelostack_lib::software_version::SoftwareVersion;
 use pomelostack_lib::timestamp::Timestamp;
 use rand::Rng as _;
 use rand::SeedableRng as _;
@@ -72,6 +87,7 @@
     engines: Vec<SimulatedEngine>,
     hosts: Vec<SpeedTable>,
     fixed_ms: f64,
+    is_partitioned: bool,
     now_ms: f64,
     /// First events and measurements that are still to come, by time in microseconds.
     events: BTreeMap<(u64, u64), FleetEvent>,
@@ -102,12 +118,18 @@
             engines,
             hosts: vec![table; HOSTS],
             fixed_ms,
+            is_partitioned: false,
             now_ms: 0.0,
             events: BTreeMap::new(),
             count: 0,
         }
     }
 
+    /// Lets each half of the hosts learn only from its own.
+    fn partition(&mut self) {
+        self.is_partitioned = true;
+    }
+
     fn push(&mut self, at_ms: f64, event: FleetEvent) {
         self.count += 1;
         self.events.insert(((at_ms * 1_000.0) as u64, self.count), event);
@@ -150,7 +172,11 @@
                 }
                 FleetEvent::Shared { from, key, sample } => {
                     let source = SampleSource::Peer(from as u64);
-                    let peers = self.hosts.iter_mut().enumerate().filter(|(host, _)| *host != from);
+                    let is_cut = |host: usize| {
+                        self.is_partitioned && (host < HOSTS / 2) != (from < HOSTS / 2)
+                    };
+                    let peers = self.hosts.iter_mut().enumerate();
+                    let peers = peers.filter(|(host, _)| *host != from && !is_cut(*host));
                     peers.for_each(|(_, peer)| peer.on_peer_sample(now, key, sample, source));
                 }
             }
@@ -322,3 +348,107 @@
         assert!((58..=64).contains(&time.as_millis()), "{time:?}");
     }
 }
+
+#[test]
+fn partitioned_hosts() {
+    // Either half of the hosts must go on learning from its own requests alone.
+    let mut fleet = SimulatedFleet::new(&[56.9; 6], 25.0);
+    fleet.partition();
+    fleet.run(60.0, 0.5);
+    for host in [0, HOSTS - 1] {
+        let speed = fleet.hosts[host].of_service(fleet.now(), &service());
+        let ratio = speed.prefill_tokens_per_s / 56_900.0;
+        assert!((0.9..=1.1).contains(&ratio), "host {host}: {ratio}");
+    }
+}
+
+#[test]
+fn slow_for_seconds() {
+    // A server that slows down by a factor of ten is avoided at once, used again soon after, and does not
+    // change what is known of its service.
+    let mut table = SpeedTable::default();
+    let mut keys: SlotMap<ServerKey, ()> = SlotMap::with_key();
+    let key = keys.insert(());
+    table.on_joined(key, &service());
+    let event = |table: &mut SpeedTable, at_ms: u64, slow: u64| {
+        let elapsed = Duration::from_millis(20 + 100 * slow);
+        table.on_first_event(Timestamp::from_millis(at_ms), key, read(5_690), elapsed);
+    };
+    (0..100).for_each(|index| event(&mut table, index * 200, 1));
+    for at_ms in (20_000..23_000).step_by(250) {
+        event(&mut table, at_ms, 10);
+    }
+    let now = Timestamp::from_millis(22_900);
+    assert!(table.slowdown(now, key) > 5.0);
+    assert!(table.prefill_tokens_per_ms(now, key) < 12.0);
+    let service_speed = table.of_service(now, &service()).prefill_tokens_per_s;
+    assert!((50_000.0..64_000.0).contains(&service_speed), "{service_speed}");
+    event(&mut table, 23_500, 1);
+    let speed = table.prefill_tokens_per_ms(Timestamp::from_millis(23_600), key);
+    assert!((50.0..64.0).contains(&speed), "{speed}");
+}
+
+#[test]
+fn unmatched_reports() {
+    // Reports of a server's former process, and of servers that are gone, must not count.
+    let mut directory = BackendDirectory::default();
+    let id = ServerId::try_from("s1").expect("valid in tests");
+    let entry = BackendEntry {
+        id: id.clone(),
+        service: service(),
+        address: "127.0.0.1:1".parse().expect("valid in tests"),
+        zone: ZoneName::try_from("a").expect("valid in tests"),
+        version: SoftwareVersion::of(b""),
+        state: ServingState::Ready,
+        slots: SLOTS,
+        started_at_ms: Some(2_000),
+        reclaimable: false,
+        reclaimed_in: None,
+        sequence: None,
+    };
+    let position = LogPosition { era: StoreEra(0), offset: LogOffset(1) };
+    directory.apply(Timestamp::default(), position, DirectoryChange::Present(entry));
+    let key = directory.find(&id).expect("was added");
+    let mut table = SpeedTable::default();
+    table.on_joined(key, &service());
+    let report = |server: &str, born_ms: u64| SpeedMeasurement {
+        server: server.to_owned(),
+        born_ms: Some(born_ms),
+        prompt_tokens: 5_000,
+        elapsed_us: 120_000,
+        ..SpeedMeasurement::default()
+    };
+    let mut apply = |peer: u64, server: &str, born_ms: u64| {
+        let (now, reports) = (Timestamp::from_millis(peer), [report(server, born_ms)]);
+        apply_samples(now, &mut table, &directory, &format!("h{peer}"), &reports);
+        table.of_service(now, &service()).basis
+    };
+    for peer in 0..50 {
+        assert_eq!(apply(peer, "s1", 1_000), SpeedBasis::Guessed);
+        assert_eq!(apply(peer, "s9", 2_000), SpeedBasis::Guessed);
+    }
+    let learned = (50..70).map(|peer| apply(peer, "s1", 2_000)).last();
+    assert_eq!(learned, Some(SpeedBasis::Learned));
+}
+
+#[test]
+fn late_parts() {
+    // Each late answer must be put down to the part that its remedy depends on.
+    let goals = AnswerGoals {
+        first_event: Duration::from_millis(400),
+        pause: Some(Duration::from_millis(300)),
+    };
+    let at = Timestamp::from_millis;
+    let timing = |first: u64, second: u64, relayed: u64| {
+        let mut timing = AnswerTiming::default();
+        timing.on_event_read(at(first), at(0));
+        timing.on_event_relayed(at(first), at(first));
+        timing.on_event_read(at(second), at(0));
+        timing.on_event_relayed(at(relayed), at(second));
+        timing.late_part(goals).map(|late| late.part)
+    };
+    assert_eq!(timing(400, 700, 700), None);
+    assert_eq!(timing(401, 1_000, 1_000), Some(LatePart::FirstEvent));
+    assert_eq!(timing(300, 601, 601), Some(LatePart::Pause));
+    assert_eq!(timing(300, 400, 601), Some(LatePart::Relay));
+}
