capacity: decoding speed from pauses, and servers for it while callers are late

The fleet's share for output was a constant of one engine.

Hosts measure pauses between events, averaged over eight since a busy host reads several at once, and what requests ask for per event. The requested output tokens that a server serves per second with a half-full batch follow from them. Where that is less than the initial guess, the servers that it asks for are added only while callers are late: by the step times of the deployments it may ask for half as many servers again, and whether they are needed shows in late answers only.

test_speed_table, test_fleet_scaler and test_placement pass.

--- a/lib/src/gateway/capacity/answer_timing.rs
+++ b/lib/src/gateway/capacity/answer_timing.rs
@@ -12,6 +12,10 @@
 /// Time from reading an event to handing it to the caller's connection after which its relay is late.
 const RELAY_LIMIT: Duration = Duration::from_millis(200);
 
+/// Events over which the pause between two events is averaged, since a host reads several at once when
+/// its processor was busy.
+const AVERAGED_EVENTS: u32 = 8;
+
 /// The part of an answer that was late first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LatePart {
@@ -67,16 +71,26 @@
     last_read_at: Option<Timestamp>,
     longest_pause: Duration,
     longest_relay: Duration,
+    /// Begin of the events that are averaged, and how many there were since.
+    averaged_from: Option<Timestamp>,
+    averaged_events: u32,
 }
 
 impl AnswerTiming {
     /// Records that an event was read from a server, for a request that arrived at `arrived_at`.
-    /// Returns the pause before it, unless it is the first.
+    /// Returns the mean pause between events once enough of them came.
     pub fn on_event_read(&mut self, now: Timestamp, arrived_at: Timestamp) -> Option<Duration> {
         self.first_event.get_or_insert(now.since(arrived_at));
-        let pause = self.last_read_at.replace(now).map(|last| now.since(last))?;
-        self.longest_pause = self.longest_pause.max(pause);
-        Some(pause)
+        if let Some(last) = self.last_read_at.replace(now) {
+            self.longest_pause = self.longest_pause.max(now.since(last));
+        }
+        let from = *self.averaged_from.get_or_insert(now);
+        if self.averaged_events < AVERAGED_EVENTS {
+            self.averaged_events += 1;
+            return None;
+        }
+        (self.averaged_from, self.averaged_events) = (Some(now), 1);
+        Some(now.since(from) / AVERAGED_EVENTS)
     }
 
     /// Records that an event read at `read_at` was handed to the caller's connection. The time that a
--- a/lib/src/gateway/capacity/fleet_scaler.rs
+++ b/lib/src/gateway/capacity/fleet_scaler.rs
@@ -5,7 +5,7 @@
 //! that callers request, divided by the speed that is learned of the service's servers: it scales up at
 //! once, and down only after demand has stayed lower for a while. A learned speed shows neither bursts
 //! nor uneven servers. While callers are late, the servers that it saves compared with the initial guess
-//! are therefore added again. `fleet_plan` turns the number of servers needed into orders for each zone.
+//! are therefore added again, and those that the learned decoding speed asks for. `fleet_plan` turns the number of servers needed into orders for each zone.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -51,7 +51,7 @@
 /// Answers below which their late share is left to chance.
 const MIN_COUNTED_ANSWERS: u64 = 50;
 
-/// Part of the saved servers that is added per second while callers are late: all of them within the
+/// Part of the spared servers that is added per second while callers are late: all of them within the
 /// start time of a server.
 const RELIEF_RISE_PER_S: f64 = 0.25;
 
@@ -212,7 +212,7 @@
     }
 
     fn push_peak(&mut self, at: Timestamp, demand: TokenDemand) {
-        let servers = demand.required_servers(self.speed);
+        let servers = demand.required_servers(self.speed.optimistic());
         while self.peaks.back().is_some_and(|peak| peak.servers <= servers) {
             self.peaks.pop_back();
         }
@@ -259,7 +259,8 @@
     fn required_servers(&self, now: Timestamp, window: Duration) -> f64 {
         let Some(peak) = self.peak(now, window) else { return 0.0 };
         let guessed = peak.demand.required_servers(ServiceSpeed::INITIAL);
-        peak.servers + (guessed - peak.servers).max(0.0) * self.relief
+        let cautious = peak.demand.required_servers(self.speed).max(guessed);
+        peak.servers + (cautious - peak.servers).max(0.0) * self.relief
     }
 
     /// Returns the orders for one kind of server to place now, given the servers listed in each zone.
--- a/lib/src/gateway/capacity/service_speed.rs
+++ b/lib/src/gateway/capacity/service_speed.rs
@@ -44,6 +44,14 @@
         output_tokens_per_s: INITIAL_OUTPUT_TOKENS_PER_S,
         basis: SpeedBasis::Guessed,
     };
+
+    /// Returns the speed at which the fewest servers are needed: the decoding speed is the initial guess
+    /// where less was learned. Decoding takes time that prefill leaves, so that the learned one is
+    /// lower than what a lightly loaded fleet can do.
+    pub fn optimistic(self) -> Self {
+        let output_tokens_per_s = self.output_tokens_per_s.max(INITIAL_OUTPUT_TOKENS_PER_S);
+        Self { output_tokens_per_s, ..self }
+    }
 }
 
 impl Default for ServiceSpeed {
--- a/lib/src/gateway/capacity/speed_table.rs
+++ b/lib/src/gateway/capacity/speed_table.rs
@@ -87,6 +87,12 @@
 /// stalled. The rest is for the prompts of other hosts that are not known yet.
 const STALL_SHARE: f64 = 0.5;
 
+/// Share of a server's slots that are in use where its decoding speed is stated.
+const STATED_FILL: f64 = 0.5;
+
+/// Weight of a stream in the tokens that requests ask for per event.
+const STREAM_WEIGHT: f64 = 0.02;
+
 /// Longest believable time of a measurement.
 const MAX_ELAPSED: Duration = Duration::from_secs(60);
 
@@ -217,6 +223,9 @@
     prefill_tokens_per_ms: Option<f64>,
     plain: SampleRing<Duration>,
     plain_ms: Option<f64>,
+    /// Pauses between two events.
+    gaps: SampleRing<Duration>,
+    gap_ms: Option<f64>,
     /// Time of the last measurements as a multiple of what was expected, oldest first.
     recent: VecDeque<(Timestamp, f64)>,
 }
@@ -257,6 +266,13 @@
     plain: SampleRing<Duration>,
     plain_ms: Option<f64>,
     learned_at: Option<Timestamp>,
+    gaps: SampleRing<Duration>,
+    gap_ms: Option<f64>,
+    /// Mean of the requested output tokens and of the events of the streams that ended.
+    requested_tokens: f64,
+    events: f64,
+    /// Slots of a server.
+    slots: u32,
     /// Shortest pause goal of its streams.
     pause_goal: Option<Duration>,
     /// Speed that was last returned as a change.
@@ -276,6 +292,11 @@
             plain: SampleRing::new(SERVICE_SAMPLES),
             plain_ms: None,
             learned_at: None,
+            gaps: SampleRing::new(SERVICE_SAMPLES),
+            gap_ms: None,
+            requested_tokens: 0.0,
+            events: 0.0,
+            slots: 0,
             pause_goal: None,
             told_tokens_per_ms: None,
         }
@@ -310,6 +331,14 @@
         self.fixed_ms = fixed.map_or(self.fixed_ms, |fixed| fixed.max(0.0));
     }
 
+    /// Returns the requested output tokens that a server serves per second at a pause between events;
+    /// `None` before any stream ended.
+    fn output_tokens_per_s(&self, gap_ms: Option<f64>) -> Option<f64> {
+        let streams = f64::from(self.slots) * STATED_FILL;
+        let speed = streams * self.requested_tokens / self.events / (gap_ms? / 1_000.0);
+        (speed.is_finite() && speed > 0.0).then_some(speed)
+    }
+
     /// Returns the speed that measurements of large prompts show.
     fn speed_of(&self, reads: &SampleRing<ReadSample>) -> Option<f64> {
         let large_only = |sample: ReadSample| match self.is_large(sample) {
@@ -321,6 +350,13 @@
     }
 }
 
+/// Returns the most common of measured times in milliseconds. Of clusters alike the fastest counts, so
+/// their reciprocals are compared.
+fn common_ms(times: &SampleRing<Duration>) -> Option<f64> {
+    let rate = times.common_value(|elapsed| 1.0 / (elapsed.as_secs_f64() * 1_000.0));
+    rate.map(|rate| 1.0 / rate)
+}
+
 /// Learned speeds of all servers.
 #[derive(Clone, Debug, Default)]
 pub struct SpeedTable {
@@ -341,6 +377,8 @@
             prefill_tokens_per_ms: None,
             plain: SampleRing::new(SERVER_SAMPLES),
             plain_ms: None,
+            gaps: SampleRing::new(SERVER_SAMPLES),
+            gap_ms: None,
             recent: VecDeque::new(),
         };
         self.servers.insert(key, speed);
@@ -398,6 +436,27 @@
         }
     }
 
+    /// Records a pause between two events of a stream, averaged over some of them.
+    pub fn on_event_gap(&mut self, now: Timestamp, key: ServerKey, gap: Duration) {
+        let Some(server) = self.servers.get_mut(key) else { return };
+        let stats = &mut self.services[server.service];
+        server.gaps.push(now, SampleSource::Own, gap);
+        stats.gaps.push(now, SampleSource::Own, gap);
+        server.gap_ms = common_ms(&server.gaps).or(server.gap_ms);
+        stats.gap_ms = common_ms(&stats.gaps).or(stats.gap_ms);
+    }
+
+    /// Records a complete stream: its events, and the output tokens that its request asked for at most.
+    /// Responses are shorter, so the two tell what demand means in events.
+    pub fn on_stream_end(&mut self, key: ServerKey, slots: u32, events: u64, requested: u32) {
+        let Some(server) = self.servers.get(key) else { return };
+        let stats = &mut self.services[server.service];
+        let weight = if stats.events > 0.0 { STREAM_WEIGHT } else { 1.0 };
+        stats.events += (events as f64 - stats.events) * weight;
+        stats.requested_tokens += (f64::from(requested) - stats.requested_tokens) * weight;
+        stats.slots = slots;
+    }
+
     /// Records the time from sending a plain call to its complete answer. `moment` is that of sending.
     pub fn on_plain_answer(
         &mut self,
@@ -510,13 +569,8 @@
         }
         server.plain.push(now, source, elapsed);
         stats.plain.push(now, source, elapsed);
-        // Of clusters alike the fastest counts, so calls per millisecond are compared.
-        let usual_ms = |ring: &SampleRing<Duration>| {
-            let rate = ring.common_value(|elapsed| 1.0 / (elapsed.as_secs_f64() * 1_000.0));
-            rate.map(|rate| 1.0 / rate)
-        };
-        server.plain_ms = usual_ms(&server.plain);
-        stats.plain_ms = usual_ms(&stats.plain);
+        server.plain_ms = common_ms(&server.plain);
+        stats.plain_ms = common_ms(&stats.plain);
     }
 
     /// Returns the prompt tokens that a server prefills per millisecond: as measured there, else as
@@ -564,16 +618,26 @@
         Some(Duration::from_secs_f64(millis / 1_000.0))
     }
 
+    /// Returns the requested output tokens that a server serves per second with a half-full batch.
+    pub fn output_tokens_per_s(&self, _now: Timestamp, key: ServerKey) -> f64 {
+        let server = self.servers.get(key);
+        let learned = server.and_then(|server| {
+            let stats = &self.services[server.service];
+            stats.output_tokens_per_s(server.gap_ms.or(stats.gap_ms))
+        });
+        learned.unwrap_or(INITIAL_OUTPUT_TOKENS_PER_S)
+    }
+
     /// Returns what is expected of a server of a service.
     pub fn of_service(&self, _now: Timestamp, service: &ServiceName) -> ServiceSpeed {
         let stats = self.services.iter().find(|stats| stats.name == *service);
-        match stats.and_then(|stats| stats.prefill_tokens_per_ms) {
-            Some(tokens_per_ms) => ServiceSpeed {
-                prefill_tokens_per_s: tokens_per_ms * 1_000.0,
-                output_tokens_per_s: INITIAL_OUTPUT_TOKENS_PER_S,
-                basis: SpeedBasis::Learned,
-            },
-            None => ServiceSpeed::INITIAL,
+        let Some(stats) = stats else { return ServiceSpeed::INITIAL };
+        let Some(tokens_per_ms) = stats.prefill_tokens_per_ms else { return ServiceSpeed::INITIAL };
+        let output = stats.output_tokens_per_s(stats.gap_ms);
+        ServiceSpeed {
+            prefill_tokens_per_s: tokens_per_ms * 1_000.0,
+            output_tokens_per_s: output.unwrap_or(INITIAL_OUTPUT_TOKENS_PER_S),
+            basis: SpeedBasis::Learned,
         }
     }
 
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -198,6 +198,18 @@
         placement.speeds_mut().on_first_event(now, self.key, read, elapsed);
     }
 
+    /// Records a pause between two events, as a measurement of the server's speed.
+    pub fn on_event_gap(&self, gap: Duration) {
+        let mut placement = self.state.placement.borrow_mut();
+        placement.speeds_mut().on_event_gap(self.state.now(), self.key, gap);
+    }
+
+    /// Records the events of a complete stream whose request asked for so many output tokens at most.
+    pub fn on_stream_end(&self, events: u64, requested: u32) {
+        let mut placement = self.state.placement.borrow_mut();
+        placement.speeds_mut().on_stream_end(self.key, self.moment.slots, events, requested);
+    }
+
     /// Records that the whole answer of a plain call arrived, as a measurement of the server's speed.
     fn on_plain_answer(&self) {
         let now = self.state.now();
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -33,6 +33,7 @@
 use crate::gateway::attempt_race::record_silent_server;
 use crate::gateway::caller_request::EventNumber;
 use crate::gateway::caller_request::PartList;
+use crate::gateway::caller_request::PromptShape;
 use crate::gateway::capacity::answer_timing::AnswerTiming;
 use crate::gateway::connection_pool::PooledConnection;
 use crate::gateway::event_splitter;
@@ -274,6 +275,10 @@
                 RelayEvent::Read(None) => {
                     stream.connection.release();
                     record_answered(&self.state, &self.request);
+                    if let Some(prompt) = self.whole_prompt() {
+                        let requested = prompt.max_output_tokens;
+                        stream.attempt.on_stream_end(self.relayed_events, requested);
+                    }
                     return RelayEnd::Complete;
                 }
                 RelayEvent::HedgeEnded(_, AttemptOutcome::Stream(next)) => {
@@ -289,6 +294,11 @@
         }
     }
 
+    /// Returns the prompt of a stream that this request has relayed from its begin.
+    fn whole_prompt(&self) -> Option<&PromptShape> {
+        self.request.head.prompt.as_ref().filter(|_| self.request.head.resume_after.is_none())
+    }
+
     /// Relays what is complete of a stream; returns how relaying ended if it cannot continue.
     async fn relay_complete_events(&mut self, stream: &mut RelayedStream) -> Option<RelayEnd> {
         loop {
@@ -300,7 +310,9 @@
             stream.attempt.on_heard();
             stream.attempt.on_first_event_read(&self.request.service);
             let read_at = self.state.now();
-            self.timing.on_event_read(read_at, self.request.arrived_at);
+            if let Some(gap) = self.timing.on_event_read(read_at, self.request.arrived_at) {
+                stream.attempt.on_event_gap(gap);
+            }
             // This stream is kept, so the attempts beside it are not needed.
             self.race.drop_rest(&mut self.plan);
             if std::mem::take(&mut stream.is_silent) {
--- a/lib/tests/test_fleet_scaler.rs
+++ b/lib/tests/test_fleet_scaler.rs
@@ -389,3 +389,22 @@
     }
     assert_eq!(quiet.total(), 7);
 }
+
+#[test]
+fn slow_decoding() {
+    // Servers that a low decoding speed asks for are added only while callers are late.
+    let mut cloud = InstantCloud::new(None);
+    let initial = ServiceSpeed::INITIAL;
+    let output_tokens_per_s = initial.output_tokens_per_s / 2.0;
+    let speed = ServiceSpeed { output_tokens_per_s, basis: SpeedBasis::Learned, ..initial };
+    let demand = TokenDemand { prefill: 0.0, output: 60_000.0 };
+    let mut total_at = |second: u64, late: u64| {
+        cloud.scaler.on_speed(speed);
+        cloud.scaler.on_lateness(at(second), AnswerCounts { answers: 1_000, late });
+        cloud.scaler.on_demand(at(second), demand);
+        cloud.place_orders(second);
+        cloud.total()
+    };
+    assert_eq!((0..25).map(|second| total_at(second, 0)).last(), Some(8));
+    assert_eq!((25..32).map(|second| total_at(second, 100)).last(), Some(14));
+}
--- a/lib/tests/test_speed_table.rs
+++ b/lib/tests/test_speed_table.rs
@@ -13,6 +13,7 @@
 use pomelostack_lib::gateway::capacity::answer_timing::AnswerTiming;
 use pomelostack_lib::gateway::capacity::answer_timing::LatePart;
 use pomelostack_lib::gateway::capacity::sample_ring::SampleSource;
+use pomelostack_lib::gateway::capacity::service_speed::INITIAL_OUTPUT_TOKENS_PER_S;
 use pomelostack_lib::gateway::capacity::service_speed::INITIAL_PREFILL_TOKENS_PER_MS;
 use pomelostack_lib::gateway::capacity::service_speed::SpeedBasis;
 use pomelostack_lib::gateway::capacity::speed_gossip::apply_samples;
@@ -452,3 +453,26 @@
     assert_eq!(timing(300, 601, 601), Some(LatePart::Pause));
     assert_eq!(timing(300, 400, 601), Some(LatePart::Relay));
 }
+
+#[test]
+fn decoding_speed() {
+    // Pauses that other prompts cause, and events read at once, must not change the decoding speed.
+    let mut fleet = SimulatedFleet::new(&[50.0], 20.0);
+    let key = fleet.engines[0].key;
+    let table = &mut fleet.hosts[0];
+    let now = Timestamp::default();
+    assert_eq!(table.output_tokens_per_s(now, key), INITIAL_OUTPUT_TOKENS_PER_S);
+    let mut timing = AnswerTiming::default();
+    let mut at_ms = 0;
+    for event in 0..400_u64 {
+        at_ms += if event % 20 == 0 { 150 } else { 24 + event % 2 * 2 };
+        let now = Timestamp::from_millis(at_ms);
+        if let Some(gap) = timing.on_event_read(now, Timestamp::default()) {
+            table.on_event_gap(now, key, gap);
+        }
+    }
+    table.on_stream_end(key, SLOTS, 48, 768);
+    // Half of 24 slots at 16 requested tokens in 25 ms.
+    let speed = table.output_tokens_per_s(now, key);
+    assert!((7_300.0..8_000.0).contains(&speed), "{speed}");
+}
