--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -15,6 +15,8 @@
 use crate::gateway::backend_directory::STORE_OUTAGE_THRESHOLD;
 use crate::gateway::buffer_budget::BufferBudget;
 use crate::gateway::capacity::demand_meter::DemandMeter;
+use crate::gateway::capacity::lateness_meter::LatenessMeter;
+use crate::gateway::capacity::speed_table::LearnedSpeed;
 use crate::gateway::connection_pool::ConnectionPool;
 use crate::gateway::crash_tracker::CrashTracker;
 use crate::gateway::crash_tracker::ExitEvidence;
@@ -125,6 +127,8 @@
     pub probes: ProcessProbes,
     /// Rates of requested tokens.
     pub demand: RefCell<DemandMeter>,
+    /// Late answers.
+    pub lateness: RefCell<LatenessMeter>,
     /// Demand for each service as it is stated to peers.
     pub levels: RefCell<DemandLevels>,
     /// Summaries and addresses of the peers.
@@ -185,6 +189,7 @@
             crashes: RefCell::default(),
             probes: ProcessProbes::default(),
             demand: RefCell::default(),
+            lateness: RefCell::default(),
             levels: RefCell::new(DemandLevels::new(clock.now())),
             peers: RefCell::new(PeerTable::new(settings.host.clone(), settings.zone.clone())),
             has_new_spending: Cell::new(false),
@@ -375,6 +380,33 @@
         self.peers.borrow().limit_fleet(now, service, own_level)
     }
 
+    /// Updates the metrics of learned speeds, and logs those that changed.
+    pub fn report_speeds(&self) {
+        let now = self.now();
+        let mut placement = self.placement.borrow_mut();
+        let speeds = placement.speeds_mut();
+        for LearnedSpeed { service, tokens_per_ms, fixed, age, servers } in speeds.learned(now) {
+            let set = |name: &str, value: u128| {
+                let value = i64::try_from(value).unwrap_or(i64::MAX);
+                self.metrics.speeds.with_label_values(&[service.as_str(), name]).set(value);
+            };
+            set("prefill_tokens_per_s", (tokens_per_ms * 1_000.0) as u128);
+            set("fixed_first_event_us", fixed.as_micros());
+            set("age_ms", age.as_millis());
+            set("measured_servers", servers as u128);
+        }
+        for LearnedSpeed { service, tokens_per_ms, fixed, age, servers } in speeds.take_changes(now)
+        {
+            log::info!(
+                "event=speed_learned service={service} prefill_per_s={:.0} fixed_us={} age_ms={} \
+                 servers={servers}",
+                tokens_per_ms * 1_000.0,
+                fixed.as_micros(),
+                age.as_millis(),
+            );
+        }
+    }
+
     fn count_limits(&self) {
         let placement = self.placement.borrow();
         let (mut count, mut named, mut held) = (0, 0, 0);
@@ -508,6 +540,7 @@
         if let Some(server) = directory.get(key) {
             let (service, version) = (&server.entry.service, &server.entry.version);
             self.versions.borrow_mut().on_joined(self.now(), service, version);
+            self.placement.borrow_mut().speeds_mut().on_joined(key, service);
         }
     }
 
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -27,6 +27,8 @@
 use crate::gateway::buffer_budget::BufferBudget;
 use crate::gateway::caller_request::EventNumber;
 use crate::gateway::caller_request::PartList;
+use crate::gateway::capacity::speed_table::PromptRead;
+use crate::gateway::capacity::speed_table::ServerMoment;
 use crate::gateway::connection_pool::CallError;
 use crate::gateway::connection_pool::PooledConnection;
 use crate::gateway::crash_tracker::ExitEvidence;
@@ -47,6 +49,7 @@
 use crate::gateway::version_ledger::StreamBegin;
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
+use crate::ids::ServiceName;
 use crate::software_version::SoftwareVersion;
 use crate::timestamp::Timestamp;
 
@@ -77,6 +80,12 @@
     has_reserved: Cell<bool>,
     /// When it was handed to a connection.
     sent_at: Cell<Timestamp>,
+    /// State of the server when it was sent.
+    moment: ServerMoment,
+    /// What the server reads before the first event, if the time to it shows the server's speed.
+    read: Cell<Option<PromptRead>>,
+    /// Expected time from sending to the first event.
+    expected: Duration,
 }
 
 impl ServerAttempt {
@@ -90,12 +99,20 @@
     ) -> Option<Self> {
         let PlacedServer { key, running, uncached_tokens, limited } = placed;
         let now = state.now();
-        let (id, address, started_at_ms, version, read_age) = {
+        let (id, address, started_at_ms, version, slots, read_age) = {
             let directory = state.directory.borrow();
             let server = directory.get(key)?;
-            let BackendEntry { id, address, started_at_ms, version, .. } = &server.entry;
-            (id.clone(), *address, *started_at_ms, version.clone(), directory.read_age(now))
+            let BackendEntry { id, address, started_at_ms, version, slots, .. } = &server.entry;
+            let read_age = directory.read_age(now);
+            (id.clone(), *address, *started_at_ms, version.clone(), *slots, read_age)
         };
+        let (pending_tokens, expected) = {
+            let placement = state.placement.borrow();
+            let pending_tokens = placement.pending_tokens(key);
+            let tokens = pending_tokens.saturating_add(uncached_tokens);
+            (pending_tokens, placement.speeds().first_event_time(key, tokens))
+        };
+        let moment = ServerMoment { pending_tokens, running, slots };
         let limit = state.placement.borrow().limits().limit(&id, started_at_ms);
         log::info!(
             "event=attempt_started request={} server={id} version={version} origin={} after={} \
@@ -127,6 +144,14 @@
             pending_prefill_tokens: uncached_tokens,
             has_reserved: Cell::new(true),
             sent_at: Cell::new(now),
+            moment,
+            expected,
+            read: Cell::new(
+                // A stream that is taken up skips events, which no speed explains.
+                prompt
+                    .filter(|_| resume_after.is_none())
+                    .and_then(|prompt| PromptRead::of_request(prompt, uncached_tokens, moment)),
+            ),
         };
         if let Some(binding) = &request.binding {
             // The version is recorded while the server prefills the prompt.
@@ -140,6 +165,11 @@
         &self.id
     }
 
+    /// Returns the expected time from sending to the first event.
+    pub fn expected(&self) -> Duration {
+        self.expected
+    }
+
     /// Returns the version of the server's software.
     pub fn version(&self) -> &SoftwareVersion {
         &self.version
@@ -156,6 +186,38 @@
         self.on_prefilled();
     }
 
+    /// Records that the first event arrived, as a measurement of the server's speed.
+    pub fn on_first_event_read(&self, service: &ServiceName) {
+        let Some(read) = self.read.take() else { return };
+        let now = self.state.now();
+        let elapsed = now.since(self.sent_at.get());
+        let ratio = elapsed.as_secs_f64() / self.expected.as_secs_f64().max(f64::EPSILON);
+        let ratios = &self.state.metrics.first_event_ratio;
+        ratios.with_label_values(&[service.as_str()]).observe(ratio);
+        let mut placement = self.state.placement.borrow_mut();
+        placement.speeds_mut().on_first_event(now, self.key, read, elapsed);
+    }
+
+    /// Records a pause between two events, as a measurement of the server's speed.
+    pub fn on_event_gap(&self, gap: Duration) {
+        let mut placement = self.state.placement.borrow_mut();
+        placement.speeds_mut().on_event_gap(self.state.now(), self.key, gap);
+    }
+
+    /// Records the events of a complete stream whose request asked for so many output tokens at most.
+    pub fn on_stream_end(&self, events: u64, requested: u32) {
+        let mut placement = self.state.placement.borrow_mut();
+        placement.speeds_mut().on_stream_end(self.key, self.moment.slots, events, requested);
+    }
+
+    /// Records that the whole answer of a plain call arrived, as a measurement of the server's speed.
+    fn on_plain_answer(&self) {
+        let now = self.state.now();
+        let elapsed = now.since(self.sent_at.get());
+        let mut placement = self.state.placement.borrow_mut();
+        placement.speeds_mut().on_plain_answer(now, self.key, self.moment, elapsed);
+    }
+
     /// Records that something of the response arrived.
     pub fn on_heard(&self) {
         let now = self.state.now();
@@ -394,7 +456,10 @@
     let mut stream = stream;
     let time_left = deadline.since(state.now());
     match timeout(time_left, read_first_event(&mut stream)).await {
-        Ok(Ok(())) => AttemptOutcome::Stream(Box::new(stream)),
+        Ok(Ok(())) => {
+            stream.attempt.on_first_event_read(&request.service);
+            AttemptOutcome::Stream(Box::new(stream))
+        }
         Ok(Err(detail)) => {
             log_failure(state, request, &stream.attempt, AttemptFailure::Lost, &detail);
             record_lost(state, request, &stream.attempt).await;
@@ -463,6 +528,9 @@
             AttemptOutcome::Failed(failure, ran.then_some(response))
         }
         ResponseClass::Relay | ResponseClass::Unusable => {
+            if request.head.prompt.is_none() {
+                attempt.on_plain_answer();
+            }
             record_started(state, request);
             record_answered(state, request);
             AttemptOutcome::Buffered(response)
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -21,7 +21,9 @@
 use crate::gateway::accepted_request::log_request_end;
 use crate::gateway::accepted_request::place_request;
 use crate::gateway::accepted_request::record_health;
+use crate::gateway::accepted_request::record_late_answer;
 use crate::gateway::accepted_request::record_started;
+use crate::gateway::accepted_request::record_timeliness;
 use crate::gateway::accepted_request::request_kind_label;
 use crate::gateway::attempt_plan::AttemptFailure;
 use crate::gateway::attempt_plan::AttemptPlan;
@@ -31,6 +33,8 @@
 use crate::gateway::attempt_race::record_silent_server;
 use crate::gateway::caller_request::EventNumber;
 use crate::gateway::caller_request::PartList;
+use crate::gateway::caller_request::PromptShape;
+use crate::gateway::capacity::answer_timing::AnswerTiming;
 use crate::gateway::connection_pool::PooledConnection;
 use crate::gateway::event_splitter;
 use crate::gateway::event_splitter::EventSplitter;
@@ -50,6 +54,7 @@
 use crate::gateway::server_attempt::record_lost;
 use crate::gateway::server_health::HealthEvidence;
 use crate::gateway::stream_binding::BindOutcome;
+use crate::ids::ServerId;
 use crate::ids::ServerKey;
 use crate::result_code::ResultCode;
 use crate::software_version::SoftwareVersion;
@@ -151,6 +156,10 @@
     relayed_events: u64,
     /// Software version of the last server of which an event was relayed.
     relayed_version: Option<SoftwareVersion>,
+    /// Times of the answer's events.
+    timing: AnswerTiming,
+    /// Server that sent the first event, and when it was expected after the sending.
+    begun_at_server: Option<(ServerId, Duration)>,
 }
 
 impl<W: WireProtocol + 'static> StreamRelay<W> {
@@ -179,6 +188,8 @@
             last_event,
             relayed_events: 0,
             relayed_version: None,
+            timing: AnswerTiming::default(),
+            begun_at_server: None,
         };
         let chunks = relay.chunks.clone();
         tokio::task::spawn_local(async move {
@@ -231,6 +242,9 @@
         let detail =
             format!("events={} attempts={attempts} version={version}", self.relayed_events);
         log_request_end(&self.state, &self.request, code, &detail);
+        if let Some((server, expected)) = &self.begun_at_server {
+            record_late_answer(&self.state, &self.request, &self.timing, server, *expected);
+        }
         if code != ResultCode::Complete && code != ResultCode::CallerLost {
             // Sending fails only if the caller disconnected meanwhile; it needs no error then.
             let _ = self.chunks.send_truncated().await;
@@ -261,6 +275,10 @@
                 RelayEvent::Read(None) => {
                     stream.connection.release();
                     record_answered(&self.state, &self.request);
+                    if let Some(prompt) = self.whole_prompt() {
+                        let requested = prompt.max_output_tokens;
+                        stream.attempt.on_stream_end(self.relayed_events, requested);
+                    }
                     return RelayEnd::Complete;
                 }
                 RelayEvent::HedgeEnded(_, AttemptOutcome::Stream(next)) => {
@@ -276,6 +294,11 @@
         }
     }
 
+    /// Returns the prompt of a stream that this request has relayed from its begin.
+    fn whole_prompt(&self) -> Option<&PromptShape> {
+        self.request.head.prompt.as_ref().filter(|_| self.request.head.resume_after.is_none())
+    }
+
     /// Relays what is complete of a stream; returns how relaying ended if it cannot continue.
     async fn relay_complete_events(&mut self, stream: &mut RelayedStream) -> Option<RelayEnd> {
         loop {
@@ -285,6 +308,11 @@
                 Err(error) => return Some(self.lose_stream(stream, &error.to_string())),
             };
             stream.attempt.on_heard();
+            stream.attempt.on_first_event_read(&self.request.service);
+            let read_at = self.state.now();
+            if let Some(gap) = self.timing.on_event_read(read_at, self.request.arrived_at) {
+                stream.attempt.on_event_gap(gap);
+            }
             // This stream is kept, so the attempts beside it are not needed.
             self.race.drop_rest(&mut self.plan);
             if std::mem::take(&mut stream.is_silent) {
@@ -299,6 +327,8 @@
             if !std::mem::replace(&mut stream.has_begun, true) {
                 stream.begun_at = Some(now);
                 self.relayed_version = Some(stream.attempt.version().clone());
+                let begun_at = || (stream.attempt.server().clone(), stream.attempt.expected());
+                self.begun_at_server.get_or_insert_with(begun_at);
                 stream.attempt.on_first_event();
                 self.on_first_event();
             }
@@ -309,6 +339,7 @@
                 return Some(end);
             }
             stream.quiet_since = self.state.now();
+            self.timing.on_event_relayed(stream.quiet_since, read_at);
         }
     }
 
@@ -471,9 +502,11 @@
     fn on_first_event(&self) {
         if self.relayed_events == 0 {
             record_started(&self.state, &self.request);
-            let elapsed = self.state.now().since(self.request.arrived_at).as_secs_f64();
+            let elapsed = self.state.now().since(self.request.arrived_at);
             let kind = [request_kind_label(self.request.route.kind)];
-            self.state.metrics.first_byte_latency.with_label_values(&kind).observe(elapsed);
+            let latency = self.state.metrics.first_byte_latency.with_label_values(&kind);
+            latency.observe(elapsed.as_secs_f64());
+            record_timeliness(&self.state, &self.request, elapsed);
         }
     }
 
