zones: choose plain servers by shortest expected wait, spread over hosts

Plain calls went to the server with the fewest reported calls. Reports were counted only with each summary of the own host, so that they were up to two periods old while a call takes 60 ms, and all hosts chose the server that had looked free.

AppChoice ages the reported loads, places the calls that all hosts have sent since by expected wait, zone by zone, and draws a server from those that the own zone's calls went to. Service times are the host's own averages, shrunk to the mean of the service. A server with more calls in flight than it should have is taken to be in a transient slowdown, as far as answers show that the service has these. Reported loads are counted before a choice, at most every 40 ms.

--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -16,6 +16,7 @@
 use crate::gateway::caller_request::EventNumber;
 use crate::gateway::capacity::fleet_scaler::TokenDemand;
 use crate::gateway::gateway_state::GatewayState;
+use crate::gateway::host_summary::apply_app_loads;
 use crate::gateway::placement::ConnectionShare;
 use crate::gateway::placement::PlacementChoice;
 use crate::gateway::placement::PlacementQuery;
@@ -241,6 +242,9 @@
         Some(_) => [tried, &doubted_servers(state, now)].concat(),
         None => tried.to_vec(),
     };
+    if request.head.prompt.is_none() {
+        apply_app_loads(state, &request.service);
+    }
     let query = PlacementQuery {
         service: &request.service,
         prompt: request.head.prompt.as_ref(),
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -48,6 +48,12 @@
 /// tells others of them.
 const MAX_SUMMARY_LIMITS: usize = 48;
 
+/// Minimum time between two counts of the loads of plain servers.
+const APP_LOAD_PERIOD: Duration = Duration::from_millis(40);
+
+/// Usual time that a summary takes.
+const SUMMARY_TRANSIT: Duration = Duration::from_millis(30);
+
 /// Updates placement and quotas with the current state of the peers.
 pub fn apply_peer_summaries(state: &GatewayState) {
     let now = state.now();
@@ -63,11 +69,46 @@
         load.running += server.running;
         load.prefill_tokens += server.prefill_tokens;
     }
-    state.placement.borrow_mut().set_peer_loads(&loads);
+    let mut placement = state.placement.borrow_mut();
+    placement.set_peer_loads(&loads);
+    placement.set_zone_hosts(peers.zone_hosts(now));
+    drop(placement);
     let heard = i64::try_from(peers.live_peers(now)).unwrap_or(i64::MAX);
     state.metrics.levels.with_label_values(&["peers"]).set(heard);
 }
 
+/// Counts the loads of a plain application's servers that peers have reported. They are counted before a
+/// choice and not only with each summary that this host sends: they change within a call's duration.
+pub fn apply_app_loads(state: &GatewayState, service: &ServiceName) {
+    let now = state.now();
+    let directory = state.directory.borrow();
+    let servers: Vec<(ServerKey, &str)> = directory
+        .of_service(service)
+        .map(|(key, server)| (key, server.entry.id.as_str()))
+        .collect();
+    let is_due = |(key, _): &(ServerKey, &str)| {
+        state.placement.borrow().apps().is_due(now, *key, APP_LOAD_PERIOD)
+    };
+    if !servers.iter().any(is_due) {
+        return;
+    }
+    let mut loads: Vec<(ServerKey, u32)> = servers.iter().map(|(key, _)| (*key, 0)).collect();
+    let peers = state.peers.borrow();
+    let (mut ages, mut hosts) = (Duration::ZERO, 0);
+    for (age, summary) in peers.fresh_loads(now) {
+        (ages, hosts) = (ages + age, hosts + 1);
+        for told in &summary.servers {
+            let index = servers.iter().position(|(_, id)| *id == told.server);
+            if let Some((_, load)) = index.and_then(|index| loads.get_mut(index)) {
+                *load = load.saturating_add(told.running);
+            }
+        }
+    }
+    let age = ages.checked_div(hosts).unwrap_or_default();
+    let age = if hosts > 0 { age + SUMMARY_TRANSIT } else { age };
+    state.placement.borrow_mut().set_app_loads(now, age, &loads);
+}
+
 /// Merges a peer's summary, unless a newer one has already arrived.
 pub fn on_summary(state: &GatewayState, mut summary: HostSummary) {
     let now = state.now();
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -523,12 +523,26 @@
 
     /// Returns the summaries whose load has not expired.
     pub fn fresh_summaries(&self, now: Timestamp) -> impl Iterator<Item = &HostSummary> {
-        self.entries
-            .values()
-            .filter(move |entry| {
-                let ttl = stated_period(&entry.summary).mul_f64(LOAD_PERIODS).max(LOAD_TTL);
-                now.since(entry.heard_at) < ttl
-            })
-            .map(|entry| &entry.summary)
+        self.fresh_loads(now).map(|(_, summary)| summary)
+    }
+
+    /// Returns the summaries whose load has not expired, and the time since each arrived.
+    pub fn fresh_loads(&self, now: Timestamp) -> impl Iterator<Item = (Duration, &HostSummary)> {
+        self.entries.values().filter_map(move |entry| {
+            let ttl = stated_period(&entry.summary).mul_f64(LOAD_PERIODS).max(LOAD_TTL);
+            let age = now.since(entry.heard_at);
+            (age < ttl).then_some((age, &entry.summary))
+        })
+    }
+
+    /// Returns the number of hosts in each zone that are heard from, this one included.
+    pub fn zone_hosts(&self, now: Timestamp) -> BTreeMap<ZoneName, u32> {
+        let mut hosts = BTreeMap::from([(self.zone.clone(), 1)]);
+        for contact in self.contacts.values().filter(|contact| contact.is_live(now)) {
+            if let Some(zone) = &contact.zone {
+                *hosts.entry(zone.clone()).or_default() += 1;
+            }
+        }
+        hosts
     }
 }
--- a/lib/src/gateway/placement.rs
+++ b/lib/src/gateway/placement.rs
@@ -13,6 +13,7 @@
 use std::hash::Hasher as _;
 use std::time::Duration;
 
+use rand::Rng;
 use slotmap::SecondaryMap;
 
 use crate::gateway::backend_directory::BackendDirectory;
@@ -24,6 +25,9 @@
 use crate::gateway::server_health::ServerHealth;
 use crate::gateway::server_pause::PauseState;
 use crate::gateway::server_pause::PauseTable;
+use crate::gateway::zones::app_choice::AppChoice;
+use crate::gateway::zones::app_choice::AppServer;
+use crate::gateway::zones::app_choice::AppView;
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
 use crate::ids::ServiceName;
@@ -172,6 +176,9 @@
     loads: SecondaryMap<ServerKey, ServerLoad>,
     pauses: PauseTable,
     limits: LimitTable,
+    apps: AppChoice,
+    /// Number of hosts in each zone.
+    zone_hosts: BTreeMap<ZoneName, u32>,
 }
 
 /// The servers that accept requests from this host.
@@ -191,17 +198,21 @@
             loads: SecondaryMap::new(),
             pauses: PauseTable::default(),
             limits: LimitTable::default(),
+            apps: AppChoice::default(),
+            zone_hosts: BTreeMap::new(),
         }
     }
 
     /// Adds a server, or clears the state of one that restarted.
     pub fn reset(&mut self, key: ServerKey) {
         self.loads.insert(key, ServerLoad::default());
+        self.apps.forget(key);
     }
 
     /// Removes a server.
     pub fn remove(&mut self, key: ServerKey) {
         self.loads.remove(key);
+        self.apps.forget(key);
     }
 
     /// Chooses a server for a request.
@@ -210,6 +221,17 @@
         now: Timestamp,
         directory: &BackendDirectory,
         query: &PlacementQuery<'_>,
+    ) -> PlacementChoice {
+        self.choose_with(now, directory, query, &mut rand::rng())
+    }
+
+    /// Chooses a server for a request, with a generator for the choice among plain servers.
+    pub fn choose_with(
+        &self,
+        now: Timestamp,
+        directory: &BackendDirectory,
+        query: &PlacementQuery<'_>,
+        random: &mut impl Rng,
     ) -> PlacementChoice {
         let ready: Vec<(ServerKey, &BackendServer)> = directory
             .of_service(query.service)
@@ -234,6 +256,9 @@
         let healthy: Vec<_> = open.iter().copied().filter(is_healthy).collect();
         // If no server is healthy, trying any of them is better than refusing the request.
         let candidates = if healthy.is_empty() { open } else { healthy };
+        if query.prompt.is_none() {
+            return self.choose_app(now, &candidates, limited, query, random);
+        }
         let home = query.prompt.and_then(PromptShape::shared_prefix).and_then(|prefix| {
             candidates.iter().max_by_key(|(_, server)| rendezvous_score(prefix, &server.entry.id))
         });
@@ -257,6 +282,79 @@
         }
     }
 
+    /// Chooses among servers of a plain application.
+    fn choose_app(
+        &self,
+        now: Timestamp,
+        candidates: &[(ServerKey, &BackendServer)],
+        limited: u32,
+        query: &PlacementQuery<'_>,
+        random: &mut impl Rng,
+    ) -> PlacementChoice {
+        let mut zones: Vec<&ZoneName> = vec![&self.zone];
+        zones.extend(self.zone_hosts.keys().filter(|zone| **zone != self.zone));
+        let hosts = |zone: &&ZoneName| f64::from(self.zone_hosts.get(*zone).map_or(1, |n| *n));
+        let all_hosts: f64 = zones.iter().map(hosts).sum();
+        let zone_shares: Vec<f64> = zones.iter().map(|zone| hosts(zone) / all_hosts).collect();
+        let mut servers = Vec::with_capacity(candidates.len());
+        for (key, server) in candidates {
+            let Some(load) = self.loads.get(*key).filter(|load| load.has_room(server, query))
+            else {
+                continue;
+            };
+            let zone = zones.iter().position(|zone| **zone == server.entry.zone);
+            servers.push(AppServer {
+                key: *key,
+                zone: zone.unwrap_or(usize::MAX),
+                slots: server.entry.slots,
+                own: load.running,
+                peers: load.peers.running,
+                extra_ms: self.limit_cost(now, server, query),
+            });
+        }
+        let view = AppView {
+            servers: &servers,
+            zone_shares: &zone_shares,
+            home: 0,
+            leaving_ms: CROSS_ZONE_COST_MS,
+        };
+        match self.apps.choose(now, &view, random).and_then(|index| servers.get(index)) {
+            Some(AppServer { key, own, peers, .. }) => PlacementChoice::Server {
+                key: *key,
+                running: own + peers,
+                uncached_tokens: 0,
+                limited,
+            },
+            None => PlacementChoice::Full,
+        }
+    }
+
+    /// Returns what is known of plain application servers.
+    pub fn apps(&self) -> &AppChoice {
+        &self.apps
+    }
+
+    /// Records an answer of a plain application server to a call that was sent while `running` were in
+    /// flight there.
+    pub fn on_app_answer(&mut self, key: ServerKey, slots: u32, running: u32, elapsed: Duration) {
+        self.apps.on_answer(key, slots, running, elapsed);
+    }
+
+    /// Replaces the loads of plain servers, which other hosts reported `age` ago on average.
+    pub fn set_app_loads(&mut self, now: Timestamp, age: Duration, loads: &[(ServerKey, u32)]) {
+        for (key, running) in loads {
+            if let Some(load) = self.loads.get_mut(*key) {
+                load.peers.running = *running;
+            }
+        }
+        self.apps.on_loads(now, age, loads.iter().copied());
+    }
+
+    /// Replaces the number of hosts in each zone.
+    pub fn set_zone_hosts(&mut self, hosts: BTreeMap<ZoneName, u32>) {
+        self.zone_hosts = hosts;
+    }
+
     /// Returns the servers that neither a pause nor a limit closes to this host.
     fn open_servers<'a>(
         &self,
@@ -418,25 +516,10 @@
         home: Option<ServerKey>,
         query: &PlacementQuery<'_>,
     ) -> Option<(f64, PlacementChoice)> {
-        let load = self.loads.get(key)?;
+        let load = self.loads.get(key).filter(|load| load.has_room(server, query))?;
         let running = load.running + load.peers.running;
-        let max_fill = match query.prompt {
-            Some(_) if query.is_resumed => MAX_RESUMED_FILL,
-            Some(_) => MAX_ENGINE_FILL,
-            None => MAX_APP_FILL,
-        };
-        if load.running >= query.connections.at_server(&server.entry.id)
-            || f64::from(running) >= f64::from(server.entry.slots) * max_fill
-        {
-            return None;
-        }
         let zone_cost = if server.entry.zone == self.zone { 0.0 } else { CROSS_ZONE_COST_MS };
-        let Some(prompt) = query.prompt else {
-            let queued = f64::from(running) / f64::from(server.entry.slots.max(1));
-            let choice = PlacementChoice::Server { key, running, uncached_tokens: 0, limited: 0 };
-            // Another zone costs less than waiting for a slot, and more than sharing the server.
-            return Some((queued.floor() * CROSS_ZONE_COST_MS * 2.0 + zone_cost + queued, choice));
-        };
+        let prompt = query.prompt?;
         let uncached_tokens = load.uncached_tokens(now, prompt, home == Some(key));
         let pending = load.prefill_tokens + load.peers.prefill_tokens;
         let tokens_to_read = pending as f64 + uncached_tokens as f64 * UNCACHED_TOKEN_WEIGHT;
@@ -448,6 +531,18 @@
 }
 
 impl ServerLoad {
+    /// Returns whether the server takes another request of this host.
+    fn has_room(&self, server: &BackendServer, query: &PlacementQuery<'_>) -> bool {
+        let max_fill = match query.prompt {
+            Some(_) if query.is_resumed => MAX_RESUMED_FILL,
+            Some(_) => MAX_ENGINE_FILL,
+            None => MAX_APP_FILL,
+        };
+        let running = f64::from(self.running + self.peers.running);
+        self.running < query.connections.at_server(&server.entry.id)
+            && running < f64::from(server.entry.slots) * max_fill
+    }
+
     /// Returns the number of prompt tokens that the server has to prefill. At `home` the shared
     /// parts count as cached, since every host sends them there.
     fn uncached_tokens(&self, now: Timestamp, prompt: &PromptShape, home: bool) -> u64 {
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -65,6 +65,8 @@
     id: ServerId,
     address: std::net::SocketAddr,
     began_at: Timestamp,
+    /// Requests in flight on the server when it was chosen, from all hosts.
+    running: u32,
     /// When the first event of its stream came, if one did.
     answer_begun_at: Option<Timestamp>,
     /// Start time of the server's process, in milliseconds since 1970.
@@ -121,6 +123,7 @@
             id,
             address,
             began_at: now,
+            running,
             answer_begun_at: None,
             started_at_ms,
             version,
@@ -162,6 +165,17 @@
         self.state.placement.borrow_mut().limits_mut().on_heard(now, &self.id);
     }
 
+    /// Records that the whole response of a plain application arrived.
+    fn on_app_answer(&self) {
+        let now = self.state.now();
+        let slots = self.state.directory.borrow().get(self.key).map(|server| server.entry.slots);
+        if let Some(slots) = slots {
+            let elapsed = now.since(self.began_at);
+            let mut placement = self.state.placement.borrow_mut();
+            placement.on_app_answer(self.key, slots, self.running, elapsed);
+        }
+    }
+
     fn release_place(&self) {
         if self.has_reserved.take() {
             self.state.placement.borrow_mut().limits_mut().release(&self.id);
@@ -463,6 +477,9 @@
             AttemptOutcome::Failed(failure, ran.then_some(response))
         }
         ResponseClass::Relay | ResponseClass::Unusable => {
+            if request.head.prompt.is_none() {
+                attempt.on_app_answer();
+            }
             record_started(state, request);
             record_answered(state, request);
             AttemptOutcome::Buffered(response)
--- /dev/null
+++ b/lib/src/gateway/zones.rs
@@ -0,0 +1,3 @@
+//! The choice among plain application servers, and traffic between availability zones.
+
+pub mod app_choice;
--- /dev/null
+++ b/lib/tests/test_app_choice.rs
@@ -0,0 +1,74 @@
+//! Choice among plain application servers: many hosts with late reports, slow servers, false claims.
+
+use pomelostack_lib::timestamp::Timestamp;
+use rstest::rstest;
+use testutils::app_fleet::AppFleet;
+use testutils::app_fleet::AppResult;
+use testutils::app_fleet::AppRule;
+use testutils::app_fleet::AppShape;
+
+fn seconds(seconds: u64) -> Timestamp {
+    Timestamp::from_millis(seconds * 1_000)
+}
+
+fn calm(hosts: usize, load: f64) -> AppShape {
+    AppShape { slow_share: 0.0, ..AppShape::six_servers(AppRule::ShortestWait, hosts, load) }
+}
+
+/// Guards against all hosts choosing the server that was reported as free.
+#[rstest]
+fn spread_choices(#[values(15, 75, 295)] hosts: usize, #[values(1.0, 1.5, 2.0)] load: f64) {
+    let run = |rule| AppFleet::run(AppShape::six_servers(rule, hosts, load), 1);
+    let (naive, spread) = (run(AppRule::FewestReported), run(AppRule::ShortestWait));
+    let allowed = (naive.late_share() / 3.0).max(0.02);
+    assert!(spread.late_share() < allowed, "{} of {}", spread.late_share(), naive.late_share());
+}
+
+/// Guards against calls that leave their zone although its servers are free.
+#[rstest]
+fn stay_at_home(#[values(7, 75)] hosts: usize) {
+    let quiet = AppShape { speeds: vec![1.0; 4], ..calm(hosts, 0.3) };
+    let AppResult { left_zone, sent, late, .. } = AppFleet::run(quiet, 1);
+    let calls: u32 = sent.iter().sum();
+    assert!(left_zone * 20 < calls, "{left_zone} of {calls} left");
+    assert_eq!(late, 0);
+}
+
+/// Guards against sending as many calls to slow servers as to fast ones.
+#[test]
+fn uneven_servers() {
+    let shape = AppShape { speeds: vec![0.5, 2.0, 0.5, 2.0, 0.5, 2.0], ..calm(75, 1.2) };
+    let AppResult { sent, calls, late, .. } = AppFleet::run(shape, 1);
+    assert!(late * 100 < calls, "{late} of {calls} late, sent {sent:?}");
+}
+
+/// Guards against a server that goes on getting calls while it is ten times as slow, and against one that
+/// is avoided for long after it has recovered.
+#[test]
+fn slow_by_ten() {
+    let slow_server = Some((2, seconds(20), seconds(24)));
+    let shape = AppShape { slow_server, end: seconds(30), ..calm(75, 1.0) };
+    let AppResult { sent_to_slow, .. } = AppFleet::run(shape, 1);
+    let usual = 40;
+    assert!(sent_to_slow[1..4].iter().all(|sent| *sent < usual / 2), "{sent_to_slow:?}");
+    assert!(sent_to_slow[6..9].iter().all(|sent| *sent > usual / 2), "{sent_to_slow:?}");
+}
+
+/// Guards against a server that claims a hundred times its slots and is preferred for that.
+#[test]
+fn false_claim() {
+    let shape = AppShape { claimed_slots: Some((0, 600)), ..calm(75, 1.2) };
+    let AppResult { calls, late, sent, .. } = AppFleet::run(shape, 1);
+    assert!(late * 20 < calls, "{late} of {calls} late, sent {sent:?}");
+}
+
+/// Guards against hosts that hear of half of the load only and overload the server that looks free.
+#[test]
+fn half_of_fleet() {
+    let shape = AppShape::six_servers(AppRule::ShortestWait, 75, 1.5);
+    let whole = AppFleet::run(shape.clone(), 1);
+    let cut = Some((seconds(20), seconds(120)));
+    let halves = AppFleet::run(AppShape { cut, ..shape }, 1);
+    let allowed = whole.late_share() * 2.0 + 0.01;
+    assert!(halves.late_share() < allowed, "{} of {}", halves.late_share(), whole.late_share());
+}
