zones: measure the cost of leaving a zone, and let a slowly changing share leave

The cost of another zone was 4 ms for every deployment, request and load. All hosts of a zone compute this share from the loads in summaries; it is bounded by what the other zones can spare, rises within a second or two and falls within several seconds. A zone without servers sends everything at once; a partitioned host raises no share.

Metrics pomelostack_zone_flow and pomelostack_left_zone_total, log line event=zone_flow.

--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -259,6 +259,7 @@
             if limited > 0 {
                 state.metrics.events.with_label_values(&["limit_turned_elsewhere"]).inc();
             }
+            count_left_zone(state, &request.service, key);
             Ok(PlacedServer { key, running, uncached_tokens, limited })
         }
         PlacementChoice::Full => {
@@ -288,6 +289,16 @@
     }
 }
 
+/// Counts an attempt that leaves this host's zone.
+fn count_left_zone(state: &GatewayState, service: &ServiceName, key: ServerKey) {
+    let directory = state.directory.borrow();
+    let Some(server) = directory.get(key) else { return };
+    let placement = state.placement.borrow();
+    if let Some(reason) = placement.flow().leave_reason(service, &server.entry.zone) {
+        state.metrics.left_zone.with_label_values(&[service.as_str(), reason.label()]).inc();
+    }
+}
+
 /// Returns the servers whose software version is not known now.
 fn doubted_servers(state: &GatewayState, now: Timestamp) -> Vec<ServerKey> {
     let directory = state.directory.borrow();
--- a/lib/src/gateway/connection_pool.rs
+++ b/lib/src/gateway/connection_pool.rs
@@ -54,6 +54,9 @@
 /// Margin by which the pool's idle timeout is shorter than the server's own.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
+/// Maximum number of addresses whose connection set-up times are kept until they are read.
+const MAX_CONNECT_TIMES: usize = 1_024;
+
 /// Maximum number of idle connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 
@@ -133,6 +136,9 @@
     expires_at: Instant,
 }
 
+/// Shortest recent set-up of a connection, by address.
+type ConnectTimes = Rc<RefCell<HashMap<SocketAddr, Duration>>>;
+
 type IdleTable = Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>;
 
 /// The connection pool of one process. Clones share the same connections.
@@ -140,6 +146,7 @@
 pub struct ConnectionPool {
     idle: IdleTable,
     live: LiveTable,
+    connect_times: ConnectTimes,
     /// Budget of the heads that are awaited.
     heads: BufferBudget,
 }
@@ -147,7 +154,12 @@
 impl Default for ConnectionPool {
     fn default() -> Self {
         let heads = BufferBudget::new(HEAD_BUDGET_BYTES);
-        Self { idle: IdleTable::default(), live: LiveTable::default(), heads }
+        Self {
+            idle: IdleTable::default(),
+            live: LiveTable::default(),
+            connect_times: ConnectTimes::default(),
+            heads,
+        }
     }
 }
 
@@ -255,10 +267,12 @@
 
     async fn open(&self, address: SocketAddr) -> Result<OpenConnection> {
         let unsent = |error: &dyn std::fmt::Display| CallError::Unsent(error.to_string());
+        let begun_at = Instant::now();
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
             .map_err(|_| CallError::Unsent("connect timed out".to_owned()))?
             .map_err(|error| unsent(&error))?;
+        self.record_connect_time(address, begun_at.elapsed());
         let guard = LiveGuard::new(&self.live, address);
         set_tcp_timeouts(&stream, TCP_USER_TIMEOUT).map_err(|error| unsent(&error))?;
         let head_allowance = HeadAllowance::default();
@@ -277,6 +291,19 @@
         Ok(OpenConnection { sender, head_allowance, task })
     }
 
+    fn record_connect_time(&self, address: SocketAddr, time: Duration) {
+        let mut times = self.connect_times.borrow_mut();
+        if times.len() < MAX_CONNECT_TIMES {
+            let least = times.entry(address).or_insert(time);
+            *least = time.min(*least);
+        }
+    }
+
+    /// Returns how long the set-up of connections took since the last call, by address.
+    pub fn take_connect_times(&self) -> HashMap<SocketAddr, Duration> {
+        self.connect_times.take()
+    }
+
     fn take_idle(&self, address: SocketAddr) -> Option<OpenConnection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
--- a/lib/src/gateway/gateway_metrics.rs
+++ b/lib/src/gateway/gateway_metrics.rs
@@ -41,6 +41,10 @@
     pub total_latency: HistogramVec,
     /// Gauges: requests in flight, listed servers, reachable peers.
     pub levels: IntGaugeVec,
+    /// Gauge: share of the requests that should leave this host's zone in thousandths, by service.
+    pub zone_flow: IntGaugeVec,
+    /// Attempts in other zones, by service and reason.
+    pub left_zone: IntCounterVec,
     /// Gauge: listed servers, by service and version of their software.
     pub servers: IntGaugeVec,
 }
@@ -63,6 +67,11 @@
         let levels =
             IntGaugeVec::new(Opts::new("pomelostack_level", "Levels of the moment."), &["level"])?;
         registry.register(Box::new(levels.clone()))?;
+        let zone_flow = IntGaugeVec::new(
+            Opts::new("pomelostack_zone_flow", "Thousandths of requests that should leave."),
+            &["service"],
+        )?;
+        registry.register(Box::new(zone_flow.clone()))?;
         let servers = IntGaugeVec::new(
             Opts::new("pomelostack_servers", "Listed servers."),
             &["service", "version"],
@@ -101,6 +110,12 @@
                 "Seconds until an answer's end.",
                 "kind",
             )?,
+            left_zone: counter(
+                "pomelostack_left_zone_total",
+                "Attempts in other zones.",
+                &["service", "reason"],
+            )?,
+            zone_flow,
             levels,
             servers,
             registry,
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -6,6 +6,7 @@
 
 use prost::Message as _;
 
+use crate::gateway::backend_directory::BackendDirectory;
 use crate::gateway::backend_directory::DepartureSource;
 use crate::gateway::capacity::fleet_scaler::TokenDemand;
 use crate::gateway::crash_news;
@@ -23,6 +24,8 @@
 use crate::gateway::server_limit::RequestLimit;
 use crate::gateway::store_follower;
 use crate::gateway::usage_ledger::TeamCounts;
+use crate::gateway::zones::zone_flow::FlowChange;
+use crate::gateway::zones::zone_flow::ZoneLoad;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
 use crate::ids::ServerId;
@@ -30,6 +33,7 @@
 use crate::ids::ServiceName;
 use crate::ids::StoreEra;
 use crate::ids::TeamName;
+use crate::ids::ZoneName;
 use crate::protos::gateway::Departure;
 use crate::protos::gateway::HostSummary;
 use crate::protos::gateway::ServerChange;
@@ -48,6 +52,9 @@
 /// tells others of them.
 const MAX_SUMMARY_LIMITS: usize = 48;
 
+/// Maximum requests per slot that one host is believed to have in flight at a server.
+const MAX_REPORTED_FILL: u32 = 4;
+
 /// Minimum time between two counts of the loads of plain servers.
 const APP_LOAD_PERIOD: Duration = Duration::from_millis(40);
 
@@ -62,13 +69,23 @@
     state.has_new_spending.set(false);
     let directory = state.directory.borrow();
     let mut loads: BTreeMap<ServerKey, PeerLoad> = BTreeMap::new();
-    for server in peers.fresh_summaries(now).flat_map(|summary| &summary.servers) {
-        let key = ServerId::try_from(server.server.as_str()).ok();
-        let Some(key) = key.and_then(|id| directory.find(&id)) else { continue };
-        let load = loads.entry(key).or_default();
-        load.running += server.running;
-        load.prefill_tokens += server.prefill_tokens;
+    let home = state.settings.borrow().zone.clone();
+    let mut zones = ZoneLoads::of_directory(&directory);
+    for summary in peers.fresh_summaries(now) {
+        let from = ZoneName::try_from(summary.zone.as_str()).unwrap_or_else(|_| home.clone());
+        for server in &summary.servers {
+            let key = ServerId::try_from(server.server.as_str()).ok();
+            let Some(key) = key.and_then(|id| directory.find(&id)) else { continue };
+            let load = loads.entry(key).or_default();
+            load.running += server.running;
+            load.prefill_tokens += server.prefill_tokens;
+            zones.add(&directory, key, server.running, &from, &home);
+        }
+    }
+    for (key, load) in state.placement.borrow().own_loads() {
+        zones.add(&directory, key, load.running, &home, &home);
     }
+    update_zone_flow(state, now, &zones, peers.is_partitioned(now));
     let mut placement = state.placement.borrow_mut();
     placement.set_peer_loads(&loads);
     placement.set_zone_hosts(peers.zone_hosts(now));
@@ -77,6 +94,77 @@
     state.metrics.levels.with_label_values(&["peers"]).set(heard);
 }
 
+/// Load of every service in every zone.
+#[derive(Default)]
+struct ZoneLoads(BTreeMap<ServiceName, BTreeMap<ZoneName, ZoneLoad>>);
+
+impl ZoneLoads {
+    fn of_directory(directory: &BackendDirectory) -> Self {
+        let mut zones = Self::default();
+        for (_, server) in directory.iter().filter(|(_, server)| server.draining_since.is_none()) {
+            let slots = &mut zones.load(&server.entry.service, &server.entry.zone).slots;
+            *slots = slots.saturating_add(server.entry.slots);
+        }
+        zones
+    }
+
+    fn load(&mut self, service: &ServiceName, zone: &ZoneName) -> &mut ZoneLoad {
+        let zones = self.0.entry(service.clone()).or_default();
+        zones.entry(zone.clone()).or_default()
+    }
+
+    /// Adds requests that a host in zone `from` has running on a server.
+    fn add(
+        &mut self,
+        directory: &BackendDirectory,
+        key: ServerKey,
+        running: u32,
+        from: &ZoneName,
+        home: &ZoneName,
+    ) {
+        let Some(server) = directory.get(key) else { return };
+        let (service, there) = (&server.entry.service, &server.entry.zone);
+        // A host cannot have more in flight at a server than the server takes.
+        let running = running.min(server.entry.slots.saturating_mul(MAX_REPORTED_FILL));
+        let load = self.load(service, there);
+        load.running = load.running.saturating_add(running);
+        if from == home {
+            load.from_home = load.from_home.saturating_add(running);
+        }
+        let demand = &mut self.load(service, from).demand;
+        *demand = demand.saturating_add(running);
+    }
+}
+
+/// Updates which share of this host's zone's requests leaves it.
+fn update_zone_flow(state: &GatewayState, now: Timestamp, zones: &ZoneLoads, is_partial: bool) {
+    let directory = state.directory.borrow();
+    let mut placement = state.placement.borrow_mut();
+    let flow = placement.flow_mut();
+    let trips = state.pool.take_connect_times();
+    for (_, server) in directory.iter() {
+        if let Some(trip) = trips.get(&server.entry.address) {
+            flow.on_trip(&server.entry.zone, *trip);
+        }
+    }
+    flow.retain_services(|service| zones.0.contains_key(service));
+    for (service, loads) in zones.0.iter().filter(|(_, loads)| loads.len() > 1) {
+        let change = flow.on_loads(now, service, loads, is_partial);
+        let per_mille = (flow.leaving_share(service) * 1_000.0) as i64;
+        let level = state.metrics.zone_flow.with_label_values(&[service.as_str()]);
+        level.set(per_mille);
+        if let Some(FlowChange { share, reason }) = change {
+            let home = loads.get(&state.settings.borrow().zone).copied().unwrap_or_default();
+            log::info!(
+                "event=zone_flow service={service} share={share:.3} reason={} slots={} demand={}",
+                reason.label(),
+                home.slots,
+                home.demand,
+            );
+        }
+    }
+}
+
 /// Counts the loads of a plain application's servers that peers have reported. They are counted before a
 /// choice and not only with each summary that this host sends: they change within a call's duration.
 pub fn apply_app_loads(state: &GatewayState, service: &ServiceName) {
--- a/lib/src/gateway/placement.rs
+++ b/lib/src/gateway/placement.rs
@@ -28,6 +28,8 @@
 use crate::gateway::zones::app_choice::AppChoice;
 use crate::gateway::zones::app_choice::AppServer;
 use crate::gateway::zones::app_choice::AppView;
+use crate::gateway::zones::zone_flow::OpenZone;
+use crate::gateway::zones::zone_flow::ZoneFlow;
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
 use crate::ids::ServiceName;
@@ -46,10 +48,6 @@
 /// Expected milliseconds that each running request adds to a new request's time to first token.
 const BATCH_MS_PER_REQUEST: f64 = 1.0;
 
-/// Cost of a server in another availability zone, in milliseconds: the round trip, and the price of
-/// the traffic.
-const CROSS_ZONE_COST_MS: f64 = 4.0;
-
 /// Requests per slot at which an engine counts as full; its own queue holds about as many again.
 const MAX_ENGINE_FILL: f64 = 1.25;
 
@@ -177,6 +175,7 @@
     pauses: PauseTable,
     limits: LimitTable,
     apps: AppChoice,
+    flow: ZoneFlow,
     /// Number of hosts in each zone.
     zone_hosts: BTreeMap<ZoneName, u32>,
 }
@@ -194,6 +193,7 @@
     /// Creates an empty table for a host in the given zone.
     pub fn new(zone: ZoneName) -> Self {
         Self {
+            flow: ZoneFlow::new(zone.clone()),
             zone,
             loads: SecondaryMap::new(),
             pauses: PauseTable::default(),
@@ -263,9 +263,10 @@
             candidates.iter().max_by_key(|(_, server)| rendezvous_score(prefix, &server.entry.id))
         });
         let home = home.map(|(key, _)| *key);
+        let open = self.flow.open_zone(query.service, random.random_range(0.0..1.0));
         let mut best: Option<(f64, PlacementChoice)> = None;
         for (key, server) in candidates {
-            let Some((cost, choice)) = self.cost_at(now, key, server, home, query) else {
+            let Some((cost, choice)) = self.cost_at(now, key, server, (home, open), query) else {
                 continue;
             };
             let cost = cost + self.limit_cost(now, server, query);
@@ -309,15 +310,11 @@
                 slots: server.entry.slots,
                 own: load.running,
                 peers: load.peers.running,
+                leaving_ms: self.flow.leaving_ms(&server.entry.zone, None),
                 extra_ms: self.limit_cost(now, server, query),
             });
         }
-        let view = AppView {
-            servers: &servers,
-            zone_shares: &zone_shares,
-            home: 0,
-            leaving_ms: CROSS_ZONE_COST_MS,
-        };
+        let view = AppView { servers: &servers, zone_shares: &zone_shares, home: 0 };
         match self.apps.choose(now, &view, random).and_then(|index| servers.get(index)) {
             Some(AppServer { key, own, peers, .. }) => PlacementChoice::Server {
                 key: *key,
@@ -329,6 +326,16 @@
         }
     }
 
+    /// Returns the traffic of this host's zone to the others.
+    pub fn flow(&self) -> &ZoneFlow {
+        &self.flow
+    }
+
+    /// Returns the traffic of this host's zone to the others, to change it.
+    pub fn flow_mut(&mut self) -> &mut ZoneFlow {
+        &mut self.flow
+    }
+
     /// Returns what is known of plain application servers.
     pub fn apps(&self) -> &AppChoice {
         &self.apps
@@ -513,13 +520,13 @@
         now: Timestamp,
         key: ServerKey,
         server: &BackendServer,
-        home: Option<ServerKey>,
+        (home, open): (Option<ServerKey>, OpenZone<'_>),
         query: &PlacementQuery<'_>,
     ) -> Option<(f64, PlacementChoice)> {
         let load = self.loads.get(key).filter(|load| load.has_room(server, query))?;
         let running = load.running + load.peers.running;
-        let zone_cost = if server.entry.zone == self.zone { 0.0 } else { CROSS_ZONE_COST_MS };
         let prompt = query.prompt?;
+        let zone_cost = self.flow.cost(&server.entry.zone, open, Some(prompt.prompt_tokens));
         let uncached_tokens = load.uncached_tokens(now, prompt, home == Some(key));
         let pending = load.prefill_tokens + load.peers.prefill_tokens;
         let tokens_to_read = pending as f64 + uncached_tokens as f64 * UNCACHED_TOKEN_WEIGHT;
--- a/lib/src/gateway/zones/app_choice.rs
+++ b/lib/src/gateway/zones/app_choice.rs
@@ -77,7 +77,9 @@
     pub own: u32,
     /// Calls of other hosts in flight, as last reported.
     pub peers: u32,
-    /// Cost besides the wait, in milliseconds, such as that of a place at a server that names a limit.
+    /// Cost of the server for callers in other zones, in milliseconds.
+    pub leaving_ms: f64,
+    /// Cost besides, in milliseconds, such as that of a place at a server that names a limit.
     pub extra_ms: f64,
 }
 
@@ -90,8 +92,6 @@
     pub zone_shares: &'a [f64],
     /// This host's zone.
     pub home: usize,
-    /// Cost of a server outside the caller's zone, in milliseconds.
-    pub leaving_ms: f64,
 }
 
 /// What is known of one server.
@@ -239,12 +239,12 @@
             return (!servers.is_empty()).then_some(0);
         }
         let shared_ms = self.shared_ms(servers);
-        let view = &AppView { leaving_ms: view.leaving_ms + LEAVING_SHARE * shared_ms, ..*view };
+        let gain_ms = LEAVING_SHARE * shared_ms;
         let usual_ms: Vec<f64> =
             servers.iter().map(|server| self.service_ms(server, shared_ms)).collect();
         let peers: f64 = servers.iter().map(|server| self.usual_peer_load(server)).sum();
         let own: f64 = servers.iter().map(|server| f64::from(server.own)).sum();
-        let service_ms = self.current_service_ms(view, &usual_ms, peers + own);
+        let service_ms = self.current_service_ms(view, &usual_ms, peers + own, gain_ms);
         let age_ms = self.report_age(now, servers).as_secs_f64() * 1_000.0;
         let planned = servers.iter().zip(&service_ms).map(|(server, service_ms)| {
             let (slots, peers) = (f64::from(server.slots.max(1)), f64::from(server.peers));
@@ -254,10 +254,10 @@
         let mut planned: Vec<PlannedServer> = planned.collect();
         let sent = peers * (1.0 - (-age_ms / shared_ms.max(0.1)).exp());
         if sent < MIN_SPREAD_CALLS {
-            return view.best(&planned, *home);
+            return view.best(&planned, *home, gain_ms);
         }
-        let parts = view.place(&mut planned, sent, shared_ms);
-        draw(&parts, random).or_else(|| view.best(&planned, *home))
+        let parts = view.place(&mut planned, sent, shared_ms, gain_ms);
+        draw(&parts, random).or_else(|| view.best(&planned, *home, gain_ms))
     }
 
     /// Returns the load that other hosts usually put on a server.
@@ -275,7 +275,13 @@
 
     /// Returns the present service time of each server, which its load shows: a server in a transient
     /// slowdown has more calls in flight than it would usually have.
-    fn current_service_ms(&self, view: &AppView<'_>, usual_ms: &[f64], total: f64) -> Vec<f64> {
+    fn current_service_ms(
+        &self,
+        view: &AppView<'_>,
+        usual_ms: &[f64],
+        total: f64,
+        gain_ms: f64,
+    ) -> Vec<f64> {
         if total < MIN_USUAL_LOAD {
             return usual_ms.to_vec();
         }
@@ -283,7 +289,7 @@
         let mut planned: Vec<PlannedServer> =
             empty.map(|(server, ms)| PlannedServer::new(server.slots, *ms, 0.0)).collect();
         let mean_ms = usual_ms.iter().sum::<f64>() / usual_ms.len() as f64;
-        view.place(&mut planned, total, mean_ms);
+        view.place(&mut planned, total, mean_ms, gain_ms);
         let servers = view.servers.iter().zip(&planned);
         let share = self.slow_share(view.servers);
         let service_ms = servers.map(|(server, planned)| {
@@ -297,21 +303,28 @@
 }
 
 impl AppView<'_> {
-    fn cost_ms(&self, index: usize, planned: &PlannedServer, zone: usize) -> f64 {
+    fn cost_ms(&self, index: usize, planned: &PlannedServer, zone: usize, gain_ms: f64) -> f64 {
         let server = &self.servers[index];
-        let leaving_ms = if server.zone == zone { 0.0 } else { self.leaving_ms };
+        let leaving_ms = if server.zone == zone { 0.0 } else { server.leaving_ms + gain_ms };
         planned.wait_ms + server.extra_ms + leaving_ms
     }
 
-    /// Returns the best server for a caller in a zone.
-    fn best(&self, planned: &[PlannedServer], zone: usize) -> Option<usize> {
+    /// Returns the best server for a caller in a zone, which leaves it only for a gain beyond the cost.
+    fn best(&self, planned: &[PlannedServer], zone: usize, gain_ms: f64) -> Option<usize> {
         let costs = planned.iter().enumerate();
-        let costs = costs.map(|(index, planned)| (index, self.cost_ms(index, planned, zone)));
+        let costs =
+            costs.map(|(index, planned)| (index, self.cost_ms(index, planned, zone, gain_ms)));
         costs.min_by(|(_, one), (_, other)| one.total_cmp(other)).map(|(index, _)| index)
     }
 
     /// Places calls of all zones one after another; returns how many of this host's zone each server got.
-    fn place(&self, planned: &mut [PlannedServer], calls: f64, mean_ms: f64) -> Vec<f64> {
+    fn place(
+        &self,
+        planned: &mut [PlannedServer],
+        calls: f64,
+        mean_ms: f64,
+        gain_ms: f64,
+    ) -> Vec<f64> {
         let parts = (planned.len() * PARTS_PER_SERVER).min(MAX_PARTS);
         let part = calls / parts as f64;
         let mut placed = vec![0.0; planned.len()];
@@ -324,7 +337,7 @@
                 *due += share;
             }
             due[zone] -= 1.0;
-            let Some(best) = self.best(planned, zone) else { break };
+            let Some(best) = self.best(planned, zone, gain_ms) else { break };
             // A call occupies a slow server for longer.
             let occupied = part * planned[best].service_ms / mean_ms;
             planned[best].add(occupied);
--- a/lib/testutils/src/app_fleet.rs
+++ b/lib/testutils/src/app_fleet.rs
@@ -300,12 +300,12 @@
                 },
                 own: self.hosts[host].own[server],
                 peers: loads[server],
+                leaving_ms: LEAVING_MS,
                 extra_ms: 0.0,
             })
             .collect();
         let shares = vec![1.0 / zones as f64; zones];
-        let view =
-            AppView { servers: &servers, zone_shares: &shares, home: zone, leaving_ms: LEAVING_MS };
+        let view = AppView { servers: &servers, zone_shares: &shares, home: zone };
         let server = match self.shape.rule {
             AppRule::FewestReported => fewest_reported(&view),
             AppRule::ShortestWait => {
@@ -384,7 +384,7 @@
 fn fewest_reported(view: &AppView<'_>) -> usize {
     let cost = |server: &AppServer| {
         let queued = f64::from(server.own + server.peers) / f64::from(server.slots);
-        let leaving_ms = if server.zone == view.home { 0.0 } else { LEAVING_MS };
+        let leaving_ms = if server.zone == view.home { 0.0 } else { server.leaving_ms };
         queued.floor() * LEAVING_MS * 2.0 + leaving_ms + queued
     };
     let costs = view.servers.iter().map(cost).enumerate();
