zones: give a common prefix a home in each zone

Homes of prefixes were chosen among the servers of all zones, so that three of four prompts with a shared prefix crossed zones where there are four. PrefixHomes counts the uses of each prefix and, where leaving the zone would cost more than prefilling a copy, chooses the home among the zone's own servers.

--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -89,6 +89,8 @@
     let mut placement = state.placement.borrow_mut();
     placement.set_peer_loads(&loads);
     placement.set_zone_hosts(peers.zone_hosts(now));
+    let zone_homes = i64::try_from(placement.homes().zone_homes()).unwrap_or(i64::MAX);
+    state.metrics.levels.with_label_values(&["zone_prefix_homes"]).set(zone_homes);
     drop(placement);
     let heard = i64::try_from(peers.live_peers(now)).unwrap_or(i64::MAX);
     state.metrics.levels.with_label_values(&["peers"]).set(heard);
--- a/lib/src/gateway/placement.rs
+++ b/lib/src/gateway/placement.rs
@@ -28,6 +28,9 @@
 use crate::gateway::zones::app_choice::AppChoice;
 use crate::gateway::zones::app_choice::AppServer;
 use crate::gateway::zones::app_choice::AppView;
+use crate::gateway::zones::prefix_homes::HomeScope;
+use crate::gateway::zones::prefix_homes::PrefixHomes;
+use crate::gateway::zones::prefix_homes::PrefixUse;
 use crate::gateway::zones::zone_flow::OpenZone;
 use crate::gateway::zones::zone_flow::ZoneFlow;
 use crate::ids::ServerId;
@@ -176,6 +179,7 @@
     limits: LimitTable,
     apps: AppChoice,
     flow: ZoneFlow,
+    homes: PrefixHomes,
     /// Number of hosts in each zone.
     zone_hosts: BTreeMap<ZoneName, u32>,
 }
@@ -199,6 +203,7 @@
             pauses: PauseTable::default(),
             limits: LimitTable::default(),
             apps: AppChoice::default(),
+            homes: PrefixHomes::default(),
             zone_hosts: BTreeMap::new(),
         }
     }
@@ -259,10 +264,8 @@
         if query.prompt.is_none() {
             return self.choose_app(now, &candidates, limited, query, random);
         }
-        let home = query.prompt.and_then(PromptShape::shared_prefix).and_then(|prefix| {
-            candidates.iter().max_by_key(|(_, server)| rendezvous_score(prefix, &server.entry.id))
-        });
-        let home = home.map(|(key, _)| *key);
+        let prefix = query.prompt.and_then(PromptShape::shared_prefix);
+        let home = prefix.and_then(|prefix| self.prefix_home(now, prefix, &candidates));
         let open = self.flow.open_zone(query.service, random.random_range(0.0..1.0));
         let mut best: Option<(f64, PlacementChoice)> = None;
         for (key, server) in candidates {
@@ -283,6 +286,48 @@
         }
     }
 
+    /// Returns the home server of a prefix.
+    fn prefix_home(
+        &self,
+        now: Timestamp,
+        prefix: u64,
+        candidates: &[(ServerKey, &BackendServer)],
+    ) -> Option<ServerKey> {
+        let is_near = |server: &BackendServer| server.entry.zone == self.zone;
+        let near = candidates.iter().filter(|(_, server)| is_near(server)).count();
+        let scope = match near {
+            0 => HomeScope::Fleet,
+            near => self.homes.scope(now, prefix, near),
+        };
+        let eligible =
+            candidates.iter().filter(|(_, server)| scope == HomeScope::Fleet || is_near(server));
+        let home = eligible.max_by_key(|(_, server)| rendezvous_score(prefix, &server.entry.id));
+        home.map(|(key, _)| *key)
+    }
+
+    /// Counts a use of a prompt's shared prefix, in a deployment with several zones.
+    fn count_prefix(&mut self, now: Timestamp, prompt: &PromptShape) {
+        let Some(last) = prompt.shared_parts().last().filter(|_| self.zone_hosts.len() > 1) else {
+            return;
+        };
+        let tokens = prompt.shared_parts().iter().map(|part| u64::from(part.tokens)).sum();
+        let others = self.zone_hosts.keys().filter(|zone| **zone != self.zone);
+        let costs = others.map(|zone| self.flow.leaving_ms(zone, Some(prompt.prompt_tokens)));
+        let used = PrefixUse {
+            prefix: last.id,
+            tokens,
+            copy_ms: tokens as f64 * UNCACHED_TOKEN_WEIGHT / PREFILL_TOKENS_PER_MS,
+            leaving_ms: costs.fold(f64::MAX, f64::min),
+            zone_hosts: self.zone_hosts.get(&self.zone).copied().unwrap_or(1),
+        };
+        self.homes.on_use(now, used);
+    }
+
+    /// Returns which prefixes have a home in this host's zone.
+    pub fn homes(&self) -> &PrefixHomes {
+        &self.homes
+    }
+
     /// Chooses among servers of a plain application.
     fn choose_app(
         &self,
@@ -445,6 +490,9 @@
         prompt: Option<&PromptShape>,
         uncached_tokens: u64,
     ) {
+        if let Some(prompt) = prompt {
+            self.count_prefix(now, prompt);
+        }
         let Some(load) = self.loads.get_mut(key) else { return };
         load.running += 1;
         load.prefill_tokens += uncached_tokens;
