--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -20,6 +20,7 @@
 use crate::gateway::capacity::fleet_scaler::TokenDemand;
 use crate::gateway::capacity::service_speed::SpeedBasis;
 use crate::gateway::gateway_state::GatewayState;
+use crate::gateway::host_summary::apply_app_loads;
 use crate::gateway::placement::ConnectionShare;
 use crate::gateway::placement::PlacementChoice;
 use crate::gateway::placement::PlacementQuery;
@@ -248,6 +249,9 @@
         Some(_) => [tried, &doubted_servers(state, now)].concat(),
         None => tried.to_vec(),
     };
+    if request.head.prompt.is_none() {
+        apply_app_loads(state, &request.service);
+    }
     let query = PlacementQuery {
         service: &request.service,
         prompt: request.head.prompt.as_ref(),
@@ -263,6 +267,7 @@
                 state.metrics.events.with_label_values(&["limit_turned_elsewhere"]).inc();
             }
             check_deadline(state, now, request, key, uncached_tokens)?;
+            count_left_zone(state, &request.service, key);
             Ok(PlacedServer { key, running, uncached_tokens, limited })
         }
         PlacementChoice::Full => {
@@ -327,6 +332,16 @@
     Err(RefusalReason::with_retry_after(ResultCode::DeadlineUnreachable, retry_after))
 }
 
+/// Counts an attempt that leaves this host's zone.
+fn count_left_zone(state: &GatewayState, service: &ServiceName, key: ServerKey) {
+    let directory = state.directory.borrow();
+    let Some(server) = directory.get(key) else { return };
+    let placement = state.placement.borrow();
+    if let Some(reason) = placement.flow().leave_reason(service, &server.entry.zone) {
+        state.metrics.left_zone.with_label_values(&[service.as_str(), reason.label()]).inc();
+    }
+}
+
 /// Returns the servers whose software version is not known now.
 fn doubted_servers(state: &GatewayState, now: Timestamp) -> Vec<ServerKey> {
     let directory = state.directory.borrow();
--- a/lib/src/gateway/capacity/fleet_scaler.rs
+++ b/lib/src/gateway/capacity/fleet_scaler.rs
@@ -28,7 +28,7 @@
 use crate::timestamp::Timestamp;
 
 /// Fraction of a server's capacity that demand may use; the rest absorbs bursts within seconds.
-const TARGET_UTILIZATION: f64 = 0.6;
+const TARGET_UTILIZATION: f64 = 0.7;
 
 /// Sliding window over which the peak demand sets the number of ordinary servers. It is short
 /// because servers are back within their start time, and servers kept after a short peak cost as
