quota: serve the more urgent ranks of a team first

Cause: a quota that ran short was given out in the order of arrival, so that a few large requests of the least urgent route refused many small urgent ones. A host that started counted both the record of its zone's former recorder and the hosts that the record holds.

Change: rank_split divides a team's refill: half of each rank's part of the demand is kept for it, the rest goes in the order of ranks. Hosts tell the units requested by rank; each holds a credit for each rank, and a reserve of the bucket serves surges of the more urgent ones. The record of a zone names the zone, and counts only beyond what the hosts that it covers tell. Decisions and use are logged and counted by rank (quota_report). A request that asks again is neither counted as asked nor kept in the window.

--- a/bench/src/summary_cost.rs
+++ b/bench/src/summary_cost.rs
@@ -121,6 +121,7 @@
         asked: rng.random_range(1..100_000),
         total: rng.random_range(1..100_000),
         total_asked: rng.random_range(1..100_000),
+        asked_by_rank: (0..3).map(|_| rng.random_range(1..100_000)).collect(),
     });
     let teams = teams.collect();
     let servers = (0..USED_SERVERS).map(|_| ServerUse {
--- a/lib/src/gateway/gateway_metrics.rs
+++ b/lib/src/gateway/gateway_metrics.rs
@@ -35,6 +35,10 @@
     pub first_byte_latency: HistogramVec,
     /// Seconds until the store acknowledged a list of streams, by outcome.
     pub record_latency: HistogramVec,
+    /// Decisions on requests of teams with a quota, by rank and outcome.
+    pub quota_decisions: IntCounterVec,
+    /// Gauge: units that a team used of its quota in the window at all hosts, in per mille.
+    pub quota_use: IntGaugeVec,
     /// Streams that callers took up, by outcome.
     pub resumed_streams: IntCounterVec,
     /// Seconds until the end of the response, by route kind.
@@ -68,7 +72,18 @@
             &["service", "version"],
         )?;
         registry.register(Box::new(servers.clone()))?;
+        let quota_use = IntGaugeVec::new(
+            Opts::new("pomelostack_quota_use_per_mille", "Units of a quota used in the window."),
+            &["team"],
+        )?;
+        registry.register(Box::new(quota_use.clone()))?;
         Ok(Self {
+            quota_decisions: counter(
+                "pomelostack_quota_decisions_total",
+                "Decisions on requests of teams with a quota.",
+                &["rank", "outcome"],
+            )?,
+            quota_use,
             requests: counter(
                 "pomelostack_requests_total",
                 "Requests that ended.",
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -263,7 +263,7 @@
     /// decisions on quotas.
     pub fn update_peer_spending(&self) {
         if self.has_new_spending.take() {
-            self.quotas.borrow_mut().set_peer_spending(self.peers.borrow().spending());
+            self.quotas.borrow_mut().set_peer_spending(&self.peers.borrow().spending());
         }
     }
 
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -20,6 +20,7 @@
 use crate::gateway::peer_table::RecordScope;
 use crate::gateway::peer_table::SummaryOutcome;
 use crate::gateway::placement::PeerLoad;
+use crate::gateway::quota::rank_split::ByRank;
 use crate::gateway::server_limit::RequestLimit;
 use crate::gateway::store_follower;
 use crate::gateway::usage_ledger::TeamCounts;
@@ -52,7 +53,7 @@
 pub fn apply_peer_summaries(state: &GatewayState) {
     let now = state.now();
     let peers = state.peers.borrow();
-    state.quotas.borrow_mut().set_peer_spending(peers.spending());
+    state.quotas.borrow_mut().set_peer_spending(&peers.spending());
     state.has_new_spending.set(false);
     let directory = state.directory.borrow();
     let mut loads: BTreeMap<ServerKey, PeerLoad> = BTreeMap::new();
@@ -197,8 +198,9 @@
     state.quotas.borrow().exceeds_record_threshold(quota_of)
 }
 
-/// Builds the spending record for the store.
+/// Builds the spending record for the store. One that holds the spending of a zone names it.
 pub fn build_record(state: &GatewayState, scope: RecordScope) -> HostSummary {
+    let zone = state.settings.borrow().zone.to_string();
     let mut teams = match scope {
         RecordScope::Zone => state.peers.borrow().zone_spending(),
         RecordScope::Own | RecordScope::Nothing => BTreeMap::new(),
@@ -212,15 +214,14 @@
         team: team.into(),
         spent: spending.spent,
         asked: spending.asked,
-        total: spending.total,
-        total_asked: spending.total_asked,
+        ..TeamUse::default()
     });
     HostSummary {
         host: state.incarnation.0.to_string(),
         incarnation: state.incarnation.1.0,
         teams: teams.collect(),
         wall_ms: wall_clock_ms(),
-        zone: state.settings.borrow().zone.to_string(),
+        zone: if scope == RecordScope::Zone { zone } else { String::new() },
         ..HostSummary::default()
     }
 }
@@ -295,6 +296,12 @@
     state.on_limit_statement(&server, told.born_ms, statement, LimitSource::Peer);
 }
 
+/// Encodes the units of each rank without the trailing zeros.
+fn encode_ranks(asked_by_rank: ByRank<u64>) -> Vec<u64> {
+    let length = asked_by_rank.iter().rposition(|asked| *asked > 0).map_or(0, |last| last + 1);
+    asked_by_rank[..length].to_vec()
+}
+
 /// Builds summary number `sequence`.
 pub fn build_summary(state: &GatewayState, sequence: u64) -> HostSummary {
     let now = state.now();
@@ -306,6 +313,7 @@
         asked: spending.asked,
         total: spending.total,
         total_asked: spending.total_asked,
+        asked_by_rank: encode_ranks(spending.asked_by_rank),
     });
     let directory = state.directory.borrow();
     let board = state.placement.borrow();
--- a/lib/src/gateway/peer_gossip.rs
+++ b/lib/src/gateway/peer_gossip.rs
@@ -14,6 +14,7 @@
 use crate::gateway::peer_table::RecordScope;
 use crate::gateway::platform_api::ControlStore;
 use crate::gateway::platform_api::HostAddress;
+use crate::gateway::quota::quota_report;
 use crate::gateway::store_follower::Backoff;
 use crate::gateway::store_follower::DependencyWatch;
 use crate::gateway::summary_relay::SummaryRelay;
@@ -285,6 +286,7 @@
     state.judge_crashes();
     state.pool.close_expired();
     host_summary::apply_peer_summaries(state);
+    quota_report::report_quotas(state);
     state.refresh_limits();
     let running = i64::try_from(state.in_flight.get()).unwrap_or(i64::MAX);
     state.metrics.levels.with_label_values(&["running_requests"]).set(running);
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -10,6 +10,7 @@
 //! thus grows linearly with the number of hosts and not with its square, and a dead relay loses
 //! only single summaries of a few hosts.
 
+use std::borrow::Cow;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -125,11 +126,26 @@
 }
 
 impl PeerEntry {
+    /// Returns whether this is the record of a host that recorded for its availability zone.
+    fn is_zone_record(&self) -> bool {
+        self.summary.sequence == 0 && !self.summary.zone.is_empty()
+    }
+
+    /// Returns whether a zone's record holds spending of an incarnation; a record without a time holds
+    /// that of all.
+    fn covers(&self, incarnation: Incarnation) -> bool {
+        self.summary.wall_ms == 0 || incarnation.0 <= self.summary.wall_ms
+    }
+
     /// Returns the spending in the summary by team; names are not checked.
     fn spending(&self) -> impl Iterator<Item = (&str, TeamSpending)> {
         self.summary.teams.iter().map(|team| {
             let (spent, asked) = (team.spent.min(MAX_UNITS), team.asked.min(MAX_UNITS));
-            (team.team.as_str(), TeamSpending { spent, asked, ..TeamSpending::default() })
+            let asked_by_rank = std::array::from_fn(|class| {
+                team.asked_by_rank.get(class).map_or(0, |asked| *asked.min(&MAX_UNITS))
+            });
+            let spending = TeamSpending { spent, asked, asked_by_rank, ..TeamSpending::default() };
+            (team.team.as_str(), spending)
         })
     }
 }
@@ -143,8 +159,7 @@
             sums.entry(name).or_default()
         }
     };
-    sum.spent += spending.spent;
-    sum.asked += spending.asked;
+    sum.add_window(&spending);
 }
 
 /// Peers by incarnation, and the addresses of their hosts.
@@ -273,8 +288,10 @@
     }
 
     fn insert_entry(&mut self, key: HostIncarnation, entry: PeerEntry) {
-        for (team, spending) in entry.spending() {
-            add_spending(&mut self.total_spending, team, spending);
+        if !entry.is_zone_record() {
+            for (team, spending) in entry.spending() {
+                add_spending(&mut self.total_spending, team, spending);
+            }
         }
         self.count_growth(&key, &entry);
         let replaced = self.entries.insert(key, entry);
@@ -310,10 +327,12 @@
     }
 
     fn subtract_spending(&mut self, entry: &PeerEntry) {
+        if entry.is_zone_record() {
+            return;
+        }
         for (team, spending) in entry.spending() {
             let Some(total) = self.total_spending.get_mut(team) else { continue };
-            total.spent -= spending.spent;
-            total.asked -= spending.asked;
+            total.subtract_window(&spending);
             if *total == TeamSpending::default() {
                 self.total_spending.remove(team);
             }
@@ -527,8 +546,42 @@
     }
 
     /// Returns the spending of all peers by team.
-    pub fn spending(&self) -> &BTreeMap<TeamName, TeamSpending> {
-        &self.total_spending
+    pub fn spending(&self) -> Cow<'_, BTreeMap<TeamName, TeamSpending>> {
+        let mut total = Cow::Borrowed(&self.total_spending);
+        for (incarnation, record) in &self.entries {
+            if record.is_zone_record() {
+                self.add_record_excess(total.to_mut(), incarnation, record);
+            }
+        }
+        total
+    }
+
+    /// Adds what a zone's record holds beyond the summaries of the hosts that it covers. Those that are
+    /// heard from tell their spending themselves.
+    fn add_record_excess(
+        &self,
+        total: &mut BTreeMap<TeamName, TeamSpending>,
+        recorder: &HostIncarnation,
+        record: &PeerEntry,
+    ) {
+        let is_covered = |(incarnation, entry): &(&HostIncarnation, &PeerEntry)| {
+            *incarnation != recorder
+                && !entry.is_zone_record()
+                && entry.summary.zone == record.summary.zone
+                && record.covers(incarnation.1)
+        };
+        let mut told: BTreeMap<TeamName, TeamSpending> = BTreeMap::new();
+        for (_, entry) in self.entries.iter().filter(is_covered) {
+            entry.spending().for_each(|(team, spending)| add_spending(&mut told, team, spending));
+        }
+        for (team, recorded) in record.spending() {
+            let known = told.get(team).copied().unwrap_or_default();
+            let spent = recorded.spent.saturating_sub(known.spent);
+            let asked = recorded.asked.saturating_sub(known.asked);
+            if (spent, asked) != (0, 0) {
+                add_spending(total, team, TeamSpending { spent, asked, ..TeamSpending::default() });
+            }
+        }
     }
 
     /// Returns which spending this host records. In a large fleet, the unrecorded spending of each
@@ -549,10 +602,13 @@
     /// Returns the spending of the other hosts in this host's availability zone, by team.
     pub fn zone_spending(&self) -> BTreeMap<TeamName, TeamSpending> {
         let mut total: BTreeMap<TeamName, TeamSpending> = BTreeMap::new();
-        let in_zone =
-            self.entries.values().filter(|entry| entry.summary.zone == self.zone.as_str());
-        for (team, spending) in in_zone.flat_map(PeerEntry::spending) {
-            add_spending(&mut total, team, spending);
+        let in_zone = |entry: &PeerEntry| entry.summary.zone == self.zone.as_str();
+        for (incarnation, entry) in self.entries.iter().filter(|(_, entry)| in_zone(entry)) {
+            if entry.is_zone_record() {
+                self.add_record_excess(&mut total, incarnation, entry);
+            } else {
+                entry.spending().for_each(|(team, sum)| add_spending(&mut total, team, sum));
+            }
         }
         total
     }
--- a/lib/src/gateway/quota/host_credit.rs
+++ b/lib/src/gateway/quota/host_credit.rs
@@ -13,12 +13,33 @@
 /// Weight of a request in the mean size.
 const SIZE_WEIGHT: f64 = 1.0 / 16.0;
 
-/// Units that one host may spend.
+/// Mean size of recent requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct MeanSize {
+    units: f64,
+}
+
+impl MeanSize {
+    /// Returns the mean in units; zero before the first request.
+    pub fn units(self) -> f64 {
+        self.units
+    }
+
+    /// Counts a request.
+    pub fn observe(&mut self, units: u64) {
+        let units = units as f64;
+        self.units = match self.units == 0.0 {
+            true => units,
+            false => self.units + (units - self.units) * SIZE_WEIGHT,
+        };
+    }
+}
+
+/// Units that one host may spend for one rank.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct HostCredit {
     units: f64,
-    /// Mean size of requests.
-    mean_units: f64,
+    size: MeanSize,
     /// Fraction of the mean size at which the next request is admitted.
     threshold: f64,
 }
@@ -26,7 +47,7 @@
 impl HostCredit {
     /// Builds an empty credit. `phase` differs between hosts.
     pub fn new(phase: f64) -> Self {
-        Self { units: 0.0, mean_units: 0.0, threshold: phase.fract() }
+        Self { threshold: phase.fract(), ..Self::default() }
     }
 
     /// Returns the units that may be spent; negative after a large request.
@@ -34,18 +55,9 @@
         self.units
     }
 
-    /// Returns the mean size of requests.
-    pub fn mean_units(&self) -> f64 {
-        self.mean_units
-    }
-
     /// Counts a request in the mean size.
     pub fn observe_request(&mut self, units: u64) {
-        let units = units as f64;
-        self.mean_units = match self.mean_units == 0.0 {
-            true => units,
-            false => self.mean_units + (units - self.mean_units) * SIZE_WEIGHT,
-        };
+        self.size.observe(units);
     }
 
     /// Sets the units.
@@ -54,21 +66,21 @@
     }
 
     /// Adds units. What exceeds `pooled` is dropped unless the host saves for a request that it
-    /// refused, beside units that it keeps for others.
-    pub fn refill(&mut self, units: f64, pooled: f64, is_saving: bool, kept: f64) {
-        let saved = if is_saving { self.mean_units + kept } else { 0.0 };
+    /// refused.
+    pub fn refill(&mut self, units: f64, pooled: f64, is_saving: bool) {
+        let saved = if is_saving { self.size.units() } else { 0.0 };
         self.units = (self.units + units).min(pooled.max(saved));
     }
 
     /// Returns the units that are missing for the next request; none are if this is not positive.
-    pub fn missing_units(&self, kept: f64) -> f64 {
-        self.threshold * self.mean_units + kept - self.units
+    pub fn missing_units(&self) -> f64 {
+        self.threshold * self.size.units() - self.units
     }
 
     /// Counts an admitted request. A host owes at most `max_debt` for what it admits beyond its part.
-    pub fn charge(&mut self, units: u64, max_debt: f64) {
-        let is_within = self.missing_units(0.0) <= 0.0;
-        let rest = self.units - units as f64;
+    pub fn charge(&mut self, units: f64, max_debt: f64) {
+        let is_within = self.missing_units() <= 0.0;
+        let rest = self.units - units;
         self.units = if is_within { rest } else { rest.max(self.units.min(-max_debt)) };
         self.threshold = (self.threshold + THRESHOLD_STEP).fract();
     }
--- a/lib/src/gateway/quota/quota_limiter.rs
+++ b/lib/src/gateway/quota/quota_limiter.rs
@@ -6,7 +6,7 @@
 //! and depth keep the bound of every window (`quota_pace`), so that a team that sends too much is
 //! served evenly and not in bursts. While the bucket is well filled a host admits every request.
 //! Otherwise it is limited to its part of the refill, in proportion to the demand that it sees
-//! (`host_credit`). What it spends between two summaries is scaled to all hosts and counts as spent
+//! (`host_credit`), divided among the ranks of requests (`rank_split`). What it spends between two summaries is scaled to all hosts and counts as spent
 //! already. The hosts on one side of a partition together use only their fraction of the quota,
 //! counting an equal part for each host.
 //!
@@ -25,8 +25,14 @@
 use std::time::Duration;
 
 use crate::gateway::quota::host_credit::HostCredit;
+use crate::gateway::quota::host_credit::MeanSize;
 use crate::gateway::quota::quota_pace::BucketLevel;
 use crate::gateway::quota::quota_pace::QuotaPace;
+use crate::gateway::quota::rank_split::ByRank;
+use crate::gateway::quota::rank_split::RANK_CLASSES;
+use crate::gateway::quota::rank_split::rank_class;
+use crate::gateway::quota::rank_split::split_refill;
+use crate::gateway::quota::rank_split::urgent_fraction;
 use crate::gateway::request_rank::RequestRank;
 use crate::gateway::serving_config::TeamQuota;
 use crate::ids::HostId;
@@ -41,6 +47,10 @@
 /// parts.
 const POOL_FRACTION: f64 = 0.1;
 
+/// Further fraction of the depth that a request leaves to more urgent ranks, if all other demand is
+/// more urgent.
+const URGENT_POOL_FRACTION: f64 = 0.4;
+
 /// Fraction of the quota for a host that has not heard from any peer and may be one of many.
 const ISOLATED_FRACTION: f64 = 0.06;
 
@@ -55,7 +65,11 @@
 
 /// Time within which a surplus or deficit of the bucket changes the refill of all hosts. Shorter than
 /// the delay of summaries would make hosts overcorrect together.
-const CORRECTION_TIME: Duration = Duration::from_secs(1);
+const CORRECTION_TIME: Duration = Duration::from_millis(600);
+
+/// Level of the bucket, as a fraction of its depth, that is kept for surges of the more urgent ranks of
+/// a team whose requests differ in rank.
+const RESERVE_FRACTION: f64 = 0.4;
 
 /// Largest factor on the refill while the bucket has a surplus.
 const MAX_REFILL_FACTOR: f64 = 2.0;
@@ -100,6 +114,9 @@
 const UNREAD_FRACTION: f64 = 1.5;
 const UNRECORDED_FRACTION: f64 = 1.0;
 
+/// Time between two reports of the use of quotas.
+const REPORT_PERIOD: Duration = Duration::from_secs(1);
+
 /// Longest time in seconds that is computed for a refusal.
 const MAX_WAIT_S: f64 = 3_600.0;
 
@@ -141,6 +158,28 @@
     pub total: i64,
     /// Units requested since then.
     pub total_asked: i64,
+    /// Units requested in the window by rank.
+    pub asked_by_rank: ByRank<u64>,
+}
+
+impl TeamSpending {
+    /// Adds what another host spent and was asked for in the window.
+    pub fn add_window(&mut self, other: &Self) {
+        self.spent += other.spent;
+        self.asked += other.asked;
+        for (sum, asked) in self.asked_by_rank.iter_mut().zip(other.asked_by_rank) {
+            *sum += asked;
+        }
+    }
+
+    /// Subtracts what was added before.
+    pub fn subtract_window(&mut self, other: &Self) {
+        self.spent -= other.spent;
+        self.asked -= other.asked;
+        for (sum, asked) in self.asked_by_rank.iter_mut().zip(other.asked_by_rank) {
+            *sum -= asked;
+        }
+    }
 }
 
 /// How many of the other recently known hosts this host still hears from.
@@ -230,15 +269,42 @@
     pub total: f64,
 }
 
+/// Use of a team's quota, and decisions since the last report.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TeamReport {
+    /// Team.
+    pub team: TeamName,
+    /// Units spent by all hosts in the window, as a fraction of what rate and burst allow in it.
+    pub used_fraction: f64,
+    /// Units that all hosts together may spend now.
+    pub available: f64,
+    /// Requests admitted here by rank.
+    pub admitted: ByRank<u32>,
+    /// Requests refused here by rank.
+    pub refused: ByRank<u32>,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct WindowEntry {
     at: Timestamp,
     units: u64,
     /// The units, unless they were counted as asked before.
     asked: u64,
+    class: usize,
     admitted: bool,
 }
 
+/// Refill of this host's part of one rank.
+#[derive(Clone, Copy, Debug)]
+struct RankRefill {
+    /// This host's part of the rank's demand.
+    part: f64,
+    /// Fraction of the bucket that the rank gets.
+    fraction: f64,
+    /// Units per second that this host gets for the rank.
+    rate: f64,
+}
+
 #[derive(Clone, Debug, Default)]
 struct TeamWindow {
     entries: VecDeque<WindowEntry>,
@@ -246,8 +312,12 @@
     peers: TeamSpending,
     /// Bucket of all hosts as this host knows it.
     level: BucketLevel,
-    /// This host's part of the bucket.
-    credit: HostCredit,
+    /// This host's part of the bucket by rank.
+    credits: ByRank<HostCredit>,
+    /// Units that are saved for streams that may come back.
+    returning_credit: f64,
+    /// Mean size of requests.
+    size: MeanSize,
     /// Time of the last refusal.
     refused_at: Option<Timestamp>,
     /// Since when units are requested here.
@@ -260,6 +330,9 @@
     peer_rate: f64,
     /// Units admitted since the last record.
     unrecorded: u64,
+    /// Requests admitted and refused since the last report by rank.
+    admitted_count: ByRank<u32>,
+    refused_count: ByRank<u32>,
     /// Units of refused streams that may come back, oldest first.
     returning: VecDeque<ReturningStream>,
 }
@@ -289,6 +362,7 @@
     /// Number from 0 to 1 in which hosts differ.
     phase: f64,
     published_at: Option<Timestamp>,
+    reported_at: Option<Timestamp>,
     /// Mean time between two summaries.
     publish_period: Duration,
     must_publish: bool,
@@ -304,6 +378,7 @@
             assumed: None,
             phase: 0.5,
             published_at: None,
+            reported_at: None,
             publish_period: DEFAULT_SUMMARY_PERIOD,
             must_publish: false,
             must_record: false,
@@ -355,6 +430,33 @@
         })
     }
 
+    /// Returns the use of each quota and the decisions since the last report, if one is due.
+    pub fn take_reports(
+        &mut self,
+        now: Timestamp,
+        quota_of: impl Fn(&TeamName) -> Option<TeamQuota>,
+    ) -> Vec<TeamReport> {
+        if self.reported_at.is_some_and(|at| now.since(at) < REPORT_PERIOD) {
+            return Vec::new();
+        }
+        self.reported_at = Some(now);
+        let bounds = self.bounds;
+        let report = |(team, window): (&TeamName, &mut TeamWindow)| {
+            let quota = quota_of(team)?;
+            window.expire(now, bounds.window);
+            let spent = (window.own.spent + window.peers.spent) as f64;
+            let units = quota.rate as f64 * bounds.window.as_secs_f64() + quota.burst as f64;
+            Some(TeamReport {
+                team: team.clone(),
+                used_fraction: spent / units.max(1.0),
+                available: window.level.available(bounds.pace(quota)),
+                admitted: std::mem::take(&mut window.admitted_count),
+                refused: std::mem::take(&mut window.refused_count),
+            })
+        };
+        self.teams.iter_mut().filter_map(report).collect()
+    }
+
     /// Returns this host's spending in the window and marks it as recorded.
     pub fn record_spending(&mut self, now: Timestamp) -> Vec<(TeamName, TeamSpending)> {
         self.must_record = false;
@@ -376,36 +478,44 @@
         request: QuotaRequest,
         reachability: PeerReachability,
     ) -> QuotaDecision {
-        let QuotaRequest { units, claim, has_asked, .. } = request;
+        let QuotaRequest { units, claim, rank, has_asked } = request;
+        let class = rank_class(rank);
         let asked = if has_asked { 0 } else { units };
         let span = self.bounds.window;
         let window_units = self.bounds.admitted_units(quota);
         let pace = self.bounds.pace(quota).scaled(reachability.available_fraction());
         let phase = self.phase;
-        let started_at = self.assumed.map(|assumed| assumed.at);
         let unpublished_time = self.published_at.map_or(self.publish_period, |at| now.since(at));
         let hidden_time = self.publish_period / 2 + SUMMARY_DELAY;
         let window = self.teams.entry(team.clone()).or_insert_with(|| TeamWindow::new(phase));
         window.expire(now, span);
-        window.on_asked(now, asked);
-        let part = window.part(now, started_at, reachability);
-        let refill = window.refill(now, span, pace, part, self.assumed);
+        window.on_asked(now, class, asked);
+        let refill = window.refill(now, span, pace, self.assumed, reachability)[class];
         let kept = window.kept_units(now, claim) as f64;
         let level = window.level.available(pace) - kept;
-        let hidden = window.hidden_units(unpublished_time, hidden_time, span, reachability);
+        let surge = window.surge_factor(asked, unpublished_time, span);
+        let demand = window.demand();
+        // Peers admit no less urgent requests beyond their parts while this rank is short.
+        let hidden = urgent_fraction(demand, class + 1)
+            * window.hidden_units(surge, hidden_time, reachability);
+        let pool_fraction = POOL_FRACTION + URGENT_POOL_FRACTION * urgent_fraction(demand, class);
         let is_pooled = matches!(reachability, PeerReachability::Majority { .. })
-            && level - hidden >= pace.depth * POOL_FRACTION;
-        let missing = window.credit.missing_units(kept);
+            && level - hidden >= pace.depth * pool_fraction;
+        let saved = if claim == QuotaClaim::TakenUp { window.returning_credit } else { 0.0 };
+        let missing = window.credits[class].missing_units() - saved;
         let admitted = is_pooled || missing <= 0.0;
         if admitted || asked > 0 {
-            window.entries.push_back(WindowEntry { at: now, units, asked, admitted });
+            window.entries.push_back(WindowEntry { at: now, units, asked, class, admitted });
         }
         self.must_publish |= window.unpublished as f64 > window_units * PUBLISH_FRACTION;
         if admitted {
+            window.admitted_count[class] += 1;
             window.own.spent += units;
             window.own.total = window.own.total.saturating_add_unsigned(units);
             window.level.charge(units as f64);
-            window.credit.charge(units, part * pace.depth);
+            let from_saved = saved.min(units as f64);
+            window.returning_credit -= from_saved;
+            window.credits[class].charge(units as f64 - from_saved, refill.part * pace.depth);
             window.unrecorded += units;
             if claim == QuotaClaim::TakenUp {
                 window.on_returned(units);
@@ -416,15 +526,17 @@
             return QuotaDecision::Admitted;
         }
         window.refused_at = Some(now);
+        // One that asks again was counted when it first asked.
+        window.refused_count[class] += u32::from(!has_asked);
         if claim == QuotaClaim::TakenUp {
             let kept_until = now + RETURN_TIME;
             window.returning.push_back(ReturningStream { kept_until, units });
         }
-        let retry_after = retry_time(missing, refill).min(span.mul_f64(MAX_RETRY_FRACTION));
+        let retry_after = retry_time(missing, refill.rate).min(span.mul_f64(MAX_RETRY_FRACTION));
         let usage = QuotaUsage {
             own: (window.own.spent + units) as f64,
             peers: window.peers.spent as f64,
-            share: window.credit.units(),
+            share: window.credits[class].units() + saved,
             total: level,
         };
         QuotaDecision::Exceeded { retry_after, usage }
@@ -439,7 +551,7 @@
             window.own.spent = window.own.spent.saturating_sub(units);
             window.own.total = window.own.total.saturating_sub_unsigned(units);
             window.level.charge(-(units as f64));
-            window.credit.refund(units);
+            window.credits[entry.class].refund(units);
         }
     }
 
@@ -447,7 +559,8 @@
     /// call to the buckets.
     pub fn set_peer_spending(&mut self, peers: &BTreeMap<TeamName, TeamSpending>) {
         for (team, window) in &mut self.teams {
-            window.peers = TeamSpending { spent: 0, asked: 0, ..window.peers };
+            let TeamSpending { total, total_asked, .. } = window.peers;
+            window.peers = TeamSpending { total, total_asked, ..TeamSpending::default() };
             if let Some(spending) = peers.get(team) {
                 window.set_peers(*spending);
             }
@@ -495,7 +608,10 @@
 
 impl TeamWindow {
     fn new(phase: f64) -> Self {
-        Self { credit: HostCredit::new(phase), ..Self::default() }
+        let credits = std::array::from_fn(|class| {
+            HostCredit::new(phase + class as f64 / RANK_CLASSES as f64)
+        });
+        Self { credits, ..Self::default() }
     }
 
     /// Replaces the spending of all peers, and charges its growth to the bucket.
@@ -506,16 +622,63 @@
         self.peers = peers;
     }
 
-    /// Refills the bucket and this host's part of it. Returns the part's refill per second.
+    /// Refills the bucket and this host's part of it. Returns the refill of each rank.
     fn refill(
         &mut self,
         now: Timestamp,
         span: Duration,
         pace: QuotaPace,
-        part: f64,
         assumed: Option<AssumedSpending>,
-    ) -> f64 {
+        reachability: PeerReachability,
+    ) -> ByRank<RankRefill> {
+        let elapsed = self.refill_level(now, span, pace, assumed);
+        let level = self.level.available(pace);
+        let demand = self.demand();
+        let is_ranked = demand.iter().filter(|units| **units > 0.0).count() > 1;
+        let reserve = if is_ranked { pace.depth * RESERVE_FRACTION } else { 0.0 };
+        let correction = (level - reserve) / CORRECTION_TIME.as_secs_f64();
+        let factor = 1.0 + correction / pace.rate.max(f64::MIN_POSITIVE);
+        let rate = pace.rate * factor.clamp(0.0, MAX_REFILL_FACTOR);
+        let is_starting = self.is_starting(now, assumed.map(|assumed| assumed.at));
+        let demand_rates = demand.map(|units| units / span.as_secs_f64());
+        let deficit = (level + reserve).min(0.0) / CORRECTION_TIME.as_secs_f64();
+        let split = split_refill(rate, (pace.rate + deficit).max(0.0), demand_rates);
+        let refills: ByRank<RankRefill> = std::array::from_fn(|class| {
+            let part = self.part(class, is_starting, reachability);
+            let fraction = split[class] / rate.max(f64::MIN_POSITIVE);
+            RankRefill { part, fraction, rate: part * split[class] }
+        });
+        let Some(elapsed) = elapsed else {
+            for (credit, refill) in self.credits.iter_mut().zip(&refills) {
+                credit.fill(refill.part * refill.fraction * level.max(0.0));
+            }
+            return refills;
+        };
+        let elapsed_s = elapsed.as_secs_f64();
         let has_refused = self.refused_at.is_some_and(|at| now.since(at) < SAVING_TIME);
+        let is_saving = has_refused || level < pace.depth * SAVING_FRACTION;
+        // Streams that may come back are saved for before any rank.
+        let refilled: f64 = refills.iter().map(|refill| refill.rate * elapsed_s).sum();
+        let kept: u64 = self.returning.iter().map(|stream| stream.units).sum();
+        let saved = (kept as f64 - self.returning_credit).clamp(0.0, refilled);
+        self.returning_credit = (self.returning_credit + saved).min(kept as f64);
+        let rest = 1.0 - saved / refilled.max(f64::MIN_POSITIVE);
+        for (credit, refill) in self.credits.iter_mut().zip(&refills) {
+            let pooled = refill.part * refill.fraction * level.max(0.0);
+            credit.refill(refill.rate * elapsed_s * rest, pooled, is_saving);
+        }
+        refills
+    }
+
+    /// Refills the bucket and averages the peers' demand. Returns the time since the last call; `None`
+    /// at the first one, at which the level follows from what was spent in the window.
+    fn refill_level(
+        &mut self,
+        now: Timestamp,
+        span: Duration,
+        pace: QuotaPace,
+        assumed: Option<AssumedSpending>,
+    ) -> Option<Duration> {
         let Some(refilled_at) = self.level.refilled_at() else {
             let window_units = pace.rate * span.as_secs_f64();
             let spent = (self.peers.spent as f64 / window_units.max(1.0)).min(1.0);
@@ -526,23 +689,21 @@
             self.level.start(now, assumed_spent.max(pace.depth * spent), pace);
             self.peer_growth = 0.0;
             self.peer_rate = self.peers.asked as f64 / span.as_secs_f64();
-            self.credit.fill(part * self.level.available(pace).max(0.0));
-            return part * pace.rate;
+            return None;
         };
         let elapsed = now.since(refilled_at);
         self.level.refill(now, elapsed, pace);
-        let correction = self.level.available(pace) / CORRECTION_TIME.as_secs_f64();
-        let factor = 1.0 + correction / pace.rate.max(f64::MIN_POSITIVE);
-        let refill = part * pace.rate * factor.clamp(0.0, MAX_REFILL_FACTOR);
         let elapsed_s = elapsed.as_secs_f64().max(MIN_RATE_TIME.as_secs_f64());
         let recent_rate = std::mem::take(&mut self.peer_growth) / elapsed_s;
         let weight = -(-elapsed_s / DEMAND_TIME.as_secs_f64()).exp_m1();
         self.peer_rate += (recent_rate - self.peer_rate) * weight;
-        let is_saving = has_refused || self.level.available(pace) < pace.depth * SAVING_FRACTION;
-        let pooled = part * self.level.available(pace).max(0.0);
-        let kept: u64 = self.returning.iter().map(|stream| stream.units).sum();
-        self.credit.refill(refill * elapsed.as_secs_f64(), pooled, is_saving, kept as f64);
-        refill
+        Some(elapsed)
+    }
+
+    /// Returns the units requested of all hosts in the window by rank.
+    fn demand(&self) -> ByRank<f64> {
+        let peers = self.peers.asked_by_rank;
+        std::array::from_fn(|class| (self.own.asked_by_rank[class] + peers[class]) as f64)
     }
 
     fn expire(&mut self, now: Timestamp, span: Duration) {
@@ -550,6 +711,8 @@
             && now.since(entry.at) >= span
         {
             self.own.asked = self.own.asked.saturating_sub(entry.asked);
+            let by_rank = &mut self.own.asked_by_rank[entry.class];
+            *by_rank = by_rank.saturating_sub(entry.asked);
             if entry.admitted {
                 self.own.spent = self.own.spent.saturating_sub(entry.units);
             }
@@ -576,7 +739,7 @@
     }
 
     /// Counts units that are requested.
-    fn on_asked(&mut self, now: Timestamp, asked: u64) {
+    fn on_asked(&mut self, now: Timestamp, class: usize, asked: u64) {
         if asked == 0 {
             return;
         }
@@ -584,9 +747,11 @@
             self.active_since = Some(now);
         }
         self.own.asked += asked;
+        self.own.asked_by_rank[class] += asked;
         self.own.total_asked = self.own.total_asked.saturating_add_unsigned(asked);
         self.unpublished += asked;
-        self.credit.observe_request(asked);
+        self.size.observe(asked);
+        self.credits[class].observe_request(asked);
     }
 
     /// Returns whether this host may not know the demand at its peers yet.
@@ -595,41 +760,40 @@
         is_recent(started_at) || is_recent(self.active_since)
     }
 
-    /// Estimates what the peers admitted and could not tell yet: what they are asked for usually, scaled
-    /// by how much demand grew since this host's last summary, as far as it can tell from its own
-    /// requests. If they have told of none, they may be asked as much as this host.
+    /// Returns by how much demand grew since this host's last summary, as far as it can tell from its own
+    /// requests. The request at hand counts as one of the mean size, so that a large one is not refused
+    /// for its size.
+    fn surge_factor(&self, asked: u64, unpublished_time: Duration, span: Duration) -> f64 {
+        let mean = self.size.units().max(1.0);
+        let noise = SURGE_REQUESTS * mean;
+        let unpublished = self.unpublished.saturating_sub(asked) as f64 + mean;
+        let usual_rate = self.own.asked as f64 / span.as_secs_f64();
+        let usual = usual_rate * unpublished_time.as_secs_f64();
+        ((unpublished + noise) / (usual + noise)).max(1.0)
+    }
+
+    /// Estimates what the peers were asked for and could not tell yet. If they have told of nothing in
+    /// the window, each may be asked for as much as this host.
     fn hidden_units(
         &self,
-        unpublished_time: Duration,
+        surge_factor: f64,
         hidden_time: Duration,
-        span: Duration,
         reachability: PeerReachability,
     ) -> f64 {
-        let noise = (SURGE_REQUESTS * self.credit.mean_units()).max(1.0);
-        let unpublished = self.unpublished as f64;
         if self.peers.asked == 0 {
             let peers = f64::from(reachability.group().saturating_sub(1));
-            return (unpublished - noise).max(0.0) * peers;
+            let noise = SURGE_REQUESTS * self.size.units();
+            return (self.unpublished as f64 - noise).max(0.0) * peers;
         }
-        let usual_rate = self.own.asked as f64 / span.as_secs_f64();
-        let usual = usual_rate * unpublished_time.as_secs_f64();
-        let surge_factor = ((unpublished + noise) / (usual + noise)).max(1.0);
         self.peer_rate * hidden_time.as_secs_f64() * surge_factor
     }
 
-    /// Returns this host's part of the refill: its part of the demand.
-    fn part(
-        &self,
-        now: Timestamp,
-        started_at: Option<Timestamp>,
-        reachability: PeerReachability,
-    ) -> f64 {
+    /// Returns this host's part of a rank's refill: its part of the demand.
+    fn part(&self, class: usize, is_starting: bool, reachability: PeerReachability) -> f64 {
         let even = 1.0 / f64::from(reachability.group().max(1));
-        let own = self.own.asked as f64;
-        let part = (own / (own + self.peers.asked as f64).max(1.0)).max(even * MIN_PART_FRACTION);
-        match self.is_starting(now, started_at) {
-            true => part.min(even * START_PARTS),
-            false => part,
-        }
+        let own = self.own.asked_by_rank[class] as f64;
+        let all = own + self.peers.asked_by_rank[class] as f64;
+        let part = (own / all.max(1.0)).max(even * MIN_PART_FRACTION);
+        if is_starting { part.min(even * START_PARTS) } else { part }
     }
 }
--- a/lib/src/gateway/quota/quota_pace.rs
+++ b/lib/src/gateway/quota/quota_pace.rs
@@ -16,7 +16,7 @@
 
 /// Largest deficit, in depths of the bucket, that is paid back. More can only stem from a limit that was
 /// lowered meanwhile.
-const MAX_DEFICIT_DEPTHS: f64 = 3.0;
+const MAX_DEFICIT_DEPTHS: f64 = 2.0;
 
 /// Refill and depth of the bucket of one quota.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -289,10 +289,12 @@
             QuotaDecision::Admitted => Ok(()),
             QuotaDecision::Exceeded { retry_after, usage } => {
                 log::info!(
-                    "event=quota_exceeded request={} team={} units={units} peers={reachability:?} \
-                     spent={:.0} spent_by_peers={:.0} share={:.0} quota={:.0} retry_after_ms={}",
+                    "event=quota_exceeded request={} team={} units={units} rank={} \
+                     peers={reachability:?} spent={:.0} spent_by_peers={:.0} share={:.0} \
+                     quota={:.0} retry_after_ms={}",
                     head.request_id,
                     team.name,
+                    rank.route,
                     usage.own,
                     usage.peers,
                     usage.share,
--- a/lib/src/protos/pomelostack.gateway.rs
+++ b/lib/src/protos/pomelostack.gateway.rs
@@ -31,7 +31,8 @@
     /// Wall-clock time of the sender in milliseconds since 1970; set only in records.
     #[prost(uint64, tag = "11")]
     pub wall_ms: u64,
-    /// Availability zone of the sender.
+    /// Availability zone of the sender; in a record, the zone whose hosts' spending it holds, if it holds
+    /// that of others.
     #[prost(string, tag = "12")]
     pub zone: ::prost::alloc::string::String,
     /// Whether the receiver forwards the summary to the other hosts of its availability zone.
@@ -96,6 +97,10 @@
     pub total: i64,
     #[prost(int64, tag = "5")]
     pub total_asked: i64,
+    /// Units requested in the window by rank, the most urgent first, up to the last rank that requested
+    /// any.
+    #[prost(uint64, repeated, tag = "6")]
+    pub asked_by_rank: ::prost::alloc::vec::Vec<u64>,
 }
 /// Load that the sender has running at one backend server.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
