--- a/lib/tests/test_speed_table.rs
+++ b/lib/tests/test_speed_table.rs
@@ -249,13 +249,11 @@
     #[values(20.0, 56.9, 140.0)] tokens_per_ms: f64,
     #[values(0.2, 0.5, 0.8)] load: f64,
 ) {
-    // The estimate must neither fall with queues nor rise with unknown caches. At eight tenths of the
-    // capacity few prompts wait for nothing, and the estimate may only be too low.
+    // The estimate must neither fall with queues nor rise with unknown caches.
     let mut fleet = SimulatedFleet::new(&[tokens_per_ms; 8], fixed_ms);
     fleet.run(60.0, load);
     let ratio = fleet.service_ratio();
-    let least = if load > 0.6 { 0.7 } else { 0.9 };
-    assert!((least..=1.1).contains(&ratio), "{ratio}");
+    assert!((0.9..=1.1).contains(&ratio), "{ratio}");
 }
 
 #[test]
