capacity: no peer alone makes a server look slow

Two reports of one peer in a row sufficed to divide a server's expected speed by ten. Only the last report of a peer counts now; absurd_reports covers it. test_speed_table and test_placement pass.

--- a/lib/src/gateway/capacity/speed_table.rs
+++ b/lib/src/gateway/capacity/speed_table.rs
@@ -227,24 +227,34 @@
     /// Pauses between two events.
     gaps: SampleRing<Duration>,
     gap_ms: Option<f64>,
-    /// Time of the last measurements as a multiple of what was expected, oldest first.
-    recent: VecDeque<(Timestamp, f64)>,
+    /// The last measurements, oldest first.
+    recent: VecDeque<RecentTime>,
+}
+
+/// A measured time as a multiple of the expected one.
+#[derive(Clone, Copy, Debug)]
+struct RecentTime {
+    at: Timestamp,
+    source: SampleSource,
+    ratio: f64,
 }
 
 impl ServerSpeed {
-    fn on_ratio(&mut self, now: Timestamp, ratio: f64) {
+    /// Records a measured time. Only the last one of a peer counts, so that no peer alone makes a server
+    /// look slow.
+    fn on_ratio(&mut self, at: Timestamp, source: SampleSource, ratio: f64) {
+        self.recent.retain(|known| source == SampleSource::Own || known.source != source);
         if self.recent.len() >= SLOWDOWN_SAMPLES {
             self.recent.pop_front();
         }
-        self.recent.push_back((now, ratio));
+        self.recent.push_back(RecentTime { at, source, ratio });
     }
 
     /// Returns by what factor the server is slower than usual, if its last measurements agree on it.
     fn slowdown(&self, now: Timestamp) -> f64 {
-        let is_recent = |(at, _): &&(Timestamp, f64)| now.since(*at) < SLOWDOWN_PERIOD;
-        let recent = self.recent.iter().filter(is_recent);
+        let recent = self.recent.iter().filter(|known| now.since(known.at) < SLOWDOWN_PERIOD);
         let (count, least) = recent
-            .fold((0, f64::INFINITY), |(count, least), (_, ratio)| (count + 1, ratio.min(least)));
+            .fold((0, f64::INFINITY), |(count, least), known| (count + 1, known.ratio.min(least)));
         match count >= SLOWDOWN_SAMPLES && least >= MIN_SLOWDOWN {
             true => least.min(MAX_SLOWDOWN),
             false => 1.0,
@@ -525,7 +535,7 @@
         let known = server.prefill_tokens_per_ms.or(stats.prefill_tokens_per_ms);
         if let Some(speed) = known {
             let expected_ms = stats.fixed_ms + sample.read.tokens() as f64 / speed;
-            server.on_ratio(now, sample.elapsed_ms() / expected_ms);
+            server.on_ratio(now, source, sample.elapsed_ms() / expected_ms);
         }
         match sample.read.quality {
             ReadQuality::Undisturbed => server.undisturbed_at = Some(now),
@@ -571,7 +581,7 @@
         let Some(server) = self.servers.get_mut(key) else { return };
         let stats = &mut self.services[server.service];
         if let Some(usual_ms) = server.plain_ms.or(stats.plain_ms) {
-            server.on_ratio(now, elapsed.as_secs_f64() * 1_000.0 / usual_ms);
+            server.on_ratio(now, source, elapsed.as_secs_f64() * 1_000.0 / usual_ms);
         }
         server.plain.push(now, source, elapsed);
         stats.plain.push(now, source, elapsed);
--- a/lib/tests/test_speed_table.rs
+++ b/lib/tests/test_speed_table.rs
@@ -324,7 +324,13 @@
             fleet.hosts[0].on_peer_sample(now, key, sample, SampleSource::Peer(99));
         }
     }
-    let learned = fleet.hosts[0].prefill_tokens_per_ms(fleet.now(), key);
+    let now = fleet.now();
+    for _ in 0..3 {
+        let elapsed = Duration::from_secs(20);
+        let sample = SpeedSample::Read(ReadSample { read: read(10_000), elapsed });
+        fleet.hosts[0].on_peer_sample(now, key, sample, SampleSource::Peer(99));
+    }
+    let learned = fleet.hosts[0].prefill_tokens_per_ms(now, key);
     assert!((45.0..70.0).contains(&learned), "{learned}");
 }
 
