--- a/lib/src/gateway/capacity/speed_table.rs
+++ b/lib/src/gateway/capacity/speed_table.rs
@@ -49,21 +49,22 @@
 /// A request waited for nothing if less than this share of its own tokens was ahead of it.
 const MAX_PENDING_SHARE: f64 = 0.25;
 
-/// Time without an undisturbed measurement after which disturbed ones count as well.
-const DISTURBED_DELAY: Duration = Duration::from_secs(10);
+/// Time without an undisturbed measurement after which disturbed ones count as well. After 10 s the
+/// learned speed fell by 15% within half a minute of one and a half times the capacity.
+const DISTURBED_DELAY: Duration = Duration::from_secs(30);
 
 /// Prompts of at least this share of the typical size, weighted by tokens, measure the speed. For
 /// smaller ones most of the time is the fixed one.
-const LARGE_PROMPT_SHARE: f64 = 0.5;
+const LARGE_PROMPT_SHARE: f64 = 0.7;
 
 /// Prompts of at most this share of the typical size measure the fixed time.
-const SMALL_PROMPT_SHARE: f64 = 0.25;
+const SMALL_PROMPT_SHARE: f64 = 0.35;
 
 /// Share of the small prompts that wait for nothing at the least; the others take longer than the fixed
 /// time, and none takes less.
 const FIXED_TIME_QUANTILE: f64 = 0.1;
 
-/// Weight of a new prompt in the typical size.
+/// Weight of a new prompt in the typical size, once there were enough of them.
 const SIZE_WEIGHT: f64 = 0.02;
 
 /// Part of a measured time that is prefill at the least, so that no fixed time explains all of it.
@@ -226,24 +227,34 @@
     /// Pauses between two events.
     gaps: SampleRing<Duration>,
     gap_ms: Option<f64>,
-    /// Time of the last measurements as a multiple of what was expected, oldest first.
-    recent: VecDeque<(Timestamp, f64)>,
+    /// The last measurements, oldest first.
+    recent: VecDeque<RecentTime>,
+}
+
+/// A measured time as a multiple of the expected one.
+#[derive(Clone, Copy, Debug)]
+struct RecentTime {
+    at: Timestamp,
+    source: SampleSource,
+    ratio: f64,
 }
 
 impl ServerSpeed {
-    fn on_ratio(&mut self, now: Timestamp, ratio: f64) {
+    /// Records a measured time. Only the last one of a peer counts, so that no peer alone makes a server
+    /// look slow.
+    fn on_ratio(&mut self, at: Timestamp, source: SampleSource, ratio: f64) {
+        self.recent.retain(|known| source == SampleSource::Own || known.source != source);
         if self.recent.len() >= SLOWDOWN_SAMPLES {
             self.recent.pop_front();
         }
-        self.recent.push_back((now, ratio));
+        self.recent.push_back(RecentTime { at, source, ratio });
     }
 
     /// Returns by what factor the server is slower than usual, if its last measurements agree on it.
     fn slowdown(&self, now: Timestamp) -> f64 {
-        let is_recent = |(at, _): &&(Timestamp, f64)| now.since(*at) < SLOWDOWN_PERIOD;
-        let recent = self.recent.iter().filter(is_recent);
+        let recent = self.recent.iter().filter(|known| now.since(known.at) < SLOWDOWN_PERIOD);
         let (count, least) = recent
-            .fold((0, f64::INFINITY), |(count, least), (_, ratio)| (count + 1, ratio.min(least)));
+            .fold((0, f64::INFINITY), |(count, least), known| (count + 1, known.ratio.min(least)));
         match count >= SLOWDOWN_SAMPLES && least >= MIN_SLOWDOWN {
             true => least.min(MAX_SLOWDOWN),
             false => 1.0,
@@ -255,9 +266,11 @@
 #[derive(Clone, Debug)]
 struct ServiceStats {
     name: ServiceName,
-    /// Mean and mean square of the prompts' sizes.
+    /// Prompts whose sizes were counted.
+    sizes: u32,
+    /// Mean of the prompts' sizes, and of the sizes times their logarithms.
     mean_tokens: f64,
-    mean_square_tokens: f64,
+    mean_log_tokens: f64,
     small_reads: SampleRing<ReadSample>,
     fixed_ms: f64,
     /// Measurements of all servers.
@@ -283,8 +296,9 @@
     fn new(name: ServiceName) -> Self {
         Self {
             name,
+            sizes: 0,
             mean_tokens: 0.0,
-            mean_square_tokens: 0.0,
+            mean_log_tokens: 0.0,
             small_reads: SampleRing::new(SERVICE_SAMPLES),
             fixed_ms: INITIAL_FIRST_EVENT.as_secs_f64() * 1_000.0,
             reads: SampleRing::new(SERVICE_SAMPLES),
@@ -302,9 +316,10 @@
         }
     }
 
-    /// Returns the size of the prompt that a typical token belongs to.
+    /// Returns the size of the prompt that a typical token belongs to: the geometric mean over all
+    /// tokens, which a few huge prompts hardly shift.
     fn typical_tokens(&self) -> f64 {
-        if self.mean_tokens > 0.0 { self.mean_square_tokens / self.mean_tokens } else { 0.0 }
+        if self.sizes > 0 { (self.mean_log_tokens / self.mean_tokens).exp() } else { 0.0 }
     }
 
     fn is_large(&self, sample: ReadSample) -> bool {
@@ -313,9 +328,10 @@
 
     fn on_size(&mut self, tokens: u64) {
         let tokens = tokens as f64;
-        let weight = if self.mean_tokens > 0.0 { SIZE_WEIGHT } else { 1.0 };
+        self.sizes = self.sizes.saturating_add(1);
+        let weight = SIZE_WEIGHT.max(1.0 / f64::from(self.sizes));
         self.mean_tokens += (tokens - self.mean_tokens) * weight;
-        self.mean_square_tokens += (tokens * tokens - self.mean_square_tokens) * weight;
+        self.mean_log_tokens += (tokens * tokens.ln() - self.mean_log_tokens) * weight;
     }
 
     /// Learns the fixed time from a small prompt.
@@ -519,7 +535,7 @@
         let known = server.prefill_tokens_per_ms.or(stats.prefill_tokens_per_ms);
         if let Some(speed) = known {
             let expected_ms = stats.fixed_ms + sample.read.tokens() as f64 / speed;
-            server.on_ratio(now, sample.elapsed_ms() / expected_ms);
+            server.on_ratio(now, source, sample.elapsed_ms() / expected_ms);
         }
         match sample.read.quality {
             ReadQuality::Undisturbed => server.undisturbed_at = Some(now),
@@ -565,7 +581,7 @@
         let Some(server) = self.servers.get_mut(key) else { return };
         let stats = &mut self.services[server.service];
         if let Some(usual_ms) = server.plain_ms.or(stats.plain_ms) {
-            server.on_ratio(now, elapsed.as_secs_f64() * 1_000.0 / usual_ms);
+            server.on_ratio(now, source, elapsed.as_secs_f64() * 1_000.0 / usual_ms);
         }
         server.plain.push(now, source, elapsed);
         stats.plain.push(now, source, elapsed);
--- a/lib/tests/test_speed_table.rs
+++ b/lib/tests/test_speed_table.rs
@@ -249,21 +249,19 @@
     #[values(20.0, 56.9, 140.0)] tokens_per_ms: f64,
     #[values(0.2, 0.5, 0.8)] load: f64,
 ) {
-    // The estimate must neither fall with queues nor rise with unknown caches. At eight tenths of the
-    // capacity few prompts wait for nothing, and the estimate may only be too low.
+    // The estimate must neither fall with queues nor rise with unknown caches.
     let mut fleet = SimulatedFleet::new(&[tokens_per_ms; 8], fixed_ms);
     fleet.run(60.0, load);
     let ratio = fleet.service_ratio();
-    let least = if load > 0.6 { 0.7 } else { 0.9 };
-    assert!((least..=1.1).contains(&ratio), "{ratio}");
+    assert!((0.9..=1.1).contains(&ratio), "{ratio}");
 }
 
 #[test]
 fn overloaded_engines() {
-    // Waiting time is not speed: ten seconds of queues must not shrink the estimate.
+    // Waiting time is not speed: half a minute of queues must not shrink the estimate.
     let mut fleet = SimulatedFleet::new(&[56.9; 8], 30.0);
     fleet.run(15.0, 0.5);
-    for _ in 0..10 {
+    for _ in 0..30 {
         fleet.run(1.0, 1.5);
         let ratio = fleet.service_ratio();
         assert!((0.85..=1.15).contains(&ratio), "{ratio}");
@@ -326,7 +324,13 @@
             fleet.hosts[0].on_peer_sample(now, key, sample, SampleSource::Peer(99));
         }
     }
-    let learned = fleet.hosts[0].prefill_tokens_per_ms(fleet.now(), key);
+    let now = fleet.now();
+    for _ in 0..3 {
+        let elapsed = Duration::from_secs(20);
+        let sample = SpeedSample::Read(ReadSample { read: read(10_000), elapsed });
+        fleet.hosts[0].on_peer_sample(now, key, sample, SampleSource::Peer(99));
+    }
+    let learned = fleet.hosts[0].prefill_tokens_per_ms(now, key);
     assert!((45.0..70.0).contains(&learned), "{learned}");
 }
 
