rollout: move a service to an ordered version by its answers

The operators' order rollout/SERVICE in keyed.op was read by nothing, and servers of the ordered version got their full share of requests as soon as they registered.

Hosts follow the orders with the configuration and the states in keyed.status. The holder of the duties appends steps and the verdict under the condition that the log ends where it read it. Each host paces its own share and bound, so that the exposure holds without any report. A version that is listed beside others is used only after a read of the orders that began later; a step counts only in the era of the store in which it was written. Answers of both sides are counted in classes of time by route and compared at the same time.

--- a/bench/src/summary_cost.rs
+++ b/bench/src/summary_cost.rs
@@ -12,6 +12,7 @@
 use pomelostack_lib::gateway::host_summary;
 use pomelostack_lib::gateway::quota::quota_limiter::QuotaBounds;
 use pomelostack_lib::gateway::retry_limiter::RetryBounds;
+use pomelostack_lib::gateway::rollout::exposure_meter::RolloutBounds;
 use pomelostack_lib::ids::HostId;
 use pomelostack_lib::ids::TeamName;
 use pomelostack_lib::ids::ZoneName;
@@ -96,6 +97,7 @@
             tolerance_ratio: 0.1,
             tolerance_units: 140_000.0,
         },
+        rollouts: RolloutBounds::default(),
         duty: DutyTimings::for_lease(Duration::from_secs(3)),
         reports_usage: true,
         orders_servers: false,
--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -49,6 +49,7 @@
 pub mod request_rank;
 pub mod request_runner;
 pub mod retry_limiter;
+pub mod rollout;
 pub mod server_attempt;
 pub mod server_health;
 pub mod server_limit;
--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -22,6 +22,8 @@
 use crate::gateway::platform_api::AttemptHead;
 use crate::gateway::platform_api::WireProtocol;
 use crate::gateway::request_rank::RequestRank;
+use crate::gateway::rollout::rollout_book::RolloutSide;
+use crate::gateway::rollout::rollout_keeper;
 use crate::gateway::server_attempt::AttemptRequest;
 use crate::gateway::server_health::HealthEvidence;
 use crate::gateway::serving_config::RequestKind;
@@ -241,15 +243,28 @@
         Some(_) => [tried, &doubted_servers(state, now)].concat(),
         None => tried.to_vec(),
     };
-    let query = PlacementQuery {
-        service: &request.service,
-        prompt: request.head.prompt.as_ref(),
-        excluded: &excluded,
-        connections,
-        version,
-        is_resumed: bound.is_some(),
+    let (side, withheld) =
+        rollout_keeper::excluded_servers(state, now, request, tried, bound.as_ref());
+    let place = |withheld: &[ServerKey]| {
+        let excluded = [&excluded, withheld].concat();
+        let query = PlacementQuery {
+            service: &request.service,
+            prompt: request.head.prompt.as_ref(),
+            excluded: &excluded,
+            connections,
+            version,
+            is_resumed: bound.is_some(),
+        };
+        state.placement.borrow().choose(now, &state.directory.borrow(), &query)
     };
-    let choice = state.placement.borrow().choose(now, &state.directory.borrow(), &query);
+    let mut choice = place(&withheld);
+    let mut is_withheld = !withheld.is_empty();
+    if side == RolloutSide::New && !matches!(choice, PlacementChoice::Server { .. }) {
+        let withheld =
+            rollout_keeper::side_excluded(state, now, &request.service, RolloutSide::Old);
+        choice = place(&withheld);
+        is_withheld = !withheld.is_empty();
+    }
     match choice {
         PlacementChoice::Server { key, running, uncached_tokens, limited } => {
             if limited > 0 {
@@ -276,10 +291,11 @@
         }
         PlacementChoice::NoServer => {
             let gone = bound.and_then(|version| refuse_absent(state, &request.service, &version));
-            Err(gone.unwrap_or(RefusalReason::with_retry_after(
-                ResultCode::NoServer,
-                NO_SERVER_RETRY_AFTER,
-            )))
+            let code = match is_withheld {
+                true => ResultCode::VersionWithheld,
+                false => ResultCode::NoServer,
+            };
+            Err(gone.unwrap_or(RefusalReason::with_retry_after(code, NO_SERVER_RETRY_AFTER)))
         }
     }
 }
--- a/lib/src/gateway/attempt_race.rs
+++ b/lib/src/gateway/attempt_race.rs
@@ -19,17 +19,21 @@
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::platform_api::WireProtocol;
 use crate::gateway::retry_limiter::RetryPurpose;
+use crate::gateway::rollout::answer_tally::AnswerOutcome;
+use crate::gateway::rollout::rollout_keeper::record_answer;
 use crate::gateway::server_attempt::AttemptOutcome;
 use crate::gateway::server_attempt::ServerAttempt;
 use crate::gateway::server_attempt::await_first_event;
 use crate::gateway::server_attempt::send_attempt;
 use crate::gateway::server_health::HealthEvidence;
 use crate::ids::ServerKey;
+use crate::software_version::SoftwareVersion;
 use crate::timestamp::Timestamp;
 
 /// An attempt without an outcome yet.
 struct RunningAttempt {
     key: ServerKey,
+    version: SoftwareVersion,
     /// Whether its server has been silent for longer than expected.
     is_silent: bool,
     outcome: Pin<Box<dyn Future<Output = AttemptOutcome>>>,
@@ -87,11 +91,12 @@
         else {
             return false;
         };
+        let version = attempt.version().clone();
         let (wire, request) = (self.wire.clone(), self.request.clone());
         let outcome = Box::pin(async move {
             send_attempt(&*wire, attempt, &request, resume_after, deadline).await
         });
-        self.running.push(RunningAttempt { key: placed.key, is_silent: false, outcome });
+        self.running.push(RunningAttempt { key: placed.key, version, is_silent: false, outcome });
         true
     }
 
@@ -107,7 +112,7 @@
             return false;
         }
         let Some(attempt) = self.running.pop() else { return false };
-        let RunningAttempt { key, is_silent, outcome } = attempt;
+        let RunningAttempt { key, version, is_silent, outcome } = attempt;
         let (state, request) = (self.state.clone(), self.request.clone());
         let deadline = plan.deadline();
         let outcome = Box::pin(async move {
@@ -118,7 +123,7 @@
                 outcome => outcome,
             }
         });
-        self.running.push(RunningAttempt { key, is_silent, outcome });
+        self.running.push(RunningAttempt { key, version, is_silent, outcome });
         true
     }
 
@@ -184,6 +189,8 @@
         for attempt in self.running.iter_mut().filter(|attempt| !attempt.is_silent) {
             attempt.is_silent = true;
             record_silent_server(&self.state, &self.request, attempt.key, limit);
+            let answer = AnswerOutcome::Failed;
+            record_answer(&self.state, &self.request, &attempt.version, answer);
         }
     }
 }
--- a/lib/src/gateway/duty_runner.rs
+++ b/lib/src/gateway/duty_runner.rs
@@ -17,6 +17,8 @@
 use crate::gateway::platform_api::FencedCloud;
 use crate::gateway::platform_api::FencedOutcome;
 use crate::gateway::platform_api::PlatformError;
+use crate::gateway::rollout::rollout_keeper::DECISION_PERIOD;
+use crate::gateway::rollout::rollout_keeper::decide_rollouts;
 use crate::gateway::store_follower::DependencyWatch;
 use crate::gateway::usage_report::ReportSchedule;
 use crate::gateway::usage_report::ReportStep;
@@ -158,6 +160,17 @@
         }
     }
 
+    /// Decides on the roll-outs of versions while the host holds an active lease.
+    pub async fn run_rollouts(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(DECISION_PERIOD).await;
+            let holds_lease = || self.lease.borrow().active_fence(self.state.now()).is_some();
+            if holds_lease() && !self.is_partitioned() {
+                decide_rollouts(&self.state, &*self.store, holds_lease).await;
+            }
+        }
+    }
+
     async fn report_usage(&self, book: &mut ReportSchedule) {
         loop {
             let now = self.state.now();
@@ -306,8 +319,12 @@
     /// Returns the servers of a service by availability zone.
     fn listed_servers(&self, service: &ServiceName) -> BTreeMap<ZoneName, ListedServers> {
         let mut listed: BTreeMap<ZoneName, ListedServers> = BTreeMap::new();
+        let rollouts = self.state.rollouts.borrow();
         for (_, server) in self.state.directory.borrow().of_service(service) {
             let entry = &server.entry;
+            if rollouts.is_unproven(service, &entry.version) {
+                continue;
+            }
             let servers = listed.entry(entry.zone.clone()).or_default();
             let fleet = match server.draining_since {
                 _ if server.is_missing => &mut servers.missing,
--- a/lib/src/gateway/gateway_host.rs
+++ b/lib/src/gateway/gateway_host.rs
@@ -23,6 +23,7 @@
 use crate::gateway::platform_api::FencedCloud;
 use crate::gateway::platform_api::WireProtocol;
 use crate::gateway::request_runner::RequestRunner;
+use crate::gateway::rollout::rollout_keeper;
 use crate::gateway::shutdown_plan::DrainLoad;
 use crate::gateway::shutdown_plan::ShutdownPlan;
 use crate::gateway::shutdown_plan::ShutdownStep;
@@ -119,6 +120,10 @@
         let (state, store) = (state.clone(), store.clone());
         move || store_follower::follow_config(state.clone(), store.clone())
     });
+    supervise("rollouts", {
+        let (state, store) = (state.clone(), store.clone());
+        move || rollout_keeper::follow_rollouts(state.clone(), store.clone())
+    });
     supervise("directory", {
         let (state, store) = (state.clone(), store.clone());
         move || store_follower::follow_directory(state.clone(), store.clone())
@@ -180,6 +185,10 @@
         let runner = runner.clone();
         move || runner.clone().run()
     });
+    supervise("decide_rollouts", {
+        let runner = runner.clone();
+        move || runner.clone().run_rollouts()
+    });
     spawn_local(runner.keep_membership());
 }
 
--- a/lib/src/gateway/gateway_metrics.rs
+++ b/lib/src/gateway/gateway_metrics.rs
@@ -41,6 +41,10 @@
     pub total_latency: HistogramVec,
     /// Gauges: requests in flight, listed servers, reachable peers.
     pub levels: IntGaugeVec,
+    /// Answers while a version is rolled out, by side and outcome.
+    pub rollout_answers: IntCounterVec,
+    /// Gauge: thousandths of a service's new requests that go to a version that is rolled out.
+    pub rollout_share: IntGaugeVec,
     /// Gauge: listed servers, by service and version of their software.
     pub servers: IntGaugeVec,
 }
@@ -68,7 +72,18 @@
             &["service", "version"],
         )?;
         registry.register(Box::new(servers.clone()))?;
+        let rollout_share = IntGaugeVec::new(
+            Opts::new("pomelostack_rollout_share", "Thousandths of requests to a new version."),
+            &["service"],
+        )?;
+        registry.register(Box::new(rollout_share.clone()))?;
         Ok(Self {
+            rollout_answers: counter(
+                "pomelostack_rollout_answers_total",
+                "Attempts that ended while a version was rolled out.",
+                &["side", "outcome"],
+            )?,
+            rollout_share,
             requests: counter(
                 "pomelostack_requests_total",
                 "Requests that ended.",
--- a/lib/src/gateway/gateway_settings.rs
+++ b/lib/src/gateway/gateway_settings.rs
@@ -6,6 +6,7 @@
 use crate::gateway::duty_lease::DutyTimings;
 use crate::gateway::quota::quota_limiter::QuotaBounds;
 use crate::gateway::retry_limiter::RetryBounds;
+use crate::gateway::rollout::exposure_meter::RolloutBounds;
 use crate::ids::HostId;
 use crate::ids::ZoneName;
 
@@ -32,6 +33,8 @@
     pub retries: RetryBounds,
     /// Quota window and tolerances.
     pub quotas: QuotaBounds,
+    /// Bounds of the roll-out of a version.
+    pub rollouts: RolloutBounds,
     /// Timings of the lease on the duties.
     pub duty: DutyTimings,
     /// Whether this host reports usage while it holds the duties.
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -37,6 +37,9 @@
 use crate::gateway::read_schedule::ReadTimes;
 use crate::gateway::retry_limiter::RetryLimiter;
 use crate::gateway::retry_limiter::RetryPurpose;
+use crate::gateway::rollout::rollout_book::RolloutBook;
+use crate::gateway::rollout::rollout_keeper;
+use crate::gateway::rollout::rollout_keeper::RolloutSync;
 use crate::gateway::serving_config::ActiveConfig;
 use crate::gateway::shutdown_plan::ShutdownPlan;
 use crate::gateway::store_era::EraChange;
@@ -119,6 +122,10 @@
     pub versions: RefCell<VersionLedger>,
     /// Reads and records of these versions.
     pub version_sync: VersionSync,
+    /// Roll-outs of software versions.
+    pub rollouts: RefCell<RolloutBook>,
+    /// Reads and records of roll-outs.
+    pub rollout_sync: RolloutSync,
     /// Requests suspected of crashing servers.
     pub crashes: RefCell<CrashTracker>,
     /// Probes of servers that lost attempts.
@@ -182,6 +189,8 @@
             ledger: RefCell::new(UsageLedger::new(incarnation.clone(), window_ms)),
             versions: RefCell::default(),
             version_sync: VersionSync::default(),
+            rollouts: RefCell::new(RolloutBook::new(incarnation.clone(), settings.rollouts)),
+            rollout_sync: RolloutSync::default(),
             crashes: RefCell::default(),
             probes: ProcessProbes::default(),
             demand: RefCell::default(),
@@ -208,6 +217,7 @@
     pub fn apply_settings(&self, settings: GatewaySettings) {
         self.retries.borrow_mut().set_bounds(settings.retries);
         self.quotas.borrow_mut().set_bounds(settings.quotas);
+        self.rollouts.borrow_mut().set_bounds(settings.rollouts);
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
@@ -221,6 +231,7 @@
     pub fn observe_era(&self, era: StoreEra) {
         let change = self.store_era.observe(era, wall_clock_ms());
         self.versions.borrow_mut().on_era(self.now(), era);
+        self.rollouts.borrow_mut().on_era(self.now(), era);
         if change == EraChange::Restored {
             self.metrics.events.with_label_values(&["store_restored"]).inc();
             log::warn!("event=store_restored era={}", era.0);
@@ -244,6 +255,7 @@
 
     /// Records which software versions the directory lists.
     pub fn observe_versions(&self) {
+        rollout_keeper::observe_versions(self);
         let now = self.now();
         let mut versions = self.versions.borrow_mut();
         let directory = self.directory.borrow();
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -20,6 +20,7 @@
 use crate::gateway::peer_table::RecordScope;
 use crate::gateway::peer_table::SummaryOutcome;
 use crate::gateway::placement::PeerLoad;
+use crate::gateway::rollout::rollout_keeper;
 use crate::gateway::server_limit::RequestLimit;
 use crate::gateway::store_follower;
 use crate::gateway::usage_ledger::TeamCounts;
@@ -80,6 +81,9 @@
     let changes = std::mem::take(&mut summary.changes);
     let departures = std::mem::take(&mut summary.departures);
     let limits = std::mem::take(&mut summary.limits);
+    let rollouts = std::mem::take(&mut summary.rollouts);
+    let host = HostId::try_from(summary.host.as_str());
+    let incarnation = Incarnation(summary.incarnation);
     let known_count = state.peers.borrow().changes_count(&summary);
     let has_missed = has_missed_changes(known_count, summary.changes_count, changes.len());
     let read_age = summary.directory_age_ms.checked_sub(1).map(Duration::from_millis);
@@ -96,6 +100,9 @@
         }
     }
     state.has_new_spending.set(true);
+    if let Ok(host) = host {
+        rollout_keeper::apply_reports(state, &(host, incarnation), &rollouts);
+    }
     if let Some(age) = read_age {
         state.directory.borrow_mut().on_peer_read(now, now - age);
     }
@@ -340,6 +347,7 @@
         windows: windows.collect(),
         demands: encode_demands(state, now),
         limits: limits.collect(),
+        rollouts: state.rollouts.borrow().reports(now, sequence),
         leaving: state.shutdown.get().is_some(),
         crashes: news.crashes,
         cleared_parts: news.cleared_parts,
--- a/lib/src/gateway/platform_api.rs
+++ b/lib/src/gateway/platform_api.rs
@@ -16,6 +16,9 @@
 use crate::gateway::caller_request::CallerHead;
 use crate::gateway::capacity::fleet_scaler::FleetOrder;
 use crate::gateway::duty_lease::DutyGrant;
+use crate::gateway::rollout::rollout_order::OrderRecord;
+use crate::gateway::rollout::rollout_order::StatusRead;
+use crate::gateway::rollout::rollout_order::StatusRecord;
 use crate::gateway::server_limit::LimitNotice;
 use crate::gateway::serving_config::ServingConfig;
 use crate::gateway::usage_ledger::TeamCounts;
@@ -72,6 +75,8 @@
     pub next: LogOffset,
     /// Why each invalid record was skipped.
     pub skipped: Vec<String>,
+    /// Orders to roll out versions, which are in the same log.
+    pub orders: Vec<OrderRecord>,
     /// Bounds of the configuration log.
     pub bounds: LogBounds,
 }
@@ -194,6 +199,13 @@
         record: Vec<u8>,
     ) -> Result<AppendOutcome>;
 
+    /// Reads the states of roll-outs from an offset, or the newest of each service if `from` is `None`.
+    /// With an offset it waits up to `wait` for a record.
+    async fn read_statuses(&self, from: Option<LogOffset>, wait: Duration) -> Result<StatusRead>;
+
+    /// Records the state of a roll-out if the records of states end at offset `at`.
+    async fn append_status(&self, at: LogOffset, record: &StatusRecord) -> Result<AppendOutcome>;
+
     /// Joins the group that elects the holder of the duties, or renews this host's membership.
     async fn renew_duty(&self, generation: GroupGeneration) -> Result<DutyGrant>;
 
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -315,6 +315,7 @@
         let mut plan = AttemptPlan::new(kind, deadline, request.route.max_servers);
         self.state.retries.borrow_mut().on_request(request.arrived_at, &request.service);
         self.state.levels.borrow_mut().on_request(request.arrived_at, &request.service);
+        self.state.rollouts.borrow_mut().on_request(request.arrived_at, &request.service);
         let mut error_response: Option<Response<Bytes>> = None;
         let mut race = AttemptRace::new(self.state.clone(), self.wire.clone(), request.clone());
         let resume_after = request.head.resume_after;
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -42,11 +42,15 @@
 use crate::gateway::platform_api::WireProtocol;
 use crate::gateway::process_doubts::ProcessLabel;
 use crate::gateway::process_probe::ProbeOutcome;
+use crate::gateway::rollout::answer_tally::AnswerOutcome;
+use crate::gateway::rollout::rollout_book::AttemptTicket;
+use crate::gateway::rollout::rollout_keeper;
 use crate::gateway::server_health::HealthEvidence;
 use crate::gateway::server_limit::LimitNotice;
 use crate::gateway::version_ledger::StreamBegin;
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
+use crate::ids::ServiceName;
 use crate::software_version::SoftwareVersion;
 use crate::timestamp::Timestamp;
 
@@ -73,6 +77,8 @@
     version: SoftwareVersion,
     /// Prompt tokens that still count as not prefilled.
     pending_prefill_tokens: u64,
+    /// What counts it as waiting at a version that is rolled out, until it is answered.
+    unsettled: Option<(ServiceName, AttemptTicket)>,
     /// Whether it keeps a place at its server's limit, until it is handed to a connection.
     has_reserved: Cell<bool>,
     /// When it was handed to a connection.
@@ -115,6 +121,12 @@
             placement.limits_mut().reserve(&id);
         }
         record_demand(state, request, uncached_tokens);
+        let ticket = state.rollouts.borrow_mut().on_sent(
+            now,
+            &request.service,
+            &version,
+            &request.route.name,
+        );
         let attempt = Self {
             state: state.clone(),
             key,
@@ -125,6 +137,7 @@
             started_at_ms,
             version,
             pending_prefill_tokens: uncached_tokens,
+            unsettled: ticket.map(|ticket| (request.service.clone(), ticket)),
             has_reserved: Cell::new(true),
             sent_at: Cell::new(now),
         };
@@ -150,10 +163,22 @@
         StreamBegin { service: request.service.clone(), version: self.version.clone() }
     }
 
+    /// Returns the time since the attempt began.
+    pub fn elapsed(&self) -> Duration {
+        self.state.now().since(self.began_at)
+    }
+
     /// Records that the first event of the stream came.
     pub fn on_first_event(&mut self) {
         self.answer_begun_at = Some(self.state.now());
         self.on_prefilled();
+        self.settle();
+    }
+
+    fn settle(&mut self) {
+        if let Some((service, ticket)) = self.unsettled.take() {
+            self.state.rollouts.borrow_mut().on_settled(&service, ticket);
+        }
     }
 
     /// Records that something of the response arrived.
@@ -178,6 +203,7 @@
 impl Drop for ServerAttempt {
     fn drop(&mut self) {
         self.on_prefilled();
+        self.settle();
         self.release_place();
         self.state.placement.borrow_mut().on_ended(self.key);
     }
@@ -242,6 +268,7 @@
 ) -> AttemptOutcome {
     let state = attempt.state.clone();
     let key = attempt.key;
+    let (version, began_at) = (attempt.version.clone(), attempt.began_at);
     let time_left = deadline.since(state.now());
     let exchange = exchange(wire, attempt, request, resume_after, time_left);
     let outcome = timeout(time_left, exchange).await.unwrap_or(AttemptOutcome::TimedOut);
@@ -256,6 +283,16 @@
         AttemptOutcome::Failed(AttemptFailure::Withheld, _) => return outcome,
     };
     record_health(&state, key, evidence);
+    let answer = match &outcome {
+        AttemptOutcome::Buffered(_) => AnswerOutcome::Answered(state.now().since(began_at)),
+        AttemptOutcome::Failed(AttemptFailure::Failed, _) | AttemptOutcome::TimedOut => {
+            AnswerOutcome::Failed
+        }
+        AttemptOutcome::Failed(AttemptFailure::Lost, _) => AnswerOutcome::Lost,
+        // A stream counts with its first event, and what did not run says nothing.
+        AttemptOutcome::Stream(_) | AttemptOutcome::Failed(..) => return outcome,
+    };
+    rollout_keeper::record_answer(&state, request, &version, answer);
     outcome
 }
 
@@ -326,7 +363,9 @@
 /// Returns whether a request may be handed to its server's connection, and records it if so.
 fn hand_over(state: &GatewayState, request: &AcceptedRequest, attempt: &ServerAttempt) -> bool {
     let (now, server) = (state.now(), attempt.server());
-    if state.crashes.borrow().is_refused(&request.work) {
+    if state.crashes.borrow().is_refused(&request.work)
+        || !rollout_keeper::may_send(state, &request.service, &attempt.version)
+    {
         return false;
     }
     attempt.release_place();
--- a/lib/src/gateway/store_follower.rs
+++ b/lib/src/gateway/store_follower.rs
@@ -1,6 +1,7 @@
 //! Keeps this host's copies of the configuration and the directory in sync with the platform's
 //! store.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::pin::pin;
 use std::rc::Rc;
@@ -22,6 +23,7 @@
 use crate::gateway::process_doubts::ProcessLabel;
 use crate::gateway::read_schedule::ReadSchedule;
 use crate::gateway::read_schedule::read_interval_factor;
+use crate::gateway::rollout::rollout_keeper;
 use crate::gateway::serving_config::ConfigChange;
 use crate::gateway::version_keeper;
 use crate::ids::LogOffset;
@@ -29,6 +31,7 @@
 use crate::ids::ServerId;
 use crate::ids::ServiceName;
 use crate::software_version::SoftwareVersion;
+use crate::timestamp::Timestamp;
 
 /// Timeout of a long poll for the configuration.
 const CONFIG_POLL_TIMEOUT: Duration = Duration::from_secs(20);
@@ -118,9 +121,10 @@
     let mut watch = DependencyWatch::new("read_config");
     let mut is_failing = false;
     loop {
+        let begun_at = Cell::new(state.now());
         let outcome = match is_failing {
             true => store.read_config(cursor.offset(), Duration::ZERO).await,
-            false => wait_for_config(&state, &*store, cursor).await,
+            false => wait_for_config(&state, &*store, cursor, &begun_at).await,
         };
         watch.record(&state, &outcome);
         is_failing = outcome.is_err();
@@ -131,7 +135,10 @@
                 state.config_reads.borrow_mut().on_read(state.now());
                 record_config_read(&state, cursor.offset(), &read);
                 match cursor.on_read(read.next, read.bounds) {
-                    CursorStep::Apply => adopt_config(&state, read),
+                    CursorStep::Apply => {
+                        rollout_keeper::apply_orders(&state, begun_at.get(), &read);
+                        adopt_config(&state, read);
+                    }
                     CursorStep::StartOver => log_start_over("config", read.bounds),
                 }
             }
@@ -159,11 +166,13 @@
 ///
 /// A long poll does not show that the store would answer it: a store or connection that went silent
 /// loses the polls of all hosts at once. Unless this host or a peer completed a read recently, the
-/// host therefore reads the configuration beside its long poll.
+/// host therefore reads the configuration beside its long poll. `begun_at` is set to when the read began
+/// whose result is returned.
 async fn wait_for_config<S: ControlStore>(
     state: &GatewayState,
     store: &S,
     cursor: LogCursor,
+    begun_at: &Cell<Timestamp>,
 ) -> Result<ConfigRead, PlatformError> {
     let from = cursor.offset();
     let mut schedule = ReadSchedule::default();
@@ -173,17 +182,22 @@
             outcome = &mut poll => return outcome,
             // A peer has a newer version, so the store lost this long poll or is slow.
             () = state.config_hint.notified() => {
+                begun_at.set(state.now());
                 return store.read_config(from, Duration::ZERO).await;
             }
             () = wait_for_config_check(state, &mut schedule) => {}
         }
+        let read_begun_at = state.now();
         let read = store.read_config(from, Duration::ZERO).await?;
         if !cursor.is_unchanged(read.next, read.bounds) {
             // The long poll was lost, and the peers' may have been too.
             state.summary_hint.notify_one();
+            begun_at.set(read_begun_at);
             return Ok(read);
         }
         state.config_reads.borrow_mut().on_read(state.now());
+        // Nothing is new, orders included.
+        rollout_keeper::apply_orders(state, read_begun_at, &read);
     }
 }
 
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -42,6 +42,8 @@
 use crate::gateway::reply_body::GatewayReply;
 use crate::gateway::reply_body::streaming_body;
 use crate::gateway::retry_limiter::RetryPurpose;
+use crate::gateway::rollout::answer_tally::AnswerOutcome;
+use crate::gateway::rollout::rollout_keeper::record_answer;
 use crate::gateway::server_attempt::AttemptOutcome;
 use crate::gateway::server_attempt::BegunStream;
 use crate::gateway::server_attempt::OpenResponse;
@@ -300,6 +302,8 @@
                 stream.begun_at = Some(now);
                 self.relayed_version = Some(stream.attempt.version().clone());
                 stream.attempt.on_first_event();
+                let answer = AnswerOutcome::Answered(stream.attempt.elapsed());
+                record_answer(&self.state, &self.request, stream.attempt.version(), answer);
                 self.on_first_event();
             }
             if stream.begun_at.take_if(|at| now.since(*at) >= SOUND_STREAM_TIME).is_some() {
@@ -336,6 +340,8 @@
         stream.quiet_since = self.state.now();
         if !std::mem::replace(&mut stream.is_silent, true) {
             record_silent_server(&self.state, &self.request, stream.attempt.key, silence);
+            let version = stream.attempt.version();
+            record_answer(&self.state, &self.request, version, AnswerOutcome::Failed);
         }
         self.race.hedge(&mut self.plan, Some(stream.attempt.key), self.last_event);
     }
@@ -355,6 +361,8 @@
     }
 
     fn lose_stream(&self, stream: &RelayedStream, detail: &str) -> RelayEnd {
+        let version = stream.attempt.version();
+        record_answer(&self.state, &self.request, version, AnswerOutcome::Lost);
         self.log_stream_lost(&stream.attempt, detail);
         RelayEnd::Lost
     }
--- a/lib/src/protos/pomelostack.gateway.rs
+++ b/lib/src/protos/pomelostack.gateway.rs
@@ -81,6 +81,58 @@
     /// Whether the sender is leaving.
     #[prost(bool, tag = "27")]
     pub leaving: bool,
+    /// Answers by software version, for services that are being rolled out.
+    #[prost(message, repeated, tag = "36")]
+    pub rollouts: ::prost::alloc::vec::Vec<RolloutReport>,
+}
+/// What one host saw of the roll-out of a software version.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RolloutReport {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// Position of the order in the operators' log.
+    #[prost(uint64, tag = "2")]
+    pub order_offset: u64,
+    #[prost(uint64, tag = "3")]
+    pub order_era: u64,
+    /// Milliseconds since the sender learned of the order, plus one; 0 if it found the order at its start.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
+    /// Requests for the service since then, and attempts sent to the new version.
+    #[prost(uint64, tag = "5")]
+    pub arrivals: u64,
+    #[prost(uint64, tag = "6")]
+    pub sent: u64,
+    /// How the roll-out ended as far as the sender knows: 0 not, 1 completed, 2 rolled back.
+    #[prost(uint32, tag = "7")]
+    pub ended: u32,
+    #[prost(message, repeated, tag = "8")]
+    pub routes: ::prost::alloc::vec::Vec<RouteAnswers>,
+}
+/// Answers of one route. Each message has all counts since the order.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RouteAnswers {
+    /// Hash of the route's name.
+    #[prost(fixed32, tag = "1")]
+    pub route: u32,
+    #[prost(message, optional, tag = "2")]
+    pub new: ::core::option::Option<VersionAnswers>,
+    #[prost(message, optional, tag = "3")]
+    pub old: ::core::option::Option<VersionAnswers>,
+    /// Attempts at the new version without an answer yet, by the time since they began.
+    #[prost(uint32, repeated, tag = "4")]
+    pub waiting: ::prost::alloc::vec::Vec<u32>,
+}
+/// Answers of the servers of one or more software versions.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct VersionAnswers {
+    #[prost(uint32, tag = "1")]
+    pub failed: u32,
+    #[prost(uint32, tag = "2")]
+    pub lost: u32,
+    /// Answers by their time, from the shortest class on.
+    #[prost(uint32, repeated, tag = "3")]
+    pub times: ::prost::alloc::vec::Vec<u32>,
 }
 /// Quota units of one team in the sliding window.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/src/result_code.rs
+++ b/lib/src/result_code.rs
@@ -119,6 +119,10 @@
     StreamUntraced = 212, NotRun, 503;
     /// The software version that would begin the stream cannot be recorded now.
     VersionUnrecorded = 213, NotRun, 503;
+    /// Only servers of a software version that may not serve now are available.
+    VersionWithheld = 220, NotRun, 503;
+    /// An order to roll out a software version is not valid.
+    OrderInvalid = 221, NotRun, 400;
 
     /// The backend server was lost while it ran non-idempotent work.
     ServerLost = 300, Unknown, 502;
--- a/lib/tests/test_store_follower.rs
+++ b/lib/tests/test_store_follower.rs
@@ -34,6 +34,9 @@
 use pomelostack_lib::gateway::quota::quota_limiter::QuotaRequest;
 use pomelostack_lib::gateway::request_rank::RequestRank;
 use pomelostack_lib::gateway::retry_limiter::RetryBounds;
+use pomelostack_lib::gateway::rollout::exposure_meter::RolloutBounds;
+use pomelostack_lib::gateway::rollout::rollout_order::StatusRead;
+use pomelostack_lib::gateway::rollout::rollout_order::StatusRecord;
 use pomelostack_lib::gateway::serving_config::CallerLimits;
 use pomelostack_lib::gateway::serving_config::ServingConfig;
 use pomelostack_lib::gateway::serving_config::TeamQuota;
@@ -103,6 +106,7 @@
             config: Some(config(version)),
             next: LogOffset(version),
             skipped: Vec::new(),
+            orders: Vec::new(),
             bounds: bounds_at(version),
         }
     }
@@ -151,6 +155,7 @@
                 config: None,
                 next: LogOffset(known),
                 skipped: Vec::new(),
+                orders: Vec::new(),
                 bounds: bounds_at(known),
             }),
         }
@@ -210,6 +215,14 @@
         Ok(AppendOutcome::Appended { era: self.era.get(), offset: at })
     }
 
+    async fn read_statuses(&self, _: Option<LogOffset>, _: Duration) -> Result<StatusRead> {
+        Ok(StatusRead::default())
+    }
+
+    async fn append_status(&self, at: LogOffset, _: &StatusRecord) -> Result<AppendOutcome> {
+        Ok(AppendOutcome::Appended { era: self.era.get(), offset: at })
+    }
+
     async fn renew_duty(&self, generation: GroupGeneration) -> Result<DutyGrant> {
         Ok(DutyGrant { generation, held: false, own_partitions: 0, all_partitions: 0 })
     }
@@ -248,6 +261,7 @@
             tolerance_ratio: 0.1,
             tolerance_units: 140_000.0,
         },
+        rollouts: RolloutBounds::default(),
         duty: DutyTimings::for_lease(Duration::from_secs(3)),
         reports_usage: true,
         orders_servers: false,
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod fault_schedule;
 pub mod harness_host;
 pub mod harness_queue;
+pub mod rollout_world;
 pub mod scripted_servers;
 pub mod session_checker;
 pub mod session_faults;
