--- a/lib/src/gateway/rollout/rollout_book.rs
+++ b/lib/src/gateway/rollout/rollout_book.rs
@@ -140,6 +140,8 @@
     /// Whether the store came back from a copy and has not shown the order since.
     may_be_lost: bool,
     is_withdrawn: bool,
+    /// When this process found the order, if it did not see it arrive.
+    found_at: Option<Timestamp>,
     /// When the order was seen first, by this host or a peer.
     seen_at: Timestamp,
     /// Whether this host, or the record of a step, tells that time.
@@ -343,6 +345,7 @@
             former_offsets: Vec::new(),
             may_be_lost: false,
             is_withdrawn: false,
+            found_at: (!is_live).then_some(now),
             seen_at: now,
             is_time_known: is_live,
             served_alone,
@@ -822,6 +825,7 @@
             served_alone: rollout.served_alone,
             is_stopped: rollout.is_stopped,
             restored_for,
+            found_for: rollout.found_at.map(|at| now.since(at)),
             evidence: rollout.judge.evidence(),
             servers: ReadyServers { new, old: ready.values().sum::<u32>() - new },
             arrivals: self.traffic(service).0,
--- a/lib/src/gateway/rollout/rollout_plan.rs
+++ b/lib/src/gateway/rollout/rollout_plan.rs
@@ -45,7 +45,8 @@
 /// Requests that may be sent during an order below which the new version is always on.
 const FEW_REQUESTS: f64 = 60.0;
 
-/// Time for which the states that peers report are awaited after the store came back from a copy.
+/// Time for which the states that peers report are awaited after the store came back from a copy, or may
+/// have.
 pub const RESTORE_SETTLE_TIME: Duration = Duration::from_secs(2);
 
 /// Ready servers of a service.
@@ -91,6 +92,8 @@
     pub served_alone: bool,
     /// Time since the store came back from a copy, if it has lately.
     pub restored_for: Option<Duration>,
+    /// Time since this host found the order at its start, if it did not see it arrive.
+    pub found_for: Option<Duration>,
     /// What the answers show.
     pub evidence: Evidence,
     /// Ready servers.
@@ -150,7 +153,9 @@
     if let Some(state) = input.ended {
         return PlanAction::Record(state, RolloutStep::default(), PlanReason::Restated);
     }
-    if input.restored_for.is_some_and(|time| time < RESTORE_SETTLE_TIME) {
+    let is_settling = |time: Option<Duration>| time.is_some_and(|time| time < RESTORE_SETTLE_TIME);
+    // A host that has started since does not know what the store has lost.
+    if is_settling(input.restored_for) || (step.is_none() && is_settling(input.found_for)) {
         return PlanAction::Wait;
     }
     if let Some((state, reason)) = decide(input) {
--- a/lib/testutils/src/deployment_server.rs
+++ b/lib/testutils/src/deployment_server.rs
@@ -502,6 +502,9 @@
     if matches!(mode, ReplicaMode::HangOn { one_in } if run_count.is_multiple_of(one_in)) {
         std::future::pending::<()>().await;
     }
+    if let ReplicaMode::SlowBy(delay) = mode {
+        tokio::time::sleep(delay).await;
+    }
     let path = request.uri().path();
     if let Some(delay) = path_number(path, "/after-ms-") {
         tokio::time::sleep(Duration::from_millis(delay)).await;
@@ -529,7 +532,9 @@
             None => full_response(StatusCode::OK, format!("answer to {request_id}")),
         }
     };
-    if mode == ReplicaMode::Fail {
+    let fails_on =
+        matches!(mode, ReplicaMode::FailOn { one_in } if run_count.is_multiple_of(one_in));
+    if mode == ReplicaMode::Fail || fails_on {
         *reply.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
     }
     if mode == ReplicaMode::Leaving {
--- a/lib/testutils/src/deployment_standin.rs
+++ b/lib/testutils/src/deployment_standin.rs
@@ -52,6 +52,10 @@
 const OPERATOR_TOPIC: &str = "keyed.op";
 /// Key of the configuration document.
 const CONFIG_KEY: &str = "config";
+/// Topic with the states of roll-outs, which the system writes.
+const STATUS_TOPIC: &str = "keyed.status";
+/// Prefix of the keys of orders and states of roll-outs.
+const ROLLOUT_PREFIX: &str = "rollout/";
 /// State of a replica that accepts requests.
 pub(crate) const READY: &str = "ready";
 /// Topic with the entries of the replicas.
@@ -216,6 +220,21 @@
         outcome
     }
 
+    /// Orders to roll out a version of a service. Its servers are released apart.
+    pub fn order_rollout(&self, service: &str, to: &str, duration: Duration) {
+        let order = json!({"service": service, "to": to, "duration-s": duration.as_secs_f64()});
+        self.put(OPERATOR_TOPIC, &format!("{ROLLOUT_PREFIX}{service}"), &order);
+    }
+
+    /// Returns the state of a service's roll-out and the version that it names, as last written.
+    pub fn rollout_state(&self, service: &str) -> Option<(String, String)> {
+        let state = lock(&self.state);
+        let value = state.store.newest(STATUS_TOPIC, &format!("{ROLLOUT_PREFIX}{service}"))?;
+        let status: Value = serde_json::from_slice(value).ok()?;
+        let field = |name: &str| status[name].as_str().map(str::to_owned);
+        Some((field("state")?, field("to")?))
+    }
+
     /// Returns whether the store answers the operator and the replicas.
     pub fn is_store_up(&self) -> bool {
         matches!(lock(&self.state).mode, StoreMode::Answer | StoreMode::Slow(_))
@@ -355,7 +374,8 @@
                 "grace-s": 8, "retry-budget-ratio": 0.2, "budget-window-s": 10,
                 "budget-slack": 54, "quota-window-s": 8, "quota-over": 0.1,
                 "quota-slack": 140_000, "lease-ms": 600, "usage-window-s": 1,
-                "usage-late-s": 10,
+                "usage-late-s": 10, "expose-share": 0.1, "expose-slack": 50,
+                "rollback-ms": 5_000,
             },
             "platform": {
                 "address": platform.to_string(), "parts": PARTITIONS, "ttl-min-ms": 600,
--- a/lib/testutils/src/deployment_state.rs
+++ b/lib/testutils/src/deployment_state.rs
@@ -42,6 +42,13 @@
     DropResponse,
     /// It runs them and answers with an error of its own.
     Fail,
+    /// It runs them and answers one in so many with an error of its own.
+    FailOn {
+        /// One in this many requests fails.
+        one_in: u64,
+    },
+    /// It runs them and answers later.
+    SlowBy(Duration),
     /// It rejects them with a header that says that they were not executed.
     Refuse,
     /// It rejects them likewise, and states in seconds when it wants the next one.
--- a/soak/src/call_judge.rs
+++ b/soak/src/call_judge.rs
@@ -167,6 +167,8 @@
             | ReplicaMode::Fail
             | ReplicaMode::Refuse
             | ReplicaMode::TurnAway { .. }
+            | ReplicaMode::FailOn { .. }
+            | ReplicaMode::SlowBy(_)
             | ReplicaMode::Leaving => false,
         }
     }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod limit_judge;
 pub mod part_judge;
 pub mod reply_parser;
+pub mod rollout_soak;
 mod run_verdict;
 pub mod soak_run;
 pub mod touch_record;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -11,6 +11,8 @@
 
 use anyhow::Context as _;
 use argh::FromArgs;
+use pomelostack_soak::rollout_soak::RolloutSettings;
+use pomelostack_soak::rollout_soak::run_rollouts;
 use pomelostack_soak::soak_run::SoakReport;
 use pomelostack_soak::soak_run::SoakSettings;
 use pomelostack_soak::soak_run::log_folder;
@@ -57,6 +59,10 @@
     /// length of a run in seconds (default 39)
     #[argh(option, default = "39")]
     seconds: u64,
+
+    /// roll out a good and a bad version in each run instead
+    #[argh(switch)]
+    rollouts: bool,
 }
 
 fn main() -> ExitCode {
@@ -73,6 +79,11 @@
                         return;
                     }
                     let seed = command.seed + number;
+                    if command.rollouts {
+                        let is_kept = roll_out_seed(command, seed, command.subnet + job);
+                        broken.fetch_add(u64::from(!is_kept), Ordering::SeqCst);
+                        continue;
+                    }
                     let settings = SoakSettings {
                         program: command.program.clone(),
                         logs: log_folder(&command.logs, seed),
@@ -92,6 +103,29 @@
     if broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
+/// Rolls out versions with the faults of one seed and prints the outcome. Returns whether all rules were
+/// kept.
+fn roll_out_seed(command: &SoakCommand, seed: u64, subnet: u8) -> bool {
+    let settings = RolloutSettings {
+        program: command.program.clone(),
+        logs: log_folder(&command.logs, seed),
+        seed,
+        hosts: command.hosts,
+        subnet,
+        has_faults: true,
+    };
+    match run_rollouts(&settings) {
+        Ok(report) => {
+            println!("seed {seed}: {report:?}");
+            report.violations.is_empty()
+        }
+        Err(error) => {
+            println!("seed {seed} failed: {error:#}");
+            false
+        }
+    }
+}
+
 /// Runs one seed and prints its outcome. Returns whether all rules were kept.
 fn run_seed(settings: &SoakSettings) -> bool {
     match run_soak(settings) {
