--- a/lib/src/gateway/rollout/rollout_book.rs
+++ b/lib/src/gateway/rollout/rollout_book.rs
@@ -142,8 +142,10 @@
     is_withdrawn: bool,
     /// When this process found the order, if it did not see it arrive.
     found_at: Option<Timestamp>,
-    /// When the order was seen first, by this host or a peer.
-    seen_at: Timestamp,
+    /// When this process read the order, and how long before that it was seen first. The clock of a process
+    /// has no times before its start.
+    read_at: Timestamp,
+    seen_before: Duration,
     /// Whether this host, or the record of a step, tells that time.
     is_time_known: bool,
     served_alone: bool,
@@ -165,8 +167,9 @@
         self.ended.is_none()
     }
 
-    fn deadline(&self) -> Timestamp {
-        self.seen_at + self.order.duration
+    /// Returns the time since the order was seen first, by any host.
+    fn age(&self, now: Timestamp) -> Duration {
+        now.since(self.read_at) + self.seen_before
     }
 
     fn names(&self, offset: LogOffset) -> bool {
@@ -346,7 +349,8 @@
             may_be_lost: false,
             is_withdrawn: false,
             found_at: (!is_live).then_some(now),
-            seen_at: now,
+            read_at: now,
+            seen_before: Duration::ZERO,
             is_time_known: is_live,
             served_alone,
             step: None,
@@ -434,7 +438,8 @@
         }
         if !rollout.is_time_known {
             let age = Duration::from_millis(wall_ms.saturating_sub(record.ordered_ms));
-            (rollout.seen_at, rollout.is_time_known) = (now - age, true);
+            let since_read = now.since(rollout.read_at);
+            (rollout.seen_before, rollout.is_time_known) = (age.saturating_sub(since_read), true);
         }
         if record.state.is_final() {
             return rollout
@@ -579,7 +584,7 @@
             && !rollout.may_be_lost
             && !view.is_partitioned
             && is_read
-            && now < rollout.deadline()
+            && rollout.age(now) < rollout.order.duration
             && step.share > 0
             && self.gate.is_checked(service, &rollout.order.to);
         is_open.then_some((rollout, step, since))
@@ -708,7 +713,7 @@
         let told = told.into_iter().skip(part * MAX_REPORTS).take(MAX_REPORTS);
         told.map(|(service, rollout)| {
             let (arrivals, sent) = rollout.meter.traffic();
-            let age = now.since(rollout.seen_at).as_millis() as u64 + 1;
+            let age = rollout.age(now).as_millis() as u64 + 1;
             RolloutReport {
                 service: service.to_string(),
                 order_offset: rollout.position.offset.0,
@@ -740,9 +745,9 @@
                 continue;
             }
             if let Some(age) = report.age_ms.checked_sub(1) {
-                let seen_at = now - Duration::from_millis(age);
+                let before = Duration::from_millis(age).saturating_sub(now.since(rollout.read_at));
                 if !rollout.is_time_known {
-                    rollout.seen_at = rollout.seen_at.min(seen_at);
+                    rollout.seen_before = rollout.seen_before.max(before);
                 }
             }
             let traffic = (report.arrivals, report.sent);
@@ -816,7 +821,7 @@
         }
         let new = ready.get(&rollout.order.to).copied().unwrap_or_default();
         let input = PlanInput {
-            age: now.since(rollout.seen_at),
+            age: rollout.age(now),
             duration: rollout.order.duration,
             step_age: rollout.step.map_or(Duration::ZERO, |(_, since)| now.since(since)),
             recorded: self.recorded_state(rollout, newest),
--- a/lib/tests/test_rollout_book.rs
+++ b/lib/tests/test_rollout_book.rs
@@ -54,6 +54,8 @@
 struct Host {
     book: RolloutBook,
     now: Timestamp,
+    /// Wall-clock time of its start in milliseconds.
+    started_ms: u64,
 }
 
 impl Host {
@@ -61,7 +63,7 @@
     fn start(number: u64, listed: &[&str]) -> Self {
         let name = HostId::try_from(format!("h{number}").as_str()).expect("valid in tests");
         let book = RolloutBook::new((name, Incarnation(number)), RolloutBounds::default());
-        let mut host = Self { book, now: Timestamp::from_millis(1_000_000) };
+        let mut host = Self { book, now: Timestamp::from_millis(5), started_ms: 1_000_000 };
         host.list(listed);
         host
     }
@@ -79,6 +81,10 @@
         self.book.observe(self.now, versions.iter().map(|version| (&service, version)));
     }
 
+    fn wall_ms(&self) -> u64 {
+        self.started_ms + self.now.as_millis()
+    }
+
     fn wait(&mut self, time: Duration) {
         self.now = self.now + time;
     }
@@ -105,7 +111,7 @@
         let bounds = LogBounds { era: StoreEra(store.era), end: next, ..LogBounds::default() };
         let records = newest.map(|record| (offset, record)).collect();
         let read = StatusRead { records, next, bounds, ..StatusRead::default() };
-        self.book.on_statuses((self.now, self.now), self.now.as_millis(), read);
+        self.book.on_statuses((self.now, self.now), self.wall_ms(), read);
     }
 
     fn read(&mut self, store: &Store) {
@@ -115,8 +121,9 @@
 
     fn next(&self, new_servers: u32) -> Option<StatusRecord> {
         let ready = BTreeMap::from([(version("v1"), 4), (version("v2"), new_servers)]);
-        let wall_ms = self.now.as_millis();
-        self.book.next_record(self.now, wall_ms, &service(), &ready).map(|(_, record)| record)
+        self.book
+            .next_record(self.now, self.wall_ms(), &service(), &ready)
+            .map(|(_, record)| record)
     }
 
     /// Lets the holder of the duties append until nothing is due.
@@ -202,14 +209,15 @@
 fn no_step_known() {
     let (_, store) = stepping();
     let mut late = Host::start(2, &["v1", "v2"]);
+    late.started_ms += 5_000;
     assert_eq!(late.places(RolloutSide::Old), Vec::<&str>::new());
     late.read_orders(&store);
     assert_eq!(late.send(1_000), 0);
     assert_eq!(late.places(RolloutSide::Old), ["v1"]);
     late.read_statuses(&store);
     assert!((1..=91).contains(&late.send(1_000)));
-    // The record tells when the order was seen.
-    late.wait(DURATION);
+    // The record tells when the order was seen, which may be before the process and its clock began.
+    late.wait(DURATION - Duration::from_secs(5));
     late.read(&store);
     assert_eq!(late.send(1_000), 0);
 }
@@ -283,14 +291,15 @@
     let (_, store) = stepping();
     let step = store.log.last().map(|record| record.step);
     let mut successor = Host::start(2, &["v1", "v2"]);
+    successor.started_ms += 5_000;
     successor.read(&store);
     assert_eq!(successor.next(4), None, "it goes on with {step:?}");
     successor.answer("v1", 1_000, AnswerOutcome::Answered(Duration::from_millis(50)));
     successor.answer("v2", 100, AnswerOutcome::Answered(Duration::from_millis(50)));
-    successor.wait(Duration::from_millis(9_600));
+    successor.wait(Duration::from_millis(4_600));
     let record = successor.next(4).expect("the version is proven");
     assert_eq!(record.state, RolloutState::Completed);
-    // Two seconds have passed since the order that the successor did not see.
+    // It did not see the order arrive.
     assert_eq!(record.ordered_ms, store.log[0].ordered_ms);
 }
 
@@ -412,6 +421,6 @@
     host.read(&store);
     assert_eq!(host.places(RolloutSide::Old), ["v1"]);
     let ready = BTreeMap::from([(version("v1"), 4)]);
-    let next = host.book.next_record(host.now, host.now.as_millis(), &service(), &ready);
+    let next = host.book.next_record(host.now, host.wall_ms(), &service(), &ready);
     assert_eq!(next.map(|(_, record)| record.state), Some(RolloutState::Completed));
 }
