--- a/lib/src/gateway/gateway_metrics.rs
+++ b/lib/src/gateway/gateway_metrics.rs
@@ -52,6 +52,10 @@
     pub zone_flow: IntGaugeVec,
     /// Attempts in other zones, by service and reason.
     pub left_zone: IntCounterVec,
+    /// Answers while a version is rolled out, by side and outcome.
+    pub rollout_answers: IntCounterVec,
+    /// Gauge: thousandths of a service's new requests that go to a version that is rolled out.
+    pub rollout_share: IntGaugeVec,
     /// Gauge: listed servers, by service and version of their software.
     pub servers: IntGaugeVec,
     /// Gauge: what was learned of the servers of a service, by service and value.
@@ -107,6 +111,11 @@
             &["team"],
         )?;
         registry.register(Box::new(quota_use.clone()))?;
+        let rollout_share = IntGaugeVec::new(
+            Opts::new("pomelostack_rollout_share", "Thousandths of requests to a new version."),
+            &["service"],
+        )?;
+        registry.register(Box::new(rollout_share.clone()))?;
         Ok(Self {
             quota_decisions: counter(
                 "pomelostack_quota_decisions_total",
@@ -114,6 +123,12 @@
                 &["rank", "outcome"],
             )?,
             quota_use,
+            rollout_answers: counter(
+                "pomelostack_rollout_answers_total",
+                "Attempts that ended while a version was rolled out.",
+                &["side", "outcome"],
+            )?,
+            rollout_share,
             requests: counter(
                 "pomelostack_requests_total",
                 "Requests that ended.",
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -23,6 +23,7 @@
 use crate::gateway::peer_table::SummaryOutcome;
 use crate::gateway::placement::PeerLoad;
 use crate::gateway::quota::rank_split::ByRank;
+use crate::gateway::rollout::rollout_keeper;
 use crate::gateway::server_limit::RequestLimit;
 use crate::gateway::store_follower;
 use crate::gateway::usage_ledger::TeamCounts;
@@ -239,6 +240,9 @@
     let limits = std::mem::take(&mut summary.limits);
     let measurements = std::mem::take(&mut summary.measurements);
     let sender = summary.host.clone();
+    let rollouts = std::mem::take(&mut summary.rollouts);
+    let host = HostId::try_from(summary.host.as_str());
+    let incarnation = Incarnation(summary.incarnation);
     let known_count = state.peers.borrow().changes_count(&summary);
     let has_missed = has_missed_changes(known_count, summary.changes_count, changes.len());
     let read_age = summary.directory_age_ms.checked_sub(1).map(Duration::from_millis);
@@ -255,6 +259,9 @@
         }
     }
     state.has_new_spending.set(true);
+    if let Ok(host) = host {
+        rollout_keeper::apply_reports(state, &(host, incarnation), &rollouts);
+    }
     if let Some(age) = read_age {
         state.directory.borrow_mut().on_peer_read(now, now - age);
     }
@@ -519,6 +526,7 @@
         limits: limits.collect(),
         measurements,
         timeliness: speed_gossip::encode_lateness(now, &state.lateness.borrow()),
+        rollouts: state.rollouts.borrow().reports(now, sequence),
         leaving: state.shutdown.get().is_some(),
         crashes: news.crashes,
         cleared_parts: news.cleared_parts,
