waiting: requests wait at their host for a server or for quota

A request that found every server full, or its team's quota spent for a moment, was refused with a fixed retry delay, whatever was about to end, and all ranks alike.

Such a request now waits at its host while its answer can still begin within its latency goal: goal minus the measured time of its route to the first event. Its turn is predicted from the recent starts at the host; a request whose turn would come too late is refused at once with code 214, also when more urgent requests displace it, and one without a prediction after an eighth of its goal. The order is rank, resumed streams, callers that were told to come back, earliest start. Lines are bounded in length and bytes per team and host. They are tried when an attempt of the host ends, when loads, the directory or the configuration change, and when the quota's retry time has passed; a stopping host refuses those that wait with code 205. The retry delay is the predicted one, spread, within a third of the caller's time.

Not measured on the deployments.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -67,3 +67,4 @@
 pub mod version_keeper;
 pub mod version_ledger;
 pub mod version_records;
+pub mod waiting;
--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -29,6 +29,13 @@
 use crate::gateway::serving_config::TeamRule;
 use crate::gateway::stream_binding::StreamBinding;
 use crate::gateway::version_ledger::BeginRule;
+use crate::gateway::waiting::retry_time::stated_retry_after;
+use crate::gateway::waiting::route_times::CallerVisit;
+use crate::gateway::waiting::waiting_line::WaitBounds;
+use crate::gateway::waiting::waiting_line::WaitCause;
+use crate::gateway::waiting::waiting_line::WaitClass;
+use crate::gateway::waiting::waiting_line::WaitRefusal;
+use crate::gateway::waiting::waiting_line::WaitRequest;
 use crate::hop_headers::HopByHopHeaders;
 use crate::ids::ServerKey;
 use crate::ids::ServiceName;
@@ -46,6 +53,12 @@
 /// Retry delay stated to callers when all servers are full: about the duration of a short response.
 pub const QUEUE_FULL_RETRY_AFTER: Duration = Duration::from_millis(600);
 
+/// Retry delay stated to callers by a draining host: short, since they can retry at another host.
+pub const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// Memory that a waiting request takes besides its body: its head, its connection and its future.
+pub const REQUEST_BYTES: usize = 8 << 10;
+
 /// Maximum by which the retry delay of a caller exceeds the pause that a server asked for: a fraction of
 /// the pause, and a time for short ones. Callers get different delays, so that they do not return all
 /// at once.
@@ -131,6 +144,10 @@
     pub config_version: u64,
     /// Binds a stream that may be resumed to the software version that began it.
     pub binding: Option<StreamBinding>,
+    /// Whether its caller was told to come back.
+    pub visit: CallerVisit,
+    /// When its first attempt started.
+    pub started_at: Cell<Option<Timestamp>>,
     /// Logs the end of the request.
     pub end: RequestEnd,
 }
@@ -138,7 +155,10 @@
 impl Drop for AcceptedRequest {
     fn drop(&mut self) {
         if self.end.line.get() == ClosingLine::Due {
-            let code = self.end.code_when_dropped();
+            let code = match (self.end.code_when_dropped(), self.started_at.get()) {
+                (ResultCode::CallerLost, None) => ResultCode::CallerGone,
+                (code, _) => code,
+            };
             log_request_end(&self.end.state, self, code, "dropped=true");
         }
     }
@@ -155,6 +175,83 @@
         RequestRank::of(self.team.as_deref(), &self.route)
     }
 
+    /// Returns whether a server may have room for it later, and it may wait for that.
+    pub fn may_wait(&self, reason: RefusalReason) -> bool {
+        matches!(reason.code, ResultCode::QueueFull | ResultCode::NoServer)
+            && reason.is_room_expected
+    }
+
+    /// Returns whether only some servers of its service may run it.
+    pub fn is_confined(&self) -> bool {
+        self.binding.as_ref().and_then(StreamBinding::version).is_some()
+    }
+
+    /// Describes it to the requests that wait for a server.
+    pub fn wait_request(&self, state: &GatewayState) -> WaitRequest {
+        let goal = self.route.latency_goal;
+        let answer_time = state.waiting.times.borrow().expected_answer(&self.route.name, goal);
+        let bounds = WaitBounds::new(self.arrived_at, self.deadline, goal, answer_time);
+        WaitRequest {
+            cause: WaitCause::Server(self.service.clone()),
+            team: self.team_name().cloned(),
+            rank: self.rank(),
+            class: wait_class(&self.head, self.visit),
+            arrived_at: self.arrived_at,
+            bounds,
+            room_in: None,
+            bytes: self.body.len() + REQUEST_BYTES,
+        }
+    }
+
+    /// Describes it to the requests that wait, after it found no server for a reason.
+    pub fn wait_after(&self, state: &GatewayState, reason: RefusalReason) -> WaitRequest {
+        let now = state.now();
+        let mut request = self.wait_request(state);
+        // Without a server nothing tells when there will be one. A host that has read no directory
+        // yet reads it in a moment.
+        if reason.code == ResultCode::NoServer && state.directory.borrow().read_age(now).is_some() {
+            request.bounds.start_by = request.bounds.start_by.min(now + request.bounds.unsure_time);
+        }
+        request
+    }
+
+    /// Records that its answer, or the first event of it, arrived.
+    pub fn on_answer_begun(&self, state: &GatewayState) {
+        if let Some(started_at) = self.started_at.get() {
+            let elapsed = state.now().since(started_at);
+            state.waiting.times.borrow_mut().on_answer(&self.route.name, elapsed);
+        }
+    }
+
+    /// Returns the refusal of a request that waited, or may not wait, for a server.
+    pub fn wait_refusal(
+        &self,
+        state: &GatewayState,
+        refusal: WaitRefusal,
+        reason: RefusalReason,
+    ) -> RefusalReason {
+        let now = state.now();
+        let code = match (refusal, reason.code) {
+            (WaitRefusal::Closed, _) if state.shutdown.get().is_some() => {
+                let code = ResultCode::HostLeaving;
+                return RefusalReason::with_retry_after(code, DRAINING_RETRY_AFTER);
+            }
+            (_, ResultCode::NoServer) => ResultCode::NoServer,
+            (WaitRefusal::OutOfReach { .. }, _) => ResultCode::GoalOutOfReach,
+            (WaitRefusal::Expired, _) => ResultCode::WaitExpired,
+            (WaitRefusal::LineFull | WaitRefusal::TeamFull | WaitRefusal::Closed, code) => code,
+        };
+        let cause = WaitCause::Server(self.service.clone());
+        let expected = match reason.code {
+            ResultCode::NoServer => reason.retry_after,
+            _ => state.waiting.time_until_room(now, &cause).or(reason.retry_after),
+        };
+        let time_left = self.deadline.since(now);
+        let retry_after = expected.unwrap_or(QUEUE_FULL_RETRY_AFTER);
+        let id = &self.head.request_id;
+        RefusalReason::with_retry_after(code, stated_retry_after(retry_after, time_left, id))
+    }
+
     /// Builds the HTTP request of an attempt.
     pub fn message<W: WireProtocol>(
         &self,
@@ -183,17 +280,24 @@
     pub code: ResultCode,
     /// Delay after which the caller may retry, if one is stated.
     pub retry_after: Option<Duration>,
+    /// Whether requests that run may make room soon.
+    pub is_room_expected: bool,
 }
 
 impl RefusalReason {
     /// Builds a reason without a retry delay: a retry is of no use, or at the caller's discretion.
     pub fn new(code: ResultCode) -> Self {
-        Self { code, retry_after: None }
+        Self { code, retry_after: None, is_room_expected: false }
     }
 
     /// Builds a reason that states a retry delay.
     pub fn with_retry_after(code: ResultCode, retry_after: Duration) -> Self {
-        Self { code, retry_after: Some(retry_after) }
+        Self { code, retry_after: Some(retry_after), is_room_expected: false }
+    }
+
+    /// Builds a reason for which a request may wait: servers are full, or none is known.
+    fn until_room(code: ResultCode, retry_after: Duration) -> Self {
+        Self { code, retry_after: Some(retry_after), is_room_expected: true }
     }
 }
 
@@ -258,7 +362,7 @@
             Ok(PlacedServer { key, running, uncached_tokens, limited })
         }
         PlacementChoice::Full => {
-            Err(RefusalReason::with_retry_after(ResultCode::QueueFull, QUEUE_FULL_RETRY_AFTER))
+            Err(RefusalReason::until_room(ResultCode::QueueFull, QUEUE_FULL_RETRY_AFTER))
         }
         PlacementChoice::Closed { until, limited } => {
             let retry_after = spread_retry_after(until.since(now), &request.head.request_id);
@@ -276,10 +380,8 @@
         }
         PlacementChoice::NoServer => {
             let gone = bound.and_then(|version| refuse_absent(state, &request.service, &version));
-            Err(gone.unwrap_or(RefusalReason::with_retry_after(
-                ResultCode::NoServer,
-                NO_SERVER_RETRY_AFTER,
-            )))
+            Err(gone
+                .unwrap_or(RefusalReason::until_room(ResultCode::NoServer, NO_SERVER_RETRY_AFTER)))
         }
     }
 }
@@ -355,6 +457,15 @@
     }
 }
 
+/// Returns the order of a request within its rank while it waits.
+pub fn wait_class(head: &CallerHead, visit: CallerVisit) -> WaitClass {
+    match (head.resume_after, visit) {
+        (Some(_), _) => WaitClass::Resumed,
+        (None, CallerVisit::Return) => WaitClass::Returning,
+        (None, CallerVisit::First) => WaitClass::New,
+    }
+}
+
 /// Returns the metric and log label of a request kind.
 pub fn request_kind_label(kind: RequestKind) -> &'static str {
     match kind {
--- a/lib/src/gateway/gateway_host.rs
+++ b/lib/src/gateway/gateway_host.rs
@@ -241,6 +241,8 @@
     // Peers take this host's parts of limits as soon as they hear that it is leaving.
     state.refresh_limits();
     state.summary_hint.notify_one();
+    // A request that waits has not run, and its caller finds room at another host sooner.
+    state.waiting.close();
     log::info!(
         "event=host_leaving running={} grace_ms={}",
         state.in_flight.get(),
--- a/lib/src/gateway/gateway_metrics.rs
+++ b/lib/src/gateway/gateway_metrics.rs
@@ -43,6 +43,12 @@
     pub levels: IntGaugeVec,
     /// Gauge: listed servers, by service and version of their software.
     pub servers: IntGaugeVec,
+    /// Gauge: requests that wait for a server or for quota, by rank.
+    pub waiting_requests: IntGaugeVec,
+    /// Seconds for which requests waited, by rank.
+    pub wait_time: HistogramVec,
+    /// Waits that ended and refused ones, by rank and outcome.
+    pub wait_ends: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -68,6 +74,11 @@
             &["service", "version"],
         )?;
         registry.register(Box::new(servers.clone()))?;
+        let waiting_requests = IntGaugeVec::new(
+            Opts::new("pomelostack_waiting_requests", "Requests that wait."),
+            &["rank"],
+        )?;
+        registry.register(Box::new(waiting_requests.clone()))?;
         Ok(Self {
             requests: counter(
                 "pomelostack_requests_total",
@@ -103,6 +114,17 @@
             )?,
             levels,
             servers,
+            waiting_requests,
+            wait_time: histogram(
+                "pomelostack_wait_seconds",
+                "Seconds for which requests waited.",
+                "rank",
+            )?,
+            wait_ends: counter(
+                "pomelostack_waits_total",
+                "Waits that ended or were refused.",
+                &["rank", "outcome"],
+            )?,
             registry,
         })
     }
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -48,6 +48,7 @@
 use crate::gateway::version_keeper::VersionSync;
 use crate::gateway::version_ledger::DirectoryView;
 use crate::gateway::version_ledger::VersionLedger;
+use crate::gateway::waiting::line_driver::LineDriver;
 use crate::ids::Incarnation;
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
@@ -113,6 +114,8 @@
     pub retries: RefCell<RetryLimiter>,
     /// Quotas.
     pub quotas: RefCell<QuotaLimiter>,
+    /// Requests that wait for a server or for quota.
+    pub waiting: LineDriver,
     /// Usage counts.
     pub ledger: RefCell<UsageLedger>,
     /// Software versions at which streams began.
@@ -179,6 +182,7 @@
             placement: RefCell::new(PlacementTable::new(settings.zone.clone())),
             retries: RefCell::new(RetryLimiter::new(settings.retries)),
             quotas: RefCell::new(quotas),
+            waiting: LineDriver::default(),
             ledger: RefCell::new(UsageLedger::new(incarnation.clone(), window_ms)),
             versions: RefCell::default(),
             version_sync: VersionSync::default(),
@@ -209,6 +213,7 @@
         self.retries.borrow_mut().set_bounds(settings.retries);
         self.quotas.borrow_mut().set_bounds(settings.quotas);
         *self.settings.borrow_mut() = Rc::new(settings);
+        self.waiting.on_change();
     }
 
     /// Returns the current time on the process's clock.
@@ -500,6 +505,7 @@
             | DirectoryEffect::Unchanged => {}
         }
         self.record_server_event(event, key);
+        self.waiting.on_change();
     }
 
     /// Records that a server joined or restarted, with the version of its software.
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -66,6 +66,7 @@
     state.placement.borrow_mut().set_peer_loads(&loads);
     let heard = i64::try_from(peers.live_peers(now)).unwrap_or(i64::MAX);
     state.metrics.levels.with_label_values(&["peers"]).set(heard);
+    state.waiting.on_change();
 }
 
 /// Merges a peer's summary, unless a newer one has already arrived.
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -1,5 +1,6 @@
 //! Handles one caller's request: admission, placement, attempts, and the reply.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,9 +11,11 @@
 use hyper::http::request;
 
 use crate::gateway::accepted_request::AcceptedRequest;
+use crate::gateway::accepted_request::DRAINING_RETRY_AFTER;
 use crate::gateway::accepted_request::InFlightGuard;
 use crate::gateway::accepted_request::NO_SERVER_RETRY_AFTER;
 use crate::gateway::accepted_request::QUEUE_FULL_RETRY_AFTER;
+use crate::gateway::accepted_request::REQUEST_BYTES;
 use crate::gateway::accepted_request::RefusalReason;
 use crate::gateway::accepted_request::RequestEnd;
 use crate::gateway::accepted_request::log_request_end;
@@ -20,6 +23,7 @@
 use crate::gateway::accepted_request::refund_quota;
 use crate::gateway::accepted_request::refuse_absent;
 use crate::gateway::accepted_request::request_kind_label;
+use crate::gateway::accepted_request::wait_class;
 use crate::gateway::attempt_plan::AttemptFailure;
 use crate::gateway::attempt_plan::AttemptPlan;
 use crate::gateway::attempt_plan::AttemptStep;
@@ -47,10 +51,19 @@
 use crate::gateway::serving_config::KeyCheck;
 use crate::gateway::serving_config::RouteRule;
 use crate::gateway::serving_config::ServingConfig;
+use crate::gateway::serving_config::TeamQuota;
 use crate::gateway::serving_config::TeamRule;
 use crate::gateway::stream_binding::StreamBinding;
 use crate::gateway::stream_binding::bind_request;
 use crate::gateway::stream_relay::StreamRelay;
+use crate::gateway::waiting::line_driver::WaitTurn;
+use crate::gateway::waiting::line_driver::WaitingPlace;
+use crate::gateway::waiting::retry_time::stated_retry_after;
+use crate::gateway::waiting::route_times::CallerVisit;
+use crate::gateway::waiting::waiting_line::WaitBounds;
+use crate::gateway::waiting::waiting_line::WaitCause;
+use crate::gateway::waiting::waiting_line::WaitRefusal;
+use crate::gateway::waiting::waiting_line::WaitRequest;
 use crate::ids::ServerKey;
 use crate::ids::ServiceName;
 use crate::result_code::ResultCode;
@@ -62,12 +75,15 @@
 /// Timeout of a request whose caller states none.
 const DEFAULT_REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Retry delay stated to callers that the quota refuses while its use cannot be predicted.
+const QUOTA_RETRY_AFTER: Duration = Duration::from_millis(600);
+
+/// Minimum time between two questions of a waiting request for quota.
+const MIN_QUOTA_PAUSE: Duration = Duration::from_millis(10);
+
 /// Retry delay stated to callers while the host has no configuration yet.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Retry delay stated to callers by a draining host: short, since they can retry at another host.
-const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// Time without a response to a repeatable request after which it is hedged, as a multiple of the
 /// route's latency goal.
 const SILENCE_LIMIT_PER_GOAL: u32 = 3;
@@ -79,6 +95,56 @@
 /// remains for the hedged attempt.
 const TIME_LEFT_DIVISOR: u32 = 3;
 
+/// A request that asks for its team's quota.
+struct QuotaAsk<'a> {
+    head: &'a CallerHead,
+    route: &'a RouteRule,
+    team: &'a TeamRule,
+    quota: TeamQuota,
+    claim: QuotaClaim,
+    visit: CallerVisit,
+    arrived_at: Timestamp,
+    deadline: Timestamp,
+    body_bytes: usize,
+}
+
+impl QuotaAsk<'_> {
+    /// Returns the units that the request costs.
+    fn units(&self) -> u64 {
+        match self.team.counts_tokens {
+            true => self.head.token_cost(self.team.default_cost),
+            false => 1,
+        }
+    }
+
+    fn rank(&self) -> RequestRank {
+        RequestRank::of(Some(self.team), self.route)
+    }
+
+    /// Describes the request to those that wait for the quota.
+    fn wait_request(&self, state: &GatewayState) -> WaitRequest {
+        let goal = self.route.latency_goal;
+        let answer_time = state.waiting.times.borrow().expected_answer(&self.route.name, goal);
+        WaitRequest {
+            cause: WaitCause::Quota(self.team.name.clone()),
+            team: Some(self.team.name.clone()),
+            rank: self.rank(),
+            class: wait_class(self.head, self.visit),
+            arrived_at: self.arrived_at,
+            bounds: WaitBounds::new(self.arrived_at, self.deadline, goal, answer_time),
+            room_in: None,
+            bytes: self.body_bytes + REQUEST_BYTES,
+        }
+    }
+
+    /// Returns the refusal of the request; there will be room after `expected`.
+    fn refusal(&self, now: Timestamp, expected: Duration) -> RefusalReason {
+        let time_left = self.deadline.since(now);
+        let retry_after = stated_retry_after(expected, time_left, &self.head.request_id);
+        RefusalReason::with_retry_after(ResultCode::TeamOverShare, retry_after)
+    }
+}
+
 /// Whether an attempt was sent.
 enum StartOutcome {
     /// It was.
@@ -186,8 +252,26 @@
             return Err((head, reason));
         }
         let claim = if is_taken_up { QuotaClaim::TakenUp } else { QuotaClaim::New };
-        if let Err(reason) = self.check_quota(&head, &route, team.as_deref(), claim) {
-            return Err((head, reason));
+        let visit =
+            self.state.waiting.times.borrow_mut().on_stated_time(arrived_at, &route.name, wait);
+        if let Some(team) = &team
+            && let Some(quota) = team.quota
+        {
+            let (head, route, body_bytes) = (&head, &route, body.len());
+            let ask = QuotaAsk {
+                head,
+                route,
+                team,
+                quota,
+                claim,
+                visit,
+                arrived_at,
+                deadline,
+                body_bytes,
+            };
+            if let Err(reason) = self.pass_quota(ask).await {
+                return Err((head.clone(), reason));
+            }
         }
         let config_version = config.version;
         Ok(AcceptedRequest {
@@ -203,6 +287,8 @@
             deadline,
             config_version,
             binding,
+            visit,
+            started_at: Cell::new(None),
             end: RequestEnd::new(&self.state),
         })
     }
@@ -262,19 +348,77 @@
         }
     }
 
-    fn check_quota(
-        &self,
-        head: &CallerHead,
-        route: &RouteRule,
-        team: Option<&TeamRule>,
-        claim: QuotaClaim,
-    ) -> Result<(), RefusalReason> {
-        let Some(team) = team else { return Ok(()) };
-        let Some(quota) = team.quota else { return Ok(()) };
+    /// Admits a request to its team's quota; it may wait until units are free again.
+    async fn pass_quota(&self, ask: QuotaAsk<'_>) -> Result<(), RefusalReason> {
+        let mut request = ask.wait_request(&self.state);
+        let start_by = request.bounds.start_by;
+        let mut has_asked = false;
+        let mut expected = None;
+        if !self.state.waiting.must_wait(&request) {
+            let QuotaDecision::Exceeded { retry_after, .. } = self.check_quota(&ask, has_asked)
+            else {
+                return Ok(());
+            };
+            let now = self.state.now();
+            // What a refused stream needs is kept for its return.
+            if ask.claim == QuotaClaim::TakenUp || now + retry_after > start_by {
+                return Err(ask.refusal(now, retry_after));
+            }
+            (has_asked, expected) = (true, Some(retry_after));
+            request.room_in = expected;
+        }
+        let cause = request.cause.clone();
+        let refuse = |expected: Option<Duration>| {
+            let now = self.state.now();
+            let expected = expected.or(self.state.waiting.time_until_room(now, &cause));
+            ask.refusal(now, expected.unwrap_or(QUOTA_RETRY_AFTER))
+        };
+        let mut place = match WaitingPlace::enter(&self.state, request) {
+            Ok(place) => place,
+            Err(_) => return Err(refuse(expected)),
+        };
+        loop {
+            let now = self.state.now();
+            let retry_at = expected.map(|time| now + time.max(MIN_QUOTA_PAUSE));
+            let turn = place.next_turn(retry_at).await;
+            if let WaitTurn::Refused(reason) = turn {
+                place.refuse(reason);
+                return Err(match reason {
+                    WaitRefusal::Closed => RefusalReason::with_retry_after(
+                        ResultCode::HostLeaving,
+                        DRAINING_RETRY_AFTER,
+                    ),
+                    _ => refuse(None),
+                });
+            }
+            let QuotaDecision::Exceeded { retry_after, .. } = self.check_quota(&ask, has_asked)
+            else {
+                self.log_wait("quota", &ask.head.request_id, &place);
+                place.start();
+                return Ok(());
+            };
+            (has_asked, expected) = (true, Some(retry_after));
+            if turn == WaitTurn::FinalTry || self.state.now() + retry_after > start_by {
+                place.refuse(WaitRefusal::Expired);
+                return Err(refuse(expected));
+            }
+            place.on_tried(false);
+        }
+    }
+
+    fn log_wait(&self, cause: &str, request_id: &str, place: &WaitingPlace) {
+        log::info!(
+            "event=wait_ended request={request_id} cause={cause} waited_ms={}",
+            place.waited().as_millis()
+        );
+    }
+
+    /// Asks for a request's units.
+    fn check_quota(&self, ask: &QuotaAsk<'_>, has_asked: bool) -> QuotaDecision {
+        let (team, units, claim) = (ask.team, ask.units(), ask.claim);
         let now = self.state.now();
-        let units = if team.counts_tokens { head.token_cost(team.default_cost) } else { 1 };
-        let rank = RequestRank::of(Some(team), route);
-        let request = QuotaRequest { units, claim, rank, has_asked: false };
+        let quota = self.current_quota(ask);
+        let request = QuotaRequest { units, claim, rank: ask.rank(), has_asked };
         let reachability = self.state.peers.borrow().reachability(now);
         self.state.update_peer_spending();
         let decision =
@@ -286,12 +430,13 @@
             self.state.record_hint.notify_one();
         }
         match decision {
-            QuotaDecision::Admitted => Ok(()),
+            QuotaDecision::Admitted => self.state.waiting.on_quota_admitted(now, &team.name),
+            QuotaDecision::Exceeded { .. } if has_asked => {}
             QuotaDecision::Exceeded { retry_after, usage } => {
                 log::info!(
                     "event=quota_exceeded request={} team={} units={units} peers={reachability:?} \
                      spent={:.0} spent_by_peers={:.0} share={:.0} quota={:.0} retry_after_ms={}",
-                    head.request_id,
+                    ask.head.request_id,
                     team.name,
                     usage.own,
                     usage.peers,
@@ -299,9 +444,16 @@
                     usage.total,
                     retry_after.as_millis(),
                 );
-                Err(RefusalReason::with_retry_after(ResultCode::TeamOverShare, retry_after))
             }
         }
+        decision
+    }
+
+    /// Returns the quota in force, which may have changed while the request waited.
+    fn current_quota(&self, ask: &QuotaAsk<'_>) -> TeamQuota {
+        let config = self.state.config.borrow();
+        let rule = config.current().and_then(|config| config.teams.get(&ask.team.name));
+        rule.and_then(|rule| rule.quota).unwrap_or(ask.quota)
     }
 
     /// Makes attempts until one succeeds or the request is given up on.
@@ -325,7 +477,7 @@
                 return self.relay_or_end(&request, &plan, give_up, error_response);
             }
             if race.is_empty() {
-                match self.start_attempt(&request, &mut plan, &mut race) {
+                match self.find_server(&request, &mut plan, &mut race).await {
                     Ok(StartOutcome::Started) => {}
                     Ok(StartOutcome::ServerGone) => continue,
                     Err(reason) if plan.sent() == 0 => {
@@ -336,6 +488,7 @@
                     }
                 }
             }
+            let now = self.state.now();
             let (key, outcome) = match race.next(self.silence_limit(now, &request, deadline)).await
             {
                 RaceEvent::Ended(key, outcome) => (key, outcome),
@@ -382,6 +535,53 @@
         }
     }
 
+    /// Sends an attempt to a server. A request that has not run may wait until one has room.
+    async fn find_server(
+        &self,
+        request: &AcceptedRequest,
+        plan: &mut AttemptPlan,
+        race: &mut AttemptRace<W>,
+    ) -> Result<StartOutcome, RefusalReason> {
+        let is_behind = plan.tried().is_empty()
+            && !self.state.waiting.is_idle()
+            && self.state.waiting.must_wait(&request.wait_request(&self.state));
+        let reason = match is_behind {
+            true => RefusalReason::with_retry_after(ResultCode::QueueFull, QUEUE_FULL_RETRY_AFTER),
+            false => match self.start_attempt(request, plan, race) {
+                Err(reason) if plan.sent() == 0 && request.may_wait(reason) => reason,
+                started => return started,
+            },
+        };
+        let wait = request.wait_after(&self.state, reason);
+        let mut place = match WaitingPlace::enter(&self.state, wait) {
+            Ok(place) => place,
+            Err(refusal) => return Err(request.wait_refusal(&self.state, refusal, reason)),
+        };
+        loop {
+            let turn = place.next_turn(None).await;
+            let refusal = match turn {
+                WaitTurn::Refused(refusal) => refusal,
+                WaitTurn::Try | WaitTurn::FinalTry => {
+                    match self.start_attempt(request, plan, race) {
+                        Ok(outcome) => {
+                            self.log_wait("server", &request.head.request_id, &place);
+                            place.start();
+                            return Ok(outcome);
+                        }
+                        Err(latest) if !request.may_wait(latest) => return Err(latest),
+                        Err(_) if turn == WaitTurn::Try => {
+                            place.on_tried(request.is_confined());
+                            continue;
+                        }
+                        Err(_) => WaitRefusal::Expired,
+                    }
+                }
+            };
+            place.refuse(refusal);
+            return Err(request.wait_refusal(&self.state, refusal, reason));
+        }
+    }
+
     /// Selects a server and sends it an attempt.
     fn start_attempt(
         &self,
@@ -456,6 +656,7 @@
         let elapsed = self.state.now().since(request.arrived_at).as_secs_f64();
         let kind = [request_kind_label(request.route.kind)];
         self.state.metrics.first_byte_latency.with_label_values(&kind).observe(elapsed);
+        request.on_answer_begun(&self.state);
         log_request_end(&self.state, request, ResultCode::Complete, &detail);
         response.map(full_body)
     }
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -47,6 +47,7 @@
 use crate::gateway::version_ledger::StreamBegin;
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
+use crate::ids::ServiceName;
 use crate::software_version::SoftwareVersion;
 use crate::timestamp::Timestamp;
 
@@ -73,6 +74,8 @@
     version: SoftwareVersion,
     /// Prompt tokens that still count as not prefilled.
     pending_prefill_tokens: u64,
+    /// Service of the server.
+    service: ServiceName,
     /// Whether it keeps a place at its server's limit, until it is handed to a connection.
     has_reserved: Cell<bool>,
     /// When it was handed to a connection.
@@ -115,6 +118,8 @@
             placement.limits_mut().reserve(&id);
         }
         record_demand(state, request, uncached_tokens);
+        state.waiting.on_server_found(now, &request.service);
+        request.started_at.set(request.started_at.get().or(Some(now)));
         let attempt = Self {
             state: state.clone(),
             key,
@@ -125,6 +130,7 @@
             started_at_ms,
             version,
             pending_prefill_tokens: uncached_tokens,
+            service: request.service.clone(),
             has_reserved: Cell::new(true),
             sent_at: Cell::new(now),
         };
@@ -180,6 +186,7 @@
         self.on_prefilled();
         self.release_place();
         self.state.placement.borrow_mut().on_ended(self.key);
+        self.state.waiting.on_room(&self.service);
     }
 }
 
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -471,6 +471,7 @@
     fn on_first_event(&self) {
         if self.relayed_events == 0 {
             record_started(&self.state, &self.request);
+            self.request.on_answer_begun(&self.state);
             let elapsed = self.state.now().since(self.request.arrived_at).as_secs_f64();
             let kind = [request_kind_label(self.request.route.kind)];
             self.state.metrics.first_byte_latency.with_label_values(&kind).observe(elapsed);
--- a/lib/src/result_code.rs
+++ b/lib/src/result_code.rs
@@ -119,6 +119,10 @@
     StreamUntraced = 212, NotRun, 503;
     /// The software version that would begin the stream cannot be recorded now.
     VersionUnrecorded = 213, NotRun, 503;
+    /// No server is expected to have room in time for the latency goal.
+    GoalOutOfReach = 214, NotRun, 503;
+    /// The request waited, and no server had room in time for the latency goal.
+    WaitExpired = 215, NotRun, 503;
 
     /// The backend server was lost while it ran non-idempotent work.
     ServerLost = 300, Unknown, 502;
