waiting: less urgent ranks give way while requests miss their goals

Rank was passed on to the engines and used nowhere else, so that under overload the most urgent requests were late or refused as readily as the least urgent ones.

Hosts now count by service and rank how many admitted requests missed their latency goals or found no room, and state the counts and their admitted shares in summaries (field 30), only while some host misses goals. A request that is not admitted still starts at a server with free slots and no prompt that waits; otherwise it is refused at once with code 216.

Not measured on the deployments.

--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -29,6 +29,8 @@
 use crate::gateway::serving_config::TeamRule;
 use crate::gateway::stream_binding::StreamBinding;
 use crate::gateway::version_ledger::BeginRule;
+use crate::gateway::waiting::rank_shares::RankDecision;
+use crate::gateway::waiting::retry_time::request_fraction;
 use crate::gateway::waiting::retry_time::stated_retry_after;
 use crate::gateway::waiting::route_times::CallerVisit;
 use crate::gateway::waiting::waiting_line::WaitBounds;
@@ -56,6 +58,13 @@
 /// Retry delay stated to callers by a draining host: short, since they can retry at another host.
 pub const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Retry delay stated to callers whose rank gives way to more urgent ones: the time in which shares are
+/// decided on a few times.
+const DEFERRED_RETRY_AFTER: Duration = Duration::from_millis(1_200);
+
+/// A server has spare room while less than all but one in this many of its slots are in use.
+const SPARE_DIVISOR: u32 = 4;
+
 /// Memory that a waiting request takes besides its body: its head, its connection and its future.
 pub const REQUEST_BYTES: usize = 8 << 10;
 
@@ -215,8 +224,43 @@
         request
     }
 
+    /// Records that it is admitted, and returns whether it may make other requests late.
+    pub fn admit_rank(&self, state: &GatewayState) -> RankDecision {
+        // What was done for a stream that is taken up is not lost.
+        if self.route.latency_goal.is_zero() || self.head.resume_after.is_some() {
+            return RankDecision::Admitted;
+        }
+        let (now, rank) = (state.now(), self.rank().priority);
+        let mut shares = state.waiting.shares.borrow_mut();
+        let fraction = request_fraction(&self.head.request_id);
+        let decision = shares.decide(&self.service, rank, fraction, self.visit);
+        if decision == RankDecision::Admitted {
+            shares.on_admitted(now, &self.service, rank);
+        }
+        decision
+    }
+
+    /// Records that it missed its goal, or found no room in time.
+    pub fn on_goal_missed(&self, state: &GatewayState) {
+        if !self.route.latency_goal.is_zero() && self.head.resume_after.is_none() {
+            let (now, rank) = (state.now(), self.rank().priority);
+            state.waiting.shares.borrow_mut().on_missed(now, &self.service, rank);
+        }
+    }
+
+    /// Returns the refusal of a request that could only start where it makes others late.
+    pub fn defer_refusal(&self, state: &GatewayState) -> RefusalReason {
+        let time_left = self.deadline.since(state.now());
+        let id = &self.head.request_id;
+        let retry_after = stated_retry_after(DEFERRED_RETRY_AFTER, time_left, id);
+        RefusalReason::with_retry_after(ResultCode::RankDeferred, retry_after)
+    }
+
     /// Records that its answer, or the first event of it, arrived.
     pub fn on_answer_begun(&self, state: &GatewayState) {
+        if state.now().since(self.arrived_at) > self.route.latency_goal {
+            self.on_goal_missed(state);
+        }
         if let Some(started_at) = self.started_at.get() {
             let elapsed = state.now().since(started_at);
             state.waiting.times.borrow_mut().on_answer(&self.route.name, elapsed);
@@ -386,6 +430,15 @@
     }
 }
 
+/// Returns whether a server can take a request without making others late: it has free slots, and no
+/// prompt waits there to be prefilled.
+pub fn has_spare_room(state: &GatewayState, placed: &PlacedServer) -> bool {
+    let directory = state.directory.borrow();
+    let Some(server) = directory.get(placed.key) else { return false };
+    placed.running * SPARE_DIVISOR < server.entry.slots * (SPARE_DIVISOR - 1)
+        && state.placement.borrow().pending_tokens(placed.key) == 0
+}
+
 /// Returns the servers whose software version is not known now.
 fn doubted_servers(state: &GatewayState, now: Timestamp) -> Vec<ServerKey> {
     let directory = state.directory.borrow();
--- a/lib/src/gateway/gateway_metrics.rs
+++ b/lib/src/gateway/gateway_metrics.rs
@@ -49,6 +49,8 @@
     pub wait_time: HistogramVec,
     /// Waits that ended and refused ones, by rank and outcome.
     pub wait_ends: IntCounterVec,
+    /// Gauge: thousandths of the requests that are admitted, by service and rank.
+    pub admitted_shares: IntGaugeVec,
 }
 
 impl GatewayMetrics {
@@ -79,6 +81,11 @@
             &["rank"],
         )?;
         registry.register(Box::new(waiting_requests.clone()))?;
+        let admitted_shares = IntGaugeVec::new(
+            Opts::new("pomelostack_admitted_permille", "Thousandths of requests admitted."),
+            &["service", "rank"],
+        )?;
+        registry.register(Box::new(admitted_shares.clone()))?;
         Ok(Self {
             requests: counter(
                 "pomelostack_requests_total",
@@ -115,6 +122,7 @@
             levels,
             servers,
             waiting_requests,
+            admitted_shares,
             wait_time: histogram(
                 "pomelostack_wait_seconds",
                 "Seconds for which requests waited.",
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -23,6 +23,8 @@
 use crate::gateway::server_limit::RequestLimit;
 use crate::gateway::store_follower;
 use crate::gateway::usage_ledger::TeamCounts;
+use crate::gateway::waiting::line_driver;
+use crate::gateway::waiting::rank_shares::RankReport;
 use crate::ids::HostId;
 use crate::ids::Incarnation;
 use crate::ids::ServerId;
@@ -32,6 +34,7 @@
 use crate::ids::TeamName;
 use crate::protos::gateway::Departure;
 use crate::protos::gateway::HostSummary;
+use crate::protos::gateway::RankUse;
 use crate::protos::gateway::ServerChange;
 use crate::protos::gateway::ServerLimit;
 use crate::protos::gateway::ServerUse;
@@ -48,6 +51,10 @@
 /// tells others of them.
 const MAX_SUMMARY_LIMITS: usize = 48;
 
+/// Units of a rank's counts and of its admitted share in a summary.
+const TENTHS: f64 = 10.0;
+const THOUSANDTHS: f64 = 1_000.0;
+
 /// Updates placement and quotas with the current state of the peers.
 pub fn apply_peer_summaries(state: &GatewayState) {
     let now = state.now();
@@ -66,9 +73,32 @@
     state.placement.borrow_mut().set_peer_loads(&loads);
     let heard = i64::try_from(peers.live_peers(now)).unwrap_or(i64::MAX);
     state.metrics.levels.with_label_values(&["peers"]).set(heard);
+    let ranks = peers.fresh_summaries(now).flat_map(|summary| &summary.ranks);
+    let ranks: Vec<RankReport> = ranks.filter_map(decode_rank).collect();
+    line_driver::update_shares(state, &ranks);
     state.waiting.on_change();
 }
 
+fn encode_rank(report: &RankReport) -> RankUse {
+    RankUse {
+        service: report.service.to_string(),
+        rank: report.rank,
+        requests: (report.requests * TENTHS).ceil() as u32,
+        missed: (report.missed * TENTHS) as u32,
+        share: (report.share * THOUSANDTHS) as u32,
+    }
+}
+
+fn decode_rank(told: &RankUse) -> Option<RankReport> {
+    Some(RankReport {
+        service: ServiceName::try_from(told.service.as_str()).ok()?,
+        rank: told.rank,
+        requests: f64::from(told.requests) / TENTHS,
+        missed: f64::from(told.missed) / TENTHS,
+        share: f64::from(told.share) / THOUSANDTHS,
+    })
+}
+
 /// Merges a peer's summary, unless a newer one has already arrived.
 pub fn on_summary(state: &GatewayState, mut summary: HostSummary) {
     let now = state.now();
@@ -327,6 +357,7 @@
     let recent = state.directory_gossip.borrow_mut().recent_changes(now, peers_read_to);
     let directory_read_to = state.directory_gossip.borrow().read_to();
     let news = CrashNews::recent(state, now, sequence);
+    let ranks = state.waiting.shares.borrow_mut().reports(now);
     let departures = directory.recent_departures(now).map(|(server, started_at_ms)| Departure {
         server: server.to_string(),
         born_ms: started_at_ms,
@@ -342,6 +373,7 @@
         demands: encode_demands(state, now),
         limits: limits.collect(),
         leaving: state.shutdown.get().is_some(),
+        ranks: ranks.iter().map(encode_rank).collect(),
         crashes: news.crashes,
         cleared_parts: news.cleared_parts,
         verdicts: news.verdicts,
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -18,6 +18,7 @@
 use crate::gateway::accepted_request::REQUEST_BYTES;
 use crate::gateway::accepted_request::RefusalReason;
 use crate::gateway::accepted_request::RequestEnd;
+use crate::gateway::accepted_request::has_spare_room;
 use crate::gateway::accepted_request::log_request_end;
 use crate::gateway::accepted_request::place_request;
 use crate::gateway::accepted_request::refund_quota;
@@ -58,6 +59,7 @@
 use crate::gateway::stream_relay::StreamRelay;
 use crate::gateway::waiting::line_driver::WaitTurn;
 use crate::gateway::waiting::line_driver::WaitingPlace;
+use crate::gateway::waiting::rank_shares::RankDecision;
 use crate::gateway::waiting::retry_time::stated_retry_after;
 use crate::gateway::waiting::route_times::CallerVisit;
 use crate::gateway::waiting::waiting_line::WaitBounds;
@@ -467,6 +469,7 @@
         let mut plan = AttemptPlan::new(kind, deadline, request.route.max_servers);
         self.state.retries.borrow_mut().on_request(request.arrived_at, &request.service);
         self.state.levels.borrow_mut().on_request(request.arrived_at, &request.service);
+        let decision = request.admit_rank(&self.state);
         let mut error_response: Option<Response<Bytes>> = None;
         let mut race = AttemptRace::new(self.state.clone(), self.wire.clone(), request.clone());
         let resume_after = request.head.resume_after;
@@ -477,7 +480,7 @@
                 return self.relay_or_end(&request, &plan, give_up, error_response);
             }
             if race.is_empty() {
-                match self.find_server(&request, &mut plan, &mut race).await {
+                match self.find_server(&request, &mut plan, &mut race, decision).await {
                     Ok(StartOutcome::Started) => {}
                     Ok(StartOutcome::ServerGone) => continue,
                     Err(reason) if plan.sent() == 0 => {
@@ -541,13 +544,14 @@
         request: &AcceptedRequest,
         plan: &mut AttemptPlan,
         race: &mut AttemptRace<W>,
+        decision: RankDecision,
     ) -> Result<StartOutcome, RefusalReason> {
         let is_behind = plan.tried().is_empty()
             && !self.state.waiting.is_idle()
             && self.state.waiting.must_wait(&request.wait_request(&self.state));
         let reason = match is_behind {
             true => RefusalReason::with_retry_after(ResultCode::QueueFull, QUEUE_FULL_RETRY_AFTER),
-            false => match self.start_attempt(request, plan, race) {
+            false => match self.start_attempt(request, decision, plan, race) {
                 Err(reason) if plan.sent() == 0 && request.may_wait(reason) => reason,
                 started => return started,
             },
@@ -562,7 +566,7 @@
             let refusal = match turn {
                 WaitTurn::Refused(refusal) => refusal,
                 WaitTurn::Try | WaitTurn::FinalTry => {
-                    match self.start_attempt(request, plan, race) {
+                    match self.start_attempt(request, decision, plan, race) {
                         Ok(outcome) => {
                             self.log_wait("server", &request.head.request_id, &place);
                             place.start();
@@ -582,15 +586,20 @@
         }
     }
 
-    /// Selects a server and sends it an attempt.
+    /// Selects a server and sends it an attempt. A request whose rank gives way is sent only to a server
+    /// with spare room.
     fn start_attempt(
         &self,
         request: &AcceptedRequest,
+        decision: RankDecision,
         plan: &mut AttemptPlan,
         race: &mut AttemptRace<W>,
     ) -> Result<StartOutcome, RefusalReason> {
         let now = self.state.now();
         let placed = place_request(&self.state, now, request, plan.tried())?;
+        if decision == RankDecision::Deferred && !has_spare_room(&self.state, &placed) {
+            return Err(request.defer_refusal(&self.state));
+        }
         if race.start(placed, plan.deadline(), request.head.resume_after) {
             return Ok(StartOutcome::Started);
         }
@@ -689,6 +698,12 @@
     }
 
     fn refuse_accepted(&self, request: &AcceptedRequest, reason: RefusalReason) -> GatewayReply {
+        if matches!(
+            reason.code,
+            ResultCode::QueueFull | ResultCode::GoalOutOfReach | ResultCode::WaitExpired
+        ) {
+            request.on_goal_missed(&self.state);
+        }
         refund_quota(&self.state, request);
         self.refuse_with_log(request, reason, "attempts=0")
     }
--- a/lib/src/gateway/waiting.rs
+++ b/lib/src/gateway/waiting.rs
@@ -1,6 +1,7 @@
 //! Requests that wait at their host for a server or for their team's quota.
 
 pub mod line_driver;
+pub mod rank_shares;
 pub mod retry_time;
 pub mod route_times;
 pub mod start_pace;
--- a/lib/src/gateway/waiting/line_driver.rs
+++ b/lib/src/gateway/waiting/line_driver.rs
@@ -14,6 +14,9 @@
 
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::request_rank::RequestRank;
+use crate::gateway::waiting::rank_shares::RankReport;
+use crate::gateway::waiting::rank_shares::RankShares;
+use crate::gateway::waiting::rank_shares::ShareChange;
 use crate::gateway::waiting::route_times::RouteTimes;
 use crate::gateway::waiting::waiting_line::EnterDecision;
 use crate::gateway::waiting::waiting_line::WaitBounds;
@@ -73,6 +76,8 @@
     bells: RefCell<BTreeMap<WaitTicket, Rc<PlaceBell>>>,
     /// Measured times of routes.
     pub times: RefCell<RouteTimes>,
+    /// Shares of the ranks that are admitted.
+    pub shares: RefCell<RankShares>,
 }
 
 impl LineDriver {
@@ -263,6 +268,28 @@
     }
 }
 
+/// Decides anew which share of each rank is admitted, from what the peers state.
+pub fn update_shares(state: &GatewayState, reports: &[RankReport]) {
+    let changes = state.waiting.shares.borrow_mut().step(state.now(), reports);
+    for ShareChange { service, rank, before, share, missed } in changes {
+        let permille = (share * 1_000.0) as i64;
+        let labels = [service.as_str(), &rank.to_string()];
+        state.metrics.admitted_shares.with_label_values(&labels).set(permille);
+        let event = match (before >= 1.0, share >= 1.0) {
+            (true, false) => "rank_reduced",
+            (false, true) => "rank_restored",
+            (true, true) | (false, false) => continue,
+        };
+        state.metrics.events.with_label_values(&[event]).inc();
+        log::info!(
+            "event={event} service={service} rank={rank} share_permille={permille} \
+             missed_permille={:.0} reports={}",
+            missed * 1_000.0,
+            reports.len(),
+        );
+    }
+}
+
 fn count_end(state: &GatewayState, rank: RequestRank, outcome: &str) {
     state.metrics.wait_ends.with_label_values(&[rank_label(rank).as_str(), outcome]).inc();
 }
--- a/lib/src/protos/pomelostack.gateway.rs
+++ b/lib/src/protos/pomelostack.gateway.rs
@@ -81,6 +81,25 @@
     /// Whether the sender is leaving.
     #[prost(bool, tag = "27")]
     pub leaving: bool,
+    /// Ranks of requests at the sender; stated only while requests miss their latency goals.
+    #[prost(message, repeated, tag = "30")]
+    pub ranks: ::prost::alloc::vec::Vec<RankUse>,
+}
+/// Requests of one priority for one service that the sender admitted recently.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RankUse {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub rank: u32,
+    /// Tenths of requests that were admitted, and that missed their goals.
+    #[prost(uint32, tag = "3")]
+    pub requests: u32,
+    #[prost(uint32, tag = "4")]
+    pub missed: u32,
+    /// Thousandths of the requests that the sender admits.
+    #[prost(uint32, tag = "5")]
+    pub share: u32,
 }
 /// Quota units of one team in the sliding window.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/lib/src/result_code.rs
+++ b/lib/src/result_code.rs
@@ -123,6 +123,8 @@
     GoalOutOfReach = 214, NotRun, 503;
     /// The request waited, and no server had room in time for the latency goal.
     WaitExpired = 215, NotRun, 503;
+    /// The service is overloaded, and more urgent requests use what it can serve.
+    RankDeferred = 216, NotRun, 503;
 
     /// The backend server was lost while it ran non-idempotent work.
     ServerLost = 300, Unknown, 502;
