--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -213,7 +213,7 @@
         self.retries.borrow_mut().set_bounds(settings.retries);
         self.quotas.borrow_mut().set_bounds(settings.quotas);
         *self.settings.borrow_mut() = Rc::new(settings);
-        self.waiting.on_change();
+        self.waiting.on_change(self.now());
     }
 
     /// Returns the current time on the process's clock.
@@ -505,7 +505,7 @@
             | DirectoryEffect::Unchanged => {}
         }
         self.record_server_event(event, key);
-        self.waiting.on_change();
+        self.waiting.on_change(self.now());
     }
 
     /// Records that a server joined or restarted, with the version of its software.
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -76,7 +76,7 @@
     let ranks = peers.fresh_summaries(now).flat_map(|summary| &summary.ranks);
     let ranks: Vec<RankReport> = ranks.filter_map(decode_rank).collect();
     line_driver::update_shares(state, &ranks);
-    state.waiting.on_change();
+    state.waiting.on_change(now);
 }
 
 fn encode_rank(report: &RankReport) -> RankUse {
--- a/lib/src/gateway/store_follower.rs
+++ b/lib/src/gateway/store_follower.rs
@@ -248,7 +248,7 @@
     state.metrics.events.with_label_values(&[event]).inc();
     let in_force = state.config.borrow().current().map_or(0, |config| config.version);
     set_level(state, "config_version", in_force);
-    state.waiting.on_change();
+    state.waiting.on_change(state.now());
     log::info!(
         "event={event} config={version} in_force={in_force} offset={} routes={routes} teams={teams}",
         read.next.0
--- a/lib/src/gateway/waiting/line_driver.rs
+++ b/lib/src/gateway/waiting/line_driver.rs
@@ -117,10 +117,12 @@
 
     /// Tells the first request of each line that there may be room: the loads of servers, the
     /// directory or the configuration changed.
-    pub fn on_change(&self) {
+    pub fn on_change(&self, now: Timestamp) {
         if self.is_idle() {
             return;
         }
+        let late = self.line.borrow_mut().expire(now);
+        self.refuse(&late, WaitRefusal::Expired);
         let causes = self.line.borrow().causes();
         for cause in &causes {
             let next = self.line.borrow_mut().call_next(cause);
@@ -195,12 +197,13 @@
     /// first request of the line, if that is known.
     pub async fn next_turn(&mut self, retry_at: Option<Timestamp>) -> WaitTurn {
         loop {
+            let now = self.state.now();
             match self.bell.signal.take() {
-                Some(PlaceSignal::Try) => return WaitTurn::Try,
                 Some(PlaceSignal::Refuse(reason)) => return WaitTurn::Refused(reason),
+                _ if self.bounds.is_over(now) => return WaitTurn::Refused(WaitRefusal::Expired),
+                Some(PlaceSignal::Try) => return WaitTurn::Try,
                 None => {}
             }
-            let now = self.state.now();
             if now >= self.bounds.start_by {
                 return WaitTurn::FinalTry;
             }
--- a/lib/src/gateway/waiting/rank_shares.rs
+++ b/lib/src/gateway/waiting/rank_shares.rs
@@ -27,6 +27,10 @@
 /// Share of missed goals from which on less is admitted.
 const HIGH_MISSED: f64 = 0.15;
 
+/// Share of missed goals from which on less is admitted of a rank that misses its own goals and has no
+/// less urgent one to give way. Fewer late answers are worth more than the refusals that avoid them.
+const COLLAPSE_MISSED: f64 = 0.5;
+
 /// Share of missed goals below which more is admitted.
 const LOW_MISSED: f64 = 0.05;
 
@@ -308,12 +312,14 @@
     }
     match worst {
         // The least urgent rank gives way first.
-        Some(_) => {
+        Some((worst, missed)) => {
             let settled = |state: &RankState| {
                 state.least_since.is_some_and(|since| now.since(since) >= SETTLE_TIME)
             };
-            let giving = ranks.values_mut().rev().find(|state| !settled(state));
-            if let Some(state) = giving {
+            let giving = ranks.iter_mut().rev().find(|(_, state)| !settled(state));
+            if let Some((rank, state)) = giving
+                && (*rank > worst || missed > COLLAPSE_MISSED)
+            {
                 state.share = (state.share * DECREASE_FACTOR).max(MIN_SHARE);
             }
         }
--- a/lib/src/gateway/waiting/waiting_line.rs
+++ b/lib/src/gateway/waiting/waiting_line.rs
@@ -41,6 +41,10 @@
 /// Part of a request's time after which it waits no longer.
 const MAX_WAIT_FRACTION: f64 = 0.75;
 
+/// Time after which a request that had to start is no longer tried: its host was frozen meanwhile, or
+/// is too busy to serve it in time.
+pub const FINAL_TRY_TIME: Duration = Duration::from_millis(250);
+
 /// Number of lines from which those without requests are dropped.
 const MAX_IDLE_LINES: usize = 64;
 
@@ -95,6 +99,13 @@
     }
 }
 
+impl WaitBounds {
+    /// Returns whether the time for a final try has passed.
+    pub fn is_over(&self, now: Timestamp) -> bool {
+        self.start_by + FINAL_TRY_TIME <= now
+    }
+}
+
 /// A request that asks to wait.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WaitRequest {
@@ -404,9 +415,9 @@
         Some(entry)
     }
 
-    /// Removes the requests that had to start before now.
+    /// Removes the requests whose time for a final try has passed.
     pub fn expire(&mut self, now: Timestamp) -> Vec<WaitTicket> {
-        let is_late = |entry: &WaitEntry| entry.request.bounds.start_by <= now;
+        let is_late = |entry: &WaitEntry| entry.request.bounds.is_over(now);
         let late = self.entries.iter().filter(|(_, entry)| is_late(entry));
         let late: Vec<WaitTicket> = late.map(|(ticket, _)| *ticket).collect();
         late.iter().for_each(|ticket| drop(self.remove(*ticket)));
