--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -354,7 +354,7 @@
     /// Admits a request to its team's quota; it may wait until units are free again.
     async fn pass_quota(&self, ask: QuotaAsk<'_>) -> Result<(), RefusalReason> {
         let mut request = ask.wait_request(&self.state);
-        let start_by = request.bounds.start_by;
+        let bounds = request.bounds;
         let mut has_asked = false;
         let mut expected = None;
         if !self.state.waiting.must_wait(&request) {
@@ -364,7 +364,7 @@
             };
             let now = self.state.now();
             // What a refused stream needs is kept for its return.
-            if ask.claim == QuotaClaim::TakenUp || now + retry_after > start_by {
+            if ask.claim == QuotaClaim::TakenUp || !bounds.allows(now, retry_after) {
                 return Err(ask.refusal(now, retry_after));
             }
             (has_asked, expected) = (true, Some(retry_after));
@@ -401,7 +401,7 @@
                 return Ok(());
             };
             (has_asked, expected) = (true, Some(retry_after));
-            if turn == WaitTurn::FinalTry || self.state.now() + retry_after > start_by {
+            if turn == WaitTurn::FinalTry || !bounds.allows(self.state.now(), retry_after) {
                 place.refuse(WaitRefusal::Expired);
                 return Err(refuse(expected));
             }
--- a/lib/src/gateway/waiting/waiting_line.rs
+++ b/lib/src/gateway/waiting/waiting_line.rs
@@ -100,6 +100,11 @@
 }
 
 impl WaitBounds {
+    /// Returns whether the request may wait for room that comes after `room_in`.
+    pub fn allows(&self, now: Timestamp, room_in: Duration) -> bool {
+        now + room_in <= self.start_by
+    }
+
     /// Returns whether the time for a final try has passed.
     pub fn is_over(&self, now: Timestamp) -> bool {
         self.start_by + FINAL_TRY_TIME <= now
--- a/lib/tests/test_waiting_line.rs
+++ b/lib/tests/test_waiting_line.rs
@@ -2,7 +2,14 @@
 
 use std::time::Duration;
 
+use pomelostack_lib::gateway::quota::quota_limiter::PeerReachability;
+use pomelostack_lib::gateway::quota::quota_limiter::QuotaBounds;
+use pomelostack_lib::gateway::quota::quota_limiter::QuotaClaim;
+use pomelostack_lib::gateway::quota::quota_limiter::QuotaDecision;
+use pomelostack_lib::gateway::quota::quota_limiter::QuotaLimiter;
+use pomelostack_lib::gateway::quota::quota_limiter::QuotaRequest;
 use pomelostack_lib::gateway::request_rank::RequestRank;
+use pomelostack_lib::gateway::serving_config::TeamQuota;
 use pomelostack_lib::gateway::waiting::retry_time::stated_retry_after;
 use pomelostack_lib::gateway::waiting::waiting_line::EnterDecision;
 use pomelostack_lib::gateway::waiting::waiting_line::FINAL_TRY_TIME;
@@ -233,3 +240,33 @@
     let hopeless = Duration::from_millis(2_500);
     assert_eq!(stated_retry_after(hopeless, left, "r-1"), hopeless);
 }
+
+/// Guards against a request that waits for quota on and on, or gets it, although the quota was lowered
+/// meanwhile.
+#[test]
+fn lowered_quota() {
+    let window = Duration::from_secs(8);
+    let bounds = QuotaBounds { window, tolerance_ratio: 0.0, tolerance_units: 0.0 };
+    let mut limiter = QuotaLimiter::new(bounds);
+    let team = TeamName::try_from("club").expect("a valid name");
+    let mut ask = |now, rate, has_asked| {
+        let rank = RequestRank { priority: 1, route: 1 };
+        let request = QuotaRequest { units: 2_000, claim: QuotaClaim::New, rank, has_asked };
+        let reachability = PeerReachability::Majority { silent: 0, known: 1 };
+        let quota = TeamQuota { rate, burst: 0 };
+        match limiter.admit(now, &team, quota, request, reachability) {
+            QuotaDecision::Admitted => None,
+            QuotaDecision::Exceeded { retry_after, .. } => Some(retry_after),
+        }
+    };
+    let soon = Duration::from_millis(300);
+    let refused = (1..2_000).find_map(|step| {
+        let now = at(step * 10);
+        ask(now, 10_000, false).filter(|retry_after| *retry_after <= soon).map(|room| (now, room))
+    });
+    let (now, room_in) = refused.expect("the quota is free again soon");
+    let bounds = request(now, 1).bounds;
+    assert!(bounds.allows(now, room_in));
+    let lowered = ask(now, 100, true).expect("the lowered quota is spent");
+    assert!(!bounds.allows(now, lowered), "{lowered:?}");
+}
