--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -68,4 +68,5 @@
 pub mod version_keeper;
 pub mod version_ledger;
 pub mod version_records;
+pub mod waiting;
 pub mod zones;
--- a/lib/src/gateway/gateway_metrics.rs
+++ b/lib/src/gateway/gateway_metrics.rs
@@ -64,6 +64,14 @@
     pub late_answers: IntCounterVec,
     /// Time to the first event as a multiple of the expected time, by service.
     pub first_event_ratio: HistogramVec,
+    /// Gauge: requests that wait for a server or for quota, by rank.
+    pub waiting_requests: IntGaugeVec,
+    /// Seconds for which requests waited, by rank.
+    pub wait_time: HistogramVec,
+    /// Waits that ended and refused ones, by rank and outcome.
+    pub wait_ends: IntCounterVec,
+    /// Gauge: thousandths of the requests that are admitted, by service and rank.
+    pub admitted_shares: IntGaugeVec,
 }
 
 impl GatewayMetrics {
@@ -116,6 +124,16 @@
             &["service"],
         )?;
         registry.register(Box::new(rollout_share.clone()))?;
+        let waiting_requests = IntGaugeVec::new(
+            Opts::new("pomelostack_waiting_requests", "Requests that wait."),
+            &["rank"],
+        )?;
+        registry.register(Box::new(waiting_requests.clone()))?;
+        let admitted_shares = IntGaugeVec::new(
+            Opts::new("pomelostack_admitted_permille", "Thousandths of requests admitted."),
+            &["service", "rank"],
+        )?;
+        registry.register(Box::new(admitted_shares.clone()))?;
         Ok(Self {
             quota_decisions: counter(
                 "pomelostack_quota_decisions_total",
@@ -176,6 +194,18 @@
             servers,
             speeds,
             first_event_ratio,
+            waiting_requests,
+            admitted_shares,
+            wait_time: histogram(
+                "pomelostack_wait_seconds",
+                "Seconds for which requests waited.",
+                "rank",
+            )?,
+            wait_ends: counter(
+                "pomelostack_waits_total",
+                "Waits that ended or were refused.",
+                &["rank", "outcome"],
+            )?,
             registry,
         })
     }
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -27,6 +27,8 @@
 use crate::gateway::server_limit::RequestLimit;
 use crate::gateway::store_follower;
 use crate::gateway::usage_ledger::TeamCounts;
+use crate::gateway::waiting::line_driver;
+use crate::gateway::waiting::rank_shares::RankReport;
 use crate::gateway::zones::zone_flow::FlowChange;
 use crate::gateway::zones::zone_flow::ZoneLoad;
 use crate::ids::HostId;
@@ -39,6 +41,7 @@
 use crate::ids::ZoneName;
 use crate::protos::gateway::Departure;
 use crate::protos::gateway::HostSummary;
+use crate::protos::gateway::RankUse;
 use crate::protos::gateway::ServerChange;
 use crate::protos::gateway::ServerLimit;
 use crate::protos::gateway::ServerUse;
@@ -63,6 +66,9 @@
 
 /// Usual time that a summary takes.
 const SUMMARY_TRANSIT: Duration = Duration::from_millis(30);
+/// Units of a rank's counts and of its admitted share in a summary.
+const TENTHS: f64 = 10.0;
+const THOUSANDTHS: f64 = 1_000.0;
 
 /// Updates placement and quotas with the current state of the peers.
 pub fn apply_peer_summaries(state: &GatewayState) {
@@ -99,6 +105,30 @@
     drop(placement);
     let heard = i64::try_from(peers.live_peers(now)).unwrap_or(i64::MAX);
     state.metrics.levels.with_label_values(&["peers"]).set(heard);
+    let ranks = peers.fresh_summaries(now).flat_map(|summary| &summary.ranks);
+    let ranks: Vec<RankReport> = ranks.filter_map(decode_rank).collect();
+    line_driver::update_shares(state, &ranks);
+    state.waiting.on_change(now);
+}
+
+fn encode_rank(report: &RankReport) -> RankUse {
+    RankUse {
+        service: report.service.to_string(),
+        rank: report.rank,
+        requests: (report.requests * TENTHS).ceil() as u32,
+        missed: (report.missed * TENTHS) as u32,
+        share: (report.share * THOUSANDTHS) as u32,
+    }
+}
+
+fn decode_rank(told: &RankUse) -> Option<RankReport> {
+    Some(RankReport {
+        service: ServiceName::try_from(told.service.as_str()).ok()?,
+        rank: told.rank,
+        requests: f64::from(told.requests) / TENTHS,
+        missed: f64::from(told.missed) / TENTHS,
+        share: f64::from(told.share) / THOUSANDTHS,
+    })
 }
 
 /// Load of every service in every zone. There are few of both, and a load is added for each server of each
@@ -510,6 +540,7 @@
     let recent = state.directory_gossip.borrow_mut().recent_changes(now, peers_read_to);
     let directory_read_to = state.directory_gossip.borrow().read_to();
     let news = CrashNews::recent(state, now, sequence);
+    let ranks = state.waiting.shares.borrow_mut().reports(now);
     let departures = directory.recent_departures(now).map(|(server, started_at_ms)| Departure {
         server: server.to_string(),
         born_ms: started_at_ms,
@@ -528,6 +559,7 @@
         timeliness: speed_gossip::encode_lateness(now, &state.lateness.borrow()),
         rollouts: state.rollouts.borrow().reports(now, sequence),
         leaving: state.shutdown.get().is_some(),
+        ranks: ranks.iter().map(encode_rank).collect(),
         crashes: news.crashes,
         cleared_parts: news.cleared_parts,
         verdicts: news.verdicts,
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -83,6 +83,8 @@
     pending_prefill_tokens: u64,
     /// What counts it as waiting at a version that is rolled out, until it is answered.
     unsettled: Option<(ServiceName, AttemptTicket)>,
+    /// Service of the server.
+    service: ServiceName,
     /// Whether it keeps a place at its server's limit, until it is handed to a connection.
     has_reserved: Cell<bool>,
     /// When it was handed to a connection.
@@ -145,6 +147,8 @@
             &version,
             &request.route.name,
         );
+        state.waiting.on_server_found(now, &request.service);
+        request.started_at.set(request.started_at.get().or(Some(now)));
         let attempt = Self {
             state: state.clone(),
             key,
@@ -157,6 +161,7 @@
             version,
             pending_prefill_tokens: uncached_tokens,
             unsettled: ticket.map(|ticket| (request.service.clone(), ticket)),
+            service: request.service.clone(),
             has_reserved: Cell::new(true),
             sent_at: Cell::new(now),
             moment,
@@ -281,6 +286,7 @@
         self.settle();
         self.release_place();
         self.state.placement.borrow_mut().on_ended(self.key);
+        self.state.waiting.on_room(&self.service);
     }
 }
 
--- a/lib/src/protos/pomelostack.gateway.rs
+++ b/lib/src/protos/pomelostack.gateway.rs
@@ -91,6 +91,25 @@
     /// Answers by software version, for services that are being rolled out.
     #[prost(message, repeated, tag = "36")]
     pub rollouts: ::prost::alloc::vec::Vec<RolloutReport>,
+    /// Ranks of requests at the sender; stated only while requests miss their latency goals.
+    #[prost(message, repeated, tag = "30")]
+    pub ranks: ::prost::alloc::vec::Vec<RankUse>,
+}
+/// Requests of one priority for one service that the sender admitted recently.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RankUse {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub rank: u32,
+    /// Tenths of requests that were admitted, and that missed their goals.
+    #[prost(uint32, tag = "3")]
+    pub requests: u32,
+    #[prost(uint32, tag = "4")]
+    pub missed: u32,
+    /// Thousandths of the requests that the sender admits.
+    #[prost(uint32, tag = "5")]
+    pub share: u32,
 }
 /// What one host saw of the roll-out of a software version.
 #[derive(Clone, PartialEq, ::prost::Message)]
--- a/lib/src/result_code.rs
+++ b/lib/src/result_code.rs
@@ -119,6 +119,12 @@
     StreamUntraced = 212, NotRun, 503;
     /// The software version that would begin the stream cannot be recorded now.
     VersionUnrecorded = 213, NotRun, 503;
+    /// No server is expected to have room in time for the latency goal.
+    GoalOutOfReach = 214, NotRun, 503;
+    /// The request waited, and no server had room in time for the latency goal.
+    WaitExpired = 215, NotRun, 503;
+    /// The service is overloaded, and more urgent requests use what it can serve.
+    RankDeferred = 216, NotRun, 503;
     /// Only servers of a software version that may not serve now are available.
     VersionWithheld = 220, NotRun, 503;
     /// An order to roll out a software version is not valid.
