waiting: other servers are tried where the cheapest one is kept for urgent ranks

The server with a prompt's prefix may be full for a rank while others have room; such a request was taken as one that finds every server full. The other servers are now tried before it waits or is refused. A stream that waits for servers of its version no longer holds up new requests, a new request behind others makes the first of them try, and none is refused while a server has room. A request that is not admitted does not wait.

--- a/lib/src/gateway/accepted_request.rs
+++ b/lib/src/gateway/accepted_request.rs
@@ -432,36 +432,70 @@
     }
 }
 
+/// Selects a server beside what is kept for more urgent requests. The cheapest one may be crowded, since
+/// it has the prompt's prefix, while others have room.
+pub fn place_by_rank(
+    state: &GatewayState,
+    now: Timestamp,
+    request: &AcceptedRequest,
+    decision: RankDecision,
+    tried: &[ServerKey],
+) -> Result<PlacedServer, RefusalReason> {
+    let placed = place_request(state, now, request, tried)?;
+    let reserved = match request.head.resume_after {
+        Some(_) => 0.0,
+        None => {
+            let rank = request.rank().priority;
+            state.waiting.shares.borrow().reserved_fraction(&request.service, rank)
+        }
+    };
+    if reserved <= 0.0 && decision == RankDecision::Admitted {
+        return Ok(placed);
+    }
+    let has_room = |key: ServerKey, slots: u32| match decision {
+        RankDecision::Admitted => has_rank_room(state, request, reserved, key, slots),
+        RankDecision::Deferred => has_spare_room(state, key, slots),
+    };
+    let excluded = {
+        let directory = state.directory.borrow();
+        let slots = directory.get(placed.key).map_or(0, |server| server.entry.slots);
+        if has_room(placed.key, slots) {
+            return Ok(placed);
+        }
+        let crowded = directory.of_service(&request.service);
+        let crowded = crowded.filter(|(key, server)| !has_room(*key, server.entry.slots));
+        tried.iter().copied().chain(crowded.map(|(key, _)| key)).collect::<Vec<ServerKey>>()
+    };
+    place_request(state, now, request, &excluded).map_err(|_| match decision {
+        RankDecision::Admitted => {
+            RefusalReason::until_room(ResultCode::QueueFull, QUEUE_FULL_RETRY_AFTER)
+        }
+        RankDecision::Deferred => request.defer_refusal(state),
+    })
+}
+
 /// Returns whether a server can take a request without making others late: it has free slots, and no
 /// prompt waits there to be prefilled.
-pub fn has_spare_room(state: &GatewayState, placed: &PlacedServer) -> bool {
-    let directory = state.directory.borrow();
-    let Some(server) = directory.get(placed.key) else { return false };
-    placed.running * SPARE_DIVISOR < server.entry.slots * (SPARE_DIVISOR - 1)
-        && state.placement.borrow().pending_tokens(placed.key) == 0
+fn has_spare_room(state: &GatewayState, key: ServerKey, slots: u32) -> bool {
+    let placement = state.placement.borrow();
+    placement.running(key) * SPARE_DIVISOR < slots * (SPARE_DIVISOR - 1)
+        && placement.pending_tokens(key) == 0
 }
 
-/// Returns whether a server has room for a request beside what is kept for more urgent ones.
-pub fn has_rank_room(
+/// Returns whether a server has room for a request beside the part of its slots that is kept for more
+/// urgent ones.
+fn has_rank_room(
     state: &GatewayState,
     request: &AcceptedRequest,
-    placed: &PlacedServer,
+    reserved: f64,
+    key: ServerKey,
+    slots: u32,
 ) -> bool {
-    if request.head.resume_after.is_some() {
-        return true;
-    }
-    let rank = request.rank().priority;
-    let reserved = state.waiting.shares.borrow().reserved_fraction(&request.service, rank);
-    if reserved <= 0.0 {
-        return true;
-    }
     let max_fill = match request.head.prompt {
         Some(_) => MAX_ENGINE_FILL,
         None => MAX_APP_FILL,
     };
-    let directory = state.directory.borrow();
-    let slots = directory.get(placed.key).map_or(0, |server| server.entry.slots);
-    f64::from(placed.running) < f64::from(slots) * (max_fill - reserved)
+    f64::from(state.placement.borrow().running(key)) < f64::from(slots) * (max_fill - reserved)
 }
 
 /// Returns the servers whose software version is not known now.
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -18,10 +18,8 @@
 use crate::gateway::accepted_request::REQUEST_BYTES;
 use crate::gateway::accepted_request::RefusalReason;
 use crate::gateway::accepted_request::RequestEnd;
-use crate::gateway::accepted_request::has_rank_room;
-use crate::gateway::accepted_request::has_spare_room;
 use crate::gateway::accepted_request::log_request_end;
-use crate::gateway::accepted_request::place_request;
+use crate::gateway::accepted_request::place_by_rank;
 use crate::gateway::accepted_request::refund_quota;
 use crate::gateway::accepted_request::refuse_absent;
 use crate::gateway::accepted_request::request_kind_label;
@@ -550,6 +548,9 @@
         let is_behind = plan.tried().is_empty()
             && !self.state.waiting.is_idle()
             && self.state.waiting.must_wait(&request.wait_request(&self.state));
+        if is_behind && decision == RankDecision::Deferred {
+            return Err(request.defer_refusal(&self.state));
+        }
         let reason = match is_behind {
             true => RefusalReason::until_room(ResultCode::QueueFull, QUEUE_FULL_RETRY_AFTER),
             false => match self.start_attempt(request, decision, plan, race) {
@@ -560,8 +561,19 @@
         let wait = request.wait_after(&self.state, reason);
         let mut place = match WaitingPlace::enter(&self.state, wait) {
             Ok(place) => place,
-            Err(refusal) => return Err(request.wait_refusal(&self.state, refusal, reason)),
+            Err(refusal) => {
+                // No request is refused while there is room, even if others are in front of it.
+                if is_behind && let Ok(started) = self.start_attempt(request, decision, plan, race)
+                {
+                    return Ok(started);
+                }
+                return Err(request.wait_refusal(&self.state, refusal, reason));
+            }
         };
+        if is_behind {
+            // Those in front may find the room that this request would have found.
+            self.state.waiting.on_room(&request.service);
+        }
         loop {
             let turn = place.next_turn(None).await;
             let refusal = match turn {
@@ -573,9 +585,12 @@
                             place.start();
                             return Ok(outcome);
                         }
-                        Err(latest) if !request.may_wait(latest) => return Err(latest),
+                        Err(latest) if !request.may_wait(latest) => {
+                            place.refuse(WaitRefusal::Expired);
+                            return Err(latest);
+                        }
                         Err(_) if turn == WaitTurn::Try => {
-                            place.on_tried(request.is_confined());
+                            place.on_tried(request.is_confined() || !plan.tried().is_empty());
                             continue;
                         }
                         Err(_) => WaitRefusal::Expired,
@@ -597,14 +612,7 @@
         race: &mut AttemptRace<W>,
     ) -> Result<StartOutcome, RefusalReason> {
         let now = self.state.now();
-        let placed = place_request(&self.state, now, request, plan.tried())?;
-        if decision == RankDecision::Deferred && !has_spare_room(&self.state, &placed) {
-            return Err(request.defer_refusal(&self.state));
-        }
-        if !has_rank_room(&self.state, request, &placed) {
-            let code = ResultCode::QueueFull;
-            return Err(RefusalReason::until_room(code, QUEUE_FULL_RETRY_AFTER));
-        }
+        let placed = place_by_rank(&self.state, now, request, decision, plan.tried())?;
         if race.start(placed, plan.deadline(), request.head.resume_after) {
             return Ok(StartOutcome::Started);
         }
--- a/lib/src/gateway/waiting/waiting_line.rs
+++ b/lib/src/gateway/waiting/waiting_line.rs
@@ -248,15 +248,14 @@
     }
 
     /// Returns whether requests wait that go before a new one. Streams that are taken up go behind
-    /// other such streams only.
+    /// other such streams only, and other requests not behind them.
     pub fn must_wait(&self, request: &WaitRequest) -> bool {
         let Some(line) = self.lines.get(&request.cause) else { return false };
         let key = request.key(WaitTicket(u64::MAX));
         let mut before = line.order.range(..key);
-        match request.class {
-            WaitClass::Resumed => before.any(|place| place.class == WaitClass::Resumed),
-            WaitClass::Returning | WaitClass::New => before.next().is_some(),
-        }
+        // Streams that are taken up may use some servers only, and others not those.
+        let is_resumed = |class: WaitClass| class == WaitClass::Resumed;
+        before.any(|place| is_resumed(place.class) == is_resumed(request.class))
     }
 
     /// Records that a request started, or that its quota was admitted.
--- a/lib/tests/test_waiting_line.rs
+++ b/lib/tests/test_waiting_line.rs
@@ -96,6 +96,11 @@
     // A stream that is taken up found room beside new requests before there were lines.
     let stream = WaitRequest { class: WaitClass::Resumed, ..request(at(101), 2) };
     assert!(!line.must_wait(&stream));
+    let first = WaitRequest { class: WaitClass::Resumed, ..request(at(101), 0) };
+    enter(&mut line, now, first.clone());
+    assert!(line.must_wait(&WaitRequest { arrived_at: at(102), ..first }));
+    // It waits for a server of its software version; others do not.
+    assert!(!line.must_wait(&request(at(101), 0)));
 }
 
 /// Guards against a request that is held although its goal is out of reach.
