--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -146,6 +146,10 @@
     }
 }
 
+/// A request waits for quota up to `1 / QUOTA_WAIT_DIVISOR` of its latency goal. With longer waits the
+/// requests with long goals took the units that those with short goals cannot wait for.
+const QUOTA_WAIT_DIVISOR: u32 = 8;
+
 /// Whether an attempt was sent.
 enum StartOutcome {
     /// It was.
@@ -364,7 +368,8 @@
             };
             let now = self.state.now();
             // What a refused stream needs is kept for its return.
-            if ask.claim == QuotaClaim::TakenUp || !bounds.allows(now, retry_after) {
+            let is_short = retry_after <= ask.route.latency_goal / QUOTA_WAIT_DIVISOR;
+            if ask.claim == QuotaClaim::TakenUp || !is_short || !bounds.allows(now, retry_after) {
                 return Err(ask.refusal(now, retry_after));
             }
             (has_asked, expected) = (true, Some(retry_after));
