quota: name the time until the pool opens in a refusal

Cause: an urgent request that is refused is mostly admitted from the bucket's reserve next, yet it was told the time until its host's own credit suffices, which is longer in large fleets.

Change: retry_after is the sooner of the two times.

--- a/lib/src/gateway/quota/quota_limiter.rs
+++ b/lib/src/gateway/quota/quota_limiter.rs
@@ -499,8 +499,9 @@
         let hidden = urgent_fraction(demand, class + 1)
             * window.hidden_units(surge, hidden_time, reachability);
         let pool_fraction = POOL_FRACTION + URGENT_POOL_FRACTION * urgent_fraction(demand, class);
-        let is_pooled = matches!(reachability, PeerReachability::Majority { .. })
-            && level - hidden >= pace.depth * pool_fraction;
+        let pool_level = pace.depth * pool_fraction + hidden + kept;
+        let has_pool = matches!(reachability, PeerReachability::Majority { .. });
+        let is_pooled = has_pool && level + kept >= pool_level;
         let saved = if claim == QuotaClaim::TakenUp { window.returning_credit } else { 0.0 };
         let missing = window.credits[class].missing_units() - saved;
         let admitted = is_pooled || missing <= 0.0;
@@ -533,6 +534,11 @@
             window.returning.push_back(ReturningStream { kept_until, units });
         }
         let retry_after = retry_time(missing, refill.rate).min(span.mul_f64(MAX_RETRY_FRACTION));
+        let pool_time = recovery_time(level + kept, pool_level, reserve_units(demand, pace));
+        let retry_after = match pool_time.filter(|_| has_pool) {
+            Some(pool_time) => retry_after.min(pool_time),
+            None => retry_after,
+        };
         let usage = QuotaUsage {
             own: (window.own.spent + units) as f64,
             peers: window.peers.spent as f64,
@@ -606,6 +612,20 @@
     Duration::from_secs_f64(seconds.clamp(0.0, MAX_WAIT_S)) + Duration::from_millis(1)
 }
 
+/// Returns the level that the hosts keep for surges of more urgent ranks.
+fn reserve_units(demand: ByRank<f64>, pace: QuotaPace) -> f64 {
+    let is_ranked = demand.iter().filter(|units| **units > 0.0).count() > 1;
+    if is_ranked { pace.depth * RESERVE_FRACTION } else { 0.0 }
+}
+
+/// Returns the time until the bucket reaches a level; `None` if it is not known to. The correction of
+/// the refill lets the level approach the reserve.
+fn recovery_time(level: f64, wanted: f64, reserve: f64) -> Option<Duration> {
+    let ratio = (reserve - level) / (reserve - wanted);
+    let is_reached = wanted < reserve && level < wanted;
+    is_reached.then(|| CORRECTION_TIME.mul_f64(ratio.ln()) + Duration::from_millis(1))
+}
+
 impl TeamWindow {
     fn new(phase: f64) -> Self {
         let credits = std::array::from_fn(|class| {
@@ -634,8 +654,7 @@
         let elapsed = self.refill_level(now, span, pace, assumed);
         let level = self.level.available(pace);
         let demand = self.demand();
-        let is_ranked = demand.iter().filter(|units| **units > 0.0).count() > 1;
-        let reserve = if is_ranked { pace.depth * RESERVE_FRACTION } else { 0.0 };
+        let reserve = reserve_units(demand, pace);
         let correction = (level - reserve) / CORRECTION_TIME.as_secs_f64();
         let factor = 1.0 + correction / pace.rate.max(f64::MIN_POSITIVE);
         let rate = pace.rate * factor.clamp(0.0, MAX_REFILL_FACTOR);
