--- a/lib/src/gateway/capacity/fleet_scaler.rs
+++ b/lib/src/gateway/capacity/fleet_scaler.rs
@@ -5,7 +5,8 @@
 //! that callers request, divided by the speed that is learned of the service's servers: it scales up at
 //! once, and down only after demand has stayed lower for a while. A learned speed shows neither bursts
 //! nor uneven servers. While callers are late, the servers that it saves compared with the initial guess
-//! are therefore added again, and those that the learned decoding speed asks for. `fleet_plan` turns the number of servers needed into orders for each zone.
+//! are therefore added again, and those that the learned decoding speed asks for. `fleet_plan` turns the
+//! number of servers needed into orders for each zone.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -28,7 +29,10 @@
 use crate::timestamp::Timestamp;
 
 /// Fraction of a server's capacity that demand may use; the rest absorbs bursts within seconds.
-const TARGET_UTILIZATION: f64 = 0.7;
+const TARGET_UTILIZATION: f64 = 0.6;
+
+/// The same for a learned speed, which contains what servers spend on decoding beside their prompts.
+const LEARNED_UTILIZATION: f64 = 0.7;
 
 /// Sliding window over which the peak demand sets the number of ordinary servers. It is short
 /// because servers are back within their start time, and servers kept after a short peak cost as
@@ -83,8 +87,12 @@
 impl TokenDemand {
     /// Returns the number of servers of a speed that the demand needs.
     pub fn required_servers(self, speed: ServiceSpeed) -> f64 {
+        let utilization = match speed.basis {
+            SpeedBasis::Guessed => TARGET_UTILIZATION,
+            SpeedBasis::Learned => LEARNED_UTILIZATION,
+        };
         (self.prefill / speed.prefill_tokens_per_s + self.output / speed.output_tokens_per_s)
-            / TARGET_UTILIZATION
+            / utilization
     }
 }
 
