--- a/lib/src/gateway/capacity/fleet_scaler.rs
+++ b/lib/src/gateway/capacity/fleet_scaler.rs
@@ -31,8 +31,9 @@
 /// Fraction of a server's capacity that demand may use; the rest absorbs bursts within seconds.
 const TARGET_UTILIZATION: f64 = 0.6;
 
-/// The same for a learned speed, which contains what servers spend on decoding beside their prompts.
-const LEARNED_UTILIZATION: f64 = 0.7;
+/// The same for a learned speed, which is less than that of an engine that only reads prompts: it contains
+/// what servers spend on decoding meanwhile. With 0.7 fleets of engines like the initial guess grew.
+const LEARNED_UTILIZATION: f64 = 0.85;
 
 /// Sliding window over which the peak demand sets the number of ordinary servers. It is short
 /// because servers are back within their start time, and servers kept after a short peak cost as
