fleet_scaler: late callers add servers up to the initial guess only

Cause: with a low learned decoding speed, late callers added servers beyond the initial guess, also where they were late for other reasons.

Result: test_fleet_scaler 17 passed.

--- a/lib/src/gateway/capacity/fleet_scaler.rs
+++ b/lib/src/gateway/capacity/fleet_scaler.rs
@@ -5,8 +5,7 @@
 //! that callers request, divided by the speed that is learned of the service's servers: it scales up at
 //! once, and down only after demand has stayed lower for a while. A learned speed shows neither bursts
 //! nor uneven servers. While callers are late, the servers that it saves compared with the initial guess
-//! are therefore added again, and those that the learned decoding speed asks for. `fleet_plan` turns the
-//! number of servers needed into orders for each zone.
+//! are therefore added again. `fleet_plan` turns the number of servers needed into orders for each zone.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -268,8 +267,7 @@
     fn required_servers(&self, now: Timestamp, window: Duration) -> f64 {
         let Some(peak) = self.peak(now, window) else { return 0.0 };
         let guessed = peak.demand.required_servers(ServiceSpeed::INITIAL);
-        let cautious = peak.demand.required_servers(self.speed).max(guessed);
-        peak.servers + (cautious - peak.servers).max(0.0) * self.relief
+        peak.servers + (guessed - peak.servers).max(0.0) * self.relief
     }
 
     /// Returns the orders for one kind of server to place now, given the servers listed in each zone.
