logs: connection of each attempt, and how changes of the directory reach a host

The logs could not tell whether a connection had been used before, whether a response named its request, when a request was handed to its connection, who had read a change of the directory, whether it was told, and whether a removal was held.

No logic changes: the pool counts its connections and their requests, and the directory says when it begins to hold removals.

--- a/lib/src/gateway/backend_directory.rs
+++ b/lib/src/gateway/backend_directory.rs
@@ -143,6 +143,15 @@
     Peer,
 }
 
+/// Whether removals that are read from now on are held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RemovalHold {
+    /// They are, and were not before.
+    Begun,
+    /// Nothing changed, but for how long they are held.
+    Unchanged,
+}
+
 /// A server's own word that it is leaving. It holds for the process that gave it, whatever the
 /// directory lists.
 #[derive(Clone, Copy, Debug)]
@@ -215,21 +224,33 @@
 impl BackendDirectory {
     /// Records a successful read of the store. A gap of [`STORE_OUTAGE_THRESHOLD`] before it, or
     /// another era, starts the grace period.
-    pub fn on_read(&mut self, now: Timestamp, era: StoreEra) {
-        self.on_peer_read(now, now);
+    pub fn on_read(&mut self, now: Timestamp, era: StoreEra) -> RemovalHold {
+        let hold = self.on_peer_read(now, now);
         self.reads.on_read(now);
         if self.era.replace(era).is_some_and(|known| known != era) {
-            self.grace_ends_at = Some(now + RECOVERY_GRACE_PERIOD);
+            return self.hold_removals(now);
         }
+        hold
     }
 
     /// Records that a peer read the store successfully at the given time. The first read after a
     /// long gap starts the grace period on this host as well.
-    pub fn on_peer_read(&mut self, now: Timestamp, at: Timestamp) {
-        if self.reads.newest().is_some_and(|known| at.since(known) >= STORE_OUTAGE_THRESHOLD) {
-            self.grace_ends_at = Some(now + RECOVERY_GRACE_PERIOD);
-        }
+    pub fn on_peer_read(&mut self, now: Timestamp, at: Timestamp) -> RemovalHold {
+        let after_gap =
+            self.reads.newest().is_some_and(|known| at.since(known) >= STORE_OUTAGE_THRESHOLD);
         self.reads.on_peer_read(at);
+        if after_gap { self.hold_removals(now) } else { RemovalHold::Unchanged }
+    }
+
+    fn hold_removals(&mut self, now: Timestamp) -> RemovalHold {
+        let was_held = self.removal_held_for(now).is_some();
+        self.grace_ends_at = Some(now + RECOVERY_GRACE_PERIOD);
+        if was_held { RemovalHold::Unchanged } else { RemovalHold::Begun }
+    }
+
+    /// Returns for how long a removal that is read now is held; `None` if it has an effect at once.
+    pub fn removal_held_for(&self, now: Timestamp) -> Option<Duration> {
+        self.grace_ends_at.filter(|until| *until > now).map(|until| until.since(now))
     }
 
     /// Returns whether this host should read the directory at the full rate: missing entries may
@@ -241,9 +262,9 @@
 
     /// Records that a read of the store failed or was refused; entries that expire from now on may
     /// reappear.
-    pub fn on_read_failure(&mut self, now: Timestamp) {
+    pub fn on_read_failure(&mut self, now: Timestamp) -> RemovalHold {
         self.failures_recent_until = Some(now + RECOVERY_GRACE_PERIOD);
-        self.grace_ends_at = Some(now + RECOVERY_GRACE_PERIOD);
+        self.hold_removals(now)
     }
 
     /// Applies a change; one that is not newer than the last known record of the server has no
--- a/lib/src/gateway/connection_pool.rs
+++ b/lib/src/gateway/connection_pool.rs
@@ -4,6 +4,7 @@
 //! cancels the request when its caller has disconnected; only [`PooledConnection::release`] returns
 //! the connection to the pool.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -91,6 +92,15 @@
     struct ConnectionKey;
 }
 
+/// Identifies a connection among those that this process opens, and how often it has been used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionUse {
+    /// Number of the connection, in the order of opening.
+    pub connection: u64,
+    /// Number of requests that were sent on it before.
+    pub requests: u32,
+}
+
 /// A connection whose other end has not closed it.
 struct LiveConnection {
     address: SocketAddr,
@@ -123,6 +133,8 @@
     sender: SendRequest<Full<Bytes>>,
     head_allowance: HeadAllowance,
     task: JoinHandle<()>,
+    /// Number of the connection, and of the requests that were sent on it.
+    usage: ConnectionUse,
 }
 
 impl Drop for OpenConnection {
@@ -149,6 +161,8 @@
     connect_times: ConnectTimes,
     /// Budget of the heads that are awaited.
     heads: BufferBudget,
+    /// Number of connections opened.
+    opened: Rc<Cell<u64>>,
 }
 
 impl Default for ConnectionPool {
@@ -159,6 +173,7 @@
             live: LiveTable::default(),
             connect_times: ConnectTimes::default(),
             heads,
+            opened: Rc::default(),
         }
     }
 }
@@ -201,7 +216,7 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, PooledConnection)> {
-        self.call_if(address, request, || true).await
+        self.call_if(address, request, |_| true).await
     }
 
     /// Sends a request as [`Self::call`] does, if `is_wanted` still holds once there is a connection.
@@ -209,7 +224,7 @@
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
-        is_wanted: impl Fn() -> bool,
+        is_wanted: impl Fn(ConnectionUse) -> bool,
     ) -> Result<(Response<Incoming>, PooledConnection)> {
         loop {
             let (mut connection, reused) = match self.take_idle(address) {
@@ -219,9 +234,10 @@
             if reused && connection.sender.ready().await.is_err() {
                 continue;
             }
-            if !is_wanted() {
+            if !is_wanted(connection.usage) {
                 return Err(CallError::Withheld);
             }
+            connection.usage.requests += 1;
             connection.head_allowance.start(self.heads.lease(MAX_HEAD_BYTES));
             let sent = connection.sender.try_send_request(request).await;
             connection.head_allowance.stop();
@@ -288,7 +304,9 @@
             }
             drop(guard);
         });
-        Ok(OpenConnection { sender, head_allowance, task })
+        self.opened.set(self.opened.get() + 1);
+        let usage = ConnectionUse { connection: self.opened.get(), requests: 0 };
+        Ok(OpenConnection { sender, head_allowance, task, usage })
     }
 
     fn record_connect_time(&self, address: SocketAddr, time: Duration) {
--- a/lib/src/gateway/directory_gossip.rs
+++ b/lib/src/gateway/directory_gossip.rs
@@ -67,6 +67,8 @@
     pub changes: Vec<ServerChange>,
     /// Number of changes since the host started.
     pub count: u64,
+    /// Number of changes that are not told, since enough peers have read them.
+    pub untold: usize,
 }
 
 impl DirectoryGossip {
@@ -104,7 +106,8 @@
             read.is_told || !peers_read_to.is_some_and(|read_to| read.is_before(read_to))
         });
         // A change that is never told counts for nobody.
-        self.count -= (queued - self.changes.len()) as u64;
+        let untold = queued - self.changes.len();
+        self.count -= untold as u64;
         let encode = |read: &mut ReadChange| {
             read.is_told = true;
             encode_change(read.position, &read.change)
@@ -112,6 +115,7 @@
         GossipedChanges {
             changes: self.changes.iter_mut().map(encode).collect(),
             count: self.count,
+            untold,
         }
     }
 }
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -26,6 +26,7 @@
 use crate::gateway::rollout::rollout_keeper;
 use crate::gateway::server_limit::RequestLimit;
 use crate::gateway::store_follower;
+use crate::gateway::store_follower::ChangeSource;
 use crate::gateway::usage_ledger::TeamCounts;
 use crate::gateway::waiting::line_driver;
 use crate::gateway::waiting::rank_shares::RankReport;
@@ -293,7 +294,8 @@
         rollout_keeper::apply_reports(state, &(host, incarnation), &rollouts);
     }
     if let Some(age) = read_age {
-        state.directory.borrow_mut().on_peer_read(now, now - age);
+        let hold = state.directory.borrow_mut().on_peer_read(now, now - age);
+        store_follower::log_hold(hold, "Peer");
     }
     if has_missed {
         state.directory_hint.set(true);
@@ -331,7 +333,7 @@
     match decode_change(encoded) {
         Some((position, change)) => {
             // Peers receive the change from the host that read it.
-            store_follower::apply_change(state, position, change);
+            store_follower::apply_change(state, position, change, ChangeSource::Peer);
         }
         None => {
             log::warn!("event=server_change_skipped code=404 offset={}", encoded.offset);
@@ -538,6 +540,9 @@
     let limits = limits.into_iter().map(|told| encode_limit(now, &told));
     let peers_read_to = read_by_enough(state.peers.borrow().directory_positions(now));
     let recent = state.directory_gossip.borrow_mut().recent_changes(now, peers_read_to);
+    if recent.untold > 0 {
+        log::info!("event=directory_changes_untold count={}", recent.untold);
+    }
     let directory_read_to = state.directory_gossip.borrow().read_to();
     let news = CrashNews::recent(state, now, sequence);
     let ranks = state.waiting.shares.borrow_mut().reports(now);
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -1,6 +1,7 @@
 //! One attempt of a request at one backend server.
 
 use std::cell::Cell;
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -30,6 +31,7 @@
 use crate::gateway::capacity::speed_table::PromptRead;
 use crate::gateway::capacity::speed_table::ServerMoment;
 use crate::gateway::connection_pool::CallError;
+use crate::gateway::connection_pool::ConnectionUse;
 use crate::gateway::connection_pool::PooledConnection;
 use crate::gateway::crash_tracker::ExitEvidence;
 use crate::gateway::crash_tracker::LostAttempt;
@@ -44,6 +46,7 @@
 use crate::gateway::platform_api::WireProtocol;
 use crate::gateway::process_doubts::ProcessLabel;
 use crate::gateway::process_probe::ProbeOutcome;
+use crate::gateway::read_schedule::ReadTimes;
 use crate::gateway::rollout::answer_tally::AnswerOutcome;
 use crate::gateway::rollout::rollout_book::AttemptTicket;
 use crate::gateway::rollout::rollout_keeper;
@@ -89,6 +92,8 @@
     has_reserved: Cell<bool>,
     /// When it was handed to a connection.
     sent_at: Cell<Timestamp>,
+    /// Connection that it was handed to, and how often that had been used before.
+    connection: Cell<Option<ConnectionUse>>,
     /// State of the server when it was sent.
     moment: ServerMoment,
     /// What the server reads before the first event, if the time to it shows the server's speed.
@@ -108,12 +113,15 @@
     ) -> Option<Self> {
         let PlacedServer { key, running, uncached_tokens, limited } = placed;
         let now = state.now();
-        let (id, address, started_at_ms, version, slots, read_age) = {
+        let (id, address, started_at_ms, version, slots, reads) = {
             let directory = state.directory.borrow();
             let server = directory.get(key)?;
             let BackendEntry { id, address, started_at_ms, version, slots, .. } = &server.entry;
-            let read_age = directory.read_age(now);
-            (id.clone(), *address, *started_at_ms, version.clone(), *slots, read_age)
+            let reads = directory.read_times();
+            (id.clone(), *address, *started_at_ms, version.clone(), *slots, reads)
+        };
+        let read_age = |at: fn(ReadTimes) -> Timestamp| {
+            reads.map_or(Duration::ZERO, |reads| now.since(at(reads))).as_millis()
         };
         let (pending_tokens, expected) = {
             let placement = state.placement.borrow();
@@ -125,12 +133,13 @@
         let limit = state.placement.borrow().limits().limit(&id, started_at_ms);
         log::info!(
             "event=attempt_started request={} server={id} version={version} origin={} after={} \
-             running={running} uncached_tokens={uncached_tokens} directory_age_ms={} peers={} limit_per_s={} \
-             closed_by_limits={limited}",
+             running={running} uncached_tokens={uncached_tokens} directory_age_ms={} peer_read_age_ms={} \
+             peers={} limit_per_s={} closed_by_limits={limited}",
             request.head.request_id,
             request.head.origin,
             EventNumber(resume_after),
-            read_age.unwrap_or_default().as_millis(),
+            read_age(|reads| reads.own),
+            read_age(|reads| reads.newest),
             state.peers.borrow().live_peers(now),
             limit.map_or("-".to_owned(), |limit| limit.per_second().to_string()),
         );
@@ -164,6 +173,7 @@
             service: request.service.clone(),
             has_reserved: Cell::new(true),
             sent_at: Cell::new(now),
+            connection: Cell::default(),
             moment,
             expected,
             read: Cell::new(
@@ -387,7 +397,7 @@
     let state = attempt.state.clone();
     let message = AttemptRequest { server: attempt.server(), time_left, resume_after };
     let message = request.message(wire, &message);
-    let is_wanted = || hand_over(&state, request, &attempt);
+    let is_wanted = |usage| hand_over(&state, request, &attempt, usage);
     let (response, mut connection) =
         match state.pool.call_if(attempt.address, message, is_wanted).await {
             Ok(called) => called,
@@ -418,9 +428,20 @@
     let (head, body) = response.into_parts();
     record_notice(&state, &attempt, wire.read_notice(&request.head.request_id, &head));
     let class = wire.classify_response(&request.head.request_id, &head);
-    if !wire.names_request(&head) {
+    let names_request = wire.names_request(&head);
+    if !names_request {
         connection.forbid_reuse();
     }
+    if class != ResponseClass::Relay {
+        log::info!(
+            "event=attempt_response request={} server={} connection={} status={} class={class:?} \
+             names_request={names_request}",
+            request.head.request_id,
+            attempt.server(),
+            ConnectionLabel(attempt.connection.get()),
+            head.status.as_u16(),
+        );
+    }
     if class == ResponseClass::Relay && request.route.kind.is_stream() && head.status.is_success() {
         let response = Response::from_parts(head, body);
         let begun = BegunStream::new(&state.buffers);
@@ -442,7 +463,12 @@
 }
 
 /// Returns whether a request may be handed to its server's connection, and records it if so.
-fn hand_over(state: &GatewayState, request: &AcceptedRequest, attempt: &ServerAttempt) -> bool {
+fn hand_over(
+    state: &GatewayState,
+    request: &AcceptedRequest,
+    attempt: &ServerAttempt,
+    usage: ConnectionUse,
+) -> bool {
     let (now, server) = (state.now(), attempt.server());
     if state.crashes.borrow().is_refused(&request.work)
         || !rollout_keeper::may_send(state, &request.service, &attempt.version)
@@ -463,7 +489,15 @@
         state.metrics.events.with_label_values(&["limited_sent"]).inc();
     }
     attempt.sent_at.set(now);
+    attempt.connection.set(Some(usage));
     placement.on_handed_over(now, server);
+    log::info!(
+        "event=attempt_sent request={} server={server} connection={} earlier_requests={} waited_ms={}",
+        request.head.request_id,
+        usage.connection,
+        usage.requests,
+        now.since(attempt.began_at).as_millis(),
+    );
     true
 }
 
@@ -649,6 +683,18 @@
     }
 }
 
+/// Displays the number of a connection, or `-` if there is none.
+struct ConnectionLabel(Option<ConnectionUse>);
+
+impl fmt::Display for ConnectionLabel {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(usage) => write!(formatter, "{}", usage.connection),
+            None => formatter.write_str("-"),
+        }
+    }
+}
+
 fn log_failure(
     state: &GatewayState,
     request: &AcceptedRequest,
@@ -658,9 +704,11 @@
 ) {
     state.metrics.attempts.with_label_values(&[&format!("{failure:?}")]).inc();
     log::info!(
-        "event=attempt_failed request={} server={} failure={failure:?} parts={} detail=\"{detail}\"",
+        "event=attempt_failed request={} server={} failure={failure:?} connection={} parts={} \
+         detail=\"{detail}\"",
         request.head.request_id,
         attempt.server(),
+        ConnectionLabel(attempt.connection.get()),
         PartList(request.head.prompt.as_ref()),
     );
 }
--- a/lib/src/gateway/store_follower.rs
+++ b/lib/src/gateway/store_follower.rs
@@ -12,6 +12,7 @@
 use crate::gateway::backend_directory::DirectoryChange;
 use crate::gateway::backend_directory::DirectoryEffect;
 use crate::gateway::backend_directory::ExpiredServer;
+use crate::gateway::backend_directory::RemovalHold;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::log_cursor::CursorStep;
 use crate::gateway::log_cursor::LogCursor;
@@ -301,7 +302,8 @@
                     cursor.on_dropped();
                 } else {
                     let now = state.now();
-                    state.directory.borrow_mut().on_read_failure(now);
+                    let hold = state.directory.borrow_mut().on_read_failure(now);
+                    log_hold(hold, "FailedRead");
                 }
                 backoff.wait().await;
             }
@@ -326,8 +328,22 @@
     }
 }
 
+/// Who read a change of the directory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChangeSource {
+    /// This host.
+    Store,
+    /// A peer.
+    Peer,
+}
+
 /// Applies a change that this host or a peer read. Returns whether it should be gossiped.
-pub fn apply_change(state: &GatewayState, position: LogPosition, change: DirectoryChange) -> bool {
+pub fn apply_change(
+    state: &GatewayState,
+    position: LogPosition,
+    change: DirectoryChange,
+    source: ChangeSource,
+) -> bool {
     let now = state.now();
     let entry_of = |id: &ServerId| {
         let directory = state.directory.borrow();
@@ -336,10 +352,13 @@
     let is_update = match &change {
         DirectoryChange::Absent(id) => {
             if state.directory.borrow().is_newer(id, position) {
+                let held = state.directory.borrow().removal_held_for(now).unwrap_or_default();
                 log::info!(
-                    "event=directory_entry_removed server={id} offset={} era={}",
+                    "event=directory_entry_removed server={id} offset={} era={} source={source:?} \
+                     held_ms={}",
                     position.offset.0,
-                    position.era.0
+                    position.era.0,
+                    held.as_millis(),
                 );
                 // The whole host or its zone may be gone.
                 state.crashes.borrow_mut().on_server_alive(id);
@@ -348,8 +367,18 @@
         }
         DirectoryChange::Present(entry) => {
             state.doubts.borrow_mut().on_entry(&entry.id, &ProcessLabel::of(entry));
-            state.directory.borrow().is_newer(&entry.id, position)
-                && entry_of(&entry.id).is_some_and(|known| !known.is_same_state(entry))
+            let is_newer = state.directory.borrow().is_newer(&entry.id, position);
+            let known = entry_of(&entry.id);
+            if is_newer && known.as_ref().is_none_or(|known| known.state != entry.state) {
+                log::info!(
+                    "event=directory_entry_read server={} state={:?} offset={} era={} source={source:?}",
+                    entry.id,
+                    entry.state,
+                    position.offset.0,
+                    position.era.0,
+                );
+            }
+            is_newer && known.is_some_and(|known| !known.is_same_state(entry))
         }
     };
     let effect = state.directory.borrow_mut().apply(now, position, change);
@@ -362,7 +391,9 @@
     for (server, reason) in &read.skipped {
         log::warn!("event=directory_entry_skipped server={server} detail=\"{reason}\"");
     }
-    state.directory.borrow_mut().on_read(now, read.bounds.era);
+    let hold = state.directory.borrow_mut().on_read(now, read.bounds.era);
+    log_hold(hold, "Store");
+    let (mut told, read_count) = (0, read.changes.len());
     let listed: Vec<ServerId> = read
         .changes
         .iter()
@@ -374,10 +405,19 @@
     for (offset, change) in read.changes {
         let position = LogPosition { era: read.bounds.era, offset };
         // Every host reads a full snapshot itself at startup, so snapshots are not gossiped.
-        if apply_change(state, position, change.clone()) && !read.complete {
+        if apply_change(state, position, change.clone(), ChangeSource::Store) && !read.complete {
+            told += 1;
             gossip_change(state, position, change);
         }
     }
+    if told > 0 || read.complete {
+        log::info!(
+            "event=directory_read next={} era={} listing={} changes={read_count} to_tell={told}",
+            read.next.0,
+            read.bounds.era.0,
+            read.complete,
+        );
+    }
     let next = LogPosition { era: read.bounds.era, offset: read.next };
     state.directory_gossip.borrow_mut().on_read(next);
     if read.complete {
@@ -397,6 +437,13 @@
     version_keeper::on_directory_read(state);
 }
 
+/// Logs that removals are held from now on, and after what.
+pub fn log_hold(hold: RemovalHold, cause: &str) {
+    if hold == RemovalHold::Begun {
+        log::info!("event=directory_removals_held cause={cause}");
+    }
+}
+
 /// Sets the number of listed servers of each version of a service.
 fn count_versions(state: &GatewayState) {
     let directory = state.directory.borrow();
--- a/lib/tests/test_directory_gossip.rs
+++ b/lib/tests/test_directory_gossip.rs
@@ -120,7 +120,7 @@
     for number in 0..500 {
         gossip.on_change(at(0), position(number), DirectoryChange::Absent(server_id("s1")));
     }
-    let GossipedChanges { changes: gossiped, count } = gossip.recent_changes(at(1), None);
+    let GossipedChanges { changes: gossiped, count, .. } = gossip.recent_changes(at(1), None);
     assert!(gossiped.len() <= 40);
     assert!(
         has_missed_changes(Some(0), count, gossiped.len()),
