directory: peers' reads count only if all their changes arrived

Hosts share reads of the directory. A change that three peers had read was not told, and a listing at the start counted as a read although its host tells nothing of it: when four hosts were added, or most started again, in the second in which a server left, nobody told the departure, and from the ninth host on a host's own read was put off by every read that it heard of. A removal that the reader held was not told either, and a read that hung kept its host blind for a second.

Ruled out: a departure told and lost with a summary, for fleets up to nine hosts; the store's answers, since the first reader had the change within 1.3 s.

Summaries now name the range of the log whose changes they hold. A peer's read counts as a host's own only if the range follows what the host knows, and three peers suppress a change only if they tell it. Whatever the number of hosts, a host that shares reads and whose knowledge is 1.1 to 1.3 s old reads itself; the age is counted from the begin of the read. Held removals are told. A read without an answer for 0.3 s gets a second one beside it. A host of the former build names no range: it is never relied on, and reads the new summaries as before.

Tests: recent_changes takes the peers' ranges in place of a position. enough_readers, of the function that is gone, is replaced by enough_tellers, which asks for the same three and also that a listing and what is not told don't count; burst_told_by_few keeps its bounds, and its peers state the ranges that they tell.

--- a/lib/src/gateway/directory_gossip.rs
+++ b/lib/src/gateway/directory_gossip.rs
@@ -1,8 +1,9 @@
 //! Recent directory changes, gossiped to peers.
 //!
 //! Load pattern: dozens of hosts follow a directory in which dozens of servers come and go, and
-//! they share the reads of it. A host that reads a change includes it in its next summaries; a host
-//! that missed some changes detects the gap by the running count.
+//! they share the reads of it. A host that reads a change includes it in its next summaries, with the
+//! range of the log whose changes they hold. A peer's read counts as this host's own only if that range
+//! follows what this host knows: summaries are lost, and a listing at the start is not told.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -28,10 +29,9 @@
 /// Peers that miss changes read the directory themselves.
 const MAX_CHANGES_PER_SUMMARY: usize = 40;
 
-/// Number of peers that have read a change after which this host does not tell it as well. When many
-/// servers come or go at once, dozens of hosts read the same changes, and telling them all would fill
-/// the links.
-const ENOUGH_READERS: usize = 3;
+/// Number of peers that tell a change after which this host does not tell it as well. When many servers
+/// come or go at once, dozens of hosts read the same changes, and telling them all would fill the links.
+const ENOUGH_TELLERS: usize = 3;
 
 /// A change that this host read.
 #[derive(Clone, Debug)]
@@ -43,10 +43,49 @@
     is_told: bool,
 }
 
-impl ReadChange {
-    /// Returns whether a host that has read up to `next` knows the change.
-    fn is_before(&self, next: LogPosition) -> bool {
-        self.position.era == next.era && self.position < next
+/// A range of the directory's log, all of whose changes a host's summaries hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ToldRange {
+    /// First position.
+    pub from: LogPosition,
+    /// Position after the last one.
+    pub next: LogPosition,
+}
+
+impl ToldRange {
+    /// Returns whether a change in the range is told.
+    fn holds(&self, position: LogPosition) -> bool {
+        position.era == self.next.era && self.from <= position && position < self.next
+    }
+}
+
+/// Up to where this host knows the directory, from its own reads and from those of its peers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DirectoryCoverage {
+    /// Position before which every change is known, and a time before which none was made after it.
+    known: Option<(LogPosition, Timestamp)>,
+}
+
+impl DirectoryCoverage {
+    /// Records a read by this host that began at a time.
+    pub fn on_read(&mut self, begun_at: Timestamp, next: LogPosition) {
+        self.known = Some((next, begun_at));
+    }
+
+    /// Records a read by a peer that began at a time, after its changes were applied. It counts if no
+    /// change between what this host knows and the peer's position is missing.
+    pub fn on_peer_read(&mut self, begun_at: Timestamp, range: ToldRange) {
+        let Some((known_to, as_of)) = &mut self.known else { return };
+        let is_gapless = range.from <= *known_to || range.next <= *known_to;
+        if known_to.era == range.next.era && is_gapless {
+            *known_to = range.next.max(*known_to);
+            *as_of = begun_at.max(*as_of);
+        }
+    }
+
+    /// Returns the time before which this host knows every change, or `None` before its first read.
+    pub fn as_of(&self) -> Option<Timestamp> {
+        self.known.map(|(_, as_of)| as_of)
     }
 }
 
@@ -56,8 +95,12 @@
     changes: VecDeque<ReadChange>,
     /// Number of changes added since the host started.
     count: u64,
-    /// Position after the last read.
-    read_to: LogPosition,
+    /// Recent reads, and the position after each.
+    reads: VecDeque<(Timestamp, LogPosition)>,
+    /// Range of the log whose changes are told.
+    told: ToldRange,
+    /// When the last read began.
+    begun_at: Option<Timestamp>,
 }
 
 /// The changes in one summary.
@@ -67,47 +110,82 @@
     pub changes: Vec<ServerChange>,
     /// Number of changes since the host started.
     pub count: u64,
-    /// Number of changes that are not told, since enough peers have read them.
+    /// Number of changes that are not told, since enough peers tell them.
     pub untold: usize,
 }
 
 impl DirectoryGossip {
-    /// Records up to where this host has read the directory.
-    pub fn on_read(&mut self, next: LogPosition) {
-        self.read_to = next;
+    /// Records up to where this host has read the directory, before the changes of the read. Nothing is
+    /// told of a listing.
+    pub fn on_read(
+        &mut self,
+        now: Timestamp,
+        begun_at: Timestamp,
+        next: LogPosition,
+        is_listing: bool,
+    ) {
+        self.begun_at = Some(begun_at);
+        if is_listing || self.told.next.era != next.era {
+            self.told.from = next;
+        }
+        self.told.next = next;
+        self.reads.push_back((now, next));
+    }
+
+    /// Returns the time since this host's last read began, or `None` before the first.
+    pub fn read_age(&self, now: Timestamp) -> Option<Duration> {
+        self.begun_at.map(|begun_at| now.since(begun_at))
     }
 
-    /// Returns up to where this host has read the directory.
-    pub fn read_to(&self) -> LogPosition {
-        self.read_to
+    /// Returns the range of the log whose changes are told.
+    pub fn told(&self) -> ToldRange {
+        self.told
     }
 
     /// Adds a change that this host read and that had an effect.
     pub fn on_change(&mut self, now: Timestamp, position: LogPosition, change: DirectoryChange) {
         self.count += 1;
         self.changes.push_back(ReadChange { read_at: now, position, change, is_told: false });
-        if self.changes.len() > MAX_CHANGES_PER_SUMMARY {
-            self.changes.pop_front();
+        if self.changes.len() > MAX_CHANGES_PER_SUMMARY
+            && let Some(first) = self.changes.pop_front()
+        {
+            self.on_untold(first.position);
         }
     }
 
+    /// Records that a change is not told: it is too old, or peers tell it.
+    pub fn on_untold(&mut self, position: LogPosition) {
+        if position.era == self.told.next.era {
+            let after = LogPosition { offset: LogOffset(position.offset.0 + 1), ..position };
+            self.told.from = self.told.from.max(after);
+        }
+    }
+
+    /// Returns whether there are changes that no summary has carried.
+    pub fn has_new(&self) -> bool {
+        self.changes.iter().any(|read| !read.is_told)
+    }
+
     /// Returns the changes to include in the next summary, and drops older ones. Those that enough
-    /// peers have read, up to `peers_read_to`, are not told unless a summary has carried them.
-    pub fn recent_changes(
-        &mut self,
-        now: Timestamp,
-        peers_read_to: Option<LogPosition>,
-    ) -> GossipedChanges {
-        while self.changes.front().is_some_and(|first| now.since(first.read_at) >= GOSSIP_WINDOW) {
+    /// peers tell, by their ranges, are not told unless a summary has carried them.
+    pub fn recent_changes(&mut self, now: Timestamp, peers: &[ToldRange]) -> GossipedChanges {
+        let is_old = |read_at: Timestamp| now.since(read_at) >= GOSSIP_WINDOW;
+        while self.changes.front().is_some_and(|first| is_old(first.read_at)) {
             self.changes.pop_front();
         }
-        let queued = self.changes.len();
-        self.changes.retain(|read| {
-            read.is_told || !peers_read_to.is_some_and(|read_to| read.is_before(read_to))
-        });
+        while let Some((_, next)) = self.reads.pop_front_if(|(read_at, _)| is_old(*read_at)) {
+            if next.era == self.told.next.era {
+                self.told.from = self.told.from.max(next);
+            }
+        }
+        let is_untold =
+            |read: &ReadChange| !read.is_told && is_told_by_enough(read.position, peers);
+        let untold: Vec<LogPosition> =
+            self.changes.iter().filter(|read| is_untold(read)).map(|read| read.position).collect();
+        self.changes.retain(|read| !is_untold(read));
+        untold.iter().for_each(|position| self.on_untold(*position));
         // A change that is never told counts for nobody.
-        let untold = queued - self.changes.len();
-        self.count -= untold as u64;
+        self.count -= untold.len() as u64;
         let encode = |read: &mut ReadChange| {
             read.is_told = true;
             encode_change(read.position, &read.change)
@@ -115,16 +193,14 @@
         GossipedChanges {
             changes: self.changes.iter_mut().map(encode).collect(),
             count: self.count,
-            untold,
+            untold: untold.len(),
         }
     }
 }
 
-/// Returns the position up to which enough peers have read, if there are that many.
-pub fn read_by_enough(peers_read_to: impl Iterator<Item = LogPosition>) -> Option<LogPosition> {
-    let mut positions: Vec<LogPosition> = peers_read_to.collect();
-    let index = positions.len().checked_sub(ENOUGH_READERS)?;
-    Some(*positions.select_nth_unstable(index).1)
+/// Returns whether enough peers tell a change.
+fn is_told_by_enough(position: LogPosition, peers: &[ToldRange]) -> bool {
+    peers.iter().filter(|range| range.holds(position)).count() >= ENOUGH_TELLERS
 }
 
 /// Returns whether a peer read changes that this host never received.
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -22,6 +22,7 @@
 use crate::gateway::crash_tracker::ExitEvidence;
 use crate::gateway::demand_level::DemandLevel;
 use crate::gateway::demand_level::DemandLevels;
+use crate::gateway::directory_gossip::DirectoryCoverage;
 use crate::gateway::directory_gossip::DirectoryGossip;
 use crate::gateway::gateway_metrics::GatewayMetrics;
 use crate::gateway::gateway_settings::GatewaySettings;
@@ -111,6 +112,8 @@
     pub config_reads: RefCell<ReadHistory>,
     /// Backend servers.
     pub directory: RefCell<BackendDirectory>,
+    /// Up to where this host knows the directory.
+    pub directory_coverage: RefCell<DirectoryCoverage>,
     /// Directory changes to send to peers.
     pub directory_gossip: RefCell<DirectoryGossip>,
     /// Load and cached prompt prefixes of the servers.
@@ -189,6 +192,7 @@
             config: RefCell::default(),
             config_reads: RefCell::default(),
             directory: RefCell::default(),
+            directory_coverage: RefCell::default(),
             directory_gossip: RefCell::default(),
             placement: RefCell::new(PlacementTable::new(settings.zone.clone())),
             retries: RefCell::new(RetryLimiter::new(settings.retries)),
--- a/lib/src/gateway/host_summary.rs
+++ b/lib/src/gateway/host_summary.rs
@@ -12,13 +12,14 @@
 use crate::gateway::capacity::speed_gossip;
 use crate::gateway::crash_news;
 use crate::gateway::crash_news::CrashNews;
+use crate::gateway::directory_gossip::ToldRange;
 use crate::gateway::directory_gossip::decode_change;
 use crate::gateway::directory_gossip::has_missed_changes;
-use crate::gateway::directory_gossip::read_by_enough;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::limit_belief::LimitSource;
 use crate::gateway::limit_belief::LimitStatement;
 use crate::gateway::limit_table::ToldLimit;
+use crate::gateway::peer_table;
 use crate::gateway::peer_table::RecordScope;
 use crate::gateway::peer_table::SummaryOutcome;
 use crate::gateway::placement::PeerLoad;
@@ -277,6 +278,7 @@
     let known_count = state.peers.borrow().changes_count(&summary);
     let has_missed = has_missed_changes(known_count, summary.changes_count, changes.len());
     let read_age = summary.directory_age_ms.checked_sub(1).map(Duration::from_millis);
+    let told = peer_table::told_range(&summary);
     state.observe_era(StoreEra(summary.store_era));
     check_config_version(state, now, &summary);
     let outcome = state.peers.borrow_mut().on_summary(now, summary);
@@ -300,7 +302,12 @@
     if has_missed {
         state.directory_hint.set(true);
     }
-    changes.iter().for_each(|change| apply_server_change(state, change));
+    let skipped = changes.iter().filter(|change| !apply_server_change(state, change)).count();
+    if skipped == 0
+        && let (Some(age), Some(told)) = (read_age, told)
+    {
+        state.directory_coverage.borrow_mut().on_peer_read(now - age, told);
+    }
     if !changes.is_empty() {
         state.observe_versions();
     }
@@ -329,15 +336,18 @@
     }
 }
 
-fn apply_server_change(state: &GatewayState, encoded: &ServerChange) {
+/// Applies a change that a peer read. Returns whether it could be decoded.
+fn apply_server_change(state: &GatewayState, encoded: &ServerChange) -> bool {
     match decode_change(encoded) {
         Some((position, change)) => {
             // Peers receive the change from the host that read it.
             store_follower::apply_change(state, position, change, ChangeSource::Peer);
+            true
         }
         None => {
             log::warn!("event=server_change_skipped code=404 offset={}", encoded.offset);
             state.directory_hint.set(true);
+            false
         }
     }
 }
@@ -538,12 +548,18 @@
     });
     let limits = board.limits().told(now, sequence, MAX_SUMMARY_LIMITS);
     let limits = limits.into_iter().map(|told| encode_limit(now, &told));
-    let peers_read_to = read_by_enough(state.peers.borrow().directory_positions(now));
-    let recent = state.directory_gossip.borrow_mut().recent_changes(now, peers_read_to);
+    let told_by_peers: Vec<ToldRange> = match state.directory_gossip.borrow().has_new() {
+        true => state.peers.borrow().told_ranges(now).collect(),
+        false => Vec::new(),
+    };
+    let recent = state.directory_gossip.borrow_mut().recent_changes(now, &told_by_peers);
     if recent.untold > 0 {
         log::info!("event=directory_changes_untold count={}", recent.untold);
     }
-    let directory_read_to = state.directory_gossip.borrow().read_to();
+    let (told, read_age) = {
+        let gossip = state.directory_gossip.borrow();
+        (gossip.told(), gossip.read_age(now))
+    };
     let news = CrashNews::recent(state, now, sequence);
     let ranks = state.waiting.shares.borrow_mut().reports(now);
     let departures = directory.recent_departures(now).map(|(server, started_at_ms)| Departure {
@@ -571,9 +587,10 @@
         departures: departures.take(MAX_SUMMARY_DEPARTURES).collect(),
         config_version: state.config.borrow().current().map_or(0, |config| config.version),
         zone: settings.zone.to_string(),
-        directory_age_ms: encode_age(directory.read_age(now)),
-        directory_next: directory_read_to.offset.0,
-        directory_era: directory_read_to.era.0,
+        directory_age_ms: encode_age(read_age),
+        directory_next: told.next.offset.0,
+        directory_era: told.next.era.0,
+        directory_told_from: Some(told.from.offset.0),
         changes: recent.changes,
         changes_count: recent.count,
         store_era: state.store_era.current().unwrap_or_default().0,
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 
 use crate::gateway::demand_level::DemandLevel;
+use crate::gateway::directory_gossip::ToldRange;
 use crate::gateway::limit_fleet::FleetHost;
 use crate::gateway::limit_fleet::FleetSize;
 use crate::gateway::limit_fleet::LimitFleet;
@@ -162,6 +163,14 @@
     sum.add_window(&spending);
 }
 
+/// Returns which changes of the directory a summary tells; `None` if its host's build does not say.
+pub fn told_range(summary: &HostSummary) -> Option<ToldRange> {
+    let position =
+        |offset| LogPosition { era: StoreEra(summary.directory_era), offset: LogOffset(offset) };
+    let from = position(summary.directory_told_from?);
+    Some(ToldRange { from, next: position(summary.directory_next) })
+}
+
 /// Peers by incarnation, and the addresses of their hosts.
 #[derive(Clone, Debug)]
 pub struct PeerTable {
@@ -613,12 +622,9 @@
         total
     }
 
-    /// Returns up to where each peer that is heard from has read the directory.
-    pub fn directory_positions(&self, now: Timestamp) -> impl Iterator<Item = LogPosition> {
-        self.fresh_summaries(now).map(|summary| LogPosition {
-            era: StoreEra(summary.directory_era),
-            offset: LogOffset(summary.directory_next),
-        })
+    /// Returns which changes of the directory each peer that is heard from tells.
+    pub fn told_ranges(&self, now: Timestamp) -> impl Iterator<Item = ToldRange> {
+        self.fresh_summaries(now).filter_map(told_range)
     }
 
     /// Returns the summaries whose load has not expired.
--- a/lib/src/gateway/read_schedule.rs
+++ b/lib/src/gateway/read_schedule.rs
@@ -45,7 +45,7 @@
 pub struct ReadTimes {
     /// Last read by this host.
     pub own: Timestamp,
-    /// Newest read by any host.
+    /// Newest read by any host, or the newest whose result this host knows.
     pub newest: Timestamp,
 }
 
--- a/lib/src/gateway/store_follower.rs
+++ b/lib/src/gateway/store_follower.rs
@@ -3,12 +3,14 @@
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use rand::Rng as _;
 
+use crate::gateway::backend_directory::BackendEntry;
 use crate::gateway::backend_directory::DirectoryChange;
 use crate::gateway::backend_directory::DirectoryEffect;
 use crate::gateway::backend_directory::ExpiredServer;
@@ -23,6 +25,7 @@
 use crate::gateway::platform_api::PlatformError;
 use crate::gateway::process_doubts::ProcessLabel;
 use crate::gateway::read_schedule::ReadSchedule;
+use crate::gateway::read_schedule::ReadTimes;
 use crate::gateway::read_schedule::read_interval_factor;
 use crate::gateway::rollout::rollout_keeper;
 use crate::gateway::serving_config::ConfigChange;
@@ -42,6 +45,15 @@
 /// as often.
 const READ_PERIOD: Duration = Duration::from_millis(1_300);
 
+/// Age of what a host knows of the directory at which it reads, in a fleet whose hosts share reads. Servers
+/// that leave must get no request after two seconds, of which reading and sending take the rest. Hosts that
+/// missed the same summary spread their reads.
+const MAX_KNOWN_AGE: Range<Duration> = Duration::from_millis(1_100)..READ_PERIOD;
+
+/// Time after which a second read of the directory is begun beside one that is not answered: its connection
+/// may be silent.
+const SECOND_READ_DELAY: Duration = Duration::from_millis(300);
+
 /// Interval of the checks whether this host's next read of the directory is due.
 const READ_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
@@ -280,8 +292,7 @@
     let mut backoff = Backoff::default();
     let mut watch = DependencyWatch::new("read_directory");
     loop {
-        let begun_at = state.now();
-        let outcome = store.read_directory(cursor.offset()).await;
+        let (begun_at, outcome) = read_directory(&state, &*store, cursor.offset()).await;
         watch.record(&state, &outcome);
         match outcome {
             Ok(read) => {
@@ -290,7 +301,7 @@
                 set_level(&state, "directory_position", read.next.0);
                 match cursor.on_read(read.next, read.bounds) {
                     CursorStep::Apply => {
-                        apply_directory(&state, read);
+                        apply_directory(&state, begun_at, read);
                         state.doubts.borrow_mut().on_read(begun_at);
                         wait_for_next_read(&state).await;
                     }
@@ -311,18 +322,41 @@
     }
 }
 
+/// Reads the directory, with a second read if the first is not answered soon. Returns the outcome of the
+/// first that succeeds, and when it began.
+async fn read_directory<S: ControlStore>(
+    state: &GatewayState,
+    store: &S,
+    from: Option<LogOffset>,
+) -> (Timestamp, Result<DirectoryRead, PlatformError>) {
+    let read = async || (state.now(), store.read_directory(from).await);
+    let mut first = pin!(read());
+    if let Ok(outcome) = tokio::time::timeout(SECOND_READ_DELAY, &mut first).await {
+        return outcome;
+    }
+    let mut second = pin!(read());
+    tokio::select! {
+        outcome = &mut first => if outcome.1.is_ok() { outcome } else { second.await },
+        outcome = &mut second => if outcome.1.is_ok() { outcome } else { first.await },
+    }
+}
+
 /// Waits until this host's next read of the directory is due.
 async fn wait_for_next_read(state: &GatewayState) {
     let mut schedule = ReadSchedule::default();
-    let mut step = READ_PERIOD;
+    let max_age = rand::rng().random_range(MAX_KNOWN_AGE);
     loop {
-        tokio::time::sleep(step).await;
-        step = READ_CHECK_PERIOD;
+        tokio::time::sleep(READ_CHECK_PERIOD).await;
         let now = state.now();
         let must_read = state.directory_hint.take() || state.directory.borrow().is_recovering(now);
         let factor = if must_read { 1 } else { current_interval_factor(state) };
-        let Some(times) = state.directory.borrow().read_times() else { break };
-        if schedule.is_due(now, times, READ_PERIOD, factor, &mut rand::rng()) {
+        let known = state.directory_coverage.borrow().as_of();
+        let own = state.directory.borrow().read_times().map(|times| times.own);
+        let (Some(own), Some(known)) = (own, known) else { break };
+        let times = ReadTimes { own, newest: known };
+        if (factor > 1 && now.since(known) >= max_age)
+            || schedule.is_due(now, times, READ_PERIOD, factor, &mut rand::rng())
+        {
             break;
         }
     }
@@ -337,21 +371,38 @@
     Peer,
 }
 
-/// Applies a change that this host or a peer read. Returns whether it should be gossiped.
+/// What peers should be told of a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChangeNews {
+    /// The change: it matters to them.
+    Tell,
+    /// Nothing: this host learned of it, or of a later one, from a peer that tells it.
+    ToldByPeer,
+    /// Nothing: a server confirmed its entry.
+    Unchanged,
+}
+
+/// Applies a change that this host or a peer read. Returns what peers should be told of it.
 pub fn apply_change(
     state: &GatewayState,
     position: LogPosition,
     change: DirectoryChange,
     source: ChangeSource,
-) -> bool {
+) -> ChangeNews {
     let now = state.now();
+    let is_known = {
+        let (DirectoryChange::Absent(id) | DirectoryChange::Present(BackendEntry { id, .. })) =
+            &change;
+        !state.directory.borrow().is_newer(id, position)
+    };
     let entry_of = |id: &ServerId| {
         let directory = state.directory.borrow();
         directory.find(id).and_then(|key| directory.get(key)).map(|server| server.entry.clone())
     };
     let is_update = match &change {
         DirectoryChange::Absent(id) => {
-            if state.directory.borrow().is_newer(id, position) {
+            let is_newer = state.directory.borrow().is_newer(id, position);
+            if is_newer {
                 let held = state.directory.borrow().removal_held_for(now).unwrap_or_default();
                 log::info!(
                     "event=directory_entry_removed server={id} offset={} era={} source={source:?} \
@@ -363,7 +414,8 @@
                 // The whole host or its zone may be gone.
                 state.crashes.borrow_mut().on_server_alive(id);
             }
-            false
+            // Also one that is held here, or of a server that only peers know.
+            is_newer
         }
         DirectoryChange::Present(entry) => {
             state.doubts.borrow_mut().on_entry(&entry.id, &ProcessLabel::of(entry));
@@ -383,16 +435,24 @@
     };
     let effect = state.directory.borrow_mut().apply(now, position, change);
     state.on_directory_effect(effect);
-    is_update || effect != DirectoryEffect::Unchanged
+    match is_update || effect != DirectoryEffect::Unchanged {
+        true => ChangeNews::Tell,
+        false if is_known => ChangeNews::ToldByPeer,
+        false => ChangeNews::Unchanged,
+    }
 }
 
-fn apply_directory(state: &GatewayState, read: DirectoryRead) {
+fn apply_directory(state: &GatewayState, begun_at: Timestamp, read: DirectoryRead) {
     let now = state.now();
     for (server, reason) in &read.skipped {
         log::warn!("event=directory_entry_skipped server={server} detail=\"{reason}\"");
     }
     let hold = state.directory.borrow_mut().on_read(now, read.bounds.era);
     log_hold(hold, "Store");
+    let next = LogPosition { era: read.bounds.era, offset: read.next };
+    // Every host reads a full listing itself at startup, so listings are not gossiped.
+    state.directory_gossip.borrow_mut().on_read(now, begun_at, next, read.complete);
+    state.directory_coverage.borrow_mut().on_read(begun_at, next);
     let (mut told, read_count) = (0, read.changes.len());
     let listed: Vec<ServerId> = read
         .changes
@@ -404,10 +464,13 @@
         .collect();
     for (offset, change) in read.changes {
         let position = LogPosition { era: read.bounds.era, offset };
-        // Every host reads a full snapshot itself at startup, so snapshots are not gossiped.
-        if apply_change(state, position, change.clone(), ChangeSource::Store) && !read.complete {
-            told += 1;
-            gossip_change(state, position, change);
+        match apply_change(state, position, change.clone(), ChangeSource::Store) {
+            ChangeNews::Tell if !read.complete => {
+                told += 1;
+                gossip_change(state, position, change);
+            }
+            ChangeNews::ToldByPeer => state.directory_gossip.borrow_mut().on_untold(position),
+            ChangeNews::Tell | ChangeNews::Unchanged => {}
         }
     }
     if told > 0 || read.complete {
@@ -418,8 +481,6 @@
             read.complete,
         );
     }
-    let next = LogPosition { era: read.bounds.era, offset: read.next };
-    state.directory_gossip.borrow_mut().on_read(next);
     if read.complete {
         let effects = state.directory.borrow_mut().retain_listed(now, &listed);
         effects.into_iter().for_each(|effect| state.on_directory_effect(effect));
--- a/lib/src/protos/pomelostack.gateway.rs
+++ b/lib/src/protos/pomelostack.gateway.rs
@@ -38,8 +38,8 @@
     /// Whether the receiver forwards the summary to the other hosts of its availability zone.
     #[prost(bool, tag = "13")]
     pub pass_on: bool,
-    /// Milliseconds since the sender's last successful read of the directory, plus one; 0 if there was
-    /// none.
+    /// Milliseconds since the sender's last successful read of the directory began, plus one; 0 if there
+    /// was none.
     #[prost(uint64, tag = "14")]
     pub directory_age_ms: u64,
     /// Directory changes that the sender read recently.
@@ -70,6 +70,9 @@
     pub directory_next: u64,
     #[prost(uint64, tag = "23")]
     pub directory_era: u64,
+    /// Offset from which on the changes above hold all that the sender has read; absent if it tells none.
+    #[prost(uint64, optional, tag = "40")]
+    pub directory_told_from: ::core::option::Option<u64>,
     /// Parts of requests that the sender recently had answered and that were suspects of a crash.
     #[prost(message, repeated, tag = "24")]
     pub cleared_parts: ::prost::alloc::vec::Vec<ClearedPart>,
--- a/lib/tests/test_directory_gossip.rs
+++ b/lib/tests/test_directory_gossip.rs
@@ -9,11 +9,12 @@
 use pomelostack_lib::gateway::backend_directory::RECOVERY_GRACE_PERIOD;
 use pomelostack_lib::gateway::backend_directory::STORE_OUTAGE_THRESHOLD;
 use pomelostack_lib::gateway::backend_directory::ServingState;
+use pomelostack_lib::gateway::directory_gossip::DirectoryCoverage;
 use pomelostack_lib::gateway::directory_gossip::DirectoryGossip;
 use pomelostack_lib::gateway::directory_gossip::GossipedChanges;
+use pomelostack_lib::gateway::directory_gossip::ToldRange;
 use pomelostack_lib::gateway::directory_gossip::decode_change;
 use pomelostack_lib::gateway::directory_gossip::has_missed_changes;
-use pomelostack_lib::gateway::directory_gossip::read_by_enough;
 use pomelostack_lib::gateway::read_schedule::ReadSchedule;
 use pomelostack_lib::gateway::read_schedule::ReadTimes;
 use pomelostack_lib::gateway::read_schedule::read_interval_factor;
@@ -39,6 +40,10 @@
     LogPosition { era: StoreEra::default(), offset: LogOffset(offset) }
 }
 
+fn range(from: u64, next: u64) -> ToldRange {
+    ToldRange { from: position(from), next: position(next) }
+}
+
 fn at(millis: u64) -> Timestamp {
     Timestamp::from_millis(millis)
 }
@@ -85,7 +90,7 @@
         let position = LogPosition { era: StoreEra(era), offset: LogOffset(offset) };
         let mut gossip = DirectoryGossip::default();
         gossip.on_change(at(0), position, change.clone());
-        let gossiped: Vec<_> = gossip.recent_changes(at(1), None).changes.iter().map(decode_change).collect();
+        let gossiped: Vec<_> = gossip.recent_changes(at(1), &[]).changes.iter().map(decode_change).collect();
         prop_assert_eq!(gossiped, vec![Some((position, change))]);
     }
 
@@ -103,15 +108,12 @@
 fn removal_is_gossiped() {
     let mut gossip = DirectoryGossip::default();
     gossip.on_change(at(0), position(7), DirectoryChange::Absent(server_id("s1")));
-    let gossiped = gossip.recent_changes(at(800), None).changes;
+    let gossiped = gossip.recent_changes(at(800), &[]).changes;
     assert_eq!(
         decode_change(&gossiped[0]),
         Some((position(7), DirectoryChange::Absent(server_id("s1"))))
     );
-    assert!(
-        gossip.recent_changes(at(2_000), None).changes.is_empty(),
-        "three summaries are enough"
-    );
+    assert!(gossip.recent_changes(at(2_000), &[]).changes.is_empty(), "three summaries are enough");
 }
 
 #[test]
@@ -120,7 +122,7 @@
     for number in 0..500 {
         gossip.on_change(at(0), position(number), DirectoryChange::Absent(server_id("s1")));
     }
-    let GossipedChanges { changes: gossiped, count, .. } = gossip.recent_changes(at(1), None);
+    let GossipedChanges { changes: gossiped, count, .. } = gossip.recent_changes(at(1), &[]);
     assert!(gossiped.len() <= 40);
     assert!(
         has_missed_changes(Some(0), count, gossiped.len()),
@@ -206,7 +208,7 @@
             let change = DirectoryChange::Absent(server_id("s1"));
             gossip.on_change(at(step * 200), position(step), change);
         }
-        let gossiped = gossip.recent_changes(at(step * 200), None);
+        let gossiped = gossip.recent_changes(at(step * 200), &[]);
         if step % 4 != 1 {
             assert!(
                 !has_missed_changes(count_all, gossiped.count, gossiped.changes.len()),
@@ -296,20 +298,21 @@
         .map(|(host, read_at)| (read_at + random.random_range(0..PERIOD_MS), host))
         .collect();
     sends.sort_unstable();
-    let mut sent = Vec::new();
+    let mut sent: Vec<(u64, ToldRange)> = Vec::new();
     let mut told = 0;
     for (send_at, host) in sends {
         let mut gossip = DirectoryGossip::default();
+        gossip.on_read(at(reads[host]), at(reads[host]), position(CHANGES), false);
         for offset in 0..CHANGES {
             let change = DirectoryChange::Absent(server_id("s1"));
             gossip.on_change(at(reads[host]), position(offset), change);
         }
-        let heard = sent.iter().filter(|sent_at| **sent_at + DELAY_MS <= send_at);
-        let read_to = read_by_enough(heard.map(|_| position(CHANGES)));
-        let summary = gossip.recent_changes(at(send_at), read_to);
+        let heard = sent.iter().filter(|(sent_at, _)| *sent_at + DELAY_MS <= send_at);
+        let ranges: Vec<ToldRange> = heard.map(|(_, range)| *range).collect();
+        let summary = gossip.recent_changes(at(send_at), &ranges);
         assert_eq!(summary.count, summary.changes.len() as u64);
         told += usize::from(!summary.changes.is_empty());
-        sent.push(send_at);
+        sent.push((send_at, gossip.told()));
     }
     told
 }
@@ -327,9 +330,10 @@
     // A change that a summary has carried is repeated whoever else has read it: the summary may be lost.
     let mut gossip = DirectoryGossip::default();
     gossip.on_change(at(0), position(7), DirectoryChange::Absent(server_id("s1")));
-    assert_eq!(gossip.recent_changes(at(100), None).changes.len(), 1);
-    assert_eq!(gossip.recent_changes(at(500), Some(position(8))).changes.len(), 1);
-    assert_eq!(gossip.recent_changes(at(900), Some(position(8))).count, 1);
+    assert_eq!(gossip.recent_changes(at(100), &[]).changes.len(), 1);
+    let peers = [range(0, 8); 3];
+    assert_eq!(gossip.recent_changes(at(500), &peers).changes.len(), 1);
+    assert_eq!(gossip.recent_changes(at(900), &peers).count, 1);
 }
 
 #[test]
@@ -338,12 +342,60 @@
     let mut gossip = DirectoryGossip::default();
     gossip.on_change(at(0), position(7), DirectoryChange::Absent(server_id("s1")));
     let later = LogPosition { era: StoreEra(9), offset: LogOffset(100) };
-    assert_eq!(gossip.recent_changes(at(100), Some(later)).changes.len(), 1);
+    let from = LogPosition { era: StoreEra(9), offset: LogOffset(0) };
+    let peers = [ToldRange { from, next: later }; 3];
+    assert_eq!(gossip.recent_changes(at(100), &peers).changes.len(), 1);
+}
+
+#[rstest]
+#[case::two(&[(0, 9), (0, 9)], 1)]
+#[case::three(&[(0, 9), (7, 9), (0, 8)], 0)]
+#[case::not_read(&[(0, 9), (0, 9), (0, 7)], 1)]
+#[case::listing(&[(0, 9), (0, 9), (9, 9)], 1)]
+#[case::untold(&[(0, 9), (0, 9), (8, 9)], 1)]
+fn enough_tellers(#[case] peers: &[(u64, u64)], #[case] told: usize) {
+    // Peers that read a change and don't tell it, as after a listing at the start, count for nobody.
+    let mut gossip = DirectoryGossip::default();
+    gossip.on_read(at(0), at(0), position(8), false);
+    gossip.on_change(at(0), position(7), DirectoryChange::Absent(server_id("s1")));
+    let peers: Vec<ToldRange> = peers.iter().map(|(from, next)| range(*from, *next)).collect();
+    assert_eq!(gossip.recent_changes(at(100), &peers).changes.len(), told);
+    assert_eq!(gossip.told().from, position(if told == 1 { 0 } else { 8 }));
+}
+
+#[test]
+fn told_range_moves_on() {
+    // A range begins after what is not told: a listing, changes that left the window or a burst's first.
+    let mut gossip = DirectoryGossip::default();
+    gossip.on_read(at(0), at(0), position(10), true);
+    assert_eq!(gossip.told(), range(10, 10));
+    gossip.on_read(at(1_000), at(990), position(20), false);
+    gossip.recent_changes(at(1_500), &[]);
+    assert_eq!(gossip.told(), range(10, 20));
+    gossip.recent_changes(at(2_300), &[]);
+    assert_eq!(gossip.told(), range(20, 20));
+    gossip.on_read(at(3_000), at(2_990), position(100), false);
+    for offset in 30..80 {
+        gossip.on_change(at(3_000), position(offset), DirectoryChange::Absent(server_id("s1")));
+    }
+    assert_eq!(gossip.told(), range(40, 100));
+    gossip.on_untold(position(90));
+    assert_eq!(gossip.told(), range(91, 100));
 }
 
 #[test]
-fn enough_readers() {
-    let read_to = |offsets: &[u64]| read_by_enough(offsets.iter().copied().map(position));
-    assert_eq!(read_to(&[9, 9]), None);
-    assert_eq!(read_to(&[4, 9, 7, 8, 0]), Some(position(7)));
+fn gaps_are_not_covered() {
+    let mut coverage = DirectoryCoverage::default();
+    coverage.on_peer_read(at(0), range(0, 5));
+    assert_eq!(coverage.as_of(), None, "nothing is known before the first read");
+    coverage.on_read(at(100), position(10));
+    coverage.on_peer_read(at(300), range(8, 15));
+    assert_eq!(coverage.as_of(), Some(at(300)));
+    coverage.on_peer_read(at(500), range(16, 20));
+    assert_eq!(coverage.as_of(), Some(at(300)), "the record at 15 may be missing");
+    coverage.on_peer_read(at(400), range(15, 15));
+    assert_eq!(coverage.as_of(), Some(at(400)), "a listing that ends there shows nothing newer");
+    let other = LogPosition { era: StoreEra(2), offset: LogOffset(15) };
+    coverage.on_peer_read(at(600), ToldRange { from: other, next: other });
+    assert_eq!(coverage.as_of(), Some(at(400)), "of another era");
 }
