attempts: withhold a request whose server left before sending

A server was checked when it was chosen. When the request was handed to the connection, up to 600 ms later if one had to be opened, only crashes, roll-outs, pauses and limits were asked for, so a server that a peer or an answer had meanwhile told to be leaving, or that was replaced at its address, still got the request.

The last check now also asks whether the server is still listed as the process that was chosen and is not leaving. Otherwise the attempt counts as withheld, and the request goes to another server; event=departure_withheld. Resumed streams take the same path.

--- a/lib/src/gateway/backend_directory.rs
+++ b/lib/src/gateway/backend_directory.rs
@@ -378,6 +378,21 @@
         self.servers.get(key)
     }
 
+    /// Returns whether a server is listed as the process that it was when it was chosen, and is not
+    /// leaving.
+    pub fn accepts_work(
+        &self,
+        key: ServerKey,
+        started_at_ms: Option<u64>,
+        address: SocketAddr,
+    ) -> bool {
+        self.get(key).is_some_and(|server| {
+            server.draining_since.is_none()
+                && server.entry.started_at_ms == started_at_ms
+                && server.entry.address == address
+        })
+    }
+
     /// Returns the key of a server.
     pub fn find(&self, id: &ServerId) -> Option<ServerKey> {
         self.by_id.get(id).copied()
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -475,6 +475,12 @@
     {
         return false;
     }
+    // The server may have left while a connection to it was opened.
+    if !state.directory.borrow().accepts_work(attempt.key, attempt.started_at_ms, attempt.address) {
+        state.metrics.events.with_label_values(&["departure_withheld"]).inc();
+        log::info!("event=departure_withheld request={} server={server}", request.head.request_id);
+        return false;
+    }
     attempt.release_place();
     let mut placement = state.placement.borrow_mut();
     if placement.is_paused(now, server) {
--- a/lib/tests/test_backend_directory.rs
+++ b/lib/tests/test_backend_directory.rs
@@ -283,3 +283,29 @@
     assert!(!left(3_000).is_same_state(&entry("s1", 1)));
     assert!(!entry("s1", 1).is_same_state(&left(3_000)));
 }
+
+#[test]
+fn gone_before_sending() {
+    // A server that is chosen for a request leaves, is replaced or removed while its connection is opened.
+    let (process, address) = (Some(1), entry("s1", 1).address);
+    let accepts_after = |act: &dyn Fn(&mut BackendDirectory)| {
+        let mut directory = listing_one();
+        let key = directory.find(&server_id("s1")).expect("valid in tests");
+        act(&mut directory);
+        directory.accepts_work(key, process, address)
+    };
+    let change = |entry| {
+        move |directory: &mut BackendDirectory| {
+            directory.apply(at(100), position(2), DirectoryChange::Present(entry));
+        }
+    };
+    assert!(accepts_after(&|_| {}));
+    assert!(accepts_after(&|directory| change(entry("s1", 1))(directory)));
+    assert!(!accepts_after(&|directory| change(entry("s1", 2))(directory)), "another process");
+    assert!(!accepts_after(&|directory| {
+        directory.on_departure(at(100), &server_id("s1"), process, DepartureSource::Peer);
+    }));
+    assert!(!accepts_after(&|directory| {
+        directory.apply(at(100), position(2), DirectoryChange::Absent(server_id("s1")));
+    }));
+}
