tests: streams that are taken up by an error, by text or by nothing

Other operators saw an error's text in the middle of streams, and streams that ended as if they were complete. Two servers send three events and break off; the one that is asked to go on answers with something else.

--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod app_standin;
 pub mod backend_fleet;
 pub mod bounded_wait;
+pub mod byte_server;
 pub mod cloud_core;
 pub mod cloud_standin;
 pub mod connection_relay;
--- a/lib/testutils/src/raw_caller.rs
+++ b/lib/testutils/src/raw_caller.rs
@@ -101,6 +101,12 @@
         Ok(self.received.len())
     }
 
+    /// Waits until the gateway closes the connection, and returns what it sent as text.
+    pub fn text_to_close(&mut self) -> io::Result<String> {
+        self.read_to_close()?;
+        Ok(String::from_utf8_lossy(&self.received).into_owned())
+    }
+
     /// Closes the connection with a reset.
     pub fn reset(self) -> io::Result<()> {
         SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
