gateway: relay only what continues a stream

Callers of a stream that broke off found an error's text, or its head, between its events, or events after a gap. What took a stream up was trusted by its status: any 200 on a streaming route was split at empty lines and relayed. Whole errors and refusals were never affected, nor were answers that broke off within an event.

A response with another content type than `text/event-stream` is now no answer to a stream. `EventSequence` decides for each event whether it continues the stream: an event without a number, or one after a gap where the numbers follow one another by one, breaks off its server's run before anything of it is relayed; a hedge of that kind leaves the silent stream in place. A stream that sent events without numbers was begun anew at the next server, behind what its caller had; it is no longer resumed or hedged.

Not recognized: a gap in a stream whose numbers don't follow by one, or at the first event of a caller's own resume; an event without a number after the first new one of a resumed run, which may be its end mark.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -22,6 +22,7 @@
 pub mod directory_gossip;
 pub mod duty_lease;
 pub mod duty_runner;
+pub mod event_sequence;
 pub mod event_splitter;
 pub mod gateway_host;
 pub mod gateway_metrics;
--- a/lib/src/gateway/event_splitter.rs
+++ b/lib/src/gateway/event_splitter.rs
@@ -30,6 +30,14 @@
     pub bytes: Bytes,
 }
 
+impl StreamEvent {
+    /// Returns whether it consists of comments and empty lines.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.all(|line| line.is_empty() || line.starts_with(b":"))
+    }
+}
+
 /// An event that cannot be buffered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum EventError {
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -7,8 +7,10 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
+use hyper::HeaderMap;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
 use tokio::time::Instant;
 use tokio::time::timeout;
 
@@ -66,6 +68,9 @@
 /// used again.
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
 
+/// Content type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// An attempt at a server. Its load counts on the placement table until it is dropped.
 pub struct ServerAttempt {
     state: Rc<GatewayState>,
@@ -443,6 +448,10 @@
         );
     }
     if class == ResponseClass::Relay && request.route.kind.is_stream() && head.status.is_success() {
+        if !may_be_events(&head.headers) {
+            log_failure(&state, request, &attempt, AttemptFailure::Lost, "not a stream of events");
+            return AttemptOutcome::Failed(AttemptFailure::Lost, None);
+        }
         let response = Response::from_parts(head, body);
         let begun = BegunStream::new(&state.buffers);
         return AttemptOutcome::Stream(Box::new(OpenResponse {
@@ -462,6 +471,13 @@
     buffer_response(&state, request, class, open).await
 }
 
+/// Returns whether a response may carry events by its content type, which it need not state.
+fn may_be_events(headers: &HeaderMap) -> bool {
+    let Some(value) = headers.get(CONTENT_TYPE) else { return true };
+    let kind = value.as_bytes().split(|byte| *byte == b';').next().unwrap_or_default();
+    kind.trim_ascii().eq_ignore_ascii_case(EVENT_STREAM)
+}
+
 /// Returns whether a request may be handed to its server's connection, and records it if so.
 fn hand_over(
     state: &GatewayState,
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -36,6 +36,8 @@
 use crate::gateway::caller_request::PromptShape;
 use crate::gateway::capacity::answer_timing::AnswerTiming;
 use crate::gateway::connection_pool::PooledConnection;
+use crate::gateway::event_sequence::EventSequence;
+use crate::gateway::event_sequence::EventStep;
 use crate::gateway::event_splitter;
 use crate::gateway::event_splitter::EventSplitter;
 use crate::gateway::event_splitter::StreamEvent;
@@ -154,7 +156,7 @@
     /// Attempts beside the stream that is relayed.
     race: AttemptRace<W>,
     chunks: ChunkSender,
-    last_event: Option<u64>,
+    sequence: EventSequence,
     relayed_events: u64,
     /// Software version of the last server of which an event was relayed.
     relayed_version: Option<SoftwareVersion>,
@@ -180,14 +182,14 @@
         *reply.headers_mut() = end_to_end_headers(stream.response.headers());
         // The first server's length is wrong if another server resumes the stream.
         reply.headers_mut().remove(CONTENT_LENGTH);
-        let last_event = request.head.resume_after;
+        let sequence = EventSequence::new(request.head.resume_after);
         let relay = Self {
             state,
             request,
             plan,
             race,
             chunks,
-            last_event,
+            sequence,
             relayed_events: 0,
             relayed_version: None,
             timing: AnswerTiming::default(),
@@ -256,6 +258,7 @@
     /// Relays events from one server until its stream ends.
     async fn relay_from_server(&mut self, stream: OpenResponse) -> RelayEnd {
         let mut stream = RelayedStream::new(stream, self.state.now());
+        self.sequence.start_run();
         loop {
             if let Some(end) = self.relay_complete_events(&mut stream).await {
                 return end;
@@ -283,7 +286,9 @@
                     }
                     return RelayEnd::Complete;
                 }
-                RelayEvent::HedgeEnded(_, AttemptOutcome::Stream(next)) => {
+                RelayEvent::HedgeEnded(_, AttemptOutcome::Stream(next))
+                    if self.continues(&next) =>
+                {
                     return RelayEnd::Superseded(next);
                 }
                 RelayEvent::HedgeEnded(key, outcome) => {
@@ -309,6 +314,10 @@
                 Ok(None) => return None,
                 Err(error) => return Some(self.lose_stream(stream, &error.to_string())),
             };
+            let step = self.sequence.step(&event);
+            if step == EventStep::BreakOff {
+                return Some(self.lose_stream(stream, "does not continue the stream"));
+            }
             stream.attempt.on_heard();
             stream.attempt.on_first_event_read(&self.request.service);
             let read_at = self.state.now();
@@ -339,7 +348,9 @@
             if stream.begun_at.take_if(|at| now.since(*at) >= SOUND_STREAM_TIME).is_some() {
                 record_answered(&self.state, &self.request);
             }
-            if let Some(end) = self.relay_event(event).await {
+            if step == EventStep::Relay
+                && let Some(end) = self.relay_event(event).await
+            {
                 return Some(end);
             }
             stream.quiet_since = self.state.now();
@@ -374,7 +385,20 @@
             let version = stream.attempt.version();
             record_answer(&self.state, &self.request, version, AnswerOutcome::Failed);
         }
-        self.race.hedge(&mut self.plan, Some(stream.attempt.key), self.last_event);
+        self.hedge_relayed(stream);
+    }
+
+    /// Starts a hedged attempt beside the stream that is relayed, if another server can go on with it.
+    fn hedge_relayed(&mut self, stream: &RelayedStream) {
+        if self.sequence.may_resume() {
+            self.race.hedge(&mut self.plan, Some(stream.attempt.key), self.sequence.last());
+        }
+    }
+
+    /// Returns whether a hedged attempt, of which the first event was read, continues the stream.
+    fn continues(&self, hedge: &OpenResponse) -> bool {
+        let event = hedge.begun.first_event.as_ref();
+        event.is_none_or(|event| self.sequence.joining_step(event) != EventStep::BreakOff)
     }
 
     /// Records a hedged attempt that failed, and replaces it if its server certainly did not run it.
@@ -387,7 +411,7 @@
         };
         self.plan.on_failure(self.state.now(), key, failure);
         if failure.is_not_run() && stream.is_silent {
-            self.race.hedge(&mut self.plan, Some(stream.attempt.key), self.last_event);
+            self.hedge_relayed(stream);
         }
     }
 
@@ -421,11 +445,7 @@
 
     /// Relays a complete event; returns how relaying ended if it cannot continue.
     async fn relay_event(&mut self, event: StreamEvent) -> Option<RelayEnd> {
-        match (event.id, self.last_event) {
-            (Some(id), Some(last)) if id <= last => return None,
-            _ => {}
-        }
-        self.last_event = event.id.or(self.last_event);
+        self.sequence.on_relayed(&event);
         self.relayed_events += 1;
         let time_left = self.plan.deadline().since(self.state.now());
         if time_left.is_zero() {
@@ -462,7 +482,8 @@
     /// Sends an attempt that resumes the stream; `None` if none may be sent.
     fn start_resume(&mut self) -> Option<()> {
         let now = self.state.now();
-        if self.state.crashes.borrow().is_refused(&self.request.work) {
+        if !self.sequence.may_resume() || self.state.crashes.borrow().is_refused(&self.request.work)
+        {
             return None;
         }
         let placed = place_request(&self.state, now, &self.request, self.plan.tried()).ok()?;
@@ -472,9 +493,9 @@
         log::info!(
             "event=stream_resumed request={} after={}",
             self.request.head.request_id,
-            EventNumber(self.last_event),
+            EventNumber(self.sequence.last()),
         );
-        self.race.start(placed, self.plan.deadline(), self.last_event).then_some(())
+        self.race.start(placed, self.plan.deadline(), self.sequence.last()).then_some(())
     }
 
     /// Waits until an attempt to resume the stream ends, and hedges silent ones; `None` if the caller
@@ -490,7 +511,7 @@
             match event {
                 RaceEvent::Ended(key, outcome) => return Some((key, outcome)),
                 RaceEvent::Silent => {
-                    self.race.hedge(&mut self.plan, None, self.last_event);
+                    self.race.hedge(&mut self.plan, None, self.sequence.last());
                 }
             }
         }
