gateway: an unframed answer is no end of a stream before its next event

A server that broke off between the head of its answer and the first event, in an answer with neither a length nor chunks, ended its caller's stream as complete: a new one as a 200 with an empty body, one that was taken up after what had been relayed. The same went for a run that repeated a part of what its caller had. hyper reports the close of such a connection as the end of the body, and the relay took it as the end of the stream.

`EventSequence::is_complete` now asks for the run's first new event, or for a length or a last chunk, and for a run that repeats events up to the last one. Anything else counts as a lost connection. A framed answer without events still completes a stream whose end was lost after its last event (`lost_end::case_1_framed`).

Not recognized: an unframed stream that its server closes in order between two events.

--- a/cli/tests/test_resumed_errors.rs
+++ b/cli/tests/test_resumed_errors.rs
@@ -267,6 +267,27 @@
     assert_sound(&call_stream(&fixture, "r1", ""), 0);
 }
 
+/// The end of a stream was lost after its last event: a resumed run has nothing left to send.
+#[rstest]
+#[case::framed(192, "Content-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n", true)]
+#[case::unframed(193, UNFRAMED_FIELDS, false)]
+fn lost_end(#[case] number: u8, #[case] fields: &'static str, #[case] is_complete: bool) {
+    let answer = move |request: &ByteRequest| match request.path.starts_with("/brief/") {
+        true if request.resume_after == Some(STREAM_EVENTS) => {
+            vec![ByteStep::Send(signed_head(request, "200 OK", fields))]
+        }
+        true => {
+            let head = signed_head(request, "200 OK", STREAM_FIELDS);
+            let whole = chunk(&events(1..=STREAM_EVENTS));
+            vec![ByteStep::Send(format!("{head}{whole}")), ByteStep::Reset]
+        }
+        false => steps(request, FirstEnd::Reset, Resumption::Empty),
+    };
+    let (fixture, _servers) = start_with(number, answer);
+    let stream = call_stream(&fixture, "r1", "");
+    assert_eq!((stream.events, stream.is_complete), (events(1..=STREAM_EVENTS), is_complete));
+}
+
 /// A stream whose events have no numbers was begun anew at another server, behind what its caller had.
 #[test]
 fn unnumbered_stream() {
--- a/lib/src/gateway/event_sequence.rs
+++ b/lib/src/gateway/event_sequence.rs
@@ -20,8 +20,13 @@
 /// How far a server's run has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RunPlace {
-    /// It has brought no new event and is to go on after an earlier one.
-    Joining,
+    /// It begins the stream and has brought no event.
+    Fresh,
+    /// It is to go on after the last event and has brought no new one.
+    Joining {
+        /// Highest number of the events that it repeated.
+        highest: Option<u64>,
+    },
     /// It is relayed.
     Relayed,
 }
@@ -53,7 +58,7 @@
             last: resume_after,
             step: NumberStep::Unknown,
             has_unnumbered: false,
-            place: RunPlace::Relayed,
+            place: RunPlace::Fresh,
         }
     }
 
@@ -69,14 +74,17 @@
 
     /// Records that the run of another server follows, or the first one.
     pub fn start_run(&mut self) {
-        self.place = if self.last.is_some() { RunPlace::Joining } else { RunPlace::Relayed };
+        self.place = match self.last {
+            Some(_) => RunPlace::Joining { highest: None },
+            None => RunPlace::Fresh,
+        };
     }
 
     /// Returns what to do with the next event of the current run.
     pub fn step(&self, event: &StreamEvent) -> EventStep {
         match (event.id, self.last) {
             (Some(id), Some(last)) if id <= last => EventStep::Drop,
-            _ if self.place == RunPlace::Relayed => EventStep::Relay,
+            _ if matches!(self.place, RunPlace::Fresh | RunPlace::Relayed) => EventStep::Relay,
             (Some(id), Some(last)) if id - last > 1 && self.step == NumberStep::One => {
                 EventStep::BreakOff
             }
@@ -93,11 +101,33 @@
         joining.step(event)
     }
 
+    /// Returns whether the stream is complete if the current run ends. An end that only the close of the
+    /// connection shows proves nothing before the run's first new event.
+    pub fn is_complete(&self, is_framed: bool) -> bool {
+        match self.place {
+            RunPlace::Fresh => is_framed,
+            RunPlace::Joining { highest } => {
+                is_framed && (highest.is_none() || highest == self.last)
+            }
+            RunPlace::Relayed => true,
+        }
+    }
+
+    /// Records that an event is dropped.
+    pub fn on_dropped(&mut self, event: &StreamEvent) {
+        if let RunPlace::Joining { highest } = &mut self.place {
+            *highest = event.id.max(*highest);
+        }
+    }
+
     /// Records that an event is relayed.
     pub fn on_relayed(&mut self, event: &StreamEvent) {
+        if event.is_comment() {
+            return;
+        }
         self.place = RunPlace::Relayed;
         let Some(id) = event.id else {
-            self.has_unnumbered |= !event.is_comment();
+            self.has_unnumbered = true;
             return;
         };
         self.step = match (self.step, self.last) {
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -9,10 +9,12 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
+use hyper::HeaderMap;
 use hyper::Response;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
+use hyper::header::TRANSFER_ENCODING;
 use tokio::time::timeout;
 
 use crate::gateway::accepted_request::AcceptedRequest;
@@ -113,6 +115,8 @@
     connection: PooledConnection,
     splitter: EventSplitter,
     first_event: Option<StreamEvent>,
+    /// Whether its body has a length or chunks, which show where it ends.
+    is_framed: bool,
     /// Whether an event of it was relayed.
     has_begun: bool,
     /// When its first event was relayed, until it counts as sound.
@@ -127,12 +131,14 @@
     fn new(stream: OpenResponse, now: Timestamp) -> Self {
         let OpenResponse { attempt, response, connection, begun } = stream;
         let BegunStream { splitter, first_event } = begun;
+        let is_framed = is_framed(response.headers());
         Self {
             attempt,
             body: response.into_body(),
             connection,
             splitter,
             first_event,
+            is_framed,
             has_begun: false,
             begun_at: None,
             is_silent: false,
@@ -148,6 +154,13 @@
     }
 }
 
+/// Returns whether a response's body has a length or chunks.
+fn is_framed(headers: &HeaderMap) -> bool {
+    let coding = headers.get(TRANSFER_ENCODING).and_then(|value| value.to_str().ok());
+    coding.is_some_and(|coding| coding.to_ascii_lowercase().contains("chunked"))
+        || headers.contains_key(CONTENT_LENGTH)
+}
+
 /// The relay of one request's stream.
 pub struct StreamRelay<W> {
     state: Rc<GatewayState>,
@@ -277,6 +290,9 @@
                 RelayEvent::Read(None) if stream.splitter.has_partial_event() => {
                     return self.lose_stream(&stream, "ended within an event");
                 }
+                RelayEvent::Read(None) if !self.sequence.is_complete(stream.is_framed) => {
+                    return self.lose_stream(&stream, "ended before its next event");
+                }
                 RelayEvent::Read(None) => {
                     stream.connection.release();
                     record_answered(&self.state, &self.request);
@@ -348,9 +364,9 @@
             if stream.begun_at.take_if(|at| now.since(*at) >= SOUND_STREAM_TIME).is_some() {
                 record_answered(&self.state, &self.request);
             }
-            if step == EventStep::Relay
-                && let Some(end) = self.relay_event(event).await
-            {
+            if step == EventStep::Drop {
+                self.sequence.on_dropped(&event);
+            } else if let Some(end) = self.relay_event(event).await {
                 return Some(end);
             }
             stream.quiet_since = self.state.now();
