tests: a stream that breaks off in front of an HTTP/1.0 caller

old_caller: Ok("HTTP/1.0 200 OK\r\n...id: 3\ndata: piece 3\n\n")

A relayed stream that breaks off ends without its last chunk. A caller that speaks HTTP/1.0 gets no chunks; its connection is closed in order, which completes the answer.

--- a/cli/tests/test_resumed_errors.rs
+++ b/cli/tests/test_resumed_errors.rs
@@ -304,3 +304,18 @@
     assert_eq!(stream.events, "data: piece 1\n\ndata: piece 2\n\n");
     assert!(!stream.is_complete);
 }
+
+/// A stream that broke off looked complete to a caller that speaks HTTP/1.0, whose answers end with their
+/// connection (MIXED, ORDER).
+#[test]
+fn old_caller() {
+    let error = Resumption::Error("500 Internal Server Error", "text/plain", true);
+    let (fixture, _servers) = start(194, FirstEnd::Reset, error);
+    let headers = request_headers("r1").map(|(name, value)| format!("{name}: {value}\r\n"));
+    let mut caller = RawCaller::connect(&fixture.ip).expect("the host accepts");
+    let head = format!("POST /brief/1 HTTP/1.0\r\n{}Content-Length: 0\r\n\r\n", headers.concat());
+    caller.send(&head).expect("the host reads");
+    let text = caller.text_to_close();
+    let is_refused = text.as_ref().is_ok_and(|text| !text.contains(" 200 "));
+    assert!(text.is_err() || is_refused, "{text:?}");
+}
