tests: a named copy of an answer meets its request again on one connection

A server answers each new request with a refusal or an error that names it. When the request comes again on the same connection, a late copy of that answer precedes the true one. Callers keep their ids over their tries, at one host and one server; in shared_address two directory entries name that server.

The server's answers to /brief/ are streams of one event now, and it counts connections; what it did before is unchanged.

--- a/lib/testutils/src/late_copy_server.rs
+++ b/lib/testutils/src/late_copy_server.rs
@@ -1,6 +1,7 @@
 //! Backend server that sends some of its answers a second time, late: on a connection that is in use
 //! again, before the answer to the next request.
 
+use std::collections::HashSet;
 use std::io;
 use std::io::BufRead as _;
 use std::io::BufReader;
@@ -22,8 +23,36 @@
     Complete,
     /// Refusals with this status line, which name none.
     Refusal(&'static str),
+    /// The first answer to each request, which names it. Its copy comes when the same request comes
+    /// again on the connection.
+    First(FirstAnswer),
 }
 
+/// First answer of a server to a request.
+#[derive(Clone, Copy, Debug)]
+pub enum FirstAnswer {
+    /// A refusal with this status line: the request does not run.
+    Refused(&'static str),
+    /// An error with this status line: the request runs.
+    Failed(&'static str),
+}
+
+impl FirstAnswer {
+    /// Returns the answer to a request at the server `id`.
+    fn text(self, id: &str, request_id: &str) -> String {
+        let (status, field) = match self {
+            Self::Refused(status) => (status, "Not-Executed: 1".to_owned()),
+            Self::Failed(status) => (status, format!("Replica-Signature: {id}")),
+        };
+        format!(
+            "HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\n{field}\r\nContent-Length: 0\r\n\r\n"
+        )
+    }
+}
+
+/// Path prefix of streams; their answers are one event.
+const STREAM_PREFIX: &str = "/brief/";
+
 /// A running server; its threads run until the process exits.
 pub struct LateCopyServer {
     /// Address of the server.
@@ -36,7 +65,23 @@
 struct AnswerCounts {
     copies: AtomicUsize,
     refusals: AtomicUsize,
+    connections: AtomicUsize,
     runs: Mutex<Vec<String>>,
+    /// Requests that got their first answer.
+    known: Mutex<HashSet<String>>,
+}
+
+impl AnswerCounts {
+    fn record_run(&self, request_id: &str) {
+        let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        runs.push(request_id.to_owned());
+    }
+
+    /// Records a request; returns whether it is new.
+    fn record_request(&self, request_id: &str) -> bool {
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        known.insert(request_id.to_owned())
+    }
 }
 
 impl LateCopyServer {
@@ -59,6 +104,7 @@
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
                 let counter = counter.clone();
+                counter.connections.fetch_add(1, Ordering::SeqCst);
                 // An error means that the gateway closed the connection.
                 thread::spawn(move || drop(serve(stream, id, one_in, copied, &counter)));
             }
@@ -76,6 +122,11 @@
         self.counts.refusals.load(Ordering::SeqCst)
     }
 
+    /// Returns the number of connections accepted.
+    pub fn connections(&self) -> usize {
+        self.counts.connections.load(Ordering::SeqCst)
+    }
+
     /// Returns the ids of the requests that ran, one for each run.
     pub fn runs(&self) -> Vec<String> {
         self.counts.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
@@ -93,7 +144,28 @@
     let mut reader = BufReader::new(stream);
     let mut last_answer = String::new();
     let mut answers = 0;
-    while let Some(request_id) = read_request(&mut reader)? {
+    // Requests whose first answer was sent on this connection and not copied.
+    let mut first_answers = HashSet::new();
+    while let Some(SeenRequest { request_id, path }) = read_request(&mut reader)? {
+        if let CopiedAnswer::First(first) = copied {
+            let text = first.text(id, &request_id);
+            if counts.record_request(&request_id) {
+                match first {
+                    FirstAnswer::Refused(_) => drop(counts.refusals.fetch_add(1, Ordering::SeqCst)),
+                    FirstAnswer::Failed(_) => counts.record_run(&request_id),
+                }
+                writer.write_all(text.as_bytes())?;
+                first_answers.insert(request_id);
+                continue;
+            }
+            counts.record_run(&request_id);
+            if first_answers.remove(&request_id) {
+                counts.copies.fetch_add(1, Ordering::SeqCst);
+                writer.write_all(text.as_bytes())?;
+            }
+            writer.write_all(complete_answer(id, &request_id, &path).as_bytes())?;
+            continue;
+        }
         if let CopiedAnswer::Refusal(status) = copied
             && answers % one_in == one_in - 1
         {
@@ -104,17 +176,12 @@
             answers += 1;
             continue;
         }
-        counts.runs.lock().unwrap_or_else(PoisonError::into_inner).push(request_id.clone());
+        counts.record_run(&request_id);
         if answers > 0 && answers % one_in == 0 {
             counts.copies.fetch_add(1, Ordering::SeqCst);
             writer.write_all(last_answer.as_bytes())?;
         }
-        let body = format!("answer to {request_id}");
-        let answer = format!(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nReplica-Signature: {id}\r\n\
-             Content-Length: {}\r\n\r\n{body}",
-            body.len()
-        );
+        let answer = complete_answer(id, &request_id, &path);
         writer.write_all(answer.as_bytes())?;
         last_answer = answer;
         answers += 1;
@@ -122,9 +189,29 @@
     Ok(())
 }
 
-/// Reads the head of a request without a body; returns its id, or `None` at the end of the connection.
-fn read_request(reader: &mut BufReader<TcpStream>) -> io::Result<Option<String>> {
-    let mut request_id = String::new();
+/// Returns the answer of the server `id` to a request that ran.
+fn complete_answer(id: &str, request_id: &str, path: &str) -> String {
+    let (kind, body) = match path.starts_with(STREAM_PREFIX) {
+        true => ("text/event-stream", format!("id: 1\ndata: answer to {request_id}\n\n")),
+        false => ("text/plain", format!("answer to {request_id}")),
+    };
+    format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nReplica-Signature: {id}\r\n\
+         Content-Type: {kind}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// The head of a request.
+#[derive(Default)]
+struct SeenRequest {
+    request_id: String,
+    path: String,
+}
+
+/// Reads the head of a request without a body; `None` at the end of the connection.
+fn read_request(reader: &mut BufReader<TcpStream>) -> io::Result<Option<SeenRequest>> {
+    let mut request = SeenRequest::default();
     loop {
         let mut line = String::new();
         if reader.read_line(&mut line)? == 0 {
@@ -132,12 +219,14 @@
         }
         let line = line.trim_end();
         if line.is_empty() {
-            return Ok(Some(request_id));
+            return Ok(Some(request));
         }
-        if let Some((name, value)) = line.split_once(':')
+        if request.path.is_empty() {
+            request.path = line.split(' ').nth(1).unwrap_or_default().to_owned();
+        } else if let Some((name, value)) = line.split_once(':')
             && name.eq_ignore_ascii_case("request-id")
         {
-            request_id = value.trim().to_owned();
+            request.request_id = value.trim().to_owned();
         }
     }
 }
