gateway: a connection never carries the same request twice

Callers that kept their id were told 503 for calls that ran, and could run them again; within one request the same happened at two directory entries with one address.

Cause: an answer that names the request counts as its answer. After a named refusal the connection went back to the pool, and could carry the same request again, where a late copy of the refusal names it too.

Each connection now remembers the requests that it has carried, as hashes of their ids, and the pool passes over it for these only. After 1,024 requests it is closed instead of forgetting one. Ruled out: to close a connection after any refusal, which is one more connection for each refusal at worst load (by reasoning, not measured).

--- a/cli/tests/test_late_copy.rs
+++ b/cli/tests/test_late_copy.rs
@@ -21,6 +21,9 @@
 /// Calls whose caller keeps its id over its tries.
 const KEPT_IDS: usize = 20;
 
+/// Calls that are all refused.
+const REFUSED_CALLS: usize = 1_000;
+
 /// Tries of such a caller.
 const TRIES: usize = 3;
 
@@ -173,3 +176,23 @@
     let answered = |response: &&CallerResponse| response.status == 200;
     assert_eq!(responses.iter().filter(answered).count(), KEPT_IDS, "{responses:?}");
 }
+
+/// Refusals that name their calls cost no connections: at worst load most answers are refusals.
+#[test]
+fn refusal_connections() {
+    let copied = CopiedAnswer::First(FirstAnswer::Refused("503 Service Unavailable"));
+    let server = LateCopyServer::start_copying("i-0", 1, copied).expect("the server starts");
+    let mut standin = DeploymentStandin::start_with(&[SERVICE]).expect("the stand-in starts");
+    standin.replicas[0] = server.address;
+    standin.register_replica(0, "ready");
+    standin.publish_config(3);
+    let fixture = GatewayFixture::start_host(PROGRAM, Arc::new(standin), 240).serving();
+    for call in 0..REFUSED_CALLS {
+        let response = fixture.call("POST", "/book/1", &format!("r{call}"), Some(TEAM_KEY));
+        assert_eq!(response.status, 503);
+    }
+    assert!(server.refusals() >= REFUSED_CALLS, "each call reached the server");
+    let connections = server.connections();
+    println!("{connections} connections for {REFUSED_CALLS} refused calls");
+    assert!(connections < REFUSED_CALLS / 50, "{connections} connections");
+}
--- a/lib/src/gateway/connection_pool.rs
+++ b/lib/src/gateway/connection_pool.rs
@@ -3,6 +3,10 @@
 //! A connection carries one request at a time. Dropping a [`PooledConnection`] closes it, which
 //! cancels the request when its caller has disconnected; only [`PooledConnection::release`] returns
 //! the connection to the pool.
+//!
+//! A connection never carries the same request twice. A server may send a copy of an answer late, before
+//! the answer to the next request on the connection. A copy names the request that it answered, so it can be
+//! told apart by that name unless both requests are the same.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -61,6 +65,9 @@
 /// Maximum number of idle connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 32;
 
+/// Number of identified requests after which a connection is closed: it remembers each of them.
+const MAX_CARRIED_REQUESTS: usize = 1_024;
+
 /// Maximum size of the buffer that hyper reads into: it limits a head, and each piece of a body.
 const READ_BUFFER_BYTES: usize = 64 << 10;
 
@@ -92,9 +99,21 @@
     struct ConnectionKey;
 }
 
+/// Identifies a request by a hash of its name. Two requests with one key never share a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestKey(u64);
+
+impl From<&str> for RequestKey {
+    fn from(name: &str) -> Self {
+        let hash = *blake3::hash(name.as_bytes()).as_bytes();
+        let (first, _) = hash.split_first_chunk().unwrap_or((&[0; 8], &[]));
+        Self(u64::from_le_bytes(*first))
+    }
+}
+
 /// Identifies a connection among those that this process opens, and how often it has been used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ConnectionUse {
+pub struct ConnectionHistory {
     /// Number of the connection, in the order of opening.
     pub connection: u64,
     /// Number of requests that were sent on it before.
@@ -134,7 +153,27 @@
     head_allowance: HeadAllowance,
     task: JoinHandle<()>,
     /// Number of the connection, and of the requests that were sent on it.
-    usage: ConnectionUse,
+    history: ConnectionHistory,
+    /// The identified requests among them.
+    carried: Vec<RequestKey>,
+}
+
+impl OpenConnection {
+    /// Returns whether a request may be sent on this connection.
+    fn may_carry(&self, request: Option<RequestKey>) -> bool {
+        !request.is_some_and(|request| self.carried.contains(&request))
+    }
+
+    /// Records that a request is sent.
+    fn on_sent(&mut self, request: Option<RequestKey>) {
+        self.history.requests += 1;
+        self.carried.extend(request);
+    }
+
+    /// Returns whether it can remember another request.
+    fn has_room(&self) -> bool {
+        self.carried.len() < MAX_CARRIED_REQUESTS
+    }
 }
 
 impl Drop for OpenConnection {
@@ -195,7 +234,8 @@
 
     /// Returns the connection to the pool. Only valid once the response was read to its end.
     pub fn release(self) {
-        if self.connection.sender.is_closed() || self.idle_timeout.is_zero() {
+        let connection = &self.connection;
+        if connection.sender.is_closed() || self.idle_timeout.is_zero() || !connection.has_room() {
             return;
         }
         let expires_at = Instant::now() + self.idle_timeout;
@@ -216,28 +256,40 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, PooledConnection)> {
-        self.call_if(address, request, |_| true).await
+        self.exchange(address, request, None, |_| true).await
     }
 
-    /// Sends a request as [`Self::call`] does, if `is_wanted` still holds once there is a connection.
+    /// Sends a request as [`Self::call`] does, if `is_wanted` still holds once there is a connection, and
+    /// on none that has carried a request with the same key.
     pub async fn call_if(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        key: RequestKey,
+        is_wanted: impl Fn(ConnectionHistory) -> bool,
+    ) -> Result<(Response<Incoming>, PooledConnection)> {
+        self.exchange(address, request, Some(key), is_wanted).await
+    }
+
+    async fn exchange(
         &self,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
-        is_wanted: impl Fn(ConnectionUse) -> bool,
+        key: Option<RequestKey>,
+        is_wanted: impl Fn(ConnectionHistory) -> bool,
     ) -> Result<(Response<Incoming>, PooledConnection)> {
         loop {
-            let (mut connection, reused) = match self.take_idle(address) {
+            let (mut connection, reused) = match self.take_idle(address, key) {
                 Some(connection) => (connection, true),
                 None => (self.open(address).await?, false),
             };
             if reused && connection.sender.ready().await.is_err() {
                 continue;
             }
-            if !is_wanted(connection.usage) {
+            if !is_wanted(connection.history) {
                 return Err(CallError::Withheld);
             }
-            connection.usage.requests += 1;
+            connection.on_sent(key);
             connection.head_allowance.start(self.heads.lease(MAX_HEAD_BYTES));
             let sent = connection.sender.try_send_request(request).await;
             connection.head_allowance.stop();
@@ -305,8 +357,8 @@
             drop(guard);
         });
         self.opened.set(self.opened.get() + 1);
-        let usage = ConnectionUse { connection: self.opened.get(), requests: 0 };
-        Ok(OpenConnection { sender, head_allowance, task, usage })
+        let history = ConnectionHistory { connection: self.opened.get(), requests: 0 };
+        Ok(OpenConnection { sender, head_allowance, task, history, carried: Vec::new() })
     }
 
     fn record_connect_time(&self, address: SocketAddr, time: Duration) {
@@ -322,13 +374,21 @@
         self.connect_times.take()
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<OpenConnection> {
+    /// Takes the connection that was used last among those that may carry a request.
+    fn take_idle(
+        &self,
+        address: SocketAddr,
+        request: Option<RequestKey>,
+    ) -> Option<OpenConnection> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
-        while let Some(candidate) = connections.pop() {
-            if candidate.expires_at > now && !candidate.connection.sender.is_closed() {
-                return Some(candidate.connection);
+        for index in (0..connections.len()).rev() {
+            let candidate = &connections[index];
+            if candidate.expires_at <= now || candidate.connection.sender.is_closed() {
+                connections.remove(index);
+            } else if candidate.connection.may_carry(request) {
+                return Some(connections.remove(index).connection);
             }
         }
         None
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -31,8 +31,9 @@
 use crate::gateway::capacity::speed_table::PromptRead;
 use crate::gateway::capacity::speed_table::ServerMoment;
 use crate::gateway::connection_pool::CallError;
-use crate::gateway::connection_pool::ConnectionUse;
+use crate::gateway::connection_pool::ConnectionHistory;
 use crate::gateway::connection_pool::PooledConnection;
+use crate::gateway::connection_pool::RequestKey;
 use crate::gateway::crash_tracker::ExitEvidence;
 use crate::gateway::crash_tracker::LostAttempt;
 use crate::gateway::event_splitter::EventSplitter;
@@ -93,7 +94,7 @@
     /// When it was handed to a connection.
     sent_at: Cell<Timestamp>,
     /// Connection that it was handed to, and how often that had been used before.
-    connection: Cell<Option<ConnectionUse>>,
+    connection: Cell<Option<ConnectionHistory>>,
     /// State of the server when it was sent.
     moment: ServerMoment,
     /// What the server reads before the first event, if the time to it shows the server's speed.
@@ -397,9 +398,10 @@
     let state = attempt.state.clone();
     let message = AttemptRequest { server: attempt.server(), time_left, resume_after };
     let message = request.message(wire, &message);
-    let is_wanted = |usage| hand_over(&state, request, &attempt, usage);
+    let key = RequestKey::from(request.head.request_id.as_str());
+    let is_wanted = |history| hand_over(&state, request, &attempt, history);
     let (response, mut connection) =
-        match state.pool.call_if(attempt.address, message, is_wanted).await {
+        match state.pool.call_if(attempt.address, message, key, is_wanted).await {
             Ok(called) => called,
             Err(error) => {
                 let failure = match error {
@@ -467,7 +469,7 @@
     state: &GatewayState,
     request: &AcceptedRequest,
     attempt: &ServerAttempt,
-    usage: ConnectionUse,
+    history: ConnectionHistory,
 ) -> bool {
     let (now, server) = (state.now(), attempt.server());
     if state.crashes.borrow().is_refused(&request.work)
@@ -489,13 +491,13 @@
         state.metrics.events.with_label_values(&["limited_sent"]).inc();
     }
     attempt.sent_at.set(now);
-    attempt.connection.set(Some(usage));
+    attempt.connection.set(Some(history));
     placement.on_handed_over(now, server);
     log::info!(
         "event=attempt_sent request={} server={server} connection={} earlier_requests={} waited_ms={}",
         request.head.request_id,
-        usage.connection,
-        usage.requests,
+        history.connection,
+        history.requests,
         now.since(attempt.began_at).as_millis(),
     );
     true
@@ -684,12 +686,12 @@
 }
 
 /// Displays the number of a connection, or `-` if there is none.
-struct ConnectionLabel(Option<ConnectionUse>);
+struct ConnectionLabel(Option<ConnectionHistory>);
 
 impl fmt::Display for ConnectionLabel {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self.0 {
-            Some(usage) => write!(formatter, "{}", usage.connection),
+            Some(history) => write!(formatter, "{}", history.connection),
             None => formatter.write_str("-"),
         }
     }
