--- a/lib/tests/test_engine_client.rs
+++ b/lib/tests/test_engine_client.rs
@@ -2,7 +2,16 @@
 
 #![allow(clippy::unwrap_used, reason = "helpers of tests fail by panicking, too")]
 
+use std::io;
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -439,3 +448,74 @@
     connector.keep_only(&[second.address()]);
     assert!(!Arc::ptr_eq(&client, &connector.engine(first.address())));
 }
+
+/// Starts an engine that refuses its first call, and sends the refusal once more before the answer to the
+/// next call on the same connection.
+fn start_copying_engine() -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+    let address = listener.local_addr()?;
+    let has_refused = Arc::<AtomicBool>::default();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(io::Result::ok) {
+            let has_refused = has_refused.clone();
+            // An error means that the client closed the connection.
+            thread::spawn(move || drop(serve_copies(stream, &has_refused)));
+        }
+    });
+    Ok(address)
+}
+
+fn serve_copies(mut stream: TcpStream, has_refused: &AtomicBool) -> io::Result<()> {
+    let refusal = "{\"ran\": false, \"reason\": \"full\"}";
+    let refusal = http_text("503 Service Unavailable", refusal);
+    let end = "{\"end\": {\"finish_reason\": \"stop\", \"end_offset\": 0, \"prompt_tokens\": 4, \
+               \"cached_tokens\": 0, \"computed_tokens\": 4}}\n";
+    let mut copy = None;
+    let mut request = [0; 4_096];
+    // The small requests of this test arrive as a head and a body, or both together.
+    while let Some(head) = read_head(&mut stream, &mut request)? {
+        let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
+        let length = length.and_then(|length| length.trim().parse::<usize>().ok()).unwrap_or(0);
+        let mut body = vec![0; length];
+        stream.read_exact(&mut body)?;
+        if !has_refused.swap(true, Ordering::SeqCst) {
+            stream.write_all(refusal.as_bytes())?;
+            copy = Some(refusal.clone());
+            continue;
+        }
+        let copied = copy.take().unwrap_or_default();
+        stream.write_all(format!("{copied}{}", http_text("200 OK", end)).as_bytes())?;
+    }
+    Ok(())
+}
+
+fn http_text(status: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Reads the head of a request in lowercase; `None` at the end of the connection.
+fn read_head(stream: &mut TcpStream, buffer: &mut [u8]) -> io::Result<Option<String>> {
+    let mut length = 0;
+    while !buffer[..length].ends_with(b"\r\n\r\n") {
+        if stream.read(&mut buffer[length..length + 1])? == 0 {
+            return Ok(None);
+        }
+        length += 1;
+    }
+    Ok(Some(String::from_utf8_lossy(&buffer[..length]).to_ascii_lowercase()))
+}
+
+/// A late copy of a refusal was taken for the answer to the next call on its connection: the engine ran
+/// a call that counted as not run.
+#[rstest]
+#[case("generate")]
+#[case("order")]
+fn copied_refusal(#[case] call: &str) {
+    let client = EngineClient::new(start_copying_engine().unwrap(), HttpClientLimits::default());
+    let make_call = |sequence| match call {
+        "generate" => run(&client, &request(sequence, "wind at the start")).map(drop),
+        _ => client.order(&EngineOrder::LoadModel(MODEL.to_owned()), None),
+    };
+    assert!(matches!(make_call(1), Err(ServerError::Refused(_))));
+    assert_eq!(make_call(2), Ok(()));
+}
