retries: a test of a host that is ready before it knows of its peers

With a store that takes 300 ms for an answer, a host is ready after its first reads, and reads the list of hosts one read later. A call in between is refused by a server and not tried at the other one:

assertion `left == right` failed: the other server was tried left: [1, 0] right: [1, 1]

--- a/cli/tests/test_server_notices.rs
+++ b/cli/tests/test_server_notices.rs
@@ -17,6 +17,9 @@
 /// Requests that would reach each of two servers several times.
 const CALLS: usize = 20;
 
+/// Time that a slow store takes for an answer.
+const STORE_DELAY: Duration = Duration::from_millis(300);
+
 /// Time within which a request may still be sent to a server that asked for a pause.
 const PAUSE_SLACK: Duration = Duration::from_millis(500);
 
@@ -161,6 +164,28 @@
     wait_for(|| look(&fixture, "later") == 200);
 }
 
+/// Guards against a host that serves before it has read the list of hosts, and has no budget for a retry.
+#[test]
+fn refused_at_start() {
+    let standin = Arc::new(DeploymentStandin::start().expect("the stand-in starts"));
+    standin.publish_config(3);
+    for index in 0..2 {
+        standin.set_replica_mode(index, ReplicaMode::TurnAway { retry_after: "4" });
+    }
+    standin.set_store_mode(StoreMode::Slow(STORE_DELAY));
+    let fixture = GatewayFixture::start_host(PROGRAM, standin, 115);
+    wait_for(|| fixture.readiness() == Some(200));
+    let turned_away = || [0, 1].map(|index| fixture.standin.turned_away(index).len());
+    let mut calls = 0;
+    // The host may read the directory slightly later than the configuration.
+    wait_for(|| {
+        calls += 1;
+        assert_eq!(look(&fixture, &format!("r{calls}")), 503);
+        turned_away() != [0, 0]
+    });
+    assert_eq!(turned_away(), [1, 1], "the other server was tried");
+}
+
 #[rstest]
 #[case::zero(111, "0")]
 #[case::negative(112, "-3")]
