placement: a test of plain servers that are never tried again

A choice of a host with few calls in flight has no chance in it: a server whose mean is worse by anything is not chosen, and no further answer corrects the mean.

--- a/lib/tests/test_app_choice.rs
+++ b/lib/tests/test_app_choice.rs
@@ -2,8 +2,15 @@
 
 use std::time::Duration;
 
+use pomelostack_lib::gateway::zones::app_choice::AppChoice;
+use pomelostack_lib::gateway::zones::app_choice::AppServer;
+use pomelostack_lib::gateway::zones::app_choice::AppView;
+use pomelostack_lib::ids::ServerKey;
 use pomelostack_lib::timestamp::Timestamp;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
+use slotmap::SlotMap;
 use testutils::app_fleet::AppFleet;
 use testutils::app_fleet::AppResult;
 use testutils::app_fleet::AppRule;
@@ -88,3 +95,60 @@
     assert_eq!(result.late, 0);
     assert!(result.left_zone <= former.left_zone, "{} of {}", result.left_zone, former.left_zone);
 }
+
+/// Answers of a server, and its cost besides.
+struct KnownServer {
+    answers: usize,
+    service_ms: u64,
+    zone: usize,
+    extra_ms: f64,
+}
+
+/// Returns how many of 6,400 calls of an idle fleet each server gets beside one that answers in 2 ms.
+fn calls_at(other: &KnownServer) -> usize {
+    let mut slots: SlotMap<ServerKey, ()> = SlotMap::with_key();
+    let keys = [slots.insert(()), slots.insert(())];
+    let mut choice = AppChoice::default();
+    let known = [(100, 2), (other.answers, other.service_ms)];
+    for (key, (answers, service_ms)) in keys.into_iter().zip(known) {
+        let elapsed = Duration::from_millis(service_ms);
+        (0..answers).for_each(|_| choice.on_answer(key, 16, 0, elapsed));
+    }
+    let server = |key, zone, extra_ms| AppServer {
+        key,
+        zone,
+        slots: 16,
+        own: 0,
+        peers: 0,
+        leaving_ms: 4.0,
+        extra_ms,
+    };
+    let servers = [server(keys[0], 0, 0.0), server(keys[1], other.zone, other.extra_ms)];
+    let view = AppView { servers: &servers, zone_shares: &[0.5, 0.5], home: 0 };
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let chosen = (0..6_400).filter(|_| choice.choose(seconds(1), &view, &mut random) == Some(1));
+    chosen.count()
+}
+
+/// Guards against a server that is never tried again since it was slow once, as one that names a limit
+/// was: no answer shows that its limit has ended.
+#[rstest]
+#[case::slow_once(1, 40, 50..=400)]
+#[case::never_used(0, 0, 50..=400)]
+#[case::slow_for_long(256, 40, 1..=32)]
+fn tried_again(
+    #[case] answers: usize,
+    #[case] service_ms: u64,
+    #[case] calls: std::ops::RangeInclusive<usize>,
+) {
+    let tried = calls_at(&KnownServer { answers, service_ms, zone: 0, extra_ms: 0.0 });
+    assert!(calls.contains(&tried), "{tried} of 6,400 calls");
+}
+
+/// Guards against calls that try a server in another zone, or one at which a place is scarce.
+#[rstest]
+#[case::other_zone(1, 0.0)]
+#[case::scarce_place(0, 100.0)]
+fn not_tried(#[case] zone: usize, #[case] extra_ms: f64) {
+    assert_eq!(calls_at(&KnownServer { answers: 1, service_ms: 40, zone, extra_ms }), 0);
+}
