quotas: a test of requests that are larger than the bucket's deficit

lowered_quota refuses nothing since its quota has neither burst nor tolerance, so that the bucket has no depth: the deficit that is paid back is two depths at most, which is none. Summaries play no part. The same holds for any request larger than three depths: the rest is forgiven at the next refill.

--- a/lib/tests/test_quota_limiter.rs
+++ b/lib/tests/test_quota_limiter.rs
@@ -628,6 +628,26 @@
     );
 }
 
+/// Guards against requests larger than the bucket's largest deficit, of which the rest was not paid back.
+#[rstest]
+fn large_requests_paid(#[values(0, 100, 300)] burst: u64) {
+    let quota = TeamQuota { rate: 1_000, burst };
+    let reachability = PeerReachability::Majority { silent: 0, known: 1 };
+    let bounds = QuotaBounds { window: WINDOW, tolerance_ratio: 0.0, tolerance_units: 0.0 };
+    let mut limiter = QuotaLimiter::new(bounds);
+    let mut admitted = 0;
+    for step in 0..4_000 {
+        let now = Timestamp::from_millis(step * 10);
+        let request = new_request(4_000);
+        let decision = limiter.admit(now, &team(), quota, request, reachability);
+        admitted += u64::from(decision == QuotaDecision::Admitted) * 4_000;
+    }
+    // The refill of 40 s, a full bucket and one request.
+    let allowed = 40_000 + burst + 4_000;
+    assert!(admitted <= allowed, "{admitted} units, {allowed} allowed");
+    assert!(admitted * 10 >= 40_000 * 9, "{admitted} units");
+}
+
 /// Guards against a refill that is lost or given out twice, and against ranks without their floors.
 #[test]
 fn rank_division() {
