quotas: requests larger than the bucket's deficit are paid back in full

Callers of a team with large requests and a small quota were admitted far beyond it at one host: the bucket forgave, at each refill, what was spent beyond two depths. That bound is for what a host can't know (a quota lowered meanwhile, news after a cut), and the size of a request is known. The deficit that is kept is now two depths, or the largest request since the bucket was last full.

Ruled out: a host that publishes no summary does count its own spending (lowered_quota, written against the limiter before the pace, passes unchanged).

--- a/lib/src/gateway/quota/quota_limiter.rs
+++ b/lib/src/gateway/quota/quota_limiter.rs
@@ -491,6 +491,7 @@
         window.expire(now, span);
         window.on_asked(now, class, asked);
         let refill = window.refill(now, span, pace, self.assumed, reachability)[class];
+        window.level.on_request(units as f64);
         let kept = window.kept_units(now, claim) as f64;
         let level = window.level.available(pace) - kept;
         let surge = window.surge_factor(asked, unpublished_time, span);
--- a/lib/src/gateway/quota/quota_pace.rs
+++ b/lib/src/gateway/quota/quota_pace.rs
@@ -14,8 +14,8 @@
 /// for about this long.
 const MAX_DEPTH_TIME: Duration = Duration::from_secs(1);
 
-/// Largest deficit, in depths of the bucket, that is paid back. More can only stem from a limit that was
-/// lowered meanwhile.
+/// Largest deficit, in depths of the bucket, that is paid back if no request is larger. More can only stem
+/// from a limit that was lowered meanwhile, or from hosts that did not hear of each other.
 const MAX_DEFICIT_DEPTHS: f64 = 2.0;
 
 /// Refill and depth of the bucket of one quota.
@@ -49,6 +49,8 @@
 pub struct BucketLevel {
     /// Units below the full bucket.
     spent: f64,
+    /// Units of the largest request since the bucket was last full.
+    largest: f64,
     refilled_at: Option<Timestamp>,
 }
 
@@ -68,6 +70,11 @@
         self.spent += units;
     }
 
+    /// Counts the size of a request, which is paid back in full if it is admitted.
+    pub fn on_request(&mut self, units: f64) {
+        self.largest = self.largest.max(units);
+    }
+
     /// Starts to refill the bucket, with units spent already.
     pub fn start(&mut self, now: Timestamp, spent: f64, pace: QuotaPace) {
         self.spent = spent;
@@ -76,9 +83,12 @@
 
     /// Refills the bucket for the time elapsed.
     pub fn refill(&mut self, now: Timestamp, elapsed: Duration, pace: QuotaPace) {
-        let max_spent = pace.depth * (1.0 + MAX_DEFICIT_DEPTHS);
+        let max_deficit = (pace.depth * MAX_DEFICIT_DEPTHS).max(self.largest);
         let spent = self.spent - pace.rate * elapsed.as_secs_f64();
-        self.spent = spent.clamp(0.0, max_spent);
+        self.spent = spent.clamp(0.0, pace.depth + max_deficit);
+        if self.spent == 0.0 {
+            self.largest = 0.0;
+        }
         self.refilled_at = Some(now);
     }
 }
