placement: plain servers that were slow or unused are tried again

With less than half a call of other hosts in flight a host chose the best plain server always, so that one whose first answers were slower was never asked again, and a limit that it had named never seen to end. In one call of 32 a host now tries another server of the same zone that would be as good at the mean service time, cost of a limited place and calls in flight included, and less often by the square of how much slower its own answers were.

Ruled out: limits of other hosts (each held a part, closed_by_limits=0) and the cost of a place, which ends 2 s after the last answer that named the limit.

Not measured: new connections to servers in a large idle fleet.

--- a/lib/src/gateway/zones/app_choice.rs
+++ b/lib/src/gateway/zones/app_choice.rs
@@ -9,7 +9,8 @@
 //! taken off. The calls that all hosts have sent since, and will send before the next reports, are
 //! placed one after another at the server that is best for a caller in their zone. The server is then
 //! drawn from those that got the calls of this host's zone, so that all hosts together spread their
-//! calls in the same way. With few calls the last step has one result: the server with the least wait.
+//! calls in the same way. With few calls the last step has one result: the server with the least wait, or
+//! now and then one that may be as good by all but its own answers.
 
 use std::time::Duration;
 
@@ -60,6 +61,10 @@
 /// Calls in flight of other hosts up to which the best server is chosen rather than drawn.
 const MIN_SPREAD_CALLS: f64 = 0.5;
 
+/// Share of the calls in which a host that would choose the best server tries another one instead: only an
+/// answer corrects what is known of a server.
+const TRIAL_SHARE: f64 = 1.0 / 32.0;
+
 /// Parts into which the calls of all hosts are divided: a few for each server, at most the second number.
 const PARTS_PER_SERVER: usize = 8;
 const MAX_PARTS: usize = 192;
@@ -254,7 +259,8 @@
         let mut planned: Vec<PlannedServer> = planned.collect();
         let sent = peers * (1.0 - (-age_ms / shared_ms.max(0.1)).exp());
         if sent < MIN_SPREAD_CALLS {
-            return view.best(&planned, *home, gain_ms);
+            let best = view.best(&planned, *home, gain_ms)?;
+            return Some(view.trial(&planned, best, (shared_ms, gain_ms), random).unwrap_or(best));
         }
         let parts = view.place(&mut planned, sent, shared_ms, gain_ms);
         draw(&parts, random).or_else(|| view.best(&planned, *home, gain_ms))
@@ -317,6 +323,35 @@
         costs.min_by(|(_, one), (_, other)| one.total_cmp(other)).map(|(index, _)| index)
     }
 
+    /// Returns a server to try in place of the best one, now and then. It is one of the same zone that would
+    /// be about as good if it were as fast as all servers together, and is tried less often the slower its
+    /// own answers were.
+    fn trial(
+        &self,
+        planned: &[PlannedServer],
+        best: usize,
+        (shared_ms, gain_ms): (f64, f64),
+        random: &mut impl Rng,
+    ) -> Option<usize> {
+        if !random.random_bool(TRIAL_SHARE) {
+            return None;
+        }
+        let usual_ms = |index: usize| {
+            let AppServer { slots, extra_ms, .. } = self.servers[index];
+            PlannedServer::new(slots, shared_ms, planned[index].load).wait_ms + extra_ms
+        };
+        let max_ms = usual_ms(best) + gain_ms;
+        let is_alike = |index: &usize| {
+            let server = &self.servers[*index];
+            let is_near = *index != best && server.zone == self.servers[best].zone;
+            is_near && server.own == 0 && usual_ms(*index) <= max_ms
+        };
+        let alike: Vec<usize> = (0..planned.len()).filter(is_alike).collect();
+        let index = *alike.get(random.random_range(0..alike.len().max(1)))?;
+        let ratio = planned[best].wait_ms / planned[index].wait_ms;
+        random.random_bool((ratio * ratio).clamp(0.0, 1.0)).then_some(index)
+    }
+
     /// Places calls of all zones one after another; returns how many of this host's zone each server got.
     fn place(
         &self,
