retries: a test of hosts that start and have heard from one peer

Hosts that read the list first send summaries to all listed ones, so that after a loss of all hosts each may have heard from one of hundreds:

--- a/lib/tests/test_retry_limiter.rs
+++ b/lib/tests/test_retry_limiter.rs
@@ -9,6 +9,7 @@
 use pomelostack_lib::ids::HostId;
 use pomelostack_lib::ids::ServiceName;
 use pomelostack_lib::ids::ZoneName;
+use pomelostack_lib::protos::gateway::HostSummary;
 use pomelostack_lib::timestamp::Timestamp;
 use rand::Rng as _;
 use rand::SeedableRng as _;
@@ -75,19 +76,55 @@
     assert!(hedges > 0 && retries >= hedges, "{hedges} hedges, then {retries} retries");
 }
 
-/// Hosts that all start at once and know nothing of each other yet.
-#[test]
-fn unknown_fleet() {
+/// Returns the retries of 295 hosts that have just started and have had no requests.
+fn retries_at_start(learn: impl Fn(usize, &mut PeerTable)) -> usize {
     let service = ServiceName::try_from("chat").expect("valid in tests");
     let zone = ZoneName::try_from("a").expect("valid in tests");
     let retries = (0..295).map(|number| {
-        let host = HostId::try_from(format!("h{number}")).expect("valid in tests");
-        let hosts = PeerTable::new(host, zone.clone()).possible_hosts();
+        let mut peers = PeerTable::new(host(number), zone.clone());
+        learn(number, &mut peers);
+        let hosts = peers.possible_hosts();
         let mut limiter = RetryLimiter::new(BOUNDS);
         let now = Timestamp::default();
         let spent = |_: &usize| limiter.try_spend(now, &service, hosts, RetryPurpose::Failure);
         (0..100).filter(spent).count()
     });
-    let retries: usize = retries.sum();
+    retries.sum()
+}
+
+fn host(number: usize) -> HostId {
+    HostId::try_from(format!("h{number:03}")).expect("valid in tests")
+}
+
+fn address() -> std::net::SocketAddr {
+    "127.0.0.1:7700".parse().expect("valid in tests")
+}
+
+/// Hosts that all start at once and know nothing of each other yet.
+#[test]
+fn unknown_fleet() {
+    let retries = retries_at_start(|_, _| {});
+    assert!(retries as f64 <= BOUNDS.allowance, "{retries} retries");
+}
+
+/// Hosts that all start for the first time: each publishes its address, then reads those before it.
+#[test]
+fn listed_in_turn() {
+    let retries = retries_at_start(|number, peers| {
+        peers.on_list_read();
+        (0..number).for_each(|other| peers.on_listed(Timestamp::default(), host(other), address()));
+    });
+    assert!(retries as f64 <= BOUNDS.allowance, "{retries} retries");
+}
+
+/// Hosts that have heard from the first one that read the list, and have not read it themselves.
+#[test]
+fn heard_from_one() {
+    let retries = retries_at_start(|number, peers| {
+        let sender = host((number + 1) % 295).to_string();
+        let (address, zone) = (address().to_string(), "a".to_owned());
+        let summary = HostSummary { host: sender, address, zone, ..HostSummary::default() };
+        peers.on_summary(Timestamp::default(), HostSummary { sequence: 1, ..summary });
+    });
     assert!(retries as f64 <= BOUNDS.allowance, "{retries} retries");
 }
