retries: a host that starts is ready once it knows how many hosts there are

Callers of a host that had just started got 502 or 503 where another server would have answered: without the list of hosts a host is one of 512, whose part of the retry budget is less than one retry. A host is now ready after it has read the list, or a second after all else that it needs. One that is asked earlier serves as before.

The budget itself stays: refusals count as arrivals (BUDGET), so that a retry after one that cost the server little is not free, and after a loss of all hosts nothing but the list tells them from a single one. With 28 or more listed hosts the part of the allowance is still no retry.

refused_at_start (a store that answers after 300 ms) failed before.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -56,6 +56,7 @@
 pub mod server_pause;
 pub mod serving_config;
 pub mod shutdown_plan;
+pub mod start_gate;
 pub mod store_era;
 pub mod store_follower;
 pub mod stream_binding;
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -44,6 +44,8 @@
 use crate::gateway::rollout::rollout_keeper::RolloutSync;
 use crate::gateway::serving_config::ActiveConfig;
 use crate::gateway::shutdown_plan::ShutdownPlan;
+use crate::gateway::start_gate::StartGate;
+use crate::gateway::start_gate::StartReads;
 use crate::gateway::store_era::EraChange;
 use crate::gateway::store_era::EraWatch;
 use crate::gateway::usage_ledger::HostIncarnation;
@@ -157,6 +159,8 @@
     pub verdict_hint: Notify,
     /// Whether the quota spending from before this host's start was read, or cannot be read.
     pub spending_known: Cell<bool>,
+    /// Whether what must be read before the first connection was read.
+    pub start_gate: RefCell<StartGate>,
     /// Plan of the graceful shutdown, once it was requested.
     pub shutdown: Cell<Option<ShutdownPlan>>,
     /// Number of requests in flight.
@@ -212,6 +216,7 @@
             record_hint: Notify::new(),
             verdict_hint: Notify::new(),
             spending_known,
+            start_gate: RefCell::default(),
             shutdown: Cell::new(None),
             in_flight: Cell::new(0),
             connections: Cell::new(0),
@@ -291,9 +296,12 @@
 
     /// Returns whether the host accepts new connections.
     pub fn is_ready(&self) -> bool {
-        self.shutdown.get().is_none()
-            && self.spending_known.get()
-            && self.config.borrow().current().is_some()
+        let reads = StartReads {
+            config: self.config.borrow().current().is_some(),
+            spending: self.spending_known.get(),
+            hosts: self.peers.borrow().knows_fleet(),
+        };
+        self.start_gate.borrow_mut().is_open(self.now(), reads) && self.shutdown.get().is_none()
     }
 
     /// Spends a retry from this host's share of a service's retry budget. Returns whether the retry
--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -388,6 +388,11 @@
         u32::try_from(self.contacts.len() + 1).unwrap_or(u32::MAX)
     }
 
+    /// Returns whether this host has read the list of hosts, or knows peers without it.
+    pub fn knows_fleet(&self) -> bool {
+        self.fleet_size() != FleetSize::Unknown
+    }
+
     /// Returns the number of hosts that this host may be one of: the known ones, or the largest fleet as
     /// long as it knows nothing of its peers.
     pub fn possible_hosts(&self) -> u32 {
