--- a/lib/src/gateway/peer_table.rs
+++ b/lib/src/gateway/peer_table.rs
@@ -176,6 +176,10 @@
     is_listed: bool,
     /// When the first host was listed.
     first_listed_at: Option<Timestamp>,
+    /// When a peer was first heard from.
+    first_heard_at: Option<Timestamp>,
+    /// Whether the peers that run have had the time to be heard from.
+    has_joined: bool,
     /// Spending of all entries, updated incrementally since it is read after every summary.
     total_spending: BTreeMap<TeamName, TeamSpending>,
 }
@@ -218,6 +222,8 @@
             silent: BTreeMap::new(),
             is_listed: false,
             first_listed_at: None,
+            first_heard_at: None,
+            has_joined: false,
             total_spending: BTreeMap::new(),
         }
     }
@@ -271,6 +277,7 @@
         let is_leaving = summary.leaving;
         let contact = PeerContact { address, zone, listed_at: now, heard_at, period, is_leaving };
         self.silent.remove(&host);
+        self.first_heard_at.get_or_insert(now);
         let known = self.contacts.insert(host, contact);
         self.insert_entry(incarnation, PeerEntry { heard_at: now, summary });
         match known.is_some_and(|known| known.is_live(now)) {
@@ -342,6 +349,7 @@
     /// Drops entries whose spending has left a window of length `window`, and the addresses of
     /// silent hosts.
     pub fn expire(&mut self, now: Timestamp, window: Duration) {
+        self.has_joined |= self.first_heard_at.is_some_and(|at| now.since(at) >= JOIN_TIME);
         let is_old =
             |_: &HostIncarnation, entry: &mut PeerEntry| now.since(entry.heard_at) >= window;
         let old: Vec<PeerEntry> =
@@ -388,18 +396,16 @@
         u32::try_from(self.contacts.len() + 1).unwrap_or(u32::MAX)
     }
 
-    /// Returns whether this host has read the list of hosts, or knows peers without it.
+    /// Returns whether this host has read the list of hosts, or has heard from its peers for long enough
+    /// without it. A single one that has just been heard may be one of hundreds that start.
     pub fn knows_fleet(&self) -> bool {
-        self.fleet_size() != FleetSize::Unknown
+        self.is_listed || self.has_joined
     }
 
     /// Returns the number of hosts that this host may be one of: the known ones, or the largest fleet as
-    /// long as it knows nothing of its peers.
+    /// long as it does not know its peers.
     pub fn possible_hosts(&self) -> u32 {
-        match self.fleet_size() {
-            FleetSize::Unknown => MAX_FLEET_HOSTS,
-            FleetSize::Hosts(_) => self.known_hosts(),
-        }
+        if self.knows_fleet() { self.known_hosts() } else { MAX_FLEET_HOSTS }
     }
 
     /// Returns whether the fleet is so large that summaries are sent less often and forwarded together.
