soak: copies of named answers, cut heads, and servers that leave while hosts are added

Judged: a request that runs once over all its tries, a refusal until the caller's next try, and requests 2 s after a host in touch had passed on that the replica leaves.

--- a/lib/testutils/src/deployment_server.rs
+++ b/lib/testutils/src/deployment_server.rs
@@ -33,10 +33,14 @@
 use tokio::task::LocalSet;
 use tokio_stream::wrappers::ReceiverStream;
 
+use crate::answer_copies::AnswerCopies;
+use crate::answer_copies::CopiedLate;
+use crate::answer_copies::CopyingStream;
 use crate::deployment_standin::FIRST_VERSION;
 use crate::deployment_standin::READY;
 use crate::deployment_standin::SERVER_TOPIC;
 use crate::deployment_standin::STREAM_EVENTS;
+use crate::deployment_state::CopiedKind;
 use crate::deployment_state::LimitAnswer;
 use crate::deployment_state::ReplicaCrash;
 use crate::deployment_state::ReplicaMode;
@@ -184,16 +188,19 @@
         return;
     }
     let (takeovers, mut takeover) = mpsc::unbounded_channel();
-    let service =
-        service_fn(move |request| answer(state.clone(), role, number, takeovers.clone(), request));
-    let mut connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    let copies = AnswerCopies::default();
+    let stream = TokioIo::new(CopyingStream::new(stream, copies.clone()));
+    let service = service_fn(move |request| {
+        answer(state.clone(), role, number, takeovers.clone(), copies.clone(), request)
+    });
+    let mut connection = http1::Builder::new().serve_connection(stream, service);
     // The gateway may close connections at any time.
     let response = tokio::select! {
         _ = &mut connection => return,
         response = takeover.recv() => response,
-        () = &mut crash => return reset(&connection.into_parts().io.into_inner()),
+        () = &mut crash => return reset(&connection.into_parts().io.into_inner().into_inner()),
     };
-    let mut stream = connection.into_parts().io.into_inner();
+    let mut stream = connection.into_parts().io.into_inner().into_inner();
     // The gateway may close the connection at any time.
     tokio::select! {
         _ = write_takeover(response, &mut stream) => {}
@@ -212,6 +219,7 @@
     role: Role,
     connection: u64,
     takeovers: mpsc::UnboundedSender<Takeover>,
+    copies: AnswerCopies,
     request: Request<Incoming>,
 ) -> Result<StandinReply, std::io::Error> {
     match role {
@@ -236,6 +244,12 @@
             }
             let limit = limit(&state).map(HeaderValue::try_from).and_then(Result::ok);
             reply.headers_mut().extend(limit.map(|limit| (SERVER_LIMIT, limit)));
+            copies.send_last();
+            if reply.extensions_mut().remove::<CopiedLate>().is_some()
+                && let Either::Left(body) = reply.body()
+            {
+                copies.keep(reply.status(), reply.headers(), body.clone()).await;
+            }
             Ok(reply)
         }
     }
@@ -453,6 +467,17 @@
         reply.headers_mut().insert("not-executed", hyper::header::HeaderValue::from_static("1"));
         return Ok(reply);
     }
+    if let ReplicaMode::CopyLate(CopiedKind::Refusal(status)) = mode
+        && lock(state).replicas[index].refused.insert(request_id.clone())
+    {
+        let status = StatusCode::from_u16(status).map_err(std::io::Error::other)?;
+        let mut reply = full_response(status, "");
+        reply.headers_mut().insert("not-executed", HeaderValue::from_static("1"));
+        let id = HeaderValue::try_from(request_id).map_err(std::io::Error::other)?;
+        reply.headers_mut().insert("request-id", id);
+        reply.extensions_mut().insert(CopiedLate);
+        return Ok(reply);
+    }
     if let ReplicaMode::TurnAway { retry_after } = mode {
         let at = Instant::now();
         {
@@ -521,7 +546,8 @@
         reply.extensions_mut().insert(Takeover::Unframed(response));
         return Ok(reply);
     }
-    let mut reply = if path.starts_with("/brief/") {
+    let is_failed_resume = mode == ReplicaMode::FailResumed && resumed_after.is_some();
+    let mut reply = if path.starts_with("/brief/") && !is_failed_resume {
         let count = path_number(path, "/events-").unwrap_or(STREAM_EVENTS);
         let run = StreamRun { request_id: request_id.clone(), replica: index, version, mode };
         stream_events(state.clone(), run, resumed_after.unwrap_or(0)..count)
@@ -532,9 +558,14 @@
             None => full_response(StatusCode::OK, format!("answer to {request_id}")),
         }
     };
+    let is_copied_error =
+        mode == ReplicaMode::CopyLate(CopiedKind::Error) && run_count.is_multiple_of(2);
     let fails_on =
         matches!(mode, ReplicaMode::FailOn { one_in } if run_count.is_multiple_of(one_in));
-    if mode == ReplicaMode::Fail || fails_on {
+    if is_copied_error || mode == ReplicaMode::CopyLate(CopiedKind::Complete) {
+        reply.extensions_mut().insert(CopiedLate);
+    }
+    if mode == ReplicaMode::Fail || fails_on || is_copied_error || is_failed_resume {
         *reply.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
     }
     if mode == ReplicaMode::Leaving {
@@ -629,7 +660,8 @@
             }
         }
         let text = versioned_event_text(id, version);
-        let cut = matches!(mode, ReplicaMode::CutAfter(count) if id > after + count);
+        let cut = matches!(mode, ReplicaMode::CutAfter(count) if id > after + count)
+            || mode == ReplicaMode::FailResumed && id > after + 2;
         let sent = if cut { text[..text.len() / 2].to_owned() } else { text };
         if sender.send(Ok(Frame::data(Bytes::from(sent)))).await.is_err() || cut {
             // Break the connection without sending the rest of the answer.
--- a/lib/testutils/src/deployment_standin.rs
+++ b/lib/testutils/src/deployment_standin.rs
@@ -4,6 +4,7 @@
 
 use serde_json::Value;
 use serde_json::json;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,6 +21,7 @@
 
 pub use crate::deployment_server::event_text;
 pub use crate::deployment_server::versioned_event_text;
+pub use crate::deployment_state::CopiedKind;
 pub use crate::deployment_state::LimitAnswer;
 pub use crate::deployment_state::LimitRecord;
 pub use crate::deployment_state::ReplicaCrash;
@@ -95,6 +97,7 @@
                 crash: Arc::default(),
                 limit: None,
                 version: FIRST_VERSION.to_owned(),
+                refused: BTreeSet::new(),
             })
             .collect();
         let platform = serve(state.clone(), Role::Platform(None))?;
--- a/lib/testutils/src/deployment_state.rs
+++ b/lib/testutils/src/deployment_state.rs
@@ -1,5 +1,6 @@
 //! State of the deployment stand-in: its store, its replicas, and what was written and run.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -63,6 +64,23 @@
     Unframed(UnframedEnd),
     /// It writes a response without end until the caller closes the connection.
     Endless(EndlessKind),
+    /// It sends answers of this kind, which name their request, once more in front of the next answer on
+    /// their connection.
+    CopyLate(CopiedKind),
+    /// It runs them, breaks fresh streams off within their third event, and answers resumed ones with an
+    /// error and a body.
+    FailResumed,
+}
+
+/// Which answers are sent a second time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CopiedKind {
+    /// Refusals with this status. Each request is refused once by each replica.
+    Refusal(u16),
+    /// Errors of requests that ran, which are half of all.
+    Error,
+    /// All answers that are not streams.
+    Complete,
 }
 
 /// How an answer ends that ends with its connection.
@@ -74,6 +92,10 @@
     Reset,
     /// The connection is closed in order, within the last event of a stream. Other answers are complete.
     InsideEvent,
+    /// The connection is closed in order, within the head.
+    InsideHead,
+    /// The connection is closed in order, before the first event of a stream. Other answers are complete.
+    BeforeEvent,
 }
 
 /// How the store handles calls.
@@ -159,6 +181,8 @@
     pub(crate) limit: Option<String>,
     /// Version of its software.
     pub(crate) version: String,
+    /// Ids of the requests that it has refused to send the refusal again.
+    pub(crate) refused: BTreeSet<String>,
 }
 
 impl ReplicaState {
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the platform's services, simulators, and naive reference implementations, for
 //! tests and the `dev` command.
 
+mod answer_copies;
 pub mod app_fleet;
 pub mod app_standin;
 pub mod backend_fleet;
--- a/lib/testutils/src/unframed_response.rs
+++ b/lib/testutils/src/unframed_response.rs
@@ -48,7 +48,15 @@
             "HTTP/1.1 200 OK\r\nrequest-id: {request_id}\r\nreplica-signature: {signature}\r\n\
              {limit}content-type: {kind}\r\nconnection: close\r\n\r\n"
         );
+        if self.end == UnframedEnd::InsideHead {
+            stream.write_all(&head.as_bytes()[..head.len() / 2]).await?;
+            return stream.shutdown().await;
+        }
         stream.write_all(head.as_bytes()).await?;
+        let is_stream = matches!(self.body, UnframedBody::Events(_));
+        if self.end == UnframedEnd::BeforeEvent && is_stream {
+            return stream.shutdown().await;
+        }
         let pieces: Vec<String> = match &self.body {
             UnframedBody::Text(text) => {
                 let (first, rest) = text.split_at(text.len() / 2);
@@ -56,7 +64,6 @@
             }
             UnframedBody::Events(ids) => (ids.start + 1..=ids.end).map(event_text).collect(),
         };
-        let is_stream = matches!(self.body, UnframedBody::Events(_));
         for (index, piece) in pieces.iter().enumerate() {
             tokio::time::sleep(EVENT_INTERVAL).await;
             let is_last = index + 1 == pieces.len();
@@ -67,7 +74,11 @@
                 UnframedEnd::InsideEvent if is_last && is_stream => {
                     stream.write_all(&piece.as_bytes()[..piece.len() / 2]).await?;
                 }
-                UnframedEnd::Complete | UnframedEnd::Reset | UnframedEnd::InsideEvent => {
+                UnframedEnd::Complete
+                | UnframedEnd::Reset
+                | UnframedEnd::InsideEvent
+                | UnframedEnd::InsideHead
+                | UnframedEnd::BeforeEvent => {
                     stream.write_all(piece.as_bytes()).await?;
                 }
             }
--- a/soak/src/call_judge.rs
+++ b/soak/src/call_judge.rs
@@ -11,6 +11,7 @@
 
 use crate::config_judge::CONFIG_BOUND;
 use crate::config_judge::SentVersion;
+use crate::duty_judge::LeavingReplica;
 use crate::reply_parser::ReplyParser;
 use crate::reply_parser::ReplyProgress;
 use crate::touch_record::TouchRecord;
@@ -133,6 +134,10 @@
     pub outcome: CallOutcome,
     /// What is wrong with the reply.
     pub fault: Option<ReplyFault>,
+    /// When its caller sent it again under the same id.
+    pub followed_at: Option<Duration>,
+    /// The replica that answered, if the answer says that it leaves.
+    pub leaver: Option<String>,
 }
 
 /// A run of a request at a replica.
@@ -142,6 +147,8 @@
     pub replica: String,
     /// How the replica handled requests when the run began.
     pub mode: ReplicaMode,
+    /// When it began.
+    pub at: Duration,
     /// Whether its process crashed during the run, or may have.
     pub crashed: bool,
 }
@@ -160,6 +167,7 @@
             ReplicaMode::CutAfter(_)
             | ReplicaMode::TrickleAfter(_)
             | ReplicaMode::DropResponse
+            | ReplicaMode::FailResumed
             | ReplicaMode::Endless(_) => true,
             ReplicaMode::Answer
             | ReplicaMode::PauseAfter { .. }
@@ -169,6 +177,7 @@
             | ReplicaMode::TurnAway { .. }
             | ReplicaMode::FailOn { .. }
             | ReplicaMode::SlowBy(_)
+            | ReplicaMode::CopyLate(_)
             | ReplicaMode::Leaving => false,
         }
     }
@@ -243,7 +252,7 @@
 ) -> BTreeMap<CallExcuse, usize> {
     let mut counts = BTreeMap::new();
     for call in calls {
-        if let EndVerdict::Excused(excuse) = context.judge_end(call, context.runs_of(call)) {
+        if let EndVerdict::Excused(excuse) = context.judge_end(call, &context.runs_of(call)) {
             *counts.entry(excuse).or_default() += 1;
         }
     }
@@ -251,19 +260,25 @@
 }
 
 impl CallContext<'_> {
-    fn runs_of(&self, call: &CallRecord) -> &[WorkRun] {
-        self.runs.get(&call.request_id).map_or(&[], Vec::as_slice)
+    /// Returns the runs since a request was sent, until it was sent again.
+    fn runs_of(&self, call: &CallRecord) -> Vec<&WorkRun> {
+        let runs = self.runs.get(&call.request_id).into_iter().flatten();
+        let is_own = |run: &&WorkRun| {
+            run.at >= call.started_at && call.followed_at.is_none_or(|at| run.at < at)
+        };
+        runs.filter(is_own).collect()
     }
 
     fn judge(&self, call: &CallRecord) -> impl Iterator<Item = CallFault> + use<> {
         let runs = self.runs_of(call);
-        let end = match self.judge_end(call, runs) {
+        let end = match self.judge_end(call, &runs) {
             EndVerdict::Faulty(fault) => Some(fault),
             EndVerdict::Answered | EndVerdict::Excused(_) => None,
         };
-        let faults = [end, judge_runs(call, runs)];
+        let total = self.runs.get(&call.request_id).map_or(0, Vec::len);
+        let faults = [end, judge_runs(call, &runs, total)];
         let is_malformed = call.outcome == CallOutcome::Malformed;
-        let (replies, is_malformed) = match runs.iter().any(WorkRun::is_endless) {
+        let (replies, is_malformed) = match runs.iter().any(|run| run.is_endless()) {
             // What such a replica writes may be no answer, but it must not look like a whole one.
             true => (call.fault.filter(|_| call.outcome == CallOutcome::Complete), false),
             false => (call.fault, is_malformed),
@@ -274,7 +289,7 @@
     }
 
     /// Judges how the connection ended. A disturbance of the store excuses nothing here.
-    fn judge_end(&self, call: &CallRecord, runs: &[WorkRun]) -> EndVerdict {
+    fn judge_end(&self, call: &CallRecord, runs: &[&WorkRun]) -> EndVerdict {
         let fault = match call.outcome {
             CallOutcome::Cut => CallFault::Lost,
             CallOutcome::Closed if !runs.is_empty() => CallFault::Lost,
@@ -292,7 +307,7 @@
             EndVerdict::Excused(CallExcuse::CrossedClose)
         } else if fault == CallFault::Unanswered {
             EndVerdict::Faulty(fault)
-        } else if runs.iter().any(WorkRun::broke_off) {
+        } else if runs.iter().any(|run| run.broke_off()) {
             EndVerdict::Excused(CallExcuse::ReplicaBrokeOff)
         } else if self.is_time_over(call) {
             EndVerdict::Excused(CallExcuse::TimeOver)
@@ -336,11 +351,12 @@
     }
 }
 
-fn judge_runs(call: &CallRecord, runs: &[WorkRun]) -> Option<CallFault> {
+/// Judges the runs of a try of a request that ran so often over all tries.
+fn judge_runs(call: &CallRecord, runs: &[&WorkRun], total: usize) -> Option<CallFault> {
     let route = WORK_ROUTES[call.route];
     let is_refused = matches!(call.outcome, CallOutcome::Refused(_));
     let sound = runs.iter().filter(|run| !run.broke_off()).count();
-    if !route.kind.is_repeatable() && runs.len() > 1 {
+    if !route.kind.is_repeatable() && total > 1 {
         return Some(CallFault::RanTwice);
     }
     if !route.kind.is_repeatable() && is_refused && !runs.is_empty() {
@@ -348,3 +364,17 @@
     }
     (sound > route.attempts).then_some(CallFault::TooManyAttempts)
 }
+
+/// Returns the replicas whose answers said that they leave, from when hosts in touch had passed such an
+/// answer on.
+pub fn announced_leavers(calls: &[CallRecord], touch: &TouchRecord) -> Vec<LeavingReplica> {
+    let mut leaving: BTreeMap<&str, Duration> = BTreeMap::new();
+    for call in calls.iter().filter(|call| touch.in_touch(call.host, call.ended_at, call.ended_at))
+    {
+        let Some(id) = &call.leaver else { continue };
+        let first = leaving.entry(id).or_insert(call.ended_at);
+        *first = call.ended_at.min(*first);
+    }
+    let leaving = leaving.into_iter();
+    leaving.map(|(id, at)| LeavingReplica { id: id.to_owned(), acknowledged_at: at }).collect()
+}
--- a/soak/src/fault_injector.rs
+++ b/soak/src/fault_injector.rs
@@ -13,6 +13,7 @@
 
 use crate::fault_plan::PlannedFault;
 use crate::host_fleet::HostFleet;
+use crate::soak_run::SERVICE_REPLICAS;
 use crate::soak_run::SoakWorld;
 use crate::soak_run::TICK;
 use crate::touch_record::Disturbance;
@@ -238,6 +239,15 @@
                     self.steps.push((now + after, step));
                 }
             }
+            PlannedFault::Add { host } => {
+                self.fleet.start_host(host)?;
+                self.disturb(DisturbedPart::Host(host), Duration::ZERO, now);
+            }
+            PlannedFault::Service { service, mode, duration } => {
+                for replica in service * SERVICE_REPLICAS..(service + 1) * SERVICE_REPLICAS {
+                    self.begin(now, PlannedFault::Replica { replica, mode, duration })?;
+                }
+            }
             PlannedFault::Replica { replica, mode, duration } => {
                 self.next_mode += 1;
                 self.replica_modes.insert(replica, self.next_mode);
--- a/soak/src/fault_plan.rs
+++ b/soak/src/fault_plan.rs
@@ -120,6 +120,20 @@
         /// The limits as they are sent; it names none where there is `None`.
         limits: Vec<(Duration, Option<&'static str>)>,
     },
+    /// A host starts for the first time.
+    Add {
+        /// Number of the host.
+        host: usize,
+    },
+    /// All replicas of a service handle requests in this way.
+    Service {
+        /// Number of the service.
+        service: usize,
+        /// The way.
+        mode: ReplicaMode,
+        /// For how long.
+        duration: Duration,
+    },
     /// A replica handles requests in this way.
     Replica {
         /// Index of the replica.
@@ -178,7 +192,7 @@
 }
 
 /// Draws the time of the next fault of a series, unless it is too near the end of the run.
-fn draw_next(
+pub(crate) fn draw_next(
     random: &mut impl Rng,
     last: Duration,
     period: Duration,
@@ -303,6 +317,6 @@
     }
 }
 
-fn draw_millis(random: &mut impl Rng, least: u64, most: u64) -> Duration {
+pub(crate) fn draw_millis(random: &mut impl Rng, least: u64, most: u64) -> Duration {
     Duration::from_millis(random.random_range(least..=most))
 }
--- a/soak/src/host_fleet.rs
+++ b/soak/src/host_fleet.rs
@@ -38,27 +38,32 @@
     standin: Arc<DeploymentStandin>,
     logs: PathBuf,
     hosts: Vec<FleetHost>,
+    /// Number of hosts that start first.
+    founders: usize,
     /// Hosts whose processes ended by themselves, with the exit status.
     self_ended: Vec<String>,
 }
 
 impl HostFleet {
-    /// Starts `count` hosts at the addresses `127.SUBNET.0.N`; their logs go into a folder.
+    /// Starts `count` hosts at the addresses `127.SUBNET.0.N` and prepares `added` more; their logs go into
+    /// a folder.
     pub fn start(
         program: &Path,
         standin: Arc<DeploymentStandin>,
         logs: &Path,
         subnet: u8,
         count: usize,
+        added: usize,
     ) -> anyhow::Result<Self> {
         let mut fleet = Self {
             program: program.to_owned(),
             standin,
             logs: logs.to_owned(),
-            hosts: Vec::with_capacity(count),
+            hosts: Vec::with_capacity(count + added),
+            founders: count,
             self_ended: Vec::new(),
         };
-        for number in 0..count {
+        for number in 0..count + added {
             let (link, platform) = fleet.standin.open_link().context("cannot open a link")?;
             fleet.hosts.push(FleetHost {
                 name: format!("host-{number}"),
@@ -70,12 +75,14 @@
                 incarnation: Arc::default(),
                 peak_memory: 0,
             });
-            fleet.start_host(number)?;
+            if number < count {
+                fleet.start_host(number)?;
+            }
         }
         Ok(fleet)
     }
 
-    /// Returns the number of hosts.
+    /// Returns the number of hosts, those to be added included.
     pub fn len(&self) -> usize {
         self.hosts.len()
     }
@@ -108,7 +115,7 @@
         }
         let starts = host.incarnation.fetch_add(1, Ordering::SeqCst);
         let mut settings = self.standin.settings_at(&host.name, &host.ip, host.platform);
-        settings["bootstrap"] = (starts == 0).into();
+        settings["bootstrap"] = (starts == 0 && number < self.founders).into();
         let path = self.logs.join(format!("{}-{starts}.log", host.name));
         let log =
             File::create(&path).with_context(|| format!("cannot write {}", path.display()))?;
--- a/soak/src/rollout_soak.rs
+++ b/soak/src/rollout_soak.rs
@@ -147,6 +147,7 @@
         &settings.logs,
         settings.subnet,
         settings.hosts,
+        0,
     );
     let mut fleet = fleet?;
     wait_until_joined(&fleet)?;
--- a/soak/src/run_verdict.rs
+++ b/soak/src/run_verdict.rs
@@ -10,6 +10,7 @@
 
 use crate::call_judge::CallContext;
 use crate::call_judge::WorkRun;
+use crate::call_judge::announced_leavers;
 use crate::call_judge::count_excuses;
 use crate::call_judge::judge_calls;
 use crate::config_judge::ConfigFault;
@@ -93,7 +94,9 @@
         let crashed = crashes.iter().any(|crash| {
             crash.replica == run.replica && crash.at >= run.at && crash.at <= run.at + MAX_RUN_TIME
         });
-        runs.entry(run.request_id.clone()).or_default().push(WorkRun { replica, mode, crashed });
+        let at = run.at.saturating_duration_since(world.start);
+        let runs = runs.entry(run.request_id.clone()).or_default();
+        runs.push(WorkRun { replica, mode, at, crashed });
     }
     let calls = lock(&world.calls);
     for call in calls.iter() {
@@ -243,6 +246,10 @@
     for run in judge_runs(&lock(&world.leaving), &runs, touch) {
         report.violations.push(format!("DRAIN: {run:?}"));
     }
+    let announced = announced_leavers(&lock(&world.calls), touch);
+    for run in judge_runs(&announced, &runs, touch) {
+        report.violations.push(format!("DRAIN after Server-Leaving: {run:?}"));
+    }
 }
 
 /// Judges what the hosts know after the last calm.
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -1,6 +1,7 @@
 //! One run: hosts, callers, operator, replicas and faults.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -22,6 +23,7 @@
 use testutils::deployment_standin::DeploymentStandin;
 use testutils::deployment_standin::FRONT_PORT;
 use testutils::deployment_standin::ROUTE_HOST;
+use testutils::deployment_standin::ReplicaMode;
 use testutils::deployment_standin::WriteOutcome;
 use testutils::gateway_process::read_level;
 
@@ -42,12 +44,16 @@
 use crate::fault_plan::draw_limits;
 use crate::fault_plan::draw_notices;
 use crate::fault_plan::draw_troubles;
+use crate::growth_plan::DepartureKind;
+use crate::growth_plan::PlannedDeparture;
+use crate::growth_plan::draw_plan;
 use crate::host_fleet::HostFleet;
+use crate::retry_caller::call_again;
 use crate::run_verdict::judge_run;
 use crate::work_caller::call_work;
 
 /// Replicas of each service.
-const SERVICE_REPLICAS: usize = 2;
+pub(crate) const SERVICE_REPLICAS: usize = 2;
 
 /// Time between two requests of a caller.
 const CALL_PERIOD: Duration = Duration::from_millis(30);
@@ -71,6 +77,9 @@
 /// First of the seeds of the callers whose requests crash replicas.
 const CRASH_SEED: u64 = 500_000;
 
+/// First of the seeds of the callers that keep ids over their tries.
+const RETRY_SEED: u64 = 600_000;
+
 /// Distance between the seeds of two callers of a host.
 const CALLER_SEED_STEP: u64 = 1_000_000;
 
@@ -158,14 +167,19 @@
         Arc::new(DeploymentStandin::start_with(&services).context("cannot start the stand-in")?);
     let first = ConfigVersion::first();
     standin.publish_document(&first.document());
+    let seed_of = |number: u64| settings.seed.wrapping_mul(1_000).wrapping_add(number);
+    let mut random = ChaCha8Rng::seed_from_u64(seed_of(106));
+    let replicas = standin.replicas.len();
+    let plan = draw_plan(&mut random, settings.seed, settings.hosts, replicas, settings.length);
     let mut fleet = HostFleet::start(
         &settings.program,
         standin.clone(),
         &settings.logs,
         settings.subnet,
         settings.hosts,
+        plan.added,
     )?;
-    wait_until_joined(&fleet)?;
+    wait_until_joined(&fleet, settings.hosts)?;
     let world = SoakWorld {
         standin,
         start: Instant::now(),
@@ -181,26 +195,36 @@
         wrongly_refused: Mutex::default(),
     };
     let mut random = ChaCha8Rng::seed_from_u64(settings.seed);
-    let seed_of = |number: u64| settings.seed.wrapping_mul(1_000).wrapping_add(number);
     let mut faults = draw_faults(&mut random, settings.hosts, settings.length);
     let mut random = ChaCha8Rng::seed_from_u64(seed_of(103));
-    let replicas = world.standin.replicas.len();
     faults.extend(draw_troubles(&mut random, settings.hosts, replicas, settings.length));
     let mut random = ChaCha8Rng::seed_from_u64(seed_of(104));
     faults.extend(draw_notices(&mut random, replicas, settings.length));
     let mut random = ChaCha8Rng::seed_from_u64(seed_of(105));
     faults.extend(draw_limits(&mut random, replicas, settings.length));
+    let has_plan = !plan.faults.is_empty();
+    faults.extend(plan.faults);
     faults.sort_by_key(|(at, _)| *at);
+    let departures = plan.departures;
     world.standin.set_crashing_parts(&[CRASHING_PART], CRASH_DOWN_TIME);
-    let listed = faults.iter().map(|(at, fault)| format!("{at:.3?} {fault:?}")).collect();
+    let listed = faults.iter().map(|(at, fault)| format!("{at:.3?} {fault:?}"));
+    let listed =
+        listed.chain(departures.iter().map(|departure| format!("{departure:?}"))).collect();
     let mut report = SoakReport { faults: listed, ..SoakReport::default() };
     let touch = thread::scope(|scope| {
-        for host in 0..settings.hosts {
+        let addresses: Vec<SocketAddr> = (0..fleet.len())
+            .filter_map(|host| Some(SocketAddr::new(fleet.ip(host).parse().ok()?, FRONT_PORT)))
+            .collect();
+        for host in 0..fleet.len() {
             let (world, ip) = (&world, fleet.ip(host).to_owned());
             let (incarnation, seed) = (fleet.incarnation(host), seed_of(host as u64 + 1));
             let address: IpAddr = ip.parse().context("a host has no address")?;
             let front = SocketAddr::new(address, FRONT_PORT);
             scope.spawn(move || call_host(world, host, &ip, &incarnation, seed));
+            if has_plan {
+                let (hosts, retry_seed) = (addresses.clone(), seed_of(RETRY_SEED + host as u64));
+                scope.spawn(move || call_again(world, host, &hosts, retry_seed));
+            }
             let crash_seed = seed_of(CRASH_SEED + host as u64);
             scope.spawn(move || call_crashing(world, host, front, crash_seed));
             for caller in 0..settings.callers {
@@ -210,7 +234,7 @@
             }
         }
         scope.spawn(|| change_config(&world, seed_of(101)));
-        scope.spawn(|| run_replicas(&world, seed_of(102)));
+        scope.spawn(|| run_replicas(&world, seed_of(102), departures));
         let touch = inject_faults(&world, &mut fleet, faults, settings.length);
         world.stop.store(true, Ordering::SeqCst);
         touch
@@ -221,10 +245,10 @@
     Ok(report)
 }
 
-fn wait_until_joined(fleet: &HostFleet) -> anyhow::Result<()> {
+fn wait_until_joined(fleet: &HostFleet, count: usize) -> anyhow::Result<()> {
     let begin = Instant::now();
-    let others = fleet.len() as u64 - 1;
-    while !(0..fleet.len()).all(|host| {
+    let others = count as u64 - 1;
+    while !(0..count).all(|host| {
         read_level(fleet.ip(host), "peers") == Some(others)
             && read_level(fleet.ip(host), "config_version") == Some(1)
     }) {
@@ -316,8 +340,10 @@
     }
 }
 
-/// Renews the replicas' entries and lets one after the other leave and come back.
-fn run_replicas(world: &SoakWorld, seed: u64) {
+/// Renews the replicas' entries, lets one after the other leave and come back, and besides those of the plan.
+fn run_replicas(world: &SoakWorld, seed: u64, departures: Vec<PlannedDeparture>) {
+    let mut departures = VecDeque::from(departures);
+    let mut departed: BTreeMap<usize, Duration> = BTreeMap::new();
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut next_beat = world.now() + BEAT_PERIOD;
     let mut next_notice = world.now() + DRAIN_TIME;
@@ -330,7 +356,19 @@
         }
         if world.now() >= next_beat {
             next_beat = world.now() + BEAT_PERIOD;
-            (0..world.standin.replicas.len()).for_each(|index| world.standin.renew_entry(index));
+            let listed = (0..world.standin.replicas.len()).filter(|it| !departed.contains_key(it));
+            listed.for_each(|index| world.standin.renew_entry(index));
+        }
+        if let Some(next) = departures.pop_front_if(|next| next.at <= world.now())
+            && depart(world, next)
+        {
+            departed.insert(next.replica, world.now());
+        }
+        let back = departed.extract_if(.., |_, since| world.now() >= *since + DRAIN_TIME);
+        for (index, _) in back {
+            starts += 1;
+            world.standin.set_replica_mode(index, ReplicaMode::Answer);
+            world.standin.replace_replica(index, &format!("i-{index}-g{starts}"));
         }
         match leaving {
             None if world.now() >= next_notice => {
@@ -351,6 +389,23 @@
     }
 }
 
+/// Lets a replica leave; returns whether it serves on until it is replaced.
+fn depart(world: &SoakWorld, departure: PlannedDeparture) -> bool {
+    let index = departure.replica;
+    let (id, _) = world.standin.replica(index);
+    match departure.kind {
+        DepartureKind::Draining => world.standin.register_replica(index, "draining"),
+        DepartureKind::EntryGone => world.standin.expire_replica(index),
+        DepartureKind::Replaced => world.standin.replace_replica(index, &format!("{id}-r")),
+        DepartureKind::Announced => {
+            world.standin.set_replica_mode(index, ReplicaMode::Leaving);
+            return true;
+        }
+    }
+    lock(&world.leaving).push(LeavingReplica { id, acknowledged_at: world.now() });
+    departure.kind != DepartureKind::Replaced
+}
+
 /// Returns the folder of a run's logs.
 pub fn log_folder(root: &Path, seed: u64) -> PathBuf {
     root.join(format!("seed-{seed}"))
--- a/soak/src/work_caller.rs
+++ b/soak/src/work_caller.rs
@@ -1,6 +1,7 @@
 //! Callers that hold long requests over connections of their own, so that they know when a whole
 //! request was sent and how its connection ended.
 
+use std::collections::BTreeMap;
 use std::io::ErrorKind;
 use std::io::Read as _;
 use std::io::Write as _;
@@ -57,8 +58,17 @@
 /// Size of a read.
 const READ_BYTES: usize = 16 * 1024;
 
+/// Open connections by the number of their host, each with whether it has carried a request.
+pub(crate) type KeptConnections = BTreeMap<usize, (TcpStream, bool)>;
+
+/// Longest work of a short request, in milliseconds or events.
+const MAX_SHORT_WORK: u64 = 40;
+
+/// One in so many short requests is of any kind; the others run once.
+const ANY_KIND_RATIO: u32 = 3;
+
 /// A request of a caller.
-struct WorkCall {
+pub(crate) struct WorkCall {
     id: String,
     route: usize,
     deadline: Duration,
@@ -78,6 +88,17 @@
         }
     }
 
+    /// Draws a short request, in most cases one that may run once.
+    pub(crate) fn draw_short(random: &mut ChaCha8Rng, id: String) -> Self {
+        let is_any = random.random_ratio(1, ANY_KIND_RATIO);
+        let mut call = Self::draw(random, id);
+        while !is_any && WORK_ROUTES[call.route].kind.is_repeatable() {
+            call.route = random.random_range(0..WORK_ROUTES.len());
+        }
+        call.amount = random.random_range(1..=MAX_SHORT_WORK);
+        call
+    }
+
     fn text(&self) -> String {
         let route = WORK_ROUTES[self.route];
         let marker = if route.kind.is_stream() { "events" } else { "after-ms" };
@@ -109,55 +130,81 @@
 ) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut number = 0_u64;
-    let mut kept: Option<TcpStream> = None;
+    let mut kept = BTreeMap::new();
     while world.is_running() {
         let longest = if random.random_ratio(1, IDLE_RATIO) { MAX_IDLE_MS } else { MAX_PAUSE_MS };
         thread::sleep(Duration::from_millis(random.random_range(0..=longest)));
-        // A caller does not use a connection that it has seen closed.
-        kept = kept.take().filter(is_open);
-        let is_reused = kept.is_some();
-        // A host that is down takes no connections.
-        let Ok(mut stream) =
-            kept.take().map_or_else(|| TcpStream::connect_timeout(&address, CONNECT_TIMEOUT), Ok)
-        else {
-            thread::sleep(CONNECT_BACKOFF);
+        if !connect(host, address, &mut kept) {
             continue;
-        };
+        }
         number += 1;
         let call = WorkCall::draw(&mut random, format!("{host}-{name}-{number}"));
-        let started_at = world.now();
-        // A request that was not wholly sent is none.
-        if stream.set_nodelay(true).and_then(|()| stream.write_all(call.text().as_bytes())).is_err()
-        {
-            continue;
+        if let Some(record) = try_call(world, host, address, &mut kept, &call) {
+            lock(&world.calls).push(record);
         }
-        let sent_at = world.now();
-        let mut parser = ReplyParser::default();
-        let outcome = read_reply(world, &mut stream, &mut parser, sent_at + call.deadline);
-        let fault = match outcome {
-            CallOutcome::Malformed => None,
-            _ => call.check(&parser),
-        };
-        let is_closing =
-            parser.head().is_some_and(|head| head.field("connection") == Some("close"));
-        if parser.progress() == ReplyProgress::Complete && !is_closing {
-            kept = Some(stream);
-        }
-        lock(&world.calls).push(CallRecord {
-            host,
-            request_id: call.id,
-            route: call.route,
-            is_reused,
-            started_at,
-            sent_at,
-            ended_at: world.now(),
-            deadline: call.deadline,
-            outcome,
-            fault,
-        });
     }
 }
 
+/// Connects to a host unless a kept connection is open; returns whether there is one.
+fn connect(host: usize, address: SocketAddr, kept: &mut KeptConnections) -> bool {
+    // A caller does not use a connection that it has seen closed.
+    if kept.get(&host).is_some_and(|(stream, _)| is_open(stream)) {
+        return true;
+    }
+    kept.remove(&host);
+    // A host that is down takes no connections.
+    let Ok(stream) = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT) else {
+        thread::sleep(CONNECT_BACKOFF);
+        return false;
+    };
+    kept.insert(host, (stream, false));
+    true
+}
+
+/// Sends a request to a host. Returns `None` if the host takes no connection or the request was not wholly
+/// sent.
+pub(crate) fn try_call(
+    world: &SoakWorld,
+    host: usize,
+    address: SocketAddr,
+    kept: &mut KeptConnections,
+    call: &WorkCall,
+) -> Option<CallRecord> {
+    if !connect(host, address, kept) {
+        return None;
+    }
+    let (mut stream, is_reused) = kept.remove(&host)?;
+    let started_at = world.now();
+    // A request that was not wholly sent is none.
+    stream.set_nodelay(true).and_then(|()| stream.write_all(call.text().as_bytes())).ok()?;
+    let sent_at = world.now();
+    let mut parser = ReplyParser::default();
+    let outcome = read_reply(world, &mut stream, &mut parser, sent_at + call.deadline);
+    let fault = match outcome {
+        CallOutcome::Malformed => None,
+        _ => call.check(&parser),
+    };
+    let field = |name| parser.head().and_then(|head| head.field(name));
+    if parser.progress() == ReplyProgress::Complete && field("connection") != Some("close") {
+        kept.insert(host, (stream, true));
+    }
+    let leaver = field("server-leaving").and_then(|_| field("replica-signature"));
+    Some(CallRecord {
+        host,
+        request_id: call.id.clone(),
+        route: call.route,
+        is_reused,
+        started_at,
+        sent_at,
+        ended_at: world.now(),
+        deadline: call.deadline,
+        outcome,
+        fault,
+        followed_at: None,
+        leaver: leaver.map(str::to_owned),
+    })
+}
+
 /// Returns whether the host has neither closed a connection nor sent anything on it.
 fn is_open(stream: &TcpStream) -> bool {
     let peeked = stream.set_nonblocking(true).and_then(|()| stream.peek(&mut [0]));
--- a/soak/tests/test_call_judge.rs
+++ b/soak/tests/test_call_judge.rs
@@ -49,6 +49,8 @@
         deadline: millis(5_000),
         outcome,
         fault: None,
+        followed_at: None,
+        leaver: None,
     }
 }
 
@@ -64,6 +66,7 @@
 ) -> Vec<CallFault> {
     let run = |(index, mode): (usize, &ReplicaMode)| WorkRun {
         crashed: false,
+        at: millis(10_000),
         replica: format!("i-{index}"),
         mode: *mode,
     };
@@ -181,7 +184,7 @@
     #[case] excuse: Option<CallExcuse>,
 ) {
     let cut = call(WorkKind::Resumable, ended_ms, CallOutcome::Cut);
-    let run = WorkRun { replica: "i-0".to_owned(), mode, crashed: false };
+    let run = WorkRun { replica: "i-0".to_owned(), mode, at: millis(10_000), crashed: false };
     let runs = BTreeMap::from([(cut.request_id.clone(), vec![run])]);
     let versions = [sent(ConfigVersion::first(), 0)];
     let touch = TouchRecord::default();
