--- a/cli/tests/test_soak.rs
+++ b/cli/tests/test_soak.rs
@@ -16,6 +16,7 @@
 #[case::silent_store(101, 1)]
 #[case::restored_store(125, 2)]
 #[case::silent_replicas(6, 3)]
+#[case::growing_fleet(3, 4)]
 fn short_soak(#[case] seed: u64, #[case] number: u8) {
     let settings = SoakSettings {
         program: env!("CARGO_BIN_EXE_pomelostack").into(),
--- a/soak/src/call_judge.rs
+++ b/soak/src/call_judge.rs
@@ -86,7 +86,13 @@
 /// Returns what is wrong with a reply, whole or in part, to the request with this id, and with this
 /// number of events if it is a stream.
 pub fn check_reply(id: &str, events: Option<u64>, parser: &ReplyParser) -> Option<ReplyFault> {
-    let head = parser.head().filter(|head| (200..300).contains(&head.status))?;
+    let head = parser.head()?;
+    if head.field("request-id").is_some_and(|named| named != id) {
+        return Some(ReplyFault::OtherRequest);
+    }
+    if !(200..300).contains(&head.status) {
+        return None;
+    }
     if head.field("replica-signature").is_none() {
         return Some(ReplyFault::Unsigned);
     }
--- a/soak/src/growth_plan.rs
+++ b/soak/src/growth_plan.rs
@@ -4,8 +4,6 @@
 use std::time::Duration;
 
 use rand::Rng;
-use rand::seq::IndexedRandom as _;
-use rand::seq::SliceRandom as _;
 use testutils::deployment_standin::CopiedKind;
 use testutils::deployment_standin::ReplicaMode;
 use testutils::deployment_standin::UnframedEnd;
@@ -14,6 +12,7 @@
 use crate::fault_plan::PlannedFault;
 use crate::fault_plan::draw_millis;
 use crate::fault_plan::draw_next;
+use crate::soak_run::SERVICE_REPLICAS;
 
 /// When hosts are added, in the calm at the end of the first two series of faults.
 const GROWTH_TIMES: [Duration; 2] = [Duration::from_secs(12), Duration::from_secs(24)];
@@ -21,12 +20,13 @@
 /// Shortest run that grows.
 const MIN_LENGTH: Duration = Duration::from_secs(36);
 
-/// Time over which hosts are added and replicas leave, in milliseconds.
+/// Time over which hosts are added, and over which replicas leave, in milliseconds.
 const GROWTH_SPREAD_MS: u64 = 700;
+const LEAVING_SPREAD_MS: u64 = 300;
 
 /// Hosts that are added in a run.
-const MIN_ADDED: usize = 6;
-const MAX_ADDED: usize = 9;
+const MIN_ADDED: usize = 8;
+const MAX_ADDED: usize = 12;
 
 /// Longest time between two troubles.
 const MAX_PERIOD: Duration = Duration::from_secs(4);
@@ -70,26 +70,20 @@
 }
 
 /// Draws the plan of a seed. Half of the seeds have none.
-pub fn draw_plan(
-    random: &mut impl Rng,
-    seed: u64,
-    hosts: usize,
-    replicas: usize,
-    length: Duration,
-) -> GrowthPlan {
+pub fn draw_plan(random: &mut impl Rng, seed: u64, hosts: usize, length: Duration) -> GrowthPlan {
     let mut plan = GrowthPlan::default();
     let place = seed % SEED_STEP;
     if place == 0 || place == SEED_STEP - 1 {
         plan.draw_troubles(random, length);
     }
     if place == SEED_STEP - 1 && length >= MIN_LENGTH {
-        plan.draw_growth(random, hosts, replicas);
+        plan.draw_growth(random, hosts);
     }
     plan
 }
 
 impl GrowthPlan {
-    fn draw_growth(&mut self, random: &mut impl Rng, hosts: usize, replicas: usize) {
+    fn draw_growth(&mut self, random: &mut impl Rng, hosts: usize) {
         self.added = random.random_range(MIN_ADDED..=MAX_ADDED);
         let mut next = hosts;
         for (index, begin) in GROWTH_TIMES.into_iter().enumerate() {
@@ -104,18 +98,15 @@
                 let hosts = (0..hosts).filter(|host| host % 2 == index).collect();
                 self.faults.push((begin, PlannedFault::Kill { hosts, down }));
             }
-            let mut leaving: Vec<usize> = (0..replicas).collect();
-            leaving.shuffle(random);
-            leaving.truncate(random.random_range(1..=2));
-            for replica in leaving {
-                let kinds = [
-                    DepartureKind::Draining,
-                    DepartureKind::EntryGone,
-                    DepartureKind::Replaced,
-                    DepartureKind::Announced,
-                ];
-                let kind = kinds.choose(random).copied().unwrap_or(DepartureKind::Draining);
-                let at = begin + draw_millis(random, 0, GROWTH_SPREAD_MS);
+            for service in 0..SERVICES.len() {
+                let replica = service * SERVICE_REPLICAS + random.random_range(0..SERVICE_REPLICAS);
+                let kind = match random.random_range(0..6) {
+                    0 | 1 => DepartureKind::Draining,
+                    2 | 3 => DepartureKind::EntryGone,
+                    4 => DepartureKind::Replaced,
+                    _ => DepartureKind::Announced,
+                };
+                let at = begin + draw_millis(random, 0, LEAVING_SPREAD_MS);
                 self.departures.push(PlannedDeparture { at, replica, kind });
             }
         }
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -70,6 +70,9 @@
 /// Time from a replica's notice until it is replaced.
 const DRAIN_TIME: Duration = Duration::from_millis(3_500);
 
+/// Time from a replica's departure in a growing fleet until it is replaced.
+const DEPARTURE_TIME: Duration = Duration::from_secs(5);
+
 /// Part of prompts that crashes replicas, and for how long they are down.
 pub(crate) const CRASHING_PART: u64 = 0xbad;
 const CRASH_DOWN_TIME: Duration = Duration::from_millis(800);
@@ -170,7 +173,7 @@
     let seed_of = |number: u64| settings.seed.wrapping_mul(1_000).wrapping_add(number);
     let mut random = ChaCha8Rng::seed_from_u64(seed_of(106));
     let replicas = standin.replicas.len();
-    let plan = draw_plan(&mut random, settings.seed, settings.hosts, replicas, settings.length);
+    let plan = draw_plan(&mut random, settings.seed, settings.hosts, settings.length);
     let mut fleet = HostFleet::start(
         &settings.program,
         standin.clone(),
@@ -364,7 +367,7 @@
         {
             departed.insert(next.replica, world.now());
         }
-        let back = departed.extract_if(.., |_, since| world.now() >= *since + DRAIN_TIME);
+        let back = departed.extract_if(.., |_, since| world.now() >= *since + DEPARTURE_TIME);
         for (index, _) in back {
             starts += 1;
             world.standin.set_replica_mode(index, ReplicaMode::Answer);
--- a/soak/tests/test_call_judge.rs
+++ b/soak/tests/test_call_judge.rs
@@ -10,6 +10,7 @@
 use pomelostack_soak::call_judge::CallRecord;
 use pomelostack_soak::call_judge::ReplyFault;
 use pomelostack_soak::call_judge::WorkRun;
+use pomelostack_soak::call_judge::announced_leavers;
 use pomelostack_soak::call_judge::check_reply;
 use pomelostack_soak::call_judge::count_excuses;
 use pomelostack_soak::call_judge::judge_calls;
@@ -211,6 +212,50 @@
     assert_eq!(faults, Vec::from_iter(fault));
 }
 
+/// A request that is refused at 10.1 s and sent again at 10.2 s runs once, and not before.
+#[rstest]
+#[case::ran_again(&[10_300], None)]
+#[case::ran_refused(&[10_050], Some((0, CallFault::RefusedAndRan)))]
+#[case::ran_between(&[10_150], Some((0, CallFault::RefusedAndRan)))]
+#[case::ran_twice(&[10_300, 10_400], Some((1, CallFault::RanTwice)))]
+fn kept_id(#[case] runs: &[u64], #[case] fault: Option<(usize, CallFault)>) {
+    let mut first = call(WorkKind::Unsafe, 10_100, CallOutcome::Refused(503));
+    first.followed_at = Some(millis(10_200));
+    let mut second = call(WorkKind::Unsafe, 10_500, CallOutcome::Complete);
+    second.started_at = millis(10_200);
+    let (replica, mode) = ("i-0".to_owned(), ReplicaMode::Answer);
+    let run =
+        |at: &u64| WorkRun { replica: replica.clone(), mode, at: millis(*at), crashed: false };
+    let runs = BTreeMap::from([(first.request_id.clone(), runs.iter().map(run).collect())]);
+    let versions = [sent(ConfigVersion::first(), 0)];
+    let touch = TouchRecord::default();
+    let context =
+        CallContext { runs: &runs, versions: &versions, touch: &touch, grace: millis(8_000) };
+    let faults = judge_calls(&[first, second], &context);
+    assert_eq!(faults.contains(&fault.unwrap_or((0, CallFault::RanTwice))), fault.is_some());
+    assert_eq!(faults.is_empty(), fault.is_none());
+}
+
+/// A replica leaves from the first answer on that a host in touch passed on.
+#[test]
+fn announced_leaving() {
+    let mut touch = TouchRecord::default();
+    touch.add(Disturbance { part: DisturbedPart::Host(1), from: millis(9_000), to: millis(9_000) });
+    let announced = |host, ended_ms| CallRecord {
+        host,
+        leaver: Some("i-0".to_owned()),
+        ..call(WorkKind::Safe, ended_ms, CallOutcome::Complete)
+    };
+    let calls = [
+        announced(0, 10_600),
+        announced(0, 10_500),
+        announced(1, 10_100),
+        call(WorkKind::Safe, 10_050, CallOutcome::Complete),
+    ];
+    let leaving = announced_leavers(&calls, &touch);
+    assert_eq!(leaving.iter().map(|it| it.acknowledged_at).collect::<Vec<_>>(), [millis(10_500)]);
+}
+
 /// Replicas that broke off do not count against the number of attempts, but an unsafe request must
 /// not be sent on after them.
 #[rstest]
@@ -290,3 +335,12 @@
     parser.push(reply.as_bytes()).expect("the reply is valid");
     assert_eq!(check_reply("0-1", None, &parser), fault);
 }
+
+#[test]
+fn error_of_other() {
+    let mut parser = ReplyParser::default();
+    let reply =
+        "HTTP/1.1 500 Internal Server Error\r\nRequest-Id: 0-2\r\nContent-Length: 0\r\n\r\n";
+    parser.push(reply.as_bytes()).expect("the reply is valid");
+    assert_eq!(check_reply("0-1", None, &parser), Some(ReplyFault::OtherRequest));
+}
