testutils: a notice isn't sent behind a late copy

It sends no copy in front of a refusal with Retry-After now, and records no limit for an answer behind a copy.

--- a/lib/testutils/src/answer_copies.rs
+++ b/lib/testutils/src/answer_copies.rs
@@ -41,6 +41,16 @@
         state.due.append(&mut state.last);
     }
 
+    /// Returns whether an answer is kept for its copy.
+    pub(crate) fn is_kept(&self) -> bool {
+        !self.0.borrow().last.is_empty()
+    }
+
+    /// Drops the answer that is kept for its copy.
+    pub(crate) fn forget(&self) {
+        self.0.borrow_mut().last.clear();
+    }
+
     /// Keeps an answer for its copy.
     pub(crate) async fn keep(&self, status: StatusCode, fields: &HeaderMap, body: Full<Bytes>) {
         let Ok(body) = body.collect().await;
--- a/lib/testutils/src/deployment_server.rs
+++ b/lib/testutils/src/deployment_server.rs
@@ -20,6 +20,7 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -242,7 +243,12 @@
                 takeovers.send(response).map_err(std::io::Error::other)?;
                 std::future::pending::<()>().await;
             }
-            let limit = limit(&state).map(HeaderValue::try_from).and_then(Result::ok);
+            // A notice behind a copy may never be read.
+            if reply.headers().contains_key(RETRY_AFTER) {
+                copies.forget();
+            }
+            let limit = if copies.is_kept() { None } else { limit(&state) };
+            let limit = limit.map(HeaderValue::try_from).and_then(Result::ok);
             reply.headers_mut().extend(limit.map(|limit| (SERVER_LIMIT, limit)));
             copies.send_last();
             if reply.extensions_mut().remove::<CopiedLate>().is_some()
