gateway: reset the connection of an HTTP/1.0 caller whose stream breaks off

A caller that speaks HTTP/1.0 gets a stream without chunks, which the close of its connection completes. A stream that broke off was closed in order like a whole one. hyper ends the connection with an error then; the socket is now set to be reset when it is dropped, for HTTP/1.0 only, since a reset may take back events that the caller has not read.

`test_resumed_errors`: `old_caller` failed before; all 37 pass. `test_caller_connections` (8) passes. A host that is killed still closes such a connection in order.

--- a/lib/src/gateway/caller_connection.rs
+++ b/lib/src/gateway/caller_connection.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::Version;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
@@ -35,6 +36,8 @@
 pub struct OpenConnection {
     state: Rc<GatewayState>,
     phase: Cell<CallerPhase>,
+    /// Whether a response broke off that a close in order would complete.
+    must_reset: Cell<bool>,
 }
 
 impl OpenConnection {
@@ -42,7 +45,7 @@
     pub fn new(state: Rc<GatewayState>) -> Self {
         state.connections.set(state.connections.get() + 1);
         let phase = CallerPhase::new(state.now(), wait_limits(&state));
-        Self { state, phase: Cell::new(phase) }
+        Self { state, phase: Cell::new(phase), must_reset: Cell::new(false) }
     }
 
     /// Returns what the connection is doing.
@@ -55,6 +58,11 @@
         wait_limits(&self.state)
     }
 
+    /// Returns whether the connection is to be reset rather than closed.
+    pub fn must_reset(&self) -> bool {
+        self.must_reset.get()
+    }
+
     /// Records that a request was read.
     pub fn on_request(&self) {
         self.phase.set(CallerPhase::Request);
@@ -111,6 +119,14 @@
         SockRef::from(&*stream).peek(&mut byte).is_ok_and(|count| count > 0)
     }
 
+    /// Lets the connection be reset when the socket is dropped.
+    pub fn reset_on_drop(&self) {
+        let reset = SockRef::from(&*self.stream.borrow()).set_linger(Some(Duration::ZERO));
+        if let Err(error) = reset {
+            log::debug!("event=socket_option_failed detail=\"{error}\"");
+        }
+    }
+
     fn with<T>(&self, poll: impl FnOnce(Pin<&mut TcpStream>) -> T) -> T {
         poll(Pin::new(&mut *self.stream.borrow_mut()))
     }
@@ -170,12 +186,13 @@
 pub struct CallerBody {
     body: ReplyBody,
     connection: Rc<OpenConnection>,
+    version: Version,
 }
 
 impl CallerBody {
-    /// Builds the body of a response.
-    pub fn new(body: ReplyBody, connection: Rc<OpenConnection>) -> Self {
-        Self { body, connection }
+    /// Builds the body of a response to a request of an HTTP version.
+    pub fn new(body: ReplyBody, connection: Rc<OpenConnection>, version: Version) -> Self {
+        Self { body, connection, version }
     }
 }
 
@@ -187,7 +204,12 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        // Without chunks, a body ends with its connection.
+        if matches!(frame, Poll::Ready(Some(Err(_)))) && self.version < Version::HTTP_11 {
+            self.connection.must_reset.set(true);
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
--- a/lib/src/gateway/http_listeners.rs
+++ b/lib/src/gateway/http_listeners.rs
@@ -97,12 +97,13 @@
     let socket = CallerSocket::new(stream, open.clone());
     let service = service_fn({
         let (state, open) = (state.clone(), open.clone());
-        move |request| {
+        move |request: Request<Incoming>| {
             open.on_request();
+            let version = request.version();
             let (state, runner, open) = (state.clone(), runner.clone(), open.clone());
             async move {
                 let reply = handle_request(&state, &runner, request).await;
-                Ok::<_, Infallible>(reply.map(|body| CallerBody::new(body, open)))
+                Ok::<_, Infallible>(reply.map(|body| CallerBody::new(body, open, version)))
             }
         }
     });
@@ -114,7 +115,12 @@
     let mut wait = open.limits().idle;
     loop {
         tokio::select! {
-            served = connection.as_mut() => return log_connection_end(&caller, &open, served),
+            served = connection.as_mut() => {
+                if open.must_reset() {
+                    socket.reset_on_drop();
+                }
+                return log_connection_end(&caller, &open, served);
+            }
             _ = closing.wait_for(|closing| *closing), if !is_closing => is_closing = true,
             () = tokio::time::sleep(wait) => {}
         }
