tests: refusals of the resumed streams say that their connection closes

One of five runs of `test_resumed_errors` failed in `caller_resumes::case_2_refused_503`: the stand-in closed the connection of a refusal without saying so, and the caller's resume met the close (`earlier_requests=1`, `lost: connection error`).

--- a/cli/tests/test_resumed_errors.rs
+++ b/cli/tests/test_resumed_errors.rs
@@ -73,14 +73,18 @@
         match self {
             Self::Error(status, kind, is_signed) => {
                 let length = FOREIGN.len() + 2;
-                let fields = format!("Content-Type: {kind}\r\nContent-Length: {length}\r\n\r\n");
+                let fields = format!(
+                    "Content-Type: {kind}\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n"
+                );
                 let head = signed_head(request, status, &fields);
                 let head = if is_signed { head } else { head.replace("Replica-Signature", "X") };
                 format!("{head}{FOREIGN}\n\n")
             }
-            Self::Refusal(status) => {
-                signed_head(request, status, "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
-            }
+            Self::Refusal(status) => signed_head(
+                request,
+                status,
+                "Not-Executed: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+            ),
             Self::Text => {
                 let head = signed_head(request, "200 OK", TEXT_FIELDS);
                 format!("{head}{}0\r\n\r\n", chunk(&format!("{FOREIGN}\n\n")))
@@ -269,7 +273,11 @@
 
 /// The end of a stream was lost after its last event: a resumed run has nothing left to send.
 #[rstest]
-#[case::framed(192, "Content-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n", true)]
+#[case::framed(
+    192,
+    "Content-Type: text/event-stream\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+    true
+)]
 #[case::unframed(193, UNFRAMED_FIELDS, false)]
 fn lost_end(#[case] number: u8, #[case] fields: &'static str, #[case] is_complete: bool) {
     let answer = move |request: &ByteRequest| match request.path.starts_with("/brief/") {
