engine_client: each call that posts uses a connection of its own

At the product's own interface a late copy of a refusal was taken for the response to the next call on the pooled connection: the engine ran the call, and the session sent it again. Responses of engines name no call, so nothing but the connection tells them apart.

copied_refusal (generate, order) failed before: Err(Refused("full")) for a call that ran.

Cost: one connection a generated answer or order. Not measured.

--- a/lib/src/engine_client.rs
+++ b/lib/src/engine_client.rs
@@ -106,10 +106,24 @@
     }
 
     fn post<T: Serialize>(&self, path: &str, value: &T) -> Result<HttpResponse> {
-        expect_ok(self.client.post_json(path, value)?)
+        let body = serde_json::to_vec(value).map_err(|e| HttpError::Malformed(e.to_string()))?;
+        let timeout = CallTimeout::Total(self.client.limits().call_timeout);
+        expect_ok(self.client.call(&post_call(path, &json_headers(), &body, timeout))?)
     }
 }
 
+/// Builds a call on a connection of its own. Responses do not name their call, so on a shared connection a
+/// late copy of a refusal would be taken for the response to the next call.
+fn post_call<'a>(
+    path: &'a str,
+    headers: &'a [(String, String)],
+    body: &'a [u8],
+    timeout: CallTimeout,
+) -> HttpCall<'a> {
+    let connection = ConnectionUse::Fresh;
+    HttpCall { method: "POST", path, headers, body, timeout, connection }
+}
+
 impl ModelEngine for EngineClient {
     fn generate(
         &self,
@@ -119,14 +133,8 @@
     ) -> Result<GenerateEnd> {
         let body =
             serde_json::to_vec(request).map_err(|e| ServerError::NotConnected(e.to_string()))?;
-        let call = HttpCall {
-            method: "POST",
-            path: "/generate",
-            headers: &json_headers(),
-            body: &body,
-            timeout: CallTimeout::PerRead(gap_limit),
-            connection: ConnectionUse::Pooled,
-        };
+        let headers = json_headers();
+        let call = post_call("/generate", &headers, &body, CallTimeout::PerRead(gap_limit));
         let mut end = None;
         let mut on_line = |line: &[u8]| match parse_line(line)? {
             EngineLine::Accepted => Ok(on_event(GenerateEvent::Accepted)),
