attempts: a hedge counts from its first new event

The first event of a hedge could be a comment or one that had been relayed before; it then replaced a silent stream without showing that its server goes on.

Numbers of events count as consecutive only after two that differ by one, so that a stream whose first event has number 1 and whose events hold several numbers is not broken off.

--- a/lib/src/gateway/attempt_race.rs
+++ b/lib/src/gateway/attempt_race.rs
@@ -118,7 +118,7 @@
         let outcome = Box::pin(async move {
             match outcome.await {
                 AttemptOutcome::Stream(stream) => {
-                    await_first_event(&state, &request, *stream, deadline).await
+                    await_first_event(&state, &request, *stream, after, deadline).await
                 }
                 outcome => outcome,
             }
--- a/lib/src/gateway/event_sequence.rs
+++ b/lib/src/gateway/event_sequence.rs
@@ -131,7 +131,6 @@
             return;
         };
         self.step = match (self.step, self.last) {
-            (NumberStep::Unknown, None) if id == 1 => NumberStep::One,
             (NumberStep::Unknown, None) => NumberStep::Unknown,
             (NumberStep::Unknown | NumberStep::One, Some(last)) if id - last == 1 => {
                 NumberStep::One
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -562,16 +562,18 @@
     state.on_limit_statement(server, attempt.started_at_ms, statement, LimitSource::Server);
 }
 
-/// Reads a stream up to its first complete event, until the deadline.
+/// Reads a stream up to its first event after number `after`, until the deadline. Comments and events that
+/// it repeats do not show that its server goes on with the stream.
 pub async fn await_first_event(
     state: &GatewayState,
     request: &AcceptedRequest,
     stream: OpenResponse,
+    after: Option<u64>,
     deadline: Timestamp,
 ) -> AttemptOutcome {
     let mut stream = stream;
     let time_left = deadline.since(state.now());
-    match timeout(time_left, read_first_event(&mut stream)).await {
+    match timeout(time_left, read_first_event(&mut stream, after)).await {
         Ok(Ok(())) => {
             stream.attempt.on_first_event_read(&request.service);
             AttemptOutcome::Stream(Box::new(stream))
@@ -585,14 +587,26 @@
     }
 }
 
-async fn read_first_event(stream: &mut OpenResponse) -> std::result::Result<(), String> {
+async fn read_first_event(
+    stream: &mut OpenResponse,
+    after: Option<u64>,
+) -> std::result::Result<(), String> {
+    let is_new = |event: &StreamEvent| {
+        let is_repeated = event.id.zip(after).is_some_and(|(id, after)| id <= after);
+        !event.is_comment() && !is_repeated
+    };
     let BegunStream { splitter, first_event } = &mut stream.begun;
     while first_event.is_none() {
         let frame = stream.response.body_mut().frame().await;
         let frame = frame.ok_or("no event")?.map_err(|error| error.to_string())?;
         if let Ok(bytes) = frame.into_data() {
             splitter.push(&bytes).map_err(|error| error.to_string())?;
-            *first_event = splitter.next_event().map_err(|error| error.to_string())?;
+            while let Some(event) = splitter.next_event().map_err(|error| error.to_string())? {
+                if is_new(&event) {
+                    *first_event = Some(event);
+                    break;
+                }
+            }
         }
     }
     Ok(())
