placement: a server whose entry is missing is the last resort

Found in review. If no server was healthy, one whose removal is held was chosen as readily as one that had failed some requests, although it may have left (DRAIN).

--- a/lib/src/gateway/placement.rs
+++ b/lib/src/gateway/placement.rs
@@ -264,8 +264,12 @@
                 && self.pauses.state(now, &server.entry.id) == PauseState::Open
         };
         let healthy: Vec<_> = open.iter().copied().filter(is_healthy).collect();
-        // If no server is healthy, trying any of them is better than refusing the request.
-        let candidates = if healthy.is_empty() { open } else { healthy };
+        let listed: Vec<_> =
+            open.iter().copied().filter(|(_, server)| !server.is_missing).collect();
+        // If no server is healthy, trying any of them is better than refusing the request. One whose entry
+        // is missing comes last, since it may have left.
+        let candidates = [healthy, listed].into_iter().find(|servers| !servers.is_empty());
+        let candidates = candidates.unwrap_or(open);
         if query.prompt.is_none() {
             return self.choose_app(now, &candidates, limited, query, random);
         }
