directory: departures that are written again after a restore reach all hosts

Found in review. A host that knew a departure before the store came back from a copy found nothing new when the server wrote it again, told nothing, and let its peers take the range for told. Hosts that had listed the copy went on to send to the server until their own read.

Beside it: a read that does not reach the end of the log is followed by the next one at once, held removals end on time rather than with the next read, and the departure of a former process does not replace that of its successor.

--- a/lib/src/gateway/backend_directory.rs
+++ b/lib/src/gateway/backend_directory.rs
@@ -300,7 +300,11 @@
         started_at_ms: Option<u64>,
         source: DepartureSource,
     ) -> DirectoryEffect {
-        if self.departures.get(id).is_some_and(|known| known.started_at_ms == started_at_ms) {
+        let is_old = |known: &ServerDeparture| {
+            known.started_at_ms == started_at_ms
+                || known.started_at_ms.zip(started_at_ms).is_some_and(|(known, told)| known > told)
+        };
+        if self.departures.get(id).is_some_and(is_old) {
             return DirectoryEffect::Unchanged;
         }
         let departure = ServerDeparture { started_at_ms, heard_at: now, source };
@@ -355,6 +359,11 @@
         self.records.get(id).is_none_or(|known| known.position < position)
     }
 
+    /// Returns whether the last known record of a server is of an earlier era than a position.
+    pub fn is_of_earlier_era(&self, id: &ServerId, position: LogPosition) -> bool {
+        self.records.get(id).is_some_and(|known| known.position.era < position.era)
+    }
+
     /// Treats servers that are missing from a complete listing as removed.
     pub fn retain_listed(&mut self, now: Timestamp, listed: &[ServerId]) -> Vec<DirectoryEffect> {
         let missing: Vec<ServerId> =
--- a/lib/src/gateway/store_follower.rs
+++ b/lib/src/gateway/store_follower.rs
@@ -301,9 +301,12 @@
                 set_level(&state, "directory_position", read.next.0);
                 match cursor.on_read(read.next, read.bounds) {
                     CursorStep::Apply => {
+                        let is_whole = read.next >= read.bounds.end;
                         apply_directory(&state, begun_at, read);
-                        state.doubts.borrow_mut().on_read(begun_at);
-                        wait_for_next_read(&state).await;
+                        if is_whole {
+                            state.doubts.borrow_mut().on_read(begun_at);
+                            wait_for_next_read(&state).await;
+                        }
                     }
                     CursorStep::StartOver => log_start_over("directory", read.bounds),
                 }
@@ -347,6 +350,7 @@
     let max_age = rand::rng().random_range(MAX_KNOWN_AGE);
     loop {
         tokio::time::sleep(READ_CHECK_PERIOD).await;
+        expire_removals(state);
         let now = state.now();
         let must_read = state.directory_hint.take() || state.directory.borrow().is_recovering(now);
         let factor = if must_read { 1 } else { current_interval_factor(state) };
@@ -376,8 +380,8 @@
 pub enum ChangeNews {
     /// The change: it matters to them.
     Tell,
-    /// Nothing: this host learned of it, or of a later one, from a peer that tells it.
-    ToldByPeer,
+    /// Nothing: this host knew of it, or of a later one, and does not vouch that peers do.
+    AlreadyKnown,
     /// Nothing: a server confirmed its entry.
     Unchanged,
 }
@@ -393,7 +397,9 @@
     let is_known = {
         let (DirectoryChange::Absent(id) | DirectoryChange::Present(BackendEntry { id, .. })) =
             &change;
-        !state.directory.borrow().is_newer(id, position)
+        let directory = state.directory.borrow();
+        // What is only confirmed here after a restore may be new to hosts that read the restored copy.
+        !directory.is_newer(id, position) || directory.is_of_earlier_era(id, position)
     };
     let entry_of = |id: &ServerId| {
         let directory = state.directory.borrow();
@@ -437,7 +443,7 @@
     state.on_directory_effect(effect);
     match is_update || effect != DirectoryEffect::Unchanged {
         true => ChangeNews::Tell,
-        false if is_known => ChangeNews::ToldByPeer,
+        false if is_known => ChangeNews::AlreadyKnown,
         false => ChangeNews::Unchanged,
     }
 }
@@ -469,7 +475,7 @@
                 told += 1;
                 gossip_change(state, position, change);
             }
-            ChangeNews::ToldByPeer => state.directory_gossip.borrow_mut().on_untold(position),
+            ChangeNews::AlreadyKnown => state.directory_gossip.borrow_mut().on_untold(position),
             ChangeNews::Tell | ChangeNews::Unchanged => {}
         }
     }
@@ -485,7 +491,15 @@
         let effects = state.directory.borrow_mut().retain_listed(now, &listed);
         effects.into_iter().for_each(|effect| state.on_directory_effect(effect));
     }
-    let expired = state.directory.borrow_mut().expire(now);
+    expire_removals(state);
+    set_level(state, "servers", state.directory.borrow().iter().count() as u64);
+    count_versions(state);
+    version_keeper::on_directory_read(state);
+}
+
+/// Removes the servers whose missing entries did not reappear in time.
+fn expire_removals(state: &GatewayState) {
+    let expired = state.directory.borrow_mut().expire(state.now());
     for ExpiredServer { key, id, position } in expired {
         state.placement.borrow_mut().remove(key);
         log::info!("event=server_expired server={id}");
@@ -493,9 +507,6 @@
             gossip_change(state, position, DirectoryChange::Absent(id));
         }
     }
-    set_level(state, "servers", state.directory.borrow().iter().count() as u64);
-    count_versions(state);
-    version_keeper::on_directory_read(state);
 }
 
 /// Logs that removals are held from now on, and after what.
--- a/lib/tests/test_departure_bound.rs
+++ b/lib/tests/test_departure_bound.rs
@@ -525,3 +525,56 @@
     println!("{count} hosts, {trouble:?}, {leaving:?}: {worst:?}");
     assert!(worst.latest + SEND_TIME <= DRAIN_BOUND, "{worst:?}");
 }
+
+/// Records that a store loses when it comes back from a copy are those of this time.
+const COPY_AGE: Duration = Duration::from_millis(2_500);
+
+async fn restore(count: usize, seed: u64) -> Duration {
+    let store = Rc::new(DirectoryStore::new(seed));
+    (0..SERVERS).for_each(|number| store.append(entry(number, ServingState::Ready, 0)));
+    let left = Rc::new(Cell::new(0));
+    spawn_local(update_entries(store.clone(), left.clone()));
+    let fleet = Rc::new(Fleet {
+        store: store.clone(),
+        hosts: RefCell::default(),
+        lost_share: Cell::new(0.0),
+        summary_bytes: Cell::default(),
+    });
+    (0..count).for_each(|number| fleet.start(number));
+    sleep(CONTACT_TIME + store.millis(1_000..2_500)).await;
+    let kept = store.records.borrow().len();
+    left.set(1);
+    store.append(entry(0, ServingState::Draining, 1_000_000));
+    sleep(COPY_AGE).await;
+    store.records.borrow_mut().truncate(kept);
+    store.era.set(StoreEra(1));
+    (count..count + 4).for_each(|number| fleet.start(number));
+    sleep(CONTACT_TIME + store.millis(500..1_500)).await;
+    store.append(entry(0, ServingState::Draining, 1_000_001));
+    let acknowledged_at = Instant::now();
+    while !fleet.hosts_that_use(&server_name(0)).is_empty()
+        && acknowledged_at.elapsed() <= DRAIN_BOUND * 4
+    {
+        sleep(Duration::from_millis(20)).await;
+    }
+    acknowledged_at.elapsed()
+}
+
+/// Hosts that knew a departure before a restore confirmed it to nobody, and hosts that had listed the
+/// restored copy went on to use the server.
+#[rstest]
+#[case::hosts_8(8, 6)]
+#[case::hosts_12(12, 6)]
+#[case::hosts_70(70, 2)]
+fn restored_departure(#[case] count: usize, #[case] runs: u64) {
+    for seed in 0..runs {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("valid in tests");
+        let latest = LocalSet::new().block_on(&runtime, restore(count, seed));
+        println!("{count} hosts, seed {seed}: {latest:?}");
+        assert!(latest + SEND_TIME <= DRAIN_BOUND, "seed {seed}: {latest:?}");
+    }
+}
