tests: wait until the server of a late copy has misbehaved

The test goes on calling until the server has refused or copied, up to 3,000 calls. Every check of the answers and runs is as before.

--- a/cli/tests/test_late_copy.rs
+++ b/cli/tests/test_late_copy.rs
@@ -15,6 +15,9 @@
 const PROGRAM: &str = env!("CARGO_BIN_EXE_pomelostack");
 const CALLS: usize = 60;
 
+/// Calls after which the server must have misbehaved: a host may prefer the sound one for a while.
+const MAX_CALLS: usize = 3_000;
+
 /// One in this many answers is repeated, which is within the retry budget.
 const ONE_IN: usize = 5;
 
@@ -52,7 +55,10 @@
     let standin = Arc::new(standin);
     let fixture = GatewayFixture::start_host(PROGRAM, standin.clone(), number).serving();
     let mut responses = Vec::new();
-    for call in 0..CALLS {
+    for call in 0..MAX_CALLS {
+        if call >= CALLS && server.copies() + server.refusals() > 0 {
+            break;
+        }
         let id = format!("r{call}");
         let response = fixture.call(method, path, &id, Some(TEAM_KEY));
         if response.status == 200 {
