attempts: log when streams begin, and which attempts are dropped beside others

New lines: stream_begun, hedge_started, attempt_dropped and attempt_withheld. New histogram: pomelostack_stream_overlap_seconds. No decision is changed.

--- a/lib/src/gateway.rs
+++ b/lib/src/gateway.rs
@@ -7,6 +7,7 @@
 
 pub mod accepted_request;
 pub mod attempt_plan;
+pub mod attempt_progress;
 pub mod attempt_race;
 pub mod backend_directory;
 pub mod body_reader;
--- a/lib/src/gateway/attempt_race.rs
+++ b/lib/src/gateway/attempt_race.rs
@@ -16,6 +16,8 @@
 use crate::gateway::accepted_request::place_request;
 use crate::gateway::accepted_request::record_health;
 use crate::gateway::attempt_plan::AttemptPlan;
+use crate::gateway::attempt_progress::AttemptProgress;
+use crate::gateway::attempt_progress::StageGap;
 use crate::gateway::gateway_state::GatewayState;
 use crate::gateway::platform_api::WireProtocol;
 use crate::gateway::retry_limiter::RetryPurpose;
@@ -34,6 +36,7 @@
 struct RunningAttempt {
     key: ServerKey,
     version: SoftwareVersion,
+    progress: AttemptProgress,
     /// Whether its server has been silent for longer than expected.
     is_silent: bool,
     outcome: Pin<Box<dyn Future<Output = AttemptOutcome>>>,
@@ -91,12 +94,13 @@
         else {
             return false;
         };
-        let version = attempt.version().clone();
+        let (version, progress) = (attempt.version().clone(), attempt.progress().clone());
         let (wire, request) = (self.wire.clone(), self.request.clone());
         let outcome = Box::pin(async move {
             send_attempt(&*wire, attempt, &request, resume_after, deadline).await
         });
-        self.running.push(RunningAttempt { key: placed.key, version, is_silent: false, outcome });
+        let key = placed.key;
+        self.running.push(RunningAttempt { key, version, progress, is_silent: false, outcome });
         true
     }
 
@@ -112,7 +116,7 @@
             return false;
         }
         let Some(attempt) = self.running.pop() else { return false };
-        let RunningAttempt { key, version, is_silent, outcome } = attempt;
+        let RunningAttempt { key, version, progress, is_silent, outcome } = attempt;
         let (state, request) = (self.state.clone(), self.request.clone());
         let deadline = plan.deadline();
         let outcome = Box::pin(async move {
@@ -123,7 +127,12 @@
                 outcome => outcome,
             }
         });
-        self.running.push(RunningAttempt { key, version, is_silent, outcome });
+        log::info!(
+            "event=hedge_started request={} server={}",
+            self.request.head.request_id,
+            server_label(&self.state, key),
+        );
+        self.running.push(RunningAttempt { key, version, progress, is_silent, outcome });
         true
     }
 
@@ -178,8 +187,15 @@
     }
 
     /// Drops the attempts in flight, after another one answered.
-    pub fn drop_rest(&mut self, plan: &mut AttemptPlan) {
+    pub fn drop_rest(&mut self, plan: &mut AttemptPlan, kept: &AttemptProgress) {
         for attempt in self.running.drain(..) {
+            log_dropped(
+                &self.state,
+                &self.request,
+                (attempt.key, &attempt.progress),
+                kept,
+                DropReason::OtherAnswered,
+            );
             plan.on_hedge_dropped(attempt.key);
         }
     }
@@ -195,6 +211,53 @@
     }
 }
 
+/// Why an attempt without an outcome is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DropReason {
+    /// Another attempt at the same request answered.
+    OtherAnswered,
+}
+
+/// Records that an attempt is dropped while another one is kept.
+pub fn record_dropped(
+    state: &GatewayState,
+    request: &AcceptedRequest,
+    dropped: &ServerAttempt,
+    kept: &AttemptProgress,
+    reason: DropReason,
+) {
+    log_dropped(state, request, (dropped.key, dropped.progress()), kept, reason);
+}
+
+fn log_dropped(
+    state: &GatewayState,
+    request: &AcceptedRequest,
+    (key, progress): (ServerKey, &AttemptProgress),
+    kept: &AttemptProgress,
+    reason: DropReason,
+) {
+    let (now, stages) = (state.now(), progress.stages());
+    let overlap = stages.overlap(&kept.stages(), now);
+    let service = [request.service.as_str()];
+    let overlaps = state.metrics.stream_overlap.with_label_values(&service);
+    overlaps.observe(overlap.as_secs_f64());
+    log::info!(
+        "event=attempt_dropped request={} server={} reason={reason:?} sent_ms={} head_ms={} \
+         overlap_ms={}",
+        request.head.request_id,
+        server_label(state, key),
+        StageGap(stages.sent_at, Some(now)),
+        StageGap(stages.head_at, Some(now)),
+        overlap.as_millis(),
+    );
+}
+
+/// Returns the identifier of a server, also of one that has left the directory.
+fn server_label(state: &GatewayState, key: ServerKey) -> String {
+    let directory = state.directory.borrow();
+    directory.get(key).map_or("gone".to_owned(), |server| server.entry.id.to_string())
+}
+
 /// Records that a server sent nothing for `silence`, as evidence of its health.
 pub fn record_silent_server(
     state: &GatewayState,
@@ -203,13 +266,11 @@
     silence: Duration,
 ) {
     state.metrics.attempts.with_label_values(&["Silent"]).inc();
-    let directory = state.directory.borrow();
-    let server = directory.get(key).map_or("gone", |server| server.entry.id.as_str());
     log::info!(
-        "event=attempt_silent request={} server={server} silent_ms={}",
+        "event=attempt_silent request={} server={} silent_ms={}",
         request.head.request_id,
+        server_label(state, key),
         silence.as_millis(),
     );
-    drop(directory);
     record_health(state, key, HealthEvidence::Failed);
 }
--- a/lib/src/gateway/gateway_metrics.rs
+++ b/lib/src/gateway/gateway_metrics.rs
@@ -64,6 +64,8 @@
     pub late_answers: IntCounterVec,
     /// Time to the first event as a multiple of the expected time, by service.
     pub first_event_ratio: HistogramVec,
+    /// Seconds for which two attempts at one stream had both begun when one of them was dropped, by service.
+    pub stream_overlap: HistogramVec,
     /// Gauge: requests that wait for a server or for quota, by rank.
     pub waiting_requests: IntGaugeVec,
     /// Seconds for which requests waited, by rank.
@@ -194,6 +196,11 @@
             servers,
             speeds,
             first_event_ratio,
+            stream_overlap: histogram(
+                "pomelostack_stream_overlap_seconds",
+                "Seconds for which two attempts at one stream had both begun.",
+                "service",
+            )?,
             waiting_requests,
             admitted_shares,
             wait_time: histogram(
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -21,6 +21,8 @@
 use crate::gateway::accepted_request::record_health;
 use crate::gateway::accepted_request::record_started;
 use crate::gateway::attempt_plan::AttemptFailure;
+use crate::gateway::attempt_progress::AttemptProgress;
+use crate::gateway::attempt_progress::StageGap;
 use crate::gateway::backend_directory::BackendEntry;
 use crate::gateway::backend_directory::DepartureSource;
 use crate::gateway::backend_directory::ServingState;
@@ -98,6 +100,7 @@
     has_reserved: Cell<bool>,
     /// When it was handed to a connection.
     sent_at: Cell<Timestamp>,
+    progress: AttemptProgress,
     /// Connection that it was handed to, and how often that had been used before.
     connection: Cell<Option<ConnectionHistory>>,
     /// State of the server when it was sent.
@@ -179,6 +182,7 @@
             service: request.service.clone(),
             has_reserved: Cell::new(true),
             sent_at: Cell::new(now),
+            progress: AttemptProgress::default(),
             connection: Cell::default(),
             moment,
             expected,
@@ -211,6 +215,11 @@
         &self.version
     }
 
+    /// Returns how far the attempt has come.
+    pub fn progress(&self) -> &AttemptProgress {
+        &self.progress
+    }
+
     /// Returns where a stream begins whose first event comes from this attempt.
     pub fn stream_begin(&self, request: &AcceptedRequest) -> StreamBegin {
         StreamBegin { service: request.service.clone(), version: self.version.clone() }
@@ -234,8 +243,23 @@
         }
     }
 
-    /// Records that the first event arrived, as a measurement of the server's speed.
-    pub fn on_first_event_read(&self, service: &ServiceName) {
+    /// Records that an event arrived, and that of the first one as a measurement of the server's speed.
+    pub fn on_event_read(&self, request: &AcceptedRequest) {
+        let now = self.state.now();
+        if self.progress.on_event(now) {
+            let stages = self.progress.stages();
+            log::info!(
+                "event=stream_begun request={} server={} head_ms={} first_event_ms={}",
+                request.head.request_id,
+                self.id,
+                StageGap(stages.sent_at, stages.head_at),
+                StageGap(stages.head_at, stages.event_at),
+            );
+        }
+        self.measure_first_event(&request.service);
+    }
+
+    fn measure_first_event(&self, service: &ServiceName) {
         let Some(read) = self.read.take() else { return };
         let now = self.state.now();
         let elapsed = now.since(self.sent_at.get());
@@ -454,6 +478,7 @@
             log_failure(&state, request, &attempt, AttemptFailure::Lost, "not a stream of events");
             return AttemptOutcome::Failed(AttemptFailure::Lost, None);
         }
+        attempt.progress.on_head(state.now());
         let response = Response::from_parts(head, body);
         let begun = BegunStream::new(&state.buffers);
         return AttemptOutcome::Stream(Box::new(OpenResponse {
@@ -488,9 +513,13 @@
     history: ConnectionHistory,
 ) -> bool {
     let (now, server) = (state.now(), attempt.server());
-    if state.crashes.borrow().is_refused(&request.work)
-        || !rollout_keeper::may_send(state, &request.service, &attempt.version)
-    {
+    let is_refused = state.crashes.borrow().is_refused(&request.work);
+    if is_refused || !rollout_keeper::may_send(state, &request.service, &attempt.version) {
+        let reason = if is_refused { "crash_refused" } else { "version_withheld" };
+        log::info!(
+            "event=attempt_withheld request={} server={server} reason={reason}",
+            request.head.request_id
+        );
         return false;
     }
     // The server may have left while a connection to it was opened.
@@ -502,6 +531,10 @@
     attempt.release_place();
     let mut placement = state.placement.borrow_mut();
     if placement.is_paused(now, server) {
+        log::info!(
+            "event=attempt_withheld request={} server={server} reason=server_paused",
+            request.head.request_id
+        );
         return false;
     }
     if !placement.limits_mut().take(now, server, attempt.started_at_ms) {
@@ -513,6 +546,7 @@
         state.metrics.events.with_label_values(&["limited_sent"]).inc();
     }
     attempt.sent_at.set(now);
+    attempt.progress.on_sent(now);
     attempt.connection.set(Some(history));
     placement.on_handed_over(now, server);
     log::info!(
@@ -575,7 +609,7 @@
     let time_left = deadline.since(state.now());
     match timeout(time_left, read_first_event(&mut stream, after)).await {
         Ok(Ok(())) => {
-            stream.attempt.on_first_event_read(&request.service);
+            stream.attempt.on_event_read(request);
             AttemptOutcome::Stream(Box::new(stream))
         }
         Ok(Err(detail)) => {
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -31,7 +31,9 @@
 use crate::gateway::attempt_plan::AttemptPlan;
 use crate::gateway::attempt_plan::AttemptStep;
 use crate::gateway::attempt_race::AttemptRace;
+use crate::gateway::attempt_race::DropReason;
 use crate::gateway::attempt_race::RaceEvent;
+use crate::gateway::attempt_race::record_dropped;
 use crate::gateway::attempt_race::record_silent_server;
 use crate::gateway::caller_request::EventNumber;
 use crate::gateway::caller_request::PartList;
@@ -305,6 +307,9 @@
                 RelayEvent::HedgeEnded(_, AttemptOutcome::Stream(next))
                     if self.continues(&next) =>
                 {
+                    let reason = DropReason::OtherAnswered;
+                    let kept = next.attempt.progress();
+                    record_dropped(&self.state, &self.request, &stream.attempt, kept, reason);
                     return RelayEnd::Superseded(next);
                 }
                 RelayEvent::HedgeEnded(key, outcome) => {
@@ -335,13 +340,13 @@
                 return Some(self.lose_stream(stream, "does not continue the stream"));
             }
             stream.attempt.on_heard();
-            stream.attempt.on_first_event_read(&self.request.service);
+            stream.attempt.on_event_read(&self.request);
             let read_at = self.state.now();
             if let Some(gap) = self.timing.on_event_read(read_at, self.request.arrived_at) {
                 stream.attempt.on_event_gap(gap);
             }
             // This stream is kept, so the attempts beside it are not needed.
-            self.race.drop_rest(&mut self.plan);
+            self.race.drop_rest(&mut self.plan, stream.attempt.progress());
             if std::mem::take(&mut stream.is_silent) {
                 record_health(&self.state, stream.attempt.key, HealthEvidence::Answered);
             }
