tests: streams at a second server that is slow, mute or pausing

The stand-in records the end of a run also before its head, and numbers runs, so that the ends belong to them.

--- a/lib/testutils/src/deployment_server.rs
+++ b/lib/testutils/src/deployment_server.rs
@@ -69,6 +69,8 @@
 const CRASH_DELAY: Duration = Duration::from_millis(30);
 /// Field with the limit of a replica.
 const SERVER_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+/// Path prefix of streams.
+const STREAM_PREFIX: &str = "/brief/";
 /// Interval between the events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -507,7 +509,9 @@
     let run_count = {
         let state = &mut lock(state);
         state.run_count += 1;
+        let number = state.run_count;
         state.runs.push(ReplicaRun {
+            number,
             replica: index,
             replica_id: id.clone(),
             at: Instant::now(),
@@ -519,8 +523,15 @@
             crashing_part,
             version: version.clone(),
         });
-        state.run_count
+        number
     };
+    let path = request.uri().path();
+    let is_stream = path.starts_with(STREAM_PREFIX);
+    // Records the end when the handler is dropped with its connection, too.
+    let end = is_stream.then(|| {
+        let request_id = request_id.clone();
+        EndRecorder { state: state.clone(), run: run_count, replica: index, request_id }
+    });
     if let Some(part) = crashing_part {
         tokio::task::spawn_local(crash_replica(state.clone(), index, id.clone(), part));
     }
@@ -536,12 +547,11 @@
     if let ReplicaMode::SlowBy(delay) = mode {
         tokio::time::sleep(delay).await;
     }
-    let path = request.uri().path();
     if let Some(delay) = path_number(path, "/after-ms-") {
         tokio::time::sleep(Duration::from_millis(delay)).await;
     }
     if let ReplicaMode::Unframed(end) = mode {
-        let body = if path.starts_with("/brief/") {
+        let body = if is_stream {
             let count = path_number(path, "/events-").unwrap_or(STREAM_EVENTS);
             UnframedBody::Events(resumed_after.unwrap_or(0)..count)
         } else {
@@ -553,9 +563,9 @@
         return Ok(reply);
     }
     let is_failed_resume = mode == ReplicaMode::FailResumed && resumed_after.is_some();
-    let mut reply = if path.starts_with("/brief/") && !is_failed_resume {
+    let mut reply = if is_stream && !is_failed_resume {
         let count = path_number(path, "/events-").unwrap_or(STREAM_EVENTS);
-        let run = StreamRun { request_id: request_id.clone(), replica: index, version, mode };
+        let run = StreamRun { replica: index, version, mode, end };
         stream_events(state.clone(), run, resumed_after.unwrap_or(0)..count)
     } else {
         let size = request.uri().path().rsplit_once("/bytes-").map(|(_, size)| size.parse());
@@ -634,12 +644,29 @@
     }
 }
 
+/// Records the end of a stream's run when it is dropped.
+struct EndRecorder {
+    state: SharedState,
+    run: u64,
+    replica: usize,
+    request_id: String,
+}
+
+impl Drop for EndRecorder {
+    fn drop(&mut self) {
+        let (run, replica) = (self.run, self.replica);
+        let request_id = std::mem::take(&mut self.request_id);
+        let end = StreamEnd { run, replica, request_id, at: Instant::now() };
+        lock(&self.state).stream_ends.push(end);
+    }
+}
+
 /// A stream that a replica executes.
 struct StreamRun {
-    request_id: String,
     replica: usize,
     version: String,
     mode: ReplicaMode,
+    end: Option<EndRecorder>,
 }
 
 async fn send_events(
@@ -686,8 +713,7 @@
             () = send_events(&state, &run, ids, &sender) => {}
             () = sender.closed() => {}
         }
-        let StreamRun { request_id, replica, .. } = run;
-        lock(&state).stream_ends.push(StreamEnd { replica, request_id, at: Instant::now() });
+        drop(run.end);
     });
     let mut reply = Response::new(Either::Right(StreamBody::new(ReceiverStream::new(receiver))));
     reply.headers_mut().insert(
--- a/lib/testutils/src/deployment_state.rs
+++ b/lib/testutils/src/deployment_state.rs
@@ -225,6 +225,8 @@
 /// A request that a replica executed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReplicaRun {
+    /// Number of the run.
+    pub number: u64,
     /// Index of the replica.
     pub replica: usize,
     /// Id of the replica.
@@ -247,9 +249,12 @@
     pub version: String,
 }
 
-/// The end of a stream that a replica executed: it was sent whole or broken off, or its connection was closed.
+/// The end of a stream that a replica executed: it was sent whole or broken off, or its connection was closed,
+/// also before its head.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StreamEnd {
+    /// Number of its run.
+    pub run: u64,
     /// Index of the replica.
     pub replica: usize,
     /// Request id.
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod raw_server;
 mod standin_listener;
 pub mod store_core;
+pub mod stream_overlap;
 
 pub mod admin_fixture;
 pub mod config_samples;
