soak: judge for how long two replicas work on one stream; slow, mute and pausing replicas

Series of replicas that begin slowly, hang or pause come from a generator of their own; what the others draw is as before. Runs count from their arrival, and hosts that were disturbed are excused.

--- a/lib/testutils/src/deployment_server.rs
+++ b/lib/testutils/src/deployment_server.rs
@@ -506,6 +506,8 @@
     }
     let resumed_after = field("Last-Event-Id").and_then(|id| id.parse().ok());
     let crashing_part = find_crashing_part(state, field("Prompt-Prefix").as_deref());
+    let path = request.uri().path();
+    let is_stream = path.starts_with(STREAM_PREFIX);
     let run_count = {
         let state = &mut lock(state);
         state.run_count += 1;
@@ -517,6 +519,7 @@
             at: Instant::now(),
             mode,
             request_id: request_id.clone(),
+            is_stream,
             resumed_after,
             team: field("Tenant-Id"),
             received_team_key: field("Authorization").is_some(),
@@ -525,8 +528,6 @@
         });
         number
     };
-    let path = request.uri().path();
-    let is_stream = path.starts_with(STREAM_PREFIX);
     // Records the end when the handler is dropped with its connection, too.
     let end = is_stream.then(|| {
         let request_id = request_id.clone();
--- a/lib/testutils/src/deployment_state.rs
+++ b/lib/testutils/src/deployment_state.rs
@@ -237,6 +237,8 @@
     pub mode: ReplicaMode,
     /// Request id.
     pub request_id: String,
+    /// Whether it is answered by a stream.
+    pub is_stream: bool,
     /// Id of the last event before the resumed stream; `None` for a fresh request.
     pub resumed_after: Option<u64>,
     /// Team that the gateway named to the replica.
--- a/lib/testutils/src/stream_overlap.rs
+++ b/lib/testutils/src/stream_overlap.rs
@@ -34,7 +34,7 @@
     let ends: BTreeMap<u64, Instant> = ends.iter().map(|end| (end.run, end.at)).collect();
     let end_of = |run: &ReplicaRun| ends.get(&run.number).copied().unwrap_or(until);
     let mut by_request: BTreeMap<&str, Vec<&ReplicaRun>> = BTreeMap::new();
-    for run in runs {
+    for run in runs.iter().filter(|run| run.is_stream) {
         by_request.entry(&run.request_id).or_default().push(run);
     }
     let mut overlaps = Vec::new();
--- a/soak/src/fault_plan.rs
+++ b/soak/src/fault_plan.rs
@@ -10,6 +10,8 @@
 use testutils::deployment_standin::StoreMode;
 use testutils::deployment_standin::UnframedEnd;
 
+use crate::config_plan::SERVICES;
+
 /// Time between the starts of two series, of which the last part is calm.
 const SERIES_PERIOD: Duration = Duration::from_secs(12);
 
@@ -28,6 +30,9 @@
 /// Longest time between two troubles of replicas.
 const MAX_TROUBLE_PERIOD: Duration = Duration::from_millis(1_500);
 
+/// Longest time between two series of slow replicas.
+const MAX_SLOW_PERIOD: Duration = Duration::from_secs(5);
+
 /// Longest time between two notices of replicas.
 const MAX_NOTICE_PERIOD: Duration = Duration::from_millis(3_000);
 
@@ -260,6 +265,41 @@
     limits
 }
 
+/// Draws series in which one replica of a service or all of them begin slowly, send nothing at all or pause, each
+/// with its time, in order.
+pub fn draw_slow_replicas(
+    random: &mut impl Rng,
+    replicas: usize,
+    length: Duration,
+) -> Vec<(Duration, PlannedFault)> {
+    let mut faults = Vec::new();
+    let mut at = Duration::ZERO;
+    while let Some(next) = draw_next(random, at, MAX_SLOW_PERIOD, length) {
+        at = next;
+        let mode = match random.random_range(0..4) {
+            0 | 1 => ReplicaMode::SlowBy(draw_millis(random, 300, 2_500)),
+            2 => ReplicaMode::HangOn { one_in: random.random_range(1..4) },
+            _ => ReplicaMode::PauseAfter {
+                events: random.random_range(0..4),
+                pause: draw_millis(random, 500, 5_000),
+            },
+        };
+        let duration = draw_millis(random, 500, 4_000);
+        let fault = match random.random() {
+            true => {
+                let replica = random.random_range(0..replicas);
+                PlannedFault::Replica { replica, mode, duration }
+            }
+            false => {
+                let service = random.random_range(0..SERVICES.len());
+                PlannedFault::Service { service, mode, duration }
+            }
+        };
+        faults.push((at, fault));
+    }
+    faults
+}
+
 /// Draws the troubles of replicas and the planned work of a run, each with its time, in order.
 pub fn draw_troubles(
     random: &mut impl Rng,
--- a/soak/src/run_verdict.rs
+++ b/soak/src/run_verdict.rs
@@ -7,6 +7,8 @@
 use testutils::deployment_standin::ReplicaMode;
 use testutils::deployment_standin::ReplicaRun;
 use testutils::gateway_process::read_level;
+use testutils::stream_overlap::MAX_STREAM_OVERLAP;
+use testutils::stream_overlap::long_overlaps;
 
 use crate::call_judge::CallContext;
 use crate::call_judge::WorkRun;
@@ -73,6 +75,7 @@
     }
     let runs = world.standin.take_runs();
     judge_work(world, &versions, &runs, touch, report);
+    judge_overlaps(world, &runs, touch, report);
     judge_parts(world, &runs, touch, report);
     judge_limits(world, &runs, touch, report);
     judge_duties(world, runs, touch, report);
@@ -114,6 +117,26 @@
     }
 }
 
+/// Judges for how long two replicas worked on one stream. Ids of callers that keep them name no host.
+fn judge_overlaps(
+    world: &SoakWorld,
+    runs: &[ReplicaRun],
+    touch: &TouchRecord,
+    report: &mut SoakReport,
+) {
+    let ends = world.standin.stream_ends();
+    for overlap in long_overlaps(runs, &ends, Instant::now(), MAX_STREAM_OVERLAP) {
+        let Some(host) = host_of(&overlap.request_id) else { continue };
+        let at = overlap.at.saturating_duration_since(world.start);
+        if touch.processes_ran(host, at, at + overlap.time) {
+            report.violations.push(format!(
+                "OVERLAP at {at:.3?}: {} at {:?} for {:.3?}",
+                overlap.request_id, overlap.replicas, overlap.time
+            ));
+        }
+    }
+}
+
 /// Returns the number of the host that a request was sent to.
 fn host_of(request_id: &str) -> Option<usize> {
     request_id.split('-').next()?.parse().ok()
--- a/soak/src/soak_run.rs
+++ b/soak/src/soak_run.rs
@@ -43,6 +43,7 @@
 use crate::fault_plan::draw_faults;
 use crate::fault_plan::draw_limits;
 use crate::fault_plan::draw_notices;
+use crate::fault_plan::draw_slow_replicas;
 use crate::fault_plan::draw_troubles;
 use crate::growth_plan::DepartureKind;
 use crate::growth_plan::PlannedDeparture;
@@ -205,6 +206,8 @@
     faults.extend(draw_notices(&mut random, replicas, settings.length));
     let mut random = ChaCha8Rng::seed_from_u64(seed_of(105));
     faults.extend(draw_limits(&mut random, replicas, settings.length));
+    let mut random = ChaCha8Rng::seed_from_u64(seed_of(107));
+    faults.extend(draw_slow_replicas(&mut random, replicas, settings.length));
     let has_plan = !plan.faults.is_empty();
     faults.extend(plan.faults);
     faults.sort_by_key(|(at, _)| *at);
