--- a/soak/tests/test_call_judge.rs
+++ b/soak/tests/test_call_judge.rs
@@ -82,6 +82,31 @@
     judge(call, modes, &versions, &TouchRecord::default())
 }
 
+/// A stream may go back to a replica that had it before, a few times, and other calls may not.
+#[rstest]
+#[case::stream(WorkKind::Resumable, 5, None)]
+#[case::too_often(WorkKind::Resumable, 6, Some(CallFault::TooManyAttempts))]
+#[case::call(WorkKind::Safe, 3, Some(CallFault::TooManyAttempts))]
+fn returned_runs(
+    #[case] kind: WorkKind,
+    #[case] count: usize,
+    #[case] expected: Option<CallFault>,
+) {
+    let call = call(kind, 11_000, CallOutcome::Complete);
+    let run = |index: usize| WorkRun {
+        crashed: false,
+        at: millis(10_000),
+        replica: format!("i-{}", index % 2),
+        mode: ReplicaMode::Answer,
+    };
+    let runs = BTreeMap::from([(call.request_id.clone(), (0..count).map(run).collect())]);
+    let (versions, touch) = ([sent(ConfigVersion::first(), 0)], TouchRecord::default());
+    let context =
+        CallContext { runs: &runs, versions: &versions, touch: &touch, grace: millis(8_000) };
+    let faults: Vec<_> = judge_calls(&[call], &context).into_iter().map(|it| it.1).collect();
+    assert_eq!(faults, Vec::from_iter(expected));
+}
+
 const PAUSE: ReplicaMode = ReplicaMode::PauseAfter { events: 3, pause: Duration::from_secs(2) };
 
 #[rstest]
