attempts: a silent stream moves to a second server instead of running at both

Cause: a hedged stream counted from its first event, and the silent attempt was kept until then, however long the second server queued, read the prompt or was silent in turn. The class: an attempt was ended by what the host had heard, not by what servers had been given to do.

Now the time side by side is bounded from the sending of the hedge. After 250 ms without an event of either, the first attempt is dropped. The stream can go back to that server, for a trial of 250 ms beside a second one that stays silent, or alone after a failure of it; this counts as a retry but not as a further server.

Ruled out: to drop the first attempt at the head of the hedge, since there may be no head before the first event; to keep the first and drop the hedge, since a prompt that takes over 250 ms would never move.

--- a/lib/src/gateway/attempt_plan.rs
+++ b/lib/src/gateway/attempt_plan.rs
@@ -17,6 +17,12 @@
 /// Minimum time before the deadline for another attempt to be of use.
 const MIN_RETRY_TIME_LEFT: Duration = Duration::from_millis(20);
 
+/// Maximum number of times that a stream goes back to servers at which it was given up.
+const MAX_RETURNS: usize = 3;
+
+/// Minimum time between two trials at such servers beside another attempt.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// How an attempt failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptFailure {
@@ -64,6 +70,8 @@
         /// Whether the attempt counts against the service's retry budget.
         is_retry: bool,
     },
+    /// Go back to a server at which the request was given up while it was silent.
+    Return,
     /// Wait for the other attempt in flight.
     AwaitOther,
     /// Relay the server's own error response.
@@ -85,6 +93,10 @@
     /// Whether a hedged attempt is in flight beside another one.
     is_hedged: bool,
     tried: Vec<ServerKey>,
+    /// Servers at which it was given up while they were silent.
+    given_up: Vec<ServerKey>,
+    returns: usize,
+    returned_at: Option<Timestamp>,
 }
 
 impl AttemptPlan {
@@ -99,6 +111,9 @@
             may_have_run: false,
             is_hedged: false,
             tried: Vec::new(),
+            given_up: Vec::new(),
+            returns: 0,
+            returned_at: None,
         }
     }
 
@@ -141,6 +156,9 @@
             let is_retry = self.sent > 0 || failure == AttemptFailure::Misdirected;
             return AttemptStep::TryAnother { is_retry };
         }
+        if self.return_server(now).is_some() {
+            return AttemptStep::Return;
+        }
         match failure {
             AttemptFailure::Failed => AttemptStep::RelayFailure,
             _ => AttemptStep::End(self.give_up()),
@@ -168,6 +186,38 @@
         self.may_have_run = true;
     }
 
+    /// Records that the stream was given up at a silent server, after another one got it.
+    pub fn on_moved(&mut self, server: ServerKey) {
+        self.on_hedge_dropped(server);
+        self.given_up.push(server);
+    }
+
+    /// Returns the next server to go back to, if the stream may.
+    pub fn return_server(&self, now: Timestamp) -> Option<ServerKey> {
+        let may_return = self.kind.is_repeatable()
+            && self.returns < MAX_RETURNS
+            && now + MIN_RETRY_TIME_LEFT < self.deadline;
+        let index = self.returns.checked_rem(self.given_up.len())?;
+        self.given_up.get(index).copied().filter(|_| may_return)
+    }
+
+    /// Returns the server to go back to for a trial beside the attempt in flight, if one is due.
+    pub fn trial_server(&self, now: Timestamp) -> Option<ServerKey> {
+        let is_due = self.returned_at.is_none_or(|at| now.since(at) >= TRIAL_INTERVAL);
+        self.return_server(now).filter(|_| is_due && !self.is_hedged)
+    }
+
+    /// Records that the stream goes back to a server.
+    pub fn on_returned(&mut self, now: Timestamp) {
+        self.returns += 1;
+        self.returned_at = Some(now);
+    }
+
+    /// Records that a trial ended without an event. Its server doesn't count once more.
+    pub fn on_trial_ended(&mut self) {
+        self.is_hedged = false;
+    }
+
     /// Returns how the request ends without another attempt.
     pub fn give_up(&self) -> GiveUpReason {
         if self.may_have_run { GiveUpReason::Unknown } else { GiveUpReason::NotRun }
--- a/lib/src/gateway/gateway_state.rs
+++ b/lib/src/gateway/gateway_state.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use crate::gateway::backend_directory::BackendDirectory;
 use crate::gateway::backend_directory::BackendEntry;
@@ -245,6 +246,11 @@
         self.clock.now()
     }
 
+    /// Returns the instant at which the process's clock shows a time.
+    pub fn instant_of(&self, time: Timestamp) -> Instant {
+        self.clock.instant_of(time)
+    }
+
     /// Records the era of the store in a response, or in a peer's summary. After a restore, the
     /// configuration and the directory are read at once.
     pub fn observe_era(&self, era: StoreEra) {
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -508,6 +508,14 @@
                     race.hedge(&mut plan, None, resume_after);
                     continue;
                 }
+                RaceEvent::Moved(given_up) => {
+                    given_up.into_iter().for_each(|key| plan.on_moved(key));
+                    continue;
+                }
+                RaceEvent::TrialEnded => {
+                    plan.on_trial_ended();
+                    continue;
+                }
             };
             let failure = match outcome {
                 AttemptOutcome::Buffered(response) => return self.deliver(&request, key, response),
@@ -540,7 +548,10 @@
                 AttemptStep::TryAnother { is_retry } if self.may_retry(&request, is_retry) => {
                     continue;
                 }
-                AttemptStep::TryAnother { .. } | AttemptStep::RelayFailure => plan.give_up(),
+                AttemptStep::Return if race.start_return(&mut plan, resume_after) => continue,
+                AttemptStep::TryAnother { .. }
+                | AttemptStep::Return
+                | AttemptStep::RelayFailure => plan.give_up(),
                 AttemptStep::End(give_up) => give_up,
             };
             return self.relay_or_end(&request, &plan, give_up, error_response);
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -88,6 +88,8 @@
     Lost,
     /// The server was silent, and another one resumes the stream.
     Superseded(Box<OpenResponse>),
+    /// The server was silent, and the stream moved to the attempt in flight.
+    Moved,
     /// The software version of the server could not be recorded.
     Unrecorded,
     /// The caller disconnected.
@@ -102,6 +104,10 @@
     Read(Option<hyper::Result<Frame<Bytes>>>),
     /// The end of a hedged attempt.
     HedgeEnded(ServerKey, AttemptOutcome),
+    /// The stream moved to the hedged attempt.
+    Moved,
+    /// A trial at an earlier server was dropped.
+    TrialEnded,
     /// No data within the time limit.
     Silent(Duration),
     /// The caller disconnected.
@@ -227,29 +233,32 @@
         let mut stream = stream;
         loop {
             let key = stream.attempt.key;
+            self.race.set_relaying(true);
             let end = self.relay_from_server(stream).await;
-            let code = match end {
-                RelayEnd::Complete => ResultCode::Complete,
-                RelayEnd::CallerDisconnected => ResultCode::CallerLost,
-                RelayEnd::TimedOut => ResultCode::DeadlinePassed,
-                RelayEnd::Unrecorded => ResultCode::StreamUnrecorded,
+            self.race.set_relaying(false);
+            let step = match end {
+                RelayEnd::Complete => return self.finish(ResultCode::Complete).await,
+                RelayEnd::CallerDisconnected => return self.finish(ResultCode::CallerLost).await,
+                RelayEnd::TimedOut => return self.finish(ResultCode::DeadlinePassed).await,
+                RelayEnd::Unrecorded => return self.finish(ResultCode::StreamUnrecorded).await,
                 RelayEnd::Superseded(next) => {
                     self.plan.on_hedge_dropped(key);
                     stream = *next;
                     continue;
                 }
+                RelayEnd::Moved => {
+                    self.plan.on_moved(key);
+                    AttemptStep::AwaitOther
+                }
                 RelayEnd::Lost => {
                     record_health(&self.state, key, HealthEvidence::Failed);
-                    match self.resume(key).await {
-                        Some(next) => {
-                            stream = next;
-                            continue;
-                        }
-                        None => ResultCode::AttemptsLost,
-                    }
+                    self.plan.on_failure(self.state.now(), key, AttemptFailure::Lost)
                 }
             };
-            return self.finish(code).await;
+            match self.resume(step).await {
+                Ok(next) => stream = next,
+                Err(code) => return self.finish(code).await,
+            }
         }
     }
 
@@ -315,6 +324,11 @@
                 RelayEvent::HedgeEnded(key, outcome) => {
                     self.on_hedge_failed(&stream, key, outcome);
                 }
+                RelayEvent::Moved => {
+                    self.race.record_moved(&stream.attempt);
+                    return RelayEnd::Moved;
+                }
+                RelayEvent::TrialEnded => self.plan.on_trial_ended(),
                 RelayEvent::Silent(silence) => self.on_silence(&mut stream, silence),
                 RelayEvent::CallerDisconnected => return RelayEnd::CallerDisconnected,
                 RelayEvent::TimedOut => return RelayEnd::TimedOut,
@@ -454,6 +468,8 @@
             frame = stream.body.frame() => RelayEvent::Read(frame),
             event = self.race.next(None), if is_hedged => match event {
                 RaceEvent::Ended(key, outcome) => RelayEvent::HedgeEnded(key, outcome),
+                RaceEvent::Moved(_) => RelayEvent::Moved,
+                RaceEvent::TrialEnded => RelayEvent::TrialEnded,
                 RaceEvent::Silent => RelayEvent::Silent(limit),
             },
             () = self.chunks.closed() => RelayEvent::CallerDisconnected,
@@ -480,20 +496,27 @@
     }
 
     /// Resumes the stream at another server, if the plan and the retry budget allow it and a server
-    /// is available.
-    async fn resume(&mut self, lost: ServerKey) -> Option<OpenResponse> {
-        let now = self.state.now();
-        let mut step = self.plan.on_failure(now, lost, AttemptFailure::Lost);
+    /// is available; `step` says how. Returns the code with which the stream ends if none resumes it.
+    async fn resume(&mut self, step: AttemptStep) -> std::result::Result<OpenResponse, ResultCode> {
+        let mut step = step;
         loop {
-            match step {
-                AttemptStep::AwaitOther => {}
-                AttemptStep::TryAnother { .. } => self.start_resume()?,
-                AttemptStep::RelayFailure | AttemptStep::End(_) => return None,
+            let is_sent = match step {
+                AttemptStep::AwaitOther => true,
+                AttemptStep::TryAnother { .. } => self.start_resume().is_some(),
+                AttemptStep::Return => {
+                    self.sequence.may_resume()
+                        && self.race.start_return(&mut self.plan, self.sequence.last())
+                }
+                AttemptStep::RelayFailure | AttemptStep::End(_) => false,
+            };
+            if !is_sent {
+                return Err(ResultCode::AttemptsLost);
             }
-            let (key, outcome) = self.next_ended().await?;
+            let (key, outcome) = self.next_ended().await.ok_or(ResultCode::CallerLost)?;
             let failure = match outcome {
-                AttemptOutcome::Stream(stream) => return Some(*stream),
-                AttemptOutcome::Buffered(_) | AttemptOutcome::TimedOut => return None,
+                AttemptOutcome::Stream(stream) => return Ok(*stream),
+                AttemptOutcome::Buffered(_) => return Err(ResultCode::AttemptsLost),
+                AttemptOutcome::TimedOut => return Err(ResultCode::DeadlinePassed),
                 AttemptOutcome::Failed(failure, _) => failure,
             };
             step = self.plan.on_failure(self.state.now(), key, failure);
@@ -531,6 +554,10 @@
             };
             match event {
                 RaceEvent::Ended(key, outcome) => return Some((key, outcome)),
+                RaceEvent::Moved(given_up) => {
+                    given_up.into_iter().for_each(|key| self.plan.on_moved(key));
+                }
+                RaceEvent::TrialEnded => self.plan.on_trial_ended(),
                 RaceEvent::Silent => {
                     self.race.hedge(&mut self.plan, None, self.sequence.last());
                 }
--- a/lib/src/timestamp.rs
+++ b/lib/src/timestamp.rs
@@ -71,6 +71,11 @@
     pub fn now(&self) -> Timestamp {
         Timestamp::default() + self.origin.elapsed()
     }
+
+    /// Returns the instant at which this clock shows a time.
+    pub fn instant_of(&self, time: Timestamp) -> Instant {
+        self.origin + time.since(Timestamp::default())
+    }
 }
 
 /// Returns the wall clock in milliseconds since the Unix epoch, for records that outlive a process.
--- a/lib/tests/test_attempt_plan.rs
+++ b/lib/tests/test_attempt_plan.rs
@@ -12,6 +12,7 @@
 use pomelostack_lib::timestamp::Timestamp;
 use proptest::prelude::*;
 use rstest::rstest;
+use slotmap::SlotMap;
 
 const DEADLINE: Duration = Duration::from_secs(10);
 
@@ -118,6 +119,46 @@
     ]
 }
 
+#[test]
+fn returns_are_bounded() {
+    let mut servers = SlotMap::<ServerKey, ()>::with_key();
+    let (first, second) = (servers.insert(()), servers.insert(()));
+    let mut plan = plan(RequestKind::Stream { resumable: true }, 2);
+    let mut now = Timestamp::default();
+    assert_eq!(plan.return_server(now), None);
+    plan.on_hedge_started();
+    plan.on_moved(first);
+    assert!(!plan.may_hedge(now), "two servers have it");
+    let mut trials = 0;
+    while plan.trial_server(now) == Some(first) {
+        trials += 1;
+        plan.on_returned(now);
+        plan.on_hedge_started();
+        assert_eq!(plan.trial_server(now), None, "one trial at a time");
+        plan.on_trial_ended();
+        assert_eq!(plan.trial_server(now), None, "trials are some time apart");
+        now = now + Duration::from_secs(1);
+    }
+    assert_eq!(trials, 3);
+    let step = plan.on_failure(now, second, AttemptFailure::Lost);
+    assert_eq!(step, AttemptStep::End(GiveUpReason::Unknown));
+}
+
+#[rstest]
+#[case(AttemptFailure::Refused)]
+#[case(AttemptFailure::Lost)]
+#[case(AttemptFailure::Failed)]
+fn failed_move_returns(#[case] failure: AttemptFailure) {
+    let mut servers = SlotMap::<ServerKey, ()>::with_key();
+    let (first, second) = (servers.insert(()), servers.insert(()));
+    let mut plan = plan(RequestKind::Stream { resumable: true }, 2);
+    plan.on_hedge_started();
+    plan.on_moved(first);
+    let now = Timestamp::default();
+    assert_eq!(plan.on_failure(now, second, failure), AttemptStep::Return);
+    assert_eq!(plan.return_server(now), Some(first));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
@@ -140,6 +181,7 @@
                     prop_assert!(sends < max_servers);
                 }
                 AttemptStep::AwaitOther => prop_assert!(false, "no other attempt is in flight"),
+                AttemptStep::Return => prop_assert!(false, "it was given up nowhere"),
                 AttemptStep::End(GiveUpReason::NotRun) => {
                     prop_assert_eq!(runs, 0);
                     break;
@@ -184,6 +226,7 @@
             prop_assert_eq!(step == AttemptStep::AwaitOther, is_hedged);
             match step {
                 AttemptStep::AwaitOther => {}
+                AttemptStep::Return => prop_assert!(false, "it was given up nowhere"),
                 AttemptStep::TryAnother { .. } => {
                     prop_assert!(!ran || kind.is_repeatable());
                     prop_assert!(ended < max_servers);
