--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod backend_fleet;
 pub mod bounded_wait;
 pub mod byte_server;
+pub mod closing_server;
 pub mod cloud_core;
 pub mod cloud_standin;
 pub mod connection_relay;
