--- a/lib/src/gateway/attempt_race.rs
+++ b/lib/src/gateway/attempt_race.rs
@@ -1,10 +1,12 @@
 //! Attempts of one request that are in flight at the same time.
 //!
 //! Load pattern: a sound server sends nothing for a while and goes on. A hedged attempt runs beside it, and
-//! the first one with an answer, or with the next event of a stream, is kept. Two servers must not work on
-//! one stream side by side for long, and nothing shows when a server begins: a stream whose second server has
-//! got it, too, is soon given up at the first one. It goes back there for a trial if the second one is silent in
-//! turn. Without a second server, or with an empty retry budget, the first attempt goes on alone.
+//! the first one with an answer, or with the next event of a stream, is kept. Without a second server, or with an
+//! empty retry budget, the first attempt goes on alone.
+//!
+//! Two servers must not work on one stream for long, and nothing shows when a server begins. A stream therefore
+//! moves: soon after the hedged attempt was sent, the first one is dropped. If the second server is silent, too,
+//! the first one is tried again beside it for as short a time.
 
 use std::future::Future;
 use std::future::poll_fn;
@@ -42,8 +44,8 @@
 /// than the time for which two servers may work on a stream by the time in which a host acts and a close arrives.
 const MAX_SHARED_TIME: Duration = Duration::from_millis(250);
 
-/// Time from the head of a stream that moved to its first event after which it is tried where it was before.
-/// Longer than sound servers pause.
+/// Time from the head of a stream that moved until it counts as silent if no event came. Longer than sound
+/// servers pause.
 const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(1_250);
 
 /// What happens to an attempt beside another one after [`MAX_SHARED_TIME`].
@@ -86,7 +88,7 @@
     /// An attempt ended.
     Ended(ServerKey, AttemptOutcome),
     /// The time changed at which an attempt is dropped beside another one.
-    TurnChanged,
+    DueChanged,
 }
 
 /// Whether a hedged attempt was started.
@@ -272,18 +274,18 @@
         let limit = limit.map(|limit| self.silence_left(limit));
         let silent_at = limit.map(|limit| Instant::now() + limit);
         loop {
-            let turn_at = self.turn_due();
-            let wakes = [turn_at, silent_at].into_iter().flatten();
-            let polled = poll_fn(|context| self.poll_attempts(context, turn_at));
+            let drop_at = self.drop_due();
+            let wakes = [drop_at, silent_at].into_iter().flatten();
+            let polled = poll_fn(|context| self.poll_attempts(context, drop_at));
             let polled = match wakes.min() {
                 Some(wake) => timeout_at(wake, polled).await.ok(),
                 None => Some(polled.await),
             };
             match polled {
                 Some(RacePoll::Ended(key, outcome)) => return RaceEvent::Ended(key, outcome),
-                Some(RacePoll::TurnChanged) => {}
-                None if turn_at.is_some_and(|at| at <= Instant::now()) => {
-                    if let Some(event) = self.take_turn() {
+                Some(RacePoll::DueChanged) => {}
+                None if drop_at.is_some_and(|at| at <= Instant::now()) => {
+                    if let Some(event) = self.drop_due_attempt() {
                         return event;
                     }
                 }
@@ -298,7 +300,7 @@
     fn poll_attempts(
         &mut self,
         context: &mut Context<'_>,
-        turn_at: Option<Instant>,
+        drop_at: Option<Instant>,
     ) -> Poll<RacePoll> {
         for index in 0..self.running.len() {
             if let Poll::Ready(outcome) = self.running[index].outcome.as_mut().poll(context) {
@@ -306,9 +308,9 @@
                 return Poll::Ready(RacePoll::Ended(attempt.key, outcome));
             }
         }
-        match self.turn_due() == turn_at {
+        match self.drop_due() == drop_at {
             true => Poll::Pending,
-            false => Poll::Ready(RacePoll::TurnChanged),
+            false => Poll::Ready(RacePoll::DueChanged),
         }
     }
 
@@ -323,8 +325,8 @@
         })
     }
 
-    /// Returns the attempt after whose time beside another one an attempt is dropped.
-    fn turning(&self) -> Option<(usize, Timestamp)> {
+    /// Returns the attempt whose time beside another one is limited, and when it is over.
+    fn due_attempt(&self) -> Option<(usize, Timestamp)> {
         if !self.is_relaying && self.running.len() < 2 {
             return None;
         }
@@ -333,14 +335,15 @@
         Some((index, sent_at + MAX_SHARED_TIME))
     }
 
-    fn turn_due(&self) -> Option<Instant> {
-        let (_, due) = self.turning()?;
+    /// Returns when an attempt is dropped because two servers must not work on the stream any longer.
+    fn drop_due(&self) -> Option<Instant> {
+        let (_, due) = self.due_attempt()?;
         Some(self.state.instant_of(due))
     }
 
-    /// Drops the attempt whose time beside another one is over.
-    fn take_turn(&mut self) -> Option<RaceEvent> {
-        let (index, _) = self.turning()?;
+    /// Drops one of two attempts whose time side by side is over.
+    fn drop_due_attempt(&mut self) -> Option<RaceEvent> {
+        let (index, _) = self.due_attempt()?;
         match self.running[index].role {
             AttemptRole::Plain => None,
             AttemptRole::Move => {
