--- a/cli/tests/test_once_work.rs
+++ b/cli/tests/test_once_work.rs
@@ -85,7 +85,8 @@
     check_calls(&fixture, "/book/1", CALLS, runs, is_done);
 }
 
-/// Copies of refusals that name their call, at two servers, in front of the answers to others.
+/// Refusals that name their call, at two servers. Their copies are not reached: they come only when a call is sent
+/// again on its connection.
 #[rstest]
 #[case::misdirected(182, "/book/1", "421 Misdirected Request")]
 #[case::misdirected_stream(183, "/brief/1", "421 Misdirected Request")]
@@ -100,7 +101,8 @@
     check_calls(&fixture, path, calls, runs, || servers.iter().any(|server| server.refusals() > 0));
 }
 
-/// Copies of a 421 that names no call, from servers without a sound one beside them.
+/// A 421 that names no call, from servers without a sound one beside them. The host closes its connection, so no copy
+/// of it follows.
 #[test]
 fn unnamed_misdirection() {
     let copied = CopiedAnswer::Refusal("421 Misdirected Request");
