--- a/lib/src/session_attempt.rs
+++ b/lib/src/session_attempt.rs
@@ -2,11 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
+use std::sync::OnceLock;
 use std::sync::mpsc::Sender;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::app_server::AppRequest;
 use crate::app_server::AppServer;
@@ -15,6 +15,7 @@
 use crate::engine::ModelEngine;
 use crate::engine::ServerError;
 use crate::engine::StreamFlow;
+use crate::ids::RequestId;
 use crate::ids::ServerId;
 use crate::ids::ServerKey;
 use crate::ids::ZoneName;
@@ -44,13 +45,13 @@
     pub key: ServerKey,
     /// Address of the server.
     pub address: SocketAddr,
-    stop: Arc<AtomicBool>,
+    stopped_at: Arc<OnceLock<Instant>>,
 }
 
 impl AttemptHandle {
     /// Makes the reader stop at its next event.
     pub fn stop(&self) {
-        self.stop.store(true, Ordering::Relaxed);
+        self.stopped_at.get_or_init(Instant::now);
     }
 }
 
@@ -75,9 +76,14 @@
     target: AttemptTarget,
     sender: Sender<DriverMessage>,
 ) -> AttemptHandle {
-    let stop = Arc::new(AtomicBool::new(false));
+    let stopped_at = Arc::<OnceLock<Instant>>::default();
     let work = build_work(connector, request, &plan, generated, target.address);
-    let reader = AttemptReader { plan: plan.clone(), stop: stop.clone(), sender: sender.clone() };
+    let reader = AttemptReader {
+        request: request.id,
+        plan: plan.clone(),
+        stopped_at: stopped_at.clone(),
+        sender: sender.clone(),
+    };
     let name = format!("attempt-{}-{}", request.id, plan.attempt.0);
     let limit = target.silence_limit;
     if let Err(error) = thread::Builder::new().name(name).spawn(move || reader.run(work, limit)) {
@@ -93,7 +99,7 @@
         server: target.server,
         zone: target.zone,
         address: target.address,
-        stop,
+        stopped_at,
     }
 }
 
@@ -136,8 +142,9 @@
 }
 
 struct AttemptReader {
+    request: RequestId,
     plan: AttemptPlan,
-    stop: Arc<AtomicBool>,
+    stopped_at: Arc<OnceLock<Instant>>,
     sender: Sender<DriverMessage>,
 }
 
@@ -150,6 +157,14 @@
                 .map(AttemptEnd::Model),
             AttemptWork::App(app, request) => app.call(&request, limit).map(AttemptEnd::App),
         };
+        if let Some(stopped_at) = self.stopped_at.get() {
+            log::info!(
+                "event=attempt_closed request={} attempt={} after_stop_ms={}",
+                self.request,
+                attempt.0,
+                stopped_at.elapsed().as_millis(),
+            );
+        }
         self.send(match result {
             Ok(end) => SessionEvent::AttemptEnded { attempt, end },
             Err(error) => SessionEvent::AttemptFailed { attempt, error },
@@ -157,7 +172,7 @@
     }
 
     fn on_event(&self, event: GenerateEvent) -> StreamFlow {
-        if self.stop.load(Ordering::Relaxed) {
+        if self.stopped_at.get().is_some() {
             return StreamFlow::Stop;
         }
         let attempt = self.plan.attempt;
--- a/lib/src/session_driver/attempts.rs
+++ b/lib/src/session_driver/attempts.rs
@@ -2,6 +2,7 @@
 
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use super::SessionRun;
 use crate::crash_suspects::AttemptExit;
@@ -149,6 +150,13 @@
             return;
         };
         SessionCounters::add(&self.ports.counters.attempts, 1);
+        log::info!(
+            "event=attempt_started request={} attempt={} server={} resume_from={}",
+            self.request.id,
+            plan.attempt.0,
+            info.id,
+            plan.resume_from,
+        );
         if plan.attempt.0 > 1 {
             SessionCounters::add(&self.ports.counters.retries, 1);
         }
@@ -189,16 +197,32 @@
         current.stop();
         if let RequestWork::Model { .. } = self.request.work {
             let engine = self.ports.connector.engine(current.address);
-            let request = self.request.id;
+            let (request, server) = (self.request.id, current.server.clone());
             let cancel = move || {
-                if let Err(error) = engine.cancel(request, attempt) {
-                    log::debug!("event=cancel_failed request={request} error={error}");
+                let begun_at = Instant::now();
+                let outcome = engine.cancel(request, attempt);
+                let elapsed = begun_at.elapsed().as_millis();
+                match outcome {
+                    Ok(()) => log::info!(
+                        "event=attempt_cancelled request={request} attempt={} server={server} \
+                         elapsed_ms={elapsed}",
+                        attempt.0,
+                    ),
+                    Err(error) => log::warn!(
+                        "event=cancel_failed request={request} attempt={} server={server} \
+                         elapsed_ms={elapsed} error={error}",
+                        attempt.0,
+                    ),
                 }
             };
             // Late output is dropped by its attempt number, so a failed cancellation only wastes
             // engine time.
             if let Err(error) = thread::Builder::new().name("cancel".to_owned()).spawn(cancel) {
-                log::warn!("event=cancel_failed request={request} error={error}");
+                log::warn!(
+                    "event=cancel_failed request={request} attempt={} server={} error={error}",
+                    attempt.0,
+                    current.server,
+                );
             }
         }
         self.release_attempt(attempt, AttemptExit::Stopped);
