--- a/lib/testutils/src/engine_core.rs
+++ b/lib/testutils/src/engine_core.rs
@@ -103,6 +103,8 @@
     pub role: EngineRole,
     /// Largest fencing token seen.
     pub largest_fencing_token: Option<FencingToken>,
+    /// Whether it sends nothing and takes no cancellations.
+    pub muted: bool,
     /// Whether new work is refused.
     pub refusing: bool,
     /// Time added to every decode step.
@@ -128,6 +130,7 @@
             adapters: BTreeSet::new(),
             role: EngineRole::Mixed,
             largest_fencing_token: None,
+            muted: false,
             refusing: false,
             extra_step: Duration::ZERO,
         }
--- a/lib/testutils/src/engine_run.rs
+++ b/lib/testutils/src/engine_run.rs
@@ -122,6 +122,7 @@
         }
         let plan = self.prefill(&mut lines, is_open)?;
         let end_offset = self.decode(&mut lines, is_open)?;
+        self.wait(None, is_open, || !self.shared.lock().muted)?;
         lines.push(&EngineLine::End(self.end(plan, end_offset)))?;
         Ok(lines.finish()?)
     }
@@ -135,7 +136,7 @@
         if is_running() {
             return Ok(());
         }
-        lines.flush()?;
+        self.flush(lines)?;
         self.wait(None, is_open, is_running)
     }
 
@@ -179,11 +180,19 @@
         is_open: &dyn Fn() -> bool,
     ) -> Result<()> {
         if moment > Instant::now() {
-            lines.flush()?;
+            self.flush(lines)?;
         }
         self.wait(Some(moment), is_open, || false)
     }
 
+    /// Sends the buffered lines, unless the engine is muted.
+    fn flush(&self, lines: &mut LineStream) -> Result<()> {
+        if self.shared.lock().muted {
+            return Ok(());
+        }
+        Ok(lines.flush()?)
+    }
+
     fn wait(
         &self,
         deadline: Option<Instant>,
--- a/lib/testutils/src/engine_standin.rs
+++ b/lib/testutils/src/engine_standin.rs
@@ -42,6 +42,7 @@
 use crate::http_standin::StandinService;
 use crate::journal::ServerJournal;
 use crate::process_lifecycle::ProcessLifecycle;
+use crate::process_lifecycle::WaitOutcome;
 
 /// Settings of an [`EngineStandin`].
 #[derive(Clone, Debug)]
@@ -131,6 +132,9 @@
     },
     /// Open connections stay open but carry no more data; new ones work.
     SilenceConnections,
+    /// Whether it works on but sends nothing, and takes no cancellations. It still sees that
+    /// connections are closed.
+    Mute(bool),
     /// Whether new work is refused before it runs.
     RefuseWork(bool),
     /// Every decode step takes longer by this time; 0 ends the fault.
@@ -166,12 +170,24 @@
         *self.lock() = EngineCore::new(&self.settings);
     }
 
+    /// Waits while the engine is muted; returns whether its client is still connected.
+    fn wait_until_audible(&self, is_open: &dyn Fn() -> bool) -> bool {
+        let is_muted = || self.lock().muted;
+        self.life.wait(self.life.incarnation(), None, || !is_open() || !is_muted())
+            == WaitOutcome::Ready
+            && is_open()
+    }
+
     fn apply_fault(self: &Arc<Self>, fault: EngineFault) {
         match fault {
             EngineFault::Crash { restart_after_ms } => {
                 self.crash(restart_after_ms.map(Duration::from_millis));
             }
             EngineFault::SilenceConnections => self.life.relay().silence_open(),
+            EngineFault::Mute(muted) => {
+                self.lock().muted = muted;
+                self.life.wake();
+            }
             EngineFault::RefuseWork(refusing) => self.lock().refusing = refusing,
             EngineFault::SlowSteps { extra_ms } => {
                 self.lock().extra_step = Duration::from_millis(extra_ms);
@@ -289,6 +305,9 @@
 fn serve_cancel(shared: &EngineShared, exchange: HttpExchange) {
     match exchange.json::<AttemptId>() {
         Ok(name) => {
+            if !shared.wait_until_audible(&exchange.open_check()) {
+                return;
+            }
             shared.lock().cancel(attempt_key(name));
             shared.life.wake();
             exchange.respond_json(200, &());
--- a/lib/testutils/src/process_fleet.rs
+++ b/lib/testutils/src/process_fleet.rs
@@ -43,6 +43,10 @@
 pub struct RunRecord {
     /// Idempotency key.
     pub key: Option<String>,
+    /// Request id.
+    pub request: String,
+    /// Start of the run in milliseconds since the Unix epoch.
+    pub begin_ms: u64,
     /// End of the run in milliseconds since the Unix epoch; `None` while it is in progress.
     pub end_ms: Option<u64>,
 }
@@ -170,15 +174,22 @@
 
     /// Returns the number of model runs in progress.
     pub fn active_model_runs(&self) -> usize {
-        read_journals(&self.model_servers).iter().filter(|run| run.end_ms.is_none()).count()
+        self.model_runs().iter().flatten().filter(|run| run.end_ms.is_none()).count()
+    }
+
+    /// Returns the journal entries of each model server.
+    pub fn model_runs(&self) -> Vec<Vec<RunRecord>> {
+        self.model_servers.iter().map(read_journal).collect()
     }
 
     /// Injects a fault into every app server.
     pub fn inject_app_fault(&self, fault: &Value) {
-        for address in &self.app_servers {
-            let url = format!("http://{address}/faults");
-            ureq::post(url).send_json(fault).expect("the fault is accepted");
-        }
+        self.app_servers.iter().for_each(|address| inject_fault(address, fault));
+    }
+
+    /// Injects a fault into a model server.
+    pub fn inject_model_fault(&self, index: usize, fault: &Value) {
+        inject_fault(&self.model_servers[index], fault);
     }
 }
 
@@ -212,6 +223,11 @@
     panic!("{arguments:?} exited before it was ready: {lines:?}");
 }
 
+fn inject_fault(address: &SocketAddr, fault: &Value) {
+    let url = format!("http://{address}/faults");
+    ureq::post(url).send_json(fault).expect("the fault is accepted");
+}
+
 fn read_journals(servers: &[SocketAddr]) -> Vec<RunRecord> {
     servers.iter().flat_map(read_journal).collect()
 }
