sessions: a cancelled attempt of a model closes its connection

Cause: a cancelled attempt was ended only by a call to its engine. Its connection stayed open until the reader's time limit, ten seconds by default, or until the host exited. An engine that sent nothing and took no calls worked on beside the next one. The class is that of: an attempt counted as ended when the host had lost interest in it.

Now stop closes the connection by the HTTP library's own means, also if the call has not begun yet, and the engine is called as before. Each stream has an agent of its own for that; its connections were not shared before, either.

Ruled out: to wait for the answer to the cancellation before the stream goes on, since a muted engine gives none.

--- a/lib/src/app_client.rs
+++ b/lib/src/app_client.rs
@@ -78,7 +78,7 @@
 ///
 /// A call that must not be repeated gets a new connection: if a reused one is silently broken or
 /// being closed by the server, it is unknown whether the call ran.
-fn connection_for(method: &str) -> ConnectionUse {
+fn connection_for(method: &str) -> ConnectionUse<'static> {
     match method {
         "GET" | "HEAD" | "OPTIONS" => ConnectionUse::Pooled,
         _ => ConnectionUse::Fresh,
--- a/lib/src/engine.rs
+++ b/lib/src/engine.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::attempt_stop::AttemptStop;
 use crate::ids::AttemptNumber;
 use crate::ids::FencingToken;
 use crate::ids::RequestId;
@@ -203,11 +204,13 @@
     /// Runs one attempt and passes its events to `on_event` until the attempt ends or `on_event`
     /// returns [`StreamFlow::Stop`].
     ///
-    /// Blocks the calling thread. `gap_limit` is the longest time to wait for the next data.
+    /// Blocks the calling thread. `gap_limit` is the longest time to wait for the next data. `stop` closes the
+    /// connection, which ends the attempt at the engine.
     fn generate(
         &self,
         request: &GenerateRequest,
         gap_limit: Duration,
+        stop: &AttemptStop,
         on_event: &mut dyn FnMut(GenerateEvent) -> StreamFlow,
     ) -> Result<GenerateEnd>;
 
--- a/lib/src/engine_client.rs
+++ b/lib/src/engine_client.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::attempt_stop::AttemptStop;
 use crate::engine::CacheEvent;
 use crate::engine::EngineOrder;
 use crate::engine::GenerateEnd;
@@ -129,12 +130,19 @@
         &self,
         request: &GenerateRequest,
         gap_limit: Duration,
+        stop: &AttemptStop,
         on_event: &mut dyn FnMut(GenerateEvent) -> StreamFlow,
     ) -> Result<GenerateEnd> {
         let body =
             serde_json::to_vec(request).map_err(|e| ServerError::NotConnected(e.to_string()))?;
         let headers = json_headers();
-        let call = post_call("/generate", &headers, &body, CallTimeout::PerRead(gap_limit));
+        let connection = self.client.own_connection();
+        let closed = connection.clone();
+        stop.on_stop(move || closed.close());
+        let call = HttpCall {
+            connection: ConnectionUse::Own(&connection),
+            ..post_call("/generate", &headers, &body, CallTimeout::PerRead(gap_limit))
+        };
         let mut end = None;
         let mut on_line = |line: &[u8]| match parse_line(line)? {
             EngineLine::Accepted => Ok(on_event(GenerateEvent::Accepted)),
--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -105,14 +105,27 @@
     }
 }
 
+/// A connection for one call, which other threads can close.
+#[derive(Clone, Debug)]
+pub struct CallConnection(Agent);
+
+impl CallConnection {
+    /// Closes the connection. The call fails, also if it has not begun yet.
+    pub fn close(self) {
+        self.0.shutdown();
+    }
+}
+
 /// Which connection a call uses.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ConnectionUse {
+#[derive(Clone, Copy, Debug)]
+pub enum ConnectionUse<'a> {
     /// An idle connection if there is one. If it is silently broken, or the server is closing it,
     /// it is unknown whether the call ran.
     Pooled,
     /// A new connection, which costs one round trip.
     Fresh,
+    /// A new connection that other threads can close.
+    Own(&'a CallConnection),
 }
 
 /// One HTTP call.
@@ -129,7 +142,7 @@
     /// Timeout.
     pub timeout: CallTimeout,
     /// Connection to use.
-    pub connection: ConnectionUse,
+    pub connection: ConnectionUse<'a>,
 }
 
 /// A complete response.
@@ -206,6 +219,11 @@
         *self.pooled.write().unwrap_or_else(PoisonError::into_inner) = renewed;
     }
 
+    /// Returns a connection for one call, which opens it.
+    pub fn own_connection(&self) -> CallConnection {
+        CallConnection(build_agent(self.limits.connect_timeout, 0))
+    }
+
     /// Makes a call and reads the complete response, whatever its HTTP status.
     pub fn call(&self, call: &HttpCall) -> Result<HttpResponse> {
         let response = self.send(call)?;
@@ -265,6 +283,7 @@
                 self.pooled.read().unwrap_or_else(PoisonError::into_inner).clone()
             }
             ConnectionUse::Fresh => self.fresh.clone(),
+            ConnectionUse::Own(CallConnection(agent)) => agent.clone(),
         };
         // An empty body would add a `Content-Length` header, which these methods do not use.
         let has_body = !call.body.is_empty() || !matches!(call.method, "GET" | "HEAD" | "OPTIONS");
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -18,6 +18,7 @@
 // External systems and their clients.
 pub mod app_client;
 pub mod app_server;
+pub mod attempt_stop;
 pub mod cloud;
 pub mod cloud_client;
 pub mod engine;
--- a/lib/src/session_attempt.rs
+++ b/lib/src/session_attempt.rs
@@ -2,14 +2,13 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::OnceLock;
 use std::sync::mpsc::Sender;
 use std::thread;
 use std::time::Duration;
-use std::time::Instant;
 
 use crate::app_server::AppRequest;
 use crate::app_server::AppServer;
+use crate::attempt_stop::AttemptStop;
 use crate::engine::GenerateEvent;
 use crate::engine::GenerateRequest;
 use crate::engine::ModelEngine;
@@ -45,13 +44,13 @@
     pub key: ServerKey,
     /// Address of the server.
     pub address: SocketAddr,
-    stopped_at: Arc<OnceLock<Instant>>,
+    stop: AttemptStop,
 }
 
 impl AttemptHandle {
-    /// Makes the reader stop at its next event.
+    /// Closes the connection of a stream, and makes the reader stop.
     pub fn stop(&self) {
-        self.stopped_at.get_or_init(Instant::now);
+        self.stop.stop();
     }
 }
 
@@ -76,12 +75,12 @@
     target: AttemptTarget,
     sender: Sender<DriverMessage>,
 ) -> AttemptHandle {
-    let stopped_at = Arc::<OnceLock<Instant>>::default();
+    let stop = AttemptStop::default();
     let work = build_work(connector, request, &plan, generated, target.address);
     let reader = AttemptReader {
         request: request.id,
         plan: plan.clone(),
-        stopped_at: stopped_at.clone(),
+        stop: stop.clone(),
         sender: sender.clone(),
     };
     let name = format!("attempt-{}-{}", request.id, plan.attempt.0);
@@ -99,7 +98,7 @@
         server: target.server,
         zone: target.zone,
         address: target.address,
-        stopped_at,
+        stop,
     }
 }
 
@@ -144,7 +143,7 @@
 struct AttemptReader {
     request: RequestId,
     plan: AttemptPlan,
-    stopped_at: Arc<OnceLock<Instant>>,
+    stop: AttemptStop,
     sender: Sender<DriverMessage>,
 }
 
@@ -153,11 +152,11 @@
         let attempt = self.plan.attempt;
         let result = match work {
             AttemptWork::Model(engine, request) => engine
-                .generate(&request, limit, &mut |event| self.on_event(event))
+                .generate(&request, limit, &self.stop, &mut |event| self.on_event(event))
                 .map(AttemptEnd::Model),
             AttemptWork::App(app, request) => app.call(&request, limit).map(AttemptEnd::App),
         };
-        if let Some(stopped_at) = self.stopped_at.get() {
+        if let Some(stopped_at) = self.stop.stopped_at() {
             log::info!(
                 "event=attempt_closed request={} attempt={} after_stop_ms={}",
                 self.request,
@@ -172,7 +171,7 @@
     }
 
     fn on_event(&self, event: GenerateEvent) -> StreamFlow {
-        if self.stopped_at.get().is_some() {
+        if self.stop.stopped_at().is_some() {
             return StreamFlow::Stop;
         }
         let attempt = self.plan.attempt;
--- a/lib/src/session_driver/attempts.rs
+++ b/lib/src/session_driver/attempts.rs
@@ -189,7 +189,7 @@
         }
     }
 
-    /// Stops the reader and cancels the attempt at the engine over a separate connection.
+    /// Closes the attempt's connection and cancels it at the engine, which may not notice the close.
     pub(super) fn cancel(&mut self, attempt: AttemptNumber) {
         let Some(current) = self.current.as_ref().filter(|c| c.plan.attempt == attempt) else {
             return;
@@ -215,8 +215,6 @@
                     ),
                 }
             };
-            // Late output is dropped by its attempt number, so a failed cancellation only wastes
-            // engine time.
             if let Err(error) = thread::Builder::new().name("cancel".to_owned()).spawn(cancel) {
                 log::warn!(
                     "event=cancel_failed request={request} attempt={} server={} error={error}",
--- a/lib/tests/test_cut_answers.rs
+++ b/lib/tests/test_cut_answers.rs
@@ -5,6 +5,7 @@
 use pomelostack_lib::app_client::AppClient;
 use pomelostack_lib::app_server::AppRequest;
 use pomelostack_lib::app_server::AppServer as _;
+use pomelostack_lib::attempt_stop::AttemptStop;
 use pomelostack_lib::engine::GenerateRequest;
 use pomelostack_lib::engine::ModelEngine as _;
 use pomelostack_lib::engine::RequestPriority;
@@ -75,7 +76,7 @@
         };
         let mut events = Vec::new();
         let error = client
-            .generate(&request, WAIT_TIMEOUT, &mut |event| {
+            .generate(&request, WAIT_TIMEOUT, &AttemptStop::default(), &mut |event| {
                 events.push(event);
                 StreamFlow::Continue
             })
--- a/lib/tests/test_engine_client.rs
+++ b/lib/tests/test_engine_client.rs
@@ -15,6 +15,7 @@
 use std::thread;
 use std::time::Duration;
 
+use pomelostack_lib::attempt_stop::AttemptStop;
 use pomelostack_lib::engine::CacheChange;
 use pomelostack_lib::engine::EngineOrder;
 use pomelostack_lib::engine::FinishReason;
@@ -80,7 +81,7 @@
 /// Runs a request until it ends and returns its text and end.
 fn run(client: &dyn ModelEngine, request: &GenerateRequest) -> Result<(String, GenerateEnd)> {
     let mut text = String::new();
-    let end = client.generate(request, WAIT_TIMEOUT, &mut |event| {
+    let end = client.generate(request, WAIT_TIMEOUT, &AttemptStop::default(), &mut |event| {
         if let GenerateEvent::Token(chunk) = event {
             text.push_str(&chunk.text);
         }
@@ -94,7 +95,7 @@
     let (engine, client) = start(EngineSettings::default());
     let wanted = request(1, "wind at the start");
     let mut events = Vec::new();
-    let end = client.generate(&wanted, WAIT_TIMEOUT, &mut |event| {
+    let end = client.generate(&wanted, WAIT_TIMEOUT, &AttemptStop::default(), &mut |event| {
         events.push(event);
         StreamFlow::Continue
     });
@@ -119,7 +120,7 @@
     let (_second, other) = start(EngineSettings::default());
     let mut wanted = request(1, "course to the mark [[tokens=40]]");
     let mut head = String::new();
-    let stopped = client.generate(&wanted, WAIT_TIMEOUT, &mut |event| {
+    let stopped = client.generate(&wanted, WAIT_TIMEOUT, &AttemptStop::default(), &mut |event| {
         if let GenerateEvent::Token(chunk) = event {
             head.push_str(&chunk.text);
         }
@@ -225,7 +226,7 @@
     let (engine, client) = start(endless());
     let wanted = request(1, "never ends");
     let mut accepted = false;
-    let outcome = client.generate(&wanted, WAIT_TIMEOUT, &mut |event| {
+    let outcome = client.generate(&wanted, WAIT_TIMEOUT, &AttemptStop::default(), &mut |event| {
         accepted |= event == GenerateEvent::Accepted;
         client.cancel(wanted.request, wanted.attempt).unwrap();
         StreamFlow::Continue
@@ -238,12 +239,46 @@
 #[test]
 fn closed_connection() {
     let (engine, client) = start(endless());
-    let outcome = client.generate(&request(1, "given up"), WAIT_TIMEOUT, &mut |_| StreamFlow::Stop);
+    let outcome = client.generate(
+        &request(1, "given up"),
+        WAIT_TIMEOUT,
+        &AttemptStop::default(),
+        &mut |_| StreamFlow::Stop,
+    );
     assert!(matches!(outcome, Err(ServerError::Lost(_))));
     wait_for(|| engine.journal().entries()[0].outcome == Some(RunOutcome::ClientGone));
     assert_eq!(engine.attempts(), 0);
 }
 
+/// A stopped attempt kept its connection to an engine that sent nothing, which worked on.
+#[test]
+fn stopped_attempt() {
+    let (engine, client) = start(endless());
+    engine.apply_fault(EngineFault::Mute(true));
+    let stop = AttemptStop::default();
+    let wanted = request(1, "never heard");
+    let outcome = thread::scope(|scope| {
+        let reader = scope
+            .spawn(|| client.generate(&wanted, WAIT_TIMEOUT, &stop, &mut |_| StreamFlow::Continue));
+        wait_for(|| engine.attempts() == 1);
+        stop.stop();
+        reader.join().unwrap()
+    });
+    assert!(matches!(outcome, Err(ServerError::Lost(_))), "{outcome:?}");
+    wait_for(|| engine.journal().entries()[0].outcome == Some(RunOutcome::ClientGone));
+}
+
+#[test]
+fn stopped_before_start() {
+    let (engine, client) = start(endless());
+    let stop = AttemptStop::default();
+    stop.stop();
+    let wanted = request(1, "never sent");
+    let outcome = client.generate(&wanted, WAIT_TIMEOUT, &stop, &mut |_| StreamFlow::Continue);
+    assert!(outcome.is_err(), "{outcome:?}");
+    assert_eq!(engine.journal().entries(), []);
+}
+
 #[test]
 fn kv_cache_transfer() {
     let settings =
@@ -254,7 +289,7 @@
     wanted.max_tokens = 100_000;
     let mut head = String::new();
     let mut export = None;
-    let stopped = client.generate(&wanted, WAIT_TIMEOUT, &mut |event| {
+    let stopped = client.generate(&wanted, WAIT_TIMEOUT, &AttemptStop::default(), &mut |event| {
         let GenerateEvent::Token(chunk) = event else { return StreamFlow::Continue };
         head.push_str(&chunk.text);
         if chunk.offset < 9 {
@@ -322,7 +357,7 @@
 fn duplicate_attempt() {
     let (engine, client) = start(endless());
     let wanted = request(1, "sent twice");
-    let outcome = client.generate(&wanted, WAIT_TIMEOUT, &mut |_| {
+    let outcome = client.generate(&wanted, WAIT_TIMEOUT, &AttemptStop::default(), &mut |_| {
         // The first call runs, so the second must not report that nothing ran.
         let second = run(&client, &wanted);
         assert!(matches!(second, Err(ServerError::Malformed(_))), "{second:?}");
@@ -411,7 +446,7 @@
     let mut silenced = false;
     let mut wanted = request(1, "goes silent [[tokens=1000000]]");
     wanted.max_tokens = 1_000_000;
-    let outcome = client.generate(&wanted, gap, &mut |event| {
+    let outcome = client.generate(&wanted, gap, &AttemptStop::default(), &mut |event| {
         if let (GenerateEvent::Token(_), false) = (event, silenced) {
             engine.apply_fault(EngineFault::SilenceConnections);
             silenced = true;
--- a/lib/testutils/src/scripted_servers.rs
+++ b/lib/testutils/src/scripted_servers.rs
@@ -14,6 +14,7 @@
 use pomelostack_lib::app_server::AppRequest;
 use pomelostack_lib::app_server::AppResponse;
 use pomelostack_lib::app_server::AppServer;
+use pomelostack_lib::attempt_stop::AttemptStop;
 use pomelostack_lib::engine::CacheEvent;
 use pomelostack_lib::engine::EngineOrder;
 use pomelostack_lib::engine::FinishReason;
@@ -170,6 +171,7 @@
         &self,
         request: &GenerateRequest,
         gap_limit: Duration,
+        _stop: &AttemptStop,
         on_event: &mut dyn FnMut(GenerateEvent) -> StreamFlow,
     ) -> Result<GenerateEnd> {
         let script = self.servers.next_script(self.address);
