tests: hold the port that refuses connections

The test let go of a port and connected to it; the other 37 tests of that file bind ports at the same time, and closed_before_response closes what it accepts.

Now the port is bound and not listened on while the test runs, so that it refuses and nobody else gets it. The checks are as before. Two tests of test_peer_link and one of test_admin_cli did the same.

--- a/cli/tests/test_admin_cli.rs
+++ b/cli/tests/test_admin_cli.rs
@@ -20,6 +20,7 @@
 use testutils::config_samples::service_json;
 use testutils::config_samples::team_json;
 use testutils::log_fake::LogOutage;
+use testutils::refusing_port::RefusingPort;
 
 /// A temporary directory that is removed at the end of a test.
 struct TempDir(PathBuf);
@@ -212,9 +213,8 @@
 
 #[test]
 fn unreachable_host() {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("binds");
-    let address = listener.local_addr().expect("has an address").to_string();
-    drop(listener);
+    let port = RefusingPort::bind().expect("binds");
+    let address = port.address().to_string();
     let output = Command::new(env!("CARGO_BIN_EXE_pomelostack"))
         .args(["admin", "--address", &address, "--token", READ_TOKEN, "list"])
         .output()
--- a/lib/tests/test_app_client.rs
+++ b/lib/tests/test_app_client.rs
@@ -23,6 +23,7 @@
 use testutils::bounded_wait::WAIT_TIMEOUT;
 use testutils::bounded_wait::wait_for;
 use testutils::raw_server::RawServer;
+use testutils::refusing_port::RefusingPort;
 
 /// Service time longer than any test runs.
 const ENDLESS_SERVICE: Duration = Duration::from_secs(3600);
@@ -128,10 +129,8 @@
 
 #[test]
 fn connection_refused() {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
-    let client = AppClient::new(address, HttpClientLimits::default());
+    let port = RefusingPort::bind().unwrap();
+    let client = AppClient::new(port.address(), HttpClientLimits::default());
     let outcome = client.call(&request("POST", "/slots", "x"), WAIT_TIMEOUT);
     assert!(matches!(outcome, Err(ServerError::NotConnected(_))), "{outcome:?}");
 }
--- a/lib/tests/test_peer_link.rs
+++ b/lib/tests/test_peer_link.rs
@@ -41,6 +41,7 @@
 use pomelostack_lib::protos::peer::peer_service_client::PeerServiceClient;
 use pomelostack_lib::result_code::ResultCode;
 use rstest::rstest;
+use testutils::refusing_port::RefusingPort;
 use tokio::runtime::Runtime;
 
 const SECRET: &str = "a-secret-for-tests";
@@ -172,8 +173,8 @@
 #[test]
 fn refused_connection() {
     let runtime = Runtime::new().unwrap();
-    let unused = TcpListener::bind(loopback()).unwrap().local_addr().unwrap();
-    let failed = client(&runtime, SECRET).fetch_burn(unused);
+    let port = RefusingPort::bind().unwrap();
+    let failed = client(&runtime, SECRET).fetch_burn(port.address());
     assert!(matches!(failed, Err(PeerError::NotConnected(_))), "{failed:?}");
 }
 
@@ -191,7 +192,8 @@
 #[test]
 fn failed_exchange() {
     let runtime = Runtime::new().unwrap();
-    let unused = TcpListener::bind(loopback()).unwrap().local_addr().unwrap();
+    let port = RefusingPort::bind().unwrap();
+    let unused = port.address();
     let (done, replies) = mpsc::channel();
     let message = pomelostack_lib::peer_message::PeerMessage {
         sender: record(0, unused),
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod process_lifecycle;
 pub mod raw_caller;
 pub mod raw_server;
+pub mod refusing_port;
 mod standin_listener;
 pub mod store_core;
 pub mod stream_overlap;
