--- a/lib/testutils/src/late_copy_server.rs
+++ b/lib/testutils/src/late_copy_server.rs
@@ -15,6 +15,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
+use std::time::Duration;
 
 /// Which answers are sent a second time.
 #[derive(Clone, Copy, Debug)]
@@ -23,11 +24,27 @@
     Complete,
     /// Refusals with this status line, which name none.
     Refusal(&'static str),
+    /// Refusals with this status line, which name their request and have these further fields.
+    NamedRefusal(&'static str, &'static str),
     /// The first answer to each request, which names it. Its copy comes when the same request comes
     /// again on the connection.
     First(FirstAnswer),
 }
 
+impl CopiedAnswer {
+    /// Returns the refusal of a request, if refusals are copied.
+    fn refusal(self, request_id: &str) -> Option<String> {
+        let (status, fields) = match self {
+            Self::Refusal(status) => (status, String::new()),
+            Self::NamedRefusal(status, fields) => {
+                (status, format!("Request-Id: {request_id}\r\n{fields}"))
+            }
+            Self::Complete | Self::First(_) => return None,
+        };
+        Some(format!("HTTP/1.1 {status}\r\n{fields}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"))
+    }
+}
+
 /// First answer of a server to a request.
 #[derive(Clone, Copy, Debug)]
 pub enum FirstAnswer {
@@ -50,6 +67,9 @@
     }
 }
 
+/// Time from a request to its answer at servers that refuse by name, so that several connections are in use.
+const WORK_TIME: Duration = Duration::from_millis(2);
+
 /// Path prefix of streams; their answers are one event.
 const STREAM_PREFIX: &str = "/brief/";
 
@@ -166,12 +186,14 @@
             writer.write_all(complete_answer(id, &request_id, &path).as_bytes())?;
             continue;
         }
-        if let CopiedAnswer::Refusal(status) = copied
+        if matches!(copied, CopiedAnswer::NamedRefusal(..)) {
+            thread::sleep(WORK_TIME);
+        }
+        if let Some(refusal) = copied.refusal(&request_id)
             && answers % one_in == one_in - 1
         {
             counts.refusals.fetch_add(1, Ordering::SeqCst);
-            last_answer =
-                format!("HTTP/1.1 {status}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            last_answer = refusal;
             writer.write_all(last_answer.as_bytes())?;
             answers += 1;
             continue;
