streams: a stream that ends before its first event is answered with a code

Callers got the head of a success and then a closed connection, also on connections that they keep: when the software version of a new stream could not be recorded (310), or its server was lost before the first event.

Cause: the head was passed on when the server's head came, before it was known whether an event would follow. Now it goes with the first event, or with the end of a stream without events; what ends before that is 502 or 504 with its code. Servers are called as before.

Before: failed_before_first_event failed in both cases.

Traced: the first call came 0.3 ms after its version was listed, and was refused with code 220, since a new version is withheld until the orders have been read. The test waits for that now; all streams must go on as before.

--- a/cli/tests/test_software_versions.rs
+++ b/cli/tests/test_software_versions.rs
@@ -9,6 +9,7 @@
 use testutils::deployment_standin::ReplicaMode;
 use testutils::deployment_standin::ReplicaRun;
 use testutils::deployment_standin::SERVICE;
+use testutils::deployment_standin::StoreMode;
 use testutils::deployment_standin::TEAM_KEY;
 use testutils::deployment_standin::versioned_event_text;
 use testutils::gateway_fixture::CallerResponse;
@@ -230,8 +231,11 @@
     }
     release(&standin, "v2");
     wait_for(|| host.level("servers") == Some(4));
+    // A version that has just been listed is withheld until the orders to roll out versions have been read.
+    wait_for(|| take_up(&host, &newer[..1], "first")[0].status == 200);
     let answers = take_up(&host, &newer, "u");
-    assert_eq!(check_versions(&standin, &newer, "u", &answers), newer.len());
+    let resumed = check_versions(&standin, &newer, "u", &answers);
+    assert_eq!(resumed, newer.len(), "{answers:?}");
 }
 
 /// Callers of earlier builds name no attempt. Their streams go on while all streams are of one version,
@@ -259,3 +263,26 @@
     let answer = host.call_with("POST", PATH, "u2", Some(TEAM_KEY), &[("Last-Event-Id", "3")]);
     assert_eq!((answer.status, answer.retry_after), (503, None));
 }
+
+/// Streams that could not be recorded, and ones whose server was lost before the first event, were begun and broken off:
+/// their callers got the head of a success and no answer.
+#[rstest]
+#[case::unrecorded(166, ReplicaMode::Answer, StoreMode::Refuse)]
+#[case::lost(167, ReplicaMode::CutAfter(0), StoreMode::Answer)]
+fn failed_before_first_event(
+    #[case] number: u8,
+    #[case] replicas: ReplicaMode,
+    #[case] store: StoreMode,
+) {
+    let (standin, [host]) = start_mixed([number]);
+    (0..SERVERS).for_each(|index| standin.set_replica_mode(index, replicas));
+    standin.set_store_mode(store);
+    let call = |number: usize| {
+        let prompt = format!("{number:x}{number:x}:800,e{number}:40");
+        host.call_prompt(PATH, &format!("f-{number}"), &prompt)
+    };
+    let answers: Vec<CallerResponse> = (0..12).map(call).collect();
+    let failed = answers.iter().filter(|answer| answer.status != 200).count();
+    assert!(answers.iter().all(|answer| answer.body.is_some()), "{answers:?}");
+    assert!(failed > 0, "{answers:?}");
+}
--- a/lib/src/gateway/request_runner.rs
+++ b/lib/src/gateway/request_runner.rs
@@ -520,14 +520,12 @@
             let failure = match outcome {
                 AttemptOutcome::Buffered(response) => return self.deliver(&request, key, response),
                 AttemptOutcome::Stream(stream) => {
-                    return StreamRelay::start(
-                        self.state.clone(),
-                        race,
-                        request,
-                        plan,
-                        *stream,
-                        guard,
-                    );
+                    let state = self.state.clone();
+                    let relay =
+                        StreamRelay::start(state, race, request.clone(), plan, *stream, guard);
+                    return relay.await.unwrap_or_else(|code| {
+                        self.error_reply(Some(&request.head), RefusalReason::new(code))
+                    });
                 }
                 AttemptOutcome::TimedOut => {
                     let give_up = plan.on_timeout(true);
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::TRANSFER_ENCODING;
+use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use crate::gateway::accepted_request::AcceptedRequest;
@@ -169,6 +170,15 @@
         || headers.contains_key(CONTENT_LENGTH)
 }
 
+/// Whether a stream has anything for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StreamOpening {
+    /// Its first event follows, or it is complete without one.
+    Begun,
+    /// It ended before its first event.
+    Failed(ResultCode),
+}
+
 /// The relay of one request's stream.
 pub struct StreamRelay<W> {
     state: Rc<GatewayState>,
@@ -177,6 +187,8 @@
     /// Attempts beside the stream that is relayed.
     race: AttemptRace<W>,
     chunks: ChunkSender,
+    /// Told once whether the reply's head may be sent.
+    opening: Option<oneshot::Sender<StreamOpening>>,
     sequence: EventSequence,
     relayed_events: u64,
     /// Software version of the last server of which an event was relayed.
@@ -188,15 +200,16 @@
 }
 
 impl<W: WireProtocol + 'static> StreamRelay<W> {
-    /// Starts relaying and returns the reply, with the first server's status and header fields.
-    pub fn start(
+    /// Starts relaying and returns the reply, with the first server's status and header fields, once its first
+    /// event is there. The error is the code with which the request ended before that.
+    pub async fn start(
         state: Rc<GatewayState>,
         race: AttemptRace<W>,
         request: Rc<AcceptedRequest>,
         plan: AttemptPlan,
         stream: OpenResponse,
         guard: InFlightGuard,
-    ) -> GatewayReply {
+    ) -> std::result::Result<GatewayReply, ResultCode> {
         let (chunks, body) = streaming_body();
         let mut reply = Response::new(body);
         *reply.status_mut() = stream.response.status();
@@ -204,12 +217,14 @@
         // The first server's length is wrong if another server resumes the stream.
         reply.headers_mut().remove(CONTENT_LENGTH);
         let sequence = EventSequence::new(request.head.resume_after);
+        let (opening, opened) = oneshot::channel();
         let relay = Self {
             state,
             request,
             plan,
             race,
             chunks,
+            opening: Some(opening),
             sequence,
             relayed_events: 0,
             relayed_version: None,
@@ -226,7 +241,20 @@
             }
             drop(guard);
         });
-        reply
+        match opened.await {
+            Ok(StreamOpening::Begun) => Ok(reply),
+            Ok(StreamOpening::Failed(code)) => Err(code),
+            // The relay panicked.
+            Err(_) => Err(ResultCode::Internal),
+        }
+    }
+
+    /// Tells once whether the reply's head may be sent.
+    fn open(&mut self, opening: StreamOpening) {
+        if let Some(sender) = self.opening.take() {
+            // An error means that the caller has disconnected.
+            let _ = sender.send(opening);
+        }
     }
 
     async fn run(mut self, stream: OpenResponse) {
@@ -262,7 +290,7 @@
         }
     }
 
-    async fn finish(self, code: ResultCode) {
+    async fn finish(mut self, code: ResultCode) {
         // The plan counts only failed attempts; any other end adds one that did not fail.
         let unfailed = u32::from(code != ResultCode::AttemptsLost);
         let attempts = self.plan.sent() + unfailed;
@@ -273,6 +301,10 @@
         if let Some((server, expected)) = &self.begun_at_server {
             record_late_answer(&self.state, &self.request, &self.timing, server, *expected);
         }
+        self.open(match code {
+            ResultCode::Complete => StreamOpening::Begun,
+            code => StreamOpening::Failed(code),
+        });
         if code != ResultCode::Complete && code != ResultCode::CallerLost {
             // Sending fails only if the caller disconnected meanwhile; it needs no error then.
             let _ = self.chunks.send_truncated().await;
@@ -482,6 +514,7 @@
 
     /// Relays a complete event; returns how relaying ended if it cannot continue.
     async fn relay_event(&mut self, event: StreamEvent) -> Option<RelayEnd> {
+        self.open(StreamOpening::Begun);
         self.sequence.on_relayed(&event);
         self.relayed_events += 1;
         let time_left = self.plan.deadline().since(self.state.now());
