attempts: a stream does not move to a server that has answered with an error

Callers lost streams: the silent first server was dropped 250 ms after the hedge was sent although the second one had answered 500 by then, since the body of its error was still being read.

Cause: a hedge counted as failed only once the body of its error was read, which nobody needs while the stream goes on elsewhere. Now the head of an error ends a hedge of a stream, and any attempt once the stream is relayed; the connection is closed, so that the server's work ends, too.

Before: failed_second failed, three runs in place of two. After: it passes with the other cases of test_stream_overlap, hedge_overlap and test_silent_server.

--- a/cli/tests/test_stream_overlap.rs
+++ b/cli/tests/test_stream_overlap.rs
@@ -25,6 +25,9 @@
 /// Time that a second server needs to its first event: longer than two servers may work on a stream.
 const SLOW_START: Duration = Duration::from_millis(900);
 
+/// Events of a stream that lasts for longer than two servers may work on it.
+const LONG_STREAM: u64 = 60;
+
 /// Longer than any deadline.
 const PAST_DEADLINE: Duration = Duration::from_secs(60);
 
@@ -43,9 +46,16 @@
 
 /// Calls a stream and does something with the index of its first server once that runs it.
 fn call_and(fixture: &GatewayFixture, action: impl FnOnce(usize)) -> CallerResponse {
+    call_path_and(fixture, &format!("/brief/1/events-{STREAM_EVENTS}"), action)
+}
+
+fn call_path_and(
+    fixture: &GatewayFixture,
+    path: &str,
+    action: impl FnOnce(usize),
+) -> CallerResponse {
     std::thread::scope(|scope| {
-        let path = format!("/brief/1/events-{STREAM_EVENTS}");
-        let caller = scope.spawn(move || fixture.call("POST", &path, "r1", Some(TEAM_KEY)));
+        let caller = scope.spawn(move || fixture.call("POST", path, "r1", Some(TEAM_KEY)));
         wait_for(|| fixture.runs_of("r1") == 1);
         let run = fixture.standin.runs().into_iter().find(|run| run.request_id == "r1");
         action(run.expect("valid in tests").replica);
@@ -55,7 +65,11 @@
 
 /// Checks that a stream was answered whole, and that no two servers worked on it for too long.
 fn check_stream(fixture: &GatewayFixture, response: &CallerResponse) {
-    let whole: String = (1..=STREAM_EVENTS).map(event_text).collect();
+    check_events(fixture, response, STREAM_EVENTS);
+}
+
+fn check_events(fixture: &GatewayFixture, response: &CallerResponse, events: u64) {
+    let whole: String = (1..=events).map(event_text).collect();
     assert!(response.status == 200 && response.body == Some(whole), "{response:?}");
     std::thread::sleep(CLOSE_TIME);
     let (runs, ends) = (fixture.standin.runs(), fixture.standin.stream_ends());
@@ -111,3 +125,17 @@
     });
     check_stream(&fixture, &stream);
 }
+
+/// A second server that answers with an error, whose body comes slowly: the silent first server was dropped while
+/// the body was read, and the stream was lost if it could not go back.
+#[test]
+fn failed_second() {
+    let fixture = start_servers(176, 2, 2);
+    let path = format!("/brief/1/events-{LONG_STREAM}");
+    let stream = call_path_and(&fixture, &path, |first| {
+        fixture.standin.set_replica_mode(1 - first, ReplicaMode::Fail);
+        fixture.standin.silence_replica(first, FIRST_SILENCE);
+    });
+    check_events(&fixture, &stream, LONG_STREAM);
+    assert_eq!(fixture.runs_of("r1"), 2, "the first server goes on");
+}
--- a/lib/src/gateway/attempt_race.rs
+++ b/lib/src/gateway/attempt_race.rs
@@ -32,6 +32,7 @@
 use crate::gateway::rollout::answer_tally::AnswerOutcome;
 use crate::gateway::rollout::rollout_keeper::record_answer;
 use crate::gateway::server_attempt::AttemptOutcome;
+use crate::gateway::server_attempt::ErrorBody;
 use crate::gateway::server_attempt::ServerAttempt;
 use crate::gateway::server_attempt::await_first_event;
 use crate::gateway::server_attempt::send_attempt;
@@ -108,6 +109,7 @@
     running: Vec<RunningAttempt>,
     /// Whether a stream is relayed beside the attempts in flight.
     is_relaying: bool,
+    error_body: ErrorBody,
     /// When silence was reported last.
     silent_at: Timestamp,
 }
@@ -116,7 +118,20 @@
     /// Builds a race without attempts.
     pub fn new(state: Rc<GatewayState>, wire: Rc<W>, request: Rc<AcceptedRequest>) -> Self {
         let silent_at = Timestamp::default();
-        Self { state, wire, request, running: Vec::new(), is_relaying: false, silent_at }
+        Self {
+            state,
+            wire,
+            request,
+            running: Vec::new(),
+            is_relaying: false,
+            error_body: ErrorBody::Read,
+            silent_at,
+        }
+    }
+
+    /// Sets that the errors of servers are no answers for the caller any more.
+    pub fn skip_error_bodies(&mut self) {
+        self.error_body = ErrorBody::Skip;
     }
 
     /// Sets whether a stream is relayed beside the attempts in flight.
@@ -140,6 +155,16 @@
         placed: PlacedServer,
         deadline: Timestamp,
         resume_after: Option<u64>,
+    ) -> bool {
+        self.send(placed, deadline, resume_after, self.error_body)
+    }
+
+    fn send(
+        &mut self,
+        placed: PlacedServer,
+        deadline: Timestamp,
+        resume_after: Option<u64>,
+        error_body: ErrorBody,
     ) -> bool {
         let Some(attempt) = ServerAttempt::start(&self.state, &self.request, placed, resume_after)
         else {
@@ -148,7 +173,7 @@
         let (version, progress) = (attempt.version().clone(), attempt.progress().clone());
         let (wire, request) = (self.wire.clone(), self.request.clone());
         let outcome = Box::pin(async move {
-            send_attempt(&*wire, attempt, &request, resume_after, deadline).await
+            send_attempt(&*wire, attempt, &request, resume_after, error_body, deadline).await
         });
         let key = placed.key;
         let role = AttemptRole::Plain;
@@ -166,7 +191,12 @@
         plan: &AttemptPlan,
         after: Option<u64>,
     ) -> bool {
-        if !self.start(placed, plan.deadline(), after) {
+        // A stream does not move to a server that fails, however long the body of its error takes.
+        let error_body = match self.request.route.kind.is_stream() {
+            true => ErrorBody::Skip,
+            false => self.error_body,
+        };
+        if !self.send(placed, plan.deadline(), after, error_body) {
             return false;
         }
         let Some(attempt) = self.running.pop() else { return false };
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -367,6 +367,15 @@
     }
 }
 
+/// What becomes of the body of a server's own error.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ErrorBody {
+    /// It is read, for the caller.
+    Read,
+    /// It is not read, so that the request goes on elsewhere at once.
+    Skip,
+}
+
 /// How an attempt ended.
 pub enum AttemptOutcome {
     /// A complete response to relay.
@@ -385,13 +394,14 @@
     attempt: ServerAttempt,
     request: &AcceptedRequest,
     resume_after: Option<u64>,
+    error_body: ErrorBody,
     deadline: Timestamp,
 ) -> AttemptOutcome {
     let state = attempt.state.clone();
     let key = attempt.key;
     let (version, began_at) = (attempt.version.clone(), attempt.began_at);
     let time_left = deadline.since(state.now());
-    let exchange = exchange(wire, attempt, request, resume_after, time_left);
+    let exchange = exchange(wire, attempt, request, resume_after, error_body, time_left);
     let outcome = timeout(time_left, exchange).await.unwrap_or(AttemptOutcome::TimedOut);
     let evidence = match &outcome {
         AttemptOutcome::Buffered(_) | AttemptOutcome::Stream(_) => HealthEvidence::Answered,
@@ -422,6 +432,7 @@
     attempt: ServerAttempt,
     request: &AcceptedRequest,
     resume_after: Option<u64>,
+    error_body: ErrorBody,
     time_left: Duration,
 ) -> AttemptOutcome {
     let state = attempt.state.clone();
@@ -492,6 +503,12 @@
         log_failure(&state, request, &attempt, AttemptFailure::Lost, "unusable response");
         return AttemptOutcome::Failed(AttemptFailure::Lost, None);
     }
+    if class == ResponseClass::Failure(AttemptFailure::Failed) && error_body == ErrorBody::Skip {
+        log_failure(&state, request, &attempt, AttemptFailure::Failed, head.status.as_str());
+        record_started(&state, request);
+        record_answered(&state, request);
+        return AttemptOutcome::Failed(AttemptFailure::Failed, None);
+    }
     let response = Response::from_parts(head, body);
     let open =
         OpenResponse { attempt, response, connection, begun: BegunStream::new(&state.buffers) };
--- a/lib/src/gateway/stream_relay.rs
+++ b/lib/src/gateway/stream_relay.rs
@@ -218,6 +218,8 @@
         reply.headers_mut().remove(CONTENT_LENGTH);
         let sequence = EventSequence::new(request.head.resume_after);
         let (opening, opened) = oneshot::channel();
+        let mut race = race;
+        race.skip_error_bodies();
         let relay = Self {
             state,
             request,
