--- a/lib/src/gateway/crash_tracker.rs
+++ b/lib/src/gateway/crash_tracker.rs
@@ -146,14 +146,16 @@
         requests
     }
 
-    /// Records that a request was answered soundly.
-    pub fn on_answered(&mut self, now: Timestamp, parts: &WorkParts) {
-        for part in self.suspects.on_answered(now, parts) {
+    /// Records that a request was answered soundly. Returns its parts that were suspects.
+    pub fn on_answered(&mut self, now: Timestamp, parts: &WorkParts) -> Vec<WorkPart> {
+        let cleared = self.suspects.on_answered(now, parts);
+        for part in &cleared {
             if self.own_cleared.len() == MAX_TOLD_CLEARED {
                 self.own_cleared.pop_front();
             }
-            self.own_cleared.push_back((part, now));
+            self.own_cleared.push_back((*part, now));
         }
+        cleared
     }
 
     /// Returns whether a request must not be sent to any server.
--- a/lib/src/gateway/server_attempt.rs
+++ b/lib/src/gateway/server_attempt.rs
@@ -63,6 +63,7 @@
 use crate::ids::ServiceName;
 use crate::software_version::SoftwareVersion;
 use crate::timestamp::Timestamp;
+use crate::work_parts::WorkPart;
 
 /// Maximum size of a buffered response in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -722,7 +723,12 @@
 
 /// Records that a request was answered soundly, so that it does not crash servers.
 pub fn record_answered(state: &GatewayState, request: &AcceptedRequest) {
-    state.crashes.borrow_mut().on_answered(state.now(), &request.work);
+    let cleared = state.crashes.borrow_mut().on_answered(state.now(), &request.work);
+    if !cleared.is_empty() {
+        let parts: Vec<String> = cleared.iter().map(WorkPart::to_string).collect();
+        let id = &request.head.request_id;
+        log::info!("event=suspects_cleared request={id} parts={}", parts.join(","));
+    }
 }
 
 /// Records a request whose connection broke, and whether its server crashed.
