review: a moved stream is worked on twice where the close is seen late

Rule: TWICE (model replicas): a request goes on elsewhere while the replica before still works on it 400 ms later. Seen: one of seven replicas is slow for 6.5 s and drops a request at its next event after the close. Code: attempt_race and stream_relay move a silent stream at the second replica's first event and rely on the close.

--- a/review/tools-2/standin.rs
+++ b/review/tools-2/standin.rs
@@ -352,6 +352,8 @@
     is_ending: AtomicBool,
     /// The connections that it has accepted.
     connections: Mutex<Vec<TcpStream>>,
+    /// Unix milliseconds until which each event takes eight times as long.
+    slow_until: AtomicU64,
 }
 
 impl Replica {
@@ -370,6 +372,11 @@
         if request.path() == "/health" {
             return answer(stream, "200 OK", &format!("Replica-Id: {}\r\n", self.id), b"");
         }
+        if request.path() == "/stand-in/slow" {
+            let time = request.query("ms").and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+            self.slow_until.store(wall_ms() + time, Ordering::Relaxed);
+            return answer(stream, "200 OK", "", b"");
+        }
         let request_id = request.header("request-id").unwrap_or("-").to_owned();
         if request.header("expect-replica").is_some_and(|id| id != self.id) {
             let headers = format!("Request-Id: {request_id}\r\nReplica-Id: {}\r\n", self.id);
@@ -408,7 +415,16 @@
             return false;
         }
         for number in after + 1..=pieces {
-            thread::sleep(gap);
+            let is_slow = wall_ms() < self.slow_until.load(Ordering::Relaxed);
+            thread::sleep(if is_slow { gap * 8 } else { gap });
+            // A replica drops a request whose connection is closed, at its next event.
+            if has_closed(stream) {
+                println!("end {} replica={} request={request_id} caller left", wall_ms(), self.id);
+                return false;
+            }
+            if number == after + 1 {
+                println!("first {} replica={} request={request_id}", wall_ms(), self.id);
+            }
             let piece = match is_stream {
                 true => format!("id: {number}\ndata: {} piece {number} of {pieces}\n\n", self.version),
                 false => format!("line {number} of {pieces}\n"),
@@ -427,6 +443,17 @@
     }
 }
 
+/// Returns whether the other end has closed a connection.
+fn has_closed(stream: &TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let peeked = stream.peek(&mut [0]);
+    let _ = stream.set_nonblocking(false);
+    match peeked {
+        Ok(count) => count == 0,
+        Err(error) => error.kind() != std::io::ErrorKind::WouldBlock,
+    }
+}
+
 /// Runs a replica: `replica ID ADDRESS SERVICE VERSION FRAMING STORE`.
 fn run_replica(arguments: &[String]) {
     let [id, address, service, version, framing, store] = arguments else { panic!("arguments of a replica") };
@@ -439,6 +466,7 @@
         runs: AtomicU64::new(0),
         is_ending: AtomicBool::new(false),
         connections: Mutex::default(),
+        slow_until: AtomicU64::new(0),
     };
     let (id, address, service) = (id.clone(), address.clone(), service.clone());
     let (version, store, born) = (version.clone(), store.clone(), wall_ms());
@@ -988,6 +1016,99 @@
     }
 }
 
+/// One replica turns slow. It drops a request whose connection is closed at its next event.
+fn slow_replica(folder: &str) -> i32 {
+    const REPLICAS: u32 = 7;
+    const CALLERS: u64 = 42;
+    let mut deployment = Deployment::start("slow");
+    let cloud = deployment.start_cloud();
+    deployment.configure();
+    for number in 1..=REPLICAS {
+        deployment.start_replica(&format!("i-{number}"), 20 + number, "v1", "chunked");
+    }
+    let fronts: Vec<SocketAddr> =
+        (1..=2).map(|number| deployment.start_gateway(&format!("front-a-{number}"), 9 + number, true, &cloud)).collect();
+    if !fronts.iter().all(|front| deployment.wait_ready(*front)) {
+        deployment.write_record(folder, "a gateway did not become ready");
+        return 2;
+    }
+    thread::sleep(Duration::from_secs(5));
+    let (began, until) = (Instant::now(), Duration::from_secs(30));
+    let handles: Vec<_> = (1..=CALLERS)
+        .map(|caller| {
+            let (front, record) = (fronts[caller as usize % fronts.len()], deployment.record.clone());
+            thread::spawn(move || {
+                thread::sleep(Duration::from_millis(caller * 100));
+                let mut whole = 0;
+                for number in 1.. {
+                    if began.elapsed() > until {
+                        break;
+                    }
+                    let id = format!("stream-{caller}-{number}");
+                    let prompt = own_prompt(caller * 100 + number);
+                    let reply = call(front, "POST", "/stream/a", &id, &prompt, "pieces=12&gap=400");
+                    record.note(&format!(
+                        "{id} was answered: status {} complete {} events {}",
+                        reply.status,
+                        reply.is_complete,
+                        event_numbers(&reply.body).len()
+                    ));
+                    whole += u32::from(reply.status == 200 && reply.is_complete);
+                }
+                whole
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(10));
+    if has_trouble() {
+        let address: SocketAddr = format!("{}.21:8308", deployment.net).parse().expect("address");
+        let reply = call(address, "GET", "/stand-in/slow?ms=6500", "-", "", "");
+        deployment.record.note(&format!("i-1 turns slow for 6.5 s: {}", reply.status));
+    }
+    let whole: u32 = handles.into_iter().map(|handle| handle.join().unwrap_or(0)).sum();
+    let runs = fs::read_to_string(deployment.folder.join("runs")).unwrap_or_default();
+    // Times of the first event and of the end of each run, by request and replica.
+    let mut times: BTreeMap<String, BTreeMap<String, (Option<u64>, Option<u64>)>> = BTreeMap::new();
+    for line in runs.lines() {
+        let fields: Vec<&str> = line.split(' ').collect();
+        let field = |name: &str| fields.iter().find_map(|text| text.strip_prefix(name)).unwrap_or("-").to_owned();
+        let at = fields.get(1).and_then(|text| text.parse().ok());
+        let run = times.entry(field("request=")).or_default().entry(field("replica=")).or_default();
+        match fields[0] {
+            "first" => run.0 = at,
+            "end" => run.1 = at,
+            _ => {}
+        }
+    }
+    let mut overlaps = Vec::new();
+    for (request, runs) in &times {
+        for (first, (began, ended)) in runs {
+            for (second, (joined, _)) in runs.iter().filter(|(second, _)| *second != first) {
+                let (Some(began), Some(ended), Some(joined)) = (began, ended, joined) else { continue };
+                if began < joined && *ended > joined + 400 {
+                    deployment.record.note(&format!(
+                        "{request}: {first} works on it for {} ms after {second} has sent its first event",
+                        ended - joined
+                    ));
+                    overlaps.push(ended - joined);
+                }
+            }
+        }
+    }
+    let verdict = format!(
+        "{} requests went on at a second replica while the first worked on for over 400 ms: {overlaps:?} ms; {whole} \
+         streams came whole",
+        overlaps.len()
+    );
+    println!("{verdict}");
+    deployment.write_record(folder, &verdict);
+    match overlaps.len() {
+        0 if whole == 0 => 2,
+        0 => 0,
+        _ => 1,
+    }
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let folder = arguments.get(1).cloned().unwrap_or_default();
@@ -997,6 +1118,7 @@
             0
         }
         Some("upgraded-in-place") => upgraded_in_place(&folder),
+        Some("slow-replica") => slow_replica(&folder),
         Some("crashing-part") => crashing_part(&folder),
         Some("unframed-crash") => unframed_crash(&folder),
         _ => 2,
