--- a/review/tools-2/standin.rs
+++ b/review/tools-2/standin.rs
@@ -331,7 +331,7 @@
 const CRASHING_PART: &str = "dead";
 
 /// Time from when a process that crashes closes its connections until its listener is closed as well.
-const EXIT_TIME: Duration = Duration::from_millis(100);
+const EXIT_TIME: Duration = Duration::from_millis(40);
 
 /// How a replica frames the bodies of its answers.
 #[derive(Clone, Copy, PartialEq)]
